Lay the ground: ids, outcomes, settings model and the slices' interfaces

Cause: the slices are built side by side and meet only at interfaces. Before and after: nothing ran before; nothing serves yet.

--- /dev/null
+++ b/agatetack/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limit, queue and refuse requests before they reach a target."""
--- /dev/null
+++ b/agatetack/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Run attempts: retries, hedges, their budgets and deadlines."""
--- /dev/null
+++ b/agatetack/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the target for each attempt."""
--- /dev/null
+++ b/agatetack/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers over HTTP."""
--- /dev/null
+++ b/agatetack/config/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the accepted routes: the fold of the configuration stream."""
--- /dev/null
+++ b/agatetack/config/route.py
@@ -0,0 +1,93 @@
+"""Define a route: which requests it takes and how they may be treated."""
+
+import dataclasses
+import enum
+from collections.abc import Sequence
+
+from agatetack.ids import LogOffset, RouteId, ServiceId, TeamId
+
+
+class RequestClass(enum.Enum):
+    """How a route's requests may be treated."""
+
+    FAST = "fast"
+    ONCE = "once"
+    WHOLE = "whole"
+    DEFERRED = "deferred"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """One accepted route.
+
+    Attributes:
+        id: Chosen by the operator.
+        team: The team that owns it.
+        service: Whose targets run the requests.
+        request_class: How the requests may be treated.
+        path_prefix: Paths that it takes; `/` takes all.
+        host: Host header that it takes, in lower case, or "" for any.
+        deadline_seconds: Time given to a request that brings no deadline.
+        max_body_bytes: Largest request body.
+        requests_per_second: Limit of the whole fleet, or 0 for none.
+        max_queue: Requests waiting in one process, or 0 for the setting.
+        version: The log offset of its record; no host ever takes a lower.
+    """
+
+    id: RouteId
+    team: TeamId
+    service: ServiceId
+    request_class: RequestClass
+    path_prefix: str
+    host: str = ""
+    deadline_seconds: float = 10.0
+    max_body_bytes: int = 104_857_600
+    requests_per_second: float = 0.0
+    max_queue: int = 0
+    version: LogOffset = LogOffset(-1)
+
+
+class RouteTable:
+    """The routes in force, arranged for matching.
+
+    The longest path prefix wins; among equals a route that names the host
+    goes before one that takes any. A prefix takes whole path segments.
+    """
+
+    def __init__(self, routes: Sequence[Route] = ()):
+        """Arrange `routes`."""
+        self.routes = {route.id: route for route in routes}
+        self.by_prefix: dict[str, list[Route]] = {}
+        for route in routes:
+            prefix = route.path_prefix.rstrip("/")
+            self.by_prefix.setdefault(prefix, []).append(route)
+        for group in self.by_prefix.values():
+            group.sort(key=lambda route: (route.host == "", route.id))
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route for a request, or None.
+
+        Args:
+            host: The Host header without port, in lower case.
+            path: The path with or without its query.
+        """
+        prefix = path.partition("?")[0].rstrip("/")
+        while True:
+            for route in self.by_prefix.get(prefix, ()):
+                if route.host in ("", host):
+                    return route
+            if not prefix:
+                return None
+            prefix = prefix.rpartition("/")[0]
+
+
+class RouteSource:
+    """Hold the table in force; swapped whole when configuration changes.
+
+    Attributes:
+        table: The routes in force, or None before any are known.
+    """
+
+    def __init__(self, table: RouteTable | None = None):
+        """Start with `table`."""
+        self.table = table
--- /dev/null
+++ b/agatetack/deferred/__init__.py
@@ -0,0 +1,1 @@
+"""Keep requests that may wait, run them later and keep their results."""
--- /dev/null
+++ b/agatetack/download/__init__.py
@@ -0,0 +1,1 @@
+"""Carry large answers whole: verified, and resumed when cut."""
--- /dev/null
+++ b/agatetack/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start, become ready, drain and stop a host."""
--- /dev/null
+++ b/agatetack/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure targets within the budget that operators set."""
--- /dev/null
+++ b/agatetack/messages.py
@@ -0,0 +1,138 @@
+"""Define the requests and answers that pass between slices."""
+
+import abc
+import dataclasses
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from agatetack.ids import CallerId, Deadline, IdempotencyKey, RequestId
+
+
+class Header(NamedTuple):
+    """One HTTP header field; the name is in lower case."""
+
+    name: bytes
+    value: bytes
+
+
+Headers = Sequence[Header]
+
+
+def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Return the first value of header `name` (lower case), or None."""
+    for header in headers:
+        if header.name == name:
+            return header.value
+    return None
+
+
+class CallerGone(Exception):
+    """The caller's connection was lost while its request was read."""
+
+
+class AnswerCut(Exception):
+    """An answer's body ended before the length or end that was announced."""
+
+
+class Body(abc.ABC):
+    """The body of a request or an answer, read once from start to end.
+
+    Attributes:
+        length: The announced length in bytes, or None if not announced.
+    """
+
+    length: int | None = None
+
+    @abc.abstractmethod
+    async def receive(self) -> bytes:
+        """Return the next bytes, or `b""` at the verified end.
+
+        Raises:
+            CallerGone: A request's body was cut.
+            AnswerCut: An answer's body was cut.
+        """
+
+    async def aclose(self) -> None:  # noqa: B027
+        """Free what the body holds; there may be nothing to free."""
+
+
+class BytesBody(Body):
+    """A body held in memory; `rewind` makes it readable again."""
+
+    def __init__(self, content: bytes):
+        """Hold `content`."""
+        self.content = content
+        self.length = len(content)
+        self.taken = False
+
+    async def receive(self) -> bytes:
+        """Return all bytes at the first call, then `b""`."""
+        if self.taken:
+            return b""
+        self.taken = True
+        return self.content
+
+    def rewind(self) -> None:
+        """Start again at the first byte."""
+        self.taken = False
+
+
+@dataclasses.dataclass(slots=True)
+class CallerRequest:
+    """One request of a caller.
+
+    Attributes:
+        request_id: The caller's id for it, or one made at arrival.
+        caller: Who sent it.
+        method: The HTTP method, such as `b"GET"`.
+        path: Path and query as sent.
+        host: The Host header without its port, in lower case.
+        headers: Header fields, without hop-by-hop ones.
+        body: A `BytesBody` where it is small enough to be sent again.
+        deadline: When the answer is of no more use.
+        key: The idempotency key, or None.
+        arrived: When the last header byte was read.
+    """
+
+    request_id: RequestId
+    caller: CallerId
+    method: bytes
+    path: bytes
+    host: bytes
+    headers: Headers
+    body: Body
+    deadline: Deadline
+    key: IdempotencyKey | None
+    arrived: Deadline
+
+    @property
+    def replayable(self) -> bool:
+        """Return whether the body can be sent a second time."""
+        return isinstance(self.body, BytesBody)
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An answer on its way to the caller.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Header fields, without hop-by-hop ones and lengths.
+        body: Its body; `body.length` gives the Content-Length, if known.
+    """
+
+    status: int
+    headers: list[Header]
+    body: Body
+
+    async def aclose(self) -> None:
+        """Free what the answer holds; a body not read to its end is cut."""
+        await self.body.aclose()
+
+
+class Handler(abc.ABC):
+    """Whatever turns a caller's request into an answer."""
+
+    @abc.abstractmethod
+    async def handle(self, request: CallerRequest) -> Answer:
+        """Return the answer; refusals are answers too, never exceptions."""
--- /dev/null
+++ b/agatetack/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Answer operators: the administration API and the status page."""
--- /dev/null
+++ b/agatetack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange state with the other hosts of the fleet."""
--- /dev/null
+++ b/agatetack/peers/exchange.py
@@ -0,0 +1,114 @@
+"""Define how slices exchange messages with the other hosts."""
+
+import abc
+import dataclasses
+import enum
+from collections.abc import Awaitable, Callable, Sequence
+
+from agatetack.ids import Deadline, FailureDomain, HostId
+
+
+class Topic(enum.Enum):
+    """What a message between peers is about; one slice reads each."""
+
+    CONFIG_RECORDS = 1
+    CONFIG_OFFSET = 2
+    LOAD_SAMPLES = 3
+    TARGET_SIGNS = 4
+    CRASH_FINGERPRINTS = 5
+    CONFIG_FETCH = 6
+    CLAIM_BATCH = 7
+    EXPLAIN = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """Another live host.
+
+    Attributes:
+        id: Its name.
+        incarnation: Its start, in ns since 1970; a restart has a higher one.
+        failure_domain: Where it is.
+        leaving: Whether it has announced that it is leaving.
+    """
+
+    id: HostId
+    incarnation: int
+    failure_domain: FailureDomain
+    leaving: bool
+
+
+MessageHandler = Callable[[HostId, bytes], None]
+"""Takes the sender and the payload; must not block or raise."""
+
+CallHandler = Callable[[HostId, bytes], Awaitable[bytes]]
+"""Takes the sender and the request, returns the reply."""
+
+
+class PeerUnreachable(Exception):
+    """A peer did not answer a call in time."""
+
+
+class Exchange(abc.ABC):
+    """Messages with the other hosts. Delivery is not guaranteed."""
+
+    @abc.abstractmethod
+    def publish(self, topic: Topic, payload: bytes) -> None:
+        """Send to every connected peer; dropped when over the byte budget."""
+
+    @abc.abstractmethod
+    def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
+        """Call `handler` for each published message of `topic`."""
+
+    @abc.abstractmethod
+    def serve(self, topic: Topic, handler: CallHandler) -> None:
+        """Answer peers' calls of `topic` with `handler`."""
+
+    @abc.abstractmethod
+    async def call(
+        self, peer: HostId, topic: Topic, payload: bytes, deadline: Deadline
+    ) -> bytes:
+        """Call one peer and return its reply.
+
+        Raises:
+            PeerUnreachable: No reply came before `deadline`.
+        """
+
+    @abc.abstractmethod
+    def live_peers(self) -> Sequence[Peer]:
+        """Return the peers heard lately, without this host."""
+
+    @abc.abstractmethod
+    def fleet_size(self) -> int:
+        """Return the number of hosts, this one included, never too low.
+
+        It is the larger of the platform's list and the peers heard, so that
+        a share of a fleet-wide budget is never too large.
+        """
+
+
+class NoExchange(Exchange):
+    """A host without peers, for tests and single-host use."""
+
+    def publish(self, topic: Topic, payload: bytes) -> None:
+        """Drop the message."""
+
+    def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
+        """Ignore the handler, as no message will come."""
+
+    def serve(self, topic: Topic, handler: CallHandler) -> None:
+        """Ignore the handler, as no call will come."""
+
+    async def call(
+        self, peer: HostId, topic: Topic, payload: bytes, deadline: Deadline
+    ) -> bytes:
+        """Raise PeerUnreachable."""
+        raise PeerUnreachable(f"{peer} is not a peer of this host")
+
+    def live_peers(self) -> Sequence[Peer]:
+        """Return nobody."""
+        return ()
+
+    def fleet_size(self) -> int:
+        """Return 1."""
+        return 1
--- /dev/null
+++ b/agatetack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's log service and host list."""
--- /dev/null
+++ b/agatetack/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Refuse requests that crash the targets that run them."""
--- /dev/null
+++ b/agatetack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read, check and hold a host's settings."""
--- /dev/null
+++ b/agatetack/settings/model.py
@@ -0,0 +1,293 @@
+"""Define every setting, its unit and its bounds.
+
+The defaults stand in `agatetack/default_settings.yaml`, which documents each
+option; the models here hold none, so the two cannot disagree.
+"""
+
+import enum
+import ipaddress
+from typing import Annotated
+
+import pydantic
+
+Seconds = Annotated[float, pydantic.Field(gt=0, le=30 * 86_400)]
+Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
+Bytes = Annotated[int, pydantic.Field(ge=1, le=2**40)]
+Count = Annotated[int, pydantic.Field(ge=1, le=10**9)]
+Ratio = Annotated[float, pydantic.Field(ge=0, le=1)]
+Name = Annotated[
+    str,
+    pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100),
+]
+HeaderName = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9-]+$")]
+
+
+class Section(pydantic.BaseModel):
+    """A part of the settings; unknown keys are findings."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Endpoint(Section):
+    """An address to reach: an IP number and a port (0: kernel chooses)."""
+
+    ip: ipaddress.IPv4Address | ipaddress.IPv6Address
+    port: Port
+
+    @property
+    def host(self) -> str:
+        """Return the IP number as text."""
+        return str(self.ip)
+
+
+class TlsFiles(Section):
+    """Paths of PEM files for one listener or client."""
+
+    certificate: str
+    key: str
+    authority: str | None = None
+
+
+class HostSettings(Section):
+    """Who this process is."""
+
+    id: Name
+    failure_domain: Name
+    region: Name
+
+
+class CallerHeaders(Section):
+    """Names of the headers exchanged with callers, in lower case."""
+
+    deadline_ms: HeaderName
+    idempotency_key: HeaderName
+    issued_at: HeaderName
+    request_id: HeaderName
+    caller: HeaderName
+    outcome: HeaderName
+    reason: HeaderName
+    ticket: HeaderName
+
+
+class CallersSettings(Section):
+    """How callers are served."""
+
+    listen: Endpoint
+    tls: TlsFiles | None
+    headers: CallerHeaders
+    max_connections: Count
+    max_header_bytes: Bytes
+    max_body_bytes: Bytes
+    replay_body_bytes: Bytes
+    header_timeout_seconds: Seconds
+    keep_alive_seconds: Seconds
+    write_timeout_seconds: Seconds
+    default_deadline_seconds: Seconds
+    max_deadline_seconds: Seconds
+
+
+class TargetHeaders(Section):
+    """Names of the headers exchanged with targets, in lower case."""
+
+    in_flight: HeaderName
+    slots: HeaderName
+    state: HeaderName
+    outcome: HeaderName
+    deadline_ms: HeaderName
+    attempt: HeaderName
+
+
+class TargetsSettings(Section):
+    """How targets are called."""
+
+    headers: TargetHeaders
+    load_path: str
+    health_path: str
+    slots: Count
+    max_connections: Count
+    connect_timeout_seconds: Seconds
+    idle_proof_seconds: Seconds
+    idle_close_seconds: Seconds
+    max_header_bytes: Bytes
+    byte_timeout_seconds: Seconds
+
+
+class LogSettings(Section):
+    """Where the platform's log is and how it is used."""
+
+    endpoint: Endpoint
+    timeout_seconds: Seconds
+    poll_seconds: Seconds
+    appends_per_second: Annotated[float, pydantic.Field(gt=0)]
+    retention_seconds: Seconds
+    max_record_bytes: Bytes
+
+
+class HostListSettings(Section):
+    """Where the platform's list of hosts and targets is."""
+
+    endpoint: Endpoint
+    timeout_seconds: Seconds
+    poll_seconds: Seconds
+
+
+class PlatformSettings(Section):
+    """The platform's services."""
+
+    log: LogSettings
+    host_list: HostListSettings
+
+
+class OperatorToken(Section):
+    """One operator's access; the token itself is never stored."""
+
+    name: Name
+    team: Name
+    sha256: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+    roles: tuple[str, ...]
+    services: tuple[str, ...]
+
+
+class OperatorsSettings(Section):
+    """The administration API."""
+
+    listen: Endpoint
+    tls: TlsFiles | None
+    tokens: tuple[OperatorToken, ...]
+    failed_attempts_per_minute: Count
+    max_routes_per_team: Count
+
+
+class PeersSettings(Section):
+    """Exchange with the other hosts."""
+
+    listen: Endpoint
+    advertise: Endpoint | None
+    shared_key: str | None
+    heartbeat_seconds: Seconds
+    timeout_seconds: Seconds
+    max_frame_bytes: Bytes
+    bytes_per_second: Bytes
+    max_peers: Count
+
+
+class MeasureSettings(Section):
+    """The budget of measuring; figures are for the whole fleet."""
+
+    probes_per_second: Annotated[float, pydantic.Field(ge=0)]
+    bytes_per_second: Annotated[float, pydantic.Field(ge=0)]
+    probe_timeout_seconds: Seconds
+    probe_reuses: Count
+    report_half_life_seconds: Seconds
+
+
+class PolicyName(enum.Enum):
+    """The policies that choose a target."""
+
+    RANDOM = "random"
+    ROUND_ROBIN = "round-robin"
+    LEAST_IN_FLIGHT = "least-in-flight"
+    POWER_OF_TWO = "power-of-two"
+    EXPECTED_WAIT = "expected-wait"
+
+
+class BalanceSettings(Section):
+    """How a target is chosen."""
+
+    policy: PolicyName
+    cold_seconds: Seconds
+    same_domain_seconds: Annotated[float, pydantic.Field(ge=0)]
+    other_domain_seconds: Annotated[float, pydantic.Field(ge=0)]
+    slow_ratio: Annotated[float, pydantic.Field(gt=1)]
+    slow_retry_seconds: Seconds
+    leaving_hold_seconds: Seconds
+
+
+class AdmissionSettings(Section):
+    """Limits and queues in front of the targets."""
+
+    max_queue: Count
+    standing_queue_seconds: Seconds
+    min_target_limit: Count
+    max_target_limit: Count
+    retry_after_seconds: Seconds
+
+
+class AttemptsSettings(Section):
+    """Retries and hedges, as shares of requests."""
+
+    retry_ratio: Ratio
+    retry_burst: Count
+    hedge_ratio: Ratio
+    hedge_burst: Count
+    hedge_quantile: Ratio
+    hedge_min_seconds: Seconds
+    max_attempts: Count
+
+
+class ClaimsSettings(Section):
+    """At-most-once requests."""
+
+    partitions: Count
+    key_window_seconds: Seconds
+    append_interval_seconds: Seconds
+    max_batch: Count
+    proven_connection_seconds: Seconds
+
+
+class DeferredSettings(Section):
+    """Requests that may wait."""
+
+    partitions: Count
+    max_open: Count
+    max_body_bytes: Bytes
+    max_result_bytes: Bytes
+    result_keep_seconds: Seconds
+    max_wait_seconds: Seconds
+    attempt_timeout_seconds: Seconds
+    concurrency: Count
+
+
+class QuarantineSettings(Section):
+    """Requests that crash targets."""
+
+    crashes: Count
+    hold_seconds: Seconds
+    decay_seconds: Seconds
+    max_fingerprints: Count
+    confirm_seconds: Seconds
+
+
+class LifecycleSettings(Section):
+    """Start and stop."""
+
+    notice_seconds: Seconds
+    drain_seconds: Seconds
+    warm_up_seconds: Seconds
+
+
+class LogsSettings(Section):
+    """What is logged."""
+
+    level: str
+    json_lines: bool
+
+
+class Settings(Section):
+    """All settings of one host."""
+
+    host: HostSettings
+    callers: CallersSettings
+    targets: TargetsSettings
+    platform: PlatformSettings
+    operators: OperatorsSettings
+    peers: PeersSettings
+    measure: MeasureSettings
+    balance: BalanceSettings
+    admission: AdmissionSettings
+    attempts: AttemptsSettings
+    claims: ClaimsSettings
+    deferred: DeferredSettings
+    quarantine: QuarantineSettings
+    lifecycle: LifecycleSettings
+    logs: LogsSettings
--- /dev/null
+++ b/agatetack/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Hold connections to targets and call them over HTTP."""
--- /dev/null
+++ b/agatetack/targets/state.py
@@ -0,0 +1,91 @@
+"""Hold what this host knows of each target."""
+
+import dataclasses
+import enum
+from collections import deque
+
+from agatetack.ids import Deadline, FailureDomain, ServiceId, TargetId
+
+RECENT_LATENCIES = 64
+"""How many of a target's latest latencies are kept."""
+
+
+class TargetStatus(enum.Enum):
+    """Whether a target may get new work."""
+
+    COLD = "cold"
+    READY = "ready"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class ReportSource(enum.Enum):
+    """Where a load report came from."""
+
+    ANSWER = "answer"
+    PROBE = "probe"
+    PEER = "peer"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a target said of its own load, which may be late or wrong.
+
+    Attributes:
+        in_flight: Requests running or waiting there, from all gateways.
+        slots: Requests that can run at the same time.
+        own_in_flight: What this host had there when the report came.
+        at: When the report was received.
+        source: Where it came from.
+    """
+
+    in_flight: int
+    slots: int
+    own_in_flight: int
+    at: Deadline
+    source: ReportSource
+
+
+@dataclasses.dataclass(slots=True)
+class TargetState:
+    """What this host knows of one target.
+
+    Attributes:
+        id: `ip:port`.
+        service: The service it belongs to.
+        ip: Its IP number.
+        port: Its port.
+        failure_domain: Where it is.
+        status: Whether it may get new work.
+        status_since: When the status last changed.
+        in_flight: Requests of this host there now; exact.
+        slots: Requests it can run at the same time.
+        limit: Most requests this host puts there at the same time.
+        report: Its latest load report, or None.
+        report_uses: Choices that the latest report has served.
+        latency: Moving average of answer times, in seconds, or None.
+        recent: Latest answer times, in seconds.
+        last_answer_at: When it last answered, or None.
+        last_chosen_at: When it was last chosen, or None.
+        failures: Failed attempts since the last answer.
+    """
+
+    id: TargetId
+    service: ServiceId
+    ip: str
+    port: int
+    failure_domain: FailureDomain
+    status: TargetStatus = TargetStatus.COLD
+    status_since: Deadline = Deadline(0.0)
+    in_flight: int = 0
+    slots: int = 2
+    limit: int = 8
+    report: LoadReport | None = None
+    report_uses: int = 0
+    latency: float | None = None
+    recent: deque[float] = dataclasses.field(
+        default_factory=lambda: deque(maxlen=RECENT_LATENCIES)
+    )
+    last_answer_at: Deadline | None = None
+    last_chosen_at: Deadline | None = None
+    failures: int = 0
--- /dev/null
+++ b/thrift/common.thrift
@@ -0,0 +1,33 @@
+// What several schemas share. Evolution: fields are only added, as optional
+// with new ids; ids and enum values are never reused or renumbered.
+namespace py common
+namespace java io.agatetack.common
+
+// How a route's requests may be treated.
+enum RequestClass {
+  FAST = 1
+  ONCE = 2
+  WHOLE = 3
+  DEFERRED = 4
+}
+
+// What became of a request.
+enum Outcome {
+  ANSWERED = 1
+  NOT_RUN = 2
+  UNKNOWN = 3
+}
+
+// One route, as operators write it and the log keeps it.
+struct Route {
+  1: required string id
+  2: required string team
+  3: required string service_name
+  4: required RequestClass request_class
+  5: required string path_prefix
+  6: optional string host            // lower case; absent: any
+  7: optional double deadline_seconds
+  8: optional i64 max_body_bytes
+  9: optional double requests_per_second  // whole fleet; 0: no limit
+  10: optional i32 max_queue              // per process; 0: the setting
+}
