Generate thrift code without its enum option

Cause: with it the generated fields hold names and an unknown value raises on read, which breaks evolution. Change: plain integer enums. Before: writing RequestClass.FAST raised KeyError; after: it round-trips.

--- a/thrift/generate.sh
+++ b/thrift/generate.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 for schema in thrift/*.thrift; do
-  thrift --gen py:enum,slots,package_prefix=agatetack.generated. \
+  thrift --gen py:slots,package_prefix=agatetack.generated. \
     -out agatetack/generated "$schema"
 done
 find agatetack/generated -name '*-remote' -delete
