Check routes by rules that stand once

Cause: a route is checked in three places (route file, before the append, in every host's fold) and the fold must judge alike on every host. Change: config/route_rules.py gives check_route (all findings of one route) and check_clash (same host and prefix as another route). Both depend on the routes alone, on no setting, clock or state. Conclusion: config's append and fold can call the same functions.

--- /dev/null
+++ b/agatetack/config/route_rules.py
@@ -0,0 +1,217 @@
+"""State which routes are valid, the same way on every host.
+
+These rules run before a route is appended to the log and again in every
+host's fold, so they depend on the route alone: on no setting, clock or other
+state. A fleet runs several versions at once during an update, and two hosts
+that judge one record differently would hold different routes. So a rule that
+was released once is never changed; a stricter one for new routes belongs in
+front of the append only.
+"""
+
+import dataclasses
+import enum
+import math
+import re
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from agatetack.config.route import RequestClass, Route
+from agatetack.ids import RouteId
+
+MAX_NAME_LENGTH = 100
+"""Longest id, team or service, in characters."""
+
+MAX_HOST_LENGTH = 253
+"""Longest host name that DNS allows, in characters."""
+
+MAX_PREFIX_LENGTH = 512
+"""Longest path prefix, in characters."""
+
+MIN_DEADLINE_SECONDS = 0.001
+MAX_DEADLINE_SECONDS = 30 * 86_400.0
+MAX_BODY_BYTES = 2**40
+MAX_REQUESTS_PER_SECOND = 1e9
+MAX_QUEUE = 1_000_000
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
+HOST = re.compile(r"[a-z0-9_]([a-z0-9_.-]*[a-z0-9_])?|\[[0-9a-f:.]+\]")
+# Characters that RFC 3986 allows in a path; `%` stands before two digits.
+PREFIX = re.compile(r"/([A-Za-z0-9._~!$&'()*+,;=:@/-]|%[0-9A-Fa-f]{2})*")
+
+
+class RouteField(enum.Enum):
+    """The fields of a route that a finding can be about."""
+
+    ID = "id"
+    TEAM = "team"
+    SERVICE = "service"
+    REQUEST_CLASS = "request_class"
+    PATH_PREFIX = "path_prefix"
+    HOST = "host"
+    DEADLINE_SECONDS = "deadline_seconds"
+    MAX_BODY_BYTES = "max_body_bytes"
+    REQUESTS_PER_SECOND = "requests_per_second"
+    MAX_QUEUE = "max_queue"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteFinding:
+    """One rule that a route breaks.
+
+    Attributes:
+        field: The field at fault.
+        message: What is wrong, for a person.
+    """
+
+    field: RouteField
+    message: str
+
+    def __str__(self) -> str:
+        """Return the finding as one line."""
+        return f"{self.field.value}: {self.message}"
+
+
+class RouteMatch(NamedTuple):
+    """What two routes may not share: the requests that they take."""
+
+    host: str
+    prefix: str
+
+
+def route_match(route: Route) -> RouteMatch:
+    """Return what `route` matches; equal for two routes that clash."""
+    return RouteMatch(route.host, route.path_prefix.rstrip("/"))
+
+
+def check_route(route: Route) -> tuple[RouteFinding, ...]:
+    """Return every rule that `route` breaks; none if it is valid."""
+    return (
+        *_check_names(route),
+        *_check_class(route),
+        *_check_match(route),
+        *_check_limits(route),
+    )
+
+
+def check_clash(
+    route: Route, others: Iterable[Route]
+) -> tuple[RouteFinding, ...]:
+    """Return a finding if another route takes the same requests.
+
+    Args:
+        route: The route to accept.
+        others: The routes in force; one of the same id is passed over.
+    """
+    clash = find_clash(route, others)
+    if clash is None:
+        return ()
+    message = f"route {clash} takes the same host and path prefix"
+    return (RouteFinding(RouteField.PATH_PREFIX, message),)
+
+
+def find_clash(route: Route, others: Iterable[Route]) -> RouteId | None:
+    """Return the least id of the other routes with the same match."""
+    wanted = route_match(route)
+    clashes = (
+        other.id
+        for other in others
+        if other.id != route.id and route_match(other) == wanted
+    )
+    return min(clashes, default=None)
+
+
+def _check_names(route: Route) -> Iterable[RouteFinding]:
+    names = (
+        (RouteField.ID, route.id),
+        (RouteField.TEAM, route.team),
+        (RouteField.SERVICE, route.service),
+    )
+    for field, name in names:
+        if not isinstance(name, str) or not NAME.fullmatch(name):
+            yield RouteFinding(
+                field,
+                "must be letters, digits, '.', '_' or '-',"
+                " and start with a letter or digit",
+            )
+        elif len(name) > MAX_NAME_LENGTH:
+            yield RouteFinding(
+                field, f"must have at most {MAX_NAME_LENGTH} characters"
+            )
+
+
+def _check_class(route: Route) -> Iterable[RouteFinding]:
+    if not isinstance(route.request_class, RequestClass):
+        known = ", ".join(known.value for known in RequestClass)
+        yield RouteFinding(RouteField.REQUEST_CLASS, f"must be one of {known}")
+
+
+def _check_match(route: Route) -> Iterable[RouteFinding]:
+    prefix_problem = _prefix_problem(route.path_prefix)
+    if prefix_problem:
+        yield RouteFinding(RouteField.PATH_PREFIX, prefix_problem)
+    host_problem = _host_problem(route.host)
+    if host_problem:
+        yield RouteFinding(RouteField.HOST, host_problem)
+
+
+def _prefix_problem(prefix: str) -> str | None:
+    if not isinstance(prefix, str) or not prefix.startswith("/"):
+        return "must start with '/'"
+    if len(prefix) > MAX_PREFIX_LENGTH:
+        return f"must have at most {MAX_PREFIX_LENGTH} characters"
+    if not PREFIX.fullmatch(prefix):
+        return "must hold only characters of a URL path, without a query"
+    if "//" in prefix:
+        return "must not have an empty segment"
+    if {".", ".."} & set(prefix.split("/")):
+        return "must not have a '.' or '..' segment"
+    return None
+
+
+def _host_problem(host: str) -> str | None:
+    if not isinstance(host, str):
+        return "must be text"
+    if host == "":
+        return None
+    if host != host.lower():
+        return "must be in lower case"
+    if len(host) > MAX_HOST_LENGTH or not HOST.fullmatch(host):
+        return "must be a host name or IP number without a port"
+    return None
+
+
+def _check_limits(route: Route) -> Iterable[RouteFinding]:
+    yield from _check_number(
+        RouteField.DEADLINE_SECONDS,
+        route.deadline_seconds,
+        MIN_DEADLINE_SECONDS,
+        MAX_DEADLINE_SECONDS,
+    )
+    yield from _check_whole(
+        RouteField.MAX_BODY_BYTES, route.max_body_bytes, MAX_BODY_BYTES
+    )
+    yield from _check_number(
+        RouteField.REQUESTS_PER_SECOND,
+        route.requests_per_second,
+        0.0,
+        MAX_REQUESTS_PER_SECOND,
+    )
+    yield from _check_whole(RouteField.MAX_QUEUE, route.max_queue, MAX_QUEUE)
+
+
+def _check_number(
+    field: RouteField, value: float, least: float, most: float
+) -> Iterable[RouteFinding]:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        yield RouteFinding(field, "must be a number")
+    elif not math.isfinite(value) or not least <= value <= most:
+        yield RouteFinding(field, f"must be from {least:g} to {most:g}")
+
+
+def _check_whole(
+    field: RouteField, value: int, most: int
+) -> Iterable[RouteFinding]:
+    if isinstance(value, bool) or not isinstance(value, int):
+        yield RouteFinding(field, "must be a whole number")
+    elif not 0 <= value <= most:
+        yield RouteFinding(field, f"must be from 0 to {most}")
