--- /dev/null
+++ b/agatetack/admission/lane.py
@@ -0,0 +1,242 @@
+"""Decide for one service who goes to a target, who waits and who is refused."""
+
+from collections.abc import Sequence
+
+from agatetack.admission.controller import PermitRequest, Priority
+from agatetack.admission.queue import FairQueue, Order, Waiter, new_queues
+from agatetack.balance.policy import Policy
+from agatetack.ids import Deadline, ServiceId
+from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.settings.model import Settings
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState, TargetStatus
+
+LATENCY_WEIGHT = 0.05
+"""Weight of one answer in the service's moving latency."""
+
+QUICK_SHARE = 0.5
+"""Share of the usual latency below which an answer is not hoped for."""
+
+GAP_WEIGHT = 0.1
+"""Weight of one served waiter in the moving time between two."""
+
+LOW_QUIET_SECONDS = 1.0
+"""Time without normal requests after which low ones may use every slot."""
+
+
+class Lane:
+    """The waiting requests of one service.
+
+    Attributes:
+        queues: Waiting requests, by priority.
+        latency: Moving answer time, in seconds, or None before the first.
+        gap: Moving time between two served waiters, in seconds, or None.
+        standing_since: Since when somebody has always waited, or None.
+        normal_at: When the last normal request came.
+    """
+
+    def __init__(
+        self,
+        service: ServiceId,
+        settings: Settings,
+        registry: TargetRegistry,
+        policy: Policy,
+    ):
+        """Start with nobody waiting."""
+        self.service = service
+        self.settings = settings
+        self.registry = registry
+        self.policy = policy
+        self.queues = new_queues()
+        self.latency: float | None = None
+        self.gap: float | None = None
+        self.served_at = Deadline(0.0)
+        self.standing_since: Deadline | None = None
+        self.normal_at = Deadline(float("-inf"))
+
+    @property
+    def size(self) -> int:
+        """Return how many requests wait."""
+        return sum(queue.size for queue in self.queues.values())
+
+    def check(self, wanted: PermitRequest, now: Deadline) -> Refusal | None:
+        """Return why the request is hopeless, or None."""
+        if wanted.priority is Priority.NORMAL:
+            self.normal_at = now
+        if now >= wanted.deadline:
+            return self._late(now, "The deadline has passed.")
+        if not self.registry.targets(self.service):
+            return refuse(
+                RefusalReason.NO_TARGET,
+                "No target of the service takes work now.",
+                self.retry_at(now),
+            )
+        if now + self.quick_latency > wanted.deadline:
+            return self._late(now, "Answers take longer than the time left.")
+        return None
+
+    def check_queue(
+        self, wanted: PermitRequest, now: Deadline
+    ) -> Refusal | None:
+        """Return why the request may not wait, or None; may push one out."""
+        queue = self.queues[wanted.priority]
+        route = wanted.route
+        newest_first = self._order(now) is Order.NEWEST_FIRST
+        ahead = 0 if newest_first else self._ahead(wanted)
+        wait = ahead * (self.gap or 0.0)
+        if now + wait + self.quick_latency > wanted.deadline:
+            return self._late(now, "The queue is longer than the time left.")
+        most = route.max_queue or self.settings.admission.max_queue
+        if queue.route_sizes.get(route.id, 0) < most:
+            return None
+        oldest = queue.oldest_of_longest(route.id)
+        if newest_first and oldest is not None:
+            self._push_out(oldest, now)
+            return None
+        return self.refuse_full(now, "The route's queue is full.")
+
+    def take_now(
+        self, wanted: PermitRequest, now: Deadline
+    ) -> TargetState | None:
+        """Return a target if nobody else is before this request."""
+        for priority, queue in self.queues.items():
+            if queue.size and priority is not Priority.LOW:
+                return None
+        if wanted.priority is Priority.LOW and self.queues[Priority.LOW].size:
+            return None
+        return self._choose(wanted, now)
+
+    def add(self, waiter: Waiter, now: Deadline) -> None:
+        """Let `waiter` wait."""
+        if not self.size:
+            self.standing_since = now
+            self.served_at = now
+        self.queues[waiter.wanted.priority].add(waiter)
+
+    def forget(self, waiter: Waiter) -> None:
+        """Take `waiter` out, if it still waits."""
+        self.queues[waiter.wanted.priority].remove(waiter)
+        if not self.size:
+            self.standing_since = None
+
+    def serve(self, now: Deadline) -> None:
+        """Give free targets to waiting requests, normal ones first."""
+        for priority in (Priority.NORMAL, Priority.LOW):
+            queue = self.queues[priority]
+            while self._serve_one(queue, now):
+                pass
+            if queue.size:
+                return
+
+    def give_up_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
+        """Return when a target would come too late for an answer."""
+        latest = wanted.deadline - self.quick_latency
+        return Deadline(max(now, latest))
+
+    def retry_at(self, now: Deadline) -> Deadline:
+        """Return when a refused caller should ask again."""
+        wait = self.queues[Priority.NORMAL].size * (self.gap or 0.0)
+        least = self.settings.admission.retry_after_seconds
+        return Deadline(now + max(least, wait))
+
+    def refuse_full(self, now: Deadline, detail: str) -> Refusal:
+        """Return the refusal for want of room."""
+        return refuse(RefusalReason.QUEUE_FULL, detail, self.retry_at(now))
+
+    def note_latency(self, latency: float) -> None:
+        """Learn the usual answer time."""
+        if self.latency is None:
+            self.latency = latency
+        else:
+            self.latency += LATENCY_WEIGHT * (latency - self.latency)
+
+    @property
+    def quick_latency(self) -> float:
+        """Return the least time an answer is expected to take."""
+        return QUICK_SHARE * (self.latency or 0.0)
+
+    def _late(self, now: Deadline, detail: str) -> Refusal:
+        return refuse(
+            RefusalReason.CANNOT_MEET_DEADLINE, detail, self.retry_at(now)
+        )
+
+    def _order(self, now: Deadline) -> Order:
+        since = self.standing_since
+        standing = self.settings.admission.standing_queue_seconds
+        if since is not None and now - since >= standing:
+            return Order.NEWEST_FIRST
+        return Order.OLDEST_FIRST
+
+    def _ahead(self, wanted: PermitRequest) -> int:
+        ahead = self.queues[Priority.NORMAL].size
+        if wanted.priority is Priority.LOW:
+            ahead += self.queues[Priority.LOW].size
+        return ahead
+
+    def _push_out(self, waiter: Waiter, now: Deadline) -> None:
+        waiter.refusal = self.refuse_full(now, "Newer requests go first now.")
+        self.queues[waiter.wanted.priority].remove(waiter)
+        waiter.event.set()
+
+    def _serve_one(self, queue: FairQueue, now: Deadline) -> bool:
+        waiter = queue.peek(self._order(now))
+        if waiter is None:
+            return False
+        target = self._choose(waiter.wanted, now)
+        if target is None:
+            return False
+        queue.pop(waiter)
+        # Counted here and not by the woken task, as others may choose first.
+        target.in_flight += 1
+        waiter.target = target
+        waiter.event.set()
+        self._note_served(now)
+        return True
+
+    def _note_served(self, now: Deadline) -> None:
+        gap = now - self.served_at
+        self.served_at = now
+        if self.gap is None:
+            self.gap = gap
+        else:
+            self.gap += GAP_WEIGHT * (gap - self.gap)
+
+    def _choose(
+        self, wanted: PermitRequest, now: Deadline
+    ) -> TargetState | None:
+        usable = self.registry.targets(self.service)
+        free = self._free(usable, wanted, now)
+        if not free:
+            return None
+        target = self.policy.choose(free, now)
+        if target is not None and target.status is TargetStatus.COLD:
+            self.registry.warm(target, now)
+        return target
+
+    def _free(
+        self,
+        usable: Sequence[TargetState],
+        wanted: PermitRequest,
+        now: Deadline,
+    ) -> Sequence[TargetState]:
+        free = [target for target in usable if target.in_flight < target.limit]
+        if wanted.avoid:
+            other = [t for t in free if t.id not in wanted.avoid]
+            # With no other target a retry may ask the same one again, but a
+            # hedge there would only wait behind itself.
+            if other or not wanted.wait:
+                free = other
+        if wanted.priority is Priority.LOW:
+            return self._idle(free, now)
+        return free
+
+    def _idle(
+        self, free: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        reserve = 1 if now - self.normal_at < LOW_QUIET_SECONDS else 0
+        return [
+            target
+            for target in free
+            if self.policy.expected_load(target, now) + 1 + reserve
+            <= target.slots + 0.5
+        ]
--- /dev/null
+++ b/agatetack/admission/queue.py
@@ -0,0 +1,118 @@
+"""Keep the requests that wait for a target, fair between routes and callers."""
+
+import dataclasses
+import enum
+from collections import OrderedDict, deque
+
+import trio
+
+from agatetack.admission.controller import PermitRequest, Priority
+from agatetack.ids import CallerId, Deadline, RouteId
+from agatetack.outcomes import Refusal
+from agatetack.targets.state import TargetState
+
+
+class Order(enum.Enum):
+    """Which of one caller's waiting requests goes first."""
+
+    OLDEST_FIRST = "oldest-first"
+    NEWEST_FIRST = "newest-first"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """One waiting request.
+
+    Attributes:
+        wanted: What it waits for.
+        since: When it began to wait.
+        event: Set once it has a target or a refusal.
+        target: The target it got, already counted there.
+        refusal: Why it waits no longer without a target.
+    """
+
+    wanted: PermitRequest
+    since: Deadline
+    event: trio.Event = dataclasses.field(default_factory=trio.Event)
+    target: TargetState | None = None
+    refusal: Refusal | None = None
+
+
+CallerQueues = OrderedDict[CallerId, deque[Waiter]]
+
+
+class FairQueue:
+    """Waiting requests of one priority.
+
+    Routes take turns, and so do the callers of a route, so that one busy
+    caller cannot make the others wait behind it.
+
+    Attributes:
+        size: Requests waiting.
+        route_sizes: Requests waiting, by route.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.routes: OrderedDict[RouteId, CallerQueues] = OrderedDict()
+        self.size = 0
+        self.route_sizes: dict[RouteId, int] = {}
+
+    def add(self, waiter: Waiter) -> None:
+        """Let `waiter` wait behind its caller's others."""
+        route = waiter.wanted.route.id
+        callers = self.routes.setdefault(route, OrderedDict())
+        caller = waiter.wanted.request.caller
+        callers.setdefault(caller, deque()).append(waiter)
+        self.size += 1
+        self.route_sizes[route] = self.route_sizes.get(route, 0) + 1
+
+    def remove(self, waiter: Waiter) -> None:
+        """Forget a waiter that is still here; else do nothing."""
+        callers = self.routes.get(waiter.wanted.route.id)
+        queue = callers.get(waiter.wanted.request.caller) if callers else None
+        if queue is None or waiter not in queue:
+            return
+        queue.remove(waiter)
+        self._forget(waiter)
+
+    def peek(self, order: Order) -> Waiter | None:
+        """Return the waiter whose turn it is, or None."""
+        for callers in self.routes.values():
+            for queue in callers.values():
+                return queue[0] if order is Order.OLDEST_FIRST else queue[-1]
+        return None
+
+    def pop(self, waiter: Waiter) -> None:
+        """Take out the waiter that `peek` returned and pass the turn on."""
+        route = waiter.wanted.route.id
+        caller = waiter.wanted.request.caller
+        self.remove(waiter)
+        if route in self.routes:
+            self.routes.move_to_end(route)
+            if caller in self.routes[route]:
+                self.routes[route].move_to_end(caller)
+
+    def oldest_of_longest(self, route: RouteId) -> Waiter | None:
+        """Return the first waiter of the route's caller with most waiting."""
+        callers = self.routes.get(route)
+        if not callers:
+            return None
+        return max(callers.values(), key=len)[0]
+
+    def _forget(self, waiter: Waiter) -> None:
+        route = waiter.wanted.route.id
+        caller = waiter.wanted.request.caller
+        self.size -= 1
+        self.route_sizes[route] -= 1
+        callers = self.routes[route]
+        if not callers[caller]:
+            del callers[caller]
+        if not callers:
+            del self.routes[route]
+            del self.route_sizes[route]
+
+
+def new_queues() -> dict[Priority, FairQueue]:
+    """Return an empty queue for each priority."""
+    return {priority: FairQueue() for priority in Priority}
--- /dev/null
+++ b/agatetack/admission/service.py
@@ -0,0 +1,246 @@
+"""Give requests leave to go to targets: limits, queues and refusals."""
+
+import itertools
+from collections.abc import Callable
+
+import trio
+from returns.result import Failure, Result, Success
+
+from agatetack.admission.controller import (
+    AdmissionController,
+    AttemptResult,
+    Permit,
+    PermitRequest,
+)
+from agatetack.admission.lane import Lane
+from agatetack.admission.limits import TargetLimits
+from agatetack.admission.queue import Waiter
+from agatetack.admission.rates import RouteRates
+from agatetack.balance.policy import Policy
+from agatetack.ids import Deadline, ServiceId
+from agatetack.metrics import Metrics
+from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.settings.model import Settings
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState
+
+LATENCY_WEIGHT = 0.1
+"""Weight of one answer in a target's moving latency."""
+
+
+class ServicePermit(Permit):
+    """Leave to send one attempt, counted at its target.
+
+    Attributes:
+        waiting: Requests thought to be at the target when this was given.
+        started: When it was given.
+    """
+
+    __slots__ = ("target", "admission", "number", "waiting", "started", "done")
+
+    def __init__(
+        self,
+        admission: "ServiceAdmission",
+        target: TargetState,
+        number: int,
+        waiting: float,
+        started: Deadline,
+    ):
+        """Keep what the release needs."""
+        self.target = target
+        self.admission = admission
+        self.number = number
+        self.waiting = waiting
+        self.started = started
+        self.done = False
+
+    def answered_headers(self, latency: float) -> None:
+        """Note that answer headers came `latency` seconds after the start."""
+        self.admission.note_answer(self, latency)
+
+    def release(self, result: AttemptResult) -> None:
+        """Give the target's place back; a second release does nothing."""
+        if self.done:
+            return
+        self.done = True
+        self.admission.note_release(self, result)
+
+
+class ServiceAdmission(AdmissionController):
+    """One queue for each service, in front of its targets.
+
+    Attributes:
+        lanes: The queue of each service.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        registry: TargetRegistry,
+        policy: Policy,
+        metrics: Metrics,
+        fleet_size: Callable[[], int] = lambda: 1,
+    ):
+        """Watch the registry, to serve waiting requests when it changes.
+
+        Args:
+            settings: The host's settings.
+            registry: The targets.
+            policy: How one is chosen.
+            metrics: Where refusals are counted by the caller of `acquire`.
+            fleet_size: Returns the number of hosts, for routes with a rate.
+        """
+        self.settings = settings
+        self.registry = registry
+        self.policy = policy
+        self.metrics = metrics
+        self.limits = TargetLimits(settings)
+        self.rates = RouteRates(fleet_size)
+        self.lanes: dict[ServiceId, Lane] = {}
+        self.numbers = itertools.count()
+        self.queued = metrics.gauge(
+            "agatetack_queued", "Requests waiting for a target, by service."
+        )
+        self.queue_waits = metrics.counter(
+            "agatetack_queue_waits_total",
+            "Requests that waited for a target, by service and result.",
+        )
+        registry.watchers.append(self._targets_changed)
+
+    async def acquire(self, wanted: PermitRequest) -> Result[Permit, Refusal]:
+        """Return a permit, or why the request is refused as not run."""
+        now = Deadline(trio.current_time())
+        route = wanted.route
+        first_attempt = wanted.wait and not wanted.avoid
+        if route.requests_per_second and first_attempt:
+            retry_at = self.rates.take(route)
+            if retry_at is not None:
+                return Failure(
+                    refuse(
+                        RefusalReason.RATE_LIMITED,
+                        "The route's rate is used up.",
+                        retry_at,
+                    )
+                )
+        lane = self._lane(route.service)
+        refusal = lane.check(wanted, now)
+        if refusal is not None:
+            return Failure(refusal)
+        target = lane.take_now(wanted, now)
+        if target is not None:
+            return Success(self._permit(target, now))
+        if not wanted.wait:
+            return Failure(lane.refuse_full(now, "No target is free."))
+        return await self._wait(lane, wanted, now)
+
+    async def _wait(
+        self, lane: Lane, wanted: PermitRequest, now: Deadline
+    ) -> Result[Permit, Refusal]:
+        refusal = lane.check_queue(wanted, now)
+        if refusal is not None:
+            return Failure(refusal)
+        waiter = Waiter(wanted, now)
+        lane.add(waiter, now)
+        self._show_queue(lane)
+        try:
+            with trio.move_on_at(lane.give_up_at(wanted, now)):
+                await waiter.event.wait()
+        except trio.Cancelled:
+            if waiter.target is not None:
+                self._give_back(waiter.target)
+            raise
+        finally:
+            lane.forget(waiter)
+            self._show_queue(lane)
+        now = Deadline(trio.current_time())
+        if waiter.target is not None:
+            self._count_wait(lane, "served")
+            return Success(self._permit(waiter.target, now, counted=True))
+        self._count_wait(lane, "refused")
+        if waiter.refusal is not None:
+            return Failure(waiter.refusal)
+        return Failure(
+            refuse(
+                RefusalReason.DEADLINE_EXCEEDED_IN_QUEUE,
+                "No target was free in time.",
+                lane.retry_at(now),
+            )
+        )
+
+    def note_answer(self, permit: ServicePermit, latency: float) -> None:
+        """Learn from the headers of an answer."""
+        now = Deadline(trio.current_time())
+        target = permit.target
+        target.last_answer_at = now
+        target.failures = 0
+        target.recent.append(latency)
+        if target.latency is None:
+            target.latency = latency
+        else:
+            target.latency += LATENCY_WEIGHT * (latency - target.latency)
+        # Headers end the wait for a slot; a long body must not make the
+        # target look stuck.
+        target.learned.sent.pop(permit.number, None)
+        self.policy.answered(target, latency, permit.waiting, now)
+        self.limits.answered(target)
+        self._lane(target.service).note_latency(latency)
+
+    def note_release(
+        self, permit: ServicePermit, result: AttemptResult
+    ) -> None:
+        """Give a place back and serve whoever waits for it."""
+        now = Deadline(trio.current_time())
+        target = permit.target
+        target.in_flight -= 1
+        target.learned.sent.pop(permit.number, None)
+        if result is AttemptResult.SHED:
+            self.limits.shed(target)
+            self.policy.shed(target, now)
+        elif result is AttemptResult.FAILED:
+            target.failures += 1
+            self.policy.failed(target, now)
+        self._serve(self._lane(target.service), now)
+
+    def _lane(self, service: ServiceId) -> Lane:
+        lane = self.lanes.get(service)
+        if lane is None:
+            lane = Lane(service, self.settings, self.registry, self.policy)
+            self.lanes[service] = lane
+        return lane
+
+    def _permit(
+        self, target: TargetState, now: Deadline, counted: bool = False
+    ) -> ServicePermit:
+        waiting = self.policy.expected_load(target, now)
+        if counted:
+            waiting -= 1
+        else:
+            target.in_flight += 1
+        number = next(self.numbers)
+        target.learned.sent[number] = now
+        target.last_chosen_at = now
+        target.report_uses += 1
+        self.policy.sent(target, now)
+        for watcher in self.registry.choice_watchers:
+            watcher(target.service)
+        return ServicePermit(self, target, number, waiting, now)
+
+    def _give_back(self, target: TargetState) -> None:
+        target.in_flight -= 1
+        now = Deadline(trio.current_time())
+        self._serve(self._lane(target.service), now)
+
+    def _targets_changed(self, service: ServiceId) -> None:
+        lane = self.lanes.get(service)
+        if lane is not None and lane.size:
+            self._serve(lane, Deadline(trio.current_time()))
+
+    def _serve(self, lane: Lane, now: Deadline) -> None:
+        if lane.size:
+            lane.serve(now)
+
+    def _show_queue(self, lane: Lane) -> None:
+        self.queued.set({"service": lane.service}, lane.size)
+
+    def _count_wait(self, lane: Lane, result: str) -> None:
+        self.queue_waits.inc({"service": lane.service, "result": result})
--- /dev/null
+++ b/agatetack/balance/learned.py
@@ -0,0 +1,30 @@
+"""Hold what a host learns of one target from its answers and reports."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class LearnedLoad:
+    """Moving estimates of one target, kept by this host.
+
+    Attributes:
+        service_seconds: Time one request takes on a free slot, or None.
+        others: Usual number of other hosts' requests there.
+        trust: How well reports agreed with latency, from 0 to 1.
+        limit: The adaptive limit before rounding.
+        shed_until: No work is sent before this time after a shed answer.
+        shed_count: Shed answers in a row.
+        trial_at: When a target left for slowness may be tried again.
+        trial_count: Trials in a row that found it still slow.
+        sent: When each request still there was sent, oldest first.
+    """
+
+    service_seconds: float | None = None
+    others: float = 0.0
+    trust: float = 1.0
+    limit: float = 0.0
+    shed_until: float = 0.0
+    shed_count: int = 0
+    trial_at: float = 0.0
+    trial_count: int = 0
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/agatetack/balance/policy.py
+++ b/agatetack/balance/policy.py
@@ -21,3 +21,30 @@
                 below its limit, none leaving.
             now: The time of the choice.
         """
+
+    def sent(self, target: TargetState, now: Deadline) -> None:  # noqa: B027
+        """Note that an attempt goes to `target`, which counts it already."""
+
+    def answered(  # noqa: B027
+        self, target: TargetState, latency: float, waiting: float, now: Deadline
+    ) -> None:
+        """Learn from one answer.
+
+        Args:
+            target: Who answered.
+            latency: Seconds from the attempt's start to the answer's headers.
+            waiting: How many requests were expected ahead of it at its start.
+            now: The time of the answer.
+        """
+
+    def shed(self, target: TargetState, now: Deadline) -> None:  # noqa: B027
+        """Learn that `target` refused a request for its load."""
+
+    def failed(self, target: TargetState, now: Deadline) -> None:  # noqa: B027
+        """Learn that an attempt at `target` failed."""
+
+    def expected_load(self, target: TargetState, now: Deadline) -> float:
+        """Return how many requests are thought to be at `target` now."""
+        if target.report is None:
+            return float(target.in_flight)
+        return float(max(target.in_flight, target.report.in_flight))
--- /dev/null
+++ b/agatetack/measure/budget.py
@@ -0,0 +1,86 @@
+"""Keep the work of measuring within the budget that operators set.
+
+A bucket never goes into debt and starts empty, so a host that restarts again
+and again spends nothing that the fleet's figure does not cover.
+"""
+
+from collections.abc import Callable
+
+import trio
+
+BURST_SECONDS = 0.1
+"""Seconds of a share that may be saved up, so that pauses do not add up."""
+
+MAX_STEP_SECONDS = 1.0
+"""Longest time that one refill counts, should the clock jump ahead."""
+
+
+class TokenBucket:
+    """A rate limit shared over the hosts of a fleet.
+
+    The burst is part of the figure and not above it: over any window of w
+    seconds a bucket spends at most `rate * (w + BURST_SECONDS)`, or one unit
+    of work more where a unit is larger than the burst.
+
+    Attributes:
+        fleet_rate: Units per second of the whole fleet.
+        tokens: Units that may be spent now; never below 0.
+        spent: Units spent since the start.
+    """
+
+    def __init__(
+        self,
+        fleet_rate: float,
+        fleet_size: Callable[[], int],
+        smallest_burst: float = 1.0,
+    ):
+        """Start empty.
+
+        Args:
+            fleet_rate: Units per second of the whole fleet.
+            fleet_size: Returns the number of hosts, never too low.
+            smallest_burst: Units that can be saved up at least, so that the
+                largest single spend is possible at all.
+        """
+        self.fleet_rate = fleet_rate
+        self.fleet_size = fleet_size
+        self.smallest_burst = smallest_burst
+        self.tokens = 0.0
+        self.spent = 0.0
+        self.filled_at = trio.current_time()
+
+    @property
+    def rate(self) -> float:
+        """Return this host's share, in units per second."""
+        return self.fleet_rate / max(1, self.fleet_size())
+
+    def refill(self) -> None:
+        """Add what the time since the last refill has earned."""
+        now = trio.current_time()
+        elapsed = min(max(0.0, now - self.filled_at), MAX_STEP_SECONDS)
+        self.filled_at = now
+        rate = self.rate
+        most = max(self.smallest_burst, rate * BURST_SECONDS)
+        self.tokens = min(most, self.tokens + elapsed * rate)
+
+    def take(self, amount: float = 1.0) -> bool:
+        """Spend `amount` if the bucket holds it; never partly."""
+        self.refill()
+        if self.tokens < amount:
+            return False
+        self.tokens -= amount
+        self.spent += amount
+        return True
+
+    def give_back(self, amount: float) -> None:
+        """Return what was taken for a piece of work and not needed."""
+        self.tokens += amount
+        self.spent -= amount
+
+    def ready_at(self, amount: float = 1.0) -> float:
+        """Return when `amount` can be spent if nothing else is."""
+        self.refill()
+        rate = self.rate
+        if rate <= 0:
+            return float("inf")
+        return trio.current_time() + max(0.0, amount - self.tokens) / rate
--- /dev/null
+++ b/agatetack/measure/http_probe.py
@@ -0,0 +1,158 @@
+"""Ask a target's load endpoint over HTTP."""
+
+import dataclasses
+
+import httptools
+import orjson
+import trio
+from returns.result import Failure, Result, Success
+
+from agatetack.ids import Deadline, TargetId
+from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
+from agatetack.settings.model import Settings, TargetHeaders
+from agatetack.targets.registry import ReportedState
+from agatetack.targets.state import TargetState
+
+MAX_IDLE = 64
+"""Most idle connections kept for later probes."""
+
+STATES = {state.value: state for state in ReportedState}
+
+
+class Malformed(Exception):
+    """A load endpoint's answer holds no usable report."""
+
+
+@dataclasses.dataclass(slots=True)
+class ReportParser:
+    """Collect a load report; the methods are called by httptools.
+
+    Attributes:
+        headers: The answer's header fields, names in lower case.
+        body: The answer's body.
+        complete: Whether the answer has ended.
+    """
+
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    complete: bool = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep one header field."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        """Note the answer's end."""
+        self.complete = True
+
+
+class HttpProbe(ProbeClient):
+    """GET the load path; the report stands in headers or a JSON body."""
+
+    def __init__(self, settings: Settings):
+        """Keep the path and the names of the headers."""
+        self.settings = settings
+        self.idle: dict[TargetId, trio.SocketStream] = {}
+
+    async def probe(
+        self, target: TargetState, deadline: Deadline, max_bytes: int
+    ) -> Result[ProbeAnswer, ProbeFailure]:
+        """Return the target's report, or why there is none."""
+        stream = None
+        try:
+            with trio.fail_at(deadline):
+                stream = self.idle.pop(target.id, None)
+                if stream is None:
+                    stream = await trio.open_tcp_stream(target.ip, target.port)
+                answer = await self._ask(stream, target, max_bytes)
+        except trio.TooSlowError:
+            return Failure(ProbeFailure.TIMEOUT)
+        except ConnectionRefusedError:
+            return Failure(ProbeFailure.REFUSED)
+        except (OSError, trio.BrokenResourceError, EOFError) as error:
+            refused = _is_refused(error)
+            return Failure(
+                ProbeFailure.REFUSED if refused else ProbeFailure.LOST
+            )
+        except (Malformed, httptools.HttpParserError):
+            return Failure(ProbeFailure.MALFORMED)
+        else:
+            self._keep(target.id, stream)
+            stream = None
+            return Success(answer)
+        finally:
+            if stream is not None:
+                await trio.aclose_forcefully(stream)
+
+    async def _ask(
+        self, stream: trio.SocketStream, target: TargetState, max_bytes: int
+    ) -> ProbeAnswer:
+        path = self.settings.targets.load_path
+        request = (
+            f"GET {path} HTTP/1.1\r\nhost: {target.ip}:{target.port}\r\n\r\n"
+        ).encode()
+        await stream.send_all(request)
+        used = len(request)
+        report = ReportParser()
+        parser = httptools.HttpResponseParser(report)
+        while not report.complete:
+            if used >= max_bytes:
+                raise Malformed
+            data = await stream.receive_some(max_bytes - used)
+            if not data:
+                raise EOFError
+            used += len(data)
+            parser.feed_data(data)
+        if parser.get_status_code() >= 500 and not report.headers:
+            raise Malformed
+        return read_report(report, self.settings.targets.headers, used)
+
+    def _keep(self, target: TargetId, stream: trio.SocketStream) -> None:
+        if target in self.idle or len(self.idle) >= MAX_IDLE:
+            stream.socket.close()
+        else:
+            self.idle[target] = stream
+
+
+def read_report(
+    report: ReportParser, names: TargetHeaders, used_bytes: int
+) -> ProbeAnswer:
+    """Return the report that headers, or else a JSON body, hold.
+
+    Raises:
+        Malformed: Neither holds one.
+    """
+    fields: dict[str, object] = {}
+    if report.body[:1] == b"{":
+        try:
+            fields = orjson.loads(report.body)
+        except orjson.JSONDecodeError:
+            raise Malformed from None
+    headers = report.headers
+    in_flight = headers.get(names.in_flight, fields.get("in_flight"))
+    slots = headers.get(names.slots, fields.get("slots"))
+    state = headers.get(names.state, fields.get("state", "ready"))
+    try:
+        return ProbeAnswer(
+            in_flight=max(0, int(in_flight)),
+            slots=None if slots is None else max(1, int(slots)),
+            state=STATES.get(state, ReportedState.READY),
+            used_bytes=used_bytes,
+        )
+    except (TypeError, ValueError):
+        raise Malformed from None
+
+
+def _is_refused(error: BaseException) -> bool:
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, ConnectionRefusedError):
+            return True
+        if isinstance(cause, BaseExceptionGroup):
+            return any(_is_refused(e) for e in cause.exceptions)
+        cause = cause.__cause__
+    return False
--- /dev/null
+++ b/agatetack/measure/probe.py
@@ -0,0 +1,53 @@
+"""Define how a target's load endpoint is asked."""
+
+import abc
+import dataclasses
+import enum
+
+from returns.result import Result
+
+from agatetack.ids import Deadline
+from agatetack.targets.registry import ReportedState
+from agatetack.targets.state import TargetState
+
+
+class ProbeFailure(enum.Enum):
+    """Why a probe brought no report."""
+
+    REFUSED = "refused"
+    TIMEOUT = "timeout"
+    LOST = "lost"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeAnswer:
+    """What a load endpoint said.
+
+    Attributes:
+        in_flight: Requests running or waiting there.
+        slots: Requests that run at the same time, or None if not said.
+        state: What it says of its state.
+        used_bytes: Bytes sent and received for it.
+    """
+
+    in_flight: int
+    slots: int | None
+    state: ReportedState
+    used_bytes: int
+
+
+class ProbeClient(abc.ABC):
+    """A way to ask a target's load endpoint."""
+
+    @abc.abstractmethod
+    async def probe(
+        self, target: TargetState, deadline: Deadline, max_bytes: int
+    ) -> Result[ProbeAnswer, ProbeFailure]:
+        """Return what the target says, or why it said nothing.
+
+        Args:
+            target: Whom to ask.
+            deadline: When to give up.
+            max_bytes: Most bytes to send and receive.
+        """
--- /dev/null
+++ b/agatetack/measure/prober.py
@@ -0,0 +1,193 @@
+"""Measure targets by probes, within budget, where it can change a choice."""
+
+import random
+
+import trio
+from returns.result import Result, Success
+
+from agatetack.ids import Deadline, ServiceId
+from agatetack.measure.budget import TokenBucket
+from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
+from agatetack.measure.samples import SampleExchange
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange
+from agatetack.settings.model import Settings
+from agatetack.targets.registry import LeavingSign, TargetRegistry
+from agatetack.targets.state import LoadReport, ReportSource, TargetState
+
+PROBE_BYTES = 1024
+"""Most bytes that one probe may cost, both ways together."""
+
+SHARING_SHARE = 0.5
+"""Share of the byte budget that goes to samples sent to peers."""
+
+LEAVING_PROBE_SECONDS = 1.0
+"""Least time between two probes of targets that may return."""
+
+DRAWN_TARGETS = 3
+"""Targets drawn, of which the one least known is probed."""
+
+RECENT_SERVICES = 64
+"""Services with choices since their last probe that are remembered."""
+
+
+class Prober:
+    """Spend the measuring budget.
+
+    Attributes:
+        probes: The bucket of probes.
+        probe_bytes: The bucket of their bytes.
+        sharing: The samples sent to peers and taken from them.
+        chosen: Services with a choice since their last probe.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        registry: TargetRegistry,
+        exchange: Exchange,
+        metrics: Metrics,
+        probe: ProbeClient,
+        seed: int = 0,
+    ):
+        """Start with nothing to spend.
+
+        Args:
+            settings: The host's settings.
+            registry: The targets.
+            exchange: The other hosts.
+            metrics: Where the spending is counted.
+            probe: How a target is asked.
+            seed: Of the choice of targets to probe.
+        """
+        self.settings = settings
+        self.registry = registry
+        self.metrics = metrics
+        self.client = probe
+        self.rng = random.Random(seed)
+        budget = settings.measure
+        size = exchange.fleet_size
+        self.probes = TokenBucket(budget.probes_per_second, size)
+        share = budget.bytes_per_second * SHARING_SHARE
+        self.probe_bytes = TokenBucket(
+            budget.bytes_per_second - share, size, PROBE_BYTES
+        )
+        sample_bytes = TokenBucket(share, size, PROBE_BYTES)
+        self.sharing = SampleExchange(registry, exchange, metrics, sample_bytes)
+        self.chosen: dict[ServiceId, None] = {}
+        self.waiting = trio.Event()
+        self.leaving_probe_at = 0.0
+        self.failed = metrics.counter(
+            "agatetack_probe_failures_total", "Probes without a report."
+        )
+        for failure in ProbeFailure:
+            self.failed.add({"reason": failure.value}, 0)
+        registry.choice_watchers.append(self._note_choice)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Probe and share samples until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self._probe_leaving)
+            task_status.started()
+            if self.settings.measure.probes_per_second > 0:
+                await self._probe_chosen(nursery)
+
+    async def _probe_chosen(self, nursery: trio.Nursery) -> None:
+        while True:
+            if not self.chosen:
+                await self.waiting.wait()
+                self.waiting = trio.Event()
+                continue
+            if not self._take():
+                self.metrics.budget_refused.inc({})
+                await trio.sleep_until(self._ready_at())
+                continue
+            target = self._pick()
+            if target is None:
+                self._give_back()
+                continue
+            nursery.start_soon(self._probe, target)
+
+    async def _probe_leaving(self) -> None:
+        while True:
+            await trio.sleep(LEAVING_PROBE_SECONDS)
+            leaving = list(self.registry.leaving_targets())
+            if leaving and self._take():
+                await self._probe(self.rng.choice(leaving))
+
+    def _note_choice(self, service: ServiceId) -> None:
+        if service not in self.chosen and len(self.chosen) < RECENT_SERVICES:
+            self.chosen[service] = None
+            self.waiting.set()
+
+    def _take(self) -> bool:
+        if not self.probes.take():
+            return False
+        if self.probe_bytes.take(PROBE_BYTES):
+            return True
+        self.probes.give_back(1.0)
+        return False
+
+    def _give_back(self) -> None:
+        self.probes.give_back(1.0)
+        self.probe_bytes.give_back(PROBE_BYTES)
+
+    def _ready_at(self) -> float:
+        ready_at = max(
+            self.probes.ready_at(), self.probe_bytes.ready_at(PROBE_BYTES)
+        )
+        now = trio.current_time()
+        # Shares change with the fleet, so look again after a second.
+        return min(max(ready_at, now + 0.001), now + 1.0)
+
+    def _pick(self) -> TargetState | None:
+        """Return the target whose report would tell most, or None."""
+        service = next(iter(self.chosen))
+        del self.chosen[service]
+        targets = self.registry.targets(service)
+        if len(targets) < 2:
+            # With one target no report can change a choice.
+            return None
+        count = min(DRAWN_TARGETS, len(targets))
+        drawn = self.rng.sample(targets, count)
+        return min(drawn, key=_known_at)
+
+    async def _probe(self, target: TargetState) -> None:
+        timeout = self.settings.measure.probe_timeout_seconds
+        deadline = Deadline(trio.current_time() + timeout)
+        result = await self.client.probe(target, deadline, PROBE_BYTES)
+        self._note(target, result)
+
+    def _note(
+        self, target: TargetState, result: Result[ProbeAnswer, ProbeFailure]
+    ) -> None:
+        self.metrics.budget_spent.add({"unit": "probes"}, 1)
+        if not isinstance(result, Success):
+            self._note_failure(target, result.failure())
+            return
+        answer = result.unwrap()
+        self.probe_bytes.give_back(max(0, PROBE_BYTES - answer.used_bytes))
+        used = min(answer.used_bytes, PROBE_BYTES)
+        self.metrics.budget_spent.add({"unit": "bytes"}, used)
+        report = LoadReport(
+            in_flight=answer.in_flight,
+            slots=answer.slots or target.slots,
+            own_in_flight=target.in_flight,
+            at=Deadline(trio.current_time()),
+            source=ReportSource.PROBE,
+        )
+        self.registry.note_report(target, report)
+        self.registry.note_probe(target, answer.state)
+
+    def _note_failure(self, target: TargetState, failure: ProbeFailure) -> None:
+        self.failed.inc({"reason": failure.value})
+        self.metrics.budget_spent.add({"unit": "bytes"}, PROBE_BYTES)
+        if failure is ProbeFailure.REFUSED:
+            self.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
+
+
+def _known_at(target: TargetState) -> float:
+    return float("-inf") if target.report is None else target.report.at
--- /dev/null
+++ b/agatetack/measure/samples.py
@@ -0,0 +1,184 @@
+"""Share load reports and leaving signs with the other hosts."""
+
+import trio
+import xxhash
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from agatetack.generated.measure.ttypes import (
+    LoadSample,
+    LoadSamples,
+    TargetSign,
+)
+from agatetack.ids import Deadline, HostId, ServiceId, TargetId
+from agatetack.logs import PartLog
+from agatetack.measure.budget import TokenBucket
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange, Topic
+from agatetack.targets.registry import LeavingSign, TargetRegistry
+from agatetack.targets.state import LoadReport, ReportSource, TargetState
+
+MAX_SAMPLES = 32
+"""Most samples in one message."""
+
+FRAME_BYTES = 60
+"""What a message costs on the wire besides its payload."""
+
+LEAST_INTERVAL_SECONDS = 0.01
+"""Shortest time between two messages."""
+
+DEFAULT_SLOTS = 2
+"""Slots that a sample without the field means."""
+
+SIGN_NUMBERS = {sign: number for number, sign in enumerate(LeavingSign, 1)}
+
+log = PartLog("measure")
+
+
+class SampleExchange:
+    """Send own samples to the peers and take theirs.
+
+    Attributes:
+        fresh: Targets measured since the last message, latest last.
+    """
+
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        exchange: Exchange,
+        metrics: Metrics,
+        bucket: TokenBucket,
+    ):
+        """Listen to the registry and to the peers.
+
+        Args:
+            registry: The targets.
+            exchange: The other hosts.
+            metrics: Where drops are counted.
+            bucket: Bytes that samples may cost, to all peers together.
+        """
+        self.registry = registry
+        self.exchange = exchange
+        self.metrics = metrics
+        self.bucket = bucket
+        self.protocols = TCompactProtocolAcceleratedFactory()
+        self.fresh: dict[TargetId, TargetState] = {}
+        self.hashes: dict[int, TargetState] = {}
+        self.hashed_targets = 0
+        registry.report_watchers.append(self._measured)
+        registry.leaving_watchers.append(self._send_sign)
+        registry.watchers.append(self._targets_changed)
+        exchange.subscribe(Topic.LOAD_SAMPLES, self._take_samples)
+        exchange.subscribe(Topic.TARGET_SIGNS, self._take_sign)
+
+    async def run(self) -> None:
+        """Send fresh samples as often as the budget allows."""
+        while True:
+            await trio.sleep(LEAST_INTERVAL_SECONDS)
+            peers = len(self.exchange.live_peers())
+            if not self.fresh or not peers:
+                continue
+            payload = self._encode(Deadline(trio.current_time()))
+            cost = (len(payload) + FRAME_BYTES) * peers
+            ready_at = self.bucket.ready_at(cost)
+            if ready_at > trio.current_time():
+                await trio.sleep_until(min(ready_at, trio.current_time() + 1.0))
+                payload = self._encode(Deadline(trio.current_time()))
+                cost = (len(payload) + FRAME_BYTES) * peers
+            if not self.bucket.take(cost):
+                continue
+            self.fresh.clear()
+            self.exchange.publish(Topic.LOAD_SAMPLES, payload)
+            self.metrics.budget_spent.add({"unit": "bytes"}, cost)
+
+    def _encode(self, now: Deadline) -> bytes:
+        latest = list(self.fresh.values())[-MAX_SAMPLES:]
+        samples = [
+            self._sample(target, target.report, now)
+            for target in latest
+            if target.report is not None
+        ]
+        return serialize(LoadSamples(samples=samples), self.protocols)
+
+    def _sample(
+        self, target: TargetState, report: LoadReport, now: Deadline
+    ) -> LoadSample:
+        sample = LoadSample(
+            target=target_hash(target.id), in_flight=report.in_flight
+        )
+        if report.slots != DEFAULT_SLOTS:
+            sample.slots = report.slots
+        age_ms = round((now - report.at) * 1000)
+        if age_ms > 0:
+            sample.age_ms = age_ms
+        service = target.learned.service_seconds
+        if service is not None:
+            sample.service_us = round(service * 1e6)
+        return sample
+
+    def _measured(self, target: TargetState, report: LoadReport) -> None:
+        if report.source is not ReportSource.PEER:
+            # Put it last, so that the latest survive a cut.
+            self.fresh.pop(target.id, None)
+            self.fresh[target.id] = target
+
+    def _take_samples(self, sender: HostId, payload: bytes) -> None:
+        try:
+            message = deserialize(LoadSamples(), payload, self.protocols)
+        except Exception:  # noqa: BLE001
+            self._drop("samples-malformed")
+            return
+        now = trio.current_time()
+        for sample in message.samples:
+            target = self.hashes.get(sample.target)
+            if target is None:
+                continue
+            self._take_sample(target, sample, now)
+
+    def _take_sample(
+        self, target: TargetState, sample: LoadSample, now: float
+    ) -> None:
+        at = Deadline(now - max(0, sample.age_ms or 0) / 1000)
+        report = LoadReport(
+            in_flight=max(0, sample.in_flight),
+            slots=max(1, sample.slots or DEFAULT_SLOTS),
+            own_in_flight=target.in_flight,
+            at=at,
+            source=ReportSource.PEER,
+        )
+        self.registry.note_report(target, report)
+
+    def _send_sign(self, target: TargetState, sign: LeavingSign) -> None:
+        message = TargetSign(target=target.id, sign=SIGN_NUMBERS[sign])
+        payload = serialize(message, self.protocols)
+        # Signs are not held back by the budget: they are few, and a late one
+        # sends work to a target that is leaving.
+        self.exchange.publish(Topic.TARGET_SIGNS, payload)
+
+    def _take_sign(self, sender: HostId, payload: bytes) -> None:
+        try:
+            message = deserialize(TargetSign(), payload, self.protocols)
+        except Exception:  # noqa: BLE001
+            self._drop("sign-malformed")
+            return
+        target = self.registry.by_id.get(TargetId(message.target))
+        if target is not None:
+            log.info("%s saw that %s is leaving", sender, target.id)
+            self.registry.note_leaving(target, LeavingSign.PEER)
+
+    def _targets_changed(self, service: ServiceId) -> None:
+        if self.registry.changes != self.hashed_targets:
+            self.hashed_targets = self.registry.changes
+            self.hashes = {
+                target_hash(target_id): target
+                for target_id, target in self.registry.by_id.items()
+            }
+
+    def _drop(self, reason: str) -> None:
+        self.metrics.dropped.inc({"part": "measure", "reason": reason})
+
+
+def target_hash(target: TargetId) -> int:
+    """Return the short form of a target's id that samples carry."""
+    unsigned = xxhash.xxh32_intdigest(target.encode())
+    return unsigned - 2**32 if unsigned >= 2**31 else unsigned
--- /dev/null
+++ b/agatetack/targets/registry.py
@@ -0,0 +1,325 @@
+"""Keep the targets of each service and decide which may get new work.
+
+Any sign that a target is leaving stops new work there at once. What comes
+later is weighed against it: the load endpoint and the host list lag or
+mislead, so a good word from either does not undo the sign by itself.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Callable, Iterable, Sequence
+
+import trio
+
+from agatetack.ids import Deadline, ServiceId, TargetId
+from agatetack.logs import PartLog
+from agatetack.metrics import MeasureKind, Metrics
+from agatetack.platform.host_list import HostRole, HostState, ListedHost
+from agatetack.settings.model import Settings
+from agatetack.targets.state import (
+    LoadReport,
+    ReportSource,
+    TargetState,
+    TargetStatus,
+)
+
+LONG_HOLD_FACTOR = 30
+"""Holds after which a target that never showed a restart may come back."""
+
+MAX_HOLD_DOUBLINGS = 5
+"""How often the hold doubles for a target that keeps coming and going."""
+
+MEASURE_KINDS = {
+    ReportSource.ANSWER: MeasureKind.ANSWER,
+    ReportSource.PROBE: MeasureKind.PROBE,
+    ReportSource.PEER: MeasureKind.PEER,
+}
+
+log = PartLog("targets")
+
+
+class LeavingSign(enum.Enum):
+    """What showed that a target is leaving."""
+
+    ANSWER_HEADER = "answer-header"
+    CONNECT_REFUSED = "connect-refused"
+    HOST_LIST = "host-list"
+    HEALTH = "health"
+    PEER = "peer"
+
+
+class ReportedState(enum.Enum):
+    """What a target's load endpoint says of its state."""
+
+    READY = "ready"
+    COLD = "cold"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(slots=True)
+class LeavingRecord:
+    """Why a target gets no new work.
+
+    Attributes:
+        sign: The last sign.
+        at: When the last sign came.
+        hold_until: No evidence before this time counts.
+        restarted: Whether it was seen gone, or cold, since it announced.
+        listed_live: Whether the list said live after the hold.
+        returns: Times it came back and left again.
+    """
+
+    sign: LeavingSign
+    at: Deadline
+    hold_until: Deadline
+    restarted: bool = False
+    listed_live: bool = False
+    returns: int = 0
+
+
+class TargetRegistry:
+    """The targets of each service, as this host knows them.
+
+    Attributes:
+        by_id: Every known target.
+        watchers: Called with the service when its targets change or a load
+            report arrives; must not block or raise.
+        report_watchers: Called with the target and each report taken.
+        changes: How often the set of known targets has changed.
+        choice_watchers: Called with the service after each choice, so that
+            probes go where choices are made.
+        leaving_watchers: Called with the target and the sign when this host
+            itself sees a sign, so that peers can be told.
+    """
+
+    def __init__(self, settings: Settings, metrics: Metrics):
+        """Start without targets."""
+        self.settings = settings
+        self.metrics = metrics
+        self.by_id: dict[TargetId, TargetState] = {}
+        self.usable: dict[ServiceId, tuple[TargetState, ...]] = {}
+        self.leaving: dict[TargetId, LeavingRecord] = {}
+        self.returns: dict[TargetId, int] = {}
+        self.watchers: list[Callable[[ServiceId], None]] = []
+        self.report_watchers: list[
+            Callable[[TargetState, LoadReport], None]
+        ] = []
+        self.changes = 0
+        self.choice_watchers: list[Callable[[ServiceId], None]] = []
+        self.leaving_watchers: list[
+            Callable[[TargetState, LeavingSign], None]
+        ] = []
+        self.signs = metrics.counter(
+            "agatetack_leaving_signs_total",
+            "Signs that a target is leaving, by sign.",
+        )
+        self.returned = metrics.counter(
+            "agatetack_targets_returned_total",
+            "Targets that got new work again after a sign of leaving.",
+        )
+        self.usable_gauge = metrics.gauge(
+            "agatetack_targets_usable", "Targets that may get work, by service."
+        )
+        for sign in LeavingSign:
+            self.signs.add({"sign": sign.value}, 0)
+
+    @property
+    def services(self) -> Sequence[ServiceId]:
+        """Return the services that have or had targets."""
+        return tuple(self.usable)
+
+    def targets(self, service: ServiceId) -> Sequence[TargetState]:
+        """Return the targets of `service` that may get new work."""
+        return self.usable.get(service, ())
+
+    def update(self, listed: Sequence[ListedHost]) -> None:
+        """Take a new host list; gateways in it are skipped."""
+        now = Deadline(trio.current_time())
+        seen: set[TargetId] = set()
+        changed: set[ServiceId] = set()
+        for host in listed:
+            if host.role is not HostRole.TARGET:
+                continue
+            target_id = TargetId(host.id)
+            seen.add(target_id)
+            target = self.by_id.get(target_id)
+            if target is None:
+                target = self._add(host, now)
+                changed.add(target.service)
+            elif target.service != host.service:
+                changed.add(target.service)
+                changed.add(host.service)
+                target.service = host.service
+            self._take_listed_state(target, host.state, now)
+        for target_id in list(self.by_id):
+            if target_id not in seen:
+                changed.add(self._remove(target_id, now).service)
+        self._rebuild(changed)
+
+    def note_report(self, target: TargetState, report: LoadReport) -> None:
+        """Take a load report; one older than the present one is dropped."""
+        self.metrics.measured.inc(
+            {"source": MEASURE_KINDS[report.source].value}
+        )
+        if target.report is not None and report.at < target.report.at:
+            return
+        target.report = report
+        target.report_uses = 0
+        target.slots = max(1, report.slots)
+        for watcher in self.report_watchers:
+            watcher(target, report)
+        self._notify(target.service)
+
+    def note_leaving(self, target: TargetState, why: LeavingSign) -> None:
+        """Stop new work at `target` at once."""
+        now = Deadline(trio.current_time())
+        self.signs.inc({"sign": why.value})
+        record = self.leaving.get(target.id)
+        if record is None:
+            returns = self.returns.get(target.id, 0)
+            record = LeavingRecord(why, now, now, returns=returns)
+            self.leaving[target.id] = record
+            log.info("target %s is leaving: %s", target.id, why.value)
+        elif why is LeavingSign.CONNECT_REFUSED and self._announced(record):
+            record.restarted = True
+        if not self._announced(record):
+            record.sign = why
+        record.at = now
+        record.listed_live = False
+        doublings = min(record.returns, MAX_HOLD_DOUBLINGS)
+        hold = self.settings.balance.leaving_hold_seconds * 2**doublings
+        record.hold_until = Deadline(now + hold)
+        if target.status is not TargetStatus.LEAVING:
+            target.status = TargetStatus.LEAVING
+            target.status_since = now
+            self._rebuild((target.service,))
+        if why is not LeavingSign.PEER:
+            for watcher in self.leaving_watchers:
+                watcher(target, why)
+
+    def note_probe(self, target: TargetState, state: ReportedState) -> None:
+        """Weigh what the load endpoint, reached just now, says of a target."""
+        now = Deadline(trio.current_time())
+        if state is ReportedState.DRAINING:
+            if target.status is not TargetStatus.LEAVING:
+                self.note_leaving(target, LeavingSign.HEALTH)
+            return
+        record = self.leaving.get(target.id)
+        if record is None:
+            return
+        if state is ReportedState.COLD:
+            record.restarted = True
+        if self._may_return(record, now):
+            self._return(target, now)
+
+    def warm(self, target: TargetState, now: Deadline) -> None:
+        """Make a cold target ready once its ramp is over."""
+        age = now - target.status_since
+        if age >= self.settings.balance.cold_seconds:
+            target.status = TargetStatus.READY
+            target.status_since = now
+
+    def leaving_targets(self) -> Iterable[TargetState]:
+        """Return the targets whose hold is over, to be probed for return."""
+        now = trio.current_time()
+        return [
+            self.by_id[target_id]
+            for target_id, record in self.leaving.items()
+            if now >= record.hold_until
+        ]
+
+    def _announced(self, record: LeavingRecord) -> bool:
+        # What the target itself or the platform announced outweighs what a
+        # failed connection suggests: only a restart takes it back.
+        return record.sign not in (
+            LeavingSign.CONNECT_REFUSED,
+            LeavingSign.PEER,
+        )
+
+    def _may_return(self, record: LeavingRecord, now: Deadline) -> bool:
+        if now < record.hold_until or not record.listed_live:
+            return False
+        if not self._announced(record) or record.restarted:
+            return True
+        hold = self.settings.balance.leaving_hold_seconds
+        return now >= record.at + LONG_HOLD_FACTOR * hold
+
+    def _take_listed_state(
+        self, target: TargetState, state: HostState, now: Deadline
+    ) -> None:
+        record = self.leaving.get(target.id)
+        if state is HostState.LEAVING:
+            if record is None or record.sign is not LeavingSign.HOST_LIST:
+                self.note_leaving(target, LeavingSign.HOST_LIST)
+            else:
+                record.listed_live = False
+            return
+        if record is None:
+            return
+        if record.sign is LeavingSign.HOST_LIST and now >= record.hold_until:
+            # The platform took its own word back, after the hold.
+            record.restarted = True
+        if now >= record.hold_until:
+            record.listed_live = True
+
+    def _add(self, host: ListedHost, now: Deadline) -> TargetState:
+        target = TargetState(
+            id=TargetId(host.id),
+            service=host.service,
+            ip=host.ip,
+            port=host.port,
+            failure_domain=host.failure_domain,
+            status_since=now,
+            slots=self.settings.targets.slots,
+            limit=self.settings.admission.max_target_limit,
+        )
+        target.learned.limit = target.limit
+        self.by_id[target.id] = target
+        self.changes += 1
+        record = self.leaving.get(target.id)
+        if record is not None:
+            # It was off the list in between, so this is a new process.
+            record.restarted = True
+            target.status = TargetStatus.LEAVING
+        return target
+
+    def _remove(self, target_id: TargetId, now: Deadline) -> TargetState:
+        target = self.by_id.pop(target_id)
+        self.changes += 1
+        target.status = TargetStatus.GONE
+        target.status_since = now
+        record = self.leaving.get(target_id)
+        if record is not None and now >= record.hold_until:
+            del self.leaving[target_id]
+            self.returns.pop(target_id, None)
+        return target
+
+    def _return(self, target: TargetState, now: Deadline) -> None:
+        record = self.leaving.pop(target.id)
+        self.returns[target.id] = record.returns + 1
+        target.status = TargetStatus.COLD
+        target.status_since = now
+        target.failures = 0
+        self.returned.inc({"sign": record.sign.value})
+        log.info("target %s gets work again", target.id)
+        self._rebuild((target.service,))
+
+    def _rebuild(self, services: Iterable[ServiceId]) -> None:
+        changed = set(services)
+        if not changed:
+            return
+        found: dict[ServiceId, list[TargetState]] = {s: [] for s in changed}
+        for target in self.by_id.values():
+            if target.service in changed and target.status in (
+                TargetStatus.COLD,
+                TargetStatus.READY,
+            ):
+                found[target.service].append(target)
+        for service, targets in found.items():
+            self.usable[service] = tuple(targets)
+            self.usable_gauge.set({"service": service}, len(targets))
+            self._notify(service)
+
+    def _notify(self, service: ServiceId) -> None:
+        for watcher in self.watchers:
+            watcher(service)
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -4,6 +4,7 @@
 import enum
 from collections import deque
 
+from agatetack.balance.learned import LearnedLoad
 from agatetack.ids import Deadline, FailureDomain, ServiceId, TargetId
 
 RECENT_LATENCIES = 64
@@ -68,6 +69,7 @@
         last_answer_at: When it last answered, or None.
         last_chosen_at: When it was last chosen, or None.
         failures: Failed attempts since the last answer.
+        learned: What this host's balancing has learned of it.
     """
 
     id: TargetId
@@ -89,3 +91,4 @@
     last_answer_at: Deadline | None = None
     last_chosen_at: Deadline | None = None
     failures: int = 0
+    learned: LearnedLoad = dataclasses.field(default_factory=LearnedLoad)
--- /dev/null
+++ b/agatetack/targets/test_registry.py
@@ -0,0 +1,107 @@
+"""Test which targets may get new work, sign by sign."""
+
+import dataclasses
+
+import pytest
+import trio
+
+from agatetack.metrics import Metrics
+from agatetack.platform.host_list import HostState
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import (
+    LeavingSign,
+    ReportedState,
+    TargetRegistry,
+)
+from agatetack.targets.state import TargetStatus
+from agatetack.testing.targets import SERVICE, listed_target
+
+HOLD = default_settings().balance.leaving_hold_seconds
+LIVE = HostState.LIVE
+LEAVING = HostState.LEAVING
+READY = ReportedState.READY
+COLD = ReportedState.COLD
+REFUSED = LeavingSign.CONNECT_REFUSED
+HEADER = LeavingSign.ANSWER_HEADER
+
+
+@dataclasses.dataclass
+class Listed:
+    """A list that names the target in this state, or not at all."""
+
+    state: HostState | None
+
+
+def apply(registry, step):
+    target = next(iter(registry.by_id.values()), None)
+    if isinstance(step, Listed):
+        listed = [] if step.state is None else [listed_target(1, step.state)]
+        registry.update(listed)
+    elif isinstance(step, LeavingSign):
+        registry.note_leaving(target, step)
+    elif isinstance(step, ReportedState):
+        registry.note_probe(target, step)
+
+
+@pytest.mark.parametrize(
+    ("steps", "usable"),
+    [
+        ([], True),
+        ([HEADER], False),
+        ([REFUSED], False),
+        ([LeavingSign.PEER], False),
+        ([Listed(LEAVING)], False),
+        ([ReportedState.DRAINING], False),
+        ([Listed(None)], False),
+        # The list lags: its "live" alone brings nothing back.
+        ([HEADER, Listed(LIVE)], False),
+        ([HEADER, HOLD + 1, Listed(LIVE)], False),
+        # The load endpoint misleads: its "ready" alone does not either.
+        ([HEADER, READY], False),
+        ([HEADER, HOLD + 1, READY], False),
+        # Nor do both together, while the target never went away.
+        ([HEADER, HOLD + 1, Listed(LIVE), READY], False),
+        ([HEADER, 31 * HOLD, Listed(LIVE), READY], True),
+        # A restart is seen by a refused connection or a cold start.
+        ([HEADER, REFUSED, HOLD + 1, Listed(LIVE), READY], True),
+        ([HEADER, HOLD + 1, Listed(LIVE), COLD], True),
+        ([HEADER, HOLD - 1, Listed(LIVE), COLD], False),
+        ([HEADER, Listed(None), Listed(LIVE)], False),
+        ([HEADER, Listed(None), HOLD + 1, Listed(LIVE), READY], True),
+        # A refused connection is taken back by fresh good evidence only.
+        ([REFUSED, HOLD + 1, READY], False),
+        ([REFUSED, HOLD + 1, Listed(LIVE), READY], True),
+        ([REFUSED, HOLD - 1, Listed(LIVE), READY], False),
+        ([REFUSED, HOLD - 1, REFUSED, 2, Listed(LIVE), READY], False),
+        # The platform takes its own word back.
+        ([Listed(LEAVING), HOLD + 1, Listed(LIVE), READY], True),
+        ([Listed(LEAVING), HOLD + 1, Listed(LEAVING), READY], False),
+        # The hold doubles for one that comes and goes.
+        (
+            [REFUSED, HOLD + 1, Listed(LIVE), READY, REFUSED]
+            + [HOLD + 1, Listed(LIVE), READY],
+            False,
+        ),
+    ],
+)
+async def test_signs_and_evidence(autojump_clock, steps, usable):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([listed_target(1)])
+    for step in steps:
+        if isinstance(step, int | float):
+            await trio.sleep(step)
+        else:
+            apply(registry, step)
+    assert bool(registry.targets(SERVICE)) is usable
+
+
+async def test_returned_target_is_cold(autojump_clock):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([listed_target(1)])
+    target = registry.targets(SERVICE)[0]
+    target.status = TargetStatus.READY
+    apply(registry, REFUSED)
+    await trio.sleep(HOLD + 1)
+    apply(registry, Listed(LIVE))
+    apply(registry, READY)
+    assert target.status is TargetStatus.COLD
--- /dev/null
+++ b/thrift/measure.thrift
@@ -0,0 +1,24 @@
+// What hosts tell each other of the targets they measured. Evolution: fields
+// are only added, as optional with new ids; ids are never reused.
+namespace py measure
+namespace java io.agatetack.measure
+
+// One load report, as a target gave it to the sender.
+struct LoadSample {
+  1: required i32 target        // xxhash32 of the target's id, as signed
+  2: required i32 in_flight     // from all hosts, the receiver's included
+  3: optional i32 slots         // absent: 2
+  4: optional i32 age_ms        // absent: 0
+  5: optional i32 service_us    // time of one request on a free slot
+}
+
+// The samples of one interval.
+struct LoadSamples {
+  1: required list<LoadSample> samples
+}
+
+// A sign that a target is leaving, seen by the sender itself.
+struct TargetSign {
+  1: required string target     // "ip:port"
+  2: required i32 sign          // only counted: see docs/operators/measure.md
+}
