--- /dev/null
+++ b/agatetack/attempts/budget.py
@@ -0,0 +1,53 @@
+"""Limit retries and hedges to a share of a route's requests."""
+
+from agatetack.ids import RouteId
+
+
+class RatioBudget:
+    """Tokens earned by requests and spent by further attempts.
+
+    Attributes:
+        ratio: Tokens that each request earns.
+        burst: Most tokens held.
+        tokens: Tokens held now.
+    """
+
+    def __init__(self, ratio: float, burst: float):
+        """Start full, so that the first requests may be retried too."""
+        self.ratio = ratio
+        self.burst = burst
+        self.tokens = float(burst)
+
+    def earn(self) -> None:
+        """Add what one request earns."""
+        self.tokens = min(self.burst, self.tokens + self.ratio)
+
+    def spend(self) -> bool:
+        """Take one token, and return whether there was one."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class RouteBudgets:
+    """One budget for each route, so that one route can't spend another's."""
+
+    def __init__(self, ratio: float, burst: float):
+        """Give each route a budget with `ratio` and `burst`."""
+        self.ratio = ratio
+        self.burst = burst
+        self.by_route: dict[RouteId, RatioBudget] = {}
+
+    def of(self, route: RouteId) -> RatioBudget:
+        """Return the budget of `route`."""
+        budget = self.by_route.get(route)
+        if budget is None:
+            budget = RatioBudget(self.ratio, self.burst)
+            self.by_route[route] = budget
+        return budget
+
+    def keep_only(self, routes: set[RouteId]) -> None:
+        """Forget routes that are no more."""
+        for route in self.by_route.keys() - routes:
+            del self.by_route[route]
--- /dev/null
+++ b/agatetack/attempts/once.py
@@ -0,0 +1,139 @@
+"""Run a never-repeated request: one claim, at most one run."""
+
+import dataclasses
+
+import trio
+from returns.result import Failure, Result, Success
+
+from agatetack.admission.controller import AdmissionController, PermitRequest
+from agatetack.attempts.ids import new_attempt_id
+from agatetack.attempts.race import DETAILS, RETRY_REASONS
+from agatetack.attempts.single import AttemptPlan, SingleAttempt
+from agatetack.claims.store import Claim, ClaimStore
+from agatetack.config.route import Route
+from agatetack.ids import TargetId
+from agatetack.logs import PartLog
+from agatetack.messages import Answer, BytesBody, CallerRequest
+from agatetack.metrics import Metrics
+from agatetack.outcomes import Outcome, Refusal, refuse
+from agatetack.settings.model import Settings
+from agatetack.targets.client import AttemptFailure, Freshness
+
+log = PartLog("attempts")
+
+
+@dataclasses.dataclass(slots=True)
+class OnceState:
+    """How far one never-repeated request has come.
+
+    Attributes:
+        claim: The leave to dispatch.
+        tried: Targets that are known not to have run it.
+        failure: The last attempt's failure, or None.
+    """
+
+    claim: Claim
+    tried: set[TargetId] = dataclasses.field(default_factory=set)
+    failure: AttemptFailure | None = None
+
+
+class OnceRunner:
+    """Runs never-repeated requests.
+
+    A request is never hedged. It is sent to another target only if the one
+    before certainly did not run it.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        claims: ClaimStore,
+        admission: AdmissionController,
+        single: SingleAttempt,
+        metrics: Metrics,
+    ):
+        """Ask `claims` for leave before each dispatch."""
+        self.limits = settings.attempts
+        self.claims = claims
+        self.admission = admission
+        self.single = single
+        self.metrics = metrics
+
+    async def run(
+        self, route: Route, request: CallerRequest
+    ) -> Result[Answer, Refusal]:
+        """Return the answer, or why there is none."""
+        claimed = await self.claims.claim(route, request, new_attempt_id())
+        if isinstance(claimed, Failure):
+            return claimed
+        # From here on the caller's leaving must not cut the work: a target
+        # that is cut may or may not have run the request.
+        with trio.CancelScope(shield=True):
+            return await self._run_claimed(
+                route, request, OnceState(claimed.unwrap())
+            )
+
+    async def _run_claimed(
+        self, route: Route, request: CallerRequest, state: OnceState
+    ) -> Result[Answer, Refusal]:
+        while True:
+            permit = await self._permit(route, request, state)
+            if isinstance(permit, Failure):
+                return await self._give_up(permit.failure(), state)
+            if isinstance(request.body, BytesBody):
+                request.body.rewind()
+            plan = AttemptPlan(
+                route,
+                request,
+                request.deadline,
+                Freshness.PROVEN,
+                state.claim.attempt,
+            )
+            held = permit.unwrap()
+            state.tried.add(held.target.id)
+            result = await self.single.run(plan, held)
+            if isinstance(result, Success):
+                await self.claims.finish(state.claim, result.unwrap().status)
+                return result
+            state.failure = result.failure()
+            if not self._may_try_again(request, state):
+                return await self._give_up(_refusal(state.failure), state)
+            reason = RETRY_REASONS[state.failure.reason]
+            self.metrics.retried(route.id, reason)
+
+    async def _permit(
+        self, route: Route, request: CallerRequest, state: OnceState
+    ) -> Result:
+        wanted = PermitRequest(
+            route=route,
+            request=request,
+            deadline=request.deadline,
+            avoid=state.tried,
+        )
+        return await self.admission.acquire(wanted)
+
+    def _may_try_again(self, request: CallerRequest, state: OnceState) -> bool:
+        return (
+            state.failure.outcome is Outcome.NOT_RUN
+            and len(state.tried) < self.limits.max_attempts
+            and trio.current_time() < request.deadline
+            and request.replayable
+        )
+
+    async def _give_up(
+        self, refusal: Refusal, state: OnceState
+    ) -> Result[Answer, Refusal]:
+        """Say "not run" only once the claim's release stands in the log."""
+        ran = state.failure is not None and (
+            state.failure.outcome is not Outcome.NOT_RUN
+        )
+        if not ran and await self.claims.release(state.claim):
+            return Failure(refusal)
+        return Failure(dataclasses.replace(refusal, outcome=Outcome.UNKNOWN))
+
+
+def _refusal(failure: AttemptFailure) -> Refusal:
+    plain = refuse(failure.reason, DETAILS.get(failure.reason, ""))
+    return dataclasses.replace(
+        plain, outcome=failure.outcome, retry_at=failure.retry_at
+    )
--- /dev/null
+++ b/agatetack/attempts/quantile.py
@@ -0,0 +1,39 @@
+"""Learn after how long a route's answers are late."""
+
+from collections import deque
+
+SAMPLES = 512
+"""Latest latencies that the quantile is taken over."""
+
+RECOMPUTE_EVERY = 64
+"""Samples between two computations; sorting each time would cost too much."""
+
+MIN_SAMPLES = 64
+"""Samples needed before a quantile means anything."""
+
+
+class LatencyQuantile:
+    """A quantile of the latest latencies.
+
+    Attributes:
+        quantile: Which quantile, from 0 to 1.
+        value: The quantile in seconds, or None with too few samples.
+    """
+
+    def __init__(self, quantile: float):
+        """Learn `quantile`."""
+        self.quantile = quantile
+        self.samples: deque[float] = deque(maxlen=SAMPLES)
+        self.value: float | None = None
+        self.since = 0
+
+    def add(self, seconds: float) -> None:
+        """Take one latency, in seconds."""
+        self.samples.append(seconds)
+        self.since += 1
+        if self.since < RECOMPUTE_EVERY or len(self.samples) < MIN_SAMPLES:
+            return
+        self.since = 0
+        ordered = sorted(self.samples)
+        index = min(len(ordered) - 1, int(self.quantile * len(ordered)))
+        self.value = ordered[index]
--- /dev/null
+++ b/agatetack/attempts/single.py
@@ -0,0 +1,135 @@
+"""Make one attempt at one target and note what it shows."""
+
+import dataclasses
+
+import trio
+from returns.result import Failure, Result, Success
+
+from agatetack.admission.controller import AttemptResult, Permit
+from agatetack.attempts.ids import new_attempt_id
+from agatetack.config.route import Route
+from agatetack.ids import AttemptId, Deadline
+from agatetack.messages import Answer, Body, CallerRequest
+from agatetack.metrics import Metrics
+from agatetack.outcomes import RefusalReason
+from agatetack.quarantine.tracker import CrashTracker
+from agatetack.targets.client import (
+    Attempt,
+    AttemptFailed,
+    AttemptFailure,
+    Freshness,
+    TargetClient,
+)
+
+ATTEMPT_RESULTS = {
+    RefusalReason.SHED_BY_TARGET: AttemptResult.SHED,
+}
+"""What a failure's reason says of the target; else `FAILED`."""
+
+
+class PermittedBody(Body):
+    """An answer's body that gives its permit back when it ends."""
+
+    def __init__(self, body: Body, permit: Permit):
+        """Read `body` and hold `permit` until its end."""
+        self.body = body
+        self.length = body.length
+        self.permit = permit
+        self.released = False
+
+    def receive_nowait(self) -> bytes | None:
+        """Return bytes that are here already, or None."""
+        return self.body.receive_nowait()
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, or `b""` at the verified end."""
+        try:
+            data = await self.body.receive()
+        except BaseException:
+            self._release(AttemptResult.FAILED)
+            raise
+        if not data:
+            self._release(AttemptResult.ANSWERED)
+        return data
+
+    async def aclose(self) -> None:
+        """Free the body and its permit."""
+        self._release(AttemptResult.CANCELLED)
+        await self.body.aclose()
+
+    def _release(self, result: AttemptResult) -> None:
+        if not self.released:
+            self.released = True
+            self.permit.release(result)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptPlan:
+    """What an attempt is to do.
+
+    Attributes:
+        route: The request's route.
+        request: What to send.
+        deadline: When to give up.
+        freshness: Which connections may be used.
+        attempt_id: The attempt's id, or None to make one.
+    """
+
+    route: Route
+    request: CallerRequest
+    deadline: Deadline
+    freshness: Freshness = Freshness.ANY
+    attempt_id: AttemptId | None = None
+
+
+class SingleAttempt:
+    """Makes attempts and tells permits, metrics and crash tracker."""
+
+    def __init__(
+        self, client: TargetClient, crashes: CrashTracker, metrics: Metrics
+    ):
+        """Call targets with `client`."""
+        self.client = client
+        self.crashes = crashes
+        self.metrics = metrics
+
+    async def run(
+        self, plan: AttemptPlan, permit: Permit
+    ) -> Result[Answer, AttemptFailure]:
+        """Send the request to the permit's target.
+
+        The permit is released here, or by the answer's body at its end.
+        """
+        self.metrics.attempts.inc({"route": plan.route.id})
+        attempt = Attempt(
+            id=plan.attempt_id or new_attempt_id(),
+            request=plan.request,
+            target=permit.target,
+            deadline=plan.deadline,
+            freshness=plan.freshness,
+        )
+        started = trio.current_time()
+        try:
+            answer = await self.client.call(attempt)
+        except AttemptFailed as failed:
+            self._note_failure(plan, permit, failed.failure)
+            return Failure(failed.failure)
+        except BaseException:
+            permit.release(AttemptResult.CANCELLED)
+            raise
+        latency = trio.current_time() - started
+        permit.answered_headers(latency)
+        self.metrics.target_answered(permit.target.id, latency)
+        self.crashes.answered(plan.route, plan.request)
+        answer.body = PermittedBody(answer.body, permit)
+        return Success(answer)
+
+    def _note_failure(
+        self, plan: AttemptPlan, permit: Permit, failure: AttemptFailure
+    ) -> None:
+        result = ATTEMPT_RESULTS.get(failure.reason, AttemptResult.FAILED)
+        permit.release(result)
+        if failure.reason is RefusalReason.CONNECTION_LOST:
+            self.crashes.connection_lost(
+                plan.route, plan.request, permit.target.id
+            )
--- /dev/null
+++ b/agatetack/callers/connection.py
@@ -0,0 +1,313 @@
+"""Serve one caller's connection from accept to close."""
+
+import trio
+from returns.result import Failure
+
+from agatetack.callers.head import read_addressing
+from agatetack.callers.parser import (
+    MAX_UNREAD_BYTES,
+    MAX_UNREAD_REQUESTS,
+    ParsedRequest,
+    RequestParser,
+)
+from agatetack.callers.problem import refusal_answer
+from agatetack.callers.writer import CONTINUE, AnswerWriter, abort
+from agatetack.headers import strip_hop_by_hop
+from agatetack.ids import Deadline, RequestId
+from agatetack.logs import PartLog
+from agatetack.messages import (
+    Answer,
+    AnswerCut,
+    Body,
+    BytesBody,
+    CallerGone,
+    CallerRequest,
+    Handler,
+)
+from agatetack.metrics import Metrics
+from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.settings.model import CallersSettings
+
+RECEIVE_BYTES = 64 * 1024
+UNPARSED_ID = RequestId("-")
+"""The id of a request whose header could not be read."""
+
+log = PartLog("callers")
+
+
+class TooLarge(Exception):
+    """A request's body is larger than the bound."""
+
+
+class BoundedBody(Body):
+    """A request's body that is cut off at a bound."""
+
+    def __init__(self, body: Body, max_bytes: int):
+        """Read `body`, up to `max_bytes`."""
+        self.body = body
+        self.length = body.length
+        self.left = max_bytes
+
+    async def receive(self) -> bytes:
+        """Return the next bytes.
+
+        Raises:
+            TooLarge: More came than the bound.
+            CallerGone: The body was cut.
+        """
+        data = await self.body.receive()
+        self.left -= len(data)
+        if self.left < 0:
+            raise TooLarge
+        return data
+
+
+class CallerConnection:
+    """One caller's connection: one task reads, one answers.
+
+    Attributes:
+        busy: Whether a request has been begun and not yet answered.
+        closing: Whether the connection ends after the request at hand.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        peer_ip: str,
+        settings: CallersSettings,
+        handler: Handler,
+        metrics: Metrics,
+    ):
+        """Serve `stream` with `handler`."""
+        self.stream = stream
+        self.peer_ip = peer_ip
+        self.settings = settings
+        self.handler = handler
+        self.metrics = metrics
+        self.parser = RequestParser(settings.max_header_bytes)
+        self.writer = AnswerWriter(stream, settings.write_timeout_seconds)
+        self.busy = False
+        self.closing = False
+        self.ended = False
+        self.arrived = trio.Event()
+        self.taken = trio.Event()
+        self.idle_since = Deadline(trio.current_time())
+        self.scope = trio.CancelScope()
+        self.request_scope: trio.CancelScope | None = None
+
+    async def serve(self) -> None:
+        """Answer requests until the connection ends, then close it."""
+        try:
+            with self.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._read)
+                    await self._answer_all()
+                    nursery.cancel_scope.cancel()
+        finally:
+            with trio.move_on_after(1) as scope:
+                scope.shield = True
+                await self.stream.aclose()
+
+    def close_politely(self) -> None:
+        """End the connection now if idle, else after the request at hand."""
+        self.closing = True
+        if not self.busy and self.parser.idle and not self.parser.ready:
+            self.scope.cancel()
+
+    async def _read(self) -> None:
+        while not self.parser.broken:
+            await self._wait_for_room()
+            try:
+                with trio.move_on_at(self._read_deadline()) as scope:
+                    data = await self.stream.receive_some(RECEIVE_BYTES)
+            except trio.BrokenResourceError:
+                self._lose()
+                return
+            if scope.cancelled_caught:
+                if self._read_timed_out():
+                    break
+                continue
+            if not data:
+                break
+            self.parser.feed(data)
+            self.arrived.set()
+        self._end()
+
+    async def _wait_for_room(self) -> None:
+        while (
+            len(self.parser.ready) >= MAX_UNREAD_REQUESTS
+            or self._unread() >= MAX_UNREAD_BYTES
+        ):
+            body = self.parser.body
+            self.taken = trio.Event()
+            if body is None:
+                await self.taken.wait()
+            else:
+                body.on_taken = self.taken
+                await self.taken.wait()
+
+    def _unread(self) -> int:
+        return 0 if self.parser.body is None else self.parser.body.unread
+
+    def _read_deadline(self) -> float:
+        now = trio.current_time()
+        if self.parser.in_head:
+            return now + self.settings.header_timeout_seconds
+        if self.busy or not self.parser.idle:
+            return now + self.settings.keep_alive_seconds
+        return self.idle_since + self.settings.keep_alive_seconds
+
+    def _read_timed_out(self) -> bool:
+        """Return whether reading must end: nothing is under way or it hangs."""
+        if self.parser.in_head or self.parser.body is not None:
+            return True
+        if self.busy or self.parser.ready:
+            return False
+        idle_end = self.idle_since + self.settings.keep_alive_seconds
+        return trio.current_time() >= idle_end
+
+    def _lose(self) -> None:
+        """Give up what is under way, as the caller can't get its answer."""
+        self.ended = True
+        self.parser.end()
+        self.arrived.set()
+        if self.request_scope is not None:
+            self.request_scope.cancel()
+
+    def _end(self) -> None:
+        """Note the end of the caller's bytes; it may still read answers."""
+        self.ended = True
+        self.parser.end()
+        self.arrived.set()
+
+    async def _next(self) -> ParsedRequest | None:
+        while not self.parser.ready:
+            if self.ended or self.closing and self.parser.idle:
+                return None
+            self.arrived = trio.Event()
+            await self.arrived.wait()
+        self.taken.set()
+        return self.parser.ready.popleft()
+
+    async def _answer_all(self) -> None:
+        keep = True
+        while keep:
+            parsed = await self._next()
+            if parsed is None:
+                return
+            self.busy = True
+            with trio.CancelScope() as self.request_scope:
+                keep = await self._answer_one(parsed)
+            if self.request_scope.cancelled_caught:
+                keep = False
+            self.request_scope = None
+            self.busy = False
+            self.idle_since = Deadline(trio.current_time())
+
+    async def _answer_one(self, parsed: ParsedRequest) -> bool:
+        """Answer one request, and return whether to go on."""
+        try:
+            if parsed.head is None:
+                await self._refuse_unparsed(parsed)
+                return False
+            request = await self._build(parsed)
+            if isinstance(request, Refusal):
+                return await self._refuse(parsed, request)
+            return await self._serve_request(parsed, request)
+        except TooLarge:
+            return await self._refuse(
+                parsed, refuse(RefusalReason.BODY_TOO_LARGE, self._bound_text())
+            )
+        except AnswerCut:
+            # Whoever saw the cut has counted it; the reset tells the caller.
+            abort(self.stream)
+            return False
+        except (CallerGone, trio.BrokenResourceError):
+            self.metrics.refused(None, RefusalReason.CALLER_GONE)
+            abort(self.stream)
+            return False
+
+    def _bound_text(self) -> str:
+        return f"A body takes at most {self.settings.max_body_bytes} bytes."
+
+    async def _build(self, parsed: ParsedRequest) -> CallerRequest | Refusal:
+        head = parsed.head
+        addressing = read_addressing(head, self.settings, self.peer_ip)
+        if isinstance(addressing, Failure):
+            return addressing.failure()
+        found = addressing.unwrap()
+        length = parsed.body.length
+        if length is not None and length > self.settings.max_body_bytes:
+            return refuse(RefusalReason.BODY_TOO_LARGE, self._bound_text())
+        if parsed.expects_continue and not parsed.body.received:
+            await self.writer.send(CONTINUE)
+        deadline = found.deadline
+        if deadline is None:
+            deadline = Deadline(
+                head.arrived + self.settings.default_deadline_seconds
+            )
+        return CallerRequest(
+            request_id=found.request_id,
+            caller=found.caller,
+            method=head.method,
+            path=found.path,
+            host=found.host,
+            headers=strip_hop_by_hop(head.headers),
+            body=await self._hold_body(parsed),
+            deadline=deadline,
+            key=found.key,
+            arrived=head.arrived,
+            deadline_given=found.deadline is not None,
+        )
+
+    async def _hold_body(self, parsed: ParsedRequest) -> Body:
+        """Return the body in memory if it is small, else as a stream."""
+        body = parsed.body
+        if body.complete:
+            return BytesBody(body.receive_nowait() or b"")
+        bound = self.settings.replay_body_bytes
+        if body.length is not None and body.length <= bound:
+            parts = []
+            while True:
+                data = await body.receive()
+                if not data:
+                    return BytesBody(b"".join(parts))
+                parts.append(data)
+        return BoundedBody(body, self.settings.max_body_bytes)
+
+    async def _serve_request(
+        self, parsed: ParsedRequest, request: CallerRequest
+    ) -> bool:
+        answer = await self.handler.handle(request)
+        return await self._write(parsed, answer)
+
+    async def _refuse(self, parsed: ParsedRequest, refusal: Refusal) -> bool:
+        self.metrics.refused(None, refusal.reason)
+        names = self.settings.headers
+        answer = refusal_answer(refusal, UNPARSED_ID, names)
+        return await self._write(parsed, answer)
+
+    async def _write(self, parsed: ParsedRequest, answer: Answer) -> bool:
+        head = parsed.head
+        # A body that was not read to its end leaves its rest on the
+        # connection, where it would be taken for the next request.
+        close = (
+            self.closing
+            or not head.keep_alive
+            or self.parser.broken
+            or not parsed.body.complete
+        )
+        try:
+            return await self.writer.write(
+                answer, head.method, head.version, close
+            )
+        finally:
+            with trio.CancelScope(shield=True):
+                await answer.aclose()
+
+    async def _refuse_unparsed(self, parsed: ParsedRequest) -> None:
+        refusal = parsed.refusal
+        self.metrics.refused(None, refusal.reason)
+        names = self.settings.headers
+        answer = refusal_answer(refusal, UNPARSED_ID, names)
+        await self.writer.write(answer, b"GET", "1.1", close=True)
--- /dev/null
+++ b/agatetack/callers/head.py
@@ -0,0 +1,164 @@
+"""Turn the header of a parsed HTTP request into what the slices need."""
+
+import dataclasses
+import math
+import re
+import uuid
+
+from returns.result import Failure, Result, Success
+
+from agatetack.ids import CallerId, Deadline, IdempotencyKey, RequestId
+from agatetack.messages import Header, Headers, find_header
+from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.settings.model import CallersSettings
+
+MAX_KEY_LENGTH = 256
+"""Longest idempotency key and request id, in bytes."""
+
+DOT_SEGMENT = re.compile(rb"/(\.|%2e){1,2}(/|$)", re.IGNORECASE)
+ABSOLUTE_FORM = re.compile(rb"^https?://([^/?#]*)(.*)$", re.IGNORECASE)
+VISIBLE_ASCII = re.compile(rb"^[\x21-\x7e]+$")
+
+
+@dataclasses.dataclass(slots=True)
+class RequestHead:
+    """The header of one request as it was parsed.
+
+    Attributes:
+        method: The HTTP method.
+        target: The request target as sent.
+        version: The HTTP version, such as `1.1`.
+        headers: All header fields, names in lower case.
+        keep_alive: Whether the caller wants the connection kept.
+        arrived: When the last header byte was read.
+    """
+
+    method: bytes
+    target: bytes
+    version: str
+    headers: list[Header]
+    keep_alive: bool
+    arrived: Deadline
+
+
+@dataclasses.dataclass(slots=True)
+class Addressing:
+    """Where a request goes and how it is named.
+
+    Attributes:
+        path: Path and query, starting with `/` (or `*`).
+        host: The host without port, in lower case.
+        request_id: The caller's id for the request, or a new one.
+        caller: Who sent it.
+        key: The idempotency key, or None.
+        deadline: When the caller gives up, or None if it did not say.
+    """
+
+    path: bytes
+    host: bytes
+    request_id: RequestId
+    caller: CallerId
+    key: IdempotencyKey | None
+    deadline: Deadline | None
+
+
+def _malformed(detail: str) -> Failure[Refusal]:
+    return Failure(refuse(RefusalReason.MALFORMED_REQUEST, detail))
+
+
+def read_addressing(
+    head: RequestHead, settings: CallersSettings, peer_ip: str
+) -> Result[Addressing, Refusal]:
+    """Return where a request goes, or why its header is refused.
+
+    Args:
+        head: The parsed header.
+        settings: Names of headers, and bounds of deadlines.
+        peer_ip: The caller's IP number, its name if it gives no other.
+    """
+    hosts = [h.value for h in head.headers if h.name == b"host"]
+    if len(hosts) > 1 or (not hosts and head.version == "1.1"):
+        return _malformed("A request needs exactly one Host header.")
+    path, host = head.target, hosts[0] if hosts else b""
+    absolute = ABSOLUTE_FORM.match(path)
+    if absolute:
+        host, path = absolute.group(1), absolute.group(2) or b"/"
+    if not path.startswith(b"/") and path != b"*":
+        return _malformed("The request target must be a path.")
+    if b"#" in path or DOT_SEGMENT.search(path.partition(b"?")[0]):
+        return _malformed("The path has a fragment or a dot segment.")
+    names = settings.headers
+    key = find_header(head.headers, names.idempotency_key.encode())
+    if key is not None and not _is_token(key):
+        return Failure(
+            refuse(
+                RefusalReason.KEY_MALFORMED,
+                f"{names.idempotency_key} takes 1 to {MAX_KEY_LENGTH} "
+                "visible ASCII characters, without spaces.",
+            )
+        )
+    deadline = _read_deadline(head, settings)
+    if isinstance(deadline, Failure):
+        return deadline
+    return Success(
+        Addressing(
+            path=path,
+            host=_without_port(host).lower(),
+            request_id=_read_request_id(head, names.request_id.encode()),
+            caller=_read_caller(head, names.caller.encode(), peer_ip),
+            key=None if key is None else IdempotencyKey(key.decode()),
+            deadline=deadline.unwrap(),
+        )
+    )
+
+
+def _is_token(value: bytes) -> bool:
+    return len(value) <= MAX_KEY_LENGTH and bool(VISIBLE_ASCII.match(value))
+
+
+def _without_port(host: bytes) -> bytes:
+    if host.startswith(b"["):
+        return host.partition(b"]")[0] + b"]"
+    return host.partition(b":")[0]
+
+
+def _read_request_id(head: RequestHead, name: bytes) -> RequestId:
+    value = find_header(head.headers, name)
+    if value is not None and _is_token(value):
+        return RequestId(value.decode())
+    return RequestId(uuid.uuid4().hex)
+
+
+def _read_caller(head: RequestHead, name: bytes, peer_ip: str) -> CallerId:
+    value = find_header(head.headers, name)
+    if value is not None and _is_token(value):
+        return CallerId(value.decode())
+    return CallerId(peer_ip)
+
+
+def _read_deadline(
+    head: RequestHead, settings: CallersSettings
+) -> Result[Deadline | None, Refusal]:
+    name = settings.headers.deadline_ms
+    value = find_header(head.headers, name.encode())
+    if value is None:
+        return Success(None)
+    try:
+        left_ms = float(value)
+    except ValueError:
+        left_ms = math.nan
+    if not 0 <= left_ms < math.inf:
+        return Failure(
+            refuse(
+                RefusalReason.DEADLINE_INVALID,
+                f"{name} takes the milliseconds left, 0 or more.",
+            )
+        )
+    left = min(left_ms / 1000, settings.max_deadline_seconds)
+    return Success(Deadline(head.arrived + left))
+
+
+def content_length(headers: Headers) -> int | None:
+    """Return the announced length in bytes, or None; checked by the parser."""
+    value = find_header(headers, b"content-length")
+    return None if value is None else int(value)
--- /dev/null
+++ b/agatetack/callers/parser.py
@@ -0,0 +1,220 @@
+"""Parse the requests that arrive on one connection."""
+
+from collections import deque
+
+import httptools
+import trio
+
+from agatetack.callers.head import RequestHead, content_length
+from agatetack.ids import Deadline
+from agatetack.messages import Body, CallerGone, Header
+from agatetack.outcomes import Refusal, RefusalReason, refuse
+
+MAX_UNREAD_BYTES = 256 * 1024
+"""Body bytes held for one connection before reading from it stops."""
+
+MAX_UNREAD_REQUESTS = 16
+"""Pipelined requests held for one connection before reading stops."""
+
+
+class RequestBody(Body):
+    """A request's body, filled by the reader and emptied by the handler.
+
+    Attributes:
+        unread: Bytes received and not yet taken.
+        too_large: Whether more came than the connection's bound.
+    """
+
+    def __init__(self, length: int | None):
+        """Expect `length` bytes, or chunks if None."""
+        self.length = length
+        self.parts: deque[bytes] = deque()
+        self.unread = 0
+        self.received = 0
+        self.complete = False
+        self.lost = False
+        self.changed = trio.Event()
+        self.on_taken = trio.Event()
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes that were received."""
+        self.parts.append(data)
+        self.unread += len(data)
+        self.received += len(data)
+        self.changed.set()
+
+    def finish(self) -> None:
+        """Note that the last byte was received."""
+        self.complete = True
+        self.changed.set()
+
+    def lose(self) -> None:
+        """Note that no more bytes can come."""
+        self.lost = True
+        self.changed.set()
+
+    def receive_nowait(self) -> bytes | None:
+        """Return bytes received already, or None."""
+        if not self.parts:
+            return None
+        data = self.parts.popleft() if len(self.parts) == 1 else self._join()
+        self.unread -= len(data)
+        self.on_taken.set()
+        return data
+
+    def _join(self) -> bytes:
+        data = b"".join(self.parts)
+        self.parts.clear()
+        return data
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, or `b""` at the end of the message."""
+        while True:
+            data = self.receive_nowait()
+            if data is not None:
+                return data
+            if self.complete:
+                return b""
+            if self.lost:
+                raise CallerGone
+            self.changed = trio.Event()
+            await self.changed.wait()
+
+
+class ParsedRequest:
+    """One request: its header and the body that is still arriving.
+
+    Attributes:
+        head: The header, or None if the request can't be understood.
+        body: The body.
+        refusal: Why it is refused before anything else, or None.
+        expects_continue: Whether the caller waits for `100 Continue`.
+    """
+
+    def __init__(
+        self,
+        head: RequestHead | None,
+        body: RequestBody,
+        refusal: Refusal | None = None,
+    ):
+        """Hold a request."""
+        self.head = head
+        self.body = body
+        self.refusal = refusal
+        self.expects_continue = False
+
+
+class RequestParser:
+    """Split the bytes of one connection into requests.
+
+    Attributes:
+        ready: Requests whose header is complete, oldest first.
+        broken: Whether no more requests can be read.
+    """
+
+    def __init__(self, max_header_bytes: int):
+        """Refuse headers larger than `max_header_bytes`."""
+        self.max_header_bytes = max_header_bytes
+        self.ready: deque[ParsedRequest] = deque()
+        self.broken = False
+        self.parser = httptools.HttpRequestParser(self)
+        self.in_head = False
+        self.head_bytes = 0
+        self.head_too_large = False
+        self.target = b""
+        self.headers: list[Header] = []
+        self.in_trailer = False
+        self.body: RequestBody | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no request has been begun and not ended."""
+        return not self.in_head and self.body is None
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes of the connection; results appear in `ready`."""
+        if self.broken:
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # No other protocol is spoken here, and what follows can't be
+            # told apart from one, so the connection ends with this request.
+            self.broken = True
+        except httptools.HttpParserError as error:
+            self._break(RefusalReason.MALFORMED_REQUEST, str(error))
+        if self.in_head and not self.broken:
+            self.head_bytes += len(data)
+            self.head_too_large |= self.head_bytes > 2 * self.max_header_bytes
+        if self.head_too_large and not self.broken:
+            self._break(
+                RefusalReason.HEADERS_TOO_LARGE,
+                f"A header takes at most {self.max_header_bytes} bytes.",
+            )
+
+    def end(self) -> None:
+        """Take the end of the connection's bytes."""
+        if self.body is not None:
+            self.body.lose()
+
+    def _break(self, reason: RefusalReason, detail: str) -> None:
+        self.broken = True
+        if self.body is not None:
+            self.body.lose()
+            return
+        refusal = refuse(reason, detail)
+        self.ready.append(ParsedRequest(None, RequestBody(0), refusal))
+
+    def on_message_begin(self) -> None:
+        """Start a request; called by the parser."""
+        self.in_head = True
+        self.head_bytes = 0
+        self.target = b""
+        self.headers = []
+        self.in_trailer = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target; called by the parser."""
+        self.target += url
+        self._count(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field; called by the parser."""
+        self._count(len(name) + len(value) + 4)
+        if not self.in_trailer:
+            self.headers.append(Header(name.lower(), value))
+
+    def _count(self, size: int) -> None:
+        self.head_bytes += size
+        if self.head_bytes > self.max_header_bytes:
+            self.head_too_large = True
+
+    def on_headers_complete(self) -> None:
+        """Offer the request to the handler; called by the parser."""
+        self.in_head = False
+        self.in_trailer = True
+        head = RequestHead(
+            method=self.parser.get_method(),
+            target=self.target,
+            version=self.parser.get_http_version(),
+            headers=self.headers,
+            keep_alive=self.parser.should_keep_alive(),
+            arrived=Deadline(trio.current_time()),
+        )
+        self.body = RequestBody(content_length(self.headers))
+        request = ParsedRequest(head, self.body)
+        for name, value in self.headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                request.expects_continue = True
+        self.ready.append(request)
+
+    def on_body(self, data: bytes) -> None:
+        """Take body bytes; called by the parser."""
+        if self.body is not None:
+            self.body.feed(data)
+
+    def on_message_complete(self) -> None:
+        """End the request; called by the parser."""
+        if self.body is not None:
+            self.body.finish()
+            self.body = None
--- /dev/null
+++ b/agatetack/callers/server.py
@@ -0,0 +1,122 @@
+"""Listen for callers and serve their connections."""
+
+import ssl
+
+import trio
+
+from agatetack.callers.connection import CallerConnection
+from agatetack.logs import PartLog
+from agatetack.messages import Handler
+from agatetack.metrics import Metrics
+from agatetack.settings.model import Settings
+
+ACCEPT_RETRY_SECONDS = 0.1
+"""Pause after accept failed, as for lack of file descriptors."""
+
+BACKLOG = 1024
+
+log = PartLog("callers")
+
+
+class CallerServer:
+    """The listener for callers.
+
+    Attributes:
+        connections: Open connections.
+        port: The port listened on, once `run` has started.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        handler: Handler,
+        metrics: Metrics,
+        tls: ssl.SSLContext | None = None,
+    ):
+        """Serve callers with `handler`, over TLS if `tls` is given."""
+        self.settings = settings
+        self.handler = handler
+        self.metrics = metrics
+        self.tls = tls
+        self.connections: set[CallerConnection] = set()
+        self.port = 0
+        self.accepting = trio.CancelScope()
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Listen until `stop_accepting`; then serve what is open to its end.
+
+        The port is reported through `task_status`.
+        """
+        listen = self.settings.callers.listen
+        listeners = await trio.open_tcp_listeners(
+            listen.port, host=listen.host, backlog=BACKLOG
+        )
+        listener = listeners[0]
+        self.port = listener.socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            task_status.started(self.port)
+            async with listener:
+                with self.accepting:
+                    await self._accept_all(listener, nursery)
+
+    async def _accept_all(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                log.warning("Accept failed: %s.", error)
+                await trio.sleep(ACCEPT_RETRY_SECONDS)
+                continue
+            nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        if len(self.connections) >= self.settings.callers.max_connections:
+            self.metrics.dropped.inc(
+                {"part": "callers", "reason": "too-many-connections"}
+            )
+            await stream.aclose()
+            return
+        try:
+            peer_ip = stream.socket.getpeername()[0]
+        except OSError:
+            await stream.aclose()
+            return
+        connection = CallerConnection(
+            self._wrap(stream),
+            peer_ip,
+            self.settings.callers,
+            self.handler,
+            self.metrics,
+        )
+        self.connections.add(connection)
+        try:
+            await connection.serve()
+        except Exception as error:
+            # One connection's failure must not end the others, which share
+            # the nursery.
+            self.metrics.dropped.inc(
+                {"part": "callers", "reason": "connection-failed"}
+            )
+            log.error("A connection failed: %r.", error)
+        finally:
+            self.connections.discard(connection)
+
+    def _wrap(self, stream: trio.SocketStream) -> trio.abc.Stream:
+        if self.tls is None:
+            return stream
+        return trio.SSLStream(
+            stream, self.tls, server_side=True, https_compatible=True
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listener; open connections are served on."""
+        self.accepting.cancel()
+
+    def close_idle(self) -> None:
+        """End idle connections, and busy ones after their request."""
+        for connection in list(self.connections):
+            connection.close_politely()
--- /dev/null
+++ b/agatetack/callers/writer.py
@@ -0,0 +1,147 @@
+"""Write answers to one caller's connection."""
+
+import http
+import socket
+import struct
+
+import trio
+
+from agatetack.messages import Answer, Header
+
+LINGER_NONE = struct.pack("ii", 1, 0)
+"""Close with a reset, so that a cut answer can't look complete."""
+
+BODYLESS = frozenset({204, 304})
+"""Statuses whose answers have no body (RFC 9112, 6.3)."""
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+REASONS = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
+    for status in http.HTTPStatus
+}
+
+
+def status_line(status: int) -> bytes:
+    """Return the first line of an answer."""
+    return REASONS.get(status) or b"HTTP/1.1 %d \r\n" % status
+
+
+def answer_head(
+    status: int, headers: list[Header], framing: bytes, close: bool
+) -> bytes:
+    """Return the bytes of an answer's header.
+
+    Args:
+        status: The HTTP status.
+        headers: Header fields without lengths and hop-by-hop ones.
+        framing: A complete Content-Length or Transfer-Encoding line, or
+            nothing.
+        close: Whether the connection ends with this answer.
+    """
+    parts = [status_line(status)]
+    for name, value in headers:
+        parts.append(b"%b: %b\r\n" % (name, value))
+    parts.append(framing)
+    if close:
+        parts.append(b"Connection: close\r\n")
+    parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+def abort(stream: trio.abc.Stream) -> None:
+    """Make the later close of `stream` a reset."""
+    transport = getattr(stream, "transport_stream", stream)
+    if isinstance(transport, trio.SocketStream):
+        transport.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+
+
+class AnswerWriter:
+    """Writes answers one after the other to one stream.
+
+    Attributes:
+        write_timeout_seconds: Longest time for the caller to take a part.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, write_timeout_seconds: float):
+        """Write to `stream`."""
+        self.stream = stream
+        self.write_timeout_seconds = write_timeout_seconds
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes.
+
+        Raises:
+            trio.BrokenResourceError: The caller is gone or takes no bytes.
+        """
+        with trio.move_on_after(self.write_timeout_seconds) as scope:
+            await self.stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the caller takes no bytes")
+
+    async def write(
+        self, answer: Answer, method: bytes, version: str, close: bool
+    ) -> bool:
+        """Write an answer, and return whether the connection may be kept.
+
+        Args:
+            answer: What to write; its body is read to the end.
+            method: The request's method; HEAD gets no body.
+            version: The request's HTTP version.
+            close: Whether the connection ends with this answer.
+
+        Raises:
+            AnswerCut: The body was cut; the connection must be aborted.
+            trio.BrokenResourceError: The caller is gone.
+        """
+        if method == b"HEAD" or answer.status in BODYLESS:
+            await self._write_without_body(answer, method, close)
+            return not close
+        length = answer.body.length
+        chunked = length is None and version == "1.1"
+        close = close or (length is None and not chunked)
+        if chunked:
+            framing = b"Transfer-Encoding: chunked\r\n"
+        elif length is not None:
+            framing = b"Content-Length: %d\r\n" % length
+        else:
+            framing = b""
+        head = answer_head(answer.status, answer.headers, framing, close)
+        if chunked:
+            await self._write_chunks(head, answer)
+        else:
+            await self._write_plain(head, answer)
+        return not close
+
+    async def _write_without_body(
+        self, answer: Answer, method: bytes, close: bool
+    ) -> None:
+        framing = b""
+        if method == b"HEAD" and answer.body.length is not None:
+            framing = b"Content-Length: %d\r\n" % answer.body.length
+        await self.send(
+            answer_head(answer.status, answer.headers, framing, close)
+        )
+
+    async def _write_plain(self, head: bytes, answer: Answer) -> None:
+        data = answer.body.receive_nowait()
+        await self.send(head if data is None else head + data)
+        while True:
+            data = await answer.body.receive()
+            if not data:
+                return
+            await self.send(data)
+
+    async def _write_chunks(self, head: bytes, answer: Answer) -> None:
+        data = answer.body.receive_nowait()
+        await self.send(head if data is None else head + _chunk(data))
+        while True:
+            data = await answer.body.receive()
+            if not data:
+                break
+            await self.send(_chunk(data))
+        await self.send(b"0\r\n\r\n")
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- /dev/null
+++ b/agatetack/headers.py
@@ -0,0 +1,40 @@
+"""Tell header fields of one connection from those of the message."""
+
+from collections.abc import Iterable
+
+from agatetack.messages import Header
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Header fields that concern one connection only (RFC 9110, 7.6.1)."""
+
+FRAMING = frozenset({b"content-length", b"expect"})
+"""Header fields that are written anew on the next connection."""
+
+
+def strip_hop_by_hop(headers: Iterable[Header]) -> list[Header]:
+    """Return `headers` without those that concern one connection only."""
+    dropped = HOP_BY_HOP
+    kept = []
+    for header in headers:
+        if header.name == b"connection":
+            dropped = dropped | _listed_names(header.value)
+    for header in headers:
+        if header.name not in dropped and header.name not in FRAMING:
+            kept.append(header)
+    return kept
+
+
+def _listed_names(value: bytes) -> frozenset[bytes]:
+    return frozenset(name.strip().lower() for name in value.split(b","))
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -52,6 +52,10 @@
             AnswerCut: An answer's body was cut.
         """
 
+    def receive_nowait(self) -> bytes | None:
+        """Return bytes that are here already, or None; never the end."""
+        return None
+
     async def aclose(self) -> None:  # noqa: B027
         """Free what the body holds; there may be nothing to free."""
 
@@ -72,6 +76,13 @@
         self.taken = True
         return self.content
 
+    def receive_nowait(self) -> bytes | None:
+        """Return all bytes, if they were not taken yet."""
+        if self.taken or not self.content:
+            return None
+        self.taken = True
+        return self.content
+
     def rewind(self) -> None:
         """Start again at the first byte."""
         self.taken = False
@@ -92,6 +103,8 @@
         deadline: When the answer is of no more use.
         key: The idempotency key, or None.
         arrived: When the last header byte was read.
+        deadline_given: Whether the caller brought the deadline; else the
+            route's stands in.
     """
 
     request_id: RequestId
@@ -104,6 +117,7 @@
     deadline: Deadline
     key: IdempotencyKey | None
     arrived: Deadline
+    deadline_given: bool = True
 
     @property
     def replayable(self) -> bool:
--- /dev/null
+++ b/agatetack/quarantine/liveness.py
@@ -0,0 +1,42 @@
+"""Find out whether a target went down when a connection was lost."""
+
+import abc
+
+import trio
+
+from agatetack.ids import Deadline, TargetId
+from agatetack.targets.pool import TargetPools
+
+
+class LivenessCheck(abc.ABC):
+    """A way to tell a crashed target from one lost connection."""
+
+    @abc.abstractmethod
+    async def stayed_up(
+        self, target: TargetId, lost_at: Deadline, until: Deadline
+    ) -> bool:
+        """Return whether `target` surely did not go down at `lost_at`."""
+
+
+class PoolLivenessCheck(LivenessCheck):
+    """Looks at the target's other connections.
+
+    A process that went down took all its connections with it, even if it was
+    started again at once. A connection opened before the loss that is still
+    quiet proves that the target stayed up; a new connection would not.
+    """
+
+    def __init__(self, pools: TargetPools):
+        """Look at the connections in `pools`."""
+        self.pools = pools
+
+    async def stayed_up(
+        self, target: TargetId, lost_at: Deadline, until: Deadline
+    ) -> bool:
+        """Return whether `target` surely did not go down at `lost_at`."""
+        # The ends of its other connections may arrive a little later.
+        await trio.sleep_until((lost_at + until) / 2)
+        return any(
+            connection.opened_at < lost_at and connection.is_quiet()
+            for connection in self.pools.pool(target).idle
+        )
--- /dev/null
+++ b/agatetack/quarantine/local_tracker.py
@@ -0,0 +1,258 @@
+"""Count targets that a request crashed, and refuse it after two.
+
+A lost connection counts at once, so that no third target is spent while the
+second is looked at. It is taken back when the target turns out to be alive, or
+when any target answers the request: a request that is popular is answered
+within moments of an unlucky crash, so it is never held for long.
+"""
+
+import collections
+import dataclasses
+
+import trio
+from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
+from thrift.TSerialization import deserialize, serialize
+
+from agatetack.config.route import RequestClass, Route
+from agatetack.generated.quarantine.ttypes import CrashEvent, CrashNotice
+from agatetack.ids import Deadline, HostId, TargetId
+from agatetack.logs import PartLog
+from agatetack.messages import CallerRequest
+from agatetack.metrics import Metrics
+from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
+from agatetack.peers.exchange import Exchange, Topic
+from agatetack.quarantine.fingerprint import fingerprint
+from agatetack.quarantine.liveness import LivenessCheck
+from agatetack.quarantine.tracker import CrashTracker, Fingerprint
+from agatetack.settings.model import Settings
+
+CONFIRM_BACKLOG = 1000
+"""Lost connections waiting to be looked into; more are dropped."""
+
+REPEAT_SECONDS = 2.0
+"""How often held fingerprints are told to peers again."""
+
+FINGERPRINT_BYTES = 16
+
+PROTOCOL = TCompactProtocolFactory()
+
+log = PartLog("quarantine")
+
+
+@dataclasses.dataclass(slots=True)
+class Suspicion:
+    """What is held against one request.
+
+    Attributes:
+        crashed: When each target was lost to it.
+        forget_at: When it is forgotten, unless more happens.
+        held_until: When it may run again, or None if it may now.
+    """
+
+    crashed: dict[TargetId, Deadline]
+    forget_at: Deadline
+    held_until: Deadline | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A lost connection to look into."""
+
+    fingerprint: Fingerprint
+    target: TargetId
+    at: Deadline
+
+
+class LocalCrashTracker(CrashTracker):
+    """Counts crashes seen here and told by peers.
+
+    Attributes:
+        suspicions: What is held against requests, oldest first.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        exchange: Exchange,
+        liveness: LivenessCheck,
+        metrics: Metrics,
+    ):
+        """Hear of crashes through `exchange` too."""
+        self.limits = settings.quarantine
+        self.exchange = exchange
+        self.liveness = liveness
+        self.metrics = metrics
+        self.suspicions: collections.OrderedDict[Fingerprint, Suspicion] = (
+            collections.OrderedDict()
+        )
+        self.losses_in, self.losses_out = trio.open_memory_channel[Loss](
+            CONFIRM_BACKLOG
+        )
+        self.held = metrics.gauge(
+            "agatetack_quarantined", "Requests refused for crashing targets."
+        )
+        self.crashes = metrics.counter(
+            "agatetack_suspected_crashes_total",
+            "Connections lost while a target ran a request, by result.",
+        )
+        exchange.subscribe(Topic.CRASH_FINGERPRINTS, self._take_notice)
+
+    def check(self, route: Route, request: CallerRequest) -> Refusal | None:
+        """Return why the request is refused, or None if it may run."""
+        if not self.suspicions:
+            return None
+        suspicion = self.suspicions.get(fingerprint(route, request))
+        if suspicion is None or not self._is_held(suspicion):
+            return None
+        refusal = refuse(
+            RefusalReason.QUARANTINED,
+            "This request was lost with every target that ran it.",
+            suspicion.held_until,
+        )
+        if route.request_class is RequestClass.ONCE:
+            # An earlier attempt with the same key may have run.
+            return dataclasses.replace(refusal, outcome=Outcome.UNKNOWN)
+        return refusal
+
+    def _is_held(self, suspicion: Suspicion) -> bool:
+        held_until = suspicion.held_until
+        return held_until is not None and trio.current_time() < held_until
+
+    def connection_lost(
+        self, route: Route, request: CallerRequest, target: TargetId
+    ) -> None:
+        """Note that `target` dropped the connection while it ran this."""
+        print_ = fingerprint(route, request)
+        now = Deadline(trio.current_time())
+        self.crashes.inc({"result": "suspected"})
+        self._count(print_, target, now)
+        self._publish(print_, CrashEvent.LOST, target)
+        try:
+            self.losses_in.send_nowait(Loss(print_, target, now))
+        except trio.WouldBlock:
+            self.metrics.dropped.inc(
+                {"part": "quarantine", "reason": "backlog-full"}
+            )
+
+    def answered(self, route: Route, request: CallerRequest) -> None:
+        """Note that a target answered this request, so it is harmless."""
+        if not self.suspicions:
+            return
+        print_ = fingerprint(route, request)
+        if self._forget(print_):
+            self._publish(print_, CrashEvent.ANSWERED)
+
+    def release(self, print_: Fingerprint) -> bool:
+        """Let a request run again, and return whether it was suspected."""
+        known = self._forget(print_)
+        self._publish(print_, CrashEvent.RELEASED)
+        return known
+
+    def _count(
+        self, print_: Fingerprint, target: TargetId, now: Deadline
+    ) -> None:
+        self._expire(now)
+        suspicion = self.suspicions.pop(print_, None)
+        if suspicion is None:
+            suspicion = Suspicion({}, now)
+        self.suspicions[print_] = suspicion
+        suspicion.crashed[target] = now
+        if len(suspicion.crashed) >= self.limits.crashes:
+            if suspicion.held_until is None:
+                log.warning("Request %s is held back.", print_.hex())
+            suspicion.held_until = Deadline(now + self.limits.hold_seconds)
+        suspicion.forget_at = max(
+            suspicion.held_until or Deadline(0.0),
+            Deadline(now + self.limits.decay_seconds),
+        )
+        while len(self.suspicions) > self.limits.max_fingerprints:
+            self.suspicions.popitem(last=False)
+            self.metrics.dropped.inc(
+                {"part": "quarantine", "reason": "too-many-fingerprints"}
+            )
+        self._update_gauge()
+
+    def _expire(self, now: Deadline) -> None:
+        expired = [
+            print_
+            for print_, suspicion in self.suspicions.items()
+            if suspicion.forget_at <= now
+        ]
+        for print_ in expired:
+            del self.suspicions[print_]
+
+    def _forget(self, print_: Fingerprint) -> bool:
+        known = self.suspicions.pop(print_, None) is not None
+        self._update_gauge()
+        return known
+
+    def _update_gauge(self) -> None:
+        held = sum(1 for s in self.suspicions.values() if self._is_held(s))
+        self.held.set({}, held)
+
+    def _publish(
+        self,
+        print_: Fingerprint,
+        event: int,
+        target: TargetId | None = None,
+    ) -> None:
+        notice = CrashNotice(print_, event, target)
+        payload = serialize(notice, PROTOCOL)
+        self.exchange.publish(Topic.CRASH_FINGERPRINTS, payload)
+
+    def _take_notice(self, sender: HostId, payload: bytes) -> None:
+        try:
+            notice = deserialize(CrashNotice(), payload, PROTOCOL)
+            notice.validate()
+        except Exception:
+            # Thrift raises many kinds of errors on a malformed message.
+            self._drop_notice(sender)
+            return
+        if len(notice.fingerprint) != FINGERPRINT_BYTES:
+            self._drop_notice(sender)
+            return
+        print_ = Fingerprint(notice.fingerprint)
+        if notice.event == CrashEvent.LOST and notice.target:
+            now = Deadline(trio.current_time())
+            self._count(print_, TargetId(notice.target), now)
+        elif notice.event in (CrashEvent.ANSWERED, CrashEvent.RELEASED):
+            self._forget(print_)
+
+    def _drop_notice(self, sender: HostId) -> None:
+        self.metrics.dropped.inc(
+            {"part": "quarantine", "reason": "malformed-notice"}
+        )
+        log.warning("A notice of %s is malformed.", sender)
+
+    async def run(self) -> None:
+        """Look into lost connections and tell peers again; for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._repeat)
+            async for loss in self.losses_out:
+                nursery.start_soon(self._look_into, loss)
+
+    async def _repeat(self) -> None:
+        """Tell peers again what is held, as a message may have been lost."""
+        while True:
+            await trio.sleep(REPEAT_SECONDS)
+            self._expire(Deadline(trio.current_time()))
+            for print_, suspicion in list(self.suspicions.items()):
+                if not self._is_held(suspicion):
+                    continue
+                for target, at in suspicion.crashed.items():
+                    if at + REPEAT_SECONDS * 2 >= trio.current_time():
+                        self._publish(print_, CrashEvent.LOST, target)
+
+    async def _look_into(self, loss: Loss) -> None:
+        """Take a suspicion back if the target did not go down."""
+        until = Deadline(loss.at + self.limits.confirm_seconds)
+        if not await self.liveness.stayed_up(loss.target, loss.at, until):
+            self.crashes.inc({"result": "confirmed"})
+            return
+        self.crashes.inc({"result": "target-alive"})
+        suspicion = self.suspicions.get(loss.fingerprint)
+        if suspicion is None or suspicion.held_until is not None:
+            return
+        suspicion.crashed.pop(loss.target, None)
+        if not suspicion.crashed:
+            self._forget(loss.fingerprint)
--- /dev/null
+++ b/agatetack/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serve each request as the class of its route says."""
--- /dev/null
+++ b/agatetack/serving/dispatcher.py
@@ -0,0 +1,156 @@
+"""Turn each request into an answer: match, check, run, refuse."""
+
+import abc
+
+import trio
+from returns.result import Failure, Result
+
+from agatetack.callers.problem import refusal_answer
+from agatetack.config.route import RequestClass, Route, RouteSource
+from agatetack.ids import Deadline
+from agatetack.lifecycle.phase import Phase
+from agatetack.logs import PartLog
+from agatetack.messages import Answer, CallerRequest, Handler, Header
+from agatetack.metrics import Metrics
+from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.quarantine.tracker import CrashTracker
+from agatetack.serving.explain import Explanations
+from agatetack.settings.model import Settings
+
+log = PartLog("serving")
+
+
+class ClassRunner(abc.ABC):
+    """A way to run the requests of one class."""
+
+    @abc.abstractmethod
+    async def run(
+        self, route: Route, request: CallerRequest
+    ) -> Result[Answer, Refusal]:
+        """Return the answer, or why there is none."""
+
+
+class Dispatcher(Handler):
+    """Answers every request of a host.
+
+    Attributes:
+        phase: How far the host is; a draining host still serves what comes.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        routes: RouteSource,
+        runners: dict[RequestClass, ClassRunner],
+        tickets: Handler,
+        crashes: CrashTracker,
+        explanations: Explanations,
+        metrics: Metrics,
+    ):
+        """Run each class with its runner.
+
+        Args:
+            settings: The host's settings.
+            routes: The routes in force.
+            runners: One runner for each class.
+            tickets: Answers polls for deferred requests.
+            crashes: Refuses requests that crash targets.
+            explanations: Keeps why requests ended as they did.
+            metrics: The host's counters.
+        """
+        self.settings = settings
+        self.routes = routes
+        self.runners = runners
+        self.tickets = tickets
+        self.crashes = crashes
+        self.explanations = explanations
+        self.metrics = metrics
+        self.phase = Phase.STARTING
+        self.names = settings.callers.headers
+        self.ticket_prefix = settings.callers.ticket_path.encode()
+        self.request_id_name = self.names.request_id.encode()
+
+    async def handle(self, request: CallerRequest) -> Answer:
+        """Return the target's answer or a refusal."""
+        if request.path.startswith(self.ticket_prefix):
+            return await self.tickets.handle(request)
+        route = None
+        try:
+            found = self._find_route(request)
+            if isinstance(found, Refusal):
+                return self._refuse(None, request, found)
+            route = found
+            result = await self._run(route, request)
+        except Exception as error:
+            log.error("[%s] failed: %r.", request.request_id, error)
+            refusal = refuse(
+                RefusalReason.INTERNAL_ERROR, "agatetack itself failed."
+            )
+            return self._refuse(route, request, refusal)
+        if isinstance(result, Failure):
+            return self._refuse(route, request, result.failure())
+        return self._pass_on(route, request, result.unwrap())
+
+    def _find_route(self, request: CallerRequest) -> Route | Refusal:
+        table = self.routes.table
+        if table is None:
+            return refuse(
+                RefusalReason.NO_CONFIGURATION,
+                "This host has no configuration yet.",
+                self._soon(),
+            )
+        route = table.match(
+            request.host.decode("latin-1"), request.path.decode("latin-1")
+        )
+        if route is None:
+            return refuse(
+                RefusalReason.NO_ROUTE, "No route takes this host and path."
+            )
+        return route
+
+    def _soon(self) -> Deadline:
+        seconds = self.settings.admission.retry_after_seconds
+        return Deadline(trio.current_time() + seconds)
+
+    async def _run(
+        self, route: Route, request: CallerRequest
+    ) -> Result[Answer, Refusal]:
+        self.metrics.requests.inc({"route": route.id})
+        refusal = self._check(route, request)
+        if refusal is not None:
+            return Failure(refusal)
+        return await self.runners[route.request_class].run(route, request)
+
+    def _check(self, route: Route, request: CallerRequest) -> Refusal | None:
+        if not request.deadline_given:
+            request.deadline = Deadline(
+                request.arrived + route.deadline_seconds
+            )
+        length = request.body.length
+        if length is not None and length > route.max_body_bytes:
+            return refuse(
+                RefusalReason.BODY_TOO_LARGE,
+                f"A body takes at most {route.max_body_bytes} bytes here.",
+            )
+        if trio.current_time() >= request.deadline:
+            return refuse(
+                RefusalReason.CANNOT_MEET_DEADLINE, "The deadline has passed."
+            )
+        return self.crashes.check(route, request)
+
+    def _refuse(
+        self, route: Route | None, request: CallerRequest, refusal: Refusal
+    ) -> Answer:
+        route_id = None if route is None else route.id
+        self.metrics.refused(route_id, refusal.reason)
+        self.explanations.note_refusal(request, route_id, refusal)
+        return refusal_answer(refusal, request.request_id, self.names)
+
+    def _pass_on(
+        self, route: Route, request: CallerRequest, answer: Answer
+    ) -> Answer:
+        seconds = trio.current_time() - request.arrived
+        self.metrics.answered(route.id, seconds)
+        name = self.request_id_name
+        answer.headers.append(Header(name, request.request_id.encode()))
+        return answer
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -6,9 +6,10 @@
 
 import enum
 import ipaddress
-from typing import Annotated
+from typing import Annotated, Literal
 
 import pydantic
+from pydantic_core import PydanticCustomError
 
 Seconds = Annotated[float, pydantic.Field(gt=0, le=30 * 86_400)]
 Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
@@ -25,13 +26,55 @@
 class Section(pydantic.BaseModel):
     """A part of the settings; unknown keys are findings."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
+
+    @pydantic.field_validator("*", mode="before")
+    @classmethod
+    def refuse_other_kind(
+        cls, value: object, info: pydantic.ValidationInfo
+    ) -> object:
+        """Refuse text or a boolean for a number, and the other way round.
+
+        Pydantic would convert them, so that `yes` became 1.
+        """
+        kind = cls.model_fields[info.field_name].annotation
+        if kind is bool and not isinstance(value, bool):
+            raise PydanticCustomError("flag_kind", "must be true or false")
+        if kind is int and isinstance(value, bool | str):
+            raise PydanticCustomError("int_kind", "must be a whole number")
+        if kind is float and isinstance(value, bool | str):
+            raise PydanticCustomError("float_kind", "must be a number")
+        return value
+
+
+def parse_ip(value: object) -> object:
+    """Return the IP number that a text gives.
+
+    Raises:
+        PydanticCustomError: It is neither an IP number nor such a text.
+    """
+    if isinstance(value, ipaddress.IPv4Address | ipaddress.IPv6Address):
+        return value
+    try:
+        if isinstance(value, str):
+            return ipaddress.ip_address(value)
+    except ValueError:
+        pass
+    raise PydanticCustomError("ip_kind", "must be an IP number, not a name")
+
+
+IpNumber = Annotated[
+    ipaddress.IPv4Address | ipaddress.IPv6Address,
+    pydantic.BeforeValidator(parse_ip),
+]
 
 
 class Endpoint(Section):
     """An address to reach: an IP number and a port (0: kernel chooses)."""
 
-    ip: ipaddress.IPv4Address | ipaddress.IPv6Address
+    ip: IpNumber
     port: Port
 
     @property
@@ -75,6 +118,7 @@
     listen: Endpoint
     tls: TlsFiles | None
     headers: CallerHeaders
+    ticket_path: str
     max_connections: Count
     max_header_bytes: Bytes
     max_body_bytes: Bytes
@@ -138,14 +182,43 @@
     host_list: HostListSettings
 
 
+class OperatorRole(enum.Enum):
+    """What an operator's token may do."""
+
+    READ = "read"
+    CHANGE = "change"
+    RELEASE = "release"
+
+
+class ConfigSettings(Section):
+    """How accepted routes spread and are kept."""
+
+    gossip_seconds: Seconds
+    fetch_delay_seconds: Seconds
+    fetch_timeout_seconds: Seconds
+    acknowledge_seconds: Annotated[float, pydantic.Field(ge=0)]
+    snapshot_age_ratio: Annotated[float, pydantic.Field(gt=0, le=0.5)]
+    snapshot_stagger_seconds: Seconds
+    snapshot_records: Count
+    kept_records: Count
+
+
 class OperatorToken(Section):
     """One operator's access; the token itself is never stored."""
 
     name: Name
     team: Name
     sha256: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
-    roles: tuple[str, ...]
-    services: tuple[str, ...]
+    roles: tuple[OperatorRole, ...]
+    services: tuple[Literal["*"] | Name, ...]
+
+
+class TeamLimits(Section):
+    """What the routes of one team may take together."""
+
+    team: Name
+    max_routes: Count
+    max_requests_per_second: Annotated[float, pydantic.Field(ge=0)]
 
 
 class OperatorsSettings(Section):
@@ -156,6 +229,8 @@
     tokens: tuple[OperatorToken, ...]
     failed_attempts_per_minute: Count
     max_routes_per_team: Count
+    max_requests_per_second_per_team: Annotated[float, pydantic.Field(ge=0)]
+    team_limits: tuple[TeamLimits, ...]
 
 
 class PeersSettings(Section):
@@ -266,10 +341,19 @@
     warm_up_seconds: Seconds
 
 
+class LogLevel(enum.Enum):
+    """The least level of the lines that are written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
 class LogsSettings(Section):
     """What is logged."""
 
-    level: str
+    level: LogLevel
     json_lines: bool
 
 
@@ -280,6 +364,7 @@
     callers: CallersSettings
     targets: TargetsSettings
     platform: PlatformSettings
+    config: ConfigSettings
     operators: OperatorsSettings
     peers: PeersSettings
     measure: MeasureSettings
--- /dev/null
+++ b/agatetack/targets/http_client.py
@@ -0,0 +1,294 @@
+"""Call targets over HTTP/1.1."""
+
+import trio
+
+from agatetack.headers import strip_hop_by_hop
+from agatetack.ids import Deadline
+from agatetack.logs import PartLog
+from agatetack.messages import (
+    Answer,
+    BytesBody,
+    CallerRequest,
+    find_header,
+)
+from agatetack.outcomes import Outcome, RefusalReason
+from agatetack.settings.model import Settings
+from agatetack.targets.body import TargetBody
+from agatetack.targets.client import (
+    Attempt,
+    AttemptFailed,
+    AttemptFailure,
+    TargetClient,
+)
+from agatetack.targets.connection import ConnectFailed, TargetConnection
+from agatetack.targets.parser import AnswerParser, AnswerState
+from agatetack.targets.pool import TargetPool, TargetPools
+from agatetack.targets.registry import LeavingSign, TargetRegistry
+from agatetack.targets.state import LoadReport, ReportSource, TargetState
+
+SHED_STATUS = 503
+FINAL_EARLY_STATUS = 300
+"""An answer from this status on, before the upload's end, ends the upload."""
+
+log = PartLog("targets")
+
+
+class HttpTargetClient(TargetClient):
+    """Calls targets over pooled HTTP/1.1 connections."""
+
+    def __init__(self, settings: Settings, registry: TargetRegistry):
+        """Note in `registry` what answers say of their targets."""
+        self.settings = settings
+        self.registry = registry
+        self.pools = TargetPools(settings)
+        names = settings.targets.headers
+        self.deadline_name = names.deadline_ms.encode()
+        self.attempt_name = names.attempt.encode()
+        self.own_names = frozenset(
+            name.encode() for name in (names.deadline_ms, names.attempt)
+        )
+
+    async def call(self, attempt: Attempt) -> Answer:
+        """Send the request and return the answer once its header is read."""
+        pool = self.pools.pool(attempt.target.id)
+        connection = await self._connect(attempt, pool)
+        parser = AnswerParser(
+            attempt.request.method, self.settings.targets.max_header_bytes
+        )
+        sent_at = Deadline(trio.current_time())
+        try:
+            with trio.move_on_at(attempt.deadline) as scope:
+                sent_whole = await self._exchange(attempt, connection, parser)
+        except trio.Cancelled:
+            self._note_silence(connection, pool, sent_at)
+            raise
+        except BaseException:
+            pool.discard(connection)
+            raise
+        if scope.cancelled_caught:
+            self._note_silence(connection, pool, sent_at)
+            log.request(
+                attempt.request.request_id,
+                "No answer from %s in time.",
+                attempt.target.id,
+            )
+            raise _failed(RefusalReason.ANSWER_TIMEOUT, suspect=True)
+        if parser.state is AnswerState.BROKEN:
+            pool.discard(connection)
+            raise _failed(_broken_reason(parser), suspect=True)
+        return await self._finish(attempt, connection, pool, parser, sent_whole)
+
+    async def _connect(
+        self, attempt: Attempt, pool: TargetPool
+    ) -> TargetConnection:
+        connection = pool.take(attempt.freshness)
+        if connection is not None:
+            return connection
+        try:
+            return await pool.open(attempt.target, attempt.deadline)
+        except ConnectFailed as error:
+            log.request(
+                attempt.request.request_id,
+                "No connection to %s: %s.",
+                attempt.target.id,
+                error,
+            )
+            failure = AttemptFailure(
+                RefusalReason.CONNECT_FAILED,
+                Outcome.NOT_RUN,
+                target_suspect=True,
+            )
+            raise AttemptFailed(failure) from error
+
+    async def _exchange(
+        self,
+        attempt: Attempt,
+        connection: TargetConnection,
+        parser: AnswerParser,
+    ) -> bool:
+        """Send the request, read the header; return whether all was sent."""
+        connection.requests += 1
+        request = attempt.request
+        head = self._request_head(attempt)
+        if isinstance(request.body, BytesBody):
+            await self._send(connection, head + request.body.content)
+            await self._receive_head(connection, parser)
+            return True
+        await self._send(connection, head)
+        return await self._exchange_stream(request, connection, parser)
+
+    async def _send(self, connection: TargetConnection, data: bytes) -> None:
+        try:
+            await connection.send(data)
+        except trio.BrokenResourceError:
+            # The target may have answered before it closed the connection,
+            # so the answer is looked for even when sending failed.
+            return
+
+    async def _receive_head(
+        self, connection: TargetConnection, parser: AnswerParser
+    ) -> None:
+        while parser.state is AnswerState.HEAD:
+            await connection.receive_into(parser)
+
+    async def _exchange_stream(
+        self,
+        request: CallerRequest,
+        connection: TargetConnection,
+        parser: AnswerParser,
+    ) -> bool:
+        upload = Upload(request, connection)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(upload.run, nursery.cancel_scope)
+            await self._receive_head(connection, parser)
+            if parser.status >= FINAL_EARLY_STATUS or not parser.status:
+                nursery.cancel_scope.cancel()
+        if upload.error is not None:
+            raise upload.error
+        return upload.complete
+
+    def _request_head(self, attempt: Attempt) -> bytes:
+        request = attempt.request
+        left_ms = max(0.0, attempt.deadline - trio.current_time()) * 1000
+        parts = [b"%b %b HTTP/1.1\r\n" % (request.method, request.path)]
+        for name, value in request.headers:
+            if name not in self.own_names:
+                parts.append(b"%b: %b\r\n" % (name, value))
+        parts.append(b"%b: %d\r\n" % (self.deadline_name, left_ms))
+        attempt_id = attempt.id.encode()
+        parts.append(b"%b: %b\r\n" % (self.attempt_name, attempt_id))
+        length = request.body.length
+        if length is None:
+            parts.append(b"transfer-encoding: chunked\r\n")
+        elif length or request.method not in (b"GET", b"HEAD"):
+            parts.append(b"content-length: %d\r\n" % length)
+        parts.append(b"\r\n")
+        return b"".join(parts)
+
+    def _note_silence(
+        self, connection: TargetConnection, pool: TargetPool, sent_at: Deadline
+    ) -> None:
+        """Close a connection that an attempt was given up on.
+
+        A connection that had worked before and brought no byte since may
+        have gone silent, and its siblings with it; one that is new speaks
+        for nothing but a slow target.
+        """
+        silent = connection.last_byte_at < sent_at
+        if silent and connection.requests > 1:
+            pool.suspect(connection, sent_at)
+        else:
+            pool.discard(connection)
+
+    async def _finish(
+        self,
+        attempt: Attempt,
+        connection: TargetConnection,
+        pool: TargetPool,
+        parser: AnswerParser,
+        sent_whole: bool,
+    ) -> Answer:
+        self._note_load(attempt.target, parser)
+        body = TargetBody(
+            connection,
+            pool,
+            parser,
+            reusable=sent_whole,
+            byte_timeout_seconds=self.settings.targets.byte_timeout_seconds,
+        )
+        if self._is_shed(parser):
+            await body.aclose()
+            raise AttemptFailed(
+                AttemptFailure(
+                    RefusalReason.SHED_BY_TARGET,
+                    Outcome.NOT_RUN,
+                    target_suspect=False,
+                    retry_at=_retry_at(parser),
+                )
+            )
+        return Answer(parser.status, strip_hop_by_hop(parser.headers), body)
+
+    def _is_shed(self, parser: AnswerParser) -> bool:
+        if parser.status != SHED_STATUS:
+            return False
+        name = self.settings.targets.headers.outcome.encode()
+        mark = find_header(parser.headers, name)
+        return mark == Outcome.NOT_RUN.value.encode()
+
+    def _note_load(self, target: TargetState, parser: AnswerParser) -> None:
+        names = self.settings.targets.headers
+        found = {name: value for name, value in parser.headers}
+        state = found.get(names.state.encode())
+        if state == b"draining":
+            self.registry.note_leaving(target, LeavingSign.ANSWER_HEADER)
+        in_flight = found.get(names.in_flight.encode())
+        if in_flight is None or not in_flight.isdigit():
+            return
+        slots = found.get(names.slots.encode(), b"")
+        report = LoadReport(
+            in_flight=int(in_flight),
+            slots=int(slots) if slots.isdigit() else target.slots,
+            own_in_flight=target.in_flight,
+            at=Deadline(trio.current_time()),
+            source=ReportSource.ANSWER,
+        )
+        self.registry.note_report(target, report)
+
+
+class Upload:
+    """A request body on its way to a target while the answer is awaited.
+
+    Attributes:
+        complete: Whether the last byte was sent.
+        error: What kept the body from being read, or None.
+    """
+
+    def __init__(self, request: CallerRequest, connection: TargetConnection):
+        """Send the body of `request` on `connection`."""
+        self.request = request
+        self.connection = connection
+        self.complete = False
+        self.error: Exception | None = None
+
+    async def run(self, exchange: trio.CancelScope) -> None:
+        """Send the body; end `exchange` if it can't be read."""
+        try:
+            await self._send_all()
+        except trio.BrokenResourceError:
+            # The target may have answered before it closed the connection.
+            return
+        except Exception as error:
+            self.error = error
+            exchange.cancel()
+
+    async def _send_all(self) -> None:
+        chunked = self.request.body.length is None
+        while True:
+            data = await self.request.body.receive()
+            if not data:
+                break
+            if chunked:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            await self.connection.send(data)
+        if chunked:
+            await self.connection.send(b"0\r\n\r\n")
+        self.complete = True
+
+
+def _failed(reason: RefusalReason, suspect: bool) -> AttemptFailed:
+    return AttemptFailed(
+        AttemptFailure(reason, Outcome.UNKNOWN, target_suspect=suspect)
+    )
+
+
+def _broken_reason(parser: AnswerParser) -> RefusalReason:
+    if parser.headers or parser.head_bytes:
+        return RefusalReason.ANSWER_MALFORMED
+    return RefusalReason.CONNECTION_LOST
+
+
+def _retry_at(parser: AnswerParser) -> Deadline | None:
+    value = find_header(parser.headers, b"retry-after")
+    if value is None or not value.isdigit():
+        return None
+    return Deadline(trio.current_time() + int(value))
--- /dev/null
+++ b/agatetack/targets/parser.py
@@ -0,0 +1,130 @@
+"""Parse the answers that arrive on one connection to a target."""
+
+import enum
+from collections import deque
+
+import httptools
+
+from agatetack.messages import Header
+
+INTERIM_LIMIT = 200
+"""Statuses below this are interim; the answer is still to come."""
+
+BODYLESS = frozenset({204, 304})
+
+
+class AnswerState(enum.Enum):
+    """How much of an answer has been parsed."""
+
+    HEAD = "head"
+    BODY = "body"
+    COMPLETE = "complete"
+    BROKEN = "broken"
+
+
+class AnswerParser:
+    """Parse one answer; a connection takes a new one for each request.
+
+    Attributes:
+        state: How much has been parsed.
+        status: The HTTP status, once the header is complete.
+        headers: Header fields, names in lower case.
+        length: The announced Content-Length, or None.
+        parts: Body bytes not yet taken.
+        stray: Whether bytes came that belong to no answer.
+    """
+
+    def __init__(self, method: bytes, max_header_bytes: int):
+        """Expect the answer to a request with `method`."""
+        self.method = method
+        self.max_header_bytes = max_header_bytes
+        self.parser = httptools.HttpResponseParser(self)
+        self.state = AnswerState.HEAD
+        self.status = 0
+        self.headers: list[Header] = []
+        self.length: int | None = None
+        self.chunked = False
+        self.keep_alive = False
+        self.parts: deque[bytes] = deque()
+        self.stray = False
+        self.head_bytes = 0
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes of the connection."""
+        if self.state is AnswerState.COMPLETE:
+            self.stray = True
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._break_unless_complete()
+        if self.state is AnswerState.HEAD:
+            self.head_bytes += len(data)
+            if self.head_bytes > self.max_header_bytes:
+                self.state = AnswerState.BROKEN
+
+    def _break_unless_complete(self) -> None:
+        if self.state is AnswerState.COMPLETE:
+            self.stray = True
+        else:
+            self.state = AnswerState.BROKEN
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the connection's end tells the body's end."""
+        return self.length is None and not self.chunked
+
+    def end(self) -> None:
+        """Take the connection's end."""
+        if self.state is AnswerState.COMPLETE:
+            return
+        if self.state is AnswerState.BODY and self.ends_with_connection:
+            self.state = AnswerState.COMPLETE
+            self.keep_alive = False
+            return
+        self.state = AnswerState.BROKEN
+
+    def on_message_begin(self) -> None:
+        """Start an answer; called by the parser."""
+        if self.state is AnswerState.COMPLETE:
+            self.stray = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field; called by the parser."""
+        if self.state is AnswerState.HEAD:
+            self.headers.append(Header(name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the header; called by the parser."""
+        if self.state is not AnswerState.HEAD:
+            return
+        status = self.parser.get_status_code()
+        if status < INTERIM_LIMIT:
+            self.headers = []
+            return
+        self.status = status
+        self.keep_alive = self.parser.should_keep_alive()
+        self._read_framing()
+        if self.method == b"HEAD" or status in BODYLESS:
+            self.state = AnswerState.COMPLETE
+        else:
+            self.state = AnswerState.BODY
+
+    def _read_framing(self) -> None:
+        for name, value in self.headers:
+            if name == b"content-length":
+                self.length = int(value)
+            elif name == b"transfer-encoding":
+                self.chunked = True
+
+    def on_body(self, data: bytes) -> None:
+        """Take body bytes; called by the parser."""
+        if self.state is AnswerState.BODY:
+            self.parts.append(data)
+        else:
+            self.stray = True
+
+    def on_message_complete(self) -> None:
+        """Take the end of the answer; called by the parser."""
+        if self.state is AnswerState.BODY:
+            self.state = AnswerState.COMPLETE
--- /dev/null
+++ b/agatetack/targets/pool.py
@@ -0,0 +1,135 @@
+"""Keep open connections to targets for the next request."""
+
+import trio
+
+from agatetack.ids import Deadline, TargetId
+from agatetack.settings.model import Settings
+from agatetack.targets.client import Freshness
+from agatetack.targets.connection import (
+    ConnectFailed,
+    TargetConnection,
+    open_connection,
+)
+from agatetack.targets.state import TargetState
+
+
+class TargetPool:
+    """Idle connections to one target, latest used last.
+
+    Attributes:
+        idle: Connections without a request.
+        open_count: Connections open now, idle or not.
+        suspect_before: Connections that had no byte since then are not used
+            again, because one of them was found silent.
+    """
+
+    def __init__(self, settings: Settings):
+        """Keep connections as `settings` say."""
+        self.settings = settings
+        self.idle: list[TargetConnection] = []
+        self.open_count = 0
+        self.suspect_before = Deadline(0.0)
+
+    def take(self, freshness: Freshness) -> TargetConnection | None:
+        """Return an idle connection that may be used, or None."""
+        now = trio.current_time()
+        while self.idle:
+            connection = self.idle.pop()
+            oldest = max(now - self._max_age(freshness), self.suspect_before)
+            if connection.last_byte_at >= oldest and connection.is_quiet():
+                return connection
+            self.discard(connection)
+        return None
+
+    def _max_age(self, freshness: Freshness) -> float:
+        if freshness is Freshness.PROVEN:
+            return self.settings.claims.proven_connection_seconds
+        return self.settings.targets.idle_proof_seconds
+
+    def put_back(self, connection: TargetConnection) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        if connection.last_byte_at < self.suspect_before:
+            self.discard(connection)
+            return
+        self.idle.append(connection)
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Close a connection for good."""
+        if not connection.closed:
+            self.open_count -= 1
+            connection.close()
+
+    def suspect(self, connection: TargetConnection, since: Deadline) -> None:
+        """Close a silent connection and trust none as silent as it.
+
+        Args:
+            connection: Where no byte came.
+            since: When a byte was first missed there.
+        """
+        self.suspect_before = max(self.suspect_before, since)
+        self.discard(connection)
+        self.close_idle_before(self.suspect_before)
+
+    def close_idle_before(self, oldest: Deadline) -> None:
+        """Close idle connections without a byte since `oldest`."""
+        kept = []
+        for connection in self.idle:
+            if connection.last_byte_at >= oldest:
+                kept.append(connection)
+            else:
+                self.discard(connection)
+        self.idle = kept
+
+    async def open(
+        self, target: TargetState, deadline: Deadline
+    ) -> TargetConnection:
+        """Open a new connection.
+
+        Raises:
+            ConnectFailed: None could be opened, or too many are open.
+        """
+        limits = self.settings.targets
+        if self.open_count >= limits.max_connections:
+            raise ConnectFailed("too many connections are open")
+        self.open_count += 1
+        latest = trio.current_time() + limits.connect_timeout_seconds
+        try:
+            return await open_connection(
+                target, min(deadline, Deadline(latest))
+            )
+        except BaseException:
+            self.open_count -= 1
+            raise
+
+
+class TargetPools:
+    """The pools of all targets of one host."""
+
+    def __init__(self, settings: Settings):
+        """Start without connections."""
+        self.settings = settings
+        self.pools: dict[TargetId, TargetPool] = {}
+
+    def pool(self, target: TargetId) -> TargetPool:
+        """Return the pool of `target`, a new one if there is none."""
+        pool = self.pools.get(target)
+        if pool is None:
+            pool = TargetPool(self.settings)
+            self.pools[target] = pool
+        return pool
+
+    async def close_old(self) -> None:
+        """Close connections that have been idle for long; runs for ever."""
+        seconds = self.settings.targets.idle_close_seconds
+        while True:
+            await trio.sleep(seconds / 2)
+            oldest = Deadline(trio.current_time() - seconds)
+            for target, pool in list(self.pools.items()):
+                pool.close_idle_before(oldest)
+                if not pool.open_count:
+                    del self.pools[target]
+
+    def close_all(self) -> None:
+        """Close every idle connection."""
+        for pool in self.pools.values():
+            pool.close_idle_before(Deadline(float("inf")))
