Serve the administration API as Thrift over HTTP

Cause: operators of both firms need one schema to generate clients from, and the lead needs the interface to wire hosts to it. Before: nothing answered.

--- /dev/null
+++ b/agatetack/operators/convert.py
@@ -0,0 +1,161 @@
+"""Turn the API's dataclasses into generated Thrift structs and back.
+
+Fields are matched by name, so neither side needs a function for each type; a
+test compares the two sides' fields and enum names.
+"""
+
+import dataclasses
+import enum
+import functools
+import types
+import typing
+from typing import Any
+
+from agatetack.admission.controller import AttemptResult
+from agatetack.config.route import RequestClass
+from agatetack.generated.common import ttypes as common
+from agatetack.generated.operators import ttypes
+from agatetack.lifecycle.phase import Phase
+from agatetack.operators import refusals, views
+from agatetack.operators.views import Finding
+from agatetack.outcomes import Outcome, RefusalReason, RetryReason
+from agatetack.targets.state import ReportSource, TargetStatus
+
+ENUMS: dict[type[enum.Enum], type] = {
+    RequestClass: common.RequestClass,
+    Outcome: common.Outcome,
+    RefusalReason: ttypes.RefusalReason,
+    RetryReason: ttypes.RetryReason,
+    AttemptResult: ttypes.AttemptResult,
+    Phase: ttypes.Phase,
+    TargetStatus: ttypes.TargetStatus,
+    ReportSource: ttypes.ReportSource,
+    views.ChangeState: ttypes.ChangeState,
+    views.ChangeRejection: ttypes.ChangeRejection,
+    views.ChangeKind: ttypes.ChangeKind,
+    views.ClaimState: ttypes.ClaimState,
+    views.QuarantineState: ttypes.QuarantineState,
+    refusals.AccessProblem: ttypes.AccessProblem,
+    refusals.TeamLimit: ttypes.TeamLimit,
+    refusals.UnavailableReason: ttypes.UnavailableReason,
+    refusals.Entity: ttypes.Entity,
+}
+
+THRIFT_NAMES = {"service": "service_name"}
+"""Fields whose name Thrift reserves."""
+
+
+class FieldProblems(Exception):
+    """A struct lacks fields or holds values that are not known.
+
+    Attributes:
+        findings: Every problem, with its place.
+    """
+
+    def __init__(self, findings: list[Finding]):
+        """Keep the findings."""
+        super().__init__("; ".join(f.message for f in findings))
+        self.findings = tuple(findings)
+
+
+def to_thrift(value: Any, struct_class: type) -> Any:
+    """Return a struct of `struct_class` with the fields of `value`."""
+    fields = {}
+    for spec in struct_class.thrift_spec:
+        if spec is not None:
+            name = _own_name(spec[2], type(value))
+            fields[spec[2]] = _write(getattr(value, name), spec[3])
+    return struct_class(**fields)
+
+
+def from_thrift(struct: Any, value_class: type, place: str = "") -> Any:
+    """Return a `value_class` with the fields of a struct.
+
+    Args:
+        struct: A generated struct.
+        value_class: The dataclass to build.
+        place: Where the struct stands, for the findings.
+
+    Raises:
+        FieldProblems: Fields are missing or hold unknown enum numbers.
+    """
+    findings: list[Finding] = []
+    value = _read_struct(struct, value_class, place, findings)
+    if findings:
+        raise FieldProblems(findings)
+    return value
+
+
+def _own_name(thrift_name: str, value_class: type) -> str:
+    for own, other in THRIFT_NAMES.items():
+        if other == thrift_name and own in value_class.__dataclass_fields__:
+            return own
+    return thrift_name
+
+
+def _write(value: Any, type_args: Any) -> Any:
+    if isinstance(value, enum.Enum):
+        return getattr(ENUMS[type(value)], value.name)
+    if isinstance(value, tuple | list):
+        return [_write(item, type_args[1]) for item in value]
+    if dataclasses.is_dataclass(value):
+        return to_thrift(value, type_args[0])
+    return value
+
+
+@functools.cache
+def _hints(value_class: type) -> dict[str, Any]:
+    return typing.get_type_hints(value_class)
+
+
+def _read_struct(
+    struct: Any, value_class: type, place: str, findings: list[Finding]
+) -> Any:
+    known = {spec[2] for spec in struct.thrift_spec if spec is not None}
+    values = {}
+    for field in dataclasses.fields(value_class):
+        name = THRIFT_NAMES.get(field.name, field.name)
+        if name not in known:
+            continue
+        raw = getattr(struct, name)
+        at = f"{place}.{name}" if place else name
+        if raw is not None:
+            hint = _hints(value_class)[field.name]
+            values[field.name] = _read(raw, hint, at, findings)
+        elif field.default is dataclasses.MISSING:
+            findings.append(Finding(at, "is missing"))
+    return None if findings else value_class(**values)
+
+
+def _read(raw: Any, hint: Any, place: str, findings: list[Finding]) -> Any:
+    hint = _bare_type(hint)
+    if typing.get_origin(hint) is tuple:
+        item_hint = typing.get_args(hint)[0]
+        return tuple(
+            _read(item, item_hint, f"{place}[{index}]", findings)
+            for index, item in enumerate(raw)
+        )
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return _read_enum(raw, hint, place, findings)
+    if dataclasses.is_dataclass(hint):
+        return _read_struct(raw, hint, place, findings)
+    return raw
+
+
+def _read_enum(
+    raw: int, hint: type[enum.Enum], place: str, findings: list[Finding]
+) -> enum.Enum | None:
+    name = ENUMS[hint]._VALUES_TO_NAMES.get(raw)
+    if name is None or name not in hint.__members__:
+        findings.append(Finding(place, f"{raw} is not a known number"))
+        return None
+    return hint[name]
+
+
+def _bare_type(hint: Any) -> Any:
+    """Return the type behind `X | None` and `NewType`."""
+    if isinstance(hint, types.UnionType):
+        hint = next(a for a in typing.get_args(hint) if a is not type(None))
+    while hasattr(hint, "__supertype__"):
+        hint = hint.__supertype__
+    return hint
--- /dev/null
+++ b/agatetack/operators/rpc.py
@@ -0,0 +1,266 @@
+"""Carry Thrift messages to the calls of the API and their results back.
+
+The library's own processor is synchronous, so the generated argument and
+result structs are read and written here, and the calls are awaited.
+"""
+
+import dataclasses
+import enum
+import struct
+import typing
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocol
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.protocol.TJSONProtocol import TJSONProtocol
+from thrift.protocol.TProtocol import TProtocolBase
+from thrift.Thrift import TApplicationException, TException, TMessageType
+from thrift.transport.TTransport import TMemoryBuffer
+
+from agatetack.generated.operators import Operators
+from agatetack.logs import PartLog
+from agatetack.metrics import Metrics
+from agatetack.operators import convert
+from agatetack.operators.access import Authenticator, Operator, Sender
+from agatetack.operators.refusals import (
+    AccessDenied,
+    InvalidRequest,
+    OperatorsError,
+    Unavailable,
+    UnavailableReason,
+)
+
+MAX_BODY_BYTES = 1_048_576
+"""Longest message that is read."""
+
+MAX_CONTAINER_LENGTH = 10_000
+"""Most items of a list in a message."""
+
+OK_LABEL = "ok"
+UNKNOWN_CALL_LABEL = "-"
+
+# What a reader of damaged bytes raises, the library's own errors included.
+READ_ERRORS = (
+    TException,
+    EOFError,
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    struct.error,
+)
+
+log = PartLog("operators")
+
+
+class ContentType(enum.Enum):
+    """How a message is encoded."""
+
+    SNIFF = "application/x-thrift"
+    BINARY = "application/vnd.apache.thrift.binary"
+    COMPACT = "application/vnd.apache.thrift.compact"
+    JSON = "application/vnd.apache.thrift.json"
+
+
+class BadMessage(Exception):
+    """The body is no Thrift message."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call of the schema and what answers it.
+
+    Attributes:
+        name: As in the schema.
+        args_class: The generated struct of its arguments.
+        result_class: The generated struct of its result.
+        request_class: The dataclass of its one argument.
+        method: Takes the operator and the request.
+    """
+
+    name: str
+    args_class: type
+    result_class: type
+    request_class: type
+    method: Callable[[Operator, Any], Awaitable[Any]]
+
+
+class Dispatcher:
+    """Answer messages with the calls that `parts` have methods for."""
+
+    def __init__(
+        self, authenticator: Authenticator, metrics: Metrics, *parts: object
+    ):
+        """Find a method for each call of the schema.
+
+        Args:
+            authenticator: Knows who may call.
+            metrics: Counts calls by name and result.
+            *parts: Objects with one method for each call.
+        """
+        self.authenticator = authenticator
+        self.calls = {
+            name: _find_call(name, parts)
+            for name in vars(Operators.Iface)
+            if not name.startswith("_")
+        }
+        self.counter = metrics.counter(
+            "agatetack_operators_calls_total",
+            "Operators' calls, by call and result.",
+        )
+
+    async def answer(
+        self,
+        body: bytes,
+        content_type: ContentType,
+        sender: Sender,
+    ) -> bytes:
+        """Return the reply to one message, in the same encoding.
+
+        Args:
+            body: The message.
+            content_type: How it is encoded.
+            sender: Where it came from.
+
+        Raises:
+            BadMessage: The body is no Thrift message.
+        """
+        reader = _open(body, content_type)
+        name, kind, sequence = _read(reader.readMessageBegin)
+        call = self.calls.get(name)
+        if kind != TMessageType.CALL:
+            raise BadMessage("the message is no call")
+        if call is None:
+            self.counter.inc({"call": UNKNOWN_CALL_LABEL, "result": "unknown"})
+            return _unknown_call(type(reader), str(name), sequence)
+        result = call.result_class()
+        try:
+            operator = self.authenticator.authenticate(sender)
+            request = _read_request(reader, call)
+            value = await call.method(operator, request)
+            label = OK_LABEL
+            success_class = call.result_class.thrift_spec[0][3][0]
+            result.success = convert.to_thrift(value, success_class)
+        except OperatorsError as error:
+            label = type(error).__name__
+            if isinstance(error, AccessDenied):
+                self.authenticator.count(error)
+            _set_error(result, error)
+        except BadMessage:
+            raise
+        except Exception as error:  # The fault of this host, not the caller's.
+            label = "internal-error"
+            log.error("call %s failed: %r", name, error)
+            _set_error(
+                result,
+                Unavailable(
+                    UnavailableReason.INTERNAL_ERROR,
+                    f"call {name} failed in this host; its log says why",
+                ),
+            )
+        self.counter.inc({"call": name, "result": label})
+        return _write_reply(type(reader), name, sequence, result)
+
+
+def _find_call(name: str, parts: tuple[object, ...]) -> Call:
+    part = next(part for part in parts if hasattr(part, name))
+    method = getattr(part, name)
+    return Call(
+        name,
+        getattr(Operators, f"{name}_args"),
+        getattr(Operators, f"{name}_result"),
+        typing.get_type_hints(method)["request"],
+        method,
+    )
+
+
+def _open(body: bytes, content_type: ContentType) -> TProtocolBase:
+    buffer = TMemoryBuffer(body)
+    if content_type is ContentType.SNIFF:
+        content_type = _sniff(body)
+    # The accelerated readers are left out, as they recurse in C.
+    if content_type is ContentType.JSON:
+        return TJSONProtocol(buffer)
+    protocol = (
+        TCompactProtocol
+        if content_type is ContentType.COMPACT
+        else TBinaryProtocol
+    )
+    return protocol(
+        buffer,
+        string_length_limit=MAX_BODY_BYTES,
+        container_length_limit=MAX_CONTAINER_LENGTH,
+    )
+
+
+def _sniff(body: bytes) -> ContentType:
+    """Return the encoding, as clients may send one type for all of them."""
+    first = body[:1]
+    if first == b"[":
+        return ContentType.JSON
+    if first == bytes([TCompactProtocol.PROTOCOL_ID]):
+        return ContentType.COMPACT
+    return ContentType.BINARY
+
+
+def _read(step: Callable[[], Any]) -> Any:
+    try:
+        return step()
+    except READ_ERRORS as error:
+        raise BadMessage("the body is no Thrift message") from error
+
+
+def _read_request(reader: TProtocolBase, call: Call) -> Any:
+    """Return the call's request.
+
+    Raises:
+        BadMessage: The bytes cannot be read.
+        InvalidRequest: Fields are missing or hold unknown enum numbers.
+    """
+    args = call.args_class()
+    _read(lambda: args.read(reader))
+    if args.request is None:
+        raise InvalidRequest(
+            "request is missing",
+            (convert.Finding("request", "is missing"),),
+        )
+    try:
+        return convert.from_thrift(args.request, call.request_class, "request")
+    except convert.FieldProblems as problems:
+        listed = "; ".join(f"{f.place} {f.message}" for f in problems.findings)
+        raise InvalidRequest(listed, problems.findings) from problems
+
+
+def _set_error(result: Any, error: OperatorsError) -> None:
+    """Put `error` into the field of the result that has its type."""
+    for spec in result.thrift_spec:
+        if spec is not None and spec[3][0].__name__ == type(error).__name__:
+            setattr(result, spec[2], convert.to_thrift(error, spec[3][0]))
+            return
+    raise TypeError(f"{type(result).__name__} has no {type(error).__name__}")
+
+
+def _write_reply(
+    protocol: type, name: str, sequence: int, result: Any
+) -> bytes:
+    buffer = TMemoryBuffer()
+    writer = protocol(buffer)
+    writer.writeMessageBegin(name, TMessageType.REPLY, sequence)
+    result.write(writer)
+    writer.writeMessageEnd()
+    return buffer.getvalue()
+
+
+def _unknown_call(protocol: type, name: str, sequence: int) -> bytes:
+    """Return the library's own error for a call that is not in the schema."""
+    buffer = TMemoryBuffer()
+    writer = protocol(buffer)
+    writer.writeMessageBegin(name, TMessageType.EXCEPTION, sequence)
+    TApplicationException(
+        TApplicationException.UNKNOWN_METHOD, f"there is no call {name}"
+    ).write(writer)
+    writer.writeMessageEnd()
+    return buffer.getvalue()
--- /dev/null
+++ b/agatetack/operators/views.py
@@ -0,0 +1,464 @@
+"""Define what operators are shown.
+
+Each type has the field names of its struct in `thrift/operators.thrift`;
+`service` stands for `service_name`, which Thrift reserves.
+"""
+
+import dataclasses
+import enum
+
+from agatetack.admission.controller import AttemptResult
+from agatetack.config.route import Route
+from agatetack.ids import (
+    AttemptId,
+    ChangeId,
+    FailureDomain,
+    HostId,
+    IdempotencyKey,
+    LogOffset,
+    RequestId,
+    RouteId,
+    ServiceId,
+    TargetId,
+)
+from agatetack.lifecycle.phase import Phase
+from agatetack.outcomes import Outcome, RefusalReason, RetryReason
+from agatetack.targets.state import ReportSource, TargetStatus
+
+
+class ChangeState(enum.Enum):
+    """What became of a change of configuration."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    PENDING = "pending"
+    UNKNOWN = "unknown"
+
+
+class ChangeRejection(enum.Enum):
+    """Why a change was rejected."""
+
+    VERSION_CONFLICT = "version-conflict"
+    PATH_TAKEN = "path-taken"
+    INVALID = "invalid"
+    STALE = "stale"
+    CHANGE_ID_REUSED = "change-id-reused"
+    OTHER = "other"
+
+
+class ChangeKind(enum.Enum):
+    """What a change does."""
+
+    APPLY = "apply"
+    DELETE = "delete"
+
+
+class ClaimState(enum.Enum):
+    """What is known of an idempotency key."""
+
+    UNCLAIMED = "unclaimed"
+    IN_PROGRESS = "in-progress"
+    DONE = "done"
+    RELEASED = "released"
+    EXPIRED = "expired"
+
+
+class QuarantineState(enum.Enum):
+    """Whether a suspected request is refused already."""
+
+    SUSPECTED = "suspected"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """One thing that is wrong, and where, such as `route.path_prefix`."""
+
+    place: str
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRecord:
+    """A route in force.
+
+    Attributes:
+        route: The route.
+        version: Offset of its record in the log.
+        author: Name of the token that changed it last.
+        change_id: The change that brought it.
+        accepted_unix_ms: The log's clock at that change.
+    """
+
+    route: Route
+    version: LogOffset
+    author: str | None = None
+    change_id: ChangeId | None = None
+    accepted_unix_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteList:
+    """Routes by id; all records of the log before `offset` were read."""
+
+    routes: tuple[RouteRecord, ...]
+    offset: LogOffset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeResult:
+    """What an apply or delete did.
+
+    Attributes:
+        change_id: The change.
+        kind: What it does.
+        dry_run: Whether it was only checked.
+        findings: What a dry run found wrong; else empty.
+        version: The new version; None after a dry run.
+        previous: What was in force before, if anything.
+    """
+
+    change_id: ChangeId
+    kind: ChangeKind
+    dry_run: bool
+    findings: tuple[Finding, ...]
+    version: LogOffset | None = None
+    previous: RouteRecord | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What became of a change.
+
+    Attributes:
+        change_id: The change.
+        state: How it ended, if it has.
+        version: Of an accepted change.
+        reason: Of a rejected change.
+        message: One sentence for a person.
+        route_id: The route it is about, if known.
+        kind: What it does, if known.
+        author: Name of the token that sent it, if known.
+    """
+
+    change_id: ChangeId
+    state: ChangeState
+    version: LogOffset | None = None
+    reason: ChangeRejection | None = None
+    message: str | None = None
+    route_id: RouteId | None = None
+    kind: ChangeKind | None = None
+    author: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostStatus:
+    """The host that answers.
+
+    Attributes:
+        host_id: Its name.
+        failure_domain: Where it is.
+        region: Where that is.
+        phase: How far it is between its start and its end.
+        ready: Whether it takes callers' requests.
+        not_ready_because: One sentence, if it is not ready.
+        started_unix_ms: When it started.
+        config_offset: All records of the log before it are in force.
+        config_lag_records: Records not read yet; None with the log out.
+        routes: Number of routes in force.
+        in_flight: Requests being served.
+        fleet_size: Number of hosts, never too low.
+        log_reachable: Whether the log's last call succeeded.
+    """
+
+    host_id: HostId
+    failure_domain: FailureDomain
+    region: str
+    phase: Phase
+    ready: bool
+    started_unix_ms: int
+    config_offset: LogOffset
+    routes: int
+    in_flight: int
+    fleet_size: int
+    log_reachable: bool
+    not_ready_because: str | None = None
+    config_lag_records: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostView:
+    """A gateway as the answering host sees it.
+
+    Attributes:
+        host_id: Its name.
+        failure_domain: Where it is.
+        phase: How far it is between its start and its end.
+        live: Whether it was heard within the peers' timeout.
+        config_offset: How far it has read, if heard of.
+        last_heard_age_ms: None for the answering host itself.
+    """
+
+    host_id: HostId
+    failure_domain: FailureDomain
+    phase: Phase
+    live: bool
+    config_offset: LogOffset | None = None
+    last_heard_age_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostList:
+    """All gateways that the answering host knows, by id."""
+
+    hosts: tuple[HostView, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetView:
+    """A target as the answering host sees it.
+
+    Attributes:
+        target_id: `ip:port`.
+        service: Its service.
+        failure_domain: Where it is.
+        status: Whether it may get new work.
+        drained: Whether an operator drained it.
+        in_flight: This host's requests there.
+        slots: Requests it can run at the same time.
+        allowed: Most requests of this host there.
+        failures: Failed attempts since the last answer.
+        reported_in_flight: Requests of all gateways, as it last said.
+        report_age_ms: Age of that report; None before the first.
+        report_source: Where it came from.
+        latency_ms: Moving average of answer times.
+    """
+
+    target_id: TargetId
+    service: ServiceId
+    failure_domain: FailureDomain
+    status: TargetStatus
+    drained: bool
+    in_flight: int
+    slots: int
+    allowed: int
+    failures: int
+    reported_in_flight: int | None = None
+    report_age_ms: int | None = None
+    report_source: ReportSource | None = None
+    latency_ms: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetList:
+    """Targets by service, failure domain and id."""
+
+    targets: tuple[TargetView, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportCount:
+    """How many load reports came from one source."""
+
+    source: ReportSource
+    reports: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeasureBudget:
+    """Spending on measuring; totals count from the host's start.
+
+    Attributes:
+        fleet_probes_per_second: The budget as set, for all hosts.
+        fleet_bytes_per_second: The budget as set, for all hosts.
+        host_probes_per_second: This host's share.
+        host_bytes_per_second: This host's share.
+        spent_probes: Probes sent by this host.
+        spent_bytes: Bytes that they took, both ways.
+        refused_probes: Probes not sent because the budget was spent.
+        reports: Load reports by source.
+        recent_probes_per_second: Over the last seconds.
+        recent_bytes_per_second: Over the last seconds.
+    """
+
+    fleet_probes_per_second: float
+    fleet_bytes_per_second: float
+    host_probes_per_second: float
+    host_bytes_per_second: float
+    spent_probes: int
+    spent_bytes: int
+    refused_probes: int
+    reports: tuple[ReportCount, ...]
+    recent_probes_per_second: float | None = None
+    recent_bytes_per_second: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeferredPartition:
+    """One partition of the deferred queue.
+
+    Attributes:
+        partition: Its number, from 0.
+        open: Tickets without a result.
+        running: Of these, running on this host.
+        done: Results that can be fetched.
+        oldest_open_age_ms: Age of the oldest open ticket.
+        lag_records: Records not read from the log yet.
+    """
+
+    partition: int
+    open: int
+    running: int
+    done: int
+    oldest_open_age_ms: int | None = None
+    lag_records: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeferredStatus:
+    """The deferred queue; `max_open` is for the whole fleet."""
+
+    max_open: int
+    partitions: tuple[DeferredPartition, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimView:
+    """What is known of an idempotency key on one route.
+
+    Attributes:
+        route_id: The route.
+        service: Its service.
+        key: The caller's idempotency key.
+        state: What is known.
+        attempt_id: The attempt that holds or held the claim.
+        host_id: The host that claimed it.
+        claimed_unix_ms: The log's clock at the claim.
+        expires_unix_ms: When the key is forgotten.
+        answer_status: HTTP status, if done.
+    """
+
+    route_id: RouteId
+    service: ServiceId
+    key: IdempotencyKey
+    state: ClaimState
+    attempt_id: AttemptId | None = None
+    host_id: HostId | None = None
+    claimed_unix_ms: int | None = None
+    expires_unix_ms: int | None = None
+    answer_status: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimList:
+    """Claims of one key."""
+
+    claims: tuple[ClaimView, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantinedRequest:
+    """A request suspected to crash targets.
+
+    Attributes:
+        fingerprint: In hex.
+        route_id: The route.
+        service: Its service.
+        state: Whether it is refused already.
+        crashes: How many targets it crashed.
+        target_ids: Which.
+        last_crash_unix_ms: When, lately.
+        refused_until_unix_ms: Until when it is refused.
+        refusals: Since the host's start.
+    """
+
+    fingerprint: str
+    route_id: RouteId
+    service: ServiceId
+    state: QuarantineState
+    crashes: int
+    target_ids: tuple[TargetId, ...]
+    last_crash_unix_ms: int
+    refused_until_unix_ms: int | None = None
+    refusals: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineList:
+    """Requests suspected to crash targets."""
+
+    requests: tuple[QuarantinedRequest, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExplainedAttempt:
+    """One attempt of a request; times are since the request's arrival.
+
+    Attributes:
+        attempt_id: The attempt.
+        target_id: Where it went.
+        started_after_ms: When it was sent.
+        ended_after_ms: When it ended; None while it runs.
+        result: What it showed of the target.
+        failure: Why it brought no answer.
+        retry_reason: Why it was made; None for the first.
+        choice: Why this target, in one sentence.
+    """
+
+    attempt_id: AttemptId
+    target_id: TargetId
+    started_after_ms: int
+    ended_after_ms: int | None = None
+    result: AttemptResult | None = None
+    failure: RefusalReason | None = None
+    retry_reason: RetryReason | None = None
+    choice: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExplainedRequest:
+    """What one host did with a request.
+
+    Attributes:
+        request_id: The request.
+        host_id: The host.
+        arrived_unix_ms: When it arrived there.
+        attempts: In the order of their start.
+        route_id: None if no route matched.
+        service: The route's service.
+        outcome: What became of it; None while it is served.
+        reason: Why the answer is not a target's own, if it is not.
+        detail: One sentence for a person.
+        status: HTTP status sent to the caller.
+        finished_after_ms: Since its arrival.
+    """
+
+    request_id: RequestId
+    host_id: HostId
+    arrived_unix_ms: int
+    attempts: tuple[ExplainedAttempt, ...]
+    route_id: RouteId | None = None
+    service: ServiceId | None = None
+    outcome: Outcome | None = None
+    reason: RefusalReason | None = None
+    detail: str | None = None
+    status: int | None = None
+    finished_after_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """What the hosts did with a request, by arrival.
+
+    Attributes:
+        requests: A caller may send an id more than once.
+        silent_hosts: Hosts that did not answer in time.
+    """
+
+    requests: tuple[ExplainedRequest, ...]
+    silent_hosts: tuple[HostId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """An answer without content."""
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -305,8 +305,12 @@
 
     partitions: Count
     key_window_seconds: Seconds
+    undated_window_seconds: Seconds
+    fleet_appends_per_second: Annotated[float, pydantic.Field(gt=0)]
     append_interval_seconds: Seconds
     max_batch: Count
+    max_keys: Count
+    steward_timeout_seconds: Seconds
     proven_connection_seconds: Seconds
 
 
