Use the platform's log and host list over HTTP

Cause: the daemon has no client of the platform yet, and tests no server. Change: HttpLog and HttpHostList on httpcore, without retries; an append whose bytes may have left is LogOutcomeUnknown unless the reply is complete and says why it was refused; a bare 503 is no promise.

--- /dev/null
+++ b/agatetack/platform/http_host_list.py
@@ -0,0 +1,142 @@
+"""Read the platform's list of hosts over HTTP."""
+
+import ipaddress
+import zlib
+from collections.abc import Mapping, Sequence
+
+import orjson
+import pydantic
+
+from agatetack.ids import Deadline
+from agatetack.logs import PartLog
+from agatetack.platform.host_list import (
+    HostList,
+    HostListUnavailable,
+    ListedHost,
+)
+from agatetack.platform.http_call import (
+    CallFailed,
+    PlatformCaller,
+    PlatformReply,
+    PlatformRequest,
+)
+from agatetack.settings.model import Settings
+
+HOSTS_PATH = "/hosts"
+
+OK = 200
+NOT_MODIFIED = 304
+
+GZIP_WINDOW = 31
+"""The window size that makes zlib read gzip and nothing else."""
+
+MAX_LIST_BYTES = 16 << 20
+"""Longest list that is read, in bytes; ten times the size designed for."""
+
+SHOWN_FINDINGS = 5
+"""Odd entries named in one log line; the rest are only counted."""
+
+LISTED_HOST = pydantic.TypeAdapter(ListedHost)
+
+LOG = PartLog("host-list")
+
+
+class HttpHostList(HostList):
+    """The list at the address that the settings name.
+
+    Attributes:
+        hosts: The entries of the last list.
+        etag: The last list's validator, or None.
+        findings: What was wrong with entries of the last list, which are
+            left out; one line each with the entry's place.
+    """
+
+    def __init__(self, settings: Settings):
+        """Make a client; it connects when it is first used."""
+        self.settings = settings.platform.host_list
+        self.caller = PlatformCaller(
+            self.settings.endpoint, self.settings.timeout_seconds
+        )
+        self.hosts: Sequence[ListedHost] = ()
+        self.etag: str | None = None
+        self.findings: Sequence[str] = ()
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self.caller.aclose()
+
+    async def fetch(self, deadline: Deadline) -> Sequence[ListedHost]:
+        """Return all entries; an unchanged list is not sent again.
+
+        Raises:
+            HostListUnavailable: No list could be read before `deadline`.
+        """
+        headers = {"accept-encoding": "gzip"}
+        if self.etag is not None:
+            headers["if-none-match"] = self.etag
+        request = PlatformRequest(
+            "GET",
+            HOSTS_PATH,
+            deadline,
+            headers=headers,
+            max_reply_bytes=MAX_LIST_BYTES,
+        )
+        try:
+            reply = await self.caller.call(request)
+        except CallFailed as failure:
+            raise HostListUnavailable(str(failure)) from failure
+        if reply.status == NOT_MODIFIED and self.etag is not None:
+            return self.hosts
+        if reply.status != OK:
+            raise HostListUnavailable(f"status {reply.status}")
+        self._take(reply)
+        return self.hosts
+
+    def _take(self, reply: PlatformReply) -> None:
+        hosts: list[ListedHost] = []
+        findings: list[str] = []
+        for place, entry in enumerate(_entries(reply)):
+            try:
+                host = LISTED_HOST.validate_python(entry)
+                ipaddress.ip_address(host.ip)
+            except ValueError as error:
+                findings.append(f"entry {place}: {_first_line(error)}")
+            else:
+                hosts.append(host)
+        if findings:
+            shown = "; ".join(findings[:SHOWN_FINDINGS])
+            LOG.warning("%d odd entries left out: %s.", len(findings), shown)
+        etag = reply.headers.get(b"etag")
+        self.hosts = tuple(hosts)
+        self.findings = tuple(findings)
+        self.etag = None if etag is None else etag.decode("latin-1")
+
+
+def _entries(reply: PlatformReply) -> Sequence[object]:
+    body = reply.body
+    try:
+        if reply.headers.get(b"content-encoding", b"").lower() == b"gzip":
+            body = _decompress(body)
+        content = orjson.loads(body)
+    except (orjson.JSONDecodeError, zlib.error) as error:
+        raise HostListUnavailable("the list is malformed") from error
+    if isinstance(content, Mapping):
+        entries = content.get("hosts")
+        if isinstance(entries, list):
+            return entries
+    raise HostListUnavailable("the list holds no hosts")
+
+
+def _decompress(body: bytes) -> bytes:
+    decoder = zlib.decompressobj(wbits=GZIP_WINDOW)
+    content = decoder.decompress(body, MAX_LIST_BYTES)
+    if not decoder.eof:
+        raise HostListUnavailable("the list is cut or too long")
+    return content
+
+
+def _first_line(error: ValueError) -> str:
+    if isinstance(error, pydantic.ValidationError):
+        detail = error.errors()[0]
+        return f"{'.'.join(map(str, detail['loc']))}: {detail['msg']}"
+    return str(error)
--- /dev/null
+++ b/agatetack/platform/http_log.py
@@ -0,0 +1,190 @@
+"""Use the platform's log over HTTP."""
+
+import base64
+import binascii
+import urllib.parse
+
+import pydantic
+import trio
+
+from agatetack.ids import Deadline, LogOffset, StreamId, WallTime
+from agatetack.platform.http_call import (
+    CallFailed,
+    PlatformCaller,
+    PlatformReply,
+    PlatformRequest,
+)
+from agatetack.platform.log import (
+    Log,
+    LogOutcomeUnknown,
+    LogPage,
+    LogRecord,
+    LogRecordTooLarge,
+    LogTooFast,
+    LogTruncated,
+    LogUnavailable,
+)
+from agatetack.platform.messages import (
+    APPEND_REPLY,
+    PAGE_BYTES,
+    PAGE_REPLY,
+    ErrorReply,
+    PageReply,
+    PlatformError,
+    parse_error,
+)
+from agatetack.settings.model import Settings
+
+OK = 200
+
+OCTETS = {"content-type": "application/octet-stream"}
+
+REPLY_MARGIN_SECONDS = 0.25
+"""Time kept free for the reply of a read that waits until its deadline."""
+
+TOO_FAST_SECONDS = 0.1
+"""When to try again after a refusal that does not say when."""
+
+BASE64_GROWTH = 2
+"""Base64 makes a payload less than this many times as long."""
+
+RECORD_FRAME_BYTES = 128
+"""Most bytes of JSON around one payload."""
+
+
+class HttpLog(Log):
+    """The log at the address that the settings name."""
+
+    def __init__(self, settings: Settings):
+        """Make a client; it connects when it is first used."""
+        self.settings = settings.platform.log
+        self.caller = PlatformCaller(
+            self.settings.endpoint, self.settings.timeout_seconds
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self.caller.aclose()
+
+    async def append(
+        self, stream: StreamId, payload: bytes, deadline: Deadline
+    ) -> LogOffset:
+        """Append one record and return its offset.
+
+        Raises:
+            LogRecordTooLarge: It had no effect, nor will it ever.
+            LogUnavailable: It had no effect.
+            LogTooFast: It had no effect.
+            LogOutcomeUnknown: It may have taken effect, or may still.
+        """
+        if len(payload) > self.settings.max_record_bytes:
+            raise LogRecordTooLarge(f"{len(payload)} bytes are too many")
+        until = trio.current_time() + self.settings.timeout_seconds
+        request = PlatformRequest(
+            "POST", _path(stream), min(deadline, until), payload, OCTETS
+        )
+        try:
+            reply = await self.caller.call(request)
+        except CallFailed as failure:
+            if failure.sent:
+                raise LogOutcomeUnknown(str(failure)) from failure
+            raise LogUnavailable(str(failure)) from failure
+        return _read_append_reply(reply)
+
+    async def read(
+        self,
+        stream: StreamId,
+        start: LogOffset,
+        deadline: Deadline,
+        wait_until: Deadline | None = None,
+        max_records: int = 1000,
+    ) -> LogPage:
+        """Return records from `start` on.
+
+        Raises:
+            LogUnavailable: The log could not be reached in time.
+            LogTruncated: `start` is before the first record kept.
+        """
+        now = trio.current_time()
+        wait_seconds = 0.0
+        if wait_until is not None:
+            latest = deadline - REPLY_MARGIN_SECONDS
+            wait_seconds = max(0.0, min(wait_until, latest) - now)
+        query = urllib.parse.urlencode(
+            {
+                "from": start,
+                "max": max_records,
+                "wait_ms": int(wait_seconds * 1000),
+            }
+        )
+        until = now + wait_seconds + self.settings.timeout_seconds
+        longest = max(PAGE_BYTES, self.settings.max_record_bytes)
+        request = PlatformRequest(
+            "GET",
+            f"{_path(stream)}?{query}",
+            min(deadline, until),
+            max_reply_bytes=BASE64_GROWTH * longest
+            + RECORD_FRAME_BYTES * (max_records + 1),
+        )
+        try:
+            reply = await self.caller.call(request)
+        except CallFailed as failure:
+            raise LogUnavailable(str(failure)) from failure
+        return _read_page_reply(reply, start)
+
+
+def _path(stream: StreamId) -> str:
+    return "/streams/" + urllib.parse.quote(stream, safe="")
+
+
+def _read_append_reply(reply: PlatformReply) -> LogOffset:
+    if reply.status == OK:
+        try:
+            answer = APPEND_REPLY.validate_json(reply.body)
+        except pydantic.ValidationError as error:
+            raise LogOutcomeUnknown("the reply is malformed") from error
+        return LogOffset(answer.offset)
+    refusal = parse_error(reply.body)
+    if refusal is None:
+        raise LogOutcomeUnknown(f"status {reply.status} without a reason")
+    if refusal.error is PlatformError.TOO_FAST:
+        raise LogTooFast(_retry_at(refusal))
+    if refusal.error is PlatformError.TOO_LARGE:
+        raise LogRecordTooLarge(refusal.error.value)
+    raise LogUnavailable(refusal.error.value)
+
+
+def _retry_at(refusal: ErrorReply) -> Deadline:
+    seconds = TOO_FAST_SECONDS
+    if refusal.retry_after_ms is not None:
+        seconds = refusal.retry_after_ms / 1000
+    return Deadline(trio.current_time() + seconds)
+
+
+def _read_page_reply(reply: PlatformReply, start: LogOffset) -> LogPage:
+    if reply.status == OK:
+        try:
+            page = PAGE_REPLY.validate_json(reply.body)
+            return _make_page(page, start)
+        except (pydantic.ValidationError, binascii.Error) as error:
+            raise LogUnavailable("the page is malformed") from error
+    refusal = parse_error(reply.body)
+    if refusal is None:
+        raise LogUnavailable(f"status {reply.status} without a reason")
+    if refusal.error is PlatformError.TRUNCATED and refusal.first is not None:
+        raise LogTruncated(LogOffset(refusal.first))
+    raise LogUnavailable(refusal.error.value)
+
+
+def _make_page(page: PageReply, start: LogOffset) -> LogPage:
+    if page.start != start:
+        raise LogUnavailable("the page starts at another offset")
+    records = [
+        LogRecord(
+            offset=LogOffset(start + position),
+            payload=base64.b64decode(record.payload, validate=True),
+            appended_at=WallTime(record.at),
+        )
+        for position, record in enumerate(page.records)
+    ]
+    return LogPage(records, LogOffset(page.first), LogOffset(page.end))
--- a/agatetack/platform/log.py
+++ b/agatetack/platform/log.py
@@ -15,6 +15,10 @@
     """The log could not be reached or refused; an append had no effect."""
 
 
+class LogRecordTooLarge(LogUnavailable):
+    """The log takes no record of this length; it had no effect."""
+
+
 class LogOutcomeUnknown(LogError):
     """An append was sent and no reply came; it may yet take effect."""
 
@@ -85,6 +89,7 @@
         """Append one record and return its offset.
 
         Raises:
+            LogRecordTooLarge: It had no effect, nor will it ever.
             LogUnavailable: It had no effect.
             LogTooFast: It had no effect.
             LogOutcomeUnknown: It may have taken effect, or may still.
--- /dev/null
+++ b/agatetack/platform/messages.py
@@ -0,0 +1,97 @@
+"""Define the JSON bodies that the platform's services exchange over HTTP."""
+
+import dataclasses
+import enum
+from typing import Annotated
+
+import pydantic
+
+JSON_TYPE = "application/json"
+
+PAGE_BYTES = 1 << 20
+"""Most payload bytes in one page of records; one record always fits."""
+
+Offset = Annotated[int, pydantic.Field(ge=0)]
+
+
+class PlatformError(enum.Enum):
+    """Why a platform service refused a call; the call had no effect.
+
+    A refusal counts only with one of these in its body, as a status alone may
+    come from something in between that knows nothing of the effect.
+    """
+
+    UNAVAILABLE = "unavailable"
+    TOO_FAST = "too-fast"
+    TRUNCATED = "truncated"
+    TOO_LARGE = "too-large"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorReply:
+    """The body of every refusal.
+
+    Attributes:
+        error: Why.
+        first: With `truncated`, the first offset still kept.
+        retry_after_ms: With `too-fast`, when to try again, in ms from now.
+    """
+
+    error: PlatformError
+    first: Offset | None = None
+    retry_after_ms: Annotated[float, pydantic.Field(ge=0)] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendReply:
+    """The body of a successful append.
+
+    Attributes:
+        offset: Where the record stands.
+    """
+
+    offset: Offset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordBody:
+    """One record of a page.
+
+    Attributes:
+        payload: The record, in Base64.
+        at: When it was appended, in seconds since 1970.
+    """
+
+    payload: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PageReply:
+    """The body of a successful read.
+
+    Attributes:
+        start: The offset of the first record here.
+        first: The first offset the stream still keeps.
+        end: The offset that the stream's next append will get.
+        records: Consecutive records.
+    """
+
+    start: Offset
+    first: Offset
+    end: Offset
+    records: list[RecordBody]
+
+
+ERROR_REPLY = pydantic.TypeAdapter(ErrorReply)
+APPEND_REPLY = pydantic.TypeAdapter(AppendReply)
+PAGE_REPLY = pydantic.TypeAdapter(PageReply)
+
+
+def parse_error(body: bytes) -> ErrorReply | None:
+    """Return the refusal in `body`, or None if it is none."""
+    try:
+        return ERROR_REPLY.validate_json(body)
+    except pydantic.ValidationError:
+        return None
