Exchange messages between hosts over authenticated links

Cause: slices need the other hosts' samples, signs and records, and the size of the fleet for their shares of budgets. Change: PeerExchange keeps one thrift-framed TCP link per peer: hello with version, incarnation and nonce, mutual HMAC proof, heartbeats that acknowledge each other, a byte budget without debt, calls in pieces, publishes with duplicate suppression; above max_peers a bounded set of links with relays.

--- /dev/null
+++ b/agatetack/peers/budget.py
@@ -0,0 +1,62 @@
+"""Keep the bytes sent to peers within a rate, without ever going into debt."""
+
+from agatetack.ids import Deadline
+
+CONTROL_SHARE = 0.25
+"""Share of one second's bytes that only control frames may use."""
+
+PUBLISH_SHARE = 0.5
+"""Share of one second's bytes that published messages can use at once.
+
+Calls have what lies between. As they wait for their bytes, and publishing
+does not, calls go before published messages while both want more than the
+rate; heartbeats go before either.
+"""
+
+
+class ByteBudget:
+    """A token bucket that holds the bytes of at most one second.
+
+    Attributes:
+        rate: Bytes that may be sent in one second.
+        tokens: Bytes that may be sent now.
+        updated_at: When `tokens` was last brought up to date, or None.
+    """
+
+    def __init__(self, rate: float):
+        """Start with a full bucket."""
+        self.rate = rate
+        self.tokens = rate
+        self.updated_at: Deadline | None = None
+
+    def take_control(self, count: int, now: Deadline) -> bool:
+        """Take `count` bytes for a control frame, if they are there."""
+        return self._take(count, 0.0, now)
+
+    def take_piece(self, count: int, now: Deadline) -> bool:
+        """Take `count` bytes for a piece of a call or reply."""
+        return self._take(count, self.rate * CONTROL_SHARE, now)
+
+    def take_publish(self, count: int, now: Deadline) -> bool:
+        """Take `count` bytes for a published message."""
+        return self._take(count, self.rate * (1 - PUBLISH_SHARE), now)
+
+    def piece_at(self, count: int, now: Deadline) -> Deadline:
+        """Return when `take_piece` of `count` bytes can first succeed."""
+        self._refill(now)
+        short = count + self.rate * CONTROL_SHARE - self.tokens
+        return Deadline(now + max(0.0, short) / self.rate)
+
+    def _take(self, count: int, keep: float, now: Deadline) -> bool:
+        self._refill(now)
+        # A hair is allowed for, as the sum of many refills is not exact.
+        if self.tokens - keep + 1e-6 < count:
+            return False
+        self.tokens -= count
+        return True
+
+    def _refill(self, now: Deadline) -> None:
+        since = now if self.updated_at is None else self.updated_at
+        passed = max(0.0, now - since)
+        self.tokens = min(self.rate, self.tokens + passed * self.rate)
+        self.updated_at = now
--- /dev/null
+++ b/agatetack/peers/calls.py
@@ -0,0 +1,157 @@
+"""Cut calls and replies into frames and put them together again.
+
+Pieces are small, so that heartbeats and published messages pass between
+those of a large reply, and the byte budget can hold single pieces back.
+"""
+
+import dataclasses
+from collections import deque
+from collections.abc import Iterator
+
+import trio
+
+from agatetack.generated.peers import ttypes
+from agatetack.peers.frames import CloseReason, LinkClosed, encode_frame
+
+PIECE_BYTES = 4096
+"""Payload bytes of one piece of a call or reply."""
+
+MAX_INCOMING_CALLS = 64
+"""Calls of one peer that may be open here at the same time."""
+
+
+@dataclasses.dataclass(slots=True)
+class Outgoing:
+    """A call or reply that waits to be sent.
+
+    Attributes:
+        frames: Its encoded pieces that are not sent yet.
+        started: Whether a piece was sent.
+    """
+
+    frames: deque[bytes]
+    started: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class PendingCall:
+    """A call that waits for its reply.
+
+    Attributes:
+        done: Set when the reply is whole or the call failed.
+        pieces: What came of the reply.
+        size: Bytes of `pieces`.
+        reply: The whole reply, or None if the call failed.
+    """
+
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+    pieces: list[bytes] = dataclasses.field(default_factory=list)
+    size: int = 0
+    reply: bytes | None = None
+
+
+def call_frames(number: int, topic: int, payload: bytes) -> Outgoing:
+    """Return the frames of one call."""
+    frames = deque(
+        encode_frame(
+            ttypes.Frame(call=ttypes.Call(number, topic, piece, more or None))
+        )
+        for piece, more in _cut(payload)
+    )
+    return Outgoing(frames)
+
+
+def reply_frames(number: int, payload: bytes | None) -> Outgoing:
+    """Return the frames of one reply; None tells that the call failed."""
+    if payload is None:
+        failed = ttypes.Frame(reply=ttypes.Reply(number))
+        return Outgoing(deque([encode_frame(failed)]))
+    frames = deque(
+        encode_frame(
+            ttypes.Frame(reply=ttypes.Reply(number, piece, more or None))
+        )
+        for piece, more in _cut(payload)
+    )
+    return Outgoing(frames)
+
+
+def _cut(payload: bytes) -> Iterator[tuple[bytes, bool]]:
+    for start in range(0, max(1, len(payload)), PIECE_BYTES):
+        end = start + PIECE_BYTES
+        yield payload[start:end], end < len(payload)
+
+
+class IncomingCalls:
+    """The calls of one peer, of which not all pieces came yet."""
+
+    def __init__(self, max_bytes: int):
+        """Accept calls of up to `max_bytes`, all unfinished ones together."""
+        self.max_bytes = max_bytes
+        self.pieces: dict[int, list[bytes]] = {}
+        self.size = 0
+
+    def add(self, call: ttypes.Call) -> bytes | None:
+        """Take a piece; return the whole call once its last piece came.
+
+        Raises:
+            LinkClosed: The peer sends more than it may.
+        """
+        pieces = self.pieces.setdefault(call.id, [])
+        pieces.append(call.payload)
+        self.size += len(call.payload)
+        if self.size > self.max_bytes:
+            raise LinkClosed(CloseReason.OVERSIZED_FRAME)
+        if len(self.pieces) > MAX_INCOMING_CALLS:
+            raise LinkClosed(CloseReason.UNEXPECTED_FRAME)
+        if call.more:
+            return None
+        del self.pieces[call.id]
+        payload = b"".join(pieces)
+        self.size -= len(payload)
+        return payload
+
+
+class PendingCalls:
+    """The calls to one peer that wait for their replies."""
+
+    def __init__(self, max_bytes: int):
+        """Accept replies of up to `max_bytes`."""
+        self.max_bytes = max_bytes
+        self.calls: dict[int, PendingCall] = {}
+        self.last_number = 0
+
+    def open(self) -> tuple[int, PendingCall]:
+        """Return a new call and its number."""
+        self.last_number += 1
+        pending = PendingCall()
+        self.calls[self.last_number] = pending
+        return self.last_number, pending
+
+    def forget(self, number: int) -> None:
+        """Drop a call that nobody waits for any longer."""
+        self.calls.pop(number, None)
+
+    def add(self, reply: ttypes.Reply) -> None:
+        """Take a piece of a reply; one to a call given up is ignored.
+
+        Raises:
+            LinkClosed: The reply is larger than accepted.
+        """
+        pending = self.calls.get(reply.id)
+        if pending is None or pending.done.is_set():
+            return
+        if reply.payload is None:
+            pending.done.set()
+            return
+        pending.pieces.append(reply.payload)
+        pending.size += len(reply.payload)
+        if pending.size > self.max_bytes:
+            raise LinkClosed(CloseReason.OVERSIZED_FRAME)
+        if not reply.more:
+            pending.reply = b"".join(pending.pieces)
+            pending.done.set()
+
+    def fail_all(self) -> None:
+        """End every call without a reply, as the link is lost."""
+        for pending in self.calls.values():
+            pending.done.set()
--- /dev/null
+++ b/agatetack/peers/connector.py
@@ -0,0 +1,299 @@
+"""Open, accept and replace this host's links with its peers."""
+
+import abc
+import random
+from collections.abc import Callable
+
+import trio
+
+from agatetack.generated.peers import ttypes
+from agatetack.ids import FailureDomain, HostId
+from agatetack.logs import PartLog
+from agatetack.peers.backoff import Backoff
+from agatetack.peers.choice import choose_peers
+from agatetack.peers.frames import (
+    CloseReason,
+    FrameReader,
+    LinkClosed,
+)
+from agatetack.peers.handshake import Side, shake_hands
+from agatetack.peers.link import Link, LinkOwner
+from agatetack.peers.members import MemberTable
+
+MAX_LINKS_RATIO = 4
+"""Links accepted at most, as a multiple of `peers.max_peers`."""
+
+MAX_HANDSHAKES = 64
+"""Connections at most that have not proved who they are yet."""
+
+CHOICE_PAUSE_SECONDS = 0.05
+"""Shortest time between two choices of peers, as changes come in groups."""
+
+LOG = PartLog("peers")
+
+Admit = Callable[[ttypes.Hello], None]
+"""Checks the other host's hello; raises LinkClosed."""
+
+
+class ConnectorOwner(LinkOwner):
+    """Whoever uses the links that are opened.
+
+    Attributes:
+        own: This host's name.
+        failure_domain: Where this host is.
+        members: The hosts known.
+    """
+
+    own: HostId
+    failure_domain: FailureDomain
+    members: MemberTable
+
+    @abc.abstractmethod
+    def hello(self) -> ttypes.Hello:
+        """Return what this host says of itself, with a fresh nonce."""
+
+    @abc.abstractmethod
+    def linked(self, link: Link) -> None:
+        """Note that a link stands."""
+
+    @abc.abstractmethod
+    def unlinked(self, link: Link) -> None:
+        """Note that a link was closed."""
+
+
+class Connector:
+    """The links of one host.
+
+    Attributes:
+        links: The link with each connected peer.
+        wanted: The hosts that this host keeps links with.
+        missing: Those of them without a link, as peers were told last.
+        bounded: Whether the fleet is too large for links with all.
+    """
+
+    def __init__(self, owner: ConnectorOwner, source: random.Random):
+        """Open links for `owner`."""
+        self.owner = owner
+        self.own = owner.own
+        self.members = owner.members
+        self.settings = owner.settings
+        self.counters = owner.counters
+        self.clock = owner.clock
+        self.random = source
+        self.links: dict[HostId, Link] = {}
+        self.wanted: frozenset[HostId] = frozenset()
+        self.missing: frozenset[HostId] = frozenset()
+        self.bounded = False
+        self.dialling: dict[HostId, trio.CancelScope] = {}
+        self.handshakes = 0
+        self.changed = trio.Event()
+
+    def view_changed(self) -> None:
+        """Choose peers anew soon."""
+        self.changed.set()
+
+    async def keep_links(self) -> None:
+        """Dial whom this host wants links with, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self.changed = trio.Event()
+                self.members.forget_old()
+                self._choose(nursery)
+                self._tell_missing()
+                with trio.move_on_after(self.settings.timeout_seconds):
+                    await self.changed.wait()
+                await trio.sleep(CHOICE_PAUSE_SECONDS)
+
+    def _choose(self, nursery: trio.Nursery) -> None:
+        domains = self.members.domains()
+        self.bounded = len(domains) > self.settings.max_peers
+        domains[self.own] = self.owner.failure_domain
+        reachable = {
+            host: domain
+            for host, domain in domains.items()
+            if host == self.own or self._address(host) is not None
+        }
+        self.wanted = choose_peers(self.own, reachable, self.settings.max_peers)
+        for host in self.dialling.keys() - self.wanted:
+            self.dialling.pop(host).cancel()
+        for host in self.wanted - self.dialling.keys():
+            scope = trio.CancelScope()
+            self.dialling[host] = scope
+            nursery.start_soon(self._dial, host, scope)
+
+    def _tell_missing(self) -> None:
+        missing = frozenset()
+        if not self.bounded:
+            missing = self.wanted - self.links.keys()
+        if missing == self.missing:
+            return
+        self.missing = missing
+        for link in self.links.values():
+            link.send_control(self._missing_frame())
+
+    def _missing_frame(self) -> ttypes.Frame:
+        hosts = sorted(self.missing)
+        return ttypes.Frame(missing=ttypes.Missing(hosts=hosts))
+
+    async def accept(self, stream: trio.SocketStream) -> None:
+        """Serve a connection that another host opened."""
+        if self.handshakes >= MAX_HANDSHAKES:
+            self.counters.closed_for(CloseReason.TOO_MANY)
+            await trio.aclose_forcefully(stream)
+            return
+        try:
+            remote_ip = stream.socket.getpeername()[0]
+        except OSError:
+            # It was closed before it was looked at.
+            self.counters.closed_for(CloseReason.CONNECTION_LOST)
+            await trio.aclose_forcefully(stream)
+            return
+
+        def admit(hello: ttypes.Hello) -> None:
+            self._admit_accepted(hello, remote_ip)
+
+        await self._serve(stream, Side.ACCEPTING, admit)
+
+    async def _dial(self, peer: HostId, scope: trio.CancelScope) -> None:
+        """Keep a link with `peer` until `scope` is cancelled."""
+        backoff = Backoff(self.random)
+
+        def admit(hello: ttypes.Hello) -> None:
+            if hello.host != peer:
+                raise LinkClosed(CloseReason.WRONG_HOST)
+            self._check_incarnation(hello)
+
+        with scope:
+            if self.own > peer:
+                # Both ends may dial; the lower id goes first, so that one
+                # connection is enough as a rule.
+                await trio.sleep(self.settings.heartbeat_seconds)
+            while True:
+                if peer in self.links:
+                    await self.links[peer].ended.wait()
+                    backoff.reset()
+                else:
+                    await self._dial_once(peer, admit)
+                await trio.sleep_until(backoff.next_at(self.clock.now()))
+
+    async def _dial_once(self, peer: HostId, admit: Admit) -> None:
+        address = self._address(peer)
+        stream = None
+        with trio.move_on_after(self.settings.timeout_seconds):
+            try:
+                stream = await trio.open_tcp_stream(*address)
+            except OSError as error:
+                LOG.debug("There is no connection to %s: %s.", peer, error)
+        if stream is None:
+            self.counters.closed_for(CloseReason.CONNECT_FAILED)
+            return
+        await self._serve(stream, Side.DIALLING, admit)
+
+    def _address(self, peer: HostId) -> tuple[str, int] | None:
+        # A host that says where it is is believed only if it has the key.
+        member = self.members.heard.get(peer)
+        if member is not None and self.settings.shared_key is not None:
+            return member.ip, member.port
+        listed = self.members.listed().get(peer)
+        return None if listed is None else (listed.ip, listed.port)
+
+    def _admit_accepted(self, hello: ttypes.Hello, remote_ip: str) -> None:
+        if hello.host == self.own:
+            raise LinkClosed(CloseReason.WRONG_HOST)
+        if self.settings.shared_key is None:
+            listed = self.members.listed().values()
+            if remote_ip not in {host.ip for host in listed}:
+                raise LinkClosed(CloseReason.NOT_LISTED)
+        self._check_incarnation(hello)
+        most = MAX_LINKS_RATIO * self.settings.max_peers
+        if len(self.links) >= most and hello.host not in self.links:
+            raise LinkClosed(CloseReason.TOO_MANY)
+
+    def _check_incarnation(self, hello: ttypes.Hello) -> None:
+        if hello.incarnation < self.members.incarnation(HostId(hello.host)):
+            raise LinkClosed(CloseReason.OLD_INCARNATION)
+
+    async def _serve(
+        self, stream: trio.SocketStream, side: Side, admit: Admit
+    ) -> None:
+        reader = FrameReader(stream, self.counters.received)
+        try:
+            hello = await self._shake_hands(stream, reader, side, admit)
+            link = Link(stream, reader, hello, side, self.owner)
+            self._register(link)
+        except LinkClosed as closed:
+            self.counters.closed_for(closed.reason)
+            LOG.debug("A connection was refused: %s.", closed.reason.value)
+            await trio.aclose_forcefully(stream)
+            return
+        try:
+            reason = await link.run()
+            self.counters.closed_for(reason)
+            LOG.info("The link with %s ended: %s.", link.id, reason.value)
+        finally:
+            self._unregister(link)
+
+    async def _shake_hands(
+        self,
+        stream: trio.SocketStream,
+        reader: FrameReader,
+        side: Side,
+        admit: Admit,
+    ) -> ttypes.Hello:
+        async def send(content: bytes) -> None:
+            if not self.owner.budget.take_control(
+                len(content), self.clock.now()
+            ):
+                raise LinkClosed(CloseReason.OVER_BUDGET)
+            await stream.send_all(content)
+            self.counters.sent(len(content))
+
+        self.handshakes += 1
+        try:
+            with trio.move_on_after(self.settings.timeout_seconds):
+                return await shake_hands(
+                    side,
+                    self.settings.shared_key,
+                    self.owner.hello(),
+                    reader,
+                    send,
+                    admit,
+                )
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise LinkClosed(CloseReason.CONNECTION_LOST) from error
+        finally:
+            self.handshakes -= 1
+        raise LinkClosed(CloseReason.SILENT)
+
+    def _register(self, link: Link) -> None:
+        # Another connection of the same peer may have come meanwhile.
+        self._check_incarnation(link.hello)
+        current = self.links.get(link.id)
+        if current is not None and self._keeps(current, link):
+            raise LinkClosed(CloseReason.DUPLICATE)
+        if current is not None:
+            current.close(CloseReason.REPLACED)
+        self.links[link.id] = link
+        self.owner.linked(link)
+        if self.missing:
+            link.send_control(self._missing_frame())
+        self.view_changed()
+
+    def _keeps(self, current: Link, new: Link) -> bool:
+        """Return whether `current` stays; both ends decide alike."""
+        return (
+            current.live
+            and current.incarnation == new.incarnation
+            and self._dialled_by_lower(current)
+            and not self._dialled_by_lower(new)
+        )
+
+    def _dialled_by_lower(self, link: Link) -> bool:
+        return (link.side is Side.DIALLING) == (self.own < link.id)
+
+    def _unregister(self, link: Link) -> None:
+        if self.links.get(link.id) is link:
+            del self.links[link.id]
+            self.owner.unlinked(link)
+            self.view_changed()
+        link.ended.set()
--- /dev/null
+++ b/agatetack/peers/frames.py
@@ -0,0 +1,187 @@
+"""Encode, bound and decode the frames that peers exchange."""
+
+import enum
+import re
+from collections.abc import Callable
+
+import trio
+from thrift.protocol.TCompactProtocol import (
+    TCompactProtocolAcceleratedFactory,
+)
+
+from agatetack.generated.peers import ttypes
+from thrift import TSerialization
+
+LENGTH_BYTES = 4
+"""Bytes of the length in front of each frame."""
+
+HELLO_MAX_BYTES = 1024
+"""Largest frame before the other end has proved who it is."""
+
+RECEIVE_BYTES = 65536
+"""Most bytes taken from a connection at once."""
+
+HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+"""What a host id or failure domain of the settings may look like."""
+
+MAX_IP_LENGTH = 45
+"""Characters of the longest IPv6 address."""
+
+_FACTORY = TCompactProtocolAcceleratedFactory()
+_KINDS = ("hello", "proof", "heartbeat", "publish", "call", "reply", "missing")
+
+
+class CloseReason(enum.Enum):
+    """Why a connection with a peer was closed; a counter's label."""
+
+    ENDED = "ended"
+    CONNECTION_LOST = "connection-lost"
+    CONNECT_FAILED = "connect-failed"
+    SILENT = "silent"
+    UNACKNOWLEDGED = "unacknowledged"
+    MALFORMED_FRAME = "malformed-frame"
+    OVERSIZED_FRAME = "oversized-frame"
+    UNEXPECTED_FRAME = "unexpected-frame"
+    WRONG_VERSION = "wrong-version"
+    WRONG_KEY = "wrong-key"
+    NOT_LISTED = "not-listed"
+    WRONG_HOST = "wrong-host"
+    OLD_INCARNATION = "old-incarnation"
+    REPLACED = "replaced"
+    DUPLICATE = "duplicate"
+    NOT_WANTED = "not-wanted"
+    TOO_MANY = "too-many"
+    OVER_BUDGET = "over-budget"
+
+
+class LinkClosed(Exception):
+    """A connection with a peer can't be used any longer.
+
+    Attributes:
+        reason: Why.
+    """
+
+    def __init__(self, reason: CloseReason):
+        """Keep the reason."""
+        super().__init__(reason.value)
+        self.reason = reason
+
+
+def encode_frame(frame: ttypes.Frame) -> bytes:
+    """Return the bytes of `frame`, with its length in front."""
+    content = TSerialization.serialize(frame, _FACTORY)
+    return len(content).to_bytes(LENGTH_BYTES, "big") + content
+
+
+def decode_frame(content: bytes) -> ttypes.Frame:
+    """Return the frame in `content`, which comes without its length.
+
+    Raises:
+        LinkClosed: It is not exactly one well-formed frame.
+    """
+    frame = ttypes.Frame()
+    try:
+        TSerialization.deserialize(frame, content, _FACTORY)
+        kinds = [kind for kind in _KINDS if getattr(frame, kind) is not None]
+        if len(kinds) != 1:
+            raise LinkClosed(CloseReason.MALFORMED_FRAME)
+        # The accelerated decoder leaves absent and mistyped fields unset, so
+        # required fields have to be checked here.
+        getattr(frame, kinds[0]).validate()
+    except LinkClosed:
+        raise
+    except Exception as error:
+        # The decoders raise errors of many kinds for bytes that aren't a
+        # frame; all of them mean the same.
+        raise LinkClosed(CloseReason.MALFORMED_FRAME) from error
+    if not _names_are_valid(frame):
+        raise LinkClosed(CloseReason.MALFORMED_FRAME)
+    return frame
+
+
+def encode_member(member: ttypes.Member) -> bytes:
+    """Return the bytes of `member`, for the payload of a publish."""
+    return TSerialization.serialize(member, _FACTORY)
+
+
+def decode_member(payload: bytes) -> ttypes.Member | None:
+    """Return the member in `payload`, or None if it is malformed."""
+    member = ttypes.Member()
+    try:
+        TSerialization.deserialize(member, payload, _FACTORY)
+        member.validate()
+    except Exception:  # noqa: BLE001
+        # As in `decode_frame`, any error means malformed bytes.
+        return None
+    return member if _place_is_valid(member) else None
+
+
+def _names_are_valid(frame: ttypes.Frame) -> bool:
+    if frame.hello is not None:
+        return _place_is_valid(frame.hello)
+    if frame.publish is not None:
+        return _is_name(frame.publish.origin)
+    if frame.missing is not None:
+        return all(_is_name(host) for host in frame.missing.hosts)
+    return True
+
+
+def _place_is_valid(place: ttypes.Hello | ttypes.Member) -> bool:
+    return (
+        _is_name(place.host)
+        and _is_name(place.failure_domain)
+        and len(place.ip) <= MAX_IP_LENGTH
+        and 0 <= place.port <= 65_535
+    )
+
+
+def _is_name(text: object) -> bool:
+    return isinstance(text, str) and HOST_PATTERN.fullmatch(text) is not None
+
+
+class FrameReader:
+    """Read frames from one connection.
+
+    Attributes:
+        max_bytes: Largest frame accepted now.
+        last_frame: The bytes of the latest frame, with its length.
+    """
+
+    def __init__(
+        self, stream: trio.abc.ReceiveStream, on_bytes: Callable[[int], None]
+    ):
+        """Read from `stream`; call `on_bytes` with each count of bytes."""
+        self.stream = stream
+        self.on_bytes = on_bytes
+        self.max_bytes = HELLO_MAX_BYTES
+        self.last_frame = b""
+        self.buffer = bytearray()
+
+    async def receive(self) -> ttypes.Frame:
+        """Return the next frame.
+
+        Raises:
+            LinkClosed: The connection ended, was lost or sent bytes that are
+                not a frame, or a frame that is too large.
+        """
+        prefix = await self._take(LENGTH_BYTES)
+        length = int.from_bytes(prefix, "big")
+        if length > self.max_bytes:
+            raise LinkClosed(CloseReason.OVERSIZED_FRAME)
+        content = await self._take(length)
+        self.last_frame = prefix + content
+        return decode_frame(content)
+
+    async def _take(self, count: int) -> bytes:
+        while len(self.buffer) < count:
+            try:
+                piece = await self.stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
+                raise LinkClosed(CloseReason.CONNECTION_LOST) from err
+            if not piece:
+                raise LinkClosed(CloseReason.ENDED)
+            self.buffer += piece
+            self.on_bytes(len(piece))
+        content = bytes(self.buffer[:count])
+        del self.buffer[:count]
+        return content
--- /dev/null
+++ b/agatetack/peers/link.py
@@ -0,0 +1,286 @@
+"""Keep one connection with one peer: frames, heartbeats and their deadlines.
+
+One task reads, and a second one beside it writes, as a connection that waits
+for bytes must still send heartbeats. Both end together.
+"""
+
+import abc
+from collections import deque
+
+import trio
+
+from agatetack.clock import Clock
+from agatetack.generated.peers import ttypes
+from agatetack.ids import Deadline, FailureDomain, HostId
+from agatetack.peers.budget import ByteBudget
+from agatetack.peers.calls import IncomingCalls, Outgoing, PendingCalls
+from agatetack.peers.counters import PeerCounters
+from agatetack.peers.frames import (
+    CloseReason,
+    FrameReader,
+    LinkClosed,
+    encode_frame,
+)
+from agatetack.peers.handshake import Side
+from agatetack.settings.model import PeersSettings
+
+
+class LinkOwner(abc.ABC):
+    """Whoever takes what comes over a link.
+
+    Attributes:
+        settings: How links are kept.
+        clock: Tells when they are overdue.
+        budget: Grants the bytes of all links together.
+        counters: Count what passes.
+        leaving: Whether this host has announced that it is leaving.
+    """
+
+    settings: PeersSettings
+    clock: Clock
+    budget: ByteBudget
+    counters: PeerCounters
+    leaving: bool
+
+    @abc.abstractmethod
+    def heard(self, link: "Link") -> None:
+        """Note that bytes came from the peer."""
+
+    @abc.abstractmethod
+    def take(self, link: "Link", frame: ttypes.Frame) -> None:
+        """Take a frame that is neither a heartbeat nor a reply.
+
+        Raises:
+            LinkClosed: The peer may not send this.
+        """
+
+
+class Link:
+    """One connection with a peer that has proved who it is.
+
+    Attributes:
+        hello: What the peer said of itself.
+        id: The peer's name.
+        side: Which end this host is.
+        leaving: Whether the peer has announced that it is leaving.
+        missing: Hosts that the peer wants a link with and has none.
+        silent_at: When the peer is taken for gone unless bytes come.
+        reason: Why the link was closed, or None.
+        calls: Calls to the peer that wait for their replies.
+        incoming: Calls of the peer that are not whole yet.
+        answering: Calls of the peer that are being answered.
+        ended: Set once the link is closed and its owner has let it go.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        reader: FrameReader,
+        hello: ttypes.Hello,
+        side: Side,
+        owner: LinkOwner,
+    ):
+        """Take over `stream` after the handshake."""
+        self.stream = stream
+        self.reader = reader
+        self.hello = hello
+        self.id = HostId(hello.host)
+        self.side = side
+        self.owner = owner
+        self.settings = owner.settings
+        self.budget = owner.budget
+        self.counters = owner.counters
+        self.clock = owner.clock
+        self.leaving = bool(hello.leaving)
+        self.missing: frozenset[HostId] = frozenset()
+        self.reason: CloseReason | None = None
+        self.calls = PendingCalls(self.settings.max_frame_bytes)
+        self.incoming = IncomingCalls(self.settings.max_frame_bytes)
+        self.control: deque[bytes] = deque()
+        self.published: deque[bytes] = deque()
+        self.published_bytes = 0
+        self.outgoing: deque[Outgoing] = deque()
+        self.answering = 0
+        self.ended = trio.Event()
+        self.wake = trio.Event()
+        self.scope = trio.CancelScope()
+        self.silent_at = self._silence_deadline()
+        self.heartbeat_at = self.clock.now()
+        self.sequence = 0
+        self.heard_sequence = 0
+        self.unacknowledged: deque[tuple[int, Deadline]] = deque()
+        reader.max_bytes = self.settings.max_frame_bytes
+        reader.on_bytes = self._on_bytes
+
+    @property
+    def incarnation(self) -> int:
+        """Return the peer's start, in ns since 1970."""
+        return self.hello.incarnation
+
+    @property
+    def failure_domain(self) -> FailureDomain:
+        """Return where the peer is."""
+        return FailureDomain(self.hello.failure_domain)
+
+    @property
+    def live(self) -> bool:
+        """Return whether the peer was heard lately over this link."""
+        return self.reason is None and self.clock.now() < self.silent_at
+
+    async def run(self) -> CloseReason:
+        """Serve the link until it is closed and return why."""
+        self._move_deadline()
+        try:
+            with self.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write)
+                    await self._read()
+            if self.scope.cancelled_caught and self.reason is None:
+                self.reason = self._overdue_reason()
+        finally:
+            self.reason = self.reason or CloseReason.ENDED
+            self.calls.fail_all()
+            await trio.aclose_forcefully(self.stream)
+        return self.reason
+
+    def close(self, reason: CloseReason) -> None:
+        """End the link; the first reason given is kept."""
+        self.reason = self.reason or reason
+        self.scope.cancel()
+
+    def send_control(self, frame: ttypes.Frame) -> None:
+        """Send a small frame before all others, if the budget has room."""
+        self.control.append(encode_frame(frame))
+        self.wake.set()
+
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat now instead of at its time."""
+        self.heartbeat_at = self.clock.now()
+        self.wake.set()
+
+    def publish(self, content: bytes) -> bool:
+        """Queue an encoded frame whose bytes the budget has granted.
+
+        Returns:
+            False if the peer takes its bytes too slowly to queue more.
+        """
+        room = self.settings.max_frame_bytes - self.published_bytes
+        if len(content) > room:
+            return False
+        self.published.append(content)
+        self.published_bytes += len(content)
+        self.wake.set()
+        return True
+
+    def send_outgoing(self, outgoing: Outgoing) -> None:
+        """Queue a call or reply; it is sent as the budget allows."""
+        self.outgoing.append(outgoing)
+        self.wake.set()
+
+    def withdraw(self, outgoing: Outgoing) -> None:
+        """Leave out a call that nobody waits for, if it wasn't begun."""
+        if not outgoing.started and outgoing in self.outgoing:
+            self.outgoing.remove(outgoing)
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                frame = await self.reader.receive()
+                if frame.heartbeat is not None:
+                    self._take_heartbeat(frame.heartbeat)
+                elif frame.reply is not None:
+                    self.calls.add(frame.reply)
+                else:
+                    self.owner.take(self, frame)
+        except LinkClosed as closed:
+            self.close(closed.reason)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                content = self._next_content()
+                if content is None:
+                    await self._wait_for_content()
+                    continue
+                await self.stream.send_all(content)
+                self.counters.sent(len(content))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.close(CloseReason.CONNECTION_LOST)
+
+    def _next_content(self) -> bytes | None:
+        now = self.clock.now()
+        if now >= self.heartbeat_at:
+            self._queue_heartbeat(now)
+        while self.control:
+            content = self.control.popleft()
+            if self.budget.take_control(len(content), now):
+                return content
+            self.counters.dropped("control-over-budget")
+        if self.published:
+            content = self.published.popleft()
+            self.published_bytes -= len(content)
+            return content
+        return self._next_piece(now)
+
+    def _next_piece(self, now: Deadline) -> bytes | None:
+        while self.outgoing and not self.outgoing[0].frames:
+            self.outgoing.popleft()
+        if not self.outgoing:
+            return None
+        first = self.outgoing[0]
+        if not self.budget.take_piece(len(first.frames[0]), now):
+            return None
+        first.started = True
+        return first.frames.popleft()
+
+    async def _wait_for_content(self) -> None:
+        self.wake = trio.Event()
+        until = self.heartbeat_at
+        if self.outgoing:
+            size = len(self.outgoing[0].frames[0])
+            until = min(until, self.budget.piece_at(size, self.clock.now()))
+        with trio.move_on_at(until):
+            await self.wake.wait()
+
+    def _queue_heartbeat(self, now: Deadline) -> None:
+        self.sequence += 1
+        heartbeat = ttypes.Heartbeat(
+            sequence=self.sequence,
+            acknowledged=self.heard_sequence,
+            leaving=self.owner.leaving or None,
+        )
+        self.control.appendleft(encode_frame(ttypes.Frame(heartbeat=heartbeat)))
+        self.unacknowledged.append((self.sequence, self._silence_deadline()))
+        self.heartbeat_at = Deadline(now + self.settings.heartbeat_seconds)
+        self._move_deadline()
+
+    def _take_heartbeat(self, heartbeat: ttypes.Heartbeat) -> None:
+        self.heard_sequence = max(self.heard_sequence, heartbeat.sequence)
+        unacknowledged = self.unacknowledged
+        while unacknowledged and (
+            unacknowledged[0][0] <= heartbeat.acknowledged
+        ):
+            unacknowledged.popleft()
+        if heartbeat.leaving and not self.leaving:
+            self.leaving = True
+        self._move_deadline()
+        self.owner.heard(self)
+
+    def _on_bytes(self, count: int) -> None:
+        self.counters.received(count)
+        self.silent_at = self._silence_deadline()
+        self._move_deadline()
+
+    def _silence_deadline(self) -> Deadline:
+        return Deadline(self.clock.now() + self.settings.timeout_seconds)
+
+    def _move_deadline(self) -> None:
+        deadline = self.silent_at
+        if self.unacknowledged:
+            deadline = min(deadline, self.unacknowledged[0][1])
+        self.scope.deadline = deadline
+
+    def _overdue_reason(self) -> CloseReason:
+        if self.clock.now() >= self.silent_at:
+            return CloseReason.SILENT
+        return CloseReason.UNACKNOWLEDGED
--- /dev/null
+++ b/agatetack/peers/relay.py
@@ -0,0 +1,103 @@
+"""Decide which published messages of other hosts this host passes on."""
+
+from collections.abc import Mapping
+
+from agatetack.generated.peers import ttypes
+from agatetack.ids import HostId
+from agatetack.peers.choice import pair_rank
+from agatetack.peers.duplicates import DuplicateFilter, Verdict
+from agatetack.peers.exchange import Topic
+from agatetack.peers.link import Link
+
+MEMBER_TOPIC = 0
+"""The topic of hosts' announcements of themselves; no slice reads it."""
+
+RELAYED_TOPICS = frozenset(
+    {
+        MEMBER_TOPIC,
+        Topic.CONFIG_RECORDS.value,
+        Topic.TARGET_SIGNS.value,
+        Topic.CRASH_FINGERPRINTS.value,
+    }
+)
+"""Topics that every host needs. The others are for linked hosts only: load
+samples of a large fleet would fill every host's budget, and an offset tells
+the next host enough to fetch what it lacks."""
+
+RELAYS_FOR_CUT_LINK = 2
+"""Hosts that pass on messages between two hosts without a link."""
+
+
+class Relay:
+    """What one host publishes and passes on."""
+
+    def __init__(self, own: HostId, incarnation: int):
+        """Number this host's own messages from 1."""
+        self.own = own
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.filter = DuplicateFilter()
+
+    def new_publish(
+        self, topic: int, payload: bytes, flood: bool
+    ) -> ttypes.Publish:
+        """Return a message of this host with the next number."""
+        self.sequence += 1
+        return ttypes.Publish(
+            origin=self.own,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            topic=topic,
+            payload=payload,
+            flood=flood or None,
+        )
+
+    def check(self, publish: ttypes.Publish) -> Verdict:
+        """Return whether a message that arrived is new, and remember it."""
+        if publish.origin == self.own:
+            return Verdict.DUPLICATE
+        return self.filter.check(
+            publish.origin, publish.incarnation, publish.sequence
+        )
+
+    def targets(
+        self,
+        publish: ttypes.Publish,
+        source: Link,
+        links: Mapping[HostId, Link],
+    ) -> list[Link]:
+        """Return the links to pass a new message on over.
+
+        Args:
+            publish: The message.
+            source: The link that it came over.
+            links: All links of this host.
+        """
+        if publish.topic not in RELAYED_TOPICS:
+            return []
+        others = [
+            link
+            for link in links.values()
+            if link.id not in (source.id, publish.origin)
+        ]
+        if publish.flood:
+            return others
+        if publish.origin != source.id:
+            return []
+        return [
+            link
+            for link in others
+            if source.id in link.missing
+            and self._relays_between(source, link, links)
+        ]
+
+    def _relays_between(
+        self, source: Link, target: Link, links: Mapping[HostId, Link]
+    ) -> bool:
+        # Both ends tell all their peers whom they miss, so the hosts that
+        # have links with both agree on who of them passes messages on.
+        cut = source.missing | target.missing | {source.id, target.id}
+        able = [host for host in (self.own, *links) if host not in cut]
+        pair = f"{source.id}>{target.id}"
+        able.sort(key=lambda host: pair_rank(host, pair))
+        return self.own in able[:RELAYS_FOR_CUT_LINK]
