--- /dev/null
+++ b/agatetack/claims/key.py
@@ -0,0 +1,113 @@
+"""Read a never-repeated request's key and digest what is compared."""
+
+import dataclasses
+import hashlib
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from agatetack.claims.codec import DIGEST_BYTES
+from agatetack.config.route import Route
+from agatetack.ids import AttemptId
+from agatetack.messages import BytesBody, CallerRequest, find_header
+from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
+from agatetack.settings.model import Settings
+
+MAX_KEY_LENGTH = 200
+"""Longest key, in characters."""
+
+MAX_ISSUED_DIGITS = 15
+"""Longest time of issue, in digits; enough for the next 30,000 years."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestKey:
+    """What identifies a never-repeated request.
+
+    Attributes:
+        digest: Stands for the service and the caller's key.
+        fingerprint: Stands for what the request asks for.
+        issued_ms: When the key was first used, in ms since 1970, or None.
+        partition: The partition of its claim stream.
+    """
+
+    digest: bytes
+    fingerprint: bytes
+    issued_ms: int | None
+    partition: int
+
+
+def _digest(*parts: bytes) -> bytes:
+    """Return a digest of `parts` that keeps them apart."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def attempt_digest(attempt: AttemptId) -> bytes:
+    """Return the digest that stands for an attempt in records."""
+    return _digest(attempt.encode())
+
+
+def _fingerprint(request: CallerRequest) -> bytes:
+    """Return a digest of what the request asks for.
+
+    A body that is not held in memory counts by its length only.
+    """
+    body = request.body
+    if isinstance(body, BytesBody):
+        content = body.content
+    else:
+        content = str(body.length).encode()
+    return _digest(request.method, request.path, content)
+
+
+def read_key(
+    settings: Settings, route: Route, request: CallerRequest
+) -> Result[RequestKey, Refusal]:
+    """Return the key of `request`, or why it has no usable one.
+
+    The key counts within the route's service, so that a route that is
+    renamed or split does not make old keys new.
+    """
+    key = request.key
+    if not key:
+        return Failure(
+            refuse(
+                RefusalReason.KEY_MISSING,
+                "This route runs a request only with an idempotency key.",
+            )
+        )
+    if len(key) > MAX_KEY_LENGTH or not key.isprintable():
+        return Failure(
+            refuse(
+                RefusalReason.KEY_MALFORMED,
+                f"The key must be 1 to {MAX_KEY_LENGTH} printable characters.",
+            )
+        )
+    name = settings.callers.headers.issued_at.encode()
+    issued = find_header(request.headers, name)
+    if issued is not None and not _is_time(issued):
+        # The key itself is good, so an earlier attempt may have run.
+        return Failure(
+            Refusal(
+                RefusalReason.KEY_MALFORMED,
+                "The key's time of issue must be in ms since 1970.",
+                Outcome.UNKNOWN,
+            )
+        )
+    raw = key.encode()
+    return Success(
+        RequestKey(
+            digest=_digest(route.service.encode(), raw),
+            fingerprint=_fingerprint(request),
+            issued_ms=None if issued is None else int(issued),
+            partition=xxhash.xxh64_intdigest(raw) % settings.claims.partitions,
+        )
+    )
+
+
+def _is_time(value: bytes) -> bool:
+    return value.isdigit() and len(value) <= MAX_ISSUED_DIGITS
--- a/agatetack/outcomes.py
+++ b/agatetack/outcomes.py
@@ -45,6 +45,7 @@
     KEY_IN_PROGRESS = "key-in-progress"
     KEY_OUTCOME_UNKNOWN = "key-outcome-unknown"
     KEY_ALREADY_DONE = "key-already-done"
+    KEY_STORE_FULL = "key-store-full"
     CLAIM_IN_DOUBT = "claim-in-doubt"
     ANSWER_TIMEOUT = "answer-timeout"
     CONNECTION_LOST = "connection-lost"
@@ -67,6 +68,7 @@
     CONNECTION_LOST = "connection-lost"
     ANSWER_TIMEOUT = "answer-timeout"
     ANSWER_MALFORMED = "answer-malformed"
+    ANSWER_CUT = "answer-cut"
     HEDGE = "hedge"
     RESUME = "resume"
 
@@ -103,6 +105,7 @@
     RefusalReason.KEY_IN_PROGRESS: ReasonRule(409, Outcome.UNKNOWN),
     RefusalReason.KEY_OUTCOME_UNKNOWN: ReasonRule(409, Outcome.UNKNOWN),
     RefusalReason.KEY_ALREADY_DONE: ReasonRule(409, Outcome.ANSWERED),
+    RefusalReason.KEY_STORE_FULL: ReasonRule(503, Outcome.NOT_RUN),
     RefusalReason.CLAIM_IN_DOUBT: ReasonRule(504, Outcome.UNKNOWN),
     RefusalReason.ANSWER_TIMEOUT: ReasonRule(504, Outcome.UNKNOWN),
     RefusalReason.CONNECTION_LOST: ReasonRule(502, Outcome.UNKNOWN),
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -173,6 +173,8 @@
     endpoint: Endpoint
     timeout_seconds: Seconds
     poll_seconds: Seconds
+    shrink_ratio: Ratio
+    shrink_hold_seconds: Seconds
 
 
 class PlatformSettings(Section):
@@ -307,7 +309,6 @@
     key_window_seconds: Seconds
     undated_window_seconds: Seconds
     fleet_appends_per_second: Annotated[float, pydantic.Field(gt=0)]
-    append_interval_seconds: Seconds
     max_batch: Count
     max_keys: Count
     steward_timeout_seconds: Seconds
@@ -325,6 +326,15 @@
     max_wait_seconds: Seconds
     attempt_timeout_seconds: Seconds
     concurrency: Count
+    max_tries: Count
+    retry_seconds: Seconds
+    takeover_seconds: Seconds
+    upkeep_seconds: Seconds
+    submit_timeout_seconds: Seconds
+    append_interval_seconds: Seconds
+    append_ratio: Annotated[float, pydantic.Field(gt=0, le=1)]
+    append_burst: Count
+    cache_bytes: Bytes
 
 
 class QuarantineSettings(Section):
