Keep deferred requests in the platform's log

Change: tickets, holds and ends are records of partitioned streams; every host folds them, so any host can run or give out any ticket. A host takes a ticket by a start record that must be read back first; the log's order decides between two. Submissions are settled by reading back, and in doubt the caller gets the ticket to poll.

--- /dev/null
+++ b/agatetack/deferred/counters.py
@@ -0,0 +1,44 @@
+"""Count what becomes of deferred requests."""
+
+from agatetack.metrics import Metrics
+
+
+class Counters:
+    """The counters of this slice; names and help texts stand here only."""
+
+    def __init__(self, metrics: Metrics):
+        """Register the counters."""
+        self.submits = metrics.counter(
+            "agatetack_deferred_submits_total",
+            "Submissions, by result.",
+        )
+        self.runs = metrics.counter(
+            "agatetack_deferred_runs_total",
+            "Attempts at tickets by this host, by result.",
+        )
+        self.kept = metrics.counter(
+            "agatetack_deferred_reappended_total",
+            "Records appended again before retention, by kind.",
+        )
+        self.open = metrics.gauge(
+            "agatetack_deferred_open", "Open tickets of the whole fleet."
+        )
+        self.ended = metrics.gauge(
+            "agatetack_deferred_ended", "Tickets whose end is kept."
+        )
+        self.second_ends = metrics.gauge(
+            "agatetack_deferred_second_ends",
+            "Ends read that came second, since start: doubled runs.",
+        )
+
+    def submit(self, result: str) -> None:
+        """Count a submission."""
+        self.submits.inc({"result": result})
+
+    def run(self, result: str) -> None:
+        """Count an attempt at a ticket."""
+        self.runs.inc({"result": result})
+
+    def reappended(self, kind: str) -> None:
+        """Count a record appended again."""
+        self.kept.inc({"kind": kind})
--- /dev/null
+++ b/agatetack/deferred/ends.py
@@ -0,0 +1,54 @@
+"""Make the records that end a ticket."""
+
+from agatetack.deferred.fold import Ticket
+from agatetack.deferred.queue import StoredAnswer
+from agatetack.deferred.records import store_headers
+from agatetack.generated.deferred.ttypes import EndChunk, EndKind
+from agatetack.ids import AttemptId
+from agatetack.settings.model import Settings
+
+CHUNK_OVERHEAD = 1024
+"""Most bytes that an encoded chunk has besides its body and headers."""
+
+
+def make_end(
+    ticket: Ticket, attempt: AttemptId, kind: int, keep_until: float
+) -> EndChunk:
+    """Return an end of one chunk without a body."""
+    return EndChunk(
+        ticket=ticket.id,
+        identity=ticket.identity,
+        attempt=attempt,
+        kind=kind,
+        index=0,
+        chunks=1,
+        body=b"",
+        keep_until=keep_until,
+    )
+
+
+def split_answer(
+    ticket: Ticket,
+    attempt: AttemptId,
+    answer: StoredAnswer,
+    keep_until: float,
+    settings: Settings,
+) -> list[EndChunk]:
+    """Return the chunks that hold an answer, each fit for one record."""
+    headers = sum(len(name) + len(value) + 16 for name, value in answer.headers)
+    room = settings.platform.log.max_record_bytes - CHUNK_OVERHEAD - headers
+    room = max(room, CHUNK_OVERHEAD)
+    parts = [
+        answer.body[start : start + room]
+        for start in range(0, len(answer.body), room)
+    ]
+    chunks = []
+    for index, part in enumerate(parts or [b""]):
+        chunk = make_end(ticket, attempt, EndKind.ANSWERED, keep_until)
+        chunk.index = index
+        chunk.chunks = len(parts) or 1
+        chunk.body = part
+        chunks.append(chunk)
+    chunks[0].status = answer.status
+    chunks[0].headers = store_headers(answer.headers)
+    return chunks
--- /dev/null
+++ b/agatetack/deferred/fetcher.py
@@ -0,0 +1,137 @@
+"""Give results of tickets out, on whichever host they are asked for."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from returns.result import Failure, Result, Success
+
+from agatetack.clock import Clock
+from agatetack.deferred.counters import Counters
+from agatetack.deferred.fold import End, Ticket
+from agatetack.deferred.partition import NotKept, Partition
+from agatetack.deferred.queue import StoredAnswer, TicketState
+from agatetack.deferred.records import partition_of
+from agatetack.generated.deferred.ttypes import EndKind
+from agatetack.ids import Deadline, TicketId
+from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
+from agatetack.platform.log import LogUnavailable
+from agatetack.settings.model import Settings
+
+Fetched = Result[StoredAnswer | TicketState, Refusal]
+MAX_LOADS = 3
+"""Loads of one result while re-appending moves its records."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lookup:
+    """What is known of a ticket once the log's end was read; maybe None."""
+
+    ticket: Ticket | None
+
+
+class Fetcher:
+    """Answer polls from this host's fold and from the log."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        partitions: Mapping[int, Partition],
+        counters: Counters,
+        clock: Clock,
+    ):
+        """Fetch from `partitions`."""
+        self.settings = settings
+        self.partitions = partitions
+        self.counters = counters
+        self.clock = clock
+
+    async def fetch(self, ticket: TicketId, wait_until: Deadline) -> Fetched:
+        """Return the result, or how far it is at `wait_until`."""
+        number = partition_of(ticket, len(self.partitions))
+        if number is None:
+            return _unknown(ticket)
+        partition = self.partitions[number]
+        longest = self.clock.now() + self.settings.deferred.max_wait_seconds
+        until = Deadline(min(wait_until, longest))
+        found = await self._look_up(partition, ticket)
+        if found is None:
+            return self._unavailable()
+        if found.ticket is None:
+            return _unknown(ticket)
+        return await self._wait_end(partition, found.ticket, until)
+
+    async def _look_up(
+        self, partition: Partition, ticket_id: TicketId
+    ) -> Lookup | None:
+        """Look a ticket up; None if the log's end can't be read."""
+        ticket = partition.get(ticket_id)
+        if not partition.caught_up or not _useful(ticket):
+            seconds = self.settings.platform.log.timeout_seconds
+            limit = Deadline(self.clock.now() + seconds)
+            # It may have been accepted by another host just now.
+            if not await partition.wait_caught_up(limit):
+                return None
+            if not await partition.sync(limit):
+                return None
+            ticket = partition.get(ticket_id)
+        return Lookup(ticket if _useful(ticket) else None)
+
+    async def _wait_end(
+        self, partition: Partition, ticket: Ticket, until: Deadline
+    ) -> Fetched:
+        for _ in range(MAX_LOADS):
+            first = partition.fold.primary(ticket)
+            ended = await partition.wait_for(
+                first.id, lambda known: known.end is not None, until
+            )
+            if ended is None or ended.end is None:
+                return Success(TicketState.OPEN)
+            try:
+                return await self._give(partition, ended, ended.end)
+            except LogUnavailable:
+                return self._unavailable()
+            except NotKept:
+                # Its records have just been re-appended elsewhere.
+                ticket = partition.get(ticket.id) or ticket
+        return _unknown(ticket.id)
+
+    async def _give(
+        self, partition: Partition, ticket: Ticket, end: End
+    ) -> Fetched:
+        if end.kind == EndKind.ANSWERED:
+            return Success(await partition.load_answer(ticket, end))
+        if end.kind == EndKind.EXPIRED:
+            return Success(TicketState.EXPIRED)
+        return _failed(end)
+
+    def _unavailable(self) -> Fetched:
+        seconds = self.settings.admission.retry_after_seconds
+        # The reason's usual "not run" would speak about the ticket's request.
+        refusal = Refusal(
+            RefusalReason.LOG_UNAVAILABLE,
+            "The log can't be read now; poll again later.",
+            Outcome.UNKNOWN,
+            Deadline(self.clock.now() + seconds),
+        )
+        return Failure(refusal)
+
+
+def _useful(ticket: Ticket | None) -> bool:
+    """Return whether a ticket is open or ended, not just heard of."""
+    return ticket is not None and (ticket.open or ticket.end is not None)
+
+
+def _failed(end: End) -> Fetched:
+    try:
+        reason = RefusalReason(end.reason)
+    except ValueError:
+        reason = RefusalReason.INTERNAL_ERROR
+    detail = f"The request could not be answered: {reason.value}."
+    # Some attempt may have run, whatever the last one's reason says.
+    return Failure(Refusal(reason, detail, Outcome.UNKNOWN))
+
+
+def _unknown(ticket: TicketId) -> Fetched:
+    reason = RefusalReason.TICKET_UNKNOWN
+    detail = f"No ticket {ticket!r:.60} is known, or its result is not kept."
+    return Failure(refuse(reason, detail))
--- /dev/null
+++ b/agatetack/deferred/fold.py
@@ -0,0 +1,286 @@
+"""Fold one partition's records into the state of its tickets.
+
+The fold is a join: records may come in any order, twice, or be missing where
+a re-appended copy follows, and the result is the same. Which end of a ticket
+counts is decided by the offset at which it was first complete; re-appended
+copies carry that offset along.
+"""
+
+import dataclasses
+import sys
+
+from agatetack.generated.deferred.ttypes import (
+    EndChunk,
+    EndKind,
+    Entry,
+    Submission,
+)
+from agatetack.generated.deferred.ttypes import Hold as HoldRecord
+from agatetack.ids import (
+    AttemptId,
+    HostId,
+    LogOffset,
+    RouteId,
+    TicketId,
+    WallTime,
+)
+from agatetack.platform.log import LogRecord
+
+NOT_STORED = LogOffset(-1)
+"""The offset of a submission that has not been read."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """A host's word that it runs a ticket; a hint, never a lock.
+
+    Attributes:
+        number: Counts the holds of a ticket; the highest is in force.
+        attempt: Unique over all hosts.
+        host: Who runs it.
+        until: When others may take the ticket up.
+        tries: Attempts that may have run, this one included.
+        origin: The offset of its first record.
+    """
+
+    number: int
+    attempt: AttemptId
+    host: HostId
+    until: WallTime
+    tries: int
+    origin: LogOffset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """How a ticket ended.
+
+    Attributes:
+        kind: Answered, expired or failed.
+        attempt: Whose end it is.
+        origin: The offset at which it was first complete.
+        offsets: Where its chunks can be read now.
+        kept_since: The log's time of the oldest of these records.
+        keep_until: When it may be forgotten.
+        reason: Why it failed, or None.
+    """
+
+    kind: int
+    attempt: AttemptId
+    origin: LogOffset
+    offsets: tuple[LogOffset, ...]
+    kept_since: WallTime
+    keep_until: WallTime
+    reason: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """Where one chunk of an end stands."""
+
+    origin: LogOffset
+    offset: LogOffset
+    kept_since: WallTime
+
+
+@dataclasses.dataclass(slots=True)
+class Ticket:
+    """One deferred request, without its body.
+
+    Attributes:
+        id: Its id.
+        identity: Equal for resubmissions of one request.
+        route: Its route, or "" while only its end is known.
+        submitted_at: When it was submitted.
+        deadline: When its answer is of no more use.
+        offset: Where its submission can be read, or `NOT_STORED`.
+        kept_since: The log's time of the submission's last record.
+        hold: The hold in force, or None.
+        end: How it ended, or None.
+        partial: Chunks of ends that are not complete, by attempt.
+    """
+
+    id: TicketId
+    identity: bytes
+    kept_since: WallTime
+    route: RouteId = RouteId("")
+    submitted_at: WallTime = WallTime(0.0)
+    deadline: WallTime = WallTime(0.0)
+    offset: LogOffset = NOT_STORED
+    hold: Hold | None = None
+    end: End | None = None
+    partial: dict[AttemptId, dict[int, Chunk]] | None = None
+
+    @property
+    def open(self) -> bool:
+        """Return whether it still has to be run."""
+        return self.end is None and self.offset != NOT_STORED
+
+
+class Fold:
+    """The tickets of one partition.
+
+    Attributes:
+        tickets: Every ticket that is open or whose end is kept.
+        by_identity: The ticket that resubmissions of a request are given.
+        open_count: Tickets that still have to be run.
+        second_ends: Ends that came second; each is a doubled run.
+    """
+
+    def __init__(self) -> None:
+        """Start without tickets."""
+        self.tickets: dict[TicketId, Ticket] = {}
+        self.by_identity: dict[bytes, TicketId] = {}
+        self.open_count = 0
+        self.second_ends = 0
+
+    def apply(self, record: LogRecord, entry: Entry) -> TicketId:
+        """Take in one entry of `record` and return the ticket it is about."""
+        part = entry.submission or entry.start or entry.end
+        ticket = self._find(TicketId(part.ticket), record)
+        was_open = ticket.open
+        if entry.submission is not None:
+            self._submit(ticket, entry.submission, record)
+        elif entry.start is not None:
+            self._hold(ticket, entry.start.hold, record)
+        else:
+            self._end(ticket, entry.end, record)
+        self.open_count += ticket.open - was_open
+        return ticket.id
+
+    def primary(self, ticket: Ticket) -> Ticket:
+        """Return the ticket that answers for `ticket`; mostly itself."""
+        if ticket.end is not None:
+            return ticket
+        first = self.by_identity.get(ticket.identity, ticket.id)
+        return self.tickets.get(first, ticket)
+
+    def find_identity(self, identity: bytes) -> Ticket | None:
+        """Return the ticket of an earlier submission of the same request."""
+        ticket = self.by_identity.get(identity)
+        return None if ticket is None else self.tickets.get(ticket)
+
+    def forget(self, ticket: Ticket) -> None:
+        """Drop a ticket whose end need not be kept any more."""
+        del self.tickets[ticket.id]
+        self.open_count -= ticket.open
+        self._unlist(ticket)
+
+    def _find(self, ticket_id: TicketId, record: LogRecord) -> Ticket:
+        ticket = self.tickets.get(ticket_id)
+        if ticket is None:
+            ticket = Ticket(ticket_id, b"", record.appended_at)
+            self.tickets[ticket_id] = ticket
+        return ticket
+
+    def _submit(
+        self, ticket: Ticket, submission: Submission, record: LogRecord
+    ) -> None:
+        ticket.identity = submission.identity
+        # Routes are few, so one string serves all their tickets.
+        ticket.route = RouteId(sys.intern(submission.route))
+        ticket.submitted_at = WallTime(submission.submitted_at)
+        ticket.deadline = WallTime(submission.deadline)
+        ticket.offset = max(ticket.offset, record.offset)
+        ticket.kept_since = max(ticket.kept_since, record.appended_at)
+        if submission.hold is not None:
+            self._hold(ticket, submission.hold, record)
+        self._list(ticket)
+
+    def _hold(
+        self, ticket: Ticket, hold: HoldRecord, record: LogRecord
+    ) -> None:
+        if ticket.end is not None:
+            return
+        origin = record.offset if hold.origin is None else hold.origin
+        old = ticket.hold
+        if old is not None and (old.number, -old.origin) >= (
+            hold.number,
+            -origin,
+        ):
+            return
+        ticket.hold = Hold(
+            hold.number,
+            AttemptId(hold.attempt),
+            HostId(sys.intern(hold.host)),
+            WallTime(hold.until),
+            hold.tries,
+            LogOffset(origin),
+        )
+
+    def _end(self, ticket: Ticket, chunk: EndChunk, record: LogRecord) -> None:
+        ticket.identity = chunk.identity
+        attempt = AttemptId(chunk.attempt)
+        chunks = self._collect(ticket, attempt, chunk, record)
+        if chunks is None:
+            return
+        old = ticket.end
+        origin = max(item.origin for item in chunks)
+        if old is not None and old.attempt == attempt:
+            origin = min(origin, old.origin)
+        new = End(
+            kind=chunk.kind,
+            attempt=attempt,
+            origin=origin,
+            offsets=tuple(item.offset for item in chunks),
+            kept_since=min(item.kept_since for item in chunks),
+            keep_until=WallTime(chunk.keep_until),
+            reason=chunk.reason and sys.intern(chunk.reason),
+        )
+        if old is not None and old.attempt != attempt:
+            self.second_ends += 1
+            if (old.origin, old.attempt) < (new.origin, new.attempt):
+                return
+        ticket.end = new
+        ticket.hold = None
+        ticket.partial = None
+        self._list(ticket)
+
+    def _collect(
+        self,
+        ticket: Ticket,
+        attempt: AttemptId,
+        chunk: EndChunk,
+        record: LogRecord,
+    ) -> list[Chunk] | None:
+        """Return all chunks of an end if `chunk` was the last one missing."""
+        origin = record.offset if chunk.origin is None else chunk.origin
+        new = Chunk(LogOffset(origin), record.offset, record.appended_at)
+        if chunk.chunks == 1:
+            return [new]
+        if ticket.partial is None:
+            ticket.partial = {}
+        known = ticket.partial.setdefault(attempt, {})
+        old = known.get(chunk.index)
+        if old is not None:
+            new = Chunk(
+                min(old.origin, new.origin),
+                max(old.offset, new.offset),
+                max(old.kept_since, new.kept_since),
+            )
+        known[chunk.index] = new
+        if len(known) < chunk.chunks:
+            return None
+        del ticket.partial[attempt]
+        return [known[index] for index in range(chunk.chunks)]
+
+    def _list(self, ticket: Ticket) -> None:
+        """Give the ticket to resubmissions, unless they do better anew."""
+        end = ticket.end
+        if end is not None and end.kind != EndKind.ANSWERED:
+            self._unlist(ticket)
+            return
+        if not ticket.identity:
+            return
+        first = self.find_identity(ticket.identity)
+        if first is None or _order(ticket) < _order(first):
+            self.by_identity[ticket.identity] = ticket.id
+
+    def _unlist(self, ticket: Ticket) -> None:
+        if self.by_identity.get(ticket.identity) == ticket.id:
+            del self.by_identity[ticket.identity]
+
+
+def _order(ticket: Ticket) -> tuple[WallTime, TicketId]:
+    """Return what the first of equal submissions is chosen by."""
+    return (ticket.submitted_at, ticket.id)
--- /dev/null
+++ b/agatetack/deferred/partition.py
@@ -0,0 +1,276 @@
+"""Follow one partition's stream and read stored entries back from it."""
+
+import collections
+from collections.abc import Callable
+
+import trio
+
+from agatetack.clock import Clock
+from agatetack.deferred.fold import End, Fold, Ticket
+from agatetack.deferred.queue import StoredAnswer
+from agatetack.deferred.records import (
+    MalformedRecord,
+    decode_batch,
+    load_headers,
+    stream_of,
+)
+from agatetack.deferred.writer import Pacer, Writer
+from agatetack.generated.deferred.ttypes import EndChunk, Entry, Submission
+from agatetack.ids import Deadline, LogOffset, TicketId
+from agatetack.logs import PartLog
+from agatetack.metrics import Metrics
+from agatetack.platform.log import (
+    Log,
+    LogRecord,
+    LogTruncated,
+    LogUnavailable,
+)
+from agatetack.settings.model import Settings
+
+LOG = PartLog("deferred")
+RETRY_SECONDS = 0.2
+"""Pause after a failed read."""
+
+OpenHandler = Callable[[TicketId], None]
+"""Takes a ticket that has just become known and is open."""
+
+
+class NotKept(Exception):
+    """The entry asked for is no longer in the log where it stood."""
+
+
+class Partition:
+    """One partition: its tickets, its stream, and who waits for what.
+
+    Attributes:
+        number: Its number, which its tickets' ids begin with.
+        fold: The state of its tickets.
+        position: The offset of the next record to read.
+        caught_up: Whether the stream was read to its end since the start.
+        writer: Appends to the stream.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        settings: Settings,
+        log: Log,
+        pacer: Pacer,
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        """Start at the first record; `run` reads on from there."""
+        self.number = number
+        self.settings = settings
+        self.log = log
+        self.metrics = metrics
+        self.clock = clock
+        self.stream = stream_of(number)
+        self.fold = Fold()
+        self.position = LogOffset(0)
+        self.caught_up = False
+        self.changed = trio.Event()
+        self.watched: dict[TicketId, trio.Event] = {}
+        self.cache: collections.OrderedDict[LogOffset, bytes] = (
+            collections.OrderedDict()
+        )
+        self.cached_bytes = 0
+        self.writer = Writer(settings, log, self.stream, pacer, metrics, clock)
+        self.on_open: OpenHandler = lambda ticket: None
+
+    async def run(self) -> None:
+        """Read the stream, for ever."""
+        while True:
+            try:
+                await self._read_on()
+            except LogTruncated as error:
+                self._start_over(error.first)
+            except LogUnavailable:
+                await trio.sleep(RETRY_SECONDS)
+
+    def get(self, ticket: TicketId) -> Ticket | None:
+        """Return what is known of a ticket."""
+        return self.fold.tickets.get(ticket)
+
+    async def wait_for(
+        self,
+        ticket: TicketId,
+        condition: Callable[[Ticket], bool],
+        until: Deadline,
+    ) -> Ticket | None:
+        """Return the ticket once `condition` holds, or None at `until`."""
+        while True:
+            found = self.get(ticket)
+            if found is not None and condition(found):
+                return found
+            event = self.watched.setdefault(ticket, trio.Event())
+            with trio.move_on_at(until) as scope:
+                await event.wait()
+            if scope.cancelled_caught:
+                self._unwatch(ticket, event)
+                return None
+
+    async def wait_caught_up(self, until: Deadline) -> bool:
+        """Return whether the stream was read to its end by `until`."""
+        with trio.move_on_at(until):
+            while not self.caught_up:
+                await self.changed.wait()
+        return self.caught_up
+
+    async def sync(self, until: Deadline) -> bool:
+        """Read all that was in the log when called; False if it can't be."""
+        try:
+            page = await self.log.read(
+                self.stream, self.position, until, max_records=1
+            )
+        except LogTruncated:
+            # The reading task starts over; this fold is not up to date.
+            return False
+        except LogUnavailable:
+            return False
+        with trio.move_on_at(until):
+            while self.position < page.end:
+                await self.changed.wait()
+        return self.position >= page.end
+
+    async def load_submission(self, ticket: Ticket) -> Submission:
+        """Return a ticket's stored request.
+
+        Raises:
+            NotKept: It is gone, or has moved on meanwhile.
+            LogUnavailable: The log can't be read.
+        """
+        for entry in await self._load(ticket.offset):
+            part = entry.submission
+            if part is not None and part.ticket == ticket.id:
+                return part
+        raise NotKept(ticket.id)
+
+    async def load_chunks(self, ticket: Ticket, end: End) -> list[EndChunk]:
+        """Return the chunks of a ticket's end.
+
+        Raises:
+            NotKept: They are gone, or have moved on meanwhile.
+            LogUnavailable: The log can't be read.
+        """
+        chunks = []
+        for index, offset in enumerate(end.offsets):
+            for entry in await self._load(offset):
+                part = entry.end
+                if (
+                    part is not None
+                    and (part.ticket, part.attempt) == (ticket.id, end.attempt)
+                    and part.index == index
+                ):
+                    chunks.append(part)
+                    break
+            else:
+                raise NotKept(ticket.id)
+        return chunks
+
+    async def load_answer(self, ticket: Ticket, end: End) -> StoredAnswer:
+        """Return the answer that ended a ticket; raises as `load_chunks`."""
+        chunks = await self.load_chunks(ticket, end)
+        return StoredAnswer(
+            status=chunks[0].status or 0,
+            headers=tuple(load_headers(chunks[0].headers)),
+            body=b"".join(chunk.body for chunk in chunks),
+        )
+
+    async def _read_on(self) -> None:
+        log_settings = self.settings.platform.log
+        now = self.clock.now()
+        page = await self.log.read(
+            self.stream,
+            self.position,
+            Deadline(
+                now + log_settings.poll_seconds + log_settings.timeout_seconds
+            ),
+            wait_until=Deadline(now + log_settings.poll_seconds),
+        )
+        touched: set[TicketId] = set()
+        for record in page.records:
+            touched.update(self._apply(record))
+            self.position = LogOffset(record.offset + 1)
+        if self.position >= page.end:
+            self.caught_up = True
+        for ticket in touched:
+            self._announce(ticket)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def _apply(self, record: LogRecord) -> set[TicketId]:
+        try:
+            entries = decode_batch(record.payload)
+        except MalformedRecord:
+            self.metrics.dropped.inc(
+                {"part": "deferred", "reason": "malformed-record"}
+            )
+            return set()
+        self._keep(record.offset, record.payload)
+        return {self.fold.apply(record, entry) for entry in entries}
+
+    def _announce(self, ticket: TicketId) -> None:
+        event = self.watched.pop(ticket, None)
+        if event is not None:
+            event.set()
+        found = self.get(ticket)
+        if found is not None and found.open:
+            self.on_open(ticket)
+
+    def _unwatch(self, ticket: TicketId, event: trio.Event) -> None:
+        if event.statistics().tasks_waiting == 0:
+            self.watched.pop(ticket, None)
+
+    def _start_over(self, first: LogOffset) -> None:
+        """Fold again from the first record kept.
+
+        Tickets that ended and were forgotten while this host did not read
+        can't be told from open ones, so the old fold is of no use.
+        """
+        if self.position > 0:
+            LOG.warning(
+                "Retention overtook the reading of %s at offset %d.",
+                self.stream,
+                self.position,
+            )
+            self.metrics.dropped.inc(
+                {"part": "deferred", "reason": "retention-overtook"}
+            )
+        self.fold = Fold()
+        self.position = first
+        self.caught_up = False
+
+    async def _load(self, offset: LogOffset) -> list[Entry]:
+        payload = self.cache.get(offset)
+        if payload is None:
+            payload = await self._fetch(offset)
+            self._keep(offset, payload)
+        else:
+            self.cache.move_to_end(offset)
+        return decode_batch(payload)
+
+    async def _fetch(self, offset: LogOffset) -> bytes:
+        seconds = self.settings.platform.log.timeout_seconds
+        deadline = Deadline(self.clock.now() + seconds)
+        try:
+            page = await self.log.read(
+                self.stream, offset, deadline, max_records=1
+            )
+        except LogTruncated as error:
+            raise NotKept(str(offset)) from error
+        if not page.records:
+            raise NotKept(str(offset))
+        return page.records[0].payload
+
+    def _keep(self, offset: LogOffset, payload: bytes) -> None:
+        """Cache a record, dropping those not used for longest."""
+        limit = self.settings.deferred.cache_bytes
+        limit //= self.settings.deferred.partitions
+        if len(payload) > limit or offset in self.cache:
+            return
+        self.cache[offset] = payload
+        self.cached_bytes += len(payload)
+        while self.cached_bytes > limit:
+            _, dropped = self.cache.popitem(last=False)
+            self.cached_bytes -= len(dropped)
--- a/agatetack/deferred/queue.py
+++ b/agatetack/deferred/queue.py
@@ -29,6 +29,17 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketRefusal(Refusal):
+    """A refusal about a ticket, which its caller may still poll.
+
+    Attributes:
+        ticket: What to send in the ticket header along with the refusal.
+    """
+
+    ticket: TicketId = TicketId("")
+
+
 class DeferredQueue(abc.ABC):
     """Requests that may wait; kept in the platform's log."""
 
@@ -36,7 +47,12 @@
     async def submit(
         self, route: Route, request: CallerRequest
     ) -> Result[TicketId, Refusal]:
-        """Keep the request; returned only once it was read back."""
+        """Keep the request; returned only once it was read back.
+
+        A resubmission of the same request gets the same ticket where that is
+        known. In doubt the refusal is a `TicketRefusal`: the request may be
+        in the log, and its ticket may be polled.
+        """
 
     @abc.abstractmethod
     async def fetch(
--- /dev/null
+++ b/agatetack/deferred/runner.py
@@ -0,0 +1,233 @@
+"""Take up open tickets, run them, and record how they end."""
+
+import secrets
+
+import trio
+
+from agatetack.clock import Clock, wall_to_deadline
+from agatetack.config.route import RouteSource
+from agatetack.deferred.counters import Counters
+from agatetack.deferred.ends import make_end, split_answer
+from agatetack.deferred.fold import Hold, Ticket
+from agatetack.deferred.partition import NotKept, Partition
+from agatetack.deferred.queue import Executor
+from agatetack.deferred.records import encode_entry, load_request
+from agatetack.deferred.schedule import LATER_SECONDS, Schedule
+from agatetack.deferred.verdict import Next, Verdict, run_once
+from agatetack.deferred.writer import Landing
+from agatetack.generated.deferred.ttypes import (
+    EndChunk,
+    EndKind,
+    Entry,
+    Start,
+)
+from agatetack.generated.deferred.ttypes import Hold as HoldRecord
+from agatetack.ids import AttemptId, Deadline, RouteId, TicketId
+from agatetack.outcomes import RefusalReason
+from agatetack.platform.log import LogUnavailable
+from agatetack.settings.model import Settings
+
+HOLD_TIMEOUTS = 2
+"""How many attempts' time a hold lasts."""
+
+MAX_DOUBLINGS = 6
+
+
+class Runner:
+    """This host's workers.
+
+    Attributes:
+        unsent: Own holds whose attempt is known not to have run, by ticket.
+        refusals: Refusals in a row of each route, for its pauses.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        schedule: Schedule,
+        source: RouteSource,
+        executor: Executor,
+        counters: Counters,
+        clock: Clock,
+    ):
+        """Run what `schedule` hands out."""
+        self.settings = settings
+        self.schedule = schedule
+        self.source = source
+        self.executor = executor
+        self.counters = counters
+        self.clock = clock
+        self.unsent: dict[TicketId, AttemptId] = {}
+        self.refusals: dict[RouteId, int] = {}
+
+    async def work(self) -> None:
+        """Run one ticket after another, for ever."""
+        while True:
+            ticket = await self.schedule.take()
+            again_at: Deadline | None = self._in(LATER_SECONDS)
+            try:
+                again_at = await self._run(ticket)
+            except (NotKept, LogUnavailable):
+                # Its record moved on or can't be read now; look again.
+                self.counters.run("not-loaded")
+            finally:
+                self.schedule.done(ticket.id, again_at)
+
+    async def _run(self, ticket: Ticket) -> Deadline | None:
+        """Run a ticket; return when to look at it again, None if ended."""
+        partition = self.schedule.partition_of(ticket.id)
+        hold = await self._take_hold(partition, ticket)
+        if hold is None:
+            return self._in(LATER_SECONDS)
+        if hold.tries > self.settings.deferred.max_tries:
+            verdict = Verdict(Next.FAIL, RefusalReason.CONNECTION_LOST)
+        else:
+            verdict = await self._attempt(partition, ticket, hold)
+        self.counters.run(verdict.next.value)
+        if verdict.next is Next.NOT_RUN:
+            self.unsent[ticket.id] = hold.attempt
+            return self._pause(ticket.route)
+        self.refusals.pop(ticket.route, None)
+        last = hold.tries >= self.settings.deferred.max_tries
+        if verdict.next is Next.TRY_AGAIN and not last:
+            return self._in(self._backoff(hold.tries))
+        await self._record(partition, ticket, hold, verdict)
+        return None
+
+    async def _attempt(
+        self, partition: Partition, ticket: Ticket, hold: Hold
+    ) -> Verdict:
+        table = self.source.table
+        route = None if table is None else table.routes.get(ticket.route)
+        if route is None:
+            return Verdict(Next.NOT_RUN, RefusalReason.NO_ROUTE)
+        submission = await partition.load_submission(ticket)
+        seconds = self.settings.deferred.attempt_timeout_seconds
+        end = wall_to_deadline(self.clock, ticket.deadline)
+        deadline = min(end, self._in(seconds))
+        request = load_request(submission, deadline, self.clock)
+        return await run_once(self.executor, route, request, self.settings)
+
+    async def _take_hold(
+        self, partition: Partition, ticket: Ticket
+    ) -> Hold | None:
+        """Return this host's hold once it is read back, or None."""
+        own = self._reusable(ticket)
+        if own is not None:
+            return own
+        record = self._next_hold(ticket)
+        attempt = AttemptId(record.attempt)
+        entry = encode_entry(Entry(start=Start(ticket.id, record)))
+        landing = await partition.writer.write(entry)
+        if landing is Landing.REFUSED:
+            return None
+        until = self._in(self.settings.platform.log.timeout_seconds)
+        await partition.wait_for(
+            ticket.id, lambda known: _answers(known, record), until
+        )
+        known = partition.get(ticket.id)
+        if known is None or not known.open or known.hold is None:
+            return None
+        if known.hold.attempt != attempt:
+            self.counters.run("taken-elsewhere")
+            return None
+        self.unsent.pop(ticket.id, None)
+        return known.hold
+
+    def _reusable(self, ticket: Ticket) -> Hold | None:
+        """Return an own hold that was not used and lasts long enough."""
+        hold = ticket.hold
+        if hold is None or hold.attempt != self.unsent.get(ticket.id):
+            return None
+        needed = self.settings.deferred.attempt_timeout_seconds
+        if hold.until - self.clock.wall() < needed:
+            return None
+        del self.unsent[ticket.id]
+        return hold
+
+    def _next_hold(self, ticket: Ticket) -> HoldRecord:
+        old = ticket.hold
+        tries = 1
+        if old is not None:
+            ran = old.attempt != self.unsent.get(ticket.id)
+            tries = old.tries + ran
+        seconds = self.settings.deferred.attempt_timeout_seconds
+        return HoldRecord(
+            number=1 if old is None else old.number + 1,
+            attempt=f"{self.settings.host.id}-{secrets.token_hex(6)}",
+            host=self.settings.host.id,
+            until=self.clock.wall() + HOLD_TIMEOUTS * seconds,
+            tries=tries,
+        )
+
+    def forget_ended(self) -> None:
+        """Drop what is noted about tickets that others have ended."""
+        for ticket_id in list(self.unsent):
+            ticket = self.schedule.find(ticket_id)
+            if ticket is None or not ticket.open:
+                del self.unsent[ticket_id]
+
+    async def _record(
+        self,
+        partition: Partition,
+        ticket: Ticket,
+        hold: Hold,
+        verdict: Verdict,
+    ) -> None:
+        """Append how a ticket ended until its end is read back."""
+        keep = self.clock.wall() + self.settings.deferred.result_keep_seconds
+        if verdict.next is Next.ANSWER and verdict.answer is not None:
+            chunks = split_answer(
+                ticket, hold.attempt, verdict.answer, keep, self.settings
+            )
+        else:
+            chunks = [make_end(ticket, hold.attempt, EndKind.FAILED, keep)]
+            if verdict.reason is not None:
+                chunks[0].reason = verdict.reason.value
+        await self.record_end(partition, ticket, chunks)
+
+    async def record_end(
+        self, partition: Partition, ticket: Ticket, chunks: list[EndChunk]
+    ) -> None:
+        """Append the chunks of an end until the ticket is read back ended."""
+        pause = self.settings.deferred.retry_seconds
+        while True:
+            landings = [
+                await partition.writer.write(encode_entry(Entry(end=chunk)))
+                for chunk in chunks
+            ]
+            until = self._in(self.settings.platform.log.timeout_seconds)
+            if Landing.REFUSED not in landings:
+                known = await partition.wait_for(
+                    ticket.id, lambda known: known.end is not None, until
+                )
+                if known is not None:
+                    return
+            known = partition.get(ticket.id)
+            if partition.caught_up and (known is None or known.end):
+                return
+            self.counters.run("end-not-recorded")
+            await trio.sleep(pause)
+
+    def _pause(self, route: RouteId) -> Deadline:
+        """Leave a route alone for a while after a refusal."""
+        refusals = self.refusals.get(route, 0) + 1
+        self.refusals[route] = refusals
+        until = self._in(self._backoff(refusals))
+        self.schedule.pause(route, until)
+        return until
+
+    def _backoff(self, count: int) -> float:
+        """Return how long to wait after the `count`-th failure, in s."""
+        doublings = min(count - 1, MAX_DOUBLINGS)
+        return self.settings.deferred.retry_seconds * 2**doublings
+
+    def _in(self, seconds: float) -> Deadline:
+        return Deadline(self.clock.now() + seconds)
+
+
+def _answers(ticket: Ticket, record: HoldRecord) -> bool:
+    """Return whether the fold has decided about the hold of `record`."""
+    if ticket.end is not None:
+        return True
+    return ticket.hold is not None and ticket.hold.number >= record.number
--- /dev/null
+++ b/agatetack/deferred/upkeep.py
@@ -0,0 +1,191 @@
+"""Expire, forget and re-append tickets in time."""
+
+import secrets
+
+import trio
+
+from agatetack.clock import Clock
+from agatetack.deferred.choice import Choice
+from agatetack.deferred.counters import Counters
+from agatetack.deferred.ends import make_end
+from agatetack.deferred.fold import NOT_STORED, Ticket
+from agatetack.deferred.partition import NotKept, Partition
+from agatetack.deferred.records import encode_entry
+from agatetack.deferred.writer import Waiting
+from agatetack.generated.deferred.ttypes import EndKind, Entry
+from agatetack.generated.deferred.ttypes import Hold as HoldRecord
+from agatetack.ids import AttemptId, WallTime
+from agatetack.outcomes import RefusalReason
+from agatetack.platform.log import LogUnavailable
+from agatetack.settings.model import Settings
+
+DUE_RATIO = 0.5
+"""The share of the retention after which a record is re-appended."""
+
+STAGGER_RATIO = 0.02
+"""The share of the retention that each lower rank waits longer."""
+
+MAX_STAGGERS = 10
+GROUP = 100
+"""Tickets whose records are queued together."""
+
+SLICE = 500
+"""Tickets looked at before other tasks get their turn."""
+
+
+class Upkeep:
+    """Look through the tickets of one partition now and then."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        partition: Partition,
+        choice: Choice,
+        counters: Counters,
+        clock: Clock,
+    ):
+        """Look after `partition`."""
+        self.settings = settings
+        self.partition = partition
+        self.choice = choice
+        self.counters = counters
+        self.clock = clock
+
+    async def run(self) -> None:
+        """Look through all tickets every `upkeep_seconds`, for ever."""
+        while True:
+            await trio.sleep(self.settings.deferred.upkeep_seconds)
+            if self.partition.caught_up:
+                await self.look_through()
+
+    async def look_through(self) -> None:
+        """Expire, forget and re-append what is due now."""
+        tickets = list(self.partition.fold.tickets.values())
+        due: list[Ticket] = []
+        for number, ticket in enumerate(tickets):
+            if number % SLICE == 0:
+                await trio.lowlevel.checkpoint()
+            if self._forget(ticket):
+                continue
+            if self._expired(ticket) or self._due(ticket):
+                due.append(ticket)
+        for start in range(0, len(due), GROUP):
+            await self._append(due[start : start + GROUP])
+
+    async def _append(self, tickets: list[Ticket]) -> None:
+        """Append what a group of tickets needs now, so that they share."""
+        waiting: list[Waiting] = []
+        for ticket in tickets:
+            waiting += await self._put(ticket)
+        for entry in waiting:
+            await entry.done.wait()
+
+    async def _put(self, ticket: Ticket) -> list[Waiting]:
+        """Queue the records that a ticket needs now."""
+        if self.partition.get(ticket.id) is not ticket:
+            return []
+        try:
+            if self._expired(ticket):
+                return [self._expire(ticket)]
+            if self._due(ticket):
+                return await self._put_again(ticket)
+        except NotKept:
+            return self._end_lost(ticket)
+        except LogUnavailable:
+            # The next round tries again; the due time leaves room for it.
+            self.counters.reappended("log-unavailable")
+        return []
+
+    def _end_lost(self, ticket: Ticket) -> list[Waiting]:
+        """End a ticket whose records are gone, unless they just moved."""
+        if not ticket.open or not self._past_retention(ticket.kept_since):
+            return []
+        self.counters.reappended("lost")
+        reason = RefusalReason.INTERNAL_ERROR
+        return [self._put_end(ticket, EndKind.FAILED, reason)]
+
+    def _forget(self, ticket: Ticket) -> bool:
+        """Forget a ticket that need not be kept; return whether it was."""
+        fold = self.partition.fold
+        if fold.tickets.get(ticket.id) is not ticket:
+            return True
+        if ticket.end is not None:
+            over = ticket.end.keep_until <= self.clock.wall()
+        else:
+            # Parts of ends whose ticket is not known can be of no use.
+            over = ticket.offset == NOT_STORED and self._past_retention(
+                ticket.kept_since
+            )
+        if over:
+            fold.forget(ticket)
+        return over
+
+    def _past_retention(self, kept_since: WallTime) -> bool:
+        retention = self.settings.platform.log.retention_seconds
+        return kept_since + retention <= self.clock.wall()
+
+    def _expired(self, ticket: Ticket) -> bool:
+        if not ticket.open:
+            return False
+        takeover = self.settings.deferred.takeover_seconds
+        now = self.clock.wall()
+        if ticket.deadline > now:
+            return False
+        return ticket.deadline + self.choice.rank(ticket.id) * takeover <= now
+
+    def _due(self, ticket: Ticket) -> bool:
+        """Return whether a ticket's records must be appended again."""
+        kept_since = ticket.kept_since
+        if ticket.end is not None:
+            kept_since = ticket.end.kept_since
+        elif not ticket.open:
+            return False
+        retention = self.settings.platform.log.retention_seconds
+        now = self.clock.wall()
+        if kept_since + DUE_RATIO * retention > now:
+            return False
+        staggers = min(self.choice.rank(ticket.id), MAX_STAGGERS)
+        share = DUE_RATIO + staggers * STAGGER_RATIO
+        return kept_since + share * retention <= now
+
+    def _expire(self, ticket: Ticket) -> Waiting:
+        reason = RefusalReason.TICKET_EXPIRED
+        return self._put_end(ticket, EndKind.EXPIRED, reason)
+
+    def _put_end(
+        self, ticket: Ticket, kind: int, reason: RefusalReason
+    ) -> Waiting:
+        keep = self.clock.wall() + self.settings.deferred.result_keep_seconds
+        attempt = f"{self.settings.host.id}-{secrets.token_hex(6)}"
+        end = make_end(ticket, AttemptId(attempt), kind, keep)
+        end.reason = reason.value
+        return self.partition.writer.put(encode_entry(Entry(end=end)))
+
+    async def _put_again(self, ticket: Ticket) -> list[Waiting]:
+        writer = self.partition.writer
+        if ticket.end is not None:
+            self.counters.reappended("end")
+            chunks = await self.partition.load_chunks(ticket, ticket.end)
+            for chunk in chunks:
+                chunk.origin = ticket.end.origin
+            return [
+                writer.put(encode_entry(Entry(end=chunk))) for chunk in chunks
+            ]
+        self.counters.reappended("submission")
+        submission = await self.partition.load_submission(ticket)
+        submission.hold = _store_hold(ticket)
+        return [writer.put(encode_entry(Entry(submission=submission)))]
+
+
+def _store_hold(ticket: Ticket) -> HoldRecord | None:
+    hold = ticket.hold
+    if hold is None:
+        return None
+    return HoldRecord(
+        number=hold.number,
+        attempt=hold.attempt,
+        host=hold.host,
+        until=hold.until,
+        tries=hold.tries,
+        origin=hold.origin,
+    )
--- /dev/null
+++ b/agatetack/deferred/verdict.py
@@ -0,0 +1,123 @@
+"""Run a stored request once and judge what came of it."""
+
+import dataclasses
+import enum
+
+import trio
+
+from agatetack.config.route import Route
+from agatetack.deferred.queue import Executor, StoredAnswer
+from agatetack.logs import PartLog
+from agatetack.messages import (
+    Answer,
+    AnswerCut,
+    CallerRequest,
+    Header,
+    find_header,
+)
+from agatetack.outcomes import Outcome, RefusalReason
+from agatetack.settings.model import Settings
+
+LOG = PartLog("deferred")
+
+FINAL_REASONS = frozenset(
+    {
+        RefusalReason.MALFORMED_REQUEST,
+        RefusalReason.BODY_TOO_LARGE,
+        RefusalReason.HEADERS_TOO_LARGE,
+        RefusalReason.QUARANTINED,
+        RefusalReason.RESULT_TOO_LARGE,
+    }
+)
+"""Refusals that another try would only bring again."""
+
+
+class Next(enum.Enum):
+    """What to do with a ticket after an attempt."""
+
+    ANSWER = "answered"
+    FAIL = "failed"
+    TRY_AGAIN = "try-again"
+    NOT_RUN = "not-run"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What came of one attempt.
+
+    Attributes:
+        next: What to do with the ticket.
+        reason: Why there is no answer, or None.
+        answer: The answer, or None.
+    """
+
+    next: Next
+    reason: RefusalReason | None = None
+    answer: StoredAnswer | None = None
+
+
+async def run_once(
+    executor: Executor, route: Route, request: CallerRequest, settings: Settings
+) -> Verdict:
+    """Run a request until its deadline and judge the outcome."""
+    verdict = Verdict(Next.TRY_AGAIN, RefusalReason.ANSWER_TIMEOUT)
+    with trio.move_on_at(request.deadline):
+        try:
+            answer = await executor.execute(route, request)
+            verdict = await _judge(answer, settings)
+        except AnswerCut:
+            verdict = Verdict(Next.TRY_AGAIN, RefusalReason.ANSWER_CUT)
+        # An executor may raise anything; the ticket must not vanish with it.
+        except Exception as error:
+            LOG.request(request.request_id, "An attempt raised %r.", error)
+            verdict = Verdict(Next.TRY_AGAIN, RefusalReason.INTERNAL_ERROR)
+    return verdict
+
+
+async def _judge(answer: Answer, settings: Settings) -> Verdict:
+    outcome = find_header(
+        answer.headers, settings.callers.headers.outcome.encode()
+    )
+    if outcome not in (None, Outcome.ANSWERED.value.encode()):
+        await answer.aclose()
+        return _judge_refusal(answer, outcome, settings)
+    body = await _read_result(answer, settings.deferred.max_result_bytes)
+    if body is None:
+        return Verdict(Next.FAIL, RefusalReason.RESULT_TOO_LARGE)
+    headers = tuple(Header(name, value) for name, value in answer.headers)
+    stored = StoredAnswer(answer.status, headers, body)
+    return Verdict(Next.ANSWER, None, stored)
+
+
+def _judge_refusal(
+    answer: Answer, outcome: bytes, settings: Settings
+) -> Verdict:
+    value = find_header(
+        answer.headers, settings.callers.headers.reason.encode()
+    )
+    try:
+        reason = RefusalReason((value or b"").decode("ascii", "replace"))
+    except ValueError:
+        reason = RefusalReason.INTERNAL_ERROR
+    if reason in FINAL_REASONS:
+        return Verdict(Next.FAIL, reason)
+    if outcome == Outcome.NOT_RUN.value.encode():
+        return Verdict(Next.NOT_RUN, reason)
+    return Verdict(Next.TRY_AGAIN, reason)
+
+
+async def _read_result(answer: Answer, max_bytes: int) -> bytes | None:
+    """Return the whole body, or None if it is too large."""
+    parts: list[bytes] = []
+    size = 0
+    try:
+        if (answer.body.length or 0) > max_bytes:
+            return None
+        while part := await answer.body.receive():
+            size += len(part)
+            if size > max_bytes:
+                return None
+            parts.append(part)
+    finally:
+        await answer.aclose()
+    return b"".join(parts)
--- /dev/null
+++ b/agatetack/deferred/writer.py
@@ -0,0 +1,175 @@
+"""Append entries to one stream in batches, at this host's share."""
+
+import collections
+import dataclasses
+import enum
+
+import trio
+
+from agatetack.clock import Clock
+from agatetack.deferred.records import ENTRY_OVERHEAD, encode_batch
+from agatetack.ids import Deadline, StreamId
+from agatetack.metrics import Metrics
+from agatetack.platform.log import (
+    Log,
+    LogOutcomeUnknown,
+    LogTooFast,
+    LogUnavailable,
+)
+from agatetack.settings.model import Settings
+
+STREAM_KIND = "deferred"
+"""The label of these streams in the log's counters."""
+
+
+class Landing(enum.Enum):
+    """What became of an entry's append."""
+
+    LANDED = "landed"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """An entry on its way into the log.
+
+    Attributes:
+        entry: The encoded entry.
+        done: Set once the append has ended.
+        landing: What became of it, once it has ended.
+    """
+
+    entry: bytes
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+    landing: Landing | None = None
+
+
+class Pacer:
+    """Keep a host's appends of all partitions to their share."""
+
+    def __init__(self, settings: Settings, clock: Clock):
+        """Allow `deferred.append_ratio` of the host's appends."""
+        self.clock = clock
+        self.burst = float(settings.deferred.append_burst)
+        self.per_second = (
+            settings.deferred.append_ratio
+            * settings.platform.log.appends_per_second
+        )
+        self.tokens = self.burst
+        self.filled_at: Deadline | None = None
+
+    async def take(self) -> None:
+        """Wait until one more append is allowed."""
+        while True:
+            now = self.clock.now()
+            if self.filled_at is not None:
+                gained = (now - self.filled_at) * self.per_second
+                self.tokens = min(self.burst, self.tokens + gained)
+            self.filled_at = now
+            if self.tokens >= 1:
+                self.tokens -= 1
+                return
+            await trio.sleep((1 - self.tokens) / self.per_second)
+
+
+class Writer:
+    """Append entries to one stream; one append is under way at a time."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        log: Log,
+        stream: StreamId,
+        pacer: Pacer,
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        """Write to `stream`; nothing is sent before `run`."""
+        self.settings = settings
+        self.log = log
+        self.stream = stream
+        self.pacer = pacer
+        self.metrics = metrics
+        self.clock = clock
+        self.queue: collections.deque[Waiting] = collections.deque()
+        self.wake = trio.Event()
+
+    def fits(self, entry: bytes) -> bool:
+        """Return whether an entry fits into one record."""
+        limit = self.settings.platform.log.max_record_bytes
+        return len(entry) + 2 * ENTRY_OVERHEAD <= limit
+
+    def put(self, entry: bytes) -> Waiting:
+        """Queue an entry that fits; wait for its `done`."""
+        waiting = Waiting(entry)
+        self.queue.append(waiting)
+        self.wake.set()
+        return waiting
+
+    def withdraw(self, waiting: Waiting) -> bool:
+        """Take an entry back; return whether it will never be appended."""
+        if waiting not in self.queue:
+            return waiting.landing is Landing.REFUSED
+        self.queue.remove(waiting)
+        return True
+
+    async def write(self, entry: bytes) -> Landing:
+        """Append an entry and return what became of it."""
+        waiting = self.put(entry)
+        try:
+            await waiting.done.wait()
+        finally:
+            self.withdraw(waiting)
+        return waiting.landing or Landing.UNKNOWN
+
+    async def run(self) -> None:
+        """Append what is queued, for ever."""
+        while True:
+            if not self.queue:
+                self.wake = trio.Event()
+                await self.wake.wait()
+            # Entries that come together share one append.
+            await trio.sleep(self.settings.deferred.append_interval_seconds)
+            await self.pacer.take()
+            batch = self._take_batch()
+            if batch:
+                await self._append(batch)
+
+    def _take_batch(self) -> list[Waiting]:
+        room = self.settings.platform.log.max_record_bytes - ENTRY_OVERHEAD
+        batch: list[Waiting] = []
+        while self.queue:
+            room -= len(self.queue[0].entry) + ENTRY_OVERHEAD
+            if room < 0:
+                break
+            batch.append(self.queue.popleft())
+        return batch
+
+    async def _append(self, batch: list[Waiting]) -> None:
+        payload = encode_batch([waiting.entry for waiting in batch])
+        seconds = self.settings.platform.log.timeout_seconds
+        deadline = Deadline(self.clock.now() + seconds)
+        try:
+            await self.log.append(self.stream, payload, deadline)
+        except LogTooFast as error:
+            self._count("too-fast", 0)
+            # It had no effect, so the entries keep their places.
+            self.queue.extendleft(reversed(batch))
+            await trio.sleep_until(error.retry_at)
+            return
+        except LogUnavailable:
+            landing = Landing.REFUSED
+        except LogOutcomeUnknown:
+            landing = Landing.UNKNOWN
+        else:
+            landing = Landing.LANDED
+        self._count(landing.value, len(batch))
+        for waiting in batch:
+            waiting.landing = landing
+            waiting.done.set()
+
+    def _count(self, result: str, records: int) -> None:
+        self.metrics.appends.inc({"stream": STREAM_KIND, "result": result})
+        if records:
+            self.metrics.appended_records.add({"stream": STREAM_KIND}, records)
