Carry large answers whole and hold small ones until they are verified

Cause: an answer cut in its body was passed on as an aborted connection, also where another target could have gone on. Change: a body resumes by Range and If-Range on a strong validator, or skips what the caller has where a target knows no ranges; small bodies are read to their end before they win, so that a cut one is retried.

--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -35,6 +35,7 @@
     RefusalReason.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
     RefusalReason.ANSWER_TIMEOUT: RetryReason.ANSWER_TIMEOUT,
     RefusalReason.ANSWER_MALFORMED: RetryReason.ANSWER_MALFORMED,
+    RefusalReason.ANSWER_CUT: RetryReason.ANSWER_CUT,
 }
 """Failures after which an idempotent request may be sent again."""
 
@@ -44,6 +45,7 @@
     RefusalReason.CONNECTION_LOST: "The target dropped the connection.",
     RefusalReason.ANSWER_TIMEOUT: "The target did not answer in time.",
     RefusalReason.ANSWER_MALFORMED: "The target's answer is not HTTP.",
+    RefusalReason.ANSWER_CUT: "The target's answer ended before its end.",
 }
 
 
@@ -228,6 +230,10 @@
             return None
         if trio.current_time() >= state.request.deadline:
             return None
+        refusal = self.single.crashes.check(state.route, state.request)
+        if refusal is not None:
+            state.refusal = refusal
+            return None
         if not self.retries.of(state.route.id).spend():
             return None
         permit = await self._permit(state, wait=True)
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -9,10 +9,17 @@
 from agatetack.attempts.ids import new_attempt_id
 from agatetack.config.route import Route
 from agatetack.ids import AttemptId, Deadline
-from agatetack.messages import Answer, Body, CallerRequest
+from agatetack.messages import (
+    Answer,
+    AnswerCut,
+    Body,
+    BytesBody,
+    CallerRequest,
+)
 from agatetack.metrics import Metrics
-from agatetack.outcomes import RefusalReason
+from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.quarantine.tracker import CrashTracker
+from agatetack.settings.model import Settings
 from agatetack.targets.client import (
     Attempt,
     AttemptFailed,
@@ -82,13 +89,31 @@
     attempt_id: AttemptId | None = None
 
 
+async def _read_all(body: Body) -> BytesBody:
+    """Return the body in memory; it keeps the length announced for HEAD."""
+    parts = []
+    while True:
+        data = await body.receive()
+        if not data:
+            break
+        parts.append(data)
+    held = BytesBody(b"".join(parts))
+    held.length = body.length
+    return held
+
+
 class SingleAttempt:
     """Makes attempts and tells permits, metrics and crash tracker."""
 
     def __init__(
-        self, client: TargetClient, crashes: CrashTracker, metrics: Metrics
+        self,
+        settings: Settings,
+        client: TargetClient,
+        crashes: CrashTracker,
+        metrics: Metrics,
     ):
         """Call targets with `client`."""
+        self.max_held_bytes = settings.callers.replay_body_bytes
         self.client = client
         self.crashes = crashes
         self.metrics = metrics
@@ -120,10 +145,39 @@
         latency = trio.current_time() - started
         permit.answered_headers(latency)
         self.metrics.target_answered(permit.target.id, latency)
-        self.crashes.answered(plan.route, plan.request)
         answer.body = PermittedBody(answer.body, permit)
+        failure = await self._hold_small(plan, answer)
+        if failure is not None:
+            return Failure(failure)
+        self.crashes.answered(plan.route, plan.request)
         return Success(answer)
 
+    async def _hold_small(
+        self, plan: AttemptPlan, answer: Answer
+    ) -> AttemptFailure | None:
+        """Read a small body to its end, so that a cut one can be retried.
+
+        Returns:
+            Why the body could not be read, or None.
+        """
+        length = answer.body.length
+        if length is None or length > self.max_held_bytes:
+            return None
+        try:
+            with trio.move_on_at(plan.deadline) as scope:
+                answer.body = await _read_all(answer.body)
+        except AnswerCut:
+            reason = RefusalReason.ANSWER_CUT
+        except BaseException:
+            await answer.body.aclose()
+            raise
+        else:
+            if not scope.cancelled_caught:
+                return None
+            reason = RefusalReason.ANSWER_TIMEOUT
+        await answer.body.aclose()
+        return AttemptFailure(reason, Outcome.UNKNOWN, target_suspect=True)
+
     def _note_failure(
         self, plan: AttemptPlan, permit: Permit, failure: AttemptFailure
     ) -> None:
--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -219,7 +219,7 @@
                 parsed, refuse(RefusalReason.BODY_TOO_LARGE, self._bound_text())
             )
         except AnswerCut:
-            # Whoever saw the cut has counted it; the reset tells the caller.
+            # The reset tells the caller that its answer is not whole.
             abort(self.stream)
             return False
         except (CallerGone, trio.BrokenResourceError):
@@ -301,6 +301,9 @@
             return await self.writer.write(
                 answer, head.method, head.version, close
             )
+        except AnswerCut:
+            self.metrics.refused(answer.route, RefusalReason.ANSWER_CUT)
+            raise
         finally:
             with trio.CancelScope(shield=True):
                 await answer.aclose()
--- /dev/null
+++ b/agatetack/download/resume.py
@@ -0,0 +1,237 @@
+"""Carry a large answer whole: where one target stops, another goes on."""
+
+import dataclasses
+import enum
+
+import trio
+from returns.result import Failure
+
+from agatetack.attempts.race import AttemptRunner
+from agatetack.config.route import Route
+from agatetack.download.ranges import (
+    PARTIAL_STATUS,
+    WHOLE_STATUS,
+    Extent,
+    answer_extent,
+    strong_validator,
+)
+from agatetack.ids import Deadline
+from agatetack.logs import PartLog
+from agatetack.messages import (
+    Answer,
+    AnswerCut,
+    Body,
+    BytesBody,
+    CallerRequest,
+    Header,
+)
+from agatetack.metrics import Metrics
+from agatetack.outcomes import RetryReason
+
+MAX_FRUITLESS = 3
+"""Resumptions in a row that bring no byte, before the answer is cut."""
+
+RANGE_HEADERS = frozenset({b"range", b"if-range"})
+
+log = PartLog("download")
+
+
+class CutReason(enum.Enum):
+    """Why a cut answer could not be resumed."""
+
+    NO_VALIDATOR = "no-validator"
+    NO_LENGTH = "no-length"
+    FRUITLESS = "fruitless"
+    REFUSED = "refused"
+    CHANGED = "changed"
+    WRONG_RANGE = "wrong-range"
+    DEADLINE = "deadline"
+
+
+class ResumingBody(Body):
+    """A body that goes on with another target where one stopped.
+
+    Attributes:
+        position: Bytes given to the caller so far.
+        extent: Which bytes of the resource the caller was promised.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        request: CallerRequest,
+        answer: Answer,
+        attempts: AttemptRunner,
+        metrics: Metrics,
+    ):
+        """Read the body of `answer`, the first one to `request`."""
+        self.route = route
+        self.request = request
+        self.attempts = attempts
+        self.metrics = metrics
+        self.body = answer.body
+        self.length = answer.body.length
+        self.validator = strong_validator(answer.headers)
+        self.extent = answer_extent(
+            answer.status, answer.headers, answer.body.length
+        )
+        self.position = 0
+        self.fruitless = 0
+
+    def receive_nowait(self) -> bytes | None:
+        """Return bytes that are here already, or None."""
+        data = self.body.receive_nowait()
+        if data:
+            self._advance(data)
+        return data
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, or `b""` at the verified end.
+
+        Raises:
+            AnswerCut: The answer was cut and no target could go on.
+        """
+        while True:
+            try:
+                data = await self.body.receive()
+            except AnswerCut:
+                await self._resume()
+                continue
+            if not data and not self._is_whole():
+                await self._resume()
+                continue
+            self._advance(data)
+            return data
+
+    def _advance(self, data: bytes) -> None:
+        self.position += len(data)
+        if data:
+            self.fruitless = 0
+
+    def _is_whole(self) -> bool:
+        return self.length is None or self.position == self.length
+
+    async def _resume(self) -> None:
+        await self.body.aclose()
+        self._check_resumable()
+        self.fruitless += 1
+        self.metrics.retried(self.route.id, RetryReason.RESUME)
+        log.request(
+            self.request.request_id,
+            "Going on at byte %d with another target.",
+            self.position,
+        )
+        result = await self.attempts.run(
+            self.route, self._range_request(), hedged=False
+        )
+        if isinstance(result, Failure):
+            raise self._cut(CutReason.REFUSED)
+        await self._take_over(result.unwrap())
+
+    def _check_resumable(self) -> None:
+        if self.extent is None:
+            raise self._cut(CutReason.NO_LENGTH)
+        if self.validator is None:
+            raise self._cut(CutReason.NO_VALIDATOR)
+        if self.fruitless >= MAX_FRUITLESS:
+            raise self._cut(CutReason.FRUITLESS)
+        if self._deadline() <= trio.current_time():
+            raise self._cut(CutReason.DEADLINE)
+
+    def _deadline(self) -> Deadline:
+        """Return when the next answer must have begun.
+
+        The caller's own deadline binds; a route's is given anew, as it
+        bounds the time to an answer's begin, not to its end.
+        """
+        if self.request.deadline_given:
+            return self.request.deadline
+        return Deadline(trio.current_time() + self.route.deadline_seconds)
+
+    def _range_request(self) -> CallerRequest:
+        first = self.extent.first + self.position
+        headers = [
+            header
+            for header in self.request.headers
+            if header.name not in RANGE_HEADERS
+        ]
+        span = b"bytes=%d-%d" % (first, self.extent.last)
+        headers.append(Header(b"range", span))
+        headers.append(Header(b"if-range", self.validator))
+        return dataclasses.replace(
+            self.request,
+            headers=headers,
+            body=BytesBody(b""),
+            deadline=self._deadline(),
+        )
+
+    async def _take_over(self, answer: Answer) -> None:
+        reason = self._mismatch(answer)
+        if reason is not None:
+            await answer.aclose()
+            raise self._cut(reason)
+        self.body = answer.body
+        if answer.status == WHOLE_STATUS:
+            await self._skip(self.position)
+
+    def _mismatch(self, answer: Answer) -> CutReason | None:
+        """Return why `answer` does not go on where the last one stopped."""
+        if strong_validator(answer.headers) != self.validator:
+            return CutReason.CHANGED
+        extent = answer_extent(
+            answer.status, answer.headers, answer.body.length
+        )
+        if answer.status == PARTIAL_STATUS:
+            first = self.extent.first + self.position
+            wanted = Extent(first, self.extent.last, self.extent.total)
+            return None if extent == wanted else CutReason.WRONG_RANGE
+        # A target without ranges sends all again; what the caller has is
+        # skipped, which needs the caller to have asked for all.
+        if extent is not None and extent == self.extent:
+            return None
+        return CutReason.WRONG_RANGE
+
+    async def _skip(self, count: int) -> None:
+        """Drop `count` bytes that the caller already has."""
+        left = count
+        while left > 0:
+            data = await self.body.receive()
+            if not data:
+                raise self._cut(CutReason.WRONG_RANGE)
+            if len(data) > left:
+                self.body = _Rest(data[left:], self.body)
+            left -= len(data)
+
+    def _cut(self, reason: CutReason) -> AnswerCut:
+        self.metrics.dropped.inc({"part": "download", "reason": reason.value})
+        log.request(
+            self.request.request_id,
+            "The answer is cut at byte %d: %s.",
+            self.position,
+            reason.value,
+        )
+        return AnswerCut(reason.value)
+
+    async def aclose(self) -> None:
+        """Free the connection that is being read."""
+        await self.body.aclose()
+
+
+class _Rest(Body):
+    """The rest of a part that was received, then the body it came from."""
+
+    def __init__(self, rest: bytes, body: Body):
+        """Give `rest` first."""
+        self.rest = rest
+        self.body = body
+
+    async def receive(self) -> bytes:
+        """Return the rest, then what the body has."""
+        if self.rest:
+            rest, self.rest = self.rest, b""
+            return rest
+        return await self.body.receive()
+
+    async def aclose(self) -> None:
+        """Free the body."""
+        await self.body.aclose()
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -5,7 +5,13 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from agatetack.ids import CallerId, Deadline, IdempotencyKey, RequestId
+from agatetack.ids import (
+    CallerId,
+    Deadline,
+    IdempotencyKey,
+    RequestId,
+    RouteId,
+)
 
 
 class Header(NamedTuple):
@@ -133,11 +139,13 @@
         status: The HTTP status.
         headers: Header fields, without hop-by-hop ones and lengths.
         body: Its body; `body.length` gives the Content-Length, if known.
+        route: The route it belongs to, or None if there is none.
     """
 
     status: int
     headers: list[Header]
     body: Body
+    route: RouteId | None = None
 
     async def aclose(self) -> None:
         """Free what the answer holds; a body not read to its end is cut."""
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -151,6 +151,7 @@
     ) -> Answer:
         seconds = trio.current_time() - request.arrived
         self.metrics.answered(route.id, seconds)
+        answer.route = route.id
         name = self.request_id_name
         answer.headers.append(Header(name, request.request_id.encode()))
         return answer
--- a/agatetack/serving/runners.py
+++ b/agatetack/serving/runners.py
@@ -8,7 +8,9 @@
 from agatetack.callers.problem import refusal_answer
 from agatetack.config.route import Route
 from agatetack.deferred.queue import DeferredQueue, Executor
+from agatetack.download.resume import ResumingBody
 from agatetack.messages import Answer, BytesBody, CallerRequest, Header
+from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal
 from agatetack.serving.dispatcher import ClassRunner
 from agatetack.settings.model import Settings
@@ -30,6 +32,28 @@
         return await self.attempts.run(route, request, hedged=True)
 
 
+class WholeRunner(ClassRunner):
+    """Runs requests whose large answers must be carried whole."""
+
+    def __init__(self, attempts: AttemptRunner, metrics: Metrics):
+        """Run requests with `attempts`."""
+        self.attempts = attempts
+        self.metrics = metrics
+
+    async def run(
+        self, route: Route, request: CallerRequest
+    ) -> Result[Answer, Refusal]:
+        """Return an answer that is resumed where it is cut."""
+        result = await self.attempts.run(route, request, hedged=False)
+        if isinstance(result, Failure):
+            return result
+        answer = result.unwrap()
+        answer.body = ResumingBody(
+            route, request, answer, self.attempts, self.metrics
+        )
+        return Success(answer)
+
+
 class OnceClassRunner(ClassRunner):
     """Runs requests that must never be repeated."""
 
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -44,8 +44,10 @@
         names = settings.targets.headers
         self.deadline_name = names.deadline_ms.encode()
         self.attempt_name = names.attempt.encode()
-        self.own_names = frozenset(
-            name.encode() for name in (names.deadline_ms, names.attempt)
+        self.own_names = frozenset((self.deadline_name, self.attempt_name))
+        self.load_names = frozenset(
+            name.encode()
+            for name in (names.in_flight, names.slots, names.state)
         )
 
     async def call(self, attempt: Attempt) -> Answer:
@@ -206,7 +208,12 @@
                     retry_at=_retry_at(parser),
                 )
             )
-        return Answer(parser.status, strip_hop_by_hop(parser.headers), body)
+        headers = [
+            header
+            for header in strip_hop_by_hop(parser.headers)
+            if header.name not in self.load_names
+        ]
+        return Answer(parser.status, headers, body)
 
     def _is_shed(self, parser: AnswerParser) -> bool:
         if parser.status != SHED_STATUS:
