Keep the host list through outages and doubtful shrinking

Cause: the platform's list lags and may mislead; dropping a service's targets on its word would stop the service. Change: HostDirectory polls the list, tells changes and its age, believes news and announced leaving at once, keeps the rest when more than shrink_ratio of a service vanishes within shrink_hold_seconds, and never believes an empty list.

--- /dev/null
+++ b/agatetack/platform/directory.py
@@ -0,0 +1,254 @@
+"""Keep the latest list of hosts, and be slow to believe a mass leaving."""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
+
+import trio
+
+from agatetack.ids import Deadline, HostId, ServiceId
+from agatetack.logs import PartLog
+from agatetack.metrics import Metrics
+from agatetack.platform.host_list import (
+    HostList,
+    HostListUnavailable,
+    HostRole,
+    HostState,
+    ListedHost,
+)
+from agatetack.settings.model import Settings
+
+LOG = PartLog("directory")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListChange:
+    """What differs between two lists.
+
+    Attributes:
+        added: Entries that are new.
+        updated: Entries that changed, as they are now.
+        removed: Entries that are no longer listed, as they were.
+    """
+
+    added: Sequence[ListedHost]
+    updated: Sequence[ListedHost]
+    removed: Sequence[ListedHost]
+
+    @property
+    def empty(self) -> bool:
+        """Return whether nothing differs."""
+        return not (self.added or self.updated or self.removed)
+
+
+ChangeCallback = Callable[[ListChange], None]
+"""Called after the list has changed; must not block or raise."""
+
+
+class _EntryKey(NamedTuple):
+    """What identifies an entry."""
+
+    role: HostRole
+    id: HostId
+
+
+class _Group(NamedTuple):
+    """Entries whose common disappearance is doubted."""
+
+    role: HostRole
+    service: ServiceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Vanished:
+    """An entry removed lately, which counts in judging later losses."""
+
+    group: _Group
+    counts_until: Deadline
+
+
+class HostDirectory:
+    """The list of hosts as this host believes it.
+
+    New entries and changed states are believed at once, and so is the
+    disappearance of a few, or of one listed as leaving. When more than
+    `shrink_ratio` of a service's targets, or of the gateways, vanish within
+    `shrink_hold_seconds`, the rest of them is kept for that long, as a list
+    that lags or misleads is likelier than that many hosts gone at once; a
+    target that is really gone shows it by refusing connections. An empty list
+    is never believed.
+
+    Attributes:
+        hosts: The entries believed now.
+        fetched_at: When the list was last read, or None.
+    """
+
+    def __init__(
+        self, settings: Settings, host_list: HostList, metrics: Metrics
+    ):
+        """Start with no entries.
+
+        Args:
+            settings: `platform.host_list` is used.
+            host_list: Where the list is read.
+            metrics: Counts fetches by result.
+        """
+        self.settings = settings.platform.host_list
+        self.host_list = host_list
+        self.hosts: Sequence[ListedHost] = ()
+        self.fetched_at: Deadline | None = None
+        self.callbacks: list[ChangeCallback] = []
+        self.entries: dict[_EntryKey, ListedHost] = {}
+        self.held: dict[_EntryKey, Deadline] = {}
+        self.vanished: dict[_EntryKey, _Vanished] = {}
+        self.last_fetch: Sequence[ListedHost] | None = None
+        self.reachable = True
+        self.fetches = metrics.counter(
+            "agatetack_host_list_fetches_total",
+            "Reads of the platform's list of hosts, by result.",
+        )
+        self.age = metrics.gauge(
+            "agatetack_host_list_age_seconds", "Age of the list in use."
+        )
+        self.listed = metrics.gauge(
+            "agatetack_listed_hosts", "Entries of the list, by role."
+        )
+        self.held_entries = metrics.gauge(
+            "agatetack_host_list_held",
+            "Entries kept although the list no longer has them.",
+        )
+
+    def targets(self) -> Sequence[ListedHost]:
+        """Return the targets believed now."""
+        return [host for host in self.hosts if host.role is HostRole.TARGET]
+
+    def gateways(self) -> Sequence[ListedHost]:
+        """Return the gateways believed now."""
+        return [host for host in self.hosts if host.role is HostRole.GATEWAY]
+
+    def on_change(self, callback: ChangeCallback) -> None:
+        """Call `callback` after each change of the list."""
+        self.callbacks.append(callback)
+
+    def age_seconds(self) -> float | None:
+        """Return how old the list in use is, or None without any."""
+        if self.fetched_at is None:
+            return None
+        return trio.current_time() - self.fetched_at
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Poll the list until cancelled; started after the first attempt."""
+        await self.poll()
+        task_status.started()
+        while True:
+            await trio.sleep(self.settings.poll_seconds)
+            await self.poll()
+
+    async def poll(self) -> None:
+        """Read the list once; on failure the last one stays in use."""
+        deadline = trio.current_time() + self.settings.timeout_seconds
+        try:
+            fetched = await self.host_list.fetch(Deadline(deadline))
+        except HostListUnavailable as error:
+            self._failed("unavailable", str(error))
+        else:
+            if self.entries and not fetched:
+                self._failed("empty", "it is empty")
+            else:
+                self._take(fetched)
+        self._show()
+
+    def _failed(self, result: str, cause: str) -> None:
+        self.fetches.inc({"result": result})
+        if self.reachable:
+            LOG.warning("The list can't be used, the last stays: %s.", cause)
+        self.reachable = False
+
+    def _take(self, fetched: Sequence[ListedHost]) -> None:
+        self.fetches.inc({"result": "ok"})
+        if not self.reachable:
+            LOG.info("The list can be used again.")
+        self.reachable = True
+        self.fetched_at = Deadline(trio.current_time())
+        # An unchanged list comes as the same object, and needs no work.
+        if fetched is self.last_fetch and not self.held:
+            return
+        self.last_fetch = fetched
+        self._apply({_key(host): host for host in fetched})
+
+    def _apply(self, fetched: dict[_EntryKey, ListedHost]) -> None:
+        self._hold_mass_leaving(fetched)
+        merged = dict(fetched)
+        for key in self.held:
+            merged[key] = self.entries[key]
+        change = _compare(self.entries, merged)
+        if change.empty:
+            return
+        self.entries = merged
+        self.hosts = tuple(merged.values())
+        for callback in self.callbacks:
+            callback(change)
+
+    def _hold_mass_leaving(self, fetched: dict[_EntryKey, ListedHost]) -> None:
+        now = trio.current_time()
+        until = Deadline(now + self.settings.shrink_hold_seconds)
+        self._forget_old_losses(now)
+        missing = {
+            key: _group(host)
+            for key, host in self.entries.items()
+            if key not in fetched and host.state is not HostState.LEAVING
+        }
+        lost_lately = [loss.group for loss in self.vanished.values()]
+        sizes = collections.Counter(map(_group, self.entries.values()))
+        sizes.update(lost_lately)
+        losses = collections.Counter(missing.values())
+        losses.update(lost_lately)
+        kept: dict[_EntryKey, Deadline] = {}
+        for key, group in missing.items():
+            massive = losses[group] > self.settings.shrink_ratio * sizes[group]
+            held_until = self.held.get(key, until)
+            if massive and held_until > now:
+                kept[key] = held_until
+            else:
+                self.vanished[key] = _Vanished(group, until)
+        if len(kept) > len(self.held):
+            LOG.warning("Too many vanished at once; %d are kept.", len(kept))
+        self.held = kept
+
+    def _forget_old_losses(self, now: float) -> None:
+        self.vanished = {
+            key: loss
+            for key, loss in self.vanished.items()
+            if loss.counts_until > now
+        }
+
+    def _show(self) -> None:
+        age = self.age_seconds()
+        if age is not None:
+            self.age.set({}, age)
+        self.held_entries.set({}, len(self.held))
+        for role in HostRole:
+            count = sum(1 for host in self.hosts if host.role is role)
+            self.listed.set({"role": role.value}, count)
+
+
+def _key(host: ListedHost) -> _EntryKey:
+    return _EntryKey(host.role, host.id)
+
+
+def _group(host: ListedHost) -> _Group:
+    return _Group(host.role, host.service)
+
+
+def _compare(
+    before: dict[_EntryKey, ListedHost], after: dict[_EntryKey, ListedHost]
+) -> ListChange:
+    known: Iterable[_EntryKey] = [key for key in after if key in before]
+    return ListChange(
+        added=[host for key, host in after.items() if key not in before],
+        updated=[after[key] for key in known if after[key] != before[key]],
+        removed=[host for key, host in before.items() if key not in after],
+    )
--- a/agatetack/testing/deferred_fleet.py
+++ b/agatetack/testing/deferred_fleet.py
@@ -1,8 +1,9 @@
 """Run several hosts' deferred queues over one log in memory."""
 
+import contextlib
 import dataclasses
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 
 import trio
 
@@ -185,7 +186,7 @@
         service: The log.
         work: What the targets do.
         hosts: The hosts that run now.
-        second_ends: Ends that came second, as read by hosts now gone.
+        callers: Cancel scopes of the calls that each host is serving.
     """
 
     def __init__(
@@ -201,6 +202,7 @@
         self.work = work or Work()
         self.settings = dict(settings or {})
         self.hosts: dict[HostId, FleetHost] = {}
+        self.callers: dict[HostId, set[trio.CancelScope]] = {}
         self.started = 0
 
     async def start(self, name: str | None = None) -> FleetHost:
@@ -226,8 +228,31 @@
         return found
 
     def kill(self, host: HostId) -> None:
-        """Stop a host at once, wherever its tasks are."""
+        """Stop a host at once, with the calls that it serves."""
         self.hosts.pop(host).scope.cancel()
+        for scope in self.callers.pop(host, ()):
+            scope.cancel()
+
+    @contextlib.contextmanager
+    def serving(self, host: HostId) -> Iterator[None]:
+        """Cut the call inside if the host is killed meanwhile."""
+        with trio.CancelScope() as scope:
+            self.callers.setdefault(host, set()).add(scope)
+            try:
+                yield
+            finally:
+                self.callers.get(host, set()).discard(scope)
+
+    async def drop_old_records(self) -> None:
+        """Drop records older than the retention, for ever."""
+        retention = default_settings(**self.settings).platform.log
+        while True:
+            await trio.sleep(1)
+            oldest = self.clock.wall() - retention.retention_seconds
+            for stream, records in self.service.streams.items():
+                kept = [r.offset for r in records if r.appended_at > oldest]
+                first = kept[0] if kept else self.service.ends[stream]
+                self.service.truncate(stream, first)
 
     async def _run(
         self, host: FleetHost, task_status: trio.TaskStatus[None]
--- a/agatetack/testing/memory_backend.py
+++ b/agatetack/testing/memory_backend.py
@@ -37,6 +37,7 @@
         records: The routes in force, by id.
         offset: Where the next accepted change goes.
         changes: What became of each change.
+        applied: The changes that were accepted.
         failures: Errors of the next calls of `apply`, first one first; an
             error in doubt takes effect all the same.
         unavailable: The failure of every call that needs the log, or None.
@@ -55,6 +56,7 @@
         self.records: dict[RouteId, views.RouteRecord] = {}
         self.offset = LogOffset(0)
         self.changes: dict[ChangeId, views.Change] = {}
+        self.applied: dict[ChangeId, RequestedChange] = {}
         self.failures: list[refusals.OperatorsError] = []
         self.unavailable: refusals.Unavailable | None = None
         self.peers: list[views.HostView] = []
@@ -121,6 +123,11 @@
     ) -> Result[LogOffset, refusals.OperatorsError]:
         """Store the change, unless a failure is scripted."""
         await trio.lowlevel.checkpoint()
+        earlier = self.applied.get(change.id)
+        if earlier is not None and not _same(earlier, change):
+            return Failure(_id_reused(change))
+        if earlier is not None:
+            return Success(self.changes[change.id].version)
         failure = self.failures.pop(0) if self.failures else self.unavailable
         if failure is not None and not isinstance(
             failure, refusals.ChangeInDoubt
@@ -132,6 +139,7 @@
         else:
             del self.records[change.route.id]
             self.offset = LogOffset(version + 1)
+        self.applied[change.id] = change
         self.changes[change.id] = views.Change(
             change.id,
             ChangeState.ACCEPTED,
@@ -231,3 +239,18 @@
             stored, self.offset, author, change, int(time.time() * 1000)
         )
         self.offset = LogOffset(self.offset + 1)
+
+
+def _same(one: RequestedChange, other: RequestedChange) -> bool:
+    """Return whether both ask for the same, whoever asks."""
+    if one.kind is ChangeKind.DELETE:
+        one = dataclasses.replace(one, route=other.route)
+    return dataclasses.replace(one, author=other.author) == other
+
+
+def _id_reused(change: RequestedChange) -> refusals.ChangeRejected:
+    return refusals.ChangeRejected(
+        views.ChangeRejection.CHANGE_ID_REUSED,
+        "the id was used for another change",
+        change.id,
+    )
--- a/agatetack/testing/memory_log.py
+++ b/agatetack/testing/memory_log.py
@@ -6,7 +6,7 @@
 import trio
 
 from agatetack.clock import Clock, SystemClock
-from agatetack.ids import Deadline, LogOffset, StreamId
+from agatetack.ids import Deadline, LogOffset, StreamId, WallTime
 from agatetack.platform.log import (
     Log,
     LogOutcomeUnknown,
@@ -39,6 +39,8 @@
         delay_seconds: How long each call takes.
         next_appends: Faults of the next appends, first one first.
         late_seconds: When an append that lands late takes effect.
+        appends_per_second: Appends taken from all hosts together, or 0 for
+            no limit; one more in the same second is refused as too fast.
     """
 
     outage: bool = False
@@ -46,6 +48,7 @@
     delay_seconds: float = 0.0
     next_appends: list[AppendFault] = dataclasses.field(default_factory=list)
     late_seconds: float = 1.0
+    appends_per_second: float = 0.0
 
 
 class MemoryLogService:
@@ -66,6 +69,21 @@
         self.appends = 0
         self.faults = LogFaults()
         self.changed = trio.Event()
+        self.paced_until = 0.0
+
+    def pace(self) -> None:
+        """Refuse an append that comes faster than the faults allow.
+
+        Raises:
+            LogTooFast: More than a second's appends came within a second.
+        """
+        rate = self.faults.appends_per_second
+        if not rate:
+            return
+        now = trio.current_time()
+        if self.paced_until > now + 1:
+            raise LogTooFast(Deadline(self.paced_until - 1))
+        self.paced_until = max(self.paced_until, now) + 1 / rate
 
     def store(self, stream: StreamId, payload: bytes) -> LogOffset:
         """Append at once and wake waiting readers."""
@@ -90,6 +108,12 @@
         records = self.streams.get(stream, [])
         self.streams[stream] = [r for r in records if r.offset >= first]
 
+    def expire(self, before: WallTime) -> None:
+        """Forget the records that were appended before wall time `before`."""
+        for stream, records in self.streams.items():
+            kept = [r for r in records if r.appended_at >= before]
+            self.streams[stream] = kept
+
 
 class MemoryLog(Log):
     """One host's client of a `MemoryLogService`, with faults of its own."""
@@ -112,6 +136,7 @@
     ) -> LogOffset:
         """Append one record, unless a fault is scripted."""
         await self._pass_faults(deadline, appending=True)
+        self.service.pace()
         fault = AppendFault.NONE
         for faults in (self.faults, self.service.faults):
             if faults.next_appends:
