--- /dev/null
+++ b/agatetack/gateway.py
@@ -0,0 +1,200 @@
+"""Wire the slices of one host together and run them."""
+
+import dataclasses
+import random
+
+import trio
+
+from agatetack.admission.service import ServiceAdmission
+from agatetack.attempts.once import OnceRunner
+from agatetack.attempts.race import AttemptRunner
+from agatetack.attempts.single import SingleAttempt
+from agatetack.balance.policies import make_policy
+from agatetack.callers.server import CallerServer
+from agatetack.claims.log_store import LogClaimStore
+from agatetack.clock import Clock, SystemClock
+from agatetack.config.route import RequestClass, RouteSource
+from agatetack.config.store import ConfigStore
+from agatetack.deferred.log_queue import LogDeferredQueue
+from agatetack.logs import PartLog
+from agatetack.measure.http_probe import HttpProbe
+from agatetack.measure.prober import Prober
+from agatetack.metrics import Metrics
+from agatetack.peers.mesh import PeerExchange
+from agatetack.platform.directory import HostDirectory, ListChange
+from agatetack.platform.host_list import HostList
+from agatetack.platform.http_host_list import HttpHostList
+from agatetack.platform.http_log import HttpLog
+from agatetack.platform.log import Log
+from agatetack.quarantine.liveness import PoolLivenessCheck
+from agatetack.quarantine.local_tracker import LocalCrashTracker
+from agatetack.serving.dispatcher import Dispatcher
+from agatetack.serving.explain import Explanations
+from agatetack.serving.runners import (
+    DeferredRunner,
+    FastRunner,
+    LowPriorityExecutor,
+    OnceClassRunner,
+    WholeRunner,
+)
+from agatetack.serving.tickets import TicketHandler
+from agatetack.settings.model import Settings
+from agatetack.targets.http_client import HttpTargetClient
+from agatetack.targets.registry import TargetRegistry
+
+log = PartLog("gateway")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayPorts:
+    """The ports that a host listens on."""
+
+    callers: int
+    peers: int
+
+
+class Gateway:
+    """One host: every slice, wired; `run` serves until it is cancelled.
+
+    Attributes:
+        settings: The host's settings.
+        metrics: The host's counters.
+        routes: The routes in force.
+        registry: The targets.
+        config: Changes of routes.
+        claims: Who may run which never-repeated request.
+        deferred: Requests that may wait.
+        peers: The other hosts.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform_log: Log,
+        host_list: HostList,
+        clock: Clock | None = None,
+    ):
+        """Build every slice; nothing runs before `run`.
+
+        Args:
+            settings: The host's settings.
+            platform_log: The platform's log.
+            host_list: The platform's list of hosts.
+            clock: The host's clocks; the system's if None.
+        """
+        clock = clock or SystemClock()
+        self.settings = settings
+        self.clock = clock
+        self.metrics = Metrics()
+        self.directory = HostDirectory(settings, host_list, self.metrics)
+        self.peers = PeerExchange(settings, self.directory, self.metrics, clock)
+        self.routes = RouteSource()
+        self.config = ConfigStore(
+            settings, platform_log, self.peers, self.routes, self.metrics, clock
+        )
+        self._build_target_side()
+        self.claims = LogClaimStore(
+            settings, platform_log, self.peers, self.metrics, clock
+        )
+        self.deferred = LogDeferredQueue(
+            settings,
+            platform_log,
+            self.peers,
+            self.routes,
+            LowPriorityExecutor(settings, self.attempts),
+            self.metrics,
+            clock,
+        )
+        self._build_caller_side()
+
+    def _build_target_side(self) -> None:
+        settings, metrics = self.settings, self.metrics
+        self.registry = TargetRegistry(settings, metrics)
+        self.directory.on_change(self._targets_listed)
+        seed = random.SystemRandom().getrandbits(63)
+        self.admission = ServiceAdmission(
+            settings,
+            self.registry,
+            make_policy(settings, seed),
+            metrics,
+            self.peers.fleet_size,
+        )
+        self.client = HttpTargetClient(settings, self.registry)
+        self.prober = Prober(
+            settings,
+            self.registry,
+            self.peers,
+            metrics,
+            HttpProbe(settings),
+            seed,
+        )
+        self.crashes = LocalCrashTracker(
+            settings, self.peers, PoolLivenessCheck(self.client.pools), metrics
+        )
+        self.single = SingleAttempt(
+            settings, self.client, self.crashes, metrics
+        )
+        self.attempts = AttemptRunner(
+            settings, self.admission, self.single, metrics
+        )
+
+    def _build_caller_side(self) -> None:
+        settings, metrics = self.settings, self.metrics
+        once = OnceRunner(
+            settings, self.claims, self.admission, self.single, metrics
+        )
+        self.explanations = Explanations()
+        self.dispatcher = Dispatcher(
+            settings,
+            self.routes,
+            {
+                RequestClass.FAST: FastRunner(self.attempts),
+                RequestClass.ONCE: OnceClassRunner(once),
+                RequestClass.WHOLE: WholeRunner(self.attempts, metrics),
+                RequestClass.DEFERRED: DeferredRunner(settings, self.deferred),
+            },
+            TicketHandler(settings, self.deferred, metrics),
+            self.crashes,
+            self.explanations,
+            metrics,
+        )
+        self.callers = CallerServer(settings, self.dispatcher, metrics)
+
+    def _targets_listed(self, change: ListChange) -> None:
+        self.registry.update(self.directory.targets())
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[GatewayPorts] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; the ports are reported once all listen."""
+        async with trio.open_nursery() as nursery:
+            peers_port = await nursery.start(self.peers.run)
+            await nursery.start(self.directory.run)
+            await nursery.start(self.config.run)
+            await nursery.start(self.claims.run)
+            await nursery.start(self.deferred.run)
+            await nursery.start(self.prober.run)
+            nursery.start_soon(self.crashes.run)
+            nursery.start_soon(self.client.pools.close_old)
+            callers_port = await nursery.start(self.callers.run)
+            log.info("Callers are served on port %d.", callers_port)
+            task_status.started(GatewayPorts(callers_port, peers_port))
+
+
+async def run_gateway(settings: Settings) -> int:
+    """Run one host with the platform's services, until it is stopped.
+
+    Returns:
+        The exit status of the process.
+    """
+    platform_log = HttpLog(settings)
+    host_list = HttpHostList(settings)
+    gateway = Gateway(settings, platform_log, host_list)
+    try:
+        await gateway.run()
+    finally:
+        with trio.CancelScope(shield=True), trio.move_on_after(1):
+            await platform_log.aclose()
+            await host_list.aclose()
+    return 0
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -98,7 +98,7 @@
         self.budget = ByteBudget(settings.peers.bytes_per_second)
         self.connector = Connector(self, self.random)
         self.nursery: trio.Nursery | None = None
-        directory.on_change(self.connector.view_changed)
+        directory.on_change(self._list_changed)
 
     async def run(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
@@ -119,6 +119,9 @@
             nursery.start_soon(self._announce)
             task_status.started(self.port)
 
+    def _list_changed(self, *_: object) -> None:
+        self.connector.view_changed()
+
     def publish(self, topic: Topic, payload: bytes) -> None:
         """Send to every connected peer; dropped when over the byte budget."""
         self._publish(topic.value, payload)
