Drain a host without cutting what is in flight

Cause: hosts are replaced at any time, and neither a request nor a half-delivered export may be lost by it. Change: Lifecycle holds the phase, the requests in flight until their answer is closed, readiness with its reason, and the drain: readiness off and leaving hooks at once, closing hooks after the notice, flushes, a report of what was cut; a second signal ends it at once. All deadlines are monotonic. Conclusion: ready to be wired to listeners, peers and flushes.

--- /dev/null
+++ b/agatetack/lifecycle/drain.py
@@ -0,0 +1,246 @@
+"""Take a host from its start to its end without cutting requests.
+
+All times are deadlines on the monotonic clock, so that a jump of the wall
+clock moves none of them.
+"""
+
+import dataclasses
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+
+import trio
+
+from agatetack.clock import Clock
+from agatetack.ids import Deadline
+from agatetack.lifecycle.in_flight import InFlight, InFlightRequests
+from agatetack.lifecycle.phase import Phase
+from agatetack.lifecycle.readiness import (
+    NotReady,
+    NotReadyReason,
+    ReadinessView,
+    not_measured,
+)
+from agatetack.logs import PartLog
+from agatetack.metrics import Metrics
+from agatetack.settings.model import Settings
+
+READY_POLL_SECONDS = 0.02
+"""How often a starting host looks whether it is ready."""
+
+FLUSH_SHARE = 0.1
+"""Share of the drain's time kept for flushes, when requests don't end."""
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""The first of these starts the drain, the second ends it."""
+
+LOG = PartLog("lifecycle")
+
+Hook = Callable[[], None]
+"""Called once at its step of the drain; must not block or raise."""
+
+Flush = Callable[[Deadline], Awaitable[None]]
+"""Finishes or hands over what is kept, until the deadline at the latest."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainReport:
+    """How a drain ended.
+
+    Attributes:
+        cut: Requests that were still in flight.
+        unfinished: Names of the flushes that did not end.
+    """
+
+    cut: Sequence[InFlight]
+    unfinished: Sequence[str]
+
+    @property
+    def exit_code(self) -> int:
+        """Return 0 if nothing was cut, else 1."""
+        return 1 if self.cut or self.unfinished else 0
+
+
+class Lifecycle:
+    """How far one host is between its start and its end.
+
+    Attributes:
+        phase: How far the host is.
+        in_flight: The requests being served.
+        closing: Set when listeners close and connections end politely.
+        drain_until: When what is in flight is cut, or None before the drain.
+    """
+
+    def __init__(self, settings: Settings, metrics: Metrics, clock: Clock):
+        """Start with a host that is not ready."""
+        self.settings = settings.lifecycle
+        self.clock = clock
+        self.phase = Phase.STARTING
+        self.in_flight = InFlightRequests()
+        self.closing = trio.Event()
+        self.drain_until: Deadline | None = None
+        self.warm_until: Deadline | None = None
+        self.view: ReadinessView | None = None
+        self.leaving_hooks: list[Hook] = []
+        self.closing_hooks: list[Hook] = []
+        self.flushes: dict[str, Flush] = {}
+        self.unflushed: list[str] = []
+        self.phase_gauge = metrics.gauge(
+            "agatetack_phase", "1 for the phase the host is in, else 0."
+        )
+        self.cut_counter = metrics.counter(
+            "agatetack_cut_requests_total",
+            "Requests cut by the end of a drain, by route.",
+        )
+        self._enter(Phase.STARTING)
+
+    @property
+    def accepting(self) -> bool:
+        """Return whether new connections are accepted."""
+        return not self.closing.is_set()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether this host may get requests."""
+        return self.phase is Phase.READY
+
+    def on_leaving(self, hook: Hook) -> None:
+        """Call `hook` as soon as the drain begins."""
+        self.leaving_hooks.append(hook)
+
+    def on_closing(self, hook: Hook) -> None:
+        """Call `hook` when listeners close and keep-alive ends politely."""
+        self.closing_hooks.append(hook)
+
+    def add_flush(self, name: str, flush: Flush) -> None:
+        """Run `flush` after the last request; cut ones are named `name`."""
+        self.flushes[name] = flush
+        self.unflushed.append(name)
+
+    def not_ready(self) -> NotReady | None:
+        """Return why this host may get no requests, or None."""
+        if self.phase is Phase.READY:
+            return None
+        if self.phase is Phase.DRAINING:
+            return NotReady(NotReadyReason.DRAINING, "This host is leaving.")
+        if self.phase is Phase.STOPPED:
+            return NotReady(NotReadyReason.STOPPED, "This host has stopped.")
+        return self._not_started()
+
+    async def run_until_ready(self, view: ReadinessView) -> None:
+        """Become ready as soon as `view` allows; return then.
+
+        A host that once was ready stays so until it drains, as a new route
+        must not take a working host out of service.
+        """
+        self.view = view
+        while self.phase is Phase.STARTING:
+            if self._not_started() is None:
+                self._enter(Phase.READY)
+                return
+            await trio.sleep(READY_POLL_SECONDS)
+
+    async def run_until_stopped(self) -> DrainReport:
+        """Wait for a signal, drain, and return what was cut.
+
+        A second signal ends the drain at once.
+        """
+        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+            return await self.drain_on(signals)
+
+    async def drain_on(self, signals: AsyncIterator[int]) -> DrainReport:
+        """Drain at the first of `signals`; end that at the second."""
+        await anext(signals)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_on, signals, nursery.cancel_scope)
+            report = await self.drain()
+            nursery.cancel_scope.cancel()
+            return report
+        return self._stop()
+
+    async def drain(self) -> DrainReport:
+        """Let every request in flight end, and return what was cut.
+
+        Readiness is off at once and leaving is announced. Connections are
+        still accepted for `notice_seconds`, as the platform's balancer goes
+        on sending until it has noticed.
+        """
+        now = self.clock.now()
+        self.drain_until = Deadline(now + self.settings.drain_seconds)
+        notice_until = Deadline(now + self.settings.notice_seconds)
+        self._enter(Phase.DRAINING)
+        for hook in self.leaving_hooks:
+            hook()
+        await trio.sleep_until(min(notice_until, self.drain_until))
+        self.closing.set()
+        for hook in self.closing_hooks:
+            hook()
+        with trio.move_on_at(self._flush_at()):
+            await self.in_flight.wait_empty()
+        await self._flush()
+        # A request that outlasted the flushes may still end in time.
+        with trio.move_on_at(self.drain_until):
+            await self.in_flight.wait_empty()
+        return self._stop()
+
+    def _flush_at(self) -> Deadline:
+        """Return when flushes begin, even with requests in flight."""
+        kept = FLUSH_SHARE * self.settings.drain_seconds
+        return Deadline(self.drain_until - (kept if self.flushes else 0))
+
+    def _not_started(self) -> NotReady | None:
+        if self.view is None or not self.view.configured():
+            return NotReady(
+                NotReadyReason.NO_CONFIGURATION,
+                "This host has no configuration yet.",
+            )
+        if self.warm_until is None:
+            seconds = self.settings.warm_up_seconds
+            self.warm_until = Deadline(self.clock.now() + seconds)
+        routes = self.view.unmeasured_routes()
+        if routes and self.clock.now() < self.warm_until:
+            return not_measured(routes)
+        return None
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        for each in Phase:
+            self.phase_gauge.set({"phase": each.value}, int(each is phase))
+        LOG.info("The host is %s.", phase.value)
+
+    async def _flush(self) -> None:
+        """Run all flushes at the same time, until the drain's deadline."""
+        with trio.move_on_at(self.drain_until):
+            async with trio.open_nursery() as nursery:
+                for name, flush in self.flushes.items():
+                    nursery.start_soon(self._flush_one, name, flush)
+
+    async def _flush_one(self, name: str, flush: Flush) -> None:
+        try:
+            await flush(self.drain_until)
+        except Exception as error:
+            # The others have to be flushed all the same.
+            LOG.error("The flush of %s failed: %r.", name, error)
+        else:
+            self.unflushed.remove(name)
+
+    async def _end_on(
+        self, signals: AsyncIterator[int], scope: trio.CancelScope
+    ) -> None:
+        await anext(signals)
+        LOG.warning("A second signal ends the drain at once.")
+        scope.cancel()
+
+    def _stop(self) -> DrainReport:
+        report = DrainReport(self.in_flight.all(), self.unflushed)
+        for request in report.cut:
+            self.cut_counter.inc({"route": request.route or "-"})
+            LOG.error(
+                "Request %s of route %s was cut while %s.",
+                request.request_id,
+                request.route or "-",
+                request.stage.value,
+            )
+        for name in report.unfinished:
+            LOG.error("The flush of %s did not end.", name)
+        self._enter(Phase.STOPPED)
+        return report
