--- a/agatetack/config/sharing.py
+++ b/agatetack/config/sharing.py
@@ -36,6 +36,9 @@
 MAX_FETCH_CALLS = 2048
 """Most calls to one peer in a row; a sound peer needs far fewer."""
 
+MIN_NOTICE_SECONDS = 0.2
+"""Shortest time between two notices to the peers."""
+
 GOSSIP_ROUNDS = 1.5
 """Rounds of gossip in which every live peer should be heard."""
 
@@ -74,7 +77,7 @@
         state: ConfigState,
         clock: Clock,
     ):
-        """Answer peers from now on; `run` does the rest."""
+        """Answer peers from now on; `announce` and `fetch` do the rest."""
         self.settings = settings.config
         self.exchange = exchange
         self.state = state
@@ -87,12 +90,6 @@
         exchange.subscribe(Topic.CONFIG_OFFSET, self._offset_came)
         exchange.serve(Topic.CONFIG_FETCH, self._answer_fetch)
 
-    async def run(self) -> None:
-        """Tell peers how far this host is, and fetch what it lacks."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._announce)
-            nursery.start_soon(self._fetch)
-
     def publish_from(self, version: LogOffset) -> None:
         """Send the record at `version` and all newer ones to every peer."""
         batch = self._batch_after(LogOffset(version - 1))
@@ -109,12 +106,15 @@
             return
         self.state.counters.problem(Problem.NOT_ACKNOWLEDGED)
 
-    async def _announce(self) -> None:
+    async def announce(self) -> None:
+        """Tell peers how far this host is, for ever."""
         while True:
             changed = self.state.changed
             if self.state.ready:
                 notice = encode(self._notice())
                 self.exchange.publish(Topic.CONFIG_OFFSET, notice)
+            # In a burst of changes one notice stands for many.
+            await trio.sleep(MIN_NOTICE_SECONDS)
             with trio.move_on_after(self.settings.gossip_seconds):
                 await changed.wait()
 
@@ -161,7 +161,8 @@
             return
         self.state.take(batch, Source.PEER)
 
-    async def _fetch(self) -> None:
+    async def fetch(self) -> None:
+        """Fetch from peers what this host lacks, for ever."""
         while True:
             heard_more = self.heard_more
             if not self._ahead():
--- a/agatetack/config/store.py
+++ b/agatetack/config/store.py
@@ -88,7 +88,8 @@
         """Follow the log and the peers for ever; one task each."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.tail.run)
-            nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self.sharing.announce)
+            nursery.start_soon(self.sharing.fetch)
             nursery.start_soon(self.writer.run)
             task_status.started()
 
--- a/agatetack/config/tail.py
+++ b/agatetack/config/tail.py
@@ -15,7 +15,11 @@
 
 
 class LogTail:
-    """One host's reader of the configuration stream."""
+    """One host's reader of the configuration stream.
+
+    Attributes:
+        outage: Whether the last read failed; logged once, counted each time.
+    """
 
     def __init__(
         self, settings: Settings, log: Log, state: ConfigState, clock: Clock
@@ -25,6 +29,7 @@
         self.log = log
         self.state = state
         self.clock = clock
+        self.outage = False
 
     async def run(self) -> None:
         """Load the newest snapshot, then follow the stream for ever."""
@@ -45,9 +50,7 @@
                     )
                     await self._pause()
             except LogError as error:
-                self.state.problem(
-                    Problem.LOG_UNAVAILABLE, "could not read: %s.", error
-                )
+                self._begin_outage(error)
                 await self._pause()
 
     async def read(self, wait_seconds: float) -> bool:
@@ -70,6 +73,7 @@
             Deadline(until + self.settings.timeout_seconds),
             wait_until=until,
         )
+        self._end_outage()
         if page.records:
             self._take(page)
         if self.state.fold.version + 1 < page.end:
@@ -108,12 +112,21 @@
                 self.settings.timeout_seconds,
             )
         except LogError as error:
-            self.state.problem(
-                Problem.LOG_UNAVAILABLE, "could not read snapshots: %s.", error
-            )
+            self._begin_outage(error)
             return False
         return fold is not None and self.state.load(fold, Source.LOG)
 
+    def _begin_outage(self, error: LogError) -> None:
+        self.state.counters.problem(Problem.LOG_UNAVAILABLE)
+        if not self.outage:
+            self.state.log.warning("cannot read the log: %s.", error)
+        self.outage = True
+
+    def _end_outage(self) -> None:
+        if self.outage:
+            self.state.log.info("can read the log again.")
+        self.outage = False
+
     async def _pause(self) -> None:
         # Hosts that failed together should not all ask again together.
         await trio.sleep(self.settings.poll_seconds * random.uniform(0.3, 1))
