Refuse request framing that others may read differently

Cause: table tests of smuggling shapes. An unknown transfer coding, a header over the bound that came in one piece, and a chunked body over the bound that had fully arrived were all answered 200. Change: only `chunked` in HTTP/1.1 is taken; bounds hold wherever the bytes are cut. Conclusion: the parser's own strictness is not enough; the checks stay ours.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -263,7 +263,7 @@
     async def _hold_body(self, parsed: ParsedRequest) -> Body:
         """Return the body in memory if it is small, else as a stream."""
         body = parsed.body
-        if body.complete:
+        if body.complete and body.received <= self.settings.max_body_bytes:
             return BytesBody(body.receive_nowait() or b"")
         bound = self.settings.replay_body_bytes
         if body.length is not None and body.length <= bound:
--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -146,18 +146,23 @@
         if self.in_head and not self.broken:
             self.head_bytes += len(data)
             self.head_too_large |= self.head_bytes > 2 * self.max_header_bytes
-        if self.head_too_large and not self.broken:
-            self._break(
-                RefusalReason.HEADERS_TOO_LARGE,
-                f"A header takes at most {self.max_header_bytes} bytes.",
-            )
+        if self.head_too_large:
+            self._break_too_large()
 
     def end(self) -> None:
         """Take the end of the connection's bytes."""
         if self.body is not None:
             self.body.lose()
 
+    def _break_too_large(self) -> None:
+        self._break(
+            RefusalReason.HEADERS_TOO_LARGE,
+            f"A header takes at most {self.max_header_bytes} bytes.",
+        )
+
     def _break(self, reason: RefusalReason, detail: str) -> None:
+        if self.broken:
+            return
         self.broken = True
         if self.body is not None:
             self.body.lose()
@@ -191,7 +196,18 @@
 
     def on_headers_complete(self) -> None:
         """Offer the request to the handler; called by the parser."""
+        if self.broken:
+            return
         self.in_head = False
+        if self.head_too_large:
+            self._break_too_large()
+            return
+        if not self._framing_is_clear():
+            self._break(
+                RefusalReason.MALFORMED_REQUEST,
+                "Only the transfer coding `chunked` is taken, in HTTP/1.1.",
+            )
+            return
         self.in_trailer = True
         head = RequestHead(
             method=self.parser.get_method(),
@@ -208,6 +224,18 @@
                 request.expects_continue = True
         self.ready.append(request)
 
+    def _framing_is_clear(self) -> bool:
+        """Return whether everyone would see the body end at the same byte.
+
+        The parser takes a coding that it does not know for no body, and
+        others may not (RFC 9112, 6.1).
+        """
+        for name, value in self.headers:
+            if name == b"transfer-encoding":
+                version = self.parser.get_http_version()
+                return value.strip().lower() == b"chunked" and version == "1.1"
+        return True
+
     def on_body(self, data: bytes) -> None:
         """Take body bytes; called by the parser."""
         if self.body is not None:
--- a/agatetack/demo.py
+++ b/agatetack/demo.py
@@ -103,13 +103,13 @@
     async with contextlib.AsyncExitStack() as stack:
         nursery = await stack.enter_async_context(trio.open_nursery())
         hosts = MemoryHostList()
-        platform = await nursery.start(
+        platform_port = await nursery.start(
             serve_platform, MemoryLogService(), hosts
         )
         demo = Demo([], [], [])
         await _start_targets(demo, hosts, nursery)
         for number in range(GATEWAYS):
-            settings = _settings(number, platform.port)
+            settings = _settings(number, platform_port)
             await _start_gateway(demo, settings, hosts, nursery, stack)
         try:
             yield demo
