--- a/agatetack/logs.py
+++ b/agatetack/logs.py
@@ -61,6 +61,6 @@
     # Without this absl warns on each start that its flags are not parsed.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.set_verbosity(settings.level)
+    logging.set_verbosity(settings.level.value)
     if settings.json_lines:
         logging.get_absl_handler().setFormatter(JsonFormatter())
