--- a/agatetack/targets/connection.py
+++ b/agatetack/targets/connection.py
@@ -15,6 +15,10 @@
     """No connection could be opened; no byte was sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """Nothing listens at the target's address any more."""
+
+
 class TargetConnection:
     """One connection; used for one request at a time.
 
@@ -85,6 +89,9 @@
     try:
         with trio.move_on_at(deadline) as scope:
             await sock.connect((target.ip, target.port))
+    except ConnectionRefusedError as error:
+        sock.close()
+        raise ConnectRefused(str(error)) from error
     except OSError as error:
         sock.close()
         raise ConnectFailed(str(error)) from error
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -20,7 +20,11 @@
     AttemptFailure,
     TargetClient,
 )
-from agatetack.targets.connection import ConnectFailed, TargetConnection
+from agatetack.targets.connection import (
+    ConnectFailed,
+    ConnectRefused,
+    TargetConnection,
+)
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool, TargetPools
 from agatetack.targets.registry import LeavingSign, TargetRegistry
@@ -89,6 +93,10 @@
         try:
             return await pool.open(attempt.target, attempt.deadline)
         except ConnectFailed as error:
+            if isinstance(error, ConnectRefused):
+                self.registry.note_leaving(
+                    attempt.target, LeavingSign.CONNECT_REFUSED
+                )
             log.request(
                 attempt.request.request_id,
                 "No connection to %s: %s.",
@@ -289,7 +297,7 @@
 
 
 def _broken_reason(parser: AnswerParser) -> RefusalReason:
-    if parser.headers or parser.head_bytes:
+    if parser.head_bytes:
         return RefusalReason.ANSWER_MALFORMED
     return RefusalReason.CONNECTION_LOST
 
--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -32,6 +32,7 @@
         length: The announced Content-Length, or None.
         parts: Body bytes not yet taken.
         stray: Whether bytes came that belong to no answer.
+        head_bytes: Bytes received until the header was complete.
     """
 
     def __init__(self, method: bytes, max_header_bytes: int):
@@ -54,14 +55,17 @@
         if self.state is AnswerState.COMPLETE:
             self.stray = True
             return
+        if self.state is AnswerState.HEAD:
+            self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._break_unless_complete()
-        if self.state is AnswerState.HEAD:
-            self.head_bytes += len(data)
-            if self.head_bytes > self.max_header_bytes:
-                self.state = AnswerState.BROKEN
+        if (
+            self.state is AnswerState.HEAD
+            and self.head_bytes > self.max_header_bytes
+        ):
+            self.state = AnswerState.BROKEN
 
     def _break_unless_complete(self) -> None:
         if self.state is AnswerState.COMPLETE:
--- /dev/null
+++ b/agatetack/testing/raw_target.py
@@ -0,0 +1,83 @@
+"""Stand in for a target that sends exactly the bytes a test gives."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from agatetack.ids import FailureDomain, ServiceId, TargetId
+from agatetack.targets.state import TargetState, TargetStatus
+
+LOOPBACK = "127.0.0.1"
+
+Script = Callable[[trio.SocketStream, int], Awaitable[None]]
+"""Serves one connection; takes its stream and its number, from 0."""
+
+
+@dataclasses.dataclass(slots=True)
+class RawTarget:
+    """A listener whose connections are served by a script.
+
+    Attributes:
+        script: What each connection does.
+        connections: Connections accepted so far.
+        received: Bytes received, by connection.
+    """
+
+    script: Script
+    connections: int = 0
+    received: list[bytes] = dataclasses.field(default_factory=list)
+
+    async def serve(
+        self,
+        task_status: trio.TaskStatus[TargetState] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen on a port the kernel chooses; reports the target's state."""
+        listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+        port = listeners[0].socket.getsockname()[1]
+        state = TargetState(
+            id=TargetId(f"{LOOPBACK}:{port}"),
+            service=ServiceId("service"),
+            ip=LOOPBACK,
+            port=port,
+            failure_domain=FailureDomain("domain-a"),
+            status=TargetStatus.READY,
+        )
+        await trio.serve_listeners(
+            self._serve_one,
+            listeners,
+            task_status=_Reports(task_status, state),
+        )
+
+    async def _serve_one(self, stream: trio.SocketStream) -> None:
+        number = self.connections
+        self.connections += 1
+        self.received.append(b"")
+        try:
+            await self.script(stream, number)
+        except trio.BrokenResourceError:
+            return
+
+    async def read_head(self, stream: trio.SocketStream, number: int) -> bytes:
+        """Return what was received up to the end of one header."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = await stream.receive_some()
+            if not part:
+                break
+            data += part
+        self.received[number] += data
+        return data
+
+
+class _Reports:
+    """Reports the target's state where trio would report the listeners."""
+
+    def __init__(
+        self, task_status: trio.TaskStatus[TargetState], state: TargetState
+    ):
+        self.task_status = task_status
+        self.state = state
+
+    def started(self, value: object = None) -> None:
+        self.task_status.started(self.state)
