Test the administration API and bound its JSON reader

Cause: the API was thin and only one call was tested; fuzzing then found that the library's JSON reader takes the end of its input for one more digit, so a message cut within a number (as short as two bytes, and before any token is looked at) keeps a host busy until the reader's 100 MB limit of a string.

--- a/agatetack/operators/convert.py
+++ b/agatetack/operators/convert.py
@@ -19,6 +19,7 @@
 from agatetack.operators import refusals, views
 from agatetack.operators.views import Finding
 from agatetack.outcomes import Outcome, RefusalReason, RetryReason
+from agatetack.settings.model import OperatorRole
 from agatetack.targets.state import ReportSource, TargetStatus
 
 ENUMS: dict[type[enum.Enum], type] = {
@@ -30,6 +31,7 @@
     Phase: ttypes.Phase,
     TargetStatus: ttypes.TargetStatus,
     ReportSource: ttypes.ReportSource,
+    OperatorRole: ttypes.Role,
     views.ChangeState: ttypes.ChangeState,
     views.ChangeRejection: ttypes.ChangeRejection,
     views.ChangeKind: ttypes.ChangeKind,
@@ -68,21 +70,25 @@
     return struct_class(**fields)
 
 
-def from_thrift(struct: Any, value_class: type, place: str = "") -> Any:
+def from_thrift(
+    struct: Any, value_class: type, place: str = "", lenient: bool = False
+) -> Any:
     """Return a `value_class` with the fields of a struct.
 
     Args:
         struct: A generated struct.
         value_class: The dataclass to build.
         place: Where the struct stands, for the findings.
+        lenient: Whether an optional field with an enum number that is not
+            known here is left out, as a newer daemon may send one.
 
     Raises:
         FieldProblems: Fields are missing or hold unknown enum numbers.
     """
-    findings: list[Finding] = []
-    value = _read_struct(struct, value_class, place, findings)
-    if findings:
-        raise FieldProblems(findings)
+    reader = _Reader(lenient)
+    value = reader.read_struct(struct, value_class, place)
+    if reader.findings:
+        raise FieldProblems(reader.findings)
     return value
 
 
@@ -108,48 +114,59 @@
     return typing.get_type_hints(value_class)
 
 
-def _read_struct(
-    struct: Any, value_class: type, place: str, findings: list[Finding]
-) -> Any:
-    known = {spec[2] for spec in struct.thrift_spec if spec is not None}
-    values = {}
-    for field in dataclasses.fields(value_class):
-        name = THRIFT_NAMES.get(field.name, field.name)
-        if name not in known:
-            continue
-        raw = getattr(struct, name)
-        at = f"{place}.{name}" if place else name
-        if raw is not None:
-            hint = _hints(value_class)[field.name]
-            values[field.name] = _read(raw, hint, at, findings)
-        elif field.default is dataclasses.MISSING:
-            findings.append(Finding(at, "is missing"))
-    return None if findings else value_class(**values)
-
-
-def _read(raw: Any, hint: Any, place: str, findings: list[Finding]) -> Any:
-    hint = _bare_type(hint)
-    if typing.get_origin(hint) is tuple:
-        item_hint = typing.get_args(hint)[0]
-        return tuple(
-            _read(item, item_hint, f"{place}[{index}]", findings)
-            for index, item in enumerate(raw)
-        )
-    if isinstance(hint, type) and issubclass(hint, enum.Enum):
-        return _read_enum(raw, hint, place, findings)
-    if dataclasses.is_dataclass(hint):
-        return _read_struct(raw, hint, place, findings)
-    return raw
-
-
-def _read_enum(
-    raw: int, hint: type[enum.Enum], place: str, findings: list[Finding]
-) -> enum.Enum | None:
-    name = ENUMS[hint]._VALUES_TO_NAMES.get(raw)
-    if name is None or name not in hint.__members__:
-        findings.append(Finding(place, f"{raw} is not a known number"))
-        return None
-    return hint[name]
+class _Reader:
+    """Reads structs and collects what is wrong with them."""
+
+    def __init__(self, lenient: bool):
+        self.lenient = lenient
+        self.findings: list[Finding] = []
+
+    def read_struct(self, struct: Any, value_class: type, place: str) -> Any:
+        """Return the value, or None if anything was wrong so far."""
+        known = {spec[2] for spec in struct.thrift_spec if spec is not None}
+        values = {}
+        for field in dataclasses.fields(value_class):
+            name = THRIFT_NAMES.get(field.name, field.name)
+            if name not in known:
+                continue
+            at = f"{place}.{name}" if place else name
+            optional = field.default is not dataclasses.MISSING
+            raw = getattr(struct, name)
+            if raw is None:
+                if not optional:
+                    self.findings.append(Finding(at, "is missing"))
+                continue
+            hint = _bare_type(_hints(value_class)[field.name])
+            if not (self.lenient and optional and _is_strange(raw, hint)):
+                values[field.name] = self._read(raw, hint, at)
+        return None if self.findings else value_class(**values)
+
+    def _read(self, raw: Any, hint: Any, place: str) -> Any:
+        if typing.get_origin(hint) is tuple:
+            item_hint = _bare_type(typing.get_args(hint)[0])
+            return tuple(
+                self._read(item, item_hint, f"{place}[{index}]")
+                for index, item in enumerate(raw)
+            )
+        if dataclasses.is_dataclass(hint):
+            return self.read_struct(raw, hint, place)
+        if _is_strange(raw, hint):
+            self.findings.append(Finding(place, f"{raw} is not known"))
+            return None
+        return hint[_enum_name(raw, hint)] if _is_enum(hint) else raw
+
+
+def _is_enum(hint: Any) -> bool:
+    return isinstance(hint, type) and issubclass(hint, enum.Enum)
+
+
+def _enum_name(number: int, hint: type[enum.Enum]) -> str | None:
+    return ENUMS[hint]._VALUES_TO_NAMES.get(number)
+
+
+def _is_strange(raw: Any, hint: Any) -> bool:
+    """Return whether `raw` is a number that the enum `hint` lacks."""
+    return _is_enum(hint) and _enum_name(raw, hint) not in hint.__members__
 
 
 def _bare_type(hint: Any) -> Any:
--- a/agatetack/operators/route_calls.py
+++ b/agatetack/operators/route_calls.py
@@ -9,9 +9,9 @@
 from agatetack.operators.access import Operator
 from agatetack.operators.backend import OperatorsBackend, RequestedChange
 from agatetack.operators.refusals import (
-    ChangeInDoubt,
     ChangeRejected,
     Entity,
+    LimitExceeded,
     NotFound,
     OperatorsError,
     Unavailable,
@@ -135,39 +135,6 @@
                 return record
         return None
 
-    async def _earlier(
-        self, operator: Operator, change: RequestedChange, deadline: Deadline
-    ) -> LogOffset | None:
-        """Return the version of this change if it was accepted before.
-
-        Raises:
-            ChangeRejected: It was rejected, or its id names another change.
-            ChangeInDoubt: It was sent and is not decided yet.
-        """
-        known = checks.unwrap(await self.backend.change(change.id, deadline))
-        if known.state is ChangeState.UNKNOWN:
-            return None
-        if known.route_id not in (None, change.route.id):
-            raise ChangeRejected(
-                ChangeRejection.CHANGE_ID_REUSED,
-                f"change id {change.id} was used for another route",
-                change.id,
-            )
-        if known.state is ChangeState.PENDING:
-            raise ChangeInDoubt(
-                "the change was sent and is not read back yet",
-                change.id,
-                BEHIND_RETRY_MS,
-            )
-        if known.state is ChangeState.REJECTED:
-            raise ChangeRejected(
-                known.reason or ChangeRejection.OTHER,
-                known.message or "the change was rejected before",
-                change.id,
-                current=self._visible(operator, change.route.id),
-            )
-        return known.version
-
     async def _change(
         self,
         operator: Operator,
@@ -176,15 +143,13 @@
     ) -> ChangeResult:
         deadline = checks.deadline_after(request.timeout_ms)
         checks.check_text("request.change_id", change.id)
-        version = await self._earlier(operator, change, deadline)
         previous = self._find(change.route.id)
-        if version is None:
-            if request.dry_run:
-                findings = self._findings(operator, change, previous)
-                return ChangeResult(
-                    change.id, change.kind, True, findings, previous=previous
-                )
-            version = await self._commit(operator, change, previous, deadline)
+        if request.dry_run:
+            findings = self._findings(change, previous)
+            return ChangeResult(
+                change.id, change.kind, True, findings, previous=previous
+            )
+        version = await self._commit(operator, change, previous, deadline)
         return ChangeResult(
             change.id, change.kind, False, (), version, previous
         )
@@ -198,7 +163,8 @@
     ) -> LogOffset:
         """Check the change, have it appended and write the audit line."""
         try:
-            self._check(operator, change, previous)
+            if not await self._is_decided(change, deadline):
+                self._check(operator, change, previous)
             version = checks.unwrap(await self.backend.apply(change, deadline))
         except OperatorsError as error:
             _audit(operator, change, f"{type(error).__name__}: {error}")
@@ -206,6 +172,17 @@
         _audit(operator, change, f"accepted as version {version}")
         return version
 
+    async def _is_decided(
+        self, change: RequestedChange, deadline: Deadline
+    ) -> bool:
+        """Return whether this is a repeat of a change decided before.
+
+        Its own effect would fail the checks. It needs none, as a change id
+        that was decided never has an effect again.
+        """
+        known = checks.unwrap(await self.backend.change(change.id, deadline))
+        return known.state in (ChangeState.ACCEPTED, ChangeState.REJECTED)
+
     def _check(
         self,
         operator: Operator,
@@ -226,12 +203,9 @@
                 findings,
                 previous,
             )
-        if change.kind is ChangeKind.APPLY:
-            exceeded = check_team_limits(
-                self.settings, self._all_routes(), change.route
-            )
-            if exceeded is not None:
-                raise exceeded
+        exceeded = self._exceeded_limit(change)
+        if exceeded is not None:
+            raise exceeded
 
     def _check_version(
         self, change: RequestedChange, previous: RouteRecord | None
@@ -248,6 +222,8 @@
                 f"this host has read the log up to {known.offset} only",
                 BEHIND_RETRY_MS,
             )
+        if previous is None and change.kind is ChangeKind.DELETE:
+            raise _no_route(change.route.id)
         raise ChangeRejected(
             ChangeRejection.VERSION_CONFLICT,
             _conflict_message(change, current),
@@ -257,7 +233,6 @@
 
     def _findings(
         self,
-        operator: Operator,
         change: RequestedChange,
         previous: RouteRecord | None,
     ) -> tuple[Finding, ...]:
@@ -265,22 +240,23 @@
         findings = list(self.backend.check(change))
         try:
             self._check_version(change, previous)
-        except ChangeRejected as error:
+        except (ChangeRejected, NotFound) as error:
             findings.append(Finding("expected_version", error.message))
         if previous is not None and previous.route.team != change.route.team:
             findings.append(
                 Finding("route.team", f"is {previous.route.team} now")
             )
-        exceeded = check_team_limits(
-            self.settings, self._all_routes(), change.route
-        )
-        if change.kind is ChangeKind.APPLY and exceeded is not None:
+        exceeded = self._exceeded_limit(change)
+        if exceeded is not None:
             findings.append(Finding("route", exceeded.message))
         return tuple(findings)
 
-    def _all_routes(self) -> list[Route]:
+    def _exceeded_limit(self, change: RequestedChange) -> LimitExceeded | None:
+        if change.kind is ChangeKind.DELETE:
+            return None
         known = checks.unwrap(self.backend.routes())
-        return [record.route for record in known.routes]
+        routes = [record.route for record in known.routes]
+        return check_team_limits(self.settings, routes, change.route)
 
     def _visible(
         self, operator: Operator, route_id: RouteId
--- a/agatetack/operators/rpc.py
+++ b/agatetack/operators/rpc.py
@@ -7,7 +7,6 @@
 import dataclasses
 import enum
 import struct
-import typing
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -23,6 +22,8 @@
 from agatetack.metrics import Metrics
 from agatetack.operators import convert
 from agatetack.operators.access import Authenticator, Operator, Sender
+from agatetack.operators.calls import CALLS, CallName
+from agatetack.operators.json_protocol import BoundedJsonProtocol
 from agatetack.operators.refusals import (
     AccessDenied,
     InvalidRequest,
@@ -75,18 +76,24 @@
 
     Attributes:
         name: As in the schema.
-        args_class: The generated struct of its arguments.
-        result_class: The generated struct of its result.
         request_class: The dataclass of its one argument.
         method: Takes the operator and the request.
     """
 
     name: str
-    args_class: type
-    result_class: type
     request_class: type
     method: Callable[[Operator, Any], Awaitable[Any]]
 
+    @property
+    def args_class(self) -> type:
+        """Return the generated struct of the arguments."""
+        return getattr(Operators, f"{self.name}_args")
+
+    @property
+    def result_class(self) -> type:
+        """Return the generated struct of the result."""
+        return getattr(Operators, f"{self.name}_result")
+
 
 class Dispatcher:
     """Answer messages with the calls that `parts` have methods for."""
@@ -103,9 +110,8 @@
         """
         self.authenticator = authenticator
         self.calls = {
-            name: _find_call(name, parts)
-            for name in vars(Operators.Iface)
-            if not name.startswith("_")
+            name.value: Call(name.value, types.request, _find(name, parts))
+            for name, types in CALLS.items()
         }
         self.counter = metrics.counter(
             "agatetack_operators_calls_total",
@@ -135,7 +141,7 @@
             raise BadMessage("the message is no call")
         if call is None:
             self.counter.inc({"call": UNKNOWN_CALL_LABEL, "result": "unknown"})
-            return _unknown_call(type(reader), str(name), sequence)
+            return _unknown_call(reader, str(name), sequence)
         result = call.result_class()
         try:
             operator = self.authenticator.authenticate(sender)
@@ -162,19 +168,16 @@
                 ),
             )
         self.counter.inc({"call": name, "result": label})
-        return _write_reply(type(reader), name, sequence, result)
-
-
-def _find_call(name: str, parts: tuple[object, ...]) -> Call:
-    part = next(part for part in parts if hasattr(part, name))
-    method = getattr(part, name)
-    return Call(
-        name,
-        getattr(Operators, f"{name}_args"),
-        getattr(Operators, f"{name}_result"),
-        typing.get_type_hints(method)["request"],
-        method,
-    )
+        return _write_reply(reader, name, sequence, result)
+
+
+def _find(
+    name: CallName, parts: tuple[object, ...]
+) -> Callable[[Operator, Any], Awaitable[Any]]:
+    for part in parts:
+        if hasattr(part, name.value):
+            return getattr(part, name.value)
+    raise TypeError(f"nothing answers {name.value}")
 
 
 def _open(body: bytes, content_type: ContentType) -> TProtocolBase:
@@ -183,7 +186,7 @@
         content_type = _sniff(body)
     # The accelerated readers are left out, as they recurse in C.
     if content_type is ContentType.JSON:
-        return TJSONProtocol(buffer)
+        return BoundedJsonProtocol(buffer, MAX_CONTAINER_LENGTH, MAX_BODY_BYTES)
     protocol = (
         TCompactProtocol
         if content_type is ContentType.COMPACT
@@ -244,23 +247,30 @@
 
 
 def _write_reply(
-    protocol: type, name: str, sequence: int, result: Any
+    reader: TProtocolBase, name: str, sequence: int, result: Any
 ) -> bytes:
     buffer = TMemoryBuffer()
-    writer = protocol(buffer)
+    writer = _writer(reader, buffer)
     writer.writeMessageBegin(name, TMessageType.REPLY, sequence)
     result.write(writer)
     writer.writeMessageEnd()
     return buffer.getvalue()
 
 
-def _unknown_call(protocol: type, name: str, sequence: int) -> bytes:
+def _unknown_call(reader: TProtocolBase, name: str, sequence: int) -> bytes:
     """Return the library's own error for a call that is not in the schema."""
     buffer = TMemoryBuffer()
-    writer = protocol(buffer)
+    writer = _writer(reader, buffer)
     writer.writeMessageBegin(name, TMessageType.EXCEPTION, sequence)
     TApplicationException(
         TApplicationException.UNKNOWN_METHOD, f"there is no call {name}"
     ).write(writer)
     writer.writeMessageEnd()
     return buffer.getvalue()
+
+
+def _writer(reader: TProtocolBase, buffer: TMemoryBuffer) -> TProtocolBase:
+    """Return a writer of the encoding that `reader` reads."""
+    if isinstance(reader, TJSONProtocol):
+        return TJSONProtocol(buffer)
+    return type(reader)(buffer)
--- /dev/null
+++ b/agatetack/operators/test_route_calls.py
@@ -0,0 +1,266 @@
+"""Test what operators may change and how a race between them ends."""
+
+import dataclasses
+
+import pytest
+
+from agatetack.ids import ChangeId, LogOffset, RouteId
+from agatetack.operators import refusals
+from agatetack.operators.access import Operator
+from agatetack.operators.conftest import (
+    make_backend,
+    make_route,
+    make_settings,
+)
+from agatetack.operators.refusals import (
+    AccessProblem,
+    TeamLimit,
+    UnavailableReason,
+)
+from agatetack.operators.requests import (
+    ApplyRouteRequest,
+    DeleteRouteRequest,
+    GetChangeRequest,
+    GetRouteRequest,
+    ListRoutesRequest,
+)
+from agatetack.operators.route_calls import RouteCalls
+from agatetack.operators.team_limits import check_team_limits
+from agatetack.operators.views import ChangeRejection, ChangeState
+
+NEW = make_route("r2", "payouts")
+
+
+class Bench:
+    """Route calls over a host in memory, by an operator of its settings."""
+
+    def __init__(self, **operators):
+        """Lay `operators` over the settings."""
+        self.settings = make_settings(**operators)
+        self.backend = make_backend(self.settings)
+        self.calls = RouteCalls(self.settings, self.backend)
+
+    def operator(self, name="ann"):
+        token = next(
+            t for t in self.settings.operators.tokens if t.name == name
+        )
+        return Operator(
+            name, token.team, frozenset(token.roles), frozenset(token.services)
+        )
+
+    async def apply(self, route, expected=None, who="ann", **fields):
+        change_id = ChangeId(fields.pop("change_id", "c1"))
+        request = ApplyRouteRequest(route, change_id, expected, **fields)
+        return await self.calls.apply_route(self.operator(who), request)
+
+    async def delete(self, route_id, expected, who="ann", change_id="c1"):
+        request = DeleteRouteRequest(
+            RouteId(route_id), ChangeId(change_id), LogOffset(expected)
+        )
+        return await self.calls.delete_route(self.operator(who), request)
+
+
+async def test_a_created_route_is_in_force_with_its_author():
+    bench = Bench()
+    result = await bench.apply(NEW)
+    assert (result.version, result.previous) == (2, None)
+    request = GetRouteRequest(NEW.id)
+    record = await bench.calls.get_route(bench.operator(), request)
+    assert (record.author, record.version) == ("ann", 2)
+
+
+@pytest.mark.parametrize(
+    ("route", "expected", "who", "error", "detail"),
+    [
+        (NEW, None, "reader", "AccessDenied", AccessProblem.ROLE_MISSING),
+        (
+            make_route("r2", "parcels"),
+            None,
+            "ann",
+            "AccessDenied",
+            AccessProblem.SERVICE_OUT_OF_SCOPE,
+        ),
+        (
+            make_route("r2", team="easements"),
+            None,
+            "ann",
+            "AccessDenied",
+            AccessProblem.OTHER_TEAM,
+        ),
+        # A route of another team cannot be taken over under its own id.
+        (
+            make_route("p1"),
+            1,
+            "ann",
+            "AccessDenied",
+            AccessProblem.SERVICE_OUT_OF_SCOPE,
+        ),
+        (
+            make_route("r1"),
+            None,
+            "ann",
+            "ChangeRejected",
+            ChangeRejection.VERSION_CONFLICT,
+        ),
+        (
+            NEW,
+            1,
+            "ann",
+            "ChangeRejected",
+            ChangeRejection.VERSION_CONFLICT,
+        ),
+        (
+            make_route("r1"),
+            99,
+            "ann",
+            "Unavailable",
+            UnavailableReason.BEHIND,
+        ),
+        (
+            make_route("r2", path_prefix="no-slash"),
+            None,
+            "ann",
+            "ChangeRejected",
+            ChangeRejection.INVALID,
+        ),
+    ],
+)
+async def test_a_refused_change_never_reaches_the_log(
+    route, expected, who, error, detail
+):
+    bench = Bench()
+    before = dict(bench.backend.records)
+    with pytest.raises(getattr(refusals, error)) as caught:
+        await bench.apply(route, expected, who)
+    told = getattr(caught.value, "problem", None) or caught.value.reason
+    assert told is detail
+    assert not bench.backend.applied
+    assert bench.backend.records == before
+
+
+async def test_the_loser_of_a_race_is_told_the_winner():
+    bench = Bench()
+    slower = make_route("r1", deadline_seconds=5.0)
+    await bench.apply(slower, 0, change_id="first")
+    with pytest.raises(refusals.ChangeRejected) as caught:
+        await bench.apply(make_route("r1"), 0, "root", change_id="second")
+    winner = caught.value.current
+    assert (winner.author, winner.change_id) == ("ann", "first")
+    assert winner.route.deadline_seconds == 5.0
+
+
+async def test_a_repeated_change_is_answered_as_before():
+    bench = Bench()
+    doubt = refusals.ChangeInDoubt("reply lost", ChangeId("c1"), 10)
+    bench.backend.failures.append(doubt)
+    with pytest.raises(refusals.ChangeInDoubt):
+        await bench.apply(NEW)
+    assert (await bench.apply(NEW)).version == 2
+    assert bench.backend.offset == 3
+    await bench.delete("r2", 2, change_id="gone")
+    assert (await bench.delete("r2", 2, change_id="gone")).version == 3
+
+
+async def test_a_change_id_is_not_used_twice():
+    bench = Bench()
+    await bench.apply(NEW)
+    with pytest.raises(refusals.ChangeRejected) as caught:
+        await bench.apply(dataclasses.replace(NEW, max_queue=7))
+    assert caught.value.reason is ChangeRejection.CHANGE_ID_REUSED
+
+
+async def test_a_dry_run_tells_everything_and_changes_nothing():
+    bench = Bench(max_routes_per_team=1)
+    route = make_route("r2", path_prefix="no-slash", max_queue=-1)
+    result = await bench.apply(route, 1, dry_run=True)
+    assert [found.place for found in result.findings] == [
+        "route.path_prefix",
+        "route.max_queue",
+        "expected_version",
+        "route",
+    ]
+    assert not bench.backend.applied
+
+
+@pytest.mark.parametrize(
+    ("who", "route_id", "expected", "error"),
+    [
+        ("ann", "p1", 1, refusals.AccessDenied),
+        ("reader", "r1", 0, refusals.AccessDenied),
+        ("ann", "none", 0, refusals.NotFound),
+        ("ann", "none", 50, refusals.Unavailable),
+        ("ann", "r1", 1, refusals.ChangeRejected),
+    ],
+)
+async def test_a_refused_delete_leaves_the_route(
+    who, route_id, expected, error
+):
+    bench = Bench()
+    with pytest.raises(error):
+        await bench.delete(route_id, expected, who)
+    assert set(bench.backend.records) == {"r1", "p1"}
+
+
+@pytest.mark.parametrize(
+    ("who", "seen"),
+    [("ann", ["r1"]), ("bob", ["p1"]), ("root", ["p1", "r1"])],
+)
+async def test_operators_see_the_routes_of_their_services(who, seen):
+    bench = Bench()
+    operator = bench.operator(who)
+    listed = await bench.calls.list_routes(operator, ListRoutesRequest())
+    assert [record.route.id for record in listed.routes] == seen
+
+
+async def test_a_change_of_others_shows_its_state_only():
+    bench = Bench()
+    await bench.apply(NEW)
+    request = GetChangeRequest(ChangeId("c1"))
+    own = await bench.calls.get_change(bench.operator("ann"), request)
+    other = await bench.calls.get_change(bench.operator("bob"), request)
+    assert own.author == "ann"
+    assert other.state is ChangeState.ACCEPTED
+    assert (other.author, other.route_id) == (None, None)
+
+
+@pytest.mark.parametrize(
+    ("limits", "rate", "exceeded"),
+    [
+        ({"max_routes_per_team": 2}, 0, None),
+        ({"max_routes_per_team": 1}, 0, TeamLimit.ROUTES),
+        ({"max_requests_per_second_per_team": 100}, 90, None),
+        (
+            {"max_requests_per_second_per_team": 100},
+            91,
+            TeamLimit.REQUESTS_PER_SECOND,
+        ),
+        (
+            {"max_requests_per_second_per_team": 100},
+            0,
+            TeamLimit.UNLIMITED_ROUTE,
+        ),
+        (
+            {
+                "max_routes_per_team": 1,
+                "team_limits": [
+                    {
+                        "team": "panel",
+                        "max_routes": 9,
+                        "max_requests_per_second": 0,
+                    }
+                ],
+            },
+            0,
+            None,
+        ),
+    ],
+)
+def test_a_team_keeps_within_its_limits(limits, rate, exceeded):
+    others = [
+        make_route("r1", requests_per_second=10.0),
+        make_route("p1", team="easements", requests_per_second=1000.0),
+        make_route("r2", requests_per_second=5000.0),
+    ]
+    wanted = make_route("r2", requests_per_second=rate)
+    found = check_team_limits(make_settings(**limits), others, wanted)
+    assert (found and found.limit) is exceeded
--- a/thrift/operators.thrift
+++ b/thrift/operators.thrift
@@ -62,6 +62,7 @@
   RESULT_TOO_LARGE = 32
   CALLER_GONE = 33
   INTERNAL_ERROR = 34
+  KEY_STORE_FULL = 35
 }
 
 // Why a request was sent to a target once more.
@@ -74,6 +75,7 @@
   ANSWER_MALFORMED = 6
   HEDGE = 7
   RESUME = 8
+  ANSWER_CUT = 9
 }
 
 // What an attempt showed of its target.
