Cover links between hosts with faults, alone and in pairs

Cause: the exchange had a smoke test only. Change: an in-memory net of exchanges on a test's clock loses, holds, refuses and silences; 28 pairs of faults recover, and tables cover cut links with relays, past incarnations, leaving, views, the byte budget and calls. Sizes of the views are kept instead of counted for each message. Found and mended: a host that left the list while it was dialled ended the whole exchange, and a list that lost a live host closed its link.

--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -2,7 +2,7 @@
 
 import abc
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -31,6 +31,9 @@
 
 LOG = PartLog("peers")
 
+OpenStream = Callable[[str, int], Awaitable[trio.abc.Stream]]
+"""Opens a connection to an IP number and port; raises OSError."""
+
 Admit = Callable[[ttypes.Hello], None]
 """Checks the other host's hello; raises LinkClosed."""
 
@@ -69,6 +72,7 @@
         wanted: The hosts that this host keeps links with.
         missing: Those of them without a link, as peers were told last.
         bounded: Whether the fleet is too large for links with all.
+        open_stream: Opens a connection to an IP number and port.
     """
 
     def __init__(self, owner: ConnectorOwner, source: random.Random):
@@ -84,6 +88,7 @@
         self.wanted: frozenset[HostId] = frozenset()
         self.missing: frozenset[HostId] = frozenset()
         self.bounded = False
+        self.open_stream: OpenStream = trio.open_tcp_stream
         self.dialling: dict[HostId, trio.CancelScope] = {}
         self.handshakes = 0
         self.changed = trio.Event()
@@ -97,7 +102,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 self.changed = trio.Event()
-                self.members.forget_old()
+                self.members.refresh()
                 self._choose(nursery)
                 self._tell_missing()
                 with trio.move_on_after(self.settings.timeout_seconds):
@@ -111,7 +116,7 @@
         reachable = {
             host: domain
             for host, domain in domains.items()
-            if host == self.own or self._address(host) is not None
+            if host == self.own or self._is_reachable(host)
         }
         self.wanted = choose_peers(self.own, reachable, self.settings.max_peers)
         for host in self.dialling.keys() - self.wanted:
@@ -121,6 +126,10 @@
             self.dialling[host] = scope
             nursery.start_soon(self._dial, host, scope)
 
+    def _is_reachable(self, host: HostId) -> bool:
+        # A live link outweighs a list that has lost its host.
+        return host in self.links or self._address(host) is not None
+
     def _tell_missing(self) -> None:
         missing = frozenset()
         if not self.bounded:
@@ -137,10 +146,6 @@
 
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve a connection that another host opened."""
-        if self.handshakes >= MAX_HANDSHAKES:
-            self.counters.closed_for(CloseReason.TOO_MANY)
-            await trio.aclose_forcefully(stream)
-            return
         try:
             remote_ip = stream.socket.getpeername()[0]
         except OSError:
@@ -148,6 +153,16 @@
             self.counters.closed_for(CloseReason.CONNECTION_LOST)
             await trio.aclose_forcefully(stream)
             return
+        await self.serve_accepted(stream, remote_ip)
+
+    async def serve_accepted(
+        self, stream: trio.abc.Stream, remote_ip: str
+    ) -> None:
+        """Serve a connection that came from `remote_ip`."""
+        if self.handshakes >= MAX_HANDSHAKES:
+            self.counters.closed_for(CloseReason.TOO_MANY)
+            await trio.aclose_forcefully(stream)
+            return
 
         def admit(hello: ttypes.Hello) -> None:
             self._admit_accepted(hello, remote_ip)
@@ -178,10 +193,13 @@
 
     async def _dial_once(self, peer: HostId, admit: Admit) -> None:
         address = self._address(peer)
+        if address is None:
+            # It has just left the list; the next choice leaves it out.
+            return
         stream = None
         with trio.move_on_after(self.settings.timeout_seconds):
             try:
-                stream = await trio.open_tcp_stream(*address)
+                stream = await self.open_stream(*address)
             except OSError as error:
                 LOG.debug("There is no connection to %s: %s.", peer, error)
         if stream is None:
@@ -194,14 +212,14 @@
         member = self.members.heard.get(peer)
         if member is not None and self.settings.shared_key is not None:
             return member.ip, member.port
-        listed = self.members.listed().get(peer)
+        listed = self.members.listed.get(peer)
         return None if listed is None else (listed.ip, listed.port)
 
     def _admit_accepted(self, hello: ttypes.Hello, remote_ip: str) -> None:
         if hello.host == self.own:
             raise LinkClosed(CloseReason.WRONG_HOST)
         if self.settings.shared_key is None:
-            listed = self.members.listed().values()
+            listed = self.members.listed.values()
             if remote_ip not in {host.ip for host in listed}:
                 raise LinkClosed(CloseReason.NOT_LISTED)
         self._check_incarnation(hello)
@@ -214,7 +232,7 @@
             raise LinkClosed(CloseReason.OLD_INCARNATION)
 
     async def _serve(
-        self, stream: trio.SocketStream, side: Side, admit: Admit
+        self, stream: trio.abc.Stream, side: Side, admit: Admit
     ) -> None:
         reader = FrameReader(stream, self.counters.received)
         try:
@@ -235,7 +253,7 @@
 
     async def _shake_hands(
         self,
-        stream: trio.SocketStream,
+        stream: trio.abc.Stream,
         reader: FrameReader,
         side: Side,
         admit: Admit,
--- a/agatetack/peers/directory.py
+++ b/agatetack/peers/directory.py
@@ -12,32 +12,5 @@
     def gateways(self) -> Sequence[ListedHost]:
         """Return the agatetack hosts of the list."""
 
-    def on_change(self, callback: Callable[[], None]) -> None:
-        """Call `callback` after each change of the list."""
-
-
-class StaticDirectory(GatewayDirectory):
-    """A list that its user sets by hand, for tests and benches.
-
-    Attributes:
-        hosts: The entries.
-    """
-
-    def __init__(self, hosts: Sequence[ListedHost] = ()):
-        """List `hosts`."""
-        self.hosts = list(hosts)
-        self.callbacks: list[Callable[[], None]] = []
-
-    def gateways(self) -> Sequence[ListedHost]:
-        """Return the entries."""
-        return self.hosts
-
-    def on_change(self, callback: Callable[[], None]) -> None:
-        """Keep `callback` for the next `replace`."""
-        self.callbacks.append(callback)
-
-    def replace(self, hosts: Sequence[ListedHost]) -> None:
-        """List `hosts` and tell who asked."""
-        self.hosts = list(hosts)
-        for callback in self.callbacks:
-            callback()
+    def on_change(self, callback: Callable[..., None]) -> None:
+        """Call `callback`, with what changed, after each change."""
--- a/agatetack/peers/members.py
+++ b/agatetack/peers/members.py
@@ -42,8 +42,12 @@
 class MemberTable:
     """The view of one host: the platform's list and the hosts heard.
 
+    Sizes are kept, as they are asked for with each message.
+
     Attributes:
         heard: Hosts heard of lately, by id, without this one.
+        listed: The other hosts that the platform lists, by id.
+        live_count: How many of `heard` were live at the last `refresh`.
     """
 
     def __init__(
@@ -54,6 +58,14 @@
         self.directory = directory
         self.clock = clock
         self.heard: dict[HostId, Member] = {}
+        self.listed: dict[HostId, ListedHost] = {}
+        self.live_count = 0
+        self.read_list()
+
+    def read_list(self) -> None:
+        """Take over the platform's list; called when it changes."""
+        gateways = self.directory.gateways()
+        self.listed = {h.id: h for h in gateways if h.id != self.own}
 
     def incarnation(self, host: HostId) -> int:
         """Return the highest incarnation heard of `host`, or 0."""
@@ -70,20 +82,27 @@
             return False
         if known is None or member.incarnation > known.incarnation:
             self.heard[member.id] = member
+            self.live_count += 1
             return True
         if member.incarnation < known.incarnation:
             return False
         changed = member.leaving and not known.leaving
-        revived = known.live_until <= self.clock.now()
         known.leaving = known.leaving or member.leaving
-        known.live_until = max(known.live_until, member.live_until)
-        return changed or revived
+        return self._extend(known, member.live_until) or changed
 
     def touch(self, host: HostId, incarnation: int, until: Deadline) -> None:
         """Note that `host` was heard and is taken for live until then."""
         member = self.heard.get(host)
         if member is not None and member.incarnation == incarnation:
-            member.live_until = max(member.live_until, until)
+            self._extend(member, until)
+
+    def _extend(self, member: Member, until: Deadline) -> bool:
+        """Take `member` for live until then; return whether it was gone."""
+        revived = member.live_until <= self.clock.now()
+        if revived:
+            self.live_count += 1
+        member.live_until = max(member.live_until, until)
+        return revived
 
     def mark_leaving(self, host: HostId, incarnation: int) -> None:
         """Note that `host` is leaving."""
@@ -103,30 +122,26 @@
         if member.leaving:
             member.live_until = self.clock.now()
 
-    def forget_old(self) -> None:
-        """Drop the members whose incarnation need not be remembered."""
+    def refresh(self) -> None:
+        """Count the live members and forget those long gone."""
         horizon = self.clock.now() - INCARNATION_MEMORY_SECONDS
         old = [m.id for m in self.heard.values() if m.live_until < horizon]
         for host in old:
             del self.heard[host]
+        self.live_count = len(self.live())
 
     def live(self) -> Sequence[Member]:
         """Return the hosts heard of that are not taken for gone."""
         now = self.clock.now()
         return [m for m in self.heard.values() if m.live_until > now]
 
-    def listed(self) -> dict[HostId, ListedHost]:
-        """Return the other hosts that the platform lists, by id."""
-        gateways = self.directory.gateways()
-        return {host.id: host for host in gateways if host.id != self.own}
-
     def domains(self) -> dict[HostId, FailureDomain]:
         """Return the failure domain of every other host, listed or heard."""
         domains = {m.id: m.failure_domain for m in self.live()}
-        for host in self.listed().values():
+        for host in self.listed.values():
             domains.setdefault(host.id, host.failure_domain)
         return domains
 
     def fleet_size(self) -> int:
         """Return the larger of both views' sizes, this host included."""
-        return 1 + max(len(self.listed()), len(self.live()))
+        return 1 + max(len(self.listed), self.live_count)
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -120,6 +120,7 @@
             task_status.started(self.port)
 
     def _list_changed(self, *_: object) -> None:
+        self.members.read_list()
         self.connector.view_changed()
 
     def publish(self, topic: Topic, payload: bytes) -> None:
@@ -294,8 +295,12 @@
             leaving=bool(said.leaving),
             live_until=self._live_until(),
         )
-        if self.members.note(member):
-            self.connector.view_changed()
+        if not self.members.note(member):
+            return
+        link = self.connector.links.get(member.id)
+        if link is not None and link.incarnation < member.incarnation:
+            link.close(CloseReason.OLD_INCARNATION)
+        self.connector.view_changed()
 
     def _take_call(self, link: Link, call: ttypes.Call) -> None:
         payload = link.incoming.add(call)
--- /dev/null
+++ b/agatetack/peers/test_calls.py
@@ -0,0 +1,123 @@
+"""Check calls between peers: their pieces, bounds, faults and deadlines."""
+
+import pytest
+import trio
+
+from agatetack.ids import Deadline, HostId
+from agatetack.peers.calls import MAX_INCOMING_CALLS, PIECE_BYTES
+from agatetack.peers.exchange import PeerUnreachable, Topic
+from agatetack.testing.peer_net import PeerNet, closed, dropped
+
+A, B = HostId("a"), HostId("b")
+
+
+async def two_hosts(nursery, **peers) -> PeerNet:
+    net = PeerNet(nursery, **peers)
+    await net.start(A)
+    await net.start(B)
+    await trio.sleep(2)
+    return net
+
+
+@pytest.mark.parametrize(
+    "size", [0, 1, PIECE_BYTES, PIECE_BYTES + 1, 10 * PIECE_BYTES]
+)
+async def test_payload_arrives_whole(nursery, autojump_clock, size):
+    net = await two_hosts(nursery)
+
+    async def echo(sender: HostId, payload: bytes) -> bytes:
+        assert sender == A
+        return payload[::-1]
+
+    net.hosts[B].serve(Topic.CONFIG_FETCH, echo)
+    payload = bytes(i % 251 for i in range(size))
+    deadline = Deadline(trio.current_time() + 20)
+    reply = await net.hosts[A].call(B, Topic.CONFIG_FETCH, payload, deadline)
+    assert reply == payload[::-1]
+    nursery.cancel_scope.cancel()
+
+
+async def fail(sender: HostId, payload: bytes) -> bytes:
+    raise ValueError("scripted")
+
+
+async def hang(sender: HostId, payload: bytes) -> bytes:
+    await trio.sleep_forever()
+
+
+async def answer_too_much(sender: HostId, payload: bytes) -> bytes:
+    return bytes(70_000)
+
+
+@pytest.mark.parametrize(
+    ("handler", "fault", "seconds"),
+    [
+        (None, None, 1),
+        (fail, None, 1),
+        (hang, None, 10),
+        (hang, "stop", 4),
+        (hang, "cut", 4),
+        (answer_too_much, None, 7),
+    ],
+)
+async def test_failed_call_raises_in_time(
+    nursery, autojump_clock, handler, fault, seconds
+):
+    net = await two_hosts(nursery, max_frame_bytes=65_536)
+    if handler is not None:
+        net.hosts[B].serve(Topic.CONFIG_FETCH, handler)
+    start = trio.current_time()
+
+    async def cause() -> None:
+        await trio.sleep(1)
+        if fault == "stop":
+            net.stop(B)
+        if fault == "cut":
+            net.cut(A, B)
+
+    nursery.start_soon(cause)
+    with pytest.raises(PeerUnreachable):
+        await net.hosts[A].call(
+            B, Topic.CONFIG_FETCH, b"", Deadline(start + 10)
+        )
+    assert trio.current_time() - start <= seconds
+    link = net.hosts[A].connector.links.get(B)
+    assert link is None or not link.calls.calls
+    nursery.cancel_scope.cancel()
+
+
+async def test_calls_of_one_peer_are_bounded(nursery, autojump_clock):
+    net = await two_hosts(nursery)
+    net.hosts[B].serve(Topic.CONFIG_FETCH, hang)
+    deadline = Deadline(trio.current_time() + 3)
+
+    async def call() -> None:
+        with pytest.raises(PeerUnreachable):
+            await net.hosts[A].call(B, Topic.CONFIG_FETCH, b"", deadline)
+
+    async with trio.open_nursery() as calls:
+        for _ in range(MAX_INCOMING_CALLS + 3):
+            calls.start_soon(call)
+    assert dropped(net.hosts[B], "call-too-many") == 3
+    nursery.cancel_scope.cancel()
+
+
+async def test_large_reply_leaves_heartbeats_and_signs_through(
+    nursery, autojump_clock
+):
+    net = await two_hosts(nursery, bytes_per_second=20_000)
+
+    async def answer(sender: HostId, payload: bytes) -> bytes:
+        return bytes(400_000)
+
+    net.hosts[B].serve(Topic.CONFIG_FETCH, answer)
+    start = trio.current_time()
+    reply = await net.hosts[A].call(
+        B, Topic.CONFIG_FETCH, b"", Deadline(start + 60)
+    )
+    assert len(reply) == 400_000
+    # The budget spreads the reply over many heartbeats, which went through.
+    assert trio.current_time() - start > 10
+    for host in net.hosts.values():
+        assert closed(host, "unacknowledged") + closed(host, "silent") == 0
+    nursery.cancel_scope.cancel()
--- /dev/null
+++ b/agatetack/peers/test_faults.py
@@ -0,0 +1,228 @@
+"""Check links, views and messages under faults, alone and in pairs."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+
+from agatetack.ids import HostId
+from agatetack.peers.exchange import Topic
+from agatetack.peers.relay import RELAYS_FOR_CUT_LINK
+from agatetack.testing.peer_fleet import listed
+from agatetack.testing.peer_net import PeerNet, closed, dropped
+
+A, B, C = HostId("a"), HostId("b"), HostId("c")
+SETTLE = 6
+"""Seconds after which links stand again, or are known to be gone."""
+
+
+async def three_hosts(nursery, **peers) -> PeerNet:
+    """Return a net of the hosts a, b and c with all their links."""
+    net = PeerNet(nursery, **peers)
+    for name in (A, B, C):
+        await net.start(name)
+    await trio.sleep(SETTLE)
+    return net
+
+
+def peers_of(net: PeerNet, name: HostId) -> set[HostId]:
+    return {peer.id for peer in net.hosts[name].live_peers()}
+
+
+async def no_fault(net: PeerNet) -> None:
+    """Leave everything as it is."""
+
+
+async def silent_link(net: PeerNet) -> None:
+    """Lose all on the open connection between a and b."""
+    net.silence(A, B)
+
+
+async def cut_for_a_time(net: PeerNet) -> None:
+    """Cut a and b from each other, then heal."""
+    net.cut(A, B)
+    await trio.sleep(SETTLE)
+    assert B not in peers_of(net, A)
+    assert A not in peers_of(net, B)
+    net.heal()
+
+
+async def one_way(net: PeerNet) -> None:
+    """Lose what a sends to b for a time, while b reaches a."""
+    net.lossy.add((A, B))
+    await trio.sleep(SETTLE)
+    assert B not in peers_of(net, A)
+    assert A not in peers_of(net, B)
+    net.heal()
+
+
+async def paused_host(net: PeerNet) -> None:
+    """Let b do nothing for a time; then all it sent and missed arrives."""
+    both_ways = itertools.product((A, C), (B,))
+    net.held |= {d for x, y in both_ways for d in ((x, y), (y, x))}
+    await trio.sleep(SETTLE)
+    assert B not in peers_of(net, A) | peers_of(net, C)
+    net.heal()
+
+
+async def restart(net: PeerNet) -> None:
+    """Replace b by a later incarnation of the same name."""
+    before = net.hosts[B].incarnation
+    net.stop(B)
+    await net.start(B)
+    await trio.sleep(SETTLE)
+    seen = [p.incarnation for p in net.hosts[A].live_peers() if p.id == B]
+    assert all(incarnation > before for incarnation in seen)
+
+
+async def list_lost(net: PeerNet) -> None:
+    """Drop c from the list while it lives."""
+    net.unlist(C)
+
+
+Fault = Callable[[PeerNet], Awaitable[None]]
+FAULTS: list[Fault] = [
+    no_fault,
+    silent_link,
+    cut_for_a_time,
+    one_way,
+    paused_host,
+    restart,
+    list_lost,
+]
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    list(itertools.combinations_with_replacement(FAULTS, 2)),
+    ids=lambda fault: fault.__name__,
+)
+async def test_fleet_recovers(nursery, autojump_clock, first, second):
+    net = await three_hosts(nursery, shared_key="k")
+    await first(net)
+    await second(net)
+    await trio.sleep(SETTLE)
+    for name, host in net.hosts.items():
+        assert peers_of(net, name) == {A, B, C} - {name}
+        assert host.fleet_size() == 3
+        host.publish(Topic.TARGET_SIGNS, name.encode())
+    await trio.sleep(1)
+    for name in net.hosts:
+        others = sorted({A, B, C} - {name})
+        assert origins(net, name, Topic.TARGET_SIGNS) == others
+    nursery.cancel_scope.cancel()
+
+
+def origins(net: PeerNet, name: HostId, topic: Topic) -> list[HostId]:
+    return sorted(o for about, o, _ in net.heard[name] if about is topic)
+
+
+async def test_links_are_found_silent_and_reopened(nursery, autojump_clock):
+    net = await three_hosts(nursery)
+    assert closed(net.hosts[A], "silent") == 0
+    await silent_link(net)
+    await trio.sleep(SETTLE)
+    reasons = ("silent", "unacknowledged")
+    assert sum(closed(net.hosts[A], reason) for reason in reasons) == 1
+    assert B in peers_of(net, A)
+    assert A in peers_of(net, B)
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("more", [(), ("d", "e", "f")])
+async def test_hosts_without_a_link_hear_each_other_once(
+    nursery, autojump_clock, more
+):
+    net = await three_hosts(nursery)
+    for name in more:
+        await net.start(name)
+    net.cut(A, B)
+    await trio.sleep(SETTLE)
+    for topic in (Topic.CONFIG_RECORDS, Topic.LOAD_SAMPLES):
+        net.hosts[A].publish(topic, b"x")
+    await trio.sleep(1)
+    for name in net.hosts.keys() - {A}:
+        assert origins(net, name, Topic.CONFIG_RECORDS) == [A]
+        direct = [] if name == B else [A]
+        assert origins(net, name, Topic.LOAD_SAMPLES) == direct
+    # To hear of a host is no proof that it can be reached.
+    assert B not in peers_of(net, A)
+    assert net.hosts[A].fleet_size() == len(net.hosts)
+    copies = 1 + dropped(net.hosts[B], "publish-duplicate")
+    assert copies <= RELAYS_FOR_CUT_LINK * SETTLE
+    nursery.cancel_scope.cancel()
+
+
+async def test_past_incarnation_is_refused(nursery, autojump_clock):
+    net = await three_hosts(nursery, shared_key="k")
+    old = net.hosts[B]
+    new = await net.start(B)
+    await trio.sleep(SETTLE)
+    for host in (A, C):
+        [seen] = [p for p in net.hosts[host].live_peers() if p.id == B]
+        assert seen.incarnation == new.incarnation
+    # The past one, which still runs, sends on and dials again.
+    old.publish(Topic.TARGET_SIGNS, b"from the past")
+    await trio.sleep(SETTLE)
+    assert old.live_peers() == []
+    assert closed(net.hosts[A], "old-incarnation") > 0
+    assert origins(net, A, Topic.TARGET_SIGNS) == []
+    assert net.hosts[A].fleet_size() == 3
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+async def test_leaving_is_heard_at_once(nursery, autojump_clock, is_cut):
+    net = await three_hosts(nursery)
+    if is_cut:
+        net.cut(A, B)
+        await trio.sleep(SETTLE)
+    net.hosts[B].announce_leaving()
+    await trio.sleep(0.1)
+    assert net.hosts[A].members.heard[B].leaving
+    [seen] = [p for p in net.hosts[C].live_peers() if p.id == B]
+    assert seen.leaving
+    net.unlist(B)
+    net.stop(B)
+    await trio.sleep(SETTLE)
+    assert net.hosts[C].fleet_size() == 2
+    nursery.cancel_scope.cancel()
+
+
+async def test_fleet_size_is_the_larger_view(nursery, autojump_clock):
+    net = await three_hosts(nursery)
+    net.unlist(C)
+    net.unlist(B)
+    await trio.sleep(SETTLE)
+    assert peers_of(net, A) == {B, C}
+    assert net.hosts[A].fleet_size() == 3
+    net.cut(A, B)
+    net.cut(A, C)
+    await trio.sleep(SETTLE)
+    # Both may live on and spend their shares for as long as they may be live.
+    assert net.hosts[A].fleet_size() == 3
+    await trio.sleep(60)
+    assert net.hosts[A].fleet_size() == 1
+    net.directory.replace([listed(host) for host in net.hosts.values()])
+    assert net.hosts[A].fleet_size() == 3
+    nursery.cancel_scope.cancel()
+
+
+async def test_budget_holds_and_keeps_links(nursery, autojump_clock):
+    rate, seconds = 5000, 20
+    net = await three_hosts(nursery, bytes_per_second=rate)
+    host = net.hosts[A]
+    sent_before = host.counters.bytes.get({"direction": "sent"})
+    for _ in range(seconds * 100):
+        host.publish(Topic.LOAD_SAMPLES, bytes(200))
+        await trio.sleep(0.01)
+    sent = host.counters.bytes.get({"direction": "sent"}) - sent_before
+    assert rate * seconds * 0.8 < sent <= rate * (seconds + 1)
+    assert dropped(host, "publish-over-budget") > 0
+    assert closed(host, "silent") + closed(host, "unacknowledged") == 0
+    assert peers_of(net, A) == {B, C}
+    # Neither of the others got all of what the budget allowed.
+    got = [len(net.heard[name]) for name in (B, C)]
+    assert min(got) > max(got) * 0.7
+    nursery.cancel_scope.cancel()
--- a/agatetack/peers/test_mesh.py
+++ b/agatetack/peers/test_mesh.py
@@ -5,7 +5,7 @@
 
 from agatetack.ids import Deadline, HostId
 from agatetack.peers.exchange import PeerUnreachable, Topic
-from agatetack.peers.fleet import start_fleet
+from agatetack.testing.peer_fleet import start_fleet
 
 FAST = {"heartbeat_seconds": 0.05, "timeout_seconds": 0.3}
 """Timings that let a test see links fail soon."""
--- a/agatetack/peers/fleet.py
+++ b/agatetack/testing/peer_fleet.py
@@ -1,13 +1,13 @@
 """Run several exchanges in one process, for tests and benches."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
 from agatetack.clock import SystemClock
 from agatetack.ids import HostId, ServiceId
 from agatetack.metrics import Metrics
-from agatetack.peers.directory import StaticDirectory
+from agatetack.peers.directory import GatewayDirectory
 from agatetack.peers.mesh import PeerExchange
 from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
@@ -16,6 +16,33 @@
 """Where all hosts of a test fleet are."""
 
 
+class StaticDirectory(GatewayDirectory):
+    """A list that its user sets by hand.
+
+    Attributes:
+        hosts: The entries.
+    """
+
+    def __init__(self, hosts: Sequence[ListedHost] = ()):
+        """List `hosts`."""
+        self.hosts = list(hosts)
+        self.callbacks: list[Callable[..., None]] = []
+
+    def gateways(self) -> Sequence[ListedHost]:
+        """Return the entries."""
+        return self.hosts
+
+    def on_change(self, callback: Callable[..., None]) -> None:
+        """Keep `callback` for the next `replace`."""
+        self.callbacks.append(callback)
+
+    def replace(self, hosts: Sequence[ListedHost]) -> None:
+        """List `hosts` and tell who asked."""
+        self.hosts = list(hosts)
+        for callback in self.callbacks:
+            callback()
+
+
 def new_exchange(
     name: str, directory: StaticDirectory, domains: int = 3, **peers: object
 ) -> PeerExchange:
