--- a/agatetack/commands.py
+++ b/agatetack/commands.py
@@ -32,9 +32,6 @@
 AUTHORITY_VARIABLE = "AGATETACK_AUTHORITY"
 DEFAULT_ADDRESS = "http://127.0.0.1:8081"
 
-ROUTES_KEY = "routes"
-"""The key that tells a file of routes from one of settings."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Overview:
@@ -101,7 +98,7 @@
 def check(file: str, *, json: bool = False) -> int:
     """Check a settings file or a file of routes; print all findings.
 
-    A file with the key routes is taken for routes.
+    A file that holds a list is taken for routes, any other for settings.
 
     Examples::
 
@@ -446,8 +443,7 @@
     from agatetack.settings.loader import check_settings
     from agatetack.settings.yaml_file import read_yaml
 
-    value = read_yaml(file).value
-    if isinstance(value, dict) and ROUTES_KEY in value:
+    if isinstance(read_yaml(file).value, list):
         loaded = load_routes(file)
         return () if is_successful(loaded) else loaded.failure()
     return check_settings(file).findings
