--- a/agatetack/commands.py
+++ b/agatetack/commands.py
@@ -194,7 +194,7 @@
             )
             _show(found, tables.route_lines(found), json)
             return EXIT_OK
-        listed = await client.call(
+        listed = await client.list_all(
             CallName.LIST_ROUTES, requests.ListRoutesRequest()
         )
         _show(listed, tables.routes_table(listed.routes), json)
@@ -241,17 +241,19 @@
     """
 
     async def work(client: OperatorsClient) -> int:
-        call = client.call
+        call, list_all = client.call, client.list_all
         overview = Overview(
             await call(CallName.GET_STATUS, requests.GetStatusRequest()),
-            await call(CallName.LIST_HOSTS, requests.ListHostsRequest()),
-            await call(CallName.LIST_TARGETS, requests.ListTargetsRequest()),
+            await list_all(CallName.LIST_HOSTS, requests.ListHostsRequest()),
+            await list_all(
+                CallName.LIST_TARGETS, requests.ListTargetsRequest()
+            ),
             await call(
                 CallName.GET_MEASURE_BUDGET,
                 requests.GetMeasureBudgetRequest(),
             ),
             await call(CallName.GET_DEFERRED, requests.GetDeferredRequest()),
-            await call(
+            await list_all(
                 CallName.LIST_QUARANTINE, requests.ListQuarantineRequest()
             ),
         )
--- a/agatetack/operators/access.py
+++ b/agatetack/operators/access.py
@@ -47,7 +47,7 @@
 
     def covers(self, service: ServiceId | None) -> bool:
         """Return whether `service` is in scope; None needs all."""
-        return self.all_services or service in self.services
+        return service in self.services or ALL_SERVICES in self.services
 
     def require(self, role: OperatorRole) -> None:
         """Raise AccessDenied if the operator lacks `role`."""
--- a/agatetack/operators/app.py
+++ b/agatetack/operators/app.py
@@ -121,7 +121,7 @@
             self.authenticator.count(error)
             ask = (b"www-authenticate", b'Basic realm="agatetack"')
             return Response(401, f"{error}\n".encode(), headers=(ask,))
-        page = render_page(self.backend, self.metrics, operator)
+        page = await render_page(self.backend, self.metrics, operator)
         return Response(200, page.encode(), HTML)
 
     async def _metrics(self, scope: Scope, receive: Receive) -> Response:
--- a/agatetack/operators/client.py
+++ b/agatetack/operators/client.py
@@ -1,5 +1,6 @@
 """Call the administration API of a daemon over HTTP."""
 
+import dataclasses
 import enum
 import ssl
 from types import TracebackType
@@ -23,6 +24,14 @@
 MAX_TEXT_SHOWN = 200
 """Characters shown of a body that is no Thrift message."""
 
+LIST_FIELDS = {
+    CallName.LIST_ROUTES: "routes",
+    CallName.LIST_HOSTS: "hosts",
+    CallName.LIST_TARGETS: "targets",
+    CallName.LIST_QUARANTINE: "requests",
+}
+"""The calls that answer in pages, and the field with their items."""
+
 
 class CallEffect(enum.Enum):
     """Whether a call that brought no reply can have had an effect."""
@@ -99,6 +108,22 @@
         response = await self._post(_write_call(name, request))
         return _read_reply(name, response)
 
+    async def list_all(self, name: CallName, request: Any) -> Any:
+        """Return the answer to a list call with the items of all pages.
+
+        Raises:
+            OperatorsError: The daemon refused; its type says why.
+            CallFailed: No reply came that could be read.
+        """
+        page = await self.call(name, request)
+        field = LIST_FIELDS[name]
+        items = list(getattr(page, field))
+        while page.next is not None:
+            request = dataclasses.replace(request, after=page.next)
+            page = await self.call(name, request)
+            items += getattr(page, field)
+        return dataclasses.replace(page, **{field: tuple(items)})
+
     async def _post(self, body: bytes) -> httpcore.Response:
         headers = {"content-type": CONTENT_TYPE}
         if self.token:
--- a/agatetack/operators/convert.py
+++ b/agatetack/operators/convert.py
@@ -9,7 +9,7 @@
 import functools
 import types
 import typing
-from typing import Any
+from typing import Any, NamedTuple
 
 from agatetack.admission.controller import AttemptResult
 from agatetack.config.route import RequestClass
@@ -46,6 +46,8 @@
 THRIFT_NAMES = {"service": "service_name"}
 """Fields whose name Thrift reserves."""
 
+PLAIN_TYPES = frozenset({str, int, float, bool})
+
 
 class FieldProblems(Exception):
     """A struct lacks fields or holds values that are not known.
@@ -62,14 +64,30 @@
 
 def to_thrift(value: Any, struct_class: type) -> Any:
     """Return a struct of `struct_class` with the fields of `value`."""
-    fields = {}
-    for spec in struct_class.thrift_spec:
-        if spec is not None:
-            name = _own_name(spec[2], type(value))
-            fields[spec[2]] = _write(getattr(value, name), spec[3])
+    fields = {
+        thrift_name: _write(getattr(value, own_name), type_args)
+        for thrift_name, own_name, type_args in _plan(type(value), struct_class)
+    }
     return struct_class(**fields)
 
 
+class _FieldPlan(NamedTuple):
+    """How one field of a dataclass becomes one of a struct."""
+
+    thrift_name: str
+    own_name: str
+    type_args: Any
+
+
+@functools.cache
+def _plan(value_class: type, struct_class: type) -> list[_FieldPlan]:
+    return [
+        _FieldPlan(spec[2], _own_name(spec[2], value_class), spec[3])
+        for spec in struct_class.thrift_spec
+        if spec is not None
+    ]
+
+
 def from_thrift(
     struct: Any, value_class: type, place: str = "", lenient: bool = False
 ) -> Any:
@@ -100,13 +118,13 @@
 
 
 def _write(value: Any, type_args: Any) -> Any:
+    if value is None or type(value) in PLAIN_TYPES:
+        return value
     if isinstance(value, enum.Enum):
         return getattr(ENUMS[type(value)], value.name)
     if isinstance(value, tuple | list):
         return [_write(item, type_args[1]) for item in value]
-    if dataclasses.is_dataclass(value):
-        return to_thrift(value, type_args[0])
-    return value
+    return to_thrift(value, type_args[0])
 
 
 @functools.cache
--- a/agatetack/operators/host_calls.py
+++ b/agatetack/operators/host_calls.py
@@ -5,6 +5,7 @@
 from agatetack.operators import checks, requests, views
 from agatetack.operators.access import Operator
 from agatetack.operators.backend import OperatorsBackend
+from agatetack.operators.paging import take_page
 from agatetack.operators.refusals import Entity, NotFound
 from agatetack.settings.model import OperatorRole
 
@@ -30,8 +31,10 @@
     ) -> views.HostList:
         """Return the gateways that the answering host knows."""
         operator.require(OperatorRole.READ)
-        hosts = sorted(self.backend.hosts(), key=lambda host: host.host_id)
-        return views.HostList(tuple(hosts))
+        page = await take_page(
+            self.backend.hosts(), lambda host: host.host_id, request
+        )
+        return views.HostList(page.items, page.next)
 
     async def list_targets(
         self, operator: Operator, request: requests.ListTargetsRequest
@@ -44,8 +47,10 @@
             if operator.covers(target.service)
             and request.service in (None, target.service)
         ]
-        targets.sort(key=lambda t: (t.service, t.failure_domain, t.target_id))
-        return views.TargetList(tuple(targets))
+        page = await take_page(
+            targets, lambda target: target.target_id, request
+        )
+        return views.TargetList(page.items, page.next)
 
     async def get_measure_budget(
         self, operator: Operator, request: requests.GetMeasureBudgetRequest
@@ -86,8 +91,8 @@
             if operator.covers(entry.service)
             and request.service in (None, entry.service)
         ]
-        listed.sort(key=lambda entry: (-entry.crashes, entry.fingerprint))
-        return views.QuarantineList(tuple(listed))
+        page = await take_page(listed, lambda entry: entry.fingerprint, request)
+        return views.QuarantineList(page.items, page.next)
 
     async def release_quarantined(
         self, operator: Operator, request: requests.ReleaseQuarantinedRequest
--- a/agatetack/operators/page.py
+++ b/agatetack/operators/page.py
@@ -1,9 +1,12 @@
 """Render the read-only status page of a host as HTML without script."""
 
+import collections
+import heapq
 import html
 import itertools
 from collections.abc import Iterable, Sequence
 
+import trio
 from returns.pipeline import is_successful
 
 from agatetack.metrics import Metrics
@@ -19,25 +22,31 @@
     "caption{text-align:left;font-weight:bold;padding:.3em 0}"
 )
 
-MAX_ROWS = 500
+MORE = "and more, which `agatetack status` shows"
+MAX_ROWS = 100
 """Most rows of one table; the command line shows all."""
 
 
-def render_page(
+async def render_page(
     backend: OperatorsBackend, metrics: Metrics, operator: Operator
 ) -> str:
     """Return the page with what `operator` may see."""
     status = backend.status()
     title = f"agatetack: {status.host_id}"
-    parts = [
-        f"<h1>{html.escape(title)}</h1>",
-        _status_table(status),
-        _routes_table(backend, operator),
-        *_target_tables(backend, operator),
-        _refusals_table(backend, metrics, operator),
-        _budget_table(backend.measure_budget()),
-        _hosts_table(backend.hosts()),
-    ]
+    makers = (
+        lambda: [_status_table(status)],
+        lambda: [_routes_table(backend, operator)],
+        lambda: _target_tables(backend, operator),
+        lambda: [_refusals_table(backend, metrics, operator)],
+        lambda: [_budget_table(backend.measure_budget())],
+        lambda: [_hosts_table(backend.hosts())],
+    )
+    parts = [f"<h1>{html.escape(title)}</h1>"]
+    for make in makers:
+        for table in make():
+            parts.append(table)
+            # Callers' requests get their turn between two tables.
+            await trio.lowlevel.checkpoint()
     return (
         '<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8">'
         f"<title>{html.escape(title)}</title><style>{STYLE}</style></head>"
@@ -66,9 +75,8 @@
     ]
     rows = iter(rows)
     lines += [_row("td", row) for row in itertools.islice(rows, MAX_ROWS)]
-    left_out = sum(1 for _ in rows)
-    if left_out:
-        lines.append(_row("td", [f"and {left_out} more"]))
+    if next(rows, None) is not None:
+        lines.append(_row("td", [MORE]))
     lines.append("</table>")
     return "\n".join(lines)
 
@@ -108,6 +116,7 @@
     titles = ("route", "class", "service", "team", "host", "path", "version")
     known = backend.routes()
     records = known.unwrap().routes if is_successful(known) else ()
+    readable = [r for r in records if operator.covers(r.route.service)]
     rows = (
         (
             record.route.id,
@@ -118,8 +127,9 @@
             record.route.path_prefix,
             record.version,
         )
-        for record in sorted(records, key=lambda record: record.route.id)
-        if operator.covers(record.route.service)
+        for record in heapq.nsmallest(
+            MAX_ROWS + 1, readable, key=lambda record: record.route.id
+        )
     )
     return _table("routes", "Routes in force", titles, rows)
 
@@ -128,8 +138,10 @@
     backend: OperatorsBackend, operator: Operator
 ) -> Iterable[str]:
     """Yield one table of targets for each failure domain."""
-    targets = [t for t in backend.targets() if operator.covers(t.service)]
-    targets.sort(key=lambda t: (t.failure_domain, t.service, t.target_id))
+    domains = collections.defaultdict(list)
+    for target in backend.targets():
+        if operator.covers(target.service):
+            domains[target.failure_domain].append(target)
     titles = (
         "target",
         "service",
@@ -140,9 +152,7 @@
         "report age (ms)",
         "latency (ms)",
     )
-    for domain, group in itertools.groupby(
-        targets, key=lambda target: target.failure_domain
-    ):
+    for domain, group in sorted(domains.items()):
         rows = (
             (
                 target.target_id,
@@ -154,7 +164,9 @@
                 target.report_age_ms,
                 target.latency_ms,
             )
-            for target in group
+            for target in heapq.nsmallest(
+                MAX_ROWS + 1, group, key=lambda t: (t.service, t.target_id)
+            )
         )
         yield _table(f"targets-{domain}", f"Targets in {domain}", titles, rows)
 
--- a/agatetack/operators/publish.py
+++ b/agatetack/operators/publish.py
@@ -154,7 +154,7 @@
     delete_missing: bool = False,
 ) -> list[PlannedChange]:
     """Return the changes that bring `wanted` into force."""
-    listed = await client.call(CallName.LIST_ROUTES, ListRoutesRequest())
+    listed = await client.list_all(CallName.LIST_ROUTES, ListRoutesRequest())
     return make_plan(wanted, listed.routes, delete_missing)
 
 
@@ -257,7 +257,7 @@
 
 
 async def _look(client: OperatorsClient, version: LogOffset) -> Progress:
-    listed = await client.call(CallName.LIST_HOSTS, ListHostsRequest())
+    listed = await client.list_all(CallName.LIST_HOSTS, ListHostsRequest())
     live = [host for host in listed.hosts if host.live]
     reached = [
         host.host_id
--- a/agatetack/operators/requests.py
+++ b/agatetack/operators/requests.py
@@ -17,6 +17,9 @@
 DEFAULT_TIMEOUT_MS = 5000
 """How long a call may wait for the log or for peers, if not said."""
 
+DEFAULT_PAGE_SIZE = 100
+"""Items of a page of a list, if not said."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListRoutesRequest:
@@ -24,6 +27,8 @@
 
     service: ServiceId | None = None
     team: TeamId | None = None
+    page_size: int = DEFAULT_PAGE_SIZE
+    after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,12 +85,17 @@
 class ListHostsRequest:
     """Ask for all gateways that the answering host knows."""
 
+    page_size: int = DEFAULT_PAGE_SIZE
+    after: str | None = None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListTargetsRequest:
     """Ask for targets, of one service or of all."""
 
     service: ServiceId | None = None
+    page_size: int = DEFAULT_PAGE_SIZE
+    after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +122,8 @@
     """Ask for requests suspected to crash targets."""
 
     service: ServiceId | None = None
+    page_size: int = DEFAULT_PAGE_SIZE
+    after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatetack/operators/route_calls.py
+++ b/agatetack/operators/route_calls.py
@@ -8,6 +8,7 @@
 from agatetack.operators import checks, requests
 from agatetack.operators.access import Operator
 from agatetack.operators.backend import OperatorsBackend, RequestedChange
+from agatetack.operators.paging import take_page
 from agatetack.operators.refusals import (
     ChangeRejected,
     Entity,
@@ -62,8 +63,8 @@
             and request.service in (None, record.route.service)
             and request.team in (None, record.route.team)
         ]
-        listed.sort(key=lambda record: record.route.id)
-        return RouteList(tuple(listed), known.offset)
+        page = await take_page(listed, lambda record: record.route.id, request)
+        return RouteList(page.items, known.offset, page.next)
 
     async def get_route(
         self, operator: Operator, request: requests.GetRouteRequest
--- a/agatetack/operators/rpc.py
+++ b/agatetack/operators/rpc.py
@@ -10,8 +10,15 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocol
-from thrift.protocol.TCompactProtocol import TCompactProtocol
+import trio
+from thrift.protocol.TBinaryProtocol import (
+    TBinaryProtocol,
+    TBinaryProtocolAccelerated,
+)
+from thrift.protocol.TCompactProtocol import (
+    TCompactProtocol,
+    TCompactProtocolAccelerated,
+)
 from thrift.protocol.TJSONProtocol import TJSONProtocol
 from thrift.protocol.TProtocol import TProtocolBase
 from thrift.Thrift import TApplicationException, TException, TMessageType
@@ -147,6 +154,7 @@
             operator = self.authenticator.authenticate(sender)
             request = _read_request(reader, call)
             value = await call.method(operator, request)
+            await trio.lowlevel.checkpoint()
             label = OK_LABEL
             success_class = call.result_class.thrift_spec[0][3][0]
             result.success = convert.to_thrift(value, success_class)
@@ -168,6 +176,7 @@
                 ),
             )
         self.counter.inc({"call": name, "result": label})
+        await trio.lowlevel.checkpoint()
         return _write_reply(reader, name, sequence, result)
 
 
@@ -273,4 +282,6 @@
     """Return a writer of the encoding that `reader` reads."""
     if isinstance(reader, TJSONProtocol):
         return TJSONProtocol(buffer)
-    return type(reader)(buffer)
+    if isinstance(reader, TCompactProtocol):
+        return TCompactProtocolAccelerated(buffer)
+    return TBinaryProtocolAccelerated(buffer)
--- a/agatetack/operators/tables.py
+++ b/agatetack/operators/tables.py
@@ -175,7 +175,9 @@
             target.latency_ms,
             target.failures,
         )
-        for target in targets
+        for target in sorted(
+            targets, key=lambda t: (t.service, t.failure_domain, t.target_id)
+        )
     )
     return render_table(titles, rows)
 
--- a/agatetack/operators/test_host_calls.py
+++ b/agatetack/operators/test_host_calls.py
@@ -5,7 +5,11 @@
 from agatetack.ids import HostId, IdempotencyKey, RequestId, RouteId
 from agatetack.operators import refusals, requests
 from agatetack.operators.access import Operator
-from agatetack.operators.conftest import make_backend, make_settings
+from agatetack.operators.conftest import (
+    make_backend,
+    make_settings,
+    make_target,
+)
 from agatetack.operators.host_calls import HostCalls
 from agatetack.operators.views import (
     ClaimState,
@@ -168,3 +172,27 @@
     )
     assert [entry.host_id for entry in explanation.requests] == found
     assert explanation.silent_hosts == ("silent",)
+
+
+@pytest.mark.parametrize(("size", "pages"), [(1, 5), (2, 3), (5, 1), (200, 1)])
+async def test_pages_hold_every_target_once(backend, size, pages):
+    for port in range(9003, 9006):
+        target = make_target(port, "profiles")
+        backend.listed_targets[target.target_id] = target
+    calls, operator = HostCalls(backend), make_operator("*")
+    seen, after, count = [], None, 0
+    while after is not None or not count:
+        request = requests.ListTargetsRequest(page_size=size, after=after)
+        page = await calls.list_targets(operator, request)
+        seen += [target.target_id for target in page.targets]
+        after, count = page.next, count + 1
+    assert seen == sorted(backend.listed_targets)
+    assert count == pages
+
+
+@pytest.mark.parametrize("size", [0, -1, 201])
+async def test_page_sizes_are_bounded(backend, size):
+    with pytest.raises(refusals.InvalidRequest):
+        await HostCalls(backend).list_hosts(
+            make_operator("*"), requests.ListHostsRequest(page_size=size)
+        )
--- a/agatetack/operators/test_publish.py
+++ b/agatetack/operators/test_publish.py
@@ -201,3 +201,12 @@
         with pytest.raises(CallFailed) as caught:
             await publish.plan_changes(client, [])
     assert caught.value.effect is CallEffect.NONE
+
+
+async def test_a_long_list_is_read_page_by_page(served):
+    for number in range(450):
+        route = make_route(f"x{number}")
+        served.backend.records[route.id] = RouteRecord(route, LogOffset(9))
+    async with client_of(served) as client:
+        plan = await publish.plan_changes(client, [make_route("x449")])
+    assert plan == []
--- a/agatetack/operators/views.py
+++ b/agatetack/operators/views.py
@@ -99,10 +99,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteList:
-    """Routes by id; all records of the log before `offset` were read."""
+    """Routes by id; all records of the log before `offset` were read.
+
+    In this and the other lists `next` leads to the next page, if any.
+    """
 
     routes: tuple[RouteRecord, ...]
     offset: LogOffset
+    next: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -212,6 +216,7 @@
     """All gateways that the answering host knows, by id."""
 
     hosts: tuple[HostView, ...]
+    next: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -251,9 +256,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetList:
-    """Targets by service, failure domain and id."""
+    """Targets by id."""
 
     targets: tuple[TargetView, ...]
+    next: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -385,9 +391,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineList:
-    """Requests suspected to crash targets."""
+    """Requests suspected to crash targets, by fingerprint."""
 
     requests: tuple[QuarantinedRequest, ...]
+    next: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/thrift/operators.thrift
+++ b/thrift/operators.thrift
@@ -16,6 +16,10 @@
 // (wall clock, milliseconds since 1970). Ages and times of a request are what
 // the answering host's clock shows.
 //
+// Lists come in pages, as a long answer would hold up the callers' requests
+// that the same process serves. What changes between two pages may show in
+// one of them or in neither, never twice.
+//
 // Evolution. Fields and calls are only added; a new field is optional and has
 // a new id; ids, enum numbers and names are never reused, renumbered or given
 // a new meaning; a field that is no more used stays, and its comment says so.
@@ -262,11 +266,14 @@
 struct ListRoutesRequest {
   1: optional string service_name  // absent: all that the token may read
   2: optional string team
+  3: optional i32 page_size       // default 100, most 200
+  4: optional string after           // `next` of the page before
 }
 
 struct RouteList {
   1: required list<RouteRecord> routes  // by id
   2: required i64 offset                // all records before it were read
+  3: optional string next               // absent: this is the last page
 }
 
 struct GetRouteRequest {
@@ -336,6 +343,8 @@
 }
 
 struct ListHostsRequest {
+  1: optional i32 page_size       // default 100, most 200
+  2: optional string after           // `next` of the page before
 }
 
 // A gateway as the answering host sees it.
@@ -350,10 +359,13 @@
 
 struct HostList {
   1: required list<HostView> hosts       // by id, the answering one included
+  2: optional string next                // absent: this is the last page
 }
 
 struct ListTargetsRequest {
   1: optional string service_name        // absent: all that the token may read
+  2: optional i32 page_size       // default 100, most 200
+  3: optional string after           // `next` of the page before
 }
 
 struct TargetView {
@@ -373,7 +385,8 @@
 }
 
 struct TargetList {
-  1: required list<TargetView> targets   // by service, domain and id
+  1: required list<TargetView> targets   // by id
+  2: optional string next                // absent: this is the last page
 }
 
 struct GetMeasureBudgetRequest {
@@ -439,6 +452,8 @@
 
 struct ListQuarantineRequest {
   1: optional string service_name       // absent: all that the token may read
+  2: optional i32 page_size       // default 100, most 200
+  3: optional string after           // `next` of the page before
 }
 
 // A request suspected to crash targets.
@@ -455,7 +470,8 @@
 }
 
 struct QuarantineList {
-  1: required list<QuarantinedRequest> requests
+  1: required list<QuarantinedRequest> requests  // by fingerprint
+  2: optional string next               // absent: this is the last page
 }
 
 struct ReleaseQuarantinedRequest {
