Give log lines a request field and bound lines of one kind

Cause: in JSON lines the request's id was part of the text; a line with a wrong argument or a line break could fail or split; and an outage writes one line for each request, each of which costs the data path. Change: PartLog fills its sentence itself and passes part, request and text on; JsonFormatter writes them as fields, lines of libraries too. Beyond logs.max_lines_per_second (20) lines of one kind are counted, and the next written line says how many were left out. Lines below the level are not filled. Records name the file that wrote them instead of logs.py.

--- a/agatetack/logs.py
+++ b/agatetack/logs.py
@@ -2,13 +2,73 @@
 
 import logging as std_logging
 import time
+from collections.abc import Callable
 
 import orjson
 from absl import flags, logging
 
 from agatetack.ids import RequestId
+from agatetack.settings.findings import one_line
 from agatetack.settings.model import LogsSettings
 
+WINDOW_SECONDS = 1.0
+"""How long the lines of one kind are counted together."""
+
+MAX_KINDS = 1000
+"""Kinds of lines that are counted; with more of them the count restarts."""
+
+
+class LineLimiter:
+    """Bounds how often lines of one kind are written.
+
+    An outage makes one line for each request; written out, they would block
+    the process that should get over it.
+
+    Attributes:
+        max_lines: Lines of one kind in a window.
+    """
+
+    def __init__(
+        self, max_lines: int, clock: Callable[[], float] = time.monotonic
+    ):
+        """Allow `max_lines` of a kind in `WINDOW_SECONDS` of `clock`."""
+        self.max_lines = max_lines
+        self.clock = clock
+        self.window_ends = 0.0
+        self.seen: dict[str, int] = {}
+
+    def take(self, kind: str) -> int | None:
+        """Return how many lines of `kind` were left out lately.
+
+        Returns:
+            None if this line is to be left out too, else the number of those
+            left out since the last line that was written.
+        """
+        now = self.clock()
+        if now >= self.window_ends:
+            self._start_window(now)
+        if len(self.seen) > MAX_KINDS:
+            self.seen.clear()
+        seen = self.seen.get(kind, 0)
+        if seen >= self.max_lines:
+            self.seen[kind] = seen + 1
+            return None
+        self.seen[kind] = max(seen, 0) + 1
+        return max(-seen, 0)
+
+    def _start_window(self, now: float) -> None:
+        # A negative count carries what was left out, until it is written.
+        left_out = {
+            kind: min(seen, self.max_lines - seen)
+            for kind, seen in self.seen.items()
+        }
+        self.seen = {kind: seen for kind, seen in left_out.items() if seen < 0}
+        self.window_ends = now + WINDOW_SECONDS
+
+
+limiter = LineLimiter(max_lines=20)
+"""Shared by all parts; `set_up_logs` sets its limit."""
+
 
 class PartLog:
     """The log of one part; every line starts with its prefix."""
@@ -19,48 +79,92 @@
 
     def debug(self, text: str, *args: object) -> None:
         """Write a line for debugging."""
-        logging.debug(f"{self.prefix}: {text}", *args)
+        self._write(std_logging.DEBUG, None, text, args)
 
     def info(self, text: str, *args: object) -> None:
         """Write a line that operators may want to see."""
-        logging.info(f"{self.prefix}: {text}", *args)
+        self._write(std_logging.INFO, None, text, args)
 
     def warning(self, text: str, *args: object) -> None:
         """Write a line about something that an operator should look at."""
-        logging.warning(f"{self.prefix}: {text}", *args)
+        self._write(std_logging.WARNING, None, text, args)
 
     def error(self, text: str, *args: object) -> None:
         """Write a line about something that went wrong in this host."""
-        logging.error(f"{self.prefix}: {text}", *args)
+        self._write(std_logging.ERROR, None, text, args)
 
     def request(self, request: RequestId, text: str, *args: object) -> None:
         """Write a line about one request; its id stands first."""
-        logging.info(f"{self.prefix}: [%s] {text}", request, *args)
+        self._write(std_logging.INFO, request, text, args)
+
+    def _write(
+        self,
+        level: int,
+        request: RequestId | None,
+        text: str,
+        args: tuple[object, ...],
+    ) -> None:
+        logger = logging.get_absl_logger()
+        if not logger.isEnabledFor(level):
+            return
+        left_out = limiter.take(text)
+        if left_out is None:
+            return
+        sentence = _fill(text, args)
+        if left_out:
+            sentence = f"{sentence} ({left_out} like it left out)"
+        fields = {"part": self.prefix, "request": request, "text": sentence}
+        about = "" if request is None else f"[{request}] "
+        line = one_line(f"{self.prefix}: {about}{sentence}")
+        logger.log(level, "%s", line, extra={"line": fields})
+
+
+def _fill(text: str, args: tuple[object, ...]) -> str:
+    """Return the sentence; a log line never fails its writer."""
+    if not args:
+        return text
+    try:
+        return text % args
+    except (TypeError, ValueError):
+        return f"{text} {args!r}"
+
+
+# The file and line of a record are those of the part that wrote it.
+for _method in ("debug", "info", "warning", "error", "request", "_write"):
+    logging.ABSLLogger.register_frame_to_skip(__file__, _method)
 
 
 class JsonFormatter(std_logging.Formatter):
     """Write each line as one JSON object."""
 
     def format(self, record: std_logging.LogRecord) -> str:
-        """Return the line with its time, level, part and text."""
-        prefix, _, text = record.getMessage().partition(": ")
-        line = {
-            "time": time.strftime(
-                "%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)
-            )
-            + f".{int(record.msecs):03d}Z",
-            "level": record.levelname.lower(),
-            "part": prefix,
-            "text": text,
-        }
+        """Return the line with its time, level, part, request and text."""
+        fields = getattr(record, "line", None)
+        if fields is None:
+            # A library wrote it, without a part of ours.
+            fields = {"part": record.name, "text": record.getMessage()}
+        line = {"time": _format_time(record), "level": record.levelname.lower()}
+        for name, value in fields.items():
+            if value is not None:
+                # A lone surrogate has no place in JSON.
+                text = value.encode("utf-8", "backslashreplace")
+                line[name] = text.decode("utf-8")
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
         return orjson.dumps(line).decode()
 
 
+def _format_time(record: std_logging.LogRecord) -> str:
+    seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+    return f"{seconds}.{int(record.msecs):03d}Z"
+
+
 def set_up_logs(settings: LogsSettings) -> None:
     """Send log lines to standard error, as `settings` say."""
     # Without this absl warns on each start that its flags are not parsed.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(settings.level.value)
+    limiter.max_lines = settings.max_lines_per_second
     if settings.json_lines:
         logging.get_absl_handler().setFormatter(JsonFormatter())
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -369,6 +369,7 @@
 
     level: LogLevel
     json_lines: bool
+    max_lines_per_second: Count
 
 
 class Settings(Section):
--- /dev/null
+++ b/agatetack/test_logs.py
@@ -0,0 +1,186 @@
+"""Test what log lines look like and how often they are written."""
+
+import json
+import logging as std_logging
+import sys
+
+import pytest
+from absl import logging
+
+from agatetack import logs
+from agatetack.logs import JsonFormatter, LineLimiter, PartLog, set_up_logs
+from agatetack.settings.defaults import default_settings
+
+
+class ListHandler(std_logging.Handler):
+    """Keep formatted lines."""
+
+    def __init__(self, formatter):
+        """Format with `formatter`."""
+        super().__init__()
+        self.setFormatter(formatter)
+        self.lines = []
+
+    def emit(self, record):
+        """Keep one line."""
+        self.lines.append(self.format(record))
+
+
+@pytest.fixture(params=[std_logging.Formatter(), JsonFormatter()])
+def handler(request, monkeypatch):
+    monkeypatch.setattr(logs, "limiter", LineLimiter(3, lambda: 0.0))
+    logger = logging.get_absl_logger()
+    handler = ListHandler(request.param)
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(std_logging.INFO)
+    yield handler
+    logger.setLevel(level)
+    logger.removeHandler(handler)
+
+
+LINES = [
+    (lambda log: log.info("Started."), "p: Started.", None, "Started."),
+    (lambda log: log.info("At 5%."), "p: At 5%.", None, "At 5%."),
+    (
+        lambda log: log.warning("Lost %s: %d.", "a: b", 3),
+        "p: Lost a: b: 3.",
+        None,
+        "Lost a: b: 3.",
+    ),
+    (
+        lambda log: log.request("r%s1", "Sent to %s.", "t"),
+        "p: [r%s1] Sent to t.",
+        "r%s1",
+        "Sent to t.",
+    ),
+    (
+        lambda log: log.request("r", "50% sent."),
+        "p: [r] 50% sent.",
+        "r",
+        "50% sent.",
+    ),
+    (
+        lambda log: log.error("Got %d.", "x"),
+        "p: Got %d. ('x',)",
+        None,
+        "Got %d. ('x',)",
+    ),
+    (
+        lambda log: log.error("Got %s.", "x\ny\ud800"),
+        "p: Got x\\ny\\ud800.",
+        None,
+        "Got x\ny\\ud800.",
+    ),
+]
+
+
+@pytest.mark.parametrize(("write", "line", "request_id", "text"), LINES)
+def test_line_has_its_part_and_request(handler, write, line, request_id, text):
+    write(PartLog("p"))
+    (written,) = handler.lines
+    if not isinstance(handler.formatter, JsonFormatter):
+        assert written == line
+        return
+    fields = json.loads(written)
+    assert "\n" not in written
+    assert (fields["part"], fields["text"]) == ("p", text)
+    assert fields.get("request") == request_id
+    assert fields["level"] in ("info", "warning", "error")
+
+
+def test_lines_below_the_level_are_neither_filled_nor_counted(handler):
+    filled = []
+
+    class Value:
+        def __str__(self):
+            filled.append(self)
+            return "value"
+
+    for _ in range(4):
+        PartLog("p").debug("Got %s.", Value())
+    assert (handler.lines, filled, logs.limiter.seen) == ([], [], {})
+
+
+def test_lines_of_libraries_are_json_too():
+    try:
+        raise ValueError("x")
+    except ValueError:
+        info = sys.exc_info()
+    record = std_logging.LogRecord(
+        "hypercorn", 30, "f", 1, "a %s", ("b",), info
+    )
+    fields = json.loads(JsonFormatter().format(record))
+    assert fields["part"] == "hypercorn"
+    assert fields["text"] == "a b"
+    assert "ValueError: x" in fields["exception"]
+
+
+def test_lines_of_one_kind_are_limited_and_counted(handler, monkeypatch):
+    now = 0.0
+    monkeypatch.setattr(logs, "limiter", LineLimiter(2, lambda: now))
+    log = PartLog("p")
+    for number in range(5):
+        log.info("Lost %d.", number)
+    log.info("Other.")
+    now = 1.0
+    log.info("Lost %d.", 5)
+    log.info("Lost %d.", 6)
+    log.info("Lost %d.", 7)
+    now = 3.0
+    log.info("Nothing else.")
+    now = 4.0
+    log.info("Lost %d.", 8)
+    now = 5.0
+    log.info("Lost %d.", 9)
+    texts = [line.partition("p: ")[2] for line in handler.lines]
+    if isinstance(handler.formatter, JsonFormatter):
+        texts = [json.loads(line)["text"] for line in handler.lines]
+    assert texts == [
+        "Lost 0.",
+        "Lost 1.",
+        "Other.",
+        "Lost 5. (3 like it left out)",
+        "Lost 6.",
+        "Nothing else.",
+        "Lost 8. (1 like it left out)",
+        "Lost 9.",
+    ]
+
+
+def test_kinds_that_are_counted_are_bounded():
+    limiter = LineLimiter(1, lambda: 0.0)
+    for number in range(3 * logs.MAX_KINDS):
+        limiter.take(f"{number}")
+    assert len(limiter.seen) <= logs.MAX_KINDS + 1
+
+
+def test_records_name_the_file_that_wrote_them(handler, monkeypatch):
+    records = []
+    monkeypatch.setattr(handler, "emit", records.append)
+    PartLog("p").info("Started.")
+    assert records[0].filename == "test_logs.py"
+
+
+@pytest.mark.parametrize("json_lines", [True, False])
+def test_set_up_writes_to_standard_error(json_lines, capsys, monkeypatch):
+    monkeypatch.setattr(logs, "limiter", LineLimiter(1))
+    root = std_logging.getLogger()
+    before, level = list(root.handlers), root.level
+    absl_handler = logging.get_absl_handler()
+    monkeypatch.setattr(absl_handler.python_handler, "stream", sys.stderr)
+    settings = default_settings(
+        logs={"json_lines": json_lines, "max_lines_per_second": 7}
+    )
+    try:
+        set_up_logs(settings.logs)
+        PartLog("p").info("Started.")
+        assert logs.limiter.max_lines == 7
+    finally:
+        root.handlers[:] = before
+        root.setLevel(level)
+        absl_handler.setFormatter(logging.PythonFormatter())
+    written = capsys.readouterr().err
+    assert written.endswith(
+        '"text":"Started."}\n' if json_lines else "p: Started.\n"
+    )
