Serve operators over TLS and load renewed certificates

Cause: certificates are renewed while hosts run, file by file. Change: agatetack/tls.py holds the TLS of a listener; each handshake gets the context that was loaded last, so a certificate without its key never harms the one in use. /metrics lets the event loop turn between two metrics. Weighed: loading into the live context, which OpenSSL leaves with the new certificate and no key when the two do not fit. Before: tls settings of operators were loaded once.

--- a/agatetack/operators/app.py
+++ b/agatetack/operators/app.py
@@ -1,11 +1,13 @@
 """Serve the administration API, `/metrics`, `/ready` and the status page."""
 
 import dataclasses
+import ssl
 import urllib.parse
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import trio
+from aioprometheus.formats.text import TEXT_CONTENT_TYPE, TextFormatter
 
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
@@ -17,6 +19,7 @@
 from agatetack.operators.refusals import AccessDenied
 from agatetack.operators.route_calls import RouteCalls
 from agatetack.settings.model import OperatorRole, Settings
+from agatetack.tls import ServerTls
 
 TEXT = b"text/plain; charset=utf-8"
 HTML = b"text/html; charset=utf-8"
@@ -125,10 +128,14 @@
         return Response(200, page.encode(), HTML)
 
     async def _metrics(self, scope: Scope, receive: Receive) -> Response:
-        accept = _header(scope, b"accept").decode("latin-1")
-        body, headers = self.metrics.render(accept)
-        content_type = headers.get("Content-Type", "text/plain")
-        return Response(200, body, content_type.encode())
+        formatter = TextFormatter()
+        blocks = []
+        for collector in self.metrics.registry.get_all():
+            blocks.append(formatter.marshall_collector(collector))
+            # Callers' requests get their turn between two metrics.
+            await trio.lowlevel.checkpoint()
+        body = "\n".join([*blocks, ""]).encode()
+        return Response(200, body, TEXT_CONTENT_TYPE.encode())
 
     async def _ready(self, scope: Scope, receive: Receive) -> Response:
         status = self.backend.status()
@@ -156,26 +163,36 @@
     import hypercorn.trio
 
     app = OperatorsApp(settings, backend, metrics)
-    config = _server_config(settings)
+    tls = None
+    if settings.operators.tls is not None:
+        tls = ServerTls(settings.operators.tls, "operators", metrics)
+    config = _server_config(settings, tls)
     async with trio.open_nursery() as nursery:
+        if tls is not None:
+            nursery.start_soon(tls.run)
         binds = await nursery.start(hypercorn.trio.serve, app, config)
         port = urllib.parse.urlsplit(binds[0]).port
         log.info("operators are served on %s", binds[0])
         task_status.started(port)
 
 
-def _server_config(settings: Settings) -> Any:
+def _server_config(settings: Settings, tls: ServerTls | None) -> Any:
     from hypercorn.config import Config
 
+    class ReloadingConfig(Config):
+        """A server whose certificate can change while it runs."""
+
+        ssl_enabled = tls is not None
+
+        def create_ssl_context(self) -> ssl.SSLContext | None:
+            return None if tls is None else tls.context
+
     listen = settings.operators.listen
-    config = Config()
+    config = ReloadingConfig()
     config.bind = [f"{listen.host}:{listen.port}"]
     config.errorlog = None
     config.include_server_header = False
     config.graceful_timeout = GRACE_SECONDS
-    if settings.operators.tls is not None:
-        config.certfile = settings.operators.tls.certificate
-        config.keyfile = settings.operators.tls.key
     return config
 
 
--- a/agatetack/operators/test_app.py
+++ b/agatetack/operators/test_app.py
@@ -119,6 +119,14 @@
     assert 'problem="role-missing"} 0' in metrics
 
 
+async def test_metrics_are_those_of_the_library(served):
+    response = await fetch(served, "GET", "/metrics")
+    body, headers = served.metrics.render()
+    assert sorted(response.content.splitlines()) == sorted(body.splitlines())
+    told = dict(response.headers)[b"content-type"].decode()
+    assert told == headers["Content-Type"]
+
+
 async def test_a_fault_of_the_host_is_no_traceback(served, monkeypatch):
     def fail():
         raise RuntimeError("secret detail")
