--- a/agatetack/platform/messages.py
+++ b/agatetack/platform/messages.py
@@ -11,7 +11,7 @@
 PAGE_BYTES = 1 << 20
 """Most payload bytes in one page of records; one record always fits."""
 
-Offset = Annotated[int, pydantic.Field(ge=0)]
+Offset = Annotated[int, pydantic.Field(ge=0, strict=True)]
 
 
 class PlatformError(enum.Enum):
--- /dev/null
+++ b/agatetack/platform/test_http_call.py
@@ -0,0 +1,104 @@
+"""Test what a call says of a failure, against a faulty server."""
+
+import pytest
+import trio
+
+from agatetack.platform.http_call import (
+    CallFailed,
+    PlatformCaller,
+    PlatformRequest,
+)
+from agatetack.settings.defaults import default_settings
+from agatetack.settings.model import Endpoint
+from agatetack.testing.fake_target import FakeTarget
+
+TRY_SECONDS = 0.1
+PATIENCE_SECONDS = 5
+HUGE_BODY = b"x" * (32 << 20)
+"""More than the kernel takes while nobody reads."""
+
+
+@pytest.fixture
+async def server(nursery):
+    fake = FakeTarget(default_settings())
+    await nursery.start(fake.serve)
+    return fake
+
+
+def make_caller(server: FakeTarget) -> PlatformCaller:
+    endpoint = Endpoint(ip="127.0.0.1", port=server.port)
+    return PlatformCaller(endpoint, PATIENCE_SECONDS)
+
+
+async def call(
+    caller: PlatformCaller,
+    path: str = "/a",
+    seconds: float = PATIENCE_SECONDS,
+    body: bytes = b"",
+) -> bytes:
+    deadline = trio.current_time() + seconds
+    reply = await caller.call(PlatformRequest("POST", path, deadline, body))
+    return reply.body
+
+
+FAILURES = (
+    ("refused", {}, "/a", b"", False),
+    ("frozen", {"frozen": True}, "/a", b"", True),
+    ("blocked write", {"frozen": True}, "/a", HUGE_BODY, True),
+    ("lost answer", {"answer_lost": True}, "/a", b"", True),
+    ("cut", {"cut_after_bytes": 3}, "/a", b"", True),
+    ("reset", {"cut_after_bytes": 3, "clean_cut": False}, "/a", b"", True),
+    ("too long", {}, "/export?bytes=2000000", b"", True),
+)
+
+
+@pytest.mark.parametrize(
+    ("name", "faults", "path", "body", "sent"),
+    FAILURES,
+    ids=[failure[0] for failure in FAILURES],
+)
+async def test_failure_tells_whether_sent(
+    server, name, faults, path, body, sent
+):
+    caller = make_caller(server)
+    for fault, value in faults.items():
+        setattr(server.faults, fault, value)
+    if name == "refused":
+        server.refuse()
+        await trio.testing.wait_all_tasks_blocked()
+    seconds = TRY_SECONDS if server.faults.frozen else PATIENCE_SECONDS
+    with pytest.raises(CallFailed) as caught:
+        await call(caller, path, seconds, body)
+    assert caught.value.sent is sent
+    # Nothing is ever sent twice.
+    assert len(server.executed) <= 1
+
+
+async def test_one_silent_connection_makes_its_siblings_suspect(server):
+    caller = make_caller(server)
+    async with trio.open_nursery() as nursery:
+        for _ in range(3):
+            nursery.start_soon(call, caller, "/a?service_ms=20")
+    assert server.accepted == 3
+    await call(caller)
+    assert server.accepted == 3
+    server.silence()
+    with pytest.raises(CallFailed):
+        await call(caller, seconds=TRY_SECONDS)
+    await call(caller)
+    assert server.accepted == 4
+
+
+async def test_a_suspect_pool_lets_open_calls_end(server):
+    caller = make_caller(server)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call, caller, "/a?service_ms=300")
+        await call(caller)
+        server.faults.slow_factor = 1000
+        with pytest.raises(CallFailed):
+            await call(caller, "/b?service_ms=1", seconds=TRY_SECONDS)
+        server.faults.slow_factor = 1
+        await call(caller)
+        assert len(server.connections) >= 2
+    await trio.testing.wait_all_tasks_blocked()
+    assert len(server.connections) == 1
--- /dev/null
+++ b/agatetack/platform/test_log_contract.py
@@ -0,0 +1,440 @@
+"""Test the contract of the platform's log against each implementation.
+
+Set AGATETACK_LOG to `ip:port` to run the table without faults against a real
+service; it uses streams with new names and leaves some records there.
+"""
+
+import contextlib
+import dataclasses
+import itertools
+import os
+import uuid
+from collections.abc import Awaitable, Callable
+
+import hypothesis
+import pytest
+import trio
+from hypothesis import strategies
+
+from agatetack.ids import Deadline, LogOffset, StreamId
+from agatetack.platform import http_log
+from agatetack.platform.http_call import PlatformReply
+from agatetack.platform.http_log import HttpLog
+from agatetack.platform.log import (
+    Log,
+    LogError,
+    LogOutcomeUnknown,
+    LogRecordTooLarge,
+    LogTooFast,
+    LogTruncated,
+    LogUnavailable,
+)
+from agatetack.settings.defaults import default_settings
+from agatetack.testing.memory_host_list import MemoryHostList
+from agatetack.testing.memory_log import (
+    AppendFault,
+    MemoryLog,
+    MemoryLogService,
+)
+from agatetack.testing.platform_server import HttpFaults, serve_platform
+
+REAL_LOG = os.environ.get("AGATETACK_LOG")
+PATIENCE_SECONDS = 5.0
+TRY_SECONDS = 0.2
+PAIR_TRY_SECONDS = 0.04
+"""Shorter, as any result of a pair is right if it is true."""
+
+LATE_SECONDS = 0.02
+SETTLE_SECONDS = 0.035
+
+
+def soon(seconds: float = PATIENCE_SECONDS) -> Deadline:
+    return Deadline(trio.current_time() + seconds)
+
+
+class World:
+    """One implementation under test, with what can go wrong there.
+
+    Attributes:
+        logs: Clients of two hosts.
+        stream: A stream that no other test uses.
+        service: The stand-in behind it, or None for a real service.
+        http: Faults of the way, or None without HTTP.
+        server: Cancelled to kill the server, or None without one.
+    """
+
+    def __init__(self, logs: list[Log]):
+        """Start without a stand-in."""
+        self.logs = logs
+        self.stream = StreamId("contract-" + uuid.uuid4().hex)
+        self.service: MemoryLogService | None = None
+        self.http: HttpFaults | None = None
+        self.server = trio.CancelScope()
+        self.start_server: Callable[[], Awaitable[None]] | None = None
+
+    async def append(self, payload: bytes = b"x") -> LogOffset:
+        return await self.logs[0].append(self.stream, payload, soon())
+
+    async def payloads(self) -> list[bytes]:
+        page = await self.logs[1].read(self.stream, LogOffset(0), soon())
+        return [record.payload for record in page.records]
+
+
+def http_logs(ip: str, port: int) -> list[Log]:
+    log = {"endpoint": {"ip": ip, "port": port}, "max_record_bytes": 100_000}
+    settings = default_settings(platform={"log": log})
+    return [HttpLog(settings), HttpLog(settings)]
+
+
+@contextlib.asynccontextmanager
+async def memory_world():
+    service = MemoryLogService()
+    async with trio.open_nursery() as nursery:
+        world = World([MemoryLog(service, nursery) for _ in range(2)])
+        world.service = service
+        yield world
+        nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def http_world():
+    service = MemoryLogService()
+    faults = HttpFaults(max_record_bytes=90_000)
+    async with trio.open_nursery() as nursery:
+
+        async def serve(port: int = 0, task_status=trio.TASK_STATUS_IGNORED):
+            with trio.CancelScope() as world_server:
+                servers.append(world_server)
+                await serve_platform(
+                    service, MemoryHostList(), faults, port, task_status
+                )
+
+        servers: list[trio.CancelScope] = []
+        port = await nursery.start(serve)
+        world = World(http_logs("127.0.0.1", port))
+        world.service, world.http, world.server = service, faults, servers[0]
+        world.start_server = lambda: nursery.start(serve, port)
+        yield world
+        nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def real_world():
+    ip, _, port = (REAL_LOG or "").rpartition(":")
+    yield World(http_logs(ip, int(port)))
+
+
+STAND_INS = {"memory": memory_world, "http": http_world}
+WORLDS = STAND_INS | ({"real": real_world} if REAL_LOG else {})
+all_worlds = pytest.mark.parametrize("name", WORLDS)
+
+
+async def appends_count_up(world: World):
+    offsets = [await world.append(b"%d" % i) for i in range(3)]
+    assert offsets == [0, 1, 2]
+    assert await world.payloads() == [b"0", b"1", b"2"]
+
+
+async def payloads_are_bytes(world: World):
+    for payload in (b"", bytes(range(256)), b"\r\n" * 9, b"y" * 80_000):
+        await world.append(payload)
+        assert (await world.payloads())[-1] == payload
+
+
+async def pages_are_consecutive(world: World):
+    for number in range(5):
+        await world.append(b"%d" % number)
+    log, stream = world.logs[0], world.stream
+    page = await log.read(stream, LogOffset(1), soon(), max_records=3)
+    assert [record.offset for record in page.records] == [1, 2, 3]
+    assert (page.first, page.end) == (0, 5)
+    page = await log.read(stream, LogOffset(5), soon())
+    assert (list(page.records), page.end) == ([], 5)
+
+
+async def new_stream_is_empty(world: World):
+    page = await world.logs[0].read(world.stream, LogOffset(0), soon())
+    assert (list(page.records), page.first, page.end) == ([], 0, 0)
+
+
+async def streams_are_apart(world: World):
+    other = StreamId(world.stream + "/ü?#%2F")
+    await world.append(b"one")
+    assert await world.logs[0].append(other, b"two", soon()) == 0
+    assert await world.payloads() == [b"one"]
+    page = await world.logs[1].read(other, LogOffset(0), soon())
+    assert page.records[0].payload == b"two"
+
+
+async def racing_appends_have_one_order(world: World):
+    got: dict[LogOffset, bytes] = {}
+
+    async def append(log: Log, payload: bytes):
+        got[await log.append(world.stream, payload, soon())] = payload
+
+    async with trio.open_nursery() as nursery:
+        for number in range(20):
+            log = world.logs[number % 2]
+            nursery.start_soon(append, log, b"%d" % number)
+    assert await world.payloads() == [got[LogOffset(i)] for i in range(20)]
+
+
+async def wait_ends_with_a_record(world: World):
+    async with trio.open_nursery() as nursery:
+        pages = []
+
+        async def wait():
+            pages.append(
+                await world.logs[1].read(
+                    world.stream, LogOffset(0), soon(60), soon(50)
+                )
+            )
+
+        nursery.start_soon(wait)
+        await trio.sleep(SETTLE_SECONDS)
+        # The waiting read holds up neither this append nor another read.
+        await world.logs[1].append(world.stream, b"x", soon())
+    assert [record.payload for record in pages[0].records] == [b"x"]
+
+
+async def wait_ends_empty(world: World):
+    until = soon(SETTLE_SECONDS)
+    page = await world.logs[0].read(world.stream, LogOffset(0), soon(), until)
+    assert not page.records
+    assert trio.current_time() >= until - 0.002
+
+
+async def wait_until_deadline_is_no_failure(world: World):
+    deadline = soon(0.4)
+    page = await world.logs[0].read(
+        world.stream, LogOffset(0), deadline, deadline
+    )
+    assert not page.records
+
+
+SCENES = (
+    appends_count_up,
+    payloads_are_bytes,
+    pages_are_consecutive,
+    new_stream_is_empty,
+    streams_are_apart,
+    racing_appends_have_one_order,
+    wait_ends_with_a_record,
+    wait_ends_empty,
+    wait_until_deadline_is_no_failure,
+)
+
+
+@all_worlds
+@pytest.mark.parametrize("scene", SCENES, ids=lambda scene: scene.__name__)
+async def test_without_faults(name, scene):
+    async with WORLDS[name]() as world:
+        with trio.fail_after(PATIENCE_SECONDS):
+            await scene(world)
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """Something that goes wrong in an append.
+
+    Attributes:
+        name: Its name.
+        begin: Brings it about.
+        error: What the append raises; None if it succeeds.
+        landed: How often the record is there in the end.
+        over_http: Whether it needs HTTP.
+    """
+
+    name: str
+    begin: Callable[[World], None]
+    error: type[LogError] | None
+    landed: int
+    over_http: bool = False
+
+
+def of_log(**values: object) -> Callable[[World], None]:
+    def begin(world: World) -> None:
+        for name, value in values.items():
+            setattr(world.service.faults, name, value)
+
+    return begin
+
+
+def of_append(fault: AppendFault) -> Callable[[World], None]:
+    return lambda world: world.service.faults.next_appends.append(fault)
+
+
+def of_way(**values: int) -> Callable[[World], None]:
+    def begin(world: World) -> None:
+        for name, value in values.items():
+            setattr(world.http, name, value)
+
+    return begin
+
+
+def kill(world: World) -> None:
+    world.server.cancel()
+
+
+FAULTS = (
+    Fault("outage", of_log(outage=True), LogUnavailable, 0),
+    Fault("frozen", of_log(frozen=True), LogOutcomeUnknown, 0),
+    Fault("slow", of_log(delay_seconds=0.005), None, 1),
+    Fault("refused", of_append(AppendFault.UNAVAILABLE), LogUnavailable, 0),
+    Fault("too fast", of_append(AppendFault.TOO_FAST), LogTooFast, 0),
+    Fault(
+        "reply lost", of_append(AppendFault.REPLY_LOST), LogOutcomeUnknown, 1
+    ),
+    Fault(
+        "request lost",
+        of_append(AppendFault.REQUEST_LOST),
+        LogOutcomeUnknown,
+        0,
+    ),
+    Fault(
+        "lands late", of_append(AppendFault.LANDS_LATE), LogOutcomeUnknown, 1
+    ),
+    Fault("cut reply", of_way(cut_replies=1), LogOutcomeUnknown, 1, True),
+    Fault("bare 503", of_way(bare_errors=1), LogOutcomeUnknown, 1, True),
+    Fault("malformed", of_way(malformed_replies=1), LogOutcomeUnknown, 1, True),
+    Fault("too large", of_way(max_record_bytes=0), LogRecordTooLarge, 0, True),
+    Fault("server gone", kill, LogUnavailable, 0, True),
+)
+
+
+async def heal(world: World) -> None:
+    """End all faults and wait until late appends have landed."""
+    world.service.faults = type(world.service.faults)()
+    if world.http is not None:
+        world.http.cut_replies = world.http.bare_errors = 0
+        world.http.malformed_replies = 0
+        world.http.max_record_bytes = 90_000
+    if world.server.cancel_called:
+        await world.start_server()
+    await trio.sleep(SETTLE_SECONDS)
+
+
+async def try_append(world: World, seconds: float) -> LogError | LogOffset:
+    log = world.logs[0]
+    try:
+        return await log.append(world.stream, b"tried", soon(seconds))
+    except LogError as error:
+        return error
+
+
+FAULT_CASES = [
+    (name, faults)
+    for name in STAND_INS
+    for faults in (
+        *itertools.combinations(FAULTS, 1),
+        *itertools.combinations(FAULTS, 2),
+    )
+    if name == "http" or not any(fault.over_http for fault in faults)
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "faults"),
+    FAULT_CASES,
+    ids=["-".join((n, *(f.name for f in fs))) for n, fs in FAULT_CASES],
+)
+async def test_append_under_faults(name, faults):
+    async with STAND_INS[name]() as world:
+        world.service.faults.late_seconds = LATE_SECONDS
+        await world.append(b"before")
+        for fault in faults:
+            fault.begin(world)
+        await trio.sleep(0.001)
+        seconds = TRY_SECONDS if len(faults) == 1 else PAIR_TRY_SECONDS
+        result = await try_append(world, seconds)
+        with contextlib.suppress(LogUnavailable):
+            deadline = soon(PAIR_TRY_SECONDS)
+            page = await world.logs[1].read(
+                world.stream, LogOffset(0), deadline
+            )
+            assert page.records[0].payload == b"before"
+        await heal(world)
+        await world.append(b"after")
+        kept = await world.payloads()
+    landed = kept.count(b"tried")
+    # What is said of an append is true for good, whatever went wrong.
+    if isinstance(result, LogUnavailable | LogTooFast):
+        assert landed == 0
+    elif isinstance(result, LogError):
+        assert isinstance(result, LogOutcomeUnknown)
+        assert landed <= 1
+    else:
+        assert kept.index(b"tried") == result
+        assert landed == 1
+    assert kept[0] == b"before"
+    assert kept.count(b"after") == 1
+    if len(faults) == 1:
+        wanted = faults[0].error
+        assert type(result) is (wanted or int)
+        assert landed == faults[0].landed
+
+
+@pytest.mark.parametrize("name", STAND_INS)
+async def test_expired_records_are_truncated(name):
+    async with STAND_INS[name]() as world:
+        for number in range(4):
+            await world.append(b"%d" % number)
+        world.service.truncate(world.stream, 3)
+        with pytest.raises(LogTruncated) as caught:
+            await world.payloads()
+        assert caught.value.first == 3
+        world.service.truncate(world.stream, 4)
+        with pytest.raises(LogTruncated) as caught:
+            await world.payloads()
+        assert caught.value.first == 4
+        assert await world.append() == 4
+
+
+async def test_killed_in_mid_append_is_unknown():
+    async with http_world() as world:
+        world.service.faults.delay_seconds = PATIENCE_SECONDS
+        async with trio.open_nursery() as nursery:
+
+            async def append():
+                with pytest.raises(LogOutcomeUnknown):
+                    await world.append()
+
+            nursery.start_soon(append)
+            await trio.sleep(SETTLE_SECONDS)
+            world.server.cancel()
+
+
+async def test_own_limit_spares_the_log():
+    async with http_world() as world:
+        with pytest.raises(LogRecordTooLarge):
+            await world.append(b"x" * 100_001)
+        assert world.service.appends == 0
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(
+    status=strategies.sampled_from((200, 204, 400, 410, 429, 503)),
+    body=strategies.one_of(
+        strategies.binary(max_size=60),
+        strategies.sampled_from(
+            (
+                b'{"offset":-1}',
+                b'{"offset":true}',
+                b'{"error":"truncated"}',
+                b'{"error":"too-fast","retry_after_ms":-1}',
+                b'{"start":0,"first":0,"end":1,"records":[{"payload":"?"}]}',
+                b'{"start":0,"first":0,"end":1,"records":[{"payload":"?",'
+                b'"at":1}]}',
+                b'{"start":9,"first":0,"end":1,"records":[]}',
+            )
+        ),
+    ),
+)
+def test_odd_replies_are_log_errors(status, body):
+    reply = PlatformReply(status, {}, body)
+    for read in (
+        lambda: http_log._read_append_reply(reply),
+        lambda: http_log._read_page_reply(reply, LogOffset(0)),
+    ):
+        with pytest.raises(LogError):
+            read()
--- a/agatetack/testing/memory_log.py
+++ b/agatetack/testing/memory_log.py
@@ -149,7 +149,7 @@
         if fault is AppendFault.REQUEST_LOST:
             raise LogOutcomeUnknown("scripted: never lands")
         if fault is AppendFault.LANDS_LATE:
-            self._land_late(stream, payload)
+            self._land_late(stream, payload, faults.late_seconds)
             raise LogOutcomeUnknown("scripted: lands late")
         offset = self.service.store(stream, payload)
         if fault is AppendFault.REPLY_LOST:
@@ -201,11 +201,15 @@
                 await trio.sleep(faults.delay_seconds)
         await trio.lowlevel.checkpoint()
 
-    def _land_late(self, stream: StreamId, payload: bytes) -> None:
+    def _land_late(
+        self, stream: StreamId, payload: bytes, seconds: float
+    ) -> None:
         if self.nursery is None:
             raise ValueError("an append that lands late needs a nursery")
-        self.nursery.start_soon(self._store_later, stream, payload)
+        self.nursery.start_soon(self._store_later, stream, payload, seconds)
 
-    async def _store_later(self, stream: StreamId, payload: bytes) -> None:
-        await trio.sleep(self.faults.late_seconds)
+    async def _store_later(
+        self, stream: StreamId, payload: bytes, seconds: float
+    ) -> None:
+        await trio.sleep(seconds)
         self.service.store(stream, payload)
