--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -21,6 +21,9 @@
 SHARING_SHARE = 0.5
 """Share of the byte budget that goes to samples sent to peers."""
 
+SAMPLE_BURST_BYTES = 4096
+"""Bytes of samples that may be saved up at least."""
+
 LEAVING_PROBE_SECONDS = 1.0
 """Least time between two probes of targets that may return."""
 
@@ -72,7 +75,7 @@
         self.probe_bytes = TokenBucket(
             budget.bytes_per_second - share, size, PROBE_BYTES
         )
-        sample_bytes = TokenBucket(share, size, PROBE_BYTES)
+        sample_bytes = TokenBucket(share, size, SAMPLE_BURST_BYTES)
         self.sharing = SampleExchange(registry, exchange, metrics, sample_bytes)
         self.chosen: dict[ServiceId, None] = {}
         self.waiting = trio.Event()
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Hold benchmarks; each is a module or package that runs by itself."""
