--- a/agatetack/operators/client.py
+++ b/agatetack/operators/client.py
@@ -118,8 +118,8 @@
         page = await self.call(name, request)
         field = LIST_FIELDS[name]
         items = list(getattr(page, field))
-        while page.next is not None:
-            request = dataclasses.replace(request, after=page.next)
+        while page.next_after is not None:
+            request = dataclasses.replace(request, after=page.next_after)
             page = await self.call(name, request)
             items += getattr(page, field)
         return dataclasses.replace(page, **{field: tuple(items)})
--- a/agatetack/operators/host_calls.py
+++ b/agatetack/operators/host_calls.py
@@ -34,7 +34,7 @@
         page = await take_page(
             self.backend.hosts(), lambda host: host.host_id, request
         )
-        return views.HostList(page.items, page.next)
+        return views.HostList(page.items, page.next_after)
 
     async def list_targets(
         self, operator: Operator, request: requests.ListTargetsRequest
@@ -50,7 +50,7 @@
         page = await take_page(
             targets, lambda target: target.target_id, request
         )
-        return views.TargetList(page.items, page.next)
+        return views.TargetList(page.items, page.next_after)
 
     async def get_measure_budget(
         self, operator: Operator, request: requests.GetMeasureBudgetRequest
@@ -92,7 +92,7 @@
             and request.service in (None, entry.service)
         ]
         page = await take_page(listed, lambda entry: entry.fingerprint, request)
-        return views.QuarantineList(page.items, page.next)
+        return views.QuarantineList(page.items, page.next_after)
 
     async def release_quarantined(
         self, operator: Operator, request: requests.ReleaseQuarantinedRequest
--- a/agatetack/operators/paging.py
+++ b/agatetack/operators/paging.py
@@ -21,7 +21,7 @@
 
     Attributes:
         page_size: Most items wanted.
-        after: `next` of the page before, or None for the first.
+        after: `next_after` of the page before, or None for the first.
     """
 
     page_size: int
@@ -33,7 +33,7 @@
     """Items in the order of their ids, and where the next page starts."""
 
     items: tuple[T, ...]
-    next: str | None
+    next_after: str | None
 
 
 async def take_page(
--- a/agatetack/operators/route_calls.py
+++ b/agatetack/operators/route_calls.py
@@ -64,7 +64,7 @@
             and request.team in (None, record.route.team)
         ]
         page = await take_page(listed, lambda record: record.route.id, request)
-        return RouteList(page.items, known.offset, page.next)
+        return RouteList(page.items, known.offset, page.next_after)
 
     async def get_route(
         self, operator: Operator, request: requests.GetRouteRequest
--- a/agatetack/operators/test_host_calls.py
+++ b/agatetack/operators/test_host_calls.py
@@ -185,7 +185,7 @@
         request = requests.ListTargetsRequest(page_size=size, after=after)
         page = await calls.list_targets(operator, request)
         seen += [target.target_id for target in page.targets]
-        after, count = page.next, count + 1
+        after, count = page.next_after, count + 1
     assert seen == sorted(backend.listed_targets)
     assert count == pages
 
--- a/agatetack/operators/views.py
+++ b/agatetack/operators/views.py
@@ -101,12 +101,12 @@
 class RouteList:
     """Routes by id; all records of the log before `offset` were read.
 
-    In this and the other lists `next` leads to the next page, if any.
+    In this and the other lists `next_after` leads to the next page, if any.
     """
 
     routes: tuple[RouteRecord, ...]
     offset: LogOffset
-    next: str | None = None
+    next_after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,7 +216,7 @@
     """All gateways that the answering host knows, by id."""
 
     hosts: tuple[HostView, ...]
-    next: str | None = None
+    next_after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -259,7 +259,7 @@
     """Targets by id."""
 
     targets: tuple[TargetView, ...]
-    next: str | None = None
+    next_after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -394,7 +394,7 @@
     """Requests suspected to crash targets, by fingerprint."""
 
     requests: tuple[QuarantinedRequest, ...]
-    next: str | None = None
+    next_after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/thrift/operators.thrift
+++ b/thrift/operators.thrift
@@ -203,18 +203,21 @@
   2: required string message
 }
 
+// Exceptions are mutable in Python, as its own libraries set the traceback of
+// an exception that passes through them.
+
 // The token is missing or does not allow the call.
 exception AccessDenied {
   1: required AccessProblem problem
   2: required string message
   3: optional i64 retry_after_ms  // absent: asking again will not help
-}
+} (python.immutable = "false")
 
 // The request's fields are wrong; nothing was done.
 exception InvalidRequest {
   1: required string message
   2: required list<Finding> findings
-}
+} (python.immutable = "false")
 
 // A route in force.
 struct RouteRecord {
@@ -232,14 +235,14 @@
   3: required string change_id
   4: required list<Finding> findings
   5: optional RouteRecord current   // what is in force instead, if anything
-}
+} (python.immutable = "false")
 
 // The change may be in force or come into force; ask get_change.
 exception ChangeInDoubt {
   1: required string message
   2: required string change_id
   3: optional i64 retry_after_ms
-}
+} (python.immutable = "false")
 
 // The change would exceed a limit of its team; nothing was done.
 exception LimitExceeded {
@@ -247,33 +250,33 @@
   2: required string message
   3: required double allowed
   4: required double wanted
-}
+} (python.immutable = "false")
 
 // There is no such thing here.
 exception NotFound {
   1: required Entity entity
   2: required string id
   3: required string message
-}
+} (python.immutable = "false")
 
 // The call cannot be answered now; it had no effect.
 exception Unavailable {
   1: required UnavailableReason reason
   2: required string message
   3: optional i64 retry_after_ms
-}
+} (python.immutable = "false")
 
 struct ListRoutesRequest {
   1: optional string service_name  // absent: all that the token may read
   2: optional string team
   3: optional i32 page_size       // default 100, most 200
-  4: optional string after           // `next` of the page before
+  4: optional string after           // `next_after` of the page before
 }
 
 struct RouteList {
   1: required list<RouteRecord> routes  // by id
   2: required i64 offset                // all records before it were read
-  3: optional string next               // absent: this is the last page
+  3: optional string next_after  // absent: this is the last page
 }
 
 struct GetRouteRequest {
@@ -344,7 +347,7 @@
 
 struct ListHostsRequest {
   1: optional i32 page_size       // default 100, most 200
-  2: optional string after           // `next` of the page before
+  2: optional string after           // `next_after` of the page before
 }
 
 // A gateway as the answering host sees it.
@@ -359,13 +362,13 @@
 
 struct HostList {
   1: required list<HostView> hosts       // by id, the answering one included
-  2: optional string next                // absent: this is the last page
+  2: optional string next_after  // absent: this is the last page
 }
 
 struct ListTargetsRequest {
   1: optional string service_name        // absent: all that the token may read
   2: optional i32 page_size       // default 100, most 200
-  3: optional string after           // `next` of the page before
+  3: optional string after           // `next_after` of the page before
 }
 
 struct TargetView {
@@ -386,7 +389,7 @@
 
 struct TargetList {
   1: required list<TargetView> targets   // by id
-  2: optional string next                // absent: this is the last page
+  2: optional string next_after  // absent: this is the last page
 }
 
 struct GetMeasureBudgetRequest {
@@ -453,7 +456,7 @@
 struct ListQuarantineRequest {
   1: optional string service_name       // absent: all that the token may read
   2: optional i32 page_size       // default 100, most 200
-  3: optional string after           // `next` of the page before
+  3: optional string after           // `next_after` of the page before
 }
 
 // A request suspected to crash targets.
@@ -471,7 +474,7 @@
 
 struct QuarantineList {
   1: required list<QuarantinedRequest> requests  // by fingerprint
-  2: optional string next               // absent: this is the last page
+  2: optional string next_after  // absent: this is the last page
 }
 
 struct ReleaseQuarantinedRequest {
