Append claims through a steward and judge them under faults

Cause: own batches of 14 hosts would share the log's few appends, and a refusal with the log out could call a key "not run" that had run elsewhere. Change: a steward for each partition (rendezvous hash over live peers) appends for all; the log's order stays the only judge. A release bars every claim that had not seen it. With the log out "not run" is said only if every host of the fleet vouches that it knows of no attempt.

--- a/agatetack/claims/codec.py
+++ b/agatetack/claims/codec.py
@@ -74,7 +74,7 @@
 
 
 def _check_claim(entry: Entry) -> None:
-    if not entry.fingerprint or entry.until_ms is None:
+    if entry.fingerprint is None or entry.until_ms is None:
         raise BadMessage("a claim without fingerprint or deadline")
     if entry.kind == EntryKind.CLAIM and entry.seen is None:
         raise BadMessage("a claim that tells not what it has seen")
--- /dev/null
+++ b/agatetack/claims/courier.py
@@ -0,0 +1,122 @@
+"""Bring entries to the host that appends for a partition, in batches."""
+
+import collections
+import dataclasses
+
+import trio
+
+from agatetack.claims import codec
+from agatetack.generated.claims.ttypes import (
+    Call,
+    Entry,
+    Reply,
+    Submission,
+    Verdict,
+)
+from agatetack.ids import Deadline, HostId
+from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
+from agatetack.settings.model import Settings
+
+MAX_CALLS = 2
+"""Calls to one steward that wait for their reply at the same time."""
+
+REPLY_SHARE = 0.8
+"""Part of a call's time that the steward may use before it must reply."""
+
+MS = 1000
+"""Milliseconds in a second."""
+
+
+@dataclasses.dataclass(slots=True)
+class Parcel:
+    """An entry on its way to a steward.
+
+    Attributes:
+        entry: What is to be appended.
+        verdict: The steward's verdict, or None if it did not answer.
+        returned: Set once the call ended.
+        wanted: Whether somebody still waits for it.
+    """
+
+    entry: Entry
+    verdict: Verdict | None = None
+    returned: trio.Event = dataclasses.field(default_factory=trio.Event)
+    wanted: bool = True
+
+
+class Courier:
+    """Calls one steward about one partition.
+
+    A call starts at once while fewer than `MAX_CALLS` are under way, else
+    entries gather for the next.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        exchange: Exchange,
+        nursery: trio.Nursery,
+        steward: HostId,
+        partition: int,
+    ):
+        """Call `steward`; calls run in `nursery`."""
+        self.settings = settings
+        self.exchange = exchange
+        self.nursery = nursery
+        self.steward = steward
+        self.partition = partition
+        self.queue: collections.deque[Parcel] = collections.deque()
+        self.calls = 0
+
+    async def send(self, entry: Entry) -> Verdict | None:
+        """Return the steward's verdict, or None if it did not answer."""
+        parcel = Parcel(entry)
+        self.queue.append(parcel)
+        if self.calls < MAX_CALLS:
+            self.calls += 1
+            self.nursery.start_soon(self._call_while_queued)
+        try:
+            await parcel.returned.wait()
+        finally:
+            parcel.wanted = False
+        return parcel.verdict
+
+    async def _call_while_queued(self) -> None:
+        try:
+            while self.queue:
+                await self._call()
+        finally:
+            self.calls -= 1
+
+    async def _call(self) -> None:
+        parcels = self._next_parcels()
+        if not parcels:
+            return
+        timeout = self.settings.claims.steward_timeout_seconds
+        call = Call(
+            submission=Submission(
+                partition=self.partition,
+                entries=[parcel.entry for parcel in parcels],
+                time_left_ms=int(timeout * REPLY_SHARE * MS),
+            )
+        )
+        deadline = Deadline(trio.current_time() + timeout)
+        try:
+            payload = await self.exchange.call(
+                self.steward, Topic.CLAIM_BATCH, codec.encode(call), deadline
+            )
+            verdicts = codec.decode(Reply, payload).verdicts
+            codec.check_verdicts(verdicts, len(parcels))
+        except (PeerUnreachable, codec.BadMessage):
+            verdicts = [None] * len(parcels)
+        for parcel, verdict in zip(parcels, verdicts, strict=True):
+            parcel.verdict = verdict
+            parcel.returned.set()
+
+    def _next_parcels(self) -> list[Parcel]:
+        parcels: list[Parcel] = []
+        while self.queue and len(parcels) < self.settings.claims.max_batch:
+            parcel = self.queue.popleft()
+            if parcel.wanted:
+                parcels.append(parcel)
+        return parcels
--- a/agatetack/claims/fold.py
+++ b/agatetack/claims/fold.py
@@ -59,8 +59,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Expiry:
-    """When a key may have to be forgotten, by the log's clock."""
+class KeyTime:
+    """A time on the log's clock that matters for a key."""
 
     at_ms: int
     key: bytes
@@ -73,7 +73,11 @@
         next: The first offset not folded yet.
         now_ms: The latest time seen on the log's clock.
         since_ms: Claims before this time may be missing.
+        gap: Whether records before the next one were never read.
         keys: The state of each key that is remembered.
+        dated: When keys with a time of issue expire, roughly in order.
+        undated: When keys without one expire, roughly in order.
+        written: When records of undated keys were written, in order.
     """
 
     def __init__(self, settings: Settings):
@@ -84,14 +88,16 @@
         self.next = LogOffset(0)
         self.now_ms = 0
         self.since_ms = 0
+        self.gap = False
         self.keys: dict[bytes, KeyState] = {}
-        self.dated: collections.deque[Expiry] = collections.deque()
-        self.undated: collections.deque[Expiry] = collections.deque()
+        self.dated: collections.deque[KeyTime] = collections.deque()
+        self.undated: collections.deque[KeyTime] = collections.deque()
+        self.written: collections.deque[KeyTime] = collections.deque()
 
-    def start(self, offset: LogOffset, at_ms: int) -> None:
+    def start(self, offset: LogOffset) -> None:
         """Go on at `offset`, as the records before it are gone."""
         self.next = offset
-        self.since_ms = at_ms
+        self.gap = True
 
     def advance(self, offset: LogOffset, at_ms: int) -> None:
         """Count the record at `offset` as folded; forget what is too old."""
@@ -103,6 +109,9 @@
     def apply(self, offset: LogOffset, at_ms: int, entry: Entry) -> None:
         """Fold one entry of the record at `offset`."""
         at_ms = max(at_ms, self.now_ms)
+        if self.gap:
+            self.gap = False
+            self.since_ms = at_ms
         state = self.keys.get(entry.key)
         if entry.kind == EntryKind.CLAIM:
             self._claim(offset, at_ms, entry, state)
@@ -122,9 +131,9 @@
             return
         state.attempt = entry.attempt
         state.fingerprint = entry.fingerprint
-        state.dated = bool(entry.dated)
         state.until_ms = entry.until_ms
-        self._written(entry.key, state, at_ms, at_ms)
+        self._date(entry.key, state, at_ms, bool(entry.dated))
+        self._written(entry.key, state, at_ms)
 
     def _release(
         self, offset: int, at_ms: int, entry: Entry, state: KeyState | None
@@ -139,12 +148,14 @@
         state.attempt = None
         state.barrier = offset
         state.released = entry.attempt
-        self._written(entry.key, state, at_ms, at_ms)
+        # A barrier is of use only against requests that are still open.
+        self._date(entry.key, state, at_ms, dated=True)
 
     def _done(self, at_ms: int, entry: Entry, state: KeyState | None) -> None:
         if state is None:
             # Its claim is no longer kept; that it ran is certain.
             state = self._add(entry.key, at_ms)
+            self._date(entry.key, state, at_ms, dated=False)
         elif state.status:
             return
         elif state.attempt != entry.attempt:
@@ -152,23 +163,23 @@
             state.fingerprint = b""
         state.attempt = entry.attempt
         state.status = entry.status
-        self._written(entry.key, state, state.claimed_ms, at_ms)
+        self._written(entry.key, state, at_ms)
 
     def _keep(self, at_ms: int, entry: Entry, state: KeyState | None) -> None:
         if state is None:
             state = self._add(entry.key, at_ms)
         elif state.attempt == entry.attempt:
             state.status = state.status or entry.status or 0
-            self._written(entry.key, state, state.claimed_ms, at_ms)
+            self._written(entry.key, state, at_ms)
             return
         elif state.attempt is not None or state.released == entry.attempt:
             return
         state.attempt = entry.attempt
         state.fingerprint = entry.fingerprint
         state.status = entry.status or 0
-        state.dated = bool(entry.dated)
         state.until_ms = entry.until_ms
-        self._written(entry.key, state, entry.claimed_ms, at_ms)
+        self._date(entry.key, state, entry.claimed_ms, bool(entry.dated))
+        self._written(entry.key, state, at_ms)
 
     def _add(self, key: bytes, at_ms: int) -> KeyState:
         state = KeyState(
@@ -185,13 +196,20 @@
         self.keys[key] = state
         return state
 
-    def _written(
-        self, key: bytes, state: KeyState, claimed_ms: int, written_ms: int
+    def _date(
+        self, key: bytes, state: KeyState, claimed_ms: int, dated: bool
     ) -> None:
+        """Set from when on and for how long the key is remembered."""
         state.claimed_ms = claimed_ms
-        state.written_ms = written_ms
-        expiries = self.dated if state.dated else self.undated
-        expiries.append(Expiry(self.expires_ms(state), key))
+        state.dated = dated
+        expiries = self.dated if dated else self.undated
+        expiries.append(KeyTime(self.expires_ms(state), key))
+
+    def _written(self, key: bytes, state: KeyState, at_ms: int) -> None:
+        """Note that a record of a held key was written at `at_ms`."""
+        state.written_ms = at_ms
+        if not state.dated:
+            self.written.append(KeyTime(at_ms, key))
 
     def expires_ms(self, state: KeyState) -> int:
         """Return when `state` is forgotten, by the log's clock."""
@@ -200,7 +218,7 @@
         return state.claimed_ms + self.undated_keep_ms
 
     def _forget(
-        self, expiries: collections.deque[Expiry], keep_ms: int
+        self, expiries: collections.deque[KeyTime], keep_ms: int
     ) -> None:
         while expiries and expiries[0].at_ms < self.now_ms:
             key = expiries.popleft().key
@@ -208,6 +226,19 @@
             if state and self.expires_ms(state) < self.now_ms:
                 del self.keys[key]
 
+    def has(self, entry: Entry) -> bool:
+        """Return whether `entry` is known to have been folded before."""
+        state = self.keys.get(entry.key)
+        if state is None:
+            return False
+        if entry.kind == EntryKind.CLAIM:
+            return state.attempt == entry.attempt
+        if entry.kind == EntryKind.RELEASE:
+            return state.released == entry.attempt
+        if entry.kind == EntryKind.DONE:
+            return state.attempt == entry.attempt and state.status > 0
+        return False
+
     def look(self, key: bytes, fingerprint: bytes | None) -> Verdict:
         """Return what is known of `key`.
 
--- /dev/null
+++ b/agatetack/claims/inquiry.py
@@ -0,0 +1,162 @@
+"""Ask the other hosts about a key while the log does not answer.
+
+"Not run" is true of a key only if no earlier attempt of it ran or can still
+run. With the log out, only the other hosts together can tell: each knows its
+own open attempts, and what it last read.
+"""
+
+import dataclasses
+
+import trio
+
+from agatetack.claims import codec
+from agatetack.claims.open_keys import OpenKeys
+from agatetack.claims.partition import Partition
+from agatetack.generated.claims.ttypes import (
+    Call,
+    Inquiry,
+    Question,
+    Reply,
+    Verdict,
+    VerdictKind,
+)
+from agatetack.ids import Deadline, HostId
+from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
+from agatetack.settings.model import Settings
+
+
+@dataclasses.dataclass(slots=True)
+class Asked:
+    """A question on its way to all peers.
+
+    Attributes:
+        question: What is asked.
+        unused: Whether no host knows of an attempt, once answered.
+        answered: Set with `unused`.
+    """
+
+    question: Question
+    unused: bool = False
+    answered: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+class Inquiries:
+    """Asks all hosts in rounds, and answers their questions.
+
+    Questions that come during a round share the next one, so that a log
+    outage under load costs a bounded number of calls.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        exchange: Exchange,
+        partitions: list[Partition],
+        open_keys: OpenKeys,
+    ):
+        """Ask the peers of `exchange`."""
+        self.settings = settings
+        self.exchange = exchange
+        self.partitions = partitions
+        self.open_keys = open_keys
+        self.nursery: trio.Nursery | None = None
+        self.waiting: list[Asked] = []
+        self.asking = False
+
+    async def unused(self, number: int, key: bytes) -> bool:
+        """Return whether no other attempt of `key` ran or can still run.
+
+        False also means that not every host could be asked.
+        """
+        if self.nursery is None or not self._all_seen():
+            return False
+        asked = Asked(Question(partition=number, key=key))
+        self.waiting.append(asked)
+        if not self.asking:
+            self.asking = True
+            self.nursery.start_soon(self._ask_while_waiting)
+        await asked.answered.wait()
+        return asked.unused
+
+    def answer(self, inquiry: Inquiry) -> list[Verdict]:
+        """Answer a peer; a key that is said to be free is barred here."""
+        questions = inquiry.questions or []
+        return [self._answer(question) for question in questions]
+
+    def _all_seen(self) -> bool:
+        seen = len(self.exchange.live_peers()) + 1
+        return seen >= self.exchange.fleet_size()
+
+    def _answer(self, question: Question) -> Verdict:
+        if not 0 <= (question.partition or 0) < len(self.partitions):
+            return Verdict(VerdictKind.IN_DOUBT)
+        partition = self.partitions[question.partition or 0]
+        known = partition.fold.look(question.key, None)
+        if known.kind != VerdictKind.FREE:
+            return known
+        if self.open_keys.has(question.key, partition):
+            return Verdict(VerdictKind.HELD)
+        if not self.open_keys.bar(question.key):
+            return Verdict(VerdictKind.IN_DOUBT)
+        if not partition.ready:
+            return Verdict(VerdictKind.NOT_READY)
+        return known
+
+    async def _ask_while_waiting(self) -> None:
+        try:
+            while self.waiting:
+                round_of = self.waiting[: self.settings.claims.max_batch]
+                del self.waiting[: len(round_of)]
+                await self._ask(round_of)
+        finally:
+            self.asking = False
+
+    async def _ask(self, round_of: list[Asked]) -> None:
+        timeout = self.settings.claims.steward_timeout_seconds
+        deadline = Deadline(trio.current_time() + timeout)
+        inquiry = Inquiry([asked.question for asked in round_of])
+        replies = [[self._own_answer(asked.question) for asked in round_of]]
+        complete = self._all_seen()
+        async with trio.open_nursery() as nursery:
+            for peer in self.exchange.live_peers():
+                nursery.start_soon(
+                    self._ask_peer, peer.id, inquiry, deadline, replies
+                )
+            peers = len(self.exchange.live_peers())
+        complete = complete and len(replies) == peers + 1
+        for index, asked in enumerate(round_of):
+            kinds = {reply[index].kind for reply in replies}
+            asked.unused = complete and _is_free(kinds)
+            asked.answered.set()
+
+    def _own_answer(self, question: Question) -> Verdict:
+        partition = self.partitions[question.partition]
+        if not partition.ready:
+            return Verdict(VerdictKind.NOT_READY)
+        return partition.fold.look(question.key, None)
+
+    async def _ask_peer(
+        self,
+        peer: HostId,
+        inquiry: Inquiry,
+        deadline: Deadline,
+        replies: list[list[Verdict]],
+    ) -> None:
+        payload = codec.encode(Call(inquiry=inquiry))
+        try:
+            reply = await self.exchange.call(
+                peer, Topic.CLAIM_BATCH, payload, deadline
+            )
+            verdicts = codec.decode(Reply, reply).verdicts
+            codec.check_verdicts(verdicts, len(inquiry.questions))
+        except (PeerUnreachable, codec.BadMessage):
+            return
+        replies.append(verdicts)
+
+
+def _is_free(kinds: set[int]) -> bool:
+    """Return whether no host knows a claim and one knows the whole stream."""
+    return VerdictKind.FREE in kinds and kinds <= {
+        VerdictKind.FREE,
+        VerdictKind.NOT_READY,
+    }
--- a/agatetack/claims/partition.py
+++ b/agatetack/claims/partition.py
@@ -1,4 +1,4 @@
-"""Read and write one claim stream: a tail and an appender."""
+"""Follow one claim stream and settle the entries that wait for it."""
 
 import collections
 import dataclasses
@@ -7,68 +7,34 @@
 import trio
 
 from agatetack.claims import codec
+from agatetack.claims.appender import (
+    RETRY_SECONDS,
+    Appender,
+    AppendListener,
+    Pending,
+)
 from agatetack.claims.fold import MS, Fold
 from agatetack.claims.pace import Pace
 from agatetack.clock import Clock
-from agatetack.generated.claims.ttypes import (
-    Batch,
-    Entry,
-    Verdict,
-    VerdictKind,
-)
+from agatetack.generated.claims.ttypes import Entry, Verdict, VerdictKind
 from agatetack.ids import Deadline, LogOffset, StreamId
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.platform.log import (
     Log,
-    LogOutcomeUnknown,
     LogPage,
     LogRecord,
-    LogTooFast,
     LogTruncated,
     LogUnavailable,
 )
 from agatetack.settings.model import Settings
 
-MAX_APPENDS_IN_FLIGHT = 8
-"""Appends of one partition that wait for their reply at the same time."""
-
-RETRY_SECONDS = 0.1
-"""Pause before the log is tried again after it failed."""
-
 POSITIONS = 512
 """How many past positions of the tail are remembered."""
 
 log_lines = PartLog("claims")
 
 
-@dataclasses.dataclass(slots=True)
-class Pending:
-    """An entry on its way into the log.
-
-    Attributes:
-        entry: What to append.
-        lasting: Whether to try again while the log is out.
-        verdict: What became of it, or None while that is open.
-        settled: Set with the verdict.
-        in_doubt: Whether an append of it was sent and not answered.
-        waiters: Tasks that wait for the verdict.
-    """
-
-    entry: Entry
-    lasting: bool
-    verdict: Verdict | None = None
-    settled: trio.Event = dataclasses.field(default_factory=trio.Event)
-    in_doubt: bool = False
-    waiters: int = 0
-
-    def settle(self, verdict: Verdict) -> None:
-        """Give `verdict` to those who wait, once."""
-        if self.verdict is None:
-            self.verdict = verdict
-            self.settled.set()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingId:
     """What tells one entry on its way from another."""
@@ -85,7 +51,7 @@
     next: LogOffset
 
 
-class Partition:
+class Partition(AppendListener):
     """One claim stream as this host sees it.
 
     Attributes:
@@ -93,6 +59,7 @@
         fold: Who holds which key.
         ready: Whether the fold has reached the stream's end.
         reachable: Whether the log answered last.
+        current_from: When the last read began that reached the end.
     """
 
     def __init__(
@@ -111,26 +78,24 @@
         self.log = log
         self.metrics = metrics
         self.clock = clock
-        self.pace = pace
+        self.appender = Appender(
+            self.stream, settings, log, metrics, pace, self
+        )
         self.fold = Fold(settings)
         self.ready = False
         self.reachable = True
-        self.queue: collections.deque[Pending] = collections.deque()
+        self.current_from = Deadline(-math.inf)
+        self.read_scope = trio.CancelScope()
         self.pending: dict[PendingId, Pending] = {}
-        self.work = trio.Event()
         self.positions: collections.deque[Position] = collections.deque(
             maxlen=POSITIONS
         )
-        self.slots = trio.Semaphore(MAX_APPENDS_IN_FLIGHT)
-        self.ready_event = trio.Event()
 
     async def run(self) -> None:
         """Read and append until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tail)
-            nursery.start_soon(self._append_batches, nursery)
-
-    # Positions.
+            nursery.start_soon(self.appender.run)
 
     def seen_at(self, arrived: Deadline) -> LogOffset:
         """Return the first offset that was not folded at `arrived`."""
@@ -146,155 +111,90 @@
     # Entries on their way.
 
     async def submit(
-        self, entry: Entry, deadline: Deadline, lasting: bool = False
-    ) -> Verdict:
-        """Append `entry` and return what became of it.
+        self, entries: list[Entry], deadline: Deadline
+    ) -> list[Verdict]:
+        """Append `entries` and return what became of each.
 
-        Args:
-            entry: What to append; the same entry may be given again.
-            deadline: When to give up.
-            lasting: Whether to try again while the log is out.
+        An entry may be given again; a second record of it changes nothing.
 
         Returns:
-            FAILED if no append of it can have had an effect, IN_DOUBT if
-            one may yet have, else the fold's verdict.
+            For each entry FAILED or NOT_READY if no append of it was sent,
+            IN_DOUBT if one was or may be, else the fold's verdict.
         """
         if not self.ready:
-            return Verdict(VerdictKind.NOT_READY)
-        pending = self._enqueue(entry, lasting)
-        pending.waiters += 1
+            return [Verdict(VerdictKind.NOT_READY) for _ in entries]
+        wanted = [self.watch(entry) for entry in entries]
+        for pending in wanted:
+            self.appender.put(pending)
         try:
             with trio.move_on_at(deadline):
-                await pending.settled.wait()
+                for pending in wanted:
+                    await pending.settled.wait()
         finally:
-            pending.waiters -= 1
-            if pending.waiters == 0:
-                self._forget(pending)
-        return pending.verdict or Verdict(VerdictKind.IN_DOUBT)
-
-    def _enqueue(self, entry: Entry, lasting: bool) -> Pending:
+            for pending in wanted:
+                self.unwatch(pending)
+        return [
+            pending.verdict or Verdict(VerdictKind.IN_DOUBT)
+            for pending in wanted
+        ]
+
+    def watch(self, entry: Entry) -> Pending:
+        """Return what will hold the verdict once `entry` is folded here."""
         name = PendingId(entry.kind, entry.attempt)
         pending = self.pending.get(name)
         if pending is None:
-            pending = Pending(entry, lasting)
+            pending = Pending(entry)
             self.pending[name] = pending
-            self.queue.append(pending)
-            self.work.set()
+            if self.ready and self.fold.has(entry):
+                pending.settle(self.fold.judge(entry))
+        pending.waiters += 1
         return pending
 
-    def _forget(self, pending: Pending) -> None:
-        name = PendingId(pending.entry.kind, pending.entry.attempt)
-        if self.pending.get(name) is pending:
+    def unwatch(self, pending: Pending) -> None:
+        """Stop waiting for what `watch` returned; unsent it stays unsent."""
+        pending.waiters -= 1
+        if not pending.waiters:
+            name = PendingId(pending.entry.kind, pending.entry.attempt)
             del self.pending[name]
-        if pending.verdict is None and pending in self.queue:
-            self.queue.remove(pending)
-            if not pending.in_doubt:
-                pending.settle(Verdict(VerdictKind.FAILED))
 
-    # Appending.
-
-    async def _append_batches(self, nursery: trio.Nursery) -> None:
-        while True:
-            await self.work.wait()
-            await self.slots.acquire()
-            await self.pace.take()
-            batch = self._next_batch()
-            if not batch:
-                self.work = trio.Event()
-                self.slots.release()
-                continue
-            nursery.start_soon(self._append, batch)
-
-    def _next_batch(self) -> list[Pending]:
-        batch: list[Pending] = []
-        while self.queue and len(batch) < self.settings.claims.max_batch:
-            pending = self.queue.popleft()
-            if pending.verdict is None:
-                batch.append(pending)
-        if not self.queue:
-            self.work = trio.Event()
-        return batch
-
-    async def _append(self, batch: list[Pending]) -> None:
-        try:
-            await self._append_once(batch)
-        finally:
-            self.slots.release()
+    def on_appended(self, offset: LogOffset, payload: bytes) -> None:
+        """Fold an own record at once, if nothing stands before it."""
+        self.reachable = True
+        if self.ready and offset == self.fold.next:
+            self._fold(offset, self.log_ms(), payload)
 
-    async def _append_once(self, batch: list[Pending]) -> None:
-        payload = codec.encode(Batch([pending.entry for pending in batch]))
-        timeout = self.settings.platform.log.timeout_seconds
-        deadline = Deadline(trio.current_time() + timeout)
-        try:
-            offset = await self.log.append(self.stream, payload, deadline)
-        except LogTooFast as error:
-            self._count_append("too-fast", batch)
-            self._again(batch, error.retry_at)
-        except LogUnavailable:
-            self._count_append("unavailable", batch)
-            self._refused(batch)
-        except LogOutcomeUnknown:
-            self._count_append("in-doubt", batch)
-            for pending in batch:
-                pending.in_doubt = True
-            self.reachable = False
-            self._again(batch, self._retry_at())
-        else:
-            self._count_append("done", batch)
-            self.reachable = True
-            # With nothing in between, there is no need to read it back.
-            if offset == self.fold.next and self.ready:
-                self._fold(offset, self.log_ms(), payload)
-
-    def _refused(self, batch: list[Pending]) -> None:
+    def on_log_failed(self) -> None:
+        """Refuse new claims until the log answers again."""
         self.reachable = False
-        again = []
-        while self.queue:
-            batch.append(self.queue.popleft())
-        for pending in batch:
-            if pending.lasting or pending.in_doubt:
-                again.append(pending)
-            else:
-                pending.settle(Verdict(VerdictKind.FAILED))
-        self._again(again, self._retry_at())
-
-    def _again(self, batch: list[Pending], at: Deadline) -> None:
-        self.pace.hold(at)
-        for pending in reversed(batch):
-            if pending.verdict is None and pending.waiters:
-                self.queue.appendleft(pending)
-                self.work.set()
-
-    def _retry_at(self) -> Deadline:
-        return Deadline(trio.current_time() + RETRY_SECONDS)
-
-    def _count_append(self, result: str, batch: list[Pending]) -> None:
-        self.metrics.appends.inc({"kind": "claims", "result": result})
-        self.metrics.appended_records.add({"kind": "claims"}, len(batch))
+        self.read_scope.cancel()
 
     # Reading.
 
     async def _tail(self) -> None:
-        settings = self.settings.platform.log
         while True:
-            # Until the end was seen, an empty answer is worth more than a
-            # record that comes later.
-            poll = settings.poll_seconds if self.ready else 0
-            wait = Deadline(trio.current_time() + poll)
-            deadline = Deadline(wait + settings.timeout_seconds)
             try:
-                page = await self.log.read(
-                    self.stream, self.fold.next, deadline, wait
-                )
+                # A failed append ends a read that waits, since the next one
+                # tells at once whether the log answers.
+                with trio.CancelScope() as self.read_scope:
+                    await self._read()
             except LogTruncated as error:
-                await self._start_over(error.first)
+                self._start_over(error.first)
             except LogUnavailable:
                 self.reachable = False
                 await trio.sleep(RETRY_SECONDS)
-            else:
-                self._take(page)
 
-    async def _start_over(self, first: LogOffset) -> None:
+    async def _read(self) -> None:
+        settings = self.settings.platform.log
+        started = Deadline(trio.current_time())
+        # Until the end was seen, an empty answer is worth more than a
+        # record that comes later.
+        waits = self.ready and self.reachable
+        wait = Deadline(started + (settings.poll_seconds if waits else 0))
+        deadline = Deadline(wait + settings.timeout_seconds)
+        page = await self.log.read(self.stream, self.fold.next, deadline, wait)
+        self._take(page, started)
+
+    def _start_over(self, first: LogOffset) -> None:
         """Go on at the first record kept, as those before it are gone."""
         if self.fold.next > 0:
             log_lines.warning(
@@ -303,19 +203,19 @@
                 self.fold.next,
                 first - 1,
             )
-            self.metrics.dropped.inc({"part": "claims", "reason": "retention"})
+            self._count_dropped("retention")
         self.ready = False
-        for pending in list(self.pending.values()):
+        for pending in self.pending.values():
             pending.settle(Verdict(VerdictKind.IN_DOUBT))
-        self.fold.start(first, 0)
+        self.fold.start(first)
 
-    def _take(self, page: LogPage) -> None:
+    def _take(self, page: LogPage, started: Deadline) -> None:
         self.reachable = True
         for record in page.records:
             self._take_record(record)
-        if self.fold.next >= page.end and not self.ready:
+        if self.fold.next >= page.end:
             self.ready = True
-            self.ready_event.set()
+            self.current_from = started
         label = {"stream": self.stream}
         self.metrics.log_offset.set(label, self.fold.next)
         self.metrics.log_lag.set(label, max(0, page.end - self.fold.next))
@@ -331,7 +231,7 @@
             entries = codec.decode_batch(payload).entries
         except codec.BadMessage as error:
             log_lines.warning("Record %d is skipped: %s.", offset, error)
-            self.metrics.dropped.inc({"part": "claims", "reason": "bad-record"})
+            self._count_dropped("bad-record")
             entries = []
         for entry in entries:
             self.fold.apply(offset, at_ms, entry)
@@ -342,5 +242,8 @@
 
     def _settle(self, entry: Entry) -> None:
         pending = self.pending.get(PendingId(entry.kind, entry.attempt))
-        if pending is not None:
+        if pending is not None and self.ready:
             pending.settle(self.fold.judge(entry))
+
+    def _count_dropped(self, reason: str) -> None:
+        self.metrics.dropped.inc({"part": "claims", "reason": reason})
--- /dev/null
+++ b/agatetack/claims/recorder.py
@@ -0,0 +1,67 @@
+"""Record outcomes and releases in the background, through log outages."""
+
+import trio
+
+from agatetack.claims.partition import Partition
+from agatetack.claims.router import Router
+from agatetack.generated.claims.ttypes import Entry, VerdictKind
+from agatetack.ids import Deadline
+from agatetack.metrics import Metrics
+from agatetack.settings.model import Settings
+
+MAX_OPEN = 20_000
+"""Entries of this host that wait for the log."""
+
+RETRY_SECONDS = 0.2
+"""Pause before an entry is given to the log again."""
+
+UNSETTLED = frozenset(
+    (VerdictKind.FAILED, VerdictKind.IN_DOUBT, VerdictKind.NOT_READY)
+)
+"""Verdicts that leave open whether the entry stands in the log."""
+
+
+class Recorder:
+    """Keeps trying to append entries that nobody waits for.
+
+    Attributes:
+        open_entries: How many are not in the log yet.
+    """
+
+    def __init__(self, settings: Settings, router: Router, metrics: Metrics):
+        """Append through `router`."""
+        self.settings = settings
+        self.router = router
+        self.open_entries = 0
+        self.nursery: trio.Nursery | None = None
+        self.dropped = metrics.counter(
+            "agatetack_claims_unrecorded_total",
+            "Outcomes and releases that were given up, by reason.",
+        )
+
+    def record(self, partition: Partition, entry: Entry) -> None:
+        """Append `entry` in the background, as long as the key is kept."""
+        if self.nursery is None or self.open_entries >= MAX_OPEN:
+            self.dropped.inc({"reason": "too-many"})
+            return
+        self.open_entries += 1
+        self.nursery.start_soon(self._record, partition, entry)
+
+    async def flush(self, deadline: Deadline) -> bool:
+        """Wait until every entry stands in the log; return whether."""
+        while self.open_entries and trio.current_time() < deadline:
+            await trio.sleep(RETRY_SECONDS / 10)
+        return self.open_entries == 0
+
+    async def _record(self, partition: Partition, entry: Entry) -> None:
+        window = self.settings.claims.key_window_seconds
+        deadline = Deadline(trio.current_time() + window)
+        try:
+            while trio.current_time() < deadline:
+                verdict = await self.router.submit(partition, entry, deadline)
+                if verdict.kind not in UNSETTLED:
+                    return
+                await trio.sleep(RETRY_SECONDS)
+            self.dropped.inc({"reason": "too-old"})
+        finally:
+            self.open_entries -= 1
--- /dev/null
+++ b/agatetack/claims/router.py
@@ -0,0 +1,178 @@
+"""Choose who appends an entry: a steward for each partition, or this host."""
+
+import dataclasses
+import math
+
+import trio
+import xxhash
+
+from agatetack.claims.appender import Pending
+from agatetack.claims.courier import Courier
+from agatetack.claims.partition import Partition
+from agatetack.generated.claims.ttypes import Entry, Verdict, VerdictKind
+from agatetack.ids import Deadline, HostId
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange
+from agatetack.settings.model import Settings
+
+AVOID_SECONDS = 2.0
+"""How long a steward that did not answer is passed over."""
+
+USELESS = frozenset((VerdictKind.FAILED, VerdictKind.NOT_READY))
+"""Verdicts of a host that appended nothing."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CourierId:
+    """Whom a courier calls, and about which partition."""
+
+    steward: HostId
+    partition: int
+
+
+class Router:
+    """Brings entries into the log and returns what became of them.
+
+    The hosts that are seen alive are ranked for each partition by a hash;
+    the first one, its steward, appends for all, so that one record carries
+    the claims of many hosts. Only the log's order counts: a steward that is
+    wrong, outdated or paused can delay a claim, but not grant one twice.
+    """
+
+    def __init__(
+        self, settings: Settings, exchange: Exchange, metrics: Metrics
+    ):
+        """Choose among this host and the peers of `exchange`."""
+        self.settings = settings
+        self.exchange = exchange
+        self.nursery: trio.Nursery | None = None
+        self.couriers: dict[CourierId, Courier] = {}
+        self.avoided: dict[HostId, Deadline] = {}
+        self.fallbacks = metrics.counter(
+            "agatetack_claims_fallback_total",
+            "Entries that a steward did not take, by reason.",
+        )
+
+    def rate(self, number: int) -> float:
+        """Return this host's appends in a second to partition `number`.
+
+        Hosts that see only some of the others have stewards of their own;
+        the shares of all such groups add up to the fleet's.
+        """
+        claims = self.settings.claims
+        share = claims.fleet_appends_per_second / claims.partitions
+        fleet = max(1, self.exchange.fleet_size())
+        if self.steward(number) is not None:
+            return share / fleet
+        seen = len(self.exchange.live_peers()) + 1
+        return share * min(1.0, seen / fleet)
+
+    def steward(self, number: int) -> HostId | None:
+        """Return who appends for partition `number`; None is this host."""
+        now = trio.current_time()
+        best = self._rank(HostId(self.settings.host.id), number)
+        steward = None
+        for peer in self.exchange.live_peers():
+            if peer.leaving or self.avoided.get(peer.id, -math.inf) > now:
+                continue
+            rank = self._rank(peer.id, number)
+            if rank > best:
+                best = rank
+                steward = peer.id
+        return steward
+
+    def place(self, number: int) -> int:
+        """Return how many live hosts go before this one, from 0."""
+        own = self._rank(HostId(self.settings.host.id), number)
+        return sum(
+            self._rank(peer.id, number) > own
+            for peer in self.exchange.live_peers()
+        )
+
+    def _rank(self, host: HostId, number: int) -> int:
+        return xxhash.xxh64_intdigest(f"{number}/{host}".encode())
+
+    async def submit(
+        self, partition: Partition, entry: Entry, deadline: Deadline
+    ) -> Verdict:
+        """Append `entry` through its steward and return what became of it.
+
+        Returns:
+            FAILED or NOT_READY if it was never appended and never will be,
+            IN_DOUBT if it may have been, else the verdict of a fold.
+        """
+        pending = partition.watch(entry)
+        try:
+            with trio.move_on_at(deadline):
+                return await self._settle(partition, pending, deadline)
+        finally:
+            partition.unwatch(pending)
+        if pending.verdict is None and not pending.sent:
+            return Verdict(VerdictKind.FAILED)
+        return pending.verdict or Verdict(VerdictKind.IN_DOUBT)
+
+    async def _settle(
+        self, partition: Partition, pending: Pending, deadline: Deadline
+    ) -> Verdict:
+        while pending.verdict is None:
+            steward = self.steward(partition.number)
+            if steward is None:
+                return await self._append_here(partition, pending, deadline)
+            verdict = await self._send(steward, partition, pending)
+            if verdict is None:
+                self._avoid(steward, "no-answer")
+            elif verdict.kind in USELESS:
+                name = VerdictKind._VALUES_TO_NAMES[verdict.kind]
+                self._avoid(steward, name)
+            elif verdict.kind != VerdictKind.IN_DOUBT:
+                return verdict
+        return pending.verdict
+
+    async def _append_here(
+        self, partition: Partition, pending: Pending, deadline: Deadline
+    ) -> Verdict:
+        [verdict] = await partition.submit([pending.entry], deadline)
+        if verdict.kind == VerdictKind.NOT_READY and pending.sent:
+            # A steward's append may yet land and be read here.
+            await pending.settled.wait()
+            return pending.verdict
+        return verdict
+
+    async def _send(
+        self, steward: HostId, partition: Partition, pending: Pending
+    ) -> Verdict | None:
+        """Return the steward's verdict, or None; stop once the tail tells."""
+        sent_before = pending.in_doubt
+        # From here on the steward may append it, whatever it answers.
+        pending.in_doubt = True
+        courier = self._courier(steward, partition.number)
+        verdict = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                _cancel_when_settled, pending, nursery.cancel_scope
+            )
+            verdict = await courier.send(pending.entry)
+            nursery.cancel_scope.cancel()
+        if verdict is not None and verdict.kind in USELESS:
+            pending.in_doubt = sent_before
+        return pending.verdict or verdict
+
+    def _courier(self, steward: HostId, number: int) -> Courier:
+        name = CourierId(steward, number)
+        if name not in self.couriers:
+            self.couriers[name] = Courier(
+                self.settings, self.exchange, self.nursery, steward, number
+            )
+        return self.couriers[name]
+
+    def _avoid(self, steward: HostId, reason: str) -> None:
+        self.fallbacks.inc({"reason": reason.lower().replace("_", "-")})
+        until = Deadline(trio.current_time() + AVOID_SECONDS)
+        self.avoided[steward] = until
+
+
+async def _cancel_when_settled(
+    pending: Pending, scope: trio.CancelScope
+) -> None:
+    await pending.settled.wait()
+    scope.cancel()
--- a/thrift/claims.thrift
+++ b/thrift/claims.thrift
@@ -53,18 +53,24 @@
   3: required i32 time_left_ms
 }
 
-// Asks a host whether it knows of a claim, with the log out.
-struct Inquiry {
+// Asks a host whether it knows of claims, as the log does not answer. A host
+// that answers FREE also refuses every request for the key that it already has.
+struct Question {
   1: required i32 partition
   2: required binary key
 }
 
+struct Inquiry {
+  1: required list<Question> questions
+}
+
+// One of the two.
 struct Call {
   1: optional Submission submission
   2: optional Inquiry inquiry
 }
 
-// One verdict for each entry, or one for the inquiry.
+// One verdict for each entry or question, in their order.
 struct Reply {
   1: required list<Verdict> verdicts
 }
