--- a/agatetack/settings/loader.py
+++ b/agatetack/settings/loader.py
@@ -110,7 +110,8 @@
         hint = near_key(keys, siblings, default_layer())
         file.add(keys, file.key_place(keys), message, hint)
         return
-    hint = plain_number(str(keys[-1]), details[0]["input"])
+    name = str(keys[-1]) if keys else ""
+    hint = plain_number(name, details[0]["input"])
     file.add(keys, file.place(keys), message, hint)
 
 
--- a/agatetack/settings/yaml_file.py
+++ b/agatetack/settings/yaml_file.py
@@ -137,6 +137,7 @@
 
 def _read_values(text: str, file: YamlFile) -> None:
     yaml = ruamel.yaml.YAML(typ="safe", pure=True)
+    yaml.composer.warn_double_anchors = False
     root = _compose(yaml, text, file)
     if root is not None:
         reader = _ValueReader(yaml, file)
@@ -236,8 +237,9 @@
         if node.tag not in SCALAR_TAGS:
             return self._refuse_tag(node, path)
         try:
-            return self.yaml.constructor.construct_object(node)
-        except (KeyError, ValueError):
+            value = self.yaml.constructor.construct_object(node)
+            return _join_surrogates(value) if isinstance(value, str) else value
+        except (LookupError, ValueError):
             kind = node.tag.removeprefix(TAG)
             return self._leave_out(node, path, f"is not a valid {kind}")
 
@@ -250,6 +252,17 @@
         self.file.unread.add(path)
 
 
+def _join_surrogates(text: str) -> str:
+    """Return `text` with the pairs joined that JSON's escapes leave.
+
+    Raises:
+        UnicodeDecodeError: One stands alone, so that this is no text.
+    """
+    if text.isascii():
+        return text
+    return text.encode("utf-16", "surrogatepass").decode("utf-16")
+
+
 def _place_of(node: Node) -> Place:
     mark = node.start_mark
     return Place(mark.line + 1, mark.column + 1)
