--- a/agatetack/platform/directory.py
+++ b/agatetack/platform/directory.py
@@ -2,8 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -46,25 +45,11 @@
 """Called after the list has changed; must not block or raise."""
 
 
-class _EntryKey(NamedTuple):
-    """What identifies an entry."""
-
-    role: HostRole
-    id: HostId
-
-
-class _Group(NamedTuple):
-    """Entries whose common disappearance is doubted."""
-
-    role: HostRole
-    service: ServiceId
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Vanished:
     """An entry removed lately, which counts in judging later losses."""
 
-    group: _Group
+    service: ServiceId
     counts_until: Deadline
 
 
@@ -99,9 +84,9 @@
         self.hosts: Sequence[ListedHost] = ()
         self.fetched_at: Deadline | None = None
         self.callbacks: list[ChangeCallback] = []
-        self.entries: dict[_EntryKey, ListedHost] = {}
-        self.held: dict[_EntryKey, Deadline] = {}
-        self.vanished: dict[_EntryKey, _Vanished] = {}
+        self.entries: dict[HostId, ListedHost] = {}
+        self.held: dict[HostId, Deadline] = {}
+        self.vanished: dict[HostId, _Vanished] = {}
         self.last_fetch: Sequence[ListedHost] | None = None
         self.reachable = True
         self.fetches = metrics.counter(
@@ -177,10 +162,15 @@
         if fetched is self.last_fetch and not self.held:
             return
         self.last_fetch = fetched
-        self._apply({_key(host): host for host in fetched})
-
-    def _apply(self, fetched: dict[_EntryKey, ListedHost]) -> None:
-        self._hold_mass_leaving(fetched)
+        self._apply({host.id: host for host in fetched})
+
+    def _apply(self, fetched: dict[HostId, ListedHost]) -> None:
+        missing = [
+            host
+            for host in self.entries.values()
+            if host.id not in fetched and host.state is not HostState.LEAVING
+        ]
+        self._hold_mass_leaving(missing)
         merged = dict(fetched)
         for key in self.held:
             merged[key] = self.entries[key]
@@ -189,35 +179,44 @@
             return
         self.entries = merged
         self.hosts = tuple(merged.values())
+        self._count_listed()
         for callback in self.callbacks:
             callback(change)
 
-    def _hold_mass_leaving(self, fetched: dict[_EntryKey, ListedHost]) -> None:
+    def _hold_mass_leaving(self, missing: Sequence[ListedHost]) -> None:
         now = trio.current_time()
         until = Deadline(now + self.settings.shrink_hold_seconds)
         self._forget_old_losses(now)
-        missing = {
-            key: _group(host)
-            for key, host in self.entries.items()
-            if key not in fetched and host.state is not HostState.LEAVING
-        }
-        lost_lately = [loss.group for loss in self.vanished.values()]
-        sizes = collections.Counter(map(_group, self.entries.values()))
-        sizes.update(lost_lately)
-        losses = collections.Counter(missing.values())
-        losses.update(lost_lately)
-        kept: dict[_EntryKey, Deadline] = {}
-        for key, group in missing.items():
-            massive = losses[group] > self.settings.shrink_ratio * sizes[group]
-            held_until = self.held.get(key, until)
-            if massive and held_until > now:
-                kept[key] = held_until
+        kept: dict[HostId, Deadline] = {}
+        massive = self._services_shrunk(missing)
+        for host in missing:
+            held_until = self.held.get(host.id, until)
+            if host.service in massive and held_until > now:
+                kept[host.id] = held_until
             else:
-                self.vanished[key] = _Vanished(group, until)
+                self.vanished[host.id] = _Vanished(host.service, until)
         if len(kept) > len(self.held):
             LOG.warning("Too many vanished at once; %d are kept.", len(kept))
         self.held = kept
 
+    def _services_shrunk(self, missing: Sequence[ListedHost]) -> set[ServiceId]:
+        """Return the services that lost too much; "" is the gateways'."""
+        if not missing:
+            return set()
+        lost_lately = [loss.service for loss in self.vanished.values()]
+        sizes = collections.Counter(
+            host.service for host in self.entries.values()
+        )
+        sizes.update(lost_lately)
+        losses = collections.Counter(host.service for host in missing)
+        losses.update(lost_lately)
+        ratio = self.settings.shrink_ratio
+        return {
+            service
+            for service, count in losses.items()
+            if count > ratio * sizes[service]
+        }
+
     def _forget_old_losses(self, now: float) -> None:
         self.vanished = {
             key: loss
@@ -230,25 +229,24 @@
         if age is not None:
             self.age.set({}, age)
         self.held_entries.set({}, len(self.held))
+
+    def _count_listed(self) -> None:
         for role in HostRole:
             count = sum(1 for host in self.hosts if host.role is role)
             self.listed.set({"role": role.value}, count)
 
 
-def _key(host: ListedHost) -> _EntryKey:
-    return _EntryKey(host.role, host.id)
-
-
-def _group(host: ListedHost) -> _Group:
-    return _Group(host.role, host.service)
-
-
 def _compare(
-    before: dict[_EntryKey, ListedHost], after: dict[_EntryKey, ListedHost]
+    before: dict[HostId, ListedHost], after: dict[HostId, ListedHost]
 ) -> ListChange:
-    known: Iterable[_EntryKey] = [key for key in after if key in before]
-    return ListChange(
-        added=[host for key, host in after.items() if key not in before],
-        updated=[after[key] for key in known if after[key] != before[key]],
-        removed=[host for key, host in before.items() if key not in after],
-    )
+    added: list[ListedHost] = []
+    updated: list[ListedHost] = []
+    for key, host in after.items():
+        known = before.get(key)
+        if known is None:
+            added.append(host)
+        # Entries that did not change mostly come as the same objects.
+        elif known is not host and known != host:
+            updated.append(host)
+    removed = [host for key, host in before.items() if key not in after]
+    return ListChange(added, updated, removed)
--- a/agatetack/platform/http_host_list.py
+++ b/agatetack/platform/http_host_list.py
@@ -6,8 +6,9 @@
 
 import orjson
 import pydantic
+import trio
 
-from agatetack.ids import Deadline
+from agatetack.ids import Deadline, HostId
 from agatetack.logs import PartLog
 from agatetack.platform.host_list import (
     HostList,
@@ -33,6 +34,9 @@
 MAX_LIST_BYTES = 16 << 20
 """Longest list that is read, in bytes; ten times the size designed for."""
 
+ENTRIES_AT_ONCE = 200
+"""Entries read before other tasks get their turn."""
+
 SHOWN_FINDINGS = 5
 """Odd entries named in one log line; the rest are only counted."""
 
@@ -89,20 +93,22 @@
             return self.hosts
         if reply.status != OK:
             raise HostListUnavailable(f"status {reply.status}")
-        self._take(reply)
+        await self.take(reply)
         return self.hosts
 
-    def _take(self, reply: PlatformReply) -> None:
+    async def take(self, reply: PlatformReply) -> None:
+        """Make the list in `reply` the last one; odd entries are left out."""
+        known = {host.id: host for host in self.hosts}
         hosts: list[ListedHost] = []
         findings: list[str] = []
         for place, entry in enumerate(_entries(reply)):
+            # A long list must not hold up the requests of this process.
+            if place % ENTRIES_AT_ONCE == 0:
+                await trio.lowlevel.checkpoint()
             try:
-                host = LISTED_HOST.validate_python(entry)
-                ipaddress.ip_address(host.ip)
+                hosts.append(_read_entry(entry, known))
             except ValueError as error:
                 findings.append(f"entry {place}: {_first_line(error)}")
-            else:
-                hosts.append(host)
         if findings:
             shown = "; ".join(findings[:SHOWN_FINDINGS])
             LOG.warning("%d odd entries left out: %s.", len(findings), shown)
@@ -112,6 +118,34 @@
         self.etag = None if etag is None else etag.decode("latin-1")
 
 
+def _read_entry(
+    entry: object, known: Mapping[HostId, ListedHost]
+) -> ListedHost:
+    """Return the entry, as the object known before if it did not change.
+
+    Raises:
+        ValueError: It is no entry.
+    """
+    if isinstance(entry, dict) and isinstance(entry.get("id"), str):
+        before = known.get(entry["id"])
+        if before is not None and _unchanged(before, entry):
+            return before
+    host = LISTED_HOST.validate_python(entry)
+    ipaddress.ip_address(host.ip)
+    return host
+
+
+def _unchanged(host: ListedHost, entry: Mapping[str, object]) -> bool:
+    return (
+        entry.get("state") == host.state.value
+        and entry.get("role") == host.role.value
+        and entry.get("ip") == host.ip
+        and entry.get("port") == host.port
+        and entry.get("failure_domain") == host.failure_domain
+        and entry.get("service") == host.service
+    )
+
+
 def _entries(reply: PlatformReply) -> Sequence[object]:
     body = reply.body
     try:
--- a/agatetack/platform/http_log.py
+++ b/agatetack/platform/http_log.py
@@ -89,7 +89,7 @@
             if failure.sent:
                 raise LogOutcomeUnknown(str(failure)) from failure
             raise LogUnavailable(str(failure)) from failure
-        return _read_append_reply(reply)
+        return read_append_reply(reply)
 
     async def read(
         self,
@@ -130,14 +130,15 @@
             reply = await self.caller.call(request)
         except CallFailed as failure:
             raise LogUnavailable(str(failure)) from failure
-        return _read_page_reply(reply, start)
+        return read_page_reply(reply, start)
 
 
 def _path(stream: StreamId) -> str:
     return "/streams/" + urllib.parse.quote(stream, safe="")
 
 
-def _read_append_reply(reply: PlatformReply) -> LogOffset:
+def read_append_reply(reply: PlatformReply) -> LogOffset:
+    """Return the offset, or raise what the refusal means."""
     if reply.status == OK:
         try:
             answer = APPEND_REPLY.validate_json(reply.body)
@@ -161,7 +162,8 @@
     return Deadline(trio.current_time() + seconds)
 
 
-def _read_page_reply(reply: PlatformReply, start: LogOffset) -> LogPage:
+def read_page_reply(reply: PlatformReply, start: LogOffset) -> LogPage:
+    """Return the page from `start` on, or raise what the refusal means."""
     if reply.status == OK:
         try:
             page = PAGE_REPLY.validate_json(reply.body)
--- a/agatetack/platform/test_host_list_contract.py
+++ b/agatetack/platform/test_host_list_contract.py
@@ -3,30 +3,36 @@
 Set AGATETACK_HOST_LIST to `ip:port` to read a real list once as well.
 """
 
-import contextlib
 import dataclasses
 import itertools
+import json
 import os
 from collections.abc import Callable
 
+import hypothesis
+import orjson
 import pytest
 import trio
+from hypothesis import strategies
 
 from agatetack.ids import Deadline, FailureDomain, HostId, ServiceId
 from agatetack.platform.host_list import (
-    HostList,
     HostListUnavailable,
     HostRole,
     HostState,
     ListedHost,
 )
+from agatetack.platform.http_call import PlatformReply
 from agatetack.platform.http_host_list import HttpHostList
 from agatetack.settings.defaults import default_settings
-from agatetack.settings.model import Settings
-from agatetack.testing.memory_host_list import MemoryHostList
-from agatetack.testing.memory_log import MemoryLogService
-from agatetack.testing.platform_server import HttpFaults, serve_platform
+from agatetack.testing.platform_worlds import (
+    PlatformWorld,
+    http_world,
+    memory_world,
+    real_world,
+)
 
+World = PlatformWorld
 REAL_LIST = os.environ.get("AGATETACK_HOST_LIST")
 PATIENCE_SECONDS = 5.0
 TRY_SECONDS = 0.05
@@ -50,40 +56,6 @@
     return Deadline(trio.current_time() + seconds)
 
 
-def settings_for(ip: str, port: int) -> Settings:
-    endpoint = {"ip": ip, "port": port}
-    return default_settings(platform={"host_list": {"endpoint": endpoint}})
-
-
-@dataclasses.dataclass
-class World:
-    """One implementation, with the list that it should show."""
-
-    client: HostList
-    source: MemoryHostList
-    http: HttpFaults | None = None
-
-
-@contextlib.asynccontextmanager
-async def memory_world():
-    source = MemoryHostList()
-    yield World(source, source)
-
-
-@contextlib.asynccontextmanager
-async def http_world():
-    source = MemoryHostList()
-    faults = HttpFaults()
-    async with trio.open_nursery() as nursery:
-        port = await nursery.start(
-            serve_platform, MemoryLogService(), source, faults
-        )
-        client = HttpHostList(settings_for("127.0.0.1", port))
-        yield World(client, source, faults)
-        await client.aclose()
-        nursery.cancel_scope.cancel()
-
-
 WORLDS = {"memory": memory_world, "http": http_world}
 all_worlds = pytest.mark.parametrize("name", WORLDS)
 
@@ -101,11 +73,11 @@
     async with WORLDS[name]() as world:
         world.source.hosts = hosts
         for _ in range(2):
-            assert list(await world.client.fetch(soon())) == hosts
+            assert list(await world.host_list.fetch(soon())) == hosts
         world.source.publish([host(7)], lag_seconds=TRY_SECONDS)
-        assert list(await world.client.fetch(soon())) == hosts
+        assert list(await world.host_list.fetch(soon())) == hosts
         await trio.sleep(TRY_SECONDS)
-        assert list(await world.client.fetch(soon())) == [host(7)]
+        assert list(await world.host_list.fetch(soon())) == [host(7)]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,27 +133,23 @@
     hosts = [host(1), host(2)]
     async with WORLDS[name]() as world:
         world.source.hosts = [host(1)]
-        await world.client.fetch(soon())
+        await world.host_list.fetch(soon())
         world.source.hosts = hosts
         for fault in faults:
             fault.begin(world)
         with pytest.raises(HostListUnavailable):
-            await world.client.fetch(soon(TRY_SECONDS))
-        world.source.outage = False
-        world.source.delay_seconds = 0.0
-        if world.http is not None:
-            world.http.cut_replies = world.http.bare_errors = 0
-            world.http.malformed_replies = 0
-        assert list(await world.client.fetch(soon())) == hosts
+            await world.host_list.fetch(soon(TRY_SECONDS))
+        await world.heal()
+        assert list(await world.host_list.fetch(soon())) == hosts
 
 
 async def test_odd_entries_are_left_out_with_their_place():
     async with http_world() as world:
         odd = [dataclasses.replace(host(1), ip="a.example"), {"id": "x"}, 3]
         world.source.hosts = [host(1), *odd, host(2)]
-        assert list(await world.client.fetch(soon())) == [host(1), host(2)]
+        assert list(await world.host_list.fetch(soon())) == [host(1), host(2)]
         places = [
-            finding.partition(":")[0] for finding in world.client.findings
+            finding.partition(":")[0] for finding in world.host_list.findings
         ]
         assert places == ["entry 1", "entry 2", "entry 3"]
 
@@ -189,14 +157,44 @@
 async def test_an_unchanged_list_is_not_sent_again():
     async with http_world() as world:
         world.source.hosts = [host(1)]
-        first = await world.client.fetch(soon())
-        assert await world.client.fetch(soon()) is first
+        first = await world.host_list.fetch(soon())
+        assert await world.host_list.fetch(soon()) is first
+
+
+JSON = strategies.recursive(
+    strategies.none() | strategies.integers() | strategies.text(max_size=3),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(("id", "ip", "port", "hosts")), inner
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(content=JSON | strategies.just({"hosts": [{"id": []}]}))
+def test_odd_lists_are_findings_or_unavailable(content):
+    client = HttpHostList(default_settings())
+    content = json.loads(json.dumps(content))
+    good = orjson.loads(orjson.dumps(host(1)))
+    entries = content.get("hosts") if isinstance(content, dict) else None
+    if isinstance(entries, list):
+        entries.append(good)
+    body = json.dumps(content).encode()
+    try:
+        trio.run(client.take, PlatformReply(200, {}, body))
+    except HostListUnavailable:
+        assert not isinstance(entries, list)
+    else:
+        assert client.hosts[-1] == host(1)
+        assert len(client.findings) == len(entries) - 1
 
 
 if REAL_LIST:
 
     async def test_real_list():
-        ip, _, port = REAL_LIST.rpartition(":")
-        client = HttpHostList(settings_for(ip, int(port)))
-        await client.fetch(soon())
-        assert not client.findings
+        async with real_world(REAL_LIST) as world:
+            await world.host_list.fetch(soon())
+            assert not world.host_list.findings
--- a/agatetack/platform/test_log_contract.py
+++ b/agatetack/platform/test_log_contract.py
@@ -6,10 +6,10 @@
 
 import contextlib
 import dataclasses
+import functools
 import itertools
 import os
-import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import hypothesis
 import pytest
@@ -19,7 +19,6 @@
 from agatetack.ids import Deadline, LogOffset, StreamId
 from agatetack.platform import http_log
 from agatetack.platform.http_call import PlatformReply
-from agatetack.platform.http_log import HttpLog
 from agatetack.platform.log import (
     Log,
     LogError,
@@ -29,14 +28,17 @@
     LogTruncated,
     LogUnavailable,
 )
-from agatetack.settings.defaults import default_settings
-from agatetack.testing.memory_host_list import MemoryHostList
-from agatetack.testing.memory_log import (
-    AppendFault,
-    MemoryLog,
-    MemoryLogService,
+from agatetack.testing.memory_log import AppendFault
+from agatetack.testing.platform_worlds import (
+    PlatformWorld,
+    http_world,
+    memory_world,
+    real_world,
 )
-from agatetack.testing.platform_server import HttpFaults, serve_platform
+
+World = PlatformWorld
+MAX_RECORD_BYTES = 1 << 20
+"""The default of platform.log.max_record_bytes."""
 
 REAL_LOG = os.environ.get("AGATETACK_LOG")
 PATIENCE_SECONDS = 5.0
@@ -52,98 +54,37 @@
     return Deadline(trio.current_time() + seconds)
 
 
-class World:
-    """One implementation under test, with what can go wrong there.
-
-    Attributes:
-        logs: Clients of two hosts.
-        stream: A stream that no other test uses.
-        service: The stand-in behind it, or None for a real service.
-        http: Faults of the way, or None without HTTP.
-        server: Cancelled to kill the server, or None without one.
-    """
-
-    def __init__(self, logs: list[Log]):
-        """Start without a stand-in."""
-        self.logs = logs
-        self.stream = StreamId("contract-" + uuid.uuid4().hex)
-        self.service: MemoryLogService | None = None
-        self.http: HttpFaults | None = None
-        self.server = trio.CancelScope()
-        self.start_server: Callable[[], Awaitable[None]] | None = None
-
-    async def append(self, payload: bytes = b"x") -> LogOffset:
-        return await self.logs[0].append(self.stream, payload, soon())
+async def append(world: World, payload: bytes = b"x") -> LogOffset:
+    return await world.logs[0].append(world.stream, payload, soon())
 
-    async def payloads(self) -> list[bytes]:
-        page = await self.logs[1].read(self.stream, LogOffset(0), soon())
-        return [record.payload for record in page.records]
 
-
-def http_logs(ip: str, port: int) -> list[Log]:
-    log = {"endpoint": {"ip": ip, "port": port}, "max_record_bytes": 100_000}
-    settings = default_settings(platform={"log": log})
-    return [HttpLog(settings), HttpLog(settings)]
-
-
-@contextlib.asynccontextmanager
-async def memory_world():
-    service = MemoryLogService()
-    async with trio.open_nursery() as nursery:
-        world = World([MemoryLog(service, nursery) for _ in range(2)])
-        world.service = service
-        yield world
-        nursery.cancel_scope.cancel()
-
-
-@contextlib.asynccontextmanager
-async def http_world():
-    service = MemoryLogService()
-    faults = HttpFaults(max_record_bytes=90_000)
-    async with trio.open_nursery() as nursery:
-
-        async def serve(port: int = 0, task_status=trio.TASK_STATUS_IGNORED):
-            with trio.CancelScope() as world_server:
-                servers.append(world_server)
-                await serve_platform(
-                    service, MemoryHostList(), faults, port, task_status
-                )
-
-        servers: list[trio.CancelScope] = []
-        port = await nursery.start(serve)
-        world = World(http_logs("127.0.0.1", port))
-        world.service, world.http, world.server = service, faults, servers[0]
-        world.start_server = lambda: nursery.start(serve, port)
-        yield world
-        nursery.cancel_scope.cancel()
-
-
-@contextlib.asynccontextmanager
-async def real_world():
-    ip, _, port = (REAL_LOG or "").rpartition(":")
-    yield World(http_logs(ip, int(port)))
+async def payloads(world: World) -> list[bytes]:
+    page = await world.logs[1].read(world.stream, LogOffset(0), soon())
+    return [record.payload for record in page.records]
 
 
 STAND_INS = {"memory": memory_world, "http": http_world}
-WORLDS = STAND_INS | ({"real": real_world} if REAL_LOG else {})
+WORLDS = dict(STAND_INS)
+if REAL_LOG:
+    WORLDS["real"] = functools.partial(real_world, REAL_LOG)
 all_worlds = pytest.mark.parametrize("name", WORLDS)
 
 
 async def appends_count_up(world: World):
-    offsets = [await world.append(b"%d" % i) for i in range(3)]
+    offsets = [await append(world, b"%d" % i) for i in range(3)]
     assert offsets == [0, 1, 2]
-    assert await world.payloads() == [b"0", b"1", b"2"]
+    assert await payloads(world) == [b"0", b"1", b"2"]
 
 
 async def payloads_are_bytes(world: World):
     for payload in (b"", bytes(range(256)), b"\r\n" * 9, b"y" * 80_000):
-        await world.append(payload)
-        assert (await world.payloads())[-1] == payload
+        await append(world, payload)
+        assert (await payloads(world))[-1] == payload
 
 
 async def pages_are_consecutive(world: World):
     for number in range(5):
-        await world.append(b"%d" % number)
+        await append(world, b"%d" % number)
     log, stream = world.logs[0], world.stream
     page = await log.read(stream, LogOffset(1), soon(), max_records=3)
     assert [record.offset for record in page.records] == [1, 2, 3]
@@ -159,9 +100,9 @@
 
 async def streams_are_apart(world: World):
     other = StreamId(world.stream + "/ü?#%2F")
-    await world.append(b"one")
+    await append(world, b"one")
     assert await world.logs[0].append(other, b"two", soon()) == 0
-    assert await world.payloads() == [b"one"]
+    assert await payloads(world) == [b"one"]
     page = await world.logs[1].read(other, LogOffset(0), soon())
     assert page.records[0].payload == b"two"
 
@@ -169,14 +110,14 @@
 async def racing_appends_have_one_order(world: World):
     got: dict[LogOffset, bytes] = {}
 
-    async def append(log: Log, payload: bytes):
+    async def append_to(log: Log, payload: bytes):
         got[await log.append(world.stream, payload, soon())] = payload
 
     async with trio.open_nursery() as nursery:
         for number in range(20):
             log = world.logs[number % 2]
-            nursery.start_soon(append, log, b"%d" % number)
-    assert await world.payloads() == [got[LogOffset(i)] for i in range(20)]
+            nursery.start_soon(append_to, log, b"%d" % number)
+    assert await payloads(world) == [got[LogOffset(i)] for i in range(20)]
 
 
 async def wait_ends_with_a_record(world: World):
@@ -272,10 +213,6 @@
     return begin
 
 
-def kill(world: World) -> None:
-    world.server.cancel()
-
-
 FAULTS = (
     Fault("outage", of_log(outage=True), LogUnavailable, 0),
     Fault("frozen", of_log(frozen=True), LogOutcomeUnknown, 0),
@@ -298,22 +235,10 @@
     Fault("bare 503", of_way(bare_errors=1), LogOutcomeUnknown, 1, True),
     Fault("malformed", of_way(malformed_replies=1), LogOutcomeUnknown, 1, True),
     Fault("too large", of_way(max_record_bytes=0), LogRecordTooLarge, 0, True),
-    Fault("server gone", kill, LogUnavailable, 0, True),
+    Fault("server gone", World.kill, LogUnavailable, 0, True),
 )
 
 
-async def heal(world: World) -> None:
-    """End all faults and wait until late appends have landed."""
-    world.service.faults = type(world.service.faults)()
-    if world.http is not None:
-        world.http.cut_replies = world.http.bare_errors = 0
-        world.http.malformed_replies = 0
-        world.http.max_record_bytes = 90_000
-    if world.server.cancel_called:
-        await world.start_server()
-    await trio.sleep(SETTLE_SECONDS)
-
-
 async def try_append(world: World, seconds: float) -> LogError | LogOffset:
     log = world.logs[0]
     try:
@@ -341,7 +266,7 @@
 async def test_append_under_faults(name, faults):
     async with STAND_INS[name]() as world:
         world.service.faults.late_seconds = LATE_SECONDS
-        await world.append(b"before")
+        await append(world, b"before")
         for fault in faults:
             fault.begin(world)
         await trio.sleep(0.001)
@@ -353,9 +278,10 @@
                 world.stream, LogOffset(0), deadline
             )
             assert page.records[0].payload == b"before"
-        await heal(world)
-        await world.append(b"after")
-        kept = await world.payloads()
+        await world.heal()
+        await trio.sleep(SETTLE_SECONDS)
+        await append(world, b"after")
+        kept = await payloads(world)
     landed = kept.count(b"tried")
     # What is said of an append is true for good, whatever went wrong.
     if isinstance(result, LogUnavailable | LogTooFast):
@@ -378,16 +304,16 @@
 async def test_expired_records_are_truncated(name):
     async with STAND_INS[name]() as world:
         for number in range(4):
-            await world.append(b"%d" % number)
+            await append(world, b"%d" % number)
         world.service.truncate(world.stream, 3)
         with pytest.raises(LogTruncated) as caught:
-            await world.payloads()
+            await payloads(world)
         assert caught.value.first == 3
         world.service.truncate(world.stream, 4)
         with pytest.raises(LogTruncated) as caught:
-            await world.payloads()
+            await payloads(world)
         assert caught.value.first == 4
-        assert await world.append() == 4
+        assert await append(world) == 4
 
 
 async def test_killed_in_mid_append_is_unknown():
@@ -395,19 +321,19 @@
         world.service.faults.delay_seconds = PATIENCE_SECONDS
         async with trio.open_nursery() as nursery:
 
-            async def append():
+            async def lose():
                 with pytest.raises(LogOutcomeUnknown):
-                    await world.append()
+                    await append(world)
 
-            nursery.start_soon(append)
+            nursery.start_soon(lose)
             await trio.sleep(SETTLE_SECONDS)
-            world.server.cancel()
+            world.kill()
 
 
 async def test_own_limit_spares_the_log():
     async with http_world() as world:
         with pytest.raises(LogRecordTooLarge):
-            await world.append(b"x" * 100_001)
+            await append(world, b"x" * (MAX_RECORD_BYTES + 1))
         assert world.service.appends == 0
 
 
@@ -433,8 +359,8 @@
 def test_odd_replies_are_log_errors(status, body):
     reply = PlatformReply(status, {}, body)
     for read in (
-        lambda: http_log._read_append_reply(reply),
-        lambda: http_log._read_page_reply(reply, LogOffset(0)),
+        lambda: http_log.read_append_reply(reply),
+        lambda: http_log.read_page_reply(reply, LogOffset(0)),
     ):
         with pytest.raises(LogError):
             read()
