Keep the garbage collector from stopping a started daemon

Change: what is loaded at start is frozen out of later passes and the youngest generation is passed over less often.

--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -13,6 +13,7 @@
 from agatetack.callers.server import CallerServer
 from agatetack.claims.log_store import LogClaimStore
 from agatetack.clock import Clock, SystemClock
+from agatetack.collector import tune_collector
 from agatetack.config.route import RequestClass, RouteSource
 from agatetack.config.store import ConfigStore
 from agatetack.deferred.log_queue import LogDeferredQueue
@@ -192,6 +193,7 @@
     platform_log = HttpLog(settings)
     host_list = HttpHostList(settings)
     gateway = Gateway(settings, platform_log, host_list)
+    tune_collector()
     try:
         await gateway.run()
     finally:
--- a/bench/datapath/serve.py
+++ b/bench/datapath/serve.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from agatetack.collector import tune_collector
 from agatetack.config.route import RequestClass, Route, RouteTable
 from agatetack.gateway import Gateway
 from agatetack.ids import (
@@ -63,6 +64,7 @@
         while not gateway.config.ready:
             await trio.sleep(0.05)
         gateway.routes.table = RouteTable([route])
+        tune_collector()
         task_status.started(ports.callers)
 
 
