Speak TLS on both sides of the links between hosts

Cause: ServerTls covered listeners only; a call to a peer had no context, a missing file was "[Errno 2]" without its name, and an encrypted key made OpenSSL ask at the terminal. Change: what reloads stands in ReloadedTls; ServerTls gets accept_stream for trio listeners, ClientTls opens streams to peers with the fleet's own authority on both sides. Files that cannot be loaded raise TlsFilesError, a user's error of one line that names the listener and the file; the test that expected OSError now expects this error and its text, for twelve cases.

--- a/agatetack/test_tls.py
+++ b/agatetack/test_tls.py
@@ -1,9 +1,13 @@
 """Test that certificates are read again when their files change."""
 
+import contextlib
 import os
+import pathlib
 
 import pytest
+import trio
 import trustme
+from cryptography.hazmat.primitives import serialization
 
 from agatetack.metrics import Metrics
 from agatetack.operators.app import serve_operators
@@ -12,7 +16,7 @@
 from agatetack.operators.conftest import make_backend, make_settings
 from agatetack.operators.requests import GetStatusRequest
 from agatetack.settings.model import TlsFiles
-from agatetack.tls import ServerTls
+from agatetack.tls import ClientTls, ServerTls, TlsFilesError
 
 
 class Authority:
@@ -93,7 +97,111 @@
     assert tls.loads.get({"result": "failed"}) == 1
 
 
-def test_missing_files_are_told_at_the_start(tmp_path):
-    files = TlsFiles(certificate=str(tmp_path / "none"), key="none")
-    with pytest.raises(OSError):
-        ServerTls(files, "operators", Metrics())
+BROKEN = [
+    ({"certificate": "none"}, "No such file or directory"),
+    ({"key": "none"}, "No such file or directory"),
+    ({"authority": "none"}, "none cannot be loaded: No such file"),
+    ({"certificate": "a\0b"}, "cannot be loaded: "),
+    ({"authority": "{key}"}, "cannot be loaded: "),
+    ({"key": "{encrypted}"}, "the key is encrypted"),
+]
+
+
+@pytest.mark.parametrize("kind", [ServerTls, ClientTls])
+@pytest.mark.parametrize(("changes", "part"), BROKEN)
+def test_files_that_cannot_be_loaded_are_told(kind, changes, part, tmp_path):
+    authority = Authority(tmp_path)
+    paths = authority.paths | {"encrypted": str(tmp_path / "encrypted.pem")}
+    encrypt_key(paths["key"], paths["encrypted"])
+    changed = {key: path.format(**paths) for key, path in changes.items()}
+    files = TlsFiles(**(authority.paths | changed))
+    with pytest.raises(TlsFilesError, match=f"^peers: .*{part}"):
+        kind(files, "peers", Metrics())
+
+
+def test_calls_to_peers_need_an_authority(tmp_path):
+    with pytest.raises(TlsFilesError, match="an authority is needed"):
+        ClientTls(Authority(tmp_path).files(), "peers", Metrics())
+
+
+def encrypt_key(source, path):
+    key = serialization.load_pem_private_key(
+        pathlib.Path(source).read_bytes(), None
+    )
+    pathlib.Path(path).write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.BestAvailableEncryption(b"secret"),
+        )
+    )
+
+
+async def exchange(nursery, server, client):
+    """Return what a peer answers; nothing if either side refuses."""
+
+    async def answer(stream):
+        async with server.accept_stream(stream) as secure:
+            with contextlib.suppress(trio.BrokenResourceError):
+                await secure.send_all(await secure.receive_some())
+
+    listeners = await nursery.start(trio.serve_tcp, answer, 0)
+    port = listeners[0].socket.getsockname()[1]
+    async with await client.open_stream("127.0.0.1", port) as stream:
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(b"hello")
+            return await stream.receive_some()
+    return b""
+
+
+async def test_peers_of_one_authority_exchange_messages(nursery, tmp_path):
+    files = TlsFiles(**Authority(tmp_path).paths)
+    metrics = Metrics()
+    server = ServerTls(files, "peers", metrics)
+    client = ClientTls(files, "peers_dial", metrics)
+    assert await exchange(nursery, server, client) == b"hello"
+
+
+@pytest.mark.parametrize("stranger", ["server", "client"])
+async def test_a_peer_of_another_authority_is_refused(
+    stranger, nursery, tmp_path
+):
+    sides = {}
+    for side in ("server", "client"):
+        (tmp_path / side).mkdir()
+        sides[side] = Authority(tmp_path / side)
+    paths = {side: dict(sides[side].paths) for side in sides}
+    # Only the stranger's certificate is of an authority not trusted.
+    trusted = "client" if stranger == "server" else "server"
+    paths[stranger]["authority"] = paths[trusted]["authority"]
+    metrics = Metrics()
+    server = ServerTls(TlsFiles(**paths["server"]), "peers", metrics)
+    client = ClientTls(TlsFiles(**paths["client"]), "dial", metrics)
+    assert await exchange(nursery, server, client) == b""
+
+
+async def test_both_sides_take_a_renewed_authority(nursery, tmp_path):
+    authority = Authority(tmp_path)
+    files = TlsFiles(**authority.paths)
+    metrics = Metrics()
+    server = ServerTls(files, "peers", metrics)
+    client = ClientTls(files, "dial", metrics)
+    authority.renew()
+    client.reload()
+    assert await exchange(nursery, server, client) == b""
+    server.reload()
+    assert await exchange(nursery, server, client) == b"hello"
+
+
+def test_files_mended_without_a_new_time_are_loaded(tmp_path):
+    authority = Authority(tmp_path)
+    certificate = pathlib.Path(authority.paths["certificate"])
+    fitting = certificate.read_bytes()
+    tls = ServerTls(authority.files(), "operators", Metrics())
+    before = tls.current
+    authority.renew("certificate")
+    tls.reload()
+    certificate.write_bytes(fitting)
+    os.utime(certificate, (authority.version, authority.version))
+    tls.reload()
+    assert tls.current is not before
--- a/agatetack/tls.py
+++ b/agatetack/tls.py
@@ -1,10 +1,12 @@
-"""Serve TLS with certificates that are read again when their files change."""
+"""Speak TLS with certificates that are read again when their files change."""
 
+import abc
 import os
 import ssl
 
 import trio
 
+from agatetack.errors import SettingsError
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.settings.model import TlsFiles
@@ -15,12 +17,14 @@
 log = PartLog("tls")
 
 
-class ServerTls:
-    """The TLS of one listener.
+class TlsFilesError(SettingsError):
+    """PEM files cannot be read, or do not fit together."""
+
+
+class ReloadedTls(abc.ABC):
+    """The TLS of one listener or of one kind of calls.
 
     Attributes:
-        context: What the listener uses; it hands each handshake to the
-            context that was loaded last.
         current: The context that was loaded last.
     """
 
@@ -28,12 +32,12 @@
         """Load `files`.
 
         Args:
-            files: PEM files; with an authority, clients need a certificate.
-            name: The listener, for logs and counters.
+            files: PEM files.
+            name: What it is for, such as `callers`; in logs and counters.
             metrics: Counts loads and failures.
 
         Raises:
-            OSError: The files cannot be read, or do not fit together.
+            TlsFilesError: The files cannot be read, or do not fit together.
         """
         self.files = files
         self.name = name
@@ -43,8 +47,6 @@
         )
         self.stamp = self._read_stamp()
         self.current = self._load()
-        self.context = self._load()
-        self.context.sni_callback = self._choose
 
     async def run(self) -> None:
         """Load the files again whenever they change; keep what works."""
@@ -59,7 +61,7 @@
             return
         try:
             self.current = self._load()
-        except OSError as error:
+        except TlsFilesError as error:
             # The files may be replaced one after the other, so the same
             # stamp is tried again at the next look.
             self.loads.inc({"result": "failed"})
@@ -70,27 +72,114 @@
         self.stamp = stamp
         log.info("The certificate of %s was loaded again.", self.name)
 
-    def _choose(
-        self, handshake: ssl.SSLObject, name: str | None, _: ssl.SSLContext
-    ) -> None:
-        handshake.context = self.current
-
     def _read_stamp(self) -> tuple[int, ...] | None:
         """Return the files' times of change, or None if one is missing."""
         paths = (self.files.certificate, self.files.key, self.files.authority)
         try:
             return tuple(os.stat(path).st_mtime_ns for path in paths if path)
-        except OSError:
+        except (OSError, ValueError):
             return None
 
     def _load(self) -> ssl.SSLContext:
-        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context = self._new_context()
         context.minimum_version = ssl.TLSVersion.TLSv1_2
-        context.load_cert_chain(self.files.certificate, self.files.key)
-        if self.files.authority is not None:
-            context.load_verify_locations(self.files.authority)
-            context.verify_mode = ssl.CERT_REQUIRED
+        files = self.files
+        try:
+            context.load_cert_chain(files.certificate, files.key, _no_password)
+        except (OSError, ValueError) as error:
+            raise TlsFilesError(
+                f"{self.name}: {files.certificate} and {files.key}"
+                f" cannot be loaded: {_reason(error)}"
+            ) from error
+        if files.authority is not None:
+            self._load_authority(context, files.authority)
+        self.loads.inc({"result": "loaded"})
+        return context
+
+    def _load_authority(self, context: ssl.SSLContext, path: str) -> None:
+        try:
+            context.load_verify_locations(path)
+        except (OSError, ValueError) as error:
+            raise TlsFilesError(
+                f"{self.name}: {path} cannot be loaded: {_reason(error)}"
+            ) from error
+        context.verify_mode = ssl.CERT_REQUIRED
+
+    @abc.abstractmethod
+    def _new_context(self) -> ssl.SSLContext:
+        """Return a context without certificates."""
+
+
+class ServerTls(ReloadedTls):
+    """The TLS of one listener; with an authority, clients need certificates.
+
+    Attributes:
+        context: What the listener uses; it hands each handshake to the
+            context that was loaded last.
+    """
+
+    def __init__(self, files: TlsFiles, name: str, metrics: Metrics):
+        """Load `files`; see `ReloadedTls`."""
+        super().__init__(files, name, metrics)
+        self.context = self._load()
+        self.context.sni_callback = self._choose
+
+    def accept_stream(self, stream: trio.abc.Stream) -> trio.SSLStream:
+        """Return an accepted connection as a TLS stream.
+
+        The handshake takes place at the first send or receive.
+        """
+        return trio.SSLStream(
+            stream, self.context, server_side=True, https_compatible=True
+        )
+
+    def _choose(
+        self, handshake: ssl.SSLObject, name: str | None, _: ssl.SSLContext
+    ) -> None:
+        handshake.context = self.current
+
+    def _new_context(self) -> ssl.SSLContext:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
         # Both protocols of hypercorn would do; one keeps it simple.
         context.set_alpn_protocols(["http/1.1"])
-        self.loads.inc({"result": "loaded"})
         return context
+
+
+class ClientTls(ReloadedTls):
+    """The TLS of calls to peers, which prove that they belong to the fleet.
+
+    The authority is the fleet's own: whoever holds a certificate of it is a
+    peer. Names are not checked, since hosts are replaced at any time and are
+    reached by IP numbers that no certificate could list in advance.
+    """
+
+    def __init__(self, files: TlsFiles, name: str, metrics: Metrics):
+        """Load `files`; see `ReloadedTls`."""
+        if files.authority is None:
+            raise TlsFilesError(f"{name}: an authority is needed")
+        super().__init__(files, name, metrics)
+
+    async def open_stream(self, ip: str, port: int) -> trio.SSLStream:
+        """Connect and return a TLS stream.
+
+        The handshake takes place at the first send or receive.
+
+        Raises:
+            OSError: No connection could be opened.
+        """
+        stream = await trio.open_tcp_stream(ip, port)
+        return trio.SSLStream(stream, self.current, https_compatible=True)
+
+    def _new_context(self) -> ssl.SSLContext:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname = False
+        return context
+
+
+def _no_password() -> str:
+    """Refuse an encrypted key, for which OpenSSL would ask the terminal."""
+    raise ValueError("the key is encrypted")
+
+
+def _reason(error: Exception) -> str:
+    return getattr(error, "strerror", None) or str(error)
