Drain a host gracefully and serve callers over TLS

Cause: the daemon ended at once on a signal, cutting requests. Change: lifecycle, flushes of claims and deferred work, TLS of the callers' listener and in-flight tracking are wired; a stop may come by signal or from an operator.

--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -1,7 +1,5 @@
 """Listen for callers and serve their connections."""
 
-import ssl
-
 import trio
 
 from agatetack.callers.connection import CallerConnection, watch
@@ -9,6 +7,7 @@
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
+from agatetack.tls import ServerTls
 
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after accept failed, as for lack of file descriptors."""
@@ -34,7 +33,7 @@
         settings: Settings,
         handler: Handler,
         metrics: Metrics,
-        tls: ssl.SSLContext | None = None,
+        tls: ServerTls | None = None,
     ):
         """Serve callers with `handler`, over TLS if `tls` is given."""
         self.settings = settings
@@ -116,11 +115,7 @@
             self.connections.discard(connection)
 
     def _wrap(self, stream: trio.SocketStream) -> trio.abc.Stream:
-        if self.tls is None:
-            return stream
-        return trio.SSLStream(
-            stream, self.tls, server_side=True, https_compatible=True
-        )
+        return stream if self.tls is None else self.tls.accept_stream(stream)
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections are served on."""
--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Sequence
 
 import trio
 
@@ -17,6 +18,14 @@
 from agatetack.config.route import RequestClass, RouteSource
 from agatetack.config.store import ConfigStore
 from agatetack.deferred.log_queue import LogDeferredQueue
+from agatetack.ids import Deadline, RouteId, ServiceId
+from agatetack.lifecycle.drain import (
+    STOP_SIGNALS,
+    DrainReport,
+    Lifecycle,
+)
+from agatetack.lifecycle.in_flight import TrackingHandler
+from agatetack.lifecycle.readiness import ReadinessView
 from agatetack.logs import PartLog
 from agatetack.measure.http_probe import HttpProbe
 from agatetack.measure.prober import Prober
@@ -42,6 +51,10 @@
 from agatetack.settings.model import Settings
 from agatetack.targets.http_client import HttpTargetClient
 from agatetack.targets.registry import TargetRegistry
+from agatetack.tls import ServerTls
+
+MAX_STOPS = 2
+"""Wishes to stop that count: the first drains, the second ends that."""
 
 log = PartLog("gateway")
 
@@ -54,6 +67,31 @@
     peers: int
 
 
+class GatewayReadiness(ReadinessView):
+    """What a host must know before it takes requests."""
+
+    def __init__(self, routes: RouteSource, registry: TargetRegistry):
+        """Look at the routes in force and at what is known of targets."""
+        self.routes = routes
+        self.registry = registry
+
+    def configured(self) -> bool:
+        """Return whether the routes in force are known."""
+        return self.routes.table is not None
+
+    def unmeasured_routes(self) -> Sequence[RouteId]:
+        """Return the routes of which no target has reported its load."""
+        return [
+            route.id
+            for route in self.routes.table.routes.values()
+            if not self._measured(route.service)
+        ]
+
+    def _measured(self, service: ServiceId) -> bool:
+        targets = self.registry.targets(service)
+        return any(target.report is not None for target in targets)
+
+
 class Gateway:
     """One host: every slice, wired; `run` serves until it is cancelled.
 
@@ -66,6 +104,8 @@
         claims: Who may run which never-repeated request.
         deferred: Requests that may wait.
         peers: The other hosts.
+        lifecycle: How far the host is between its start and its end.
+        stops: Takes a value for each wish to stop, by signal or operator.
     """
 
     def __init__(
@@ -106,7 +146,10 @@
             self.metrics,
             clock,
         )
+        self.lifecycle = Lifecycle(settings, self.metrics, clock)
+        self.stops, self.stops_out = trio.open_memory_channel[int](MAX_STOPS)
         self._build_caller_side()
+        self._build_drain()
 
     def _build_target_side(self) -> None:
         settings, metrics = self.settings, self.metrics
@@ -159,7 +202,30 @@
             self.explanations,
             metrics,
         )
-        self.callers = CallerServer(settings, self.dispatcher, metrics)
+        self.callers_tls = None
+        if settings.callers.tls is not None:
+            self.callers_tls = ServerTls(
+                settings.callers.tls, "callers", metrics
+            )
+        self.callers = CallerServer(
+            settings,
+            TrackingHandler(self.dispatcher, self.lifecycle.in_flight),
+            metrics,
+            self.callers_tls,
+        )
+
+    def _build_drain(self) -> None:
+        self.lifecycle.on_leaving(self.peers.announce_leaving)
+        self.lifecycle.on_closing(self.callers.stop_accepting)
+        self.lifecycle.on_closing(self.callers.close_idle)
+        self.lifecycle.add_flush("claims", self._flush_claims)
+        self.lifecycle.add_flush("deferred", self._flush_deferred)
+
+    async def _flush_claims(self, deadline: Deadline) -> None:
+        await self.claims.flush(deadline)
+
+    async def _flush_deferred(self, deadline: Deadline) -> None:
+        await self.deferred.drain()
 
     def _targets_listed(self, change: ListChange) -> None:
         self.registry.update(self.directory.targets())
@@ -179,10 +245,28 @@
             nursery.start_soon(self.crashes.run)
             nursery.start_soon(self.client.pools.close_old)
             nursery.start_soon(self.attempts.hedger.run)
+            if self.callers_tls is not None:
+                nursery.start_soon(self.callers_tls.run)
+            readiness = GatewayReadiness(self.routes, self.registry)
+            nursery.start_soon(self.lifecycle.run_until_ready, readiness)
             callers_port = await nursery.start(self.callers.run)
             log.info("Callers are served on port %d.", callers_port)
             task_status.started(GatewayPorts(callers_port, peers_port))
 
+    async def run_until_drained(self) -> DrainReport:
+        """Serve until a stop is wished, drain, and return what was cut."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.run)
+            report = await self.lifecycle.drain_on(self.stops_out)
+            nursery.cancel_scope.cancel()
+        return report
+
+    async def forward_signals(self) -> None:
+        """Take the system's signals for wishes to stop; runs for ever."""
+        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+            async for signal in signals:
+                await self.stops.send(signal)
+
 
 async def run_gateway(settings: Settings) -> int:
     """Run one host with the platform's services, until it is stopped.
@@ -195,9 +279,12 @@
     gateway = Gateway(settings, platform_log, host_list)
     tune_collector()
     try:
-        await gateway.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gateway.forward_signals)
+            report = await gateway.run_until_drained()
+            nursery.cancel_scope.cancel()
     finally:
         with trio.CancelScope(shield=True), trio.move_on_after(1):
             await platform_log.aclose()
             await host_list.aclose()
-    return 0
+    return report.exit_code
--- a/agatetack/lifecycle/in_flight.py
+++ b/agatetack/lifecycle/in_flight.py
@@ -124,6 +124,10 @@
         """Return the announced length in bytes, or None."""
         return self.body.length
 
+    def receive_nowait(self) -> bytes | None:
+        """Return bytes that are here already, or None."""
+        return self.body.receive_nowait()
+
     async def receive(self) -> bytes:
         """Return the body's next bytes, or `b""` at the verified end."""
         return await self.body.receive()
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -8,7 +8,6 @@
 from agatetack.callers.problem import refusal_answer
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.ids import Deadline
-from agatetack.lifecycle.phase import Phase
 from agatetack.logs import PartLog
 from agatetack.messages import Answer, CallerRequest, Handler, Header
 from agatetack.metrics import Metrics
@@ -31,11 +30,7 @@
 
 
 class Dispatcher(Handler):
-    """Answers every request of a host.
-
-    Attributes:
-        phase: How far the host is; a draining host still serves what comes.
-    """
+    """Answers every request of a host; a draining host serves what comes."""
 
     def __init__(
         self,
@@ -65,7 +60,6 @@
         self.crashes = crashes
         self.explanations = explanations
         self.metrics = metrics
-        self.phase = Phase.STARTING
         self.names = settings.callers.headers
         self.ticket_prefix = settings.callers.ticket_path.encode()
         self.request_id_name = self.names.request_id.encode()
