Try configuration under pairs of faults, at bootstrap and beyond retention

Change: two racing writers under each of 12 faults and each of their 66 pairs; spreading with the log cut and messages or links lost; 32 ways to start a host;

--- /dev/null
+++ b/agatetack/config/test_spread.py
@@ -0,0 +1,225 @@
+"""Test that every host gets the newest configuration from whoever has it."""
+
+import pytest
+import trio
+from returns.result import Success
+
+from agatetack.config.change import Accepted
+from agatetack.config.counters import Problem
+from agatetack.config.records import (
+    CONFIG_STREAM,
+    SNAPSHOT_STREAM,
+    encode,
+    encode_change,
+)
+from agatetack.config.snapshot import decode_chunk
+from agatetack.config.store import ConfigStore
+from agatetack.generated.config import ttypes as wire
+from agatetack.ids import HostId
+from agatetack.peers.exchange import Topic
+from agatetack.testing.config_fleet import (
+    IN_FORCE_SECONDS,
+    Fleet,
+    apply,
+    make_change,
+    open_fleet,
+)
+from agatetack.testing.memory_log import AppendFault
+
+ROUTES = 12
+FULL = None
+LINE = ["host-0", "host-1", "host-2", "host-3"]
+
+SPREADS = [
+    (set(), FULL),
+    ({Topic.CONFIG_RECORDS}, FULL),
+    ({Topic.CONFIG_OFFSET}, FULL),
+    (set(), LINE),
+    ({Topic.CONFIG_RECORDS}, LINE),
+]
+
+
+def cut_to_line(fleet: Fleet, line: list[str] | None) -> None:
+    """Leave only the links between neighbours in `line`."""
+    for name in line or ():
+        for other in line:
+            if abs(line.index(name) - line.index(other)) > 1:
+                fleet.mesh.cut.add((HostId(name), HostId(other)))
+
+
+@pytest.mark.parametrize(("lost", "line"), SPREADS)
+async def test_in_force_though_the_log_goes_out(lost, line, autojump_clock):
+    async with open_fleet(4) as fleet:
+        for name in LINE[1:]:
+            fleet.hosts[name].log.faults.outage = True
+        await trio.sleep(IN_FORCE_SECONDS)
+        cut_to_line(fleet, line)
+        fleet.mesh.lost_topics |= lost
+        result = await apply(fleet.hosts["host-0"], make_change("one"))
+        assert result == Success(Accepted(0))
+        fleet.service.faults.outage = True
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.assert_agreed()
+        assert fleet.hosts["host-3"].version() == 0
+
+
+BOOTSTRAPS = [
+    # Log out, records kept, a snapshot written, peers there; newest version.
+    (False, True, False, True, ROUTES - 1),
+    (False, True, False, False, ROUTES - 1),
+    (False, False, True, True, ROUTES - 1),
+    (False, False, True, False, ROUTES - 1),
+    (False, False, False, True, ROUTES - 1),
+    (False, False, False, False, -1),
+    (True, True, True, True, ROUTES - 1),
+    (True, True, True, False, -1),
+]
+
+
+@pytest.mark.parametrize("kept_records", [3, 100])
+@pytest.mark.parametrize("max_record_bytes", [400, 100_000])
+@pytest.mark.parametrize(
+    ("out", "kept", "snapshot", "peers", "version"), BOOTSTRAPS
+)
+async def test_new_host_starts(
+    out,
+    kept,
+    snapshot,
+    peers,
+    version,
+    kept_records,
+    max_record_bytes,
+    autojump_clock,
+):
+    config = {
+        "kept_records": kept_records,
+        "snapshot_records": 1,
+        "snapshot_stagger_seconds": 1 if snapshot else 3600,
+    }
+    log = {"max_record_bytes": max_record_bytes}
+    async with open_fleet(2, config=config, platform={"log": log}) as fleet:
+        await fill(fleet)
+        if not kept:
+            fleet.service.truncate(CONFIG_STREAM, ROUTES)
+        fleet.service.faults.outage = out
+        if not peers:
+            fleet.stop("host-0")
+            fleet.stop("host-1")
+        host = await fleet.start("new")
+        await trio.sleep(IN_FORCE_SECONDS)
+        assert host.version() == version
+        if version >= 0:
+            fleet.assert_agreed()
+        else:
+            assert not host.ready
+            assert host.state.source.table is None
+
+
+async def fill(fleet: Fleet) -> None:
+    """Accept one change for each of some routes."""
+    for number in range(ROUTES):
+        host = fleet.hosts[f"host-{number % 2}"]
+        change = make_change(f"c{number}", f"route-{number}")
+        assert await apply(host, change) == Success(Accepted(number))
+    await trio.sleep(IN_FORCE_SECONDS)
+
+
+async def keep_for(fleet: Fleet, seconds: float, kept_seconds: float) -> None:
+    """Let time pass in a log that keeps records for `kept_seconds`."""
+    service = fleet.service
+    for _ in range(round(seconds)):
+        service.clock.wall_time += 1
+        oldest = service.clock.wall_time - kept_seconds
+        for stream, records in list(service.streams.items()):
+            young = [r.offset for r in records if r.appended_at >= oldest]
+            first = min(young, default=service.ends[stream])
+            service.truncate(stream, first)
+        await trio.sleep(1)
+
+
+SNAPSHOT_FAULTS = [
+    [],
+    [AppendFault.REPLY_LOST] * 9,
+    [AppendFault.TOO_FAST, AppendFault.REQUEST_LOST] * 9,
+    [AppendFault.LANDS_LATE] * 9,
+    [AppendFault.UNAVAILABLE] * 3,
+]
+
+
+@pytest.mark.parametrize("faults", SNAPSHOT_FAULTS)
+async def test_snapshots_outlive_the_retention(faults, autojump_clock):
+    log = {"retention_seconds": 20, "max_record_bytes": 400}
+    async with open_fleet(3, platform={"log": log}) as fleet:
+        await fill(fleet)
+        await keep_for(fleet, 30, 20)
+        fleet.service.faults.next_appends = list(faults)
+        before = fleet.service.ends[SNAPSHOT_STREAM]
+        await keep_for(fleet, 100, 20)
+        newest = fleet.service.streams[SNAPSHOT_STREAM][-1]
+        count = decode_chunk(newest.payload).count
+        written = (fleet.service.ends[SNAPSHOT_STREAM] - before) / count
+        # One is due each 8 to 12 s; were every host to write it, more.
+        assert 7 <= written <= 16
+        for name in list(fleet.hosts):
+            fleet.stop(name)
+        await fleet.start("new")
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.assert_agreed()
+        assert fleet.hosts["new"].version() == ROUTES - 1
+
+
+async def test_reader_overtaken_by_retention_recovers(autojump_clock):
+    config = {"snapshot_stagger_seconds": 1, "snapshot_records": 1}
+    async with open_fleet(3, config=config) as fleet:
+        late = fleet.hosts["host-2"]
+        fleet.mesh.isolate("host-2")
+        late.log.faults.outage = True
+        await fill(fleet)
+        fleet.service.truncate(CONFIG_STREAM, ROUTES - 1)
+        assert late.version() == -1
+        late.log.faults.outage = False
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.assert_agreed()
+        assert problems(late, Problem.LOG_TRUNCATED) == 1
+
+
+def problems(store: ConfigStore, problem: Problem) -> int:
+    """Return how often a problem was counted."""
+    return store.counters.problems.get({"problem": problem.value})
+
+
+def record(change_id: str = "evil", base: int = 0) -> bytes:
+    change = make_change(change_id, "evil")
+    return encode_change(change, base)
+
+
+PEER_MESSAGES = [
+    (Topic.CONFIG_RECORDS, b"\xff\xfe", Problem.BAD_PEER_MESSAGE),
+    (Topic.CONFIG_OFFSET, b"", Problem.BAD_PEER_MESSAGE),
+    (Topic.CONFIG_OFFSET, wire.OffsetNotice(0, 7), Problem.CHAIN_MISMATCH),
+    (Topic.CONFIG_OFFSET, wire.OffsetNotice(99, 7), None),
+    (
+        Topic.CONFIG_RECORDS,
+        wire.RecordBatch(1, [record()], 7),
+        Problem.CHAIN_MISMATCH,
+    ),
+    (Topic.CONFIG_RECORDS, wire.RecordBatch(0, [record()], 7), None),
+    (Topic.CONFIG_RECORDS, wire.RecordBatch(2, [record()], 7), None),
+    (Topic.CONFIG_RECORDS, wire.RecordBatch(-9, [], 7), None),
+]
+
+
+@pytest.mark.parametrize(("topic", "message", "problem"), PEER_MESSAGES)
+async def test_bad_peer_messages_change_nothing(
+    topic, message, problem, autojump_clock
+):
+    async with open_fleet(2) as fleet:
+        host = fleet.hosts["host-0"]
+        await apply(host, make_change("one"))
+        payload = message if isinstance(message, bytes) else encode(message)
+        fleet.mesh.hosts["host-1"].publish(topic, payload)
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.assert_agreed()
+        assert host.version() == 0
+        if problem is not None:
+            assert problems(host, problem) >= 1
--- a/agatetack/config/test_store.py
+++ b/agatetack/config/test_store.py
@@ -1,126 +1,35 @@
 """Test that changes are decided once, spread everywhere and never go back."""
 
-import contextlib
-import dataclasses
-from collections.abc import AsyncIterator
+import enum
+import itertools
 
 import pytest
 import trio
 from returns.result import Success
 
-from agatetack.clock import FixedClock
 from agatetack.config.change import (
     NO_VERSION,
     Accepted,
     ChangeStatus,
+    Rejected,
     RejectReason,
-    RouteChange,
 )
-from agatetack.config.route import RequestClass, Route, RouteSource
+from agatetack.config.fold import Verdict
 from agatetack.config.store import ChangeResult, ConfigStore
-from agatetack.ids import ChangeId, HostId, RouteId, ServiceId, TeamId
-from agatetack.metrics import Metrics
-from agatetack.settings.defaults import default_settings
-from agatetack.testing.memory_exchange import MemoryMesh
+from agatetack.ids import ChangeId, RouteId
+from agatetack.peers.exchange import Topic
+from agatetack.testing.config_fleet import (
+    IN_FORCE_SECONDS,
+    Fleet,
+    apply,
+    make_change,
+    open_fleet,
+)
 from agatetack.testing.memory_log import (
     AppendFault,
-    MemoryLog,
-    MemoryLogService,
 )
 
-LATE_SECONDS = 1.0
-IN_FORCE_SECONDS = 5.0
-
-
-def make_change(
-    change_id: str, route_id: str = "a", expected: int = -1, **fields
-) -> RouteChange:
-    route = Route(
-        RouteId(route_id),
-        TeamId("team"),
-        ServiceId("service"),
-        RequestClass.FAST,
-        f"/{route_id}",
-    )
-    return RouteChange(
-        ChangeId(change_id),
-        RouteId(route_id),
-        dataclasses.replace(route, **fields),
-        expected,
-        "ann",
-        1_700_000_000.0,
-    )
-
-
-class Fleet:
-    """Hosts over one log and one mesh."""
-
-    def __init__(self, nursery: trio.Nursery, **config):
-        """Start without hosts."""
-        self.nursery = nursery
-        self.mesh = MemoryMesh(nursery)
-        self.service = MemoryLogService(FixedClock())
-        self.config = config
-        self.hosts: dict[str, ConfigStore] = {}
-        self.scopes: dict[str, trio.CancelScope] = {}
-
-    async def start(self, name: str) -> ConfigStore:
-        settings = default_settings(host={"id": name}, config=self.config)
-        store = ConfigStore(
-            settings,
-            MemoryLog(self.service, self.nursery),
-            self.mesh.join(HostId(name)),
-            RouteSource(),
-            Metrics(),
-            self.service.clock,
-        )
-        self.hosts[name] = store
-        self.scopes[name] = trio.CancelScope()
-        await self.nursery.start(self._run, name)
-        return store
-
-    async def _run(self, name: str, task_status) -> None:
-        with self.scopes[name]:
-            await self.hosts[name].run(task_status)
-
-    def stop(self, name: str) -> None:
-        self.scopes[name].cancel()
-        self.mesh.leave(HostId(name))
-        del self.hosts[name]
-
-    async def settle(self, seconds: float = IN_FORCE_SECONDS) -> None:
-        await trio.sleep(seconds)
-
-    def assert_agreed(self) -> None:
-        """Check that every host is ready with the same routes in force."""
-        first, *others = self.hosts.values()
-        assert first.ready
-        assert first.state.source.table.routes == {
-            route.id: route for route in first.fold.routes()
-        }
-        for other in others:
-            assert other.ready
-            assert vars(other.fold) == vars(first.fold)
-            table = other.state.source.table
-            assert table.routes == first.state.source.table.routes
-
-
-@contextlib.asynccontextmanager
-async def open_fleet(count: int = 3, **config) -> AsyncIterator[Fleet]:
-    async with trio.open_nursery() as nursery:
-        fleet = Fleet(nursery, **config)
-        for index in range(count):
-            await fleet.start(f"host-{index}")
-        await fleet.settle()
-        yield fleet
-        nursery.cancel_scope.cancel()
-
-
-async def apply(
-    store: ConfigStore, change: RouteChange, seconds: float = 3.0
-) -> ChangeResult:
-    return await store.apply(change, trio.current_time() + seconds)
-
+SNAPSHOT_SECONDS = 3.0
 
 APPEND_FAULTS = [
     ([], Success(Accepted(0)), 1),
@@ -152,7 +61,7 @@
             assert result.failure().reason is expected
         else:
             assert result == expected
-        await fleet.settle()
+        await trio.sleep(IN_FORCE_SECONDS)
         assert fleet.service.ends.get("config", 0) == landed
         assert (RouteId("a") in host.state.source.table.routes) == (landed > 0)
         fleet.assert_agreed()
@@ -186,3 +95,129 @@
         state = fleet.hosts["host-2"].change_state(ChangeId("one"))
         assert state.status is ChangeStatus.ACCEPTED
         assert state.version == 0
+
+
+class Fault(enum.Enum):
+    """What may befall a fleet around a change."""
+
+    OUTAGE = "the log is out for a while"
+    OUT_FOR_OTHERS = "the log is out for all but the writer"
+    OUTAGE_AFTER = "the log goes out right after the first acceptance"
+    SLOW = "each call of the log takes long"
+    REPLY_LOST = "an append lands, its reply does not"
+    REQUEST_LOST = "an append never lands, nor does a reply"
+    LANDS_LATE = "an append lands late and unannounced"
+    RETENTION = "the log keeps only its newest record"
+    RESTART = "a host is replaced"
+    RESTART_ALL = "all hosts but the writers are replaced"
+    ISOLATED = "a host hears no peer"
+    RECORDS_LOST = "records passed on to peers are lost"
+
+
+FAULTS = [(fault,) for fault in Fault]
+FAULT_PAIRS = [*FAULTS, *itertools.combinations(Fault, 2)]
+FAULT_SECONDS = 3.0
+
+
+async def inject(fault: Fault, fleet: Fleet) -> None:
+    """Bring a fault about, before the change."""
+    service, hosts = fleet.service, fleet.hosts
+    if fault is Fault.OUTAGE:
+        service.faults.outage = True
+    elif fault is Fault.OUT_FOR_OTHERS:
+        for name in ("host-1", "host-2", "host-3"):
+            hosts[name].log.faults.outage = True
+    elif fault is Fault.SLOW:
+        service.faults.delay_seconds = 0.7
+    elif fault is Fault.RETENTION:
+        service.truncate("config", service.ends["config"] - 1)
+    elif fault is Fault.RESTART:
+        fleet.stop("host-3")
+        await fleet.start("host-3")
+    elif fault is Fault.RESTART_ALL:
+        for name in ("host-2", "host-3"):
+            fleet.stop(name)
+            await fleet.start(name)
+    elif fault is Fault.ISOLATED:
+        fleet.mesh.isolate("host-2")
+    elif fault is Fault.RECORDS_LOST:
+        fleet.mesh.lost_topics.add(Topic.CONFIG_RECORDS)
+    elif fault is not Fault.OUTAGE_AFTER:
+        service.faults.next_appends.append(AppendFault[fault.name])
+
+
+def end_faults(fleet: Fleet) -> None:
+    """End every fault."""
+    fleet.service.faults.outage = False
+    fleet.service.faults.delay_seconds = 0.0
+    for store in fleet.hosts.values():
+        store.log.faults.outage = False
+    fleet.mesh.cut.clear()
+    fleet.mesh.lost_topics.clear()
+
+
+async def watch_versions(fleet: Fleet) -> None:
+    """Check that no host's route ever goes back to an older version."""
+    newest: dict[ConfigStore, int] = {}
+    while True:
+        for store in fleet.hosts.values():
+            table = store.state.source.table
+            if table is not None and table.routes:
+                version = table.routes["a"].version
+                assert version >= newest.get(store, 0)
+                newest[store] = version
+        await trio.sleep(0.05)
+
+
+async def race(fleet: Fleet, faults) -> dict[str, ChangeResult]:
+    """Let two hosts change one route at the same time."""
+    results: dict[str, ChangeResult] = {}
+
+    async def write(name: str, number: int) -> None:
+        change = make_change(f"race-{number}", expected=1, max_queue=number)
+        results[change.change_id] = await apply(fleet.hosts[name], change)
+        if Fault.OUTAGE_AFTER in faults:
+            fleet.service.faults.outage = True
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(write, "host-0", 1)
+        nursery.start_soon(write, "host-1", 2)
+    return results
+
+
+def assert_true(results: dict[str, ChangeResult], fleet: Fleet) -> None:
+    """Check that what the writers were told is what came to pass."""
+    fold = fleet.hosts["host-0"].fold
+    accepted = [
+        change_id
+        for change_id in results
+        if change_id in fold.decisions
+        and fold.decisions[change_id].verdict is Verdict.ACCEPTED
+    ]
+    assert len(accepted) <= 1
+    for change_id, result in results.items():
+        told = result.value_or(None) or result.failure()
+        if isinstance(told, Accepted):
+            assert accepted == [change_id]
+            assert fold.decisions[change_id].offset == told.version
+        elif isinstance(told, Rejected):
+            assert change_id not in accepted
+
+
+@pytest.mark.parametrize("faults", FAULT_PAIRS)
+async def test_racing_writers_under_two_faults(faults, autojump_clock):
+    async with open_fleet(4, config={"snapshot_stagger_seconds": 0.5}) as fleet:
+        writer = fleet.hosts["host-0"]
+        await apply(writer, make_change("first"))
+        await apply(writer, make_change("second", expected=0))
+        await trio.sleep(SNAPSHOT_SECONDS)
+        fleet.nursery.start_soon(watch_versions, fleet)
+        for fault in faults:
+            await inject(fault, fleet)
+        results = await race(fleet, faults)
+        await trio.sleep(FAULT_SECONDS)
+        assert_true(results, fleet)
+        end_faults(fleet)
+        await trio.sleep(IN_FORCE_SECONDS)
+        assert_true(results, fleet)
+        fleet.assert_agreed()
