Keep what was done with requests, and let operators drain targets

Cause: the operators' API asks for both and no slice had them. Change: each request carries notes of its attempts, the latest 2,000 answered and 2,000 refused ones are kept; an operator's drain mark stops new work at a target and is told to every host again each 5 s; suspicions name their route.

--- a/agatetack/attempts/once.py
+++ b/agatetack/attempts/once.py
@@ -15,7 +15,7 @@
 from agatetack.logs import PartLog
 from agatetack.messages import Answer, BytesBody, CallerRequest
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Outcome, Refusal, refuse
+from agatetack.outcomes import Outcome, Refusal, RetryReason, refuse
 from agatetack.settings.model import Settings
 from agatetack.targets.client import AttemptFailure, Freshness
 
@@ -88,6 +88,7 @@
                 request.deadline,
                 Freshness.PROVEN,
                 state.claim.attempt,
+                _retry_reason(state),
             )
             held = permit.unwrap()
             state.tried.add(held.target.id)
@@ -98,8 +99,7 @@
             state.failure = result.failure()
             if not self._may_try_again(request, state):
                 return await self._give_up(_refusal(state.failure), state)
-            reason = RETRY_REASONS[state.failure.reason]
-            self.metrics.retried(route.id, reason)
+            self.metrics.retried(route.id, _retry_reason(state))
 
     async def _permit(
         self, route: Route, request: CallerRequest, state: OnceState
@@ -132,6 +132,12 @@
         return Failure(dataclasses.replace(refusal, outcome=Outcome.UNKNOWN))
 
 
+def _retry_reason(state: OnceState) -> RetryReason | None:
+    if state.failure is None:
+        return None
+    return RETRY_REASONS[state.failure.reason]
+
+
 def _refusal(failure: AttemptFailure) -> Refusal:
     plain = refuse(failure.reason, DETAILS.get(failure.reason, ""))
     return dataclasses.replace(
--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -198,7 +198,10 @@
     async def _in_turn(self, state: RaceState, permit: Permit | None) -> None:
         """Make attempts one after the other until one is answered."""
         while permit is not None:
-            await self._attempt(state, permit)
+            reason = None
+            if state.failure is not None:
+                reason = RETRY_REASONS[state.failure.reason]
+            await self._attempt(state, permit, reason)
             if state.answer is None and state.hedge is not None:
                 await state.hedge.done.wait()
             if state.answer is not None:
@@ -219,7 +222,7 @@
         state.hedge = hedge
         try:
             with hedge.scope:
-                await self._attempt(state, permit)
+                await self._attempt(state, permit, RetryReason.HEDGE)
         except Exception as error:
             # This task serves all routes; the request itself goes on.
             log.error("A hedge failed: %r.", error)
@@ -228,13 +231,20 @@
         if state.answer is not None:
             state.in_turn.cancel()
 
-    async def _attempt(self, state: RaceState, permit: Permit) -> None:
+    async def _attempt(
+        self, state: RaceState, permit: Permit, reason: RetryReason | None
+    ) -> None:
         state.started += 1
         state.open += 1
         state.tried.add(permit.target.id)
         if isinstance(state.request.body, BytesBody):
             state.request.body.rewind()
-        plan = AttemptPlan(state.route, state.request, state.request.deadline)
+        plan = AttemptPlan(
+            state.route,
+            state.request,
+            state.request.deadline,
+            retry_reason=reason,
+        )
         try:
             result = await self.single.run(plan, permit)
         finally:
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -12,12 +12,13 @@
 from agatetack.messages import (
     Answer,
     AnswerCut,
+    AttemptNote,
     Body,
     BytesBody,
     CallerRequest,
 )
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Outcome, RefusalReason
+from agatetack.outcomes import Outcome, RefusalReason, RetryReason
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.settings.model import Settings
 from agatetack.targets.client import (
@@ -87,6 +88,7 @@
         deadline: When to give up.
         freshness: Which connections may be used.
         attempt_id: The attempt's id, or None to make one.
+        retry_reason: Why it is made, or None for a request's first.
     """
 
     route: Route
@@ -94,6 +96,7 @@
     deadline: Deadline
     freshness: Freshness = Freshness.ANY
     attempt_id: AttemptId | None = None
+    retry_reason: RetryReason | None = None
 
 
 async def _read_all(body: Body) -> BytesBody:
@@ -144,21 +147,29 @@
             deadline=plan.deadline,
             freshness=plan.freshness,
         )
-        started = trio.current_time()
+        started = Deadline(trio.current_time())
+        note = AttemptNote(
+            attempt.id, permit.target.id, started, plan.retry_reason
+        )
+        plan.request.attempts.append(note)
         try:
             answer = await self.client.call(attempt)
         except AttemptFailed as failed:
+            note.failure = failed.failure.reason
             self._note_failure(plan, permit, failed.failure)
             return Failure(failed.failure)
         except BaseException:
             permit.release(AttemptResult.CANCELLED)
             raise
-        latency = trio.current_time() - started
+        finally:
+            note.ended = Deadline(trio.current_time())
+        latency = note.ended - started
         permit.answered_headers(latency)
         self.metrics.target_answered(permit.target.id, latency)
         answer.body = PermittedBody(answer.body, permit)
         failure = await self._hold_small(plan, answer)
         if failure is not None:
+            note.failure = failure.reason
             return Failure(failure)
         self.crashes.answered(plan.route, plan.request)
         return Success(answer)
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -6,12 +6,15 @@
 from typing import NamedTuple
 
 from agatetack.ids import (
+    AttemptId,
     CallerId,
     Deadline,
     IdempotencyKey,
     RequestId,
     RouteId,
+    TargetId,
 )
+from agatetack.outcomes import RefusalReason, RetryReason
 
 
 class Header(NamedTuple):
@@ -105,6 +108,27 @@
         self.taken = False
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptNote:
+    """What one attempt of a request did, for operators who ask later.
+
+    Attributes:
+        attempt: The attempt.
+        target: Where it went.
+        started: When it was sent.
+        retry_reason: Why it was made, or None for the first.
+        ended: When its header came or it failed, or None while it runs.
+        failure: Why it brought no answer, or None.
+    """
+
+    attempt: AttemptId
+    target: TargetId
+    started: Deadline
+    retry_reason: RetryReason | None = None
+    ended: Deadline | None = None
+    failure: RefusalReason | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class CallerRequest:
     """One request of a caller.
@@ -122,6 +146,7 @@
         arrived: When the last header byte was read.
         deadline_given: Whether the caller brought the deadline; else the
             route's stands in.
+        attempts: What was done with it, in the order of the attempts.
     """
 
     request_id: RequestId
@@ -135,6 +160,7 @@
     key: IdempotencyKey | None
     arrived: Deadline
     deadline_given: bool = True
+    attempts: list[AttemptNote] = dataclasses.field(default_factory=list)
 
     @property
     def replayable(self) -> bool:
--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -15,7 +15,7 @@
 
 from agatetack.config.route import RequestClass, Route
 from agatetack.generated.quarantine.ttypes import CrashEvent, CrashNotice
-from agatetack.ids import Deadline, HostId, TargetId
+from agatetack.ids import Deadline, HostId, RouteId, ServiceId, TargetId
 from agatetack.logs import PartLog
 from agatetack.messages import CallerRequest
 from agatetack.metrics import Metrics
@@ -44,21 +44,29 @@
     """What is held against one request.
 
     Attributes:
+        route: Its route.
+        service: The route's service.
         crashed: When each target was lost to it.
         forget_at: When it is forgotten, unless more happens.
         held_until: When it may run again, or None if it may now.
+        refusals: How often it was refused here.
     """
 
+    route: RouteId
+    service: ServiceId
     crashed: dict[TargetId, Deadline]
     forget_at: Deadline
     held_until: Deadline | None = None
+    refusals: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Loss:
-    """A lost connection to look into."""
+class CrashSighting:
+    """A connection that was lost while its target ran a request."""
 
     fingerprint: Fingerprint
+    route: RouteId
+    service: ServiceId
     target: TargetId
     at: Deadline
 
@@ -85,9 +93,9 @@
         self.suspicions: collections.OrderedDict[Fingerprint, Suspicion] = (
             collections.OrderedDict()
         )
-        self.losses_in, self.losses_out = trio.open_memory_channel[Loss](
-            CONFIRM_BACKLOG
-        )
+        self.losses_in, self.losses_out = trio.open_memory_channel[
+            CrashSighting
+        ](CONFIRM_BACKLOG)
         self.held = metrics.gauge(
             "agatetack_quarantined", "Requests refused for crashing targets."
         )
@@ -104,6 +112,7 @@
         suspicion = self.suspicions.get(fingerprint(route, request))
         if suspicion is None or not self._is_held(suspicion):
             return None
+        suspicion.refusals += 1
         refusal = refuse(
             RefusalReason.QUARANTINED,
             "This request was lost with every target that ran it.",
@@ -125,10 +134,11 @@
         print_ = fingerprint(route, request)
         now = Deadline(trio.current_time())
         self.crashes.inc({"result": "suspected"})
-        self._count(print_, target, now)
-        self._publish(print_, CrashEvent.LOST, target)
+        event = CrashSighting(print_, route.id, route.service, target, now)
+        self._count(event)
+        self._publish_loss(event)
         try:
-            self.losses_in.send_nowait(Loss(print_, target, now))
+            self.losses_in.send_nowait(event)
         except trio.WouldBlock:
             self.metrics.dropped.inc(
                 {"part": "quarantine", "reason": "backlog-full"}
@@ -148,15 +158,15 @@
         self._publish(print_, CrashEvent.RELEASED)
         return known
 
-    def _count(
-        self, print_: Fingerprint, target: TargetId, now: Deadline
-    ) -> None:
+    def _count(self, event: CrashSighting) -> None:
+        now = event.at
         self._expire(now)
+        print_ = event.fingerprint
         suspicion = self.suspicions.pop(print_, None)
         if suspicion is None:
-            suspicion = Suspicion({}, now)
+            suspicion = Suspicion(event.route, event.service, {}, now)
         self.suspicions[print_] = suspicion
-        suspicion.crashed[target] = now
+        suspicion.crashed[event.target] = now
         if len(suspicion.crashed) >= self.limits.crashes:
             if suspicion.held_until is None:
                 log.warning("Request %s is held back.", print_.hex())
@@ -190,13 +200,21 @@
         held = sum(1 for s in self.suspicions.values() if self._is_held(s))
         self.held.set({}, held)
 
-    def _publish(
-        self,
-        print_: Fingerprint,
-        event: int,
-        target: TargetId | None = None,
-    ) -> None:
-        notice = CrashNotice(print_, event, target)
+    def _publish(self, print_: Fingerprint, event: int) -> None:
+        self._send(CrashNotice(print_, event))
+
+    def _publish_loss(self, event: CrashSighting) -> None:
+        self._send(
+            CrashNotice(
+                event.fingerprint,
+                CrashEvent.LOST,
+                event.target,
+                event.route,
+                event.service,
+            )
+        )
+
+    def _send(self, notice: CrashNotice) -> None:
         payload = serialize(notice, PROTOCOL)
         self.exchange.publish(Topic.CRASH_FINGERPRINTS, payload)
 
@@ -213,8 +231,15 @@
             return
         print_ = Fingerprint(notice.fingerprint)
         if notice.event == CrashEvent.LOST and notice.target:
-            now = Deadline(trio.current_time())
-            self._count(print_, TargetId(notice.target), now)
+            self._count(
+                CrashSighting(
+                    print_,
+                    RouteId(notice.route or ""),
+                    ServiceId(notice.service_name or ""),
+                    TargetId(notice.target),
+                    Deadline(trio.current_time()),
+                )
+            )
         elif notice.event in (CrashEvent.ANSWERED, CrashEvent.RELEASED):
             self._forget(print_)
 
@@ -241,9 +266,17 @@
                     continue
                 for target, at in suspicion.crashed.items():
                     if at + REPEAT_SECONDS * 2 >= trio.current_time():
-                        self._publish(print_, CrashEvent.LOST, target)
-
-    async def _look_into(self, loss: Loss) -> None:
+                        self._publish_loss(
+                            CrashSighting(
+                                print_,
+                                suspicion.route,
+                                suspicion.service,
+                                target,
+                                at,
+                            )
+                        )
+
+    async def _look_into(self, loss: CrashSighting) -> None:
         """Take a suspicion back if the target did not go down."""
         until = Deadline(loss.at + self.limits.confirm_seconds)
         if not await self.liveness.stayed_up(loss.target, loss.at, until):
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -137,7 +137,7 @@
     ) -> Answer:
         route_id = None if route is None else route.id
         self.metrics.refused(route_id, refusal.reason)
-        self.explanations.note_refusal(request, route_id, refusal)
+        self.explanations.note(request, route, refusal.status, refusal)
         return refusal_answer(refusal, request.request_id, self.names)
 
     def _pass_on(
@@ -145,6 +145,7 @@
     ) -> Answer:
         seconds = trio.current_time() - request.arrived
         self.metrics.answered(route.id, seconds)
+        self.explanations.note(request, route, answer.status)
         answer.route = route.id
         name = self.request_id_name
         answer.headers.append(Header(name, request.request_id.encode()))
--- a/agatetack/serving/explain.py
+++ b/agatetack/serving/explain.py
@@ -1,49 +1,96 @@
-"""Remember why the latest requests ended as they did, for operators."""
+"""Remember what was done with the latest requests, for operators."""
 
 import collections
 import dataclasses
 
-from agatetack.ids import RequestId, RouteId
-from agatetack.messages import CallerRequest
+import trio
+
+from agatetack.config.route import Route
+from agatetack.ids import Deadline, RequestId, RouteId, ServiceId
+from agatetack.messages import AttemptNote, CallerRequest
 from agatetack.outcomes import Refusal
 
-KEPT = 10_000
-"""Latest refused requests that are kept."""
+KEPT_ANSWERED = 2_000
+"""Latest answered requests that are kept."""
+
+KEPT_REFUSED = 2_000
+"""Latest refused requests that are kept; a flood of answers spares them."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Explanation:
-    """Why one request was refused.
+class RequestNote:
+    """What was done with one request.
 
     Attributes:
         request_id: The request.
         route: Its route, or None if it matched none.
-        refusal: Why, and what became of it.
+        service: The route's service, or None.
+        arrived: When it arrived.
+        finished: When its answer's header was ready.
+        status: The HTTP status sent to the caller.
+        refusal: Why the answer is not a target's own, or None.
+        attempts: What was done with it.
     """
 
     request_id: RequestId
     route: RouteId | None
-    refusal: Refusal
+    service: ServiceId | None
+    arrived: Deadline
+    finished: Deadline
+    status: int
+    refusal: Refusal | None
+    attempts: list[AttemptNote]
+
+
+class _Latest:
+    """The latest notes, by request id."""
+
+    def __init__(self, kept: int):
+        self.kept = kept
+        self.notes: collections.OrderedDict[RequestId, RequestNote] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, note: RequestNote) -> None:
+        self.notes[note.request_id] = note
+        if len(self.notes) > self.kept:
+            self.notes.popitem(last=False)
 
 
 class Explanations:
-    """The latest refused requests of one host, by id."""
+    """What one host did with the latest requests."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.by_id: collections.OrderedDict[RequestId, Explanation] = (
-            collections.OrderedDict()
-        )
+        self.answered = _Latest(KEPT_ANSWERED)
+        self.refused = _Latest(KEPT_REFUSED)
 
-    def note_refusal(
-        self, request: CallerRequest, route: RouteId | None, refusal: Refusal
+    def note(
+        self,
+        request: CallerRequest,
+        route: Route | None,
+        status: int,
+        refusal: Refusal | None = None,
     ) -> None:
-        """Remember why a request was refused."""
-        request_id = request.request_id
-        self.by_id[request_id] = Explanation(request_id, route, refusal)
-        if len(self.by_id) > KEPT:
-            self.by_id.popitem(last=False)
-
-    def find(self, request_id: RequestId) -> Explanation | None:
-        """Return why a request was refused, or None if not known."""
-        return self.by_id.get(request_id)
+        """Remember what became of a request."""
+        note = RequestNote(
+            request.request_id,
+            None if route is None else route.id,
+            None if route is None else route.service,
+            request.arrived,
+            Deadline(trio.current_time()),
+            status,
+            refusal,
+            request.attempts,
+        )
+        kept = self.answered if refusal is None else self.refused
+        kept.add(note)
+
+    def find(self, request_id: RequestId) -> list[RequestNote]:
+        """Return what is known of a request, by arrival."""
+        found = [
+            latest.notes[request_id]
+            for latest in (self.answered, self.refused)
+            if request_id in latest.notes
+        ]
+        return sorted(found, key=lambda note: note.arrived)
--- /dev/null
+++ b/agatetack/targets/drains.py
@@ -0,0 +1,119 @@
+"""Keep which targets operators drained, alike on every host.
+
+The marks live in the hosts' memory and are told to every host again and
+again, so that one that starts later has them too. They are lost only when all
+hosts are replaced between two tellings.
+"""
+
+import dataclasses
+
+import trio
+from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
+from thrift.TSerialization import deserialize, serialize
+
+from agatetack.clock import Clock
+from agatetack.generated.targets import ttypes
+from agatetack.ids import HostId, TargetId
+from agatetack.logs import PartLog
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange, Topic
+from agatetack.targets.registry import TargetRegistry
+
+REPEAT_SECONDS = 5.0
+"""How often all marks are told again."""
+
+FORGET_MS = 24 * 3600 * 1000
+"""After this time a mark that was taken back is forgotten."""
+
+PROTOCOL = TCompactProtocolFactory()
+
+log = PartLog("targets")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mark:
+    """Whether an operator drained a target, and when that was said."""
+
+    drained: bool
+    set_unix_ms: int
+
+
+class TargetDrains:
+    """Operators' marks; of two marks of one target the later one holds.
+
+    Attributes:
+        marks: The mark of each target that ever had one.
+    """
+
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        exchange: Exchange,
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        """Apply marks to `registry` and tell them to the other hosts."""
+        self.registry = registry
+        self.exchange = exchange
+        self.metrics = metrics
+        self.clock = clock
+        self.marks: dict[TargetId, Mark] = {}
+        exchange.subscribe(Topic.TARGET_SIGNS, self._take)
+
+    def set(self, target: TargetId, drained: bool) -> None:
+        """Drain a target on every host, or let it have work again."""
+        now_ms = int(self.clock.wall() * 1000)
+        earlier = self.marks.get(target)
+        if earlier is not None:
+            now_ms = max(now_ms, earlier.set_unix_ms + 1)
+        self._apply(target, Mark(drained, now_ms))
+        self._publish()
+
+    async def run(self) -> None:
+        """Tell all marks again and again, for ever."""
+        while True:
+            await trio.sleep(REPEAT_SECONDS)
+            self._forget()
+            if self.marks:
+                self._publish()
+
+    def _forget(self) -> None:
+        horizon = int(self.clock.wall() * 1000) - FORGET_MS
+        for target, mark in list(self.marks.items()):
+            if not mark.drained and mark.set_unix_ms < horizon:
+                del self.marks[target]
+
+    def _publish(self) -> None:
+        drains = [
+            ttypes.TargetDrain(target, mark.drained, mark.set_unix_ms)
+            for target, mark in self.marks.items()
+        ]
+        payload = serialize(ttypes.TargetDrains(drains), PROTOCOL)
+        self.exchange.publish(Topic.TARGET_SIGNS, payload)
+
+    def _take(self, sender: HostId, payload: bytes) -> None:
+        try:
+            message = deserialize(ttypes.TargetDrains(), payload, PROTOCOL)
+            message.validate()
+            for drain in message.drains:
+                drain.validate()
+        except Exception:
+            # Thrift raises many kinds of errors on a malformed message.
+            self.metrics.dropped.inc(
+                {"part": "targets", "reason": "malformed-marks"}
+            )
+            log.warning("The drain marks of %s are malformed.", sender)
+            return
+        for drain in message.drains:
+            mark = Mark(drain.drained, drain.set_unix_ms)
+            self._apply(TargetId(drain.target), mark)
+
+    def _apply(self, target: TargetId, mark: Mark) -> None:
+        earlier = self.marks.get(target)
+        if earlier is not None and earlier.set_unix_ms >= mark.set_unix_ms:
+            return
+        self.marks[target] = mark
+        if earlier is None or earlier.drained != mark.drained:
+            self.registry.set_drained(target, mark.drained)
+            word = "drained" if mark.drained else "undrained"
+            log.info("An operator %s target %s.", word, target)
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -82,6 +82,7 @@
 
     Attributes:
         by_id: Every known target.
+        drained: Targets that an operator drained; they get no new work.
         watchers: Called with the service when its targets change or a load
             report arrives; must not block or raise.
         report_watchers: Called with the target and each report taken.
@@ -98,6 +99,7 @@
         self.metrics = metrics
         self.by_id: dict[TargetId, TargetState] = {}
         self.usable: dict[ServiceId, tuple[TargetState, ...]] = {}
+        self.drained: set[TargetId] = set()
         self.leaving: dict[TargetId, LeavingRecord] = {}
         self.returns: dict[TargetId, int] = {}
         self.watchers: list[Callable[[ServiceId], None]] = []
@@ -310,6 +312,8 @@
             return
         found: dict[ServiceId, list[TargetState]] = {s: [] for s in changed}
         for target in self.by_id.values():
+            if target.id in self.drained:
+                continue
             if target.service in changed and target.status in (
                 TargetStatus.COLD,
                 TargetStatus.READY,
@@ -320,6 +324,20 @@
             self.usable_gauge.set({"service": service}, len(targets))
             self._notify(service)
 
+    def set_drained(self, target_id: TargetId, drained: bool) -> None:
+        """Give a target no new work, or let it have some again.
+
+        An operator's mark stands beside the signs of the target itself and
+        may come before the target is known.
+        """
+        if drained:
+            self.drained.add(target_id)
+        else:
+            self.drained.discard(target_id)
+        target = self.by_id.get(target_id)
+        if target is not None:
+            self._rebuild((target.service,))
+
     def _notify(self, service: ServiceId) -> None:
         for watcher in self.watchers:
             watcher(service)
--- a/thrift/quarantine.thrift
+++ b/thrift/quarantine.thrift
@@ -17,4 +17,6 @@
   1: required binary fingerprint  // 16 bytes
   2: required CrashEvent event
   3: optional string target       // ip:port; for LOST
+  4: optional string route        // id; for LOST
+  5: optional string service_name // for LOST
 }
