--- a/agatetack/config/route_file.py
+++ b/agatetack/config/route_file.py
@@ -6,7 +6,12 @@
 from returns.result import Failure, Result, Success
 
 from agatetack.config.route import RequestClass, Route
-from agatetack.config.route_rules import RouteField, check_route, find_clash
+from agatetack.config.route_rules import (
+    RouteField,
+    RouteMatch,
+    check_route,
+    route_match,
+)
 from agatetack.ids import RouteId
 from agatetack.settings.findings import Finding, KeyPath
 from agatetack.settings.hints import near_word, plain_number
@@ -60,12 +65,14 @@
     Attributes:
         routes: The routes so far, also those with findings.
         indexes: Where in the file each route stands.
+        matches: Which route takes which requests, as far as read.
     """
 
     def __init__(self, file: YamlFile):
         self.file = file
         self.routes: dict[RouteId, Route] = {}
         self.indexes: dict[RouteId, int] = {}
+        self.matches: dict[RouteMatch, RouteId] = {}
 
     def read(self, index: int, entry: object) -> None:
         """Read one entry; whatever is wrong with it becomes findings."""
@@ -126,15 +133,15 @@
             self._add((index, "id"), f"is the same as in line {line}")
             return
         if isinstance(route.path_prefix, str) and isinstance(route.host, str):
-            clash = find_clash(route, self.routes.values())
-            if clash is not None:
+            self.routes[route.id] = route
+            self.indexes[route.id] = index
+            clash = self.matches.setdefault(route_match(route), route.id)
+            if clash != route.id:
                 self._add(
                     (index, "path_prefix"),
                     f"route {clash} in line {self._line(clash)}"
                     " takes the same host and path prefix",
                 )
-            self.routes[route.id] = route
-            self.indexes[route.id] = index
 
     def _line(self, route_id: RouteId) -> int:
         return self.file.place((self.indexes[route_id], "id")).line
--- a/bench/import_memory.py
+++ b/bench/import_memory.py
@@ -1,24 +1,31 @@
 """Measure what the imports and the loading of settings cost in memory.
 
-Run `python bench/import_memory.py`. Each row starts a fresh interpreter,
+Run `python -m bench.import_memory`. Each row starts a fresh interpreter,
 imports trio as the baseline and then takes its steps in turn. Printed is the
 growth of a process's resident memory (VmRSS) and of the part that it shares
 with no other process (RssAnon), from /proc/self/status, in kB, and the ratio
-of the former to trio's own import in the same interpreter.
+of the former to trio's own import in the same interpreter. Each row runs twice
+and only the second run is printed, as the first one compiles modules that an
+installed package holds compiled.
 
 With arguments it takes these steps instead: names of modules, or `load` for
 reading the default settings.
 """
 
 import importlib
+import os
+import pathlib
 import subprocess
 import sys
+import tempfile
 from collections.abc import Callable
 from typing import NamedTuple
 
 BASELINE = "trio"
 LOAD_STEP = "load"
 CHILD_FLAG = "--child"
+CACHE = pathlib.Path(tempfile.gettempdir()) / "agatetack-import-memory"
+MODULE = "bench.import_memory"
 
 ROWS = (
     ("ruamel.yaml",),
@@ -99,9 +106,22 @@
         return
     print(f"{'step':28} {'VmRSS':>7} {'RssAnon':>8} {'to trio':>8} modules")
     for steps in [arguments] if arguments else ROWS:
-        command = [sys.executable, __file__, CHILD_FLAG, *steps]
-        subprocess.run(command, check=True)
-        print()
+        # As a script it would have bench/ in its path, before the standard
+        # library.
+        command = [sys.executable, "-m", MODULE, CHILD_FLAG, *steps]
+        _run(command)
+        print(_run(command))
+
+
+def _run(command: list[str]) -> str:
+    """Return what `command` prints, with its compiled modules kept."""
+    environment = dict(os.environ)
+    environment.pop("PYTHONDONTWRITEBYTECODE", None)
+    environment["PYTHONPYCACHEPREFIX"] = str(CACHE)
+    done = subprocess.run(
+        command, check=True, env=environment, stdout=subprocess.PIPE, text=True
+    )
+    return done.stdout
 
 
 if __name__ == "__main__":
