Answer operators from the slices of a running host

Cause: the administration API had no host behind it. Change: a backend over the gateway's slices; explanations are gathered from all hosts; `daemon` runs gateway and API together; the demo publishes its routes through the API with a token that exists in memory only. Before: routes were applied in process.

--- a/agatetack/claims/key.py
+++ b/agatetack/claims/key.py
@@ -8,7 +8,7 @@
 
 from agatetack.claims.codec import DIGEST_BYTES
 from agatetack.config.route import Route
-from agatetack.ids import AttemptId
+from agatetack.ids import AttemptId, IdempotencyKey
 from agatetack.messages import BytesBody, CallerRequest, find_header
 from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
 from agatetack.settings.model import Settings
@@ -64,6 +64,16 @@
     return _digest(request.method, request.path, content)
 
 
+def key_digest(route: Route, key: IdempotencyKey) -> bytes:
+    """Return the digest that stands for a key within a route's service."""
+    return _digest(route.service.encode(), key.encode())
+
+
+def key_partition(settings: Settings, key: IdempotencyKey) -> int:
+    """Return the partition of a key's claim stream."""
+    return xxhash.xxh64_intdigest(key.encode()) % settings.claims.partitions
+
+
 def read_key(
     settings: Settings, route: Route, request: CallerRequest
 ) -> Result[RequestKey, Refusal]:
@@ -98,13 +108,12 @@
                 Outcome.UNKNOWN,
             )
         )
-    raw = key.encode()
     return Success(
         RequestKey(
-            digest=_digest(route.service.encode(), raw),
+            digest=key_digest(route, key),
             fingerprint=_fingerprint(request),
             issued_ms=None if issued is None else int(issued),
-            partition=xxhash.xxh64_intdigest(raw) % settings.claims.partitions,
+            partition=key_partition(settings, key),
         )
     )
 
--- a/agatetack/commands.py
+++ b/agatetack/commands.py
@@ -70,7 +70,7 @@
     Args:
         config: The settings file.
     """
-    from agatetack.gateway import run_gateway
+    from agatetack.daemon import run_gateway
     from agatetack.logs import set_up_logs
     from agatetack.settings.findings import render_findings
     from agatetack.settings.loader import load_settings
--- /dev/null
+++ b/agatetack/daemon.py
@@ -0,0 +1,86 @@
+"""Run one host as a daemon: serve, answer operators, drain when told."""
+
+import dataclasses
+
+import trio
+
+from agatetack.collector import tune_collector
+from agatetack.gateway import Gateway
+from agatetack.lifecycle.drain import STOP_SIGNALS, DrainReport
+from agatetack.logs import PartLog
+from agatetack.operators.app import serve_operators
+from agatetack.operators.host_backend import HostBackend
+from agatetack.platform.http_host_list import HttpHostList
+from agatetack.platform.http_log import HttpLog
+from agatetack.settings.model import Settings
+
+CLOSE_SECONDS = 1.0
+"""Longest time for closing the platform's connections at the end."""
+
+log = PartLog("daemon")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostPorts:
+    """The ports that a host listens on."""
+
+    callers: int
+    peers: int
+    operators: int
+
+
+async def serve_host(
+    gateway: Gateway,
+    task_status: trio.TaskStatus[HostPorts] = trio.TASK_STATUS_IGNORED,
+) -> DrainReport:
+    """Serve callers and operators until a stop is wished, then drain.
+
+    The ports are reported once all listen. Operators are answered until the
+    end of the drain, so that they can watch it.
+
+    Returns:
+        What was cut.
+    """
+    async with trio.open_nursery() as nursery:
+        ports = await nursery.start(gateway.run)
+        operators = await nursery.start(
+            serve_operators,
+            gateway.settings,
+            HostBackend(gateway),
+            gateway.metrics,
+        )
+        task_status.started(HostPorts(ports.callers, ports.peers, operators))
+        report = await gateway.lifecycle.drain_on(gateway.stops_out)
+        nursery.cancel_scope.cancel()
+    return report
+
+
+async def forward_signals(gateway: Gateway) -> None:
+    """Take the system's signals for wishes to stop; runs for ever."""
+    with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        async for signal in signals:
+            await gateway.stops.send(signal)
+
+
+async def run_gateway(settings: Settings) -> int:
+    """Run one host with the platform's services, until it is stopped.
+
+    Returns:
+        The exit status of the process: 0, or 1 if requests were cut.
+    """
+    platform_log = HttpLog(settings)
+    host_list = HttpHostList(settings)
+    gateway = Gateway(settings, platform_log, host_list)
+    tune_collector()
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(forward_signals, gateway)
+            report = await serve_host(gateway)
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.move_on_after(CLOSE_SECONDS) as scope:
+            scope.shield = True
+            await platform_log.aclose()
+            await host_list.aclose()
+    log.info("Stopped; %d requests were cut.", len(report.cut))
+    return report.exit_code
--- a/agatetack/demo.py
+++ b/agatetack/demo.py
@@ -8,21 +8,22 @@
 import httpcore
 import orjson
 import trio
-from returns.result import Failure
 
-from agatetack.config.change import NO_VERSION, RouteChange
 from agatetack.config.route import RequestClass, Route
-from agatetack.errors import UserError
+from agatetack.daemon import HostPorts, serve_host
 from agatetack.gateway import Gateway
 from agatetack.ids import (
     ChangeId,
-    Deadline,
     FailureDomain,
     HostId,
     RouteId,
     ServiceId,
     TeamId,
 )
+from agatetack.operators.calls import CallName
+from agatetack.operators.client import OperatorsClient
+from agatetack.operators.requests import ApplyRouteRequest
+from agatetack.operators.tokens import NewToken, make_token
 from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.platform.http_host_list import HttpHostList
 from agatetack.platform.http_log import HttpLog
@@ -87,14 +88,16 @@
     """A platform, targets and gateways in one process.
 
     Attributes:
+        token: The operator's token; it exists in memory only.
         gateways: The hosts under show.
-        ports: Where each serves callers.
+        ports: Where each of them listens.
         targets: The fake targets.
     """
 
-    gateways: list[Gateway]
-    ports: list[int]
-    targets: list[FakeTarget]
+    token: NewToken
+    gateways: list[Gateway] = dataclasses.field(default_factory=list)
+    ports: list[HostPorts] = dataclasses.field(default_factory=list)
+    targets: list[FakeTarget] = dataclasses.field(default_factory=list)
 
 
 @contextlib.asynccontextmanager
@@ -106,10 +109,10 @@
         platform_port = await nursery.start(
             serve_platform, MemoryLogService(), hosts
         )
-        demo = Demo([], [], [])
+        demo = Demo(make_token("demo", TEAM))
         await _start_targets(demo, hosts, nursery)
         for number in range(GATEWAYS):
-            settings = _settings(number, platform_port)
+            settings = _settings(demo, number, platform_port)
             await _start_gateway(demo, settings, hosts, nursery, stack)
         try:
             yield demo
@@ -117,13 +120,13 @@
             nursery.cancel_scope.cancel()
 
 
-def _settings(number: int, platform_port: int) -> Settings:
+def _settings(demo: Demo, number: int, platform_port: int) -> Settings:
     endpoint = {"ip": LOOPBACK, "port": platform_port}
     anywhere = {"listen": {"ip": LOOPBACK, "port": 0}}
     return default_settings(
         host={"id": f"gateway-{number + 1}"},
         callers=anywhere,
-        operators=anywhere,
+        operators={**anywhere, "tokens": [demo.token.entry.model_dump()]},
         peers=anywhere,
         platform={
             "log": {"endpoint": endpoint},
@@ -169,7 +172,7 @@
     stack.push_async_callback(platform_log.aclose)
     stack.push_async_callback(host_list.aclose)
     gateway = Gateway(settings, platform_log, host_list)
-    ports = await nursery.start(gateway.run)
+    ports = await nursery.start(serve_host, gateway)
     hosts.hosts.append(
         ListedHost(
             HostId(settings.host.id),
@@ -182,32 +185,26 @@
         )
     )
     demo.gateways.append(gateway)
-    demo.ports.append(ports.callers)
+    demo.ports.append(ports)
 
 
 async def publish_routes(demo: Demo) -> None:
-    """Publish the four routes and wait until every gateway has them.
+    """Publish the four routes through the operators' API.
+
+    Returns once every gateway has them in force.
 
     Raises:
-        UserError: A route was not accepted.
+        OperatorsError: A route was not accepted.
     """
-    first = demo.gateways[0]
+    url = f"http://{LOOPBACK}:{demo.ports[0].operators}"
     with trio.fail_after(START_SECONDS):
         while not all(gateway.config.ready for gateway in demo.gateways):
             await trio.sleep(0.05)
-        for route in ROUTES:
-            change = RouteChange(
-                ChangeId(f"demo-{route.id}"),
-                route.id,
-                route,
-                NO_VERSION,
-                "demo",
-                first.clock.wall(),
-            )
-            deadline = Deadline(trio.current_time() + START_SECONDS)
-            result = await first.config.apply(change, deadline)
-            if isinstance(result, Failure):
-                raise UserError(f"{route.id}: {result.failure().detail}")
+        async with OperatorsClient(url, demo.token.secret) as client:
+            for route in ROUTES:
+                change = ChangeId(f"demo-{route.id}")
+                request = ApplyRouteRequest(route, change)
+                await client.call(CallName.APPLY_ROUTE, request)
         while not all(_has_routes(gateway) for gateway in demo.gateways):
             await trio.sleep(0.01)
 
@@ -247,7 +244,7 @@
                 self.result.reasons[problem["title"]] += 1
 
     async def _send(self, number: int) -> httpcore.Response:
-        port = self.demo.ports[number % len(self.demo.ports)]
+        port = self.demo.ports[number % len(self.demo.ports)].callers
         base = f"http://{LOOPBACK}:{port}"
         path = f"{base}{self.route.path_prefix}/{number}"
         request_class = self.route.request_class
@@ -260,7 +257,7 @@
         if response.status != 202:
             return response
         location = dict(response.headers)[b"location"].decode()
-        other = self.demo.ports[(number + 1) % len(self.demo.ports)]
+        other = self.demo.ports[(number + 1) % len(self.demo.ports)].callers
         url = f"http://{LOOPBACK}:{other}{location}"
         return await self.http.request("GET", f"{url}?wait-ms={TICKET_WAIT_MS}")
 
--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -14,16 +14,11 @@
 from agatetack.callers.server import CallerServer
 from agatetack.claims.log_store import LogClaimStore
 from agatetack.clock import Clock, SystemClock
-from agatetack.collector import tune_collector
 from agatetack.config.route import RequestClass, RouteSource
 from agatetack.config.store import ConfigStore
 from agatetack.deferred.log_queue import LogDeferredQueue
 from agatetack.ids import Deadline, RouteId, ServiceId
-from agatetack.lifecycle.drain import (
-    STOP_SIGNALS,
-    DrainReport,
-    Lifecycle,
-)
+from agatetack.lifecycle.drain import Lifecycle
 from agatetack.lifecycle.in_flight import TrackingHandler
 from agatetack.lifecycle.readiness import ReadinessView
 from agatetack.logs import PartLog
@@ -33,8 +28,6 @@
 from agatetack.peers.mesh import PeerExchange
 from agatetack.platform.directory import HostDirectory, ListChange
 from agatetack.platform.host_list import HostList
-from agatetack.platform.http_host_list import HttpHostList
-from agatetack.platform.http_log import HttpLog
 from agatetack.platform.log import Log
 from agatetack.quarantine.liveness import PoolLivenessCheck
 from agatetack.quarantine.local_tracker import LocalCrashTracker
@@ -49,6 +42,7 @@
 )
 from agatetack.serving.tickets import TicketHandler
 from agatetack.settings.model import Settings
+from agatetack.targets.drains import TargetDrains
 from agatetack.targets.http_client import HttpTargetClient
 from agatetack.targets.registry import TargetRegistry
 from agatetack.tls import ServerTls
@@ -163,6 +157,9 @@
             metrics,
             self.peers.fleet_size,
         )
+        self.drains = TargetDrains(
+            self.registry, self.peers, metrics, self.clock
+        )
         self.client = HttpTargetClient(settings, self.registry)
         self.prober = Prober(
             settings,
@@ -243,6 +240,7 @@
             await nursery.start(self.deferred.run)
             await nursery.start(self.prober.run)
             nursery.start_soon(self.crashes.run)
+            nursery.start_soon(self.drains.run)
             nursery.start_soon(self.client.pools.close_old)
             nursery.start_soon(self.attempts.hedger.run)
             if self.callers_tls is not None:
@@ -252,39 +250,3 @@
             callers_port = await nursery.start(self.callers.run)
             log.info("Callers are served on port %d.", callers_port)
             task_status.started(GatewayPorts(callers_port, peers_port))
-
-    async def run_until_drained(self) -> DrainReport:
-        """Serve until a stop is wished, drain, and return what was cut."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self.run)
-            report = await self.lifecycle.drain_on(self.stops_out)
-            nursery.cancel_scope.cancel()
-        return report
-
-    async def forward_signals(self) -> None:
-        """Take the system's signals for wishes to stop; runs for ever."""
-        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-            async for signal in signals:
-                await self.stops.send(signal)
-
-
-async def run_gateway(settings: Settings) -> int:
-    """Run one host with the platform's services, until it is stopped.
-
-    Returns:
-        The exit status of the process.
-    """
-    platform_log = HttpLog(settings)
-    host_list = HttpHostList(settings)
-    gateway = Gateway(settings, platform_log, host_list)
-    tune_collector()
-    try:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(gateway.forward_signals)
-            report = await gateway.run_until_drained()
-            nursery.cancel_scope.cancel()
-    finally:
-        with trio.CancelScope(shield=True), trio.move_on_after(1):
-            await platform_log.aclose()
-            await host_list.aclose()
-    return report.exit_code
--- a/agatetack/metrics.py
+++ b/agatetack/metrics.py
@@ -169,12 +169,16 @@
         """Note an attempt's time to answer headers."""
         self.target_latency.observe({"target": target}, seconds)
 
+    def hand_over(self) -> None:
+        """Add what hot counters hold to the library's counters."""
+        for counter in self.hot:
+            counter.hand_over()
+
     def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of `/metrics`.
 
         Args:
             accept: The Accept header of the request; text if empty.
         """
-        for counter in self.hot:
-            counter.hand_over()
+        self.hand_over()
         return render(self.registry, [accept] if accept else [])
