--- a/agatetack/config/snapshot_stream.py
+++ b/agatetack/config/snapshot_stream.py
@@ -167,10 +167,15 @@
     def _due(self) -> bool:
         if not self.state.ready or self.state.fold.version == NO_VERSION:
             return False
-        if self.newest is None or self.clock.now() >= self.newest.due_at:
+        if self.newest is None:
             return True
-        behind = self.state.fold.version - self.newest.version
-        return behind >= self.settings.snapshot_records
+        if self.clock.now() >= self.newest.due_at:
+            # A host that is behind leaves it to the others.
+            return self._records_behind() >= 0
+        return self._records_behind() >= self.settings.snapshot_records
+
+    def _records_behind(self) -> int:
+        return self.state.fold.version - self.newest.version
 
     async def _watch(self) -> None:
         while True:
--- a/agatetack/config/store.py
+++ b/agatetack/config/store.py
@@ -33,6 +33,7 @@
     Log,
     LogError,
     LogOutcomeUnknown,
+    LogRecordTooLarge,
     LogTooFast,
     LogUnavailable,
 )
@@ -182,6 +183,10 @@
             return Failure(
                 Rejected(RejectReason.STALE, "too many records came before it")
             )
+        if writing.too_large:
+            return Failure(
+                Rejected(RejectReason.INVALID, "the log takes no record so big")
+            )
         if not writing.may_have_landed:
             return Failure(
                 Rejected(RejectReason.LOG_UNAVAILABLE, "the log took no append")
@@ -226,6 +231,7 @@
 
     Attributes:
         may_have_landed: Whether any append may take effect.
+        too_large: Whether the log takes no record of this size.
     """
 
     def __init__(self, store: ConfigStore, change: RouteChange, waiter: Waiter):
@@ -234,6 +240,7 @@
         self.waiter = waiter
         self.payload = encode_change(change, waiter.base)
         self.may_have_landed = False
+        self.too_large = False
 
     async def run(self, deadline: Deadline) -> None:
         """Append until the change is decided or surely has not landed."""
@@ -249,6 +256,10 @@
                 self.may_have_landed = landed_before
                 self.store.counters.appended(AppendResult.TOO_FAST)
                 await self._wait_until(too_fast.retry_at)
+            except LogRecordTooLarge:
+                self.may_have_landed = landed_before
+                self.too_large = True
+                return
             except LogUnavailable:
                 self.may_have_landed = landed_before
                 self.store.counters.appended(AppendResult.UNAVAILABLE)
--- a/agatetack/config/test_spread.py
+++ b/agatetack/config/test_spread.py
@@ -6,6 +6,7 @@
 
 from agatetack.config.change import Accepted
 from agatetack.config.counters import Problem
+from agatetack.config.fold import Fold
 from agatetack.config.records import (
     CONFIG_STREAM,
     SNAPSHOT_STREAM,
@@ -13,6 +14,7 @@
     encode_change,
 )
 from agatetack.config.snapshot import decode_chunk
+from agatetack.config.state import Source
 from agatetack.config.store import ConfigStore
 from agatetack.generated.config import ttypes as wire
 from agatetack.ids import HostId
@@ -174,6 +176,8 @@
         late = fleet.hosts["host-2"]
         fleet.mesh.isolate("host-2")
         late.log.faults.outage = True
+        # A read that waits for a record began before the outage.
+        await trio.sleep(IN_FORCE_SECONDS)
         await fill(fleet)
         fleet.service.truncate(CONFIG_STREAM, ROUTES - 1)
         assert late.version() == -1
@@ -223,3 +227,45 @@
         assert host.version() == 0
         if problem is not None:
             assert problems(host, problem) >= 1
+
+
+async def test_new_host_waits_for_all_peers(autojump_clock):
+    async with open_fleet(2) as fleet:
+        fleet.mesh.isolate("host-1")
+        fleet.hosts["host-1"].log.faults.outage = True
+        await trio.sleep(IN_FORCE_SECONDS)
+        await apply(fleet.hosts["host-0"], make_change("one"))
+        fleet.service.faults.outage = True
+        fleet.mesh.cut.add(("host-0", "new"))
+        host = await fleet.start("new")
+        while not host.sharing.heard:
+            await trio.sleep(0.01)
+        assert host.sharing.heard == {"host-1": -1}
+        await trio.sleep(0.1)
+        fleet.mesh.cut.discard(("host-0", "new"))
+        while not host.ready:
+            await trio.sleep(0.01)
+        assert host.version() == 0
+
+
+async def test_new_host_waits_for_the_end_of_the_log(autojump_clock):
+    async with open_fleet(0) as fleet:
+        for _ in range(2500):
+            fleet.service.store(CONFIG_STREAM, b"")
+        host = await fleet.start("new")
+        while not host.ready:
+            await host.state.changed.wait()
+        assert host.version() == 2499
+
+
+async def test_hosts_without_the_newest_make_none_ready(autojump_clock):
+    async with open_fleet(0) as fleet:
+        fleet.service.faults.outage = True
+        first = await fleet.start("host-0")
+        second = await fleet.start("host-1")
+        older = Fold()
+        older.apply(0, record(base=-1))
+        first.state.load(older, Source.LOG)
+        await trio.sleep(IN_FORCE_SECONDS)
+        assert (first.ready, second.ready) == (False, False)
+        assert second.version() == -1
--- a/agatetack/config/test_store.py
+++ b/agatetack/config/test_store.py
@@ -15,6 +15,7 @@
     RejectReason,
 )
 from agatetack.config.fold import Verdict
+from agatetack.config.records import CONFIG_STREAM, encode_change
 from agatetack.config.store import ChangeResult, ConfigStore
 from agatetack.ids import ChangeId, RouteId
 from agatetack.peers.exchange import Topic
@@ -25,9 +26,7 @@
     make_change,
     open_fleet,
 )
-from agatetack.testing.memory_log import (
-    AppendFault,
-)
+from agatetack.testing.memory_log import AppendFault
 
 SNAPSHOT_SECONDS = 3.0
 
@@ -104,6 +103,7 @@
     OUT_FOR_OTHERS = "the log is out for all but the writer"
     OUTAGE_AFTER = "the log goes out right after the first acceptance"
     SLOW = "each call of the log takes long"
+    FROZEN = "the log neither answers nor refuses a while"
     REPLY_LOST = "an append lands, its reply does not"
     REQUEST_LOST = "an append never lands, nor does a reply"
     LANDS_LATE = "an append lands late and unannounced"
@@ -129,6 +129,8 @@
             hosts[name].log.faults.outage = True
     elif fault is Fault.SLOW:
         service.faults.delay_seconds = 0.7
+    elif fault is Fault.FROZEN:
+        service.faults.frozen = True
     elif fault is Fault.RETENTION:
         service.truncate("config", service.ends["config"] - 1)
     elif fault is Fault.RESTART:
@@ -149,6 +151,7 @@
 def end_faults(fleet: Fleet) -> None:
     """End every fault."""
     fleet.service.faults.outage = False
+    fleet.service.faults.frozen = False
     fleet.service.faults.delay_seconds = 0.0
     for store in fleet.hosts.values():
         store.log.faults.outage = False
@@ -221,3 +224,13 @@
         await trio.sleep(IN_FORCE_SECONDS)
         assert_true(results, fleet)
         fleet.assert_agreed()
+
+
+async def test_host_that_is_behind_takes_a_change(autojump_clock):
+    async with open_fleet() as fleet:
+        host = fleet.hosts["host-0"]
+        payload = encode_change(make_change("one"), NO_VERSION)
+        fleet.service.store(CONFIG_STREAM, payload)
+        assert host.version() == NO_VERSION
+        result = await apply(host, make_change("two", expected=0))
+        assert result == Success(Accepted(1))
