--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -49,6 +49,12 @@
             HostBackend(gateway),
             gateway.metrics,
         )
+        log.info(
+            "Serving callers on port %d, operators on %d, peers on %d.",
+            ports.callers,
+            operators,
+            ports.peers,
+        )
         task_status.started(HostPorts(ports.callers, ports.peers, operators))
         report = await gateway.lifecycle.drain_on(gateway.stops_out)
         nursery.cancel_scope.cancel()
--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -248,5 +248,4 @@
             readiness = GatewayReadiness(self.routes, self.registry)
             nursery.start_soon(self.lifecycle.run_until_ready, readiness)
             callers_port = await nursery.start(self.callers.run)
-            log.info("Callers are served on port %d.", callers_port)
             task_status.started(GatewayPorts(callers_port, peers_port))
