--- a/agatetack/claims/fold.py
+++ b/agatetack/claims/fold.py
@@ -6,7 +6,8 @@
 * A release frees the key its attempt holds. On a free key it is a barrier:
   every claim that had not seen it is dead on arrival, its own included.
 * A held key becomes done; nothing frees a key that is done.
-* A kept key is taken over by a reader that does not know a holder.
+* A kept key is taken over by a reader that does not know a holder. Where
+  another attempt holds it, the key stays held until it is done or expires.
 
 A reader that starts at a later record may hold a key blocked that others
 know to be free, but never the other way round, as only held keys are kept.
@@ -27,6 +28,9 @@
 NO_RELEASE = -1
 """The barrier of a key that was never released."""
 
+NOBODY = b""
+"""Holds a key that two attempts seem to hold; no release names it."""
+
 MS = 1000
 """Milliseconds in a second."""
 
@@ -172,7 +176,12 @@
             state.status = state.status or entry.status or 0
             self._written(entry.key, state, at_ms)
             return
-        elif state.attempt is not None or state.released == entry.attempt:
+        elif state.attempt is not None:
+            # Either reader may have missed a release; none may free it now.
+            if not state.status:
+                state.attempt = NOBODY
+            return
+        elif state.released == entry.attempt:
             return
         state.attempt = entry.attempt
         state.fingerprint = entry.fingerprint
--- /dev/null
+++ b/agatetack/claims/test_fold.py
@@ -0,0 +1,250 @@
+"""Test the fold with any order, repetition and loss of records."""
+
+import dataclasses
+import enum
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    consumes,
+    invariant,
+    multiple,
+    rule,
+)
+
+from agatetack.claims.fold import Fold
+from agatetack.claims.keeper import _keep_entry
+from agatetack.generated.claims.ttypes import Entry, EntryKind, VerdictKind
+from agatetack.ids import LogOffset
+from agatetack.settings.defaults import default_settings
+
+SETTINGS = default_settings()
+KEYS = [b"a" * 16, b"b" * 16]
+NOW_MS = 1_700_000_000_000
+
+
+def entry_of(kind, attempt, seen=0):
+    """Return an entry for the first key; `attempt` is one letter."""
+    return Entry(
+        kind=kind,
+        key=KEYS[0],
+        attempt=attempt.encode() * 16,
+        fingerprint=b"f" * 16,
+        seen=seen,
+        status=201 if kind == EntryKind.DONE else None,
+        dated=False,
+        until_ms=NOW_MS,
+        claimed_ms=NOW_MS,
+    )
+
+
+def claim(attempt, seen=0):
+    return entry_of(EntryKind.CLAIM, attempt, seen)
+
+
+def release(attempt):
+    return entry_of(EntryKind.RELEASE, attempt)
+
+
+def done(attempt):
+    return entry_of(EntryKind.DONE, attempt)
+
+
+def keep(attempt):
+    return entry_of(EntryKind.KEEP, attempt)
+
+
+@pytest.mark.parametrize(
+    ("entries", "verdict"),
+    [
+        ([claim("a")], VerdictKind.GRANTED),
+        ([claim("a"), claim("a")], VerdictKind.GRANTED),
+        ([claim("a"), claim("b")], VerdictKind.HELD),
+        ([claim("a"), done("a"), claim("b")], VerdictKind.DONE),
+        ([claim("a"), done("a"), claim("a")], VerdictKind.DONE),
+        ([claim("a"), release("a"), claim("a")], VerdictKind.DEAD),
+        ([claim("a"), release("a"), claim("b", 1)], VerdictKind.DEAD),
+        ([claim("a"), release("a"), claim("b", 2)], VerdictKind.GRANTED),
+        ([release("a"), claim("a")], VerdictKind.DEAD),
+        ([release("a"), claim("b")], VerdictKind.DEAD),
+        ([release("a"), claim("b", 1)], VerdictKind.GRANTED),
+        ([claim("a"), release("b"), claim("b")], VerdictKind.HELD),
+        ([claim("a"), done("a"), release("a")], VerdictKind.DONE),
+        ([claim("a"), done("a"), keep("a"), claim("b")], VerdictKind.DONE),
+        ([keep("a"), claim("b")], VerdictKind.HELD),
+        ([done("a"), claim("b")], VerdictKind.DONE),
+        ([claim("a"), release("a"), keep("a")], VerdictKind.FREE),
+        ([release("b"), keep("a"), claim("c", 9)], VerdictKind.HELD),
+        ([claim("b"), keep("a"), release("b")], VerdictKind.HELD),
+        ([claim("b"), keep("a"), release("a")], VerdictKind.HELD),
+        ([claim("b"), keep("a"), done("b")], VerdictKind.DONE),
+    ],
+)
+def test_last_entry_is_judged(entries, verdict):
+    fold = fold_records([[entry] for entry in entries])
+    assert fold.judge(entries[-1]).kind == verdict
+
+
+class Stage(enum.Enum):
+    """How far an attempt has come at its host."""
+
+    OPEN = 1
+    GRANTED = 2
+    DISPATCHED = 3
+    GIVEN_UP = 4
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One attempt; its claim may land any number of times, at any time."""
+
+    entry: Entry
+    arrived: int
+    stage: Stage = Stage.OPEN
+
+    def make(self, kind, status=None):
+        return Entry(kind, self.entry.key, self.entry.attempt, status=status)
+
+
+def fold_records(records, start=0):
+    fold = Fold(SETTINGS)
+    if start:
+        fold.start(LogOffset(start))
+    for offset in range(start, len(records)):
+        for entry in records[offset]:
+            fold.apply(LogOffset(offset), NOW_MS + offset, entry)
+        fold.advance(LogOffset(offset), NOW_MS + offset)
+    return fold
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Hosts that pause, repeat and give up, on one log."""
+
+    attempts = Bundle("attempts")
+    keeps = Bundle("keeps")
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+        self.fold = Fold(SETTINGS)
+        self.now = 0
+        self.all = []
+        self.runs = dict.fromkeys(KEYS, 0)
+        self.not_run = dict.fromkeys(KEYS, -1)
+
+    def append(self, *entries):
+        offset = LogOffset(len(self.records))
+        self.records.append(list(entries))
+        self.now += 1
+        verdicts = []
+        for entry in entries:
+            self.fold.apply(offset, NOW_MS + offset, entry)
+            verdicts.append(self.fold.judge(entry).kind)
+        self.fold.advance(offset, NOW_MS + offset)
+        return verdicts
+
+    @rule(target=attempts, key=st.sampled_from(KEYS), lag=st.integers(0, 3))
+    def arrive(self, key, lag):
+        self.now += 1
+        attempt = Attempt(
+            Entry(
+                kind=EntryKind.CLAIM,
+                key=key,
+                attempt=len(self.all).to_bytes(16, "big"),
+                fingerprint=b"f" * 16,
+                seen=max(0, self.fold.next - lag),
+                dated=False,
+                until_ms=NOW_MS,
+            ),
+            self.now,
+        )
+        self.all.append(attempt)
+        return attempt
+
+    @rule(first=attempts, second=attempts)
+    def land_claims(self, first, second):
+        pair = [first] if first is second else [first, second]
+        verdicts = self.append(*[attempt.entry for attempt in pair])
+        for attempt, verdict in zip(pair, verdicts, strict=True):
+            if attempt.stage is Stage.OPEN:
+                granted = verdict == VerdictKind.GRANTED
+                attempt.stage = Stage.GRANTED if granted else Stage.GIVEN_UP
+
+    @rule(attempt=attempts)
+    def dispatch(self, attempt):
+        if attempt.stage is Stage.GRANTED:
+            attempt.stage = Stage.DISPATCHED
+            key = attempt.entry.key
+            self.runs[key] += 1
+            assert self.runs[key] == 1
+            assert attempt.arrived > self.not_run[key]
+
+    @rule(attempt=attempts)
+    def land_done(self, attempt):
+        if attempt.stage is Stage.DISPATCHED:
+            self.append(attempt.make(EntryKind.DONE, 201))
+
+    @rule(attempt=attempts)
+    def give_up(self, attempt):
+        if attempt.stage in (Stage.OPEN, Stage.GRANTED):
+            attempt.stage = Stage.GIVEN_UP
+
+    @rule(attempt=attempts)
+    def land_release(self, attempt):
+        if attempt.stage is Stage.GIVEN_UP:
+            [verdict] = self.append(attempt.make(EntryKind.RELEASE))
+            if verdict == VerdictKind.FREE:
+                key = attempt.entry.key
+                assert self.runs[key] == 0
+                self.not_run[key] = self.now
+
+    @rule(target=keeps, key=st.sampled_from(KEYS))
+    def find_due(self, key):
+        state = self.fold.keys.get(key)
+        if state is None or state.attempt is None:
+            return multiple()
+        return _keep_entry(key, state)
+
+    @rule(entry=keeps)
+    def land_keep(self, entry):
+        self.append(entry)
+
+    @rule(entry=consumes(keeps))
+    def lose_keep(self, entry):
+        self.now += 1
+
+    @invariant()
+    def every_reader_agrees(self):
+        assert fold_records(self.records).keys == self.fold.keys
+
+    @invariant()
+    def a_late_reader_frees_nothing(self):
+        """Whatever of a held key is still kept is enough to block it."""
+        for start in range(1, len(self.records)):
+            late = fold_records(self.records, start)
+            for key, state in self.fold.keys.items():
+                if state.attempt and self.is_kept(key, state, start):
+                    assert late.keys[key].attempt is not None
+
+    def is_kept(self, key, state, start):
+        """Return whether a record of the holder is kept from `start` on."""
+        kinds = (EntryKind.KEEP, EntryKind.DONE)
+        return any(
+            entry.key == key
+            and entry.attempt == state.attempt
+            and entry.kind in kinds
+            for record in self.records[start:]
+            for entry in record
+        )
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    max_examples=150,
+    stateful_step_count=25,
+    derandomize=True,
+    deadline=None,
+)
--- a/agatetack/claims/test_log_store.py
+++ b/agatetack/claims/test_log_store.py
@@ -6,9 +6,12 @@
 import trio
 from returns.result import Success
 
+from agatetack.claims import codec
 from agatetack.claims.conftest import EPOCH, ClaimFleet
-from agatetack.ids import Deadline, HostId
+from agatetack.generated.claims.ttypes import Batch, Entry, EntryKind
+from agatetack.ids import Deadline, HostId, LogOffset, WallTime
 from agatetack.outcomes import Outcome, RefusalReason
+from agatetack.platform.log import LogRecord
 from agatetack.testing.memory_log import AppendFault
 
 ISSUED = int(EPOCH * 1000)
@@ -125,6 +128,7 @@
         (cut_log, "done", "key-already-done", Outcome.ANSWERED),
         (cut_log, "released", "log-unavailable", Outcome.NOT_RUN),
         (cut_log, "open", "log-unavailable", Outcome.UNKNOWN),
+        (cut_log, "unread", "log-unavailable", Outcome.UNKNOWN),
         (cut_first_host, None, "log-unavailable", Outcome.UNKNOWN),
         (lose_host, None, "log-unavailable", Outcome.UNKNOWN),
         (freeze, None, "claim-in-doubt", Outcome.UNKNOWN),
@@ -141,12 +145,15 @@
         await trio.sleep(0.01)
         fleet.mesh.cut.clear()
     elif earlier is not None:
+        if earlier == "unread":
+            fleet.clients[0].faults.outage = True
+            await trio.sleep(1)
         claim = (await fleet.claim(other)).unwrap()
         if earlier == "done":
             await other.finish(claim, 201)
         if earlier == "released":
             assert await other.release(claim)
-        await trio.sleep(0.2)
+        await trio.sleep(3)
     fault(fleet)
     await trio.sleep(1.5)
     started = trio.current_time()
@@ -298,6 +305,48 @@
     assert isinstance(await fleet.claim(store), Success)
 
 
+async def test_records_are_folded_in_order_and_once(autojump_clock, fleet):
+    partition = (await fleet.add()).partitions[0]
+    claims = [
+        Entry(EntryKind.CLAIM, b"k" * 16, b"a" * 16, b"f", 0, None, True, 1)
+    ]
+    payload = codec.encode(Batch(claims))
+    partition.on_appended(LogOffset(1), payload)
+    assert not partition.fold.keys
+    partition.on_appended(LogOffset(0), payload)
+    assert partition.fold.next == 1
+    record = LogRecord(LogOffset(0), payload, WallTime(EPOCH + 9))
+    partition._take_record(record)
+    assert partition.fold.now_ms < (EPOCH + 9) * 1000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"kind": 9},
+        {"key": b"short"},
+        {"attempt": None},
+        {"fingerprint": None},
+        {"seen": None},
+        {"until_ms": None},
+        {"kind": EntryKind.DONE},
+        {"kind": EntryKind.KEEP},
+    ],
+)
+def test_entries_are_checked(changes):
+    fields = {
+        "kind": EntryKind.CLAIM,
+        "key": b"k" * 16,
+        "attempt": b"a" * 16,
+        "fingerprint": b"f",
+        "seen": 0,
+        "until_ms": 1,
+    }
+    assert codec.check_entry(Entry(**fields)) is None
+    with pytest.raises(codec.BadMessage):
+        codec.check_entry(Entry(**(fields | changes)))
+
+
 async def test_bad_records_and_calls_harm_nothing(autojump_clock, fleet):
     store = await fleet.add()
     fleet.log.store(store.partitions[0].stream, b"\xff\x00junk")
