Take small differences of service time for luck, and low reports for short

Cause: expected-wait followed the noise of learned service times, and many hosts jumped on one low report (herding 1.28, variance over mean of sends). Change: service times up to twice the typical one count as typical; a report below the usual load keeps a tenth of the half-life.

--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -23,6 +23,20 @@
 NEAR_RATIO = 0.1
 """Candidates within this share of the best cost count as equally good."""
 
+NORMAL_RATIO = 2.0
+"""Up to this multiple of the typical service time a target counts as normal.
+
+Below it the differences that a host learns are mostly the luck of a few
+answers; following them makes the load of the targets uneven.
+"""
+
+LOW_REPORT_SHARE = 0.1
+"""Share of the half-life that a report below the usual load keeps.
+
+A long queue takes time to go away, but a free slot is taken by whichever
+host learns of it first.
+"""
+
 UNKNOWN_SERVICE_SECONDS = 0.005
 """Service time taken for a service none of whose targets has answered."""
 
@@ -78,6 +92,8 @@
         """Return the expected seconds from sending to the answer."""
         learned = target.learned
         service = learned.service_seconds or self.typical
+        if service < NORMAL_RATIO * self.typical:
+            service = self.typical
         if learned.sent:
             # A request that is out for long shows a slow target before any
             # answer does.
@@ -110,7 +126,10 @@
         if report is None:
             return usual
         seen = max(0, report.in_flight - report.own_in_flight)
-        weight = 0.5 ** ((now - report.at) / self.half_life)
+        half_life = self.half_life
+        if seen < usual:
+            half_life *= LOW_REPORT_SHARE
+        weight = 0.5 ** ((now - report.at) / half_life)
         return usual + (seen - usual) * weight * target.learned.trust
 
     def expected_load(self, target: TargetState, now: Deadline) -> float:
--- a/agatetack/measure/budget.py
+++ b/agatetack/measure/budget.py
@@ -1,7 +1,7 @@
 """Keep the work of measuring within the budget that operators set.
 
-A bucket never goes into debt and starts empty, so a host that restarts again
-and again spends nothing that the fleet's figure does not cover.
+A bucket never goes into debt, starts empty and earns nothing at first, so a
+host that restarts again and again spends nothing.
 """
 
 from collections.abc import Callable
@@ -11,8 +11,12 @@
 BURST_SECONDS = 0.1
 """Seconds of a share that may be saved up, so that pauses do not add up."""
 
-MAX_STEP_SECONDS = 1.0
-"""Longest time that one refill counts, should the clock jump ahead."""
+START_SECONDS = 4.0
+"""Time after a start in which nothing is earned.
+
+Until the others have heard of a new host, their shares are too large; this
+is longer than a heartbeat timeout and two reads of the host list.
+"""
 
 
 class TokenBucket:
@@ -47,7 +51,7 @@
         self.smallest_burst = smallest_burst
         self.tokens = 0.0
         self.spent = 0.0
-        self.filled_at = trio.current_time()
+        self.filled_at = trio.current_time() + START_SECONDS
 
     @property
     def rate(self) -> float:
@@ -57,7 +61,9 @@
     def refill(self) -> None:
         """Add what the time since the last refill has earned."""
         now = trio.current_time()
-        elapsed = min(max(0.0, now - self.filled_at), MAX_STEP_SECONDS)
+        if now <= self.filled_at:
+            return
+        elapsed = now - self.filled_at
         self.filled_at = now
         rate = self.rate
         most = max(self.smallest_burst, rate * BURST_SECONDS)
@@ -83,4 +89,5 @@
         rate = self.rate
         if rate <= 0:
             return float("inf")
-        return trio.current_time() + max(0.0, amount - self.tokens) / rate
+        earning = max(trio.current_time(), self.filled_at)
+        return earning + max(0.0, amount - self.tokens) / rate
--- a/bench/policy/fleet.py
+++ b/bench/policy/fleet.py
@@ -195,6 +195,10 @@
             FakeProbe(fleet, self.domain),
             number,
         )
+        # The run is short and its fleet is complete from the start.
+        for bucket in (self.prober.probes, self.prober.probe_bytes):
+            bucket.filled_at = trio.current_time()
+        self.prober.sharing.bucket.filled_at = trio.current_time()
         self.client = FakeClient(fleet, self.registry, self.domain)
 
 
