Write log lines in a thread, so that a stalled reader stalls no request

Cause: standard error is often a pipe. When its reader stops, the next write blocks the whole trio loop, and a gateway answers nobody. Change: log_writer.LogWriter hands records to a thread that formats and writes them; up to 2,000 wait, more are dropped and told once lines are read again. set_up_logs returns the writer; it is stopped at the process's end within a second at most. sys.stderr's buffer is avoided, as a thread blocked in it makes the interpreter abort at its end.

--- a/agatetack/logs.py
+++ b/agatetack/logs.py
@@ -1,5 +1,6 @@
 """Write log lines: short sentences with a fixed prefix for each part."""
 
+import atexit
 import logging as std_logging
 import time
 from collections.abc import Callable
@@ -8,6 +9,7 @@
 from absl import flags, logging
 
 from agatetack.ids import RequestId
+from agatetack.log_writer import LogWriter
 from agatetack.settings.findings import one_line
 from agatetack.settings.model import LogsSettings
 
@@ -159,12 +161,23 @@
     return f"{seconds}.{int(record.msecs):03d}Z"
 
 
-def set_up_logs(settings: LogsSettings) -> None:
-    """Send log lines to standard error, as `settings` say."""
+def set_up_logs(settings: LogsSettings) -> LogWriter:
+    """Send log lines to standard error, as `settings` say.
+
+    Returns:
+        The writer; lines that still wait are written at the process's end.
+    """
     # Without this absl warns on each start that its flags are not parsed.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(settings.level.value)
     limiter.max_lines = settings.max_lines_per_second
+    formatter = logging.PythonFormatter()
     if settings.json_lines:
-        logging.get_absl_handler().setFormatter(JsonFormatter())
+        formatter = JsonFormatter()
+    writer = LogWriter(formatter)
+    root = std_logging.getLogger()
+    root.removeHandler(logging.get_absl_handler())
+    root.addHandler(writer)
+    atexit.register(writer.stop)
+    return writer
--- a/agatetack/test_logs.py
+++ b/agatetack/test_logs.py
@@ -2,12 +2,14 @@
 
 import json
 import logging as std_logging
+import os
 import sys
 
 import pytest
 from absl import logging
 
-from agatetack import logs
+from agatetack import log_writer, logs
+from agatetack.log_writer import LogWriter
 from agatetack.logs import JsonFormatter, LineLimiter, PartLog, set_up_logs
 from agatetack.settings.defaults import default_settings
 
@@ -163,24 +165,74 @@
 
 
 @pytest.mark.parametrize("json_lines", [True, False])
-def test_set_up_writes_to_standard_error(json_lines, capsys, monkeypatch):
+def test_set_up_writes_to_standard_error(json_lines, capfd, monkeypatch):
     monkeypatch.setattr(logs, "limiter", LineLimiter(1))
     root = std_logging.getLogger()
     before, level = list(root.handlers), root.level
-    absl_handler = logging.get_absl_handler()
-    monkeypatch.setattr(absl_handler.python_handler, "stream", sys.stderr)
     settings = default_settings(
         logs={"json_lines": json_lines, "max_lines_per_second": 7}
     )
     try:
-        set_up_logs(settings.logs)
+        writer = set_up_logs(settings.logs)
         PartLog("p").info("Started.")
+        writer.stop()
         assert logs.limiter.max_lines == 7
     finally:
         root.handlers[:] = before
         root.setLevel(level)
-        absl_handler.setFormatter(logging.PythonFormatter())
-    written = capsys.readouterr().err
-    assert written.endswith(
-        '"text":"Started."}\n' if json_lines else "p: Started.\n"
-    )
+    end = '"text":"Started."}\n' if json_lines else "p: Started.\n"
+    assert capfd.readouterr().err.endswith(end)
+
+
+@pytest.fixture
+def pipe():
+    """Give a pipe whose reader and writer are closed in the end."""
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def make_record(text):
+    return std_logging.LogRecord("n", 20, "f", 1, text, None, None)
+
+
+def test_a_stalled_reader_stalls_no_writer(pipe, monkeypatch):
+    monkeypatch.setattr(log_writer, "MAX_WAITING", 2)
+    reader, end = pipe
+    writer = LogWriter(std_logging.Formatter(), end)
+    # These lines are more than the pipe and the queue hold.
+    for _ in range(100):
+        writer.handle(make_record("x" * 10_000))
+    assert writer.dropped > 0
+    read = b""
+    while b" lines were dropped" not in read:
+        read = read[-100:] + os.read(reader, 65_536)
+    writer.stop()
+    assert not writer.thread.is_alive()
+
+
+def test_lines_keep_their_order_and_are_written_at_a_stop(pipe, monkeypatch):
+    reader, end = pipe
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda file, data: write(file, data[:2]))
+    writer = LogWriter(std_logging.Formatter(), end)
+    for number in range(100):
+        writer.handle(make_record(f"{number}"))
+    writer.stop()
+    written = os.read(reader, 65_536).split()
+    assert written == [b"%d" % number for number in range(100)]
+
+
+def test_a_record_that_cannot_be_formatted_ends_no_thread(pipe):
+    reader, end = pipe
+    writer = LogWriter(std_logging.Formatter(), end)
+    bad = std_logging.LogRecord("n", 20, "f", 1, "%d", ("x",), None)
+    writer.handle(bad)
+    writer.handle(make_record("good"))
+    writer.stop()
+    written = os.read(reader, 65_536).splitlines()
+    assert written == [
+        b"logs: 1 lines were dropped, as nobody read them.",
+        b"good",
+    ]
