--- a/agatetack/deferred/fetcher.py
+++ b/agatetack/deferred/fetcher.py
@@ -65,7 +65,7 @@
     ) -> Lookup | None:
         """Look a ticket up; None if the log's end can't be read."""
         ticket = partition.get(ticket_id)
-        if not partition.caught_up or not _useful(ticket):
+        if not partition.caught_up or not self._useful(ticket):
             seconds = self.settings.platform.log.timeout_seconds
             limit = Deadline(self.clock.now() + seconds)
             # It may have been accepted by another host just now.
@@ -74,7 +74,7 @@
             if not await partition.sync(limit):
                 return None
             ticket = partition.get(ticket_id)
-        return Lookup(ticket if _useful(ticket) else None)
+        return Lookup(ticket if self._useful(ticket) else None)
 
     async def _wait_end(
         self, partition: Partition, ticket: Ticket, until: Deadline
@@ -104,6 +104,12 @@
             return Success(TicketState.EXPIRED)
         return _failed(end)
 
+    def _useful(self, ticket: Ticket | None) -> bool:
+        """Return whether a ticket is open, or ended and still kept."""
+        if ticket is None or ticket.end is None:
+            return ticket is not None and ticket.open
+        return ticket.end.keep_until > self.clock.wall()
+
     def _unavailable(self) -> Fetched:
         seconds = self.settings.admission.retry_after_seconds
         # The reason's usual "not run" would speak about the ticket's request.
@@ -116,11 +122,6 @@
         return Failure(refusal)
 
 
-def _useful(ticket: Ticket | None) -> bool:
-    """Return whether a ticket is open or ended, not just heard of."""
-    return ticket is not None and (ticket.open or ticket.end is not None)
-
-
 def _failed(end: End) -> Fetched:
     try:
         reason = RefusalReason(end.reason)
--- a/agatetack/deferred/submitter.py
+++ b/agatetack/deferred/submitter.py
@@ -9,6 +9,7 @@
 from agatetack.clock import Clock
 from agatetack.config.route import Route
 from agatetack.deferred.counters import Counters
+from agatetack.deferred.fold import Ticket
 from agatetack.deferred.partition import Partition
 from agatetack.deferred.queue import TicketRefusal
 from agatetack.deferred.records import (
@@ -103,6 +104,10 @@
         number = int.from_bytes(identity[:4], "big") % len(self.partitions)
         partition = self.partitions[number]
         known = partition.fold.find_identity(identity)
+        if known is not None and over(known, self.clock):
+            # Its result may not be given out any more.
+            partition.fold.forget(known)
+            known = None
         if known is not None:
             self.counters.submit("known")
             return Success(known.id)
@@ -204,6 +209,11 @@
         return Deadline(self.clock.now() + seconds)
 
 
+def over(ticket: Ticket, clock: Clock) -> bool:
+    """Return whether a ticket has ended and its end need not be kept."""
+    return ticket.end is not None and ticket.end.keep_until <= clock.wall()
+
+
 async def read_body(body: Body, limit: int) -> bytes | None:
     """Return the whole body, or None if it is longer than `limit` bytes."""
     if (body.length or 0) > limit:
--- /dev/null
+++ b/agatetack/deferred/test_faults.py
@@ -0,0 +1,254 @@
+"""Test that no ticket is lost when hosts and the log fail, also in pairs."""
+
+import itertools
+import random
+
+import pytest
+import trio
+
+from agatetack.deferred.queue import StoredAnswer, TicketState
+from agatetack.outcomes import RefusalReason
+from agatetack.testing.deferred_fleet import (
+    ROUTE,
+    DeferredFleet,
+    Work,
+    make_request,
+)
+from agatetack.testing.memory_log import AppendFault
+
+TICKETS = 8
+SHORT_LOG = {
+    "platform": {"log": {"retention_seconds": 60, "poll_seconds": 5}},
+    "deferred": {
+        "result_keep_seconds": 900,
+        "partitions": 2,
+        "concurrency": 2,
+    },
+}
+PATH = b"/waves/1"
+
+
+async def outage(fleet):
+    fleet.service.faults.outage = True
+    await trio.sleep(6)
+    fleet.service.faults.outage = False
+
+
+async def slow(fleet):
+    fleet.service.faults.delay_seconds = 0.4
+    await trio.sleep(6)
+    fleet.service.faults.delay_seconds = 0.0
+
+
+async def frozen(fleet):
+    fleet.service.faults.frozen = True
+    await trio.sleep(6)
+    fleet.service.faults.frozen = False
+
+
+async def replies_lost(fleet):
+    fleet.service.faults.next_appends += [AppendFault.REPLY_LOST] * 6
+
+
+async def requests_lost(fleet):
+    fleet.service.faults.next_appends += [AppendFault.REQUEST_LOST] * 3
+
+
+async def late_landings(fleet):
+    for host in fleet.hosts.values():
+        host.log.faults.late_seconds = 20
+    fleet.service.faults.next_appends += [AppendFault.LANDS_LATE] * 3
+
+
+async def too_fast(fleet):
+    fleet.service.faults.next_appends += [AppendFault.TOO_FAST] * 6
+
+
+async def retention(fleet):
+    """Keep records for 60 s only, and have no slot free for longer."""
+    fleet.nursery.start_soon(fleet.drop_old_records)
+    fleet.work.busy = True
+    await trio.sleep(90)
+    fleet.work.busy = False
+
+
+async def restart(fleet):
+    for host in list(fleet.hosts)[:2]:
+        fleet.kill(host)
+        await fleet.start(host)
+
+
+async def replace_all(fleet):
+    for host in list(fleet.hosts):
+        fleet.kill(host)
+        await fleet.start()
+
+
+async def pause_host(fleet):
+    """Keep one host from the log for longer than records are kept."""
+    host = next(iter(fleet.hosts.values()))
+    host.log.faults.outage = True
+    await trio.sleep(90)
+    host.log.faults.outage = False
+
+
+FAULTS = (
+    outage,
+    slow,
+    frozen,
+    replies_lost,
+    requests_lost,
+    late_landings,
+    too_fast,
+    retention,
+    restart,
+    replace_all,
+    pause_host,
+)
+PAIRS = [(fault, fault) for fault in FAULTS]
+PAIRS += list(itertools.combinations(FAULTS, 2))
+
+
+async def submit_until_kept(fleet, number, tickets):
+    """Submit as a caller does who sends again what was not accepted."""
+    dice = random.Random(number)
+    while number not in tickets:
+        name = dice.choice(list(fleet.hosts))
+        host = fleet.hosts[name]
+        with fleet.serving(name):
+            request = make_request(number, seconds=800)
+            result = await host.queue.submit(ROUTE, request)
+            tickets[number] = result.value_or(None)
+        if tickets.get(number) is None:
+            tickets.pop(number, None)
+            await trio.sleep(0.5)
+
+
+async def fetch_answer(fleet, ticket):
+    """Poll on one host after another until the ticket has ended."""
+    for number in range(200):
+        hosts = list(fleet.hosts.values())
+        host = hosts[number % len(hosts)]
+        until = trio.current_time() + 10
+        result = await host.queue.fetch(ticket, until)
+        found = result.value_or(TicketState.OPEN)
+        if found is not TicketState.OPEN:
+            return found
+        await trio.sleep(1)
+    return TicketState.OPEN
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    PAIRS,
+    ids=lambda fault: fault.__name__,
+)
+async def test_no_ticket_is_lost(autojump_clock, first, second):
+    async with trio.open_nursery() as nursery:
+        fleet = DeferredFleet(nursery, Work(seconds=2.0), SHORT_LOG)
+        for _ in range(3):
+            await fleet.start()
+        tickets = {}
+        for number in range(TICKETS):
+            nursery.start_soon(submit_until_kept, fleet, number, tickets)
+            await trio.sleep(0.3)
+            if number == 1:
+                nursery.start_soon(first, fleet)
+            if number == 5:
+                nursery.start_soon(second, fleet)
+        while len(tickets) < TICKETS:
+            await trio.sleep(1)
+        for number, ticket in tickets.items():
+            found = await fetch_answer(fleet, ticket)
+            assert isinstance(found, StoredAnswer)
+            assert found.body == fleet.work.body(b"/waves/%d" % number)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("peers_seen", [True, False])
+async def test_live_hosts_do_not_double_runs(autojump_clock, peers_seen):
+    """Without a view of peers all go first, and the log's order decides."""
+    async with trio.open_nursery() as nursery:
+        fleet = DeferredFleet(nursery, Work(seconds=20.0))
+        fleet.blind = not peers_seen
+        for _ in range(4):
+            await fleet.start()
+        tickets = {}
+        for number in range(40):
+            await submit_until_kept(fleet, number, tickets)
+        for ticket in tickets.values():
+            assert isinstance(await fetch_answer(fleet, ticket), StoredAnswer)
+        assert set(fleet.work.runs.values()) == {1}
+        nursery.cancel_scope.cancel()
+
+
+async def test_paused_holder_does_not_change_the_end(autojump_clock):
+    settings = {"deferred": {"attempt_timeout_seconds": 1000}}
+    async with trio.open_nursery() as nursery:
+        fleet = DeferredFleet(nursery, Work(seconds=0.0), settings)
+        first = await fleet.start()
+        fleet.work.seconds = 400.0
+        ticket = (await first.queue.submit(ROUTE, make_request(1))).unwrap()
+        while not fleet.work.runs:
+            await trio.sleep(0.1)
+        # The holder goes on running, but its peers think that it is gone.
+        fleet.work.seconds = 0.0
+        second = await fleet.start()
+        await trio.sleep(1)
+        hidden = fleet.hosts.pop("host-1")
+        answer = await fetch_answer(fleet, ticket)
+        end = second.queue.schedule.find(ticket).end
+        assert end.attempt.startswith("host-2")
+        await trio.sleep(401)
+        for host in (hidden, second, await fleet.start()):
+            await trio.sleep(1)
+            known = host.queue.schedule.find(ticket)
+            assert known.end.attempt == end.attempt
+            until = trio.current_time() + 1
+            again = await host.queue.fetch(ticket, until)
+            assert again.unwrap() == answer
+        assert fleet.work.finished == {PATH: 2}
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("seconds", [280, 320])
+async def test_ends_are_kept_for_the_stated_time(autojump_clock, seconds):
+    settings = {**SHORT_LOG, "deferred": {"result_keep_seconds": 300}}
+    async with trio.open_nursery() as nursery:
+        fleet = DeferredFleet(nursery, Work(), settings)
+        nursery.start_soon(fleet.drop_old_records)
+        host = await fleet.start()
+        ticket = (await host.queue.submit(ROUTE, make_request(1))).unwrap()
+        await fetch_answer(fleet, ticket)
+        await trio.sleep(seconds)
+        for asked in (host, await fleet.start()):
+            result = await asked.queue.fetch(ticket, trio.current_time())
+            if seconds < 300:
+                assert result.unwrap().body == fleet.work.body(PATH)
+            else:
+                reason = result.failure().reason
+                assert reason is RefusalReason.TICKET_UNKNOWN
+        if seconds > 300:
+            assert not host.queue.schedule.partition_of(ticket).fold.tickets
+        nursery.cancel_scope.cancel()
+
+
+async def test_drain_waits_for_what_runs_and_leaves_the_rest(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = DeferredFleet(nursery, Work(seconds=5.0))
+        host = await fleet.start()
+        tickets = {}
+        for number in range(10):
+            await submit_until_kept(fleet, number, tickets)
+        while not fleet.work.runs:
+            await trio.sleep(0.01)
+        await host.queue.drain()
+        begun = dict(fleet.work.runs)
+        assert 0 < len(begun) < 10
+        assert fleet.work.finished == begun
+        fleet.kill("host-1")
+        await fleet.start()
+        for ticket in tickets.values():
+            assert isinstance(await fetch_answer(fleet, ticket), StoredAnswer)
+        assert set(fleet.work.runs.values()) == {1}
+        nursery.cancel_scope.cancel()
--- a/agatetack/testing/deferred_fleet.py
+++ b/agatetack/testing/deferred_fleet.py
@@ -82,6 +82,7 @@
     Attributes:
         seconds: How long a run takes at most.
         faults: Reasons of the next answers that are refusals.
+        busy: Whether no slot is free, so that nothing runs.
         always: Reasons that a path is always refused with.
         fault_ratio: The share of runs that end in doubt or are not run.
         body_bytes: The size of each answer.
@@ -92,6 +93,7 @@
 
     seconds: float = 0.05
     faults: list[RefusalReason] = dataclasses.field(default_factory=list)
+    busy: bool = False
     always: dict[bytes, RefusalReason] = dataclasses.field(default_factory=dict)
     fault_ratio: float = 0.0
     body_bytes: int = 40
@@ -107,6 +109,8 @@
 
     def next_fault(self, path: bytes) -> RefusalReason | None:
         """Return the reason of a refusal, or None for an answer."""
+        if self.busy:
+            return RefusalReason.QUEUE_FULL
         if path in self.always:
             return self.always[path]
         if self.faults:
@@ -151,6 +155,8 @@
 
     def live_peers(self) -> Sequence[Peer]:
         """Return the hosts that run now, without this one."""
+        if self.fleet.blind:
+            return []
         return [
             Peer(host, 1, FailureDomain("a"), False)
             for host in self.fleet.hosts
@@ -186,6 +192,7 @@
         service: The log.
         work: What the targets do.
         hosts: The hosts that run now.
+        blind: Whether no host sees another.
         callers: Cancel scopes of the calls that each host is serving.
     """
 
@@ -202,6 +209,7 @@
         self.work = work or Work()
         self.settings = dict(settings or {})
         self.hosts: dict[HostId, FleetHost] = {}
+        self.blind = False
         self.callers: dict[HostId, set[trio.CancelScope]] = {}
         self.started = 0
 
