--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -11,6 +11,7 @@
     AttemptResult,
     Permit,
     PermitRequest,
+    Priority,
 )
 from agatetack.admission.lane import Lane
 from agatetack.admission.limits import TargetLimits
@@ -27,6 +28,9 @@
 LATENCY_WEIGHT = 0.1
 """Weight of one answer in a target's moving latency."""
 
+LOW_POLL_SECONDS = 0.05
+"""How often a waiting low-priority request looks for a free slot again."""
+
 
 class ServicePermit(Permit):
     """Leave to send one attempt, counted at its target.
@@ -143,8 +147,7 @@
         lane.add(waiter, now)
         self._show_queue(lane)
         try:
-            with trio.move_on_at(lane.give_up_at(wanted, now)):
-                await waiter.event.wait()
+            await self._until_served(lane, waiter, now)
         except trio.Cancelled:
             if waiter.target is not None:
                 self._give_back(waiter.target)
@@ -167,6 +170,18 @@
             )
         )
 
+    async def _until_served(
+        self, lane: Lane, waiter: Waiter, now: Deadline
+    ) -> None:
+        with trio.move_on_at(lane.give_up_at(waiter.wanted, now)):
+            if waiter.wanted.priority is Priority.LOW:
+                # Estimates fade with time, which no event announces.
+                while not waiter.event.is_set():
+                    with trio.move_on_after(LOW_POLL_SECONDS):
+                        await waiter.event.wait()
+                    self._serve(lane, Deadline(trio.current_time()))
+            await waiter.event.wait()
+
     def note_answer(self, permit: ServicePermit, latency: float) -> None:
         """Learn from the headers of an answer."""
         now = Deadline(trio.current_time())
--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -143,8 +143,12 @@
         learned = target.learned
         ahead = max(0.0, waiting + 1 - target.slots) / target.slots
         service = max(0.0, latency - self.network(target)) / (1 + ahead)
+        limit = self.typical * self.settings.balance.slow_ratio
         if learned.service_seconds is None:
             learned.service_seconds = service
+        elif service < limit < learned.service_seconds:
+            # A trial found it recovered; what it was like before is over.
+            learned.service_seconds = service
         else:
             step = SERVICE_WEIGHT * (service - learned.service_seconds)
             learned.service_seconds += step
@@ -153,7 +157,6 @@
         if report is not None:
             seen = max(0, report.in_flight - report.own_in_flight)
             learned.others += OTHERS_WEIGHT * (seen - learned.others)
-        limit = self.typical * self.settings.balance.slow_ratio
         if learned.service_seconds > limit:
             self._postpone_trial(target, now)
         else:
