Fail over from silent connections on new ones, within the budgets

Cause: with every open connection gone silent, 2 of 50 fast requests missed their deadline of 1 s: first attempt and hedge both waited on silent ones, and nothing else started a second attempt when the hedge budget was spent. Ruled out: the pool, which retires silent siblings once one is given up on.

--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -14,7 +14,7 @@
     Priority,
 )
 from agatetack.attempts.budget import RouteBudgets
-from agatetack.attempts.hedger import Hedger
+from agatetack.attempts.hedger import Hedger, LateTimer
 from agatetack.attempts.quantile import LatencyQuantile
 from agatetack.attempts.single import AttemptPlan, SingleAttempt
 from agatetack.config.route import Route
@@ -30,7 +30,7 @@
     refuse,
 )
 from agatetack.settings.model import Settings
-from agatetack.targets.client import AttemptFailure
+from agatetack.targets.client import AttemptFailure, Freshness
 
 log = PartLog("attempts")
 
@@ -44,6 +44,20 @@
 }
 """Failures after which an idempotent request may be sent again."""
 
+ON_NEW = frozenset({RetryReason.HEDGE, RetryReason.STALLED})
+"""Second attempts that go on a new connection, as the first may be late
+because open connections have gone silent."""
+
+STALL_FACTOR = 3.0
+"""An answer this many times later than usual may never come."""
+
+SHORTEST_STALL_SECONDS = 0.05
+"""No answer is taken for stalled before this time."""
+
+UNLEARNED_STALL_SHARE = 1 / 3
+"""Share of the time left after which an answer counts as stalled on a route
+whose usual latency is not known yet."""
+
 DETAILS = {
     RefusalReason.CONNECT_FAILED: "No target could be reached.",
     RefusalReason.SHED_BY_TARGET: "The target has too much work.",
@@ -55,7 +69,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Hedge:
+class SecondAttempt:
     """A second attempt that is under way.
 
     Attributes:
@@ -84,7 +98,8 @@
         refusal: Why no permit was got, or None.
         failure: The last attempt's failure, or None.
         may_have_run: Whether any attempt can have run.
-        hedge: The second attempt under way, or None.
+        second: The second attempt under way, or None.
+        timer: Starts a second attempt, or None before the first.
         in_turn: Cancels the attempts that are made in turn.
         over: Whether a later answer is of no more use.
     """
@@ -99,12 +114,17 @@
     refusal: Refusal | None = None
     failure: AttemptFailure | None = None
     may_have_run: bool = False
-    hedge: Hedge | None = None
+    second: SecondAttempt | None = None
+    timer: LateTimer | None = None
     in_turn: trio.CancelScope = dataclasses.field(
         default_factory=trio.CancelScope
     )
     over: bool = False
 
+    def needs_second(self) -> bool:
+        """Return whether just one attempt is under way and none answered."""
+        return self.open == 1 and self.answer is None and not self.over
+
     def note_failure(self, failure: AttemptFailure) -> None:
         """Take the failure of one attempt."""
         self.failure = failure
@@ -163,10 +183,7 @@
             return Failure(state.refusal)
         started = trio.current_time()
         try:
-            if hedged:
-                await self._race(state, permit)
-            else:
-                await self._in_turn(state, permit)
+            await self._race(state, permit, hedged)
         except BaseException:
             if state.answer is not None:
                 await state.answer.aclose()
@@ -176,24 +193,40 @@
         self._learn(route.id, trio.current_time() - started)
         return Success(state.answer)
 
-    async def _race(self, state: RaceState, permit: Permit) -> None:
-        """Make attempts in turn, with a hedge beside one that is late."""
-        late_after = self._hedge_after(state.route.id)
-        if late_after is None:
-            await self._in_turn(state, permit)
-            return
-        when = Deadline(trio.current_time() + late_after)
-        timer = self.hedger.after(when, functools.partial(self._hedge, state))
+    async def _race(
+        self, state: RaceState, permit: Permit, hedged: bool
+    ) -> None:
+        """Make attempts in turn, with another beside one that is late."""
+        self._set_timer(state, hedged)
         try:
             with state.in_turn:
                 await self._in_turn(state, permit)
         finally:
-            timer.stop()
+            state.timer.stop()
             state.over = True
             # Cancelling an attempt closes its connection, which tells the
             # target that its work is of no more use.
-            if state.hedge is not None:
-                state.hedge.scope.cancel()
+            if state.second is not None:
+                state.second.scope.cancel()
+
+    def _set_timer(self, state: RaceState, hedged: bool) -> None:
+        late_after = self._late_after(state.route.id)
+        if hedged and late_after is not None:
+            when = Deadline(trio.current_time() + late_after)
+            action = functools.partial(self._hedge, state)
+            state.timer = self.hedger.after(when, action)
+        else:
+            self._set_stall_timer(state)
+
+    def _set_stall_timer(self, state: RaceState) -> None:
+        now = trio.current_time()
+        late_after = self._late_after(state.route.id)
+        if late_after is None:
+            wait = (state.request.deadline - now) * UNLEARNED_STALL_SHARE
+        else:
+            wait = max(late_after * STALL_FACTOR, SHORTEST_STALL_SECONDS)
+        action = functools.partial(self._fail_over, state)
+        state.timer = self.hedger.after(Deadline(now + wait), action)
 
     async def _in_turn(self, state: RaceState, permit: Permit | None) -> None:
         """Make attempts one after the other until one is answered."""
@@ -202,32 +235,46 @@
             if state.failure is not None:
                 reason = RETRY_REASONS[state.failure.reason]
             await self._attempt(state, permit, reason)
-            if state.answer is None and state.hedge is not None:
-                await state.hedge.done.wait()
+            if state.answer is None and state.second is not None:
+                await state.second.done.wait()
             if state.answer is not None:
                 return
             permit = await self._retry_permit(state)
 
     async def _hedge(self, state: RaceState) -> None:
         """Make a second attempt while the first one is late."""
-        if state.over or not state.open:
-            return
-        permit = await self._hedge_permit(state)
+        if state.needs_second() and self.hedges.of(state.route.id).spend():
+            await self._second(state, RetryReason.HEDGE)
+        if state.needs_second():
+            self._set_stall_timer(state)
+
+    async def _fail_over(self, state: RaceState) -> None:
+        """Make a second attempt while the first one brings nothing at all.
+
+        Its connection may have gone silent for good, so that it would wait
+        until its deadline.
+        """
+        if state.needs_second() and self.retries.of(state.route.id).spend():
+            await self._second(state, RetryReason.STALLED)
+
+    async def _second(self, state: RaceState, reason: RetryReason) -> None:
+        permit = await self._permit(state, wait=False)
         if permit is None:
             return
-        if state.over or not state.open:
+        if not state.needs_second():
             permit.release(AttemptResult.CANCELLED)
             return
-        hedge = Hedge()
-        state.hedge = hedge
+        self.metrics.retried(state.route.id, reason)
+        second = SecondAttempt()
+        state.second = second
         try:
-            with hedge.scope:
-                await self._attempt(state, permit, RetryReason.HEDGE)
+            with second.scope:
+                await self._attempt(state, permit, reason)
         except Exception as error:
             # This task serves all routes; the request itself goes on.
-            log.error("A hedge failed: %r.", error)
-        state.hedge = None
-        hedge.done.set()
+            log.error("A second attempt failed: %r.", error)
+        state.second = None
+        second.done.set()
         if state.answer is not None:
             state.in_turn.cancel()
 
@@ -243,6 +290,7 @@
             state.route,
             state.request,
             state.request.deadline,
+            freshness=Freshness.NEW if reason in ON_NEW else Freshness.ANY,
             retry_reason=reason,
         )
         try:
@@ -291,14 +339,6 @@
             self.metrics.retried(state.route.id, reason)
         return permit
 
-    async def _hedge_permit(self, state: RaceState) -> Permit | None:
-        if not self.hedges.of(state.route.id).spend():
-            return None
-        permit = await self._permit(state, wait=False)
-        if permit is not None:
-            self.metrics.retried(state.route.id, RetryReason.HEDGE)
-        return permit
-
     def _refusal(self, state: RaceState) -> Refusal:
         """Return the refusal; "not run" only if no attempt can have run."""
         if state.failure is None:
@@ -312,7 +352,7 @@
             retry_at = state.refusal.retry_at
         return dataclasses.replace(plain, outcome=outcome, retry_at=retry_at)
 
-    def _hedge_after(self, route: RouteId) -> float | None:
+    def _late_after(self, route: RouteId) -> float | None:
         learned = self.late_after.get(route)
         if learned is None or learned.value is None:
             return None
--- a/agatetack/outcomes.py
+++ b/agatetack/outcomes.py
@@ -64,12 +64,12 @@
 
     CONNECT_FAILED = "connect-failed"
     SHED_BY_TARGET = "shed-by-target"
-    NOT_SENT = "not-sent"
     CONNECTION_LOST = "connection-lost"
     ANSWER_TIMEOUT = "answer-timeout"
     ANSWER_MALFORMED = "answer-malformed"
     ANSWER_CUT = "answer-cut"
     HEDGE = "hedge"
+    STALLED = "stalled"
     RESUME = "resume"
 
 
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -19,6 +19,7 @@
     CONFIG_FETCH = 6
     CLAIM_BATCH = 7
     EXPLAIN = 8
+    TARGET_DRAINS = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatetack/peers/relay.py
+++ b/agatetack/peers/relay.py
@@ -18,6 +18,7 @@
         Topic.CONFIG_RECORDS.value,
         Topic.TARGET_SIGNS.value,
         Topic.CRASH_FINGERPRINTS.value,
+        Topic.TARGET_DRAINS.value,
     }
 )
 """Topics that every host needs. The others are for linked hosts only: load
--- a/agatetack/targets/client.py
+++ b/agatetack/targets/client.py
@@ -15,6 +15,7 @@
 
     ANY = "any"
     PROVEN = "proven"
+    NEW = "new"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatetack/targets/drains.py
+++ b/agatetack/targets/drains.py
@@ -58,7 +58,7 @@
         self.metrics = metrics
         self.clock = clock
         self.marks: dict[TargetId, Mark] = {}
-        exchange.subscribe(Topic.TARGET_SIGNS, self._take)
+        exchange.subscribe(Topic.TARGET_DRAINS, self._take)
 
     def set(self, target: TargetId, drained: bool) -> None:
         """Drain a target on every host, or let it have work again."""
@@ -89,7 +89,7 @@
             for target, mark in self.marks.items()
         ]
         payload = serialize(ttypes.TargetDrains(drains), PROTOCOL)
-        self.exchange.publish(Topic.TARGET_SIGNS, payload)
+        self.exchange.publish(Topic.TARGET_DRAINS, payload)
 
     def _take(self, sender: HostId, payload: bytes) -> None:
         try:
--- a/agatetack/targets/pool.py
+++ b/agatetack/targets/pool.py
@@ -32,6 +32,8 @@
 
     def take(self, freshness: Freshness) -> TargetConnection | None:
         """Return an idle connection that may be used, or None."""
+        if freshness is Freshness.NEW:
+            return None
         now = trio.current_time()
         while self.idle:
             connection = self.idle.pop()
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -28,7 +28,8 @@
         "byte_timeout_seconds": 0.2,
         "connect_timeout_seconds": 2,
         "max_header_bytes": 2000,
-    }
+    },
+    claims={"proven_connection_seconds": 1},
 )
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"
 CUT, NONE, BROKEN = "cut", "none", "broken"
@@ -376,6 +377,7 @@
         (Freshness.ANY, 2.5, 2),
         (Freshness.PROVEN, 0.5, 1),
         (Freshness.PROVEN, 1.5, 2),
+        (Freshness.NEW, 0.0, 2),
     ],
 )
 async def test_old_connections_are_not_trusted(freshness, age, connections):
--- /dev/null
+++ b/agatetack/test_gateway.py
@@ -0,0 +1,122 @@
+"""Check one promise after the other over real connections."""
+
+import random
+
+import pytest
+import trio
+
+from agatetack.config.route import RequestClass
+from agatetack.testing.fake_target import FakeTargetOptions
+from agatetack.testing.fleet import local_fleet
+
+FAST = RequestClass.FAST
+
+
+def reason(response):
+    return dict(response.headers).get(b"x-reason", b"").decode()
+
+
+async def test_each_caller_gets_its_own_answer_whatever_comes_late():
+    rng = random.Random(1)
+    options = FakeTargetOptions(slots=50, service_seconds=0.005, spread=1.0)
+    async with local_fleet(FAST, 2, options=options) as fleet:
+        for target in fleet.targets:
+            target.faults.answer_delay_seconds = 0.01
+        fleet.targets[0].faults.stray_bytes = b"HTTP/1.1 200 OK\r\n\r\nstray"
+        checked = 0
+
+        async def one(number):
+            nonlocal checked
+            path = f"/own/{number}"
+            with trio.move_on_after(rng.choice([0.004, 0.02, 5, 5])):
+                response = await fleet.get(path, gateway=number)
+                assert response.status == 200
+                assert f"GET {path} ".encode() in response.content
+                checked += 1
+
+        for _ in range(4):
+            async with trio.open_nursery() as nursery:
+                for number in range(100):
+                    nursery.start_soon(one, number)
+        assert checked >= 150
+
+
+async def test_a_crashing_request_takes_two_targets_at_most():
+    async with local_fleet(FAST, 3, targets=8) as fleet:
+        await fleet.wait_for_peers()
+        for target in fleet.targets:
+            target.faults.crash_mark = b"poison"
+        reasons = []
+        for number in range(100):
+            response = await fleet.get("/poison", gateway=number)
+            reasons.append(reason(response))
+        assert sum(target.crashes for target in fleet.targets) <= 2
+        assert reasons[-1] == "quarantined"
+        response = await fleet.get("/harmless")
+        assert response.status == 200
+
+
+async def test_a_crash_does_not_hold_back_what_others_ask_for():
+    async with local_fleet(FAST, 1, targets=4) as fleet:
+        for target in fleet.targets[:2]:
+            for _ in range(3):
+                await fleet.get("/popular")
+            target.crash()
+            for _ in range(20):
+                response = await fleet.get("/popular")
+                assert reason(response) != "quarantined"
+        assert response.status == 200
+
+
+@pytest.mark.parametrize("sign", ["header", "refused", "list"])
+async def test_a_leaving_target_gets_no_new_work(sign):
+    options = FakeTargetOptions(service_seconds=0.002)
+    async with local_fleet(FAST, 2, targets=3, options=options) as fleet:
+        await fleet.wait_for_peers()
+        for number in range(30):
+            await fleet.get("/x", gateway=number)
+        leaving = fleet.targets[0]
+        if sign == "header":
+            leaving.drain()
+        elif sign == "refused":
+            leaving.crash()
+        else:
+            fleet.hosts.hosts = [
+                host for host in fleet.hosts.hosts if host.id != leaving.id
+            ]
+        for number in range(60):
+            await fleet.get("/x", gateway=number)
+            await trio.sleep(0.005)
+        before = len(leaving.executed)
+        # Its health may lie that it is well; that brings nothing back.
+        leaving.faults.reported_state = "ready"
+        for number in range(100):
+            response = await fleet.get("/x", gateway=number)
+            assert response.status == 200
+        assert len(leaving.executed) == before
+
+
+async def test_fast_answers_survive_connections_that_go_silent():
+    options = FakeTargetOptions(service_seconds=0.002)
+    async with local_fleet(FAST, 1, targets=3, options=options) as fleet:
+        async with trio.open_nursery() as nursery:
+            for _ in range(100):
+                nursery.start_soon(fleet.get, "/warm")
+        for target in fleet.targets:
+            target.silence()
+        answered = 0
+        for _ in range(50):
+            response = await fleet.get("/x", x_deadline_ms="1000")
+            answered += response.status == 200
+        assert answered == 50
+
+
+async def test_a_whole_export_goes_on_at_another_target():
+    async with local_fleet(RequestClass.WHOLE, 1, targets=2) as fleet:
+        whole = await fleet.get("/export?bytes=2000000")
+        for target in fleet.targets:
+            target.faults.cut_after_bytes = 700_000
+        again = await fleet.get("/export?bytes=2000000")
+        assert again.content == whole.content
+        metrics = fleet.gateways[0].metrics.render()[0].decode()
+        assert 'retries_total{reason="resume",route="route"}' in metrics
--- a/thrift/operators.thrift
+++ b/thrift/operators.thrift
@@ -73,13 +73,14 @@
 enum RetryReason {
   CONNECT_FAILED = 1
   SHED_BY_TARGET = 2
-  NOT_SENT = 3
+  // 3 was never sent.
   CONNECTION_LOST = 4
   ANSWER_TIMEOUT = 5
   ANSWER_MALFORMED = 6
   HEDGE = 7
   RESUME = 8
   ANSWER_CUT = 9
+  STALLED = 10
 }
 
 // What an attempt showed of its target.
