Carry the settings model along with its defaults

Change: both stand together. After: settings load in a clean clone. Conclusion: both files are committed together from now on.

--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -312,6 +312,7 @@
     max_batch: Count
     max_keys: Count
     steward_timeout_seconds: Seconds
+    read_pause_seconds: Seconds
     proven_connection_seconds: Seconds
 
 
