--- a/agatetack/deferred/records.py
+++ b/agatetack/deferred/records.py
@@ -142,13 +142,13 @@
     )
 
 
-def encode_entry(entry: Entry) -> bytes:
-    """Return an entry as a batch holds it."""
-    return serialize(entry, PROTOCOL)
+def size_of(entry: Entry) -> int:
+    """Return the most bytes that an entry takes in a record."""
+    return len(serialize(entry, PROTOCOL)) + ENTRY_OVERHEAD
 
 
-def encode_batch(entries: list[bytes]) -> bytes:
-    """Return a record of encoded entries."""
+def encode_batch(entries: list[Entry]) -> bytes:
+    """Return a record of entries."""
     return serialize(Batch(entries), PROTOCOL)
 
 
@@ -161,17 +161,14 @@
     try:
         batch = deserialize(Batch(), payload, PROTOCOL)
         batch.validate()
-        entries = [
-            deserialize(Entry(), entry, PROTOCOL) for entry in batch.entries
-        ]
-        for entry in entries:
+        for entry in batch.entries:
             _check(entry)
     # The decoder raises many kinds of errors on bytes that are not its own.
     except (TException, EOFError, ValueError, TypeError, IndexError) as error:
         raise MalformedRecord(str(error)) from error
     except (KeyError, AttributeError, OverflowError, MemoryError) as error:
         raise MalformedRecord(str(error)) from error
-    return entries
+    return batch.entries
 
 
 def _check(entry: Entry) -> None:
--- a/agatetack/deferred/runner.py
+++ b/agatetack/deferred/runner.py
@@ -11,7 +11,7 @@
 from agatetack.deferred.fold import Hold, Ticket
 from agatetack.deferred.partition import NotKept, Partition
 from agatetack.deferred.queue import Executor
-from agatetack.deferred.records import encode_entry, load_request
+from agatetack.deferred.records import load_request
 from agatetack.deferred.schedule import LATER_SECONDS, Schedule
 from agatetack.deferred.verdict import Next, Verdict, run_once
 from agatetack.deferred.writer import Landing
@@ -117,7 +117,7 @@
             return own
         record = self._next_hold(ticket)
         attempt = AttemptId(record.attempt)
-        entry = encode_entry(Entry(start=Start(ticket.id, record)))
+        entry = Entry(start=Start(ticket.id, record))
         landing = await partition.writer.write(entry)
         if landing is Landing.REFUSED:
             return None
@@ -193,7 +193,7 @@
         pause = self.settings.deferred.retry_seconds
         while True:
             landings = [
-                await partition.writer.write(encode_entry(Entry(end=chunk)))
+                await partition.writer.write(Entry(end=chunk))
                 for chunk in chunks
             ]
             until = self._in(self.settings.platform.log.timeout_seconds)
--- a/agatetack/deferred/submitter.py
+++ b/agatetack/deferred/submitter.py
@@ -13,7 +13,6 @@
 from agatetack.deferred.partition import Partition
 from agatetack.deferred.queue import TicketRefusal
 from agatetack.deferred.records import (
-    encode_entry,
     identity_of,
     make_submission,
     new_ticket,
@@ -34,7 +33,7 @@
     """A submission of this host that is not known to have been accepted."""
 
     ticket: TicketId
-    entry: bytes
+    entry: Entry
 
 
 class Submitter:
@@ -120,7 +119,7 @@
         submission = make_submission(
             ticket, identity, route, request, body, self.clock
         )
-        entry = encode_entry(Entry(submission=submission))
+        entry = Entry(submission=submission)
         if not partition.writer.fits(entry):
             reason = RefusalReason.BODY_TOO_LARGE
             return Failure(refuse(reason, "The request fits no log record."))
@@ -165,7 +164,7 @@
                 return Failure(_refuse_doubt(doubt.ticket))
 
     async def _append(
-        self, partition: Partition, entry: bytes, until: Deadline
+        self, partition: Partition, entry: Entry, until: Deadline
     ) -> Landing:
         waiting = partition.writer.put(entry)
         try:
--- a/agatetack/deferred/test_fold.py
+++ b/agatetack/deferred/test_fold.py
@@ -11,7 +11,6 @@
     MalformedRecord,
     decode_batch,
     encode_batch,
-    encode_entry,
 )
 from agatetack.generated.deferred.ttypes import (
     EndChunk,
@@ -93,7 +92,7 @@
     return [
         LogRecord(
             LogOffset(len(after) + number),
-            encode_batch([encode_entry(entry)]),
+            encode_batch([entry]),
             WallTime(since + number),
         )
         for number, entry in enumerate(entries)
@@ -199,11 +198,10 @@
         b"",
         b"\x00",
         b"\xff" * 40,
-        encode_batch([b""]),
-        encode_batch([encode_entry(Entry())]),
-        encode_batch([encode_entry(Entry(start=Start(ticket="0-a")))]),
-        encode_batch([encode_entry(end("0-a", "x", 2, 2))]),
-        encode_batch([encode_entry(submission("0-a"))])[:-3],
+        encode_batch([Entry()]),
+        encode_batch([Entry(start=Start(ticket="0-a"))]),
+        encode_batch([end("0-a", "x", 2, 2)]),
+        encode_batch([submission("0-a")])[:-3],
     ],
 )
 def test_malformed_records_are_told(payload):
--- a/agatetack/deferred/test_log_queue.py
+++ b/agatetack/deferred/test_log_queue.py
@@ -19,10 +19,6 @@
 )
 from agatetack.testing.memory_log import AppendFault
 
-SHORT_LOG = {
-    "platform": {"log": {"retention_seconds": 60}},
-    "deferred": {"result_keep_seconds": 300},
-}
 PATH = b"/waves/1"
 
 
@@ -211,11 +207,11 @@
 )
 async def test_every_ticket_ends(autojump_clock, always, reason, runs):
     async with fleet_of(3, always={PATH: always}) as (fleet, hosts):
-        ticket = (await submit(hosts[0])).unwrap()
-        await trio.sleep(300)
+        ticket = (await submit(hosts[0], seconds=100)).unwrap()
+        await trio.sleep(60)
         if reason is None:
             assert await fetch(hosts[1], ticket, 1) == Success(TicketState.OPEN)
-        await trio.sleep(400)
+        await trio.sleep(60)
         result = await fetch(hosts[1], ticket)
         if reason is None:
             assert result == Success(TicketState.EXPIRED)
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -10,7 +10,6 @@
 from agatetack.deferred.ends import make_end
 from agatetack.deferred.fold import NOT_STORED, Ticket
 from agatetack.deferred.partition import NotKept, Partition
-from agatetack.deferred.records import encode_entry
 from agatetack.deferred.writer import Waiting
 from agatetack.generated.deferred.ttypes import EndKind, Entry
 from agatetack.generated.deferred.ttypes import Hold as HoldRecord
@@ -159,7 +158,7 @@
         attempt = f"{self.settings.host.id}-{secrets.token_hex(6)}"
         end = make_end(ticket, AttemptId(attempt), kind, keep)
         end.reason = reason.value
-        return self.partition.writer.put(encode_entry(Entry(end=end)))
+        return self.partition.writer.put(Entry(end=end))
 
     async def _put_again(self, ticket: Ticket) -> list[Waiting]:
         writer = self.partition.writer
@@ -168,13 +167,11 @@
             chunks = await self.partition.load_chunks(ticket, ticket.end)
             for chunk in chunks:
                 chunk.origin = ticket.end.origin
-            return [
-                writer.put(encode_entry(Entry(end=chunk))) for chunk in chunks
-            ]
+            return [writer.put(Entry(end=chunk)) for chunk in chunks]
         self.counters.reappended("submission")
         submission = await self.partition.load_submission(ticket)
         submission.hold = _store_hold(ticket)
-        return [writer.put(encode_entry(Entry(submission=submission)))]
+        return [writer.put(Entry(submission=submission))]
 
 
 def _store_hold(ticket: Ticket) -> HoldRecord | None:
--- a/agatetack/deferred/writer.py
+++ b/agatetack/deferred/writer.py
@@ -7,7 +7,8 @@
 import trio
 
 from agatetack.clock import Clock
-from agatetack.deferred.records import ENTRY_OVERHEAD, encode_batch
+from agatetack.deferred.records import ENTRY_OVERHEAD, encode_batch, size_of
+from agatetack.generated.deferred.ttypes import Entry
 from agatetack.ids import Deadline, StreamId
 from agatetack.metrics import Metrics
 from agatetack.platform.log import (
@@ -37,12 +38,14 @@
     """An entry on its way into the log.
 
     Attributes:
-        entry: The encoded entry.
+        entry: The entry.
+        size: The most bytes that it takes in a record.
         done: Set once the append has ended.
         landing: What became of it, once it has ended.
     """
 
-    entry: bytes
+    entry: Entry
+    size: int
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
     landing: Landing | None = None
 
@@ -99,14 +102,14 @@
         self.queue: collections.deque[Waiting] = collections.deque()
         self.wake = trio.Event()
 
-    def fits(self, entry: bytes) -> bool:
+    def fits(self, entry: Entry) -> bool:
         """Return whether an entry fits into one record."""
         limit = self.settings.platform.log.max_record_bytes
-        return len(entry) + 2 * ENTRY_OVERHEAD <= limit
+        return size_of(entry) + ENTRY_OVERHEAD <= limit
 
-    def put(self, entry: bytes) -> Waiting:
+    def put(self, entry: Entry) -> Waiting:
         """Queue an entry that fits; wait for its `done`."""
-        waiting = Waiting(entry)
+        waiting = Waiting(entry, size_of(entry))
         self.queue.append(waiting)
         self.wake.set()
         return waiting
@@ -118,7 +121,7 @@
         self.queue.remove(waiting)
         return True
 
-    async def write(self, entry: bytes) -> Landing:
+    async def write(self, entry: Entry) -> Landing:
         """Append an entry and return what became of it."""
         waiting = self.put(entry)
         try:
@@ -144,7 +147,7 @@
         room = self.settings.platform.log.max_record_bytes - ENTRY_OVERHEAD
         batch: list[Waiting] = []
         while self.queue:
-            room -= len(self.queue[0].entry) + ENTRY_OVERHEAD
+            room -= self.queue[0].size
             if room < 0:
                 break
             batch.append(self.queue.popleft())
--- a/thrift/deferred.thrift
+++ b/thrift/deferred.thrift
@@ -75,7 +75,7 @@
   3: optional EndChunk end
 }
 
-// One record of a stream: entries, each encoded on its own.
+// One record of a stream.
 struct Batch {
-  1: required list<binary> entries
+  1: required list<Entry> entries
 }
