Judge settings by what the slices do with them now

Cause: two checks were stricter than the deferred queue, which appends results again before retention drops them and splits them over several records; new settings had no checks; the examples gave probes fewer bytes than their number needs, as half of the bytes go to samples for peers.

--- a/agatetack/settings/cross_checks.py
+++ b/agatetack/settings/cross_checks.py
@@ -48,6 +48,8 @@
     """Yield all settings that do not fit together."""
     yield from _check_orders(settings)
     yield from _check_strict_orders(settings)
+    yield from _check_snapshots(settings)
+    yield from _check_measuring(settings)
     yield from _check_hedges(settings)
     yield from _check_listeners(settings)
     yield from _check_platform(settings)
@@ -104,11 +106,6 @@
         factor=2,
         reason="a key could be forgotten and run again",
     ),
-    Order(
-        "deferred.result_keep_seconds",
-        "platform.log.retention_seconds",
-        reason="a result could be lost before it is fetched",
-    ),
 )
 
 STRICT_ORDERS = (
@@ -123,11 +120,6 @@
         "platform.log.max_record_bytes",
         reason="a body is kept in one record",
     ),
-    Order(
-        "deferred.max_result_bytes",
-        "platform.log.max_record_bytes",
-        reason="a result is kept in one record",
-    ),
 )
 
 
@@ -156,6 +148,35 @@
     )
 
 
+def _check_snapshots(settings: Settings) -> Iterator[Misfit]:
+    config = settings.config
+    retention = settings.platform.log.retention_seconds
+    written_at = config.snapshot_age_ratio * retention
+    # A host that fails while it waits leaves the snapshot to another one,
+    # which waits too.
+    latest = written_at + 2 * config.snapshot_stagger_seconds
+    if latest > retention:
+        yield Misfit(
+            (
+                path("config.snapshot_stagger_seconds"),
+                path("platform.log.retention_seconds"),
+            ),
+            f"a snapshot could be written {latest:g} s after the last one,"
+            f" which the log keeps for {retention:g} s",
+            Severity.WARNING,
+        )
+
+
+def _check_measuring(settings: Settings) -> Iterator[Misfit]:
+    measure = settings.measure
+    if measure.probes_per_second > 0 and measure.bytes_per_second == 0:
+        yield Misfit(
+            (path("measure.bytes_per_second"),),
+            "without bytes no probe is sent",
+            Severity.WARNING,
+        )
+
+
 def _check_hedges(settings: Settings) -> Iterator[Misfit]:
     attempts = settings.attempts
     if not 0 < attempts.hedge_quantile < 1:
@@ -252,10 +273,13 @@
 
 
 def _check_paths(settings: Settings) -> Iterator[Misfit]:
-    for key in ("load_path", "health_path"):
-        target_path = value_at(settings, ("targets", key))
-        if not target_path.startswith("/"):
-            yield Misfit((("targets", key),), "must start with '/'")
+    for text in (
+        "targets.load_path",
+        "targets.health_path",
+        "callers.ticket_path",
+    ):
+        if not value_at(settings, path(text)).startswith("/"):
+            yield Misfit((path(text),), "must start with '/'")
 
 
 def _check_tokens(settings: Settings) -> Iterator[Misfit]:
