--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -321,6 +321,7 @@
 
     partitions: Count
     max_open: Count
+    max_kept: Count
     max_body_bytes: Bytes
     max_result_bytes: Bytes
     result_keep_seconds: Seconds
--- a/agatetack/settings/test_loader.py
+++ b/agatetack/settings/test_loader.py
@@ -1,5 +1,8 @@
 """Test that a settings file gives settings or all its findings."""
 
+import itertools
+import re
+
 import pytest
 from returns.result import Failure, Success
 
@@ -219,6 +222,17 @@
     assert check_settings(DEFAULT_FILE).findings == ()
 
 
+def test_default_file_explains_each_option():
+    lines = DEFAULT_FILE.read_text().splitlines()
+    unexplained = [
+        line
+        for above, line in itertools.pairwise(lines)
+        if re.match(r" *[a-z0-9_]+:", line)
+        and not above.lstrip().startswith("#")
+    ]
+    assert unexplained == []
+
+
 @pytest.mark.parametrize(
     ("content", "line"),
     [
