--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -103,6 +103,7 @@
             while True:
                 self.changed = trio.Event()
                 self.members.refresh()
+                self.counters.flush()
                 self._choose(nursery)
                 self._tell_missing()
                 with trio.move_on_after(self.settings.timeout_seconds):
--- a/agatetack/peers/counters.py
+++ b/agatetack/peers/counters.py
@@ -12,6 +12,8 @@
         bytes: Bytes exchanged, by direction.
         relayed: Messages of other hosts passed on.
         calls: Calls to peers, by result.
+        sent_bytes: Bytes sent that `flush` has not shown yet.
+        received_bytes: Bytes received that `flush` has not shown yet.
     """
 
     def __init__(self, metrics: Metrics):
@@ -33,6 +35,8 @@
         self.calls = metrics.counter(
             "agatetack_peer_calls_total", "Calls to peers, by result."
         )
+        self.sent_bytes = 0
+        self.received_bytes = 0
         for direction in ("sent", "sent-unbudgeted", "received"):
             self.bytes.add({"direction": direction}, 0)
         for reason in CloseReason:
@@ -52,7 +56,7 @@
 
     def sent(self, count: int) -> None:
         """Count bytes sent."""
-        self.bytes.add({"direction": "sent"}, count)
+        self.sent_bytes += count
 
     def sent_unbudgeted(self, count: int) -> None:
         """Count bytes sent that the byte budget doesn't bound."""
@@ -60,7 +64,14 @@
 
     def received(self, count: int) -> None:
         """Count bytes received."""
-        self.bytes.add({"direction": "received"}, count)
+        self.received_bytes += count
+
+    def flush(self) -> None:
+        """Show the bytes counted; a counter's labels cost too much each."""
+        self.bytes.add({"direction": "sent"}, self.sent_bytes)
+        self.bytes.add({"direction": "received"}, self.received_bytes)
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     def dropped(self, reason: str) -> None:
         """Count a frame or message left out."""
--- a/agatetack/peers/link.py
+++ b/agatetack/peers/link.py
@@ -269,18 +269,18 @@
             unacknowledged.popleft()
         if heartbeat.leaving and not self.leaving:
             self.leaving = True
-        self._move_deadline()
         self.owner.heard(self)
 
     def _on_bytes(self, count: int) -> None:
         self.counters.received(count)
         self.silent_at = self._silence_deadline()
-        self._move_deadline()
 
     def _silence_deadline(self) -> Deadline:
         return Deadline(self.clock.now() + self.settings.timeout_seconds)
 
     def _move_deadline(self) -> None:
+        # Moved with each heartbeat sent, not with each frame received, as
+        # that is soon enough and costs less.
         deadline = self.silent_at
         if self.unacknowledged:
             deadline = min(deadline, self.unacknowledged[0][1])
