Measure spreading to 14, 50 and 200 hosts with at most 16 peers each

Cause: the bench knew 14 hosts and counted the wait for a peer's acknowledgement as part of the time until in force.

Change: in force and answered are timed apart; bytes and processor time for each host; hosts that started together announce at times of their own.

--- a/agatetack/config/sharing.py
+++ b/agatetack/config/sharing.py
@@ -118,7 +118,9 @@
                 self.exchange.publish(Topic.CONFIG_OFFSET, notice)
             # In a burst of changes one notice stands for many.
             await trio.sleep(MIN_NOTICE_SECONDS)
-            with trio.move_on_after(self.settings.gossip_seconds):
+            # Hosts that started together should not all be quiet together.
+            wait = self.settings.gossip_seconds * random.uniform(0.5, 1)
+            with trio.move_on_after(wait):
                 await changed.wait()
 
     def _notice(self) -> wire.OffsetNotice:
--- a/bench/config_state.py
+++ b/bench/config_state.py
@@ -29,6 +29,7 @@
 from agatetack.config.store import ConfigStore
 from agatetack.ids import (
     ChangeId,
+    Deadline,
     HostId,
     LogOffset,
     RouteId,
@@ -43,9 +44,17 @@
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
 
 ROUTE_COUNTS = (100, 500, 1500)
-HOSTS = 14
-TRIALS = 20
+SPREADS = ((14, 20), (50, 4), (200, 1))
+"""Numbers of hosts, and of changes tried with each."""
+
+MAX_PEERS = 16
+PEER_STEPS = (1, 2, 3, 5, 7, 11, 17, 23)
+"""With more hosts, each has these neighbours both ways on a ring."""
+
 POLL_SECONDS = 2.0
+IDLE_SECONDS = 20.0
+LOG_SECONDS = 0.003
+LINK_SECONDS = 0.0015
 REPEATS = 7
 
 
@@ -177,98 +186,157 @@
     lost: bool = False
 
 
-TRIALS_TABLE = (
+TRIALS = (
     Trial("log up"),
     Trial("log cut", cut=True),
     Trial("log cut, record lost", cut=True, lost=True),
 )
 
 
-async def measure_in_force(trial: Trial) -> list[float]:
-    """Return for each change the seconds until it is on every host."""
-    times = []
-    async with trio.open_nursery() as nursery:
-        service = MemoryLogService()
-        mesh = MemoryMesh(nursery)
-        mesh.delay_seconds = 0.0015
-        service.faults.delay_seconds = 0.003
-        stores = [
-            make_store(f"host-{index}", service, mesh, nursery)
-            for index in range(HOSTS)
+@dataclasses.dataclass(slots=True)
+class Spread:
+    """What spreading some changes took.
+
+    Attributes:
+        times: Seconds until each change was on every host.
+        longest_answer: Longest time until the operator was answered.
+        idle_bytes: Payload sent by one host in one second without changes.
+        change_bytes: Payload sent by one host for one change.
+        idle_cpu: Share of a core that one host takes without changes.
+    """
+
+    times: list[float] = dataclasses.field(default_factory=list)
+    longest_answer: float = 0.0
+    idle_bytes: float = 0.0
+    change_bytes: float = 0.0
+    idle_cpu: float = 0.0
+
+
+class SpreadBench:
+    """A number of hosts over one log, each with at most 16 peers."""
+
+    def __init__(self, hosts: int, trial: Trial, nursery: trio.Nursery):
+        """Make the hosts; nothing runs yet."""
+        self.trial = trial
+        self.longest_answer = 0.0
+        self.service = MemoryLogService()
+        self.service.faults.delay_seconds = LOG_SECONDS
+        self.mesh = MemoryMesh(nursery)
+        self.mesh.delay_seconds = LINK_SECONDS
+        self.stores = [
+            ConfigStore(
+                default_settings(host={"id": f"host-{index}"}),
+                MemoryLog(self.service, nursery),
+                self.mesh.join(HostId(f"host-{index}")),
+                RouteSource(),
+                Metrics(),
+                SystemClock(),
+            )
+            for index in range(hosts)
         ]
-        for store in stores:
-            await nursery.start(store.run)
+        self._cut_links()
+
+    def _cut_links(self) -> None:
+        hosts = len(self.stores)
+        names = list(self.mesh.hosts)
+        for at, name in enumerate(names):
+            for other in range(hosts):
+                steps = min((at - other) % hosts, (other - at) % hosts)
+                if hosts > MAX_PEERS + 1 and steps not in PEER_STEPS:
+                    self.mesh.cut.add((name, names[other]))
+
+    async def run(self, changes: int) -> Spread:
+        """Accept changes one after the other and measure."""
+        spread = Spread()
+        await trio.sleep(5)
+        sent, cpu = self._sent(), time.process_time()
+        await trio.sleep(IDLE_SECONDS)
+        unit = IDLE_SECONDS * len(self.stores)
+        spread.idle_cpu = (time.process_time() - cpu) / unit
+        spread.idle_bytes = (self._sent() - sent) / unit
+        for number in range(changes):
+            sent, start = self._sent(), trio.current_time()
+            spread.times.append(await self._change(number))
+            seconds = trio.current_time() - start
+            used = (self._sent() - sent) / len(self.stores)
+            used -= seconds * spread.idle_bytes
+            spread.change_bytes += max(used, 0.0) / changes
+        spread.longest_answer = self.longest_answer
+        return spread
+
+    async def _change(self, number: int) -> float:
+        writer = self.stores[number % len(self.stores)]
+        if self.trial.cut:
+            for store in self.stores:
+                store.log.faults.outage = store is not writer
+            # Reads that wait for a record began before the outage.
+            await trio.sleep(POLL_SECONDS)
+        if self.trial.lost:
+            self.mesh.lost_topics.add(Topic.CONFIG_RECORDS)
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._apply, writer, number)
+            while writer.version() < number:
+                await trio.sleep(0.0001)
+            writer.log.faults.outage = self.trial.cut
+            while any(store.version() < number for store in self.stores):
+                await trio.sleep(0.001)
+            elapsed = trio.current_time() - start
+        answered = trio.current_time() - start
+        self.longest_answer = max(self.longest_answer, answered)
+        for store in self.stores:
+            store.log.faults.outage = False
+        self.mesh.lost_topics.clear()
         await trio.sleep(5)
-        for number in range(TRIALS):
-            times.append(await change_once(trial, number, service, stores))
+        return elapsed
+
+    async def _apply(self, writer: ConfigStore, number: int) -> None:
+        deadline = Deadline(trio.current_time() + 5)
+        change = make_change(number, number, -1)
+        result = await writer.apply(change, deadline)
+        assert result.unwrap().version == number
+
+    def _sent(self) -> int:
+        return sum(end.sent_bytes for end in self.mesh.hosts.values())
+
+
+async def measure_spread(hosts: int, trial: Trial, changes: int) -> Spread:
+    """Return what it takes to spread some changes over `hosts`."""
+    async with trio.open_nursery() as nursery:
+        bench = SpreadBench(hosts, trial, nursery)
+        for store in bench.stores:
+            await nursery.start(store.run)
+        spread = await bench.run(changes)
         nursery.cancel_scope.cancel()
-    return times
-
-
-def make_store(
-    name: str,
-    service: MemoryLogService,
-    mesh: MemoryMesh,
-    nursery: trio.Nursery,
-) -> ConfigStore:
-    """Return one host's store."""
-    return ConfigStore(
-        default_settings(host={"id": name}),
-        MemoryLog(service, nursery),
-        mesh.join(HostId(name)),
-        RouteSource(),
-        Metrics(),
-        SystemClock(),
-    )
+    return spread
 
 
-async def change_once(
-    trial: Trial,
-    number: int,
-    service: MemoryLogService,
-    stores: list[ConfigStore],
-) -> float:
-    """Accept one change and return the time until it is in force."""
-    mesh = stores[0].sharing.exchange.mesh
-    writer = stores[number % HOSTS]
-    if trial.cut:
-        for store in stores:
-            store.log.faults.outage = store is not writer
-        # Reads that wait for a record began before the outage.
-        await trio.sleep(POLL_SECONDS)
-    if trial.lost:
-        mesh.lost_topics.add(Topic.CONFIG_RECORDS)
-    start = trio.current_time()
-    change = make_change(number, number, -1)
-    result = await writer.apply(change, start + 5)
-    accepted = result.unwrap().version
-    writer.log.faults.outage = trial.cut
-    while any(store.version() < accepted for store in stores):
-        await trio.sleep(0.001)
-    elapsed = trio.current_time() - start
-    for store in stores:
-        store.log.faults.outage = False
-    mesh.lost_topics.clear()
-    await trio.sleep(5)
-    return elapsed
-
-
-def print_times() -> None:
-    """Print the times until a change is in force on every host."""
-    print(f"\nuntil in force on {HOSTS} hosts, seconds ({TRIALS} changes)")
+def print_spread() -> None:
+    """Print the time until a change is on every host, and its cost."""
+    print(
+        "\nhosts  until in force: median s  max s  ratio"
+        "  longest answer s"
+        "  idle B/s/host  B/change/host  idle core share"
+    )
     baseline = None
-    for trial in TRIALS_TABLE:
-        clock = trio.testing.MockClock(autojump_threshold=0)
-        times = trio.run(measure_in_force, trial, clock=clock)
-        median = statistics.median(times)
-        baseline = baseline or median
-        print(
-            f"{trial.name:22} median {median:.3f}  max {max(times):.3f}"
-            f"  ratio {median / baseline:.1f}"
-        )
+    for hosts, changes in SPREADS:
+        for trial in TRIALS:
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            spread = trio.run(
+                measure_spread, hosts, trial, changes, clock=clock
+            )
+            median = statistics.median(spread.times)
+            baseline = baseline or median
+            print(
+                f"{hosts:5}  {trial.name:22} {median:.3f}"
+                f"  {max(spread.times):.3f}  {median / baseline:5.1f}"
+                f"  {spread.longest_answer:16.3f}"
+                f"  {spread.idle_bytes:13.0f}  {spread.change_bytes:13.0f}"
+                f"  {spread.idle_cpu:15.4f}"
+            )
 
 
 if __name__ == "__main__":
     absl.logging.set_verbosity(absl.logging.FATAL)
     print_costs()
-    print_times()
+    print_spread()
