--- a/agatetack/deferred/submitter.py
+++ b/agatetack/deferred/submitter.py
@@ -186,13 +186,16 @@
             del self.doubts[next(iter(self.doubts))]
 
     def _full(self) -> bool:
-        counts = (part.fold.open_count for part in self.partitions.values())
-        return sum(counts) >= self.settings.deferred.max_open
+        limits = self.settings.deferred
+        folds = [part.fold for part in self.partitions.values()]
+        still_open = sum(fold.open_count for fold in folds)
+        kept = sum(len(fold.tickets) for fold in folds)
+        return still_open >= limits.max_open or kept >= limits.max_kept
 
     def _refuse_full(self) -> Refusal:
         return refuse(
             RefusalReason.QUEUE_FULL,
-            "Too many deferred requests are open.",
+            "Too many deferred requests are open or kept.",
             self._retry_at(),
         )
 
--- a/agatetack/deferred/test_log_queue.py
+++ b/agatetack/deferred/test_log_queue.py
@@ -158,6 +158,7 @@
     ("settings", "options", "reason"),
     [
         ({"max_open": 1}, {}, RefusalReason.QUEUE_FULL),
+        ({"max_kept": 1}, {}, RefusalReason.QUEUE_FULL),
         (
             {"max_body_bytes": 10},
             {"body": b"x" * 11},
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -28,9 +28,6 @@
 GROUP = 100
 """Tickets whose records are queued together."""
 
-SLICE = 500
-"""Tickets looked at before other tasks get their turn."""
-
 
 class Upkeep:
     """Look through the tickets of one partition now and then."""
@@ -59,18 +56,34 @@
 
     async def look_through(self) -> None:
         """Expire, forget and re-append what is due now."""
-        tickets = list(self.partition.fold.tickets.values())
-        due: list[Ticket] = []
-        for number, ticket in enumerate(tickets):
-            if number % SLICE == 0:
-                await trio.lowlevel.checkpoint()
-            if self._forget(ticket):
-                continue
-            if self._expired(ticket) or self._due(ticket):
-                due.append(ticket)
+        due = [
+            ticket
+            for ticket in self.candidates()
+            if not self._forget(ticket)
+            and (self._expired(ticket) or self._due(ticket))
+        ]
         for start in range(0, len(due), GROUP):
             await self._append(due[start : start + GROUP])
 
+    def candidates(self) -> list[Ticket]:
+        """Return the tickets for which anything may be due now.
+
+        This looks at every ticket there is, so it is kept short.
+        """
+        now = self.clock.wall()
+        retention = self.settings.platform.log.retention_seconds
+        kept_before = now - DUE_RATIO * retention
+        found = []
+        for ticket in self.partition.fold.tickets.values():
+            end = ticket.end
+            if end is None:
+                if ticket.deadline > now and ticket.kept_since > kept_before:
+                    continue
+            elif end.keep_until > now and end.kept_since > kept_before:
+                continue
+            found.append(ticket)
+        return found
+
     async def _append(self, tickets: list[Ticket]) -> None:
         """Append what a group of tickets needs now, so that they share."""
         waiting: list[Waiting] = []
