--- a/agatetack/settings/loader.py
+++ b/agatetack/settings/loader.py
@@ -4,13 +4,13 @@
 import dataclasses
 import pathlib
 import typing
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import pydantic
 from pydantic_core import ErrorDetails
 from returns.result import Failure, Result, Success
 
-from agatetack.settings.cross_checks import find_misfits
+from agatetack.settings.cross_checks import Misfit, find_misfits
 from agatetack.settings.defaults import default_layer, merge_layers
 from agatetack.settings.findings import (
     Finding,
@@ -24,6 +24,9 @@
 from agatetack.settings.wording import word_error
 from agatetack.settings.yaml_file import YamlFile, parse_yaml, read_yaml
 
+FindMisfits = Callable[[Settings], Iterator[Misfit]]
+"""Yields the settings that do not fit together."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckedSettings:
@@ -39,29 +42,38 @@
 
 
 def load_settings(
-    path: str | pathlib.Path,
+    path: str | pathlib.Path, find: FindMisfits = find_misfits
 ) -> Result[Settings, tuple[Finding, ...]]:
     """Return the settings that a file gives, or all its findings.
 
     Warnings alone are no failure; `check_settings` returns them too.
+
+    Args:
+        path: The file.
+        find: Finds settings that do not fit together; a host that starts
+            gives `start_checks.find_start_misfits`.
     """
-    checked = check_settings(path)
+    checked = check_settings(path, find)
     if checked.settings is None:
         return Failure(checked.findings)
     return Success(checked.settings)
 
 
-def check_settings(path: str | pathlib.Path) -> CheckedSettings:
+def check_settings(
+    path: str | pathlib.Path, find: FindMisfits = find_misfits
+) -> CheckedSettings:
     """Return the settings that a file gives and all its findings."""
-    return _check_file(read_yaml(path))
+    return _check_file(read_yaml(path), find)
 
 
-def check_settings_text(text: str, name: str) -> CheckedSettings:
+def check_settings_text(
+    text: str, name: str, find: FindMisfits = find_misfits
+) -> CheckedSettings:
     """Return the settings that `text` gives, with `name` as its file."""
-    return _check_file(parse_yaml(text, name))
+    return _check_file(parse_yaml(text, name), find)
 
 
-def _check_file(file: YamlFile) -> CheckedSettings:
+def _check_file(file: YamlFile, find: FindMisfits) -> CheckedSettings:
     over = file.value
     if over is None:
         over = {}
@@ -73,7 +85,7 @@
     if settings is None:
         settings = _settings_without(layer, broken)
     if settings is not None:
-        _add_misfits(settings, broken, file)
+        _add_misfits(find(settings), broken, file)
     findings = tuple(
         sorted(file.findings, key=lambda found: (found.line, found.column))
     )
@@ -182,9 +194,9 @@
 
 
 def _add_misfits(
-    settings: Settings, broken: set[KeyPath], file: YamlFile
+    misfits: Iterable[Misfit], broken: set[KeyPath], file: YamlFile
 ) -> None:
-    for misfit in find_misfits(settings):
+    for misfit in misfits:
         # A default that stands in for a faulty value would mislead.
         if any(_overlaps(keys, broken) for keys in misfit.paths):
             continue
