Dial a replaced host at its listed address too

Cause: with a shared key a host was dialled where it last said it was, so one replaced under its name at another address, which can't dial by itself, stayed without links until it was forgotten. Change: an address is drawn from the list's and the host's own word. Dials are started in a fixed order, so that tests with fixed seeds repeat.

--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -18,7 +18,8 @@
 )
 from agatetack.peers.handshake import Side, shake_hands
 from agatetack.peers.link import Link, LinkOwner
-from agatetack.peers.members import MemberTable
+from agatetack.peers.members import Member, MemberTable
+from agatetack.platform.host_list import ListedHost
 
 MAX_LINKS_RATIO = 4
 """Links accepted at most, as a multiple of `peers.max_peers`."""
@@ -120,16 +121,16 @@
             if host == self.own or self._is_reachable(host)
         }
         self.wanted = choose_peers(self.own, reachable, self.settings.max_peers)
-        for host in self.dialling.keys() - self.wanted:
+        for host in sorted(self.dialling.keys() - self.wanted):
             self.dialling.pop(host).cancel()
-        for host in self.wanted - self.dialling.keys():
+        for host in sorted(self.wanted - self.dialling.keys()):
             scope = trio.CancelScope()
             self.dialling[host] = scope
             nursery.start_soon(self._dial, host, scope)
 
     def _is_reachable(self, host: HostId) -> bool:
         # A live link outweighs a list that has lost its host.
-        return host in self.links or self._address(host) is not None
+        return host in self.links or bool(self._addresses(host))
 
     def _tell_missing(self) -> None:
         missing = frozenset()
@@ -193,14 +194,15 @@
                 await trio.sleep_until(backoff.next_at(self.clock.now()))
 
     async def _dial_once(self, peer: HostId, admit: Admit) -> None:
-        address = self._address(peer)
-        if address is None:
+        addresses = self._addresses(peer)
+        if not addresses:
             # It has just left the list; the next choice leaves it out.
             return
+        address = self.random.choice(addresses)
         stream = None
         with trio.move_on_after(self.settings.timeout_seconds):
             try:
-                stream = await self.open_stream(*address)
+                stream = await self.open_stream(address.ip, address.port)
             except OSError as error:
                 LOG.debug("There is no connection to %s: %s.", peer, error)
         if stream is None:
@@ -208,13 +210,20 @@
             return
         await self._serve(stream, Side.DIALLING, admit)
 
-    def _address(self, peer: HostId) -> tuple[str, int] | None:
-        # A host that says where it is is believed only if it has the key.
-        member = self.members.heard.get(peer)
-        if member is not None and self.settings.shared_key is not None:
-            return member.ip, member.port
-        listed = self.members.listed.get(peer)
-        return None if listed is None else (listed.ip, listed.port)
+    def _addresses(self, peer: HostId) -> list[ListedHost | Member]:
+        """Return who says where `peer` is: the list, or itself.
+
+        Either may be outdated, as a host may be replaced by one of its name.
+        What it says of itself is believed only if it has the key.
+        """
+        found: list[ListedHost | Member] = []
+        if peer in self.members.listed:
+            found.append(self.members.listed[peer])
+        if self.settings.shared_key is not None:
+            member = self.members.heard.get(peer)
+            if member is not None:
+                found.append(member)
+        return found
 
     def _admit_accepted(self, hello: ttypes.Hello, remote_ip: str) -> None:
         if hello.host == self.own:
