--- a/agatetack/peers/budget.py
+++ b/agatetack/peers/budget.py
@@ -41,6 +41,10 @@
         """Take `count` bytes for a published message."""
         return self._take(count, self.rate * (1 - PUBLISH_SHARE), now)
 
+    def max_publish(self) -> int:
+        """Return the largest message that `take_publish` can ever grant."""
+        return int(self.rate * PUBLISH_SHARE)
+
     def piece_at(self, count: int, now: Deadline) -> Deadline:
         """Return when `take_piece` of `count` bytes can first succeed."""
         self._refill(now)
--- a/agatetack/peers/calls.py
+++ b/agatetack/peers/calls.py
@@ -15,7 +15,7 @@
 from agatetack.peers.frames import CloseReason, LinkClosed, encode_frame
 
 PIECE_BYTES = 4096
-"""Payload bytes of one piece of a call or reply."""
+"""Payload bytes of one piece of a call or reply, at most."""
 
 MAX_INCOMING_CALLS = 64
 """Calls of one peer that may be open here at the same time."""
@@ -58,33 +58,37 @@
     reply: bytes | None = None
 
 
-def call_frames(number: int, topic: int, payload: bytes) -> Outgoing:
-    """Return the frames of one call."""
+def call_frames(
+    number: int, topic: int, payload: bytes, piece_bytes: int
+) -> Outgoing:
+    """Return the frames of one call, in pieces of `piece_bytes`."""
     frames = deque(
         encode_frame(
             ttypes.Frame(call=ttypes.Call(number, topic, piece, more or None))
         )
-        for piece, more in _cut(payload)
+        for piece, more in _cut(payload, piece_bytes)
     )
     return Outgoing(frames, topic not in UNBUDGETED_TOPICS)
 
 
-def reply_frames(number: int, topic: int, payload: bytes | None) -> Outgoing:
+def reply_frames(
+    number: int, topic: int, payload: bytes | None, piece_bytes: int
+) -> Outgoing:
     """Return the frames of a call's reply; None tells that it failed."""
     if payload is None:
         replies = [ttypes.Reply(number)]
     else:
         replies = [
             ttypes.Reply(number, piece, more or None)
-            for piece, more in _cut(payload)
+            for piece, more in _cut(payload, piece_bytes)
         ]
     frames = deque(encode_frame(ttypes.Frame(reply=r)) for r in replies)
     return Outgoing(frames, topic not in UNBUDGETED_TOPICS)
 
 
-def _cut(payload: bytes) -> Iterator[tuple[bytes, bool]]:
-    for start in range(0, max(1, len(payload)), PIECE_BYTES):
-        end = start + PIECE_BYTES
+def _cut(payload: bytes, piece_bytes: int) -> Iterator[tuple[bytes, bool]]:
+    for start in range(0, max(1, len(payload)), piece_bytes):
+        end = start + piece_bytes
         yield payload[start:end], end < len(payload)
 
 
--- /dev/null
+++ b/agatetack/peers/identity.py
@@ -0,0 +1,124 @@
+"""Tell who this host is, and when it says so to the whole fleet."""
+
+import random
+
+from agatetack.clock import Clock
+from agatetack.generated.peers import ttypes
+from agatetack.generated.peers.constants import PROTOCOL_VERSION
+from agatetack.ids import Deadline, FailureDomain, HostId
+from agatetack.peers.handshake import new_nonce
+from agatetack.peers.members import Member, MemberTable
+from agatetack.settings.model import Endpoint, Settings
+
+ANNOUNCEMENTS_PER_SECOND = 1.0
+"""Hosts of the whole fleet that announce themselves in one second.
+
+Each host passes each announcement on to all of its links, so this figure sets
+what they cost. A start and a leaving are announced at once besides.
+"""
+
+MIN_ANNOUNCE_SECONDS = 10.0
+"""Shortest time between two announcements of one host."""
+
+LIVE_ANNOUNCEMENTS = 3
+"""A host is taken for gone after this many announcements were missed."""
+
+
+class Identity:
+    """Who this host is.
+
+    Attributes:
+        own: Its name.
+        failure_domain: Where it is.
+        incarnation: Its start, in ns since 1970.
+        port: The port listened on; the real one once that is known.
+        leaving: Whether it has announced that it is leaving.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock):
+        """Take the incarnation from the clock."""
+        self.settings = settings.peers
+        self.own = HostId(settings.host.id)
+        self.failure_domain = FailureDomain(settings.host.failure_domain)
+        self.incarnation = int(clock.wall() * 1e9)
+        self.port = settings.peers.listen.port
+        self.leaving = False
+
+    @property
+    def address(self) -> Endpoint:
+        """Return where peers can dial this host."""
+        if self.settings.advertise is not None:
+            return self.settings.advertise
+        return Endpoint(ip=self.settings.listen.ip, port=self.port)
+
+    def hello(self) -> ttypes.Hello:
+        """Return what this host says when a connection opens."""
+        address = self.address
+        return ttypes.Hello(
+            version=PROTOCOL_VERSION,
+            host=self.own,
+            incarnation=self.incarnation,
+            failure_domain=self.failure_domain,
+            nonce=new_nonce(),
+            ip=address.host,
+            port=address.port,
+            leaving=self.leaving or None,
+        )
+
+    def member(self) -> ttypes.Member:
+        """Return what this host says to the whole fleet."""
+        address = self.address
+        return ttypes.Member(
+            host=self.own,
+            incarnation=self.incarnation,
+            failure_domain=self.failure_domain,
+            ip=address.host,
+            port=address.port,
+            leaving=self.leaving or None,
+        )
+
+
+class Announcements:
+    """When hosts announce themselves, and how long that holds."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        members: MemberTable,
+        clock: Clock,
+        source: random.Random,
+    ):
+        """Draw from `source`."""
+        self.drain_seconds = settings.lifecycle.drain_seconds
+        self.members = members
+        self.clock = clock
+        self.random = source
+
+    def next_at(self) -> Deadline:
+        """Return when this host announces itself again."""
+        seconds = self._interval_seconds() * self.random.uniform(0.8, 1.0)
+        return Deadline(self.clock.now() + seconds)
+
+    def live_until(self, leaving: bool = False) -> Deadline:
+        """Return until when a host that was heard now is taken for live."""
+        seconds = LIVE_ANNOUNCEMENTS * self._interval_seconds()
+        if leaving:
+            seconds = min(seconds, self.drain_seconds)
+        return Deadline(self.clock.now() + seconds)
+
+    def member_of(self, said: ttypes.Member | ttypes.Hello) -> Member:
+        """Return what a host said of itself now."""
+        leaving = bool(said.leaving)
+        return Member(
+            id=HostId(said.host),
+            incarnation=said.incarnation,
+            failure_domain=FailureDomain(said.failure_domain),
+            ip=said.ip,
+            port=said.port,
+            leaving=leaving,
+            live_until=self.live_until(leaving),
+        )
+
+    def _interval_seconds(self) -> float:
+        fleet = self.members.fleet_size()
+        return max(MIN_ANNOUNCE_SECONDS, fleet / ANNOUNCEMENTS_PER_SECOND)
--- a/agatetack/peers/test_calls.py
+++ b/agatetack/peers/test_calls.py
@@ -20,10 +20,18 @@
 
 
 @pytest.mark.parametrize(
-    "size", [0, 1, PIECE_BYTES, PIECE_BYTES + 1, 10 * PIECE_BYTES]
+    ("size", "rate"),
+    [
+        (0, 25_000),
+        (1, 25_000),
+        (PIECE_BYTES, 25_000),
+        (PIECE_BYTES + 1, 25_000),
+        (10 * PIECE_BYTES, 25_000),
+        (2 * PIECE_BYTES, 1000),
+    ],
 )
-async def test_payload_arrives_whole(nursery, autojump_clock, size):
-    net = await two_hosts(nursery)
+async def test_payload_arrives_whole(nursery, autojump_clock, size, rate):
+    net = await two_hosts(nursery, bytes_per_second=rate)
 
     async def echo(sender: HostId, payload: bytes) -> bytes:
         assert sender == A
--- a/agatetack/peers/test_faults.py
+++ b/agatetack/peers/test_faults.py
@@ -280,6 +280,8 @@
     rate, seconds = 5000, 20
     net = await three_hosts(nursery, bytes_per_second=rate)
     host = net.hosts[A]
+    host.publish(Topic.LOAD_SAMPLES, bytes(rate // 2))
+    assert dropped(host, "publish-too-large") == 1
     sent_before = sent_bytes(host)
     for _ in range(seconds * 100):
         host.publish(Topic.LOAD_SAMPLES, bytes(200))
--- a/agatetack/testing/peer_net.py
+++ b/agatetack/testing/peer_net.py
@@ -134,7 +134,9 @@
         start = self.nursery.start_soon
         start(self._pump, near_net, far_net, (name, host.own), number)
         start(self._pump, far_net, near_net, (host.own, name), number)
-        host.nursery.start_soon(host.connector.serve_accepted, far, LOOPBACK)
+        host.calls.nursery.start_soon(
+            host.connector.serve_accepted, far, LOOPBACK
+        )
         return near
 
     async def _pump(
