--- a/agatetack/settings/cross_checks.py
+++ b/agatetack/settings/cross_checks.py
@@ -1,11 +1,12 @@
 """Check the settings that must fit together."""
 
-import dataclasses
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
 from agatetack.settings.findings import KeyPath, Severity
+from agatetack.settings.misfit import Misfit, path, value_at
 from agatetack.settings.model import Endpoint, Settings
+from agatetack.settings.orders import check_orders, check_strict_orders
 
 MAX_USUAL_HEDGE_RATIO = 0.1
 """Hedges beyond this share make an overload worse than a slow target does."""
@@ -29,25 +30,10 @@
 """Headers whose meaning HTTP gives."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Misfit:
-    """Settings that do not fit together.
-
-    Attributes:
-        paths: The settings at odds; the first is the likeliest to change.
-        message: What is wrong.
-        severity: Whether the settings can be used.
-    """
-
-    paths: tuple[KeyPath, ...]
-    message: str
-    severity: Severity = Severity.ERROR
-
-
 def find_misfits(settings: Settings) -> Iterator[Misfit]:
     """Yield all settings that do not fit together."""
-    yield from _check_orders(settings)
-    yield from _check_strict_orders(settings)
+    yield from check_orders(settings)
+    yield from check_strict_orders(settings)
     yield from _check_snapshots(settings)
     yield from _check_measuring(settings)
     yield from _check_hedges(settings)
@@ -59,95 +45,6 @@
     yield from _check_tokens(settings)
 
 
-def path(text: str) -> KeyPath:
-    """Return the path of a dotted key."""
-    return tuple(text.split("."))
-
-
-def value_at(settings: Settings, keys: KeyPath) -> object:
-    """Return the setting at `keys`."""
-    value: object = settings
-    for key in keys:
-        value = getattr(value, str(key))
-    return value
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
-    """Two settings of which one must not exceed the other.
-
-    Attributes:
-        less: The lesser.
-        more: The greater.
-        factor: How many times `less` must fit into `more`.
-        reason: What breaks otherwise.
-    """
-
-    less: str
-    more: str
-    factor: int = 1
-    reason: str = ""
-
-
-ORDERS = (
-    Order("callers.default_deadline_seconds", "callers.max_deadline_seconds"),
-    Order("callers.replay_body_bytes", "callers.max_body_bytes"),
-    Order("admission.min_target_limit", "admission.max_target_limit"),
-    Order("admission.max_target_limit", "targets.max_connections"),
-    Order("lifecycle.notice_seconds", "lifecycle.drain_seconds"),
-    Order(
-        "callers.default_deadline_seconds",
-        "lifecycle.drain_seconds",
-        reason="a shutdown would cut requests in flight",
-    ),
-    Order(
-        "claims.key_window_seconds",
-        "platform.log.retention_seconds",
-        factor=2,
-        reason="a key could be forgotten and run again",
-    ),
-)
-
-STRICT_ORDERS = (
-    Order(
-        "peers.heartbeat_seconds",
-        "peers.timeout_seconds",
-        reason="live peers would be taken for gone",
-    ),
-    Order("targets.idle_proof_seconds", "targets.idle_close_seconds"),
-    Order(
-        "deferred.max_body_bytes",
-        "platform.log.max_record_bytes",
-        reason="a body is kept in one record",
-    ),
-)
-
-
-def _check_orders(settings: Settings) -> Iterator[Misfit]:
-    for order in ORDERS:
-        less = value_at(settings, path(order.less))
-        more = value_at(settings, path(order.more))
-        if order.factor * less > more:
-            times = f"{order.factor} times " if order.factor > 1 else ""
-            yield _order_misfit(order, f"{times}{less:g} exceeds", more)
-
-
-def _check_strict_orders(settings: Settings) -> Iterator[Misfit]:
-    for order in STRICT_ORDERS:
-        less = value_at(settings, path(order.less))
-        more = value_at(settings, path(order.more))
-        if less >= more:
-            yield _order_misfit(order, f"{less:g} is not less than", more)
-
-
-def _order_misfit(order: Order, words: str, more: float) -> Misfit:
-    reason = f"; {order.reason}" if order.reason else ""
-    return Misfit(
-        paths=(path(order.less), path(order.more)),
-        message=f"{words} {order.more} ({more:g}){reason}",
-    )
-
-
 def _check_snapshots(settings: Settings) -> Iterator[Misfit]:
     config = settings.config
     retention = settings.platform.log.retention_seconds
--- a/agatetack/settings/loader.py
+++ b/agatetack/settings/loader.py
@@ -10,7 +10,7 @@
 from pydantic_core import ErrorDetails
 from returns.result import Failure, Result, Success
 
-from agatetack.settings.cross_checks import Misfit, find_misfits
+from agatetack.settings.cross_checks import find_misfits
 from agatetack.settings.defaults import default_layer, merge_layers
 from agatetack.settings.findings import (
     Finding,
@@ -20,6 +20,7 @@
     key_text,
 )
 from agatetack.settings.hints import near_key, plain_number
+from agatetack.settings.misfit import Misfit
 from agatetack.settings.model import Section, Settings
 from agatetack.settings.wording import word_error
 from agatetack.settings.yaml_file import YamlFile, parse_yaml, read_yaml
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -3,8 +3,9 @@
 import socket
 from collections.abc import Iterator
 
-from agatetack.settings.cross_checks import Misfit, find_misfits, value_at
+from agatetack.settings.cross_checks import find_misfits
 from agatetack.settings.findings import KeyPath
+from agatetack.settings.misfit import Misfit, value_at
 from agatetack.settings.model import Endpoint, Settings, TlsFiles
 
 LISTENERS = ("callers", "operators", "peers")
