Judge raised attempts of deferred requests, and make the tests bite

Cause: an executor may raise AttemptFailed instead of answering; it counted as an internal error. Breaking the code on purpose showed three changes that no test noticed: no re-appending at all (the record cache hid it), chunks of one end far apart, and resubmissions given a ticket past its keeping time. Change: AttemptFailed keeps its reason and outcome; the fault tables run without a cache; tests for the other two, each seen to fail on broken code.

--- a/agatetack/deferred/test_faults.py
+++ b/agatetack/deferred/test_faults.py
@@ -23,6 +23,8 @@
         "result_keep_seconds": 900,
         "partitions": 2,
         "concurrency": 2,
+        # Nothing is cached, so that what retention drops is gone.
+        "cache_bytes": 1,
     },
 }
 PATH = b"/waves/1"
@@ -213,7 +215,8 @@
 
 @pytest.mark.parametrize("seconds", [280, 320])
 async def test_ends_are_kept_for_the_stated_time(autojump_clock, seconds):
-    settings = {**SHORT_LOG, "deferred": {"result_keep_seconds": 300}}
+    deferred = {"result_keep_seconds": 300, "cache_bytes": 1}
+    settings = {**SHORT_LOG, "deferred": deferred}
     async with trio.open_nursery() as nursery:
         fleet = DeferredFleet(nursery, Work(), settings)
         nursery.start_soon(fleet.drop_old_records)
@@ -228,8 +231,10 @@
             else:
                 reason = result.failure().reason
                 assert reason is RefusalReason.TICKET_UNKNOWN
+                again = await asked.queue.submit(ROUTE, make_request(1))
+                assert again.unwrap() != ticket
         if seconds > 300:
-            assert not host.queue.schedule.partition_of(ticket).fold.tickets
+            assert host.queue.schedule.find(ticket) is None
         nursery.cancel_scope.cancel()
 
 
--- a/agatetack/deferred/test_fold.py
+++ b/agatetack/deferred/test_fold.py
@@ -192,6 +192,16 @@
     assert fold.primary(fold.tickets["0-b"]).id == "0-b"
 
 
+def test_chunks_far_apart_are_not_one_end():
+    records = records_of([submission("0-a"), end("0-a", "x", 0, 2)])
+    records += records_of([end("0-a", "x", 1, 2)], records)
+    assert fold_of(records).tickets["0-a"].open
+    records += records_of(
+        [end("0-a", "x", 0, 2), end("0-a", "x", 1, 2)], records
+    )
+    assert fold_of(records).tickets["0-a"].end.offsets == (3, 4)
+
+
 @pytest.mark.parametrize(
     "payload",
     [
--- a/agatetack/deferred/verdict.py
+++ b/agatetack/deferred/verdict.py
@@ -17,6 +17,7 @@
 )
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.settings.model import Settings
+from agatetack.targets.client import AttemptFailed
 
 LOG = PartLog("deferred")
 
@@ -65,6 +66,9 @@
         try:
             answer = await executor.execute(route, request)
             verdict = await _judge(answer, settings)
+        except AttemptFailed as error:
+            failure = error.failure
+            verdict = _judge_failure(failure.reason, failure.outcome)
         except AnswerCut:
             verdict = Verdict(Next.TRY_AGAIN, RefusalReason.ANSWER_CUT)
         # An executor may raise anything; the ticket must not vanish with it.
@@ -75,12 +79,12 @@
 
 
 async def _judge(answer: Answer, settings: Settings) -> Verdict:
-    outcome = find_header(
-        answer.headers, settings.callers.headers.outcome.encode()
-    )
-    if outcome not in (None, Outcome.ANSWERED.value.encode()):
+    names = settings.callers.headers
+    told = find_header(answer.headers, names.outcome.encode())
+    if told not in (None, Outcome.ANSWERED.value.encode()):
         await answer.aclose()
-        return _judge_refusal(answer, outcome, settings)
+        reason = find_header(answer.headers, names.reason.encode())
+        return _judge_failure(_parse_reason(reason), _parse_outcome(told))
     body = await _read_result(answer, settings.deferred.max_result_bytes)
     if body is None:
         return Verdict(Next.FAIL, RefusalReason.RESULT_TOO_LARGE)
@@ -89,23 +93,26 @@
     return Verdict(Next.ANSWER, None, stored)
 
 
-def _judge_refusal(
-    answer: Answer, outcome: bytes, settings: Settings
-) -> Verdict:
-    value = find_header(
-        answer.headers, settings.callers.headers.reason.encode()
-    )
-    try:
-        reason = RefusalReason((value or b"").decode("ascii", "replace"))
-    except ValueError:
-        reason = RefusalReason.INTERNAL_ERROR
+def _judge_failure(reason: RefusalReason, outcome: Outcome) -> Verdict:
     if reason in FINAL_REASONS:
         return Verdict(Next.FAIL, reason)
-    if outcome == Outcome.NOT_RUN.value.encode():
+    if outcome is Outcome.NOT_RUN:
         return Verdict(Next.NOT_RUN, reason)
     return Verdict(Next.TRY_AGAIN, reason)
 
 
+def _parse_reason(value: bytes | None) -> RefusalReason:
+    try:
+        return RefusalReason((value or b"").decode("ascii", "replace"))
+    except ValueError:
+        return RefusalReason.INTERNAL_ERROR
+
+
+def _parse_outcome(value: bytes) -> Outcome:
+    is_not_run = value == Outcome.NOT_RUN.value.encode()
+    return Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
+
+
 async def _read_result(answer: Answer, max_bytes: int) -> bytes | None:
     """Return the whole body, or None if it is too large."""
     parts: list[bytes] = []
