Count log lines that are not written

Cause: lines left out or dropped were told in the log alone, where a reader that stalls cannot see it; the style asks for a counter for each drop reason. Change: logs.count_drops hands each drop and its reason (repeated, not-read) to the host's counters; the gateway has to call it.

--- a/agatetack/log_writer.py
+++ b/agatetack/log_writer.py
@@ -1,9 +1,11 @@
 """Write log lines in a thread, so that a stalled reader stalls no request."""
 
+import enum
 import logging as std_logging
 import os
 import queue
 import threading
+from collections.abc import Callable
 
 MAX_WAITING = 2000
 """Lines that wait for the thread; more of them are counted and dropped."""
@@ -14,6 +16,21 @@
 STANDARD_ERROR = 2
 
 
+class LineDrop(enum.Enum):
+    """Why a line was not written; the counter's label."""
+
+    REPEATED = "repeated"
+    NOT_READ = "not-read"
+
+
+CountDrop = Callable[[LineDrop], None]
+"""Takes the reason of one line that was not written; must not block."""
+
+
+def count_nothing(reason: LineDrop) -> None:
+    """Count no line; in place until a host has counters."""
+
+
 class LogWriter(std_logging.Handler):
     """Hand records to a thread that formats and writes them.
 
@@ -22,6 +39,7 @@
 
     Attributes:
         dropped: Lines dropped since the last one written.
+        count_drop: Told of each line that is dropped.
     """
 
     def __init__(
@@ -39,6 +57,7 @@
         self.waiting: queue.SimpleQueue[std_logging.LogRecord | None]
         self.waiting = queue.SimpleQueue()
         self.dropped = 0
+        self.count_drop: CountDrop = count_nothing
         self.thread = threading.Thread(
             target=self._run, name="log-writer", daemon=True
         )
@@ -50,6 +69,7 @@
             self.waiting.put(record)
         else:
             self.dropped += 1  # Its caller, `handle`, holds the lock.
+            self.count_drop(LineDrop.NOT_READ)
 
     def stop(self) -> None:
         """Write what waits and end the thread; give up after a while."""
--- a/agatetack/logs.py
+++ b/agatetack/logs.py
@@ -9,7 +9,12 @@
 from absl import flags, logging
 
 from agatetack.ids import RequestId
-from agatetack.log_writer import LogWriter
+from agatetack.log_writer import (
+    CountDrop,
+    LineDrop,
+    LogWriter,
+    count_nothing,
+)
 from agatetack.settings.findings import one_line
 from agatetack.settings.model import LogsSettings
 
@@ -28,6 +33,7 @@
 
     Attributes:
         max_lines: Lines of one kind in a window.
+        count_drop: Told of each line that is left out.
     """
 
     def __init__(
@@ -36,6 +42,7 @@
         """Allow `max_lines` of a kind in `WINDOW_SECONDS` of `clock`."""
         self.max_lines = max_lines
         self.clock = clock
+        self.count_drop: CountDrop = count_nothing
         self.window_ends = 0.0
         self.seen: dict[str, int] = {}
 
@@ -54,6 +61,7 @@
         seen = self.seen.get(kind, 0)
         if seen >= self.max_lines:
             self.seen[kind] = seen + 1
+            self.count_drop(LineDrop.REPEATED)
             return None
         self.seen[kind] = max(seen, 0) + 1
         return max(-seen, 0)
@@ -161,6 +169,14 @@
     return f"{seconds}.{int(record.msecs):03d}Z"
 
 
+def count_drops(count: CountDrop) -> None:
+    """Have `count` told of each line that is not written from now on."""
+    limiter.count_drop = count
+    for handler in std_logging.getLogger().handlers:
+        if isinstance(handler, LogWriter):
+            handler.count_drop = count
+
+
 def set_up_logs(settings: LogsSettings) -> LogWriter:
     """Send log lines to standard error, as `settings` say.
 
--- a/agatetack/test_logs.py
+++ b/agatetack/test_logs.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from agatetack import log_writer, logs
-from agatetack.log_writer import LogWriter
+from agatetack.log_writer import LineDrop, LogWriter
 from agatetack.logs import JsonFormatter, LineLimiter, PartLog, set_up_logs
 from agatetack.settings.defaults import default_settings
 
@@ -172,11 +172,18 @@
     settings = default_settings(
         logs={"json_lines": json_lines, "max_lines_per_second": 7}
     )
+    drops = []
     try:
         writer = set_up_logs(settings.logs)
+        logs.count_drops(drops.append)
         PartLog("p").info("Started.")
-        writer.stop()
         assert logs.limiter.max_lines == 7
+        logs.limiter.max_lines = 1
+        PartLog("p").info("Started.")
+        monkeypatch.setattr(log_writer, "MAX_WAITING", 0)
+        writer.handle(make_record("x"))
+        writer.stop()
+        assert drops == [LineDrop.REPEATED, LineDrop.NOT_READ]
     finally:
         root.handlers[:] = before
         root.setLevel(level)
