--- a/agatetack/claims/appender.py
+++ b/agatetack/claims/appender.py
@@ -32,8 +32,11 @@
 RETRY_SECONDS = 0.1
 """Pause before the log is tried again after it failed."""
 
+LAZY_KINDS = frozenset((EntryKind.DONE, EntryKind.KEEP))
+"""Entries that nobody's answer depends on."""
+
 LAZY_SECONDS = 0.05
-"""Longest wait of an entry that nobody's answer depends on."""
+"""Longest time that such entries wait for others to ride with."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,7 +74,7 @@
     @property
     def lazy(self) -> bool:
         """Return whether no answer depends on it."""
-        return self.entry.kind in (EntryKind.DONE, EntryKind.KEEP)
+        return self.entry.kind in LAZY_KINDS
 
     def settle(self, verdict: Verdict) -> None:
         """Give `verdict` to those who wait, once."""
--- a/agatetack/claims/courier.py
+++ b/agatetack/claims/courier.py
@@ -6,6 +6,7 @@
 import trio
 
 from agatetack.claims import codec
+from agatetack.claims.appender import LAZY_KINDS, LAZY_SECONDS
 from agatetack.generated.claims.ttypes import (
     Call,
     Entry,
@@ -17,7 +18,7 @@
 from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
 from agatetack.settings.model import Settings
 
-MAX_CALLS = 2
+MAX_CALLS = 8
 """Calls to one steward that wait for their reply at the same time."""
 
 REPLY_SHARE = 0.8
@@ -67,20 +68,39 @@
         self.partition = partition
         self.queue: collections.deque[Parcel] = collections.deque()
         self.calls = 0
+        self.lazy_due = False
 
     async def send(self, entry: Entry) -> Verdict | None:
         """Return the steward's verdict, or None if it did not answer."""
         parcel = Parcel(entry)
         self.queue.append(parcel)
-        if self.calls < MAX_CALLS:
-            self.calls += 1
-            self.nursery.start_soon(self._call_while_queued)
+        if entry.kind in LAZY_KINDS:
+            self._start_later()
+        else:
+            self._start()
         try:
             await parcel.returned.wait()
         finally:
             parcel.wanted = False
         return parcel.verdict
 
+    def _start(self) -> None:
+        if self.calls < MAX_CALLS:
+            self.calls += 1
+            self.nursery.start_soon(self._call_while_queued)
+
+    def _start_later(self) -> None:
+        """Let entries that nobody waits for ride with others."""
+        if not self.lazy_due:
+            self.lazy_due = True
+            self.nursery.start_soon(self._start_lazy)
+
+    async def _start_lazy(self) -> None:
+        await trio.sleep(LAZY_SECONDS)
+        self.lazy_due = False
+        if self.queue:
+            self._start()
+
     async def _call_while_queued(self) -> None:
         try:
             while self.queue:
--- a/agatetack/claims/partition.py
+++ b/agatetack/claims/partition.py
@@ -86,6 +86,7 @@
         self.reachable = True
         self.current_from = Deadline(-math.inf)
         self.read_scope = trio.CancelScope()
+        self.kicked = trio.Event()
         self.pending: dict[PendingId, Pending] = {}
         self.positions: collections.deque[Position] = collections.deque(
             maxlen=POSITIONS
@@ -162,16 +163,20 @@
         self.reachable = True
         if self.ready and offset == self.fold.next:
             self._fold(offset, self.log_ms(), payload)
+        elif offset >= self.fold.next:
+            # Somebody else's records stand before it.
+            self._kick()
 
     def on_log_failed(self) -> None:
         """Refuse new claims until the log answers again."""
         self.reachable = False
-        self.read_scope.cancel()
+        self._kick()
 
     # Reading.
 
     async def _tail(self) -> None:
         while True:
+            self.kicked = trio.Event()
             try:
                 # A failed append ends a read that waits, since the next one
                 # tells at once whether the log answers.
@@ -182,6 +187,23 @@
             except LogUnavailable:
                 self.reachable = False
                 await trio.sleep(RETRY_SECONDS)
+            else:
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Let records gather, as a read for each would cost too much.
+
+        Verdicts do not wait for it: stewards fold their own records at once
+        and tell the others.
+        """
+        if self.ready and self.reachable:
+            with trio.move_on_after(self.settings.claims.read_pause_seconds):
+                await self.kicked.wait()
+
+    def _kick(self) -> None:
+        """Read now."""
+        self.kicked.set()
+        self.read_scope.cancel()
 
     async def _read(self) -> None:
         settings = self.settings.platform.log
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -19,11 +19,13 @@
 import trio.testing
 from returns.result import Success
 
+from agatetack.claims import codec
 from agatetack.claims.fold import Fold
 from agatetack.claims.log_store import LogClaimStore
+from agatetack.claims.partition import Partition
 from agatetack.clock import Clock
 from agatetack.config.route import RequestClass, Route
-from agatetack.generated.claims.ttypes import Entry, EntryKind
+from agatetack.generated.claims.ttypes import Batch, Entry, EntryKind
 from agatetack.ids import (
     AttemptId,
     CallerId,
@@ -40,7 +42,7 @@
 )
 from agatetack.messages import BytesBody, CallerRequest, Header
 from agatetack.metrics import Metrics
-from agatetack.platform.log import LogPage, LogTooFast
+from agatetack.platform.log import LogPage, LogRecord, LogTooFast
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_exchange import MemoryExchange, MemoryMesh
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
@@ -53,6 +55,7 @@
 TARGET_SECONDS = 0.02
 WARM_SECONDS = 0.5
 BURST_SECONDS = 0.02
+BATCH = 10
 
 
 class Mode(enum.Enum):
@@ -97,6 +100,21 @@
         return WallTime(EPOCH + trio.current_time())
 
 
+class CountedMesh(MemoryMesh):
+    """A mesh that counts calls."""
+
+    calls = 0
+
+
+class CountedExchange(MemoryExchange):
+    """An exchange that counts its calls."""
+
+    async def call(self, *args) -> bytes:
+        """Count the call and make it."""
+        self.mesh.calls += 1
+        return await super().call(*args)
+
+
 class LoneExchange(MemoryExchange):
     """An exchange that counts its peers but calls none."""
 
@@ -138,6 +156,7 @@
         super().__init__(service)
         self.limit = limit
         self.half = append_seconds / 2
+        self.reads = 0
 
     async def append(
         self, stream: StreamId, payload: bytes, deadline: Deadline
@@ -152,6 +171,7 @@
 
     async def read(self, *args, **kwargs) -> LogPage:
         """Read after half a round trip."""
+        self.reads += 1
         await trio.sleep(self.half)
         page = await super().read(*args, **kwargs)
         await trio.sleep(self.half)
@@ -172,9 +192,10 @@
         self.nursery = nursery
         self.service = MemoryLogService(BenchClock())
         self.limit = Limit(load.log_rate)
-        self.mesh = MemoryMesh(nursery)
+        self.mesh = CountedMesh(nursery)
         self.mesh.delay_seconds = load.peer_seconds
         self.random = random.Random(1)
+        self.logs: list[LimitedLog] = []
         self.latencies: list[float] = []
         self.refused = 0
         self.sent = 0
@@ -199,7 +220,7 @@
         """Start one host."""
         load = self.load
         name = HostId(f"h{number}")
-        exchange = self.mesh.join(name)
+        self.mesh.hosts[name] = exchange = CountedExchange(self.mesh, name)
         if load.mode is Mode.OWN:
             exchange = LoneExchange(self.mesh, name)
         settings = default_settings(
@@ -210,6 +231,7 @@
             },
         )
         log = LimitedLog(self.service, self.limit, load.append_seconds)
+        self.logs.append(log)
         store = LogClaimStore(settings, log, exchange, Metrics(), BenchClock())
         if load.mode is Mode.OWN:
             # Alone it would take the share of one host only.
@@ -273,32 +295,76 @@
     cuts = statistics.quantiles(trips, n=100) if len(trips) > 1 else [0] * 99
     granted = len(trips) / load.seconds
     sent = sum(host.sent_bytes for host in bench.mesh.hosts.values())
+    host_seconds = load.seconds * load.hosts
+    reads = sum(log.reads for log in bench.logs) / host_seconds
+    calls = bench.mesh.calls / host_seconds
     print(
         f"{load.mode.value:8}{load.partitions:5}{load.claims_per_second:8.0f}"
         f"{load.fleet_rate:7.0f}{granted:9.0f}{bench.refused:8}"
         f"{cuts[49]:7.2f}{cuts[98]:7.2f}{bench.appends / load.seconds:9.0f}"
         f"{bench.limit.refused:9}{cpu / max(1, bench.sent) * 1e6:8.0f}"
         f"{sent / max(1, bench.sent):8.0f}"
+        f"{reads:8.0f}{calls:8.0f}"
     )
 
 
-def print_memory(keys: int) -> None:
-    """Print what one remembered key takes, by tracemalloc."""
-    fold = Fold(default_settings())
+def make_payloads(keys: int) -> list[bytes]:
+    """Return records that claim and finish `keys` keys, `BATCH` in each."""
+    payloads = []
+    for _ in range(keys // BATCH):
+        claims = []
+        for _ in range(BATCH):
+            key, attempt, fingerprint = (os.urandom(16) for _ in range(3))
+            claims.append(
+                Entry(
+                    EntryKind.CLAIM,
+                    key,
+                    attempt,
+                    fingerprint,
+                    seen=0,
+                    dated=True,
+                    until_ms=int(EPOCH * 1000),
+                )
+            )
+        dones = [
+            Entry(EntryKind.DONE, claim.key, claim.attempt, status=201)
+            for claim in claims
+        ]
+        payloads += [codec.encode(Batch(claims)), codec.encode(Batch(dones))]
+    return payloads
+
+
+def print_fold(keys: int) -> None:
+    """Print what reading and remembering a key takes."""
+    payloads = make_payloads(keys)
+    partition = Partition(
+        0, default_settings(), None, Metrics(), BenchClock(), None
+    )
     gc.collect()
     tracemalloc.start()
-    for number in range(keys):
-        key = os.urandom(16)
-        attempt = os.urandom(16)
-        claim = Entry(
-            EntryKind.CLAIM, key, attempt, os.urandom(16), 0, None, True, 1
-        )
-        done = Entry(EntryKind.DONE, bytes(key), bytes(attempt), status=201)
-        fold.apply(LogOffset(2 * number), 1_700_000_000_000, claim)
-        fold.apply(LogOffset(2 * number + 1), 1_700_000_000_000, done)
+    _fold_all(partition, payloads)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    print(f"memory: {used / keys:.0f} bytes for each of {keys} done keys")
+    partition.fold = Fold(default_settings())
+    started = time.process_time()
+    _fold_all(partition, payloads)
+    seconds = time.process_time() - started
+    size = sum(len(payload) for payload in payloads)
+    print(
+        f"one key, done: {used / keys:.0f} bytes of memory, "
+        f"{size / keys:.0f} bytes read, {seconds / keys * 1e6:.1f} us to fold"
+    )
+
+
+def _fold_all(partition: Partition, payloads: list[bytes]) -> None:
+    for offset, payload in enumerate(payloads):
+        record = LogRecord(LogOffset(offset), payload, WallTime(EPOCH))
+        partition._take_record(record)
+
+
+async def print_fold_task() -> None:
+    """Print the costs of folding; positions need trio's clock."""
+    print_fold(50_000)
 
 
 def main(
@@ -328,7 +394,7 @@
     """
     print(
         "mode    parts  claims   pace  granted refused  p50_rt p99_rt "
-        "appends too_fast cpu_us peer_b"
+        "appends too_fast cpu_us peer_b reads_h calls_h"
     )
     for mode in modes or list(Mode):
         for count in partitions or [1, 2, 4, 8]:
@@ -347,7 +413,7 @@
                     )
                     clock = trio.testing.MockClock(autojump_threshold=0)
                     trio.run(run_load, load, clock=clock)
-    print_memory(50_000)
+    trio.run(print_fold_task)
 
 
 if __name__ == "__main__":
