Split the commands and the views by duty

Change: commands about routes, commands about hosts and the reaching of a daemon stand apart, as do the views of callers' requests; nothing else changes.

--- a/agatetack/operators/backend.py
+++ b/agatetack/operators/backend.py
@@ -28,17 +28,19 @@
     NotFound,
     Unavailable,
 )
+from agatetack.operators.request_views import (
+    ClaimView,
+    Explanation,
+    QuarantinedRequest,
+)
 from agatetack.operators.views import (
     Change,
     ChangeKind,
-    ClaimView,
     DeferredStatus,
-    Explanation,
     Finding,
     HostStatus,
     HostView,
     MeasureBudget,
-    QuarantinedRequest,
     RouteList,
     TargetView,
 )
--- a/agatetack/operators/calls.py
+++ b/agatetack/operators/calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from agatetack.operators import requests, views
+from agatetack.operators import request_views, requests, views
 
 
 class CallName(enum.Enum):
@@ -59,9 +59,11 @@
     CallName.GET_DEFERRED: CallTypes(
         requests.GetDeferredRequest, views.DeferredStatus
     ),
-    CallName.GET_CLAIMS: CallTypes(requests.GetClaimsRequest, views.ClaimList),
+    CallName.GET_CLAIMS: CallTypes(
+        requests.GetClaimsRequest, request_views.ClaimList
+    ),
     CallName.LIST_QUARANTINE: CallTypes(
-        requests.ListQuarantineRequest, views.QuarantineList
+        requests.ListQuarantineRequest, request_views.QuarantineList
     ),
     CallName.RELEASE_QUARANTINED: CallTypes(
         requests.ReleaseQuarantinedRequest, views.Done
@@ -69,5 +71,7 @@
     CallName.DRAIN_TARGET: CallTypes(requests.DrainTargetRequest, views.Done),
     CallName.UNDRAIN_TARGET: CallTypes(requests.DrainTargetRequest, views.Done),
     CallName.DRAIN_HOST: CallTypes(requests.DrainHostRequest, views.Done),
-    CallName.EXPLAIN: CallTypes(requests.ExplainRequest, views.Explanation),
+    CallName.EXPLAIN: CallTypes(
+        requests.ExplainRequest, request_views.Explanation
+    ),
 }
--- a/agatetack/operators/claim_view.py
+++ b/agatetack/operators/claim_view.py
@@ -7,13 +7,13 @@
 from agatetack.config.route import RequestClass, Route
 from agatetack.gateway import Gateway
 from agatetack.ids import IdempotencyKey, RouteId
-from agatetack.operators import views
-from agatetack.operators.views import ClaimState
+from agatetack.operators import request_views
+from agatetack.operators.request_views import ClaimState
 
 
 def claim_views(
     gateway: Gateway, key: IdempotencyKey, route_id: RouteId | None
-) -> Sequence[views.ClaimView]:
+) -> Sequence[request_views.ClaimView]:
     """Return the state of `key` on one never-repeated route, or on all."""
     table = gateway.routes.table
     routes = () if table is None else table.routes.values()
@@ -27,11 +27,11 @@
 
 def _view(
     gateway: Gateway, route: Route, key: IdempotencyKey
-) -> views.ClaimView:
+) -> request_views.ClaimView:
     partition = gateway.claims.partitions[key_partition(gateway.settings, key)]
     state = partition.fold.keys.get(key_digest(route, key))
     claimed = None if state is None else state.claimed_ms
-    return views.ClaimView(
+    return request_views.ClaimView(
         route_id=route.id,
         service=route.service,
         key=key,
--- a/agatetack/operators/conftest.py
+++ b/agatetack/operators/conftest.py
@@ -14,12 +14,12 @@
 )
 from agatetack.metrics import Metrics
 from agatetack.operators.app import serve_operators
-from agatetack.operators.tokens import token_digest
-from agatetack.operators.views import (
+from agatetack.operators.request_views import (
     QuarantinedRequest,
     QuarantineState,
-    TargetView,
 )
+from agatetack.operators.tokens import token_digest
+from agatetack.operators.views import TargetView
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Settings
 from agatetack.targets.state import TargetStatus
--- a/agatetack/operators/convert.py
+++ b/agatetack/operators/convert.py
@@ -16,7 +16,7 @@
 from agatetack.generated.common import ttypes as common
 from agatetack.generated.operators import ttypes
 from agatetack.lifecycle.phase import Phase
-from agatetack.operators import refusals, views
+from agatetack.operators import refusals, request_views, views
 from agatetack.operators.views import Finding
 from agatetack.outcomes import Outcome, RefusalReason, RetryReason
 from agatetack.settings.model import OperatorRole
@@ -35,8 +35,8 @@
     views.ChangeState: ttypes.ChangeState,
     views.ChangeRejection: ttypes.ChangeRejection,
     views.ChangeKind: ttypes.ChangeKind,
-    views.ClaimState: ttypes.ClaimState,
-    views.QuarantineState: ttypes.QuarantineState,
+    request_views.ClaimState: ttypes.ClaimState,
+    request_views.QuarantineState: ttypes.QuarantineState,
     refusals.AccessProblem: ttypes.AccessProblem,
     refusals.TeamLimit: ttypes.TeamLimit,
     refusals.UnavailableReason: ttypes.UnavailableReason,
--- a/agatetack/operators/explainer.py
+++ b/agatetack/operators/explainer.py
@@ -9,7 +9,7 @@
 from agatetack.generated.operators import ttypes
 from agatetack.ids import Deadline, HostId, RequestId
 from agatetack.messages import AttemptNote
-from agatetack.operators import refusals, views
+from agatetack.operators import refusals, request_views
 from agatetack.operators.convert import (
     FieldProblems,
     from_thrift,
@@ -41,7 +41,7 @@
 
     async def explain(
         self, request: RequestId, deadline: Deadline
-    ) -> Result[views.Explanation, refusals.NotFound]:
+    ) -> Result[request_views.Explanation, refusals.NotFound]:
         """Return what all hosts that answer before `deadline` know."""
         found = self._own(request)
         silent: list[HostId] = []
@@ -59,14 +59,14 @@
                 )
             )
         found.sort(key=lambda each: each.arrived_unix_ms)
-        return Success(views.Explanation(tuple(found), tuple(silent)))
+        return Success(request_views.Explanation(tuple(found), tuple(silent)))
 
     async def _ask(
         self,
         peer: HostId,
         request: RequestId,
         deadline: Deadline,
-        found: list[views.ExplainedRequest],
+        found: list[request_views.ExplainedRequest],
         silent: list[HostId],
     ) -> None:
         try:
@@ -74,7 +74,9 @@
                 peer, Topic.EXPLAIN, request.encode(), deadline
             )
             struct = deserialize(ttypes.Explanation(), reply, PROTOCOL)
-            explanation = from_thrift(struct, views.Explanation, lenient=True)
+            explanation = from_thrift(
+                struct, request_views.Explanation, lenient=True
+            )
         except (PeerUnreachable, FieldProblems, EOFError):
             silent.append(peer)
             return
@@ -83,16 +85,16 @@
     async def _answer_peer(self, sender: HostId, payload: bytes) -> bytes:
         await trio.lowlevel.checkpoint()
         request = RequestId(payload.decode("utf-8", "replace"))
-        known = views.Explanation(tuple(self._own(request)), ())
+        known = request_views.Explanation(tuple(self._own(request)), ())
         return serialize(to_thrift(known, ttypes.Explanation), PROTOCOL)
 
-    def _own(self, request: RequestId) -> list[views.ExplainedRequest]:
+    def _own(self, request: RequestId) -> list[request_views.ExplainedRequest]:
         return [self._view(note) for note in self.notes.find(request)]
 
-    def _view(self, note: RequestNote) -> views.ExplainedRequest:
+    def _view(self, note: RequestNote) -> request_views.ExplainedRequest:
         refusal = note.refusal
         arrived = deadline_to_wall(self.clock, note.arrived)
-        return views.ExplainedRequest(
+        return request_views.ExplainedRequest(
             request_id=note.request_id,
             host_id=self.host,
             arrived_unix_ms=int(arrived * 1000),
@@ -109,9 +111,11 @@
         )
 
 
-def _attempt(note: AttemptNote, arrived: Deadline) -> views.ExplainedAttempt:
+def _attempt(
+    note: AttemptNote, arrived: Deadline
+) -> request_views.ExplainedAttempt:
     ended = None if note.ended is None else _ms(note.ended - arrived)
-    return views.ExplainedAttempt(
+    return request_views.ExplainedAttempt(
         attempt_id=note.attempt,
         target_id=note.target,
         started_after_ms=_ms(note.started - arrived),
--- a/agatetack/operators/host_backend.py
+++ b/agatetack/operators/host_backend.py
@@ -27,7 +27,7 @@
     TargetId,
 )
 from agatetack.logs import PartLog
-from agatetack.operators import refusals, views
+from agatetack.operators import refusals, request_views, views
 from agatetack.operators.backend import OperatorsBackend, RequestedChange
 from agatetack.operators.claim_view import claim_views
 from agatetack.operators.explainer import Explainer
@@ -198,7 +198,7 @@
 
     async def claims(
         self, key: IdempotencyKey, route: RouteId | None, deadline: Deadline
-    ) -> Result[Sequence[views.ClaimView], refusals.Unavailable]:
+    ) -> Result[Sequence[request_views.ClaimView], refusals.Unavailable]:
         """Return what is known of a key, on one route or on all."""
         await trio.lowlevel.checkpoint()
         if not self.gateway.claims.ready:
@@ -210,7 +210,7 @@
             )
         return Success(claim_views(self.gateway, key, route))
 
-    def quarantine(self) -> Sequence[views.QuarantinedRequest]:
+    def quarantine(self) -> Sequence[request_views.QuarantinedRequest]:
         """Return the requests suspected to crash targets."""
         return quarantined_requests(self.gateway)
 
@@ -263,7 +263,9 @@
 
     async def explain(
         self, request: RequestId, deadline: Deadline
-    ) -> Result[views.Explanation, refusals.NotFound | refusals.Unavailable]:
+    ) -> Result[
+        request_views.Explanation, refusals.NotFound | refusals.Unavailable
+    ]:
         """Return what this host and its peers did with a request."""
         return await self.explainer.explain(request, deadline)
 
--- a/agatetack/operators/host_calls.py
+++ b/agatetack/operators/host_calls.py
@@ -2,7 +2,7 @@
 
 from agatetack.ids import TargetId
 from agatetack.logs import PartLog
-from agatetack.operators import checks, requests, views
+from agatetack.operators import checks, request_views, requests, views
 from agatetack.operators.access import Operator
 from agatetack.operators.backend import OperatorsBackend
 from agatetack.operators.paging import take_page
@@ -68,7 +68,7 @@
 
     async def get_claims(
         self, operator: Operator, request: requests.GetClaimsRequest
-    ) -> views.ClaimList:
+    ) -> request_views.ClaimList:
         """Return the claims of a key on services in the operator's scope."""
         operator.require(OperatorRole.READ)
         checks.check_text("request.key", request.key)
@@ -76,13 +76,13 @@
         claims = checks.unwrap(
             await self.backend.claims(request.key, request.route_id, deadline)
         )
-        return views.ClaimList(
+        return request_views.ClaimList(
             tuple(claim for claim in claims if operator.covers(claim.service))
         )
 
     async def list_quarantine(
         self, operator: Operator, request: requests.ListQuarantineRequest
-    ) -> views.QuarantineList:
+    ) -> request_views.QuarantineList:
         """Return suspected requests on services in the operator's scope."""
         operator.require(OperatorRole.READ)
         listed = [
@@ -92,7 +92,7 @@
             and request.service in (None, entry.service)
         ]
         page = await take_page(listed, lambda entry: entry.fingerprint, request)
-        return views.QuarantineList(page.items, page.next_after)
+        return request_views.QuarantineList(page.items, page.next_after)
 
     async def release_quarantined(
         self, operator: Operator, request: requests.ReleaseQuarantinedRequest
@@ -151,7 +151,7 @@
 
     async def explain(
         self, operator: Operator, request: requests.ExplainRequest
-    ) -> views.Explanation:
+    ) -> request_views.Explanation:
         """Return what the hosts did with a request lately."""
         operator.require(OperatorRole.READ)
         checks.check_text("request.request_id", request.request_id)
@@ -167,7 +167,7 @@
                 "no host remembers that request",
             )
         listed.sort(key=lambda r: r.arrived_unix_ms)
-        return views.Explanation(tuple(listed), found.silent_hosts)
+        return request_views.Explanation(tuple(listed), found.silent_hosts)
 
     async def _set_drained(
         self,
--- a/agatetack/operators/host_view.py
+++ b/agatetack/operators/host_view.py
@@ -6,7 +6,7 @@
 from agatetack.gateway import Gateway
 from agatetack.ids import Deadline, HostId, LogOffset
 from agatetack.lifecycle.phase import Phase
-from agatetack.operators import views
+from agatetack.operators import request_views, views
 from agatetack.targets.state import ReportSource, TargetState
 
 MS = 1000
@@ -132,7 +132,7 @@
 
 def quarantined_requests(
     gateway: Gateway,
-) -> Sequence[views.QuarantinedRequest]:
+) -> Sequence[request_views.QuarantinedRequest]:
     """Return the requests suspected to crash targets."""
     clock = gateway.clock
     now = clock.now()
@@ -142,13 +142,13 @@
         refused = held is not None and held > now
         last = max(suspicion.crashed.values())
         found.append(
-            views.QuarantinedRequest(
+            request_views.QuarantinedRequest(
                 fingerprint=print_.hex(),
                 route_id=suspicion.route,
                 service=suspicion.service,
-                state=views.QuarantineState.REFUSED
+                state=request_views.QuarantineState.REFUSED
                 if refused
-                else views.QuarantineState.SUSPECTED,
+                else request_views.QuarantineState.SUSPECTED,
                 crashes=len(suspicion.crashed),
                 target_ids=tuple(suspicion.crashed),
                 last_crash_unix_ms=_ms(deadline_to_wall(clock, last)),
--- a/agatetack/operators/tables.py
+++ b/agatetack/operators/tables.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Iterable, Sequence
 
-from agatetack.operators import views
+from agatetack.operators import request_views, views
 from agatetack.operators.publish import Progress
 
 ABSENT = "-"
@@ -113,7 +113,7 @@
     )
 
 
-def claims_table(claims: Iterable[views.ClaimView]) -> str:
+def claims_table(claims: Iterable[request_views.ClaimView]) -> str:
     """Return one line for each claim of a key."""
     titles = ("route", "state", "attempt", "host", "status")
     rows = (
@@ -182,7 +182,7 @@
     return render_table(titles, rows)
 
 
-def quarantine_table(listed: Iterable[views.QuarantinedRequest]) -> str:
+def quarantine_table(listed: Iterable[request_views.QuarantinedRequest]) -> str:
     """Return one line for each suspected request."""
     titles = ("fingerprint", "route", "state", "crashes", "refusals")
     rows = (
@@ -228,7 +228,7 @@
     )
 
 
-def explanation_lines(found: views.Explanation) -> str:
+def explanation_lines(found: request_views.Explanation) -> str:
     """Return what became of a request, one line for each step."""
     lines = []
     for request in found.requests:
@@ -237,7 +237,7 @@
     return "\n".join(lines)
 
 
-def _request_lines(request: views.ExplainedRequest) -> list[str]:
+def _request_lines(request: request_views.ExplainedRequest) -> list[str]:
     if request.outcome is None:
         end = "is still being served"
     else:
@@ -256,7 +256,7 @@
     return lines + [_attempt_line(attempt) for attempt in request.attempts]
 
 
-def _attempt_line(attempt: views.ExplainedAttempt) -> str:
+def _attempt_line(attempt: request_views.ExplainedAttempt) -> str:
     why = ""
     if attempt.retry_reason is not None:
         why = f" (again: {attempt.retry_reason.value})"
--- a/agatetack/operators/test_convert.py
+++ b/agatetack/operators/test_convert.py
@@ -6,7 +6,13 @@
 import pytest
 
 from agatetack.generated.operators import Operators, ttypes
-from agatetack.operators import convert, refusals, requests, views
+from agatetack.operators import (
+    convert,
+    refusals,
+    request_views,
+    requests,
+    views,
+)
 from agatetack.operators.calls import CALLS, CallName
 from agatetack.operators.requests import ApplyRouteRequest
 from agatetack.operators.views import Change, ChangeState, HostView
@@ -19,7 +25,7 @@
 
 
 def own_class(name):
-    for module in (views, requests, refusals):
+    for module in (views, request_views, requests, refusals):
         if hasattr(module, name):
             return getattr(module, name)
     raise AssertionError(f"no dataclass is named {name}")
--- a/agatetack/operators/test_host_calls.py
+++ b/agatetack/operators/test_host_calls.py
@@ -11,7 +11,7 @@
     make_target,
 )
 from agatetack.operators.host_calls import HostCalls
-from agatetack.operators.views import (
+from agatetack.operators.request_views import (
     ClaimState,
     ClaimView,
     ExplainedRequest,
--- a/agatetack/test_commands.py
+++ b/agatetack/test_commands.py
@@ -9,14 +9,11 @@
 from agatetack import commands
 from agatetack.ids import FailureDomain, HostId, RequestId
 from agatetack.lifecycle.phase import Phase
+from agatetack.operators import terminal
 from agatetack.operators.conftest import served  # noqa: F401
 from agatetack.operators.refusals import ChangeRejected
-from agatetack.operators.views import (
-    ChangeRejection,
-    ExplainedRequest,
-    Explanation,
-    HostView,
-)
+from agatetack.operators.request_views import ExplainedRequest, Explanation
+from agatetack.operators.views import ChangeRejection, HostView
 from agatetack.outcomes import Outcome, RefusalReason
 
 ROUTE = """
@@ -31,8 +28,8 @@
 @pytest.fixture
 def run(served, monkeypatch, capsys):  # noqa: F811
     """Run one command against the served host; return code, out and err."""
-    monkeypatch.setenv(commands.ADDRESS_VARIABLE, served.url)
-    monkeypatch.setenv(commands.TOKEN_VARIABLE, "ann-token")
+    monkeypatch.setenv(terminal.ADDRESS_VARIABLE, served.url)
+    monkeypatch.setenv(terminal.TOKEN_VARIABLE, "ann-token")
 
     async def run_command(*arguments):
         code = await trio.to_thread.run_sync(commands.run, arguments)
@@ -105,7 +102,7 @@
 async def test_errors_are_one_line(
     run, monkeypatch, arguments, token, code, told
 ):
-    monkeypatch.setenv(commands.TOKEN_VARIABLE, token)
+    monkeypatch.setenv(terminal.TOKEN_VARIABLE, token)
     exit_code, out, err = await run(*arguments)
     assert (exit_code, out) == (code, "")
     assert err.startswith("agatetack: ") and told in err
--- a/agatetack/testing/memory_backend.py
+++ b/agatetack/testing/memory_backend.py
@@ -21,7 +21,7 @@
     TargetId,
 )
 from agatetack.lifecycle.phase import Phase
-from agatetack.operators import refusals, views
+from agatetack.operators import refusals, request_views, views
 from agatetack.operators.backend import OperatorsBackend, RequestedChange
 from agatetack.operators.views import ChangeKind, ChangeState
 from agatetack.settings.model import Settings
@@ -61,9 +61,9 @@
         self.unavailable: refusals.Unavailable | None = None
         self.peers: list[views.HostView] = []
         self.listed_targets: dict[TargetId, views.TargetView] = {}
-        self.listed_claims: list[views.ClaimView] = []
-        self.quarantined: dict[str, views.QuarantinedRequest] = {}
-        self.explained: dict[RequestId, views.Explanation] = {}
+        self.listed_claims: list[request_views.ClaimView] = []
+        self.quarantined: dict[str, request_views.QuarantinedRequest] = {}
+        self.explained: dict[RequestId, request_views.Explanation] = {}
         self.phase = Phase.READY
         self.stopped_by: str | None = None
         for route in routes:
@@ -186,7 +186,7 @@
 
     async def claims(
         self, key: IdempotencyKey, route: RouteId | None, deadline: Deadline
-    ) -> Result[Sequence[views.ClaimView], refusals.Unavailable]:
+    ) -> Result[Sequence[request_views.ClaimView], refusals.Unavailable]:
         """Return those of `listed_claims` that match."""
         await trio.lowlevel.checkpoint()
         if self.unavailable is not None:
@@ -199,7 +199,7 @@
             ]
         )
 
-    def quarantine(self) -> Sequence[views.QuarantinedRequest]:
+    def quarantine(self) -> Sequence[request_views.QuarantinedRequest]:
         """Return `quarantined`."""
         return list(self.quarantined.values())
 
@@ -228,10 +228,12 @@
 
     async def explain(
         self, request: RequestId, deadline: Deadline
-    ) -> Result[views.Explanation, refusals.NotFound]:
+    ) -> Result[request_views.Explanation, refusals.NotFound]:
         """Return what `explained` holds."""
         await trio.lowlevel.checkpoint()
-        return Success(self.explained.get(request, views.Explanation((), ())))
+        return Success(
+            self.explained.get(request, request_views.Explanation((), ()))
+        )
 
     def _store(self, route: Route, change: ChangeId, author: str) -> None:
         stored = dataclasses.replace(route, version=self.offset)
