Let the hosts of a large fleet read the log in turns

Cause: every host reads the configuration stream once a second at least, so the platform's log would carry a load that grows with the number of hosts.

Change: the fleet's reads are kept to log_reads_per_second (200); above it each host pauses between reads, 2 s at most beyond the poll, and peers pass on what was read. A host that appended a change reads it back at once.

At 14 hosts nothing changes.

--- a/agatetack/config/store.py
+++ b/agatetack/config/store.py
@@ -79,7 +79,7 @@
         self.state = ConfigState(
             source, self.counters, settings.config.kept_records
         )
-        self.tail = LogTail(settings, log, self.state, clock)
+        self.tail = LogTail(settings, log, exchange, self.state, clock)
         self.sharing = PeerSharing(settings, exchange, self.state, clock)
         self.writer = SnapshotWriter(settings, log, self.state, clock)
 
@@ -271,6 +271,7 @@
                 await self._read_back()
             else:
                 self.store.counters.appended(AppendResult.DONE)
+                await self._read_back()
                 await self.waiter.settled.wait()
 
     async def _read_back(self) -> None:
--- a/agatetack/config/tail.py
+++ b/agatetack/config/tail.py
@@ -10,33 +10,48 @@
 from agatetack.config.snapshot_stream import read_newest
 from agatetack.config.state import Batch, ConfigState, Source
 from agatetack.ids import Deadline, LogOffset
+from agatetack.peers.exchange import Exchange
 from agatetack.platform.log import Log, LogError, LogPage, LogTruncated
 from agatetack.settings.model import Settings
 
+MAX_TURN_SECONDS = 2.0
+"""Longest pause between reads, for a host that hears of no peer."""
+
 
 class LogTail:
     """One host's reader of the configuration stream.
 
     Attributes:
         outage: Whether the last read failed; logged once, counted each time.
+        end: Where the log ended when it was last read.
     """
 
     def __init__(
-        self, settings: Settings, log: Log, state: ConfigState, clock: Clock
+        self,
+        settings: Settings,
+        log: Log,
+        exchange: Exchange,
+        state: ConfigState,
+        clock: Clock,
     ):
-        """Read `log` into `state`."""
+        """Read `log` into `state`; `exchange` tells the number of hosts."""
         self.settings = settings.platform.log
+        self.config = settings.config
+        self.exchange = exchange
         self.log = log
         self.state = state
         self.clock = clock
         self.outage = False
+        self.end = LogOffset(0)
 
     async def run(self) -> None:
         """Load the newest snapshot, then follow the stream for ever."""
         await self._load_snapshot()
         while True:
             try:
-                if not await self.read(self.settings.poll_seconds):
+                if await self.read(self.settings.poll_seconds):
+                    await self._leave_reads_to_others()
+                else:
                     await self._pause()
             except LogTruncated as truncated:
                 self.state.problem(
@@ -74,6 +89,7 @@
             wait_until=until,
         )
         self._end_outage()
+        self.end = page.end
         if page.records:
             await self._take(page)
         if self.state.fold.version + 1 < page.end:
@@ -93,10 +109,9 @@
         Raises:
             LogError: The log could not be read.
         """
-        version = None
-        while version != self.state.fold.version:
-            version = self.state.fold.version
-            await self.read(0.0)
+        while await self.read(0.0):
+            if self.state.fold.version + 1 >= self.end:
+                return
 
     async def _take(self, page: LogPage) -> None:
         first = page.records[0].offset
@@ -127,6 +142,14 @@
             self.state.log.info("can read the log again.")
         self.outage = False
 
+    async def _leave_reads_to_others(self) -> None:
+        # In a large fleet the hosts read in turns, and peers bring what
+        # another one has read.
+        turn = self.exchange.fleet_size() / self.config.log_reads_per_second
+        pause = min(turn - self.settings.poll_seconds, MAX_TURN_SECONDS)
+        if pause > 0:
+            await trio.sleep(pause * random.uniform(0.5, 1))
+
     async def _pause(self) -> None:
         # Hosts that failed together should not all ask again together.
         await trio.sleep(self.settings.poll_seconds * random.uniform(0.3, 1))
--- a/agatetack/config/test_spread.py
+++ b/agatetack/config/test_spread.py
@@ -269,3 +269,25 @@
         await trio.sleep(IN_FORCE_SECONDS)
         assert (first.ready, second.ready) == (False, False)
         assert second.version() == -1
+
+
+async def test_hosts_of_a_large_fleet_read_in_turns(autojump_clock):
+    async with open_fleet(4) as fleet:
+        few, many = 0, 0
+        for size in (0, 2000):
+            fleet.mesh.size = size
+            await trio.sleep(IN_FORCE_SECONDS)
+            host = fleet.hosts["host-0"]
+            before = host.log.reads
+            await trio.sleep(60)
+            few, many = many, host.log.reads - before
+        assert few >= 55
+        assert many <= 35
+        fleet.mesh.isolate("host-0")
+        began = trio.current_time()
+        result = await apply(host, make_change("one"))
+        assert result == Success(Accepted(0))
+        assert trio.current_time() - began < 0.1
+        fleet.mesh.cut.clear()
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.assert_agreed()
--- a/agatetack/testing/config_fleet.py
+++ b/agatetack/testing/config_fleet.py
@@ -9,10 +9,19 @@
 
 from agatetack.clock import FixedClock
 from agatetack.config.change import RouteChange
+from agatetack.config.records import CONFIG_STREAM
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.config.store import ChangeResult, ConfigStore
-from agatetack.ids import ChangeId, HostId, RouteId, ServiceId, TeamId
+from agatetack.ids import (
+    ChangeId,
+    HostId,
+    RouteId,
+    ServiceId,
+    StreamId,
+    TeamId,
+)
 from agatetack.metrics import Metrics
+from agatetack.platform.log import LogPage
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
@@ -45,6 +54,21 @@
     )
 
 
+class CountingLog(MemoryLog):
+    """A client of the log that counts its reads.
+
+    Attributes:
+        reads: Reads of the configuration stream.
+    """
+
+    reads = 0
+
+    async def read(self, stream: StreamId, *args, **kwargs) -> LogPage:
+        """Count one read and pass it on."""
+        self.reads += stream == CONFIG_STREAM
+        return await super().read(stream, *args, **kwargs)
+
+
 class Fleet:
     """Hosts over one log and one mesh."""
 
@@ -62,7 +86,7 @@
         settings = default_settings(host={"id": name}, **self.sections)
         store = ConfigStore(
             settings,
-            MemoryLog(self.service, self.nursery),
+            CountingLog(self.service, self.nursery),
             self.mesh.join(HostId(name)),
             RouteSource(),
             Metrics(),
--- a/agatetack/testing/memory_exchange.py
+++ b/agatetack/testing/memory_exchange.py
@@ -22,6 +22,7 @@
         hosts: The exchanges by host.
         cut: Ordered pairs of hosts between which nothing arrives.
         lost_topics: Topics whose published messages are lost.
+        size: The number of hosts that the platform's list shows, or 0.
         delay_seconds: How long each message and call takes one way.
     """
 
@@ -31,6 +32,7 @@
         self.hosts: dict[HostId, MemoryExchange] = {}
         self.cut: set[tuple[HostId, HostId]] = set()
         self.lost_topics: set[Topic] = set()
+        self.size = 0
         self.delay_seconds = 0.0
 
     def join(self, host: HostId) -> "MemoryExchange":
@@ -117,4 +119,4 @@
 
     def fleet_size(self) -> int:
         """Return the number of hosts."""
-        return len(self.mesh.hosts)
+        return max(self.mesh.size, len(self.mesh.hosts))
--- a/bench/config_state.py
+++ b/bench/config_state.py
@@ -51,8 +51,9 @@
 PEER_STEPS = (1, 2, 3, 5, 7, 11, 17, 23)
 """With more hosts, each has these neighbours both ways on a ring."""
 
-POLL_SECONDS = 2.0
-IDLE_SECONDS = 20.0
+LARGE_FLEET = 2000
+POLL_SECONDS = 4.0
+IDLE_SECONDS = 10.0
 LOG_SECONDS = 0.003
 LINK_SECONDS = 0.0015
 REPEATS = 7
@@ -179,17 +180,20 @@
         name: Shown in the table.
         cut: Whether the log goes out right after the acceptance.
         lost: Whether the peers lose the record that is passed on to them.
+        turns: Whether hosts read the log in turns, as in a fleet of 2,000.
     """
 
     name: str
     cut: bool = False
     lost: bool = False
+    turns: bool = False
 
 
 TRIALS = (
     Trial("log up"),
     Trial("log cut", cut=True),
     Trial("log cut, record lost", cut=True, lost=True),
+    Trial("log up, read in turns", turns=True),
 )
 
 
@@ -234,6 +238,7 @@
             )
             for index in range(hosts)
         ]
+        self.mesh.size = LARGE_FLEET if trial.turns else 0
         self._cut_links()
 
     def _cut_links(self) -> None:
