--- a/agatetack/operators/host_backend.py
+++ b/agatetack/operators/host_backend.py
@@ -151,8 +151,11 @@
         if unavailable is not None:
             return refusals.Unavailable(unavailable, failure.detail)
         current = self.gateway.config.fold.slots.get(change.route.id)
+        reason = REJECTIONS.get(failure.reason, views.ChangeRejection.OTHER)
+        if self._is_id_reused(change, failure):
+            reason = views.ChangeRejection.CHANGE_ID_REUSED
         return refusals.ChangeRejected(
-            REJECTIONS.get(failure.reason, views.ChangeRejection.OTHER),
+            reason,
             failure.detail,
             change.id,
             current=None
@@ -160,6 +163,18 @@
             else _record(current),
         )
 
+    def _is_id_reused(self, change: RequestedChange, failure: Rejected) -> bool:
+        """Return whether the id was decided for a change unlike this one.
+
+        The store tells such a change as invalid, which a change that was
+        decided otherwise cannot be.
+        """
+        if failure.reason is not RejectReason.INVALID:
+            return False
+        known = self.gateway.config.change_state(change.id)
+        decided = known.status in (ChangeStatus.ACCEPTED, ChangeStatus.REJECTED)
+        return decided and known.reason is not RejectReason.INVALID
+
     async def change(
         self, change: ChangeId, deadline: Deadline
     ) -> Result[views.Change, refusals.Unavailable]:
