Keep deferred work from holding up the fast routes of the same thread

Cause: a page of 1,000 records, a record of any number of entries and a look through all tickets each ran without a checkpoint; a page could also be as large as 1,000 full records. Bodies of submissions in doubt had no useful bound. Change: pages of 32 records, records of 50 entries, a checkpoint after each record and each 2,000 tickets; 100 submissions in doubt are remembered.

--- a/agatetack/deferred/partition.py
+++ b/agatetack/deferred/partition.py
@@ -31,6 +31,9 @@
 RETRY_SECONDS = 0.2
 """Pause after a failed read."""
 
+PAGE_RECORDS = 32
+"""Records read at once; each may be as large as the log allows."""
+
 CHUNK_RATIO = 0.25
 """Most time between the records of one end, as a share of the retention."""
 
@@ -190,15 +193,16 @@
                 now + log_settings.poll_seconds + log_settings.timeout_seconds
             ),
             wait_until=Deadline(now + log_settings.poll_seconds),
+            max_records=PAGE_RECORDS,
         )
-        touched: set[TicketId] = set()
         for record in page.records:
-            touched.update(self._apply(record))
+            for ticket in self._apply(record):
+                self._announce(ticket)
             self.position = LogOffset(record.offset + 1)
+            # Decoding takes a while, and the fast routes share this thread.
+            await trio.lowlevel.checkpoint()
         if self.position >= page.end:
             self.caught_up = True
-        for ticket in touched:
-            self._announce(ticket)
         self.changed.set()
         self.changed = trio.Event()
 
--- a/agatetack/deferred/submitter.py
+++ b/agatetack/deferred/submitter.py
@@ -24,8 +24,9 @@
 from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.settings.model import Settings
 
-MAX_DOUBTFUL = 10_000
-"""Submissions in doubt that are remembered, oldest dropped first."""
+MAX_DOUBTFUL = 100
+"""Submissions in doubt that are remembered with their bodies; the oldest is
+dropped first."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -1,6 +1,7 @@
 """Expire, forget and re-append tickets in time."""
 
 import secrets
+from collections.abc import Iterable
 
 import trio
 
@@ -25,6 +26,9 @@
 """The share of the retention that each lower rank waits longer."""
 
 MAX_STAGGERS = 10
+SLICE = 2000
+"""Tickets looked at before other tasks get their turn."""
+
 GROUP = 100
 """Tickets whose records are queued together."""
 
@@ -56,16 +60,24 @@
 
     async def look_through(self) -> None:
         """Expire, forget and re-append what is due now."""
-        due = [
+        tickets = list(self.partition.fold.tickets.values())
+        due: list[Ticket] = []
+        for start in range(0, len(tickets), SLICE):
+            due += self._due_among(tickets[start : start + SLICE])
+            await trio.lowlevel.checkpoint()
+        for start in range(0, len(due), GROUP):
+            await self._append(due[start : start + GROUP])
+
+    def _due_among(self, tickets: list[Ticket]) -> list[Ticket]:
+        """Forget what is over and return what needs a record now."""
+        return [
             ticket
-            for ticket in self.candidates()
+            for ticket in self.candidates(tickets)
             if not self._forget(ticket)
             and (self._expired(ticket) or self._due(ticket))
         ]
-        for start in range(0, len(due), GROUP):
-            await self._append(due[start : start + GROUP])
 
-    def candidates(self) -> list[Ticket]:
+    def candidates(self, tickets: Iterable[Ticket]) -> list[Ticket]:
         """Return the tickets for which anything may be due now.
 
         This looks at every ticket there is, so it is kept short.
@@ -74,7 +86,7 @@
         retention = self.settings.platform.log.retention_seconds
         kept_before = now - DUE_RATIO * retention
         found = []
-        for ticket in self.partition.fold.tickets.values():
+        for ticket in tickets:
             end = ticket.end
             if end is None:
                 if ticket.deadline > now and ticket.kept_since > kept_before:
--- a/agatetack/deferred/writer.py
+++ b/agatetack/deferred/writer.py
@@ -22,6 +22,9 @@
 STREAM_KIND = "deferred"
 """The label of these streams in the log's counters."""
 
+MAX_BATCH = 50
+"""Entries of one record; decoding more would hold up the fast routes."""
+
 MIN_PAUSE_SECONDS = 0.001
 
 
@@ -146,7 +149,7 @@
     def _take_batch(self) -> list[Waiting]:
         room = self.settings.platform.log.max_record_bytes - ENTRY_OVERHEAD
         batch: list[Waiting] = []
-        while self.queue:
+        while self.queue and len(batch) < MAX_BATCH:
             room -= self.queue[0].size
             if room < 0:
                 break
--- a/bench/deferred_slopes.py
+++ b/bench/deferred_slopes.py
@@ -127,7 +127,7 @@
         queue.settings, partition, queue.choice, queue.counters, queue.clock
     )
     begun = time.process_time()
-    upkeep.candidates()
+    upkeep.candidates(partition.fold.tickets.values())
     return time.process_time() - begun
 
 
