--- a/agatetack/platform/directory.py
+++ b/agatetack/platform/directory.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Sequence
 
 import trio
@@ -41,8 +42,17 @@
         return not (self.added or self.updated or self.removed)
 
 
+NO_CHANGE = ListChange((), (), ())
+
 ChangeCallback = Callable[[ListChange], None]
-"""Called after the list has changed; must not block or raise."""
+"""Called after the list has changed; must not block or raise.
+
+It is also called with an empty change now and then while the list can be read,
+since a list that still says "live" is evidence to those who weigh it.
+"""
+
+REPEAT_SECONDS = 5.0
+"""How often callbacks hear of a list that was read and has not changed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +99,7 @@
         self.vanished: dict[HostId, _Vanished] = {}
         self.last_fetch: Sequence[ListedHost] | None = None
         self.reachable = True
+        self.told_at = Deadline(-math.inf)
         self.fetches = metrics.counter(
             "agatetack_host_list_fetches_total",
             "Reads of the platform's list of hosts, by result.",
@@ -113,7 +124,7 @@
         return [host for host in self.hosts if host.role is HostRole.GATEWAY]
 
     def on_change(self, callback: ChangeCallback) -> None:
-        """Call `callback` after each change of the list."""
+        """Call `callback` after each change, and now and then without one."""
         self.callbacks.append(callback)
 
     def age_seconds(self) -> float | None:
@@ -159,10 +170,11 @@
         self.reachable = True
         self.fetched_at = Deadline(trio.current_time())
         # An unchanged list comes as the same object, and needs no work.
-        if fetched is self.last_fetch and not self.held:
-            return
-        self.last_fetch = fetched
-        self._apply({host.id: host for host in fetched})
+        if fetched is not self.last_fetch or self.held:
+            self.last_fetch = fetched
+            self._apply({host.id: host for host in fetched})
+        if trio.current_time() >= self.told_at + REPEAT_SECONDS:
+            self._tell(NO_CHANGE)
 
     def _apply(self, fetched: dict[HostId, ListedHost]) -> None:
         missing = [
@@ -175,11 +187,14 @@
         for key in self.held:
             merged[key] = self.entries[key]
         change = _compare(self.entries, merged)
-        if change.empty:
-            return
-        self.entries = merged
-        self.hosts = tuple(merged.values())
-        self._count_listed()
+        if not change.empty:
+            self.entries = merged
+            self.hosts = tuple(merged.values())
+            self._count_listed()
+            self._tell(change)
+
+    def _tell(self, change: ListChange) -> None:
+        self.told_at = Deadline(trio.current_time())
         for callback in self.callbacks:
             callback(change)
 
