--- a/agatetack/claims/fold.py
+++ b/agatetack/claims/fold.py
@@ -16,6 +16,7 @@
 import collections
 import dataclasses
 
+from agatetack.claims.done_keys import DoneKeys
 from agatetack.generated.claims.ttypes import (
     Entry,
     EntryKind,
@@ -34,6 +35,9 @@
 MS = 1000
 """Milliseconds in a second."""
 
+MINUTE_MS = 60 * MS
+"""Keys are forgotten by the minute."""
+
 
 @dataclasses.dataclass(slots=True)
 class KeyState:
@@ -79,8 +83,8 @@
         since_ms: Claims before this time may be missing.
         gap: Whether records before the next one were never read.
         keys: The state of each key that is remembered.
-        dated: When keys with a time of issue expire, roughly in order.
-        undated: When keys without one expire, roughly in order.
+        done: Dated keys that are done; nothing changes them any more.
+        expiries: Keys by the minute after which they may be forgotten.
         written: When records of undated keys were written, in order.
     """
 
@@ -94,8 +98,10 @@
         self.since_ms = 0
         self.gap = False
         self.keys: dict[bytes, KeyState] = {}
-        self.dated: collections.deque[KeyTime] = collections.deque()
-        self.undated: collections.deque[KeyTime] = collections.deque()
+        self.done = DoneKeys(
+            -(-claims.max_keys // claims.partitions), self.dated_keep_ms
+        )
+        self.expiries: dict[int, set[bytes]] = {}
         self.written: collections.deque[KeyTime] = collections.deque()
 
     def start(self, offset: LogOffset) -> None:
@@ -106,9 +112,10 @@
     def advance(self, offset: LogOffset, at_ms: int) -> None:
         """Count the record at `offset` as folded; forget what is too old."""
         self.next = LogOffset(offset + 1)
+        minute = self.now_ms // MINUTE_MS
         self.now_ms = max(self.now_ms, at_ms)
-        self._forget(self.dated, self.dated_keep_ms)
-        self._forget(self.undated, self.undated_keep_ms)
+        if self.now_ms // MINUTE_MS > minute:
+            self._forget()
 
     def apply(self, offset: LogOffset, at_ms: int, entry: Entry) -> None:
         """Fold one entry of the record at `offset`."""
@@ -117,6 +124,8 @@
             self.gap = False
             self.since_ms = at_ms
         state = self.keys.get(entry.key)
+        if state is None and self.done.find(entry.key):
+            return
         if entry.kind == EntryKind.CLAIM:
             self._claim(offset, at_ms, entry, state)
         elif entry.kind == EntryKind.RELEASE:
@@ -168,6 +177,16 @@
         state.attempt = entry.attempt
         state.status = entry.status
         self._written(entry.key, state, at_ms)
+        if state.dated:
+            self._pack(entry.key, state)
+
+    def _pack(self, key: bytes, state: KeyState) -> None:
+        """Remember a dated key that is done in fewer bytes."""
+        self._undate(key, state)
+        del self.keys[key]
+        self.done.add(
+            key, state.fingerprint, state.status, self.expires_ms(state)
+        )
 
     def _keep(self, at_ms: int, entry: Entry, state: KeyState | None) -> None:
         if state is None:
@@ -209,10 +228,16 @@
         self, key: bytes, state: KeyState, claimed_ms: int, dated: bool
     ) -> None:
         """Set from when on and for how long the key is remembered."""
+        self._undate(key, state)
         state.claimed_ms = claimed_ms
         state.dated = dated
-        expiries = self.dated if dated else self.undated
-        expiries.append(KeyTime(self.expires_ms(state), key))
+        minute = self.expires_ms(state) // MINUTE_MS
+        self.expiries.setdefault(minute, set()).add(key)
+
+    def _undate(self, key: bytes, state: KeyState) -> None:
+        keys = self.expiries.get(self.expires_ms(state) // MINUTE_MS)
+        if keys is not None:
+            keys.discard(key)
 
     def _written(self, key: bytes, state: KeyState, at_ms: int) -> None:
         """Note that a record of a held key was written at `at_ms`."""
@@ -226,27 +251,29 @@
             return state.claimed_ms + self.dated_keep_ms
         return state.claimed_ms + self.undated_keep_ms
 
-    def _forget(
-        self, expiries: collections.deque[KeyTime], keep_ms: int
-    ) -> None:
-        while expiries and expiries[0].at_ms < self.now_ms:
-            key = expiries.popleft().key
-            state = self.keys.get(key)
-            if state and self.expires_ms(state) < self.now_ms:
+    def _forget(self) -> None:
+        now = self.now_ms // MINUTE_MS
+        for minute in [m for m in self.expiries if m < now]:
+            for key in self.expiries.pop(minute):
                 del self.keys[key]
+        self.done.forget(self.now_ms)
+
+    def __len__(self) -> int:
+        """Return the number of keys that are remembered."""
+        return len(self.keys) + len(self.done)
 
     def has(self, entry: Entry) -> bool:
         """Return whether `entry` is known to have been folded before."""
         state = self.keys.get(entry.key)
-        if state is None:
+        if entry.kind == EntryKind.DONE:
+            if state is None:
+                return self.done.find(entry.key) is not None
+            return state.attempt == entry.attempt and state.status > 0
+        if state is None or entry.kind == EntryKind.KEEP:
             return False
         if entry.kind == EntryKind.CLAIM:
             return state.attempt == entry.attempt
-        if entry.kind == EntryKind.RELEASE:
-            return state.released == entry.attempt
-        if entry.kind == EntryKind.DONE:
-            return state.attempt == entry.attempt and state.status > 0
-        return False
+        return state.released == entry.attempt
 
     def look(self, key: bytes, fingerprint: bytes | None) -> Verdict:
         """Return what is known of `key`.
@@ -256,7 +283,9 @@
             fingerprint: The digest of a request that wants to run, or None.
         """
         state = self.keys.get(key)
-        if state is None or state.attempt is None:
+        if state is None:
+            return self._look_done(key, fingerprint)
+        if state.attempt is None:
             return Verdict(VerdictKind.FREE)
         # A done entry without its claim leaves no fingerprint to compare.
         if fingerprint and state.fingerprint not in (b"", fingerprint):
@@ -265,12 +294,22 @@
             return Verdict(VerdictKind.DONE, status=state.status)
         return Verdict(VerdictKind.HELD, until_ms=state.until_ms)
 
+    def _look_done(self, key: bytes, fingerprint: bytes | None) -> Verdict:
+        done = self.done.find(key)
+        if done is None:
+            return Verdict(VerdictKind.FREE)
+        if done.differs(fingerprint):
+            return Verdict(VerdictKind.REUSED)
+        return Verdict(VerdictKind.DONE, status=done.status)
+
     def judge(self, entry: Entry) -> Verdict:
         """Return what became of `entry`, which was folded just now."""
-        if entry.kind == EntryKind.CLAIM:
-            state = self.keys.get(entry.key)
-            if state is None or state.attempt is None:
-                return Verdict(VerdictKind.DEAD)
-            if state.attempt == entry.attempt and not state.status:
-                return Verdict(VerdictKind.GRANTED)
-        return self.look(entry.key, entry.fingerprint)
+        if entry.kind != EntryKind.CLAIM:
+            return self.look(entry.key, entry.fingerprint)
+        state = self.keys.get(entry.key)
+        if state and state.attempt == entry.attempt and not state.status:
+            return Verdict(VerdictKind.GRANTED)
+        known = self.look(entry.key, entry.fingerprint)
+        if known.kind == VerdictKind.FREE:
+            return Verdict(VerdictKind.DEAD)
+        return known
--- a/agatetack/claims/log_store.py
+++ b/agatetack/claims/log_store.py
@@ -126,7 +126,7 @@
             for partition in self.partitions:
                 self.open_keys.purge(partition)
                 label = {"partition": str(partition.number)}
-                self.keys.set(label, len(partition.fold.keys))
+                self.keys.set(label, len(partition.fold))
 
     async def claim(
         self, route: Route, request: CallerRequest, attempt: AttemptId
@@ -206,7 +206,7 @@
         if not partition.ready or not partition.reachable:
             reason = RefusalReason.LOG_UNAVAILABLE
             return Failure(await self._not_claimed(held, reason))
-        if len(partition.fold.keys) >= self._max_keys():
+        if len(partition.fold) >= self._max_keys():
             reason = RefusalReason.KEY_STORE_FULL
             return Failure(await self._not_claimed(held, reason))
         entry = self._claim_entry(held, request)
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -308,7 +308,7 @@
     )
 
 
-def make_payloads(keys: int) -> list[bytes]:
+def make_payloads(keys: int, dated: bool) -> list[bytes]:
     """Return records that claim and finish `keys` keys, `BATCH` in each."""
     payloads = []
     for _ in range(keys // BATCH):
@@ -322,7 +322,7 @@
                     attempt,
                     fingerprint,
                     seen=0,
-                    dated=True,
+                    dated=dated,
                     until_ms=int(EPOCH * 1000),
                 )
             )
@@ -334,9 +334,9 @@
     return payloads
 
 
-def print_fold(keys: int) -> None:
+def print_fold(keys: int, dated: bool) -> None:
     """Print what reading and remembering a key takes."""
-    payloads = make_payloads(keys)
+    payloads = make_payloads(keys, dated)
     partition = Partition(
         0, default_settings(), None, Metrics(), BenchClock(), None
     )
@@ -351,7 +351,8 @@
     seconds = time.process_time() - started
     size = sum(len(payload) for payload in payloads)
     print(
-        f"one key, done: {used / keys:.0f} bytes of memory, "
+        f"{keys} keys, done, {'dated' if dated else 'undated'}; each: "
+        f"{used / keys:.0f} bytes of memory, "
         f"{size / keys:.0f} bytes read, {seconds / keys * 1e6:.1f} us to fold"
     )
 
@@ -364,7 +365,9 @@
 
 async def print_fold_task() -> None:
     """Print the costs of folding; positions need trio's clock."""
-    print_fold(50_000)
+    for keys in (10_000, 50_000, 250_000):
+        print_fold(keys, dated=True)
+    print_fold(50_000, dated=False)
 
 
 def main(
