Tell peers of slow targets and distrust reports that answers contradict

Cause: a target slowed ten times kept about 1 % of the requests, as each of 13 hosts learned it and tried it again alone; a target that always reports 0 drew the load of hosts that believed it. Change: a host that finds a target far over the limit tells its peers at once, who leave it too and put their trials off, so that one trial serves all; words of peers are not passed on. An answer 2.5 times later than reports let expect cuts the trust in them; distrusted reports give way to the middle load of the service. Typical times are kept for each service.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -209,6 +209,8 @@
         if not free:
             return None
         target = self.policy.choose(free, now)
+        for changed in self.policy.take_changed():
+            self.registry.note_changed(changed)
         if target is not None and target.status is TargetStatus.COLD:
             self.registry.warm(target, now)
         return target
--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -5,12 +5,13 @@
 report, weighed by its age against the usual load.
 """
 
+import dataclasses
 import math
 import random
 from collections.abc import Sequence
 
 from agatetack.balance.policy import Policy
-from agatetack.ids import Deadline
+from agatetack.ids import Deadline, ServiceId
 from agatetack.settings.model import Settings
 from agatetack.targets.state import TargetState, TargetStatus
 
@@ -40,16 +41,56 @@
 UNKNOWN_SERVICE_SECONDS = 0.005
 """Service time taken for a service none of whose targets has answered."""
 
+AVOIDED_COST = 10
+"""Typical service times by which a cold or shedding target is dearer."""
+
+TYPICAL_SECONDS = 0.02
+"""How long a typical service time is used before it is worked out anew."""
+
+DISAGREE_RATIO = 2.5
+"""An answer this many times later than expected speaks against reports."""
+
+DISTRUST_FACTOR = 0.8
+"""What such an answer leaves of the trust in a target's reports."""
+
+TRUST_WEIGHT = 0.02
+"""Weight of an answer that came as expected in that trust."""
+
+TELL_RATIO = 2.2
+"""A target this many times over the limit is slow for all hosts.
+
+One host's few answers may be bad luck or a short disturbance; leaving a
+target on all hosts costs its whole capacity.
+"""
+
+OUT_SHARE = 0.5
+"""Share of the time a request has been out that counts as service time."""
+
 FAILURES_TO_LEAVE = 2
 """Failed attempts in a row after which a target is left like a slow one."""
 
 SHED_SECONDS = 0.01
 """Time without new work after a target's first shed answer."""
 
-MAX_DOUBLINGS = 6
+MAX_DOUBLINGS = 4
 """How often the wait before a trial, or after a shed, doubles."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Typical:
+    """The middle of what a service's targets show.
+
+    Attributes:
+        seconds: The time.
+        others: The middle of the usual numbers of others' requests.
+        valid_until: When it is worked out anew.
+    """
+
+    seconds: float
+    others: float
+    valid_until: float
+
+
 class ExpectedWait(Policy):
     """Choose by expected time to answer."""
 
@@ -59,19 +100,23 @@
         self.rng = rng
         self.half_life = settings.measure.report_half_life_seconds
         self.domain = settings.host.failure_domain
-        self.typical = UNKNOWN_SERVICE_SECONDS
+        self.typicals: dict[ServiceId, Typical] = {}
+        self.changed: list[TargetState] = []
 
     def choose(
         self, candidates: Sequence[TargetState], now: Deadline
     ) -> TargetState | None:
         """Return a candidate among the near best, or one due for a trial."""
-        self.typical = self._typical_service(candidates)
-        limit = self.typical * self.settings.balance.slow_ratio
+        typical = self._update_typical(candidates, now)
+        limit = typical * self.settings.balance.slow_ratio
         best = math.inf
         costs: list[float] = []
         for target in candidates:
+            if target.learned.peer_at > target.learned.peer_seen:
+                self._take_peer_word(target, limit, now)
             if self._left(target, limit):
                 if now >= target.learned.trial_at and not target.in_flight:
+                    self._postpone_trial(target, now)
                     return target
                 cost = math.inf
             else:
@@ -80,7 +125,7 @@
             best = min(best, cost)
         if best == math.inf:
             return min(candidates, key=lambda t: self.cost(t, now))
-        near = best + NEAR_RATIO * self.typical
+        near = best + NEAR_RATIO * typical
         ties = [
             target
             for target, cost in zip(candidates, costs, strict=True)
@@ -91,14 +136,14 @@
     def cost(self, target: TargetState, now: Deadline) -> float:
         """Return the expected seconds from sending to the answer."""
         learned = target.learned
-        service = learned.service_seconds or self.typical
-        if service < NORMAL_RATIO * self.typical:
-            service = self.typical
+        typical = self.typical(target.service)
+        service = learned.service_seconds or typical
+        if service < NORMAL_RATIO * typical:
+            service = typical
         if learned.sent:
             # A request that is out for long shows a slow target before any
             # answer does.
-            oldest = next(iter(learned.sent.values()))
-            service = max(service, (now - oldest) / 2)
+            service = max(service, OUT_SHARE * learned.out_seconds(now))
         wait = expected_wait(
             target.in_flight, self.expected_others(target, now), target.slots
         )
@@ -107,9 +152,9 @@
             age = now - target.status_since
             ramp = max(0.05, age / self.settings.balance.cold_seconds)
             if self.rng.random() > ramp:
-                cost += 10 * self.typical
+                cost += AVOIDED_COST * typical
         if now < learned.shed_until:
-            cost += 10 * self.typical
+            cost += AVOIDED_COST * typical
         return cost
 
     def network(self, target: TargetState) -> float:
@@ -130,7 +175,13 @@
         if seen < usual:
             half_life *= LOW_REPORT_SHARE
         weight = 0.5 ** ((now - report.at) / half_life)
-        return usual + (seen - usual) * weight * target.learned.trust
+        estimate = usual + (seen - usual) * weight
+        trust = target.learned.trust
+        if trust < 1:
+            known = self.typicals.get(target.service)
+            common = usual if known is None else known.others
+            estimate = trust * estimate + (1 - trust) * common
+        return estimate
 
     def expected_load(self, target: TargetState, now: Deadline) -> float:
         """Return how many requests are thought to be at `target` now."""
@@ -143,7 +194,8 @@
         learned = target.learned
         ahead = max(0.0, waiting + 1 - target.slots) / target.slots
         service = max(0.0, latency - self.network(target)) / (1 + ahead)
-        limit = self.typical * self.settings.balance.slow_ratio
+        self._weigh_report(target, service)
+        limit = self._limit(target.service)
         if learned.service_seconds is None:
             learned.service_seconds = service
         elif service < limit < learned.service_seconds:
@@ -153,14 +205,20 @@
             step = SERVICE_WEIGHT * (service - learned.service_seconds)
             learned.service_seconds += step
         learned.shed_count = 0
+        learned.adopted = False
         report = target.report
         if report is not None:
             seen = max(0, report.in_flight - report.own_in_flight)
             learned.others += OTHERS_WEIGHT * (seen - learned.others)
         if learned.service_seconds > limit:
+            learned.slow = True
+            if learned.service_seconds > TELL_RATIO * limit:
+                self.changed.append(target)
             self._postpone_trial(target, now)
-        else:
+        elif learned.slow:
+            learned.slow = False
             learned.trial_count = 0
+            self.changed.append(target)
 
     def shed(self, target: TargetState, now: Deadline) -> None:
         """Send nothing there for a short time, longer at each repeat."""
@@ -187,16 +245,70 @@
         service = target.learned.service_seconds
         return service is not None and service > limit
 
-    def _typical_service(self, candidates: Sequence[TargetState]) -> float:
-        known = [
+    def _take_peer_word(
+        self, target: TargetState, limit: float, now: Deadline
+    ) -> None:
+        learned = target.learned
+        learned.peer_seen = learned.peer_at
+        answered = target.last_answer_at
+        if answered is not None and answered >= learned.peer_at:
+            return
+        told = learned.peer_service_seconds
+        if told > TELL_RATIO * limit:
+            # One host's trial serves all, so it postpones this host's.
+            learned.service_seconds = max(learned.service_seconds or 0, told)
+            learned.slow = True
+            learned.adopted = True
+            self._postpone_trial(target, now)
+        elif learned.slow:
+            learned.trial_at = now
+
+    def typical(self, service: ServiceId) -> float:
+        """Return the middle service time of a service's targets."""
+        known = self.typicals.get(service)
+        return UNKNOWN_SERVICE_SECONDS if known is None else known.seconds
+
+    def take_changed(self) -> Sequence[TargetState]:
+        """Return targets found slow, or no longer so, since the last call."""
+        if not self.changed:
+            return ()
+        changed = self.changed
+        self.changed = []
+        return changed
+
+    def _limit(self, service: ServiceId) -> float:
+        return self.typical(service) * self.settings.balance.slow_ratio
+
+    def _weigh_report(self, target: TargetState, service: float) -> None:
+        # An answer far later than the reports let expect speaks against
+        # them: the target hides a queue.
+        learned = target.learned
+        if service > DISAGREE_RATIO * self.typical(target.service):
+            learned.trust *= DISTRUST_FACTOR
+        else:
+            learned.trust += TRUST_WEIGHT * (1 - learned.trust)
+
+    def _update_typical(
+        self, candidates: Sequence[TargetState], now: Deadline
+    ) -> float:
+        service = candidates[0].service
+        known = self.typicals.get(service)
+        if known is not None and now < known.valid_until:
+            return known.seconds
+        times = [
             target.learned.service_seconds
             for target in candidates
             if target.learned.service_seconds is not None
         ]
-        if not known:
+        if not times:
             return UNKNOWN_SERVICE_SECONDS
-        known.sort()
-        return known[len(known) // 2]
+        times.sort()
+        seconds = times[len(times) // 2]
+        others = sorted(target.learned.others for target in candidates)
+        self.typicals[service] = Typical(
+            seconds, others[len(others) // 2], now + TYPICAL_SECONDS
+        )
+        return seconds
 
 
 def expected_wait(own: int, others: float, slots: int) -> float:
--- a/agatetack/balance/learned.py
+++ b/agatetack/balance/learned.py
@@ -9,6 +9,11 @@
 
     Attributes:
         service_seconds: Time one request takes on a free slot, or None.
+        peer_service_seconds: The same, as another host lately told it.
+        peer_at: When the other host measured that.
+        peer_seen: The last `peer_at` that was weighed.
+        adopted: Whether the service time is a peer's and not learned here.
+        slow: Whether this host found it slow.
         others: Usual number of other hosts' requests there.
         trust: How well reports agreed with latency, from 0 to 1.
         limit: The adaptive limit before rounding.
@@ -20,6 +25,11 @@
     """
 
     service_seconds: float | None = None
+    peer_service_seconds: float = 0.0
+    peer_at: float = float("-inf")
+    peer_seen: float = float("-inf")
+    adopted: bool = False
+    slow: bool = False
     others: float = 0.0
     trust: float = 1.0
     limit: float = 0.0
@@ -28,3 +38,9 @@
     trial_at: float = 0.0
     trial_count: int = 0
     sent: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def out_seconds(self, now: float) -> float:
+        """Return how long the oldest request still there has been out."""
+        for started in self.sent.values():
+            return now - started
+        return 0.0
--- a/agatetack/balance/policy.py
+++ b/agatetack/balance/policy.py
@@ -43,6 +43,10 @@
     def failed(self, target: TargetState, now: Deadline) -> None:  # noqa: B027
         """Learn that an attempt at `target` failed."""
 
+    def take_changed(self) -> Sequence[TargetState]:
+        """Return targets found slow, or no longer so, since the last call."""
+        return ()
+
     def expected_load(self, target: TargetState, now: Deadline) -> float:
         """Return how many requests are thought to be at `target` now."""
         if target.report is None:
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -1,5 +1,7 @@
 """Share load reports and leaving signs with the other hosts."""
 
+from collections.abc import Sequence
+
 import trio
 import xxhash
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -24,6 +26,9 @@
 FRAME_BYTES = 60
 """What a message costs on the wire besides its payload."""
 
+CHANGED_RESERVE_BYTES = 80
+"""Kept for each peer, to tell of a slow target without waiting."""
+
 LEAST_INTERVAL_SECONDS = 0.01
 """Shortest time between two messages."""
 
@@ -66,6 +71,7 @@
         self.hashes: dict[int, TargetState] = {}
         self.hashed_targets = 0
         registry.report_watchers.append(self._measured)
+        registry.changed_watchers.append(self._send_changed)
         registry.leaving_watchers.append(self._send_sign)
         registry.watchers.append(self._targets_changed)
         exchange.subscribe(Topic.LOAD_SAMPLES, self._take_samples)
@@ -78,27 +84,34 @@
             peers = len(self.exchange.live_peers())
             if not self.fresh or not peers:
                 continue
-            payload = self._encode(Deadline(trio.current_time()))
-            cost = (len(payload) + FRAME_BYTES) * peers
-            ready_at = self.bucket.ready_at(cost)
-            if ready_at > trio.current_time():
-                await trio.sleep_until(min(ready_at, trio.current_time() + 1.0))
-                payload = self._encode(Deadline(trio.current_time()))
-                cost = (len(payload) + FRAME_BYTES) * peers
-            if not self.bucket.take(cost):
-                continue
-            self.fresh.clear()
-            self.exchange.publish(Topic.LOAD_SAMPLES, payload)
-            self.metrics.budget_spent.add({"unit": "bytes"}, cost)
-
-    def _encode(self, now: Deadline) -> bytes:
-        latest = list(self.fresh.values())[-MAX_SAMPLES:]
+            latest = list(self.fresh.values())[-MAX_SAMPLES:]
+            if self._send(latest, peers, CHANGED_RESERVE_BYTES * peers):
+                self.fresh.clear()
+
+    def _send_changed(self, target: TargetState) -> None:
+        """Tell peers of a target at once, if the budget allows."""
+        peers = len(self.exchange.live_peers())
+        if peers and not self._send([target], peers, 0):
+            self._drop("changed-over-budget")
+
+    def _send(
+        self, targets: Sequence[TargetState], peers: int, reserve: int
+    ) -> bool:
+        """Send samples if `reserve` bytes are left; return whether."""
+        now = Deadline(trio.current_time())
         samples = [
             self._sample(target, target.report, now)
-            for target in latest
+            for target in targets
             if target.report is not None
         ]
-        return serialize(LoadSamples(samples=samples), self.protocols)
+        payload = serialize(LoadSamples(samples=samples), self.protocols)
+        cost = (len(payload) + FRAME_BYTES) * peers
+        self.bucket.refill()
+        if self.bucket.tokens < cost + reserve or not self.bucket.take(cost):
+            return False
+        self.exchange.publish(Topic.LOAD_SAMPLES, payload)
+        self.metrics.budget_spent.add({"unit": "bytes"}, cost)
+        return True
 
     def _sample(
         self, target: TargetState, report: LoadReport, now: Deadline
@@ -112,7 +125,8 @@
         if age_ms > 0:
             sample.age_ms = age_ms
         service = target.learned.service_seconds
-        if service is not None:
+        # A peer's word that went round would look like ever new evidence.
+        if service is not None and not target.learned.adopted:
             sample.service_us = round(service * 1e6)
         return sample
 
@@ -147,6 +161,9 @@
             source=ReportSource.PEER,
         )
         self.registry.note_report(target, report)
+        if sample.service_us and at > target.learned.peer_at:
+            target.learned.peer_service_seconds = sample.service_us / 1e6
+            target.learned.peer_at = at
 
     def _send_sign(self, target: TargetState, sign: LeavingSign) -> None:
         message = TargetSign(target=target.id, sign=SIGN_NUMBERS[sign])
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -89,6 +89,8 @@
         changes: How often the set of known targets has changed.
         choice_watchers: Called with the service after each choice, so that
             probes go where choices are made.
+        changed_watchers: Called with a target that this host found slow, or
+            no longer so.
         leaving_watchers: Called with the target and the sign when this host
             itself sees a sign, so that peers can be told.
     """
@@ -108,6 +110,7 @@
         ] = []
         self.changes = 0
         self.choice_watchers: list[Callable[[ServiceId], None]] = []
+        self.changed_watchers: list[Callable[[TargetState], None]] = []
         self.leaving_watchers: list[
             Callable[[TargetState, LeavingSign], None]
         ] = []
@@ -115,6 +118,10 @@
             "agatetack_leaving_signs_total",
             "Signs that a target is leaving, by sign.",
         )
+        self.slow = metrics.counter(
+            "agatetack_targets_slow_total",
+            "Times that a target was found slow and left alone, by service.",
+        )
         self.returned = metrics.counter(
             "agatetack_targets_returned_total",
             "Targets that got new work again after a sign of leaving.",
@@ -199,6 +206,13 @@
             for watcher in self.leaving_watchers:
                 watcher(target, why)
 
+    def note_changed(self, target: TargetState) -> None:
+        """Note that this host found `target` slow, or no longer so."""
+        if target.learned.slow:
+            self.slow.inc({"service": target.service})
+        for watcher in self.changed_watchers:
+            watcher(target)
+
     def note_probe(self, target: TargetState, state: ReportedState) -> None:
         """Weigh what the load endpoint, reached just now, says of a target."""
         now = Deadline(trio.current_time())
