Say "unknown" of a key that is refused before its claim is looked for

Cause: a retry of a payout that reaches a host without configuration, or is refused for its size or deadline, was told "not run" although an earlier attempt with the key may have run; the caller might then use a new key. Change: such refusals of a request with a key are "unknown" on never-repeated and unmatched routes; 429 and 503 always say when to come back; the settings of a start are checked with all findings at once, and dropped log lines counted.

--- a/agatetack/commands.py
+++ b/agatetack/commands.py
@@ -38,16 +38,18 @@
         config: The settings file.
     """
     from agatetack.daemon import run_gateway
-    from agatetack.logs import set_up_logs
+    from agatetack.logs import PartLog, set_up_logs
     from agatetack.settings.findings import render_findings
-    from agatetack.settings.loader import load_settings
-
-    loaded = load_settings(config)
-    if not is_successful(loaded):
-        raise SettingsError(render_findings(loaded.failure()))
-    settings = loaded.unwrap()
-    set_up_logs(settings.logs)
-    return trio.run(run_gateway, settings)
+    from agatetack.settings.loader import check_settings
+    from agatetack.settings.start_checks import find_start_misfits
+
+    checked = check_settings(config, find_start_misfits)
+    if checked.settings is None:
+        raise SettingsError(render_findings(checked.findings))
+    set_up_logs(checked.settings.logs)
+    for finding in checked.findings:
+        PartLog("settings").warning("%s", render_findings([finding]))
+    return trio.run(run_gateway, checked.settings)
 
 
 def demo() -> int:
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -7,7 +7,8 @@
 from agatetack.collector import tune_collector
 from agatetack.gateway import Gateway
 from agatetack.lifecycle.drain import STOP_SIGNALS, DrainReport
-from agatetack.logs import PartLog
+from agatetack.logs import PartLog, count_drops
+from agatetack.metrics import Metrics
 from agatetack.operators.app import serve_operators
 from agatetack.operators.host_backend import HostBackend
 from agatetack.platform.http_host_list import HttpHostList
@@ -68,6 +69,14 @@
             await gateway.stops.send(signal)
 
 
+def _count_dropped_lines(metrics: Metrics) -> None:
+    count_drops(
+        lambda reason: metrics.dropped.inc(
+            {"part": "logs", "reason": reason.value}
+        )
+    )
+
+
 async def run_gateway(settings: Settings) -> int:
     """Run one host with the platform's services, until it is stopped.
 
@@ -77,6 +86,7 @@
     platform_log = HttpLog(settings)
     host_list = HttpHostList(settings)
     gateway = Gateway(settings, platform_log, host_list)
+    _count_dropped_lines(gateway.metrics)
     tune_collector()
     try:
         async with trio.open_nursery() as nursery:
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -1,6 +1,7 @@
 """Turn each request into an answer: match, check, run, refuse."""
 
 import abc
+import dataclasses
 
 import trio
 from returns.result import Failure, Result
@@ -11,11 +12,14 @@
 from agatetack.logs import PartLog
 from agatetack.messages import Answer, CallerRequest, Handler, Header
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.serving.explain import Explanations
 from agatetack.settings.model import Settings
 
+COME_BACK_STATUSES = frozenset({429, 503})
+"""Refusals that always say when to come back."""
+
 log = PartLog("serving")
 
 
@@ -72,7 +76,7 @@
         try:
             found = self._find_route(request)
             if isinstance(found, Refusal):
-                return self._refuse(None, request, found)
+                return self._refuse(None, request, _doubted(request, found))
             route = found
             result = await self._run(route, request)
         except Exception as error:
@@ -112,6 +116,8 @@
         self.metrics.requests.inc({"route": route.id})
         refusal = self._check(route, request)
         if refusal is not None:
+            if route.request_class is RequestClass.ONCE:
+                refusal = _doubted(request, refusal)
             return Failure(refusal)
         return await self.runners[route.request_class].run(route, request)
 
@@ -135,6 +141,8 @@
     def _refuse(
         self, route: Route | None, request: CallerRequest, refusal: Refusal
     ) -> Answer:
+        if refusal.status in COME_BACK_STATUSES and refusal.retry_at is None:
+            refusal = dataclasses.replace(refusal, retry_at=self._soon())
         route_id = None if route is None else route.id
         self.metrics.refused(route_id, refusal.reason)
         self.explanations.note(request, route, refusal.status, refusal)
@@ -150,3 +158,14 @@
         name = self.request_id_name
         answer.headers.append(Header(name, request.request_id.encode()))
         return answer
+
+
+def _doubted(request: CallerRequest, refusal: Refusal) -> Refusal:
+    """Return a refusal that is true of earlier attempts with the key too.
+
+    It is given before the key's claim is looked for, so an earlier attempt
+    may have run, and a caller who reads "not run" might use a new key.
+    """
+    if request.key is None:
+        return refusal
+    return dataclasses.replace(refusal, outcome=Outcome.UNKNOWN)
--- /dev/null
+++ b/agatetack/serving/test_dispatcher.py
@@ -0,0 +1,189 @@
+"""Check how requests are matched, refused and explained."""
+
+import orjson
+import pytest
+import trio
+from returns.result import Failure, Success
+
+from agatetack.config.route import (
+    RequestClass,
+    Route,
+    RouteSource,
+    RouteTable,
+)
+from agatetack.ids import (
+    CallerId,
+    Deadline,
+    IdempotencyKey,
+    RequestId,
+    RouteId,
+    ServiceId,
+    TeamId,
+)
+from agatetack.messages import (
+    Answer,
+    BytesBody,
+    CallerRequest,
+    Handler,
+    find_header,
+)
+from agatetack.metrics import Metrics
+from agatetack.outcomes import Outcome, RefusalReason, RetryReason, refuse
+from agatetack.quarantine.tracker import CrashTracker
+from agatetack.serving.dispatcher import ClassRunner, Dispatcher
+from agatetack.serving.explain import Explanations
+from agatetack.settings.defaults import default_settings
+
+SETTINGS = default_settings()
+QUEUE_FULL = refuse(RefusalReason.QUEUE_FULL, "full")
+
+
+def route(name, request_class=RequestClass.FAST, **fields):
+    return Route(
+        RouteId(name),
+        TeamId("t"),
+        ServiceId(name),
+        request_class,
+        f"/{name}",
+        **fields,
+    )
+
+
+ROUTES = [
+    route("fast", deadline_seconds=2.0, max_body_bytes=3),
+    route("once", RequestClass.ONCE, max_body_bytes=3),
+    route("broken"),
+    route("full"),
+]
+
+
+class Runner(ClassRunner):
+    """Answers, refuses or fails, by the route's id."""
+
+    def __init__(self):
+        self.requests = []
+
+    async def run(self, route, request):
+        await trio.lowlevel.checkpoint()
+        self.requests.append(request)
+        if route.id == "broken":
+            raise ValueError("a bug")
+        if route.id == "full":
+            return Failure(QUEUE_FULL)
+        return Success(Answer(200, [], BytesBody(b"ok")))
+
+
+class Tickets(Handler):
+    """Answers every poll."""
+
+    async def handle(self, request):
+        return Answer(204, [], BytesBody(b""))
+
+
+class NoCrashes(CrashTracker):
+    """Suspects nothing."""
+
+    def check(self, route, request):
+        return None
+
+    def connection_lost(self, route, request, target):
+        pass
+
+    def answered(self, route, request):
+        pass
+
+
+def make_dispatcher(table):
+    runner = Runner()
+    runners = {request_class: runner for request_class in RequestClass}
+    return Dispatcher(
+        SETTINGS,
+        RouteSource(table),
+        runners,
+        Tickets(),
+        NoCrashes(),
+        Explanations(),
+        Metrics(),
+    )
+
+
+def make_request(path, key=None, body=b"", left=None):
+    now = trio.current_time()
+    return CallerRequest(
+        request_id=RequestId("r1"),
+        caller=CallerId("c"),
+        method=b"POST",
+        path=path,
+        host=b"a",
+        headers=[],
+        body=BytesBody(body),
+        deadline=Deadline(now + (10 if left is None else left)),
+        key=None if key is None else IdempotencyKey(key),
+        arrived=Deadline(now),
+        deadline_given=left is not None,
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "body", "left", "status", "reason", "outcome"),
+    [
+        (b"/fast", None, b"", None, 200, None, None),
+        (b"/fast/x?y=1", None, b"", None, 200, None, None),
+        (b"/faster", None, b"", None, 404, "no-route", "not-run"),
+        (b"/none", None, b"", None, 404, "no-route", "not-run"),
+        (b"/none", "k", b"", None, 404, "no-route", "unknown"),
+        (b"/fast", None, b"long", None, 413, "body-too-large", "not-run"),
+        (b"/fast", "k", b"long", None, 413, "body-too-large", "not-run"),
+        (b"/once", "k", b"long", None, 413, "body-too-large", "unknown"),
+        (b"/fast", None, b"", 0, 503, "cannot-meet-deadline", "not-run"),
+        (b"/once", "k", b"", 0, 503, "cannot-meet-deadline", "unknown"),
+        (b"/broken", None, b"", None, 500, "internal-error", "unknown"),
+        (b"/full", None, b"", None, 503, "queue-full", "not-run"),
+        (b"/agatetack/tickets/1", None, b"", None, 204, None, None),
+    ],
+)
+async def test_each_request_gets_one_answer_and_reason(
+    path, key, body, left, status, reason, outcome, autojump_clock
+):
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    request = make_request(path, key, body, left)
+    answer = await dispatcher.handle(request)
+    assert answer.status == status
+    if reason is None:
+        return
+    assert find_header(answer.headers, b"x-reason") == reason.encode()
+    assert find_header(answer.headers, b"x-outcome") == outcome.encode()
+    problem = orjson.loads(answer.body.content)
+    assert problem["request_id"] == "r1"
+    assert (find_header(answer.headers, b"retry-after") is not None) is (
+        status == 503
+    )
+    note = dispatcher.explanations.find(RequestId("r1"))[0]
+    assert note.refusal.reason.value == reason
+
+
+async def test_without_configuration_nothing_is_run(autojump_clock):
+    dispatcher = make_dispatcher(None)
+    answer = await dispatcher.handle(make_request(b"/fast"))
+    assert answer.status == 503
+    assert find_header(answer.headers, b"x-outcome") == b"not-run"
+
+
+async def test_the_routes_deadline_stands_in_for_the_callers(autojump_clock):
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    request = make_request(b"/fast")
+    await dispatcher.handle(request)
+    assert request.deadline - request.arrived == pytest.approx(2.0)
+
+
+def test_every_reason_has_a_counter_from_the_start():
+    text = Metrics().render()[0].decode()
+    for reason in (*RefusalReason, *RetryReason):
+        assert f'reason="{reason.value}"' in text
+
+
+def test_every_reason_has_a_status_and_an_outcome():
+    for reason in RefusalReason:
+        refusal = refuse(reason, "")
+        assert 400 <= refusal.status <= 599
+        assert isinstance(refusal.outcome, Outcome)
