Test the prober, shared samples and the HTTP load probe

Cause: measuring had tests for its budget only. Change: tables of what probes, samples and signs show, and of load endpoints' answers.

--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -24,6 +24,9 @@
 SAMPLE_BURST_BYTES = 4096
 """Bytes of samples that may be saved up at least."""
 
+LOOK_AGAIN_SECONDS = 0.05
+"""Longest time between two looks at a budget that is spent."""
+
 LEAVING_PROBE_SECONDS = 1.0
 """Least time between two probes of targets that may return."""
 
@@ -143,8 +146,8 @@
             self.probes.ready_at(), self.probe_bytes.ready_at(PROBE_BYTES)
         )
         now = trio.current_time()
-        # Shares change with the fleet, so look again after a second.
-        return min(max(ready_at, now + 0.001), now + 1.0)
+        # Probes on their way may give bytes back before that.
+        return min(max(ready_at, now + 0.001), now + LOOK_AGAIN_SECONDS)
 
     def _pick(self) -> TargetState | None:
         """Return the target whose report would tell most, or None."""
--- /dev/null
+++ b/agatetack/measure/test_http_probe.py
@@ -0,0 +1,118 @@
+"""Test what the load endpoint's answers are taken for."""
+
+import functools
+
+import pytest
+import trio
+
+from agatetack.ids import Deadline
+from agatetack.measure.http_probe import HttpProbe
+from agatetack.measure.probe import ProbeFailure
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import ReportedState
+from agatetack.targets.state import TargetState
+
+HEADERS = b"x-target-in-flight: 3\r\nX-Target-Slots: 4\r\n"
+READY = ReportedState.READY
+
+
+def answer(headers=b"", body=b"", status=b"200 OK"):
+    length = b"content-length: %d\r\n" % len(body)
+    return b"HTTP/1.1 " + status + b"\r\n" + length + headers + b"\r\n" + body
+
+
+async def serve(content, requests, stream):
+    while data := await stream.receive_some(1000):
+        requests.append(data)
+        if content is None:
+            await trio.sleep_forever()
+        await stream.send_all(content)
+        if not content:
+            await stream.aclose()
+            return
+
+
+async def ask(content, times=1):
+    """Return the results, and the requests that a fake target got."""
+    requests = []
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            functools.partial(
+                trio.serve_tcp,
+                functools.partial(serve, content, requests),
+                0,
+                host="127.0.0.1",
+            )
+        )
+        port = listeners[0].socket.getsockname()[1]
+        target = TargetState("t", "s", "127.0.0.1", port, "d")
+        probe = HttpProbe(default_settings())
+        results = []
+        for _ in range(times):
+            deadline = Deadline(trio.current_time() + 0.3)
+            results.append(await probe.probe(target, deadline, 600))
+        opened = len(probe.idle)
+        nursery.cancel_scope.cancel()
+    return results, requests, opened
+
+
+@pytest.mark.parametrize(
+    ("content", "in_flight", "slots", "state"),
+    [
+        (answer(HEADERS), 3, 4, READY),
+        (answer(b"x-target-in-flight: 0\r\n"), 0, None, READY),
+        (
+            answer(HEADERS + b"x-target-state: draining\r\n"),
+            3,
+            4,
+            ReportedState.DRAINING,
+        ),
+        (answer(HEADERS + b"x-target-state: odd\r\n"), 3, 4, READY),
+        (
+            answer(body=b'{"in_flight": 5, "slots": 2, "state": "cold"}'),
+            5,
+            2,
+            ReportedState.COLD,
+        ),
+        (answer(HEADERS, b'{"in_flight": 5}'), 3, 4, READY),
+    ],
+)
+async def test_report(content, in_flight, slots, state):
+    results, requests, idle = await ask(content, times=2)
+    for result in results:
+        found = result.unwrap()
+        assert (found.in_flight, found.slots) == (in_flight, slots)
+        assert found.state is state
+        assert found.used_bytes == len(requests[0]) + len(content)
+    # The connection is kept for the next probe.
+    assert idle == 1
+
+
+@pytest.mark.parametrize(
+    ("content", "failure"),
+    [
+        (answer(), ProbeFailure.MALFORMED),
+        (answer(body=b'{"in_flight": "x"}'), ProbeFailure.MALFORMED),
+        (answer(body=b"{"), ProbeFailure.MALFORMED),
+        (answer(body=b"[" * 5000), ProbeFailure.MALFORMED),
+        (answer(b"x-target-in-flight: \r\n"), ProbeFailure.MALFORMED),
+        (answer(status=b"500 No"), ProbeFailure.MALFORMED),
+        (b"junk\r\n\r\n", ProbeFailure.MALFORMED),
+        (b"", ProbeFailure.LOST),
+        (None, ProbeFailure.TIMEOUT),
+    ],
+)
+async def test_no_report(content, failure):
+    results, _, idle = await ask(content)
+    assert results[0].failure() is failure
+    assert idle == 0
+
+
+async def test_refused():
+    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    port = listener.socket.getsockname()[1]
+    await listener.aclose()
+    target = TargetState("t", "s", "127.0.0.1", port, "d")
+    deadline = Deadline(trio.current_time() + 1)
+    result = await HttpProbe(default_settings()).probe(target, deadline, 600)
+    assert result.failure() is ProbeFailure.REFUSED
--- /dev/null
+++ b/agatetack/measure/test_prober.py
@@ -0,0 +1,256 @@
+"""Test probes, shared samples and leaving signs within the budget."""
+
+import pytest
+import trio
+import trio.testing
+from returns.result import Failure, Success
+
+from agatetack.ids import Deadline, HostId
+from agatetack.measure.budget import START_SECONDS
+from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
+from agatetack.measure.prober import Prober
+from agatetack.measure.samples import target_hash
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import NoExchange, Peer, Topic
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import (
+    LeavingSign,
+    ReportedState,
+    TargetRegistry,
+)
+from agatetack.targets.state import LoadReport, ReportSource, TargetStatus
+from agatetack.testing.targets import SERVICE, listed_target
+
+
+class FakeProbe(ProbeClient):
+    """Answer every probe alike and keep count."""
+
+    def __init__(self):
+        self.result = Success(ProbeAnswer(3, 2, ReportedState.READY, 200))
+        self.probed = []
+
+    async def probe(self, target, deadline, max_bytes):
+        self.probed.append(target.id)
+        await trio.sleep(0.001)
+        return self.result
+
+
+class Wire(NoExchange):
+    """Join two hosts; what one publishes the other takes at once."""
+
+    def __init__(self):
+        self.other = None
+        self.handlers = {}
+        self.sent = []
+
+    def publish(self, topic, payload):
+        self.sent.append((topic, payload))
+        self.other.handlers[topic](HostId("peer"), payload)
+
+    def subscribe(self, topic, handler):
+        self.handlers[topic] = handler
+
+    def live_peers(self):
+        return [Peer(HostId("peer"), 1, "domain-a", False)]
+
+    def fleet_size(self):
+        return 2
+
+
+class Host:
+    """One host's registry and prober."""
+
+    def __init__(self, exchange, targets=3, **measure):
+        settings = default_settings(measure=measure)
+        self.registry = TargetRegistry(settings, Metrics())
+        self.probe = FakeProbe()
+        self.metrics = Metrics()
+        self.prober = Prober(
+            settings, self.registry, exchange, self.metrics, self.probe
+        )
+        self.registry.update([listed_target(n + 1) for n in range(targets)])
+        self.targets = self.registry.targets(SERVICE)
+
+    def choose(self):
+        """Do as admission does at each choice."""
+        for watcher in self.registry.choice_watchers:
+            watcher(SERVICE)
+
+    def report(self, target, in_flight, source=ReportSource.ANSWER):
+        """Take a report made just now."""
+        now = Deadline(trio.current_time())
+        self.registry.note_report(
+            target, LoadReport(in_flight, 2, 0, now, source)
+        )
+
+
+def joined():
+    first, second = Wire(), Wire()
+    first.other, second.other = second, first
+    return Host(first), Host(second)
+
+
+async def run_for(seconds, host, every=0.01):
+    """Run the prober while choices are made."""
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(host.prober.run)
+            while True:
+                host.choose()
+                await trio.sleep(every)
+
+
+@pytest.mark.parametrize(
+    ("targets", "measure", "least", "most"),
+    [
+        (3, {"probes_per_second": 20}, 95, 100),
+        (3, {"probes_per_second": 0}, 0, 0),
+        # One target leaves no choice to be made.
+        (1, {"probes_per_second": 20}, 0, 0),
+        # Bytes run out before probes do; half of them are for samples.
+        (3, {"probes_per_second": 100, "bytes_per_second": 4000}, 40, 51),
+    ],
+)
+async def test_probes_keep_to_the_budget(
+    autojump_clock, targets, measure, least, most
+):
+    host = Host(NoExchange(), targets, **measure)
+    await run_for(START_SECONDS + 5, host)
+    assert least <= len(host.probe.probed) <= most
+
+
+async def test_no_choice_no_probe(autojump_clock):
+    host = Host(NoExchange())
+    await run_for(START_SECONDS + 5, host, every=100)
+    assert len(host.probe.probed) <= 1
+
+
+async def test_least_known_target_is_probed(autojump_clock):
+    host = Host(NoExchange())
+    await run_for(START_SECONDS + 0.05, host)
+    for target in host.targets:
+        if target is not host.targets[1]:
+            host.report(target, 1)
+    host.targets[1].report = None
+    host.probe.probed.clear()
+    host.probe.result = Failure(ProbeFailure.TIMEOUT)
+    await run_for(1, host)
+    assert set(host.probe.probed) == {host.targets[1].id}
+
+
+@pytest.mark.parametrize(
+    ("result", "status", "in_flight"),
+    [
+        (
+            Success(ProbeAnswer(3, 2, ReportedState.READY, 200)),
+            TargetStatus.COLD,
+            3,
+        ),
+        (
+            Success(ProbeAnswer(3, 2, ReportedState.DRAINING, 200)),
+            TargetStatus.LEAVING,
+            3,
+        ),
+        (Failure(ProbeFailure.REFUSED), TargetStatus.LEAVING, None),
+        # A load endpoint that says nothing says nothing about the target.
+        (Failure(ProbeFailure.TIMEOUT), TargetStatus.COLD, None),
+        (Failure(ProbeFailure.MALFORMED), TargetStatus.COLD, None),
+    ],
+)
+async def test_what_a_probe_shows(autojump_clock, result, status, in_flight):
+    host = Host(NoExchange())
+    host.probe.result = result
+    await run_for(START_SECONDS + 3, host)
+    target = host.registry.by_id[host.probe.probed[0]]
+    assert target.status is status
+    seen = None if target.report is None else target.report.in_flight
+    assert seen == in_flight
+
+
+async def test_target_that_refused_returns_by_probe(autojump_clock):
+    host = Host(NoExchange(), targets=1)
+    target = host.targets[0]
+    host.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
+    with trio.move_on_after(30):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(host.prober.run)
+            while True:
+                host.registry.update([listed_target(1)])
+                await trio.sleep(1)
+    assert target.status is TargetStatus.COLD
+    assert host.registry.targets(SERVICE) == (target,)
+
+
+async def test_peers_take_samples(autojump_clock):
+    sender, taker = joined()
+    with trio.move_on_after(START_SECONDS + 3):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sender.prober.run)
+            await trio.sleep(START_SECONDS + 1)
+            sender.report(sender.targets[0], 7)
+            sender.targets[0].learned.service_seconds = 0.02
+    report = taker.targets[0].report
+    assert (report.in_flight, report.source) == (7, ReportSource.PEER)
+    assert taker.targets[0].learned.peer_service_seconds == 0.02
+    assert taker.targets[1].report is None
+    # The taker does not send on what it was told.
+    assert not taker.prober.sharing.fresh
+
+
+async def test_samples_keep_to_the_budget(autojump_clock):
+    sender, _ = joined()
+    with trio.move_on_after(START_SECONDS + 10):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sender.prober.run)
+            while True:
+                for target in sender.targets:
+                    sender.report(target, 1)
+                await trio.sleep(0.001)
+    sharing = sender.prober.sharing
+    assert 0 < sharing.bucket.spent <= sharing.bucket.rate * 10
+    payloads = [len(p) for _, p in sharing.exchange.sent]
+    assert sum(payloads) <= sharing.bucket.spent
+
+
+@pytest.mark.parametrize("ratio", [10.0, 1.0])
+async def test_peer_is_told_at_once_of_a_change(autojump_clock, ratio):
+    sender, taker = joined()
+    sender.prober.sharing.bucket.tokens = 4000
+    sender.report(sender.targets[0], 7)
+    sender.targets[0].learned.service_seconds = 0.01 * ratio
+    sender.registry.note_changed(sender.targets[0])
+    told = taker.targets[0].learned.peer_service_seconds
+    assert told == pytest.approx(0.01 * ratio)
+
+
+async def test_adopted_service_time_is_not_sent_on(autojump_clock):
+    sender, taker = joined()
+    sender.prober.sharing.bucket.tokens = 4000
+    sender.report(sender.targets[0], 7)
+    sender.targets[0].learned.service_seconds = 0.1
+    sender.targets[0].learned.adopted = True
+    sender.registry.note_changed(sender.targets[0])
+    assert taker.targets[0].learned.peer_service_seconds == 0
+
+
+async def test_leaving_sign_reaches_peers_once(autojump_clock):
+    sender, taker = joined()
+    sender.registry.note_leaving(sender.targets[0], LeavingSign.CONNECT_REFUSED)
+    assert taker.targets[0].status is TargetStatus.LEAVING
+    assert len(sender.prober.sharing.exchange.sent) == 1
+    assert not taker.prober.sharing.exchange.sent
+
+
+@pytest.mark.parametrize("topic", [Topic.LOAD_SAMPLES, Topic.TARGET_SIGNS])
+@pytest.mark.parametrize("payload", [b"", b"\xff" * 40, b"\x19\xfc\xff\xff"])
+async def test_malformed_message_is_dropped(autojump_clock, topic, payload):
+    host, _ = joined()
+    host.prober.sharing.exchange.handlers[topic](HostId("x"), payload)
+    assert len(host.registry.targets(SERVICE)) == 3
+    assert b"malformed" in host.metrics.render()[0]
+
+
+async def test_hashes_follow_the_list(autojump_clock):
+    host, _ = joined()
+    host.registry.update([listed_target(9)])
+    assert set(host.prober.sharing.hashes) == {target_hash("10.0.0.9:80")}
