--- a/agatetack/operators/app.py
+++ b/agatetack/operators/app.py
@@ -187,7 +187,7 @@
             nursery.start_soon(tls.run)
         binds = await nursery.start(hypercorn.trio.serve, app, config)
         port = urllib.parse.urlsplit(binds[0]).port
-        log.info("operators are served on %s", binds[0])
+        log.info("Operators are served on %s.", binds[0])
         task_status.started(port)
 
 
--- a/agatetack/operators/host_backend.py
+++ b/agatetack/operators/host_backend.py
@@ -26,7 +26,6 @@
     RouteId,
     TargetId,
 )
-from agatetack.logs import PartLog
 from agatetack.operators import refusals, request_views, views
 from agatetack.operators.backend import OperatorsBackend, RequestedChange
 from agatetack.operators.claim_view import claim_views
@@ -64,8 +63,6 @@
     ChangeStatus.UNKNOWN: views.ChangeState.UNKNOWN,
 }
 
-log = PartLog("operators")
-
 
 class HostBackend(OperatorsBackend):
     """One host as its operators see it."""
@@ -248,7 +245,6 @@
                     "No suspected request has this fingerprint.",
                 )
             )
-        log.info("%s released request %s.", author, fingerprint)
         return Success(None)
 
     async def drain_target(
@@ -263,13 +259,10 @@
                 )
             )
         self.gateway.drains.set(target, drained)
-        word = "drained" if drained else "undrained"
-        log.info("%s %s target %s.", author, word, target)
         return Success(None)
 
     def drain_host(self, author: str, message: str) -> None:
         """Begin this host's graceful stop and return at once."""
-        log.info("%s drains this host: %s", author, message)
         try:
             self.gateway.stops.send_nowait(OPERATOR_STOP)
         except trio.WouldBlock:
--- a/agatetack/operators/host_calls.py
+++ b/agatetack/operators/host_calls.py
@@ -118,7 +118,7 @@
             await self.backend.release(request.fingerprint, operator.name)
         )
         log.info(
-            "%s released request %s of route %s",
+            "%s released request %s of route %s.",
             operator.name,
             entry.fingerprint,
             entry.route_id,
@@ -145,7 +145,7 @@
         operator.require_service(None)
         if request.message:
             checks.check_text("request.message", request.message)
-        log.info("%s drains this host: %s", operator.name, request.message)
+        log.info("%s drains this host: %s.", operator.name, request.message)
         self.backend.drain_host(operator.name, request.message)
         return views.Done()
 
@@ -184,7 +184,7 @@
             )
         )
         log.info(
-            "%s %s target %s of service %s",
+            "%s %s target %s of service %s.",
             operator.name,
             "drains" if drained else "undrains",
             target.target_id,
--- a/agatetack/operators/route_calls.py
+++ b/agatetack/operators/route_calls.py
@@ -295,8 +295,8 @@
 def _audit(operator: Operator, change: RequestedChange, result: str) -> None:
     """Write who changed what, and what became of it."""
     log.info(
-        "change %s by %s of team %s: %s route %s of service %s, expected"
-        " version %s: %s",
+        "Change %s by %s of team %s: %s route %s of service %s, expected"
+        " version %s: %s.",
         change.id,
         operator.name,
         operator.team or "-",
--- a/agatetack/operators/rpc.py
+++ b/agatetack/operators/rpc.py
@@ -170,7 +170,7 @@
             raise
         except Exception as error:  # The fault of this host, not the caller's.
             label = "internal-error"
-            log.error("call %s failed: %r", name, error)
+            log.error("Call %s failed: %r.", name, error)
             _set_error(
                 result,
                 Unavailable(
--- a/agatetack/operators/test_app.py
+++ b/agatetack/operators/test_app.py
@@ -269,7 +269,7 @@
     assert "/<b>&x" in tables["routes"][1]
 
 
-async def test_a_host_without_configuration_says_so(nursery, served):
+async def test_an_outage_of_the_log_says_when_to_come_back(served):
     served.backend.unavailable = Unavailable(
         UnavailableReason.LOG_UNAVAILABLE, "the log is out", 1000
     )
--- a/agatetack/operators/test_contract.py
+++ b/agatetack/operators/test_contract.py
@@ -173,7 +173,9 @@
     (won,) = [result for result in results if isinstance(result, int)]
     lost = [result for result in results if not isinstance(result, int)]
     assert {e.reason for e in lost} == {ChangeRejection.VERSION_CONFLICT}
+    winner = (await get(api, route)).route
     assert {error.current.version for error in lost} == {won}
+    assert {error.current.route for error in lost} == {winner}
     await delete(api, route, won)
 
 
--- a/agatetack/operators/test_fuzz.py
+++ b/agatetack/operators/test_fuzz.py
@@ -1,5 +1,7 @@
 """Send damaged and random messages: always a typed reply or a 400."""
 
+import math
+
 import hypothesis
 import pytest
 import trio
@@ -19,7 +21,23 @@
 from agatetack.operators.host_calls import HostCalls
 from agatetack.operators.route_calls import RouteCalls
 
-PROTOCOLS = (TBinaryProtocol, TCompactProtocol, TJSONProtocol)
+
+class QuotingJson(TJSONProtocol):
+    """Writes NaN and infinity in quotes, as Thrift's JSON is defined.
+
+    The library writes them bare, which its own reader does not take.
+    """
+
+    def writeDouble(self, number):  # noqa: N802
+        if math.isfinite(number):
+            super().writeDouble(number)
+        elif math.isnan(number):
+            self.writeJSONString("NaN")
+        else:
+            self.writeJSONString("Infinity" if number > 0 else "-Infinity")
+
+
+PROTOCOLS = (TBinaryProtocol, TCompactProtocol, QuotingJson)
 SENDER = Sender(b"Bearer root-token", "127.0.0.1")
 FEW = hypothesis.settings(
     derandomize=True, max_examples=150, deadline=None, database=None
@@ -88,6 +106,19 @@
     return result
 
 
+@pytest.mark.parametrize("number", [math.nan, math.inf, -math.inf])
+@pytest.mark.parametrize("protocol", [*PROTOCOLS, TJSONProtocol])
+def test_numbers_that_are_none_are_refused(protocol, number):
+    route = common.Route("r9", "panel", "profiles", 1, "/r9", "", number)
+    result = answer(encode(protocol, ttypes.ApplyRouteRequest(route, "c1")))
+    if protocol is TJSONProtocol:
+        # Written bare, it is no Thrift message.
+        assert result is None
+        return
+    (finding,) = result.rejected.findings
+    assert finding.place == "route.deadline_seconds"
+
+
 @FEW
 @hypothesis.given(strategies.sampled_from(PROTOCOLS), applies)
 def test_any_values_get_a_typed_reply(protocol, request):
@@ -134,7 +165,7 @@
 
 def cut_in_number(protocol):
     body = encode(protocol, GOOD)
-    return b"[1" if protocol is TJSONProtocol else body[:6]
+    return b"[1" if protocol is QuotingJson else body[:6]
 
 
 def huge_list(protocol):
--- a/agatetack/operators/test_route_calls.py
+++ b/agatetack/operators/test_route_calls.py
@@ -1,7 +1,6 @@
 """Test what operators may change and how a race between them ends."""
 
 import contextlib
-import dataclasses
 
 import pytest
 
@@ -22,7 +21,6 @@
     ApplyRouteRequest,
     DeleteRouteRequest,
     GetChangeRequest,
-    GetRouteRequest,
     ListRoutesRequest,
 )
 from agatetack.operators.route_calls import RouteCalls
@@ -61,15 +59,6 @@
         return await self.calls.delete_route(self.operator(who), request)
 
 
-async def test_a_created_route_is_in_force_with_its_author():
-    bench = Bench()
-    result = await bench.apply(NEW)
-    assert (result.version, result.previous) == (2, None)
-    request = GetRouteRequest(NEW.id)
-    record = await bench.calls.get_route(bench.operator(), request)
-    assert (record.author, record.version) == ("ann", 2)
-
-
 @pytest.mark.parametrize(
     ("route", "expected", "who", "error", "detail"),
     [
@@ -139,17 +128,6 @@
     assert bench.backend.records == before
 
 
-async def test_the_loser_of_a_race_is_told_the_winner():
-    bench = Bench()
-    slower = make_route("r1", deadline_seconds=5.0)
-    await bench.apply(slower, 0, change_id="first")
-    with pytest.raises(refusals.ChangeRejected) as caught:
-        await bench.apply(make_route("r1"), 0, "root", change_id="second")
-    winner = caught.value.current
-    assert (winner.author, winner.change_id) == ("ann", "first")
-    assert winner.route.deadline_seconds == 5.0
-
-
 async def test_a_repeated_change_is_answered_as_before():
     bench = Bench()
     doubt = refusals.ChangeInDoubt("reply lost", ChangeId("c1"), 10)
@@ -162,14 +140,6 @@
     assert (await bench.delete("r2", 2, change_id="gone")).version == 3
 
 
-async def test_a_change_id_is_not_used_twice():
-    bench = Bench()
-    await bench.apply(NEW)
-    with pytest.raises(refusals.ChangeRejected) as caught:
-        await bench.apply(dataclasses.replace(NEW, max_queue=7))
-    assert caught.value.reason is ChangeRejection.CHANGE_ID_REUSED
-
-
 async def test_a_dry_run_tells_everything_and_changes_nothing():
     bench = Bench(max_routes_per_team=1)
     route = make_route("r2", path_prefix="no-slash", max_queue=-1)
@@ -278,8 +248,8 @@
 @pytest.mark.parametrize(
     ("route", "result"),
     [
-        (NEW, "accepted as version 2"),
-        (make_route("r1"), "ChangeRejected: route r1 exists with version 0"),
+        (NEW, "accepted as version 2."),
+        (make_route("r1"), "ChangeRejected: route r1 exists with version 0."),
     ],
 )
 async def test_every_change_leaves_a_line(monkeypatch, route, result):
@@ -291,5 +261,5 @@
     with contextlib.suppress(refusals.ChangeRejected):
         await bench.apply(route)
     (line,) = lines
-    assert line.startswith("change c1 by ann of team panel: apply route ")
+    assert line.startswith("Change c1 by ann of team panel: apply route ")
     assert line.endswith(result)
