Forget polls that were cut

Cause: a poll cancelled while it waited left its event behind until the ticket was next heard of. Change: the last one to leave removes the event, however it leaves.

--- a/agatetack/deferred/partition.py
+++ b/agatetack/deferred/partition.py
@@ -110,10 +110,12 @@
             if found is not None and condition(found):
                 return found
             event = self.watched.setdefault(ticket, trio.Event())
-            with trio.move_on_at(until) as scope:
-                await event.wait()
-            if scope.cancelled_caught:
+            try:
+                with trio.move_on_at(until) as scope:
+                    await event.wait()
+            finally:
                 self._unwatch(ticket, event)
+            if scope.cancelled_caught:
                 return None
 
     async def wait_caught_up(self, until: Deadline) -> bool:
@@ -226,8 +228,10 @@
             self.on_open(ticket)
 
     def _unwatch(self, ticket: TicketId, event: trio.Event) -> None:
-        if event.statistics().tasks_waiting == 0:
-            self.watched.pop(ticket, None)
+        """Drop an event that nobody waits for any more."""
+        waiting = event.statistics().tasks_waiting
+        if waiting == 0 and self.watched.get(ticket) is event:
+            del self.watched[ticket]
 
     def _start_over(self, first: LogOffset) -> None:
         """Fold again from the first record kept.
--- a/agatetack/deferred/test_log_queue.py
+++ b/agatetack/deferred/test_log_queue.py
@@ -227,6 +227,18 @@
         assert (await submit(hosts[2])).unwrap() != ticket
 
 
+async def test_cut_polls_leave_nothing_behind(autojump_clock):
+    async with fleet_of(1, always={PATH: RefusalReason.QUEUE_FULL}) as (
+        _,
+        [host],
+    ):
+        ticket = (await submit(host)).unwrap()
+        watched = host.queue.schedule.partition_of(ticket).watched
+        with trio.move_on_after(0.2):
+            await fetch(host, ticket)
+        assert ticket not in watched
+
+
 @pytest.mark.parametrize("outage_seconds", [0, 1, 30])
 @pytest.mark.parametrize(
     "fault", [AppendFault.REQUEST_LOST, AppendFault.REPLY_LOST]
