Weigh at most 12 candidates for a choice and trim its arithmetic

Cause: acquire, report, answer and release took 99 us at 12 targets and 187 us at 30 (busy machine, mean of 4,000). Change: a stretch of 12 candidates from a random start is weighed; network times and the typical time are worked out once; old reports cost no power.

--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -47,6 +47,12 @@
 TYPICAL_SECONDS = 0.02
 """How long a typical service time is used before it is worked out anew."""
 
+MOST_WEIGHED = 12
+"""Candidates weighed for one choice, so that its cost does not grow."""
+
+FORGOTTEN_HALF_LIVES = 8
+"""Half-lives after which a report counts for nothing."""
+
 DISAGREE_RATIO = 2.5
 """An answer this many times later than expected speaks against reports."""
 
@@ -100,6 +106,8 @@
         self.rng = rng
         self.half_life = settings.measure.report_half_life_seconds
         self.domain = settings.host.failure_domain
+        self.near_seconds = 2 * settings.balance.same_domain_seconds
+        self.far_seconds = 2 * settings.balance.other_domain_seconds
         self.typicals: dict[ServiceId, Typical] = {}
         self.changed: list[TargetState] = []
 
@@ -107,24 +115,29 @@
         self, candidates: Sequence[TargetState], now: Deadline
     ) -> TargetState | None:
         """Return a candidate among the near best, or one due for a trial."""
+        if len(candidates) > MOST_WEIGHED:
+            candidates = self._draw(candidates)
         typical = self._update_typical(candidates, now)
         limit = typical * self.settings.balance.slow_ratio
         best = math.inf
         costs: list[float] = []
         for target in candidates:
-            if target.learned.peer_at > target.learned.peer_seen:
+            learned = target.learned
+            if learned.peer_at > learned.peer_seen:
                 self._take_peer_word(target, limit, now)
-            if self._left(target, limit):
-                if now >= target.learned.trial_at and not target.in_flight:
+            service = learned.service_seconds or typical
+            if service > limit or target.failures >= FAILURES_TO_LEAVE:
+                if now >= learned.trial_at and not target.in_flight:
                     self._postpone_trial(target, now)
                     return target
                 cost = math.inf
             else:
-                cost = self.cost(target, now)
+                cost = self.cost(target, now, typical)
             costs.append(cost)
-            best = min(best, cost)
+            if cost < best:
+                best = cost
         if best == math.inf:
-            return min(candidates, key=lambda t: self.cost(t, now))
+            return min(candidates, key=lambda t: self.cost(t, now, typical))
         near = best + NEAR_RATIO * typical
         ties = [
             target
@@ -133,10 +146,9 @@
         ]
         return self.rng.choice(ties)
 
-    def cost(self, target: TargetState, now: Deadline) -> float:
+    def cost(self, target: TargetState, now: Deadline, typical: float) -> float:
         """Return the expected seconds from sending to the answer."""
         learned = target.learned
-        typical = self.typical(target.service)
         service = learned.service_seconds or typical
         if service < NORMAL_RATIO * typical:
             service = typical
@@ -159,10 +171,9 @@
 
     def network(self, target: TargetState) -> float:
         """Return the time there and back, in seconds."""
-        balance = self.settings.balance
         if target.failure_domain == self.domain:
-            return 2 * balance.same_domain_seconds
-        return 2 * balance.other_domain_seconds
+            return self.near_seconds
+        return self.far_seconds
 
     def expected_others(self, target: TargetState, now: Deadline) -> float:
         """Return how many requests others are thought to have there."""
@@ -170,12 +181,15 @@
         usual = target.learned.others
         if report is None:
             return usual
-        seen = max(0, report.in_flight - report.own_in_flight)
-        half_life = self.half_life
+        seen = report.in_flight - report.own_in_flight
+        half_lives = (now - report.at) / self.half_life
         if seen < usual:
-            half_life *= LOW_REPORT_SHARE
-        weight = 0.5 ** ((now - report.at) / half_life)
-        estimate = usual + (seen - usual) * weight
+            half_lives /= LOW_REPORT_SHARE
+            if seen < 0:
+                seen = 0
+        estimate = usual
+        if half_lives < FORGOTTEN_HALF_LIVES:
+            estimate += (seen - usual) * 0.5**half_lives
         trust = target.learned.trust
         if trust < 1:
             known = self.typicals.get(target.service)
@@ -239,11 +253,12 @@
         learned.trial_at = now + pause * (0.5 + self.rng.random())
         learned.trial_count += 1
 
-    def _left(self, target: TargetState, limit: float) -> bool:
-        if target.failures >= FAILURES_TO_LEAVE:
-            return True
-        service = target.learned.service_seconds
-        return service is not None and service > limit
+    def _draw(self, candidates: Sequence[TargetState]) -> list[TargetState]:
+        # A stretch from a random start on costs less than a random sample.
+        start = self.rng.randrange(len(candidates))
+        drawn = list(candidates[start : start + MOST_WEIGHED])
+        drawn += candidates[: MOST_WEIGHED - len(drawn)]
+        return drawn
 
     def _take_peer_word(
         self, target: TargetState, limit: float, now: Deadline
@@ -325,7 +340,9 @@
     # E[max(0, own + X + 1 - slots)] = own + others + 1 - slots
     #   + sum over x < free of (free - x) P(X = x), free = slots - own - 1.
     free = slots - own - 1
-    waiting = own + others + 1 - slots
+    waiting = others - free
+    if free <= 0:
+        return waiting / slots
     probability = math.exp(-others)
     for x in range(free):
         waiting += (free - x) * probability
