--- a/bench/datapath/serve.py
+++ b/bench/datapath/serve.py
@@ -37,7 +37,14 @@
 
 
 async def serve_gateway(argument: str, task_status) -> None:
-    """Serve a gateway with one fast route to the targets on given ports."""
+    """Serve a gateway with one route to the targets on given ports.
+
+    Args:
+        argument: The ports, after the class and a colon if it is not fast.
+        task_status: Reports the port.
+    """
+    name, _, ports_text = argument.rpartition(":")
+    request_class = RequestClass(name or "fast")
     anywhere = {"listen": {"ip": LOOPBACK, "port": 0}}
     settings = default_settings(
         callers=anywhere,
@@ -48,7 +55,7 @@
         logs={"level": "error"},
     )
     set_up_logs(settings.logs)
-    hosts = [_listed(int(port)) for port in argument.split(",")]
+    hosts = [_listed(int(port)) for port in ports_text.split(",")]
     gateway = Gateway(
         settings, MemoryLog(MemoryLogService()), MemoryHostList(hosts)
     )
@@ -56,7 +63,7 @@
         RouteId("profiles"),
         TeamId("bench"),
         ServiceId("profiles"),
-        RequestClass.FAST,
+        request_class,
         "/",
     )
     async with trio.open_nursery() as nursery:
