Record ends of deferred requests while others run

Cause: a worker waited for its end to be read back before it ran the next ticket, so a host's share of appends bound its throughput twice. Change: workers above the limit of running requests record ends.

--- a/agatetack/deferred/log_queue.py
+++ b/agatetack/deferred/log_queue.py
@@ -29,6 +29,9 @@
 from agatetack.platform.log import Log
 from agatetack.settings.model import Settings
 
+WORKERS = 2
+"""Workers for each request that may run; the others record ends."""
+
 REFRESH_SECONDS = 0.5
 """How often the view of live peers and the gauges are brought up to date."""
 
@@ -101,7 +104,7 @@
                 nursery.start_soon(partition.run)
                 nursery.start_soon(partition.writer.run)
                 nursery.start_soon(upkeep.run)
-            for _ in range(self.settings.deferred.concurrency):
+            for _ in range(WORKERS * self.settings.deferred.concurrency):
                 nursery.start_soon(self.runner.work)
             nursery.start_soon(self._refresh)
             task_status.started()
--- a/agatetack/deferred/runner.py
+++ b/agatetack/deferred/runner.py
@@ -1,6 +1,8 @@
 """Take up open tickets, run them, and record how they end."""
 
+import dataclasses
 import secrets
+from collections.abc import Sequence
 
 import trio
 
@@ -33,10 +35,24 @@
 MAX_DOUBLINGS = 6
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ran:
+    """What is left to do after a run.
+
+    Attributes:
+        again_at: When to look at the ticket again, or None.
+        end: The chunks to record, if it ended.
+    """
+
+    again_at: Deadline | None
+    end: Sequence[EndChunk] = ()
+
+
 class Runner:
     """This host's workers.
 
     Attributes:
+        slots: Limits the requests that run at the same time.
         refusals: Refusals in a row of each route, for its pauses.
     """
 
@@ -56,27 +72,43 @@
         self.executor = executor
         self.counters = counters
         self.clock = clock
+        self.slots = trio.CapacityLimiter(settings.deferred.concurrency)
         self.refusals: dict[RouteId, int] = {}
 
     async def work(self) -> None:
-        """Run one ticket after another, for ever."""
+        """Run one ticket after another, for ever.
+
+        There are more workers than may run requests at the same time, so that
+        some can record ends meanwhile.
+        """
         while True:
-            ticket = await self.schedule.take()
-            again_at: Deadline | None = self._in(LATER_SECONDS)
+            async with self.slots:
+                ticket = await self.schedule.take()
+                ran = await self._run_guarded(ticket)
             try:
-                again_at = await self._run(ticket)
-            except (NotKept, LogUnavailable):
-                # Its record moved on or can't be read now; look again.
-                self.counters.run("not-loaded")
+                if ran.end:
+                    await self.record_end(ticket, ran.end)
             finally:
-                self.schedule.done(ticket.id, again_at)
-
-    async def _run(self, ticket: Ticket) -> Deadline | None:
-        """Run a ticket; return when to look at it again, None if ended."""
+                self.schedule.done(ticket.id, ran.again_at)
+
+    async def _run_guarded(self, ticket: Ticket) -> Ran:
+        again_at = self._in(LATER_SECONDS)
+        try:
+            return await self._run(ticket)
+        except (NotKept, LogUnavailable):
+            # Its record moved on or can't be read now; look again.
+            self.counters.run("not-loaded")
+            return Ran(again_at)
+        except BaseException:
+            self.schedule.done(ticket.id, again_at)
+            raise
+
+    async def _run(self, ticket: Ticket) -> Ran:
+        """Run a ticket once, if this host gets it."""
         partition = self.schedule.partition_of(ticket.id)
         hold = await self._take_hold(partition, ticket)
         if hold is None:
-            return self._in(LATER_SECONDS)
+            return Ran(self._in(LATER_SECONDS))
         if hold.tries > self.settings.deferred.max_tries:
             verdict = Verdict(Next.FAIL, RefusalReason.CONNECTION_LOST)
         else:
@@ -84,13 +116,12 @@
         self.counters.run(verdict.next.value)
         if verdict.next is Next.NOT_RUN:
             await self._release(partition, ticket, hold)
-            return self._pause(ticket.route)
+            return Ran(self._pause(ticket.route))
         self.refusals.pop(ticket.route, None)
         last = hold.tries >= self.settings.deferred.max_tries
         if verdict.next is Next.TRY_AGAIN and not last:
-            return self._in(self._backoff(hold.tries))
-        await self._record(partition, ticket, hold, verdict)
-        return None
+            return Ran(self._in(self._backoff(hold.tries)))
+        return Ran(None, self._make_end(ticket, hold, verdict))
 
     async def _attempt(
         self, partition: Partition, ticket: Ticket, hold: Hold
@@ -156,29 +187,25 @@
         )
         await partition.writer.write(Entry(start=Start(ticket.id, record)))
 
-    async def _record(
-        self,
-        partition: Partition,
-        ticket: Ticket,
-        hold: Hold,
-        verdict: Verdict,
-    ) -> None:
-        """Append how a ticket ended until its end is read back."""
+    def _make_end(
+        self, ticket: Ticket, hold: Hold, verdict: Verdict
+    ) -> list[EndChunk]:
+        """Return the chunks that record how a ticket ended."""
         keep = self.clock.wall() + self.settings.deferred.result_keep_seconds
         if verdict.next is Next.ANSWER and verdict.answer is not None:
-            chunks = split_answer(
+            return split_answer(
                 ticket, hold.attempt, verdict.answer, keep, self.settings
             )
-        else:
-            chunks = [make_end(ticket, hold.attempt, EndKind.FAILED, keep)]
-            if verdict.reason is not None:
-                chunks[0].reason = verdict.reason.value
-        await self.record_end(partition, ticket, chunks)
+        end = make_end(ticket, hold.attempt, EndKind.FAILED, keep)
+        if verdict.reason is not None:
+            end.reason = verdict.reason.value
+        return [end]
 
     async def record_end(
-        self, partition: Partition, ticket: Ticket, chunks: list[EndChunk]
+        self, ticket: Ticket, chunks: Sequence[EndChunk]
     ) -> None:
         """Append the chunks of an end until the ticket is read back ended."""
+        partition = self.schedule.partition_of(ticket.id)
         pause = self.settings.deferred.retry_seconds
         while True:
             landings = [
--- a/agatetack/deferred/test_faults.py
+++ b/agatetack/deferred/test_faults.py
@@ -140,6 +140,11 @@
     return TicketState.OPEN
 
 
+async def fetch_answer_of(host, ticket):
+    result = await host.queue.fetch(ticket, trio.current_time() + 30)
+    assert isinstance(result.unwrap(), StoredAnswer)
+
+
 @pytest.mark.parametrize(
     ("first", "second"),
     PAIRS,
@@ -213,6 +218,38 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_overtaken_reader_takes_up_nothing_that_ended(autojump_clock):
+    """What ended and was forgotten meanwhile looks open to the old fold."""
+    deferred = {"result_keep_seconds": 20, "partitions": 1}
+    settings = {**SHORT_LOG, "deferred": deferred}
+    async with trio.open_nursery() as nursery:
+        fleet = DeferredFleet(nursery, Work(busy=True), settings)
+        nursery.start_soon(fleet.drop_old_records)
+        cut_off = await fleet.start()
+        other = await fleet.start()
+        tickets = {}
+        await submit_until_kept(fleet, 0, tickets)
+        await trio.sleep(10)
+        cut_off.log.faults.outage = True
+        fleet.work.busy = False
+        await fetch_answer_of(other, tickets[0])
+        await trio.sleep(100)
+        # More than one page of records, and each page takes a while.
+        cut_off.log.faults.delay_seconds = 0.5
+        for number in range(1, 41):
+            request = make_request(number, seconds=800)
+            ticket = (await other.queue.submit(ROUTE, request)).unwrap()
+            await fetch_answer_of(other, ticket)
+        appends = fleet.service.appends
+        cut_off.log.faults.outage = False
+        await trio.sleep(20)
+        assert cut_off.queue.partitions[0].caught_up
+        assert fleet.service.appends == appends
+        assert set(fleet.work.runs.values()) == {1}
+        assert len(fleet.work.runs) == 41
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("seconds", [280, 320])
 async def test_ends_are_kept_for_the_stated_time(autojump_clock, seconds):
     deferred = {"result_keep_seconds": 300, "cache_bytes": 1}
