--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -109,6 +109,8 @@
         self.status = status
         self.keep_alive = self.parser.should_keep_alive()
         self._read_framing()
+        if self.state is AnswerState.BROKEN:
+            return
         if self.method == b"HEAD" or status in BODYLESS:
             self.state = AnswerState.COMPLETE
         else:
@@ -120,6 +122,10 @@
                 self.length = int(value)
             elif name == b"transfer-encoding":
                 self.chunked = True
+                if value.strip().lower() != b"chunked":
+                    # The coding would be dropped with the header, and the
+                    # caller could not read the body.
+                    self.state = AnswerState.BROKEN
 
     def on_body(self, data: bytes) -> None:
         """Take body bytes; called by the parser."""
--- /dev/null
+++ b/agatetack/targets/test_parser.py
@@ -0,0 +1,78 @@
+"""Check that no bytes of a target are taken for a whole answer wrongly."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from agatetack.targets.parser import AnswerParser, AnswerState
+
+FEW = hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+
+PIECES = strategies.sampled_from(
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 204 No\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 101 Switching\r\n",
+        b"HTTP/1.0 200 OK\r\n",
+        b"Content-Length: 3\r\n",
+        b"Content-Length: 4\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: gzip\r\n",
+        b"Connection: close\r\n",
+        b"Upgrade: x\r\nConnection: upgrade\r\n",
+        b"\r\n",
+        b"abc",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"\0",
+    ]
+)
+STREAMS = strategies.lists(PIECES | strategies.binary(max_size=12), max_size=10)
+
+
+@FEW
+@hypothesis.given(STREAMS, strategies.sampled_from([b"GET", b"HEAD"]))
+def test_any_bytes_leave_a_clear_state(parts, method):
+    parser = AnswerParser(method, 1000)
+    for part in parts:
+        parser.feed(part)
+    content = b"".join(parser.parts)
+    parser.end()
+    assert parser.state in (AnswerState.COMPLETE, AnswerState.BROKEN)
+    if parser.state is AnswerState.COMPLETE:
+        assert parser.status >= 200
+        if method == b"GET" and parser.length is not None:
+            assert len(content) in (0, parser.length)
+
+
+@FEW
+@hypothesis.given(strategies.lists(strategies.integers(1, 60), max_size=5))
+def test_where_the_bytes_are_cut_makes_no_difference(cuts):
+    raw = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    parser = AnswerParser(b"GET", 1000)
+    for cut in cuts:
+        parser.feed(raw[:cut])
+        raw = raw[cut:]
+    parser.feed(raw)
+    assert parser.state is AnswerState.COMPLETE
+    assert b"".join(parser.parts) == b"abcde"
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+    ],
+)
+def test_unclear_framing_is_broken(raw):
+    parser = AnswerParser(b"GET", 1000)
+    parser.feed(raw)
+    assert parser.state is AnswerState.BROKEN
