Refuse requests that come late in a drain

Cause: the reason `shutting-down` had no giver, and a kept connection could put off the end of a drain with new requests. Before: such requests were served. Conclusion: every refusal reason is now given by some code.

--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -198,6 +198,7 @@
             self.crashes,
             self.explanations,
             metrics,
+            lambda: self.lifecycle.accepting,
         )
         self.callers_tls = None
         if settings.callers.tls is not None:
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -2,6 +2,7 @@
 
 import abc
 import dataclasses
+from collections.abc import Callable
 
 import trio
 from returns.result import Failure, Result
@@ -45,6 +46,7 @@
         crashes: CrashTracker,
         explanations: Explanations,
         metrics: Metrics,
+        accepting: Callable[[], bool] = lambda: True,
     ):
         """Run each class with its runner.
 
@@ -56,7 +58,10 @@
             crashes: Refuses requests that crash targets.
             explanations: Keeps why requests ended as they did.
             metrics: The host's counters.
+            accepting: Whether new requests are taken; late in a drain they
+                are refused, so that they can't put off its end.
         """
+        self.accepting = accepting
         self.settings = settings
         self.routes = routes
         self.runners = runners
@@ -90,6 +95,12 @@
         return self._pass_on(route, request, result.unwrap())
 
     def _find_route(self, request: CallerRequest) -> Route | Refusal:
+        if not self.accepting():
+            return refuse(
+                RefusalReason.SHUTTING_DOWN,
+                "This host is leaving; ask again on a new connection.",
+                self._soon(),
+            )
         table = self.routes.table
         if table is None:
             return refuse(
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -169,6 +169,19 @@
     assert find_header(answer.headers, b"x-outcome") == b"not-run"
 
 
+@pytest.mark.parametrize(
+    ("key", "outcome"), [(None, b"not-run"), ("k", b"unknown")]
+)
+async def test_late_in_a_drain_nothing_new_is_taken(
+    key, outcome, autojump_clock
+):
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    dispatcher.accepting = lambda: False
+    answer = await dispatcher.handle(make_request(b"/fast", key))
+    assert find_header(answer.headers, b"x-reason") == b"shutting-down"
+    assert find_header(answer.headers, b"x-outcome") == outcome
+
+
 async def test_the_routes_deadline_stands_in_for_the_callers(autojump_clock):
     dispatcher = make_dispatcher(RouteTable(ROUTES))
     request = make_request(b"/fast")
