Tell how far each peer has read, so that apply can see the end

Cause: hosts showed no config_offset of their peers, so `apply` against a fleet waited out its 30 s and exited with 1 (seen by hand with the demo's two hosts). New routes are shown without default values. The wait covers the hosts that the answering one has heard.

--- a/agatetack/operators/host_view.py
+++ b/agatetack/operators/host_view.py
@@ -50,12 +50,19 @@
             peer.failure_domain,
             Phase.DRAINING if peer.leaving else Phase.READY,
             live=True,
+            config_offset=_peer_offset(gateway, peer.id),
         )
         for peer in gateway.peers.live_peers()
     ]
     return [own, *others]
 
 
+def _peer_offset(gateway: Gateway, peer: HostId) -> LogOffset | None:
+    """Return how far a peer has read, as it told last; None if it never did."""
+    version = gateway.config.sharing.heard.get(peer)
+    return None if version is None else LogOffset(version + 1)
+
+
 def target_view(
     target: TargetState, drained: bool, now: Deadline
 ) -> views.TargetView:
--- a/agatetack/operators/publish.py
+++ b/agatetack/operators/publish.py
@@ -75,7 +75,10 @@
         return route.id
 
     def lines(self) -> list[str]:
-        """Return the change as a diff, one line for each field."""
+        """Return the change as a diff, one line for each field.
+
+        Of a new route, fields that have their default are left out.
+        """
         old = self.previous.route if self.previous else None
         lines = [f"{self.step.value} route {self.route_id}"]
         for field in dataclasses.fields(Route):
@@ -83,7 +86,8 @@
                 continue
             before = old and _text(getattr(old, field.name))
             after = self.wanted and _text(getattr(self.wanted, field.name))
-            if before == after:
+            new_default = old is None and after == _text(field.default)
+            if before == after or new_default:
                 continue
             if old is not None:
                 lines.append(f"  - {field.name}: {before}")
--- a/agatetack/operators/tables.py
+++ b/agatetack/operators/tables.py
@@ -33,7 +33,7 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
-        return f"{value:g}"
+        return f"{round(value, 2):g}"
     text = str(value)
     # What others chose must not move the cursor of a terminal.
     return text if text.isprintable() else ascii(text)
--- a/agatetack/operators/test_publish.py
+++ b/agatetack/operators/test_publish.py
@@ -72,6 +72,18 @@
     ]
 
 
+def test_a_new_route_shows_what_the_file_says_of_it():
+    (change,) = publish.make_plan([CHANGED], [])
+    assert change.lines() == [
+        "create route r1",
+        "  + team: panel",
+        "  + service: profiles",
+        "  + request_class: fast",
+        "  + path_prefix: /r1",
+        "  + max_queue: 5",
+    ]
+
+
 class LosingClient(OperatorsClient):
     """Loses the first replies after the calls have taken effect."""
 
