--- a/agatetack/testing/replay.py
+++ b/agatetack/testing/replay.py
@@ -1,13 +1,10 @@
 """Play a trace on a fleet of real gateways, in virtual time.
 
-Run `python -m agatetack.testing.replay FILE...` to play traces by hand.
 Gateways, targets and callers talk over loopback TCP; only clocks are virtual.
 """
 
 import dataclasses
 import math
-import pathlib
-import sys
 
 import httpcore
 import trio
@@ -35,7 +32,6 @@
     TargetAction,
     TargetEvent,
     Trace,
-    load_trace,
 )
 
 IDLE_SECONDS = 0.0
@@ -313,20 +309,3 @@
     """Play `trace` in virtual time."""
     clock = trio.testing.MockClock(autojump_threshold=IDLE_SECONDS)
     return trio.run(play_trace, trace, clock=clock)
-
-
-def main(paths: list[str]) -> int:
-    """Play the traces in files and print their findings; return the status."""
-    from agatetack.testing.replay_checks import check_replay
-
-    failed = False
-    for path in map(pathlib.Path, paths):
-        trace = load_trace(path)
-        findings = check_replay(run_trace(trace), path.name)
-        print("\n".join(findings) or f"{path.name}: as stated")
-        failed = failed or bool(findings)
-    return 1 if failed else 0
-
-
-if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
