--- a/agatetack/claims/courier.py
+++ b/agatetack/claims/courier.py
@@ -7,6 +7,7 @@
 
 from agatetack.claims import codec
 from agatetack.claims.appender import LAZY_KINDS, LAZY_SECONDS
+from agatetack.claims.background import Background
 from agatetack.generated.claims.ttypes import (
     Call,
     Entry,
@@ -56,14 +57,14 @@
         self,
         settings: Settings,
         exchange: Exchange,
-        nursery: trio.Nursery,
+        background: Background,
         steward: HostId,
         partition: int,
     ):
-        """Call `steward`; calls run in `nursery`."""
+        """Call `steward`; calls run in `background`."""
         self.settings = settings
         self.exchange = exchange
-        self.nursery = nursery
+        self.background = background
         self.steward = steward
         self.partition = partition
         self.queue: collections.deque[Parcel] = collections.deque()
@@ -87,13 +88,13 @@
     def _start(self) -> None:
         if self.calls < MAX_CALLS:
             self.calls += 1
-            self.nursery.start_soon(self._call_while_queued)
+            self.background.start(self._call_while_queued)
 
     def _start_later(self) -> None:
         """Let entries that nobody waits for ride with others."""
         if not self.lazy_due:
             self.lazy_due = True
-            self.nursery.start_soon(self._start_lazy)
+            self.background.start(self._start_lazy)
 
     async def _start_lazy(self) -> None:
         await trio.sleep(LAZY_SECONDS)
--- a/agatetack/claims/inquiry.py
+++ b/agatetack/claims/inquiry.py
@@ -10,6 +10,7 @@
 import trio
 
 from agatetack.claims import codec
+from agatetack.claims.background import Background
 from agatetack.claims.open_keys import OpenKeys
 from agatetack.claims.partition import Partition
 from agatetack.generated.claims.ttypes import (
@@ -24,6 +25,9 @@
 from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
 from agatetack.settings.model import Settings
 
+MAX_ROUNDS = 2
+"""Rounds that a question may take, as one may be under way already."""
+
 
 @dataclasses.dataclass(slots=True)
 class Asked:
@@ -53,13 +57,14 @@
         exchange: Exchange,
         partitions: list[Partition],
         open_keys: OpenKeys,
+        background: Background,
     ):
         """Ask the peers of `exchange`."""
         self.settings = settings
         self.exchange = exchange
         self.partitions = partitions
         self.open_keys = open_keys
-        self.nursery: trio.Nursery | None = None
+        self.background = background
         self.waiting: list[Asked] = []
         self.asking = False
 
@@ -68,14 +73,15 @@
 
         False also means that not every host could be asked.
         """
-        if self.nursery is None or not self._all_seen():
+        if not self._all_seen():
             return False
         asked = Asked(Question(partition=number, key=key))
         self.waiting.append(asked)
         if not self.asking:
-            self.asking = True
-            self.nursery.start_soon(self._ask_while_waiting)
-        await asked.answered.wait()
+            self.asking = self.background.start(self._ask_while_waiting)
+        timeout = self.settings.claims.steward_timeout_seconds
+        with trio.move_on_after(MAX_ROUNDS * timeout):
+            await asked.answered.wait()
         return asked.unused
 
     def answer(self, inquiry: Inquiry) -> list[Verdict]:
--- a/agatetack/claims/log_store.py
+++ b/agatetack/claims/log_store.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from agatetack.claims import refusals
+from agatetack.claims.background import Background
 from agatetack.claims.fold import MS
 from agatetack.claims.inquiry import Inquiries
 from agatetack.claims.keeper import Keeper
@@ -70,16 +71,23 @@
         """Prepare; nothing is read or written before `run`."""
         self.settings = settings
         self.clock = clock
-        self.router = Router(settings, exchange, metrics)
+        self.background = Background()
+        self.router = Router(settings, exchange, metrics, self.background)
         self.partitions = [
             self._partition(number, log, metrics)
             for number in range(settings.claims.partitions)
         ]
         self.open_keys = OpenKeys()
         self.inquiries = Inquiries(
-            settings, exchange, self.partitions, self.open_keys
+            settings,
+            exchange,
+            self.partitions,
+            self.open_keys,
+            self.background,
+        )
+        self.recorder = Recorder(
+            settings, self.router, metrics, self.background
         )
-        self.recorder = Recorder(settings, self.router, metrics)
         self.keeper = Keeper(settings, self.router, metrics)
         self.steward = Steward(settings, self.partitions, self.inquiries)
         self.steward.serve(exchange)
@@ -99,9 +107,7 @@
     ) -> None:
         """Read and append until cancelled; started before it has caught up."""
         async with trio.open_nursery() as nursery:
-            self.router.nursery = nursery
-            self.inquiries.nursery = nursery
-            self.recorder.nursery = nursery
+            await nursery.start(self.background.run)
             for partition in self.partitions:
                 nursery.start_soon(partition.run)
                 nursery.start_soon(self.keeper.run, partition)
--- a/agatetack/claims/recorder.py
+++ b/agatetack/claims/recorder.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from agatetack.claims.background import Background
 from agatetack.claims.partition import Partition
 from agatetack.claims.router import Router
 from agatetack.generated.claims.ttypes import Entry, VerdictKind
@@ -28,12 +29,18 @@
         open_entries: How many are not in the log yet.
     """
 
-    def __init__(self, settings: Settings, router: Router, metrics: Metrics):
+    def __init__(
+        self,
+        settings: Settings,
+        router: Router,
+        metrics: Metrics,
+        background: Background,
+    ):
         """Append through `router`."""
         self.settings = settings
         self.router = router
         self.open_entries = 0
-        self.nursery: trio.Nursery | None = None
+        self.background = background
         self.dropped = metrics.counter(
             "agatetack_claims_unrecorded_total",
             "Outcomes and releases that were given up, by reason.",
@@ -41,11 +48,12 @@
 
     def record(self, partition: Partition, entry: Entry) -> None:
         """Append `entry` in the background, as long as the key is kept."""
-        if self.nursery is None or self.open_entries >= MAX_OPEN:
+        if self.open_entries >= MAX_OPEN:
             self.dropped.inc({"reason": "too-many"})
-            return
-        self.open_entries += 1
-        self.nursery.start_soon(self._record, partition, entry)
+        elif self.background.start(self._record, partition, entry):
+            self.open_entries += 1
+        else:
+            self.dropped.inc({"reason": "stopped"})
 
     async def flush(self, deadline: Deadline) -> bool:
         """Wait until every entry stands in the log; return whether."""
--- a/agatetack/claims/router.py
+++ b/agatetack/claims/router.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from agatetack.claims.appender import Pending
+from agatetack.claims.background import Background
 from agatetack.claims.courier import Courier
 from agatetack.claims.partition import Partition
 from agatetack.generated.claims.ttypes import Entry, Verdict, VerdictKind
@@ -40,12 +41,16 @@
     """
 
     def __init__(
-        self, settings: Settings, exchange: Exchange, metrics: Metrics
+        self,
+        settings: Settings,
+        exchange: Exchange,
+        metrics: Metrics,
+        background: Background,
     ):
         """Choose among this host and the peers of `exchange`."""
         self.settings = settings
         self.exchange = exchange
-        self.nursery: trio.Nursery | None = None
+        self.background = background
         self.couriers: dict[CourierId, Courier] = {}
         self.avoided: dict[HostId, Deadline] = {}
         self.fallbacks = metrics.counter(
@@ -161,7 +166,11 @@
         name = CourierId(steward, number)
         if name not in self.couriers:
             self.couriers[name] = Courier(
-                self.settings, self.exchange, self.nursery, steward, number
+                self.settings,
+                self.exchange,
+                self.background,
+                steward,
+                number,
             )
         return self.couriers[name]
 
