Show no route of other teams in refusals, repeats and dry runs

Cause: reading it again showed that an operator who "creates" a route under an id of another team got that route in the conflict's `current`, and in `previous` of a dry run. Change: the owner is checked before the version, and after "behind"; what is shown is kept to the operator's services. A dry run no longer finds fault with a platform token that moves a route to another team, which apply allows. Before: the four new cases fail. Conclusion: kept; that an id is taken can still be told from the refusal.

--- a/agatetack/operators/route_calls.py
+++ b/agatetack/operators/route_calls.py
@@ -106,9 +106,6 @@
             request.expected_version,
             operator.name,
         )
-        if record is not None:
-            operator.require_service(record.route.service)
-            operator.require_team(record.route.team)
         return await self._change(operator, change, request)
 
     async def get_change(
@@ -146,14 +143,14 @@
         checks.check_text("request.change_id", change.id)
         previous = self._find(change.route.id)
         if request.dry_run:
+            _require_owner(operator, previous)
             findings = self._findings(change, previous)
             return ChangeResult(
                 change.id, change.kind, True, findings, previous=previous
             )
         version = await self._commit(operator, change, previous, deadline)
-        return ChangeResult(
-            change.id, change.kind, False, (), version, previous
-        )
+        seen = _only_covered(operator, previous)
+        return ChangeResult(change.id, change.kind, False, (), version, seen)
 
     async def _commit(
         self,
@@ -169,6 +166,8 @@
             version = checks.unwrap(await self.backend.apply(change, deadline))
         except OperatorsError as error:
             _audit(operator, change, f"{type(error).__name__}: {error}")
+            if isinstance(error, ChangeRejected):
+                error.current = _only_covered(operator, error.current)
             raise
         _audit(operator, change, f"accepted as version {version}")
         return version
@@ -191,10 +190,9 @@
         previous: RouteRecord | None,
     ) -> None:
         """Raise the first error that keeps `change` from the log."""
+        self._check_behind(change)
+        _require_owner(operator, previous)
         self._check_version(change, previous)
-        if previous is not None:
-            operator.require_service(previous.route.service)
-            operator.require_team(previous.route.team)
         findings = tuple(self.backend.check(change))
         if findings:
             raise ChangeRejected(
@@ -208,14 +206,9 @@
         if exceeded is not None:
             raise exceeded
 
-    def _check_version(
-        self, change: RequestedChange, previous: RouteRecord | None
-    ) -> None:
-        """Raise unless the route here has the version expected."""
+    def _check_behind(self, change: RequestedChange) -> None:
+        """Raise if the version expected is one that this host has not read."""
         expected = change.expected_version
-        current = None if previous is None else previous.version
-        if current == expected:
-            return
         known = checks.unwrap(self.backend.routes())
         if expected is not None and expected >= known.offset:
             raise Unavailable(
@@ -223,6 +216,14 @@
                 f"this host has read the log up to {known.offset} only",
                 BEHIND_RETRY_MS,
             )
+
+    def _check_version(
+        self, change: RequestedChange, previous: RouteRecord | None
+    ) -> None:
+        """Raise unless the route here has the version expected."""
+        current = None if previous is None else previous.version
+        if current == change.expected_version:
+            return
         if previous is None and change.kind is ChangeKind.DELETE:
             raise _no_route(change.route.id)
         raise ChangeRejected(
@@ -240,13 +241,10 @@
         """Return everything that speaks against `change`."""
         findings = list(self.backend.check(change))
         try:
+            self._check_behind(change)
             self._check_version(change, previous)
-        except (ChangeRejected, NotFound) as error:
+        except (ChangeRejected, NotFound, Unavailable) as error:
             findings.append(Finding("expected_version", error.message))
-        if previous is not None and previous.route.team != change.route.team:
-            findings.append(
-                Finding("route.team", f"is {previous.route.team} now")
-            )
         exceeded = self._exceeded_limit(change)
         if exceeded is not None:
             findings.append(Finding("route", exceeded.message))
@@ -262,10 +260,23 @@
     def _visible(
         self, operator: Operator, route_id: RouteId
     ) -> RouteRecord | None:
-        record = self._find(route_id)
-        if record is None or not operator.covers(record.route.service):
-            return None
-        return record
+        return _only_covered(operator, self._find(route_id))
+
+
+def _only_covered(
+    operator: Operator, record: RouteRecord | None
+) -> RouteRecord | None:
+    """Return `record` if the operator may read it."""
+    if record is None or not operator.covers(record.route.service):
+        return None
+    return record
+
+
+def _require_owner(operator: Operator, record: RouteRecord | None) -> None:
+    """Raise AccessDenied if the route in force is not the operator's."""
+    if record is not None:
+        operator.require_service(record.route.service)
+        operator.require_team(record.route.team)
 
 
 def _conflict_message(
--- a/agatetack/operators/test_route_calls.py
+++ b/agatetack/operators/test_route_calls.py
@@ -85,6 +85,13 @@
             "AccessDenied",
             AccessProblem.SERVICE_OUT_OF_SCOPE,
         ),
+        (
+            make_route("p1"),
+            None,
+            "ann",
+            "AccessDenied",
+            AccessProblem.SERVICE_OUT_OF_SCOPE,
+        ),
         (
             make_route("r1"),
             None,
@@ -140,6 +147,36 @@
     assert (await bench.delete("r2", 2, change_id="gone")).version == 3
 
 
+async def test_a_dry_run_shows_no_route_of_others():
+    bench = Bench()
+    with pytest.raises(refusals.AccessDenied):
+        await bench.apply(make_route("p1"), 1, dry_run=True)
+
+
+async def test_a_rejection_shows_no_route_of_others():
+    bench = Bench()
+    bench.backend.failures = [
+        refusals.ChangeRejected(
+            ChangeRejection.VERSION_CONFLICT,
+            "lost",
+            ChangeId("c1"),
+            current=bench.backend.records[RouteId("p1")],
+        )
+    ]
+    with pytest.raises(refusals.ChangeRejected) as caught:
+        await bench.apply(NEW)
+    assert caught.value.current is None
+
+
+async def test_a_repeat_shows_no_route_of_others():
+    bench = Bench()
+    await bench.apply(NEW)
+    await bench.delete("r2", 2, change_id="gone")
+    await bench.apply(make_route("r2", "parcels"), None, "root", change_id="t")
+    repeated = await bench.apply(NEW)
+    assert (repeated.version, repeated.previous) == (2, None)
+
+
 async def test_a_dry_run_tells_everything_and_changes_nothing():
     bench = Bench(max_routes_per_team=1)
     route = make_route("r2", path_prefix="no-slash", max_queue=-1)
