Split writing of changes and serving of peers from store and sharing

Change: writing.py appends a change and settles it, serving.py gives peers what they lack; the wait for an acknowledgement ends at the deadline.

Conclusion: no change of behaviour but the bounded wait.

--- /dev/null
+++ b/agatetack/config/serving.py
@@ -0,0 +1,99 @@
+"""Give peers the records or the snapshot that they lack."""
+
+import dataclasses
+
+from agatetack.config.snapshot import encode_snapshot, split_snapshot
+from agatetack.config.state import ConfigState
+from agatetack.generated.config import ttypes as wire
+from agatetack.ids import LogOffset
+
+MAX_BATCH_BYTES = 64 * 1024
+"""Most bytes of records in one reply to a peer."""
+
+SNAPSHOT_PART_BYTES = 64 * 1024
+"""Most bytes of a snapshot in one reply to a peer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServedSnapshot:
+    """A snapshot in parts, kept while peers fetch it.
+
+    Attributes:
+        version: The last offset folded into it.
+        chunks: Its parts.
+    """
+
+    version: LogOffset
+    chunks: list[wire.SnapshotChunk]
+
+    @property
+    def id(self) -> str:
+        """Return the id that its parts bear."""
+        return self.chunks[0].snapshot_id
+
+
+class RecordGiver:
+    """What one host can give to its peers.
+
+    Attributes:
+        served: The snapshot that peers fetch now, or None.
+    """
+
+    def __init__(self, state: ConfigState):
+        """Give from `state`."""
+        self.state = state
+        self.served: ServedSnapshot | None = None
+
+    async def answer(self, request: wire.FetchRequest) -> wire.FetchReply:
+        """Return what follows the version that a peer names."""
+        reply = wire.FetchReply(notice=self.notice())
+        if request.version < self.state.fold.version and self.state.ready:
+            reply.batch = self.batch_after(
+                LogOffset(request.version), MAX_BATCH_BYTES
+            )
+            if reply.batch is None:
+                reply.chunk = await self._chunk(request)
+        return reply
+
+    def notice(self) -> wire.OffsetNotice:
+        """Return how far this host is."""
+        fold = self.state.fold
+        return wire.OffsetNotice(version=fold.version, chain=fold.chain)
+
+    def batch_after(
+        self, version: LogOffset, max_bytes: int
+    ) -> wire.RecordBatch | None:
+        """Return the kept records after `version`, or None if there is none.
+
+        Args:
+            version: What the receiver is thought to hold.
+            max_bytes: Most bytes of records; one is always given.
+        """
+        payloads: list[bytes] = []
+        size = 0
+        chain = 0
+        for record in self.state.kept_after(version):
+            size += len(record.payload)
+            if size > max_bytes and payloads:
+                break
+            payloads.append(record.payload)
+            chain = record.chain
+        if not payloads:
+            return None
+        return wire.RecordBatch(
+            first=version + 1, payloads=payloads, chain=chain
+        )
+
+    async def _chunk(self, request: wire.FetchRequest) -> wire.SnapshotChunk:
+        served = self.served
+        if served is None or served.version + 1 < self.state.first_kept:
+            served = self.served = await self._snapshot()
+        if request.snapshot_id == served.id and request.index is not None:
+            return served.chunks[min(request.index, len(served.chunks) - 1)]
+        return served.chunks[0]
+
+    async def _snapshot(self) -> ServedSnapshot:
+        version = self.state.fold.version
+        content = await encode_snapshot(self.state.fold)
+        chunks = split_snapshot(content, version, SNAPSHOT_PART_BYTES)
+        return ServedSnapshot(version, chunks)
--- a/agatetack/config/sharing.py
+++ b/agatetack/config/sharing.py
@@ -5,7 +5,6 @@
 stays the same function of the same records wherever they came from.
 """
 
-import dataclasses
 import random
 
 import trio
@@ -14,11 +13,10 @@
 from agatetack.config.change import NO_VERSION
 from agatetack.config.counters import Problem
 from agatetack.config.records import BadRecord, decode, encode
+from agatetack.config.serving import RecordGiver
 from agatetack.config.snapshot import (
     SnapshotReader,
     check_chunk,
-    encode_snapshot,
-    split_snapshot,
 )
 from agatetack.config.state import Batch, ConfigState, Source
 from agatetack.generated.config import ttypes as wire
@@ -26,15 +24,9 @@
 from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
 from agatetack.settings.model import Settings
 
-MAX_BATCH_BYTES = 64 * 1024
-"""Most bytes of records in one reply to a peer."""
-
 MAX_PUBLISH_BYTES = 4 * 1024
 """Most bytes of records in one message to all peers."""
 
-SNAPSHOT_PART_BYTES = 64 * 1024
-"""Most bytes of a snapshot in one reply to a peer."""
-
 
 MAX_FETCH_CALLS = 2048
 """Most calls to one peer in a row; a sound peer needs far fewer."""
@@ -46,24 +38,6 @@
 """Rounds of gossip in which every live peer should be heard."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServedSnapshot:
-    """A snapshot in parts, kept while peers fetch it.
-
-    Attributes:
-        version: The last offset folded into it.
-        chunks: Its parts.
-    """
-
-    version: LogOffset
-    chunks: list[wire.SnapshotChunk]
-
-    @property
-    def id(self) -> str:
-        """Return the id that its parts bear."""
-        return self.chunks[0].snapshot_id
-
-
 class PeerSharing:
     """One host's exchange of configuration with its peers.
 
@@ -85,17 +59,19 @@
         self.exchange = exchange
         self.state = state
         self.clock = clock
+        self.giver = RecordGiver(state)
         self.heard: dict[HostId, LogOffset] = {}
         self.heard_more = trio.Event()
         self.complete_at: Deadline | None = None
-        self.served: ServedSnapshot | None = None
         exchange.subscribe(Topic.CONFIG_RECORDS, self._records_came)
         exchange.subscribe(Topic.CONFIG_OFFSET, self._offset_came)
         exchange.serve(Topic.CONFIG_FETCH, self._answer_fetch)
 
     def publish_from(self, version: LogOffset) -> None:
         """Send the record at `version` and all newer ones to every peer."""
-        batch = self._batch_after(LogOffset(version - 1), MAX_PUBLISH_BYTES)
+        batch = self.giver.batch_after(
+            LogOffset(version - 1), MAX_PUBLISH_BYTES
+        )
         if batch is not None:
             self.exchange.publish(Topic.CONFIG_RECORDS, encode(batch))
 
@@ -114,7 +90,7 @@
         while True:
             changed = self.state.changed
             if self.state.ready:
-                notice = encode(self._notice())
+                notice = encode(self.giver.notice())
                 self.exchange.publish(Topic.CONFIG_OFFSET, notice)
             # In a burst of changes one notice stands for many.
             await trio.sleep(MIN_NOTICE_SECONDS)
@@ -123,10 +99,6 @@
             with trio.move_on_after(wait):
                 await changed.wait()
 
-    def _notice(self) -> wire.OffsetNotice:
-        fold = self.state.fold
-        return wire.OffsetNotice(version=fold.version, chain=fold.chain)
-
     def _offset_came(self, sender: HostId, payload: bytes) -> None:
         try:
             notice = decode(wire.OffsetNotice(), payload)
@@ -269,52 +241,13 @@
         )
 
     async def _answer_fetch(self, sender: HostId, payload: bytes) -> bytes:
+        await trio.lowlevel.checkpoint()
         try:
             request = decode(wire.FetchRequest(), payload)
         except BadRecord as problem:
             self._bad_message(sender, problem)
             return b""
-        reply = wire.FetchReply(notice=self._notice())
-        if request.version < self.state.fold.version and self.state.ready:
-            reply.batch = self._batch_after(
-                LogOffset(request.version), MAX_BATCH_BYTES
-            )
-            if reply.batch is None:
-                reply.chunk = await self._chunk(request)
-        await trio.lowlevel.checkpoint()
-        return encode(reply)
-
-    def _batch_after(
-        self, version: LogOffset, max_bytes: int
-    ) -> wire.RecordBatch | None:
-        payloads: list[bytes] = []
-        size = 0
-        chain = 0
-        for record in self.state.kept_after(version):
-            size += len(record.payload)
-            if size > max_bytes and payloads:
-                break
-            payloads.append(record.payload)
-            chain = record.chain
-        if not payloads:
-            return None
-        return wire.RecordBatch(
-            first=version + 1, payloads=payloads, chain=chain
-        )
-
-    async def _chunk(self, request: wire.FetchRequest) -> wire.SnapshotChunk:
-        served = self.served
-        if served is None or served.version + 1 < self.state.first_kept:
-            served = self.served = await self._snapshot()
-        if request.snapshot_id == served.id and request.index is not None:
-            return served.chunks[min(request.index, len(served.chunks) - 1)]
-        return served.chunks[0]
-
-    async def _snapshot(self) -> ServedSnapshot:
-        version = self.state.fold.version
-        content = await encode_snapshot(self.state.fold)
-        chunks = split_snapshot(content, version, SNAPSHOT_PART_BYTES)
-        return ServedSnapshot(version, chunks)
+        return encode(await self.giver.answer(request))
 
     def _bad_message(self, sender: HostId, problem: BadRecord) -> None:
         self.state.problem(
--- a/agatetack/config/store.py
+++ b/agatetack/config/store.py
@@ -14,10 +14,9 @@
     RejectReason,
     RouteChange,
 )
-from agatetack.config.counters import AppendResult, ConfigCounters
+from agatetack.config.counters import ConfigCounters
 from agatetack.config.fold import Decision, Fold, Verdict, check_change
 from agatetack.config.records import (
-    CONFIG_STREAM,
     change_digest,
     encode_change,
 )
@@ -26,17 +25,11 @@
 from agatetack.config.snapshot_stream import SnapshotWriter
 from agatetack.config.state import ConfigState, Waiter
 from agatetack.config.tail import LogTail
+from agatetack.config.writing import ChangeWriting
 from agatetack.ids import ChangeId, Deadline, LogOffset
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange
-from agatetack.platform.log import (
-    Log,
-    LogError,
-    LogOutcomeUnknown,
-    LogRecordTooLarge,
-    LogTooFast,
-    LogUnavailable,
-)
+from agatetack.platform.log import Log
 from agatetack.settings.model import Settings
 
 ChangeResult = Result[Accepted, Rejected | InDoubt]
@@ -146,10 +139,12 @@
             return Failure(refusal)
         waiter = self.state.add_waiter(change.change_id)
         try:
-            writing = ChangeWriting(self, change, waiter)
+            payload = encode_change(change, waiter.base)
+            writing = ChangeWriting(self.tail, payload, waiter)
             with trio.move_on_at(deadline):
                 await writing.run(deadline)
-            return await self._result(change, waiter, writing)
+                await self._spread(waiter.decision)
+            return self._result(change, waiter, writing)
         finally:
             self.state.remove_waiter(change.change_id, waiter)
 
@@ -172,12 +167,11 @@
             )
         return None
 
-    async def _result(
-        self, change: RouteChange, waiter: Waiter, writing: "ChangeWriting"
+    def _result(
+        self, change: RouteChange, waiter: Waiter, writing: ChangeWriting
     ) -> ChangeResult:
         known = self._known(change)
         if known is not None:
-            await self._spread(waiter.decision)
             return known
         if waiter.stale:
             return Failure(
@@ -220,73 +214,3 @@
                 decision.winner,
             )
         )
-
-
-class ChangeWriting:
-    """The appends of one change until it is decided.
-
-    All appends bear the same record, so the fold decides the first that
-    lands and passes over the others, in whatever order and how late they
-    come.
-
-    Attributes:
-        may_have_landed: Whether any append may take effect.
-        too_large: Whether the log takes no record of this size.
-    """
-
-    def __init__(self, store: ConfigStore, change: RouteChange, waiter: Waiter):
-        """Write `change` with what this host has read as its base."""
-        self.store = store
-        self.waiter = waiter
-        self.payload = encode_change(change, waiter.base)
-        self.may_have_landed = False
-        self.too_large = False
-
-    async def run(self, deadline: Deadline) -> None:
-        """Append until the change is decided or surely has not landed."""
-        while not self.waiter.settled.is_set():
-            landed_before = self.may_have_landed
-            # Also true if this task is cancelled within the append.
-            self.may_have_landed = True
-            try:
-                await self.store.log.append(
-                    CONFIG_STREAM, self.payload, deadline
-                )
-            except LogTooFast as too_fast:
-                self.may_have_landed = landed_before
-                self.store.counters.appended(AppendResult.TOO_FAST)
-                await self._wait_until(too_fast.retry_at)
-            except LogRecordTooLarge:
-                self.may_have_landed = landed_before
-                self.too_large = True
-                return
-            except LogUnavailable:
-                self.may_have_landed = landed_before
-                self.store.counters.appended(AppendResult.UNAVAILABLE)
-                if not landed_before:
-                    return
-                await self._read_back()
-            except LogOutcomeUnknown:
-                self.store.counters.appended(AppendResult.IN_DOUBT)
-                await self._read_back()
-            else:
-                self.store.counters.appended(AppendResult.DONE)
-                await self._read_back()
-                await self.waiter.settled.wait()
-
-    async def _read_back(self) -> None:
-        # Another append before the log was read would do no harm, but would
-        # add a record for nothing where only the reply was lost.
-        while not self.waiter.settled.is_set():
-            try:
-                await self.store.tail.read_to_end()
-            except LogError:
-                now = self.store.clock.now()
-                pause = self.store.settings.platform.log.poll_seconds
-                await self._wait_until(Deadline(now + pause))
-            else:
-                return
-
-    async def _wait_until(self, when: Deadline) -> None:
-        with trio.move_on_at(when):
-            await self.waiter.settled.wait()
--- /dev/null
+++ b/agatetack/config/writing.py
@@ -0,0 +1,87 @@
+"""Write one change to the log and settle what became of the append."""
+
+import trio
+
+from agatetack.config.counters import AppendResult
+from agatetack.config.records import CONFIG_STREAM
+from agatetack.config.state import Waiter
+from agatetack.config.tail import LogTail
+from agatetack.ids import Deadline
+from agatetack.platform.log import (
+    LogError,
+    LogOutcomeUnknown,
+    LogRecordTooLarge,
+    LogTooFast,
+    LogUnavailable,
+)
+
+
+class ChangeWriting:
+    """The appends of one change until it is decided.
+
+    All appends bear the same record, so the fold decides the first that
+    lands and passes over the others, in whatever order and how late they
+    come.
+
+    Attributes:
+        may_have_landed: Whether any append may take effect.
+        too_large: Whether the log takes no record of this size.
+    """
+
+    def __init__(self, tail: LogTail, payload: bytes, waiter: Waiter):
+        """Write `payload` to the log that `tail` reads."""
+        self.tail = tail
+        self.counters = tail.state.counters
+        self.payload = payload
+        self.waiter = waiter
+        self.may_have_landed = False
+        self.too_large = False
+
+    async def run(self, deadline: Deadline) -> None:
+        """Append until the change is decided or surely has not landed."""
+        while not self.waiter.settled.is_set():
+            landed_before = self.may_have_landed
+            # Also true if this task is cancelled within the append.
+            self.may_have_landed = True
+            try:
+                await self.tail.log.append(
+                    CONFIG_STREAM, self.payload, deadline
+                )
+            except LogTooFast as too_fast:
+                self.may_have_landed = landed_before
+                self.counters.appended(AppendResult.TOO_FAST)
+                await self._wait_until(too_fast.retry_at)
+            except LogRecordTooLarge:
+                self.may_have_landed = landed_before
+                self.too_large = True
+                return
+            except LogUnavailable:
+                self.may_have_landed = landed_before
+                self.counters.appended(AppendResult.UNAVAILABLE)
+                if not landed_before:
+                    return
+                await self._read_back()
+            except LogOutcomeUnknown:
+                self.counters.appended(AppendResult.IN_DOUBT)
+                await self._read_back()
+            else:
+                self.counters.appended(AppendResult.DONE)
+                await self._read_back()
+                await self.waiter.settled.wait()
+
+    async def _read_back(self) -> None:
+        # Another append before the log was read would do no harm, but would
+        # add a record for nothing where only the reply was lost.
+        while not self.waiter.settled.is_set():
+            try:
+                await self.tail.read_to_end()
+            except LogError:
+                pause = self.tail.settings.poll_seconds
+                now = self.tail.clock.now()
+                await self._wait_until(Deadline(now + pause))
+            else:
+                return
+
+    async def _wait_until(self, when: Deadline) -> None:
+        with trio.move_on_at(when):
+            await self.waiter.settled.wait()
