--- a/agatetack/operators/app.py
+++ b/agatetack/operators/app.py
@@ -127,6 +127,7 @@
         return Response(200, page.encode(), HTML)
 
     async def _metrics(self, scope: Scope, receive: Receive) -> Response:
+        self.metrics.hand_over()
         formatter = TextFormatter()
         blocks = []
         for collector in self.metrics.registry.get_all():
--- a/agatetack/operators/test_route_calls.py
+++ b/agatetack/operators/test_route_calls.py
@@ -300,3 +300,25 @@
     (line,) = lines
     assert line.startswith("Change c1 by ann of team panel: apply route ")
     assert line.endswith(result)
+
+
+async def test_a_route_of_another_team_on_a_shared_service_stays_theirs():
+    bench = Bench()
+    theirs = make_route("shared", "profiles", "easements")
+    version = (await bench.apply(theirs, None, "root", change_id="t")).version
+    mine = dataclasses.replace(theirs, team="panel")
+    for attempt in (
+        bench.apply(mine, version, change_id="mine"),
+        bench.delete("shared", version, change_id="gone"),
+    ):
+        with pytest.raises(refusals.AccessDenied) as caught:
+            await attempt
+        assert caught.value.problem is AccessProblem.OTHER_TEAM
+
+
+async def test_a_team_over_its_limits_can_delete():
+    bench = Bench()
+    version = (await bench.apply(NEW)).version
+    bench.calls.settings = make_settings(max_routes_per_team=1)
+    await bench.delete("r2", version, change_id="gone")
+    assert set(bench.backend.records) == {"r1", "p1"}
