Compare policies on the same work; close gaps that mutations showed

Tests that newcomers do not overtake, that a cancelled waiter with a place gives it back, that old low reports and contradicted ones fade. A request that starts to wait now serves the queue once, as a limit may have grown unseen; the test found a place that nobody took.

--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -145,6 +145,8 @@
             return Failure(refusal)
         waiter = Waiter(wanted, now)
         lane.add(waiter, now)
+        # A place may have come up while somebody else was waiting.
+        self._serve(lane, now)
         self._show_queue(lane)
         try:
             await self._until_served(lane, waiter, now)
--- a/agatetack/admission/test_service.py
+++ b/agatetack/admission/test_service.py
@@ -175,6 +175,16 @@
     assert bed.in_flight() == 0
 
 
+async def test_newcomer_does_not_overtake(autojump_clock):
+    bed = make_bed()
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, "ab")
+        bed.targets[0].limit = 2
+        await fill(bed, nursery, "c")
+        assert bed.served == ["a", "b"]
+        nursery.cancel_scope.cancel()
+
+
 async def test_new_target_serves_the_queue(autojump_clock):
     bed = make_bed()
     async with trio.open_nursery() as nursery:
@@ -194,11 +204,12 @@
     assert not bed.admission.lanes[SERVICE].size
 
 
-async def test_cancelled_waiter_leaves_nothing_behind(autojump_clock):
+@pytest.mark.parametrize("priority", list(Priority))
+async def test_cancelled_waiter_leaves_nothing_behind(autojump_clock, priority):
     bed = make_bed()
     await bed.ask("a")
     async with trio.open_nursery() as nursery:
-        await fill(bed, nursery, "b")
+        await fill(bed, nursery, "b", priority=priority)
         # The place comes in the same moment as the cancel.
         bed.answer()
         nursery.cancel_scope.cancel()
--- a/agatetack/balance/test_policies.py
+++ b/agatetack/balance/test_policies.py
@@ -73,7 +73,13 @@
         ("old report counts no more", {"report": 6}, {}, 2.0, (0.3, 0.7)),
         ("a free slot is known", {"report": 0}, {"report": 1}, 0.0, (1, 1)),
         # A free slot learnt of a while ago has been taken by others.
-        ("a free slot long ago", {"report": 0}, {}, 0.1, (0.3, 0.7)),
+        (
+            "a free slot long ago",
+            {"report": 0, "others": 2.0},
+            {"others": 2.0},
+            0.1,
+            (0.3, 0.7),
+        ),
         ("ten times slower", {"service": 0.1}, {}, 0.0, (0.0, 0.0)),
         ("a little slower is luck", {"service": 0.015}, {}, 0.0, (0.3, 0.7)),
         ("another domain", {"domain": "domain-b"}, {}, 0.0, (0.0, 0.0)),
@@ -165,6 +171,19 @@
     assert shares(policy, targets, 0.2)[0] < 0.25
 
 
+async def test_contradicted_reports_give_way_to_the_usual_load():
+    policy = make_expected_wait()
+    targets = [make_target(n, others=2.0) for n in range(1, 5)]
+    liar = targets[0]
+    for step in range(20):
+        now = Deadline(step / 10)
+        liar.report = LoadReport(0, 2, 0, now, ReportSource.ANSWER)
+        policy.choose(targets, now)
+        assert step or policy.expected_others(liar, now) == 0
+        policy.answered(liar, 4 * SERVICE_SECONDS, 0, now)
+    assert policy.expected_others(liar, now) > 1.5
+
+
 async def test_shed_pauses_a_target_longer_each_time():
     policy = make_expected_wait()
     target = make_target(1)
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -253,7 +253,8 @@
         )
 
     def _may_return(self, record: LeavingRecord, now: Deadline) -> bool:
-        if now < record.hold_until or not record.listed_live:
+        # The list counts only after the hold, see `_take_listed_state`.
+        if not record.listed_live:
             return False
         if not self._announced(record) or record.restarted:
             return True
--- a/bench/policy/fleet.py
+++ b/bench/policy/fleet.py
@@ -1,5 +1,6 @@
 """Put the product's gateways together with fake targets and fake peers."""
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -8,7 +9,13 @@
 
 from agatetack.admission.service import ServiceAdmission
 from agatetack.balance.policies import make_policy
-from agatetack.ids import Deadline, FailureDomain, HostId, ServiceId
+from agatetack.ids import (
+    Deadline,
+    FailureDomain,
+    HostId,
+    RequestId,
+    ServiceId,
+)
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
 from agatetack.measure.prober import Prober
 from agatetack.messages import Answer, BytesBody
@@ -38,7 +45,7 @@
 )
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 from bench.policy.oracle import Oracle
-from bench.policy.scenario import Scenario, one_way
+from bench.policy.scenario import SPREAD, Scenario, one_way
 from bench.policy.target import FakeTarget
 
 SERVICE = ServiceId("profiles")
@@ -127,7 +134,8 @@
         if target.sheds:
             await trio.sleep(delay)
             raise self._failed(RefusalReason.SHED_BY_TARGET, False)
-        load = await target.serve()
+        work = self.fleet.work(attempt.request.request_id)
+        load = await target.serve(work)
         await trio.sleep(delay)
         report = LoadReport(
             in_flight=load,
@@ -230,6 +238,16 @@
         for gateway in self.gateways:
             gateway.registry.update(listed)
 
+    def work(self, request: RequestId) -> float:
+        """Return what a request takes on a healthy target, in seconds.
+
+        It depends on nothing but the seed and the request, so that policies
+        are compared on the same work.
+        """
+        rng = random.Random(f"{self.scenario.seed}-{request}")
+        shift = math.log(self.scenario.service_seconds) - SPREAD**2 / 2
+        return rng.lognormvariate(shift, SPREAD)
+
     def start(self) -> None:
         """Start targets and probers."""
         for target in self.targets.values():
--- a/bench/policy/scenario.py
+++ b/bench/policy/scenario.py
@@ -59,6 +59,9 @@
     oracle: bool = False
 
 
+SPREAD = 0.6
+"""Standard deviation of the logarithm of service times."""
+
 NOISE_FACTOR = 4.0
 """How much slower a target is while a noisy neighbour runs."""
 
--- a/bench/policy/target.py
+++ b/bench/policy/target.py
@@ -1,6 +1,5 @@
 """Fake a target at the interface: slots, a queue in order, noise and lies."""
 
-import math
 import random
 from collections import deque
 
@@ -16,9 +15,6 @@
     SelfCount,
 )
 
-SPREAD = 0.6
-"""Standard deviation of the logarithm of service times."""
-
 
 class FakeTarget:
     """One target.
@@ -74,8 +70,12 @@
             self.lagging = self.in_flight
             await trio.sleep(self.scenario.report_lag_seconds)
 
-    async def serve(self) -> int:
-        """Run one request in its turn; return the load the answer reports."""
+    async def serve(self, work: float) -> int:
+        """Run one request in its turn; return the load the answer reports.
+
+        Args:
+            work: What it takes on a healthy target, in seconds.
+        """
         self.in_flight += 1
         try:
             if self.running >= self.slots:
@@ -89,7 +89,7 @@
             else:
                 self.running += 1
             try:
-                await trio.sleep(self._service_time())
+                await trio.sleep(work * self.noise * self.slow)
             finally:
                 self._free()
             included = self.scenario.self_count is SelfCount.INCLUDED
@@ -109,8 +109,3 @@
             self.queue.popleft().set()
         else:
             self.running -= 1
-
-    def _service_time(self) -> float:
-        mean = self.scenario.service_seconds * self.noise * self.slow
-        shift = math.log(mean) - SPREAD**2 / 2
-        return self.rng.lognormvariate(shift, SPREAD)
