--- a/agatetack/operators/test_route_calls.py
+++ b/agatetack/operators/test_route_calls.py
@@ -1,6 +1,7 @@
 """Test what operators may change and how a race between them ends."""
 
 import contextlib
+import dataclasses
 
 import pytest
 
