--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -105,6 +105,7 @@
         self.settings = settings
         self.rng = rng
         self.half_life = settings.measure.report_half_life_seconds
+        self.reuses = settings.measure.probe_reuses
         self.domain = settings.host.failure_domain
         self.near_seconds = 2 * settings.balance.same_domain_seconds
         self.far_seconds = 2 * settings.balance.other_domain_seconds
@@ -185,6 +186,9 @@
         half_lives = (now - report.at) / self.half_life
         if seen < usual:
             half_lives /= LOW_REPORT_SHARE
+            if target.report_uses >= self.reuses:
+                # The free slot it told of has been used.
+                return usual
             if seen < 0:
                 seen = 0
         estimate = usual
--- a/agatetack/balance/test_policies.py
+++ b/agatetack/balance/test_policies.py
@@ -72,6 +72,13 @@
         ("fresh report of a queue", {"report": 6}, {}, 0.0, (0.0, 0.0)),
         ("old report counts no more", {"report": 6}, {}, 2.0, (0.3, 0.7)),
         ("a free slot is known", {"report": 0}, {"report": 1}, 0.0, (1, 1)),
+        (
+            "a used report of a free slot",
+            {"report": 0, "others": 2.0, "report_uses": 4},
+            {"others": 2.0},
+            0.0,
+            (0.3, 0.7),
+        ),
         # A free slot learnt of a while ago has been taken by others.
         (
             "a free slot long ago",
