Tell a silent peer apart from a request that nobody remembers

Cause: `explain` answered NotFound also when a peer that may know the request had not answered, and a damaged reply of a peer became an internal error. Change: with a silent or damaged peer and nothing found the answer is Unavailable, PEER_UNREACHABLE, with the peers' names and when to ask again.

--- a/agatetack/operators/explainer.py
+++ b/agatetack/operators/explainer.py
@@ -15,12 +15,16 @@
     from_thrift,
     to_thrift,
 )
+from agatetack.operators.rpc import READ_ERRORS
 from agatetack.outcomes import Outcome
 from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
 from agatetack.serving.explain import Explanations, RequestNote
 
 PROTOCOL = TCompactProtocolFactory()
 
+SILENT_RETRY_MS = 1000
+"""When to ask again after a peer did not answer."""
+
 
 class Explainer:
     """Answers from this host's notes and asks its peers for theirs."""
@@ -41,7 +45,9 @@
 
     async def explain(
         self, request: RequestId, deadline: Deadline
-    ) -> Result[request_views.Explanation, refusals.NotFound]:
+    ) -> Result[
+        request_views.Explanation, refusals.NotFound | refusals.Unavailable
+    ]:
         """Return what all hosts that answer before `deadline` know."""
         found = self._own(request)
         silent: list[HostId] = []
@@ -50,6 +56,15 @@
                 nursery.start_soon(
                     self._ask, peer.id, request, deadline, found, silent
                 )
+        if not found and silent:
+            return Failure(
+                refusals.Unavailable(
+                    refusals.UnavailableReason.PEER_UNREACHABLE,
+                    f"{', '.join(sorted(silent))} did not answer, and no other"
+                    " host remembers this request.",
+                    SILENT_RETRY_MS,
+                )
+            )
         if not found:
             return Failure(
                 refusals.NotFound(
@@ -73,11 +88,11 @@
             reply = await self.exchange.call(
                 peer, Topic.EXPLAIN, request.encode(), deadline
             )
-            struct = deserialize(ttypes.Explanation(), reply, PROTOCOL)
+            known = deserialize(ttypes.Explanation(), reply, PROTOCOL)
             explanation = from_thrift(
-                struct, request_views.Explanation, lenient=True
+                known, request_views.Explanation, lenient=True
             )
-        except (PeerUnreachable, FieldProblems, EOFError):
+        except (PeerUnreachable, FieldProblems, *READ_ERRORS):
             silent.append(peer)
             return
         found.extend(explanation.requests)
