--- a/agatetack/test_daemon.py
+++ b/agatetack/test_daemon.py
@@ -7,25 +7,15 @@
 import pytest
 import trio
 
-from agatetack.config.route import RequestClass, Route
-from agatetack.ids import ChangeId, RouteId, ServiceId, TeamId
-from agatetack.operators.calls import CallName
-from agatetack.operators.client import OperatorsClient
-from agatetack.operators.requests import (
-    ApplyRouteRequest,
-    GetStatusRequest,
-    ListHostsRequest,
-    ListRoutesRequest,
-)
 from agatetack.testing.export_content import export_bytes
-from agatetack.testing.processes import Fleet, running_fleet
-
-CLASSES = {
-    "profiles": RequestClass.FAST,
-    "payouts": RequestClass.ONCE,
-    "export": RequestClass.WHOLE,
-    "archive": RequestClass.DEFERRED,
-}
+from agatetack.testing.processes import (
+    CLASSES,
+    Fleet,
+    publish,
+    running_fleet,
+    when_ready,
+)
+
 NOT_RUN = b"not-run"
 
 
@@ -37,59 +27,6 @@
     return dict(response.headers).get(b"x-outcome")
 
 
-async def when_ready(fleet):
-    """Wait until every gateway is ready and has heard of all others."""
-    with trio.fail_after(20):
-        for gateway in fleet.gateways:
-            address = f"http://127.0.0.1:{gateway.ports.operators}"
-            async with OperatorsClient(address, fleet.token.secret) as client:
-                while True:
-                    status = await client.call(
-                        CallName.GET_STATUS, GetStatusRequest()
-                    )
-                    hosts = await client.call(
-                        CallName.LIST_HOSTS, ListHostsRequest()
-                    )
-                    live = sum(host.live for host in hosts.hosts)
-                    if (
-                        status.ready
-                        and status.log_reachable
-                        and live == len(fleet.gateways)
-                    ):
-                        break
-                    await trio.sleep(0.05)
-
-
-async def publish(fleet, names):
-    """Publish a route for each service and wait for every gateway."""
-    first = fleet.gateways[0].ports.operators
-    address = f"http://127.0.0.1:{first}"
-    async with OperatorsClient(address, fleet.token.secret) as client:
-        for name in names:
-            route = Route(
-                RouteId(name),
-                TeamId("team"),
-                ServiceId(name),
-                CLASSES[name],
-                f"/{name}",
-            )
-            await client.call(
-                CallName.APPLY_ROUTE,
-                ApplyRouteRequest(route, ChangeId(f"c-{name}")),
-            )
-    with trio.fail_after(5):
-        for gateway in fleet.gateways:
-            address = f"http://127.0.0.1:{gateway.ports.operators}"
-            async with OperatorsClient(address, fleet.token.secret) as client:
-                while True:
-                    page = await client.call(
-                        CallName.LIST_ROUTES, ListRoutesRequest()
-                    )
-                    if len(page.routes) == len(names):
-                        break
-                    await trio.sleep(0.05)
-
-
 @contextlib.asynccontextmanager
 async def serving(folder, names, gateways=2, seconds=0.002, **overrides):
     """Start a fleet whose routes are in force on every gateway."""
@@ -141,6 +78,12 @@
         )
         assert response.status == 200
         assert fleet.stand_ins.command(executions="k1").executions == 1
+        shown = await http.request(
+            "GET", f"http://127.0.0.1:{first.ports.operators}/metrics"
+        )
+        for name in ("requests", "attempts"):
+            line = f'agatetack_{name}_total{{route="profiles"}} 1\n'
+            assert line in shown.content.decode()
 
 
 class Payouts:
--- a/agatetack/testing/processes.py
+++ b/agatetack/testing/processes.py
@@ -9,15 +9,33 @@
 from collections.abc import Iterator, Sequence
 
 import ruamel.yaml
+import trio
 
+from agatetack.config.route import RequestClass, Route
 from agatetack.daemon import HostPorts
-from agatetack.ids import TeamId
+from agatetack.ids import ChangeId, RouteId, ServiceId, TeamId
+from agatetack.operators.calls import CallName
+from agatetack.operators.client import OperatorsClient
+from agatetack.operators.requests import (
+    ApplyRouteRequest,
+    GetStatusRequest,
+    ListHostsRequest,
+    ListRoutesRequest,
+)
 from agatetack.operators.tokens import NewToken, make_token
 from agatetack.testing.stand_ins import Command, Gateway, Ports, Reply
 
 PORTS_LINE = re.compile(
     r"callers on port (\d+), operators on (\d+), peers on (\d+)"
 )
+CLASSES = {
+    "profiles": RequestClass.FAST,
+    "payouts": RequestClass.ONCE,
+    "export": RequestClass.WHOLE,
+    "archive": RequestClass.DEFERRED,
+}
+"""The class of each service's route."""
+
 END_SECONDS = 20
 """Longest time that a process may take to end."""
 
@@ -180,3 +198,61 @@
         for gateway in fleet.gateways:
             gateway.close()
         fleet.stand_ins.close()
+
+
+async def when_ready(fleet: Fleet) -> None:
+    """Wait until every gateway is ready and has heard of all others."""
+    with trio.fail_after(20):
+        for gateway in fleet.gateways:
+            address = f"http://127.0.0.1:{gateway.ports.operators}"
+            async with OperatorsClient(address, fleet.token.secret) as client:
+                while True:
+                    status = await client.call(
+                        CallName.GET_STATUS, GetStatusRequest()
+                    )
+                    hosts = await client.call(
+                        CallName.LIST_HOSTS, ListHostsRequest()
+                    )
+                    live = sum(host.live for host in hosts.hosts)
+                    if (
+                        status.ready
+                        and status.log_reachable
+                        and live == len(fleet.gateways)
+                    ):
+                        break
+                    await trio.sleep(0.05)
+
+
+async def publish(fleet: Fleet, names: Sequence[str]) -> None:
+    """Publish a route for each service and wait for every gateway.
+
+    Args:
+        fleet: The gateways.
+        names: Services of `CLASSES`.
+    """
+    first = fleet.gateways[0].ports.operators
+    address = f"http://127.0.0.1:{first}"
+    async with OperatorsClient(address, fleet.token.secret) as client:
+        for name in names:
+            route = Route(
+                RouteId(name),
+                TeamId("team"),
+                ServiceId(name),
+                CLASSES[name],
+                f"/{name}",
+            )
+            await client.call(
+                CallName.APPLY_ROUTE,
+                ApplyRouteRequest(route, ChangeId(f"c-{name}")),
+            )
+    with trio.fail_after(5):
+        for gateway in fleet.gateways:
+            address = f"http://127.0.0.1:{gateway.ports.operators}"
+            async with OperatorsClient(address, fleet.token.secret) as client:
+                while True:
+                    page = await client.call(
+                        CallName.LIST_ROUTES, ListRoutesRequest()
+                    )
+                    if len(page.routes) == len(names):
+                        break
+                    await trio.sleep(0.05)
--- a/agatetack/testing/stand_ins.py
+++ b/agatetack/testing/stand_ins.py
@@ -4,6 +4,7 @@
 its standard input, and ends with it. Commands are described at `Command`.
 """
 
+import random
 import sys
 from collections.abc import Sequence
 
@@ -20,6 +21,16 @@
 
 LOOPBACK = "127.0.0.1"
 
+SPREAD = 0.5
+"""Sigma of the log-normal service times."""
+
+SLOW_FACTOR = 10.0
+NOISE_SECONDS = (0.01, 0.08)
+"""Shortest and longest time for which a neighbour takes a slot."""
+
+QUIET_SHARE = 0.01
+"""Pace of the noise makers while there is no noise."""
+
 
 class Gateway(pydantic.BaseModel):
     """A gateway to list."""
@@ -43,6 +54,8 @@
         outage: Whether the log is out.
         drain: Port of a target to drain.
         crash: Port of a target to crash.
+        slow: Port of a target to make ten times slower.
+        noise: Share of all slots that noisy neighbours take from now on.
         executions: Answer with how often this key was run, by any target.
     """
 
@@ -50,6 +63,8 @@
     outage: bool | None = None
     drain: int | None = None
     crash: int | None = None
+    slow: int | None = None
+    noise: float | None = None
     executions: str | None = None
 
 
@@ -68,6 +83,7 @@
         self.hosts = MemoryHostList()
         self.targets: dict[int, FakeTarget] = {}
         self.listed: list[ListedHost] = []
+        self.noise = 0.0
 
     async def add_targets(
         self, nursery: trio.Nursery, service: str, count: int, seconds: float
@@ -75,17 +91,32 @@
         """Start targets of one service and list them."""
         ports = []
         for number in range(count):
-            options = FakeTargetOptions(service_seconds=seconds, seed=number)
+            options = FakeTargetOptions(
+                service_seconds=seconds, spread=SPREAD, seed=number
+            )
             target = FakeTarget(default_settings(), options)
             port = await nursery.start(target.serve)
             self.targets[port] = target
             ports.append(port)
+            nursery.start_soon(self._make_noise, target, number)
             self.listed.append(
                 _listed(f"{LOOPBACK}:{port}", HostRole.TARGET, port, service)
             )
         self.hosts.hosts = list(self.listed)
         return ports
 
+    async def _make_noise(self, target: FakeTarget, seed: int) -> None:
+        """Take slots for some tens of milliseconds, now and then."""
+        rng = random.Random(seed)
+        async with trio.open_nursery() as nursery:
+            while True:
+                share = max(self.noise, QUIET_SHARE)
+                busy = rng.uniform(*NOISE_SECONDS)
+                rate = share * target.options.slots / busy
+                await trio.sleep(rng.expovariate(rate))
+                if self.noise:
+                    nursery.start_soon(target.occupy, busy)
+
     def carry_out(self, command: Command) -> Reply:
         """Do what a command says."""
         if command.gateways is not None:
@@ -100,6 +131,10 @@
             self.targets[command.drain].drain()
         if command.crash is not None:
             self.targets[command.crash].crash()
+        if command.slow is not None:
+            self.targets[command.slow].faults.slow_factor = SLOW_FACTOR
+        if command.noise is not None:
+            self.noise = command.noise
         if command.executions is None:
             return Reply()
         key = IdempotencyKey(command.executions)
