Let new hosts share the byte budget of the peer that they start from

Cause: peers hold replies back to keep their byte budget.

Conclusion: twelve new hosts with one host left need about a minute at 97 KB each, by calculation; the log's return ends that at once.

--- a/agatetack/config/serving.py
+++ b/agatetack/config/serving.py
@@ -7,10 +7,10 @@
 from agatetack.generated.config import ttypes as wire
 from agatetack.ids import LogOffset
 
-MAX_BATCH_BYTES = 64 * 1024
-"""Most bytes of records in one reply to a peer."""
+MAX_BATCH_BYTES = 8 * 1024
+"""Most bytes of records in one reply; peers have a budget of bytes."""
 
-SNAPSHOT_PART_BYTES = 64 * 1024
+SNAPSHOT_PART_BYTES = 8 * 1024
 """Most bytes of a snapshot in one reply to a peer."""
 
 
--- a/agatetack/config/sharing.py
+++ b/agatetack/config/sharing.py
@@ -201,9 +201,12 @@
     async def _ask(
         self, peer: HostId, request: wire.FetchRequest
     ) -> wire.FetchReply:
-        deadline = Deadline(
-            self.clock.now() + self.settings.fetch_timeout_seconds
-        )
+        # A small gap is fetched from another peer if one does not answer. Many
+        # new hosts may wait in turn for parts of one peer's snapshot.
+        timeout = self.settings.fetch_timeout_seconds
+        if not self.state.ready or request.snapshot_id is not None:
+            timeout = self.settings.transfer_timeout_seconds
+        deadline = Deadline(self.clock.now() + timeout)
         payload = await self.exchange.call(
             peer, Topic.CONFIG_FETCH, encode(request), deadline
         )
--- a/agatetack/config/test_spread.py
+++ b/agatetack/config/test_spread.py
@@ -29,6 +29,10 @@
 from agatetack.testing.memory_log import AppendFault
 
 ROUTES = 12
+LARGE_ROUTES = 2000
+PEER_BYTES_PER_SECOND = 18_000
+"""What the default byte budget of peers leaves for replies."""
+
 FULL = None
 LINE = ["host-0", "host-1", "host-2", "host-3"]
 
@@ -192,8 +196,10 @@
     return store.counters.problems.get({"problem": problem.value})
 
 
-def record(change_id: str = "evil", base: int = 0) -> bytes:
-    change = make_change(change_id, "evil")
+def record(
+    change_id: str = "evil", base: int = 0, route_id: str = "evil"
+) -> bytes:
+    change = make_change(change_id, route_id)
     return encode_change(change, base)
 
 
@@ -293,3 +299,21 @@
         fleet.mesh.cut.clear()
         await trio.sleep(IN_FORCE_SECONDS)
         fleet.assert_agreed()
+
+
+@pytest.mark.parametrize("newcomers", [1, 5])
+async def test_new_hosts_share_the_byte_budget_of_one_peer(
+    newcomers, autojump_clock
+):
+    async with open_fleet(1, config={"kept_records": 3}) as fleet:
+        for number in range(LARGE_ROUTES):
+            payload = record(f"c{number}", number - 1, f"route-{number}")
+            fleet.service.store(CONFIG_STREAM, payload)
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.service.faults.outage = True
+        fleet.mesh.reply_bytes_per_second = PEER_BYTES_PER_SECOND
+        for number in range(newcomers):
+            await fleet.start(f"new-{number}")
+        await trio.sleep(newcomers * 4 + IN_FORCE_SECONDS)
+        fleet.assert_agreed()
+        assert fleet.hosts["new-0"].version() == LARGE_ROUTES - 1
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -129,6 +129,7 @@
     gossip_seconds: Seconds
     fetch_delay_seconds: Seconds
     fetch_timeout_seconds: Seconds
+    transfer_timeout_seconds: Seconds
     log_reads_per_second: Annotated[float, pydantic.Field(gt=0)]
     acknowledge_seconds: Annotated[float, pydantic.Field(ge=0)]
     snapshot_age_ratio: Annotated[float, pydantic.Field(gt=0, le=0.5)]
@@ -172,6 +173,7 @@
 
     listen: Endpoint
     advertise: Endpoint | None
+    tls: TlsFiles | None
     shared_key: str | None
     heartbeat_seconds: Seconds
     timeout_seconds: Seconds
--- a/agatetack/testing/memory_exchange.py
+++ b/agatetack/testing/memory_exchange.py
@@ -23,6 +23,8 @@
         cut: Ordered pairs of hosts between which nothing arrives.
         lost_topics: Topics whose published messages are lost.
         size: The number of hosts that the platform's list shows, or 0.
+        reply_bytes_per_second: How fast one host sends replies, or 0 for at
+            once; as with the byte budget of peers they wait in turn.
         delay_seconds: How long each message and call takes one way.
     """
 
@@ -33,6 +35,7 @@
         self.cut: set[tuple[HostId, HostId]] = set()
         self.lost_topics: set[Topic] = set()
         self.size = 0
+        self.reply_bytes_per_second = 0
         self.delay_seconds = 0.0
 
     def join(self, host: HostId) -> "MemoryExchange":
@@ -73,6 +76,7 @@
         self.handlers: dict[Topic, list[MessageHandler]] = {}
         self.servers: dict[Topic, CallHandler] = {}
         self.sent_bytes = 0
+        self.busy_until = 0.0
 
     def publish(self, topic: Topic, payload: bytes) -> None:
         """Send to every linked host, unless the topic is scripted lost."""
@@ -102,13 +106,23 @@
                 await trio.sleep_forever()
             handler = self.mesh.hosts[peer].servers[topic]
             reply = await handler(self.host, payload)
-            self.mesh.hosts[peer].sent_bytes += len(reply)
+            await self.mesh.hosts[peer].send_reply(len(reply))
             if not self.mesh.linked(peer, self.host):
                 await trio.sleep_forever()
             await trio.sleep(self.mesh.delay_seconds)
             return reply
         raise PeerUnreachable(f"{peer} did not answer in time")
 
+    async def send_reply(self, count: int) -> None:
+        """Wait until `count` bytes of a reply have left this host."""
+        self.sent_bytes += count
+        if self.mesh.reply_bytes_per_second:
+            seconds = count / self.mesh.reply_bytes_per_second
+            self.busy_until = (
+                max(self.busy_until, trio.current_time()) + seconds
+            )
+            await trio.sleep_until(self.busy_until)
+
     def live_peers(self) -> Sequence[Peer]:
         """Return every other host whose messages arrive here."""
         return [
