Bound the page of metrics and tell cancelled attempts from answered ones

Change: 200 targets have a latency series of their own, the others share one; attempts carry whether they were cancelled; the log counts as reachable only while the claim streams answer.

--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -159,6 +159,7 @@
             self._note_failure(plan, permit, failed.failure)
             return Failure(failed.failure)
         except BaseException:
+            note.cancelled = True
             permit.release(AttemptResult.CANCELLED)
             raise
         finally:
--- a/agatetack/attempts/test_race.py
+++ b/agatetack/attempts/test_race.py
@@ -122,6 +122,8 @@
     result = await run_hedged(parts)
     assert result.unwrap().body.content == b"answer 2"
     assert parts.client.cancelled == 1
+    notes = parts.client.attempts[0].request.attempts
+    assert [note.cancelled for note in notes] == [True, False]
     assert parts.retries(RetryReason.HEDGE) == 1
     parts.check_permits()
 
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -119,6 +119,8 @@
         retry_reason: Why it was made, or None for the first.
         ended: When its header came or it failed, or None while it runs.
         failure: Why it brought no answer, or None.
+        cancelled: Whether it was given up, as another one was answered or
+            the caller had gone.
     """
 
     attempt: AttemptId
@@ -127,6 +129,7 @@
     retry_reason: RetryReason | None = None
     ended: Deadline | None = None
     failure: RefusalReason | None = None
+    cancelled: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/agatetack/metrics.py
+++ b/agatetack/metrics.py
@@ -22,6 +22,13 @@
 """The route label of requests that match no route."""
 
 
+MAX_SHOWN_TARGETS = 200
+"""Targets with a latency series of their own."""
+
+OTHER_TARGETS_LABEL = "others"
+"""The target label of all others."""
+
+
 class MeasureKind(enum.Enum):
     """How a target was measured."""
 
@@ -65,6 +72,7 @@
         """Create every counter, and one series for each reason."""
         self.registry = Registry()
         self.hot: list[HotCounter] = []
+        self.shown_targets: set[TargetId] = set()
         self.requests = self.hot_counter(
             "agatetack_requests_total", "Requests by route.", "route"
         )
@@ -166,8 +174,18 @@
         self.latency.observe({"route": route}, seconds)
 
     def target_answered(self, target: TargetId, seconds: float) -> None:
-        """Note an attempt's time to answer headers."""
-        self.target_latency.observe({"target": target}, seconds)
+        """Note an attempt's time to answer headers.
+
+        Only the first targets have a series of their own: at 9,800 the page
+        would be 10 MB and take most of a second.
+        """
+        label = target
+        if target not in self.shown_targets:
+            if len(self.shown_targets) < MAX_SHOWN_TARGETS:
+                self.shown_targets.add(target)
+            else:
+                label = OTHER_TARGETS_LABEL
+        self.target_latency.observe({"target": label}, seconds)
 
     def hand_over(self) -> None:
         """Add what hot counters hold to the library's counters."""
--- a/agatetack/operators/explainer.py
+++ b/agatetack/operators/explainer.py
@@ -5,6 +5,8 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
 from thrift.TSerialization import deserialize, serialize
 
+from agatetack.admission.controller import AttemptResult
+from agatetack.attempts.single import ATTEMPT_RESULTS
 from agatetack.clock import Clock, deadline_to_wall
 from agatetack.generated.operators import ttypes
 from agatetack.ids import Deadline, HostId, RequestId
@@ -135,10 +137,21 @@
         target_id=note.target,
         started_after_ms=_ms(note.started - arrived),
         ended_after_ms=ended,
+        result=_result(note),
         failure=note.failure,
         retry_reason=note.retry_reason,
     )
 
 
+def _result(note: AttemptNote) -> AttemptResult | None:
+    if note.ended is None:
+        return None
+    if note.cancelled:
+        return AttemptResult.CANCELLED
+    if note.failure is None:
+        return AttemptResult.ANSWERED
+    return ATTEMPT_RESULTS.get(note.failure, AttemptResult.FAILED)
+
+
 def _ms(seconds: float) -> int:
     return max(0, round(seconds * 1000))
--- a/agatetack/operators/host_view.py
+++ b/agatetack/operators/host_view.py
@@ -29,11 +29,19 @@
         routes=0 if table is None else len(table.routes),
         in_flight=len(gateway.lifecycle.in_flight),
         fleet_size=gateway.peers.fleet_size(),
-        log_reachable=gateway.claims.ready,
+        log_reachable=log_reachable(gateway),
         not_ready_because=None if not_ready is None else not_ready.detail,
     )
 
 
+def log_reachable(gateway: Gateway) -> bool:
+    """Return whether the claim streams were read and answer now."""
+    return all(
+        partition.ready and partition.reachable
+        for partition in gateway.claims.partitions
+    )
+
+
 def host_views(gateway: Gateway) -> Sequence[views.HostView]:
     """Return all gateways that the host knows, itself first."""
     host = gateway.settings.host
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -18,6 +18,7 @@
     RequestId,
     RouteId,
     ServiceId,
+    TargetId,
     TeamId,
 )
 from agatetack.messages import (
@@ -195,6 +196,14 @@
         assert f'reason="{reason.value}"' in text
 
 
+def test_the_page_of_metrics_stays_bounded():
+    metrics = Metrics()
+    for number in range(1000):
+        metrics.target_answered(TargetId(f"t{number}"), 0.01)
+    lines = metrics.render()[0].decode().count("agatetack_target_latency")
+    assert lines < 5000
+
+
 def test_every_reason_has_a_status_and_an_outcome():
     for reason in RefusalReason:
         refusal = refuse(reason, "")
