Let hosts use TLS between them, with certificates at both ends

Cause: the issue asks for a shared key or TLS; a key proves who is there but protects nothing after the first frames, and the TLS of links, with files read again on change, was there without use. Change: peers.tls; links open and accept through a transport, plain or TLS. With TLS hosts that are not listed yet are accepted, as with a key. Figures: links stand only between two plain hosts or two of one authority, in 6 cases over loopback sockets, which fail if an accepted connection is left plain. Conclusion: kept as an offer beside the key.

--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -19,6 +19,7 @@
 from agatetack.peers.handshake import Side, shake_hands
 from agatetack.peers.link import Link, LinkOwner
 from agatetack.peers.members import Member, MemberTable
+from agatetack.peers.transport import Transport
 from agatetack.platform.host_list import ListedHost
 
 MAX_LINKS_RATIO = 4
@@ -46,9 +47,11 @@
         own: This host's name.
         failure_domain: Where this host is.
         members: The hosts known.
+        transport: Opens and accepts connections.
     """
 
     own: HostId
+    transport: Transport
     failure_domain: FailureDomain
     members: MemberTable
 
@@ -84,12 +87,13 @@
         self.settings = owner.settings
         self.counters = owner.counters
         self.clock = owner.clock
+        self.transport = owner.transport
         self.random = source
         self.links: dict[HostId, Link] = {}
         self.wanted: frozenset[HostId] = frozenset()
         self.missing: frozenset[HostId] = frozenset()
         self.bounded = False
-        self.open_stream: OpenStream = trio.open_tcp_stream
+        self.open_stream: OpenStream = self.transport.open
         self.dialling: dict[HostId, trio.CancelScope] = {}
         self.handshakes = 0
         self.changed = trio.Event()
@@ -155,7 +159,7 @@
             self.counters.closed_for(CloseReason.CONNECTION_LOST)
             await trio.aclose_forcefully(stream)
             return
-        await self.serve_accepted(stream, remote_ip)
+        await self.serve_accepted(self.transport.accept(stream), remote_ip)
 
     async def serve_accepted(
         self, stream: trio.abc.Stream, remote_ip: str
@@ -214,12 +218,12 @@
         """Return who says where `peer` is: the list, or itself.
 
         Either may be outdated, as a host may be replaced by one of its name.
-        What it says of itself is believed only if it has the key.
+        What it says of itself is believed only if it is proved.
         """
         found: list[ListedHost | Member] = []
         if peer in self.members.listed:
             found.append(self.members.listed[peer])
-        if self.settings.shared_key is not None:
+        if self._proves_hosts():
             member = self.members.heard.get(peer)
             if member is not None:
                 found.append(member)
@@ -228,7 +232,7 @@
     def _admit_accepted(self, hello: ttypes.Hello, remote_ip: str) -> None:
         if hello.host == self.own:
             raise LinkClosed(CloseReason.WRONG_HOST)
-        if self.settings.shared_key is None:
+        if not self._proves_hosts():
             listed = self.members.listed.values()
             if remote_ip not in {host.ip for host in listed}:
                 raise LinkClosed(CloseReason.NOT_LISTED)
@@ -237,6 +241,11 @@
         if len(self.links) >= most and hello.host not in self.links:
             raise LinkClosed(CloseReason.TOO_MANY)
 
+    def _proves_hosts(self) -> bool:
+        return self.settings.shared_key is not None or (
+            self.settings.tls is not None
+        )
+
     def _check_incarnation(self, hello: ttypes.Hello) -> None:
         if hello.incarnation < self.members.incarnation(HostId(hello.host)):
             raise LinkClosed(CloseReason.OLD_INCARNATION)
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -40,6 +40,7 @@
 from agatetack.peers.link import Link
 from agatetack.peers.members import MemberTable
 from agatetack.peers.relay import MEMBER_TOPIC, Relay
+from agatetack.peers.transport import make_transport
 from agatetack.settings.model import Settings
 
 LOG = PartLog("peers")
@@ -82,6 +83,7 @@
         self.relay = Relay(self.own, self.incarnation)
         self.handlers: dict[int, list[MessageHandler]] = {}
         self.calls = CallService(settings.peers, self.counters)
+        self.transport = make_transport(settings.peers, metrics)
         self.connector = Connector(self, self.random)
         self.max_publish_bytes = min(
             settings.peers.max_frame_bytes, self.budget.max_publish()
@@ -115,6 +117,7 @@
             )
             nursery.start_soon(self.connector.keep_links)
             nursery.start_soon(self._announce)
+            nursery.start_soon(self.transport.run)
             task_status.started(self.port)
 
     def publish(self, topic: Topic, payload: bytes) -> None:
--- a/agatetack/peers/test_mesh.py
+++ b/agatetack/peers/test_mesh.py
@@ -2,10 +2,16 @@
 
 import pytest
 import trio
+import trustme
 
 from agatetack.ids import Deadline, HostId
 from agatetack.peers.exchange import PeerUnreachable, Topic
-from agatetack.testing.peer_fleet import start_fleet
+from agatetack.testing.peer_fleet import (
+    StaticDirectory,
+    listed,
+    new_exchange,
+    start_fleet,
+)
 
 FAST = {"heartbeat_seconds": 0.05, "timeout_seconds": 0.3}
 """Timings that let a test see links fail soon."""
@@ -18,6 +24,48 @@
             await trio.sleep(0.005)
 
 
+def pem_files(directory, authority: trustme.CA) -> dict[str, str]:
+    """Write a host's files and return their paths."""
+    issued = authority.issue_cert("fleet.example")
+    blobs = {
+        "certificate": issued.cert_chain_pems[0],
+        "key": issued.private_key_pem,
+        "authority": authority.cert_pem,
+    }
+    directory.mkdir()
+    for name, blob in blobs.items():
+        blob.write_to_path(str(directory / name))
+    return {name: str(directory / name) for name in blobs}
+
+
+@pytest.mark.parametrize("ours", [None, "fleet"])
+@pytest.mark.parametrize("theirs", [None, "fleet", "stranger"])
+async def test_tls_links_hosts_of_one_authority(
+    nursery, tmp_path, ours, theirs
+):
+    authorities = {"fleet": trustme.CA(), "stranger": trustme.CA()}
+    directory = StaticDirectory()
+    hosts = []
+    for name, authority in (("g0", ours), ("g1", theirs)):
+        files = None
+        if authority is not None:
+            files = pem_files(tmp_path / name, authorities[authority])
+        host = new_exchange(name, directory, tls=files, **FAST)
+        await nursery.start(host.run)
+        hosts.append(host)
+    directory.replace([listed(host) for host in hosts])
+    if ours == theirs:
+        await wait_until(lambda: all(h.live_peers() for h in hosts))
+        return
+
+    def refusals() -> int:
+        seen = [h.counters.closed.get_all() for h in hosts]
+        return sum(count for each in seen for _, count in each)
+
+    await wait_until(lambda: refusals() >= 6)
+    assert not any(h.live_peers() for h in hosts)
+
+
 @pytest.mark.parametrize("key", [None, "secret"])
 async def test_all_peers_link_publish_and_call(nursery, key):
     fleet = await start_fleet(nursery, ["g0", "g1", "g2"], shared_key=key)
