Try configuration over real links between hosts

Cause: all tests of spreading ran over the exchange in memory, which has no byte budget, handshake or frames.

Change: a test with the real exchange on loopback: a change accepted while only one host reads the log, the log out right after, then a new host.

--- a/agatetack/config/test_spread.py
+++ b/agatetack/config/test_spread.py
@@ -4,6 +4,7 @@
 import trio
 from returns.result import Success
 
+from agatetack.clock import SystemClock
 from agatetack.config.change import Accepted
 from agatetack.config.counters import Problem
 from agatetack.config.fold import Fold
@@ -13,12 +14,15 @@
     encode,
     encode_change,
 )
+from agatetack.config.route import RouteSource
 from agatetack.config.snapshot import decode_chunk
 from agatetack.config.state import Source
 from agatetack.config.store import ConfigStore
 from agatetack.generated.config import ttypes as wire
 from agatetack.ids import HostId
+from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Topic
+from agatetack.settings.defaults import default_settings
 from agatetack.testing.config_fleet import (
     IN_FORCE_SECONDS,
     Fleet,
@@ -26,10 +30,16 @@
     make_change,
     open_fleet,
 )
-from agatetack.testing.memory_log import AppendFault
+from agatetack.testing.memory_log import (
+    AppendFault,
+    MemoryLog,
+    MemoryLogService,
+)
+from agatetack.testing.peer_fleet import StaticDirectory, listed, new_exchange
 
 ROUTES = 12
 LARGE_ROUTES = 2000
+FAST_LOG = {"poll_seconds": 0.1}
 PEER_BYTES_PER_SECOND = 18_000
 """What the default byte budget of peers leaves for replies."""
 
@@ -317,3 +327,43 @@
         await trio.sleep(newcomers * 4 + IN_FORCE_SECONDS)
         fleet.assert_agreed()
         assert fleet.hosts["new-0"].version() == LARGE_ROUTES - 1
+
+
+async def test_over_real_links(nursery):
+    directory = StaticDirectory()
+    service = MemoryLogService()
+    exchanges, stores = [], []
+
+    async def start(name: str) -> ConfigStore:
+        exchange = new_exchange(name, directory)
+        await nursery.start(exchange.run)
+        exchanges.append(exchange)
+        directory.replace([listed(each) for each in exchanges])
+        settings = default_settings(
+            config={"gossip_seconds": 0.1}, platform={"log": FAST_LOG}
+        )
+        store = ConfigStore(
+            settings,
+            MemoryLog(service),
+            exchange,
+            RouteSource(),
+            Metrics(),
+            SystemClock(),
+        )
+        stores.append(store)
+        await nursery.start(store.run)
+        return store
+
+    with trio.fail_after(20):
+        for name in ("g0", "g1", "g2"):
+            await start(name)
+        while not all(len(each.live_peers()) == 2 for each in exchanges):
+            await trio.sleep(0.01)
+        for store in stores[1:]:
+            store.log.faults.outage = True
+        await trio.sleep(2 * FAST_LOG["poll_seconds"])
+        await apply(stores[0], make_change("one"))
+        service.faults.outage = True
+        await start("g3")
+        while not all(s.ready and s.version() == 0 for s in stores):
+            await trio.sleep(0.01)
