--- a/agatetack/config/serving.py
+++ b/agatetack/config/serving.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from agatetack.config.snapshot import encode_snapshot, split_snapshot
+from agatetack.config.chunks import split_snapshot
+from agatetack.config.snapshot import encode_snapshot
 from agatetack.config.state import ConfigState
 from agatetack.generated.config import ttypes as wire
 from agatetack.ids import LogOffset
--- a/agatetack/config/sharing.py
+++ b/agatetack/config/sharing.py
@@ -11,13 +11,10 @@
 
 from agatetack.clock import Clock
 from agatetack.config.change import NO_VERSION
+from agatetack.config.chunks import SnapshotReader, check_chunk
 from agatetack.config.counters import Problem
 from agatetack.config.records import BadRecord, decode, encode
 from agatetack.config.serving import RecordGiver
-from agatetack.config.snapshot import (
-    SnapshotReader,
-    check_chunk,
-)
 from agatetack.config.state import Batch, ConfigState, Source
 from agatetack.generated.config import ttypes as wire
 from agatetack.ids import Deadline, HostId, LogOffset
--- /dev/null
+++ b/agatetack/config/snapshot_writer.py
@@ -0,0 +1,188 @@
+"""Keep a young snapshot in the platform's log."""
+
+import dataclasses
+import random
+
+import trio
+
+from agatetack.clock import Clock
+from agatetack.config.change import NO_VERSION
+from agatetack.config.chunks import (
+    MAX_PARTIAL_SNAPSHOTS,
+    decode_chunk,
+    split_snapshot,
+)
+from agatetack.config.counters import Problem
+from agatetack.config.records import SNAPSHOT_STREAM, BadRecord, encode
+from agatetack.config.snapshot import encode_snapshot
+from agatetack.config.snapshot_stream import read_snapshots
+from agatetack.config.state import ConfigState
+from agatetack.ids import Deadline, LogOffset, WallTime
+from agatetack.platform.log import (
+    Log,
+    LogError,
+    LogOutcomeUnknown,
+    LogRecord,
+    LogTooFast,
+)
+from agatetack.settings.model import Settings
+
+APPEND_TRIES = 5
+"""Appends of one chunk before a snapshot is given up for now."""
+
+
+@dataclasses.dataclass(slots=True)
+class SeenSnapshot:
+    """A whole snapshot in the log, known without its data.
+
+    Attributes:
+        version: The last offset folded into it.
+        due_at: When it has to be written anew.
+    """
+
+    version: LogOffset
+    due_at: Deadline
+
+
+class SnapshotWriter:
+    """Keep a young whole snapshot in the log, together with all other hosts.
+
+    Whoever first finds one due writes it. Two that do so at once do no harm,
+    as each snapshot has its own id and stands for a state, not for a change.
+
+    Attributes:
+        newest: The newest whole snapshot seen, or None.
+        missing: For each incomplete snapshot the indexes not seen yet.
+        next_offset: Up to where the snapshot stream was read.
+    """
+
+    def __init__(
+        self, settings: Settings, log: Log, state: ConfigState, clock: Clock
+    ):
+        """Write snapshots of `state` to `log`."""
+        self.settings = settings.config
+        self.log_settings = settings.platform.log
+        self.log = log
+        self.state = state
+        self.clock = clock
+        self.newest: SeenSnapshot | None = None
+        self.missing: dict[str, set[int]] = {}
+        self.next_offset = LogOffset(0)
+
+    @property
+    def max_age_seconds(self) -> float:
+        """Return the age at which a snapshot is written anew."""
+        return (
+            self.log_settings.retention_seconds
+            * self.settings.snapshot_age_ratio
+        )
+
+    async def run(self) -> None:
+        """Look for due snapshots for ever."""
+        while True:
+            await trio.sleep(self._stagger())
+            try:
+                await self._watch()
+                if self._due():
+                    await trio.sleep(self._stagger())
+                    await self._watch()
+                if self._due():
+                    await self._write()
+            except LogError as error:
+                self.state.problem(
+                    Problem.SNAPSHOT_FAILED, "no snapshot written: %s.", error
+                )
+
+    def _stagger(self) -> float:
+        most = min(
+            self.settings.snapshot_stagger_seconds, self.max_age_seconds / 4
+        )
+        return random.uniform(0, most)
+
+    def _due(self) -> bool:
+        if not self.state.ready or self.state.fold.version == NO_VERSION:
+            return False
+        if self.newest is None:
+            return True
+        if self.clock.now() >= self.newest.due_at:
+            # A host that is behind leaves it to the others.
+            return self._records_behind() >= 0
+        return self._records_behind() >= self.settings.snapshot_records
+
+    def _records_behind(self) -> int:
+        return self.state.fold.version - self.newest.version
+
+    async def _watch(self) -> None:
+        while True:
+            page = await read_snapshots(
+                self.log,
+                self.next_offset,
+                self.clock,
+                self.log_settings.timeout_seconds,
+            )
+            for record in page.records:
+                self._see(record)
+            if page.records:
+                self.next_offset = LogOffset(page.records[-1].offset + 1)
+            if self.next_offset >= page.end or not page.records:
+                return
+
+    def _see(self, record: LogRecord) -> None:
+        try:
+            chunk = decode_chunk(record.payload)
+        except BadRecord:
+            self.state.counters.problem(Problem.BAD_SNAPSHOT)
+            return
+        if len(self.missing) > MAX_PARTIAL_SNAPSHOTS:
+            del self.missing[next(iter(self.missing))]
+        missing = self.missing.setdefault(
+            chunk.snapshot_id, set(range(chunk.count))
+        )
+        missing.discard(chunk.index)
+        if missing:
+            return
+        del self.missing[chunk.snapshot_id]
+        if self.newest is None or chunk.version >= self.newest.version:
+            # Incomplete ones that are older will not be waited for.
+            self.missing.clear()
+            self.newest = SeenSnapshot(
+                LogOffset(chunk.version), self._due_at(record.appended_at)
+            )
+
+    def _due_at(self, appended_at: WallTime) -> Deadline:
+        # The wall clock is asked once; later jumps of it change nothing.
+        age = self.clock.wall() - appended_at
+        age = min(max(age, 0.0), self.max_age_seconds)
+        return Deadline(self.clock.now() + self.max_age_seconds - age)
+
+    async def _write(self) -> None:
+        fold = self.state.fold
+        version = fold.version
+        content = await encode_snapshot(fold)
+        chunks = split_snapshot(
+            content, version, self.log_settings.max_record_bytes
+        )
+        for chunk in chunks:
+            await self._append(encode(chunk))
+        self.state.counters.written()
+        self.state.log.info(
+            "wrote a snapshot of version %d in %d chunks, %d bytes.",
+            version,
+            len(chunks),
+            len(content),
+        )
+
+    async def _append(self, payload: bytes) -> None:
+        for _ in range(APPEND_TRIES):
+            now = self.clock.now()
+            deadline = Deadline(now + self.log_settings.timeout_seconds)
+            try:
+                await self.log.append(SNAPSHOT_STREAM, payload, deadline)
+            except LogTooFast as too_fast:
+                await trio.sleep_until(too_fast.retry_at)
+            except LogOutcomeUnknown:
+                # A second copy of a chunk does no harm.
+                continue
+            else:
+                return
+        raise LogError("a chunk could not be appended")
--- a/agatetack/config/store.py
+++ b/agatetack/config/store.py
@@ -22,7 +22,7 @@
 )
 from agatetack.config.route import RouteSource
 from agatetack.config.sharing import PeerSharing
-from agatetack.config.snapshot_stream import SnapshotWriter
+from agatetack.config.snapshot_writer import SnapshotWriter
 from agatetack.config.state import ConfigState, Waiter
 from agatetack.config.tail import LogTail
 from agatetack.config.writing import ChangeWriting
--- a/agatetack/config/test_fold.py
+++ b/agatetack/config/test_fold.py
@@ -15,17 +15,12 @@
 
 from agatetack.config import fold as fold_module
 from agatetack.config.change import NO_VERSION, RouteChange
+from agatetack.config.chunks import SnapshotReader, decode_chunk, split_snapshot
 from agatetack.config.counters import ConfigCounters
 from agatetack.config.fold import Fold, OutOfOrder, Verdict
-from agatetack.config.records import encode_change
+from agatetack.config.records import encode, encode_change
 from agatetack.config.route import RequestClass, Route, RouteSource, RouteTable
-from agatetack.config.snapshot import (
-    SnapshotReader,
-    decode_chunk,
-    encode,
-    encode_snapshot,
-    split_snapshot,
-)
+from agatetack.config.snapshot import encode_snapshot
 from agatetack.config.state import Batch, ConfigState, Source
 from agatetack.metrics import Metrics
 
--- a/agatetack/config/test_spread.py
+++ b/agatetack/config/test_spread.py
@@ -6,6 +6,7 @@
 
 from agatetack.clock import SystemClock
 from agatetack.config.change import Accepted
+from agatetack.config.chunks import decode_chunk
 from agatetack.config.counters import Problem
 from agatetack.config.fold import Fold
 from agatetack.config.records import (
@@ -15,7 +16,6 @@
     encode_change,
 )
 from agatetack.config.route import RouteSource
-from agatetack.config.snapshot import decode_chunk
 from agatetack.config.state import Source
 from agatetack.config.store import ConfigStore
 from agatetack.generated.config import ttypes as wire
