--- a/agatetack/deferred/partition.py
+++ b/agatetack/deferred/partition.py
@@ -202,13 +202,13 @@
     async def _read_on(self) -> None:
         log_settings = self.settings.platform.log
         now = self.clock.now()
+        # The first reads don't wait, so that an empty stream is known at once.
+        poll_seconds = log_settings.poll_seconds if self.caught_up else 0.0
         page = await self.log.read(
             self.stream,
             self.position,
-            Deadline(
-                now + log_settings.poll_seconds + log_settings.timeout_seconds
-            ),
-            wait_until=Deadline(now + log_settings.poll_seconds),
+            Deadline(now + poll_seconds + log_settings.timeout_seconds),
+            wait_until=Deadline(now + poll_seconds),
             max_records=PAGE_RECORDS,
         )
         for record in page.records:
--- a/agatetack/deferred/test_faults.py
+++ b/agatetack/deferred/test_faults.py
@@ -286,6 +286,7 @@
             await trio.sleep(0.01)
         await host.queue.drain()
         begun = dict(fleet.work.runs)
+        assert fleet.work.peak == 4
         assert 0 < len(begun) < 10
         assert fleet.work.finished == begun
         fleet.kill("host-1")
--- a/agatetack/testing/deferred_fleet.py
+++ b/agatetack/testing/deferred_fleet.py
@@ -87,6 +87,8 @@
         fault_ratio: The share of runs that end in doubt or are not run.
         body_bytes: The size of each answer.
         runs: Runs begun, by path.
+        running: Runs under way.
+        peak: Most runs that were under way at the same time.
         finished: Runs that brought an answer, by path.
         dice: Chooses times and faults.
     """
@@ -98,6 +100,8 @@
     fault_ratio: float = 0.0
     body_bytes: int = 40
     runs: dict[bytes, int] = dataclasses.field(default_factory=dict)
+    running: int = 0
+    peak: int = 0
     finished: dict[bytes, int] = dataclasses.field(default_factory=dict)
     dice: random.Random = dataclasses.field(
         default_factory=lambda: random.Random(5)
@@ -137,7 +141,12 @@
         if fault is RefusalReason.QUEUE_FULL:
             return refusal_answer(refuse(fault, "scripted"))
         work.runs[path] = work.runs.get(path, 0) + 1
-        await trio.sleep(work.dice.random() * work.seconds)
+        work.running += 1
+        work.peak = max(work.peak, work.running)
+        try:
+            await trio.sleep(work.dice.random() * work.seconds)
+        finally:
+            work.running -= 1
         if fault is not None:
             return refusal_answer(refuse(fault, "scripted"))
         work.finished[path] = work.finished.get(path, 0) + 1
