Close links with a past incarnation that hides its successor

Cause: five broken variants still passed: calls that empty the bytes kept for heartbeats, links with a past incarnation kept, leaving told by one way only, no bound on links or on unproved connections. The test for the second showed a real fault: a host whose name was taken over by another that it couldn't reach kept its link with the past one and heard nothing of the new one. Change: a message is passed on where either end misses the other; tests for all five.

--- a/agatetack/peers/budget.py
+++ b/agatetack/peers/budget.py
@@ -77,7 +77,7 @@
 
     def _refill(self, now: Deadline) -> None:
         since = now if self.updated_at is None else self.updated_at
-        passed = max(0.0, now - since)
+        passed = now - since
         self.tokens = min(self.rate, self.tokens + passed * self.rate)
         self.updated_at = now
 
--- a/agatetack/peers/relay.py
+++ b/agatetack/peers/relay.py
@@ -88,7 +88,9 @@
         return [
             link
             for link in others
-            if source.id in link.missing
+            # One end may still hold a link with a past incarnation, so the
+            # word of either is enough.
+            if (source.id in link.missing or link.id in source.missing)
             and self._relays_between(source, link, links)
         ]
 
--- a/agatetack/peers/test_calls.py
+++ b/agatetack/peers/test_calls.py
@@ -146,4 +146,5 @@
     assert trio.current_time() - start > 10
     for host in net.hosts.values():
         assert closed(host, "unacknowledged") + closed(host, "silent") == 0
+        assert dropped(host, "control-over-budget") == 0
     nursery.cancel_scope.cancel()
--- a/agatetack/peers/test_faults.py
+++ b/agatetack/peers/test_faults.py
@@ -195,15 +195,24 @@
     assert closed(net.hosts[A], "old-incarnation") > 0
     assert origins(net, A, Topic.TARGET_SIGNS) == []
     assert net.hosts[A].fleet_size() == 3
+    # A late word that the past one is leaving says nothing of the new one.
+    old.announce_leaving()
+    late = net.hosts[A].announcements.member_of(old.identity.member())
+    assert not net.hosts[A].members.note(late)
+    assert not net.hosts[A].members.heard[B].leaving
     nursery.cancel_scope.cancel()
 
 
-@pytest.mark.parametrize("is_cut", [False, True])
-async def test_leaving_is_heard_at_once(nursery, autojump_clock, is_cut):
+@pytest.mark.parametrize("fault", [None, "cut", "budget"])
+async def test_leaving_is_heard_at_once(nursery, autojump_clock, fault):
     net = await three_hosts(nursery)
-    if is_cut:
+    if fault == "cut":
         net.cut(A, B)
         await trio.sleep(SETTLE)
+    if fault == "budget":
+        # Between two heartbeats, and with too little for a message.
+        await trio.sleep(0.2)
+        net.hosts[B].budget.tokens *= 0.3
     net.hosts[B].announce_leaving()
     await trio.sleep(0.1)
     assert net.hosts[A].members.heard[B].leaving
@@ -235,6 +244,18 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_link_with_a_past_incarnation_is_closed(nursery, autojump_clock):
+    net = await three_hosts(nursery)
+    assert B in peers_of(net, A)
+    # The next incarnation can't reach a, which hears of it through c.
+    net.refused |= {(A, B), (B, A)}
+    await net.start(B)
+    await trio.sleep(SETTLE)
+    assert closed(net.hosts[A], "old-incarnation") > 0
+    assert peers_of(net, A) == {C}
+    nursery.cancel_scope.cancel()
+
+
 async def test_second_connection_does_not_replace_a_live_link(
     nursery, autojump_clock
 ):
--- a/agatetack/peers/test_handshake.py
+++ b/agatetack/peers/test_handshake.py
@@ -11,6 +11,7 @@
 
 from agatetack.generated.peers import ttypes
 from agatetack.ids import HostId
+from agatetack.peers.connector import MAX_HANDSHAKES, MAX_LINKS_RATIO
 from agatetack.peers.exchange import Topic
 from agatetack.peers.frames import (
     FrameReader,
@@ -52,11 +53,11 @@
         self.reader = FrameReader(self.stream, lambda count: None)
         nursery.start_soon(host.connector.serve_accepted, far, ip)
 
-    async def shake_hands(self, key: str | None = KEY) -> None:
+    async def shake_hands(self, name: str = RAW) -> None:
         await shake_hands(
             Side.DIALLING,
-            key,
-            hello(),
+            KEY,
+            hello(host=name),
             self.reader,
             self.stream.send_all,
             lambda met: None,
@@ -156,6 +157,22 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_connections_are_bounded(nursery, autojump_clock):
+    net = PeerNet(nursery, shared_key=KEY, max_peers=1)
+    host = await net.start(HOST)
+    for _ in range(MAX_HANDSHAKES + 2):
+        RawPeer(host, nursery)
+    await trio.sleep(1)
+    assert closed(host, "too-many") == 2
+    await trio.sleep(5)
+    for number in range(MAX_LINKS_RATIO + 3):
+        with contextlib.suppress(LinkClosed):
+            await RawPeer(host, nursery).shake_hands(f"raw{number}")
+    assert len(host.connector.links) == MAX_LINKS_RATIO
+    assert closed(host, "too-many") == 2 + 3
+    nursery.cancel_scope.cancel()
+
+
 async def test_recorded_proofs_serve_nobody(nursery, autojump_clock):
     net = PeerNet(nursery, shared_key=KEY)
     host = await net.start(HOST)
