Let several words of peers, and not one, empty a target

Cause: one host's word took a target off all hosts. Change: peers' words are averaged with weight 0.12 and count for a second; agreeing good words bring the target back without an own trial.

--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -63,7 +63,7 @@
 """Weight of an answer that came as expected in that trust."""
 
 TELL_RATIO = 2.2
-"""A target this many times over the limit is slow for all hosts.
+"""Peers are told of a target this many times over the limit.
 
 One host's few answers may be bad luck or a short disturbance; leaving a
 target on all hosts costs its whole capacity.
@@ -273,12 +273,18 @@
         if answered is not None and answered >= learned.peer_at:
             return
         told = learned.peer_service_seconds
-        if told > TELL_RATIO * limit:
+        if told > limit:
             # One host's trial serves all, so it postpones this host's.
             learned.service_seconds = max(learned.service_seconds or 0, told)
             learned.slow = True
             learned.adopted = True
             self._postpone_trial(target, now)
+        elif learned.adopted:
+            # Nothing of its own is known of it now, so it counts as typical.
+            learned.service_seconds = None
+            learned.slow = False
+            learned.adopted = False
+            learned.trial_count = 0
         elif learned.slow:
             learned.trial_at = now
 
--- a/agatetack/balance/learned.py
+++ b/agatetack/balance/learned.py
@@ -2,6 +2,12 @@
 
 import dataclasses
 
+PEER_SECONDS = 1.0
+"""Time after which what other hosts told is forgotten."""
+
+PEER_WEIGHT = 0.12
+"""Weight of one other host's word, so that it takes several."""
+
 
 @dataclasses.dataclass(slots=True)
 class LearnedLoad:
@@ -9,8 +15,8 @@
 
     Attributes:
         service_seconds: Time one request takes on a free slot, or None.
-        peer_service_seconds: The same, as another host lately told it.
-        peer_at: When the other host measured that.
+        peer_service_seconds: The same by what other hosts lately told.
+        peer_at: When the last of them measured it.
         peer_seen: The last `peer_at` that was weighed.
         adopted: Whether the service time is a peer's and not learned here.
         slow: Whether this host found it slow.
@@ -39,6 +45,15 @@
     trial_count: int = 0
     sent: dict[int, float] = dataclasses.field(default_factory=dict)
 
+    def note_peer(self, service_seconds: float, at: float) -> None:
+        """Take another host's service time; one word alone moves little."""
+        base = self.peer_service_seconds
+        if at - self.peer_at > PEER_SECONDS:
+            base = self.service_seconds or service_seconds
+        base += PEER_WEIGHT * (service_seconds - base)
+        self.peer_service_seconds = base
+        self.peer_at = at
+
     def out_seconds(self, now: float) -> float:
         """Return how long the oldest request still there has been out."""
         for started in self.sent.values():
--- a/agatetack/balance/test_policies.py
+++ b/agatetack/balance/test_policies.py
@@ -154,6 +154,36 @@
     assert 0.15 < shares(policy, targets, 20.0)[0] < 0.35
 
 
+@pytest.mark.parametrize(
+    ("words", "share"),
+    [
+        # One host's bad luck empties no target on the others.
+        ([10], 0.25),
+        ([10, 1, 10, 1], 0.25),
+        ([10, 10, 10], 0.0),
+        ([10, 10, 10, 1, 1, 1, 1, 1], 0.25),
+    ],
+)
+async def test_words_of_peers(words, share):
+    policy = make_expected_wait()
+    targets = [make_target(n) for n in range(1, 5)]
+    now = Deadline(0.0)
+    for step, ratio in enumerate(words):
+        now = Deadline(step / 1000)
+        targets[0].learned.note_peer(ratio * SERVICE_SECONDS, now)
+        policy.choose(targets, now)
+    assert shares(policy, targets, now)[0] == pytest.approx(share, abs=0.1)
+
+
+async def test_words_of_peers_are_not_newer_than_an_own_answer():
+    policy = make_expected_wait()
+    targets = [make_target(n) for n in range(1, 5)]
+    targets[0].last_answer_at = Deadline(1.0)
+    for step in range(5):
+        targets[0].learned.note_peer(10 * SERVICE_SECONDS, step / 1000)
+    assert shares(policy, targets, 1.0)[0] > 0.1
+
+
 async def test_cold_target_is_ramped():
     policy = make_expected_wait()
     cold_seconds = default_settings().balance.cold_seconds
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -162,8 +162,7 @@
         )
         self.registry.note_report(target, report)
         if sample.service_us and at > target.learned.peer_at:
-            target.learned.peer_service_seconds = sample.service_us / 1e6
-            target.learned.peer_at = at
+            target.learned.note_peer(sample.service_us / 1e6, at)
 
     def _send_sign(self, target: TargetState, sign: LeavingSign) -> None:
         message = TargetSign(target=target.id, sign=SIGN_NUMBERS[sign])
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -214,6 +214,7 @@
 
 @pytest.mark.parametrize("ratio", [10.0, 1.0])
 async def test_peer_is_told_at_once_of_a_change(autojump_clock, ratio):
+    # The taker knows nothing of the target yet, so the first word counts.
     sender, taker = joined()
     sender.prober.sharing.bucket.tokens = 4000
     sender.report(sender.targets[0], 7)
