Keep undated done keys in tables too

Change: one kind of table for all done keys, by the time their records were written; the keeper writes a generation again before retention drops it. A kept record of a done key wins over whatever a late reader believed.

--- a/agatetack/claims/done_keys.py
+++ b/agatetack/claims/done_keys.py
@@ -1,25 +1,32 @@
 """Remember many keys that are done, in few bytes each.
 
-A done key never changes again, so a digest, a status and a time suffice.
-Keys are kept in generations; one is dropped whole when its last key expires.
+A done key never changes again, so its digest, the status, a part of the
+request's digest and the time of expiry suffice. Keys are kept in generations
+by the time at which their records were written; one is dropped whole.
 """
 
 import array
 import collections
 import dataclasses
+from collections.abc import Iterator
 
 GENERATIONS = 16
 """Full generations that together hold all keys a partition may have."""
 
-SPAN_SHARE = 0.25
-"""Part of the time keys are kept, after which a generation is closed."""
+FIRST_SIZE = 256
+"""Slots of a new generation's table."""
 
-SLOTS_PER_KEY = 1.5
-"""Slots of a generation's table for each of its keys."""
+MAX_LOAD = 2 / 3
+"""Part of a table's slots that may be taken."""
 
 STATUS_BITS = 16
 FINGERPRINT_BYTES = 6
-ID_BYTES = 8
+HALF_BYTES = 8
+"""Length of half a key's digest, in bytes."""
+
+MINUTE_MS = 60_000
+NO_MINUTE = 0
+"""The expiry of a key that was written again in a later generation."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,12 +34,17 @@
     """What is remembered of a key that is done.
 
     Attributes:
+        key: The key's digest.
+        fingerprint: The first bytes of the request's digest; zeros if it is
+            not known.
         status: The HTTP status of the answer.
-        fingerprint: The first bytes of the request's digest.
+        expires_ms: When it is forgotten, by the log's clock.
     """
 
-    status: int
+    key: bytes
     fingerprint: bytes
+    status: int
+    expires_ms: int
 
     def differs(self, fingerprint: bytes | None) -> bool:
         """Return whether a request with `fingerprint` is another one."""
@@ -42,99 +54,181 @@
 
 
 class Generation:
-    """An open-addressing table of keys that were done at about one time.
+    """An open-addressing table of keys that were written at about one time.
 
     Attributes:
-        count: Keys in it.
-        first_ms: When its first key expires, by the log's clock.
+        written_ms: When the record of its first key was written.
         last_ms: When its last key expires.
+        taken: Slots that are taken.
+        left: Keys that were not written again later.
     """
 
-    def __init__(self, capacity: int, first_ms: int):
-        """Make room for `capacity` keys."""
-        self.capacity = capacity
-        self.size = int(capacity * SLOTS_PER_KEY) + 1
-        self.ids = array.array("Q", bytes(8 * self.size))
-        self.values = array.array("Q", bytes(8 * self.size))
-        self.count = 0
-        self.first_ms = first_ms
-        self.last_ms = first_ms
-
-    def add(self, number: int, value: int) -> None:
-        """Remember `value` for the key `number`, which is not in it."""
-        slot = number % self.size
-        while self.ids[slot]:
-            slot = (slot + 1) % self.size
-        self.ids[slot] = number
-        self.values[slot] = value
-        self.count += 1
-
-    def find(self, number: int) -> int | None:
-        """Return what is remembered for the key `number`, or None."""
-        ids = self.ids
-        slot = number % self.size
-        while found := ids[slot]:
-            if found == number:
-                return self.values[slot]
+    def __init__(self, written_ms: int):
+        """Start small; the table grows."""
+        self.written_ms = written_ms
+        self.last_ms = 0
+        self.taken = 0
+        self.left = 0
+        self._clear(FIRST_SIZE)
+
+    def _clear(self, size: int) -> None:
+        self.size = size
+        self.firsts = array.array("Q", bytes(HALF_BYTES * size))
+        self.seconds = array.array("Q", bytes(HALF_BYTES * size))
+        self.values = array.array("Q", bytes(HALF_BYTES * size))
+        self.minutes = array.array("I", bytes(4 * size))
+
+    def add(self, done: DoneKey) -> None:
+        """Remember a key that is not in it."""
+        if self.taken + 1 > self.size * MAX_LOAD:
+            self._grow()
+        first, second = _halves(done.key)
+        slot = self._slot(first, second)
+        prefix = int.from_bytes(
+            done.fingerprint[:FINGERPRINT_BYTES].ljust(FINGERPRINT_BYTES, b"\0")
+        )
+        self.firsts[slot] = first
+        self.seconds[slot] = second
+        self.values[slot] = prefix << STATUS_BITS | done.status
+        self.minutes[slot] = -(-done.expires_ms // MINUTE_MS)
+        self.last_ms = max(self.last_ms, self.minutes[slot] * MINUTE_MS)
+        self.taken += 1
+        self.left += 1
+
+    def find(self, first: int, second: int) -> int | None:
+        """Return the slot of a key, or None if it is not in it any more."""
+        slot = self._slot(first, second)
+        if not self.firsts[slot] or self.minutes[slot] == NO_MINUTE:
+            return None
+        return slot
+
+    def get(self, slot: int) -> DoneKey:
+        """Return what is remembered in `slot`."""
+        value = self.values[slot]
+        first = self.firsts[slot].to_bytes(HALF_BYTES)
+        prefix = value >> STATUS_BITS
+        return DoneKey(
+            first + self.seconds[slot].to_bytes(HALF_BYTES),
+            prefix.to_bytes(FINGERPRINT_BYTES),
+            value & ((1 << STATUS_BITS) - 1),
+            self.minutes[slot] * MINUTE_MS,
+        )
+
+    def drop(self, slot: int) -> None:
+        """Forget the key in `slot`, which stands in a later generation."""
+        self.minutes[slot] = NO_MINUTE
+        self.left -= 1
+
+    def kept(self) -> Iterator[DoneKey]:
+        """Yield the keys that were not written again later."""
+        for slot in range(self.size):
+            if self.firsts[slot] and self.minutes[slot] != NO_MINUTE:
+                yield self.get(slot)
+
+    def _slot(self, first: int, second: int) -> int:
+        """Return the slot of a key by its halves, or a free one for it."""
+        firsts = self.firsts
+        slot = first % self.size
+        while found := firsts[slot]:
+            if found == first and self.seconds[slot] == second:
+                break
             slot = (slot + 1) % self.size
-        return None
+        return slot
+
+    def _grow(self) -> None:
+        old = zip(
+            self.firsts, self.seconds, self.values, self.minutes, strict=True
+        )
+        self._clear(2 * self.size)
+        self.taken = self.left
+        for first, second, value, minute in old:
+            if first and minute != NO_MINUTE:
+                slot = self._slot(first, second)
+                self.firsts[slot] = first
+                self.seconds[slot] = second
+                self.values[slot] = value
+                self.minutes[slot] = minute
 
 
 class DoneKeys:
-    """The done keys of one partition."""
+    """The done keys of one partition whose records are of one kind."""
 
-    def __init__(self, max_keys: int, keep_ms: int):
-        """Expect up to `max_keys` keys, each kept for `keep_ms`."""
+    def __init__(self, max_keys: int, span_ms: int):
+        """Expect up to `max_keys` keys; begin a generation each `span_ms`."""
         self.capacity = max(1, -(-max_keys // GENERATIONS))
-        self.span_ms = int(keep_ms * SPAN_SHARE)
+        self.span_ms = span_ms
         self.generations: collections.deque[Generation] = collections.deque()
-        self.count = 0
 
     def __len__(self) -> int:
         """Return the number of keys."""
-        return self.count
+        return sum(generation.left for generation in self.generations)
 
-    def add(
-        self, key: bytes, fingerprint: bytes, status: int, expires_ms: int
-    ) -> None:
+    def add(self, done: DoneKey, written_ms: int) -> None:
         """Remember a key that is not known yet."""
-        generation = self._open_generation(expires_ms)
-        prefix = int.from_bytes(
-            fingerprint[:FINGERPRINT_BYTES].ljust(FINGERPRINT_BYTES, b"\0")
-        )
-        generation.add(_number(key), prefix << STATUS_BITS | status)
-        generation.last_ms = max(generation.last_ms, expires_ms)
-        self.count += 1
+        self._newest(written_ms).add(done)
 
     def find(self, key: bytes) -> DoneKey | None:
         """Return what is known of `key`, or None."""
-        number = _number(key)
-        for generation in self.generations:
-            value = generation.find(number)
-            if value is not None:
-                prefix = value >> STATUS_BITS
-                return DoneKey(
-                    value & ((1 << STATUS_BITS) - 1),
-                    prefix.to_bytes(FINGERPRINT_BYTES),
-                )
+        first, second = _halves(key)
+        for generation in reversed(self.generations):
+            slot = generation.find(first, second)
+            if slot is not None:
+                return generation.get(slot)
         return None
 
-    def forget(self, now_ms: int) -> None:
-        """Drop the generations whose keys have all expired."""
-        while self.generations and self.generations[0].last_ms < now_ms:
-            self.count -= self.generations.popleft().count
+    def rewrite(self, key: bytes, written_ms: int) -> None:
+        """Note that a known key was written again."""
+        newest = self._newest(written_ms)
+        first, second = _halves(key)
+        for generation in self.generations:
+            slot = generation.find(first, second)
+            if slot is not None and generation is not newest:
+                newest.add(generation.get(slot))
+                generation.drop(slot)
 
-    def _open_generation(self, expires_ms: int) -> Generation:
+    def forget(self, now_ms: int) -> None:
+        """Drop the generations that hold no key any more."""
+        if any(self._is_empty(old, now_ms) for old in self.generations):
+            self.generations = collections.deque(
+                generation
+                for generation in self.generations
+                if not self._is_empty(generation, now_ms)
+            )
+
+    def due(self, before_ms: int, expires_ms: int, limit: int) -> list[DoneKey]:
+        """Return keys to write again.
+
+        Args:
+            before_ms: Generations begun before this are due.
+            expires_ms: Keys that expire before this need no writing.
+            limit: Most keys to return.
+        """
+        found: list[DoneKey] = []
+        for generation in self.generations:
+            if generation.written_ms > before_ms:
+                break
+            for done in generation.kept():
+                if len(found) == limit:
+                    return found
+                if done.expires_ms >= expires_ms:
+                    found.append(done)
+        return found
+
+    def _is_empty(self, generation: Generation, now_ms: int) -> bool:
+        return not generation.left or generation.last_ms < now_ms
+
+    def _newest(self, written_ms: int) -> Generation:
         if self.generations:
             newest = self.generations[-1]
-            full = newest.count >= newest.capacity
-            if not full and expires_ms < newest.first_ms + self.span_ms:
+            full = newest.taken >= self.capacity
+            if not full and written_ms < newest.written_ms + self.span_ms:
                 return newest
-        generation = Generation(self.capacity, expires_ms)
+        generation = Generation(written_ms)
         self.generations.append(generation)
         return generation
 
 
-def _number(key: bytes) -> int:
-    """Return what stands for `key`; 0 marks a free slot."""
-    return int.from_bytes(key[:ID_BYTES]) or 1
+def _halves(key: bytes) -> tuple[int, int]:
+    """Return both halves of a digest; the first is not 0, a free slot."""
+    first = int.from_bytes(key[:HALF_BYTES]) or 1
+    return first, int.from_bytes(key[HALF_BYTES:])
--- a/agatetack/claims/fold.py
+++ b/agatetack/claims/fold.py
@@ -16,7 +16,7 @@
 import collections
 import dataclasses
 
-from agatetack.claims.done_keys import DoneKeys
+from agatetack.claims.done_keys import DoneKey, DoneKeys
 from agatetack.generated.claims.ttypes import (
     Entry,
     EntryKind,
@@ -35,18 +35,20 @@
 MS = 1000
 """Milliseconds in a second."""
 
+UNDATED_SPAN = 0.1
+"""Part of the log's retention in which keys are written again together."""
+
 MINUTE_MS = 60 * MS
 """Keys are forgotten by the minute."""
 
 
 @dataclasses.dataclass(slots=True)
 class KeyState:
-    """What is known of one key.
+    """What is known of a key that is free or held.
 
     Attributes:
         attempt: Who holds it, or None if it is free.
         fingerprint: Digest of the holder's request.
-        status: The HTTP status of the answer, or 0 while not done.
         dated: Whether the caller said when the key was issued.
         until_ms: The holder's deadline on the wall clock, in ms since 1970.
         claimed_ms: When it was claimed or freed, by the log's clock.
@@ -57,7 +59,6 @@
 
     attempt: bytes | None
     fingerprint: bytes
-    status: int
     dated: bool
     until_ms: int
     claimed_ms: int
@@ -82,10 +83,11 @@
         now_ms: The latest time seen on the log's clock.
         since_ms: Claims before this time may be missing.
         gap: Whether records before the next one were never read.
-        keys: The state of each key that is remembered.
+        keys: The state of each key that is free or held.
         done: Dated keys that are done; nothing changes them any more.
+        undated: Keys without a time of issue that are done.
         expiries: Keys by the minute after which they may be forgotten.
-        written: When records of undated keys were written, in order.
+        written: When records of held, undated keys were written, in order.
     """
 
     def __init__(self, settings: Settings):
@@ -98,9 +100,10 @@
         self.since_ms = 0
         self.gap = False
         self.keys: dict[bytes, KeyState] = {}
-        self.done = DoneKeys(
-            -(-claims.max_keys // claims.partitions), self.dated_keep_ms
-        )
+        max_keys = -(-claims.max_keys // claims.partitions)
+        retention_ms = settings.platform.log.retention_seconds * MS
+        self.done = DoneKeys(max_keys, self.dated_keep_ms // 4)
+        self.undated = DoneKeys(max_keys, int(retention_ms * UNDATED_SPAN))
         self.expiries: dict[int, set[bytes]] = {}
         self.written: collections.deque[KeyTime] = collections.deque()
 
@@ -124,7 +127,7 @@
             self.gap = False
             self.since_ms = at_ms
         state = self.keys.get(entry.key)
-        if state is None and self.done.find(entry.key):
+        if state is None and self._is_done(at_ms, entry):
             return
         if entry.kind == EntryKind.CLAIM:
             self._claim(offset, at_ms, entry, state)
@@ -153,9 +156,7 @@
     ) -> None:
         if state is None:
             state = self._add(entry.key, at_ms)
-        elif state.attempt is not None and (
-            state.attempt != entry.attempt or state.status
-        ):
+        elif state.attempt not in (None, entry.attempt):
             # The holder's own release will be a later barrier than this.
             return
         state.attempt = None
@@ -164,47 +165,68 @@
         # A barrier is of use only against requests that are still open.
         self._date(entry.key, state, at_ms, dated=True)
 
-    def _done(self, at_ms: int, entry: Entry, state: KeyState | None) -> None:
-        if state is None:
-            # Its claim is no longer kept; that it ran is certain.
-            state = self._add(entry.key, at_ms)
-            self._date(entry.key, state, at_ms, dated=False)
-        elif state.status:
-            return
-        elif state.attempt != entry.attempt:
-            # Only a reader that missed the claim comes here.
-            state.fingerprint = b""
-        state.attempt = entry.attempt
-        state.status = entry.status
-        self._written(entry.key, state, at_ms)
-        if state.dated:
-            self._pack(entry.key, state)
+    def _is_done(self, at_ms: int, entry: Entry) -> bool:
+        """Return whether the key is done; note if it is written again."""
+        if self.done.find(entry.key):
+            return True
+        if not self.undated.find(entry.key):
+            return False
+        if entry.kind == EntryKind.KEEP:
+            self.undated.rewrite(entry.key, at_ms)
+        return True
 
-    def _pack(self, key: bytes, state: KeyState) -> None:
-        """Remember a dated key that is done in fewer bytes."""
-        self._undate(key, state)
-        del self.keys[key]
-        self.done.add(
-            key, state.fingerprint, state.status, self.expires_ms(state)
+    def _done(self, at_ms: int, entry: Entry, state: KeyState | None) -> None:
+        fingerprint = b""
+        dated = False
+        if state is not None:
+            self._undate(entry.key, state)
+            del self.keys[entry.key]
+        # A reader that missed the claim does not know what it was for.
+        if state is not None and state.attempt == entry.attempt:
+            fingerprint = state.fingerprint
+            dated = state.dated
+        claimed_ms = state.claimed_ms if state else at_ms
+        self._pack(entry, fingerprint, dated, claimed_ms, at_ms)
+
+    def _pack(
+        self,
+        entry: Entry,
+        fingerprint: bytes,
+        dated: bool,
+        claimed_ms: int,
+        at_ms: int,
+    ) -> None:
+        """Remember that a key is done, in few bytes."""
+        keep_ms = self.dated_keep_ms if dated else self.undated_keep_ms
+        done = DoneKey(
+            entry.key, fingerprint, entry.status, claimed_ms + keep_ms
         )
+        keys = self.done if dated else self.undated
+        keys.add(done, at_ms)
+        while self.written and self.written[0].key not in self.keys:
+            self.written.popleft()
 
     def _keep(self, at_ms: int, entry: Entry, state: KeyState | None) -> None:
+        if entry.status:
+            # That it ran is certain, whatever this reader has missed.
+            if state is not None:
+                self._undate(entry.key, state)
+                del self.keys[entry.key]
+            self._pack(entry, entry.fingerprint, False, entry.claimed_ms, at_ms)
+            return
         if state is None:
             state = self._add(entry.key, at_ms)
         elif state.attempt == entry.attempt:
-            state.status = state.status or entry.status or 0
             self._written(entry.key, state, at_ms)
             return
         elif state.attempt is not None:
             # Either reader may have missed a release; none may free it now.
-            if not state.status:
-                state.attempt = NOBODY
+            state.attempt = NOBODY
             return
         elif state.released == entry.attempt:
             return
         state.attempt = entry.attempt
         state.fingerprint = entry.fingerprint
-        state.status = entry.status or 0
         state.until_ms = entry.until_ms
         self._date(entry.key, state, entry.claimed_ms, bool(entry.dated))
         self._written(entry.key, state, at_ms)
@@ -213,7 +235,6 @@
         state = KeyState(
             attempt=None,
             fingerprint=b"",
-            status=0,
             dated=True,
             until_ms=at_ms,
             claimed_ms=at_ms,
@@ -257,18 +278,21 @@
             for key in self.expiries.pop(minute):
                 del self.keys[key]
         self.done.forget(self.now_ms)
+        self.undated.forget(self.now_ms)
 
     def __len__(self) -> int:
         """Return the number of keys that are remembered."""
-        return len(self.keys) + len(self.done)
+        return len(self.keys) + len(self.done) + len(self.undated)
+
+    def find_done(self, key: bytes) -> DoneKey | None:
+        """Return what is known of a key that is done, or None."""
+        return self.done.find(key) or self.undated.find(key)
 
     def has(self, entry: Entry) -> bool:
         """Return whether `entry` is known to have been folded before."""
-        state = self.keys.get(entry.key)
         if entry.kind == EntryKind.DONE:
-            if state is None:
-                return self.done.find(entry.key) is not None
-            return state.attempt == entry.attempt and state.status > 0
+            return self.find_done(entry.key) is not None
+        state = self.keys.get(entry.key)
         if state is None or entry.kind == EntryKind.KEEP:
             return False
         if entry.kind == EntryKind.CLAIM:
@@ -287,15 +311,12 @@
             return self._look_done(key, fingerprint)
         if state.attempt is None:
             return Verdict(VerdictKind.FREE)
-        # A done entry without its claim leaves no fingerprint to compare.
-        if fingerprint and state.fingerprint not in (b"", fingerprint):
+        if fingerprint and state.fingerprint != fingerprint:
             return Verdict(VerdictKind.REUSED)
-        if state.status:
-            return Verdict(VerdictKind.DONE, status=state.status)
         return Verdict(VerdictKind.HELD, until_ms=state.until_ms)
 
     def _look_done(self, key: bytes, fingerprint: bytes | None) -> Verdict:
-        done = self.done.find(key)
+        done = self.find_done(key)
         if done is None:
             return Verdict(VerdictKind.FREE)
         if done.differs(fingerprint):
@@ -307,7 +328,7 @@
         if entry.kind != EntryKind.CLAIM:
             return self.look(entry.key, entry.fingerprint)
         state = self.keys.get(entry.key)
-        if state and state.attempt == entry.attempt and not state.status:
+        if state is not None and state.attempt == entry.attempt:
             return Verdict(VerdictKind.GRANTED)
         known = self.look(entry.key, entry.fingerprint)
         if known.kind == VerdictKind.FREE:
--- a/agatetack/claims/keeper.py
+++ b/agatetack/claims/keeper.py
@@ -2,6 +2,8 @@
 
 import trio
 
+from agatetack.claims.codec import DIGEST_BYTES
+from agatetack.claims.done_keys import DoneKey
 from agatetack.claims.fold import MS, KeyState, KeyTime
 from agatetack.claims.partition import Partition
 from agatetack.claims.router import Router
@@ -56,17 +58,27 @@
         place = min(self.router.place(partition.number), LAST_PLACE)
         wait_ms = self.retention_ms * (FIRST_SHARE + NEXT_SHARE * place)
         due_ms = partition.log_ms() - wait_ms
-        written = partition.fold.written
+        limit = self.settings.claims.max_batch
+        entries = self._due_held(partition, due_ms)[:limit]
+        return entries + self._due_done(partition, due_ms, limit - len(entries))
+
+    def _due_done(
+        self, partition: Partition, due_ms: float, limit: int
+    ) -> list[Entry]:
+        keep_ms = partition.fold.undated_keep_ms
+        expires_ms = int(due_ms) + self.retention_ms
+        due = partition.fold.undated.due(int(due_ms), expires_ms, limit)
+        return [_keep_done_entry(done, keep_ms) for done in due]
+
+    def _due_held(self, partition: Partition, due_ms: float) -> list[Entry]:
         self._drop_outdated(partition)
         entries: list[Entry] = []
-        for item in written:
+        for item in partition.fold.written:
             if item.at_ms > due_ms:
                 break
-            if len(entries) == self.settings.claims.max_batch:
-                break
             if self._is_needed(partition, item):
                 state = partition.fold.keys[item.key]
-                entries.append(_keep_entry(item.key, state))
+                entries.append(keep_entry(item.key, state))
         return entries
 
     def _drop_outdated(self, partition: Partition) -> None:
@@ -86,14 +98,28 @@
         )
 
 
-def _keep_entry(key: bytes, state: KeyState) -> Entry:
+def keep_entry(key: bytes, state: KeyState) -> Entry:
+    """Return the entry that writes a held key again."""
     return Entry(
         kind=EntryKind.KEEP,
         key=key,
-        attempt=state.attempt,
+        attempt=state.attempt or bytes(DIGEST_BYTES),
         fingerprint=state.fingerprint,
-        status=state.status or None,
         dated=state.dated,
         until_ms=state.until_ms,
         claimed_ms=state.claimed_ms,
     )
+
+
+def _keep_done_entry(done: DoneKey, keep_ms: int) -> Entry:
+    """Return the entry that writes a done key again, whoever ran it."""
+    return Entry(
+        kind=EntryKind.KEEP,
+        key=done.key,
+        attempt=done.key,
+        fingerprint=done.fingerprint,
+        status=done.status,
+        dated=False,
+        until_ms=0,
+        claimed_ms=done.expires_ms - keep_ms,
+    )
--- a/agatetack/claims/test_fold.py
+++ b/agatetack/claims/test_fold.py
@@ -15,9 +15,9 @@
     rule,
 )
 
-from agatetack.claims.done_keys import DoneKeys
+from agatetack.claims.done_keys import MINUTE_MS, DoneKey, DoneKeys
 from agatetack.claims.fold import Fold
-from agatetack.claims.keeper import _keep_entry
+from agatetack.claims.keeper import keep_entry
 from agatetack.generated.claims.ttypes import Entry, EntryKind, VerdictKind
 from agatetack.ids import LogOffset
 from agatetack.settings.defaults import default_settings
@@ -90,20 +90,28 @@
 
 
 def test_many_done_keys():
-    """Tables that fill, wrap and expire give back what was put in."""
-    done = DoneKeys(max_keys=160, keep_ms=1000)
-    keys = [bytes([n]) * 16 for n in range(100)]
+    """Tables that fill, grow and expire give back what was put in."""
+    done = DoneKeys(max_keys=16_000, span_ms=MINUTE_MS)
+    keys = [n.to_bytes(2, "big") * 8 for n in range(1, 3001)]
     for number, key in enumerate(keys):
-        done.add(key, b"f" * 16, 200 + number, 10 * number)
-    found = [done.find(key).status for key in keys]
-    assert found == [200 + number for number in range(100)]
-    assert done.find(b"x" * 16) is None
+        at_ms = number * 100
+        done.add(DoneKey(key, b"f" * 16, 200, at_ms + 60_000), at_ms)
+    assert all(done.find(key).key == key for key in keys)
+    assert done.find(keys[0][:8] + b"x" * 8) is None
     assert done.find(keys[0]).differs(b"g" * 16)
     assert not done.find(keys[0]).differs(b"f" * 16)
-    done.forget(500)
-    kept = [key for key in keys if done.find(key)]
-    assert kept == keys[50:]
-    assert len(done) == 50
+    due = done.due(before_ms=0, expires_ms=100_000, limit=2000)
+    # The first key expires before, the others within the second minute.
+    assert {key.key for key in due} == set(keys[1:600])
+    for key in keys[:600]:
+        done.rewrite(key, 300_000)
+    assert done.due(0, 0, 2000) == []
+    assert len(done) == 3000
+    assert all(done.find(key).key == key for key in keys)
+    done.forget(200_000)
+    # Keys expire by generation, whenever they were written last.
+    found = [bool(done.find(key)) for key in keys]
+    assert found == [False] * 1200 + [True] * 1800
 
 
 class Stage(enum.Enum):
@@ -229,7 +237,7 @@
         state = self.fold.keys.get(key)
         if state is None or state.attempt is None:
             return multiple()
-        return _keep_entry(key, state)
+        return keep_entry(key, state)
 
     @rule(entry=keeps)
     def land_keep(self, entry):
@@ -255,7 +263,7 @@
                 if state.attempt and self.is_kept(key, state, start):
                     assert late.look(key, None).kind != VerdictKind.FREE
             for key in KEYS:
-                if self.fold.done.find(key) and self.is_done(key, start):
+                if self.fold.find_done(key) and self.is_done(key, start):
                     assert late.look(key, None).kind == VerdictKind.DONE
 
     def is_done(self, key, start):
--- a/agatetack/claims/test_log_store.py
+++ b/agatetack/claims/test_log_store.py
@@ -254,6 +254,7 @@
         old = fleet.log.clock.wall() - 50
         kept = [r for r in fleet.log.streams[stream] if r.appended_at > old]
         fleet.log.truncate(stream, kept[0].offset)
+    assert fleet.log.appends < 20
     fresh = await fleet.add()
     assert fresh.partitions[0].fold.since_ms > 0
     done = await fleet.claim(fresh, key="done")
