--- a/bench/claims.py
+++ b/bench/claims.py
@@ -363,9 +363,9 @@
         partition._take_record(record)
 
 
-async def print_fold_task() -> None:
+async def print_fold_task(fold_keys: list[int]) -> None:
     """Print the costs of folding; positions need trio's clock."""
-    for keys in (10_000, 50_000, 250_000):
+    for keys in fold_keys:
         print_fold(keys, dated=True)
     print_fold(50_000, dated=False)
 
@@ -381,6 +381,7 @@
     partitions: list[int] | None = None,
     modes: list[Mode] | None = None,
     fleet_rates: list[float] | None = None,
+    fold_keys: list[int] | None = None,
 ) -> None:
     """Print latency, rates and memory of claims.
 
@@ -394,6 +395,7 @@
         partitions: Numbers of claim streams.
         modes: Who appends.
         fleet_rates: Appends that the settings allow the fleet.
+        fold_keys: Numbers of dated keys that are folded.
     """
     print(
         "mode    parts  claims   pace  granted refused  p50_rt p99_rt "
@@ -416,7 +418,7 @@
                     )
                     clock = trio.testing.MockClock(autojump_threshold=0)
                     trio.run(run_load, load, clock=clock)
-    trio.run(print_fold_task)
+    trio.run(print_fold_task, fold_keys or [10_000, 50_000, 250_000])
 
 
 if __name__ == "__main__":
--- a/bench/config_state.py
+++ b/bench/config_state.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 
 import absl.logging
+import defopt
 import trio
 import trio.testing
 
@@ -316,7 +317,7 @@
     return spread
 
 
-def print_spread() -> None:
+def print_spread(sizes: list[int]) -> None:
     """Print the time until a change is on every host, and its cost."""
     print(
         "\nhosts  until in force: median s  max s  ratio"
@@ -325,6 +326,8 @@
     )
     baseline = None
     for hosts, changes in SPREADS:
+        if hosts not in sizes:
+            continue
         for trial in TRIALS:
             clock = trio.testing.MockClock(autojump_threshold=0)
             spread = trio.run(
@@ -341,7 +344,16 @@
             )
 
 
-if __name__ == "__main__":
+def main(*, hosts: list[int] | None = None) -> None:
+    """Print costs, and times until in force.
+
+    Args:
+        hosts: Sizes of the fleets that changes spread over; all if None.
+    """
     absl.logging.set_verbosity(absl.logging.FATAL)
     print_costs()
-    print_spread()
+    print_spread(hosts or [size for size, _ in SPREADS])
+
+
+if __name__ == "__main__":
+    defopt.run(main)
