Fix the poll of the claim tests' log at one second

Cause: the tables of log outages took the default of platform.log.poll_seconds, which is about to change, and wait 1.5 s for the outage to be noticed; three cases then failed (claim-in-doubt, also true, in place of log-unavailable). Change: the tests' fleet sets the poll that it relies on. No case is changed. Conclusion: the tests no longer depend on that default.

--- a/agatetack/claims/conftest.py
+++ b/agatetack/claims/conftest.py
@@ -51,7 +51,13 @@
     def __init__(self, nursery: trio.Nursery, **claims: float):
         """Start with no host; `claims` are settings."""
         self.nursery = nursery
-        self.platform = {"log": {"retention_seconds": RETENTION_SECONDS}}
+        # The tables wait for a second until an outage is noticed.
+        self.platform = {
+            "log": {
+                "retention_seconds": RETENTION_SECONDS,
+                "poll_seconds": 1,
+            }
+        }
         self.claims = {"partitions": 1} | claims
         self.start = trio.current_time()
         self.log = MemoryLogService(SkewedClock(self.start))
