Let no large record block a stream, and run the first of equal submissions

Cause: a copy of a request just below max_record_bytes carries a hold as well and fitted no record; it stayed at the head of the queue, and nothing of that stream was appended any more. An answer with large headers did the same. The first in the log runs; copies carry its offset.

--- a/agatetack/deferred/fold.py
+++ b/agatetack/deferred/fold.py
@@ -94,6 +94,7 @@
         submitted_at: When it was submitted.
         deadline: When its answer is of no more use.
         offset: Where its submission can be read, or `NOT_STORED`.
+        origin: Where its first record stood, as far as known.
         kept_since: The log's time of the submission's last record.
         hold: The hold in force, or None.
         end: How it ended, or None.
@@ -107,6 +108,7 @@
     submitted_at: WallTime = WallTime(0.0)
     deadline: WallTime = WallTime(0.0)
     offset: LogOffset = NOT_STORED
+    origin: LogOffset = NOT_STORED
     hold: Hold | None = None
     end: End | None = None
     chunked: dict[AttemptId, dict[int, Chunk]] | None = None
@@ -188,12 +190,18 @@
         ticket.route = RouteId(sys.intern(submission.route))
         ticket.submitted_at = WallTime(submission.submitted_at)
         ticket.deadline = WallTime(submission.deadline)
+        origin = submission.origin
+        self._begin(ticket, record.offset if origin is None else origin)
         ticket.offset = max(ticket.offset, record.offset)
         ticket.kept_since = max(ticket.kept_since, record.appended_at)
         if submission.hold is not None:
             self._hold(ticket, submission.hold, record)
         self._list(ticket)
 
+    def _begin(self, ticket: Ticket, origin: int) -> None:
+        if ticket.origin == NOT_STORED or origin < ticket.origin:
+            ticket.origin = LogOffset(origin)
+
     def _hold(
         self, ticket: Ticket, hold: HoldRecord, record: LogRecord
     ) -> None:
@@ -240,6 +248,7 @@
                 return
         ticket.end = new
         ticket.hold = None
+        self._begin(ticket, new.origin)
         self._list(ticket)
 
     def _collect(
@@ -294,6 +303,9 @@
             del self.by_identity[ticket.identity]
 
 
-def _order(ticket: Ticket) -> tuple[WallTime, TicketId]:
-    """Return what the first of equal submissions is chosen by."""
-    return (ticket.submitted_at, ticket.id)
+def _order(ticket: Ticket) -> tuple[bool, LogOffset, TicketId]:
+    """Return what the one to run of equal submissions is chosen by.
+
+    The first in the log is chosen, as it may run before the next is read.
+    """
+    return (ticket.end is None, ticket.origin, ticket.id)
--- a/agatetack/deferred/runner.py
+++ b/agatetack/deferred/runner.py
@@ -192,13 +192,19 @@
     ) -> list[EndChunk]:
         """Return the chunks that record how a ticket ended."""
         keep = self.clock.wall() + self.settings.deferred.result_keep_seconds
+        reason = verdict.reason
         if verdict.next is Next.ANSWER and verdict.answer is not None:
-            return split_answer(
+            chunks = split_answer(
                 ticket, hold.attempt, verdict.answer, keep, self.settings
             )
+            writer = self.schedule.partition_of(ticket.id).writer
+            if all(writer.fits(Entry(end=chunk)) for chunk in chunks):
+                return chunks
+            # Its headers alone are too large for a record.
+            reason = RefusalReason.RESULT_TOO_LARGE
         end = make_end(ticket, hold.attempt, EndKind.FAILED, keep)
-        if verdict.reason is not None:
-            end.reason = verdict.reason.value
+        if reason is not None:
+            end.reason = reason.value
         return [end]
 
     async def record_end(
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -196,6 +196,7 @@
         self.counters.reappended("submission")
         submission = await self.partition.load_submission(ticket)
         submission.hold = _store_hold(ticket)
+        submission.origin = ticket.origin
         return [writer.put(Entry(submission=submission))]
 
 
--- a/agatetack/deferred/writer.py
+++ b/agatetack/deferred/writer.py
@@ -25,6 +25,9 @@
 MAX_BATCH = 50
 """Entries of one record; decoding more would hold up the fast routes."""
 
+COPY_OVERHEAD = 512
+"""Most bytes that a hold or an origin adds to a copy."""
+
 MIN_PAUSE_SECONDS = 0.001
 
 
@@ -106,9 +109,9 @@
         self.wake = trio.Event()
 
     def fits(self, entry: Entry) -> bool:
-        """Return whether an entry fits into one record."""
+        """Return whether an entry, and copies of it, fit into one record."""
         limit = self.settings.platform.log.max_record_bytes
-        return size_of(entry) + ENTRY_OVERHEAD <= limit
+        return size_of(entry) + ENTRY_OVERHEAD + COPY_OVERHEAD <= limit
 
     def put(self, entry: Entry) -> Waiting:
         """Queue an entry that fits; wait for its `done`."""
@@ -151,7 +154,8 @@
         batch: list[Waiting] = []
         while self.queue and len(batch) < MAX_BATCH:
             room -= self.queue[0].size
-            if room < 0:
+            # An entry too large for any record goes alone, and is refused.
+            if room < 0 and batch:
                 break
             batch.append(self.queue.popleft())
         return batch
--- a/agatetack/testing/deferred_fleet.py
+++ b/agatetack/testing/deferred_fleet.py
@@ -86,6 +86,7 @@
         always: Reasons that a path is always refused with.
         fault_ratio: The share of runs that end in doubt or are not run.
         body_bytes: The size of each answer.
+        header_bytes: The size of a header of each answer.
         runs: Runs begun, by path.
         running: Runs under way.
         peak: Most runs that were under way at the same time.
@@ -99,6 +100,7 @@
     always: dict[bytes, RefusalReason] = dataclasses.field(default_factory=dict)
     fault_ratio: float = 0.0
     body_bytes: int = 40
+    header_bytes: int = 0
     runs: dict[bytes, int] = dataclasses.field(default_factory=dict)
     running: int = 0
     peak: int = 0
@@ -151,6 +153,7 @@
             return refusal_answer(refuse(fault, "scripted"))
         work.finished[path] = work.finished.get(path, 0) + 1
         headers = [Header(b"content-type", b"text/csv")]
+        headers.append(Header(b"etag", b"e" * work.header_bytes))
         return Answer(200, headers, BytesBody(work.body(path)))
 
 
--- a/thrift/deferred.thrift
+++ b/thrift/deferred.thrift
@@ -44,6 +44,7 @@
   12: required double deadline
   13: optional string idempotency_key
   14: optional Hold hold           // the hold in force, in re-appended records
+  15: optional i64 origin          // offset of its first record; absent: here
 }
 
 // A host takes a ticket up.
