Count the wait for a record into a host's turn of reading

Cause: the pause between reads of a large fleet came on top of poll_seconds, so with a longer poll a host that hears of no peer could have passed 5 s.

Change: a turn is 3.5 s at most, the poll included.

--- a/agatetack/config/tail.py
+++ b/agatetack/config/tail.py
@@ -14,8 +14,9 @@
 from agatetack.platform.log import Log, LogError, LogPage, LogTruncated
 from agatetack.settings.model import Settings
 
-MAX_TURN_SECONDS = 2.0
-"""Longest pause between reads, for a host that hears of no peer."""
+MAX_TURN_SECONDS = 3.5
+"""Longest turn, the wait for a record included; the pause is random, up to a
+quarter longer. A host that hears of no peer still keeps within 5 s."""
 
 
 class LogTail:
@@ -147,7 +148,7 @@
         # In a large fleet the hosts read in turns, and peers bring what
         # another one has read.
         turn = self.exchange.fleet_size() / self.config.log_reads_per_second
-        pause = min(turn - self.settings.poll_seconds, MAX_TURN_SECONDS)
+        pause = min(turn, MAX_TURN_SECONDS) - self.settings.poll_seconds
         if pause > 0:
             await trio.sleep(pause * random.uniform(0.75, 1.25))
 
