Ask the quarantine before a second attempt, start as soon as the log is read

A new host waited a whole poll of an empty stream before it was ready. A claim whose permit came at the deadline had no time left to be released. Change: second attempts ask; the first read does not wait, and a failed read has a pause of its own setting; a tenth of the time left is kept for releases. The replay waits until the hosts know each other: with the faster start, a host lost 0.8 s after it was one nobody had heard of, which is another failure.

--- a/agatetack/attempts/once.py
+++ b/agatetack/attempts/once.py
@@ -11,7 +11,7 @@
 from agatetack.attempts.single import AttemptPlan, SingleAttempt
 from agatetack.claims.store import Claim, ClaimStore
 from agatetack.config.route import Route
-from agatetack.ids import TargetId
+from agatetack.ids import Deadline, TargetId
 from agatetack.logs import PartLog
 from agatetack.messages import Answer, BytesBody, CallerRequest
 from agatetack.metrics import Metrics
@@ -19,6 +19,9 @@
 from agatetack.settings.model import Settings
 from agatetack.targets.client import AttemptFailure, Freshness
 
+RELEASE_SHARE = 0.1
+"""Share of the time left that is kept for releasing an unused claim."""
+
 log = PartLog("attempts")
 
 
@@ -104,10 +107,13 @@
     async def _permit(
         self, route: Route, request: CallerRequest, state: OnceState
     ) -> Result:
+        # A claim that is not used has to be released, and that be read back,
+        # before the caller can be told that nothing was run.
+        left = request.deadline - trio.current_time()
         wanted = PermitRequest(
             route=route,
             request=request,
-            deadline=request.deadline,
+            deadline=Deadline(request.deadline - left * RELEASE_SHARE),
             avoid=state.tried,
         )
         return await self.admission.acquire(wanted)
--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -177,6 +177,8 @@
             await self._second(state, RetryReason.STALLED)
 
     async def _second(self, state: RaceState, reason: RetryReason) -> None:
+        if self.single.crashes.check(state.route, state.request) is not None:
+            return
         permit = await self._permit(state, wait=False)
         if permit is None:
             return
--- a/agatetack/attempts/test_race.py
+++ b/agatetack/attempts/test_race.py
@@ -160,6 +160,15 @@
     assert [w.wait for w in parts.admission.wanted] == [True, False, False]
 
 
+async def test_no_hedge_spends_a_third_target_on_a_crashing_request(
+    autojump_clock,
+):
+    crashes = Crashes(most=0)
+    parts = Parts(ScriptedClient([SLOW]), crashes=crashes)
+    await run_hedged(parts)
+    assert len(parts.client.attempts) == 1
+
+
 @pytest.mark.parametrize(
     ("learned", "hedged"), [(True, True), (True, False), (False, True)]
 )
--- a/agatetack/config/tail.py
+++ b/agatetack/config/tail.py
@@ -50,7 +50,7 @@
         await self._load_snapshot()
         while True:
             try:
-                if await self.read(self.settings.poll_seconds):
+                if await self.read(self._wait_seconds()):
                     await self._leave_reads_to_others()
                 else:
                     await self._pause()
@@ -69,6 +69,11 @@
                 self._begin_outage(error)
                 await self._pause()
 
+    def _wait_seconds(self) -> float:
+        # Until the end was seen, an empty answer is worth more than a record
+        # that comes later.
+        return self.settings.poll_seconds if self.state.ready else 0.0
+
     async def read(self, wait_seconds: float) -> bool:
         """Fold what the log holds beyond this host's version.
 
@@ -154,4 +159,4 @@
 
     async def _pause(self) -> None:
         # Hosts that failed together should not all ask again together.
-        await trio.sleep(self.settings.poll_seconds * random.uniform(0.3, 1))
+        await trio.sleep(self.settings.retry_seconds * random.uniform(0.3, 1))
--- a/agatetack/config/writing.py
+++ b/agatetack/config/writing.py
@@ -76,7 +76,7 @@
             try:
                 await self.tail.read_to_end()
             except LogError:
-                pause = self.tail.settings.poll_seconds
+                pause = self.tail.settings.retry_seconds
                 now = self.tail.clock.now()
                 await self._wait_until(Deadline(now + pause))
             else:
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -93,6 +93,7 @@
     endpoint: Endpoint
     timeout_seconds: Seconds
     poll_seconds: Seconds
+    retry_seconds: Seconds
     appends_per_second: Annotated[float, pydantic.Field(gt=0)]
     retention_seconds: Seconds
     max_record_bytes: Bytes
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -11,7 +11,7 @@
 LISTENERS = ("callers", "operators", "peers")
 """The sections with an address to listen on."""
 
-SECURE_LISTENERS = ("callers", "operators")
+SECURE_LISTENERS = ("callers", "operators", "peers")
 """The sections with TLS files."""
 
 
--- a/agatetack/testing/replay_fleet.py
+++ b/agatetack/testing/replay_fleet.py
@@ -201,8 +201,19 @@
             ServiceId(""),
         )
 
+    def _is_up(self, gateway: Gateway) -> bool:
+        """Return whether a gateway has its routes and knows all others.
+
+        A host that was lost before it was ever heard is another failure than
+        the traces state.
+        """
+        others = len(self.hosts) - 1
+        return gateway.config.ready and (
+            len(gateway.peers.live_peers()) >= others
+        )
+
     async def _publish_routes(self) -> None:
-        while not all(host.gateway.config.ready for host in self.hosts):
+        while not all(self._is_up(host.gateway) for host in self.hosts):
             await trio.sleep(PAUSE_SECONDS)
         for line in self.trace.routes:
             change = self.make_change("start-" + line.service, make_route(line))
