--- a/bench/capacity/measuring.py
+++ b/bench/capacity/measuring.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterator
 
+import absl.logging
 import trio
 
 from agatetack.ids import Deadline, FailureDomain, HostId
@@ -16,7 +17,7 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import NoExchange, Peer, Topic
 from agatetack.settings.defaults import default_settings
-from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 from agatetack.testing.targets import listed_target
 from bench.capacity.slopes import Slope, new_slope
@@ -126,6 +127,57 @@
         return length / MAX_SAMPLES
 
 
+class Signs(Samples):
+    """One host that sees targets leave and hears a peer see the same."""
+
+    def see_us(self) -> float:
+        """Return the processor time of seeing one target leave."""
+        targets = list(self.registry.by_id.values())
+        begun = time.process_time()
+        for target in targets:
+            self.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
+        return (time.process_time() - begun) / len(targets) * 1e6
+
+    def hear_us(self) -> float:
+        """Return the processor time of hearing of it once more."""
+        handler = self.exchange.handlers[Topic.TARGET_SIGNS]
+        payloads = list(self.exchange.published)
+        begun = time.process_time()
+        for payload in payloads:
+            handler(HostId("peer"), payload)
+        return (time.process_time() - begun) / len(payloads) * 1e6
+
+    def sign_bytes(self) -> float:
+        """Return the bytes of one sign, with the frame."""
+        return len(self.exchange.published[-1]) + FRAME_BYTES
+
+
+async def sign_slopes() -> list[Slope]:
+    """Return the slopes of signs that a target is leaving."""
+    signs = Signs()
+    see = signs.see_us()
+    return [
+        new_slope(
+            "sign_see_us",
+            see,
+            "processor time of a target seen leaving, told to peers",
+            COMMAND,
+        ),
+        new_slope(
+            "sign_hear_us",
+            signs.hear_us(),
+            "processor time of a peer's sign, without its frame",
+            COMMAND,
+        ),
+        new_slope(
+            "sign_bytes",
+            signs.sign_bytes(),
+            "bytes of one sign to one peer, with the frame",
+            COMMAND,
+        ),
+    ]
+
+
 async def sample_slopes() -> list[Slope]:
     """Return the slopes of reports and samples."""
     samples = Samples()
@@ -158,6 +210,8 @@
 
 def measure() -> list[Slope]:
     """Return the slopes of measuring."""
+    # Lines of the log would cost more than what they tell of.
+    absl.logging.set_verbosity(absl.logging.ERROR)
     with started("target") as target:
         size, cpu = trio.run(probe_costs, target.port)
     return [
@@ -168,4 +222,5 @@
             "probe_us", cpu, "processor time of one probe at a gateway", COMMAND
         ),
         *trio.run(sample_slopes),
+        *trio.run(sign_slopes),
     ]
