Tell the ticket of a submission in doubt, and bound the drain of tickets

Cause: a caller in doubt learned its ticket only from the sentence of the refusal; with the log out the flush of deferred work had no end of its own. Change: the ticket's header goes along; the flush fails at the drain's deadline and is named. Before: no header. After: the new case passes.

--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -223,7 +223,10 @@
         await self.claims.flush(deadline)
 
     async def _flush_deferred(self, deadline: Deadline) -> None:
-        await self.deferred.drain()
+        # With the log out this would wait for ever; the lifecycle names it
+        # unfinished, and another host runs what was taken up here.
+        with trio.fail_at(deadline):
+            await self.deferred.drain()
 
     def _targets_listed(self, change: ListChange) -> None:
         self.registry.update(self.directory.targets())
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -9,6 +9,7 @@
 
 from agatetack.callers.problem import refusal_answer
 from agatetack.config.route import RequestClass, Route, RouteSource
+from agatetack.deferred.queue import TicketRefusal
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
 from agatetack.messages import Answer, CallerRequest, Handler, Header
@@ -157,7 +158,11 @@
         route_id = None if route is None else route.id
         self.metrics.refused(route_id, refusal.reason)
         self.explanations.note(request, route, refusal.status, refusal)
-        return refusal_answer(refusal, request.request_id, self.names)
+        answer = refusal_answer(refusal, request.request_id, self.names)
+        if isinstance(refusal, TicketRefusal):
+            name = self.names.ticket.encode()
+            answer.headers.append(Header(name, refusal.ticket.encode()))
+        return answer
 
     def _pass_on(
         self, route: Route, request: CallerRequest, answer: Answer
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -11,6 +11,7 @@
     RouteSource,
     RouteTable,
 )
+from agatetack.deferred.queue import TicketRefusal
 from agatetack.ids import (
     CallerId,
     Deadline,
@@ -50,11 +51,16 @@
     )
 
 
+IN_DOUBT = TicketRefusal(
+    RefusalReason.TICKET_IN_DOUBT, "doubt", Outcome.UNKNOWN, ticket="t-1"
+)
+
 ROUTES = [
     route("fast", deadline_seconds=2.0, max_body_bytes=3),
     route("once", RequestClass.ONCE, max_body_bytes=3),
     route("broken"),
     route("full"),
+    route("doubt", RequestClass.DEFERRED),
 ]
 
 
@@ -71,6 +77,8 @@
             raise ValueError("a bug")
         if route.id == "full":
             return Failure(QUEUE_FULL)
+        if route.id == "doubt":
+            return Failure(IN_DOUBT)
         return Success(Answer(200, [], BytesBody(b"ok")))
 
 
@@ -163,6 +171,13 @@
     assert note.refusal.reason.value == reason
 
 
+async def test_a_ticket_in_doubt_can_still_be_polled(autojump_clock):
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    answer = await dispatcher.handle(make_request(b"/doubt"))
+    assert answer.status == 504
+    assert find_header(answer.headers, b"x-ticket") == b"t-1"
+
+
 async def test_without_configuration_nothing_is_run(autojump_clock):
     dispatcher = make_dispatcher(None)
     answer = await dispatcher.handle(make_request(b"/fast"))
