Let the quarantine's hold end though hosts tell each other again

Cause: every host repeated the losses of a held request that it had been told of, each with the time of its own hearing, and a told loss renewed the hold. Two hosts kept each other's hold (and the messages) alive for ever. Change: only the host that saw a loss tells it again, for 4 s, and a host that knows the loss takes no telling within 10 s for a new one. Before: with three hosts and a hold of 60 s the request was still refused after 68 s (the new test failed).

--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -30,7 +30,14 @@
 """Lost connections waiting to be looked into; more are dropped."""
 
 REPEAT_SECONDS = 2.0
-"""How often held fingerprints are told to peers again."""
+"""How often the losses seen here are told to peers again."""
+
+REPEAT_FOR_SECONDS = 2 * REPEAT_SECONDS
+"""A loss is told again for this long."""
+
+RETOLD_SECONDS = 5 * REPEAT_SECONDS
+"""A peer that tells of the same target's loss again within this time means the
+one that is known; one told later is another."""
 
 FINGERPRINT_BYTES = 16
 
@@ -47,6 +54,7 @@
         route: Its route.
         service: The route's service.
         crashed: When each target was lost to it.
+        seen_here: Those of these targets that this host itself lost.
         forget_at: When it is forgotten, unless more happens.
         held_until: When it may run again, or None if it may now.
         refusals: How often it was refused here.
@@ -58,17 +66,28 @@
     forget_at: Deadline
     held_until: Deadline | None = None
     refusals: int = 0
+    seen_here: set[TargetId] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashSighting:
-    """A connection that was lost while its target ran a request."""
+    """A connection that was lost while its target ran a request.
+
+    Attributes:
+        fingerprint: The request.
+        route: Its route.
+        service: The route's service.
+        target: The target.
+        at: When it was lost, or when this host was told of it.
+        here: Whether this host lost it, not a peer.
+    """
 
     fingerprint: Fingerprint
     route: RouteId
     service: ServiceId
     target: TargetId
     at: Deadline
+    here: bool
 
 
 class LocalCrashTracker(CrashTracker):
@@ -134,7 +153,9 @@
         print_ = fingerprint(route, request)
         now = Deadline(trio.current_time())
         self.crashes.inc({"result": "suspected"})
-        event = CrashSighting(print_, route.id, route.service, target, now)
+        event = CrashSighting(
+            print_, route.id, route.service, target, now, here=True
+        )
         self._count(event)
         self._publish_loss(event)
         try:
@@ -167,6 +188,8 @@
             suspicion = Suspicion(event.route, event.service, {}, now)
         self.suspicions[print_] = suspicion
         suspicion.crashed[event.target] = now
+        if event.here:
+            suspicion.seen_here.add(event.target)
         if len(suspicion.crashed) >= self.limits.crashes:
             if suspicion.held_until is None:
                 log.warning("Request %s is held back.", print_.hex())
@@ -231,18 +254,29 @@
             return
         print_ = Fingerprint(notice.fingerprint)
         if notice.event == CrashEvent.LOST and notice.target:
-            self._count(
-                CrashSighting(
-                    print_,
-                    RouteId(notice.route or ""),
-                    ServiceId(notice.service_name or ""),
-                    TargetId(notice.target),
-                    Deadline(trio.current_time()),
-                )
-            )
+            self._count_told(print_, notice)
         elif notice.event in (CrashEvent.ANSWERED, CrashEvent.RELEASED):
             self._forget(print_)
 
+    def _count_told(self, print_: Fingerprint, notice: CrashNotice) -> None:
+        now = Deadline(trio.current_time())
+        target = TargetId(notice.target)
+        suspicion = self.suspicions.get(print_)
+        lost_at = None if suspicion is None else suspicion.crashed.get(target)
+        if lost_at is not None and now - lost_at < RETOLD_SECONDS:
+            # Hosts that renewed the hold at each telling would never end it.
+            return
+        self._count(
+            CrashSighting(
+                print_,
+                RouteId(notice.route or ""),
+                ServiceId(notice.service_name or ""),
+                target,
+                now,
+                here=False,
+            )
+        )
+
     def _drop_notice(self, sender: HostId) -> None:
         self.metrics.dropped.inc(
             {"part": "quarantine", "reason": "malformed-notice"}
@@ -257,24 +291,33 @@
                 nursery.start_soon(self._look_into, loss)
 
     async def _repeat(self) -> None:
-        """Tell peers again what is held, as a message may have been lost."""
+        """Tell peers again what is held, as a message may have been lost.
+
+        Only the host that saw a loss tells it again: if each host did that was
+        told of it, the telling would never end.
+        """
         while True:
             await trio.sleep(REPEAT_SECONDS)
             self._expire(Deadline(trio.current_time()))
             for print_, suspicion in list(self.suspicions.items()):
-                if not self._is_held(suspicion):
-                    continue
-                for target, at in suspicion.crashed.items():
-                    if at + REPEAT_SECONDS * 2 >= trio.current_time():
-                        self._publish_loss(
-                            CrashSighting(
-                                print_,
-                                suspicion.route,
-                                suspicion.service,
-                                target,
-                                at,
-                            )
-                        )
+                if self._is_held(suspicion):
+                    self._tell_again(print_, suspicion)
+
+    def _tell_again(self, print_: Fingerprint, suspicion: Suspicion) -> None:
+        oldest = trio.current_time() - REPEAT_FOR_SECONDS
+        for target in suspicion.seen_here:
+            at = suspicion.crashed[target]
+            if at >= oldest:
+                self._publish_loss(
+                    CrashSighting(
+                        print_,
+                        suspicion.route,
+                        suspicion.service,
+                        target,
+                        at,
+                        here=True,
+                    )
+                )
 
     async def _look_into(self, loss: CrashSighting) -> None:
         """Take a suspicion back if the target did not go down."""
@@ -287,5 +330,6 @@
         if suspicion is None or suspicion.held_until is not None:
             return
         suspicion.crashed.pop(loss.target, None)
+        suspicion.seen_here.discard(loss.target)
         if not suspicion.crashed:
             self._forget(loss.fingerprint)
--- a/agatetack/quarantine/test_local_tracker.py
+++ b/agatetack/quarantine/test_local_tracker.py
@@ -138,6 +138,23 @@
     assert tracker.check(ROUTE, request) is None
 
 
+async def test_hosts_that_tell_each_other_again_do_not_prolong_the_hold(
+    autojump_clock,
+):
+    trackers = make_trackers(count=3)
+    request = make_request()
+    for name in ("t1", "t2"):
+        trackers[0].connection_lost(ROUTE, request, TargetId(name))
+    async with trio.open_nursery() as nursery:
+        for tracker in trackers:
+            nursery.start_soon(tracker.run)
+        await trio.sleep(59)
+        assert all(tracker.check(ROUTE, request) for tracker in trackers)
+        await trio.sleep(9)
+        assert not any(tracker.check(ROUTE, request) for tracker in trackers)
+        nursery.cancel_scope.cancel()
+
+
 async def test_old_losses_are_forgotten(autojump_clock):
     tracker = make_trackers()[0]
     request = make_request()
