Let an answer cost no look at every suspected request

Cause: while any request is suspected, each answered request recomputed the gauge of held ones, a look at up to quarantine.max_fingerprints suspicions. Change: the gauge is set anew only if the request was suspected. Before: 1,663 us for the gauge at 10,000 suspicions, at each answer; after: 2 us for `answered` (one trial in a process of its own). The new test failed before and passes now.

--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -215,8 +215,11 @@
             del self.suspicions[print_]
 
     def _forget(self, print_: Fingerprint) -> bool:
+        # The gauge costs a look at every suspicion, and this is asked at each
+        # answer while there are any.
         known = self.suspicions.pop(print_, None) is not None
-        self._update_gauge()
+        if known:
+            self._update_gauge()
         return known
 
     def _update_gauge(self) -> None:
--- a/agatetack/quarantine/test_local_tracker.py
+++ b/agatetack/quarantine/test_local_tracker.py
@@ -214,6 +214,17 @@
     assert tracker.check(ROUTE, request) is not None
 
 
+async def test_an_answer_looks_at_no_other_requests_suspicions(
+    autojump_clock, monkeypatch
+):
+    tracker = make_trackers()[0]
+    tracker.connection_lost(ROUTE, make_request(b"/lost"), TargetId("t1"))
+    looked_at = []
+    monkeypatch.setattr(tracker, "_is_held", looked_at.append)
+    tracker.answered(ROUTE, make_request(b"/other"))
+    assert not looked_at
+
+
 async def test_an_operator_releases(autojump_clock):
     trackers = make_trackers()
     request = make_request()
