Never let two attempts read one request's stream

Cause: the timer of a stalled answer was also set for a request whose body is streamed, not held. A slow upload then got a second attempt, and both took parts of the same stream, so that each target got a torn body. Change: no timer for a request that can't be sent again.

--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -95,7 +95,6 @@
         """
         self.retries.of(route.id).earn()
         self.hedges.of(route.id).earn()
-        hedged = hedged and request.replayable
         state = RaceState(route, request, priority)
         permit = await self._permit(state, wait=True)
         if permit is None:
@@ -121,7 +120,8 @@
             with state.in_turn:
                 await self._in_turn(state, permit)
         finally:
-            state.timer.stop()
+            if state.timer is not None:
+                state.timer.stop()
             state.over = True
             # Cancelling an attempt closes its connection, which tells the
             # target that its work is of no more use.
@@ -129,6 +129,9 @@
                 state.second.scope.cancel()
 
     def _set_timer(self, state: RaceState, hedged: bool) -> None:
+        if not state.request.replayable:
+            # Two attempts would each send a part of the one stream.
+            return
         late_after = self._late_after(state.route.id)
         if hedged and late_after is not None:
             when = Deadline(trio.current_time() + late_after)
--- a/agatetack/attempts/state.py
+++ b/agatetack/attempts/state.py
@@ -44,7 +44,7 @@
         failure: The last attempt's failure, or None.
         may_have_run: Whether any attempt can have run.
         second: The second attempt under way, or None.
-        timer: Starts a second attempt, or None before the first.
+        timer: Starts a second attempt, or None if there must be none.
         in_turn: Cancels the attempts that are made in turn.
         over: Whether a later answer is of no more use.
     """
--- a/agatetack/attempts/test_race.py
+++ b/agatetack/attempts/test_race.py
@@ -95,6 +95,26 @@
     assert result.failure().reason is RefusalReason.CONNECTION_LOST
 
 
+@pytest.mark.parametrize("learned", [True, False])
+async def test_a_stream_is_never_read_by_two_attempts(learned, autojump_clock):
+    class Stream(Body):
+        async def receive(self):
+            return b""
+
+    parts = Parts(ScriptedClient([HANG, OK]))
+    runner = parts.runner()
+    for _ in range(200 if learned else 0):
+        runner._learn(ROUTE.id, 0.02)
+    request = make_request(body=Stream())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(runner.hedger.run)
+        with trio.move_on_at(request.deadline):
+            await runner.run(ROUTE, request, hedged=True)
+        nursery.cancel_scope.cancel()
+    assert len(parts.client.attempts) == 1
+    parts.check_permits()
+
+
 async def test_retries_stay_within_their_budget(autojump_clock):
     parts = Parts(ScriptedClient([SHED] * 10_000))
     runner = parts.runner()
