Send no rest of a streamed body to a second target

Cause: a request was retried after a sure "not run" also when its body is streamed. A target that shed it may have been sent part of the body by then, and the next target got the rest as if it were the whole. Change: a streamed request is sent again only after a failed connect, which comes before its body is read. The caller is told "not run" as before.

--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -39,6 +39,10 @@
 """Second attempts that go on a new connection, as the first may be late
 because open connections have gone silent."""
 
+BEFORE_BODY = frozenset({RetryReason.CONNECT_FAILED})
+"""Failures that come before any byte of the request's body is read. After
+others a streamed body lacks its begin, also where the target did not run."""
+
 STALL_FACTOR = 3.0
 """An answer this many times later than usual may never come."""
 
@@ -248,7 +252,7 @@
         reason = RETRY_REASONS.get(state.failure.reason)
         if reason is None or state.started >= self.limits.max_attempts:
             return None
-        if state.may_have_run and not state.request.replayable:
+        if not state.request.replayable and reason not in BEFORE_BODY:
             return None
         if trio.current_time() >= state.request.deadline:
             return None
--- a/agatetack/attempts/test_race.py
+++ b/agatetack/attempts/test_race.py
@@ -84,15 +84,23 @@
     assert result.failure().outcome is Outcome.UNKNOWN
 
 
-async def test_a_half_sent_stream_is_not_sent_again(autojump_clock):
+@pytest.mark.parametrize(
+    ("first", "sent_again"), [(LOST, False), (SHED, False), (CONNECT, True)]
+)
+async def test_a_half_sent_stream_is_not_sent_again(
+    first, sent_again, autojump_clock
+):
     class Stream(Body):
         async def receive(self):
             return b""
 
-    parts = Parts(ScriptedClient([LOST, OK]))
+    parts = Parts(ScriptedClient([first, OK]))
     request = make_request(body=Stream())
     result = await parts.runner().run(ROUTE, request, hedged=True)
-    assert result.failure().reason is RefusalReason.CONNECTION_LOST
+    assert isinstance(result, Success) is sent_again
+    if not sent_again:
+        assert result.failure().reason is first.reason
+        assert result.failure().outcome is first.outcome
 
 
 @pytest.mark.parametrize("learned", [True, False])
