Refuse a streamed body over its bound as such, and not as our own failure

Cause: the dispatcher took every exception for a failure of its own. A chunked body over callers.max_body_bytes ended in 500 internal-error, and a caller that left during its upload was logged as an error. A route's max_body_bytes held only for bodies with an announced length. Change: a chunked body is cut off at its route's bound; over a bound the caller gets 413 with the outcome "unknown", as a target may have got part of it; a caller that left is passed on to whoever serves its connection. The bounds moved from callers/connection.py to a module of their own.

--- /dev/null
+++ b/agatetack/callers/bounded.py
@@ -0,0 +1,62 @@
+"""Cut a streamed request body off at a bound."""
+
+import dataclasses
+
+from agatetack.messages import Body
+from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
+
+
+def too_large(max_bytes: int) -> Refusal:
+    """Return the refusal of a body that is larger than `max_bytes`."""
+    return refuse(
+        RefusalReason.BODY_TOO_LARGE,
+        f"A body takes at most {max_bytes} bytes here.",
+    )
+
+
+class TooLarge(Exception):
+    """A request's body turned out to be larger than its bound.
+
+    Attributes:
+        max_bytes: The bound.
+    """
+
+    def __init__(self, max_bytes: int):
+        """Keep the bound."""
+        super().__init__(f"the body has more than {max_bytes} bytes")
+        self.max_bytes = max_bytes
+
+    def refusal(self) -> Refusal:
+        """Return the refusal; a target may have run what it got by then."""
+        return dataclasses.replace(
+            too_large(self.max_bytes), outcome=Outcome.UNKNOWN
+        )
+
+
+class BoundedBody(Body):
+    """A request's body that is cut off at a bound.
+
+    Attributes:
+        max_bytes: The bound.
+        left: Bytes that may still come.
+    """
+
+    def __init__(self, body: Body, max_bytes: int):
+        """Read `body`, up to `max_bytes`."""
+        self.body = body
+        self.length = body.length
+        self.max_bytes = max_bytes
+        self.left = max_bytes
+
+    async def receive(self) -> bytes:
+        """Return the next bytes.
+
+        Raises:
+            TooLarge: More came than the bound.
+            CallerGone: The body was cut.
+        """
+        data = await self.body.receive()
+        self.left -= len(data)
+        if self.left < 0:
+            raise TooLarge(self.max_bytes)
+        return data
--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -5,6 +5,7 @@
 import trio
 from returns.result import Failure
 
+from agatetack.callers.bounded import BoundedBody, TooLarge, too_large
 from agatetack.callers.head import read_addressing
 from agatetack.callers.parser import ParsedRequest, RequestParser
 from agatetack.callers.problem import refusal_answer
@@ -22,7 +23,7 @@
     Handler,
 )
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.outcomes import Refusal, RefusalReason
 from agatetack.settings.model import CallersSettings
 from agatetack.streams import PlainStream
 
@@ -37,33 +38,6 @@
 log = PartLog("callers")
 
 
-class TooLarge(Exception):
-    """A request's body is larger than the bound."""
-
-
-class BoundedBody(Body):
-    """A request's body that is cut off at a bound."""
-
-    def __init__(self, body: Body, max_bytes: int):
-        """Read `body`, up to `max_bytes`."""
-        self.body = body
-        self.length = body.length
-        self.left = max_bytes
-
-    async def receive(self) -> bytes:
-        """Return the next bytes.
-
-        Raises:
-            TooLarge: More came than the bound.
-            CallerGone: The body was cut.
-        """
-        data = await self.body.receive()
-        self.left -= len(data)
-        if self.left < 0:
-            raise TooLarge
-        return data
-
-
 class CallerConnection:
     """One caller's connection, served by one task.
 
@@ -204,10 +178,8 @@
             if isinstance(request, Refusal):
                 return await self._refuse(parsed, request)
             return await self._serve_request(parsed, request)
-        except TooLarge:
-            return await self._refuse(
-                parsed, refuse(RefusalReason.BODY_TOO_LARGE, self._bound_text())
-            )
+        except TooLarge as error:
+            return await self._refuse(parsed, error.refusal())
         except AnswerCut:
             # The reset tells the caller that its answer is not whole.
             abort(self.stream)
@@ -217,9 +189,6 @@
             abort(self.stream)
             return False
 
-    def _bound_text(self) -> str:
-        return f"A body takes at most {self.settings.max_body_bytes} bytes."
-
     async def _build(self, parsed: ParsedRequest) -> CallerRequest | Refusal:
         head = parsed.head
         addressing = read_addressing(head, self.settings, self.peer_ip)
@@ -228,7 +197,7 @@
         found = addressing.unwrap()
         length = parsed.body.length
         if length is not None and length > self.settings.max_body_bytes:
-            return refuse(RefusalReason.BODY_TOO_LARGE, self._bound_text())
+            return too_large(self.settings.max_body_bytes)
         if parsed.expects_continue and not parsed.body.received:
             await self.writer.send(CONTINUE)
         deadline = found.deadline
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -197,4 +197,8 @@
 
     @abc.abstractmethod
     async def handle(self, request: CallerRequest) -> Answer:
-        """Return the answer; refusals are answers too, never exceptions."""
+        """Return the answer; refusals are answers too, never exceptions.
+
+        Raises:
+            CallerGone: The request's body was cut, so nobody awaits an answer.
+        """
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -7,12 +7,19 @@
 import trio
 from returns.result import Failure, Result
 
+from agatetack.callers.bounded import BoundedBody, TooLarge, too_large
 from agatetack.callers.problem import refusal_answer
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.deferred.queue import TicketRefusal
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
-from agatetack.messages import Answer, CallerRequest, Handler, Header
+from agatetack.messages import (
+    Answer,
+    CallerGone,
+    CallerRequest,
+    Handler,
+    Header,
+)
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
 from agatetack.quarantine.tracker import CrashTracker
@@ -85,6 +92,11 @@
                 return self._refuse(None, request, _doubted(request, found))
             route = found
             result = await self._run(route, request)
+        except CallerGone:
+            # Nobody is left to answer; who serves the connection counts it.
+            raise
+        except TooLarge as error:
+            return self._refuse(route, request, error.refusal())
         except Exception as error:
             log.error("[%s] failed: %r.", request.request_id, error)
             refusal = refuse(
@@ -140,10 +152,9 @@
             )
         length = request.body.length
         if length is not None and length > route.max_body_bytes:
-            return refuse(
-                RefusalReason.BODY_TOO_LARGE,
-                f"A body takes at most {route.max_body_bytes} bytes here.",
-            )
+            return too_large(route.max_body_bytes)
+        if length is None:
+            request.body = BoundedBody(request.body, route.max_body_bytes)
         if trio.current_time() >= request.deadline:
             return refuse(
                 RefusalReason.CANNOT_MEET_DEADLINE, "The deadline has passed."
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -5,6 +5,7 @@
 import trio
 from returns.result import Failure, Success
 
+from agatetack.callers.bounded import TooLarge
 from agatetack.config.route import (
     RequestClass,
     Route,
@@ -24,7 +25,9 @@
 )
 from agatetack.messages import (
     Answer,
+    Body,
     BytesBody,
+    CallerGone,
     CallerRequest,
     Handler,
     find_header,
@@ -75,6 +78,8 @@
         self.requests.append(request)
         if route.id == "broken":
             raise ValueError("a bug")
+        while await request.body.receive():
+            pass
         if route.id == "full":
             return Failure(QUEUE_FULL)
         if route.id == "doubt":
@@ -171,6 +176,46 @@
     assert note.refusal.reason.value == reason
 
 
+class Stream(Body):
+    """A body without an announced length; an exception ends it."""
+
+    def __init__(self, *parts):
+        self.parts = list(parts)
+
+    async def receive(self):
+        part = self.parts.pop(0) if self.parts else b""
+        if isinstance(part, Exception):
+            raise part
+        return part
+
+
+@pytest.mark.parametrize(
+    ("parts", "status", "outcome"),
+    [
+        ([b"ab", b"c"], 200, None),
+        ([b"ab", b"cd"], 413, b"unknown"),
+        ([b"ab", TooLarge(9)], 413, b"unknown"),
+    ],
+)
+async def test_a_stream_is_bounded_by_its_route(
+    parts, status, outcome, autojump_clock
+):
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    request = make_request(b"/fast")
+    request.body = Stream(*parts)
+    answer = await dispatcher.handle(request)
+    assert answer.status == status
+    assert find_header(answer.headers, b"x-outcome") == outcome
+
+
+async def test_a_caller_that_goes_away_is_no_fault_of_ours(autojump_clock):
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    request = make_request(b"/fast")
+    request.body = Stream(b"ab", CallerGone())
+    with pytest.raises(CallerGone):
+        await dispatcher.handle(request)
+
+
 async def test_a_ticket_in_doubt_can_still_be_polled(autojump_clock):
     dispatcher = make_dispatcher(RouteTable(ROUTES))
     answer = await dispatcher.handle(make_request(b"/doubt"))
