Let an idle host not wake for load samples

Change: it waits for an event that a new report sets; over budget it sleeps until the budget allows a message (50 ms at most); without peers the samples are dropped at once, as they are old by the time a peer comes. The new test fails on the old loop: the next deadline is not infinite.

--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -32,6 +32,9 @@
 LEAST_INTERVAL_SECONDS = 0.01
 """Shortest time between two messages."""
 
+LOOK_AGAIN_SECONDS = 0.05
+"""Longest time between two looks at a budget that is spent."""
+
 DEFAULT_SLOTS = 2
 """Slots that a sample without the field means."""
 
@@ -45,6 +48,7 @@
 
     Attributes:
         fresh: Targets measured since the last message, latest last.
+        any_fresh: Set when there is something in `fresh`.
     """
 
     def __init__(
@@ -68,6 +72,7 @@
         self.bucket = bucket
         self.protocols = TCompactProtocolAcceleratedFactory()
         self.fresh: dict[TargetId, TargetState] = {}
+        self.any_fresh = trio.Event()
         self.hashes: dict[int, TargetState] = {}
         self.hashed_targets = 0
         registry.report_watchers.append(self._measured)
@@ -80,13 +85,25 @@
     async def run(self) -> None:
         """Send fresh samples as often as the budget allows."""
         while True:
+            # An idle host must not wake at all.
+            await self.any_fresh.wait()
             await trio.sleep(LEAST_INTERVAL_SECONDS)
             peers = len(self.exchange.live_peers())
-            if not self.fresh or not peers:
-                continue
-            latest = list(self.fresh.values())[-MAX_SAMPLES:]
-            if self._send(latest, peers, CHANGED_RESERVE_BYTES * peers):
+            # A host without peers has nobody to tell, now or later: by the
+            # time one comes the samples are old.
+            if not peers or self._send_fresh(peers):
                 self.fresh.clear()
+                self.any_fresh = trio.Event()
+            else:
+                await trio.sleep_until(self._look_again_at(peers))
+
+    def _send_fresh(self, peers: int) -> bool:
+        latest = list(self.fresh.values())[-MAX_SAMPLES:]
+        return self._send(latest, peers, CHANGED_RESERVE_BYTES * peers)
+
+    def _look_again_at(self, peers: int) -> float:
+        ready_at = self.bucket.ready_at(CHANGED_RESERVE_BYTES * peers)
+        return min(ready_at, trio.current_time() + LOOK_AGAIN_SECONDS)
 
     def _send_changed(self, target: TargetState) -> None:
         """Tell peers of a target at once, if the budget allows."""
@@ -135,6 +152,7 @@
             # Put it last, so that the latest survive a cut.
             self.fresh.pop(target.id, None)
             self.fresh[target.id] = target
+            self.any_fresh.set()
 
     def _take_samples(self, sender: HostId, payload: bytes) -> None:
         try:
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -197,6 +197,24 @@
     assert not taker.prober.sharing.fresh
 
 
+@pytest.mark.parametrize("peers", [0, 1])
+async def test_idle_host_does_not_wake_for_samples(autojump_clock, peers):
+    sender, _ = joined()
+    sharing = sender.prober.sharing
+    sharing.bucket.tokens = 4000
+    sharing.exchange.live_peers = lambda: [HostId("peer")] * peers
+    sender.report(sender.targets[0], 1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sharing.run)
+        await trio.sleep(1)
+        # With nothing fresh the only task left that has a deadline is this
+        # one, so the loop has no timeout of its own.
+        assert not sharing.fresh
+        tasks = trio.lowlevel.current_statistics()
+        assert tasks.seconds_to_next_deadline == float("inf")
+        nursery.cancel_scope.cancel()
+
+
 async def test_samples_keep_to_the_budget(autojump_clock):
     sender, _ = joined()
     with trio.move_on_after(START_SECONDS + 10):
