Bound the numbers in headers, and answer polls that fail

Cause: a target's in-flight, slots and Retry-After and a caller's wait-ms were read at any length. Some hundred digits overflowed a float: the attempt ended as our own failure and its connection stayed counted as open for ever, a poll's connection was dropped without an answer. Failures of polls were not caught like others. Change: numbers of more than nine digits count as none; a poll waits at most as long as it may; a poll that fails ends as internal-error.

--- a/agatetack/headers.py
+++ b/agatetack/headers.py
@@ -22,6 +22,20 @@
 FRAMING = frozenset({b"content-length", b"expect"})
 """Header fields that are written anew on the next connection."""
 
+MAX_COUNT_DIGITS = 9
+"""Digits of a number in a header; one that is longer counts as none.
+
+Numbers of any length would overflow where they meet a float, and Python
+refuses to read thousands of digits at all.
+"""
+
+
+def read_count(value: bytes | None) -> int | None:
+    """Return the whole number that a header holds, or None if it holds none."""
+    if value is None or len(value) > MAX_COUNT_DIGITS or not value.isdigit():
+        return None
+    return int(value)
+
 
 def strip_hop_by_hop(headers: Iterable[Header]) -> list[Header]:
     """Return `headers` without those that concern one connection only."""
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -83,10 +83,10 @@
 
     async def handle(self, request: CallerRequest) -> Answer:
         """Return the target's answer or a refusal."""
-        if request.path.startswith(self.ticket_prefix):
-            return await self.tickets.handle(request)
         route = None
         try:
+            if request.path.startswith(self.ticket_prefix):
+                return await self.tickets.handle(request)
             found = self._find_route(request)
             if isinstance(found, Refusal):
                 return self._refuse(None, request, _doubted(request, found))
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -91,6 +91,8 @@
     """Answers every poll."""
 
     async def handle(self, request):
+        if request.path.endswith(b"broken"):
+            raise ValueError("a bug")
         return Answer(204, [], BytesBody(b""))
 
 
@@ -154,6 +156,15 @@
         (b"/broken", None, b"", None, 500, "internal-error", "unknown"),
         (b"/full", None, b"", None, 503, "queue-full", "not-run"),
         (b"/agatetack/tickets/1", None, b"", None, 204, None, None),
+        (
+            b"/agatetack/tickets/broken",
+            None,
+            b"",
+            None,
+            500,
+            "internal-error",
+            "unknown",
+        ),
     ],
 )
 async def test_each_request_gets_one_answer_and_reason(
--- a/agatetack/serving/tickets.py
+++ b/agatetack/serving/tickets.py
@@ -52,7 +52,8 @@
 
     def _wait_until(self, request: CallerRequest, query: str) -> Deadline:
         wanted = urllib.parse.parse_qs(query).get("wait-ms", ["0"])[0]
-        wait_ms = int(wanted) if wanted.isdecimal() else 0
+        # A float takes numbers of any length, and none of them overflows.
+        wait_ms = float(wanted) if wanted.isdecimal() else 0.0
         longest = self.settings.deferred.max_wait_seconds
         until = trio.current_time() + min(wait_ms / 1000, longest)
         return Deadline(min(until, request.deadline))
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from agatetack.headers import strip_hop_by_hop
+from agatetack.headers import read_count, strip_hop_by_hop
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
 from agatetack.messages import (
@@ -236,13 +236,13 @@
         state = found.get(names.state.encode())
         if state == b"draining":
             self.registry.note_leaving(target, LeavingSign.ANSWER_HEADER)
-        in_flight = found.get(names.in_flight.encode())
-        if in_flight is None or not in_flight.isdigit():
+        in_flight = read_count(found.get(names.in_flight.encode()))
+        if in_flight is None:
             return
-        slots = found.get(names.slots.encode(), b"")
+        slots = read_count(found.get(names.slots.encode()))
         report = LoadReport(
-            in_flight=int(in_flight),
-            slots=int(slots) if slots.isdigit() else target.slots,
+            in_flight=in_flight,
+            slots=target.slots if slots is None else slots,
             own_in_flight=target.in_flight,
             at=Deadline(trio.current_time()),
             source=ReportSource.ANSWER,
@@ -303,7 +303,7 @@
 
 
 def _retry_at(parser: AnswerParser) -> Deadline | None:
-    value = find_header(parser.headers, b"retry-after")
-    if value is None or not value.isdigit():
+    seconds = read_count(find_header(parser.headers, b"retry-after"))
+    if seconds is None:
         return None
-    return Deadline(trio.current_time() + int(value))
+    return Deadline(trio.current_time() + seconds)
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -420,3 +420,30 @@
         assert caller.state.report.slots == 4
         assert caller.state.status is TargetStatus.LEAVING
         assert [header.name for header in answer.headers] == [b"x-b"]
+
+
+@pytest.mark.parametrize(
+    ("status", "name"),
+    [
+        (b"200 OK", b"x-target-in-flight"),
+        (b"200 OK", b"x-target-slots"),
+        (b"503 Full\r\nx-target-outcome: not-run", b"retry-after"),
+    ],
+)
+@pytest.mark.parametrize("digits", [10, 400, 1500])
+async def test_absurd_numbers_are_ignored_and_leak_nothing(
+    status, name, digits
+):
+    raw = OK.replace(
+        b"200 OK\r\n",
+        b"%b\r\nx-target-in-flight: 1\r\n%b: %b\r\n"
+        % (status, name, b"9" * digits),
+    )
+    async with raw_target(sends(raw)) as caller:
+        try:
+            await caller.fetch()
+        except AttemptFailed as error:
+            assert error.failure.retry_at is None
+        assert caller.pool.open_count == len(caller.pool.idle)
+        report = caller.state.report
+        assert report is None or report.in_flight <= 1
