Bound what stands between and after the chunks of a body

Cause: httptools keeps a field until its end, and only header bytes were counted. A caller or a target that sent one endless trailer after its chunks filled our memory: 1.0 MB held after 1 MB sent (a trial with each parser). Change: bytes since the last byte of a body are bounded like a header (twice max_header_bytes for callers, as there; max_header_bytes for targets); the body then counts as cut.

--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -89,6 +89,7 @@
         ready: Requests whose header is complete, oldest first.
         broken: Whether no more requests can be read.
         head_since: When the header under way was begun.
+        framing_bytes: Bytes received since the last byte of a body.
     """
 
     def __init__(self, max_header_bytes: int, read_more: ReadMore):
@@ -110,6 +111,7 @@
         self.target = b""
         self.headers: list[Header] = []
         self.in_trailer = False
+        self.framing_bytes = 0
         self.body: RequestBody | None = None
 
     @property
@@ -121,6 +123,7 @@
         """Take bytes of the connection; results appear in `ready`."""
         if self.broken:
             return
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -132,6 +135,10 @@
         if self.in_head and not self.broken:
             self.head_bytes += len(data)
             self.head_too_large |= self.head_bytes > 2 * self.max_header_bytes
+        if self.body is not None and not self.broken:
+            # The parser below keeps a trailer until its end, however long.
+            limit = 2 * self.max_header_bytes
+            self.head_too_large |= self.framing_bytes > limit
         if self.head_too_large:
             self._break_too_large()
 
@@ -196,6 +203,7 @@
             )
             return
         self.in_trailer = True
+        self.framing_bytes = 0
         head = RequestHead(
             method=self.parser.get_method(),
             target=self.target,
@@ -227,6 +235,7 @@
         """Take body bytes; called by the parser."""
         if self.body is not None:
             self.body.feed(data)
+            self.framing_bytes = 0
 
     def on_message_complete(self) -> None:
         """End the request; called by the parser."""
--- a/agatetack/callers/test_connection.py
+++ b/agatetack/callers/test_connection.py
@@ -214,6 +214,32 @@
         assert not isinstance(request.body, BytesBody)
 
 
+@pytest.mark.parametrize(
+    ("begin", "more"),
+    [
+        (b"0\r\nX: ", b"a" * 100),
+        (b"0\r\n", b"X: " + b"b" * 95 + b"\r\n"),
+        (b"2;x=", b"a" * 100),
+    ],
+    ids=["trailer", "trailers", "extension"],
+)
+async def test_what_stands_between_and_after_chunks_is_bounded(
+    begin, more, autojump_clock
+):
+    async with connected() as (caller, _, connection):
+        await caller.send_all(POST + b"Transfer-Encoding: chunked\r\n\r\n")
+        await caller.send_all(begin)
+        for _ in range(8):
+            await caller.send_all(more)
+            await trio.testing.wait_all_tasks_blocked()
+        assert not connection.parser.broken
+        with pytest.raises(trio.BrokenResourceError):
+            for _ in range(20):
+                await caller.send_all(more)
+                await trio.testing.wait_all_tasks_blocked()
+        assert connection.parser.broken
+
+
 async def test_any_cut_of_the_bytes_gives_the_same_answers(autojump_clock):
     raw = POST + b"Content-Length: 2\r\n\r\nhi" + HEAD + b"\r\n"
     for cut in range(1, len(raw)):
--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -33,6 +33,7 @@
         parts: Body bytes not yet taken.
         stray: Whether bytes came that belong to no answer.
         head_bytes: Bytes received until the header was complete.
+        framing_bytes: Bytes received since the last byte of the body.
     """
 
     def __init__(self, method: bytes, max_header_bytes: int):
@@ -49,6 +50,7 @@
         self.parts: deque[bytes] = deque()
         self.stray = False
         self.head_bytes = 0
+        self.framing_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Take bytes of the connection."""
@@ -57,16 +59,26 @@
             return
         if self.state is AnswerState.HEAD:
             self.head_bytes += len(data)
+        else:
+            self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._break_unless_complete()
-        if (
-            self.state is AnswerState.HEAD
-            and self.head_bytes > self.max_header_bytes
-        ):
+        if self._is_too_long():
             self.state = AnswerState.BROKEN
 
+    def _is_too_long(self) -> bool:
+        """Return whether a header or trailer under way is too long.
+
+        The parser below keeps a field until its end, however long it gets.
+        """
+        if self.state is AnswerState.HEAD:
+            return self.head_bytes > self.max_header_bytes
+        if self.state is AnswerState.BODY:
+            return self.framing_bytes > self.max_header_bytes
+        return False
+
     def _break_unless_complete(self) -> None:
         if self.state is AnswerState.COMPLETE:
             self.stray = True
@@ -131,6 +143,7 @@
         """Take body bytes; called by the parser."""
         if self.state is AnswerState.BODY:
             self.parts.append(data)
+            self.framing_bytes = 0
         else:
             self.stray = True
 
--- a/agatetack/targets/test_parser.py
+++ b/agatetack/targets/test_parser.py
@@ -62,6 +62,26 @@
     assert b"".join(parser.parts) == b"abcde"
 
 
+@pytest.mark.parametrize(
+    ("begin", "more"),
+    [
+        (b"0\r\nX: ", b"a" * 100),
+        (b"0\r\n", b"X: " + b"b" * 95 + b"\r\n"),
+        (b"2;x=", b"a" * 100),
+    ],
+)
+def test_what_stands_between_and_after_chunks_is_bounded(begin, more):
+    parser = AnswerParser(b"GET", 1000)
+    parser.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    parser.feed(begin)
+    for _ in range(8):
+        parser.feed(more)
+    assert parser.state is AnswerState.BODY
+    for _ in range(20):
+        parser.feed(more)
+    assert parser.state is AnswerState.BROKEN
+
+
 @pytest.mark.parametrize(
     "raw",
     [
