Say "unknown" when a second attempt failed by our own fault

Cause: an exception in a second attempt was only logged. If the first attempt then surely did not run and retries failed too, the caller read "not run", though the second attempt may have been sent. Change: such a second attempt counts as one that may have run. Before: the new case with a bug ended "not-run"; after: "unknown"; the same case with a lost connection was right before. 45 tests of attempts pass.

--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -199,7 +199,9 @@
             with second.scope:
                 await self._attempt(state, permit, reason)
         except Exception as error:
-            # This task serves all routes; the request itself goes on.
+            # This task serves all routes; the request itself goes on. It may
+            # have been sent by then, so "not run" can't be said any more.
+            state.may_have_run = True
             log.error("A second attempt failed: %r.", error)
         state.second = None
         second.done.set()
--- a/agatetack/attempts/test_race.py
+++ b/agatetack/attempts/test_race.py
@@ -5,9 +5,11 @@
 from returns.result import Success
 
 from agatetack.attempts.test_support import (
+    BUG,
     CONNECT,
     CUT,
     HANG,
+    LATE_SHED,
     LOST,
     OK,
     ROUTE,
@@ -174,6 +176,16 @@
     parts.check_permits()
 
 
+@pytest.mark.parametrize("second", [BUG, LOST])
+async def test_a_second_attempt_that_may_have_run_is_told(
+    second, autojump_clock
+):
+    parts = Parts(ScriptedClient([LATE_SHED, second, SHED, SHED]))
+    result = await run_hedged(parts)
+    assert result.failure().outcome is Outcome.UNKNOWN
+    parts.check_permits()
+
+
 async def test_hedges_stay_within_their_budget(autojump_clock):
     parts = Parts(ScriptedClient([SLOW] * 10_000))
     await run_hedged(parts, requests=200)
--- a/agatetack/attempts/test_support.py
+++ b/agatetack/attempts/test_support.py
@@ -54,6 +54,7 @@
 LOST = failure(RefusalReason.CONNECTION_LOST, Outcome.UNKNOWN)
 TIMEOUT = failure(RefusalReason.ANSWER_TIMEOUT, Outcome.UNKNOWN)
 OK, SLOW, CUT, HANG = "ok", "slow", "cut", "hang"
+BUG, LATE_SHED = "bug", "late-shed"
 
 
 class CutBody(Body):
@@ -88,6 +89,11 @@
             raise
         if isinstance(step, AttemptFailure):
             raise AttemptFailed(step)
+        if step is BUG:
+            raise ValueError("a bug")
+        if step is LATE_SHED:
+            await trio.sleep(1)
+            raise AttemptFailed(SHED)
         if step is CUT:
             return Answer(200, [], CutBody())
         text = f"answer {len(self.attempts)}".encode()
