Hold a leaving target alike on every host

Cause: a sign that came from a peer was kept as LeavingSign.PEER, a mere suspicion, whatever the peer had seen. A draining target that takes its word back came back after one hold (10 s) on hosts that were told, and after 30 holds (300 s) on the host that saw the header. Change: the kind that the message carries already is kept (unknown kinds of newer releases count as a peer's word). Of several signs the strongest counts and not the first, as hosts hear them in different orders; list after header and header after list gave different holds. The list's word "leaving" is told to peers once and no longer at each poll. Test: the whole table of signs runs a second time as a host that was told, and each kind of sign is compared between two hosts.

--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -17,7 +17,8 @@
 from agatetack.measure.budget import TokenBucket
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange, Topic
-from agatetack.targets.registry import LeavingSign, TargetRegistry
+from agatetack.targets.leaving import LeavingSign
+from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 
 MAX_SAMPLES = 32
@@ -39,6 +40,7 @@
 """Slots that a sample without the field means."""
 
 SIGN_NUMBERS = {sign: number for number, sign in enumerate(LeavingSign, 1)}
+SIGNS = {number: sign for sign, number in SIGN_NUMBERS.items()}
 
 log = PartLog("measure")
 
@@ -197,8 +199,9 @@
             return
         target = self.registry.by_id.get(TargetId(message.target))
         if target is not None:
-            log.info("%s saw that %s is leaving", sender, target.id)
-            self.registry.note_leaving(target, LeavingSign.PEER)
+            sign = SIGNS.get(message.sign, LeavingSign.PEER)
+            log.info("%s saw %s leaving: %s", sender, target.id, sign.value)
+            self.registry.note_told(target, sign)
 
     def _targets_changed(self, service: ServiceId) -> None:
         if self.registry.changes != self.hashed_targets:
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -4,7 +4,10 @@
 import trio
 import trio.testing
 from returns.result import Failure, Success
+from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
+from thrift.TSerialization import serialize
 
+from agatetack.generated.measure.ttypes import TargetSign
 from agatetack.ids import Deadline, HostId
 from agatetack.measure.budget import START_SECONDS
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
@@ -21,6 +24,8 @@
 from agatetack.targets.state import LoadReport, ReportSource, TargetStatus
 from agatetack.testing.targets import SERVICE, listed_target
 
+OWN_SIGNS = [sign for sign in LeavingSign if sign is not LeavingSign.PEER]
+
 
 class FakeProbe(ProbeClient):
     """Answer every probe alike and keep count."""
@@ -260,6 +265,22 @@
     assert not taker.prober.sharing.exchange.sent
 
 
+@pytest.mark.parametrize("sign", OWN_SIGNS)
+async def test_peer_keeps_what_kind_of_sign_it_was(autojump_clock, sign):
+    sender, taker = joined()
+    sender.registry.note_leaving(sender.targets[0], sign)
+    records = [host.registry.leaving for host in (sender, taker)]
+    assert records[0] == records[1]
+
+
+async def test_unknown_kind_of_sign_counts_as_a_peers_word(autojump_clock):
+    host, _ = joined()
+    message = TargetSign(target=host.targets[0].id, sign=99)
+    payload = serialize(message, TCompactProtocolFactory())
+    host.prober.sharing.exchange.handlers[Topic.TARGET_SIGNS]("x", payload)
+    assert host.registry.leaving[host.targets[0].id].sign is LeavingSign.PEER
+
+
 @pytest.mark.parametrize("topic", [Topic.LOAD_SAMPLES, Topic.TARGET_SIGNS])
 @pytest.mark.parametrize("payload", [b"", b"\xff" * 40, b"\x19\xfc\xff\xff"])
 async def test_malformed_message_is_dropped(autojump_clock, topic, payload):
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -1,12 +1,9 @@
 """Keep the targets of each service and decide which may get new work.
 
-Any sign that a target is leaving stops new work there at once. What comes
-later is weighed against it: the load endpoint and the host list lag or
-mislead, so a good word from either does not undo the sign by itself.
+Any sign that a target is leaving stops new work there at once; what comes
+later is weighed against it.
 """
 
-import dataclasses
-import enum
 from collections.abc import Callable, Iterable, Sequence
 
 import trio
@@ -16,6 +13,11 @@
 from agatetack.metrics import MeasureKind, Metrics
 from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.model import Settings
+from agatetack.targets.leaving import (
+    LeavingRecord,
+    LeavingSign,
+    ReportedState,
+)
 from agatetack.targets.state import (
     LoadReport,
     ReportSource,
@@ -23,12 +25,6 @@
     TargetStatus,
 )
 
-LONG_HOLD_FACTOR = 30
-"""Holds after which a target that never showed a restart may come back."""
-
-MAX_HOLD_DOUBLINGS = 5
-"""How often the hold doubles for a target that keeps coming and going."""
-
 MEASURE_KINDS = {
     ReportSource.ANSWER: MeasureKind.ANSWER,
     ReportSource.PROBE: MeasureKind.PROBE,
@@ -38,45 +34,6 @@
 log = PartLog("targets")
 
 
-class LeavingSign(enum.Enum):
-    """What showed that a target is leaving."""
-
-    ANSWER_HEADER = "answer-header"
-    CONNECT_REFUSED = "connect-refused"
-    HOST_LIST = "host-list"
-    HEALTH = "health"
-    PEER = "peer"
-
-
-class ReportedState(enum.Enum):
-    """What a target's load endpoint says of its state."""
-
-    READY = "ready"
-    COLD = "cold"
-    DRAINING = "draining"
-
-
-@dataclasses.dataclass(slots=True)
-class LeavingRecord:
-    """Why a target gets no new work.
-
-    Attributes:
-        sign: The last sign.
-        at: When the last sign came.
-        hold_until: No evidence before this time counts.
-        restarted: Whether it was seen gone, or cold, since it announced.
-        listed_live: Whether the list said live after the hold.
-        returns: Times it came back and left again.
-    """
-
-    sign: LeavingSign
-    at: Deadline
-    hold_until: Deadline
-    restarted: bool = False
-    listed_live: bool = False
-    returns: int = 0
-
-
 class TargetRegistry:
     """The targets of each service, as this host knows them.
 
@@ -180,31 +137,19 @@
         self._notify(target.service)
 
     def note_leaving(self, target: TargetState, why: LeavingSign) -> None:
-        """Stop new work at `target` at once."""
-        now = Deadline(trio.current_time())
+        """Stop new work at `target` at once and let peers be told."""
         self.signs.inc({"sign": why.value})
-        record = self.leaving.get(target.id)
-        if record is None:
-            returns = self.returns.get(target.id, 0)
-            record = LeavingRecord(why, now, now, returns=returns)
-            self.leaving[target.id] = record
-            log.info("target %s is leaving: %s", target.id, why.value)
-        elif why is LeavingSign.CONNECT_REFUSED and self._announced(record):
-            record.restarted = True
-        if not self._announced(record):
-            record.sign = why
-        record.at = now
-        record.listed_live = False
-        doublings = min(record.returns, MAX_HOLD_DOUBLINGS)
-        hold = self.settings.balance.leaving_hold_seconds * 2**doublings
-        record.hold_until = Deadline(now + hold)
-        if target.status is not TargetStatus.LEAVING:
-            target.status = TargetStatus.LEAVING
-            target.status_since = now
-            self._rebuild((target.service,))
-        if why is not LeavingSign.PEER:
-            for watcher in self.leaving_watchers:
-                watcher(target, why)
+        self._leave(target, why)
+        for watcher in self.leaving_watchers:
+            watcher(target, why)
+
+    def note_told(self, target: TargetState, why: LeavingSign) -> None:
+        """Stop new work at `target` as a peer does that saw a sign.
+
+        The kind of sign is kept, so that all hosts hold the target alike.
+        """
+        self.signs.inc({"sign": LeavingSign.PEER.value})
+        self._leave(target, why)
 
     def note_changed(self, target: TargetState) -> None:
         """Note that this host found `target` slow, or no longer so."""
@@ -225,7 +170,7 @@
             return
         if state is ReportedState.COLD:
             record.restarted = True
-        if self._may_return(record, now):
+        if record.may_return(now, self._hold_seconds):
             self._return(target, now)
 
     def warm(self, target: TargetState, now: Deadline) -> None:
@@ -244,40 +189,46 @@
             if now >= record.hold_until
         ]
 
-    def _announced(self, record: LeavingRecord) -> bool:
-        # What the target itself or the platform announced outweighs what a
-        # failed connection suggests: only a restart takes it back.
-        return record.sign not in (
-            LeavingSign.CONNECT_REFUSED,
-            LeavingSign.PEER,
-        )
+    @property
+    def _hold_seconds(self) -> float:
+        return self.settings.balance.leaving_hold_seconds
 
-    def _may_return(self, record: LeavingRecord, now: Deadline) -> bool:
-        # The list counts only after the hold, see `_take_listed_state`.
-        if not record.listed_live:
-            return False
-        if not self._announced(record) or record.restarted:
-            return True
-        hold = self.settings.balance.leaving_hold_seconds
-        return now >= record.at + LONG_HOLD_FACTOR * hold
+    def _leave(self, target: TargetState, why: LeavingSign) -> None:
+        now = Deadline(trio.current_time())
+        record = self.leaving.get(target.id)
+        if record is None:
+            returns = self.returns.get(target.id, 0)
+            record = LeavingRecord(why, now, now, returns=returns)
+            self.leaving[target.id] = record
+            log.info("target %s is leaving: %s", target.id, why.value)
+            record.hold(now, self._hold_seconds)
+        else:
+            record.note_sign(why, now, self._hold_seconds)
+        if target.status is not TargetStatus.LEAVING:
+            target.status = TargetStatus.LEAVING
+            target.status_since = now
+            self._rebuild((target.service,))
 
     def _take_listed_state(
         self, target: TargetState, state: HostState, now: Deadline
     ) -> None:
         record = self.leaving.get(target.id)
         if state is HostState.LEAVING:
-            if record is None or record.sign is not LeavingSign.HOST_LIST:
-                self.note_leaving(target, LeavingSign.HOST_LIST)
-            else:
-                record.listed_live = False
-            return
-        if record is None:
-            return
-        if record.sign is LeavingSign.HOST_LIST and now >= record.hold_until:
-            # The platform took its own word back, after the hold.
-            record.restarted = True
-        if now >= record.hold_until:
-            record.listed_live = True
+            self._take_listed_leaving(target, record, now)
+        elif record is not None:
+            record.note_listed_live(now)
+
+    def _take_listed_leaving(
+        self, target: TargetState, record: LeavingRecord | None, now: Deadline
+    ) -> None:
+        if record is None or not record.listed_leaving:
+            self.note_leaving(target, LeavingSign.HOST_LIST)
+            self.leaving[target.id].listed_leaving = True
+        elif record.sign is LeavingSign.HOST_LIST:
+            record.listed_live = False
+        else:
+            # Peers read the list themselves, so they are told only once.
+            record.hold(now, self._hold_seconds)
 
     def _add(self, host: ListedHost, now: Deadline) -> TargetState:
         target = TargetState(
@@ -297,6 +248,7 @@
         if record is not None:
             # It was off the list in between, so this is a new process.
             record.restarted = True
+            record.listed_leaving = False
             target.status = TargetStatus.LEAVING
         return target
 
--- a/agatetack/targets/test_registry.py
+++ b/agatetack/targets/test_registry.py
@@ -32,17 +32,21 @@
     state: HostState | None
 
 
-def apply(registry, step):
+def apply(registry, step, told=False):
     target = next(iter(registry.by_id.values()), None)
     if isinstance(step, Listed):
         listed = [] if step.state is None else [listed_target(1, step.state)]
         registry.update(listed)
+    elif isinstance(step, LeavingSign) and told:
+        registry.note_told(target, step)
     elif isinstance(step, LeavingSign):
         registry.note_leaving(target, step)
     elif isinstance(step, ReportedState):
         registry.note_probe(target, step)
 
 
+# A host that a peer told of the signs holds the target like that peer.
+@pytest.mark.parametrize("told", [False, True])
 @pytest.mark.parametrize(
     ("steps", "usable"),
     [
@@ -76,6 +80,16 @@
         # The platform takes its own word back.
         ([Listed(LEAVING), HOLD + 1, Listed(LIVE), READY], True),
         ([Listed(LEAVING), HOLD + 1, Listed(LEAVING), READY], False),
+        # The strongest sign counts, whichever came first.
+        ([HEADER, Listed(LEAVING), HOLD + 1, Listed(LIVE), READY], False),
+        ([Listed(LEAVING), HEADER, HOLD + 1, Listed(LIVE), READY], False),
+        ([REFUSED, HEADER, HOLD + 1, Listed(LIVE), READY], False),
+        # The hold runs from the list's last word, also after another sign.
+        (
+            [HEADER, REFUSED, HOLD, Listed(LEAVING), HOLD, Listed(LEAVING)]
+            + [HOLD - 1, Listed(LIVE), READY],
+            False,
+        ),
         # The hold doubles for one that comes and goes.
         (
             [REFUSED, HOLD + 1, Listed(LIVE), READY, REFUSED]
@@ -84,14 +98,14 @@
         ),
     ],
 )
-async def test_signs_and_evidence(autojump_clock, steps, usable):
+async def test_signs_and_evidence(autojump_clock, steps, usable, told):
     registry = TargetRegistry(default_settings(), Metrics())
     registry.update([listed_target(1)])
     for step in steps:
         if isinstance(step, int | float):
             await trio.sleep(step)
         else:
-            apply(registry, step)
+            apply(registry, step, told)
     assert bool(registry.targets(SERVICE)) is usable
 
 
@@ -105,3 +119,13 @@
     apply(registry, Listed(LIVE))
     apply(registry, READY)
     assert target.status is TargetStatus.COLD
+
+
+async def test_listed_leave_is_told_once(autojump_clock):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([listed_target(1)])
+    told = []
+    registry.leaving_watchers.append(lambda _, sign: told.append(sign))
+    for step in [HEADER, Listed(LEAVING), Listed(LEAVING), Listed(LEAVING)]:
+        apply(registry, step)
+    assert told == [HEADER, LeavingSign.HOST_LIST]
--- a/thrift/measure.thrift
+++ b/thrift/measure.thrift
@@ -20,5 +20,5 @@
 // A sign that a target is leaving, seen by the sender itself.
 struct TargetSign {
   1: required string target     // "ip:port"
-  2: required i32 sign          // only counted: see docs/operators/measure.md
+  2: required i32 sign          // its kind, as numbered in LeavingSign from 1
 }
