Do not take a target that fails fast for a quick one

Cause: every answer's time was learned, whatever its status, so a target that answers 500 at once looked best and drew the service's requests. Change: 500, 502, 503 and 504 in less than 0.75 of the target's usual time (or as its first answer) release the permit as FAILED and teach no time. The caller gets the answer as before; it is not retried (docs/decisions/attempts.md).

--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -28,6 +28,7 @@
     Freshness,
     TargetClient,
 )
+from agatetack.targets.state import TargetState
 
 ATTEMPT_RESULTS = {
     RefusalReason.SHED_BY_TARGET: AttemptResult.SHED,
@@ -35,14 +36,48 @@
 """What a failure's reason says of the target; else `FAILED`."""
 
 
+FAILING_STATUSES = frozenset({500, 502, 503, 504})
+"""Answers that may speak against the target; 501 and 505 are about the
+request alone."""
+
+FAIL_FAST_RATIO = 0.75
+"""A failing answer in less than this share of the target's usual time is
+taken for the target's own failure, and not for work that it did.
+
+With a half, noise lets some of these answers count as usual, which lowers what
+is usual until all of them do.
+"""
+
+
+def fails_fast(status: int, latency: float, target: TargetState) -> bool:
+    """Return whether an answer shows a target that fails without working.
+
+    A target without any earlier answer has shown no work at all yet.
+
+    Args:
+        status: The answer's HTTP status.
+        latency: Seconds from the attempt's start to the answer's headers.
+        target: Who answered.
+    """
+    if status not in FAILING_STATUSES:
+        return False
+    usual = target.latency
+    return usual is None or latency < FAIL_FAST_RATIO * usual
+
+
 class PermittedBody(Body):
-    """An answer's body that gives its permit back when it ends."""
+    """An answer's body that gives its permit back when it ends.
 
-    def __init__(self, body: Body, permit: Permit):
+    Attributes:
+        shown: What the answer says of its target, if it comes whole.
+    """
+
+    def __init__(self, body: Body, permit: Permit, shown: AttemptResult):
         """Read `body` and hold `permit` until its end."""
         self.body = body
         self.length = body.length
         self.permit = permit
+        self.shown = shown
         self.released = False
 
     def receive_nowait(self) -> bytes | None:
@@ -57,14 +92,14 @@
             self._release(AttemptResult.FAILED)
             raise
         if not data:
-            self._release(AttemptResult.ANSWERED)
+            self._release(self.shown)
         return data
 
     def take_whole(self) -> bytes | None:
         """Return the whole body if all of it is here and none was taken."""
         content = self.body.take_whole()
         if content is not None:
-            self._release(AttemptResult.ANSWERED)
+            self._release(self.shown)
         return content
 
     async def aclose(self) -> None:
@@ -164,10 +199,8 @@
             raise
         finally:
             note.ended = Deadline(trio.current_time())
-        latency = note.ended - started
-        permit.answered_headers(latency)
-        self.metrics.target_answered(permit.target.id, latency)
-        answer.body = PermittedBody(answer.body, permit)
+        shown = self._note_answer(permit, answer, note.ended - started)
+        answer.body = PermittedBody(answer.body, permit, shown)
         failure = await self._hold_small(plan, answer)
         if failure is not None:
             note.failure = failure.reason
@@ -175,6 +208,17 @@
         self.crashes.answered(plan.route, plan.request)
         return Success(answer)
 
+    def _note_answer(
+        self, permit: Permit, answer: Answer, latency: float
+    ) -> AttemptResult:
+        """Tell of an answer's header, and return what it shows."""
+        self.metrics.target_answered(permit.target.id, latency)
+        if fails_fast(answer.status, latency, permit.target):
+            # Its time would make a target that does no work look the best.
+            return AttemptResult.FAILED
+        permit.answered_headers(latency)
+        return AttemptResult.ANSWERED
+
     async def _hold_small(
         self, plan: AttemptPlan, answer: Answer
     ) -> AttemptFailure | None:
--- /dev/null
+++ b/agatetack/attempts/test_single.py
@@ -0,0 +1,47 @@
+"""Check what one attempt says of its target."""
+
+import pytest
+
+from agatetack.admission.controller import AttemptResult
+from agatetack.attempts.single import AttemptPlan
+from agatetack.attempts.test_support import (
+    ROUTE,
+    CountedPermit,
+    Parts,
+    ScriptedClient,
+    make_request,
+)
+
+ANSWER_SECONDS = 0.01
+"""How long the scripted client takes."""
+
+
+@pytest.mark.parametrize(
+    ("status", "usual", "result"),
+    [
+        (200, None, AttemptResult.ANSWERED),
+        (200, 1.0, AttemptResult.ANSWERED),
+        (404, 1.0, AttemptResult.ANSWERED),
+        (500, 1.0, AttemptResult.FAILED),
+        (502, 1.0, AttemptResult.FAILED),
+        (503, 1.0, AttemptResult.FAILED),
+        (504, 1.0, AttemptResult.FAILED),
+        (500, ANSWER_SECONDS, AttemptResult.ANSWERED),
+        (500, None, AttemptResult.FAILED),
+        (501, 1.0, AttemptResult.ANSWERED),
+        (505, 1.0, AttemptResult.ANSWERED),
+    ],
+)
+async def test_a_target_that_fails_fast_does_not_look_quick(
+    status, usual, result, autojump_clock
+):
+    parts = Parts(ScriptedClient([status]))
+    permit = CountedPermit(0)
+    permit.target.latency = usual
+    request = make_request()
+    plan = AttemptPlan(ROUTE, request, request.deadline)
+    answer = (await parts.single().run(plan, permit)).unwrap()
+    assert answer.status == status
+    assert answer.body.content == b"answer 1"
+    assert permit.results == [result]
+    assert len(permit.latencies) == (result is AttemptResult.ANSWERED)
--- a/agatetack/attempts/test_support.py
+++ b/agatetack/attempts/test_support.py
@@ -97,7 +97,8 @@
         if step is CUT:
             return Answer(200, [], CutBody())
         text = f"answer {len(self.attempts)}".encode()
-        return Answer(200, [], BytesBody(text))
+        status = step if isinstance(step, int) else 200
+        return Answer(status, [], BytesBody(text))
 
 
 class CountedPermit(Permit):
@@ -112,9 +113,10 @@
             FailureDomain("d"),
         )
         self.results: list[AttemptResult] = []
+        self.latencies: list[float] = []
 
     def answered_headers(self, latency):
-        pass
+        self.latencies.append(latency)
 
     def release(self, result):
         self.results.append(result)
--- a/bench/attempts.py
+++ b/bench/attempts.py
@@ -41,6 +41,10 @@
     target.crash()
 
 
+def _fail_fast(target: FakeTarget) -> None:
+    target.faults.fail_status = 500
+
+
 def _silence(target: FakeTarget) -> None:
     target.silence()
 
@@ -53,6 +57,7 @@
     "none": _nothing,
     "drops connections": _drop,
     "sheds": _shed,
+    "fails fast": _fail_fast,
     "ten times slower": _slow,
     "cuts answers": _cut,
     "crashed": _crash,
