Await a held body no longer than its request's deadline

Cause: a small body is read whole before its request is served, and only a pause of keep_alive_seconds ended that. Change: the wait ends at the caller's deadline, else after max_deadline_seconds, with 503 cannot-meet-deadline and "not run", to be sent again at once. Reading a body whole stands once, in messages.read_whole.

--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -16,6 +16,7 @@
     Body,
     BytesBody,
     CallerRequest,
+    read_whole,
 )
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason, RetryReason
@@ -134,18 +135,8 @@
     retry_reason: RetryReason | None = None
 
 
-async def _read_all(body: Body) -> BytesBody:
-    """Return the body in memory; it keeps the length announced for HEAD."""
-    parts = []
-    while True:
-        data = await body.receive()
-        if not data:
-            break
-        parts.append(data)
-    return _held(b"".join(parts), body.length)
-
-
 def _held(content: bytes, length: int) -> BytesBody:
+    """Return a body in memory; it keeps the length announced for HEAD."""
     held = BytesBody(content)
     held.length = length
     return held
@@ -236,7 +227,8 @@
             return None
         try:
             with trio.move_on_at(plan.deadline) as scope:
-                answer.body = await _read_all(answer.body)
+                held = await read_whole(answer.body)
+                answer.body = _held(held.content, length)
         except AnswerCut:
             reason = RefusalReason.ANSWER_CUT
         except BaseException:
--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -21,9 +21,10 @@
     CallerGone,
     CallerRequest,
     Handler,
+    read_whole,
 )
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Refusal, RefusalReason
+from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.settings.model import CallersSettings
 from agatetack.streams import PlainStream
 
@@ -200,6 +201,9 @@
             return too_large(self.settings.max_body_bytes)
         if parsed.expects_continue and not parsed.body.received:
             await self.writer.send(CONTINUE)
+        body = await self._hold_body(parsed, found.deadline)
+        if isinstance(body, Refusal):
+            return body
         deadline = found.deadline
         if deadline is None:
             deadline = Deadline(
@@ -212,26 +216,40 @@
             path=found.path,
             host=found.host,
             headers=strip_hop_by_hop(head.headers),
-            body=await self._hold_body(parsed),
+            body=body,
             deadline=deadline,
             key=found.key,
             arrived=head.arrived,
             deadline_given=found.deadline is not None,
         )
 
-    async def _hold_body(self, parsed: ParsedRequest) -> Body:
-        """Return the body in memory if it is small, else as a stream."""
+    async def _hold_body(
+        self, parsed: ParsedRequest, deadline: Deadline | None
+    ) -> Body | Refusal:
+        """Return the body in memory if it is small, else as a stream.
+
+        Args:
+            parsed: The request.
+            deadline: When the caller gives up; None for as long as any may.
+
+        Returns:
+            A refusal if the body did not come by the deadline.
+        """
         body = parsed.body
         if body.complete and body.received <= self.settings.max_body_bytes:
             return BytesBody(body.receive_nowait() or b"")
         bound = self.settings.replay_body_bytes
         if body.length is not None and body.length <= bound:
-            parts = []
-            while True:
-                data = await body.receive()
-                if not data:
-                    return BytesBody(b"".join(parts))
-                parts.append(data)
+            if deadline is None:
+                longest = self.settings.max_deadline_seconds
+                deadline = Deadline(parsed.head.arrived + longest)
+            with trio.move_on_at(deadline):
+                return await read_whole(body)
+            return refuse(
+                RefusalReason.CANNOT_MEET_DEADLINE,
+                "The body did not come before the deadline.",
+                retry_at=Deadline(trio.current_time()),
+            )
         return BoundedBody(body, self.settings.max_body_bytes)
 
     async def _serve_request(
--- a/agatetack/callers/test_connection.py
+++ b/agatetack/callers/test_connection.py
@@ -319,6 +319,30 @@
     assert data.endswith(b"ab")
 
 
+@pytest.mark.parametrize(
+    ("header", "seconds"),
+    [(b"x-deadline-ms: 500\r\n", 0.5), (b"", SETTINGS.max_deadline_seconds)],
+)
+async def test_a_body_that_drips_is_awaited_until_its_deadline(
+    header, seconds, autojump_clock
+):
+    async with connected() as (caller, echo, connection):
+        started = trio.current_time()
+        await caller.send_all(POST + header + b"Content-Length: 100\r\n\r\n")
+        data = None
+        for _ in range(99):
+            await caller.send_all(b"x")
+            with trio.move_on_after(min(seconds / 40, 50)):
+                data = await read_all(caller, seconds)
+            if data is not None:
+                break
+        assert b"cannot-meet-deadline" in data
+        assert b"x-outcome: not-run" in data
+        assert b"retry-after: 0" in data
+        assert not echo.requests
+        assert trio.current_time() - started <= seconds * 1.1
+
+
 async def test_hop_by_hop_fields_do_not_pass(autojump_clock):
     raw = HEAD + (
         b"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -108,6 +108,21 @@
         self.taken = False
 
 
+async def read_whole(body: Body) -> BytesBody:
+    """Return what is left of `body` in memory.
+
+    Raises:
+        CallerGone: A request's body was cut.
+        AnswerCut: An answer's body was cut.
+    """
+    parts = []
+    while True:
+        data = await body.receive()
+        if not data:
+            return BytesBody(b"".join(parts))
+        parts.append(data)
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptNote:
     """What one attempt of a request did, for operators who ask later.
