--- a/bench/capacity/tasks.py
+++ b/bench/capacity/tasks.py
@@ -42,16 +42,16 @@
         """Start with nothing seen."""
         self.seconds: collections.Counter[str] = collections.Counter()
         self.steps: collections.Counter[str] = collections.Counter()
-        self.started = time.perf_counter()
+        self.started = time.thread_time()
 
     def before_task_step(self, task: trio.lowlevel.Task) -> None:
         """Note when a step starts."""
-        self.started = time.perf_counter()
+        self.started = time.thread_time()
 
     def after_task_step(self, task: trio.lowlevel.Task) -> None:
         """Add the step's time."""
         part = part_of(task)
-        self.seconds[part] += time.perf_counter() - self.started
+        self.seconds[part] += time.thread_time() - self.started
         self.steps[part] += 1
 
 
