Tell how far a host is behind the log, and drop columns that were always empty

Cause: the schema says that an absent config_lag_records means that the log is out of reach, and a host never gave it, so each host looked cut off from the log to whoever read it. `status` printed two columns, of last heard ages and of lags of deferred partitions, that no host ever fills.

Change: the lag is the log's end as last read less what is in force, and absent in an outage. The two columns are gone; the schema says that these fields may be unknown. Nothing used JSON_TYPE and RawTarget.read_head; both are gone.

--- a/agatetack/operators/host_view.py
+++ b/agatetack/operators/host_view.py
@@ -30,10 +30,17 @@
         in_flight=len(gateway.lifecycle.in_flight),
         fleet_size=gateway.peers.fleet_size(),
         log_reachable=log_reachable(gateway),
+        config_lag_records=_config_lag(gateway),
         not_ready_because=None if not_ready is None else not_ready.detail,
     )
 
 
+def _config_lag(gateway: Gateway) -> int | None:
+    """Return how many records of routes were not read, None in an outage."""
+    tail = gateway.config.tail
+    return None if tail.outage else tail.end - gateway.config.version() - 1
+
+
 def log_reachable(gateway: Gateway) -> bool:
     """Return whether the claim streams were read and answer now."""
     return all(
--- a/agatetack/operators/tables.py
+++ b/agatetack/operators/tables.py
@@ -131,7 +131,7 @@
 
 def hosts_table(hosts: Iterable[views.HostView]) -> str:
     """Return one line for each gateway."""
-    titles = ("host", "domain", "phase", "live", "offset", "heard ms ago")
+    titles = ("host", "domain", "phase", "live", "offset")
     rows = (
         (
             host.host_id,
@@ -139,7 +139,6 @@
             host.phase,
             host.live,
             host.config_offset,
-            host.last_heard_age_ms,
         )
         for host in hosts
     )
@@ -200,7 +199,7 @@
 
 def deferred_table(status: views.DeferredStatus) -> str:
     """Return one line for each partition."""
-    titles = ("partition", "open", "running", "done", "oldest ms", "lag")
+    titles = ("partition", "open", "running", "done", "oldest ms")
     rows = (
         (
             part.partition,
@@ -208,7 +207,6 @@
             part.running,
             part.done,
             part.oldest_open_age_ms,
-            part.lag_records,
         )
         for part in status.partitions
     )
--- a/agatetack/operators/test_contract.py
+++ b/agatetack/operators/test_contract.py
@@ -270,6 +270,8 @@
     (own,) = [h for h in hosts.hosts if h.host_id == status.host_id]
     assert own.live and own.last_heard_age_ms is None
     assert status.fleet_size >= 1
+    assert status.config_lag_records is not None
+    assert status.config_lag_records >= 0
     budget = await api.call(
         CallName.GET_MEASURE_BUDGET, requests.GetMeasureBudgetRequest()
     )
--- a/agatetack/operators/test_fleet.py
+++ b/agatetack/operators/test_fleet.py
@@ -16,6 +16,7 @@
 )
 from agatetack.operators import publish
 from agatetack.operators.client import OperatorsClient
+from agatetack.operators.host_view import host_status
 from agatetack.operators.tokens import make_token
 from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
@@ -89,3 +90,20 @@
                 client, LogOffset(result.version), deadline, seen.append
             )
         assert (progress.reached, progress.behind) == (NAMES, ())
+
+
+async def test_the_lag_is_not_known_while_the_log_is_out(nursery):
+    service = MemoryLogService()
+    gateway = Gateway(make_settings("a"), MemoryLog(service), MemoryHostList())
+    await nursery.start(serve_host, gateway)
+    lags = []
+    with trio.fail_after(READY_SECONDS):
+        while not gateway.config.ready:
+            await trio.sleep(0.01)
+        lags.append(host_status(gateway, 0).config_lag_records)
+        gateway.config.tail.end = LogOffset(3)
+        lags.append(host_status(gateway, 0).config_lag_records)
+        service.faults.outage = True
+        while host_status(gateway, 0).config_lag_records is not None:
+            await trio.sleep(0.01)
+    assert lags == [0, 3]
--- a/agatetack/operators/views.py
+++ b/agatetack/operators/views.py
@@ -178,7 +178,7 @@
         phase: How far it is between its start and its end.
         live: Whether it was heard within the peers' timeout.
         config_offset: How far it has read, if heard of.
-        last_heard_age_ms: None for the answering host itself.
+        last_heard_age_ms: None for the answering host itself, or if not known.
     """
 
     host_id: HostId
@@ -287,7 +287,7 @@
         running: Of these, running on this host.
         done: Results that can be fetched.
         oldest_open_age_ms: Age of the oldest open ticket.
-        lag_records: Records not read from the log yet.
+        lag_records: Records not read from the log yet, if known.
     """
 
     partition: int
--- a/agatetack/platform/messages.py
+++ b/agatetack/platform/messages.py
@@ -6,8 +6,6 @@
 
 import pydantic
 
-JSON_TYPE = "application/json"
-
 PAGE_BYTES = 1 << 20
 """Most payload bytes in one page of records; one record always fits."""
 
--- a/agatetack/testing/raw_target.py
+++ b/agatetack/testing/raw_target.py
@@ -58,17 +58,6 @@
         except trio.BrokenResourceError:
             return
 
-    async def read_head(self, stream: trio.SocketStream, number: int) -> bytes:
-        """Return what was received up to the end of one header."""
-        data = b""
-        while b"\r\n\r\n" not in data:
-            part = await stream.receive_some()
-            if not part:
-                break
-            data += part
-        self.received[number] += data
-        return data
-
 
 class _Reports:
     """Reports the target's state where trio would report the listeners."""
--- a/thrift/operators.thrift
+++ b/thrift/operators.thrift
@@ -358,7 +358,7 @@
   3: required Phase phase
   4: required bool live                  // heard within the peers' timeout
   5: optional i64 config_offset          // absent: not heard of yet
-  6: optional i64 last_heard_age_ms      // absent: the answering host itself
+  6: optional i64 last_heard_age_ms      // absent: itself, or not known
 }
 
 struct HostList {
@@ -424,7 +424,7 @@
   3: required i64 running               // on this host
   4: required i64 done                  // results that can be fetched
   5: optional i64 oldest_open_age_ms
-  6: optional i64 lag_records           // not read from the log yet
+  6: optional i64 lag_records           // not read yet; absent: not known
 }
 
 struct DeferredStatus {
