Answer at the end of a drain what the kernel already holds

Cause: at the end of a drain an idle connection was closed even if a request had arrived on it that no task had read yet, and connections that waited to be accepted were closed with the listener. Both callers saw a reset. Change: a connection with unread bytes is served once more; what waits to be accepted is taken before the listener closes, and each connection counts as open from its accept on. Before: both new tests ended in a reset; after: both get 200. The new tests of TLS (a handshake that is garbage, hangs or never begins ends by the watch; a cut answer is a reset) passed at once and hold what was right.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -88,11 +88,25 @@
                 await self.stream.aclose()
 
     def close_politely(self) -> None:
-        """End the connection now if idle, else after the request at hand."""
+        """End the connection now if idle, else after the request at hand.
+
+        A request whose bytes are here but unread is at hand too.
+        """
         self.closing = True
-        if not self.busy and self.parser.idle and not self.parser.ready:
+        if not self.busy and self._is_between_requests():
             self.scope.cancel()
 
+    def _is_between_requests(self) -> bool:
+        if self.parser.ready or not self.parser.idle:
+            return False
+        transport = self._transport()
+        return transport is None or not transport.has_unread()
+
+    def _transport(self) -> PlainStream | None:
+        """Return the TCP stream below, also under TLS; None in tests."""
+        transport = getattr(self.stream, "transport_stream", self.stream)
+        return transport if isinstance(transport, PlainStream) else None
+
     def overdue(self, now: Deadline) -> bool:
         """Return whether the caller keeps this connection waiting too long."""
         limits = self.settings
@@ -118,8 +132,8 @@
         """
         if not self.busy:
             return False
-        transport = getattr(self.stream, "transport_stream", self.stream)
-        return isinstance(transport, PlainStream) and transport.is_reset()
+        transport = self._transport()
+        return transport is not None and transport.is_reset()
 
     def cut(self) -> None:
         """End the connection at once, whatever is under way."""
@@ -150,7 +164,7 @@
         while not self.parser.ready:
             if self.ended or self.parser.broken:
                 return None
-            if self.closing and self.parser.idle:
+            if self.closing and self._is_between_requests():
                 return None
             try:
                 await self._read_more()
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -1,5 +1,7 @@
 """Listen for callers and serve their connections."""
 
+import contextlib
+
 import trio
 
 from agatetack.callers.connection import CallerConnection, watch
@@ -26,6 +28,7 @@
 
     Attributes:
         connections: Open connections.
+        closing: Whether each connection ends after its request.
         port: The port listened on, once `run` has started.
     """
 
@@ -42,6 +45,7 @@
         self.metrics = metrics
         self.tls = tls
         self.connections: set[CallerConnection] = set()
+        self.closing = False
         self.port = 0
         self.accepting = trio.CancelScope()
 
@@ -61,6 +65,7 @@
             try:
                 with self.accepting:
                     await self._accept_all(listener, nursery)
+                self._accept_rest(listener, nursery)
             finally:
                 listener.close()
             await self._serve_to_the_end(nursery)
@@ -80,19 +85,28 @@
                 log.warning("Accept failed: %s.", error)
                 await trio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            nursery.start_soon(self._serve, stream)
+            self._begin(stream, nursery)
 
-    async def _serve(self, stream: PlainStream) -> None:
+    def _accept_rest(
+        self, listener: PlainListener, nursery: trio.Nursery
+    ) -> None:
+        """Take what waits to be accepted; closing would reset it."""
+        with contextlib.suppress(OSError):
+            while (stream := listener.accept_nowait()) is not None:
+                self._begin(stream, nursery)
+
+    def _begin(self, stream: PlainStream, nursery: trio.Nursery) -> None:
+        """Serve a connection, which counts as open from here on."""
         if len(self.connections) >= self.settings.callers.max_connections:
             self.metrics.dropped.inc(
                 {"part": "callers", "reason": "too-many-connections"}
             )
-            await stream.aclose()
+            stream.close()
             return
         try:
             peer_ip = stream.sock.getpeername()[0]
         except OSError:
-            await stream.aclose()
+            stream.close()
             return
         connection = CallerConnection(
             self._wrap(stream),
@@ -101,7 +115,11 @@
             self.handler,
             self.metrics,
         )
+        connection.closing = self.closing
         self.connections.add(connection)
+        nursery.start_soon(self._serve, connection)
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         except Exception as error:
@@ -123,5 +141,6 @@
 
     def close_idle(self) -> None:
         """End idle connections, and busy ones after their request."""
+        self.closing = True
         for connection in list(self.connections):
             connection.close_politely()
--- /dev/null
+++ b/agatetack/callers/test_server.py
@@ -0,0 +1,126 @@
+"""Check the listener for callers over real sockets, plain and with TLS."""
+
+import contextlib
+import socket
+import ssl
+
+import pytest
+import trio
+import trustme
+
+from agatetack.callers.server import CallerServer
+from agatetack.callers.test_connection import Echo, read_all, statuses
+from agatetack.metrics import Metrics
+from agatetack.settings.defaults import default_settings
+from agatetack.settings.model import TlsFiles
+from agatetack.tls import ServerTls
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+SETTINGS = default_settings(
+    callers={
+        "listen": {"ip": "127.0.0.1", "port": 0},
+        "keep_alive_seconds": 0.3,
+        "header_timeout_seconds": 0.3,
+    }
+)
+
+
+@pytest.fixture(scope="module")
+def authority():
+    return trustme.CA()
+
+
+@pytest.fixture(scope="module")
+def tls(authority, tmp_path_factory):
+    issued = authority.issue_cert("127.0.0.1")
+    directory = tmp_path_factory.mktemp("tls")
+    files = TlsFiles(
+        certificate=str(directory / "certificate.pem"),
+        key=str(directory / "key.pem"),
+    )
+    issued.cert_chain_pems[0].write_to_path(files.certificate)
+    issued.private_key_pem.write_to_path(files.key)
+    return ServerTls(files, "callers", Metrics())
+
+
+@contextlib.asynccontextmanager
+async def serving(tls=None):
+    server = CallerServer(SETTINGS, Echo(), Metrics(), tls)
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(server.run)
+        yield server, port
+        nursery.cancel_scope.cancel()
+
+
+async def test_what_was_sent_before_the_end_is_still_answered():
+    async with serving() as (server, port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(REQUEST)
+        assert statuses(await read_all(stream, 0.1)) == [200]
+        # The bytes are here, but no task has run since to read them.
+        stream.socket._sock.send(REQUEST)
+        server.stop_accepting()
+        server.close_idle()
+        data = await read_all(stream, 2)
+        assert statuses(data) == [200]
+        assert b"Connection: close" in data
+
+
+async def test_what_waits_to_be_accepted_at_the_end_is_still_answered():
+    async with serving() as (server, port):
+        client = socket.create_connection(("127.0.0.1", port))
+        client.send(REQUEST)
+        server.stop_accepting()
+        server.close_idle()
+        client.setblocking(False)
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(client))
+        assert statuses(await read_all(stream, 2)) == [200]
+
+
+def garbage(context):
+    return b"not a handshake at all, and long enough to be told from one"
+
+
+def hello(context):
+    """Return the first bytes of a handshake that is never gone on with."""
+    outgoing = ssl.MemoryBIO()
+    client = context.wrap_bio(ssl.MemoryBIO(), outgoing)
+    with contextlib.suppress(ssl.SSLWantReadError):
+        client.do_handshake()
+    return outgoing.read()
+
+
+@pytest.mark.parametrize(
+    "first", [garbage, hello, lambda _: b"", lambda c: hello(c)[:20]]
+)
+async def test_a_handshake_that_fails_or_hangs_ends_by_itself(
+    first, tls, authority
+):
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    async with serving(tls) as (server, port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        if first(context):
+            await stream.send_all(first(context))
+        with trio.fail_after(5):
+            while not server.connections:
+                await trio.sleep(0.01)
+            while server.connections:
+                await trio.sleep(0.01)
+        # Others are served as before.
+        plain = await trio.open_tcp_stream("127.0.0.1", port)
+        secure = trio.SSLStream(plain, context, server_hostname="127.0.0.1")
+        await secure.send_all(REQUEST)
+        assert statuses(await secure.receive_some()) == [200]
+
+
+async def test_a_cut_answer_never_ends_cleanly_under_tls(tls, authority):
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    async with serving(tls) as (_, port):
+        plain = await trio.open_tcp_stream("127.0.0.1", port)
+        secure = trio.SSLStream(plain, context, server_hostname="127.0.0.1")
+        await secure.send_all(b"GET /cut HTTP/1.1\r\nHost: a\r\n\r\n")
+        with pytest.raises(trio.BrokenResourceError):
+            while await secure.receive_some():
+                pass
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -96,6 +96,14 @@
             for _, events in poller.poll(0)
         )
 
+    def has_unread(self) -> bool:
+        """Return whether bytes, or the end, are here and not yet read."""
+        if self.sock.fileno() < 0:
+            return False
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def abort_on_close(self) -> None:
         """Make the later close a reset."""
         if self.sock.fileno() >= 0:
@@ -138,12 +146,22 @@
         """
         while True:
             await trio.lowlevel.wait_readable(self.sock)
-            try:
-                sock, _ = self.sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                continue
-            sock.setblocking(False)
-            return PlainStream(sock)
+            stream = self.accept_nowait()
+            if stream is not None:
+                return stream
+
+    def accept_nowait(self) -> PlainStream | None:
+        """Return a connection that waits to be accepted, or None.
+
+        Raises:
+            OSError: It could not be accepted, as for lack of descriptors.
+        """
+        try:
+            sock, _ = self.sock.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return None
+        sock.setblocking(False)
+        return PlainStream(sock)
 
     def close(self) -> None:
         """Listen no more."""
