Wait for the daemons of a test fleet in one place, read routes for the page once

Cause: looking for logic that stands twice. The two waits of testing/processes.py had the same loop over gateways with a client each, and the status page worked out in two tables which routes an operator may read.

Change: Fleet.client and one wait that takes what is waited for; one function for the routes. The three fleets of agatetack/testing were compared: they differ in what runs (tasks over a memory log, tasks in virtual time with faults, real processes) and share only the map of listen addresses, so they stay three.

--- a/agatetack/operators/page.py
+++ b/agatetack/operators/page.py
@@ -114,9 +114,6 @@
 
 def _routes_table(backend: OperatorsBackend, operator: Operator) -> str:
     titles = ("route", "class", "service", "team", "host", "path", "version")
-    known = backend.routes()
-    records = known.unwrap().routes if is_successful(known) else ()
-    readable = [r for r in records if operator.covers(r.route.service)]
     rows = (
         (
             record.route.id,
@@ -128,12 +125,23 @@
             record.version,
         )
         for record in heapq.nsmallest(
-            MAX_ROWS + 1, readable, key=lambda record: record.route.id
+            MAX_ROWS + 1,
+            _readable_routes(backend, operator),
+            key=lambda record: record.route.id,
         )
     )
     return _table("routes", "Routes in force", titles, rows)
 
 
+def _readable_routes(
+    backend: OperatorsBackend, operator: Operator
+) -> list[views.RouteRecord]:
+    """Return the routes in the operator's scope; none if none are known."""
+    known = backend.routes()
+    records = known.unwrap().routes if is_successful(known) else ()
+    return [r for r in records if operator.covers(r.route.service)]
+
+
 def _target_tables(
     backend: OperatorsBackend, operator: Operator
 ) -> Iterable[str]:
@@ -175,13 +183,7 @@
     backend: OperatorsBackend, metrics: Metrics, operator: Operator
 ) -> str:
     """Return the refusals of routes that the operator may read."""
-    known = backend.routes()
-    records = known.unwrap().routes if is_successful(known) else ()
-    readable = {
-        record.route.id
-        for record in records
-        if operator.covers(record.route.service)
-    }
+    readable = {r.route.id for r in _readable_routes(backend, operator)}
     rows = [
         (labels["reason"], labels["route"], int(count))
         for labels, count in metrics.refusals.get_all()
--- a/agatetack/testing/processes.py
+++ b/agatetack/testing/processes.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 import ruamel.yaml
 import trio
@@ -39,6 +39,14 @@
 END_SECONDS = 20
 """Longest time that a process may take to end."""
 
+READY_SECONDS = 20
+"""Longest time until all gateways are ready."""
+
+IN_FORCE_SECONDS = 5
+"""Longest time until a route is in force on all gateways."""
+
+PAUSE_SECONDS = 0.05
+
 
 class StandInProcess:
     """The platform and the targets.
@@ -157,6 +165,11 @@
         self.list_gateways()
         return gateway
 
+    def client(self, gateway: GatewayProcess) -> OperatorsClient:
+        """Return a client of one gateway's administration API."""
+        address = f"http://127.0.0.1:{gateway.ports.operators}"
+        return OperatorsClient(address, self.token.secret)
+
     def list_gateways(self) -> None:
         """List the gateways that are still running."""
         listed = [
@@ -202,25 +215,18 @@
 
 async def when_ready(fleet: Fleet) -> None:
     """Wait until every gateway is ready and has heard of all others."""
-    with trio.fail_after(20):
-        for gateway in fleet.gateways:
-            address = f"http://127.0.0.1:{gateway.ports.operators}"
-            async with OperatorsClient(address, fleet.token.secret) as client:
-                while True:
-                    status = await client.call(
-                        CallName.GET_STATUS, GetStatusRequest()
-                    )
-                    hosts = await client.call(
-                        CallName.LIST_HOSTS, ListHostsRequest()
-                    )
-                    live = sum(host.live for host in hosts.hosts)
-                    if (
-                        status.ready
-                        and status.log_reachable
-                        and live == len(fleet.gateways)
-                    ):
-                        break
-                    await trio.sleep(0.05)
+
+    async def is_ready(client: OperatorsClient) -> bool:
+        status = await client.call(CallName.GET_STATUS, GetStatusRequest())
+        hosts = await client.call(CallName.LIST_HOSTS, ListHostsRequest())
+        live = sum(host.live for host in hosts.hosts)
+        return (
+            status.ready
+            and status.log_reachable
+            and live == len(fleet.gateways)
+        )
+
+    await _wait_for_each(fleet, is_ready, READY_SECONDS)
 
 
 async def publish(fleet: Fleet, names: Sequence[str]) -> None:
@@ -230,9 +236,7 @@
         fleet: The gateways.
         names: Services of `CLASSES`.
     """
-    first = fleet.gateways[0].ports.operators
-    address = f"http://127.0.0.1:{first}"
-    async with OperatorsClient(address, fleet.token.secret) as client:
+    async with fleet.client(fleet.gateways[0]) as client:
         for name in names:
             route = Route(
                 RouteId(name),
@@ -245,14 +249,21 @@
                 CallName.APPLY_ROUTE,
                 ApplyRouteRequest(route, ChangeId(f"c-{name}")),
             )
-    with trio.fail_after(5):
+
+    async def has_all(client: OperatorsClient) -> bool:
+        page = await client.call(CallName.LIST_ROUTES, ListRoutesRequest())
+        return len(page.routes) == len(names)
+
+    await _wait_for_each(fleet, has_all, IN_FORCE_SECONDS)
+
+
+async def _wait_for_each(
+    fleet: Fleet,
+    is_done: Callable[[OperatorsClient], Awaitable[bool]],
+    seconds: float,
+) -> None:
+    with trio.fail_after(seconds):
         for gateway in fleet.gateways:
-            address = f"http://127.0.0.1:{gateway.ports.operators}"
-            async with OperatorsClient(address, fleet.token.secret) as client:
-                while True:
-                    page = await client.call(
-                        CallName.LIST_ROUTES, ListRoutesRequest()
-                    )
-                    if len(page.routes) == len(names):
-                        break
-                    await trio.sleep(0.05)
+            async with fleet.client(gateway) as client:
+                while not await is_done(client):
+                    await trio.sleep(PAUSE_SECONDS)
