Let an early answer reach a caller that still sends

Cause: an answer given before the request's end (413, 400, a target's early refusal) was followed by a close with unread bytes, which is a reset: a caller that was still sending got "connection reset" in place of its answer. Change: after such an answer our side of the connection is shut and what still comes is dropped, for one second at most; a cut answer is still a reset. Before: the two new cases (early refusal, malformed header) were reset while sending; after: both read their answer, and a caller that never stops sending is cut. All tests of callers, streams, lifecycle, gateway and daemon pass.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -1,5 +1,6 @@
 """Serve one caller's connection from accept to close."""
 
+import contextlib
 from collections.abc import Collection
 
 import trio
@@ -33,6 +34,9 @@
 WATCH_SECONDS = 0.25
 """How often connections are looked over for callers that hang."""
 
+LINGER_SECONDS = 1.0
+"""How long a caller that still sends may take to read its last answer."""
+
 UNPARSED_ID = RequestId("-")
 """The id of a request whose header could not be read."""
 
@@ -48,6 +52,7 @@
     Attributes:
         busy: Whether a request has been begun and not yet answered.
         closing: Whether the connection ends after the request at hand.
+        answered: Whether the last request's answer was written whole.
     """
 
     def __init__(
@@ -69,6 +74,7 @@
         self.busy = False
         self.closing = False
         self.ended = False
+        self.answered = False
         self.idle_since = Deadline(trio.current_time())
         self.last_byte_at = self.idle_since
         self.reading = False
@@ -82,6 +88,7 @@
         try:
             with self.scope:
                 await self._answer_all()
+                await self._linger()
         finally:
             with trio.move_on_after(1) as scope:
                 scope.shield = True
@@ -183,8 +190,25 @@
             self.busy = False
             self.idle_since = Deadline(trio.current_time())
 
+    async def _linger(self) -> None:
+        """Drop what the caller still sends after its last answer.
+
+        A close with bytes unread is a reset, which can overtake the answer.
+        """
+        transport = self._transport()
+        if transport is None or not self.answered or self.ended:
+            return
+        if not self.parser.broken and self._is_between_requests():
+            return
+        transport.send_eof()
+        with trio.move_on_after(LINGER_SECONDS):
+            with contextlib.suppress(trio.BrokenResourceError):
+                while await transport.receive_some(RECEIVE_BYTES):
+                    pass
+
     async def _answer_one(self, parsed: ParsedRequest) -> bool:
         """Answer one request, and return whether to go on."""
+        self.answered = False
         try:
             if parsed.head is None:
                 await self._refuse_unparsed(parsed)
@@ -289,9 +313,11 @@
             or not parsed.body.complete
         )
         try:
-            return await self.writer.write(
+            keep = await self.writer.write(
                 answer, head.method, head.version, close
             )
+            self.answered = True
+            return keep
         except AnswerCut:
             self.metrics.refused(answer.route, RefusalReason.ANSWER_CUT)
             raise
@@ -305,6 +331,7 @@
         names = self.settings.headers
         answer = refusal_answer(refusal, UNPARSED_ID, names)
         await self.writer.write(answer, b"GET", "1.1", close=True)
+        self.answered = True
 
 
 async def watch(connections: Collection[CallerConnection]) -> None:
--- a/agatetack/callers/test_server.py
+++ b/agatetack/callers/test_server.py
@@ -77,6 +77,36 @@
         assert statuses(await read_all(stream, 2)) == [200]
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 400000\r\n\r\n",
+        b"no request\r\n\r\n",
+    ],
+)
+async def test_an_early_answer_reaches_a_caller_that_still_sends(head):
+    async with serving() as (server, port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        for part in (head, *[b"x" * 4000] * 100):
+            await stream.send_all(part)
+            await trio.sleep(0.001)
+        assert statuses(await read_all(stream, 5))[0] in (400, 403)
+        await stream.aclose()
+        with trio.fail_after(5):
+            while server.connections:
+                await trio.sleep(0.01)
+
+
+async def test_a_caller_that_never_stops_sending_is_cut(monkeypatch):
+    monkeypatch.setattr("agatetack.callers.connection.LINGER_SECONDS", 0.1)
+    async with serving() as (_, port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(b"no request\r\n\r\n")
+        with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b"x" * 4000)
+
+
 def garbage(context):
     return b"not a handshake at all, and long enough to be told from one"
 
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -5,6 +5,7 @@
 the guards are left out; waiting and cancellation are trio's.
 """
 
+import contextlib
 import select
 import socket
 import struct
@@ -73,6 +74,12 @@
         """Wait until something can be sent."""
         await self._wait(trio.lowlevel.wait_writable)
 
+    def send_eof(self) -> None:
+        """Tell the other end that nothing more is sent; it may go on."""
+        with contextlib.suppress(OSError):
+            # It fails if the other end reset the connection.
+            self.sock.shutdown(socket.SHUT_WR)
+
     async def aclose(self) -> None:
         """Close the socket."""
         self.close()
