Leave targets that shed or cut everything

Causes: a cut answer's headers reset the count of failures, so a target that cut everything never had two in a row. A shed cost as much as being cold, and to a new gateway every target is cold, so its pause was ignored. The pause grew to 0.16 s only, and several sheds of one burst counted as repeats. Change: a failure after the headers takes back what they had undone. A target that shed is dearer (40 typical times) than a cold one (10). The pause grows four times at each repeat, to 2.56 s at most; sheds within the pause are no repeats; after it one request tries the target. Tests: test_shed_pauses_a_target_longer_each_time called shed four times at one moment and took each for a repeat; that was the fault. It now sheds at the end of each pause, eight times, checks the share each time and a lower bound of the eighth, and a burst has a test of its own.

--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -38,9 +38,18 @@
     Attributes:
         waiting: Requests thought to be at the target when this was given.
         started: When it was given.
+        undone: Failures of the target that the answer's headers took back.
     """
 
-    __slots__ = ("target", "admission", "number", "waiting", "started", "done")
+    __slots__ = (
+        "target",
+        "admission",
+        "number",
+        "waiting",
+        "started",
+        "undone",
+        "done",
+    )
 
     def __init__(
         self,
@@ -56,6 +65,7 @@
         self.number = number
         self.waiting = waiting
         self.started = started
+        self.undone = 0
         self.done = False
 
     def answered_headers(self, latency: float) -> None:
@@ -189,6 +199,7 @@
         now = Deadline(trio.current_time())
         target = permit.target
         target.last_answer_at = now
+        permit.undone = target.failures
         target.failures = 0
         target.recent.append(latency)
         if target.latency is None:
@@ -214,7 +225,8 @@
             self.limits.shed(target)
             self.policy.shed(target, now)
         elif result is AttemptResult.FAILED:
-            target.failures += 1
+            # An answer that is cut was none, whatever its headers undid.
+            target.failures += 1 + permit.undone
             self.policy.failed(target, now)
         self._serve(self._lane(target.service), now)
 
--- a/agatetack/admission/test_service.py
+++ b/agatetack/admission/test_service.py
@@ -318,6 +318,27 @@
     assert bed.served[-1] == "again"
 
 
+@pytest.mark.parametrize(
+    ("results", "failures"),
+    [
+        # An answer that is cut takes back what its headers had undone.
+        ([AttemptResult.FAILED, AttemptResult.FAILED], 2),
+        ([AttemptResult.FAILED, ANSWERED, AttemptResult.FAILED], 1),
+        ([AttemptResult.FAILED, AttemptResult.FAILED, ANSWERED], 0),
+        ([AttemptResult.FAILED, AttemptResult.CANCELLED], 0),
+    ],
+)
+async def test_cut_answers_count_as_failures(autojump_clock, results, failures):
+    bed = make_bed()
+    for result in results:
+        await bed.ask("a")
+        permit = bed.permits.pop()
+        permit.answered_headers(0.01)
+        assert bed.targets[0].failures == 0
+        permit.release(result)
+    assert bed.targets[0].failures == failures
+
+
 async def test_limit_shrinks_by_sheds_and_grows_by_answers(autojump_clock):
     bed = make_bed(limit=8)
     target = bed.targets[0]
--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -31,8 +31,15 @@
 host learns of it first.
 """
 
-AVOIDED_COST = 10
-"""Typical service times by which a cold or shedding target is dearer."""
+COLD_COST = 10
+"""Typical service times by which a cold target is dearer."""
+
+SHED_COST = 40
+"""Typical service times by which a target that shed is dearer.
+
+More than a cold one, or a host that just started, to which all targets are
+cold, would go on asking those that refuse.
+"""
 
 MOST_WEIGHED = 12
 """Candidates weighed for one choice, so that its cost does not grow."""
@@ -106,9 +113,10 @@
             age = now - target.status_since
             ramp = max(0.05, age / self.settings.balance.cold_seconds)
             if self.rng.random() > ramp:
-                cost += AVOIDED_COST * typical
-        if now < learned.shed_until:
-            cost += AVOIDED_COST * typical
+                cost += COLD_COST * typical
+        trying = learned.shed_count and learned.sent
+        if now < learned.shed_until or trying:
+            cost += SHED_COST * typical
         return cost
 
     def expected_others(self, target: TargetState, now: Deadline) -> float:
--- a/agatetack/balance/learning.py
+++ b/agatetack/balance/learning.py
@@ -43,8 +43,14 @@
 SHED_SECONDS = 0.01
 """Time without new work after a target's first shed answer."""
 
+SHED_GROWTH = 4
+"""Factor of that time at each repeat without an answer between."""
+
+MAX_SHED_GROWTHS = 4
+"""How often it grows for a target that sheds everything."""
+
 MAX_DOUBLINGS = 4
-"""How often the wait before a trial, or after a shed, doubles."""
+"""How often the wait before a trial doubles."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +128,11 @@
     def shed(self, target: TargetState, now: Deadline) -> None:
         """Send nothing there for a short time, longer at each repeat."""
         learned = target.learned
-        pause = SHED_SECONDS * 2 ** min(learned.shed_count, MAX_DOUBLINGS)
+        if now < learned.shed_until:
+            # It was sent before the pause, so it is no repeat.
+            return
+        growths = min(learned.shed_count, MAX_SHED_GROWTHS)
+        pause = SHED_SECONDS * SHED_GROWTH**growths
         learned.shed_until = now + pause * (0.5 + self.rng.random())
         learned.shed_count += 1
 
--- a/agatetack/balance/test_policies.py
+++ b/agatetack/balance/test_policies.py
@@ -225,12 +225,36 @@
     policy = make_expected_wait()
     target = make_target(1)
     pauses = []
-    for _ in range(4):
-        policy.shed(target, Deadline(0.0))
-        pauses.append(target.learned.shed_until)
+    now = 0.0
+    for _ in range(8):
+        policy.shed(target, Deadline(now))
+        pauses.append(target.learned.shed_until - now)
+        assert shares(policy, [target, make_target(2)], now)[0] == 0
+        now = target.learned.shed_until
     assert pauses[0] >= 0.005
     assert pauses[3] > pauses[0]
-    assert shares(policy, [target, make_target(2)])[0] == 0
+    assert pauses[7] > 0.5
+
+
+async def test_one_burst_of_sheds_is_one_pause():
+    policy = make_expected_wait()
+    target = make_target(1)
+    for _ in range(8):
+        policy.shed(target, Deadline(0.0))
+    assert target.learned.shed_until < 0.02
+
+
+async def test_one_request_tries_a_target_that_shed():
+    policy = make_expected_wait()
+    target = make_target(1)
+    policy.shed(target, Deadline(0.0))
+    now = Deadline(1.0)
+    assert shares(policy, [target, make_target(2)], now)[0] > 0
+    target.learned.sent[1] = now
+    assert shares(policy, [target, make_target(2)], now)[0] == 0
+    # An answer ends that, and so does a long body by its headers.
+    policy.answered(target, SERVICE_SECONDS, 0, now)
+    assert shares(policy, [target, make_target(2)], now)[0] > 0
 
 
 @pytest.mark.parametrize("slots", [1, 2, 4])
