Forget budgets and latencies of routes that are no more

Cause: RouteBudgets.keep_only was called by nobody, and the latencies of a route (512 floats) were never dropped; a fleet whose routes come and go kept them all. Change: AttemptRunner.forget_routes looks at the table once a minute; the gateway runs it.

--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -19,7 +19,7 @@
 from agatetack.attempts.rules import DETAILS, RETRY_REASONS
 from agatetack.attempts.single import AttemptPlan, SingleAttempt
 from agatetack.attempts.state import RaceState, SecondAttempt
-from agatetack.config.route import Route
+from agatetack.config.route import Route, RouteSource
 from agatetack.ids import Deadline, RouteId
 from agatetack.logs import PartLog
 from agatetack.messages import Answer, BytesBody, CallerRequest
@@ -43,6 +43,9 @@
 """Failures that come before any byte of the request's body is read. After
 others a streamed body lacks its begin, also where the target did not run."""
 
+FORGET_SECONDS = 60.0
+"""How often routes that are no more are looked for."""
+
 STALL_FACTOR = 3.0
 """An answer this many times later than usual may never come."""
 
@@ -115,6 +118,18 @@
         self._learn(route.id, trio.current_time() - started)
         return Success(state.answer)
 
+    async def forget_routes(self, routes: RouteSource) -> None:
+        """Forget what was learned of routes that are no more; for ever."""
+        while True:
+            await trio.sleep(FORGET_SECONDS)
+            if routes.table is None:
+                continue
+            present = set(routes.table.routes)
+            self.retries.keep_only(present)
+            self.hedges.keep_only(present)
+            for route in self.late_after.keys() - present:
+                del self.late_after[route]
+
     async def _race(
         self, state: RaceState, permit: Permit, hedged: bool
     ) -> None:
--- a/agatetack/attempts/test_race.py
+++ b/agatetack/attempts/test_race.py
@@ -1,5 +1,7 @@
 """Check retries, hedges and fail-over of idempotent requests."""
 
+import dataclasses
+
 import pytest
 import trio
 from returns.result import Success
@@ -22,6 +24,8 @@
     ScriptedClient,
     make_request,
 )
+from agatetack.config.route import RouteSource, RouteTable
+from agatetack.ids import RouteId
 from agatetack.messages import Body
 from agatetack.outcomes import Outcome, RefusalReason, RetryReason
 from agatetack.targets.client import Freshness
@@ -231,6 +235,25 @@
     parts.check_permits()
 
 
+async def test_routes_that_are_no_more_are_forgotten(autojump_clock):
+    parts = Parts(ScriptedClient([]))
+    runner = parts.runner()
+    gone = dataclasses.replace(ROUTE, id=RouteId("gone"))
+    for route in (ROUTE, gone):
+        await runner.run(route, make_request(), hedged=True)
+    source = RouteSource()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(runner.forget_routes, source)
+        await trio.sleep(200)
+        assert runner.late_after.keys() == {"r", "gone"}
+        source.table = RouteTable([ROUTE])
+        await trio.sleep(200)
+        nursery.cancel_scope.cancel()
+    assert runner.late_after.keys() == {"r"}
+    assert runner.retries.by_route.keys() == {"r"}
+    assert runner.hedges.by_route.keys() == {"r"}
+
+
 async def test_a_gone_caller_leaves_nothing_behind(autojump_clock):
     parts = Parts(ScriptedClient([HANG, HANG]))
     with trio.move_on_after(1):
--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -247,6 +247,7 @@
             nursery.start_soon(self.drains.run)
             nursery.start_soon(self.client.pools.close_old)
             nursery.start_soon(self.attempts.hedger.run)
+            nursery.start_soon(self.attempts.forget_routes, self.routes)
             if self.callers_tls is not None:
                 nursery.start_soon(self.callers_tls.run)
             readiness = GatewayReadiness(self.routes, self.registry)
