Hold no caller that leaves against the target that was answering it

Cause: a body's read that was cancelled, because the caller left or another attempt won, released the permit as FAILED. Two such in a row took a healthy target out until its trial. Change: a cancelled read releases nothing; whoever gave it up closes the body, which says CANCELLED. A body that does not come by the deadline is FAILED still.

--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -89,26 +89,29 @@
         """Return the next bytes, or `b""` at the verified end."""
         try:
             data = await self.body.receive()
-        except BaseException:
-            self._release(AttemptResult.FAILED)
+        except Exception:
+            # A cancelled read says nothing of the target: whoever gave it up
+            # closes the body.
+            self.release(AttemptResult.FAILED)
             raise
         if not data:
-            self._release(self.shown)
+            self.release(self.shown)
         return data
 
     def take_whole(self) -> bytes | None:
         """Return the whole body if all of it is here and none was taken."""
         content = self.body.take_whole()
         if content is not None:
-            self._release(self.shown)
+            self.release(self.shown)
         return content
 
     async def aclose(self) -> None:
         """Free the body and its permit."""
-        self._release(AttemptResult.CANCELLED)
+        self.release(AttemptResult.CANCELLED)
         await self.body.aclose()
 
-    def _release(self, result: AttemptResult) -> None:
+    def release(self, result: AttemptResult) -> None:
+        """Give the permit back; a second time has no effect."""
         if not self.released:
             self.released = True
             self.permit.release(result)
@@ -237,6 +240,7 @@
         else:
             if not scope.cancelled_caught:
                 return None
+            answer.body.release(AttemptResult.FAILED)
             reason = RefusalReason.ANSWER_TIMEOUT
         await answer.body.aclose()
         return AttemptFailure(reason, Outcome.UNKNOWN, target_suspect=True)
--- a/agatetack/attempts/test_single.py
+++ b/agatetack/attempts/test_single.py
@@ -1,10 +1,13 @@
 """Check what one attempt says of its target."""
 
 import pytest
+import trio
 
 from agatetack.admission.controller import AttemptResult
 from agatetack.attempts.single import AttemptPlan
 from agatetack.attempts.test_support import (
+    CUT,
+    HUNG_BODY,
     ROUTE,
     CountedPermit,
     Parts,
@@ -45,3 +48,23 @@
     assert answer.body.content == b"answer 1"
     assert permit.results == [result]
     assert len(permit.latencies) == (result is AttemptResult.ANSWERED)
+
+
+@pytest.mark.parametrize(
+    ("body", "left_after", "result"),
+    [
+        (CUT, None, AttemptResult.FAILED),
+        (HUNG_BODY, None, AttemptResult.FAILED),
+        (HUNG_BODY, 1.0, AttemptResult.CANCELLED),
+    ],
+)
+async def test_a_caller_that_leaves_does_not_speak_against_the_target(
+    body, left_after, result, autojump_clock
+):
+    parts = Parts(ScriptedClient([body]))
+    permit = CountedPermit(0)
+    request = make_request()
+    plan = AttemptPlan(ROUTE, request, request.deadline)
+    with trio.move_on_after(left_after or 100):
+        await parts.single().run(plan, permit)
+    assert permit.results == [result]
--- a/agatetack/attempts/test_support.py
+++ b/agatetack/attempts/test_support.py
@@ -54,7 +54,7 @@
 LOST = failure(RefusalReason.CONNECTION_LOST, Outcome.UNKNOWN)
 TIMEOUT = failure(RefusalReason.ANSWER_TIMEOUT, Outcome.UNKNOWN)
 OK, SLOW, CUT, HANG = "ok", "slow", "cut", "hang"
-BUG, LATE_SHED = "bug", "late-shed"
+BUG, LATE_SHED, HUNG_BODY = "bug", "late-shed", "hung-body"
 
 
 class CutBody(Body):
@@ -67,6 +67,15 @@
         raise AnswerCut("short")
 
 
+class HungBody(Body):
+    """A body whose rest never comes."""
+
+    length = 9
+
+    async def receive(self):
+        await trio.sleep_forever()
+
+
 class ScriptedClient(TargetClient):
     """Takes one step of a script for each call."""
 
@@ -94,6 +103,8 @@
         if step is LATE_SHED:
             await trio.sleep(1)
             raise AttemptFailed(SHED)
+        if step is HUNG_BODY:
+            return Answer(200, [], HungBody())
         if step is CUT:
             return Answer(200, [], CutBody())
         text = f"answer {len(self.attempts)}".encode()
