--- a/agatetack/test_docs.py
+++ b/agatetack/test_docs.py
@@ -201,3 +201,12 @@
     used = {name for text in read_sources() for name in spelled.findall(text)}
     assert len(used) > 20
     assert used <= label_values("*.md")
+
+
+def test_decisions_are_numbered_and_listed():
+    folder = ROOT / "docs/decisions"
+    notes = sorted(p.name for p in folder.glob("*.md") if p.name != "README.md")
+    numbers = [re.fullmatch(r"(\d{3})-[a-z-]+\.md", note)[1] for note in notes]
+    assert numbers == [f"{n:03}" for n in range(1, len(notes) + 1)]
+    index = (folder / "README.md").read_text()
+    assert LINK.findall(index) == notes
