Hold the table of routes and the names of headers against the code

Cause: the pages give defaults of route fields and names of headers that no test compared. Change: two cases in agatetack/test_docs.py. Both pages were right.

--- a/agatetack/test_docs.py
+++ b/agatetack/test_docs.py
@@ -1,5 +1,6 @@
 """Test that the pages name only what there is, and all that they should."""
 
+import dataclasses
 import importlib.util
 import itertools
 import pathlib
@@ -10,6 +11,7 @@
 
 from agatetack.commands import COMMANDS
 from agatetack.config.counters import Problem
+from agatetack.config.route import Route
 from agatetack.download.resume import CutReason
 from agatetack.measure.probe import ProbeFailure
 from agatetack.outcomes import REASON_RULES, RefusalReason, RetryReason
@@ -185,6 +187,39 @@
     assert {reason.value for reason in reasons} <= label_values(page)
 
 
+def test_the_page_of_settings_has_the_keys_of_a_route():
+    listed = {
+        CODE.findall(cells[0])[0]: cells[1]
+        for title, cells in table_rows(OPERATORS / "settings.md")
+        if title.startswith("| Key | Default")
+    }
+    defaults = {
+        field.name: shown_default(field.default)
+        for field in dataclasses.fields(Route)
+        if field.name != "version"
+    }
+    assert listed == defaults
+
+
+def shown_default(value: object) -> str:
+    """Return a route's default as the page gives it."""
+    if value is dataclasses.MISSING:
+        return ""
+    return f"{value:.12g}" if value != "" else "any"
+
+
+def test_the_callers_page_has_the_names_of_headers():
+    named = {
+        CODE.findall(cells[0])[0]
+        for title, cells in table_rows(OPERATORS / "callers.md")
+        if title.startswith("| header")
+    }
+    text = (OPERATORS / "callers.md").read_text()
+    headers = set(default_layer()["callers"]["headers"].values())
+    assert named <= headers
+    assert all(f"`{header}`" in text for header in headers)
+
+
 def test_the_page_of_commands_lists_each():
     listed = [
         CODE.findall(cells[0])[0].split()[0]
