Take two arguments out of the operators' backend that no host read

Cause: `release` and `drain_target` were given the operator's name; neither the host nor the stand-in used it, and HostCalls already logs who did it. Change: the argument is gone from the interface and both implementations.

--- a/agatetack/operators/backend.py
+++ b/agatetack/operators/backend.py
@@ -126,13 +126,13 @@
 
     @abc.abstractmethod
     async def release(
-        self, fingerprint: str, author: str
+        self, fingerprint: str
     ) -> Result[None, NotFound | Unavailable]:
         """Let a quarantined request run again, here and on the peers."""
 
     @abc.abstractmethod
     async def drain_target(
-        self, target: TargetId, drained: bool, author: str, deadline: Deadline
+        self, target: TargetId, drained: bool, deadline: Deadline
     ) -> Result[None, NotFound | Unavailable]:
         """Drain a target on every host, or let it have work again."""
 
--- a/agatetack/operators/host_backend.py
+++ b/agatetack/operators/host_backend.py
@@ -227,7 +227,7 @@
         return quarantined_requests(self.gateway)
 
     async def release(
-        self, fingerprint: str, author: str
+        self, fingerprint: str
     ) -> Result[None, refusals.NotFound | refusals.Unavailable]:
         """Let a quarantined request run again, here and on the peers."""
         await trio.lowlevel.checkpoint()
@@ -248,7 +248,7 @@
         return Success(None)
 
     async def drain_target(
-        self, target: TargetId, drained: bool, author: str, deadline: Deadline
+        self, target: TargetId, drained: bool, deadline: Deadline
     ) -> Result[None, refusals.NotFound | refusals.Unavailable]:
         """Drain a target on every host, or let it have work again."""
         await trio.lowlevel.checkpoint()
--- a/agatetack/operators/host_calls.py
+++ b/agatetack/operators/host_calls.py
@@ -114,9 +114,7 @@
                 request.fingerprint,
                 "no such request is quarantined on this host",
             )
-        checks.unwrap(
-            await self.backend.release(request.fingerprint, operator.name)
-        )
+        checks.unwrap(await self.backend.release(request.fingerprint))
         log.info(
             "%s released request %s of route %s.",
             operator.name,
@@ -179,9 +177,7 @@
         deadline = checks.deadline_after(request.timeout_ms)
         target = self._find_target(operator, request.target_id)
         checks.unwrap(
-            await self.backend.drain_target(
-                target.target_id, drained, operator.name, deadline
-            )
+            await self.backend.drain_target(target.target_id, drained, deadline)
         )
         log.info(
             "%s %s target %s of service %s.",
--- a/agatetack/testing/memory_backend.py
+++ b/agatetack/testing/memory_backend.py
@@ -204,7 +204,7 @@
         return list(self.quarantined.values())
 
     async def release(
-        self, fingerprint: str, author: str
+        self, fingerprint: str
     ) -> Result[None, refusals.NotFound | refusals.Unavailable]:
         """Forget the request."""
         await trio.lowlevel.checkpoint()
@@ -212,7 +212,7 @@
         return Success(None)
 
     async def drain_target(
-        self, target: TargetId, drained: bool, author: str, deadline: Deadline
+        self, target: TargetId, drained: bool, deadline: Deadline
     ) -> Result[None, refusals.NotFound | refusals.Unavailable]:
         """Mark the target."""
         await trio.lowlevel.checkpoint()
