Wait at the end of a drain for requests that are still arriving

Cause: a request counts as in flight from its header and small body on. One whose body was arriving when the drain found nothing in flight was cut with its connection. Change: the drain waits, as for its flushes and up to drain_seconds, until the callers' listener has no connection any more; the request is refused with 503 shutting-down, "not run", as late in a drain before.

--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -29,6 +29,7 @@
     Attributes:
         connections: Open connections.
         closing: Whether each connection ends after its request.
+        ended: Set once nobody is accepted any more and none is open.
         port: The port listened on, once `run` has started.
     """
 
@@ -46,6 +47,7 @@
         self.tls = tls
         self.connections: set[CallerConnection] = set()
         self.closing = False
+        self.ended = trio.Event()
         self.port = 0
         self.accepting = trio.CancelScope()
 
@@ -73,6 +75,7 @@
     async def _serve_to_the_end(self, nursery: trio.Nursery) -> None:
         while self.connections:
             await trio.sleep(END_POLL_SECONDS)
+        self.ended.set()
         nursery.cancel_scope.cancel()
 
     async def _accept_all(
--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -216,9 +216,15 @@
         self.lifecycle.on_leaving(self.peers.announce_leaving)
         self.lifecycle.on_closing(self.callers.stop_accepting)
         self.lifecycle.on_closing(self.callers.close_idle)
+        self.lifecycle.add_flush("callers", self._flush_callers)
         self.lifecycle.add_flush("claims", self._flush_claims)
         self.lifecycle.add_flush("deferred", self._flush_deferred)
 
+    async def _flush_callers(self, deadline: Deadline) -> None:
+        # A request that is still arriving is not in flight yet, and would be
+        # cut instead of refused.
+        await self.callers.ended.wait()
+
     async def _flush_claims(self, deadline: Deadline) -> None:
         await self.claims.flush(deadline)
 
--- a/agatetack/test_gateway.py
+++ b/agatetack/test_gateway.py
@@ -139,3 +139,26 @@
             while target.in_flight:
                 await trio.sleep(0.01)
         assert target.cancelled == 1
+
+
+async def test_a_drain_ends_no_request_that_is_still_arriving():
+    async with local_fleet(
+        RequestClass.FAST, lifecycle={"notice_seconds": 0.05}
+    ) as fleet:
+        stream = await trio.open_tcp_stream("127.0.0.1", fleet.ports[0].callers)
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
+        await stream.send_all(head + b"ab")
+        await trio.sleep(0.05)
+        reports = []
+
+        async def drain():
+            reports.append(await fleet.gateways[0].lifecycle.drain())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(drain)
+            await trio.sleep(0.3)
+            assert not reports
+            await stream.send_all(b"cd")
+            data = await stream.receive_some()
+        assert b"503 " in data and b"x-outcome: not-run" in data
+        assert reports[0].exit_code == 0
