Give one wall clock that goes with trio's to all tests and benches

Cause: the same clock stood three times, under three names, in the fleets for replay and for deferred requests and in bench/claims. The clocks of claims' tests (skewed) and of deferred requests (steady) do something else and stay.

--- a/agatetack/testing/deferred_fleet.py
+++ b/agatetack/testing/deferred_fleet.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from agatetack.clock import Clock
 from agatetack.config.route import RequestClass, Route, RouteSource, RouteTable
 from agatetack.deferred.log_queue import LogDeferredQueue
 from agatetack.deferred.queue import Executor
@@ -20,7 +19,6 @@
     RouteId,
     ServiceId,
     TeamId,
-    WallTime,
 )
 from agatetack.messages import Answer, BytesBody, CallerRequest, Header
 from agatetack.metrics import Metrics
@@ -28,8 +26,8 @@
 from agatetack.peers.exchange import NoExchange, Peer
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
+from agatetack.testing.virtual_clock import VirtualClock
 
-WALL_AT_ZERO = 1_700_000_000.0
 ROUTE = Route(
     id=RouteId("archive"),
     team=TeamId("panel"),
@@ -39,14 +37,6 @@
 )
 
 
-class TrioClock(Clock):
-    """A wall clock that runs with trio's clock."""
-
-    def wall(self) -> WallTime:
-        """Return the wall time that goes with trio's time."""
-        return WallTime(WALL_AT_ZERO + trio.current_time())
-
-
 def make_request(
     number: int, seconds: float = 600.0, body: bytes = b""
 ) -> CallerRequest:
@@ -216,7 +206,7 @@
     ):
         """Start without hosts; `settings` are laid over the defaults."""
         self.nursery = nursery
-        self.clock = TrioClock()
+        self.clock = VirtualClock()
         self.service = MemoryLogService(self.clock)
         self.work = work or Work()
         self.settings = dict(settings or {})
--- a/agatetack/testing/replay_fleet.py
+++ b/agatetack/testing/replay_fleet.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from agatetack.clock import Clock
 from agatetack.config.change import NO_VERSION, RouteChange
 from agatetack.config.route import Route
 from agatetack.gateway import Gateway
@@ -16,7 +15,6 @@
     RouteId,
     ServiceId,
     TeamId,
-    WallTime,
 )
 from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings, merge_layers
@@ -25,11 +23,11 @@
 from agatetack.testing.memory_host_list import MemoryHostList
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
 from agatetack.testing.trace import RouteLine, TargetsLine, Trace
+from agatetack.testing.virtual_clock import VirtualClock
 
 LOOPBACK = "127.0.0.1"
 DOMAIN = "domain-a"
 TEAM = TeamId("replay")
-WALL_START = 1_700_000_000.0
 READY_SECONDS = 60.0
 """Longest virtual time until all gateways have all routes."""
 
@@ -38,14 +36,6 @@
 """A little more than one heartbeat of peers."""
 
 
-class VirtualClock(Clock):
-    """A wall clock that goes with trio's clock."""
-
-    def wall(self) -> WallTime:
-        """Return the wall time, in seconds since 1970."""
-        return WallTime(WALL_START + trio.current_time())
-
-
 @dataclasses.dataclass(slots=True)
 class ReplayHost:
     """One gateway of the fleet.
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -23,7 +23,6 @@
 from agatetack.claims.fold import Fold
 from agatetack.claims.log_store import LogClaimStore
 from agatetack.claims.partition import Partition
-from agatetack.clock import Clock
 from agatetack.config.route import RequestClass, Route
 from agatetack.generated.claims.ttypes import Batch, Entry, EntryKind
 from agatetack.ids import (
@@ -46,11 +45,11 @@
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_exchange import MemoryExchange, MemoryMesh
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
+from agatetack.testing.virtual_clock import WALL_START, VirtualClock
 
 ROUTE = Route(
     RouteId("pay"), TeamId("t"), ServiceId("s"), RequestClass.ONCE, "/pay"
 )
-EPOCH = 1_700_000_000.0
 REQUEST_SECONDS = 5.0
 TARGET_SECONDS = 0.02
 WARM_SECONDS = 0.5
@@ -92,14 +91,6 @@
     seconds: float
 
 
-class BenchClock(Clock):
-    """A wall clock that goes with trio's."""
-
-    def wall(self) -> WallTime:
-        """Return the wall time, in seconds since 1970."""
-        return WallTime(EPOCH + trio.current_time())
-
-
 class CountedMesh(MemoryMesh):
     """A mesh that counts calls."""
 
@@ -190,7 +181,7 @@
         """Prepare the log and the mesh."""
         self.load = load
         self.nursery = nursery
-        self.service = MemoryLogService(BenchClock())
+        self.service = MemoryLogService(VirtualClock())
         self.limit = Limit(load.log_rate)
         self.mesh = CountedMesh(nursery)
         self.mesh.delay_seconds = load.peer_seconds
@@ -232,7 +223,9 @@
         )
         log = LimitedLog(self.service, self.limit, load.append_seconds)
         self.logs.append(log)
-        store = LogClaimStore(settings, log, exchange, Metrics(), BenchClock())
+        store = LogClaimStore(
+            settings, log, exchange, Metrics(), VirtualClock()
+        )
         if load.mode is Mode.OWN:
             # Alone it would take the share of one host only.
             store.router.rate = self.own_rate
@@ -263,7 +256,7 @@
 def make_request(number: int) -> CallerRequest:
     """Return a request with a key of its own."""
     now = trio.current_time()
-    issued = str(int((EPOCH + now) * 1000)).encode()
+    issued = str(int((WALL_START + now) * 1000)).encode()
     return CallerRequest(
         request_id=RequestId("r"),
         caller=CallerId("c"),
@@ -323,7 +316,7 @@
                     fingerprint,
                     seen=0,
                     dated=dated,
-                    until_ms=int(EPOCH * 1000),
+                    until_ms=int(WALL_START * 1000),
                 )
             )
         dones = [
@@ -338,7 +331,7 @@
     """Print what reading and remembering a key takes."""
     payloads = make_payloads(keys, dated)
     partition = Partition(
-        0, default_settings(), None, Metrics(), BenchClock(), None
+        0, default_settings(), None, Metrics(), VirtualClock(), None
     )
     gc.collect()
     tracemalloc.start()
@@ -359,7 +352,7 @@
 
 def _fold_all(partition: Partition, payloads: list[bytes]) -> None:
     for offset, payload in enumerate(payloads):
-        record = LogRecord(LogOffset(offset), payload, WallTime(EPOCH))
+        record = LogRecord(LogOffset(offset), payload, WallTime(WALL_START))
         partition._take_record(record)
 
 
--- a/bench/deferred_slopes.py
+++ b/bench/deferred_slopes.py
@@ -34,11 +34,11 @@
 from agatetack.testing.deferred_fleet import (
     ROUTE,
     FakeExecutor,
-    TrioClock,
     Work,
     make_request,
 )
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
+from agatetack.testing.virtual_clock import VirtualClock
 
 BATCH = 20
 BODY_BYTES = 300
@@ -46,7 +46,7 @@
 SETTINGS = default_settings()
 
 
-def make_entries(count: int, clock: TrioClock) -> list[list[Entry]]:
+def make_entries(count: int, clock: VirtualClock) -> list[list[Entry]]:
     """Return the submissions, starts and ends of `count` tickets."""
     submissions, starts, ends = [], [], []
     answer = StoredAnswer(
@@ -73,7 +73,7 @@
 
 
 def make_records(
-    entries: list[Entry], first: int, clock: TrioClock
+    entries: list[Entry], first: int, clock: VirtualClock
 ) -> list[LogRecord]:
     """Return entries in batches, from offset `first` on."""
     return [
@@ -104,7 +104,7 @@
     return time.process_time() - begun
 
 
-def new_queue(clock: TrioClock) -> LogDeferredQueue:
+def new_queue(clock: VirtualClock) -> LogDeferredQueue:
     """Return a host's queue of one partition that nothing runs."""
     settings = default_settings(deferred={"partitions": 1, "cache_bytes": 1})
     queue = LogDeferredQueue(
@@ -144,7 +144,7 @@
 
 async def measure(count: int) -> None:
     """Print the costs of `count` tickets."""
-    clock = TrioClock()
+    clock = VirtualClock()
     stages = make_entries(count, clock)
     records = []
     for stage in stages:
