--- a/agatetack/callers/head.py
+++ b/agatetack/callers/head.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 import re
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -62,6 +63,13 @@
     deadline: Deadline | None
 
 
+class _Place(NamedTuple):
+    """Path and host of a request."""
+
+    path: bytes
+    host: bytes
+
+
 def _malformed(detail: str) -> Failure[Refusal]:
     return Failure(refuse(RefusalReason.MALFORMED_REQUEST, detail))
 
@@ -76,17 +84,10 @@
         settings: Names of headers, and bounds of deadlines.
         peer_ip: The caller's IP number, its name if it gives no other.
     """
-    hosts = [h.value for h in head.headers if h.name == b"host"]
-    if len(hosts) > 1 or (not hosts and head.version == "1.1"):
-        return _malformed("A request needs exactly one Host header.")
-    path, host = head.target, hosts[0] if hosts else b""
-    absolute = ABSOLUTE_FORM.match(path)
-    if absolute:
-        host, path = absolute.group(1), absolute.group(2) or b"/"
-    if not path.startswith(b"/") and path != b"*":
-        return _malformed("The request target must be a path.")
-    if b"#" in path or DOT_SEGMENT.search(path.partition(b"?")[0]):
-        return _malformed("The path has a fragment or a dot segment.")
+    place = _read_place(head)
+    if isinstance(place, Failure):
+        return place
+    path, host = place.unwrap()
     names = settings.headers
     key = find_header(head.headers, names.idempotency_key.encode())
     if key is not None and not _is_token(key):
@@ -103,7 +104,7 @@
     return Success(
         Addressing(
             path=path,
-            host=_without_port(host).lower(),
+            host=host,
             request_id=_read_request_id(head, names.request_id.encode()),
             caller=_read_caller(head, names.caller.encode(), peer_ip),
             key=None if key is None else IdempotencyKey(key.decode()),
@@ -112,6 +113,26 @@
     )
 
 
+def _read_place(head: RequestHead) -> Result[_Place, Refusal]:
+    """Return where a request goes.
+
+    Targets and other readers must not see another path than the one that the
+    route was chosen by, so what they could read in two ways is refused.
+    """
+    hosts = [h.value for h in head.headers if h.name == b"host"]
+    if len(hosts) > 1 or (not hosts and head.version == "1.1"):
+        return _malformed("A request needs exactly one Host header.")
+    path, host = head.target, hosts[0] if hosts else b""
+    absolute = ABSOLUTE_FORM.match(path)
+    if absolute:
+        host, path = absolute.group(1), absolute.group(2) or b"/"
+    if not path.startswith(b"/") and path != b"*":
+        return _malformed("The request target must be a path.")
+    if b"#" in path or DOT_SEGMENT.search(path.partition(b"?")[0]):
+        return _malformed("The path has a fragment or a dot segment.")
+    return Success(_Place(path, _without_port(host).lower()))
+
+
 def _is_token(value: bytes) -> bool:
     return len(value) <= MAX_KEY_LENGTH and bool(VISIBLE_ASCII.match(value))
 
--- a/agatetack/targets/pool.py
+++ b/agatetack/targets/pool.py
@@ -130,8 +130,3 @@
                 pool.close_idle_before(oldest)
                 if not pool.open_count:
                     del self.pools[target]
-
-    def close_all(self) -> None:
-        """Close every idle connection."""
-        for pool in self.pools.values():
-            pool.close_idle_before(Deadline(float("inf")))
