--- /dev/null
+++ b/agatetack/admission/test_order.py
@@ -0,0 +1,98 @@
+"""Test in which order waiting requests get a target."""
+
+import pytest
+import trio
+import trio.testing
+
+from agatetack.admission.controller import Priority
+from agatetack.admission.test_support import fill, make_bed
+from agatetack.ids import Deadline
+from agatetack.outcomes import RefusalReason
+from agatetack.targets.state import LoadReport, ReportSource
+from agatetack.testing.targets import make_route
+
+
+async def test_full_queue_refuses_and_tells_when_to_come_back(autojump_clock):
+    bed = make_bed(max_queue=2)
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, "abcd")
+        assert list(bed.refused) == ["d"]
+        assert bed.refused["d"].reason is RefusalReason.QUEUE_FULL
+        nursery.cancel_scope.cancel()
+
+
+async def test_standing_queue_is_served_newest_first(autojump_clock):
+    bed = make_bed(max_queue=2, standing_queue_seconds=0.1)
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, "abc")
+        await trio.sleep(0.2)
+        await fill(bed, nursery, "d")
+        # The oldest makes room and learns it at once.
+        assert list(bed.refused) == ["b"]
+        bed.answer()
+        await trio.testing.wait_all_tasks_blocked()
+        assert bed.served == ["a", "d"]
+        nursery.cancel_scope.cancel()
+
+
+async def test_callers_and_routes_take_turns(autojump_clock):
+    bed = make_bed()
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, ["first", "a1", "a2", "a3"], caller="busy")
+        await fill(bed, nursery, ["b1"], caller="other")
+        await fill(bed, nursery, ["r1", "r2"], route=make_route("second"))
+        for _ in range(7):
+            await trio.testing.wait_all_tasks_blocked()
+            bed.answer()
+    assert bed.served == ["first", "a1", "r1", "b1", "r2", "a2", "a3"]
+
+
+async def test_low_priority_never_goes_first(autojump_clock):
+    bed = make_bed()
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, ["a"])
+        await fill(bed, nursery, ["low"], priority=Priority.LOW)
+        await fill(bed, nursery, ["b", "c"])
+        for _ in range(3):
+            assert "low" not in bed.served
+            bed.answer()
+            await trio.testing.wait_all_tasks_blocked()
+    assert bed.served == ["a", "b", "c", "low"]
+
+
+@pytest.mark.parametrize(
+    ("others", "quiet", "served"),
+    [
+        # With normal requests about, one slot is left for the next of them.
+        (0, False, True),
+        (1, False, False),
+        (2, False, False),
+        (1, True, True),
+        (2, True, False),
+    ],
+)
+async def test_low_priority_takes_free_slots_only(
+    autojump_clock, others, quiet, served
+):
+    bed = make_bed(limit=8)
+    if not quiet:
+        await bed.ask("normal")
+        bed.answer()
+    target = bed.targets[0]
+    target.learned.others = others
+    now = Deadline(trio.current_time())
+    report = LoadReport(others, 2, 0, now, ReportSource.ANSWER)
+    bed.registry.note_report(target, report)
+    with trio.move_on_after(0.001):
+        await bed.ask("low", priority=Priority.LOW)
+    assert ("low" in bed.served) is served
+
+
+async def test_low_priority_sees_estimates_fade(autojump_clock):
+    bed = make_bed(limit=8)
+    now = Deadline(trio.current_time())
+    report = LoadReport(2, 2, 0, now, ReportSource.ANSWER)
+    bed.registry.note_report(bed.targets[0], report)
+    await bed.ask("low", priority=Priority.LOW)
+    assert bed.served == ["low"]
+    assert 0 < trio.current_time() - now < 1
--- a/agatetack/admission/test_service.py
+++ b/agatetack/admission/test_service.py
@@ -1,98 +1,14 @@
 """Test limits, queues and refusals with faults in tables."""
 
-import dataclasses
-
 import pytest
 import trio
 import trio.testing
-from returns.result import Success
 
-from agatetack.admission.controller import (
-    AttemptResult,
-    PermitRequest,
-    Priority,
-)
-from agatetack.admission.service import ServiceAdmission
-from agatetack.balance.policies import make_policy
-from agatetack.ids import Deadline
-from agatetack.metrics import Metrics
+from agatetack.admission.controller import AttemptResult, Priority
+from agatetack.admission.test_support import ANSWERED, fill, make_bed
 from agatetack.outcomes import Outcome, RefusalReason
-from agatetack.settings.defaults import default_settings
-from agatetack.targets.registry import LeavingSign, TargetRegistry
-from agatetack.targets.state import LoadReport, ReportSource
-from agatetack.testing.targets import (
-    SERVICE,
-    listed_target,
-    make_request,
-    make_route,
-)
-
-ANSWERED = AttemptResult.ANSWERED
-
-
-@dataclasses.dataclass
-class Bed:
-    """An admission with its registry, and what came of the requests."""
-
-    registry: TargetRegistry
-    admission: ServiceAdmission
-    served: list[str] = dataclasses.field(default_factory=list)
-    refused: dict[str, object] = dataclasses.field(default_factory=dict)
-    permits: list = dataclasses.field(default_factory=list)
-
-    @property
-    def targets(self):
-        """Return the usable targets."""
-        return self.registry.targets(SERVICE)
-
-    def in_flight(self):
-        """Return the requests at all targets."""
-        return sum(t.in_flight for t in self.registry.by_id.values())
-
-    async def ask(self, name, caller="caller", seconds=10.0, **fields):
-        """Ask for a permit and note what came of it."""
-        request = make_request(caller, seconds, name)
-        wanted = PermitRequest(
-            fields.pop("route", make_route()),
-            request,
-            request.deadline,
-            **fields,
-        )
-        result = await self.admission.acquire(wanted)
-        if isinstance(result, Success):
-            self.served.append(name)
-            self.permits.append(result.unwrap())
-        else:
-            self.refused[name] = result.failure()
-
-    def answer(self, latency=0.01):
-        """Answer the oldest request that is out."""
-        permit = self.permits.pop(0)
-        permit.answered_headers(latency)
-        permit.release(ANSWERED)
-
-
-def make_bed(targets=1, limit=1, fleet=1, **admission):
-    settings = default_settings(
-        admission={"max_target_limit": limit, **admission}
-    )
-    registry = TargetRegistry(settings, Metrics())
-    registry.update([listed_target(n + 1) for n in range(targets)])
-    made = ServiceAdmission(
-        settings,
-        registry,
-        make_policy(settings, 1),
-        Metrics(),
-        lambda: fleet,
-    )
-    return Bed(registry, made)
-
-
-async def fill(bed, nursery, names, **fields):
-    """Let requests come one after the other."""
-    for name in names:
-        nursery.start_soon(lambda name=name: bed.ask(name, **fields))
-        await trio.testing.wait_all_tasks_blocked()
+from agatetack.targets.registry import LeavingSign
+from agatetack.testing.targets import SERVICE, listed_target, make_route
 
 
 async def test_place_is_taken_and_given_back_once(autojump_clock):
@@ -218,92 +134,6 @@
     assert not bed.admission.lanes[SERVICE].size
 
 
-async def test_full_queue_refuses_and_tells_when_to_come_back(autojump_clock):
-    bed = make_bed(max_queue=2)
-    async with trio.open_nursery() as nursery:
-        await fill(bed, nursery, "abcd")
-        assert list(bed.refused) == ["d"]
-        assert bed.refused["d"].reason is RefusalReason.QUEUE_FULL
-        nursery.cancel_scope.cancel()
-
-
-async def test_standing_queue_is_served_newest_first(autojump_clock):
-    bed = make_bed(max_queue=2, standing_queue_seconds=0.1)
-    async with trio.open_nursery() as nursery:
-        await fill(bed, nursery, "abc")
-        await trio.sleep(0.2)
-        await fill(bed, nursery, "d")
-        # The oldest makes room and learns it at once.
-        assert list(bed.refused) == ["b"]
-        bed.answer()
-        await trio.testing.wait_all_tasks_blocked()
-        assert bed.served == ["a", "d"]
-        nursery.cancel_scope.cancel()
-
-
-async def test_callers_and_routes_take_turns(autojump_clock):
-    bed = make_bed()
-    async with trio.open_nursery() as nursery:
-        await fill(bed, nursery, ["first", "a1", "a2", "a3"], caller="busy")
-        await fill(bed, nursery, ["b1"], caller="other")
-        await fill(bed, nursery, ["r1", "r2"], route=make_route("second"))
-        for _ in range(7):
-            await trio.testing.wait_all_tasks_blocked()
-            bed.answer()
-    assert bed.served == ["first", "a1", "r1", "b1", "r2", "a2", "a3"]
-
-
-async def test_low_priority_never_goes_first(autojump_clock):
-    bed = make_bed()
-    async with trio.open_nursery() as nursery:
-        await fill(bed, nursery, ["a"])
-        await fill(bed, nursery, ["low"], priority=Priority.LOW)
-        await fill(bed, nursery, ["b", "c"])
-        for _ in range(3):
-            assert "low" not in bed.served
-            bed.answer()
-            await trio.testing.wait_all_tasks_blocked()
-    assert bed.served == ["a", "b", "c", "low"]
-
-
-@pytest.mark.parametrize(
-    ("others", "quiet", "served"),
-    [
-        # With normal requests about, one slot is left for the next of them.
-        (0, False, True),
-        (1, False, False),
-        (2, False, False),
-        (1, True, True),
-        (2, True, False),
-    ],
-)
-async def test_low_priority_takes_free_slots_only(
-    autojump_clock, others, quiet, served
-):
-    bed = make_bed(limit=8)
-    if not quiet:
-        await bed.ask("normal")
-        bed.answer()
-    target = bed.targets[0]
-    target.learned.others = others
-    now = Deadline(trio.current_time())
-    report = LoadReport(others, 2, 0, now, ReportSource.ANSWER)
-    bed.registry.note_report(target, report)
-    with trio.move_on_after(0.001):
-        await bed.ask("low", priority=Priority.LOW)
-    assert ("low" in bed.served) is served
-
-
-async def test_low_priority_sees_estimates_fade(autojump_clock):
-    bed = make_bed(limit=8)
-    now = Deadline(trio.current_time())
-    report = LoadReport(2, 2, 0, now, ReportSource.ANSWER)
-    bed.registry.note_report(bed.targets[0], report)
-    await bed.ask("low", priority=Priority.LOW)
-    assert bed.served == ["low"]
-    assert 0 < trio.current_time() - now < 1
-
-
 @pytest.mark.parametrize(("fleet", "passed"), [(1, 10), (5, 2)])
 async def test_rate_is_shared_over_the_fleet(autojump_clock, fleet, passed):
     bed = make_bed(limit=100, fleet=fleet)
--- /dev/null
+++ b/agatetack/admission/test_support.py
@@ -0,0 +1,83 @@
+"""Stand in for what admission needs, and note what came of requests."""
+
+import dataclasses
+
+import trio
+import trio.testing
+from returns.result import Success
+
+from agatetack.admission.controller import AttemptResult, PermitRequest
+from agatetack.admission.service import ServiceAdmission
+from agatetack.balance.policies import make_policy
+from agatetack.metrics import Metrics
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import TargetRegistry
+from agatetack.testing.targets import (
+    SERVICE,
+    listed_target,
+    make_request,
+    make_route,
+)
+
+ANSWERED = AttemptResult.ANSWERED
+
+
+@dataclasses.dataclass
+class Bed:
+    """An admission with its registry, and what came of the requests."""
+
+    registry: TargetRegistry
+    admission: ServiceAdmission
+    served: list[str] = dataclasses.field(default_factory=list)
+    refused: dict[str, object] = dataclasses.field(default_factory=dict)
+    permits: list = dataclasses.field(default_factory=list)
+
+    @property
+    def targets(self):
+        """Return the usable targets."""
+        return self.registry.targets(SERVICE)
+
+    def in_flight(self):
+        """Return the requests at all targets."""
+        return sum(t.in_flight for t in self.registry.by_id.values())
+
+    async def ask(self, name, caller="caller", seconds=10.0, **fields):
+        """Ask for a permit and note what came of it."""
+        request = make_request(caller, seconds, name)
+        wanted = PermitRequest(
+            fields.pop("route", make_route()),
+            request,
+            request.deadline,
+            **fields,
+        )
+        result = await self.admission.acquire(wanted)
+        if isinstance(result, Success):
+            self.served.append(name)
+            self.permits.append(result.unwrap())
+        else:
+            self.refused[name] = result.failure()
+
+    def answer(self, latency=0.01):
+        """Answer the oldest request that is out."""
+        permit = self.permits.pop(0)
+        permit.answered_headers(latency)
+        permit.release(ANSWERED)
+
+
+def make_bed(targets=1, limit=1, fleet=1, **admission):
+    settings = default_settings(
+        admission={"max_target_limit": limit, **admission}
+    )
+    registry = TargetRegistry(settings, Metrics())
+    registry.update([listed_target(n + 1) for n in range(targets)])
+    made = ServiceAdmission(
+        settings, registry, make_policy(settings, 1), Metrics(), lambda: fleet
+    )
+    return Bed(registry, made)
+
+
+async def fill(bed, nursery, names, **fields):
+    """Let requests come one after the other."""
+    for name in names:
+        nursery.start_soon(lambda name=name: bed.ask(name, **fields))
+        await trio.testing.wait_all_tasks_blocked()
--- /dev/null
+++ b/agatetack/targets/counters.py
@@ -0,0 +1,35 @@
+"""Count what becomes of targets."""
+
+from agatetack.metrics import Metrics
+from agatetack.targets.leaving import LeavingSign
+
+
+class TargetCounters:
+    """Counters of the targets' signs, slowness and returns.
+
+    Attributes:
+        signs: Signs of leaving.
+        slow: Times that a target was found slow.
+        returned: Targets that got work again.
+        usable: Targets that may get work now.
+    """
+
+    def __init__(self, metrics: Metrics):
+        """Register the counters, each sign at 0."""
+        self.signs = metrics.counter(
+            "agatetack_leaving_signs_total",
+            "Signs that a target is leaving, by sign.",
+        )
+        self.slow = metrics.counter(
+            "agatetack_targets_slow_total",
+            "Times that a target was found slow and left alone, by service.",
+        )
+        self.returned = metrics.counter(
+            "agatetack_targets_returned_total",
+            "Targets that got new work again after a sign of leaving.",
+        )
+        self.usable = metrics.gauge(
+            "agatetack_targets_usable", "Targets that may get work, by service."
+        )
+        for sign in LeavingSign:
+            self.signs.add({"sign": sign.value}, 0)
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -13,6 +13,7 @@
 from agatetack.metrics import MeasureKind, Metrics
 from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.model import Settings
+from agatetack.targets.counters import TargetCounters
 from agatetack.targets.leaving import (
     LeavingRecord,
     LeavingSign,
@@ -71,23 +72,7 @@
         self.leaving_watchers: list[
             Callable[[TargetState, LeavingSign], None]
         ] = []
-        self.signs = metrics.counter(
-            "agatetack_leaving_signs_total",
-            "Signs that a target is leaving, by sign.",
-        )
-        self.slow = metrics.counter(
-            "agatetack_targets_slow_total",
-            "Times that a target was found slow and left alone, by service.",
-        )
-        self.returned = metrics.counter(
-            "agatetack_targets_returned_total",
-            "Targets that got new work again after a sign of leaving.",
-        )
-        self.usable_gauge = metrics.gauge(
-            "agatetack_targets_usable", "Targets that may get work, by service."
-        )
-        for sign in LeavingSign:
-            self.signs.add({"sign": sign.value}, 0)
+        self.counters = TargetCounters(metrics)
 
     @property
     def services(self) -> Sequence[ServiceId]:
@@ -138,7 +123,7 @@
 
     def note_leaving(self, target: TargetState, why: LeavingSign) -> None:
         """Stop new work at `target` at once and let peers be told."""
-        self.signs.inc({"sign": why.value})
+        self.counters.signs.inc({"sign": why.value})
         self._leave(target, why)
         for watcher in self.leaving_watchers:
             watcher(target, why)
@@ -148,13 +133,13 @@
 
         The kind of sign is kept, so that all hosts hold the target alike.
         """
-        self.signs.inc({"sign": LeavingSign.PEER.value})
+        self.counters.signs.inc({"sign": LeavingSign.PEER.value})
         self._leave(target, why)
 
     def note_changed(self, target: TargetState) -> None:
         """Note that this host found `target` slow, or no longer so."""
         if target.learned.slow:
-            self.slow.inc({"service": target.service})
+            self.counters.slow.inc({"service": target.service})
         for watcher in self.changed_watchers:
             watcher(target)
 
@@ -269,7 +254,7 @@
         target.status = TargetStatus.COLD
         target.status_since = now
         target.failures = 0
-        self.returned.inc({"sign": record.sign.value})
+        self.counters.returned.inc({"sign": record.sign.value})
         log.info("target %s gets work again", target.id)
         self._rebuild((target.service,))
 
@@ -288,7 +273,7 @@
                 found[target.service].append(target)
         for service, targets in found.items():
             self.usable[service] = tuple(targets)
-            self.usable_gauge.set({"service": service}, len(targets))
+            self.counters.usable.set({"service": service}, len(targets))
             self._notify(service)
 
     def set_drained(self, target_id: TargetId, drained: bool) -> None:
