Remove the setting targets.health_path, which nothing used

Cause: each setting of callers, targets, attempts, quarantine and lifecycle was looked for in the code; this one was read by the fake target only. Product code learns a target's state from its load endpoint and its answers. Change: the setting and the fake's endpoint are gone; a settings file that names it is told so as an unknown key.

--- a/agatetack/settings/cross_checks.py
+++ b/agatetack/settings/cross_checks.py
@@ -172,7 +172,6 @@
 def _check_paths(settings: Settings) -> Iterator[Misfit]:
     for text in (
         "targets.load_path",
-        "targets.health_path",
         "callers.ticket_path",
     ):
         if not value_at(settings, path(text)).startswith("/"):
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -77,7 +77,6 @@
 
     headers: TargetHeaders
     load_path: str
-    health_path: str
     slots: Count
     max_connections: Count
     connect_timeout_seconds: Seconds
--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -87,7 +87,7 @@
         shed: Requests refused with 503.
         expired: Requests whose deadline passed in the queue.
         crashes: Crashes so far.
-        probes: Requests of the load and health endpoints so far.
+        probes: Requests of the load endpoint so far.
     """
 
     def __init__(
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -86,7 +86,6 @@
         self.deadline_name = headers.deadline_ms.encode()
         self.request_id_name = callers.request_id.encode()
         self.load_path = target.settings.targets.load_path.encode()
-        self.health_path = target.settings.targets.health_path.encode()
 
     async def run(self) -> None:
         """Serve until either side closes."""
@@ -146,10 +145,6 @@
         if request.path == self.load_path:
             target.probes += 1
             await self._send(200, self._load_body())
-        elif request.path == self.health_path:
-            target.probes += 1
-            leaving = target.state() == DRAINING
-            await self._send(503 if leaving else 200, b"")
         elif faults.refusing or self._too_many():
             await self._shed()
         elif faults.fail_status is not None:
