Run the product's retries and hedges in the policy bench

Cause: the bench sent its requests by a plain loop, so nobody knew what hedges do to the tail that balancing leaves. Change: ProductAttempts runs AttemptRunner and SingleAttempt on every gateway; two more lines of the table, without and with hedges.

--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -6,6 +6,7 @@
 import defopt
 
 from agatetack.settings.model import PolicyName
+from bench.policy.attempts import Attempts, PlainAttempts, ProductAttempts
 from bench.policy.run import Outcomes, run_scenario
 from bench.policy.scenario import Faults, Scenario, SelfCount
 
@@ -14,10 +15,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Variant:
-    """One line of the table."""
+    """One line of the table.
+
+    Attributes:
+        name: What the line shows.
+        scenario: The run.
+        attempts: How requests are brought to targets.
+    """
 
     name: str
     scenario: Scenario
+    attempts: Attempts = dataclasses.field(default_factory=PlainAttempts)
 
 
 def variants(base: Scenario, policies: Sequence[PolicyName], load: float):
@@ -40,6 +48,10 @@
                 shared, probes_per_second=base.probes_per_second
             )
             yield Variant("expected-wait", probed)
+            retried = ProductAttempts(hedged=False)
+            yield Variant("expected-wait, stalls", probed, retried)
+            hedged = ProductAttempts(hedged=True)
+            yield Variant("expected-wait, hedges", probed, hedged)
         elif policy is not PolicyName.POWER_OF_TWO:
             yield Variant(
                 policy.value, dataclasses.replace(power, policy=policy)
@@ -109,7 +121,7 @@
         print(HEADER)
         baseline = None
         for variant in variants(base, policies, load):
-            found = run_scenario(variant.scenario)
+            found = run_scenario(variant.scenario, variant.attempts)
             baseline = baseline or found
             print(line(variant.name, found, baseline), flush=True)
 
--- a/bench/policy/attempts.py
+++ b/bench/policy/attempts.py
@@ -6,10 +6,13 @@
 from returns.result import Success
 
 from agatetack.admission.controller import AttemptResult, PermitRequest
+from agatetack.attempts.race import AttemptRunner
+from agatetack.attempts.single import SingleAttempt
 from agatetack.config.route import RequestClass, Route
-from agatetack.ids import AttemptId, Deadline, RouteId, TeamId
+from agatetack.ids import AttemptId, Deadline, RouteId, TargetId, TeamId
 from agatetack.messages import CallerRequest
-from agatetack.outcomes import RefusalReason
+from agatetack.outcomes import Refusal, RefusalReason
+from agatetack.quarantine.tracker import CrashTracker
 from agatetack.targets.client import Attempt, AttemptFailed
 from bench.policy.fleet import SERVICE, Gateway
 
@@ -86,3 +89,56 @@
             )
         permit.answered_headers(trio.current_time() - started)
         return None
+
+
+class NoCrashes(CrashTracker):
+    """Suspect no request: no target of the bench crashes."""
+
+    def check(self, route: Route, request: CallerRequest) -> Refusal | None:
+        """Return None."""
+
+    def connection_lost(
+        self, route: Route, request: CallerRequest, target: TargetId
+    ) -> None:
+        """Do nothing."""
+
+    def answered(self, route: Route, request: CallerRequest) -> None:
+        """Do nothing."""
+
+
+class ProductAttempts(Attempts):
+    """The product's own retries, stall retries and, if wanted, hedges.
+
+    Attributes:
+        hedged: Whether late answers start a second attempt.
+        runners: One for each gateway.
+    """
+
+    def __init__(self, hedged: bool):
+        """Start without runners; a gateway's is made at its first request."""
+        self.hedged = hedged
+        self.runners: dict[Gateway, AttemptRunner] = {}
+
+    async def send(
+        self, gateway: Gateway, request: CallerRequest
+    ) -> RefusalReason | None:
+        """Return None once answered, or why the request is refused."""
+        runner = self.runners.get(gateway)
+        if runner is None:
+            runner = self._runner(gateway)
+            self.runners[gateway] = runner
+        result = await runner.run(ROUTE, request, self.hedged)
+        if not isinstance(result, Success):
+            return result.failure().reason
+        await result.unwrap().aclose()
+        return None
+
+    def _runner(self, gateway: Gateway) -> AttemptRunner:
+        single = SingleAttempt(
+            gateway.settings, gateway.client, NoCrashes(), gateway.metrics
+        )
+        runner = AttemptRunner(
+            gateway.settings, gateway.admission, single, gateway.metrics
+        )
+        gateway.client.fleet.nursery.start_soon(runner.hedger.run)
+        return runner
