--- a/agatetack/deferred/writer.py
+++ b/agatetack/deferred/writer.py
@@ -184,6 +184,6 @@
             waiting.done.set()
 
     def _count(self, result: str, records: int) -> None:
-        self.metrics.appends.inc({"stream": STREAM_KIND, "result": result})
+        self.metrics.appends.inc({"kind": STREAM_KIND, "result": result})
         if records:
-            self.metrics.appended_records.add({"stream": STREAM_KIND}, records)
+            self.metrics.appended_records.add({"kind": STREAM_KIND}, records)
--- a/agatetack/peers/frames.py
+++ b/agatetack/peers/frames.py
@@ -49,7 +49,6 @@
     OLD_INCARNATION = "old-incarnation"
     REPLACED = "replaced"
     DUPLICATE = "duplicate"
-    NOT_WANTED = "not-wanted"
     TOO_MANY = "too-many"
     OVER_BUDGET = "over-budget"
 
