Word failures, name retries and rewind bodies in one place

The runner of never-repeated requests and that of idempotent ones each worded a failure for callers, named the retry after it and rewound the body; two logs and an enum had no user. Change: `attempts/rules.py` words and names, the single attempt rewinds what it sends, and what nothing used is gone.

--- a/agatetack/attempts/once.py
+++ b/agatetack/attempts/once.py
@@ -7,23 +7,20 @@
 
 from agatetack.admission.controller import AdmissionController, PermitRequest
 from agatetack.attempts.ids import new_attempt_id
-from agatetack.attempts.rules import DETAILS, RETRY_REASONS
+from agatetack.attempts.rules import failure_refusal, retry_reason
 from agatetack.attempts.single import AttemptPlan, SingleAttempt
 from agatetack.claims.store import Claim, ClaimStore
 from agatetack.config.route import Route
 from agatetack.ids import Deadline, TargetId
-from agatetack.logs import PartLog
-from agatetack.messages import Answer, BytesBody, CallerRequest
+from agatetack.messages import Answer, CallerRequest
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Outcome, Refusal, RetryReason, refuse
+from agatetack.outcomes import Outcome, Refusal
 from agatetack.settings.model import Settings
 from agatetack.targets.client import AttemptFailure, Freshness
 
 RELEASE_SHARE = 0.1
 """Share of the time left that is kept for releasing an unused claim."""
 
-log = PartLog("attempts")
-
 
 @dataclasses.dataclass(slots=True)
 class OnceState:
@@ -83,15 +80,13 @@
             permit = await self._permit(route, request, state)
             if isinstance(permit, Failure):
                 return await self._give_up(permit.failure(), state)
-            if isinstance(request.body, BytesBody):
-                request.body.rewind()
             plan = AttemptPlan(
                 route,
                 request,
                 request.deadline,
                 Freshness.PROVEN,
                 state.claim.attempt,
-                _retry_reason(state),
+                retry_reason(state.failure),
             )
             held = permit.unwrap()
             state.tried.add(held.target.id)
@@ -101,8 +96,10 @@
                 return result
             state.failure = result.failure()
             if not self._may_try_again(request, state):
-                return await self._give_up(_refusal(state.failure), state)
-            self.metrics.retried(route.id, _retry_reason(state))
+                return await self._give_up(
+                    failure_refusal(state.failure), state
+                )
+            self.metrics.retried(route.id, retry_reason(state.failure))
 
     async def _permit(
         self, route: Route, request: CallerRequest, state: OnceState
@@ -136,16 +133,3 @@
         if not ran and await self.claims.release(state.claim):
             return Failure(refusal)
         return Failure(dataclasses.replace(refusal, outcome=Outcome.UNKNOWN))
-
-
-def _retry_reason(state: OnceState) -> RetryReason | None:
-    if state.failure is None:
-        return None
-    return RETRY_REASONS[state.failure.reason]
-
-
-def _refusal(failure: AttemptFailure) -> Refusal:
-    plain = refuse(failure.reason, DETAILS.get(failure.reason, ""))
-    return dataclasses.replace(
-        plain, outcome=failure.outcome, retry_at=failure.retry_at
-    )
--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -16,19 +16,22 @@
 from agatetack.attempts.budget import RouteBudgets
 from agatetack.attempts.hedger import Hedger
 from agatetack.attempts.quantile import LatencyQuantile
-from agatetack.attempts.rules import DETAILS, RETRY_REASONS
+from agatetack.attempts.rules import (
+    RETRY_REASONS,
+    failure_refusal,
+    retry_reason,
+)
 from agatetack.attempts.single import AttemptPlan, SingleAttempt
 from agatetack.attempts.state import RaceState, SecondAttempt
 from agatetack.config.route import Route, RouteSource
 from agatetack.ids import Deadline, RouteId
 from agatetack.logs import PartLog
-from agatetack.messages import Answer, BytesBody, CallerRequest
+from agatetack.messages import Answer, CallerRequest
 from agatetack.metrics import Metrics
 from agatetack.outcomes import (
     Outcome,
     Refusal,
     RetryReason,
-    refuse,
 )
 from agatetack.settings.model import Settings
 from agatetack.targets.client import Freshness
@@ -172,10 +175,7 @@
     async def _in_turn(self, state: RaceState, permit: Permit | None) -> None:
         """Make attempts one after the other until one is answered."""
         while permit is not None:
-            reason = None
-            if state.failure is not None:
-                reason = RETRY_REASONS[state.failure.reason]
-            await self._attempt(state, permit, reason)
+            await self._attempt(state, permit, retry_reason(state.failure))
             if state.answer is None and state.second is not None:
                 await state.second.done.wait()
             if state.answer is not None:
@@ -229,8 +229,6 @@
         state.started += 1
         state.open += 1
         state.tried.add(permit.target.id)
-        if isinstance(state.request.body, BytesBody):
-            state.request.body.rewind()
         plan = AttemptPlan(
             state.route,
             state.request,
@@ -288,14 +286,13 @@
         """Return the refusal; "not run" only if no attempt can have run."""
         if state.failure is None:
             return state.refusal
-        failure = state.failure
-        reason = failure.reason
-        outcome = Outcome.UNKNOWN if state.may_have_run else failure.outcome
-        plain = refuse(reason, DETAILS.get(reason, reason.value))
-        retry_at = failure.retry_at
-        if state.refusal is not None and retry_at is None:
+        refusal = failure_refusal(state.failure)
+        if state.may_have_run:
+            refusal = dataclasses.replace(refusal, outcome=Outcome.UNKNOWN)
+        if state.refusal is not None and refusal.retry_at is None:
             retry_at = state.refusal.retry_at
-        return dataclasses.replace(plain, outcome=outcome, retry_at=retry_at)
+            refusal = dataclasses.replace(refusal, retry_at=retry_at)
+        return refusal
 
     def _late_after(self, route: RouteId) -> float | None:
         learned = self.late_after.get(route)
--- a/agatetack/attempts/rules.py
+++ b/agatetack/attempts/rules.py
@@ -1,6 +1,9 @@
 """Tell which failures allow a retry, and word them for callers."""
 
-from agatetack.outcomes import RefusalReason, RetryReason
+import dataclasses
+
+from agatetack.outcomes import Refusal, RefusalReason, RetryReason, refuse
+from agatetack.targets.client import AttemptFailure
 
 RETRY_REASONS = {
     RefusalReason.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
@@ -20,3 +23,17 @@
     RefusalReason.ANSWER_MALFORMED: "The target's answer is not HTTP.",
     RefusalReason.ANSWER_CUT: "The target's answer ended before its end.",
 }
+
+
+def retry_reason(failure: AttemptFailure | None) -> RetryReason | None:
+    """Return why the attempt after `failure` is made; None for the first."""
+    return None if failure is None else RETRY_REASONS[failure.reason]
+
+
+def failure_refusal(failure: AttemptFailure) -> Refusal:
+    """Return what a caller is told when `failure` was the last one."""
+    reason = failure.reason
+    plain = refuse(reason, DETAILS.get(reason, reason.value))
+    return dataclasses.replace(
+        plain, outcome=failure.outcome, retry_at=failure.retry_at
+    )
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -169,6 +169,8 @@
         The permit is released here, or by the answer's body at its end.
         """
         self.metrics.attempts.inc({"route": plan.route.id})
+        if isinstance(plan.request.body, BytesBody):
+            plan.request.body.rewind()
         attempt = Attempt(
             id=plan.attempt_id or new_attempt_id(),
             request=plan.request,
--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -13,7 +13,6 @@
 from agatetack.callers.writer import CONTINUE, AnswerWriter, abort
 from agatetack.headers import strip_hop_by_hop
 from agatetack.ids import Deadline, RequestId
-from agatetack.logs import PartLog
 from agatetack.messages import (
     Answer,
     AnswerCut,
@@ -40,8 +39,6 @@
 UNPARSED_ID = RequestId("-")
 """The id of a request whose header could not be read."""
 
-log = PartLog("callers")
-
 
 class CallerConnection:
     """One caller's connection, served by one task.
--- a/agatetack/claims/store.py
+++ b/agatetack/claims/store.py
@@ -2,7 +2,6 @@
 
 import abc
 import dataclasses
-import enum
 
 from returns.result import Result
 
@@ -12,13 +11,6 @@
 from agatetack.outcomes import Refusal
 
 
-class ClaimOutcome(enum.Enum):
-    """How a claim ended."""
-
-    DONE = "done"
-    RELEASED = "released"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """Leave to dispatch one request once.
