Move the log, the host list and their clients to slices named for what they are

Cause: `agatetack/platform/` is to hold only what translates between the product and the users' platform, and held the product's own log and list. Ruled out: renaming classes, which no reader needs. Tests unchanged but for imports: all pass (2 min 34 s).

--- a/agatetack/claims/appender.py
+++ b/agatetack/claims/appender.py
@@ -18,7 +18,7 @@
 )
 from agatetack.ids import Deadline, LogOffset, StreamId
 from agatetack.metrics import Metrics
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     Log,
     LogOutcomeUnknown,
     LogTooFast,
--- a/agatetack/claims/log_store.py
+++ b/agatetack/claims/log_store.py
@@ -31,7 +31,7 @@
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason
 from agatetack.peers.exchange import Exchange
-from agatetack.platform.log import Log
+from agatetack.record_log.log import Log
 from agatetack.settings.model import Settings
 
 HOUSEKEEPING_SECONDS = 1.0
--- a/agatetack/claims/partition.py
+++ b/agatetack/claims/partition.py
@@ -20,7 +20,7 @@
 from agatetack.ids import Deadline, LogOffset, StreamId
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     Log,
     LogPage,
     LogRecord,
--- a/agatetack/claims/test_log_store.py
+++ b/agatetack/claims/test_log_store.py
@@ -11,7 +11,7 @@
 from agatetack.generated.claims.ttypes import Batch, Entry, EntryKind
 from agatetack.ids import Deadline, HostId, LogOffset, WallTime
 from agatetack.outcomes import Outcome, RefusalReason
-from agatetack.platform.log import LogRecord
+from agatetack.record_log.log import LogRecord
 from agatetack.testing.memory_log import AppendFault
 
 ISSUED = int(EPOCH * 1000)
--- a/agatetack/config/snapshot_stream.py
+++ b/agatetack/config/snapshot_stream.py
@@ -7,7 +7,7 @@
 from agatetack.config.records import SNAPSHOT_STREAM, BadRecord
 from agatetack.config.state import ConfigState
 from agatetack.ids import Deadline, LogOffset
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     Log,
     LogPage,
     LogTruncated,
--- a/agatetack/config/snapshot_writer.py
+++ b/agatetack/config/snapshot_writer.py
@@ -18,7 +18,7 @@
 from agatetack.config.snapshot_stream import read_snapshots
 from agatetack.config.state import ConfigState
 from agatetack.ids import Deadline, LogOffset, WallTime
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     Log,
     LogError,
     LogOutcomeUnknown,
--- a/agatetack/config/store.py
+++ b/agatetack/config/store.py
@@ -29,7 +29,7 @@
 from agatetack.ids import ChangeId, Deadline, LogOffset
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange
-from agatetack.platform.log import Log
+from agatetack.record_log.log import Log
 from agatetack.settings.model import Settings
 
 ChangeResult = Result[Accepted, Rejected | InDoubt]
--- a/agatetack/config/tail.py
+++ b/agatetack/config/tail.py
@@ -11,7 +11,7 @@
 from agatetack.config.state import Batch, ConfigState, Source
 from agatetack.ids import Deadline, LogOffset
 from agatetack.peers.exchange import Exchange
-from agatetack.platform.log import Log, LogError, LogPage, LogTruncated
+from agatetack.record_log.log import Log, LogError, LogPage, LogTruncated
 from agatetack.settings.model import Settings
 
 MAX_TURN_SECONDS = 3.5
--- a/agatetack/config/writing.py
+++ b/agatetack/config/writing.py
@@ -7,7 +7,7 @@
 from agatetack.config.state import Waiter
 from agatetack.config.tail import LogTail
 from agatetack.ids import Deadline
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     LogError,
     LogOutcomeUnknown,
     LogRecordTooLarge,
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -6,13 +6,13 @@
 
 from agatetack.collector import tune_collector
 from agatetack.gateway import Gateway
+from agatetack.hosts.http_host_list import HttpHostList
 from agatetack.lifecycle.drain import STOP_SIGNALS, DrainReport
 from agatetack.logs import PartLog, count_drops
 from agatetack.metrics import Metrics
 from agatetack.operators.app import serve_operators
 from agatetack.operators.host_backend import HostBackend
-from agatetack.platform.http_host_list import HttpHostList
-from agatetack.platform.http_log import HttpLog
+from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.model import Settings
 
 CLOSE_SECONDS = 1.0
--- a/agatetack/deferred/fetcher.py
+++ b/agatetack/deferred/fetcher.py
@@ -14,7 +14,7 @@
 from agatetack.generated.deferred.ttypes import EndKind
 from agatetack.ids import Deadline, TicketId
 from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
-from agatetack.platform.log import LogUnavailable
+from agatetack.record_log.log import LogUnavailable
 from agatetack.settings.model import Settings
 
 Fetched = Result[StoredAnswer | TicketState, Refusal]
--- a/agatetack/deferred/fold.py
+++ b/agatetack/deferred/fold.py
@@ -24,7 +24,7 @@
     TicketId,
     WallTime,
 )
-from agatetack.platform.log import LogRecord
+from agatetack.record_log.log import LogRecord
 
 NOT_STORED = LogOffset(-1)
 """The offset of a submission that has not been read."""
--- a/agatetack/deferred/log_queue.py
+++ b/agatetack/deferred/log_queue.py
@@ -26,7 +26,7 @@
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal
 from agatetack.peers.exchange import Exchange
-from agatetack.platform.log import Log
+from agatetack.record_log.log import Log
 from agatetack.settings.model import Settings
 
 WORKERS = 2
--- a/agatetack/deferred/partition.py
+++ b/agatetack/deferred/partition.py
@@ -19,7 +19,7 @@
 from agatetack.ids import Deadline, LogOffset, TicketId
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     Log,
     LogRecord,
     LogTruncated,
--- a/agatetack/deferred/runner.py
+++ b/agatetack/deferred/runner.py
@@ -26,7 +26,7 @@
 from agatetack.generated.deferred.ttypes import Hold as HoldRecord
 from agatetack.ids import AttemptId, Deadline, RouteId
 from agatetack.outcomes import RefusalReason
-from agatetack.platform.log import LogUnavailable
+from agatetack.record_log.log import LogUnavailable
 from agatetack.settings.model import Settings
 
 HOLD_TIMEOUTS = 2
--- a/agatetack/deferred/test_fold.py
+++ b/agatetack/deferred/test_fold.py
@@ -21,7 +21,7 @@
     Submission,
 )
 from agatetack.ids import LogOffset, WallTime
-from agatetack.platform.log import LogRecord
+from agatetack.record_log.log import LogRecord
 
 CHUNK_SECONDS = 100.0
 TICKETS = ("0-a", "0-b")
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -16,7 +16,7 @@
 from agatetack.generated.deferred.ttypes import Hold as HoldRecord
 from agatetack.ids import AttemptId, WallTime
 from agatetack.outcomes import RefusalReason
-from agatetack.platform.log import LogUnavailable
+from agatetack.record_log.log import LogUnavailable
 from agatetack.settings.model import Settings
 
 DUE_RATIO = 0.5
--- a/agatetack/deferred/writer.py
+++ b/agatetack/deferred/writer.py
@@ -11,7 +11,7 @@
 from agatetack.generated.deferred.ttypes import Entry
 from agatetack.ids import Deadline, StreamId
 from agatetack.metrics import Metrics
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     Log,
     LogOutcomeUnknown,
     LogTooFast,
--- a/agatetack/demo.py
+++ b/agatetack/demo.py
@@ -12,6 +12,8 @@
 from agatetack.config.route import RequestClass, Route
 from agatetack.daemon import HostPorts, serve_host
 from agatetack.gateway import Gateway
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
+from agatetack.hosts.http_host_list import HttpHostList
 from agatetack.ids import (
     ChangeId,
     FailureDomain,
@@ -24,9 +26,7 @@
 from agatetack.operators.client import OperatorsClient
 from agatetack.operators.requests import ApplyRouteRequest
 from agatetack.operators.tokens import NewToken, make_token
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
-from agatetack.platform.http_host_list import HttpHostList
-from agatetack.platform.http_log import HttpLog
+from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Settings
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -17,6 +17,8 @@
 from agatetack.config.route import RequestClass, RouteSource
 from agatetack.config.store import ConfigStore
 from agatetack.deferred.log_queue import LogDeferredQueue
+from agatetack.hosts.directory import HostDirectory, ListChange
+from agatetack.hosts.host_list import HostList
 from agatetack.ids import Deadline, RouteId, ServiceId
 from agatetack.lifecycle.drain import Lifecycle
 from agatetack.lifecycle.in_flight import TrackingHandler
@@ -26,11 +28,9 @@
 from agatetack.measure.prober import Prober
 from agatetack.metrics import Metrics
 from agatetack.peers.mesh import PeerExchange
-from agatetack.platform.directory import HostDirectory, ListChange
-from agatetack.platform.host_list import HostList
-from agatetack.platform.log import Log
 from agatetack.quarantine.liveness import PoolLivenessCheck
 from agatetack.quarantine.local_tracker import LocalCrashTracker
+from agatetack.record_log.log import Log
 from agatetack.serving.dispatcher import Dispatcher
 from agatetack.serving.explain import Explanations
 from agatetack.serving.runners import (
--- /dev/null
+++ b/agatetack/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Know the hosts and targets that are listed."""
--- a/agatetack/platform/directory.py
+++ b/agatetack/hosts/directory.py
@@ -7,16 +7,16 @@
 
 import trio
 
-from agatetack.ids import Deadline, HostId, ServiceId
-from agatetack.logs import PartLog
-from agatetack.metrics import Metrics
-from agatetack.platform.host_list import (
+from agatetack.hosts.host_list import (
     HostList,
     HostListUnavailable,
     HostRole,
     HostState,
     ListedHost,
 )
+from agatetack.ids import Deadline, HostId, ServiceId
+from agatetack.logs import PartLog
+from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 
 LOG = PartLog("directory")
--- a/agatetack/platform/http_host_list.py
+++ b/agatetack/hosts/http_host_list.py
@@ -8,19 +8,19 @@
 import pydantic
 import trio
 
-from agatetack.ids import Deadline, HostId
-from agatetack.logs import PartLog
-from agatetack.platform.host_list import (
+from agatetack.hosts.host_list import (
     HostList,
     HostListUnavailable,
     ListedHost,
 )
-from agatetack.platform.http_call import (
+from agatetack.http_call import (
     CallFailed,
     PlatformCaller,
     PlatformReply,
     PlatformRequest,
 )
+from agatetack.ids import Deadline, HostId
+from agatetack.logs import PartLog
 from agatetack.settings.model import Settings
 
 HOSTS_PATH = "/hosts"
--- a/agatetack/platform/test_directory.py
+++ b/agatetack/hosts/test_directory.py
@@ -5,10 +5,10 @@
 import pytest
 import trio
 
+from agatetack.hosts.directory import REPEAT_SECONDS, HostDirectory
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import FailureDomain, HostId, ServiceId
 from agatetack.metrics import Metrics
-from agatetack.platform.directory import REPEAT_SECONDS, HostDirectory
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_host_list import MemoryHostList
 
--- a/agatetack/platform/test_host_list_contract.py
+++ b/agatetack/hosts/test_host_list_contract.py
@@ -15,15 +15,15 @@
 import trio
 from hypothesis import strategies
 
-from agatetack.ids import Deadline, FailureDomain, HostId, ServiceId
-from agatetack.platform.host_list import (
+from agatetack.hosts.host_list import (
     HostListUnavailable,
     HostRole,
     HostState,
     ListedHost,
 )
-from agatetack.platform.http_call import PlatformReply
-from agatetack.platform.http_host_list import HttpHostList
+from agatetack.hosts.http_host_list import HttpHostList
+from agatetack.http_call import PlatformReply
+from agatetack.ids import Deadline, FailureDomain, HostId, ServiceId
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.platform_worlds import (
     PlatformWorld,
--- a/agatetack/operators/test_contract.py
+++ b/agatetack/operators/test_contract.py
@@ -15,6 +15,7 @@
 from agatetack.config.route import RequestClass, Route
 from agatetack.daemon import serve_host
 from agatetack.gateway import Gateway
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import (
     ChangeId,
     FailureDomain,
@@ -35,7 +36,6 @@
 from agatetack.operators.refusals import UnavailableReason
 from agatetack.operators.tokens import make_token
 from agatetack.operators.views import ChangeRejection, ChangeState
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_backend import MemoryBackend
 from agatetack.testing.memory_host_list import MemoryHostList
--- a/agatetack/operators/test_fleet.py
+++ b/agatetack/operators/test_fleet.py
@@ -6,6 +6,7 @@
 from agatetack.config.route import RequestClass, Route
 from agatetack.daemon import serve_host
 from agatetack.gateway import Gateway
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import (
     FailureDomain,
     HostId,
@@ -18,7 +19,6 @@
 from agatetack.operators.client import OperatorsClient
 from agatetack.operators.host_view import host_status
 from agatetack.operators.tokens import make_token
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_host_list import MemoryHostList
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -7,6 +7,7 @@
 import trio
 
 from agatetack.generated.peers import ttypes
+from agatetack.hosts.host_list import ListedHost
 from agatetack.ids import FailureDomain, HostId
 from agatetack.logs import PartLog
 from agatetack.peers.backoff import Backoff
@@ -20,7 +21,6 @@
 from agatetack.peers.link import Link, LinkOwner
 from agatetack.peers.members import Member, MemberTable
 from agatetack.peers.transport import Transport
-from agatetack.platform.host_list import ListedHost
 
 MAX_LINKS_RATIO = 4
 """Links accepted at most, as a multiple of `peers.max_peers`."""
--- a/agatetack/peers/directory.py
+++ b/agatetack/peers/directory.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from agatetack.platform.host_list import ListedHost
+from agatetack.hosts.host_list import ListedHost
 
 
 class GatewayDirectory(Protocol):
--- /dev/null
+++ b/agatetack/record_log/__init__.py
@@ -0,0 +1,1 @@
+"""Use the append-only log that keeps routes, claims and deferred work."""
--- a/agatetack/platform/http_log.py
+++ b/agatetack/record_log/http_log.py
@@ -7,14 +7,14 @@
 import pydantic
 import trio
 
-from agatetack.ids import Deadline, LogOffset, StreamId, WallTime
-from agatetack.platform.http_call import (
+from agatetack.http_call import (
     CallFailed,
     PlatformCaller,
     PlatformReply,
     PlatformRequest,
 )
-from agatetack.platform.log import (
+from agatetack.ids import Deadline, LogOffset, StreamId, WallTime
+from agatetack.record_log.log import (
     Log,
     LogOutcomeUnknown,
     LogPage,
@@ -24,7 +24,7 @@
     LogTruncated,
     LogUnavailable,
 )
-from agatetack.platform.messages import (
+from agatetack.record_log.messages import (
     APPEND_REPLY,
     PAGE_BYTES,
     PAGE_REPLY,
--- a/agatetack/platform/test_log_contract.py
+++ b/agatetack/record_log/test_log_contract.py
@@ -16,10 +16,10 @@
 import trio
 from hypothesis import strategies
 
+from agatetack.http_call import PlatformReply
 from agatetack.ids import Deadline, LogOffset, StreamId
-from agatetack.platform import http_log
-from agatetack.platform.http_call import PlatformReply
-from agatetack.platform.log import (
+from agatetack.record_log import http_log
+from agatetack.record_log.log import (
     Log,
     LogError,
     LogOutcomeUnknown,
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -8,10 +8,10 @@
 
 import trio
 
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import Deadline, ServiceId, TargetId
 from agatetack.logs import PartLog
 from agatetack.metrics import MeasureKind, Metrics
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.model import Settings
 from agatetack.targets.counters import TargetCounters
 from agatetack.targets.leaving import (
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import AttemptId, CallerId, Deadline, HostId, RequestId
 from agatetack.messages import (
     AnswerCut,
@@ -15,7 +16,6 @@
 )
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.client import Attempt, AttemptFailed, Freshness
 from agatetack.targets.http_client import HttpTargetClient
--- a/agatetack/targets/test_registry.py
+++ b/agatetack/targets/test_registry.py
@@ -5,8 +5,8 @@
 import pytest
 import trio
 
+from agatetack.hosts.host_list import HostState
 from agatetack.metrics import Metrics
-from agatetack.platform.host_list import HostState
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.registry import (
     LeavingSign,
--- a/agatetack/platform/test_http_call.py
+++ b/agatetack/test_http_call.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from agatetack.platform.http_call import (
+from agatetack.http_call import (
     CallFailed,
     PlatformCaller,
     PlatformRequest,
--- a/agatetack/testing/config_fleet.py
+++ b/agatetack/testing/config_fleet.py
@@ -21,7 +21,7 @@
     TeamId,
 )
 from agatetack.metrics import Metrics
-from agatetack.platform.log import LogPage
+from agatetack.record_log.log import LogPage
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
--- a/agatetack/testing/fleet.py
+++ b/agatetack/testing/fleet.py
@@ -9,8 +9,8 @@
 
 from agatetack.config.route import RequestClass, Route, RouteTable
 from agatetack.gateway import Gateway, GatewayPorts
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import FailureDomain, HostId, RouteId, ServiceId, TeamId
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
 from agatetack.testing.memory_host_list import MemoryHostList
--- a/agatetack/testing/memory_host_list.py
+++ b/agatetack/testing/memory_host_list.py
@@ -6,12 +6,12 @@
 
 import trio
 
-from agatetack.ids import Deadline
-from agatetack.platform.host_list import (
+from agatetack.hosts.host_list import (
     HostList,
     HostListUnavailable,
     ListedHost,
 )
+from agatetack.ids import Deadline
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatetack/testing/memory_log.py
+++ b/agatetack/testing/memory_log.py
@@ -7,7 +7,7 @@
 
 from agatetack.clock import Clock, SystemClock
 from agatetack.ids import Deadline, LogOffset, StreamId, WallTime
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     Log,
     LogOutcomeUnknown,
     LogPage,
--- a/agatetack/testing/peer_fleet.py
+++ b/agatetack/testing/peer_fleet.py
@@ -5,11 +5,11 @@
 import trio
 
 from agatetack.clock import SystemClock
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import HostId, ServiceId
 from agatetack.metrics import Metrics
 from agatetack.peers.directory import GatewayDirectory
 from agatetack.peers.mesh import PeerExchange
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 
 LOOPBACK = "127.0.0.1"
--- a/agatetack/testing/peer_net.py
+++ b/agatetack/testing/peer_net.py
@@ -4,11 +4,11 @@
 import trio.testing
 
 from agatetack.clock import FixedClock
+from agatetack.hosts.host_list import ListedHost
 from agatetack.ids import HostId
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Topic
 from agatetack.peers.mesh import PeerExchange
-from agatetack.platform.host_list import ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.peer_fleet import LOOPBACK, StaticDirectory, listed
 
--- a/agatetack/testing/platform_server.py
+++ b/agatetack/testing/platform_server.py
@@ -14,16 +14,16 @@
 import orjson
 import trio
 
+from agatetack.hosts.host_list import HostListUnavailable
 from agatetack.ids import Deadline, LogOffset, StreamId
-from agatetack.platform.host_list import HostListUnavailable
-from agatetack.platform.log import (
+from agatetack.record_log.log import (
     LogOutcomeUnknown,
     LogPage,
     LogTooFast,
     LogTruncated,
     LogUnavailable,
 )
-from agatetack.platform.messages import (
+from agatetack.record_log.messages import (
     PAGE_BYTES,
     AppendReply,
     ErrorReply,
--- a/agatetack/testing/platform_worlds.py
+++ b/agatetack/testing/platform_worlds.py
@@ -7,11 +7,11 @@
 
 import trio
 
+from agatetack.hosts.host_list import HostList
+from agatetack.hosts.http_host_list import HttpHostList
 from agatetack.ids import StreamId
-from agatetack.platform.host_list import HostList
-from agatetack.platform.http_host_list import HttpHostList
-from agatetack.platform.http_log import HttpLog
-from agatetack.platform.log import Log
+from agatetack.record_log.http_log import HttpLog
+from agatetack.record_log.log import Log
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Settings
 from agatetack.testing.memory_host_list import MemoryHostList
--- a/agatetack/testing/replay.py
+++ b/agatetack/testing/replay.py
@@ -12,8 +12,8 @@
 from returns.result import Success
 
 from agatetack.config.change import RouteChange
+from agatetack.hosts.host_list import HostState
 from agatetack.ids import Deadline, RouteId
-from agatetack.platform.host_list import HostState
 from agatetack.testing.memory_log import LogFaults
 from agatetack.testing.replay_fleet import (
     LOOPBACK,
--- a/agatetack/testing/replay_fleet.py
+++ b/agatetack/testing/replay_fleet.py
@@ -7,6 +7,7 @@
 from agatetack.config.change import NO_VERSION, RouteChange
 from agatetack.config.route import Route
 from agatetack.gateway import Gateway
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import (
     ChangeId,
     Deadline,
@@ -16,7 +17,6 @@
     ServiceId,
     TeamId,
 )
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings, merge_layers
 from agatetack.settings.model import Settings
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
--- a/agatetack/testing/stand_ins.py
+++ b/agatetack/testing/stand_ins.py
@@ -11,8 +11,8 @@
 import pydantic
 import trio
 
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import FailureDomain, HostId, IdempotencyKey, ServiceId
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
 from agatetack.testing.memory_host_list import MemoryHostList
--- a/agatetack/testing/targets.py
+++ b/agatetack/testing/targets.py
@@ -3,6 +3,7 @@
 import trio
 
 from agatetack.config.route import RequestClass, Route
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import (
     CallerId,
     Deadline,
@@ -14,7 +15,6 @@
     TeamId,
 )
 from agatetack.messages import BytesBody, CallerRequest
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 
 SERVICE = ServiceId("profiles")
 
--- a/bench/capacity/tasks.py
+++ b/bench/capacity/tasks.py
@@ -14,9 +14,9 @@
 from agatetack.collector import tune_collector
 from agatetack.daemon import serve_host
 from agatetack.gateway import Gateway
+from agatetack.hosts.http_host_list import HttpHostList
 from agatetack.logs import set_up_logs
-from agatetack.platform.http_host_list import HttpHostList
-from agatetack.platform.http_log import HttpLog
+from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Settings
 from agatetack.testing.processes import Fleet, running_fleet
@@ -29,6 +29,9 @@
 SECONDS = 20.0
 PARTS = ("measure", "peers", "config", "deferred", "claims", "platform")
 
+PART_OF_PACKAGE = {"hosts": "platform", "record_log": "platform"}
+"""Packages whose steps are added up under one name."""
+
 
 class StepTimer(trio.abc.Instrument):
     """Adds up the time of tasks' steps by the package they belong to.
@@ -59,7 +62,7 @@
     """Return the package within agatetack that a task runs."""
     names = task.name.split(".")
     if names[0] == "agatetack":
-        return names[1]
+        return PART_OF_PACKAGE.get(names[1], names[1])
     # The library names the tasks of accepted connections after itself; the
     # only listener of it that has connections here is the peers'.
     return "peers" if "serve_listeners" in task.name else ""
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -41,7 +41,7 @@
 )
 from agatetack.messages import BytesBody, CallerRequest, Header
 from agatetack.metrics import Metrics
-from agatetack.platform.log import LogPage, LogRecord, LogTooFast
+from agatetack.record_log.log import LogPage, LogRecord, LogTooFast
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_exchange import MemoryExchange, MemoryMesh
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
--- a/bench/deferred_slopes.py
+++ b/bench/deferred_slopes.py
@@ -29,7 +29,7 @@
 from agatetack.messages import Header
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import NoExchange
-from agatetack.platform.log import LogRecord
+from agatetack.record_log.log import LogRecord
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.deferred_fleet import (
     ROUTE,
--- a/bench/platform_calls.py
+++ b/bench/platform_calls.py
@@ -17,6 +17,10 @@
 import orjson
 import trio
 
+from agatetack.hosts.directory import HostDirectory
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
+from agatetack.hosts.http_host_list import HttpHostList
+from agatetack.http_call import PlatformReply, PlatformRequest
 from agatetack.ids import (
     Deadline,
     FailureDomain,
@@ -26,12 +30,8 @@
     StreamId,
 )
 from agatetack.metrics import Metrics
-from agatetack.platform.directory import HostDirectory
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
-from agatetack.platform.http_call import PlatformReply, PlatformRequest
-from agatetack.platform.http_host_list import HttpHostList
-from agatetack.platform.http_log import HttpLog, read_page_reply
-from agatetack.platform.messages import PageReply, RecordBody
+from agatetack.record_log.http_log import HttpLog, read_page_reply
+from agatetack.record_log.messages import PageReply, RecordBody
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Settings
 from agatetack.testing.fake_target import FakeTarget
--- a/bench/policy/fleet.py
+++ b/bench/policy/fleet.py
@@ -9,6 +9,7 @@
 
 from agatetack.admission.service import ServiceAdmission
 from agatetack.balance.policies import make_policy
+from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import (
     Deadline,
     FailureDomain,
@@ -29,7 +30,6 @@
     PeerUnreachable,
     Topic,
 )
-from agatetack.platform.host_list import HostRole, HostState, ListedHost
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Settings
 from agatetack.targets.client import (
