Let routes split, time out and bound attempts; check whose answer came

Cause: the users' platform needs, and any other may use: a route's timeout, bound of attempts, target latency, priority and weighted split; targets named by instance, echoed request ids and signatures checked; refusals whose status is true where statuses promise; fractions in Retry-After; connections read while requests are served, so that a caller that leaves cancels its work. All of it is off by default. A reset no longer ends an answer without a length. Ruled out: changing the status of refusals for all callers, which an existing test forbids.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -84,13 +84,16 @@
         """
         try:
             with self.scope:
-                await self._answer_all()
+                await self._serve_requests()
                 await self._linger()
         finally:
             with trio.move_on_after(1) as scope:
                 scope.shield = True
                 await self.stream.aclose()
 
+    async def _serve_requests(self) -> None:
+        await self._answer_all()
+
     def close_politely(self) -> None:
         """End the connection now if idle, else after the request at hand.
 
@@ -203,19 +206,21 @@
                 while await transport.receive_some(RECEIVE_BYTES):
                     pass
 
-    async def _answer_one(self, parsed: ParsedRequest) -> bool:
-        """Answer one request, and return whether to go on."""
-        self.answered = False
+    async def _answer_one(
+        self, parsed: ParsedRequest, turn: trio.Event | None = None
+    ) -> bool:
+        """Answer one request, and return whether to go on.
+
+        Args:
+            parsed: The request.
+            turn: Set once its answer may be written; None if it may now.
+        """
         try:
-            if parsed.head is None:
-                await self._refuse_unparsed(parsed)
-                return False
-            request = await self._build(parsed)
-            if isinstance(request, Refusal):
-                return await self._refuse(parsed, request)
-            return await self._serve_request(parsed, request)
-        except TooLarge as error:
-            return await self._refuse(parsed, error.refusal())
+            answer = await self._make_answer(parsed)
+            if turn is not None:
+                await _wait_turn(turn, answer)
+            self.answered = False
+            return await self._write(parsed, answer)
         except AnswerCut:
             # The reset tells the caller that its answer is not whole.
             abort(self.stream)
@@ -225,6 +230,22 @@
             abort(self.stream)
             return False
 
+    async def _make_answer(self, parsed: ParsedRequest) -> Answer:
+        """Return the handler's answer, or the refusal of a request."""
+        if parsed.head is None:
+            return self._refuse(parsed.refusal)
+        try:
+            request = await self._build(parsed)
+            if isinstance(request, Refusal):
+                return self._refuse(request)
+            return await self.handler.handle(request)
+        except TooLarge as error:
+            return self._refuse(error.refusal())
+
+    def _refuse(self, refusal: Refusal) -> Answer:
+        self.metrics.refused(None, refusal.reason)
+        return refusal_answer(refusal, UNPARSED_ID, self.settings)
+
     async def _build(self, parsed: ParsedRequest) -> CallerRequest | Refusal:
         head = parsed.head
         addressing = read_addressing(head, self.settings, self.peer_ip)
@@ -287,31 +308,13 @@
             )
         return BoundedBody(body, self.settings.max_body_bytes)
 
-    async def _serve_request(
-        self, parsed: ParsedRequest, request: CallerRequest
-    ) -> bool:
-        answer = await self.handler.handle(request)
-        return await self._write(parsed, answer)
-
-    async def _refuse(self, parsed: ParsedRequest, refusal: Refusal) -> bool:
-        self.metrics.refused(None, refusal.reason)
-        names = self.settings.headers
-        answer = refusal_answer(refusal, UNPARSED_ID, names)
-        return await self._write(parsed, answer)
-
     async def _write(self, parsed: ParsedRequest, answer: Answer) -> bool:
         head = parsed.head
-        # A body that was not read to its end leaves its rest on the
-        # connection, where it would be taken for the next request.
-        close = (
-            self.closing
-            or not head.keep_alive
-            or self.parser.broken
-            or not parsed.body.complete
-        )
+        method = b"GET" if head is None else head.method
+        version = "1.1" if head is None else head.version
         try:
             keep = await self.writer.write(
-                answer, head.method, head.version, close
+                answer, method, version, self._closes(parsed)
             )
             self.answered = True
             return keep
@@ -322,13 +325,32 @@
             with trio.CancelScope(shield=True):
                 await answer.aclose()
 
-    async def _refuse_unparsed(self, parsed: ParsedRequest) -> None:
-        refusal = parsed.refusal
-        self.metrics.refused(None, refusal.reason)
-        names = self.settings.headers
-        answer = refusal_answer(refusal, UNPARSED_ID, names)
-        await self.writer.write(answer, b"GET", "1.1", close=True)
-        self.answered = True
+    def _closes(self, parsed: ParsedRequest) -> bool:
+        """Return whether the connection ends with the answer to `parsed`."""
+        if parsed.head is None:
+            return True
+        # A body that was not read to its end leaves its rest on the
+        # connection, where it would be taken for the next request.
+        return (
+            (self.closing and self._may_close())
+            or not parsed.head.keep_alive
+            or self.parser.broken
+            or not parsed.body.complete
+        )
+
+    def _may_close(self) -> bool:
+        """Return whether a drain may end the connection with this answer."""
+        return True
+
+
+async def _wait_turn(turn: trio.Event, answer: Answer) -> None:
+    """Wait for `turn`; an answer that is given up meanwhile is freed."""
+    try:
+        await turn.wait()
+    except BaseException:
+        with trio.CancelScope(shield=True):
+            await answer.aclose()
+        raise
 
 
 async def watch(connections: Collection[CallerConnection]) -> None:
--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -33,6 +33,11 @@
         self.complete = False
         self.lost = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes were received and not taken."""
+        return sum(map(len, self.parts))
+
     def feed(self, data: bytes) -> None:
         """Add bytes that were received."""
         self.parts.append(data)
--- a/agatetack/callers/problem.py
+++ b/agatetack/callers/problem.py
@@ -7,25 +7,36 @@
 
 from agatetack.ids import RequestId
 from agatetack.messages import Answer, BytesBody, Header
-from agatetack.outcomes import Refusal
-from agatetack.settings.model import CallerHeaders
+from agatetack.outcomes import Refusal, promised_status
+from agatetack.settings.model import CallersSettings
 
 PROBLEM_TYPE = b"application/problem+json"
 
 
+def refusal_status(refusal: Refusal, settings: CallersSettings) -> int:
+    """Return the HTTP status of a refusal, as the settings may change it."""
+    own = settings.refusal_statuses.get(refusal.reason.value)
+    status = refusal.status if own is None else own
+    if settings.statuses_promise:
+        return promised_status(status, refusal.outcome)
+    return status
+
+
 def refusal_answer(
-    refusal: Refusal, request_id: RequestId, names: CallerHeaders
+    refusal: Refusal, request_id: RequestId, settings: CallersSettings
 ) -> Answer:
     """Return the answer that tells a caller why and what became of it.
 
     Args:
         refusal: Why the request is not answered by a target.
         request_id: The request's id, so that operators can find it.
-        names: Names of the headers that carry outcome and reason.
+        settings: Names of headers, and statuses that differ.
     """
+    names = settings.headers
+    status = refusal_status(refusal, settings)
     problem = {
         "title": refusal.reason.value,
-        "status": refusal.status,
+        "status": status,
         "detail": refusal.detail,
         "outcome": refusal.outcome.value,
         "request_id": request_id,
@@ -38,5 +49,12 @@
     ]
     if refusal.retry_at is not None:
         left = max(0.0, refusal.retry_at - trio.current_time())
-        headers.append(Header(b"retry-after", b"%d" % math.ceil(left)))
-    return Answer(refusal.status, headers, BytesBody(orjson.dumps(problem)))
+        text = _seconds_text(left, settings.retry_after_decimals)
+        headers.append(Header(b"retry-after", text))
+    return Answer(status, headers, BytesBody(orjson.dumps(problem)))
+
+
+def _seconds_text(seconds: float, decimals: int) -> bytes:
+    """Return `seconds`, rounded up so that nobody comes back too early."""
+    unit = 10**decimals
+    return b"%.*f" % (decimals, math.ceil(seconds * unit) / unit)
--- /dev/null
+++ b/agatetack/callers/read_ahead.py
@@ -0,0 +1,148 @@
+"""Serve a connection while it is read, for pipelines and callers that leave.
+
+A connection that is read only between requests notices neither that its
+caller has gone nor that more requests came, until the answer is written.
+"""
+
+import trio
+
+from agatetack.callers.connection import CallerConnection
+from agatetack.callers.parser import ParsedRequest
+from agatetack.ids import Deadline
+from agatetack.messages import CallerGone
+from agatetack.outcomes import RefusalReason
+
+SAFE_METHODS = frozenset({b"GET", b"HEAD"})
+"""Methods whose requests may be begun before earlier ones are answered
+(RFC 9112, 9.3.2)."""
+
+MOST_READ_REQUESTS = 64
+"""Requests read and not begun; then TCP holds the caller back."""
+
+MOST_READ_BYTES = 256 * 1024
+"""Bytes of a body read and not yet passed on; likewise."""
+
+
+class ReadAheadConnection(CallerConnection):
+    """A connection that one task reads while others answer its requests.
+
+    Attributes:
+        under_way: Requests begun and not yet answered whole.
+        progress: Set, and replaced, when bytes or the end came.
+        wanted: Set when there is room for more bytes.
+        answered_one: Set, and replaced, when a request was answered.
+        lost: Whether the connection is lost.
+    """
+
+    def __init__(self, *args, **kwargs):
+        """Take what `CallerConnection` takes."""
+        super().__init__(*args, **kwargs)
+        self.under_way = 0
+        self.progress = trio.Event()
+        self.wanted = trio.Event()
+        self.answered_one = trio.Event()
+        self.lost = False
+
+    async def _serve_requests(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_ahead)
+            await self._answer_all()
+            nursery.cancel_scope.cancel()
+
+    async def _read_ahead(self) -> None:
+        while not (self.ended or self.lost or self.parser.broken):
+            if self._is_full():
+                self.wanted = trio.Event()
+                await self.wanted.wait()
+            try:
+                await super()._read_more()
+            except CallerGone:
+                self.lost = True
+            self.progress.set()
+            self.progress = trio.Event()
+        left = self.lost or (self.ended and self.settings.end_means_gone)
+        if left and self.busy:
+            self.metrics.refused(None, RefusalReason.CALLER_GONE)
+            self.cut()
+
+    def _is_full(self) -> bool:
+        if len(self.parser.ready) >= MOST_READ_REQUESTS:
+            return True
+        body = self.parser.body
+        return body is not None and body.held_bytes >= MOST_READ_BYTES
+
+    async def _read_more(self) -> None:
+        """Wait until the reading task has brought something.
+
+        Raises:
+            CallerGone: The connection is lost.
+        """
+        if not (self.lost or self.ended):
+            progress = self.progress
+            self.wanted.set()
+            await progress.wait()
+        if self.lost:
+            raise CallerGone
+
+    async def _answer_all(self) -> None:
+        before = trio.Event()
+        before.set()
+        async with trio.open_nursery() as nursery:
+            while (parsed := await self._next()) is not None:
+                self.busy = True
+                self.under_way += 1
+                await self._wait_for_room(parsed, before)
+                done = trio.Event()
+                nursery.start_soon(
+                    self._answer_in_turn,
+                    parsed,
+                    before,
+                    done,
+                    nursery.cancel_scope,
+                )
+                before = done
+
+    async def _wait_for_room(
+        self, parsed: ParsedRequest, before: trio.Event
+    ) -> None:
+        """Wait until `parsed` may be begun beside the earlier requests."""
+        if not _is_plain(parsed):
+            await before.wait()
+        while self.under_way > self.settings.pipeline_depth:
+            await self.answered_one.wait()
+
+    async def _answer_in_turn(
+        self,
+        parsed: ParsedRequest,
+        before: trio.Event,
+        done: trio.Event,
+        rest: trio.CancelScope,
+    ) -> None:
+        """Answer a request after the earlier ones of the connection.
+
+        What came behind an answer that ends the connection is given up.
+        """
+        keep = await self._answer_one(parsed, before)
+        self.under_way -= 1
+        if not self.under_way:
+            self.busy = False
+            self.idle_since = Deadline(trio.current_time())
+        done.set()
+        self.answered_one.set()
+        self.answered_one = trio.Event()
+        if not keep:
+            rest.cancel()
+
+    def _may_close(self) -> bool:
+        """Return whether nothing came behind the request being answered."""
+        return self.under_way <= 1 and not self.parser.ready
+
+
+def _is_plain(parsed: ParsedRequest) -> bool:
+    """Return whether a request has a safe method and no body to come."""
+    head = parsed.head
+    return (
+        head is not None
+        and head.method in SAFE_METHODS
+        and parsed.body.complete
+    )
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -5,6 +5,7 @@
 import trio
 
 from agatetack.callers.connection import CallerConnection, watch
+from agatetack.callers.read_ahead import ReadAheadConnection
 from agatetack.logs import PartLog
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
@@ -45,6 +46,9 @@
         self.handler = handler
         self.metrics = metrics
         self.tls = tls
+        limits = settings.callers
+        ahead = limits.pipeline_depth > 1 or limits.end_means_gone
+        self.kind = ReadAheadConnection if ahead else CallerConnection
         self.connections: set[CallerConnection] = set()
         self.closing = False
         self.ended = trio.Event()
@@ -111,7 +115,7 @@
         except OSError:
             stream.close()
             return
-        connection = CallerConnection(
+        connection = self.kind(
             self._wrap(stream),
             peer_ip,
             self.settings.callers,
--- a/agatetack/config/records.py
+++ b/agatetack/config/records.py
@@ -1,6 +1,7 @@
 """Encode changes as records of the configuration stream, and back."""
 
 import dataclasses
+from collections.abc import Sequence
 from typing import TypeVar
 
 import xxhash
@@ -8,7 +9,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from agatetack.config.change import RouteChange
-from agatetack.config.route import RequestClass, Route
+from agatetack.config.route import RequestClass, Route, SplitPart
 from agatetack.generated.common import ttypes as common
 from agatetack.generated.config import ttypes as wire
 from agatetack.ids import (
@@ -160,9 +161,29 @@
         max_body_bytes=route.max_body_bytes,
         requests_per_second=float(route.requests_per_second),
         max_queue=route.max_queue,
+        **_added_fields(route),
     )
 
 
+def _added_fields(route: Route) -> dict[str, object]:
+    """Return the fields that older releases do not know, where they are set.
+
+    A record without them is the same, byte for byte, in every release.
+    """
+    split = [
+        common.SplitPart(part.service, float(part.weight))
+        for part in route.split
+    ]
+    fields = {
+        "timeout_seconds": float(route.timeout_seconds),
+        "max_attempts": route.max_attempts,
+        "target_latency_seconds": float(route.target_latency_seconds),
+        "priority": route.priority,
+        "split": split,
+    }
+    return {name: value for name, value in fields.items() if value}
+
+
 def route_from_wire(record: common.Route, version: LogOffset) -> Route:
     """Return the route in a record.
 
@@ -178,6 +199,11 @@
         "max_body_bytes": record.max_body_bytes,
         "requests_per_second": record.requests_per_second,
         "max_queue": record.max_queue,
+        "timeout_seconds": record.timeout_seconds,
+        "max_attempts": record.max_attempts,
+        "target_latency_seconds": record.target_latency_seconds,
+        "priority": record.priority,
+        "split": _split_from_wire(record.split),
     }
     return Route(
         id=RouteId(record.id),
@@ -190,6 +216,16 @@
     )
 
 
+def _split_from_wire(
+    parts: Sequence[common.SplitPart] | None,
+) -> tuple[SplitPart, ...] | None:
+    if parts is None:
+        return None
+    return tuple(
+        SplitPart(ServiceId(part.service_name), part.weight) for part in parts
+    )
+
+
 def wall_to_ms(wall: WallTime) -> int:
     """Return whole milliseconds since 1970."""
     return int(wall * 1000)
--- a/agatetack/config/route.py
+++ b/agatetack/config/route.py
@@ -16,6 +16,19 @@
     DEFERRED = "deferred"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SplitPart:
+    """One service that gets a share of a route's requests.
+
+    Attributes:
+        service: Whose targets run them.
+        weight: Its share, as a part of the sum of all weights.
+    """
+
+    service: ServiceId
+    weight: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """One accepted route.
@@ -32,6 +45,13 @@
         requests_per_second: Limit of the whole fleet, or 0 for none.
         max_queue: Requests waiting in one process, or 0 for the setting.
         version: The log offset of its record; no host ever takes a lower.
+        timeout_seconds: Longest time to keep a caller waiting, or 0 for none
+            but the deadline.
+        max_attempts: Targets that one request may be sent to, or 0 for the
+            setting.
+        target_latency_seconds: Time within which answers are wanted, or 0.
+        priority: Its rank among the routes of a service; 0 goes first.
+        split: The services that share its requests; empty for `service`.
     """
 
     id: RouteId
@@ -45,6 +65,11 @@
     requests_per_second: float = 0.0
     max_queue: int = 0
     version: LogOffset = LogOffset(-1)
+    timeout_seconds: float = 0.0
+    max_attempts: int = 0
+    target_latency_seconds: float = 0.0
+    priority: int = 0
+    split: tuple[SplitPart, ...] = ()
 
 
 class RouteTable:
--- a/agatetack/config/route_file.py
+++ b/agatetack/config/route_file.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
-from agatetack.config.route import RequestClass, Route
+from agatetack.config.route import RequestClass, Route, SplitPart
 from agatetack.config.route_rules import (
     RouteField,
     RouteMatch,
@@ -59,6 +59,18 @@
     return Success(tuple(reader.routes.values()))
 
 
+def _read_split(value: object) -> object:
+    """Return the parts of a split, or what stands there if it is none."""
+    if not isinstance(value, list):
+        return value
+    parts = []
+    for entry in value:
+        if not isinstance(entry, dict) or set(entry) != {"service", "weight"}:
+            return value
+        parts.append(SplitPart(entry["service"], entry["weight"]))
+    return tuple(parts)
+
+
 class _RouteReader:
     """Turns the file's entries into routes.
 
@@ -107,6 +119,8 @@
             values["request_class"] = RequestClass(name)
         except ValueError:
             values["request_class"] = name
+        if "split" in values:
+            values["split"] = _read_split(values["split"])
         return Route(**values)
 
     def _check_rules(self, index: int, entry: dict, route: Route) -> None:
--- a/agatetack/config/route_rules.py
+++ b/agatetack/config/route_rules.py
@@ -11,10 +11,10 @@
 import dataclasses
 import enum
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from agatetack.config.route import RequestClass, Route
+from agatetack.config.route import RequestClass, Route, SplitPart
 from agatetack.ids import RouteId
 
 MAX_NAME_LENGTH = 100
@@ -31,6 +31,10 @@
 MAX_BODY_BYTES = 2**40
 MAX_REQUESTS_PER_SECOND = 1e9
 MAX_QUEUE = 1_000_000
+MAX_ATTEMPTS = 100
+MAX_PRIORITY = 1000
+MAX_SPLIT_PARTS = 100
+MAX_WEIGHT = 1e6
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
 HOST = re.compile(r"[a-z0-9_]([a-z0-9_.-]*[a-z0-9_])?|\[[0-9a-f:.]+\]")
@@ -51,6 +55,11 @@
     MAX_BODY_BYTES = "max_body_bytes"
     REQUESTS_PER_SECOND = "requests_per_second"
     MAX_QUEUE = "max_queue"
+    TIMEOUT_SECONDS = "timeout_seconds"
+    MAX_ATTEMPTS = "max_attempts"
+    TARGET_LATENCY_SECONDS = "target_latency_seconds"
+    PRIORITY = "priority"
+    SPLIT = "split"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,6 +205,43 @@
         MAX_REQUESTS_PER_SECOND,
     )
     yield from _check_whole(RouteField.MAX_QUEUE, route.max_queue, MAX_QUEUE)
+    for field, seconds in (
+        (RouteField.TIMEOUT_SECONDS, route.timeout_seconds),
+        (RouteField.TARGET_LATENCY_SECONDS, route.target_latency_seconds),
+    ):
+        yield from _check_number(field, seconds, 0.0, MAX_DEADLINE_SECONDS)
+    yield from _check_whole(
+        RouteField.MAX_ATTEMPTS, route.max_attempts, MAX_ATTEMPTS
+    )
+    yield from _check_whole(RouteField.PRIORITY, route.priority, MAX_PRIORITY)
+    yield from _check_split(route.split)
+
+
+def _check_split(split: Sequence[SplitPart]) -> Iterable[RouteFinding]:
+    if not isinstance(split, tuple) or not all(
+        isinstance(part, SplitPart) for part in split
+    ):
+        yield RouteFinding(RouteField.SPLIT, "must be a list of parts")
+        return
+    if len(split) > MAX_SPLIT_PARTS:
+        yield RouteFinding(
+            RouteField.SPLIT, f"must have at most {MAX_SPLIT_PARTS} parts"
+        )
+    for part in split:
+        if not isinstance(part.service, str) or not NAME.fullmatch(
+            part.service
+        ):
+            yield RouteFinding(RouteField.SPLIT, "names no service")
+        yield from _check_number(
+            RouteField.SPLIT, part.weight, 0.0, MAX_WEIGHT
+        )
+    if split and not any(_is_positive(part.weight) for part in split):
+        yield RouteFinding(RouteField.SPLIT, "needs a weight above 0")
+
+
+def _is_positive(weight: object) -> bool:
+    number = isinstance(weight, int | float) and not isinstance(weight, bool)
+    return number and weight > 0
 
 
 def _check_number(
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -1,23 +1,28 @@
 """Ask a target's load endpoint over HTTP."""
 
 import dataclasses
+from collections.abc import Mapping
 
 import httptools
 import orjson
 import trio
 from returns.result import Failure, Result, Success
 
-from agatetack.ids import Deadline, TargetId
+from agatetack.ids import Deadline, ServiceId, TargetId
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
-from agatetack.settings.model import Settings, TargetHeaders
-from agatetack.targets.registry import ReportedState
+from agatetack.settings.model import Settings
+from agatetack.targets.load import (
+    STATES,
+    HeaderLoadReader,
+    LoadReader,
+    ReadLoad,
+    ReportedState,
+)
 from agatetack.targets.state import TargetState
 
 MAX_IDLE = 64
 """Most idle connections kept for later probes."""
 
-STATES = {state.value: state for state in ReportedState}
-
 
 class Malformed(Exception):
     """A load endpoint's answer holds no usable report."""
@@ -53,9 +58,24 @@
 class HttpProbe(ProbeClient):
     """GET the load path; the report stands in headers or a JSON body."""
 
-    def __init__(self, settings: Settings):
-        """Keep the path and the names of the headers."""
+    def __init__(
+        self,
+        settings: Settings,
+        load_reader: LoadReader | None = None,
+        load_paths: Mapping[ServiceId, str] | None = None,
+    ):
+        """Keep the path and the names of the headers.
+
+        Args:
+            settings: The host's settings.
+            load_reader: Reads load reports; by the headers of the settings
+                if None.
+            load_paths: Load paths of services that have one of their own.
+        """
         self.settings = settings
+        self.load_reader = load_reader or HeaderLoadReader(settings)
+        self.load_paths = {} if load_paths is None else load_paths
+        self.instance_name = settings.targets.headers.instance
         self.idle: dict[TargetId, trio.SocketStream] = {}
 
     async def probe(
@@ -91,7 +111,8 @@
     async def _ask(
         self, stream: trio.SocketStream, target: TargetState, max_bytes: int
     ) -> ProbeAnswer:
-        path = self.settings.targets.load_path
+        own_path = self.settings.targets.load_path
+        path = self.load_paths.get(target.service, own_path)
         request = (
             f"GET {path} HTTP/1.1\r\nhost: {target.ip}:{target.port}\r\n\r\n"
         ).encode()
@@ -109,7 +130,11 @@
             parser.feed_data(data)
         if parser.get_status_code() >= 500 and not report.headers:
             raise Malformed
-        return read_report(report, self.settings.targets.headers, used)
+        answer = read_report(report, self.load_reader, used)
+        if self.instance_name in report.headers:
+            instance = TargetId(report.headers[self.instance_name])
+            answer = dataclasses.replace(answer, instance=instance)
+        return answer
 
     def _keep(self, target: TargetId, stream: trio.SocketStream) -> None:
         if target in self.idle or len(self.idle) >= MAX_IDLE:
@@ -119,29 +144,36 @@
 
 
 def read_report(
-    report: ReportParser, names: TargetHeaders, used_bytes: int
+    report: ReportParser, reader: LoadReader, used_bytes: int
 ) -> ProbeAnswer:
     """Return the report that headers, or else a JSON body, hold.
 
     Raises:
         Malformed: Neither holds one.
     """
-    fields: dict[str, object] = {}
-    if report.body[:1] == b"{":
-        try:
-            fields = orjson.loads(report.body)
-        except orjson.JSONDecodeError:
-            raise Malformed from None
-    headers = report.headers
-    in_flight = headers.get(names.in_flight, fields.get("in_flight"))
-    slots = headers.get(names.slots, fields.get("slots"))
-    state = headers.get(names.state, fields.get("state", "ready"))
+    load = reader.read(
+        {name.encode(): text.encode() for name, text in report.headers.items()}
+    )
+    if load.in_flight is None:
+        load = _read_body(report.body, load.slots)
+    return ProbeAnswer(
+        in_flight=load.in_flight,
+        slots=None if load.slots is None else max(1, load.slots),
+        state=load.state or ReportedState.READY,
+        used_bytes=used_bytes,
+        slowness=load.slowness,
+    )
+
+
+def _read_body(body: bytes, slots: int | None) -> ReadLoad:
+    """Return the report in a JSON body; `slots` is what a header said."""
     try:
-        return ProbeAnswer(
-            in_flight=max(0, int(in_flight)),
-            slots=None if slots is None else max(1, int(slots)),
-            state=STATES.get(state, ReportedState.READY),
-            used_bytes=used_bytes,
+        fields = orjson.loads(body) if body[:1] == b"{" else {}
+        own_slots = fields.get("slots")
+        return ReadLoad(
+            in_flight=max(0, int(fields.get("in_flight"))),
+            slots=slots if own_slots is None else int(own_slots),
+            state=STATES.get(str(fields.get("state")).encode()),
         )
     except (TypeError, ValueError):
         raise Malformed from None
--- a/agatetack/measure/probe.py
+++ b/agatetack/measure/probe.py
@@ -6,8 +6,8 @@
 
 from returns.result import Result
 
-from agatetack.ids import Deadline
-from agatetack.targets.registry import ReportedState
+from agatetack.ids import Deadline, TargetId
+from agatetack.targets.load import USUAL_SLOWNESS, ReportedState
 from agatetack.targets.state import TargetState
 
 
@@ -29,12 +29,16 @@
         slots: Requests that run at the same time, or None if not said.
         state: What it says of its state.
         used_bytes: Bytes sent and received for it.
+        slowness: How many times longer than usual work takes there now.
+        instance: Which instance answered, if it says so.
     """
 
     in_flight: int
     slots: int | None
     state: ReportedState
     used_bytes: int
+    slowness: float = USUAL_SLOWNESS
+    instance: TargetId | None = None
 
 
 class ProbeClient(abc.ABC):
--- a/agatetack/outcomes.py
+++ b/agatetack/outcomes.py
@@ -143,6 +143,19 @@
         return REASON_RULES[self.reason].status
 
 
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that callers take as a promise that the request did not run."""
+
+UNPROMISING_STATUS = 502
+
+
+def promised_status(status: int, outcome: Outcome) -> int:
+    """Return `status`, or one without its promise where it would be untrue."""
+    if outcome is Outcome.NOT_RUN or status not in PROMISING_STATUSES:
+        return status
+    return UNPROMISING_STATUS
+
+
 def refuse(
     reason: RefusalReason, detail: str, retry_at: Deadline | None = None
 ) -> Refusal:
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result
 
 from agatetack.callers.bounded import BoundedBody, TooLarge, too_large
-from agatetack.callers.problem import refusal_answer
+from agatetack.callers.problem import refusal_answer, refusal_status
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.deferred.queue import TicketRefusal
 from agatetack.ids import Deadline
@@ -164,12 +164,14 @@
     def _refuse(
         self, route: Route | None, request: CallerRequest, refusal: Refusal
     ) -> Answer:
-        if refusal.status in COME_BACK_STATUSES and refusal.retry_at is None:
+        status = refusal_status(refusal, self.settings.callers)
+        if status in COME_BACK_STATUSES and refusal.retry_at is None:
             refusal = dataclasses.replace(refusal, retry_at=self._soon())
         route_id = None if route is None else route.id
         self.metrics.refused(route_id, refusal.reason)
-        self.explanations.note(request, route, refusal.status, refusal)
-        answer = refusal_answer(refusal, request.request_id, self.names)
+        self.explanations.note(request, route, status, refusal)
+        callers = self.settings.callers
+        answer = refusal_answer(refusal, request.request_id, callers)
         if isinstance(refusal, TicketRefusal):
             name = self.names.ticket.encode()
             answer.headers.append(Header(name, refusal.ticket.encode()))
--- a/agatetack/serving/runners.py
+++ b/agatetack/serving/runners.py
@@ -108,5 +108,5 @@
         if isinstance(result, Success):
             return result.unwrap()
         return refusal_answer(
-            result.failure(), request.request_id, self.settings.callers.headers
+            result.failure(), request.request_id, self.settings.callers
         )
--- a/agatetack/serving/tickets.py
+++ b/agatetack/serving/tickets.py
@@ -70,5 +70,5 @@
 
     def _refuse(self, request: CallerRequest, refusal: Refusal) -> Answer:
         self.metrics.refused(None, refusal.reason)
-        names = self.settings.callers.headers
-        return refusal_answer(refusal, request.request_id, names)
+        callers = self.settings.callers
+        return refusal_answer(refusal, request.request_id, callers)
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -43,6 +43,9 @@
     ticket: HeaderName
 
 
+RefusalStatus = Annotated[int, pydantic.Field(ge=400, le=599)]
+
+
 class CallersSettings(Section):
     """How callers are served."""
 
@@ -59,6 +62,11 @@
     write_timeout_seconds: Seconds
     default_deadline_seconds: Seconds
     max_deadline_seconds: Seconds
+    end_means_gone: bool
+    pipeline_depth: Count
+    refusal_statuses: dict[str, RefusalStatus]
+    statuses_promise: bool
+    retry_after_decimals: Annotated[int, pydantic.Field(ge=0, le=3)]
 
 
 class TargetHeaders(Section):
@@ -69,13 +77,18 @@
     state: HeaderName
     outcome: HeaderName
     deadline_ms: HeaderName
-    attempt: HeaderName
+    attempt: HeaderName | None
+    request_id: HeaderName | None
+    instance: HeaderName | None
+    signature: HeaderName | None
+    load: HeaderName | None
 
 
 class TargetsSettings(Section):
     """How targets are called."""
 
     headers: TargetHeaders
+    not_run_value: str | None
     load_path: str
     slots: Count
     max_connections: Count
@@ -108,11 +121,26 @@
     shrink_hold_seconds: Seconds
 
 
+class StoreSettings(Section):
+    """The platform's metadata store, in place of log and list of hosts."""
+
+    endpoint: Endpoint | None
+    timeout_seconds: Seconds
+    poll_seconds: Annotated[Seconds, pydantic.Field(le=30)]
+    batch_seconds: Annotated[float, pydantic.Field(ge=0, le=1)]
+    retry_seconds: Seconds
+    silent_seconds: Annotated[int, pydantic.Field(ge=1, le=30)]
+    doubt_seconds: Annotated[float, pydantic.Field(ge=0)]
+    member_topic: Name
+    bounds: tuple[str, ...]
+
+
 class PlatformSettings(Section):
     """The platform's services."""
 
     log: LogSettings
     host_list: HostListSettings
+    store: StoreSettings
 
 
 class OperatorRole(enum.Enum):
@@ -190,6 +218,7 @@
     probe_timeout_seconds: Seconds
     probe_reuses: Count
     report_half_life_seconds: Seconds
+    target_probes_per_second: Annotated[float, pydantic.Field(ge=0)]
 
 
 class PolicyName(enum.Enum):
@@ -200,6 +229,7 @@
     LEAST_IN_FLIGHT = "least-in-flight"
     POWER_OF_TWO = "power-of-two"
     EXPECTED_WAIT = "expected-wait"
+    FLEET_VIEW = "fleet-view"
 
 
 class BalanceSettings(Section):
@@ -233,7 +263,11 @@
     hedge_burst: Count
     hedge_quantile: Ratio
     hedge_min_seconds: Seconds
+    hedge_latency_share: Ratio
     max_attempts: Count
+    fleet_ratio: Ratio
+    fleet_slack: Annotated[float, pydantic.Field(ge=0)]
+    fleet_window_seconds: Seconds
 
 
 class ClaimsSettings(Section):
@@ -291,6 +325,15 @@
     warm_up_seconds: Seconds
 
 
+class StatusSettings(Section):
+    """Addresses on which a host says whether it is ready, and its counters."""
+
+    ready_listen: Endpoint | None
+    ready_path: str
+    metrics_listen: Endpoint | None
+    metrics_path: str
+
+
 class LogLevel(enum.Enum):
     """The least level of the lines that are written."""
 
@@ -300,10 +343,19 @@
     ERROR = "error"
 
 
+class LogOutput(enum.Enum):
+    """Where log lines go."""
+
+    STANDARD_OUTPUT = "standard-output"
+    STANDARD_ERROR = "standard-error"
+
+
 class LogsSettings(Section):
     """What is logged."""
 
     level: LogLevel
+    output: LogOutput
+    decisions: bool
     json_lines: bool
     max_lines_per_second: Count
 
@@ -326,4 +378,5 @@
     deferred: DeferredSettings
     quarantine: QuarantineSettings
     lifecycle: LifecycleSettings
+    status: StatusSettings
     logs: LogsSettings
--- a/agatetack/settings/section.py
+++ b/agatetack/settings/section.py
@@ -72,6 +72,17 @@
     ip: IpNumber
     port: Port
 
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def split_text(cls, value: object) -> object:
+        """Take `IP:PORT` for a map of both."""
+        if not isinstance(value, str):
+            return value
+        ip, _, port = value.rpartition(":")
+        if not ip or not port.isdecimal():
+            raise PydanticCustomError("endpoint_kind", "must be IP:PORT")
+        return {"ip": ip.strip("[]"), "port": int(port)}
+
     @property
     def host(self) -> str:
         """Return the IP number as text."""
--- a/agatetack/targets/body.py
+++ b/agatetack/targets/body.py
@@ -7,6 +7,10 @@
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool
 
+DROP_SECONDS = 0.02
+"""Longest wait for the rest of a body that nobody needs; a short one comes
+with its header."""
+
 
 class TargetBody(Body):
     """An answer's body, read from its connection as it is asked for.
@@ -94,11 +98,21 @@
         if self.settled:
             return
         self.settled = True
+        self.connection.idle_seconds = self.parser.keep_alive_seconds
         if reuse and not self.parser.stray:
             self.pool.put_back(self.connection)
         else:
             self.pool.discard(self.connection)
 
+    async def drop(self) -> None:
+        """Read the rest of a short body, so that the connection is kept."""
+        with trio.move_on_after(DROP_SECONDS):
+            while self.parser.state is AnswerState.BODY and not self.settled:
+                self.parser.parts.clear()
+                await self.connection.receive_into(self.parser)
+                self._settle_if_complete()
+        await self.aclose()
+
     async def aclose(self) -> None:
         """Close the connection unless the body was read to its end."""
         self._settle(reuse=False)
--- a/agatetack/targets/connection.py
+++ b/agatetack/targets/connection.py
@@ -28,6 +28,7 @@
         opened_at: When it was opened.
         last_byte_at: When the target last sent a byte, or the opening.
         requests: Requests sent on it so far.
+        idle_seconds: How long the target keeps it idle, as it said, or None.
         closed: Whether it was closed.
     """
 
@@ -38,6 +39,7 @@
         self.opened_at = Deadline(trio.current_time())
         self.last_byte_at = self.opened_at
         self.requests = 0
+        self.idle_seconds: int | None = None
         self.closed = False
 
     def is_quiet(self) -> bool:
@@ -63,7 +65,9 @@
         try:
             data = await self.stream.receive_some(RECEIVE_BYTES)
         except trio.BrokenResourceError:
-            data = b""
+            # A reset is no proper end of an answer without a length.
+            parser.lose()
+            return
         if data:
             self.last_byte_at = Deadline(trio.current_time())
             parser.feed(data)
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -13,6 +13,7 @@
 )
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.settings.model import Settings
+from agatetack.targets.answer_check import AnswerCheck
 from agatetack.targets.body import TargetBody
 from agatetack.targets.client import (
     Attempt,
@@ -25,12 +26,16 @@
     ConnectRefused,
     TargetConnection,
 )
+from agatetack.targets.load import (
+    HeaderLoadReader,
+    LoadReader,
+    ReportedState,
+)
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool, TargetPools
 from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 
-SHED_STATUS = 503
 FINAL_EARLY_STATUS = 300
 """An answer from this status on, before the upload's end, ends the upload."""
 
@@ -40,26 +45,41 @@
 class HttpTargetClient(TargetClient):
     """Calls targets over pooled HTTP/1.1 connections."""
 
-    def __init__(self, settings: Settings, registry: TargetRegistry):
-        """Note in `registry` what answers say of their targets."""
+    def __init__(
+        self,
+        settings: Settings,
+        registry: TargetRegistry,
+        load_reader: LoadReader | None = None,
+    ):
+        """Note in `registry` what answers say of their targets.
+
+        Args:
+            settings: The host's settings.
+            registry: The targets.
+            load_reader: Reads their load reports; by the headers of the
+                settings if None.
+        """
         self.settings = settings
         self.registry = registry
+        self.load_reader = load_reader or HeaderLoadReader(settings)
         self.pools = TargetPools(settings)
         names = settings.targets.headers
         self.deadline_name = names.deadline_ms.encode()
-        self.attempt_name = names.attempt.encode()
-        self.own_names = frozenset((self.deadline_name, self.attempt_name))
-        self.load_names = frozenset(
-            name.encode()
-            for name in (names.in_flight, names.slots, names.state)
+        self.attempt_name = _name(names.attempt)
+        self.instance_name = _name(names.instance)
+        self.own_names = frozenset(
+            (self.deadline_name, self.attempt_name, self.instance_name)
         )
+        self.check = AnswerCheck(settings)
 
     async def call(self, attempt: Attempt) -> Answer:
         """Send the request and return the answer once its header is read."""
         pool = self.pools.pool(attempt.target.id)
         connection = await self._connect(attempt, pool)
         parser = AnswerParser(
-            attempt.request.method, self.settings.targets.max_header_bytes
+            attempt.request.method,
+            self.settings.targets.max_header_bytes,
+            self.check.echo(attempt.request),
         )
         sent_at = Deadline(trio.current_time())
         try:
@@ -82,6 +102,9 @@
         if parser.state is AnswerState.BROKEN:
             pool.discard(connection)
             raise _failed(_broken_reason(parser), suspect=True)
+        if not self.check.is_sound(parser):
+            pool.discard(connection)
+            raise _failed(RefusalReason.ANSWER_MALFORMED, suspect=True)
         return await self._finish(attempt, connection, pool, parser, sent_whole)
 
     async def _connect(
@@ -165,8 +188,12 @@
             if name not in self.own_names:
                 parts.append(b"%b: %b\r\n" % (name, value))
         parts.append(b"%b: %d\r\n" % (self.deadline_name, left_ms))
-        attempt_id = attempt.id.encode()
-        parts.append(b"%b: %b\r\n" % (self.attempt_name, attempt_id))
+        for name, value in (
+            (self.attempt_name, attempt.id),
+            (self.instance_name, attempt.target.id),
+        ):
+            if name is not None:
+                parts.append(b"%b: %b\r\n" % (name, value.encode()))
         length = request.body.length
         if length is None:
             parts.append(b"transfer-encoding: chunked\r\n")
@@ -206,8 +233,14 @@
             reusable=sent_whole,
             byte_timeout_seconds=self.settings.targets.byte_timeout_seconds,
         )
-        if self._is_shed(parser):
-            await body.aclose()
+        if self.check.is_other_instance(parser):
+            self.registry.note_leaving(
+                attempt.target, LeavingSign.OTHER_INSTANCE
+            )
+        if self.check.is_not_run(parser):
+            # What it has left of its body is read, as a new connection costs
+            # more than a few bytes.
+            await body.drop()
             raise AttemptFailed(
                 AttemptFailure(
                     RefusalReason.SHED_BY_TARGET,
@@ -219,33 +252,24 @@
         headers = [
             header
             for header in strip_hop_by_hop(parser.headers)
-            if header.name not in self.load_names
+            if header.name not in self.load_reader.names
         ]
         return Answer(parser.status, headers, body)
 
-    def _is_shed(self, parser: AnswerParser) -> bool:
-        if parser.status != SHED_STATUS:
-            return False
-        name = self.settings.targets.headers.outcome.encode()
-        mark = find_header(parser.headers, name)
-        return mark == Outcome.NOT_RUN.value.encode()
-
     def _note_load(self, target: TargetState, parser: AnswerParser) -> None:
-        names = self.settings.targets.headers
         found = {name: value for name, value in parser.headers}
-        state = found.get(names.state.encode())
-        if state == b"draining":
+        load = self.load_reader.read(found)
+        if load.state is ReportedState.DRAINING:
             self.registry.note_leaving(target, LeavingSign.ANSWER_HEADER)
-        in_flight = read_count(found.get(names.in_flight.encode()))
-        if in_flight is None:
+        if load.in_flight is None:
             return
-        slots = read_count(found.get(names.slots.encode()))
         report = LoadReport(
-            in_flight=in_flight,
-            slots=target.slots if slots is None else slots,
+            in_flight=load.in_flight,
+            slots=target.slots if load.slots is None else load.slots,
             own_in_flight=target.in_flight,
             at=Deadline(trio.current_time()),
             source=ReportSource.ANSWER,
+            slowness=load.slowness,
         )
         self.registry.note_report(target, report)
 
@@ -290,6 +314,10 @@
         self.complete = True
 
 
+def _name(name: str | None) -> bytes | None:
+    return None if name is None else name.encode()
+
+
 def _failed(reason: RefusalReason, suspect: bool) -> AttemptFailed:
     return AttemptFailed(
         AttemptFailure(reason, Outcome.UNKNOWN, target_suspect=suspect)
--- a/agatetack/targets/leaving.py
+++ b/agatetack/targets/leaving.py
@@ -24,6 +24,7 @@
     HOST_LIST = "host-list"
     HEALTH = "health"
     PEER = "peer"
+    OTHER_INSTANCE = "other-instance"
 
 
 STRENGTHS = {
@@ -31,6 +32,7 @@
     LeavingSign.CONNECT_REFUSED: 0,
     LeavingSign.HOST_LIST: 1,
     LeavingSign.HEALTH: 2,
+    LeavingSign.OTHER_INSTANCE: 2,
     LeavingSign.ANSWER_HEADER: 2,
 }
 """How hard a sign is to take back.
@@ -42,14 +44,6 @@
 """
 
 
-class ReportedState(enum.Enum):
-    """What a target's load endpoint says of its state."""
-
-    READY = "ready"
-    COLD = "cold"
-    DRAINING = "draining"
-
-
 @dataclasses.dataclass(slots=True)
 class LeavingRecord:
     """Why a target gets no new work.
--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -5,7 +5,8 @@
 
 import httptools
 
-from agatetack.messages import Header
+from agatetack.headers import read_count
+from agatetack.messages import Header, find_header
 
 INTERIM_LIMIT = 200
 """Statuses below this are interim; the answer is still to come."""
@@ -34,11 +35,32 @@
         stray: Whether bytes came that belong to no answer.
         head_bytes: Bytes received until the header was complete.
         framing_bytes: Bytes received since the last byte of the body.
+        keep_alive_seconds: How long the target keeps an idle connection, as
+            it said, or None.
+        skipped: Answers to other requests that came before.
+        unnamed: Whether the answer says nothing of whose it is.
     """
 
-    def __init__(self, method: bytes, max_header_bytes: int):
-        """Expect the answer to a request with `method`."""
+    def __init__(
+        self,
+        method: bytes,
+        max_header_bytes: int,
+        echo: Header | None = None,
+    ):
+        """Expect the answer to a request with `method`.
+
+        Args:
+            method: The request's method.
+            max_header_bytes: Bound of the header.
+            echo: The header that tells the answer from those to other
+                requests, which are passed over; None takes any.
+        """
         self.method = method
+        self.echo = echo
+        self.skipped = 0
+        self.skipping = False
+        self.unnamed = False
+        self.keep_alive_seconds: int | None = None
         self.max_header_bytes = max_header_bytes
         self.parser = httptools.HttpResponseParser(self)
         self.state = AnswerState.HEAD
@@ -100,6 +122,11 @@
             return
         self.state = AnswerState.BROKEN
 
+    def lose(self) -> None:
+        """Take the loss of the connection, which ends no answer properly."""
+        if self.state is not AnswerState.COMPLETE:
+            self.state = AnswerState.BROKEN
+
     def on_message_begin(self) -> None:
         """Start an answer; called by the parser."""
         if self.state is AnswerState.COMPLETE:
@@ -107,7 +134,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header field; called by the parser."""
-        if self.state is AnswerState.HEAD:
+        if self.state is AnswerState.HEAD and not self.skipping:
             self.headers.append(Header(name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -118,6 +145,11 @@
         if status < INTERIM_LIMIT:
             self.headers = []
             return
+        if self._is_for_another():
+            self.skipping = True
+            self.skipped += 1
+            self.headers = []
+            return
         self.status = status
         self.keep_alive = self.parser.should_keep_alive()
         self._read_framing()
@@ -128,9 +160,18 @@
         else:
             self.state = AnswerState.BODY
 
+    def _is_for_another(self) -> bool:
+        if self.echo is None:
+            return False
+        found = find_header(self.headers, self.echo.name)
+        self.unnamed = found is None
+        return found not in (None, self.echo.value)
+
     def _read_framing(self) -> None:
         for name, value in self.headers:
-            if name == b"content-length":
+            if name == b"keep-alive":
+                self.keep_alive_seconds = read_keep_alive(value)
+            elif name == b"content-length":
                 self.length = int(value)
             elif name == b"transfer-encoding":
                 self.chunked = True
@@ -141,6 +182,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Take body bytes; called by the parser."""
+        if self.skipping:
+            return
         if self.state is AnswerState.BODY:
             self.parts.append(data)
             self.framing_bytes = 0
@@ -149,5 +192,18 @@
 
     def on_message_complete(self) -> None:
         """Take the end of the answer; called by the parser."""
+        if self.skipping:
+            self.skipping = False
+            self.head_bytes = 0
+            return
         if self.state is AnswerState.BODY:
             self.state = AnswerState.COMPLETE
+
+
+def read_keep_alive(value: bytes) -> int | None:
+    """Return the seconds in a Keep-Alive header, or None if it has none."""
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            return read_count(seconds.strip())
+    return None
--- a/agatetack/targets/pool.py
+++ b/agatetack/targets/pool.py
@@ -12,6 +12,10 @@
 )
 from agatetack.targets.state import TargetState
 
+CLOSE_RACE_SECONDS = 1.0
+"""A connection is not used so shortly before its target closes it, as a
+request on its way then would be lost."""
+
 
 class TargetPool:
     """Idle connections to one target, latest used last.
@@ -37,7 +41,10 @@
         now = trio.current_time()
         while self.idle:
             connection = self.idle.pop()
-            oldest = max(now - self._max_age(freshness), self.suspect_before)
+            most = self._max_age(freshness)
+            if connection.idle_seconds is not None:
+                most = min(most, connection.idle_seconds - CLOSE_RACE_SECONDS)
+            oldest = max(now - most, self.suspect_before)
             if connection.last_byte_at >= oldest and connection.is_quiet():
                 return connection
             self.discard(connection)
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -14,11 +14,8 @@
 from agatetack.metrics import MeasureKind, Metrics
 from agatetack.settings.model import Settings
 from agatetack.targets.counters import TargetCounters
-from agatetack.targets.leaving import (
-    LeavingRecord,
-    LeavingSign,
-    ReportedState,
-)
+from agatetack.targets.leaving import LeavingRecord, LeavingSign
+from agatetack.targets.load import ReportedState
 from agatetack.targets.state import (
     LoadReport,
     ReportSource,
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -6,6 +6,7 @@
 
 from agatetack.balance.learned import LearnedLoad
 from agatetack.ids import Deadline, FailureDomain, ServiceId, TargetId
+from agatetack.targets.load import USUAL_SLOWNESS
 
 RECENT_LATENCIES = 64
 """How many of a target's latest latencies are kept."""
@@ -38,6 +39,7 @@
         own_in_flight: What this host had there when the report came.
         at: When the report was received.
         source: Where it came from.
+        slowness: How many times longer than usual work took there then.
     """
 
     in_flight: int
@@ -45,6 +47,7 @@
     own_in_flight: int
     at: Deadline
     source: ReportSource
+    slowness: float = USUAL_SLOWNESS
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +55,8 @@
     """What this host knows of one target.
 
     Attributes:
-        id: `ip:port`.
+        id: Its name: `ip:port`, or that of one start of its process where
+            the platform names these.
         service: The service it belongs to.
         ip: Its IP number.
         port: Its port.
--- a/agatetack/test_docs.py
+++ b/agatetack/test_docs.py
@@ -205,6 +205,8 @@
     """Return a route's default as the page gives it."""
     if value is dataclasses.MISSING:
         return ""
+    if value == ():
+        return "none"
     return f"{value:.12g}" if value != "" else "any"
 
 
--- a/thrift/common.thrift
+++ b/thrift/common.thrift
@@ -18,6 +18,12 @@
   UNKNOWN = 3
 }
 
+// One service that gets a share of a route's requests.
+struct SplitPart {
+  1: required string service_name
+  2: required double weight
+}
+
 // One route, as operators write it and the log keeps it.
 struct Route {
   1: required string id
@@ -30,4 +36,9 @@
   8: optional i64 max_body_bytes
   9: optional double requests_per_second  // whole fleet; 0: no limit
   10: optional i32 max_queue              // per process; 0: the setting
+  11: optional double timeout_seconds     // 0: only the deadline
+  12: optional i32 max_attempts           // 0: the setting
+  13: optional double target_latency_seconds  // 0: not known
+  14: optional i32 priority               // 0 goes first
+  15: optional list<SplitPart> split      // absent: all to service_name
 }
