--- a/agatetack/attempts/budget.py
+++ b/agatetack/attempts/budget.py
@@ -29,6 +29,10 @@
         self.tokens -= 1
         return True
 
+    def give_back(self) -> None:
+        """Return a token that was not used after all."""
+        self.tokens = min(self.burst, self.tokens + 1)
+
 
 class RouteBudgets:
     """One budget for each route, so that one route can't spend another's."""
--- a/agatetack/attempts/once.py
+++ b/agatetack/attempts/once.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from agatetack.admission.controller import AdmissionController, PermitRequest
+from agatetack.attempts.fleet_budget import FleetBudget
 from agatetack.attempts.ids import new_attempt_id
 from agatetack.attempts.rules import failure_refusal, retry_reason
 from agatetack.attempts.single import AttemptPlan, SingleAttempt
@@ -51,8 +52,19 @@
         admission: AdmissionController,
         single: SingleAttempt,
         metrics: Metrics,
+        fleet: FleetBudget | None = None,
     ):
-        """Ask `claims` for leave before each dispatch."""
+        """Ask `claims` for leave before each dispatch.
+
+        Args:
+            settings: The host's settings.
+            claims: Who may dispatch.
+            admission: Who may send to a target.
+            single: Makes attempts.
+            metrics: Where retries are counted.
+            fleet: What the fleet may send again; one of its own if None.
+        """
+        self.fleet = fleet or FleetBudget(settings, lambda: None, metrics)
         self.limits = settings.attempts
         self.claims = claims
         self.admission = admission
@@ -66,12 +78,15 @@
         claimed = await self.claims.claim(route, request, new_attempt_id())
         if isinstance(claimed, Failure):
             return claimed
-        # From here on the caller's leaving must not cut the work: a target
-        # that is cut may or may not have run the request.
-        with trio.CancelScope(shield=True):
-            return await self._run_claimed(
-                route, request, OnceState(claimed.unwrap())
-            )
+        self.fleet.request(route.service)
+        state = OnceState(claimed.unwrap())
+        try:
+            return await self._run_claimed(route, request, state)
+        except trio.Cancelled:
+            # The caller left before anything was sent.
+            with trio.CancelScope(shield=True):
+                await self.claims.release(state.claim)
+            raise
 
     async def _run_claimed(
         self, route: Route, request: CallerRequest, state: OnceState
@@ -90,12 +105,16 @@
             )
             held = permit.unwrap()
             state.tried.add(held.target.id)
-            result = await self.single.run(plan, held)
-            if isinstance(result, Success):
-                await self.claims.finish(state.claim, result.unwrap().status)
-                return result
+            # From here on the caller's leaving must not cut the work: a
+            # target that is cut may or may not have run the request.
+            with trio.CancelScope(shield=True):
+                result = await self.single.run(plan, held)
+                if isinstance(result, Success):
+                    status = result.unwrap().status
+                    await self.claims.finish(state.claim, status)
+                    return result
             state.failure = result.failure()
-            if not self._may_try_again(request, state):
+            if not self._may_try_again(route, request, state):
                 return await self._give_up(
                     failure_refusal(state.failure), state
                 )
@@ -115,12 +134,16 @@
         )
         return await self.admission.acquire(wanted)
 
-    def _may_try_again(self, request: CallerRequest, state: OnceState) -> bool:
+    def _may_try_again(
+        self, route: Route, request: CallerRequest, state: OnceState
+    ) -> bool:
+        most = route.max_attempts or self.limits.max_attempts
         return (
             state.failure.outcome is Outcome.NOT_RUN
-            and len(state.tried) < self.limits.max_attempts
+            and len(state.tried) < most
             and trio.current_time() < request.deadline
             and request.replayable
+            and self.fleet.spend(route.service)
         )
 
     async def _give_up(
--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -14,6 +14,7 @@
     Priority,
 )
 from agatetack.attempts.budget import RouteBudgets
+from agatetack.attempts.fleet_budget import FleetBudget
 from agatetack.attempts.hedger import Hedger
 from agatetack.attempts.quantile import LatencyQuantile
 from agatetack.attempts.rules import (
@@ -76,8 +77,18 @@
         admission: AdmissionController,
         single: SingleAttempt,
         metrics: Metrics,
+        fleet: FleetBudget | None = None,
     ):
-        """Send attempts through `single` as `admission` permits."""
+        """Send attempts through `single` as `admission` permits.
+
+        Args:
+            settings: The host's settings.
+            admission: Who may send to a target.
+            single: Makes attempts.
+            metrics: Where retries are counted.
+            fleet: What the fleet may send again; one of its own if None.
+        """
+        self.fleet = fleet or FleetBudget(settings, lambda: None, metrics)
         limits = settings.attempts
         self.limits = limits
         self.admission = admission
@@ -105,6 +116,7 @@
         """
         self.retries.of(route.id).earn()
         self.hedges.of(route.id).earn()
+        self.fleet.request(route.service)
         state = RaceState(route, request, priority)
         permit = await self._permit(state, wait=True)
         if permit is None:
@@ -154,7 +166,7 @@
         if not state.request.replayable:
             # Two attempts would each send a part of the one stream.
             return
-        late_after = self._late_after(state.route.id)
+        late_after = self._hedge_after(state.route)
         if hedged and late_after is not None:
             when = Deadline(trio.current_time() + late_after)
             action = functools.partial(self._hedge, state)
@@ -184,7 +196,7 @@
 
     async def _hedge(self, state: RaceState) -> None:
         """Make a second attempt while the first one is late."""
-        if state.needs_second() and self.hedges.of(state.route.id).spend():
+        if state.needs_second() and self._spend(state, self.hedges):
             await self._second(state, RetryReason.HEDGE)
         if state.needs_second():
             self._set_stall_timer(state)
@@ -195,9 +207,26 @@
         Its connection may have gone silent for good, so that it would wait
         until its deadline.
         """
-        if state.needs_second() and self.retries.of(state.route.id).spend():
+        if state.needs_second() and self._spend(state, self.retries):
             await self._second(state, RetryReason.STALLED)
 
+    def _may_start(self, state: RaceState) -> bool:
+        """Return whether the request may go to one more target."""
+        most = state.route.max_attempts or self.limits.max_attempts
+        return state.started < most
+
+    def _spend(self, state: RaceState, budgets: RouteBudgets) -> bool:
+        """Take leave for one more attempt of both budgets, or of neither."""
+        if not self._may_start(state):
+            return False
+        budget = budgets.of(state.route.id)
+        if not budget.spend():
+            return False
+        if self.fleet.spend(state.route.service):
+            return True
+        budget.give_back()
+        return False
+
     async def _second(self, state: RaceState, reason: RetryReason) -> None:
         if self.single.crashes.check(state.route, state.request) is not None:
             return
@@ -265,7 +294,7 @@
 
     async def _retry_permit(self, state: RaceState) -> Permit | None:
         reason = RETRY_REASONS.get(state.failure.reason)
-        if reason is None or state.started >= self.limits.max_attempts:
+        if reason is None or not self._may_start(state):
             return None
         if not state.request.replayable and reason not in BEFORE_BODY:
             return None
@@ -275,7 +304,7 @@
         if refusal is not None:
             state.refusal = refusal
             return None
-        if not self.retries.of(state.route.id).spend():
+        if not self._spend(state, self.retries):
             return None
         permit = await self._permit(state, wait=True)
         if permit is not None:
@@ -294,6 +323,17 @@
             refusal = dataclasses.replace(refusal, retry_at=retry_at)
         return refusal
 
+    def _hedge_after(self, route: Route) -> float | None:
+        """Return the seconds after which an answer is late enough to hedge.
+
+        A route that says within which time its answers are wanted goes by
+        that: what is usual may already be too late.
+        """
+        share = self.limits.hedge_latency_share
+        if share and route.target_latency_seconds:
+            return share * route.target_latency_seconds
+        return self._late_after(route.id)
+
     def _late_after(self, route: RouteId) -> float | None:
         learned = self.late_after.get(route)
         if learned is None or learned.value is None:
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -8,6 +8,7 @@
 from agatetack.admission.controller import AttemptResult, Permit
 from agatetack.attempts.ids import new_attempt_id
 from agatetack.config.route import Route
+from agatetack.decisions import DecisionLog, age
 from agatetack.ids import AttemptId, Deadline
 from agatetack.messages import (
     Answer,
@@ -36,6 +37,7 @@
 }
 """What a failure's reason says of the target; else `FAILED`."""
 
+decisions = DecisionLog("attempts")
 
 FAILING_STATUSES = frozenset({500, 502, 503, 504})
 """Answers that may speak against the target; 501 and 505 are about the
@@ -183,14 +185,17 @@
             attempt.id, permit.target.id, started, plan.retry_reason
         )
         plan.request.attempts.append(note)
+        self._tell_sent(plan, permit)
         try:
             answer = await self.client.call(attempt)
         except AttemptFailed as failed:
             note.failure = failed.failure.reason
             self._note_failure(plan, permit, failed.failure)
+            self._tell_end(plan, note, failed.failure.outcome.value)
             return Failure(failed.failure)
         except BaseException:
             note.cancelled = True
+            self._tell_end(plan, note, "cancelled")
             permit.release(AttemptResult.CANCELLED)
             raise
         finally:
@@ -200,10 +205,41 @@
         failure = await self._hold_small(plan, answer)
         if failure is not None:
             note.failure = failure.reason
+            self._tell_end(plan, note, failure.outcome.value)
             return Failure(failure)
+        self._tell_end(plan, note, str(answer.status))
         self.crashes.answered(plan.route, plan.request)
         return Success(answer)
 
+    def _tell_sent(self, plan: AttemptPlan, permit: Permit) -> None:
+        """Hold what an attempt is sent by: its target's load, and its age."""
+        target = permit.target
+        report = target.report
+        decisions.held(
+            plan.request.story,
+            "send",
+            target=target.id,
+            why=plan.retry_reason.value if plan.retry_reason else "first",
+            service=target.service,
+            own_in_flight=target.in_flight,
+            load=None if report is None else report.in_flight,
+            slowness=None if report is None else report.slowness,
+            load_age_ms=None if report is None else age(report.at),
+            left_ms=round((plan.deadline - trio.current_time()) * 1000),
+        )
+
+    def _tell_end(
+        self, plan: AttemptPlan, note: AttemptNote, outcome: str
+    ) -> None:
+        decisions.held(
+            plan.request.story,
+            "attempt-end",
+            target=note.target,
+            outcome=outcome,
+            reason=note.failure.value if note.failure else None,
+            took_ms=age(note.started),
+        )
+
     def _note_answer(
         self, permit: Permit, answer: Answer, latency: float
     ) -> AttemptResult:
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -9,7 +9,7 @@
 from agatetack.logs import PartLog
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
-from agatetack.settings.model import Settings
+from agatetack.settings.model import CallersSettings, Settings
 from agatetack.streams import PlainListener, PlainStream
 from agatetack.tls import ServerTls
 
@@ -29,6 +29,7 @@
 
     Attributes:
         connections: Open connections.
+        limits: What callers may do now.
         closing: Whether each connection ends after its request.
         ended: Set once nobody is accepted any more and none is open.
         port: The port listened on, once `run` has started.
@@ -46,8 +47,8 @@
         self.handler = handler
         self.metrics = metrics
         self.tls = tls
-        limits = settings.callers
-        ahead = limits.pipeline_depth > 1 or limits.end_means_gone
+        self.limits = settings.callers
+        ahead = self.limits.pipeline_depth > 1 or self.limits.end_means_gone
         self.kind = ReadAheadConnection if ahead else CallerConnection
         self.connections: set[CallerConnection] = set()
         self.closing = False
@@ -104,7 +105,7 @@
 
     def _begin(self, stream: PlainStream, nursery: trio.Nursery) -> None:
         """Serve a connection, which counts as open from here on."""
-        if len(self.connections) >= self.settings.callers.max_connections:
+        if len(self.connections) >= self.limits.max_connections:
             self.metrics.dropped.inc(
                 {"part": "callers", "reason": "too-many-connections"}
             )
@@ -118,7 +119,7 @@
         connection = self.kind(
             self._wrap(stream),
             peer_ip,
-            self.settings.callers,
+            self.limits,
             self.handler,
             self.metrics,
         )
@@ -142,6 +143,13 @@
     def _wrap(self, stream: PlainStream) -> trio.abc.Stream:
         return stream if self.tls is None else self.tls.accept_stream(stream)
 
+    def limit(self, callers: CallersSettings) -> None:
+        """Serve open and new connections by `callers` from now on."""
+        self.limits = callers
+        for connection in self.connections:
+            connection.settings = callers
+            connection.parser.max_header_bytes = callers.max_header_bytes
+
     def stop_accepting(self) -> None:
         """Close the listener; open connections are served on."""
         self.accepting.cancel()
--- /dev/null
+++ b/agatetack/config/document_routes.py
@@ -0,0 +1,135 @@
+"""Put the operators' document in force, never an older one."""
+
+from collections.abc import Callable, Sequence
+
+from agatetack.config.document import (
+    BadDocument,
+    CallerLimits,
+    DocumentDecoder,
+    RouteDocument,
+    ServiceInfo,
+)
+from agatetack.config.route import Route, RouteSource, RouteTable
+from agatetack.decisions import DecisionLog
+from agatetack.ids import LogOffset, ServiceId
+from agatetack.keyed.follower import TopicReader
+from agatetack.keyed.topic import KeyedRecord
+from agatetack.metrics import Metrics
+
+NO_DOCUMENT = -1
+"""The version before any document is known."""
+
+log = DecisionLog("config")
+
+
+class WholePrefixTable(RouteTable):
+    """Routes whose prefix must begin the path, its last slash included."""
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, or None.
+
+        Args:
+            host: The Host header without port, in lower case.
+            path: The path with or without its query.
+        """
+        plain = path.partition("?")[0]
+        end = len(plain)
+        while end > 0:
+            end = plain.rfind("/", 0, end)
+            prefix = plain[:end].rstrip("/")
+            for route in self.by_prefix.get(prefix, ()):
+                if route.host in ("", host) and plain.startswith(
+                    route.path_prefix
+                ):
+                    return route
+        return None
+
+
+class DocumentRoutes(TopicReader):
+    """Takes documents and keeps the newest one in force.
+
+    Attributes:
+        version: The version in force, or `NO_DOCUMENT`.
+        offset: Where its record stands in the topic.
+        services: The services of the document in force.
+        limits: What callers may do by it, or None.
+        load_paths: What is asked for load, by service; kept the same object.
+        watchers: Called after a document came into force.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        decoder: DocumentDecoder,
+        source: RouteSource,
+        metrics: Metrics,
+    ):
+        """Read the record `key` with `decoder`; swap the table in `source`."""
+        self.key = key
+        self.decoder = decoder
+        self.source = source
+        self.version = NO_DOCUMENT
+        self.offset = LogOffset(-1)
+        self.services: dict[ServiceId, ServiceInfo] = {}
+        self.limits: CallerLimits | None = None
+        self.watchers: list[Callable[[], None]] = []
+        self.load_paths: dict[ServiceId, str] = {}
+        self.taken = metrics.counter(
+            "agatetack_documents_total",
+            "Documents of operators read, by result.",
+        )
+        self.shown = metrics.gauge(
+            "agatetack_document_version",
+            "Version of the operators' document in force.",
+        )
+
+    def take_all(self, records: Sequence[KeyedRecord]) -> None:
+        """Take the newest record of every key."""
+        self.take_new(records)
+
+    def take_new(self, records: Sequence[KeyedRecord]) -> None:
+        """Take records that follow those taken before."""
+        for record in records:
+            # The last document stays in force while its record is gone.
+            if record.key == self.key and record.value is not None:
+                self._take(record.value, record.offset)
+
+    def _take(self, content: bytes, offset: LogOffset) -> None:
+        try:
+            document = self.decoder.decode(content)
+        except BadDocument as error:
+            self.taken.inc({"result": "malformed"})
+            log.note(
+                "document-malformed",
+                offset=offset,
+                cause=str(error),
+                in_force=self.version,
+            )
+            return
+        if document.version <= self.version:
+            self.taken.inc({"result": "old"})
+            return
+        self._put_in_force(document, offset)
+
+    def _put_in_force(self, document: RouteDocument, offset: LogOffset) -> None:
+        before = self.version
+        self.version = document.version
+        self.offset = offset
+        self.services = {info.id: info for info in document.services}
+        self.load_paths.clear()
+        self.load_paths.update(
+            (info.id, info.load_path) for info in document.services
+        )
+        self.limits = document.limits
+        self.source.table = WholePrefixTable(document.routes)
+        self.taken.inc({"result": "in-force"})
+        self.shown.set({}, document.version)
+        log.note(
+            "document-in-force",
+            version=document.version,
+            before=before,
+            offset=offset,
+            routes=len(document.routes),
+        )
+        for watcher in self.watchers:
+            watcher()
--- a/agatetack/config/route_rules.py
+++ b/agatetack/config/route_rules.py
@@ -232,9 +232,7 @@
             part.service
         ):
             yield RouteFinding(RouteField.SPLIT, "names no service")
-        yield from _check_number(
-            RouteField.SPLIT, part.weight, 0.0, MAX_WEIGHT
-        )
+        yield from _check_number(RouteField.SPLIT, part.weight, 0.0, MAX_WEIGHT)
     if split and not any(_is_positive(part.weight) for part in split):
         yield RouteFinding(RouteField.SPLIT, "needs a weight above 0")
 
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -5,11 +5,11 @@
 import trio
 
 from agatetack.collector import tune_collector
+from agatetack.daemon_parts import count_dropped_lines, forward_signals
 from agatetack.gateway import Gateway
 from agatetack.hosts.http_host_list import HttpHostList
-from agatetack.lifecycle.drain import STOP_SIGNALS, DrainReport
-from agatetack.logs import PartLog, count_drops
-from agatetack.metrics import Metrics
+from agatetack.lifecycle.drain import DrainReport
+from agatetack.logs import PartLog
 from agatetack.operators.app import serve_operators
 from agatetack.operators.host_backend import HostBackend
 from agatetack.record_log.http_log import HttpLog
@@ -62,21 +62,6 @@
     return report
 
 
-async def forward_signals(gateway: Gateway) -> None:
-    """Take the system's signals for wishes to stop; runs for ever."""
-    with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-        async for signal in signals:
-            await gateway.stops.send(signal)
-
-
-def _count_dropped_lines(metrics: Metrics) -> None:
-    count_drops(
-        lambda reason: metrics.dropped.inc(
-            {"part": "logs", "reason": reason.value}
-        )
-    )
-
-
 async def run_gateway(settings: Settings) -> int:
     """Run one host with the platform's services, until it is stopped.
 
@@ -86,11 +71,11 @@
     platform_log = HttpLog(settings)
     host_list = HttpHostList(settings)
     gateway = Gateway(settings, platform_log, host_list)
-    _count_dropped_lines(gateway.metrics)
+    count_dropped_lines(gateway.metrics)
     tune_collector()
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(forward_signals, gateway)
+            nursery.start_soon(forward_signals, gateway.stops)
             report = await serve_host(gateway)
             nursery.cancel_scope.cancel()
     finally:
--- /dev/null
+++ b/agatetack/gateway_core.py
@@ -0,0 +1,200 @@
+"""Wire the slices that every host has, whatever it learns its routes from."""
+
+import random
+from collections.abc import Mapping, Sequence
+
+import trio
+
+from agatetack.admission.service import ServiceAdmission
+from agatetack.attempts.fleet_budget import FleetBudget
+from agatetack.attempts.race import AttemptRunner
+from agatetack.attempts.single import SingleAttempt
+from agatetack.balance.policies import make_policy
+from agatetack.callers.server import CallerServer
+from agatetack.clock import Clock, SystemClock
+from agatetack.config.route import RequestClass, RouteSource
+from agatetack.ids import Deadline, RouteId, ServiceId
+from agatetack.lifecycle.drain import Lifecycle
+from agatetack.lifecycle.in_flight import TrackingHandler
+from agatetack.lifecycle.readiness import ReadinessView
+from agatetack.measure.http_probe import HttpProbe
+from agatetack.measure.prober import Prober
+from agatetack.messages import Handler
+from agatetack.metrics import Metrics
+from agatetack.peers.directory import GatewayDirectory
+from agatetack.peers.mesh import PeerExchange
+from agatetack.quarantine.liveness import PoolLivenessCheck
+from agatetack.quarantine.local_tracker import LocalCrashTracker
+from agatetack.serving.dispatcher import ClassRunner, Dispatcher
+from agatetack.serving.explain import Explanations
+from agatetack.settings.model import Settings
+from agatetack.targets.http_client import HttpTargetClient
+from agatetack.targets.load import LoadReader
+from agatetack.targets.registry import TargetRegistry
+from agatetack.tls import ServerTls
+
+MAX_STOPS = 2
+"""Wishes to stop that count: the first drains, the second ends that."""
+
+
+class GatewayReadiness(ReadinessView):
+    """What a host must know before it takes requests."""
+
+    def __init__(self, routes: RouteSource, registry: TargetRegistry):
+        """Look at the routes in force and at what is known of targets."""
+        self.routes = routes
+        self.registry = registry
+
+    def configured(self) -> bool:
+        """Return whether the routes in force are known."""
+        return self.routes.table is not None
+
+    def unmeasured_routes(self) -> Sequence[RouteId]:
+        """Return the routes of which no target has reported its load."""
+        return [
+            route.id
+            for route in self.routes.table.routes.values()
+            if not self._measured(route.service)
+        ]
+
+    def _measured(self, service: ServiceId) -> bool:
+        targets = self.registry.targets(service)
+        return any(target.report is not None for target in targets)
+
+
+class GatewayCore:
+    """The slices of one host that do not depend on where its routes are.
+
+    Attributes:
+        settings: The host's settings.
+        clock: Its clocks.
+        metrics: Its counters.
+        peers: The other hosts.
+        routes: The routes in force.
+        registry: The targets.
+        lifecycle: How far the host is between its start and its end.
+        callers: Its connections with callers.
+        stops: Takes a value for each wish to stop, by signal or operator.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock | None = None):
+        """Start with what the other slices need.
+
+        Args:
+            settings: The host's settings.
+            clock: The host's clocks; the system's if None.
+        """
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.metrics = Metrics()
+        self.routes = RouteSource()
+        self.stops, self.stops_out = trio.open_memory_channel[int](MAX_STOPS)
+        self.lifecycle = Lifecycle(settings, self.metrics, self.clock)
+
+    def build_target_side(
+        self,
+        directory: GatewayDirectory,
+        load_reader: LoadReader | None = None,
+        load_paths: Mapping[ServiceId, str] | None = None,
+    ) -> None:
+        """Build what finds, measures and calls targets.
+
+        Args:
+            directory: The other hosts that are known.
+            load_reader: Reads load reports; by the settings if None.
+            load_paths: Load paths of services that have one of their own.
+        """
+        settings, metrics = self.settings, self.metrics
+        self.peers = PeerExchange(settings, directory, metrics, self.clock)
+        self.registry = TargetRegistry(settings, metrics)
+        seed = random.SystemRandom().getrandbits(63)
+        self.admission = ServiceAdmission(
+            settings,
+            self.registry,
+            make_policy(settings, seed),
+            metrics,
+            self.peers.fleet_size,
+        )
+        self.client = HttpTargetClient(settings, self.registry, load_reader)
+        self.prober = Prober(
+            settings,
+            self.registry,
+            self.peers,
+            metrics,
+            HttpProbe(settings, load_reader, load_paths),
+            seed,
+        )
+        self.crashes = LocalCrashTracker(
+            settings, self.peers, PoolLivenessCheck(self.client.pools), metrics
+        )
+        self.single = SingleAttempt(
+            settings, self.client, self.crashes, metrics
+        )
+        self.fleet_budget = FleetBudget(settings, self.fleet_size, metrics)
+        self.attempts = AttemptRunner(
+            settings, self.admission, self.single, metrics, self.fleet_budget
+        )
+
+    def fleet_size(self) -> int | None:
+        """Return the number of hosts, never too low; None if not known."""
+        return self.peers.fleet_size()
+
+    def build_caller_side(
+        self,
+        runners: Mapping[RequestClass, ClassRunner],
+        tickets: Handler | None = None,
+    ) -> None:
+        """Build what serves callers.
+
+        Args:
+            runners: How the requests of each class are run.
+            tickets: Answers polls for deferred requests, if there are any.
+        """
+        settings, metrics = self.settings, self.metrics
+        self.explanations = Explanations()
+        self.dispatcher = Dispatcher(
+            settings,
+            self.routes,
+            dict(runners),
+            tickets,
+            self.crashes,
+            self.explanations,
+            metrics,
+            lambda: self.lifecycle.accepting,
+        )
+        self.callers_tls = None
+        if settings.callers.tls is not None:
+            self.callers_tls = ServerTls(
+                settings.callers.tls, "callers", metrics
+            )
+        self.callers = CallerServer(
+            settings,
+            TrackingHandler(self.dispatcher, self.lifecycle.in_flight),
+            metrics,
+            self.callers_tls,
+        )
+        self.lifecycle.on_leaving(self.peers.announce_leaving)
+        self.lifecycle.on_closing(self.callers.stop_accepting)
+        self.lifecycle.on_closing(self.callers.close_idle)
+        self.lifecycle.add_flush("callers", self._flush_callers)
+
+    async def _flush_callers(self, deadline: Deadline) -> None:
+        # A request that is still arriving is not in flight yet, and would be
+        # cut instead of refused.
+        await self.callers.ended.wait()
+
+    def readiness(self) -> ReadinessView:
+        """Return what this host must know before it takes requests."""
+        return GatewayReadiness(self.routes, self.registry)
+
+    async def start_serving(self, nursery: trio.Nursery) -> int:
+        """Start the tasks of these slices; return the port for callers."""
+        await nursery.start(self.prober.run)
+        nursery.start_soon(self.crashes.run)
+        nursery.start_soon(self.client.pools.close_old)
+        nursery.start_soon(self.attempts.hedger.run)
+        nursery.start_soon(self.attempts.forget_routes, self.routes)
+        if self.callers_tls is not None:
+            nursery.start_soon(self.callers_tls.run)
+        nursery.start_soon(self.lifecycle.run_until_ready, self.readiness())
+        return await nursery.start(self.callers.run)
--- /dev/null
+++ b/agatetack/hosts/registered_targets.py
@@ -0,0 +1,145 @@
+"""Keep the targets that registered themselves, and doubt what an outage hid."""
+
+from collections.abc import Callable, Sequence
+
+import trio
+
+from agatetack.decisions import DecisionLog
+from agatetack.hosts.host_list import HostState
+from agatetack.hosts.listed_target import (
+    BadRegistration,
+    ListedTarget,
+    RegistrationDecoder,
+)
+from agatetack.ids import Deadline
+from agatetack.keyed.follower import TopicReader
+from agatetack.keyed.topic import KeyedRecord
+from agatetack.metrics import Metrics
+from agatetack.settings.model import Settings
+
+log = DecisionLog("targets")
+
+Listen = Callable[[Sequence[ListedTarget]], None]
+"""Called with all targets after each change; must not block or raise."""
+
+
+class RegisteredTargets(TopicReader):
+    """The targets that are registered, as this host believes.
+
+    A registration lapses when a target is silent, and also while the store is
+    away, when the target's heartbeats can't reach it. So what is missing when
+    the store is back is kept for `doubt_seconds`, in which live targets
+    register again; what is missing after that is gone.
+
+    Attributes:
+        targets: The targets believed, by key.
+        doubted: Those whose registration is missing, with the time at which
+            they are taken for gone.
+        known: Whether the registrations have been read.
+        doubt_until: Registrations that vanish before this time are doubted.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        decoder: RegistrationDecoder,
+        listen: Listen,
+        metrics: Metrics,
+    ):
+        """Tell `listen` of changes."""
+        self.doubt_seconds = settings.platform.store.doubt_seconds
+        self.decoder = decoder
+        self.listen = listen
+        self.targets: dict[str, ListedTarget] = {}
+        self.doubted: dict[str, Deadline] = {}
+        self.doubt_until = Deadline(0.0)
+        self.changed = trio.Event()
+        self.known = False
+        self.taken = metrics.counter(
+            "agatetack_registrations_total",
+            "Registrations of targets read, by result.",
+        )
+
+    async def run(self) -> None:
+        """Give up targets whose time of doubt is over, until cancelled."""
+        while True:
+            self.changed = trio.Event()
+            soonest = min(self.doubted.values(), default=float("inf"))
+            with trio.move_on_at(soonest):
+                await self.changed.wait()
+            self._end_doubts()
+
+    def take_all(self, records: Sequence[KeyedRecord]) -> None:
+        """Take the registrations there are; all others are gone."""
+        present = {r.key for r in records if r.value is not None}
+        for key in self.targets.keys() - present:
+            self._lose(key)
+        self.known = True
+        self.take_new(records)
+
+    def take_new(self, records: Sequence[KeyedRecord]) -> None:
+        """Take registrations that were made, changed or removed."""
+        for record in records:
+            if record.value is None:
+                self._lose(record.key)
+            else:
+                self._take(record.key, record.value)
+        self._tell()
+
+    def lost_touch(self) -> None:
+        """Doubt what vanishes until the store has been back for a while."""
+        self.doubt_until = Deadline(float("inf"))
+
+    def in_touch(self) -> None:
+        """Doubt what vanished, or vanishes soon, for a while from now."""
+        now = trio.current_time()
+        self.doubt_until = Deadline(now + self.doubt_seconds)
+        for key in self.doubted:
+            self.doubted[key] = self.doubt_until
+        self.changed.set()
+
+    def _take(self, key: str, content: bytes) -> None:
+        try:
+            target = self.decoder.decode(key, content)
+        except BadRegistration as error:
+            self.taken.inc({"result": "malformed"})
+            log.note("registration-malformed", key=key, cause=str(error))
+            return
+        self.doubted.pop(key, None)
+        known = self.targets.get(key)
+        self.targets[key] = target
+        if known is None:
+            self.taken.inc({"result": "new"})
+            log.note("target-registered", target=key, service=target.service)
+        elif known.state is not target.state:
+            self.taken.inc({"result": "changed"})
+            log.note("target-state", target=key, state=target.state.value)
+
+    def _lose(self, key: str) -> None:
+        target = self.targets.get(key)
+        if target is None or key in self.doubted:
+            return
+        now = trio.current_time()
+        if now < self.doubt_until and target.state is HostState.LIVE:
+            self.doubted[key] = self.doubt_until
+            self.changed.set()
+            log.note("target-doubted", target=key)
+            return
+        self._remove(key, "registration-removed")
+
+    def _remove(self, key: str, why: str) -> None:
+        del self.targets[key]
+        self.taken.inc({"result": "gone"})
+        log.note("target-gone", target=key, why=why)
+
+    def _end_doubts(self) -> None:
+        now = trio.current_time()
+        over = [key for key, until in self.doubted.items() if until <= now]
+        for key in over:
+            del self.doubted[key]
+            self._remove(key, "still-missing")
+        if over:
+            self._tell()
+
+    def _tell(self) -> None:
+        self.listen(tuple(self.targets.values()))
--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -1,6 +1,7 @@
 """Call a platform service over HTTP and tell what is known of a failure."""
 
 import dataclasses
+import socket
 from collections.abc import Mapping
 
 import httpcore
@@ -92,18 +93,26 @@
     that waits never blocks an append. Nothing is ever sent twice.
     """
 
-    def __init__(self, endpoint: Endpoint, timeout_seconds: float):
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        timeout_seconds: float,
+        silent_seconds: int | None = None,
+    ):
         """Reach the service at `endpoint`.
 
         Args:
             endpoint: Its IP number and port.
             timeout_seconds: Longest time that opening a connection may take.
+            silent_seconds: A connection whose other end acknowledges nothing
+                for this long is lost; None leaves that to the system.
         """
+        self.silent_seconds = silent_seconds
         # An IPv6 number stands in brackets in a URL.
         host = f"[{endpoint.host}]" if ":" in endpoint.host else endpoint.host
         self.origin = f"http://{host}:{endpoint.port}"
         self.timeout_seconds = timeout_seconds
-        self.generation = _Generation(_new_pool())
+        self.generation = _Generation(_new_pool(self.silent_seconds))
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -162,14 +171,33 @@
         if progress.connected or generation is not self.generation:
             return
         generation.retired = True
-        self.generation = _Generation(_new_pool())
+        self.generation = _Generation(_new_pool(self.silent_seconds))
 
 
-def _new_pool() -> httpcore.AsyncConnectionPool:
+def _new_pool(silent_seconds: int | None) -> httpcore.AsyncConnectionPool:
+    options = None if silent_seconds is None else _silence(silent_seconds)
     return httpcore.AsyncConnectionPool(
-        max_connections=None, keepalive_expiry=IDLE_CLOSE_SECONDS, retries=0
+        max_connections=None,
+        keepalive_expiry=IDLE_CLOSE_SECONDS,
+        retries=0,
+        socket_options=options,
     )
 
 
+def _silence(seconds: int) -> list[tuple[int, int, int]]:
+    """Return socket options that end a connection after so long a silence.
+
+    A read that waits for a record for long sends nothing by itself, so that
+    only probes of the system's own show that the other end is gone.
+    """
+    return [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, seconds - 1)),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, seconds * 1000),
+    ]
+
+
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- /dev/null
+++ b/agatetack/keyed/__init__.py
@@ -0,0 +1,1 @@
+"""Follow the keyed topics of a metadata store."""
--- /dev/null
+++ b/agatetack/keyed/follower.py
@@ -0,0 +1,175 @@
+"""Keep up with a keyed topic through outages, truncation and lost answers."""
+
+import abc
+import math
+import random
+from collections.abc import Sequence
+
+import trio
+
+from agatetack.decisions import DecisionLog
+from agatetack.ids import Deadline, LogOffset
+from agatetack.keyed.topic import (
+    KeyedRecord,
+    KeyedTopic,
+    TopicPage,
+    TopicTruncated,
+    TopicUnavailable,
+)
+from agatetack.metrics import Metrics
+from agatetack.settings.model import Settings
+
+MOST_BACKOFFS = 3
+"""How often the pause after failed calls doubles."""
+
+log = DecisionLog("keyed")
+
+
+class TopicReader(abc.ABC):
+    """Whoever takes the records of a topic."""
+
+    @abc.abstractmethod
+    def take_all(self, records: Sequence[KeyedRecord]) -> None:
+        """Take the newest record of every key; other keys are gone."""
+
+    @abc.abstractmethod
+    def take_new(self, records: Sequence[KeyedRecord]) -> None:
+        """Take records that follow those taken before."""
+
+    def lost_touch(self) -> None:  # noqa: B027
+        """Note that the store can't be read any more."""
+
+    def in_touch(self) -> None:  # noqa: B027
+        """Note that the store can be read again; what it has was taken."""
+
+
+class TopicFollower:
+    """Reads one topic for ever and hands its records to a reader.
+
+    A read waits at the store until there is something. An answer that never
+    comes is given up at a deadline; records are never skipped, as the next
+    read starts where the last one ended, and all is read anew where that is
+    no longer kept.
+
+    Attributes:
+        next_offset: The offset to read next, or None before the first read.
+        reachable: Whether the last call was answered.
+        read_at: When the last call was answered, or None.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        name: str,
+        topic: KeyedTopic,
+        reader: TopicReader,
+        metrics: Metrics,
+    ):
+        """Follow `topic`, called `name` in logs and counters."""
+        self.limits = settings.platform.store
+        self.name = name
+        self.topic = topic
+        self.reader = reader
+        self.next_offset: LogOffset | None = None
+        self.reachable = False
+        self.read_at: Deadline | None = None
+        self.failures = 0
+        self.random = random.Random()
+        self.calls = metrics.counter(
+            "agatetack_store_reads_total",
+            "Reads of the metadata store, by topic and result.",
+        )
+        self.age = metrics.gauge(
+            "agatetack_store_read_age_seconds",
+            "Time since a topic was last read, by topic.",
+        )
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                if self.next_offset is None:
+                    await self._read_all()
+                else:
+                    await self._read_on()
+            except TopicTruncated:
+                self._count("truncated")
+                log.note("topic-truncated", topic=self.name)
+                self.next_offset = None
+            except TopicUnavailable as error:
+                self._count("unavailable")
+                self._failed(str(error))
+                await trio.sleep(self._pause())
+
+    async def _read_all(self) -> None:
+        page = await self.topic.newest(self._deadline(0.0))
+        self._answered("all")
+        self.reader.take_all(page.records)
+        self._take_end(page)
+
+    async def _read_on(self) -> None:
+        wait = self.limits.poll_seconds
+        # After a failure the first answer is wanted at once, to know that
+        # the store is back.
+        wait = wait if self.reachable else 0.0
+        wait_until = Deadline(trio.current_time() + wait)
+        page = await self.topic.read(
+            self.next_offset, wait_until, self._deadline(wait)
+        )
+        self._answered("new")
+        if page.records:
+            self.reader.take_new(page.records)
+        self._take_end(page)
+        if page.records:
+            # What follows closely comes with the next read, so that a burst
+            # of changes costs one call and not one for each.
+            await trio.sleep(self.limits.batch_seconds)
+
+    def _take_end(self, page: TopicPage) -> None:
+        self.next_offset = page.end
+        if not self.reachable:
+            self.reachable = True
+            log.note("store-in-touch", topic=self.name, offset=page.end)
+            self.reader.in_touch()
+
+    def _answered(self, result: str) -> None:
+        self._count(result)
+        self.failures = 0
+        self.read_at = Deadline(trio.current_time())
+
+    def _failed(self, cause: str) -> None:
+        self.failures += 1
+        if self.reachable or self.failures == 1:
+            log.note(
+                "store-out-of-touch",
+                topic=self.name,
+                cause=cause,
+                offset=self.next_offset,
+                age=self.age_seconds(),
+            )
+        if self.reachable:
+            self.reachable = False
+            self.reader.lost_touch()
+
+    def age_seconds(self) -> float:
+        """Return the time since the topic was last read; infinite if never."""
+        if self.read_at is None:
+            return math.inf
+        return trio.current_time() - self.read_at
+
+    def show(self) -> None:
+        """Bring the gauge up to date."""
+        if self.read_at is not None:
+            self.age.set({"topic": self.name}, self.age_seconds())
+
+    def _deadline(self, wait: float) -> Deadline:
+        now = trio.current_time()
+        return Deadline(now + wait + self.limits.timeout_seconds)
+
+    def _pause(self) -> float:
+        doublings = min(self.failures - 1, MOST_BACKOFFS)
+        pause = self.limits.retry_seconds * 2**doublings
+        return pause * self.random.uniform(0.75, 1.25)
+
+    def _count(self, result: str) -> None:
+        self.calls.inc({"topic": self.name, "result": result})
--- /dev/null
+++ b/agatetack/lifecycle/status.py
@@ -0,0 +1,96 @@
+"""Say on addresses of their own whether a host is ready, and its counters."""
+
+from collections.abc import Callable, Sequence
+
+import trio
+from aioprometheus.formats.text import TEXT_CONTENT_TYPE, TextFormatter
+
+from agatetack.callers.server import CallerServer
+from agatetack.lifecycle.drain import Lifecycle
+from agatetack.messages import (
+    Answer,
+    BytesBody,
+    CallerRequest,
+    Handler,
+    Header,
+)
+from agatetack.metrics import Metrics
+from agatetack.settings.model import Endpoint, Settings
+
+OK = 200
+NOT_FOUND = 404
+NOT_READY = 503
+
+
+def _text(status: int, content: bytes, kind: bytes = b"text/plain") -> Answer:
+    return Answer(status, [Header(b"content-type", kind)], BytesBody(content))
+
+
+class ReadyHandler(Handler):
+    """Answers whether the host takes requests."""
+
+    def __init__(self, settings: Settings, lifecycle: Lifecycle):
+        """Ask `lifecycle`."""
+        self.path = settings.status.ready_path.encode()
+        self.lifecycle = lifecycle
+
+    async def handle(self, request: CallerRequest) -> Answer:
+        """Return 200 if the host is ready, else 503 and why not."""
+        if request.path != self.path:
+            return _text(NOT_FOUND, b"there is nothing here\n")
+        why = self.lifecycle.not_ready()
+        if why is None:
+            return _text(OK, b"ready\n")
+        return _text(NOT_READY, f"{why.detail}\n".encode())
+
+
+class MetricsHandler(Handler):
+    """Answers with the host's counters, as text."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        metrics: Metrics,
+        refresh: Sequence[Callable[[], None]] = (),
+    ):
+        """Show `metrics`.
+
+        Args:
+            settings: The host's settings.
+            metrics: The counters.
+            refresh: Called before, to bring gauges up to date.
+        """
+        self.path = settings.status.metrics_path.encode()
+        self.metrics = metrics
+        self.refresh = refresh
+
+    async def handle(self, request: CallerRequest) -> Answer:
+        """Return the counters."""
+        if request.path != self.path:
+            return _text(NOT_FOUND, b"there is nothing here\n")
+        for refresh in self.refresh:
+            refresh()
+        content = await render_metrics(self.metrics)
+        return _text(OK, content, TEXT_CONTENT_TYPE.encode())
+
+
+async def render_metrics(metrics: Metrics) -> bytes:
+    """Return all counters as text; other tasks get their turn between two."""
+    metrics.hand_over()
+    formatter = TextFormatter()
+    blocks = []
+    for collector in metrics.registry.get_all():
+        blocks.append(formatter.marshall_collector(collector))
+        await trio.lowlevel.checkpoint()
+    return "\n".join([*blocks, ""]).encode()
+
+
+def status_server(
+    settings: Settings, listen: Endpoint, handler: Handler, metrics: Metrics
+) -> CallerServer:
+    """Return a plain HTTP server at `listen`."""
+    callers = settings.callers.model_copy(
+        update={"listen": listen, "pipeline_depth": 1, "end_means_gone": False}
+    )
+    own = settings.model_copy(update={"callers": callers})
+    return CallerServer(own, handler, metrics)
--- a/agatetack/log_writer.py
+++ b/agatetack/log_writer.py
@@ -13,6 +13,7 @@
 STOP_SECONDS = 1.0
 """How long a stop waits for the lines that are still to be written."""
 
+STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
 
 
--- a/agatetack/logs.py
+++ b/agatetack/logs.py
@@ -10,13 +10,21 @@
 
 from agatetack.ids import RequestId
 from agatetack.log_writer import (
+    STANDARD_ERROR,
+    STANDARD_OUTPUT,
     CountDrop,
     LineDrop,
     LogWriter,
     count_nothing,
 )
 from agatetack.settings.findings import one_line
-from agatetack.settings.model import LogsSettings
+from agatetack.settings.model import LogOutput, LogsSettings
+
+OUTPUT_FILES = {
+    LogOutput.STANDARD_OUTPUT: STANDARD_OUTPUT,
+    LogOutput.STANDARD_ERROR: STANDARD_ERROR,
+}
+"""The file descriptor of each output."""
 
 WINDOW_SECONDS = 1.0
 """How long the lines of one kind are counted together."""
@@ -156,17 +164,25 @@
         line = {"time": _format_time(record), "level": record.levelname.lower()}
         for name, value in fields.items():
             if value is not None:
-                # A lone surrogate has no place in JSON.
-                text = value.encode("utf-8", "backslashreplace")
-                line[name] = text.decode("utf-8")
+                line[name] = _clean(value)
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
-        return orjson.dumps(line).decode()
+        return orjson.dumps(line, default=str).decode()
+
+
+def _clean(value: object) -> object:
+    """Return a value that JSON can hold; it has no lone surrogates."""
+    if not isinstance(value, str):
+        return value
+    return value.encode("utf-8", "backslashreplace").decode("utf-8")
 
 
 def _format_time(record: std_logging.LogRecord) -> str:
-    seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-    return f"{seconds}.{int(record.msecs):03d}Z"
+    """Return when the line was written, or when what it tells of happened."""
+    wall = getattr(record, "wall", None)
+    created = record.created if wall is None else wall
+    seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(created))
+    return f"{seconds}.{int(created % 1 * 1000):03d}Z"
 
 
 def count_drops(count: CountDrop) -> None:
@@ -178,7 +194,7 @@
 
 
 def set_up_logs(settings: LogsSettings) -> LogWriter:
-    """Send log lines to standard error, as `settings` say.
+    """Send log lines where `settings` say.
 
     Returns:
         The writer; lines that still wait are written at the process's end.
@@ -191,7 +207,7 @@
     formatter = logging.PythonFormatter()
     if settings.json_lines:
         formatter = JsonFormatter()
-    writer = LogWriter(formatter)
+    writer = LogWriter(formatter, OUTPUT_FILES[settings.output])
     root = std_logging.getLogger()
     root.removeHandler(logging.get_absl_handler())
     root.addHandler(writer)
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from agatetack.decisions import Story
 from agatetack.ids import (
     AttemptId,
     CallerId,
@@ -165,6 +166,7 @@
         deadline_given: Whether the caller brought the deadline; else the
             route's stands in.
         attempts: What was done with it, in the order of the attempts.
+        story: The decisions about it, for the log.
     """
 
     request_id: RequestId
@@ -179,6 +181,7 @@
     arrived: Deadline
     deadline_given: bool = True
     attempts: list[AttemptNote] = dataclasses.field(default_factory=list)
+    story: Story = dataclasses.field(default_factory=Story)
 
     @property
     def replayable(self) -> bool:
--- a/agatetack/operators/app.py
+++ b/agatetack/operators/app.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 import trio
-from aioprometheus.formats.text import TEXT_CONTENT_TYPE, TextFormatter
+from aioprometheus.formats.text import TEXT_CONTENT_TYPE
 
+from agatetack.lifecycle.status import render_metrics
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.operators import rpc
@@ -127,14 +128,7 @@
         return Response(200, page.encode(), HTML)
 
     async def _metrics(self, scope: Scope, receive: Receive) -> Response:
-        self.metrics.hand_over()
-        formatter = TextFormatter()
-        blocks = []
-        for collector in self.metrics.registry.get_all():
-            blocks.append(formatter.marshall_collector(collector))
-            # Callers' requests get their turn between two metrics.
-            await trio.lowlevel.checkpoint()
-        body = "\n".join([*blocks, ""]).encode()
+        body = await render_metrics(self.metrics)
         return Response(200, body, TEXT_CONTENT_TYPE.encode())
 
     async def _ready(self, scope: Scope, receive: Receive) -> Response:
--- a/agatetack/platform/__init__.py
+++ b/agatetack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Reach the platform's log service and host list."""
+"""Translate between the product and the users' platform; decide nothing."""
--- /dev/null
+++ b/agatetack/platform/bounds.py
@@ -0,0 +1,108 @@
+"""Lay the bounds that the platform sets over the settings."""
+
+import dataclasses
+from collections.abc import Sequence
+
+from agatetack.errors import UserError
+from agatetack.platform.figures import read_seconds
+from agatetack.settings.model import Settings
+
+KILL_MARGIN_SECONDS = 0.4
+"""Kept free before the platform kills a process that is stopping; closing
+connections and writing the last log lines takes some of it."""
+
+PROBE_SHARE = 0.25
+"""Share of the allowed probes that is used, as probes cost the targets."""
+
+
+class BoundsError(UserError):
+    """A bound can't be read."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """The bounds that the project goes by; None where the platform sets none.
+
+    Attributes:
+        stop_seconds: From the signal to stop until the process is killed.
+        repeat_ratio: Attempts beyond the first, as a share of a service's
+            requests.
+        repeat_slack: How many more there may be in one window.
+        repeat_window_seconds: The length of that window.
+        probes_per_second: Probes that one target may get from all hosts.
+    """
+
+    stop_seconds: float | None = None
+    repeat_ratio: float | None = None
+    repeat_slack: float | None = None
+    repeat_window_seconds: float | None = None
+    probes_per_second: float | None = None
+
+
+READERS = {
+    "grace": ("stop_seconds", read_seconds),
+    "budget_ratio": ("repeat_ratio", float),
+    "budget_slack": ("repeat_slack", float),
+    "budget_window": ("repeat_window_seconds", read_seconds),
+    "probes_per_s": ("probes_per_second", float),
+}
+"""Field and reader of each bound, by the platform's name for it."""
+
+
+def read_bounds(texts: Sequence[str]) -> Bounds:
+    """Return the bounds in `texts`; names that are not used are passed over.
+
+    Raises:
+        BoundsError: A bound that is used has no readable figure.
+    """
+    found = {}
+    for text in texts:
+        name, _, value = text.partition("=")
+        if name not in READERS:
+            continue
+        field, read = READERS[name]
+        try:
+            found[field] = read(value)
+        except ValueError as error:
+            message = f"platform.store.bounds: {text}: {error}"
+            raise BoundsError(message) from error
+    return Bounds(**found)
+
+
+def bounded(settings: Settings) -> Settings:
+    """Return `settings` with the platform's bounds in their places."""
+    bounds = read_bounds(settings.platform.store.bounds)
+    lifecycle, attempts = settings.lifecycle, settings.attempts
+    measure = settings.measure
+    if bounds.stop_seconds is not None:
+        drain = max(1.0, bounds.stop_seconds - KILL_MARGIN_SECONDS)
+        lifecycle = lifecycle.model_copy(
+            update={
+                "drain_seconds": drain,
+                "notice_seconds": min(lifecycle.notice_seconds, drain),
+            }
+        )
+    attempts = attempts.model_copy(
+        update=_given(
+            fleet_ratio=bounds.repeat_ratio,
+            fleet_slack=bounds.repeat_slack,
+            fleet_window_seconds=bounds.repeat_window_seconds,
+        )
+    )
+    if bounds.probes_per_second is not None:
+        most = bounds.probes_per_second * PROBE_SHARE
+        wanted = measure.target_probes_per_second
+        measure = measure.model_copy(
+            update={"target_probes_per_second": min(wanted, most)}
+        )
+    return settings.model_copy(
+        update={
+            "lifecycle": lifecycle,
+            "attempts": attempts,
+            "measure": measure,
+        }
+    )
+
+
+def _given(**values: float | None) -> dict[str, float]:
+    return {name: v for name, v in values.items() if v is not None}
--- /dev/null
+++ b/agatetack/platform/configuration.py
@@ -0,0 +1,96 @@
+"""Read the configuration that operators write to the platform's store."""
+
+from collections.abc import Mapping
+
+import orjson
+
+from agatetack.config.document import (
+    BadDocument,
+    CallerLimits,
+    DocumentDecoder,
+    RouteDocument,
+    ServiceInfo,
+)
+from agatetack.config.route import RequestClass, Route, SplitPart
+from agatetack.ids import RouteId, ServiceId, TeamId
+from agatetack.platform.figures import read_seconds
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+
+ROUTE_TYPES = {
+    "idempotent": RequestClass.FAST,
+    "non_idempotent": RequestClass.ONCE,
+    "download": RequestClass.WHOLE,
+}
+"""What each of the platform's kinds of route is here."""
+
+TEAM = TeamId("platform")
+"""The platform's routes belong to no team of their own."""
+
+
+class ConfigurationDecoder(DocumentDecoder):
+    """Reads the platform's configuration, as JSON."""
+
+    def decode(self, content: bytes) -> RouteDocument:
+        """Return the document in `content`.
+
+        Raises:
+            BadDocument: It holds none.
+        """
+        try:
+            fields = orjson.loads(content)
+            return RouteDocument(
+                version=int(fields["version"]),
+                routes=tuple(map(_read_route, fields["routes"])),
+                services=tuple(map(_read_service, fields["services"])),
+                limits=_read_limits(fields.get("limits")),
+            )
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise BadDocument(f"{type(error).__name__}: {error}") from error
+
+
+def _read_route(fields: Mapping) -> Route:
+    split = tuple(
+        SplitPart(ServiceId(part["service"]), float(part["weight"]))
+        for part in fields.get("traffic_split") or ()
+    )
+    main = fields.get("service") or split[0].service
+    return Route(
+        id=RouteId(fields["name"]),
+        team=TEAM,
+        service=ServiceId(main),
+        request_class=ROUTE_TYPES[fields["route_type"]],
+        path_prefix=fields["path_prefix"],
+        host=fields["host"].lower(),
+        timeout_seconds=_optional_seconds(fields, "timeout"),
+        # Named for servers there; each attempt here goes to another target.
+        max_attempts=int(fields.get("max_attempts") or 0),
+        target_latency_seconds=_optional_seconds(fields, "target_latency"),
+        priority=int(fields.get("priority") or 0),
+        split=split,
+    )
+
+
+def _optional_seconds(fields: Mapping, name: str) -> float:
+    text = fields.get(name)
+    return read_seconds(text) if text else 0.0
+
+
+def _read_service(fields: Mapping) -> ServiceInfo:
+    return ServiceInfo(
+        id=ServiceId(fields["name"]),
+        load_path=fields.get("health_path") or "/",
+        max_connections=int(fields.get("max_connections") or 0),
+    )
+
+
+def _read_limits(fields: Mapping | None) -> CallerLimits | None:
+    if not fields:
+        return None
+    return CallerLimits(
+        max_header_bytes=int(fields["max_header_bytes"]),
+        max_body_bytes=int(fields["max_body_bytes"]),
+        header_timeout_seconds=read_seconds(fields["header_timeout"]),
+        idle_timeout_seconds=read_seconds(fields["idle_timeout"]),
+    )
--- /dev/null
+++ b/agatetack/platform/load_header.py
@@ -0,0 +1,33 @@
+"""Read the platform's load report, which stands in one header."""
+
+from collections.abc import Mapping
+
+from agatetack.settings.model import Settings
+from agatetack.targets.load import USUAL_SLOWNESS, LoadReader, ReadLoad
+
+USUAL_PERCENT = 100.0
+
+
+class ListLoadReader(LoadReader):
+    """Reads running, waiting, slots and slowness in percent, by commas."""
+
+    def __init__(self, settings: Settings):
+        """Read the header that `settings` name."""
+        self.name = settings.targets.headers.load.encode()
+        self.names = frozenset((self.name,))
+
+    def read(self, headers: Mapping[bytes, bytes]) -> ReadLoad:
+        """Return the report that `headers` hold."""
+        try:
+            figures = [
+                float(text) for text in headers.get(self.name, b"").split(b",")
+            ]
+        except ValueError:
+            return ReadLoad(None)
+        if len(figures) < 3 or any(not 0 <= f < 1e6 for f in figures):
+            return ReadLoad(None)
+        running, waiting, slots = (int(figure) for figure in figures[:3])
+        slowness = USUAL_SLOWNESS
+        if len(figures) > 3:
+            slowness = max(figures[3], 1.0) / USUAL_PERCENT
+        return ReadLoad(running + waiting, max(1, slots), slowness)
--- /dev/null
+++ b/agatetack/platform/store_client.py
@@ -0,0 +1,217 @@
+"""Call the platform's metadata store over HTTP."""
+
+import base64
+import dataclasses
+import struct
+import urllib.parse
+from collections.abc import Iterator, Mapping
+
+import orjson
+import trio
+
+from agatetack.http_call import (
+    CallFailed,
+    PlatformCaller,
+    PlatformReply,
+    PlatformRequest,
+)
+from agatetack.ids import Deadline, LogOffset
+from agatetack.keyed.topic import (
+    KeyedRecord,
+    KeyedTopic,
+    TopicPage,
+    TopicTruncated,
+    TopicUnavailable,
+)
+from agatetack.settings.model import Settings
+
+OK = 200
+GONE = 410
+
+LENGTH = struct.Struct(">I")
+READ_HEAD = struct.Struct(">QQ")
+"""Before the records of a read: the end, and the first offset still kept."""
+
+PARTITION = 0
+"""Keyed topics have only this one."""
+
+MAX_PAGES = 1000
+"""Pages of 500 keys read at most; more are an answer that never ends."""
+
+
+class StoreClient:
+    """The store at the address that the settings name."""
+
+    def __init__(self, settings: Settings):
+        """Make a client; it connects when it is first used."""
+        store = settings.platform.store
+        self.caller = PlatformCaller(
+            store.endpoint, store.timeout_seconds, store.silent_seconds
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self.caller.aclose()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, object],
+        deadline: Deadline,
+        body: bytes = b"",
+    ) -> PlatformReply:
+        """Call the store once.
+
+        Raises:
+            TopicUnavailable: No answer came.
+        """
+        text = urllib.parse.urlencode(query)
+        request = PlatformRequest(
+            method, f"{path}?{text}", deadline, body, max_reply_bytes=64 << 20
+        )
+        try:
+            return await self.caller.call(request)
+        except CallFailed as error:
+            raise TopicUnavailable(str(error), error.sent) from error
+
+
+class StoreTopic(KeyedTopic):
+    """One keyed topic of the store."""
+
+    def __init__(self, client: StoreClient, name: str):
+        """Use the topic called `name` there."""
+        self.client = client
+        self.name = name
+
+    async def newest(self, deadline: Deadline) -> TopicPage:
+        """Return the newest record of each key.
+
+        Raises:
+            TopicUnavailable: They could not be read before `deadline`.
+        """
+        records: list[KeyedRecord] = []
+        end: int | None = None
+        after: str | None = None
+        for _ in range(MAX_PAGES):
+            query = {"topic": self.name, "part": PARTITION}
+            if after is not None:
+                query["after"] = after
+            reply = await self.client.call(
+                "GET", "/agatetack/log-newest", query, deadline
+            )
+            if reply.status != OK:
+                raise TopicUnavailable(f"status {reply.status}")
+            part = _read_newest(reply.body)
+            records += part.page.records
+            # Later pages may hold later records, which are read again.
+            end = part.page.end if end is None else min(end, part.page.end)
+            if not part.more:
+                return TopicPage(records, LogOffset(end))
+            after = records[-1].key
+        raise TopicUnavailable("the pages do not end")
+
+    async def read(
+        self, first: LogOffset, wait_until: Deadline, deadline: Deadline
+    ) -> TopicPage:
+        """Return the records from `first` on, as soon as there is one.
+
+        Raises:
+            TopicTruncated: `first` is no longer kept.
+            TopicUnavailable: Nothing could be read before `deadline`.
+        """
+        wait = max(0.0, wait_until - trio.current_time())
+        query = {
+            "topic": self.name,
+            "part": PARTITION,
+            "from": first,
+            "wait_ms": int(wait * 1000),
+        }
+        reply = await self.client.call(
+            "GET", "/agatetack/log-read", query, deadline
+        )
+        if reply.status == GONE:
+            raise TopicTruncated
+        if reply.status != OK:
+            raise TopicUnavailable(f"status {reply.status}")
+        return _read_records(reply.body, first)
+
+    async def append(
+        self, key: str, value: bytes, deadline: Deadline
+    ) -> LogOffset:
+        """Append a record and return its offset.
+
+        Raises:
+            TopicUnavailable: It is not known to stand in the topic.
+        """
+        name = key.encode()
+        record = bytes([len(name)]) + name + value
+        reply = await self.client.call(
+            "POST",
+            "/agatetack/log-append",
+            {"topic": self.name, "part": PARTITION},
+            deadline,
+            LENGTH.pack(len(record)) + record,
+        )
+        if reply.status != OK:
+            raise TopicUnavailable(f"status {reply.status}")
+        try:
+            return LogOffset(int(orjson.loads(reply.body)["offset"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise TopicUnavailable(f"odd answer: {error}", True) from error
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NewestPart:
+    """A page of the newest records.
+
+    Attributes:
+        page: The records, and the topic's end when it was written.
+        more: Whether another page follows.
+    """
+
+    page: TopicPage
+    more: bool
+
+
+def _read_newest(body: bytes) -> _NewestPart:
+    try:
+        fields = orjson.loads(body)
+        records = [
+            KeyedRecord(
+                item["key"],
+                base64.b64decode(item["value"]) or None,
+                LogOffset(int(item["offset"])),
+            )
+            for item in fields["items"]
+        ]
+        page = TopicPage(records, LogOffset(int(fields["end"])))
+        return _NewestPart(page, bool(fields["more"] and records))
+    except (KeyError, TypeError, ValueError) as error:
+        raise TopicUnavailable(f"odd answer: {error}") from error
+
+
+def _read_records(body: bytes, first: LogOffset) -> TopicPage:
+    try:
+        READ_HEAD.unpack_from(body)
+        records = list(_split_records(body, first))
+    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        raise TopicUnavailable(f"odd answer: {error}") from error
+    # The end said first may lie behind what one answer holds.
+    return TopicPage(records, LogOffset(first + len(records)))
+
+
+def _split_records(body: bytes, first: LogOffset) -> Iterator[KeyedRecord]:
+    position, offset = READ_HEAD.size, first
+    while position < len(body):
+        (length,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        record = body[position : position + length]
+        if len(record) < length:
+            raise IndexError("a record is cut")
+        position += length
+        key_end = 1 + record[0]
+        yield KeyedRecord(
+            record[1:key_end].decode(), record[key_end:] or None, offset
+        )
+        offset = LogOffset(offset + 1)
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -10,6 +10,7 @@
 from agatetack.callers.bounded import BoundedBody, TooLarge, too_large
 from agatetack.callers.problem import refusal_answer, refusal_status
 from agatetack.config.route import RequestClass, Route, RouteSource
+from agatetack.decisions import DecisionLog, Importance
 from agatetack.deferred.queue import TicketRefusal
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
@@ -24,12 +25,17 @@
 from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.serving.explain import Explanations
+from agatetack.serving.split import Splitter
 from agatetack.settings.model import Settings
 
 COME_BACK_STATUSES = frozenset({429, 503})
 """Refusals that always say when to come back."""
 
+FIRST_FAILURE = 500
+"""The least status that says that the target failed."""
+
 log = PartLog("serving")
+decisions = DecisionLog("serving")
 
 
 class ClassRunner(abc.ABC):
@@ -50,7 +56,7 @@
         settings: Settings,
         routes: RouteSource,
         runners: dict[RequestClass, ClassRunner],
-        tickets: Handler,
+        tickets: Handler | None,
         crashes: CrashTracker,
         explanations: Explanations,
         metrics: Metrics,
@@ -62,7 +68,7 @@
             settings: The host's settings.
             routes: The routes in force.
             runners: One runner for each class.
-            tickets: Answers polls for deferred requests.
+            tickets: Answers polls for deferred requests, if there are any.
             crashes: Refuses requests that crash targets.
             explanations: Keeps why requests ended as they did.
             metrics: The host's counters.
@@ -70,6 +76,7 @@
                 are refused, so that they can't put off its end.
         """
         self.accepting = accepting
+        self.splitter = Splitter()
         self.settings = settings
         self.routes = routes
         self.runners = runners
@@ -85,15 +92,16 @@
         """Return the target's answer or a refusal."""
         route = None
         try:
-            if request.path.startswith(self.ticket_prefix):
+            if self._is_for_tickets(request):
                 return await self.tickets.handle(request)
             found = self._find_route(request)
             if isinstance(found, Refusal):
                 return self._refuse(None, request, _doubted(request, found))
-            route = found
+            route = self.splitter.choose(found)
             result = await self._run(route, request)
-        except CallerGone:
+        except (CallerGone, trio.Cancelled):
             # Nobody is left to answer; who serves the connection counts it.
+            self._finish(route, request, Importance.FAILED, "caller-gone")
             raise
         except TooLarge as error:
             return self._refuse(route, request, error.refusal())
@@ -107,6 +115,11 @@
             return self._refuse(route, request, result.failure())
         return self._pass_on(route, request, result.unwrap())
 
+    def _is_for_tickets(self, request: CallerRequest) -> bool:
+        if self.tickets is None:
+            return False
+        return request.path.startswith(self.ticket_prefix)
+
     def _find_route(self, request: CallerRequest) -> Route | Refusal:
         if not self.accepting():
             return refuse(
@@ -150,6 +163,10 @@
             request.deadline = Deadline(
                 request.arrived + route.deadline_seconds
             )
+        if route.timeout_seconds:
+            # Operators want nobody to be kept waiting for longer.
+            latest = Deadline(request.arrived + route.timeout_seconds)
+            request.deadline = min(request.deadline, latest)
         length = request.body.length
         if length is not None and length > route.max_body_bytes:
             return too_large(route.max_body_bytes)
@@ -170,6 +187,15 @@
         route_id = None if route is None else route.id
         self.metrics.refused(route_id, refusal.reason)
         self.explanations.note(request, route, status, refusal)
+        self._finish(
+            route,
+            request,
+            Importance.FAILED,
+            refusal.reason.value,
+            status=status,
+            ran=refusal.outcome.value,
+            detail=refusal.detail,
+        )
         callers = self.settings.callers
         answer = refusal_answer(refusal, request.request_id, callers)
         if isinstance(refusal, TicketRefusal):
@@ -186,8 +212,49 @@
         answer.route = route.id
         name = self.request_id_name
         answer.headers.append(Header(name, request.request_id.encode()))
+        self._finish(
+            route,
+            request,
+            _importance(route, request, answer, seconds),
+            "answered",
+            status=answer.status,
+        )
         return answer
 
+    def _finish(
+        self,
+        route: Route | None,
+        request: CallerRequest,
+        importance: Importance,
+        outcome: str,
+        **fields: object,
+    ) -> None:
+        """Write how a request ended, and the decisions about it."""
+        now = trio.current_time()
+        decisions.finish(
+            request.story,
+            importance,
+            request.request_id,
+            outcome=outcome,
+            route=None if route is None else route.id,
+            service=None if route is None else route.service,
+            attempts=len(request.attempts),
+            took_ms=round((now - request.arrived) * 1000, 1),
+            left_ms=round((request.deadline - now) * 1000, 1),
+            **fields,
+        )
+
+
+def _importance(
+    route: Route, request: CallerRequest, answer: Answer, seconds: float
+) -> Importance:
+    """Return whether an answered request's decisions are all wanted."""
+    wanted = route.target_latency_seconds
+    late = wanted and seconds > wanted
+    if late or answer.status >= FIRST_FAILURE or len(request.attempts) > 1:
+        return Importance.FAILED
+    return Importance.USUAL
+
 
 def _doubted(request: CallerRequest, refusal: Refusal) -> Refusal:
     """Return a refusal that is true of earlier attempts with the key too.
--- /dev/null
+++ b/agatetack/settings/reload.py
@@ -0,0 +1,101 @@
+"""Read the settings file again when it changes or a signal asks for it."""
+
+import os
+import signal
+from collections.abc import Callable, Sequence
+
+import trio
+
+from agatetack.decisions import DecisionLog
+from agatetack.settings.loader import check_settings
+from agatetack.settings.model import Settings
+
+LOOK_SECONDS = 0.5
+"""How often the file is looked at; a change may come without a signal."""
+
+log = DecisionLog("settings")
+
+Apply = Callable[[Settings], None]
+"""Takes new settings; must not block or raise."""
+
+
+def changed_sections(before: Settings, after: Settings) -> Sequence[str]:
+    """Return the names of the sections that differ."""
+    return [
+        name
+        for name in type(before).model_fields
+        if getattr(before, name) != getattr(after, name)
+    ]
+
+
+class SettingsWatch:
+    """Keeps up with one settings file.
+
+    Attributes:
+        settings: The settings in force.
+        live: The sections that can change while the host runs.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        settings: Settings,
+        apply: Apply,
+        live: frozenset[str],
+    ):
+        """Call `apply` with new settings.
+
+        Args:
+            path: The file.
+            settings: What it gave at the start.
+            apply: Puts settings in force.
+            live: Sections that `apply` can put in force.
+        """
+        self.path = path
+        self.settings = settings
+        self.apply = apply
+        self.live = live
+        self.stamp = self._look()
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Follow the file until cancelled; started once signals are taken."""
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            task_status.started()
+            while True:
+                asked = False
+                with trio.move_on_after(LOOK_SECONDS):
+                    await anext(signals)
+                    asked = True
+                stamp = self._look()
+                if asked or stamp != self.stamp:
+                    self.stamp = stamp
+                    self._reload("signal" if asked else "file")
+
+    def _look(self) -> tuple[int, int] | None:
+        """Return what shows a change of the file, or None without a file."""
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size
+
+    def _reload(self, why: str) -> None:
+        checked = check_settings(self.path)
+        if checked.settings is None:
+            # The last settings stay in force; what is wrong is told.
+            findings = [str(finding) for finding in checked.findings]
+            log.note("reload", why=why, outcome="refused", findings=findings)
+            return
+        changed = changed_sections(self.settings, checked.settings)
+        later = [name for name in changed if name not in self.live]
+        self.settings = checked.settings
+        self.apply(checked.settings)
+        log.note(
+            "reload",
+            why=why,
+            outcome="in-force",
+            changed=changed,
+            after_a_restart=later,
+        )
--- /dev/null
+++ b/agatetack/store_daemon.py
@@ -0,0 +1,71 @@
+"""Run a host on a metadata store as a daemon: serve, reload, drain."""
+
+import os
+
+import trio
+
+from agatetack.collector import tune_collector
+from agatetack.daemon_parts import count_dropped_lines, forward_signals
+from agatetack.decisions import DecisionLog
+from agatetack.platform.bounds import bounded
+from agatetack.settings.model import Settings
+from agatetack.settings.reload import SettingsWatch
+from agatetack.store_gateway import StoreGateway
+
+CLOSE_SECONDS = 0.2
+"""Longest time for closing the store's connections at the end."""
+
+LIVE_SECTIONS = frozenset(
+    {"platform", "lifecycle", "attempts", "callers", "logs"}
+)
+"""Sections of the settings that a running host takes anew."""
+
+log = DecisionLog("daemon")
+
+
+async def run_store_gateway(settings: Settings, path: str) -> int:
+    """Run one host on the store, until it is stopped.
+
+    Args:
+        settings: The host's settings.
+        path: The file that they came from.
+
+    Returns:
+        The exit status of the process: 0, or 1 if requests were cut.
+    """
+    gateway = StoreGateway(bounded(settings))
+    count_dropped_lines(gateway.metrics)
+    tune_collector()
+    watch = SettingsWatch(
+        path,
+        settings,
+        lambda changed: gateway.reconfigure(bounded(changed)),
+        LIVE_SECTIONS,
+    )
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(forward_signals, gateway.stops)
+            await nursery.start(watch.run)
+            ports = await nursery.start(gateway.run)
+            log.note(
+                "start",
+                host=settings.host.id,
+                pid=os.getpid(),
+                callers=ports.callers,
+                peers=ports.peers,
+                ready=ports.ready,
+                metrics=ports.metrics,
+            )
+            report = await gateway.lifecycle.drain_on(gateway.stops_out)
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.move_on_after(CLOSE_SECONDS) as scope:
+            scope.shield = True
+            await gateway.aclose()
+    log.note(
+        "stop",
+        host=settings.host.id,
+        cut=[request.request_id for request in report.cut],
+        unfinished=list(report.unfinished),
+    )
+    return report.exit_code
--- /dev/null
+++ b/agatetack/store_gateway.py
@@ -0,0 +1,201 @@
+"""Wire a host whose routes, targets and peers stand in a metadata store."""
+
+import dataclasses
+
+import trio
+
+from agatetack.attempts.once import OnceRunner
+from agatetack.claims.host_claims import HostClaims
+from agatetack.clock import Clock
+from agatetack.config.document_routes import DocumentRoutes
+from agatetack.config.route import RequestClass
+from agatetack.gateway_core import GatewayCore, GatewayReadiness
+from agatetack.hosts.member_directory import MemberDirectory
+from agatetack.hosts.registered_targets import RegisteredTargets
+from agatetack.keyed.follower import TopicFollower, TopicReader
+from agatetack.keyed.topic import KeyedTopic
+from agatetack.lifecycle.readiness import ReadinessView
+from agatetack.lifecycle.status import (
+    MetricsHandler,
+    ReadyHandler,
+    status_server,
+)
+from agatetack.platform.configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    ConfigurationDecoder,
+)
+from agatetack.platform.load_header import ListLoadReader
+from agatetack.platform.registrations import (
+    REGISTRATIONS_TOPIC,
+    ServerDecoder,
+)
+from agatetack.platform.store_client import StoreClient, StoreTopic
+from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
+from agatetack.settings.model import Settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StorePorts:
+    """The ports that a host listens on; 0 where it does not."""
+
+    callers: int
+    peers: int
+    ready: int = 0
+    metrics: int = 0
+
+
+class StoreReadiness(GatewayReadiness):
+    """What a host on a store must know before it takes requests."""
+
+    def __init__(self, gateway: "StoreGateway"):
+        """Look at what `gateway` has read."""
+        super().__init__(gateway.routes, gateway.registry)
+        self.gateway = gateway
+
+    def configured(self) -> bool:
+        """Return whether routes and targets have been read."""
+        return super().configured() and self.gateway.targets.known
+
+
+class StoreGateway(GatewayCore):
+    """One host on a metadata store; `run` serves until it is cancelled.
+
+    Attributes:
+        store: The store.
+        documents: The operators' document in force.
+        targets: The targets that registered.
+        members: The hosts that registered.
+        followers: What keeps these three up to date.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock | None = None):
+        """Build every slice; nothing runs before `run`.
+
+        Args:
+            settings: The host's settings; they name the store.
+            clock: The host's clocks; the system's if None.
+        """
+        super().__init__(settings, clock)
+        metrics = self.metrics
+        self.store = StoreClient(settings)
+        self.documents = DocumentRoutes(
+            CONFIGURATION_KEY, ConfigurationDecoder(), self.routes, metrics
+        )
+        member_topic = StoreTopic(
+            self.store, f"keyed.{settings.platform.store.member_topic}"
+        )
+        self.members = MemberDirectory(settings, member_topic, metrics)
+        load_reader = None
+        if settings.targets.headers.load is not None:
+            load_reader = ListLoadReader(settings)
+        self.build_target_side(
+            self.members, load_reader, self.documents.load_paths
+        )
+        self.targets = RegisteredTargets(
+            settings, ServerDecoder(), self.registry.update, metrics
+        )
+        self.followers = [
+            self._follower("documents", CONFIGURATION_TOPIC, self.documents),
+            self._follower("targets", REGISTRATIONS_TOPIC, self.targets),
+            self._follower("members", member_topic, self.members),
+        ]
+        self._build_classes()
+        self.documents.watchers.append(self._limit_callers)
+
+    def _follower(
+        self, name: str, topic: str | KeyedTopic, reader: TopicReader
+    ) -> TopicFollower:
+        if isinstance(topic, str):
+            topic = StoreTopic(self.store, topic)
+        return TopicFollower(self.settings, name, topic, reader, self.metrics)
+
+    def _build_classes(self) -> None:
+        once = OnceRunner(
+            self.settings,
+            HostClaims(),
+            self.admission,
+            self.single,
+            self.metrics,
+            self.fleet_budget,
+        )
+        self.build_caller_side(
+            {
+                RequestClass.FAST: FastRunner(self.attempts),
+                RequestClass.ONCE: OnceClassRunner(once),
+                RequestClass.WHOLE: WholeRunner(self.attempts, self.metrics),
+            }
+        )
+
+    def readiness(self) -> ReadinessView:
+        """Return what this host must know before it takes requests."""
+        return StoreReadiness(self)
+
+    def reconfigure(self, settings: Settings) -> None:
+        """Take settings that changed, as far as a running host can."""
+        self.settings = settings
+        self.lifecycle.settings = settings.lifecycle
+        self.fleet_budget.set_limits(settings)
+        self._limit_callers()
+
+    def _limit_callers(self) -> None:
+        """Let callers do what the document in force says, or the settings."""
+        callers = self.settings.callers
+        limits = self.documents.limits
+        if limits is not None:
+            callers = callers.model_copy(
+                update={
+                    "max_header_bytes": limits.max_header_bytes,
+                    "max_body_bytes": limits.max_body_bytes,
+                    "header_timeout_seconds": limits.header_timeout_seconds,
+                    "keep_alive_seconds": limits.idle_timeout_seconds,
+                }
+            )
+        self.callers.limit(callers)
+
+    def fleet_size(self) -> int | None:
+        """Return the number of hosts, never too low; None if not known."""
+        return self.peers.fleet_size() if self.members.known else None
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[StorePorts] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; the ports are reported once all listen."""
+        async with trio.open_nursery() as nursery:
+            for follower in self.followers:
+                nursery.start_soon(follower.run)
+            nursery.start_soon(self.targets.run)
+            peers_port = await nursery.start(self.peers.run)
+            nursery.start_soon(self.members.register, peers_port)
+            callers_port = await self.start_serving(nursery)
+            ready, metrics = await self._start_status(nursery)
+            task_status.started(
+                StorePorts(callers_port, peers_port, ready, metrics)
+            )
+
+    async def _start_status(self, nursery: trio.Nursery) -> tuple[int, int]:
+        """Serve readiness and counters; return their ports, or 0."""
+        status = self.settings.status
+        shows = [follower.show for follower in self.followers]
+        wanted = (
+            (status.ready_listen, ReadyHandler(self.settings, self.lifecycle)),
+            (
+                status.metrics_listen,
+                MetricsHandler(self.settings, self.metrics, shows),
+            ),
+        )
+        ports = []
+        for listen, handler in wanted:
+            port = 0
+            if listen is not None:
+                server = status_server(
+                    self.settings, listen, handler, self.metrics
+                )
+                port = await nursery.start(server.run)
+            ports.append(port)
+        return ports[0], ports[1]
+
+    async def aclose(self) -> None:
+        """Close the connections with the store."""
+        await self.store.aclose()
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -9,6 +9,7 @@
 import trio
 
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
+from agatetack.hosts.listed_target import ListedTarget
 from agatetack.ids import Deadline, ServiceId, TargetId
 from agatetack.logs import PartLog
 from agatetack.metrics import MeasureKind, Metrics
@@ -224,6 +225,10 @@
             limit=self.settings.admission.max_target_limit,
         )
         target.learned.limit = target.limit
+        if isinstance(host, ListedTarget):
+            target.slots = host.slots
+            if host.warm_at <= now:
+                target.status = TargetStatus.READY
         self.by_id[target.id] = target
         self.changes += 1
         record = self.leaving.get(target.id)
