--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -43,6 +43,26 @@
         """Note that the store can be read again; what it has was taken."""
 
 
+class ReadCounters:
+    """Counts the reads of all topics of one host.
+
+    Attributes:
+        reads: By topic and result.
+        age: How long ago each topic was read.
+    """
+
+    def __init__(self, metrics: Metrics):
+        """Count in `metrics`."""
+        self.reads = metrics.counter(
+            "agatetack_store_reads_total",
+            "Reads of the metadata store, by topic and result.",
+        )
+        self.age = metrics.gauge(
+            "agatetack_store_read_age_seconds",
+            "Time since a topic was last read, by topic.",
+        )
+
+
 class TopicFollower:
     """Reads one topic for ever and hands its records to a reader.
 
@@ -63,7 +83,7 @@
         name: str,
         topic: KeyedTopic,
         reader: TopicReader,
-        metrics: Metrics,
+        counters: "ReadCounters",
     ):
         """Follow `topic`, called `name` in logs and counters."""
         self.limits = settings.platform.store
@@ -75,14 +95,7 @@
         self.read_at: Deadline | None = None
         self.failures = 0
         self.random = random.Random()
-        self.calls = metrics.counter(
-            "agatetack_store_reads_total",
-            "Reads of the metadata store, by topic and result.",
-        )
-        self.age = metrics.gauge(
-            "agatetack_store_read_age_seconds",
-            "Time since a topic was last read, by topic.",
-        )
+        self.counters = counters
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -160,7 +173,7 @@
     def show(self) -> None:
         """Bring the gauge up to date."""
         if self.read_at is not None:
-            self.age.set({"topic": self.name}, self.age_seconds())
+            self.counters.age.set({"topic": self.name}, self.age_seconds())
 
     def _deadline(self, wait: float) -> Deadline:
         now = trio.current_time()
@@ -172,4 +185,4 @@
         return pause * self.random.uniform(0.75, 1.25)
 
     def _count(self, result: str) -> None:
-        self.calls.inc({"topic": self.name, "result": result})
+        self.counters.reads.inc({"topic": self.name, "result": result})
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -12,7 +12,7 @@
 from agatetack.gateway_core import GatewayCore, GatewayReadiness
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
-from agatetack.keyed.follower import TopicFollower, TopicReader
+from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
 from agatetack.keyed.topic import KeyedTopic
 from agatetack.lifecycle.readiness import ReadinessView
 from agatetack.lifecycle.status import (
@@ -95,6 +95,7 @@
         self.targets = RegisteredTargets(
             settings, ServerDecoder(), self.registry.update, metrics
         )
+        self.read_counters = ReadCounters(metrics)
         self.followers = [
             self._follower("documents", CONFIGURATION_TOPIC, self.documents),
             self._follower("targets", REGISTRATIONS_TOPIC, self.targets),
@@ -108,7 +109,9 @@
     ) -> TopicFollower:
         if isinstance(topic, str):
             topic = StoreTopic(self.store, topic)
-        return TopicFollower(self.settings, name, topic, reader, self.metrics)
+        return TopicFollower(
+            self.settings, name, topic, reader, self.read_counters
+        )
 
     def _build_classes(self) -> None:
         once = OnceRunner(
