--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -220,6 +220,7 @@
         now = Deadline(trio.current_time())
         target = permit.target
         target.in_flight -= 1
+        self.registry.note_in_flight(target)
         target.learned.sent.pop(permit.number, None)
         if result is AttemptResult.SHED:
             self.limits.shed(target)
@@ -250,6 +251,7 @@
         target.last_chosen_at = now
         target.report_uses += 1
         self.policy.sent(target, now)
+        self.registry.note_in_flight(target)
         for watcher in self.registry.choice_watchers:
             watcher(target.service)
         return ServicePermit(self, target, number, waiting, now)
--- /dev/null
+++ b/agatetack/balance/fleet_view.py
@@ -0,0 +1,124 @@
+"""Choose by what all hosts have at each target and how fast it is now."""
+
+import math
+import random
+from collections.abc import Sequence
+
+from agatetack.balance.expected_wait import COLD_COST, SHED_COST
+from agatetack.balance.learning import FAILURES_TO_LEAVE, LearningPolicy
+from agatetack.ids import Deadline
+from agatetack.settings.model import Settings
+from agatetack.targets.load import USUAL_SLOWNESS
+from agatetack.targets.state import TargetState, TargetStatus
+
+NEAR_RATIO = 0.05
+"""Candidates within this share of the best cost count as equally good."""
+
+FULL_FACTOR = 1.5
+"""How much longer work takes on a target whose last slot is taken.
+
+Targets that slow down when they are nearly full take about 1.7 times as long;
+others do not, so that the figure lies between.
+"""
+
+UNSEEN_HALF_LIFE_SECONDS = 0.1
+"""After this time, what a target reported beyond what the hosts tell of
+themselves counts half."""
+
+SLOWNESS_SECONDS = 0.4
+"""After this time a report says nothing of how slow a target is now.
+
+Neighbours that take a target's processor come and go in a few tenths of a
+second.
+"""
+
+UNKNOWN_SLOWNESS = 1.5
+"""Slowness taken for a target without a report that is fresh enough: what
+targets with noisy neighbours show on the mean of their better moments."""
+
+
+class FleetView(LearningPolicy):
+    """Choose the target where the request is expected to end first."""
+
+    def __init__(self, settings: Settings, rng: random.Random):
+        """Draw among near equals from `rng`."""
+        super().__init__(settings, rng)
+        self.cold_seconds = settings.balance.cold_seconds
+
+    def choose(
+        self, candidates: Sequence[TargetState], now: Deadline
+    ) -> TargetState | None:
+        """Return a candidate among the near best, or one due for a trial."""
+        typical = self.update_typical(candidates, now)
+        limit = typical * self.settings.balance.slow_ratio
+        costs = [self._weigh(t, now, typical, limit) for t in candidates]
+        best = min(costs)
+        if best == math.inf:
+            return min(candidates, key=lambda t: self.cost(t, now, typical))
+        near = best + NEAR_RATIO * typical
+        ties = [
+            target
+            for target, cost in zip(candidates, costs, strict=True)
+            if cost <= near
+        ]
+        return self.rng.choice(ties)
+
+    def _weigh(
+        self,
+        target: TargetState,
+        now: Deadline,
+        typical: float,
+        limit: float,
+    ) -> float:
+        """Return a target's cost; infinite if it is left for now."""
+        learned = target.learned
+        if learned.peer_at > learned.peer_seen:
+            self.take_peer_word(target, limit, now)
+        slow = learned.service_seconds is not None and (
+            learned.service_seconds > limit
+        )
+        if not slow and target.failures < FAILURES_TO_LEAVE:
+            return self.cost(target, now, typical)
+        if now < learned.trial_at or target.in_flight:
+            return math.inf
+        # One request shows whether it has recovered.
+        self.postpone_trial(target, now)
+        return -math.inf
+
+    def cost(self, target: TargetState, now: Deadline, typical: float) -> float:
+        """Return the expected seconds from sending to the answer."""
+        load = self.expected_load(target, now)
+        service = typical * self.slowness(target, now)
+        if load + 1 >= target.slots:
+            service *= FULL_FACTOR
+        wait = max(0.0, load + 1 - target.slots) / target.slots
+        cost = self.network(target) + service * (1 + wait)
+        if target.status is TargetStatus.COLD:
+            age = now - target.status_since
+            ramp = max(0.05, age / self.cold_seconds)
+            if self.rng.random() > ramp:
+                cost += COLD_COST * typical
+        learned = target.learned
+        if now < learned.shed_until or (learned.shed_count and learned.sent):
+            cost += SHED_COST * typical
+        return cost
+
+    def slowness(self, target: TargetState, now: Deadline) -> float:
+        """Return how many times longer than usual work takes there now."""
+        report = target.report
+        if report is None or now - report.at > SLOWNESS_SECONDS:
+            return UNKNOWN_SLOWNESS
+        return max(USUAL_SLOWNESS, report.slowness)
+
+    def expected_load(self, target: TargetState, now: Deadline) -> float:
+        """Return how many requests are thought to be at `target` now."""
+        known = target.in_flight + target.told_in_flight
+        report = target.report
+        if report is None:
+            return float(known)
+        unseen = report.in_flight - report.own_in_flight
+        unseen -= report.told_in_flight
+        if unseen <= 0:
+            return float(known)
+        half_lives = (now - report.at) / UNSEEN_HALF_LIFE_SECONDS
+        return known + unseen * 0.5 ** min(half_lives, 60.0)
--- a/agatetack/balance/policies.py
+++ b/agatetack/balance/policies.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from agatetack.balance.expected_wait import ExpectedWait
+from agatetack.balance.fleet_view import FleetView
 from agatetack.balance.policy import Policy
 from agatetack.ids import Deadline
 from agatetack.settings.model import PolicyName, Settings
@@ -87,6 +88,8 @@
         return LeastInFlight(rng)
     if name is PolicyName.POWER_OF_TWO:
         return PowerOfTwo(rng)
+    if name is PolicyName.FLEET_VIEW:
+        return FleetView(settings, rng)
     return ExpectedWait(settings, rng)
 
 
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -18,7 +18,9 @@
 from agatetack.lifecycle.in_flight import TrackingHandler
 from agatetack.lifecycle.readiness import ReadinessView
 from agatetack.measure.http_probe import HttpProbe
+from agatetack.measure.occupancy import Occupancy
 from agatetack.measure.prober import Prober
+from agatetack.measure.rounds import ProbeRounds
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
 from agatetack.peers.directory import GatewayDirectory
@@ -27,7 +29,7 @@
 from agatetack.quarantine.local_tracker import LocalCrashTracker
 from agatetack.serving.dispatcher import ClassRunner, Dispatcher
 from agatetack.serving.explain import Explanations
-from agatetack.settings.model import Settings
+from agatetack.settings.model import PolicyName, Settings
 from agatetack.targets.http_client import HttpTargetClient
 from agatetack.targets.load import LoadReader
 from agatetack.targets.registry import TargetRegistry
@@ -124,6 +126,12 @@
             HttpProbe(settings, load_reader, load_paths),
             seed,
         )
+        self.rounds = ProbeRounds(
+            settings, self.registry, self.peers, self.prober
+        )
+        self.occupancy = None
+        if settings.balance.policy is PolicyName.FLEET_VIEW:
+            self.occupancy = Occupancy(self.registry, self.peers, metrics)
         self.crashes = LocalCrashTracker(
             settings, self.peers, PoolLivenessCheck(self.client.pools), metrics
         )
@@ -190,6 +198,9 @@
     async def start_serving(self, nursery: trio.Nursery) -> int:
         """Start the tasks of these slices; return the port for callers."""
         await nursery.start(self.prober.run)
+        nursery.start_soon(self.rounds.run)
+        if self.occupancy is not None:
+            nursery.start_soon(self.occupancy.run)
         nursery.start_soon(self.crashes.run)
         nursery.start_soon(self.client.pools.close_old)
         nursery.start_soon(self.attempts.hedger.run)
--- /dev/null
+++ b/agatetack/measure/occupancy.py
@@ -0,0 +1,114 @@
+"""Tell the other hosts what this one has at each target, and hear theirs.
+
+Where each of many hosts sends a few requests a second, its own requests say
+little of a target's load. Each change is told at once, in a message of some
+80 bytes to each peer, so that the load of every target is known to within the
+time of a message.
+"""
+
+from collections import Counter, defaultdict
+
+import trio
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from agatetack.generated.measure.ttypes import InFlightCount, InFlightCounts
+from agatetack.ids import HostId, TargetId
+from agatetack.measure.samples import target_hash
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange, Topic
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState
+
+FORGET_SECONDS = 0.5
+"""How often the counts of hosts that are gone are looked for."""
+
+REPEAT_SECONDS = 1.0
+"""How often the counts above 0 are told again, as messages may be lost."""
+
+
+class Occupancy:
+    """What all hosts have at each target.
+
+    Attributes:
+        told: By target's hash, what each other host said that it has there.
+    """
+
+    def __init__(
+        self, registry: TargetRegistry, exchange: Exchange, metrics: Metrics
+    ):
+        """Listen to the registry and to the peers."""
+        self.registry = registry
+        self.exchange = exchange
+        self.metrics = metrics
+        self.protocols = TCompactProtocolAcceleratedFactory()
+        self.told: dict[int, Counter[HostId]] = defaultdict(Counter)
+        self.hashes: dict[int, TargetState] = {}
+        self.hashed_changes = -1
+        registry.in_flight_watchers.append(self._changed)
+        exchange.subscribe(Topic.IN_FLIGHT, self._take)
+
+    async def run(self) -> None:
+        """Forget hosts that are gone and repeat counts, until cancelled."""
+        repeat_at = trio.current_time()
+        while True:
+            await trio.sleep(FORGET_SECONDS)
+            self._forget_gone()
+            if trio.current_time() >= repeat_at:
+                repeat_at = trio.current_time() + REPEAT_SECONDS
+                busy = [t for t in self.registry.by_id.values() if t.in_flight]
+                if busy:
+                    self._send(busy)
+
+    def _changed(self, target: TargetState) -> None:
+        self._send([target])
+
+    def _send(self, targets: list[TargetState]) -> None:
+        counts = [
+            InFlightCount(target_hash(target.id), target.in_flight)
+            for target in targets
+        ]
+        payload = serialize(InFlightCounts(counts), self.protocols)
+        self.exchange.publish(Topic.IN_FLIGHT, payload)
+
+    def _take(self, sender: HostId, payload: bytes) -> None:
+        try:
+            message = deserialize(InFlightCounts(), payload, self.protocols)
+        except Exception:  # noqa: BLE001
+            # Thrift raises many kinds of errors on a malformed message.
+            self.metrics.dropped.inc(
+                {"part": "measure", "reason": "counts-malformed"}
+            )
+            return
+        for count in message.counts:
+            hosts = self.told[count.target]
+            if count.count > 0:
+                hosts[sender] = count.count
+            else:
+                hosts.pop(sender, None)
+            self._sum_up(count.target)
+
+    def _sum_up(self, number: int) -> None:
+        if self.hashed_changes != self.registry.changes:
+            self._hash_targets()
+        target = self.hashes.get(number)
+        if target is not None:
+            target.told_in_flight = self.told[number].total()
+
+    def _hash_targets(self) -> None:
+        self.hashed_changes = self.registry.changes
+        self.hashes = {
+            target_hash(TargetId(target.id)): target
+            for target in self.registry.by_id.values()
+        }
+        for number in self.told.keys() - self.hashes.keys():
+            del self.told[number]
+
+    def _forget_gone(self) -> None:
+        live = {peer.id for peer in self.exchange.live_peers()}
+        for number, hosts in list(self.told.items()):
+            gone = hosts.keys() - live
+            for host in gone:
+                del hosts[host]
+            if gone:
+                self._sum_up(number)
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -115,14 +115,14 @@
             if target is None:
                 self._give_back()
                 continue
-            nursery.start_soon(self._probe, target)
+            nursery.start_soon(self.probe, target)
 
     async def _probe_leaving(self) -> None:
         while True:
             await trio.sleep(LEAVING_PROBE_SECONDS)
             leaving = list(self.registry.leaving_targets())
             if leaving and self._take():
-                await self._probe(self.rng.choice(leaving))
+                await self.probe(self.rng.choice(leaving))
 
     def _note_choice(self, service: ServiceId) -> None:
         if service not in self.chosen and len(self.chosen) < RECENT_SERVICES:
@@ -161,7 +161,8 @@
         drawn = self.rng.sample(targets, count)
         return min(drawn, key=_known_at)
 
-    async def _probe(self, target: TargetState) -> None:
+    async def probe(self, target: TargetState) -> None:
+        """Ask one target for its load and note what it says."""
         timeout = self.settings.measure.probe_timeout_seconds
         deadline = Deadline(trio.current_time() + timeout)
         result = await self.client.probe(target, deadline, PROBE_BYTES)
@@ -175,6 +176,9 @@
             self._note_failure(target, result.failure())
             return
         answer = result.unwrap()
+        if answer.instance not in (None, target.id):
+            self.registry.note_leaving(target, LeavingSign.OTHER_INSTANCE)
+            return
         self.probe_bytes.give_back(max(0, PROBE_BYTES - answer.used_bytes))
         used = min(answer.used_bytes, PROBE_BYTES)
         self.metrics.budget_spent.add({"unit": "bytes"}, used)
@@ -182,8 +186,10 @@
             in_flight=answer.in_flight,
             slots=answer.slots or target.slots,
             own_in_flight=target.in_flight,
+            told_in_flight=target.told_in_flight,
             at=Deadline(trio.current_time()),
             source=ReportSource.PROBE,
+            slowness=answer.slowness,
         )
         self.registry.note_report(target, report)
         self.registry.note_probe(target, answer.state)
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -39,6 +39,9 @@
 DEFAULT_SLOTS = 2
 """Slots that a sample without the field means."""
 
+USUAL_PERCENT = 100
+"""The slowness of a target on which work takes as long as usual."""
+
 SIGN_NUMBERS = {sign: number for number, sign in enumerate(LeavingSign, 1)}
 SIGNS = {number: sign for sign, number in SIGN_NUMBERS.items()}
 
@@ -143,6 +146,9 @@
         age_ms = round((now - report.at) * 1000)
         if age_ms > 0:
             sample.age_ms = age_ms
+        slowness_pct = round(report.slowness * USUAL_PERCENT)
+        if slowness_pct != USUAL_PERCENT:
+            sample.slowness_pct = slowness_pct
         service = target.learned.service_seconds
         # A peer's word that went round would look like ever new evidence.
         if service is not None and not target.learned.adopted:
@@ -177,8 +183,11 @@
             in_flight=max(0, sample.in_flight),
             slots=max(1, sample.slots or DEFAULT_SLOTS),
             own_in_flight=target.in_flight,
+            told_in_flight=target.told_in_flight,
             at=at,
             source=ReportSource.PEER,
+            slowness=max(1, sample.slowness_pct or USUAL_PERCENT)
+            / USUAL_PERCENT,
         )
         self.registry.note_report(target, report)
         if sample.service_us and at > target.learned.peer_at:
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -20,6 +20,8 @@
     CLAIM_BATCH = 7
     EXPLAIN = 8
     TARGET_DRAINS = 9
+    IN_FLIGHT = 10
+    TOPIC_RECORDS = 11
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -267,6 +267,7 @@
             in_flight=load.in_flight,
             slots=target.slots if load.slots is None else load.slots,
             own_in_flight=target.in_flight,
+            told_in_flight=target.told_in_flight,
             at=Deadline(trio.current_time()),
             source=ReportSource.ANSWER,
             slowness=load.slowness,
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -47,6 +47,8 @@
             probes go where choices are made.
         changed_watchers: Called with a target that this host found slow, or
             no longer so.
+        in_flight_watchers: Called with a target when the number of requests
+            that this host has there changed.
         leaving_watchers: Called with the target and the sign when this host
             itself sees a sign, so that peers can be told.
     """
@@ -67,6 +69,7 @@
         self.changes = 0
         self.choice_watchers: list[Callable[[ServiceId], None]] = []
         self.changed_watchers: list[Callable[[TargetState], None]] = []
+        self.in_flight_watchers: list[Callable[[TargetState], None]] = []
         self.leaving_watchers: list[
             Callable[[TargetState, LeavingSign], None]
         ] = []
@@ -141,6 +144,11 @@
         for watcher in self.changed_watchers:
             watcher(target)
 
+    def note_in_flight(self, target: TargetState) -> None:
+        """Note that this host has more or fewer requests at `target`."""
+        for watcher in self.in_flight_watchers:
+            watcher(target)
+
     def note_probe(self, target: TargetState, state: ReportedState) -> None:
         """Weigh what the load endpoint, reached just now, says of a target."""
         now = Deadline(trio.current_time())
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -40,6 +40,7 @@
         at: When the report was received.
         source: Where it came from.
         slowness: How many times longer than usual work took there then.
+        told_in_flight: What the other hosts said they had there when it came.
     """
 
     in_flight: int
@@ -48,6 +49,7 @@
     at: Deadline
     source: ReportSource
     slowness: float = USUAL_SLOWNESS
+    told_in_flight: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +66,7 @@
         status: Whether it may get new work.
         status_since: When the status last changed.
         in_flight: Requests of this host there now; exact.
+        told_in_flight: Requests that the other hosts say they have there.
         slots: Requests it can run at the same time.
         limit: Most requests this host puts there at the same time.
         report: Its latest load report, or None.
@@ -84,6 +87,7 @@
     status: TargetStatus = TargetStatus.COLD
     status_since: Deadline = Deadline(0.0)
     in_flight: int = 0
+    told_in_flight: int = 0
     slots: int = 2
     limit: int = 8
     report: LoadReport | None = None
--- a/thrift/measure.thrift
+++ b/thrift/measure.thrift
@@ -10,6 +10,7 @@
   3: optional i32 slots         // absent: 2
   4: optional i32 age_ms        // absent: 0
   5: optional i32 service_us    // time of one request on a free slot
+  6: optional i32 slowness_pct  // time of work there, usual is 100; absent: 100
 }
 
 // The samples of one interval.
@@ -22,3 +23,15 @@
   1: required string target     // "ip:port"
   2: required i32 sign          // its kind, as numbered in LeavingSign from 1
 }
+
+// How many requests the sender has at one target now.
+struct InFlightCount {
+  1: required i32 target        // xxhash32 of the target's id, as signed
+  2: required i32 count
+}
+
+// The counts that changed. Each is whole and not a step, so that a lost
+// message is made good by the next one.
+struct InFlightCounts {
+  1: required list<InFlightCount> counts
+}
