--- /dev/null
+++ b/agatetack/test_store_gateway.py
@@ -0,0 +1,140 @@
+"""Test a whole host on stand-ins of the platform's store and servers."""
+
+import pytest
+import trio
+
+from agatetack.testing.store_fleet import (
+    LOOPBACK,
+    route_fields,
+    store_fleet,
+)
+
+
+async def ask_ready(fleet):
+    port = fleet.ports[0].ready
+    url = f"http://{LOOPBACK}:{port}/agatetack/readyz"
+    return (await fleet.http.request("GET", url)).status
+
+
+@pytest.mark.parametrize(
+    ("kind", "method"),
+    [
+        ("idempotent", "GET"),
+        ("non_idempotent", "POST"),
+        ("download", "GET"),
+    ],
+)
+async def test_each_kind_of_route_is_served(kind, method):
+    async with store_fleet(route_fields(route_type=kind)) as fleet:
+        answer = await fleet.get("/a/x?q=1", method=method)
+        assert answer.status == 200
+        assert b"/a/x?q=1 r1" in answer.content
+        headers = {name.lower(): value for name, value in answer.headers}
+        assert headers[b"request-id"] == b"r1"
+        assert b"server-signature" in headers
+        assert sum(len(t.executed) for t in fleet.targets) == 1
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "status"),
+    [
+        ("a.example", "/a/", 200),
+        ("a.example", "/a", 404),
+        ("a.example", "/ab/x", 404),
+        ("b.example", "/a/x", 404),
+        ("a.example:8080", "/a/x", 200),
+        ("a.example", "/a/b/c", 201),
+    ],
+)
+async def test_a_route_takes_its_host_and_whole_prefix(host, path, status):
+    longer = route_fields(name="route-b", path_prefix="/a/b/", service="other")
+    async with store_fleet(route_fields(), longer) as fleet:
+        other = await fleet.add_target(service="other")
+        registry = fleet.gateways[0].registry
+        await fleet.until(lambda: other.instance in registry.by_id)
+        answer = await fleet.get(path, host=host)
+        assert answer.status == min(status, 404 if status > 201 else 200)
+        assert bool(other.executed) is (status == 201)
+
+
+async def test_readiness_and_counters_have_addresses_of_their_own():
+    async with store_fleet() as fleet:
+        assert await ask_ready(fleet) == 200
+        await fleet.get("/a/x")
+        url = f"http://{LOOPBACK}:{fleet.ports[0].metrics}/metrics"
+        text = (await fleet.http.request("GET", url)).content.decode()
+        assert 'agatetack_requests_total{route="route-a"} 1' in text
+        assert 'agatetack_store_read_age_seconds{topic="targets"}' in text
+
+
+async def test_a_draining_host_is_not_ready_and_serves_on():
+    async with store_fleet() as fleet:
+        gateway = fleet.gateways[0]
+        gateway.stops.send_nowait(15)
+        fleet.nursery.start_soon(gateway.lifecycle.drain_on, gateway.stops_out)
+        await fleet.until(lambda: not gateway.lifecycle.ready)
+        assert await ask_ready(fleet) == 503
+        answer = await fleet.get("/a/x")
+        assert answer.status == 200
+
+
+async def test_peers_find_each_other_and_tell_what_is_under_way():
+    async with store_fleet(gateways=2, targets=1) as fleet:
+        one, other = fleet.gateways
+        await fleet.until(lambda: one.peers.live_peers(), 20)
+        await fleet.until(lambda: other.peers.live_peers(), 20)
+        target = fleet.targets[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.get, "/a/x?service_ms=300")
+            seen = other.registry.by_id[target.instance]
+            await fleet.until(lambda: seen.told_in_flight == 1)
+        await fleet.until(lambda: seen.told_in_flight == 0)
+        # One of the two probes the target, the other hears of its load.
+        await fleet.until(lambda: target.probes > 3)
+        await fleet.until(
+            lambda: all(
+                g.registry.by_id[target.instance].report is not None
+                for g in fleet.gateways
+            )
+        )
+
+
+async def test_a_host_without_a_configuration_refuses_as_not_run():
+    async with store_fleet() as fleet:
+        fleet.gateways[0].routes.table = None
+        answer = await fleet.get("/a/x")
+        assert answer.status == 503
+        headers = {name.lower(): value for name, value in answer.headers}
+        assert 0 < float(headers[b"retry-after"]) < 1
+
+
+async def test_a_caller_that_closes_cancels_what_may_be_repeated():
+    async with store_fleet(targets=1) as fleet:
+        target = fleet.targets[0]
+        stream = await trio.open_tcp_stream(LOOPBACK, fleet.ports[0].callers)
+        await stream.send_all(
+            b"GET /a/x?service_ms=5000 HTTP/1.1\r\nhost: a.example\r\n"
+            b"request-id: r7\r\nrequest-timeout-ms: 5000\r\n\r\n"
+        )
+        await fleet.until(lambda: target.in_flight == 1)
+        await stream.aclose()
+        await fleet.until(lambda: target.cancelled == 1, 0.5)
+
+
+async def test_pipelined_requests_run_together_and_answer_in_order():
+    async with store_fleet(targets=2) as fleet:
+        stream = await trio.open_tcp_stream(LOOPBACK, fleet.ports[0].callers)
+        for number, work in (("1", 300), ("2", 10), ("3", 10)):
+            await stream.send_all(
+                f"GET /a/{number}?service_ms={work} HTTP/1.1\r\n"
+                f"host: a.example\r\nrequest-id: r{number}\r\n\r\n".encode()
+            )
+        await fleet.until(
+            lambda: sum(len(t.executed) for t in fleet.targets) == 3
+        )
+        content = b""
+        with trio.fail_after(5):
+            while content.count(b"HTTP/1.1 200") < 3 or b"r3\n" not in content:
+                content += await stream.receive_some()
+        order = [content.index(b"/a/%d" % n) for n in (1, 2, 3)]
+        assert order == sorted(order)
--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -18,6 +18,7 @@
 from agatetack.testing.target_connection import TargetConnection
 from agatetack.testing.target_faults import Silence, TargetFaults
 from agatetack.testing.target_wire import TargetRequest
+from agatetack.unique import unique_name
 
 LOOPBACK = "127.0.0.1"
 
@@ -88,6 +89,8 @@
         expired: Requests whose deadline passed in the queue.
         crashes: Crashes so far.
         probes: Requests of the load endpoint so far.
+        misdirected: Requests that named another instance.
+        instance: The name of this start of it.
     """
 
     def __init__(
@@ -107,6 +110,8 @@
         self.expired = 0
         self.crashes = 0
         self.probes = 0
+        self.misdirected = 0
+        self.instance = TargetId(unique_name())
         self.random = random.Random(self.options.seed)
         self.slots = trio.Semaphore(self.options.slots)
         self.history: deque[tuple[float, int]] = deque(
@@ -276,6 +281,8 @@
             await self.restarted.wait()
 
 
-def _text(request: TargetRequest, name: str) -> str | None:
+def _text(request: TargetRequest, name: str | None) -> str | None:
+    if name is None:
+        return None
     value = request.headers.get(name.encode())
     return None if value is None else value.decode("latin-1")
--- /dev/null
+++ b/agatetack/testing/memory_store.py
@@ -0,0 +1,101 @@
+"""Stand in for the platform's metadata store: its topics, and what fails."""
+
+import dataclasses
+import enum
+from collections import defaultdict
+
+import trio
+
+
+class StoreFault(enum.Enum):
+    """What happens to calls of the store."""
+
+    REFUSED = "refused"
+    SILENT = "silent"
+    ANSWER_LOST = "answer-lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """One record of a keyed topic.
+
+    Attributes:
+        key: What it is about.
+        value: What it says; empty if the key was removed.
+        offset: Where it stands.
+    """
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclasses.dataclass(slots=True)
+class StoredTopic:
+    """One keyed topic.
+
+    Attributes:
+        records: The records still kept, by offset.
+        newest: The newest record of each key that was not removed.
+        end: The offset that the next record gets.
+        first: The first offset still kept.
+    """
+
+    records: list[StoredRecord] = dataclasses.field(default_factory=list)
+    newest: dict[str, StoredRecord] = dataclasses.field(default_factory=dict)
+    end: int = 0
+    first: int = 0
+
+
+class MemoryStore:
+    """A store in memory, without a network.
+
+    Attributes:
+        topics: By name.
+        fault: What happens to all calls, or None.
+        changed: Set, and replaced, at each append and change of the fault.
+        calls: Calls so far, by path.
+        latency_seconds: How long each call takes.
+    """
+
+    def __init__(self) -> None:
+        """Start empty and sound."""
+        self.topics: dict[str, StoredTopic] = defaultdict(StoredTopic)
+        self.fault: StoreFault | None = None
+        self.changed = trio.Event()
+        self.calls: defaultdict[str, int] = defaultdict(int)
+        self.latency_seconds = 0.0
+
+    def append(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record and return its offset; no value removes the key."""
+        found = self.topics[topic]
+        record = StoredRecord(key, value, found.end)
+        found.records.append(record)
+        found.end += 1
+        if value:
+            found.newest[key] = record
+        else:
+            found.newest.pop(key, None)
+        self._tell()
+        return record.offset
+
+    def compact(self, topic: str) -> None:
+        """Forget all records but the newest of each key."""
+        found = self.topics[topic]
+        found.records.clear()
+        found.first = found.end
+
+    def set_fault(self, fault: StoreFault | None) -> None:
+        """Let calls fail from now on, also those under way; or no more."""
+        self.fault = fault
+        self._tell()
+
+    def _tell(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def wait_for(self, topic: str, first: int, seconds: float) -> None:
+        """Wait until there is a record at `first`, for `seconds` at most."""
+        with trio.move_on_after(seconds):
+            while self.topics[topic].end <= first and self.fault is None:
+                await self.changed.wait()
--- /dev/null
+++ b/agatetack/testing/store_server.py
@@ -0,0 +1,129 @@
+"""Serve the stand-in of the platform's store over HTTP."""
+
+import base64
+import struct
+import urllib.parse
+from collections.abc import Mapping
+
+import orjson
+import trio
+
+from agatetack.callers.server import CallerServer
+from agatetack.messages import (
+    Answer,
+    BytesBody,
+    CallerGone,
+    CallerRequest,
+    Handler,
+    read_whole,
+)
+from agatetack.metrics import Metrics
+from agatetack.settings.defaults import default_settings
+from agatetack.testing.memory_store import MemoryStore, StoreFault
+
+PAGE_KEYS = 500
+"""Keys in one page of the newest records."""
+
+LENGTH = struct.Struct(">I")
+READ_HEAD = struct.Struct(">QQ")
+
+
+class StoreHandler(Handler):
+    """Answers calls of the store as the platform's pages describe them."""
+
+    def __init__(self, store: MemoryStore):
+        """Answer from `store`."""
+        self.store = store
+        self.calls = {
+            "/agatetack/log-read": self._read,
+            "/agatetack/log-newest": self._newest,
+            "/agatetack/log-append": self._append,
+        }
+
+    async def handle(self, request: CallerRequest) -> Answer:
+        """Answer one call, unless a fault keeps it from being answered."""
+        path, _, text = request.path.decode().partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        self.store.calls[path] += 1
+        await trio.sleep(self.store.latency_seconds)
+        await self._fail()
+        call = self.calls.get(path)
+        if call is None:
+            return _json(404, {"error": "no such call"})
+        body = (await read_whole(request.body)).content
+        answer = await call(query, body)
+        await self._fail()
+        return answer
+
+    async def _fail(self) -> None:
+        fault = self.store.fault
+        while self.store.fault in (StoreFault.SILENT, StoreFault.ANSWER_LOST):
+            await self.store.changed.wait()
+        if fault in (StoreFault.SILENT, StoreFault.ANSWER_LOST):
+            # What was not answered in time is never answered.
+            raise CallerGone
+
+    async def _read(self, query: Mapping[str, str], body: bytes) -> Answer:
+        topic, first = query["topic"], int(query["from"])
+        seconds = int(query.get("wait_ms", "0")) / 1000
+        if self.store.fault is StoreFault.REFUSED:
+            return _json(503, {})
+        await self.store.wait_for(topic, first, seconds)
+        if self.store.fault is StoreFault.REFUSED:
+            return _json(503, {})
+        found = self.store.topics[topic]
+        if first < found.first:
+            return _json(410, {"first": found.first})
+        content = READ_HEAD.pack(found.end, found.first)
+        for record in found.records:
+            if record.offset >= first:
+                content += _frame(record.key, record.value)
+        return Answer(200, [], BytesBody(content))
+
+    async def _newest(self, query: Mapping[str, str], body: bytes) -> Answer:
+        if self.store.fault is StoreFault.REFUSED:
+            return _json(503, {})
+        found = self.store.topics[query["topic"]]
+        after = query.get("after", "")
+        keys = sorted(key for key in found.newest if key > after)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(found.newest[key].value).decode(),
+                "offset": found.newest[key].offset,
+            }
+            for key in keys[:PAGE_KEYS]
+        ]
+        more = len(keys) > PAGE_KEYS
+        return _json(200, {"items": items, "more": more, "end": found.end})
+
+    async def _append(self, query: Mapping[str, str], body: bytes) -> Answer:
+        if self.store.fault is StoreFault.REFUSED:
+            return _json(503, {})
+        topic = query["topic"]
+        position, offset = 0, self.store.topics[topic].end
+        while position < len(body):
+            (length,) = LENGTH.unpack_from(body, position)
+            position += LENGTH.size
+            record = body[position : position + length]
+            position += length
+            key = record[1 : 1 + record[0]].decode()
+            self.store.append(topic, key, record[1 + record[0] :])
+        end = self.store.topics[topic].end
+        return _json(200, {"offset": offset, "end": end})
+
+
+def _json(status: int, fields: Mapping[str, object]) -> Answer:
+    return Answer(status, [], BytesBody(orjson.dumps(fields)))
+
+
+def _frame(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    record = bytes([len(name)]) + name + value
+    return LENGTH.pack(len(record)) + record
+
+
+def store_server(store: MemoryStore) -> CallerServer:
+    """Return a server of `store` on a port that the kernel chooses."""
+    settings = default_settings(callers={"listen": "127.0.0.1:0"})
+    return CallerServer(settings, StoreHandler(store), Metrics())
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -82,9 +82,14 @@
             f"{headers.in_flight}: %d\r\n{headers.slots}: %d\r\n"
             f"{headers.state}: %s\r\n"
         ).encode()
-        self.not_run_mark = f"{headers.outcome}: not-run\r\n".encode()
+        not_run = target.settings.targets.not_run_value or "1"
+        self.not_run_mark = f"{headers.outcome}: {not_run}\r\n".encode()
+        self.names = headers
+        self.current = TargetRequest()
         self.deadline_name = headers.deadline_ms.encode()
         self.request_id_name = callers.request_id.encode()
+        if headers.load is not None:
+            self.report_head = f"{headers.load}: %d,0,%d,%d\r\n".encode()
         self.load_path = target.settings.targets.load_path.encode()
 
     async def run(self) -> None:
@@ -142,7 +147,11 @@
     async def _answer(self, request: TargetRequest) -> None:
         target = self.target
         faults = target.faults
-        if request.path == self.load_path:
+        self.current = request
+        if self._is_for_another(request):
+            target.misdirected += 1
+            await self._send(421, b"another instance\n")
+        elif request.path == self.load_path:
             target.probes += 1
             await self._send(200, self._load_body())
         elif faults.refusing or self._too_many():
@@ -154,6 +163,25 @@
             await self._work(request)
         if faults.stray_bytes:
             await self._put(faults.stray_bytes)
+        if faults.extra_answer:
+            await self._put(self._extra_answer())
+
+    def _is_for_another(self, request: TargetRequest) -> bool:
+        """Return whether the request names another instance than this one."""
+        name = self.names.instance
+        if name is None:
+            return False
+        wanted = request.headers.get(name.encode())
+        return wanted not in (None, self.target.instance.encode())
+
+    def _extra_answer(self) -> bytes:
+        """Return an answer that nobody asked for, whole and well formed."""
+        body = b"an answer to another request\n"
+        self.current = TargetRequest(
+            headers={self.request_id_name: b"another-request"}
+        )
+        length = b"content-length: %d\r\n\r\n" % len(body)
+        return self._head(200, b"") + length + body
 
     def _too_many(self) -> bool:
         bound = self.target.faults.shed_above
@@ -291,12 +319,24 @@
 
     def _head(self, status: int, extra: bytes) -> bytes:
         target = self.target
-        report = self.report_head % (
-            target.reported_in_flight(),
-            target.options.slots,
-            target.state().encode(),
-        )
-        return status_line(status) + report + extra
+        in_flight, slots = target.reported_in_flight(), target.options.slots
+        if self.names.load is not None:
+            percent = round(100 * target.faults.slow_factor)
+            report = self.report_head % (in_flight, slots, percent)
+        else:
+            state = target.state().encode()
+            report = self.report_head % (in_flight, slots, state)
+        return status_line(status) + report + self._own_marks() + extra
+
+    def _own_marks(self) -> bytes:
+        """Return the headers that tell whose answer it is, and to what."""
+        names, marks = self.names, b""
+        request_id = self.current.headers.get(self.request_id_name)
+        if names.request_id is not None and request_id is not None:
+            marks += b"%b: %b\r\n" % (names.request_id.encode(), request_id)
+        if names.signature is not None:
+            marks += f"{names.signature}: {self.target.instance}\r\n".encode()
+        return marks
 
     def _load_body(self) -> bytes:
         report = LoadBody(
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -36,6 +36,7 @@
         answer_delay_seconds: How late an answer is sent after its work.
         answer_lost: Whether connections close in place of an answer.
         stray_bytes: Sent after each answer, although nobody asked.
+        extra_answer: Whether a whole answer to another request follows each.
         cut_after_bytes: Body bytes after which the connection closes.
         clean_cut: Whether a cut closes with FIN; otherwise with a reset.
         etag: Validator of exports, quoted; change it to change the content.
@@ -62,6 +63,7 @@
     answer_delay_seconds: float = 0.0
     answer_lost: bool = False
     stray_bytes: bytes = b""
+    extra_answer: bool = False
     cut_after_bytes: int | None = None
     clean_cut: bool = True
     etag: bytes = FIRST_ETAG
