--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -160,6 +160,10 @@
             raise CallerGone from error
         finally:
             self.reading = False
+        self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        """Parse what came, or take the end."""
         if not data:
             self.ended = True
             self.parser.end()
--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -56,15 +56,44 @@
                 await self.wanted.wait()
             try:
                 await super()._read_more()
-            except CallerGone:
+                self._read_rest()
+            except (CallerGone, trio.BrokenResourceError):
                 self.lost = True
+            self._drop_if_gone()
             self.progress.set()
             self.progress = trio.Event()
-        left = self.lost or (self.ended and self.settings.end_means_gone)
-        if left and self.busy:
+        if self._is_gone() and self.busy:
             self.metrics.refused(None, RefusalReason.CALLER_GONE)
             self.cut()
 
+    def _read_rest(self) -> None:
+        """Read what has come besides, up to the end if that is here.
+
+        A host that was busy or paused finds requests whose callers have long
+        gone; the end right behind them tells.
+
+        Raises:
+            trio.BrokenResourceError: The connection is lost.
+        """
+        transport = self._transport()
+        if transport is None or transport is not self.stream:
+            return
+        while not (self.ended or self._is_full()):
+            data = transport.receive_nowait()
+            if data is None:
+                return
+            self._take(data)
+
+    def _is_gone(self) -> bool:
+        """Return whether the caller waits for no answer any more."""
+        return self.lost or (self.ended and self.settings.end_means_gone)
+
+    def _drop_if_gone(self) -> None:
+        """Begin no request of a caller that has gone."""
+        if self._is_gone() and self.parser.ready:
+            self.parser.ready.clear()
+            self.metrics.refused(None, RefusalReason.CALLER_GONE)
+
     def _is_full(self) -> bool:
         if len(self.parser.ready) >= MOST_READ_REQUESTS:
             return True
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -60,6 +60,19 @@
             except OSError as error:
                 raise self._translate(error) from error
 
+    def receive_nowait(self, max_bytes: int = 65536) -> bytes | None:
+        """Return bytes that are here, `b""` at the end, or None.
+
+        Raises:
+            trio.BrokenResourceError: The connection is lost.
+        """
+        try:
+            return self.sock.recv(max_bytes)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            raise self._translate(error) from error
+
     async def _wait(self, wait) -> None:
         if self.sock.fileno() < 0:
             raise trio.ClosedResourceError("the stream was closed")
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -174,11 +174,17 @@
     def leaving_targets(self) -> Iterable[TargetState]:
         """Return the targets whose hold is over, to be probed for return."""
         now = trio.current_time()
-        return [
-            self.by_id[target_id]
+        over = [
+            target_id
             for target_id, record in self.leaving.items()
             if now >= record.hold_until
         ]
+        for target_id in over:
+            if target_id not in self.by_id:
+                # It is gone, and its hold would keep out nothing any more.
+                del self.leaving[target_id]
+                self.returns.pop(target_id, None)
+        return [self.by_id[each] for each in over if each in self.by_id]
 
     @property
     def _hold_seconds(self) -> float:
--- a/agatetack/targets/test_registry.py
+++ b/agatetack/targets/test_registry.py
@@ -129,3 +129,15 @@
     for step in [HEADER, Listed(LEAVING), Listed(LEAVING), Listed(LEAVING)]:
         apply(registry, step)
     assert told == [HEADER, LeavingSign.HOST_LIST]
+
+
+async def test_a_leaving_target_that_is_gone_is_not_asked(autojump_clock):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([listed_target(1), listed_target(2)])
+    one = registry.by_id[listed_target(1).id]
+    registry.note_leaving(one, REFUSED)
+    registry.update([listed_target(2)])
+    await trio.sleep(HOLD + 1)
+    assert list(registry.leaving_targets()) == []
+    # What is held against it goes too, once it can't come back by it.
+    assert one.id not in registry.leaving
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -10,6 +10,10 @@
 )
 
 
+def executed_urls(fleet):
+    return [e.url for target in fleet.targets for e in target.executed]
+
+
 async def ask_ready(fleet):
     port = fleet.ports[0].ready
     url = f"http://{LOOPBACK}:{port}/agatetack/readyz"
@@ -138,3 +142,19 @@
                 content += await stream.receive_some()
         order = [content.index(b"/a/%d" % n) for n in (1, 2, 3)]
         assert order == sorted(order)
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+async def test_a_request_whose_caller_has_gone_is_not_begun(kind):
+    async with store_fleet(route_fields(route_type=kind)) as fleet:
+        stream = await trio.open_tcp_stream(LOOPBACK, fleet.ports[0].callers)
+        # The host finds the request and the end of its connection together,
+        # as after a pause.
+        await stream.send_all(
+            b"GET /a/x HTTP/1.1\r\nhost: a.example\r\n"
+            b"request-id: r7\r\nrequest-timeout-ms: 5000\r\n\r\n"
+        )
+        stream.socket.shutdown(1)
+        with trio.fail_after(5):
+            assert await stream.receive_some() == b""
+        assert executed_urls(fleet) == []
