Probe each owned target in a task of its own

Test: a probe that hangs stops nothing else; it hung before. Who owns what is worked out only when hosts or targets change; probes go over plain streams, as trio's own guards cost as much as the call.

--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -11,6 +11,7 @@
 from agatetack.ids import Deadline, ServiceId, TargetId
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
 from agatetack.settings.model import Settings
+from agatetack.streams import PlainStream, open_plain_stream
 from agatetack.targets.load import (
     STATES,
     HeaderLoadReader,
@@ -76,7 +77,7 @@
         self.load_reader = load_reader or HeaderLoadReader(settings)
         self.load_paths = {} if load_paths is None else load_paths
         self.instance_name = settings.targets.headers.instance
-        self.idle: dict[TargetId, trio.SocketStream] = {}
+        self.idle: dict[TargetId, PlainStream] = {}
 
     async def probe(
         self, target: TargetState, deadline: Deadline, max_bytes: int
@@ -87,7 +88,7 @@
             with trio.fail_at(deadline):
                 stream = self.idle.pop(target.id, None)
                 if stream is None:
-                    stream = await trio.open_tcp_stream(target.ip, target.port)
+                    stream = await open_plain_stream(target.ip, target.port)
                 answer = await self._ask(stream, target, max_bytes)
         except trio.TooSlowError:
             return Failure(ProbeFailure.TIMEOUT)
@@ -106,10 +107,10 @@
             return Success(answer)
         finally:
             if stream is not None:
-                await trio.aclose_forcefully(stream)
+                stream.close()
 
     async def _ask(
-        self, stream: trio.SocketStream, target: TargetState, max_bytes: int
+        self, stream: PlainStream, target: TargetState, max_bytes: int
     ) -> ProbeAnswer:
         own_path = self.settings.targets.load_path
         path = self.load_paths.get(target.service, own_path)
@@ -136,9 +137,9 @@
             answer = dataclasses.replace(answer, instance=instance)
         return answer
 
-    def _keep(self, target: TargetId, stream: trio.SocketStream) -> None:
+    def _keep(self, target: TargetId, stream: PlainStream) -> None:
         if target in self.idle or len(self.idle) >= MAX_IDLE:
-            stream.socket.close()
+            stream.close()
         else:
             self.idle[target] = stream
 
--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -1,7 +1,6 @@
 """Probe each target steadily from one host, which tells the others."""
 
 import random
-from collections.abc import Iterator
 
 import trio
 import xxhash
@@ -16,12 +15,9 @@
 OWNERS_SECONDS = 0.5
 """How often it is worked out anew which targets are this host's to probe."""
 
-IDLE_SECONDS = 1.0
-"""How often a host without targets of its own looks again."""
-
 
 class ProbeRounds:
-    """The targets that this host probes, one after the other.
+    """The targets that this host probes, one task for each.
 
     Each target has one owner among the hosts that are live: the one with the
     highest hash of both names, so that a host that joins or leaves moves few
@@ -31,7 +27,9 @@
     Attributes:
         rate: Probes of each target in a second, from the whole fleet.
         owned: The targets of this host.
-        busy: Targets with a probe on its way.
+        probing: Targets that a task probes.
+        view: The live hosts, and the number of changes of the targets, for
+            which the owned ones were worked out.
     """
 
     def __init__(
@@ -47,9 +45,9 @@
         self.registry = registry
         self.exchange = exchange
         self.prober = prober
-        self.owned: list[TargetState] = []
-        self.owned_until = 0.0
-        self.busy: set[TargetId] = set()
+        self.owned: dict[TargetId, TargetState] = {}
+        self.probing: set[TargetId] = set()
+        self.view: tuple[frozenset[HostId], int] | None = None
         self.random = random.Random()
 
     async def run(self) -> None:
@@ -58,48 +56,40 @@
             return
         async with trio.open_nursery() as nursery:
             while True:
-                pause = self._pause()
-                for target in self._due():
-                    nursery.start_soon(self._probe, target)
-                    await trio.sleep(pause)
-                if not self.owned:
-                    await trio.sleep(IDLE_SECONDS)
-
-    def _pause(self) -> float:
-        """Return the seconds between two probes of this host.
-
-        They are spread evenly, with some play, so that the hosts' probes do
-        not come in step.
-        """
-        self._find_owned()
-        pause = 1 / (self.rate * max(1, len(self.owned)))
-        return pause * self.random.uniform(0.8, 1.2)
-
-    def _due(self) -> Iterator[TargetState]:
-        for target in list(self.owned):
-            if target.id not in self.busy:
-                yield target
+                self._find_owned()
+                for target in self.owned.values():
+                    if target.id not in self.probing:
+                        self.probing.add(target.id)
+                        nursery.start_soon(self._probe_on, target)
+                await trio.sleep(OWNERS_SECONDS)
 
     def _find_owned(self) -> None:
-        now = trio.current_time()
-        if now < self.owned_until:
+        peers = self.exchange.live_peers()
+        hosts = frozenset(
+            [self.own, *(peer.id for peer in peers if not peer.leaving)]
+        )
+        view = (hosts, self.registry.changes)
+        if view == self.view:
             return
-        self.owned_until = now + OWNERS_SECONDS
-        hosts = [self.own]
-        hosts += [p.id for p in self.exchange.live_peers() if not p.leaving]
-        self.owned = [
-            target
+        self.view = view
+        self.owned = {
+            target.id: target
             for target in self.registry.by_id.values()
-            if target.status is not TargetStatus.LEAVING
-            and max(hosts, key=lambda h: rank(h, target.id)) == self.own
-        ]
+            if max(hosts, key=lambda host: rank(host, target.id)) == self.own
+        }
 
-    async def _probe(self, target: TargetState) -> None:
-        self.busy.add(target.id)
+    async def _probe_on(self, target: TargetState) -> None:
+        """Probe `target` while it is this host's to probe."""
         try:
-            await self.prober.probe(target)
+            while self.owned.get(target.id) is target:
+                # Some play keeps the hosts' probes from coming in step.
+                pause = self.random.uniform(0.8, 1.2) / self.rate
+                next_at = trio.current_time() + pause
+                if target.status is not TargetStatus.LEAVING:
+                    await self.prober.probe(target)
+                await trio.sleep_until(next_at)
         finally:
-            self.busy.discard(target.id)
+            self.probing.discard(target.id)
 
 
 def rank(host: HostId, target: TargetId) -> int:
--- /dev/null
+++ b/agatetack/measure/test_rounds.py
@@ -0,0 +1,86 @@
+"""Test which host probes a target, how often, and that a hang stops nothing."""
+
+import types
+
+import pytest
+import trio
+
+from agatetack.ids import FailureDomain, HostId
+from agatetack.measure.rounds import ProbeRounds
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Peer
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import TargetRegistry
+from agatetack.testing.targets import listed_target
+
+RATE = 10.0
+
+
+class CountingProber:
+    """Counts probes; each takes some seconds."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.probes = []
+        self.at_once = 0
+        self.most_at_once = 0
+
+    async def probe(self, target):
+        self.probes.append(target.id)
+        self.at_once += 1
+        self.most_at_once = max(self.most_at_once, self.at_once)
+        try:
+            await trio.sleep(self.seconds)
+        finally:
+            self.at_once -= 1
+
+
+def make_rounds(own, names, prober, targets):
+    settings = default_settings(
+        host={"id": own}, measure={"target_probes_per_second": RATE}
+    )
+    registry = TargetRegistry(settings, Metrics())
+    registry.update([listed_target(n) for n in range(1, targets + 1)])
+    peers = [
+        Peer(HostId(name), 1, FailureDomain("d"), False)
+        for name in names
+        if name != own
+    ]
+    exchange = types.SimpleNamespace(live_peers=lambda: peers)
+    return ProbeRounds(settings, registry, exchange, prober)
+
+
+async def run_for(rounds, seconds):
+    with trio.move_on_after(seconds):
+        await rounds.run()
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.03, 1000.0])
+async def test_a_probe_that_hangs_stops_nothing_else(autojump_clock, seconds):
+    prober = CountingProber(seconds)
+    rounds = make_rounds("h1", ["h1"], prober, 1)
+    await run_for(rounds, 10)
+    assert prober.most_at_once == 1
+    wanted = 1 if seconds > 10 else 10 * RATE
+    assert wanted * 0.7 <= len(prober.probes) <= wanted * 1.3
+
+
+async def test_each_target_is_probed_by_one_host(autojump_clock):
+    names = [f"h{n}" for n in range(5)]
+    probed = []
+    for own in names:
+        prober = CountingProber(0.001)
+        await run_for(make_rounds(own, names, prober, 30), 1.0)
+        probed += set(prober.probes)
+    assert len(probed) == len(set(probed)) == 30
+
+
+async def test_targets_of_a_host_that_is_gone_are_taken_over(autojump_clock):
+    prober = CountingProber(0.001)
+    rounds = make_rounds("h1", ["h1", "h2"], prober, 30)
+    await run_for(rounds, 2.0)
+    before = len(set(prober.probes))
+    assert before < 30
+    rounds.exchange.live_peers = list
+    await run_for(rounds, 2.0)
+    assert len(set(prober.probes)) == 30
