--- a/agatetack/platform/bounds.py
+++ b/agatetack/platform/bounds.py
@@ -57,7 +57,10 @@
     """
     found = {}
     for text in texts:
-        name, _, value = text.partition("=")
+        name, equals, value = text.partition("=")
+        if not equals:
+            message = f"platform.store.bounds: {text}: must be NAME=VALUE"
+            raise BoundsError(message)
         if name not in READERS:
             continue
         field, read = READERS[name]
--- /dev/null
+++ b/agatetack/platform/test_bounds.py
@@ -0,0 +1,57 @@
+"""Test how the platform's bounds come into the settings."""
+
+import pytest
+
+from agatetack.platform.bounds import (
+    KILL_MARGIN_SECONDS,
+    PROBE_SHARE,
+    BoundsError,
+    bounded,
+    read_bounds,
+)
+from agatetack.settings.defaults import default_settings
+from agatetack.testing.store_fleet import template_settings
+
+
+def with_bounds(*bounds):
+    store = {"endpoint": "127.0.0.1:1", "bounds": list(bounds)}
+    return bounded(
+        default_settings(
+            platform={"store": store},
+            measure={"target_probes_per_second": 20.0},
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("bound", "section", "name", "value"),
+    [
+        ("grace=6s", "lifecycle", "drain_seconds", 6 - KILL_MARGIN_SECONDS),
+        ("grace=2500ms", "lifecycle", "notice_seconds", 2.1),
+        ("budget_ratio=0.25", "attempts", "fleet_ratio", 0.25),
+        ("budget_slack=58", "attempts", "fleet_slack", 58.0),
+        ("budget_window=10s", "attempts", "fleet_window_seconds", 10.0),
+        (
+            "probes_per_s=40",
+            "measure",
+            "target_probes_per_second",
+            40 * PROBE_SHARE,
+        ),
+        ("probes_per_s=400", "measure", "target_probes_per_second", 20.0),
+    ],
+)
+def test_each_bound_has_its_place(bound, section, name, value):
+    settings = with_bounds("seed_lag=3s", bound)
+    assert getattr(getattr(settings, section), name) == pytest.approx(value)
+
+
+@pytest.mark.parametrize("bound", ["6s", "grace=6", "budget_ratio=x", "grace="])
+def test_a_bound_that_cannot_be_read_is_told(bound):
+    with pytest.raises(BoundsError, match="platform.store.bounds"):
+        read_bounds([bound])
+
+
+def test_the_template_gives_the_bounds_by_name():
+    settings = template_settings(1)
+    assert settings.attempts.fleet_ratio == 0.2
+    assert settings.lifecycle.drain_seconds == 6 - KILL_MARGIN_SECONDS
--- a/agatetack/testing/store_fleet.py
+++ b/agatetack/testing/store_fleet.py
@@ -36,20 +36,25 @@
 }
 """What the platform would fill into the template of the settings."""
 
-BOUNDS = (
-    "grace=6s",
-    "budget_ratio=0.2",
-    "budget_window=10s",
-    "budget_slack=58",
-    "probes_per_s=60",
-)
+BOUNDS = {
+    "grace": "6s",
+    "budget_ratio": "0.2",
+    "budget_window": "10s",
+    "budget_slack": "58",
+    "probes_per_s": "60",
+    "seed_lag": "3s",
+}
+"""Bounds of a deployment; the last one is not used."""
 
 
 def fill_template(text: str, values: Mapping[str, str]) -> str:
     """Return the template with the platform's values in their places."""
     section = re.compile(r"\{\{#bounds\}\}\n(.*?)\{\{/bounds\}\}\n", re.S)
     row = section.search(text)[1]
-    rows = "".join(row.replace("{{.}}", bound) for bound in BOUNDS)
+    rows = "".join(
+        row.replace("{{@}}", name).replace("{{.}}", value)
+        for name, value in BOUNDS.items()
+    )
     text = section.sub(lambda _: rows, text)
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: values[m[1]], text)
 
