Let hosts tell each other what they have read from the store

Each host now tells its peers how far it is, at each step and every second; one that is behind for 0.3 s asks a peer and gives its own read up. It also serves a host that the store turns away. Tests: follower and sharing through refusals, hangs, compaction, a host that starts blind, a read gone silent.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -3,11 +3,11 @@
 import abc
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
-from agatetack.decisions import DecisionLog
+from agatetack.decisions import DecisionLog, age
 from agatetack.ids import Deadline, LogOffset
 from agatetack.keyed.topic import (
     KeyedRecord,
@@ -43,6 +43,10 @@
         """Note that the store can be read again; what it has was taken."""
 
 
+def _tell_nobody(follower: "TopicFollower") -> None:
+    """Do nothing; in place until peers are told."""
+
+
 class ReadCounters:
     """Counts the reads of all topics of one host.
 
@@ -73,6 +77,10 @@
 
     Attributes:
         next_offset: The offset to read next, or None before the first read.
+        known: The newest record of each key, removals since `known_from`
+            included.
+        known_from: The offset from which on removals are known too.
+        advanced: Called with this follower when it has read on.
         reachable: Whether the last call was answered.
         read_at: When the last call was answered, or None.
     """
@@ -91,6 +99,10 @@
         self.topic = topic
         self.reader = reader
         self.next_offset: LogOffset | None = None
+        self.known: dict[str, KeyedRecord] = {}
+        self.known_from = LogOffset(0)
+        self.advanced: Callable[[TopicFollower], None] = _tell_nobody
+        self.reading = trio.CancelScope()
         self.reachable = False
         self.read_at: Deadline | None = None
         self.failures = 0
@@ -101,10 +113,8 @@
         """Follow the topic until cancelled."""
         while True:
             try:
-                if self.next_offset is None:
-                    await self._read_all()
-                else:
-                    await self._read_on()
+                with trio.CancelScope() as self.reading:
+                    await self._read()
             except TopicTruncated:
                 self._count("truncated")
                 log.note("topic-truncated", topic=self.name)
@@ -114,36 +124,80 @@
                 self._failed(str(error))
                 await trio.sleep(self._pause())
 
-    async def _read_all(self) -> None:
-        page = await self.topic.newest(self._deadline(0.0))
-        self._answered("all")
-        self.reader.take_all(page.records)
-        self._take_end(page)
-
-    async def _read_on(self) -> None:
-        wait = self.limits.poll_seconds
-        # After a failure the first answer is wanted at once, to know that
-        # the store is back.
-        wait = wait if self.reachable else 0.0
-        wait_until = Deadline(trio.current_time() + wait)
-        page = await self.topic.read(
-            self.next_offset, wait_until, self._deadline(wait)
-        )
-        self._answered("new")
-        if page.records:
-            self.reader.take_new(page.records)
-        self._take_end(page)
+    async def _read(self) -> None:
+        if self.next_offset is None:
+            page = await self.topic.newest(self._deadline(0.0))
+            self._answered("all")
+            self._take(page, whole=True)
+        else:
+            page = await self._read_on(self.next_offset)
+            self._answered("new")
+            self._take(page, whole=False)
+        if not self.reachable:
+            self.reachable = True
+            log.note("store-in-touch", topic=self.name, offset=page.end)
+            self.reader.in_touch()
         if page.records:
             # What follows closely comes with the next read, so that a burst
             # of changes costs one call and not one for each.
             await trio.sleep(self.limits.batch_seconds)
 
-    def _take_end(self, page: TopicPage) -> None:
-        self.next_offset = page.end
-        if not self.reachable:
-            self.reachable = True
-            log.note("store-in-touch", topic=self.name, offset=page.end)
-            self.reader.in_touch()
+    async def _read_on(self, first: LogOffset) -> TopicPage:
+        # After a failure the first answer is wanted at once, to know that
+        # the store is back.
+        wait = self.limits.poll_seconds if self.reachable else 0.0
+        wait_until = Deadline(trio.current_time() + wait)
+        return await self.topic.read(first, wait_until, self._deadline(wait))
+
+    def take_from_peer(self, page: TopicPage, whole: bool) -> None:
+        """Take what a peer has read, and read on from there.
+
+        The read under way is given up: it should have brought the records,
+        so its connection may have gone silent.
+        """
+        if not self.is_behind(page.end):
+            return
+        self._count("peer")
+        log.note(
+            "topic-from-peer",
+            topic=self.name,
+            before=self.next_offset,
+            end=page.end,
+            age=age(self.read_at),
+        )
+        self._take(page, whole)
+        self.reading.cancel()
+
+    def is_behind(self, end: LogOffset) -> bool:
+        """Return whether somebody who has read up to `end` knows more."""
+        return self.next_offset is None or self.next_offset < end
+
+    def records_since(self, first: LogOffset) -> tuple[TopicPage, bool]:
+        """Return what followed `first`, or all keys, and whether it is all."""
+        whole = first < self.known_from
+        records = [
+            record
+            for record in self.known.values()
+            if record.value is not None or not whole
+            if whole or record.offset >= first
+        ]
+        return TopicPage(records, self.next_offset), whole
+
+    def _take(self, page: TopicPage, whole: bool) -> None:
+        before = self.next_offset or LogOffset(0)
+        if whole:
+            self.known = {record.key: record for record in page.records}
+            self.known_from = page.end
+            self.reader.take_all(page.records)
+        else:
+            # A peer may have brought some of them already.
+            news = [r for r in page.records if r.offset >= before]
+            self.known.update((record.key, record) for record in news)
+            if news:
+                self.reader.take_new(news)
+        if self.next_offset is None or page.end > self.next_offset:
+            self.next_offset = page.end
+            self.advanced(self)
 
     def _answered(self, result: str) -> None:
         self._count(result)
--- /dev/null
+++ b/agatetack/keyed/sharing.py
@@ -0,0 +1,154 @@
+"""Tell peers how far topics are read, and ask them for what is missing.
+
+A read that waits at the store can go silent, and the store may turn away one
+host while it serves the others. What any host has read reaches all of them
+even so: each tells how far it is, and one that is behind asks.
+"""
+
+from collections.abc import Sequence
+
+import trio
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from agatetack.decisions import DecisionLog
+from agatetack.generated.keyed import ttypes as wire
+from agatetack.ids import Deadline, HostId, LogOffset
+from agatetack.keyed.follower import TopicFollower
+from agatetack.keyed.topic import KeyedRecord, TopicPage
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
+
+TELL_SECONDS = 1.0
+"""How often peers are told how far all topics are read, some 100 bytes each.
+
+With the grace below a change that one host has read is known to all within
+1.5 s, whatever became of their own reads.
+"""
+
+GRACE_SECONDS = 0.3
+"""How long a host that is behind waits for its own read to bring the records,
+which takes a message's time longer than the peer's."""
+
+FETCH_SECONDS = 1.0
+"""Longest time for a peer to answer."""
+
+log = DecisionLog("keyed")
+
+
+class TopicSharing:
+    """What the hosts tell each other of the topics they follow.
+
+    Attributes:
+        followers: By the topic's name.
+        fetching: Topics that are being asked for.
+    """
+
+    def __init__(
+        self,
+        followers: Sequence[TopicFollower],
+        exchange: Exchange,
+        metrics: Metrics,
+    ):
+        """Tell peers through `exchange` what `followers` have read."""
+        self.followers = {each.name: each for each in followers}
+        self.exchange = exchange
+        self.metrics = metrics
+        self.protocols = TCompactProtocolAcceleratedFactory()
+        self.fetching: set[str] = set()
+        self.nursery: trio.Nursery | None = None
+        for follower in followers:
+            follower.advanced = self._advanced
+        exchange.subscribe(Topic.TOPIC_RECORDS, self._take_ends)
+        exchange.serve(Topic.TOPIC_RECORDS, self._give)
+
+    async def run(self) -> None:
+        """Tell peers now and then, until cancelled."""
+        async with trio.open_nursery() as self.nursery:
+            while True:
+                await trio.sleep(TELL_SECONDS)
+                self._tell(list(self.followers.values()))
+
+    def _advanced(self, follower: TopicFollower) -> None:
+        self._tell([follower])
+
+    def _tell(self, followers: Sequence[TopicFollower]) -> None:
+        ends = [
+            wire.TopicEnd(each.name, each.next_offset)
+            for each in followers
+            if each.next_offset is not None
+        ]
+        if ends:
+            payload = serialize(wire.TopicEnds(ends), self.protocols)
+            self.exchange.publish(Topic.TOPIC_RECORDS, payload)
+
+    def _take_ends(self, sender: HostId, payload: bytes) -> None:
+        try:
+            message = deserialize(wire.TopicEnds(), payload, self.protocols)
+        except Exception:  # noqa: BLE001
+            # Thrift raises many kinds of errors on a malformed message.
+            self._drop("ends-malformed")
+            return
+        for said in message.ends:
+            follower = self.followers.get(said.topic)
+            if follower is None or said.topic in self.fetching:
+                continue
+            if follower.is_behind(LogOffset(said.end)) and self.nursery:
+                self.fetching.add(said.topic)
+                self.nursery.start_soon(
+                    self._fetch, follower, sender, LogOffset(said.end)
+                )
+
+    async def _fetch(
+        self, follower: TopicFollower, peer: HostId, end: LogOffset
+    ) -> None:
+        """Ask `peer` for what it has read, unless the store brings it first."""
+        try:
+            if follower.next_offset is not None:
+                await trio.sleep(GRACE_SECONDS)
+            if follower.is_behind(end):
+                await self._ask(follower, peer)
+        finally:
+            self.fetching.discard(follower.name)
+
+    async def _ask(self, follower: TopicFollower, peer: HostId) -> None:
+        request = wire.FetchRecords(follower.name, follower.next_offset or 0)
+        deadline = Deadline(trio.current_time() + FETCH_SECONDS)
+        try:
+            reply = await self.exchange.call(
+                peer,
+                Topic.TOPIC_RECORDS,
+                serialize(request, self.protocols),
+                deadline,
+            )
+        except PeerUnreachable as error:
+            # Another peer tells within a second how far it is.
+            log.note("fetch-failed", topic=follower.name, cause=str(error))
+            return
+        try:
+            records = deserialize(wire.Records(), reply, self.protocols)
+            page = TopicPage(
+                [
+                    KeyedRecord(r.key, r.value, LogOffset(r.offset))
+                    for r in records.records
+                ],
+                LogOffset(records.end),
+            )
+        except Exception:  # noqa: BLE001
+            self._drop("records-malformed")
+            return
+        follower.take_from_peer(page, records.whole)
+
+    async def _give(self, sender: HostId, payload: bytes) -> bytes:
+        """Return what a peer that is behind asks for."""
+        request = deserialize(wire.FetchRecords(), payload, self.protocols)
+        follower = self.followers[request.topic]
+        page, whole = follower.records_since(LogOffset(request.first))
+        records = [
+            wire.Record(record.key, record.value, record.offset)
+            for record in page.records
+        ]
+        return serialize(wire.Records(page.end, whole, records), self.protocols)
+
+    def _drop(self, reason: str) -> None:
+        self.metrics.dropped.inc({"part": "keyed", "reason": reason})
--- /dev/null
+++ b/agatetack/keyed/test_follower.py
@@ -0,0 +1,182 @@
+"""Test that a topic is kept up with through outages, cuts and truncation."""
+
+import pytest
+import trio
+
+from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
+from agatetack.keyed.sharing import TopicSharing
+from agatetack.metrics import Metrics
+from agatetack.settings.defaults import default_settings
+from agatetack.testing.memory_exchange import MemoryMesh
+from agatetack.testing.memory_store import MemoryStore
+from agatetack.testing.memory_topic import NAME, MemoryTopic
+
+SETTINGS = default_settings(
+    platform={"store": {"poll_seconds": 20, "batch_seconds": 0.1}}
+)
+
+
+class Kept(TopicReader):
+    """Keeps the newest value of each key, and what it was told."""
+
+    def __init__(self):
+        self.values = {}
+        self.told = []
+
+    def take_all(self, records):
+        self.values.clear()
+        self.take_new(records)
+
+    def take_new(self, records):
+        for record in records:
+            if record.value is None:
+                self.values.pop(record.key, None)
+            else:
+                self.values[record.key] = record.value
+
+    def lost_touch(self):
+        self.told.append("lost")
+
+    def in_touch(self):
+        self.told.append("in touch")
+
+
+class Host:
+    """One host's view of the topic."""
+
+    def __init__(self, store, exchange=None):
+        self.topic = MemoryTopic(store)
+        self.kept = Kept()
+        metrics = Metrics()
+        self.follower = TopicFollower(
+            SETTINGS, NAME, self.topic, self.kept, ReadCounters(metrics)
+        )
+        self.sharing = None
+        if exchange is not None:
+            self.sharing = TopicSharing([self.follower], exchange, metrics)
+
+    def start(self, nursery):
+        nursery.start_soon(self.follower.run)
+        if self.sharing is not None:
+            nursery.start_soon(self.sharing.run)
+
+
+def fill(store, count, prefix="k"):
+    for number in range(count):
+        store.append(NAME, f"{prefix}{number}", b"%d" % number)
+
+
+def expected(store):
+    newest = store.topics[NAME].newest
+    return {key: record.value for key, record in newest.items()}
+
+
+async def test_records_come_at_once_and_a_burst_costs_few_reads(
+    autojump_clock,
+):
+    store = MemoryStore()
+    fill(store, 3)
+    host = Host(store)
+    async with trio.open_nursery() as nursery:
+        host.start(nursery)
+        await trio.sleep(1)
+        assert host.kept.values == expected(store)
+        before = host.topic.reads
+        for number in range(50):
+            store.append(NAME, f"n{number}", b"x")
+            await trio.sleep(0.01)
+        await trio.sleep(0.5)
+        assert host.kept.values == expected(store)
+        # Each read counts twice here, at its start and its end.
+        assert host.topic.reads - before <= 2 * 8
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("fault", ["refused", "hanging"])
+@pytest.mark.parametrize("compacted", [False, True])
+async def test_what_changed_in_an_outage_is_known_soon_after(
+    autojump_clock, fault, compacted
+):
+    store = MemoryStore()
+    fill(store, 5)
+    host = Host(store)
+    async with trio.open_nursery() as nursery:
+        host.start(nursery)
+        await trio.sleep(1)
+        setattr(host.topic, fault, True)
+        store.append(NAME, "k0", b"")
+        store.append(NAME, "k1", b"changed")
+        await trio.sleep(30)
+        assert host.kept.told == ["in touch", "lost"]
+        # What was known stays known.
+        assert host.kept.values["k1"] == b"1"
+        if compacted:
+            store.compact(NAME)
+        setattr(host.topic, fault, False)
+        await trio.sleep(6)
+        assert host.kept.values == expected(store)
+        assert host.kept.told == ["in touch", "lost", "in touch"]
+        nursery.cancel_scope.cancel()
+
+
+async def test_truncation_loses_nothing(autojump_clock):
+    store = MemoryStore()
+    fill(store, 5)
+    host = Host(store)
+    async with trio.open_nursery() as nursery:
+        host.start(nursery)
+        await trio.sleep(0.05)
+        fill(store, 20, "new")
+        store.append(NAME, "k3", b"")
+        store.compact(NAME)
+        await trio.sleep(1)
+        assert host.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("fault", ["refused", "hanging"])
+@pytest.mark.parametrize("started_before", [True, False])
+async def test_a_host_that_reads_nothing_learns_from_its_peers(
+    autojump_clock, fault, started_before
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net = MemoryMesh(nursery)
+        one, other = (Host(store, net.join(name)) for name in ("h1", "h2"))
+        one.start(nursery)
+        setattr(other.topic, fault, not started_before)
+        other.start(nursery)
+        await trio.sleep(5)
+        assert other.kept.values == expected(store)
+        setattr(other.topic, fault, True)
+        store.append(NAME, "k0", b"")
+        store.append(NAME, "k1", b"changed")
+        await trio.sleep(1.5)
+        assert other.kept.values == one.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_read_gone_silent_is_given_up_when_peers_know_more(
+    autojump_clock,
+):
+    store, silent_store = MemoryStore(), MemoryStore()
+    fill(store, 2)
+    fill(silent_store, 2)
+    async with trio.open_nursery() as nursery:
+        net = MemoryMesh(nursery)
+        one, other = Host(store, net.join("h1")), Host(store, net.join("h2"))
+        # The read that waits hears nothing of the store any more.
+        other.topic.store = silent_store
+        one.start(nursery)
+        other.start(nursery)
+        await trio.sleep(1)
+        store.append(NAME, "k1", b"changed")
+        other.topic.store = store
+        await trio.sleep(1.5)
+        assert other.kept.values == expected(store)
+        store.append(NAME, "k1", b"again")
+        one.topic.hanging = True
+        await trio.sleep(1.5)
+        assert other.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -13,6 +13,7 @@
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
 from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
+from agatetack.keyed.sharing import TopicSharing
 from agatetack.keyed.topic import KeyedTopic
 from agatetack.lifecycle.readiness import ReadinessView
 from agatetack.lifecycle.status import (
@@ -101,6 +102,7 @@
             self._follower("targets", REGISTRATIONS_TOPIC, self.targets),
             self._follower("members", member_topic, self.members),
         ]
+        self.sharing = TopicSharing(self.followers, self.peers, metrics)
         self._build_classes()
         self.documents.watchers.append(self._limit_callers)
 
@@ -168,6 +170,7 @@
         async with trio.open_nursery() as nursery:
             for follower in self.followers:
                 nursery.start_soon(follower.run)
+            nursery.start_soon(self.sharing.run)
             nursery.start_soon(self.targets.run)
             peers_port = await nursery.start(self.peers.run)
             nursery.start_soon(self.members.register, peers_port)
--- /dev/null
+++ b/agatetack/testing/memory_topic.py
@@ -0,0 +1,74 @@
+"""Stand in for one keyed topic, without a network."""
+
+import trio
+
+from agatetack.ids import Deadline, LogOffset
+from agatetack.keyed.topic import (
+    KeyedRecord,
+    KeyedTopic,
+    TopicPage,
+    TopicTruncated,
+    TopicUnavailable,
+)
+from agatetack.testing.memory_store import MemoryStore
+
+NAME = "topic"
+
+
+class MemoryTopic(KeyedTopic):
+    """One topic of a store in memory, as one host reaches it.
+
+    Attributes:
+        store: The store.
+        refused: Whether calls are refused.
+        hanging: Whether calls bring no answer.
+        reads: Calls made so far.
+    """
+
+    def __init__(self, store: MemoryStore):
+        """Reach `store`."""
+        self.store = store
+        self.refused = False
+        self.hanging = False
+        self.reads = 0
+
+    async def newest(self, deadline: Deadline) -> TopicPage:
+        """Return the newest record of each key."""
+        await self._call(deadline)
+        found = self.store.topics[NAME]
+        records = [_record(each) for each in found.newest.values()]
+        return TopicPage(records, LogOffset(found.end))
+
+    async def read(
+        self, first: LogOffset, wait_until: Deadline, deadline: Deadline
+    ) -> TopicPage:
+        """Return the records from `first` on, as soon as there is one."""
+        await self._call(deadline)
+        seconds = max(0.0, wait_until - trio.current_time())
+        await self.store.wait_for(NAME, first, seconds)
+        await self._call(deadline)
+        found = self.store.topics[NAME]
+        if first < found.first:
+            raise TopicTruncated
+        records = [_record(r) for r in found.records if r.offset >= first]
+        return TopicPage(records, LogOffset(first + len(records)))
+
+    async def append(
+        self, key: str, value: bytes, deadline: Deadline
+    ) -> LogOffset:
+        """Append a record and return its offset."""
+        await self._call(deadline)
+        return LogOffset(self.store.append(NAME, key, value))
+
+    async def _call(self, deadline: Deadline) -> None:
+        self.reads += 1
+        await trio.sleep(0.001)
+        if self.refused:
+            raise TopicUnavailable("refused")
+        if self.hanging:
+            await trio.sleep_until(deadline)
+            raise TopicUnavailable("no answer in time", may_have_run=True)
+
+
+def _record(stored) -> KeyedRecord:
+    return KeyedRecord(stored.key, stored.value or None, stored.offset)
--- /dev/null
+++ b/thrift/keyed.thrift
@@ -0,0 +1,33 @@
+// What hosts tell each other of the store's topics that they follow.
+// Evolution: fields are only added, as optional with new ids.
+namespace py keyed
+namespace java io.agatetack.keyed
+
+// How far the sender has read one topic.
+struct TopicEnd {
+  1: required string topic
+  2: required i64 end           // the next offset that it will read
+}
+
+struct TopicEnds {
+  1: required list<TopicEnd> ends
+}
+
+// Asks for what follows an offset.
+struct FetchRecords {
+  1: required string topic
+  2: required i64 first
+}
+
+// One record, as the store holds it.
+struct Record {
+  1: required string key
+  2: optional binary value      // absent: the key was removed
+  3: required i64 offset
+}
+
+struct Records {
+  1: required i64 end           // the next offset after them
+  2: required bool whole        // every key there is, and not only what follows
+  3: required list<Record> records
+}
