--- a/agatetack/hosts/registered_targets.py
+++ b/agatetack/hosts/registered_targets.py
@@ -88,14 +88,17 @@
 
     def lost_touch(self) -> None:
         """Doubt what vanishes until the store has been back for a while."""
-        self.doubt_until = Deadline(float("inf"))
+        self._doubt_until(Deadline(float("inf")))
 
     def in_touch(self) -> None:
         """Doubt what vanished, or vanishes soon, for a while from now."""
         now = trio.current_time()
-        self.doubt_until = Deadline(now + self.doubt_seconds)
+        self._doubt_until(Deadline(now + self.doubt_seconds))
+
+    def _doubt_until(self, until: Deadline) -> None:
+        self.doubt_until = until
         for key in self.doubted:
-            self.doubted[key] = self.doubt_until
+            self.doubted[key] = until
         self.changed.set()
 
     def _take(self, key: str, content: bytes) -> None:
--- /dev/null
+++ b/agatetack/hosts/test_registered_targets.py
@@ -0,0 +1,134 @@
+"""Test which registered targets are believed, through outages of the store."""
+
+import pytest
+import trio
+
+from agatetack.hosts.host_list import HostState
+from agatetack.hosts.registered_targets import RegisteredTargets
+from agatetack.ids import LogOffset
+from agatetack.keyed.topic import KeyedRecord
+from agatetack.metrics import Metrics
+from agatetack.platform.registrations import ServerDecoder
+from agatetack.settings.defaults import default_settings
+
+DOUBT = 2.0
+READY = (
+    b'{"address": "10.0.0.1:80", "info": {"service": "s", "zone": "z"},'
+    b' "status": {"state": "ready"}}'
+)
+DRAINING = READY.replace(b"ready", b"draining")
+
+
+class Book:
+    """The targets of one host, and the last that was told of them."""
+
+    def __init__(self):
+        settings = default_settings(
+            platform={"store": {"doubt_seconds": DOUBT}}
+        )
+        self.told = ()
+        self.targets = RegisteredTargets(
+            settings, ServerDecoder(), self.listen, Metrics()
+        )
+        self.targets.take_all([])
+        self.targets.in_touch()
+
+    def listen(self, targets):
+        self.told = targets
+
+    def new(self, **records):
+        self.targets.take_new(
+            [KeyedRecord(k, v, LogOffset(0)) for k, v in records.items()]
+        )
+
+    def all(self, **records):
+        self.targets.take_all(
+            [KeyedRecord(k, v, LogOffset(0)) for k, v in records.items()]
+        )
+
+    @property
+    def ids(self):
+        return {target.id for target in self.told}
+
+
+async def play(steps):
+    book = Book()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(book.targets.run)
+        await trio.sleep(DOUBT + 1)
+        for step in steps:
+            if isinstance(step, float):
+                await trio.sleep(step)
+            elif step == "lost":
+                book.targets.lost_touch()
+            elif step == "back":
+                book.targets.in_touch()
+            elif step[0] == "all":
+                book.all(**step[1])
+            else:
+                book.new(**step[1])
+        await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    return book
+
+
+def new(**records):
+    return ("new", records)
+
+
+def everything(**records):
+    return ("all", records)
+
+
+@pytest.mark.parametrize(
+    ("steps", "believed"),
+    [
+        ([new(a=READY, b=READY)], {"a", "b"}),
+        # A removal is believed at once while the store is there.
+        ([new(a=READY, b=READY), new(a=None)], {"b"}),
+        ([new(a=READY, b=READY), everything(b=READY)], {"b"}),
+        # What an outage hid stays while it lasts and for a while after it.
+        ([new(a=READY), "lost", everything(), 60.0], {"a"}),
+        ([new(a=READY), "lost", everything(), "back", 1.0], {"a"}),
+        ([new(a=READY), "lost", everything(), "back", 2.5], set()),
+        ([new(a=READY), "lost", "back", new(a=None), 1.0], {"a"}),
+        ([new(a=READY), "lost", "back", new(a=None), 2.5], set()),
+        (
+            [
+                new(a=READY),
+                "lost",
+                everything(),
+                "back",
+                1.0,
+                new(a=READY),
+                9.0,
+            ],
+            {"a"},
+        ),
+        # One that was leaving is not doubted.
+        ([new(a=READY), new(a=DRAINING), "lost", everything()], set()),
+        # Each outage begins the doubt anew.
+        (
+            [
+                new(a=READY),
+                "lost",
+                everything(),
+                "back",
+                1.0,
+                "lost",
+                60.0,
+                "back",
+                1.0,
+            ],
+            {"a"},
+        ),
+        ([new(a=READY, b=b"junk")], {"a"}),
+    ],
+)
+async def test_which_targets_are_believed(autojump_clock, steps, believed):
+    assert (await play(steps)).ids == believed
+
+
+async def test_a_change_of_state_is_told(autojump_clock):
+    book = await play([new(a=READY), new(a=DRAINING)])
+    assert [target.state for target in book.told] == [HostState.LEAVING]
--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -39,6 +39,11 @@
 """Pages of 500 keys read at most; more are an answer that never ends."""
 
 
+def keyed_name(name: str) -> str:
+    """Return what the store calls a keyed topic of the project's own."""
+    return f"keyed.{name}"
+
+
 class StoreClient:
     """The store at the address that the settings name."""
 
--- /dev/null
+++ b/agatetack/platform/test_records.py
@@ -0,0 +1,151 @@
+"""Test how the platform's records and headers become the product's types."""
+
+import orjson
+import pytest
+import trio
+
+from agatetack.config.document import BadDocument
+from agatetack.config.route import RequestClass, SplitPart
+from agatetack.hosts.host_list import HostState
+from agatetack.hosts.listed_target import BadRegistration
+from agatetack.platform.configuration import ConfigurationDecoder
+from agatetack.platform.figures import read_seconds
+from agatetack.platform.load_header import ListLoadReader
+from agatetack.platform.registrations import ServerDecoder
+from agatetack.testing.store_fleet import (
+    configuration,
+    route_fields,
+    template_settings,
+)
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0), ("3s", 3.0)],
+)
+def test_times(text, seconds):
+    assert read_seconds(text) == pytest.approx(seconds)
+
+
+@pytest.mark.parametrize("text", ["", "5", "s", "1m", None, 3, "x ms"])
+def test_what_is_no_time(text):
+    with pytest.raises(ValueError):
+        read_seconds(text)
+
+
+@pytest.mark.parametrize(
+    ("fields", "name", "value"),
+    [
+        ({}, "request_class", RequestClass.FAST),
+        (
+            {"route_type": "non_idempotent"},
+            "request_class",
+            RequestClass.ONCE,
+        ),
+        ({"route_type": "download"}, "request_class", RequestClass.WHOLE),
+        ({"timeout": "1500ms"}, "timeout_seconds", 1.5),
+        ({"target_latency": "400ms"}, "target_latency_seconds", 0.4),
+        ({"max_attempts": 1}, "max_attempts", 1),
+        ({"priority": 0}, "priority", 0),
+        ({"host": "UPPER.example"}, "host", "upper.example"),
+        (
+            {
+                "service": None,
+                "traffic_split": [
+                    {"service": "s1", "weight": 90},
+                    {"service": "s2", "weight": 10},
+                ],
+            },
+            "split",
+            (SplitPart("s1", 90.0), SplitPart("s2", 10.0)),
+        ),
+    ],
+)
+def test_a_route_is_read(fields, name, value):
+    content = configuration(7, route_fields(**fields))
+    document = ConfigurationDecoder().decode(content)
+    assert document.version == 7
+    assert getattr(document.routes[0], name) == value
+
+
+def test_limits_and_load_paths_are_read():
+    document = ConfigurationDecoder().decode(configuration(1, route_fields()))
+    assert document.limits.idle_timeout_seconds == 15.0
+    assert document.limits.max_header_bytes == 16384
+    assert document.services[0].load_path == "/load"
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"{}",
+        b'{"version": "x", "routes": [], "services": []}',
+        configuration(1, route_fields(route_type="odd")),
+        configuration(1, route_fields(timeout="soon")),
+        configuration(1, route_fields(host=None)),
+        configuration(1, route_fields(), routes=7),
+    ],
+)
+def test_a_document_that_cannot_be_read_is_told(content):
+    with pytest.raises(BadDocument):
+        ConfigurationDecoder().decode(content)
+
+
+def entry(**changes):
+    fields = {
+        "address": "10.0.0.9:8080",
+        "info": {"service": "s", "version": "v1", "zone": "z", "slots": 3},
+        "status": {"state": "ready", "sequence": 4, "warmup_left": "0ms"},
+    }
+    return orjson.dumps({**fields, **changes})
+
+
+async def test_a_registration_is_read(autojump_clock):
+    target = ServerDecoder().decode("i-1", entry())
+    assert (target.id, target.ip, target.port) == ("i-1", "10.0.0.9", 8080)
+    assert (target.service, target.failure_domain) == ("s", "z")
+    assert (target.slots, target.warm_at) == (3, 0.0)
+    assert target.state is HostState.LIVE
+    status = {"state": "draining", "sequence": 5, "warmup_left": "2500ms"}
+    target = ServerDecoder().decode("i-1", entry(status=status))
+    assert target.state is HostState.LEAVING
+    assert target.warm_at == trio.current_time() + 2.5
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"",
+        b"7",
+        entry(address="10.0.0.9"),
+        entry(info={}),
+        entry(status={"state": "odd"}),
+    ],
+)
+def test_a_registration_that_cannot_be_read_is_told(content):
+    with pytest.raises(BadRegistration, match="i-1"):
+        ServerDecoder().decode("i-1", content)
+
+
+@pytest.mark.parametrize(
+    ("value", "in_flight", "slots", "slowness"),
+    [
+        (b"3,0,8", 3, 8, 1.0),
+        (b"2,3,2,500", 5, 2, 5.0),
+        (b"2, 1, 2, 100", 3, 2, 1.0),
+        (b"0,0,0", 0, 1, 1.0),
+        (b"", None, None, 1.0),
+        (b"1,2", None, None, 1.0),
+        (b"a,b,c", None, None, 1.0),
+        (b"-1,0,2", None, None, 1.0),
+        (b"nan,0,2", None, None, 1.0),
+    ],
+)
+def test_a_load_header_is_read(value, in_flight, slots, slowness):
+    reader = ListLoadReader(template_settings(1))
+    load = reader.read({b"server-load": value})
+    assert (load.in_flight, load.slots) == (in_flight, slots)
+    assert load.slowness == slowness
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -31,7 +31,7 @@
     REGISTRATIONS_TOPIC,
     ServerDecoder,
 )
-from agatetack.platform.store_client import StoreClient, StoreTopic
+from agatetack.platform.store_client import StoreClient, StoreTopic, keyed_name
 from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
 from agatetack.settings.model import Settings
 
@@ -84,7 +84,7 @@
             CONFIGURATION_KEY, ConfigurationDecoder(), self.routes, metrics
         )
         member_topic = StoreTopic(
-            self.store, f"keyed.{settings.platform.store.member_topic}"
+            self.store, keyed_name(settings.platform.store.member_topic)
         )
         self.members = MemberDirectory(settings, member_topic, metrics)
         load_reader = None
