Leave targets that fail part of their requests, and count only crashes that were seen

Change: the share of attempts that fail is learned and forgotten in 3 s; a loss counts as a crash once the target gave no report for 1.5 s after it.

--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -37,7 +37,7 @@
 targets with noisy neighbours show on the mean of their better moments."""
 
 
-CONNECT_SHARE = 0.15
+CONNECT_SHARE = 0.25
 """Share of a typical service time by which a target without an open
 connection is dearer.
 
@@ -56,6 +56,18 @@
 SPARE_SLOWNESS = 2.0
 """Slowness up to which a target is worth a second attempt."""
 
+FAILED_COST = 6.0
+"""Typical service times that an attempt which fails costs: what it took, and
+another one, if that is allowed at all."""
+
+FAILING_WEIGHT = 0.3
+"""Weight of one attempt in the share that fails; a host sends a target one in
+some seconds, so that one says much."""
+
+FAILING_HALF_LIFE_SECONDS = 3.0
+"""After this time a target that failed is thought half as bad, so that it is
+tried again."""
+
 LARGE_BYTES = 100_000
 """Size of answers from which on they are kept in the failure domain."""
 
@@ -158,7 +170,38 @@
         learned = target.learned
         if now < learned.shed_until or (learned.shed_count and learned.sent):
             cost += SHED_COST * typical
-        return cost
+        return cost + FAILED_COST * self.failing(target, now) * typical
+
+    def failing(self, target: TargetState, now: Deadline) -> float:
+        """Return the share of attempts that fail there, forgotten in time."""
+        learned = target.learned
+        half_lives = (now - learned.failing_at) / FAILING_HALF_LIFE_SECONDS
+        return learned.failing * 0.5 ** min(half_lives, 60.0)
+
+    def answered(
+        self, target: TargetState, latency: float, waiting: float, now: Deadline
+    ) -> None:
+        """Learn from an answer."""
+        super().answered(target, latency, waiting, now)
+        self._note_end(target, 0.0, now)
+
+    def shed(self, target: TargetState, now: Deadline) -> None:
+        """Learn that `target` refused a request for its load."""
+        super().shed(target, now)
+        self._note_end(target, 1.0, now)
+
+    def failed(self, target: TargetState, now: Deadline) -> None:
+        """Learn that an attempt at `target` failed."""
+        super().failed(target, now)
+        self._note_end(target, 1.0, now)
+
+    def _note_end(
+        self, target: TargetState, failed: float, now: Deadline
+    ) -> None:
+        learned = target.learned
+        share = self.failing(target, now)
+        learned.failing = share + FAILING_WEIGHT * (failed - share)
+        learned.failing_at = now
 
     def slowness(self, target: TargetState, now: Deadline) -> float:
         """Return how many times longer than usual work takes there now."""
--- a/agatetack/balance/learned.py
+++ b/agatetack/balance/learned.py
@@ -27,6 +27,8 @@
         shed_count: Shed answers in a row.
         trial_at: When a target left for slowness may be tried again.
         trial_count: Trials in a row that found it still slow.
+        failing: Share of attempts that failed there, as of `failing_at`.
+        failing_at: When the last one ended.
         sent: When each request still there was sent, oldest first.
     """
 
@@ -43,6 +45,8 @@
     shed_count: int = 0
     trial_at: float = 0.0
     trial_count: int = 0
+    failing: float = 0.0
+    failing_at: float = 0.0
     sent: dict[int, float] = dataclasses.field(default_factory=dict)
 
     def note_peer(self, service_seconds: float, at: float) -> None:
--- a/agatetack/balance/test_fleet_view.py
+++ b/agatetack/balance/test_fleet_view.py
@@ -142,3 +142,22 @@
     report(targets[1], slowness=4.0)
     targets[2].in_flight = 1
     assert policy.spare(targets, NOW) == targets[2:]
+
+
+@pytest.mark.parametrize("end", ["shed", "failed"])
+async def test_a_target_that_fails_some_is_left_for_a_while(
+    autojump_clock, end
+):
+    policy = FleetView(SETTINGS, random.Random(1))
+    targets = make_targets()
+    for target in targets:
+        report(target, age=-1e9)
+
+    def chosen(now):
+        return {policy.choose(targets, Deadline(now)).id for _ in range(50)}
+
+    getattr(policy, end)(targets[0], NOW)
+    policy.answered(targets[0], 0.1, 0.0, NOW)
+    assert chosen(NOW + 0.1) == ids(targets[1:])
+    # With nothing new against it, it gets requests again.
+    assert chosen(NOW + 30) == ids(targets)
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -25,7 +25,7 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.directory import GatewayDirectory
 from agatetack.peers.mesh import PeerExchange
-from agatetack.quarantine.liveness import PoolLivenessCheck
+from agatetack.quarantine.liveness import LivenessCheck, PoolLivenessCheck
 from agatetack.quarantine.local_tracker import LocalCrashTracker
 from agatetack.serving.dispatcher import ClassRunner, Dispatcher
 from agatetack.serving.explain import Explanations
@@ -133,7 +133,7 @@
         if settings.balance.policy is PolicyName.FLEET_VIEW:
             self.occupancy = Occupancy(self.registry, self.peers, metrics)
         self.crashes = LocalCrashTracker(
-            settings, self.peers, PoolLivenessCheck(self.client.pools), metrics
+            settings, self.peers, self.liveness_check(), metrics
         )
         self.single = SingleAttempt(
             settings, self.client, self.crashes, metrics
@@ -143,6 +143,10 @@
             settings, self.admission, self.single, metrics, self.fleet_budget
         )
 
+    def liveness_check(self) -> LivenessCheck:
+        """Return what tells a crashed target from one lost connection."""
+        return PoolLivenessCheck(self.client.pools)
+
     def fleet_size(self) -> int | None:
         """Return the number of hosts, never too low; None if not known."""
         return self.peers.fleet_size()
--- a/agatetack/quarantine/liveness.py
+++ b/agatetack/quarantine/liveness.py
@@ -6,6 +6,10 @@
 
 from agatetack.ids import Deadline, TargetId
 from agatetack.targets.pool import TargetPools
+from agatetack.targets.registry import TargetRegistry
+
+REPORT_DELAY_SECONDS = 0.1
+"""Longest time that a report is on its way, from its target by a peer."""
 
 
 class LivenessCheck(abc.ABC):
@@ -40,3 +44,26 @@
             connection.opened_at < lost_at and connection.is_quiet()
             for connection in self.pools.pool(target).idle
         )
+
+
+class ReportLivenessCheck(LivenessCheck):
+    """Looks for a load report that the same process gave after the loss.
+
+    It takes targets that are named by process, as one that is started again
+    at the same address would report just as well.
+    """
+
+    def __init__(self, registry: TargetRegistry):
+        """Look at the reports in `registry`."""
+        self.registry = registry
+
+    async def stayed_up(
+        self, target: TargetId, lost_at: Deadline, until: Deadline
+    ) -> bool:
+        """Return whether `target` surely did not go down at `lost_at`."""
+        await trio.sleep_until(until)
+        known = self.registry.by_id.get(target)
+        if known is None or known.report is None:
+            return False
+        # A report just after the loss may have left the target before it.
+        return known.report.at > lost_at + REPORT_DELAY_SECONDS
--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -14,6 +14,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from agatetack.config.route import RequestClass, Route
+from agatetack.decisions import DecisionLog
 from agatetack.generated.quarantine.ttypes import CrashEvent, CrashNotice
 from agatetack.ids import Deadline, HostId, RouteId, ServiceId, TargetId
 from agatetack.logs import PartLog
@@ -44,6 +45,7 @@
 PROTOCOL = TCompactProtocolFactory()
 
 log = PartLog("quarantine")
+decisions = DecisionLog("quarantine")
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,8 +158,9 @@
         event = CrashSighting(
             print_, route.id, route.service, target, now, here=True
         )
-        self._count(event)
-        self._publish_loss(event)
+        if not self.limits.confirm_first:
+            self._count(event)
+            self._publish_loss(event)
         try:
             self.losses_in.send_nowait(event)
         except trio.WouldBlock:
@@ -327,6 +330,15 @@
         until = Deadline(loss.at + self.limits.confirm_seconds)
         if not await self.liveness.stayed_up(loss.target, loss.at, until):
             self.crashes.inc({"result": "confirmed"})
+            if self.limits.confirm_first:
+                decisions.note(
+                    "target-crashed",
+                    target=loss.target,
+                    fingerprint=loss.fingerprint.hex(),
+                    route=loss.route,
+                )
+                self._count(dataclasses.replace(loss, at=until))
+                self._publish_loss(loss)
             return
         self.crashes.inc({"result": "target-alive"})
         suspicion = self.suspicions.get(loss.fingerprint)
--- /dev/null
+++ b/agatetack/quarantine/test_liveness.py
@@ -0,0 +1,44 @@
+"""Test what shows that a target stayed up when a connection was lost."""
+
+import pytest
+import trio
+
+from agatetack.ids import Deadline
+from agatetack.metrics import Metrics
+from agatetack.quarantine.liveness import ReportLivenessCheck
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import LoadReport, ReportSource
+from agatetack.testing.targets import listed_target
+
+
+@pytest.mark.parametrize(
+    ("report_after", "listed", "stayed_up"),
+    [
+        (0.5, True, True),
+        (1.4, True, True),
+        # It may have been on its way when the target went down.
+        (0.05, True, False),
+        (-1.0, True, False),
+        (None, True, False),
+        (0.5, False, False),
+    ],
+)
+async def test_a_later_report_shows_it(
+    autojump_clock, report_after, listed, stayed_up
+):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([listed_target(1)])
+    target = next(iter(registry.by_id.values()))
+    await trio.sleep(10)
+    lost_at = Deadline(trio.current_time())
+    if report_after is not None:
+        at = Deadline(lost_at + report_after)
+        report = LoadReport(0, 2, 0, at, ReportSource.PROBE)
+        registry.note_report(target, report)
+    if not listed:
+        registry.update([])
+    check = ReportLivenessCheck(registry)
+    until = Deadline(lost_at + 1.5)
+    assert await check.stayed_up(target.id, lost_at, until) is stayed_up
+    assert trio.current_time() == until
--- a/agatetack/quarantine/test_local_tracker.py
+++ b/agatetack/quarantine/test_local_tracker.py
@@ -257,3 +257,25 @@
     same = fingerprint(ROUTE, make_request())
     assert fingerprint(ROUTE, make_request()) == same
     assert fingerprint(ROUTE, make_request(**other)) != same
+
+
+@pytest.mark.parametrize("up", [True, False])
+async def test_with_confirmation_first_only_crashes_count(autojump_clock, up):
+    settings = default_settings(
+        quarantine={"confirm_first": True, "confirm_seconds": 1.5}
+    )
+    one_end, other_end = Link(), Link()
+    one_end.others, other_end.others = [other_end], [one_end]
+    one = LocalCrashTracker(settings, one_end, Liveness(up), Metrics())
+    other = LocalCrashTracker(settings, other_end, Liveness(up), Metrics())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(one.run)
+        for number in range(settings.quarantine.crashes):
+            one.connection_lost(ROUTE, make_request(), TargetId(f"t{number}"))
+        # Until the targets were looked at, nothing is held against it.
+        assert one.check(ROUTE, make_request()) is None
+        await trio.sleep(2)
+        for tracker in (one, other):
+            refusal = tracker.check(ROUTE, make_request())
+            assert (refusal is None) is up
+        nursery.cancel_scope.cancel()
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -316,6 +316,7 @@
     decay_seconds: Seconds
     max_fingerprints: Count
     confirm_seconds: Seconds
+    confirm_first: bool
 
 
 class LifecycleSettings(Section):
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -32,6 +32,7 @@
     ServerDecoder,
 )
 from agatetack.platform.store_client import StoreClient, StoreTopic, keyed_name
+from agatetack.quarantine.liveness import LivenessCheck, ReportLivenessCheck
 from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
 from agatetack.settings.model import Settings
 
@@ -158,6 +159,10 @@
             )
         self.callers.limit(callers)
 
+    def liveness_check(self) -> LivenessCheck:
+        """Return what tells a crashed target from one lost connection."""
+        return ReportLivenessCheck(self.registry)
+
     def fleet_size(self) -> int | None:
         """Return the number of hosts, never too low; None if not known."""
         return self.peers.fleet_size() if self.members.known else None
