--- /dev/null
+++ b/agatetack/measure/test_occupancy.py
@@ -0,0 +1,121 @@
+"""Test that hosts know what the others have at each target."""
+
+import trio
+
+from agatetack.ids import HostId
+from agatetack.measure.occupancy import Occupancy
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Topic
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import TargetRegistry
+from agatetack.testing.memory_exchange import MemoryMesh
+from agatetack.testing.targets import SERVICE, listed_target
+
+
+class Host:
+    """One host's registry and what it is told."""
+
+    def __init__(self, mesh, name, targets=2):
+        self.name = HostId(name)
+        self.registry = TargetRegistry(default_settings(), Metrics())
+        self.list(targets)
+        self.metrics = Metrics()
+        self.occupancy = Occupancy(
+            self.registry, mesh.join(self.name), self.metrics
+        )
+        self.room = 0
+        self.registry.watchers.append(self.note_room)
+
+    def list(self, count):
+        self.registry.update([listed_target(n + 1) for n in range(count)])
+
+    def note_room(self, service):
+        self.room += 1
+
+    def target(self, number=1):
+        return self.registry.by_id[listed_target(number).id]
+
+    def set(self, count, number=1):
+        self.target(number).in_flight = count
+        self.registry.note_in_flight(self.target(number))
+
+
+async def start(nursery, *hosts):
+    for host in hosts:
+        nursery.start_soon(host.occupancy.run)
+    await trio.sleep(0.01)
+
+
+async def test_counts_add_up_and_go_down(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two, three = (Host(mesh, f"h{n}") for n in range(3))
+        await start(nursery, one, two, three)
+        two.set(1)
+        three.set(2)
+        await trio.sleep(0.01)
+        assert one.target().told_in_flight == 3
+        assert one.target(2).told_in_flight == 0
+        assert two.target().told_in_flight == 2
+        before = one.room
+        two.set(0)
+        await trio.sleep(0.01)
+        assert one.target().told_in_flight == 2
+        # Whoever waits for a target is served when there is room.
+        assert one.room == before + 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_lost_message_is_made_good(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two = Host(mesh, "h1"), Host(mesh, "h2")
+        await start(nursery, one, two)
+        mesh.lost_topics.add(Topic.IN_FLIGHT)
+        two.set(2)
+        await trio.sleep(0.01)
+        mesh.lost_topics.clear()
+        assert one.target().told_in_flight == 0
+        await trio.sleep(2)
+        assert one.target().told_in_flight == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_what_a_host_that_is_gone_had_is_forgotten(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two = Host(mesh, "h1"), Host(mesh, "h2")
+        await start(nursery, one, two)
+        two.set(2)
+        await trio.sleep(0.01)
+        mesh.leave(two.name)
+        await trio.sleep(1)
+        assert one.target().told_in_flight == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_target_listed_later_has_what_was_told(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two = Host(mesh, "h1", targets=1), Host(mesh, "h2")
+        await start(nursery, one, two)
+        two.set(1, number=2)
+        await trio.sleep(0.01)
+        one.list(2)
+        await trio.sleep(2)
+        assert one.target(2).told_in_flight == 1
+        assert one.registry.targets(SERVICE)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_malformed_message_is_counted(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two = Host(mesh, "h1"), Host(mesh, "h2")
+        await start(nursery, one, two)
+        mesh.hosts[two.name].publish(Topic.IN_FLIGHT, b"junk")
+        await trio.sleep(0.01)
+        assert one.target().told_in_flight == 0
+        labels = {"part": "measure", "reason": "counts-malformed"}
+        assert one.metrics.dropped.get(labels) == 1
+        nursery.cancel_scope.cancel()
