--- a/agatetack/balance/expected_wait.py
+++ b/agatetack/balance/expected_wait.py
@@ -12,7 +12,7 @@
 from agatetack.balance.learning import FAILURES_TO_LEAVE, LearningPolicy
 from agatetack.ids import Deadline
 from agatetack.settings.model import Settings
-from agatetack.targets.state import TargetState, TargetStatus
+from agatetack.targets.state import TargetState
 
 NEAR_RATIO = 0.1
 """Candidates within this share of the best cost count as equally good."""
@@ -31,16 +31,6 @@
 host learns of it first.
 """
 
-COLD_COST = 10
-"""Typical service times by which a cold target is dearer."""
-
-SHED_COST = 40
-"""Typical service times by which a target that shed is dearer.
-
-More than a cold one, or a host that just started, to which all targets are
-cold, would go on asking those that refuse.
-"""
-
 MOST_WEIGHED = 12
 """Candidates weighed for one choice, so that its cost does not grow."""
 
@@ -87,13 +77,7 @@
                 best = cost
         if best == math.inf:
             return min(candidates, key=lambda t: self.cost(t, now, typical))
-        near = best + NEAR_RATIO * typical
-        ties = [
-            target
-            for target, cost in zip(candidates, costs, strict=True)
-            if cost <= near
-        ]
-        return self.rng.choice(ties)
+        return self.draw_near(candidates, costs, NEAR_RATIO * typical)
 
     def cost(self, target: TargetState, now: Deadline, typical: float) -> float:
         """Return the expected seconds from sending to the answer."""
@@ -109,15 +93,7 @@
             target.in_flight, self.expected_others(target, now), target.slots
         )
         cost = self.network(target) + service * (1 + wait)
-        if target.status is TargetStatus.COLD:
-            age = now - target.status_since
-            ramp = max(0.05, age / self.settings.balance.cold_seconds)
-            if self.rng.random() > ramp:
-                cost += COLD_COST * typical
-        trying = learned.shed_count and learned.sent
-        if now < learned.shed_until or trying:
-            cost += SHED_COST * typical
-        return cost
+        return cost + self.reluctance(target, now) * typical
 
     def expected_others(self, target: TargetState, now: Deadline) -> float:
         """Return how many requests others are thought to have there."""
--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -1,15 +1,12 @@
 """Choose by what all hosts have at each target and how fast it is now."""
 
 import math
-import random
 from collections.abc import Sequence
 
-from agatetack.balance.expected_wait import COLD_COST, SHED_COST
 from agatetack.balance.learning import FAILURES_TO_LEAVE, LearningPolicy
 from agatetack.ids import Deadline
-from agatetack.settings.model import Settings
 from agatetack.targets.load import USUAL_SLOWNESS
-from agatetack.targets.state import TargetState, TargetStatus
+from agatetack.targets.state import TargetState
 
 LEAST_TYPICAL = 0.1
 """Least service time, in seconds, that costs are reckoned by.
@@ -88,11 +85,6 @@
 class FleetView(LearningPolicy):
     """Choose the target where the request is expected to end first."""
 
-    def __init__(self, settings: Settings, rng: random.Random):
-        """Draw among near equals from `rng`."""
-        super().__init__(settings, rng)
-        self.cold_seconds = settings.balance.cold_seconds
-
     def choose(
         self, candidates: Sequence[TargetState], now: Deadline
     ) -> TargetState | None:
@@ -110,13 +102,7 @@
         best = min(costs)
         if best == math.inf:
             return min(candidates, key=lambda t: self.cost(t, now, typical))
-        near = best + NEAR_RATIO * typical
-        ties = [
-            target
-            for target, cost in zip(candidates, costs, strict=True)
-            if cost <= near
-        ]
-        return self.rng.choice(ties)
+        return self.draw_near(candidates, costs, NEAR_RATIO * typical)
 
     def spare(
         self, candidates: Sequence[TargetState], now: Deadline
@@ -171,14 +157,7 @@
         if target.failure_domain != self.domain:
             carried = min(1.0, target.answer_bytes / LARGE_BYTES)
             cost += CARRY_SHARE * carried * typical
-        if target.status is TargetStatus.COLD:
-            age = now - target.status_since
-            ramp = max(0.05, age / self.cold_seconds)
-            if self.rng.random() > ramp:
-                cost += COLD_COST * typical
-        learned = target.learned
-        if now < learned.shed_until or (learned.shed_count and learned.sent):
-            cost += SHED_COST * typical
+        cost += self.reluctance(target, now) * typical
         return cost + FAILED_COST * self.failing(target, now) * typical
 
     def failing(self, target: TargetState, now: Deadline) -> float:
--- a/agatetack/balance/learning.py
+++ b/agatetack/balance/learning.py
@@ -7,7 +7,7 @@
 from agatetack.balance.policy import Policy
 from agatetack.ids import Deadline, ServiceId
 from agatetack.settings.model import Settings
-from agatetack.targets.state import TargetState
+from agatetack.targets.state import TargetState, TargetStatus
 
 SERVICE_WEIGHT = 0.2
 """Weight of one answer in the moving service time."""
@@ -52,6 +52,19 @@
 MAX_DOUBLINGS = 4
 """How often the wait before a trial doubles."""
 
+COLD_COST = 10
+"""Typical service times by which a cold target is dearer."""
+
+SHED_COST = 40
+"""Typical service times by which a target that shed is dearer.
+
+More than a cold one, or a host that just started, to which all targets are
+cold, would go on asking those that refuse.
+"""
+
+LEAST_RAMP = 0.05
+"""Share of its choices that a target gets at its very start."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Typical:
@@ -92,6 +105,45 @@
             return self.near_seconds
         return self.far_seconds
 
+    def reluctance(self, target: TargetState, now: Deadline) -> float:
+        """Return by how many typical service times a target is dearer now.
+
+        A target that has just started gets its share by and by, and one that
+        shed is left alone for a while, and until a trial was answered.
+        """
+        learned = target.learned
+        times = 0.0
+        if target.status is TargetStatus.COLD:
+            age = now - target.status_since
+            ramp = max(LEAST_RAMP, age / self.settings.balance.cold_seconds)
+            if self.rng.random() > ramp:
+                times += COLD_COST
+        trying = learned.shed_count and learned.sent
+        if now < learned.shed_until or trying:
+            times += SHED_COST
+        return times
+
+    def draw_near(
+        self,
+        candidates: Sequence[TargetState],
+        costs: Sequence[float],
+        slack: float,
+    ) -> TargetState:
+        """Return one of the candidates whose cost is near the least.
+
+        Args:
+            candidates: The targets.
+            costs: What each costs.
+            slack: How far above the least still counts as equally good.
+        """
+        near = min(costs) + slack
+        ties = [
+            target
+            for target, cost in zip(candidates, costs, strict=True)
+            if cost <= near
+        ]
+        return self.rng.choice(ties)
+
     def answered(
         self, target: TargetState, latency: float, waiting: float, now: Deadline
     ) -> None:
