Bring back targets that refused for a while, and forget counts that were missed

Change: a leaving target is probed once its hold is over, and that it is still registered is told every 2 s; all counts are told whole each second.

--- a/agatetack/hosts/registered_targets.py
+++ b/agatetack/hosts/registered_targets.py
@@ -19,6 +19,9 @@
 
 log = DecisionLog("targets")
 
+REPEAT_SECONDS = 2.0
+"""How often targets are told again when nothing changes."""
+
 Listen = Callable[[Sequence[ListedTarget]], None]
 """Called with all targets after each change; must not block or raise."""
 
@@ -65,9 +68,14 @@
         while True:
             self.changed = trio.Event()
             soonest = min(self.doubted.values(), default=float("inf"))
-            with trio.move_on_at(soonest):
+            repeat_at = trio.current_time() + REPEAT_SECONDS
+            with trio.move_on_at(min(soonest, repeat_at)):
                 await self.changed.wait()
             self._end_doubts()
+            if trio.current_time() >= repeat_at:
+                # That a target is still registered is evidence to those who
+                # weigh signs of its leaving.
+                self._tell()
 
     def take_all(self, records: Sequence[KeyedRecord]) -> None:
         """Take the registrations there are; all others are gone."""
--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -24,7 +24,7 @@
 """How often the counts of hosts that are gone are looked for."""
 
 REPEAT_SECONDS = 1.0
-"""How often the counts above 0 are told again, as messages may be lost."""
+"""How often all counts are told again, as messages may be lost."""
 
 
 class Occupancy:
@@ -32,6 +32,7 @@
 
     Attributes:
         told: By target's hash, what each other host said that it has there.
+        told_since: Whether this host told of a change since it told all.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.told: dict[int, Counter[HostId]] = defaultdict(Counter)
         self.hashes: dict[int, TargetState] = {}
         self.hashed_changes = -1
+        self.told_since = False
         registry.in_flight_watchers.append(self._changed)
         exchange.subscribe(Topic.IN_FLIGHT, self._take)
 
@@ -56,19 +58,30 @@
             self._forget_gone()
             if trio.current_time() >= repeat_at:
                 repeat_at = trio.current_time() + REPEAT_SECONDS
-                busy = [t for t in self.registry.by_id.values() if t.in_flight]
-                if busy:
-                    self._send(busy)
+                self._repeat()
+
+    def _repeat(self) -> None:
+        """Tell all counts again, and that all others are 0.
+
+        A peer that missed the end of a request would take its target for
+        fuller than it is until this host sends there again.
+        """
+        busy = [t for t in self.registry.by_id.values() if t.in_flight]
+        if busy or self.told_since:
+            self.told_since = False
+            self._send(busy, whole=True)
 
     def _changed(self, target: TargetState) -> None:
+        self.told_since = True
         self._send([target])
 
-    def _send(self, targets: list[TargetState]) -> None:
+    def _send(self, targets: list[TargetState], whole: bool = False) -> None:
         counts = [
             InFlightCount(target_hash(target.id), target.in_flight)
             for target in targets
         ]
-        payload = serialize(InFlightCounts(counts), self.protocols)
+        message = InFlightCounts(counts, whole or None)
+        payload = serialize(message, self.protocols)
         self.exchange.publish(Topic.IN_FLIGHT, payload)
 
     def _take(self, sender: HostId, payload: bytes) -> None:
@@ -80,6 +93,8 @@
                 {"part": "measure", "reason": "counts-malformed"}
             )
             return
+        if message.whole:
+            self._clear(sender, {count.target for count in message.counts})
         for count in message.counts:
             hosts = self.told[count.target]
             if count.count > 0:
@@ -88,6 +103,13 @@
                 hosts.pop(sender, None)
             self._sum_up(count.target)
 
+    def _clear(self, sender: HostId, listed: set[int]) -> None:
+        """Take `sender` to have nothing at the targets that it left out."""
+        for number, hosts in list(self.told.items()):
+            if sender in hosts and number not in listed:
+                del hosts[sender]
+                self._sum_up(number)
+
     def _sum_up(self, number: int) -> None:
         if self.hashed_changes != self.registry.changes:
             self._hash_targets()
--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -10,7 +10,7 @@
 from agatetack.peers.exchange import Exchange
 from agatetack.settings.model import Settings
 from agatetack.targets.registry import TargetRegistry
-from agatetack.targets.state import TargetState, TargetStatus
+from agatetack.targets.state import TargetState
 
 OWNERS_SECONDS = 0.1
 """How often it is looked whether other targets are this host's to probe.
@@ -89,7 +89,7 @@
                 # Some play keeps the hosts' probes from coming in step.
                 pause = self.random.uniform(0.8, 1.2) / self.rate
                 next_at = trio.current_time() + pause
-                if target.status is not TargetStatus.LEAVING:
+                if self.registry.may_be_probed(target):
                     await self.prober.probe(target)
                 await trio.sleep_until(next_at)
         finally:
--- a/agatetack/measure/test_occupancy.py
+++ b/agatetack/measure/test_occupancy.py
@@ -1,5 +1,6 @@
 """Test that hosts know what the others have at each target."""
 
+import pytest
 import trio
 
 from agatetack.ids import HostId
@@ -66,18 +67,21 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_a_lost_message_is_made_good(autojump_clock):
+@pytest.mark.parametrize(("before", "after"), [(0, 2), (2, 0), (3, 1)])
+async def test_a_lost_message_is_made_good(autojump_clock, before, after):
     async with trio.open_nursery() as nursery:
         mesh = MemoryMesh(nursery)
         one, two = Host(mesh, "h1"), Host(mesh, "h2")
         await start(nursery, one, two)
+        two.set(before)
+        await trio.sleep(0.01)
         mesh.lost_topics.add(Topic.IN_FLIGHT)
-        two.set(2)
+        two.set(after)
         await trio.sleep(0.01)
         mesh.lost_topics.clear()
-        assert one.target().told_in_flight == 0
+        assert one.target().told_in_flight == before
         await trio.sleep(2)
-        assert one.target().told_in_flight == 2
+        assert one.target().told_in_flight == after
         nursery.cancel_scope.cancel()
 
 
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -186,6 +186,11 @@
                 self.returns.pop(target_id, None)
         return [self.by_id[each] for each in over if each in self.by_id]
 
+    def may_be_probed(self, target: TargetState) -> bool:
+        """Return whether a probe of `target` can bring anything."""
+        record = self.leaving.get(target.id)
+        return record is None or trio.current_time() >= record.hold_until
+
     @property
     def _hold_seconds(self) -> float:
         return self.settings.balance.leaving_hold_seconds
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from agatetack.targets.leaving import LeavingSign
 from agatetack.testing.store_fleet import (
     LOOPBACK,
     route_fields,
@@ -163,3 +164,14 @@
             connections = fleet.gateways[0].callers.connections
             await fleet.until(lambda: not connections)
         assert executed_urls(fleet) == []
+
+
+async def test_a_target_that_refused_for_a_while_gets_work_again():
+    async with store_fleet(targets=1) as fleet:
+        gateway, target = fleet.gateways[0], fleet.targets[0]
+        seen = gateway.registry.by_id[target.instance]
+        gateway.registry.note_leaving(seen, LeavingSign.CONNECT_REFUSED)
+        assert (await fleet.get("/a/x")).status == 503
+        usable = gateway.registry.targets
+        await fleet.until(lambda: usable("svc-a"), 15)
+        assert (await fleet.get("/a/x")).status == 200
--- a/thrift/measure.thrift
+++ b/thrift/measure.thrift
@@ -34,4 +34,5 @@
 // message is made good by the next one.
 struct InFlightCounts {
   1: required list<InFlightCount> counts
+  2: optional bool whole        // the sender has nothing at other targets
 }
