Test the daemon as a process; leave time after the notice in a short stop

With little time to stop all of it went to the notice, and connections were not closed in it: a daemon with 2 s ended with status 1 and named its callers as unfinished. Found by the new test.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -19,7 +19,7 @@
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 
-MOST_BACKOFFS = 3
+MOST_BACKOFFS = 2
 """How often the pause after failed calls doubles."""
 
 log = DecisionLog("keyed")
--- a/agatetack/platform/bounds.py
+++ b/agatetack/platform/bounds.py
@@ -11,6 +11,10 @@
 """Kept free before the platform kills a process that is stopping; closing
 connections and writing the last log lines takes some of it."""
 
+NOTICE_SHARE = 0.6
+"""Most of the time to stop in which new connections are still taken; the rest
+is for closing connections and for requests under way."""
+
 PROBE_SHARE = 0.25
 """Share of the allowed probes that is used, as probes cost the targets."""
 
@@ -82,7 +86,9 @@
         lifecycle = lifecycle.model_copy(
             update={
                 "drain_seconds": drain,
-                "notice_seconds": min(lifecycle.notice_seconds, drain),
+                "notice_seconds": min(
+                    lifecycle.notice_seconds, NOTICE_SHARE * drain
+                ),
             }
         )
     attempts = attempts.model_copy(
--- /dev/null
+++ b/agatetack/test_store_daemon.py
@@ -0,0 +1,171 @@
+"""Test the daemon as a process of its own on the stand-in of the store."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+
+import httpcore
+import orjson
+import pytest
+import trio
+
+from agatetack.testing.fake_target import FakeTarget
+from agatetack.testing.memory_store import MemoryStore
+from agatetack.testing.store_fleet import (
+    CONFIGURATION,
+    LOOPBACK,
+    REGISTRATIONS,
+    configuration,
+    registration,
+    route_fields,
+    template_settings,
+    template_text,
+)
+from agatetack.testing.store_server import store_server
+
+PATIENCE_SECONDS = 20
+
+
+class Daemon:
+    """One daemon and what it has written."""
+
+    def __init__(self, process):
+        self.process = process
+        self.lines = []
+        self.changed = trio.Event()
+
+    async def read(self):
+        rest = b""
+        stream = trio.lowlevel.FdStream(os.dup(self.process.stdout.fileno()))
+        async with stream:
+            async for data in stream:
+                *lines, rest = (rest + data).split(b"\n")
+                self.lines += [orjson.loads(line) for line in lines]
+                self.changed.set()
+                self.changed = trio.Event()
+
+    async def line(self, **fields):
+        """Return the first line with these fields, once it is written."""
+        with trio.fail_after(PATIENCE_SECONDS):
+            while True:
+                for line in self.lines:
+                    if fields.items() <= line.items():
+                        return line
+                await self.changed.wait()
+
+    async def end(self):
+        with trio.fail_after(PATIENCE_SECONDS):
+            while self.process.poll() is None:
+                await trio.sleep(0.02)
+        return self.process.returncode
+
+
+@contextlib.asynccontextmanager
+async def running_daemon(path, change=lambda text: text):
+    store = MemoryStore()
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(store_server(store).run)
+        target = FakeTarget(template_settings(port))
+        await nursery.start(target.serve)
+        store.append(REGISTRATIONS, target.instance, registration(target))
+        content = configuration(1, route_fields())
+        store.append(CONFIGURATION, "config", content)
+        path.write_text(change(template_text(port)))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "agatetack", "gateway"],
+            stdout=subprocess.PIPE,
+            env={**os.environ, "AGATETACK_CONFIG": str(path)},
+        )
+        daemon = Daemon(process)
+        try:
+            nursery.start_soon(daemon.read)
+            yield daemon, target
+        finally:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+            process.stdout.close()
+            nursery.cancel_scope.cancel()
+
+
+async def ask(port, path="/a/x", request_id="r1"):
+    headers = {"host": "a.example", "request-id": request_id}
+    url = f"http://{LOOPBACK}:{port}{path}"
+    async with httpcore.AsyncConnectionPool() as http:
+        return (await http.request("GET", url, headers=headers)).status
+
+
+async def wait_ready(port):
+    with trio.fail_after(PATIENCE_SECONDS):
+        while await ask(port, "/agatetack/readyz") != 200:
+            await trio.sleep(0.02)
+
+
+async def test_it_starts_serves_reloads_and_stops(tmp_path):
+    path = tmp_path / "node.yaml"
+    async with running_daemon(path) as (daemon, target):
+        start = await daemon.line(event="start")
+        assert start["fleet_ratio"] == 0.2
+        await wait_ready(start["ready"])
+        assert await ask(start["callers"]) == 200
+        assert len(target.executed) == 1
+        assert await ask(start["callers"], "/b/x", "lost") == 404
+        end = await daemon.line(event="end", request="lost")
+        assert (end["outcome"], end["status"]) == ("no-route", 404)
+
+        daemon.process.send_signal(signal.SIGHUP)
+        await daemon.line(event="reload", why="signal", outcome="in-force")
+        path.write_text(path.read_text().replace("grace=6s", "grace=2s"))
+        changed = await daemon.line(event="reload", why="file")
+        assert changed["changed"] == ["platform"]
+        path.write_text("callers: {listen: 7}")
+        refused = await daemon.line(event="reload", outcome="refused")
+        assert "callers.listen" in refused["findings"][0]
+        assert await ask(start["callers"]) == 200
+
+        daemon.process.send_signal(signal.SIGTERM)
+        assert await daemon.end() == 0
+        stop = await daemon.line(event="stop")
+        assert stop["cut"] == []
+
+
+async def test_a_request_under_way_is_finished_in_a_stop(tmp_path):
+    async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
+        start = await daemon.line(event="start")
+        await wait_ready(start["ready"])
+        statuses = []
+
+        async def ask_slowly():
+            path = "/a/x?service_ms=1500"
+            statuses.append(await ask(start["callers"], path))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_slowly)
+            with trio.fail_after(PATIENCE_SECONDS):
+                while not target.in_flight:
+                    await trio.sleep(0.01)
+            daemon.process.send_signal(signal.SIGTERM)
+        assert statuses == [200]
+        assert await daemon.end() == 0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "finding"),
+    [
+        ("grace=6s", "grace=soon", "platform.store.bounds: grace=soon"),
+        ("grace=6s", "6s", "platform.store.bounds: 6s: must be NAME=VALUE"),
+        ("pipeline_depth: 8", "pipeline_dept: 8", "pipeline_dept"),
+    ],
+)
+async def test_settings_that_cannot_be_used_are_told(
+    tmp_path, capfd, old, new, finding
+):
+    def change(text):
+        assert old in text
+        return text.replace(old, new)
+
+    async with running_daemon(tmp_path / "node.yaml", change) as (daemon, _):
+        assert await daemon.end() == 1
+    assert finding in capfd.readouterr().err
--- a/agatetack/testing/store_fleet.py
+++ b/agatetack/testing/store_fleet.py
@@ -59,14 +59,19 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: values[m[1]], text)
 
 
-def template_settings(store_port: int, name: str = "edge-1") -> Settings:
-    """Return the settings that the template gives a host."""
+def template_text(store_port: int, name: str = "edge-1") -> str:
+    """Return the settings file that the template gives a host."""
     values = {
         **FILLED,
         "node_name": name,
         "platform.address": f"{LOOPBACK}:{store_port}",
     }
-    text = fill_template(TEMPLATE.read_text(), values)
+    return fill_template(TEMPLATE.read_text(), values)
+
+
+def template_settings(store_port: int, name: str = "edge-1") -> Settings:
+    """Return the settings that the template gives a host."""
+    text = template_text(store_port, name)
     checked = check_settings_text(text, "deploy/settings.yaml")
     assert checked.settings is not None, checked.findings
     return bounded(checked.settings)
