--- a/agatetack/targets/answer_check.py
+++ b/agatetack/targets/answer_check.py
@@ -24,11 +24,11 @@
     def __init__(self, settings: Settings):
         """Read the names of headers."""
         names = settings.targets.headers
-        self.request_id_name = _encode(names.request_id)
-        self.signature_name = _encode(names.signature)
-        self.instance_name = _encode(names.instance)
+        self.request_id_name = encode_name(names.request_id)
+        self.signature_name = encode_name(names.signature)
+        self.instance_name = encode_name(names.instance)
         self.not_run_name = names.outcome.encode()
-        self.not_run_value = _encode(settings.targets.not_run_value)
+        self.not_run_value = encode_name(settings.targets.not_run_value)
 
     def echo(self, request: CallerRequest) -> Header | None:
         """Return the header that the answer to `request` bears, if any."""
@@ -67,5 +67,6 @@
         return find_header(parser.headers, self.signature_name) is not None
 
 
-def _encode(name: str | None) -> bytes | None:
+def encode_name(name: str | None) -> bytes | None:
+    """Return a header's name, or None where the settings give none."""
     return None if name is None else name.encode()
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -13,7 +13,7 @@
 )
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.settings.model import Settings
-from agatetack.targets.answer_check import AnswerCheck
+from agatetack.targets.answer_check import AnswerCheck, encode_name
 from agatetack.targets.body import TargetBody
 from agatetack.targets.client import (
     Attempt,
@@ -65,8 +65,8 @@
         self.pools = TargetPools(settings)
         names = settings.targets.headers
         self.deadline_name = names.deadline_ms.encode()
-        self.attempt_name = _name(names.attempt)
-        self.instance_name = _name(names.instance)
+        self.attempt_name = encode_name(names.attempt)
+        self.instance_name = encode_name(names.instance)
         self.own_names = frozenset(
             (self.deadline_name, self.attempt_name, self.instance_name)
         )
@@ -315,10 +315,6 @@
         self.complete = True
 
 
-def _name(name: str | None) -> bytes | None:
-    return None if name is None else name.encode()
-
-
 def _failed(reason: RefusalReason, suspect: bool) -> AttemptFailed:
     return AttemptFailed(
         AttemptFailure(reason, Outcome.UNKNOWN, target_suspect=suspect)
