--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -1,11 +1,13 @@
 """Probe each target steadily from one host, which tells the others."""
 
 import random
+from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
 
 import trio
 import xxhash
 
-from agatetack.ids import HostId, TargetId
+from agatetack.ids import FailureDomain, HostId, TargetId
 from agatetack.measure.prober import Prober
 from agatetack.peers.exchange import Exchange
 from agatetack.settings.model import Settings
@@ -19,6 +21,11 @@
 has heard of its peers.
 """
 
+MOST_UNEVEN = 2.0
+"""Times the mean number of targets that a host may get to probe because they
+are in its failure domain; a single host beside many targets would have no
+processor time left for requests."""
+
 
 class ProbeRounds:
     """The targets that this host probes, one task for each.
@@ -28,12 +35,16 @@
     targets, and all hosts agree without a word. Where their views differ a
     target may be probed twice, or not at all, for a heartbeat's time.
 
+    Hosts in the target's own failure domain go first, as bytes between
+    failure domains are paid for: at 15 probes of some 250 bytes a second each
+    target cost 2.5 KB/s of them.
+
     Attributes:
         rate: Probes of each target in a second, from the whole fleet.
         owned: The targets of this host.
         probing: Targets that a task probes.
-        view: The live hosts, and the number of changes of the targets, for
-            which the owned ones were worked out.
+        view: The live hosts and where they are, and the number of changes of
+            the targets, for which the owned ones were worked out.
     """
 
     def __init__(
@@ -45,13 +56,14 @@
     ):
         """Probe with `prober`."""
         self.own = HostId(settings.host.id)
+        self.domain = FailureDomain(settings.host.failure_domain)
         self.rate = settings.measure.target_probes_per_second
         self.registry = registry
         self.exchange = exchange
         self.prober = prober
         self.owned: dict[TargetId, TargetState] = {}
         self.probing: set[TargetId] = set()
-        self.view: tuple[frozenset[HostId], int] | None = None
+        self.view: tuple[dict[HostId, FailureDomain], int] | None = None
         self.random = random.Random()
 
     async def run(self) -> None:
@@ -68,18 +80,20 @@
                 await trio.sleep(OWNERS_SECONDS)
 
     def _find_owned(self) -> None:
-        peers = self.exchange.live_peers()
-        hosts = frozenset(
-            [self.own, *(peer.id for peer in peers if not peer.leaving)]
-        )
+        hosts = {self.own: self.domain}
+        for peer in self.exchange.live_peers():
+            if not peer.leaving:
+                hosts[peer.id] = peer.failure_domain
         view = (hosts, self.registry.changes)
         if view == self.view:
             return
         self.view = view
+        targets = list(self.registry.by_id.values())
+        able = able_hosts(hosts, targets)
         self.owned = {
             target.id: target
-            for target in self.registry.by_id.values()
-            if max(hosts, key=lambda host: rank(host, target.id)) == self.own
+            for target in targets
+            if owner(able[target.failure_domain], target.id) == self.own
         }
 
     async def _probe_on(self, target: TargetState) -> None:
@@ -96,6 +110,33 @@
             self.probing.discard(target.id)
 
 
+def able_hosts(
+    hosts: Mapping[HostId, FailureDomain], targets: Sequence[TargetState]
+) -> Mapping[FailureDomain, Sequence[HostId]]:
+    """Return which hosts may probe the targets of each failure domain.
+
+    Args:
+        hosts: All live hosts and where they are.
+        targets: All targets.
+    """
+    near: dict[FailureDomain, list[HostId]] = defaultdict(list)
+    for host, domain in hosts.items():
+        near[domain].append(host)
+    most = MOST_UNEVEN * len(targets) / len(hosts)
+    counts = Counter(target.failure_domain for target in targets)
+    return {
+        domain: near[domain]
+        if count <= most * len(near[domain])
+        else list(hosts)
+        for domain, count in counts.items()
+    }
+
+
+def owner(hosts: Sequence[HostId], target: TargetId) -> HostId:
+    """Return which of `hosts` probes `target`."""
+    return max(hosts, key=lambda host: rank(host, target))
+
+
 def rank(host: HostId, target: TargetId) -> int:
     """Return how near `target` is to `host`; the highest rank owns it."""
     return xxhash.xxh32_intdigest(f"{host}/{target}".encode())
--- a/agatetack/measure/test_rounds.py
+++ b/agatetack/measure/test_rounds.py
@@ -6,7 +6,7 @@
 import trio
 
 from agatetack.ids import FailureDomain, HostId
-from agatetack.measure.rounds import ProbeRounds
+from agatetack.measure.rounds import ProbeRounds, able_hosts
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Peer
 from agatetack.settings.defaults import default_settings
@@ -37,7 +37,8 @@
 
 def make_rounds(own, names, prober, targets):
     settings = default_settings(
-        host={"id": own}, measure={"target_probes_per_second": RATE}
+        host={"id": own, "failure_domain": "d"},
+        measure={"target_probes_per_second": RATE},
     )
     registry = TargetRegistry(settings, Metrics())
     registry.update([listed_target(n) for n in range(1, targets + 1)])
@@ -84,3 +85,38 @@
     rounds.exchange.live_peers = list
     await run_for(rounds, 2.0)
     assert len(set(prober.probes)) == 30
+
+
+@pytest.mark.parametrize(
+    ("hosts", "targets", "able"),
+    [
+        pytest.param(
+            {"a1": "a", "a2": "a", "b1": "b"},
+            {"a": 4, "b": 2},
+            {"a": {"a1", "a2"}, "b": {"b1"}},
+            id="hosts of the same domain",
+        ),
+        pytest.param(
+            {"a1": "a", "b1": "b"},
+            {"a": 3, "c": 3},
+            {"a": {"a1"}, "c": {"a1", "b1"}},
+            id="no host there",
+        ),
+        pytest.param(
+            {"a1": "a", "b1": "b", "b2": "b", "b3": "b"},
+            {"a": 20, "b": 10},
+            {"a": {"a1", "b1", "b2", "b3"}, "b": {"b1", "b2", "b3"}},
+            id="too few hosts there",
+        ),
+    ],
+)
+async def test_hosts_near_a_target_probe_it(hosts, targets, able):
+    domains = [
+        domain for domain, count in targets.items() for _ in range(count)
+    ]
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update(
+        [listed_target(n, domain=d) for n, d in enumerate(domains, 1)]
+    )
+    found = able_hosts(hosts, list(registry.by_id.values()))
+    assert {domain: set(names) for domain, names in found.items()} == able
