--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -14,6 +14,12 @@
 def main() -> None:
     """Run the command line, or the daemon at once."""
     if sys.argv[1:] == DAEMON:
+        # Before anything else, as loading the rest takes most of a second.
+        from agatetack.early_listener import listen_early
+
+        problem = listen_early()
+        if problem is not None:
+            print(f"agatetack: not listening yet: {problem}", file=sys.stderr)
         from agatetack.errors import UserError
         from agatetack.start import start_gateway
 
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -6,6 +6,7 @@
 
 from agatetack.callers.connection import CallerConnection, watch
 from agatetack.callers.read_ahead import ReadAheadConnection
+from agatetack.early_listener import BACKLOG
 from agatetack.logs import PartLog
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
@@ -16,8 +17,6 @@
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after accept failed, as for lack of file descriptors."""
 
-BACKLOG = 1024
-
 END_POLL_SECONDS = 0.02
 """How often a closed listener looks whether its connections have ended."""
 
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -4,12 +4,14 @@
 
 import trio
 
+from agatetack import early_listener
 from agatetack.decisions import set_up_decisions
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
 from agatetack.settings.model import Settings
+from agatetack.settings.section import Endpoint
 from agatetack.settings.start_checks import find_start_misfits
 
 CONFIG_VARIABLE = "AGATETACK_CONFIG"
@@ -35,9 +37,22 @@
     set_up_decisions(checked.settings.logs.decisions)
     for finding in checked.findings:
         PartLog("settings").warning("%s", render_findings([finding]))
+    _check_early(checked.settings.callers.listen)
     return _run_daemon(checked.settings, config)
 
 
+def _check_early(listen: Endpoint) -> None:
+    """Give up an early listener that the settings do not name."""
+    for address in early_listener.keep_only(listen.host, listen.port):
+        PartLog("callers").warning(
+            "%s names %s, and callers.listen is %s:%d.",
+            early_listener.LISTEN_VARIABLE,
+            address,
+            listen.host,
+            listen.port,
+        )
+
+
 def _run_daemon(settings: Settings, path: str) -> int:
     # Each kind of daemon imports slices that the other never needs.
     if settings.platform.store.endpoint is None:
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -36,6 +36,14 @@
 from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
 from agatetack.settings.model import Settings
 
+FIRST_READ_SECONDS = 0.25
+"""Longest time that a host which starts leaves callers waiting for its first
+read of the store, which takes 20 ms as a rule. After that it refuses them, so
+that they can ask another host."""
+
+FIRST_READ_POLL_SECONDS = 0.005
+"""How often it looks whether it has read what it needs."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StorePorts:
@@ -179,12 +187,24 @@
             nursery.start_soon(self.targets.run)
             peers_port = await nursery.start(self.peers.run)
             nursery.start_soon(self.members.register, peers_port)
+            await self._until_configured()
             callers_port = await self.start_serving(nursery)
             ready, metrics = await self._start_status(nursery)
             task_status.started(
                 StorePorts(callers_port, peers_port, ready, metrics)
             )
 
+    async def _until_configured(self) -> None:
+        """Wait a little for routes and targets before callers are served.
+
+        Callers that connected while this host was starting would be refused
+        otherwise, some 20 ms before they can be served.
+        """
+        readiness = self.readiness()
+        with trio.move_on_after(FIRST_READ_SECONDS):
+            while not readiness.configured():
+                await trio.sleep(FIRST_READ_POLL_SECONDS)
+
     async def _start_status(self, nursery: trio.Nursery) -> tuple[int, int]:
         """Serve readiness and counters; return their ports, or 0."""
         status = self.settings.status
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -12,6 +12,8 @@
 
 import trio
 
+from agatetack.early_listener import take_listener
+
 LINGER_NONE = struct.pack("ii", 1, 0)
 """Close with a reset, so that a cut answer can't look complete."""
 
@@ -146,16 +148,8 @@
         Raises:
             OSError: The address can't be listened on.
         """
-        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM)
-        try:
-            self.sock.setblocking(False)
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.sock.bind((ip, port))
-            self.sock.listen(backlog)
-        except OSError:
-            self.sock.close()
-            raise
+        self.sock = take_listener(ip, port)
+        self.sock.listen(backlog)
         self.port = self.sock.getsockname()[1]
 
     async def accept(self) -> PlainStream:
--- /dev/null
+++ b/agatetack/test_early_listener.py
@@ -0,0 +1,75 @@
+"""Test listening before the program is loaded."""
+
+import socket
+
+import pytest
+import trio
+
+from agatetack import early_listener
+from agatetack.callers.server import CallerServer
+from agatetack.messages import Answer, BytesBody, Handler
+from agatetack.metrics import Metrics
+from agatetack.settings.defaults import default_settings
+
+LOOPBACK = "127.0.0.1"
+
+
+class HelloHandler(Handler):
+    """Answers every request."""
+
+    async def handle(self, request):
+        return Answer(200, [], BytesBody(b"hello"))
+
+
+@pytest.fixture(autouse=True)
+def no_early_listeners():
+    yield
+    early_listener.keep_only("", 0)
+
+
+def listen_on_any_port(monkeypatch):
+    monkeypatch.setenv(early_listener.LISTEN_VARIABLE, f"{LOOPBACK}:0")
+    assert early_listener.listen_early() is None
+    return early_listener.early[LOOPBACK, 0].getsockname()[1]
+
+
+async def test_a_request_sent_before_the_server_runs_is_answered(
+    monkeypatch, nursery
+):
+    port = listen_on_any_port(monkeypatch)
+    stream = await trio.open_tcp_stream(LOOPBACK, port)
+    await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    settings = default_settings(callers={"listen": f"{LOOPBACK}:0"})
+    server = CallerServer(settings, HelloHandler(), Metrics())
+    assert await nursery.start(server.run) == port
+    assert not early_listener.early
+    with trio.fail_after(5):
+        answer = await stream.receive_some()
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize(
+    ("text", "listens"),
+    [
+        ("", None),
+        ("127.0.0.1", False),
+        ("127.0.0.1:http", False),
+        ("127.0.0.1:70000", False),
+        ("203.0.113.1:80", False),
+    ],
+)
+def test_an_address_that_is_no_good_is_named(monkeypatch, text, listens):
+    monkeypatch.setenv(early_listener.LISTEN_VARIABLE, text)
+    problem = early_listener.listen_early()
+    assert not early_listener.early
+    if listens is None:
+        assert problem is None
+    else:
+        assert text in problem
+
+
+def test_a_listener_elsewhere_is_closed(monkeypatch):
+    port = listen_on_any_port(monkeypatch)
+    assert early_listener.keep_only(LOOPBACK, port) == [f"{LOOPBACK}:0"]
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((LOOPBACK, port), timeout=5)
