Wait for a fast target rather than go to a slow free one

Cause: where no request may wait at a target, the only free ones under load are those that are slow now, and requests went there at once.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -251,7 +251,12 @@
                 free = other
         if now >= self.late_at(wanted):
             latest = now - LATE_YIELD_SECONDS
-            free = [target for target in free if target.room_at <= latest]
+            free = [
+                target
+                for target in free
+                if target.room_at <= latest
+                and self.policy.has_room(target, now)
+            ]
         if not wanted.wait:
             free = self.policy.spare(free, now)
         if wanted.priority is Priority.LOW:
--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -94,19 +94,28 @@
     ) -> TargetState | None:
         """Return a candidate among the near best, or one due for a trial.
 
-        None if all are full: a request that waits here goes to whichever has
-        room first, and is not lost with a target that cuts what is too much.
+        None if all of the near best are full: a request that waits here goes
+        to whichever has room first, which is sooner than to one that is slow.
         """
-        candidates = [t for t in candidates if not self._is_full(t, now)]
-        if not candidates:
-            return None
         typical = max(self.update_typical(candidates, now), LEAST_TYPICAL)
         limit = typical * self.settings.balance.slow_ratio
         costs = [self._weigh(t, now, typical, limit) for t in candidates]
-        best = min(costs)
-        if best == math.inf:
-            return min(candidates, key=lambda t: self.cost(t, now, typical))
-        return self.draw_near(candidates, costs, NEAR_RATIO * typical)
+        if min(costs) == math.inf:
+            costs = [self.cost(t, now, typical) for t in candidates]
+        near = min(costs) + NEAR_RATIO * typical
+        ties = [
+            target
+            for target, cost in zip(candidates, costs, strict=True)
+            if cost <= near and self.has_room(target, now)
+        ]
+        return self.rng.choice(ties) if ties else None
+
+    def has_room(self, target: TargetState, now: Deadline) -> bool:
+        """Return whether a request would not wait at `target`."""
+        if now < target.room_at:
+            return False
+        most = target.slots + MOST_WAITING
+        return self.expected_load(target, now) < most
 
     def spare(
         self, candidates: Sequence[TargetState], now: Deadline
@@ -123,11 +132,6 @@
             and self.slowness(target, now) <= SPARE_SLOWNESS
         ]
 
-    def _is_full(self, target: TargetState, now: Deadline) -> bool:
-        if now < target.room_at:
-            return True
-        return self.expected_load(target, now) >= target.slots + MOST_WAITING
-
     def _weigh(
         self,
         target: TargetState,
@@ -146,6 +150,8 @@
             return self.cost(target, now, typical)
         if now < learned.trial_at or target.in_flight:
             return math.inf
+        if not self.has_room(target, now):
+            return math.inf
         # One request shows whether it has recovered.
         self.postpone_trial(target, now)
         return -math.inf
--- a/agatetack/balance/policy.py
+++ b/agatetack/balance/policy.py
@@ -33,6 +33,10 @@
         """
         return candidates
 
+    def has_room(self, target: TargetState, now: Deadline) -> bool:
+        """Return whether a request would not wait at `target`."""
+        return True
+
     def sent(self, target: TargetState, now: Deadline) -> None:  # noqa: B027
         """Note that an attempt goes to `target`, which counts it already."""
 
--- a/agatetack/balance/test_fleet_view.py
+++ b/agatetack/balance/test_fleet_view.py
@@ -133,6 +133,26 @@
     assert (choose(targets) == {None}) is full
 
 
+@pytest.mark.parametrize(
+    ("slowness", "chosen"),
+    [
+        pytest.param(5.0, {None}, id="waits for a fast one"),
+        pytest.param(1.2, "free", id="goes to the free one"),
+    ],
+)
+async def test_a_slow_target_is_no_better_than_a_wait(
+    autojump_clock, slowness, chosen
+):
+    targets = make_targets()
+    for target in targets:
+        report(target)
+    for target in targets[1:]:
+        target.told_in_flight = target.slots
+    report(targets[0], slowness=slowness)
+    wanted = {targets[0].id} if chosen == "free" else chosen
+    assert choose(targets) == wanted
+
+
 @pytest.mark.parametrize(("after", "waits"), [(0.0, False), (0.01, True)])
 async def test_a_slot_is_taken_in_turn(autojump_clock, after, waits):
     targets = make_targets()
