--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -79,11 +79,13 @@
 LARGE_BYTES = 100_000
 """Size of answers from which on they are kept in the failure domain."""
 
-CARRY_SHARE = 2.5
+CARRY_SHARE = 1.2
 """Typical service times by which a target of another failure domain is dearer
 for large answers, as bytes between failure domains are paid for: 90 KB cost as
-much there as half a request earns. A target whose work takes four times as
-long as usual is still passed over."""
+much there as half a request earns. It is less than the wait at a full target,
+so that no request waits for one of its own failure domain while others are
+free: at 2.5, answers in time fell from 88 % to 69 % on a day of high load.
+"""
 
 
 class FleetView(LearningPolicy):
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -6,6 +6,7 @@
 import trio
 
 from agatetack.targets.leaving import LeavingSign
+from agatetack.testing.fake_entry import EntryHost, FakeEntry
 from agatetack.testing.store_fleet import (
     LOOPBACK,
     route_fields,
@@ -74,6 +75,47 @@
         assert 'agatetack_store_read_age_seconds{topic="targets"}' in text
 
 
+def make_entry(fleet):
+    """Return an entry in front of a fleet's hosts."""
+    hosts = [
+        EntryHost(
+            gateway.settings.host.id,
+            gateway.settings.host.failure_domain,
+            ports.callers,
+            ports.ready,
+        )
+        for gateway, ports in zip(fleet.gateways, fleet.ports, strict=True)
+    ]
+
+    async def ask(host):
+        url = f"http://{LOOPBACK}:{host.ready_port}/agatetack/readyz"
+        return (await fleet.http.request("GET", url)).status == 200
+
+    return FakeEntry(hosts, {}, ask)
+
+
+async def test_callers_come_through_the_entry_until_a_host_drains():
+    notice = {"lifecycle": {"notice_seconds": 10.0, "drain_seconds": 20.0}}
+    async with store_fleet(gateways=2, change=notice) as fleet:
+        entry = make_entry(fleet)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(entry.run)
+            first = entry.choose("client", "zone-a")
+            number = entry.hosts.index(first)
+            assert (await fleet.get("/a/x", number)).status == 200
+            stopped = fleet.gateways[number]
+            stopped.stops.send_nowait(15)
+            nursery.start_soon(stopped.lifecycle.drain_on, stopped.stops_out)
+            await fleet.until(lambda: not first.in_rotation)
+            # What the entry sends before it has noticed is served, too.
+            assert (await fleet.get("/a/x", number)).status == 200
+            second = entry.choose("client", "zone-a")
+            assert second is not first
+            other = entry.hosts.index(second)
+            assert (await fleet.get("/a/x", other)).status == 200
+            nursery.cancel_scope.cancel()
+
+
 async def test_a_draining_host_is_not_ready_and_serves_on():
     async with store_fleet() as fleet:
         gateway = fleet.gateways[0]
