--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -15,12 +15,19 @@
 from agatetack.targets.state import TargetState
 
 OWNERS_SECONDS = 0.1
-"""How often it is looked whether other targets are this host's to probe.
+"""How often it is looked whether other targets are this host's to probe."""
 
-It is also how long a host that starts is blind: it owns all targets until it
-has heard of its peers.
+PEERS_SECONDS = 0.3
+"""Longest time that a host which starts waits for links with its peers.
+
+Until it has them all targets are its own to probe. When the power came back,
+14 hosts opened 430 connections to 31 targets so, a fifth of all connections
+of that day.
 """
 
+PEERS_POLL_SECONDS = 0.01
+"""How often it is looked whether they are there."""
+
 MOST_UNEVEN = 2.0
 """Times the mean number of targets that a host may get to probe because they
 are in its failure domain; a single host beside many targets would have no
@@ -57,6 +64,7 @@
         """Probe with `prober`."""
         self.own = HostId(settings.host.id)
         self.domain = FailureDomain(settings.host.failure_domain)
+        self.max_peers = settings.peers.max_peers
         self.rate = settings.measure.target_probes_per_second
         self.registry = registry
         self.exchange = exchange
@@ -70,6 +78,7 @@
         """Probe until cancelled."""
         if self.rate <= 0:
             return
+        await self._until_linked()
         async with trio.open_nursery() as nursery:
             while True:
                 self._find_owned()
@@ -79,6 +88,14 @@
                         nursery.start_soon(self._probe_on, target)
                 await trio.sleep(OWNERS_SECONDS)
 
+    async def _until_linked(self) -> None:
+        with trio.move_on_after(PEERS_SECONDS):
+            while len(self.exchange.live_peers()) < self._wanted_peers():
+                await trio.sleep(PEERS_POLL_SECONDS)
+
+    def _wanted_peers(self) -> int:
+        return min(self.exchange.fleet_size() - 1, self.max_peers)
+
     def _find_owned(self) -> None:
         hosts = {self.own: self.domain}
         for peer in self.exchange.live_peers():
--- a/agatetack/measure/test_rounds.py
+++ b/agatetack/measure/test_rounds.py
@@ -47,7 +47,9 @@
         for name in names
         if name != own
     ]
-    exchange = types.SimpleNamespace(live_peers=lambda: peers)
+    exchange = types.SimpleNamespace(
+        live_peers=lambda: peers, fleet_size=lambda: len(names)
+    )
     return ProbeRounds(settings, registry, exchange, prober)
 
 
@@ -120,3 +122,20 @@
     )
     found = able_hosts(hosts, list(registry.by_id.values()))
     assert {domain: set(names) for domain, names in found.items()} == able
+
+
+@pytest.mark.parametrize(
+    ("linked_after", "owned"), [(0.1, "own"), (10.0, "all")]
+)
+async def test_a_host_that_starts_waits_for_its_peers(
+    autojump_clock, linked_after, owned
+):
+    prober = CountingProber(0.001)
+    rounds = make_rounds("h1", ["h1", "h2"], prober, 30)
+    peers = rounds.exchange.live_peers()
+    start = trio.current_time()
+    rounds.exchange.live_peers = lambda: (
+        peers if trio.current_time() >= start + linked_after else []
+    )
+    await run_for(rounds, 1.0)
+    assert (len(set(prober.probes)) == 30) is (owned == "all")
