--- a/agatetack/commands.py
+++ b/agatetack/commands.py
@@ -1,7 +1,7 @@
 """Parse the command line, call the library and print."""
 
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import defopt
 import trio
@@ -92,6 +92,28 @@
     return check_settings(file).findings
 
 
+def explain_log(file: str, request: str) -> int:
+    """Print what hosts' log lines say of one request, in order.
+
+    Examples::
+
+        agatetack explain-log fleet.log 0c2907e1
+        cat host-*.log | agatetack explain-log - 0c2907e1
+
+    Args:
+        file: JSON lines of any number of hosts; - is standard input.
+        request: The request's id.
+    """
+    from agatetack.explain_log import read_story, render_story
+
+    story = read_story(file, request)
+    if not story.lines:
+        complain(f"{file}: no line is of request {request}")
+        return EXIT_REFUSED
+    print(render_story(story))
+    return EXIT_OK
+
+
 COMMANDS = (
     gateway,
     check,
@@ -100,6 +122,7 @@
     change,
     status,
     explain,
+    explain_log,
     claims,
     drain,
     release,
@@ -107,6 +130,11 @@
 )
 
 
+def command_name(command: Callable[..., int]) -> str:
+    """Return how a command is written on the command line."""
+    return command.__name__.replace("_", "-")
+
+
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run one command and exit with its code.
 
--- /dev/null
+++ b/agatetack/explain_log.py
@@ -0,0 +1,112 @@
+"""Tell the story of one request from the JSON lines of several hosts."""
+
+import dataclasses
+import pathlib
+import sys
+from collections.abc import Iterable, Mapping, Sequence
+
+import orjson
+
+from agatetack.errors import UserError
+
+ORDER = {"send": 0, "attempt-end": 1, "end": 2}
+"""Which of a request's lines of the same time goes first."""
+
+STANDARD_INPUT = "-"
+
+LEFT_OUT = frozenset({"time", "level", "part", "event", "request"})
+"""Fields that stand elsewhere in a story, or in its heading."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoryLine:
+    """One decision on the request.
+
+    Attributes:
+        time: When it was made, as the host wrote it.
+        source: What a collector wrote before the line, such as a host's name.
+        event: What was decided, or the text of a line without an event.
+        fields: What it was decided by, and the outcome.
+    """
+
+    time: str
+    source: str
+    event: str
+    fields: Mapping[str, object]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Story:
+    """What the lines say of one request.
+
+    Attributes:
+        lines: Its decisions, in order.
+        unread: Lines of the files that name it and are no JSON objects.
+    """
+
+    lines: Sequence[StoryLine]
+    unread: int
+
+
+def read_story(file: str, request: str) -> Story:
+    """Return the story of `request` from the lines of `file`.
+
+    Raises:
+        UserError: The file can't be read.
+    """
+    found: list[StoryLine] = []
+    unread = 0
+    for text in _lines_of(file):
+        if request not in text:
+            continue
+        line = read_line(text, request)
+        if line is not None:
+            found.append(line)
+        elif "{" not in text:
+            unread += 1
+    found.sort(key=lambda line: (line.time, ORDER.get(line.event, -1)))
+    return Story(found, unread)
+
+
+def read_line(text: str, request: str) -> StoryLine | None:
+    """Return what a line says of `request`, or None if it is of another.
+
+    Args:
+        text: One line; what stands before its JSON is kept as its source.
+        request: The request's id.
+    """
+    source, brace, rest = text.partition("{")
+    try:
+        fields = orjson.loads(brace + rest)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(fields, dict) or fields.get("request") != request:
+        return None
+    event = fields.get("event") or fields.get("text") or ""
+    shown = {k: v for k, v in fields.items() if k not in LEFT_OUT}
+    return StoryLine(
+        str(fields.get("time", "")), source.strip(), str(event), shown
+    )
+
+
+def render_story(story: Story) -> str:
+    """Return a story as text, a line for each decision."""
+    rows = []
+    for line in story.lines:
+        fields = " ".join(f"{k}={v}" for k, v in line.fields.items())
+        parts = [line.time, line.source, line.event, fields]
+        rows.append("  ".join(part for part in parts if part))
+    if story.unread:
+        rows.append(f"{story.unread} lines that name it could not be read")
+    return "\n".join(rows)
+
+
+def _lines_of(file: str) -> Iterable[str]:
+    if file == STANDARD_INPUT:
+        yield from sys.stdin
+        return
+    try:
+        with pathlib.Path(file).open(encoding="utf-8", errors="replace") as f:
+            yield from f
+    except OSError as error:
+        raise UserError(f"{file}: {error.strerror}") from error
--- a/agatetack/test_commands.py
+++ b/agatetack/test_commands.py
@@ -119,9 +119,11 @@
 @pytest.mark.parametrize("command", commands.COMMANDS)
 def test_every_command_has_help_with_an_example(command, capsys):
     with pytest.raises(SystemExit) as caught:
-        commands.run([command.__name__, "--help"])
+        commands.run([commands.command_name(command), "--help"])
     assert caught.value.code == 0
-    assert f"agatetack {command.__name__}" in capsys.readouterr().out
+    assert (
+        f"agatetack {commands.command_name(command)}" in capsys.readouterr().out
+    )
 
 
 @pytest.mark.parametrize(
--- a/agatetack/test_docs.py
+++ b/agatetack/test_docs.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from agatetack.commands import COMMANDS
+from agatetack.commands import COMMANDS, command_name
 from agatetack.config.counters import Problem
 from agatetack.config.route import Route
 from agatetack.download.resume import CutReason
@@ -33,7 +33,8 @@
 )
 MODULE = re.compile(r"python -m ([a-z_.]*[a-z_])")
 COMMAND = re.compile(
-    r"(?:^    |`|bin/)agatetack ([a-z]+)|^agatetack ([a-z]+) .*  #", re.M
+    r"(?:^    |`|bin/)agatetack ([a-z][a-z-]*)|^agatetack ([a-z][a-z-]*) .*  #",
+    re.M,
 )
 COUNTER = re.compile(r"\bagatetack_[a-z_]+")
 CODE = re.compile(r"`([^`]+)`")
@@ -130,7 +131,7 @@
         for module in MODULE.findall(text)
         if importlib.util.find_spec(module) is None
     ]
-    known = {command.__name__ for command in COMMANDS}
+    known = {command_name(command) for command in COMMANDS}
     lost += {a or b for a, b in COMMAND.findall(text)} - known
     assert not lost
 
@@ -228,7 +229,9 @@
         for title, cells in table_rows(OPERATORS / "commands.md")
         if title.startswith("| Command")
     ]
-    assert sorted(listed) == sorted(command.__name__ for command in COMMANDS)
+    assert sorted(listed) == sorted(
+        command_name(command) for command in COMMANDS
+    )
 
 
 def test_the_pages_name_each_reason_that_the_code_spells_out():
