--- a/agatetack/explain_log.py
+++ b/agatetack/explain_log.py
@@ -14,7 +14,7 @@
 
 STANDARD_INPUT = "-"
 
-LEFT_OUT = frozenset({"time", "level", "part", "event", "request"})
+LEFT_OUT = frozenset({"time", "level", "part", "event", "text", "request"})
 """Fields that stand elsewhere in a story, or in its heading."""
 
 
--- /dev/null
+++ b/agatetack/measure/hashes.py
@@ -0,0 +1,49 @@
+"""Name targets in messages between hosts by a short form of their ids."""
+
+from collections.abc import Set
+
+import xxhash
+
+from agatetack.ids import TargetId
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState
+
+
+class TargetHashes:
+    """Finds targets by what messages call them.
+
+    Attributes:
+        by_hash: The targets of the registry, as of `changes`.
+        changes: The registry's count of changes that `by_hash` goes by.
+    """
+
+    def __init__(self, registry: TargetRegistry):
+        """Look up the targets of `registry`."""
+        self.registry = registry
+        self.by_hash: dict[int, TargetState] = {}
+        self.changes = -1
+
+    def find(self, number: int) -> TargetState | None:
+        """Return the target, or None if this host does not know it."""
+        self._update()
+        return self.by_hash.get(number)
+
+    def known(self) -> Set[int]:
+        """Return the short forms of all targets."""
+        self._update()
+        return self.by_hash.keys()
+
+    def _update(self) -> None:
+        if self.changes == self.registry.changes:
+            return
+        self.changes = self.registry.changes
+        self.by_hash = {
+            target_hash(target_id): target
+            for target_id, target in self.registry.by_id.items()
+        }
+
+
+def target_hash(target: TargetId) -> int:
+    """Return the short form of a target's id: a signed xxhash32."""
+    unsigned = xxhash.xxh32_intdigest(target.encode())
+    return unsigned - 2**32 if unsigned >= 2**31 else unsigned
--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -14,8 +14,8 @@
 
 from agatetack.generated.measure.ttypes import InFlightCount, InFlightCounts
 from agatetack.ids import Deadline, HostId, TargetId
+from agatetack.measure.hashes import TargetHashes, target_hash
 from agatetack.measure.rounds import rank
-from agatetack.measure.samples import target_hash
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange, Topic
 from agatetack.targets.registry import TargetRegistry
@@ -54,8 +54,7 @@
         self.metrics = metrics
         self.protocols = TCompactProtocolAcceleratedFactory()
         self.told: dict[int, Counter[HostId]] = defaultdict(Counter)
-        self.hashes: dict[int, TargetState] = {}
-        self.hashed_changes = -1
+        self.hashes = TargetHashes(registry)
         self.said: dict[TargetId, int] = {}
         self.told_since = False
         one_way = registry.settings.balance.other_domain_seconds
@@ -137,9 +136,7 @@
                 self._sum_up(number)
 
     def _sum_up(self, number: int) -> None:
-        if self.hashed_changes != self.registry.changes:
-            self._hash_targets()
-        target = self.hashes.get(number)
+        target = self.hashes.find(number)
         if target is None:
             return
         before = target.told_in_flight
@@ -190,16 +187,10 @@
         for service in services:
             self.registry.notify(service)
 
-    def _hash_targets(self) -> None:
-        self.hashed_changes = self.registry.changes
-        self.hashes = {
-            target_hash(TargetId(target.id)): target
-            for target in self.registry.by_id.values()
-        }
-        for number in self.told.keys() - self.hashes.keys():
-            del self.told[number]
-
     def _forget_gone(self) -> None:
+        """Forget what was told of targets and by hosts that are gone."""
+        for number in self.told.keys() - self.hashes.known():
+            del self.told[number]
         live = {peer.id for peer in self.exchange.live_peers()}
         for number, hosts in list(self.told.items()):
             gone = hosts.keys() - live
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -4,7 +4,6 @@
 from collections.abc import Sequence
 
 import trio
-import xxhash
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
@@ -13,9 +12,10 @@
     LoadSamples,
     TargetSign,
 )
-from agatetack.ids import Deadline, HostId, ServiceId, TargetId
+from agatetack.ids import Deadline, HostId, TargetId
 from agatetack.logs import PartLog
 from agatetack.measure.budget import TokenBucket
+from agatetack.measure.hashes import TargetHashes, target_hash
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange, Topic
 from agatetack.targets.leaving import LeavingSign
@@ -109,12 +109,10 @@
         self.protocols = TCompactProtocolAcceleratedFactory()
         self.fresh: dict[TargetId, TargetState] = {}
         self.any_fresh = trio.Event()
-        self.hashes: dict[int, TargetState] = {}
-        self.hashed_targets = 0
+        self.hashes = TargetHashes(registry)
         registry.report_watchers.append(self._measured)
         registry.changed_watchers.append(self._send_changed)
         registry.leaving_watchers.append(self._send_sign)
-        registry.watchers.append(self._targets_changed)
         exchange.subscribe(Topic.LOAD_SAMPLES, self._take_samples)
         exchange.subscribe(Topic.TARGET_SIGNS, self._take_sign)
 
@@ -223,7 +221,7 @@
             return
         now = trio.current_time()
         for sample in message.samples:
-            target = self.hashes.get(sample.target)
+            target = self.hashes.find(sample.target)
             if target is None:
                 continue
             self._take_sample(target, sample, now)
@@ -265,19 +263,5 @@
             log.info("%s saw %s leaving: %s", sender, target.id, sign.value)
             self.registry.note_told(target, sign)
 
-    def _targets_changed(self, service: ServiceId) -> None:
-        if self.registry.changes != self.hashed_targets:
-            self.hashed_targets = self.registry.changes
-            self.hashes = {
-                target_hash(target_id): target
-                for target_id, target in self.registry.by_id.items()
-            }
-
     def _drop(self, reason: str) -> None:
         self.metrics.dropped.inc({"part": "measure", "reason": reason})
-
-
-def target_hash(target: TargetId) -> int:
-    """Return the short form of a target's id that samples carry."""
-    unsigned = xxhash.xxh32_intdigest(target.encode())
-    return unsigned - 2**32 if unsigned >= 2**31 else unsigned
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -10,9 +10,9 @@
 from agatetack.generated.measure.ttypes import TargetSign
 from agatetack.ids import Deadline, HostId
 from agatetack.measure.budget import START_SECONDS
+from agatetack.measure.hashes import target_hash
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
 from agatetack.measure.prober import Prober
-from agatetack.measure.samples import target_hash
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import NoExchange, Peer, Topic
 from agatetack.settings.defaults import default_settings
@@ -293,4 +293,4 @@
 async def test_hashes_follow_the_list(autojump_clock):
     host, _ = joined()
     host.registry.update([listed_target(9)])
-    assert set(host.prober.sharing.hashes) == {target_hash("10.0.0.9:80")}
+    assert host.prober.sharing.hashes.known() == {target_hash("10.0.0.9:80")}
