--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -1,10 +1,13 @@
 """Test the daemon as a process of its own on the stand-in of the store."""
 
+import array
 import contextlib
+import fcntl
 import os
 import signal
 import subprocess
 import sys
+import termios
 
 import httpcore
 import orjson
@@ -27,6 +30,12 @@
 
 PATIENCE_SECONDS = 20
 
+PIPE_BYTES = 4096
+"""The least that a pipe holds."""
+
+LINE_BYTES = 500
+"""More than any line has here."""
+
 
 class Daemon:
     """One daemon and what it has written."""
@@ -35,12 +44,26 @@
         self.process = process
         self.lines = []
         self.changed = trio.Event()
+        self.may_read = trio.Event()
+        self.may_read.set()
+
+    def pause(self):
+        """Read no more of the output, of which the kernel keeps 4 KB."""
+        self.may_read = trio.Event()
+        fcntl.fcntl(self.process.stdout, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+
+    def is_stalled(self):
+        """Return whether no further line fits into the pipe."""
+        size = array.array("i", [0])
+        fcntl.ioctl(self.process.stdout, termios.FIONREAD, size)
+        return size[0] > PIPE_BYTES - LINE_BYTES
 
     async def read(self):
         rest = b""
         stream = trio.lowlevel.FdStream(os.dup(self.process.stdout.fileno()))
         async with stream:
             async for data in stream:
+                await self.may_read.wait()
                 *lines, rest = (rest + data).split(b"\n")
                 self.lines += [orjson.loads(line) for line in lines]
                 self.changed.set()
@@ -131,6 +154,35 @@
         assert stop["cut"] == []
 
 
+async def test_a_reader_that_pauses_delays_no_request(tmp_path):
+    async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
+        start = await daemon.line(event="start")
+        await wait_ready(start["ready"])
+        port = start["callers"]
+        daemon.pause()
+        # Each of these writes a line, as it was refused.
+        for number in range(200):
+            assert await ask(port, "/b/x", f"lost-{number}") == 404
+        with trio.fail_after(PATIENCE_SECONDS):
+            while not daemon.is_stalled():
+                await trio.sleep(0.01)
+        statuses = []
+
+        async def ask_some():
+            for _ in range(20):
+                statuses.append(await ask(port))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(10):
+                nursery.start_soon(ask_some)
+        # The target was slow for none of them, and no answer came too late
+        # for its route, though nothing was written all the while.
+        assert statuses == [200] * 200
+        assert daemon.is_stalled()
+        daemon.may_read.set()
+        await daemon.line(event="end", request="lost-199")
+
+
 async def test_a_request_under_way_is_finished_in_a_stop(tmp_path):
     async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
         start = await daemon.line(event="start")
