--- a/agatetack/admission/test_order.py
+++ b/agatetack/admission/test_order.py
@@ -5,6 +5,8 @@
 import trio.testing
 
 from agatetack.admission.controller import Priority
+from agatetack.admission.lane import LATE_YIELD_SECONDS
+from agatetack.admission.service import LATE_POLL_SECONDS
 from agatetack.admission.test_support import fill, make_bed
 from agatetack.ids import Deadline
 from agatetack.outcomes import RefusalReason
@@ -96,3 +98,42 @@
     await bed.ask("low", priority=Priority.LOW)
     assert bed.served == ["low"]
     assert 0 < trio.current_time() - now < 1
+
+
+async def test_who_can_be_in_time_goes_before_who_can_not(autojump_clock):
+    bed = make_bed(standing_queue_seconds=100)
+    route = make_route(target_latency_seconds=0.4)
+    bed.admission._lane(route.service).note_latency(0.2)
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, ["first", "late"], route=route)
+        # Three quarters of the usual 0.2 s no longer fit into its 0.4 s.
+        await trio.sleep(0.3)
+        await fill(bed, nursery, ["in time", "next"], route=route)
+        for _ in range(4):
+            bed.answer(0.2)
+            await trio.testing.wait_all_tasks_blocked()
+    assert bed.served == ["first", "in time", "next", "late"]
+
+
+@pytest.mark.parametrize(
+    ("waited", "served_after"), [(0.0, 0.0), (0.3, LATE_YIELD_SECONDS)]
+)
+async def test_late_requests_leave_a_slot_to_other_hosts_first(
+    autojump_clock, waited, served_after
+):
+    bed = make_bed()
+    route = make_route(target_latency_seconds=0.4)
+    bed.admission._lane(route.service).note_latency(0.2)
+    # Hosts take turns at the target.
+    bed.targets[0].room_at = Deadline(0.001)
+    await trio.sleep(1.0)
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, ["first", "second"], route=route)
+        await trio.sleep(waited)
+        freed_at = trio.current_time()
+        bed.answer(0.2)
+        while bed.served != ["first", "second"]:
+            await trio.sleep(0.001)
+        took = trio.current_time() - freed_at
+        assert served_after <= took <= served_after + LATE_POLL_SECONDS
+        bed.answer(0.2)
--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -2,8 +2,12 @@
 
 Where each of many hosts sends a few requests a second, its own requests say
 little of a target's load. Each change is told at once, in a message of some
-80 bytes to each peer, so that the load of every target is known to within the
+30 bytes to each peer, so that the load of every target is known to within the
 time of a message.
+
+A slot that one host gives up at a full target would be taken by every host
+with a waiting request at once, and all but one of them would wait there. So
+each host takes such a slot in its turn, which is another for each target.
 """
 
 from collections import Counter, defaultdict
