--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -269,6 +269,9 @@
 
     def _pause(self) -> float:
         doublings = min(self.failures - 1, MOST_BACKOFFS)
+        if self.next_offset is None:
+            # A host that knows nothing refuses all callers until it does.
+            doublings = 0
         pause = self.limits.retry_seconds * 2**doublings
         return pause * self.random.uniform(0.75, 1.25)
 
--- a/agatetack/keyed/test_follower.py
+++ b/agatetack/keyed/test_follower.py
@@ -180,3 +180,22 @@
         await trio.sleep(1.5)
         assert other.kept.values == expected(store)
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("outage", [3.0, 10.0, 30.0])
+async def test_a_host_that_knows_nothing_asks_soon_again(
+    autojump_clock, outage
+):
+    store = MemoryStore()
+    fill(store, 3)
+    host = Host(store)
+    host.topic.refused = True
+    async with trio.open_nursery() as nursery:
+        host.start(nursery)
+        await trio.sleep(outage)
+        host.topic.refused = False
+        # The longest pause is a quarter more than the setting.
+        pause = SETTINGS.platform.store.retry_seconds
+        await trio.sleep(1.3 * pause)
+        assert host.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -75,10 +75,18 @@
         """
         self.settings = settings
         self.load_reader = load_reader or HeaderLoadReader(settings)
-        self.load_paths = {} if load_paths is None else load_paths
+        self.load_paths = load_paths
         self.instance_name = settings.targets.headers.instance
         self.idle: dict[TargetId, PlainStream] = {}
 
+    def can_ask(self, target: TargetState) -> bool:
+        """Return whether the target's load path is known.
+
+        A host may know the targets before the document with the paths; asked
+        for another path, each of them would count it as a request.
+        """
+        return self.load_paths is None or target.service in self.load_paths
+
     async def probe(
         self, target: TargetState, deadline: Deadline, max_bytes: int
     ) -> Result[ProbeAnswer, ProbeFailure]:
@@ -113,7 +121,7 @@
         self, stream: PlainStream, target: TargetState, max_bytes: int
     ) -> ProbeAnswer:
         own_path = self.settings.targets.load_path
-        path = self.load_paths.get(target.service, own_path)
+        path = (self.load_paths or {}).get(target.service, own_path)
         request = (
             f"GET {path} HTTP/1.1\r\nhost: {target.ip}:{target.port}\r\n\r\n"
         ).encode()
--- a/agatetack/measure/probe.py
+++ b/agatetack/measure/probe.py
@@ -44,6 +44,10 @@
 class ProbeClient(abc.ABC):
     """A way to ask a target's load endpoint."""
 
+    def can_ask(self, target: TargetState) -> bool:
+        """Return whether it is known how `target` is asked."""
+        return True
+
     @abc.abstractmethod
     async def probe(
         self, target: TargetState, deadline: Deadline, max_bytes: int
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -183,7 +183,9 @@
         return min(drawn, key=_known_at)
 
     async def probe(self, target: TargetState) -> None:
-        """Ask one target for its load and note what it says."""
+        """Ask one target for its load, if it can be, and note what it says."""
+        if not self.client.can_ask(target):
+            return
         timeout = self.settings.measure.probe_timeout_seconds
         deadline = Deadline(trio.current_time() + timeout)
         result = await self.client.probe(target, deadline, PROBE_BYTES)
--- a/agatetack/measure/test_http_probe.py
+++ b/agatetack/measure/test_http_probe.py
@@ -116,3 +116,18 @@
     deadline = Deadline(trio.current_time() + 1)
     result = await HttpProbe(default_settings()).probe(target, deadline, 600)
     assert result.failure() is ProbeFailure.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("load_paths", "asks"),
+    [
+        pytest.param(None, True, id="by the settings"),
+        pytest.param({}, False, id="no document yet"),
+        pytest.param({"other": "/x"}, False, id="not in the document"),
+        pytest.param({"s": "/x"}, True, id="in the document"),
+    ],
+)
+def test_a_target_is_asked_where_its_path_is_known(load_paths, asks):
+    probe = HttpProbe(default_settings(), load_paths=load_paths)
+    target = TargetState("t", "s", "127.0.0.1", 80, "d")
+    assert probe.can_ask(target) is asks
