--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -57,8 +57,9 @@
 
 A request that waits at a host goes to whichever target has room first, and
 before older ones if it can still be answered in time. One that waits at a
-target can do neither: under one and a half times what the targets can do, 8 %
-of the answers came in time (simulated days of the deployment).
+target can do neither: with two there, 8 % of the answers came in time while
+one and a half times as many came as targets can do, and 31 % with none
+(simulated deployment of 14 hosts, two seconds of 160 requests each).
 """
 
 SPARE_SLOWNESS = 2.0
