--- a/agatetack/measure/test_occupancy.py
+++ b/agatetack/measure/test_occupancy.py
@@ -130,19 +130,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def lower(nursery, before, after):
+    """Let one of six hosts have less at a target; return the others."""
+    mesh = MemoryMesh(nursery)
+    first, *others = [Host(mesh, f"h{n}") for n in range(6)]
+    await start(nursery, first, *others)
+    first.set(before)
+    await trio.sleep(0.01)
+    first.set(after)
+    await trio.sleep(0.1)
+    return others
+
+
 @pytest.mark.parametrize("left", [0, 1])
 async def test_a_slot_that_comes_free_is_taken_in_turn(autojump_clock, left):
     async with trio.open_nursery() as nursery:
-        mesh = MemoryMesh(nursery)
-        hosts = [Host(mesh, f"h{n}") for n in range(6)]
-        await start(nursery, *hosts)
-        hosts[0].set(2)
-        await trio.sleep(0.01)
-        freed_at = trio.current_time()
-        hosts[0].set(left)
-        await trio.sleep(0.1)
-        others = hosts[1:]
-        turns = sorted(host.target().room_at - freed_at for host in others)
+        others = await lower(nursery, 2, left)
+        turns = sorted(host.target().room_at for host in others)
         gaps = {
             round(later - earlier, 6)
             for earlier, later in itertools.pairwise(turns)
@@ -159,14 +163,8 @@
     autojump_clock,
 ):
     async with trio.open_nursery() as nursery:
-        mesh = MemoryMesh(nursery)
-        hosts = [Host(mesh, f"h{n}") for n in range(6)]
-        await start(nursery, *hosts)
-        hosts[0].set(1)
-        await trio.sleep(0.01)
-        hosts[0].set(0)
-        await trio.sleep(0.1)
-        assert all(host.target().room_at == 0 for host in hosts[1:])
+        others = await lower(nursery, 1, 0)
+        assert all(host.target().room_at == 0 for host in others)
         nursery.cancel_scope.cancel()
 
 
