--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -20,9 +20,9 @@
 PEERS_SECONDS = 0.3
 """Longest time that a host which starts waits for links with its peers.
 
-Until it has them all targets are its own to probe. When the power came back,
-14 hosts opened 430 connections to 31 targets so, a fifth of all connections
-of that day.
+Until it has them all targets are its own to probe. The wait saved a fifth of
+the connections to targets (10,483 to 8,403 on five simulated days, in each of
+which 14 hosts lost power or were killed).
 """
 
 PEERS_POLL_SECONDS = 0.01
