--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -296,5 +296,5 @@
         permit.release(result)
         if failure.reason is RefusalReason.CONNECTION_LOST:
             self.crashes.connection_lost(
-                plan.route, plan.request, permit.target.id
+                plan.route, plan.request, permit.target.process
             )
--- a/agatetack/hosts/registered_targets.py
+++ b/agatetack/hosts/registered_targets.py
@@ -125,13 +125,40 @@
         except BadRegistration as error:
             self.taken.inc({"result": "malformed"})
             log.note("registration-malformed", key=key, cause=str(error))
+            # Whoever wrote it: what stood there before stands no more.
+            if key in self.targets:
+                self._remove(key, "registration-malformed")
             return
-        self.doubted.pop(key, None)
         known = self.targets.get(key)
+        if known is not None and target.is_older_than(known):
+            self.taken.inc({"result": "outdated"})
+            log.note(
+                "registration-outdated",
+                target=key,
+                incarnation=target.incarnation,
+                sequence=target.sequence,
+                known_incarnation=known.incarnation,
+                known_sequence=known.sequence,
+            )
+            return
+        self.doubted.pop(key, None)
         self.targets[key] = target
         if known is None:
             self.taken.inc({"result": "new"})
-            log.note("target-registered", target=key, service=target.service)
+            log.note(
+                "target-registered",
+                target=key,
+                service=target.service,
+                incarnation=target.incarnation,
+            )
+        elif known.incarnation != target.incarnation:
+            self.taken.inc({"result": "restarted"})
+            log.note(
+                "target-restarted",
+                target=key,
+                incarnation=target.incarnation,
+                before=known.incarnation,
+            )
         elif known.state is not target.state:
             self.taken.inc({"result": "changed"})
             log.note("target-state", target=key, state=target.state.value)
--- a/agatetack/hosts/test_registered_targets.py
+++ b/agatetack/hosts/test_registered_targets.py
@@ -1,5 +1,6 @@
 """Test which registered targets are believed, through outages of the store."""
 
+import orjson
 import pytest
 import trio
 
@@ -12,11 +13,25 @@
 from agatetack.settings.defaults import default_settings
 
 DOUBT = 2.0
-READY = (
-    b'{"address": "10.0.0.1:80", "info": {"service": "s", "zone": "z"},'
-    b' "status": {"state": "ready"}}'
-)
-DRAINING = READY.replace(b"ready", b"draining")
+
+
+def entry(born=1000, sequence=1, state="ready"):
+    return orjson.dumps(
+        {
+            "address": "10.0.0.1:80",
+            "born": born,
+            "info": {"service": "s", "version": "1", "zone": "z", "slots": 2},
+            "status": {
+                "state": state,
+                "sequence": sequence,
+                "warmup_left": "0ms",
+            },
+        }
+    )
+
+
+READY = entry()
+DRAINING = entry(sequence=2, state="draining")
 
 
 class Book:
@@ -140,6 +155,10 @@
             {"a"},
         ),
         ([new(a=READY, b=b"junk")], {"a"}),
+        # What can't be read names no target, whatever stood there before.
+        ([new(a=READY, b=READY), new(b=b"junk")], {"a"}),
+        ([new(a=READY), new(a=b"junk"), new(a=READY)], {"a"}),
+        ([new(a=READY), "lost", everything(a=b"junk")], set()),
     ],
 )
 async def test_which_targets_are_believed(autojump_clock, steps, believed):
@@ -149,3 +168,35 @@
 async def test_a_change_of_state_is_told(autojump_clock):
     book = await play([new(a=READY), new(a=DRAINING)])
     assert [target.state for target in book.told] == [HostState.LEAVING]
+
+
+@pytest.mark.parametrize(
+    ("steps", "incarnation", "state"),
+    [
+        ([entry(1000), entry(2000)], 2000, HostState.LIVE),
+        # It counts anew from its start on.
+        ([entry(1000, 9), entry(2000, 1)], 2000, HostState.LIVE),
+        # What it said before its last start, or before its last report,
+        # changes nothing when it arrives late.
+        ([entry(2000), entry(1000, 9, "draining")], 2000, HostState.LIVE),
+        (
+            [entry(2000, 3, "draining"), entry(2000, 2)],
+            2000,
+            HostState.LEAVING,
+        ),
+        (
+            [entry(1000, 7, "draining"), entry(2000, 1)],
+            2000,
+            HostState.LIVE,
+        ),
+        # Who does not say when it started is taken by what came last.
+        ([entry(0, 9), entry(0, 1, "draining")], 0, HostState.LEAVING),
+    ],
+)
+async def test_what_a_target_said_last_holds(
+    autojump_clock, steps, incarnation, state
+):
+    book = await play([new(a=step) for step in steps])
+    assert [(t.incarnation, t.state) for t in book.told] == [
+        (incarnation, state)
+    ]
--- a/agatetack/ids.py
+++ b/agatetack/ids.py
@@ -23,6 +23,10 @@
 LogOffset = NewType("LogOffset", int)
 """Where a record stands in a stream of the platform's log, from 0."""
 
+ProcessId = NewType("ProcessId", str)
+"""One start of a target's process: its `TargetId`, and its incarnation where
+the platform tells it."""
+
 RequestId = NewType("RequestId", str)
 """One request, chosen by the caller or made at arrival."""
 
--- a/agatetack/measure/hashes.py
+++ b/agatetack/measure/hashes.py
@@ -1,10 +1,10 @@
-"""Name targets in messages between hosts by a short form of their ids."""
+"""Name targets in messages between hosts by a short form of their names."""
 
 from collections.abc import Set
 
 import xxhash
 
-from agatetack.ids import TargetId
+from agatetack.ids import ProcessId
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
 
@@ -38,12 +38,15 @@
             return
         self.changes = self.registry.changes
         self.by_hash = {
-            target_hash(target_id): target
-            for target_id, target in self.registry.by_id.items()
+            target_hash(process): target
+            for process, target in self.registry.by_process.items()
         }
 
 
-def target_hash(target: TargetId) -> int:
-    """Return the short form of a target's id: a signed xxhash32."""
-    unsigned = xxhash.xxh32_intdigest(target.encode())
+def target_hash(process: ProcessId) -> int:
+    """Return the short form of one start of a target: a signed xxhash32.
+
+    What is told of an earlier start names nothing that the receiver knows.
+    """
+    unsigned = xxhash.xxh32_intdigest(process.encode())
     return unsigned - 2**32 if unsigned >= 2**31 else unsigned
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -8,7 +8,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from agatetack.ids import Deadline, ServiceId, TargetId
+from agatetack.ids import Deadline, ProcessId, ServiceId, TargetId
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
 from agatetack.settings.model import Settings
 from agatetack.streams import PlainStream, open_plain_stream
@@ -77,7 +77,7 @@
         self.load_reader = load_reader or HeaderLoadReader(settings)
         self.load_paths = load_paths
         self.instance_name = settings.targets.headers.instance
-        self.idle: dict[TargetId, PlainStream] = {}
+        self.idle: dict[ProcessId, PlainStream] = {}
 
     def can_ask(self, target: TargetState) -> bool:
         """Return whether the target's load path is known.
@@ -94,7 +94,7 @@
         stream = None
         try:
             with trio.fail_at(deadline):
-                stream = self.idle.pop(target.id, None)
+                stream = self.idle.pop(target.process, None)
                 if stream is None:
                     stream = await open_plain_stream(target.ip, target.port)
                 answer = await self._ask(stream, target, max_bytes)
@@ -110,7 +110,7 @@
         except (Malformed, httptools.HttpParserError):
             return Failure(ProbeFailure.MALFORMED)
         else:
-            self._keep(target.id, stream)
+            self._keep(target.process, stream)
             stream = None
             return Success(answer)
         finally:
@@ -145,11 +145,11 @@
             answer = dataclasses.replace(answer, instance=instance)
         return answer
 
-    def _keep(self, target: TargetId, stream: PlainStream) -> None:
-        if target in self.idle or len(self.idle) >= MAX_IDLE:
+    def _keep(self, process: ProcessId, stream: PlainStream) -> None:
+        if process in self.idle or len(self.idle) >= MAX_IDLE:
             stream.close()
         else:
-            self.idle[target] = stream
+            self.idle[process] = stream
 
 
 def read_report(
--- a/agatetack/platform/registrations.py
+++ b/agatetack/platform/registrations.py
@@ -1,6 +1,10 @@
 """Read what servers write of themselves to the platform's store."""
 
-import orjson
+import ipaddress
+import re
+from typing import Annotated, Literal
+
+import pydantic
 import trio
 
 from agatetack.hosts.host_list import HostRole, HostState
@@ -16,6 +20,62 @@
 
 STATES = {"ready": HostState.LIVE, "draining": HostState.LEAVING}
 
+MAX_ENTRY_BYTES = 16_384
+"""Longest entry that is read; a server's own has some 200 bytes."""
+
+MAX_SLOTS = 10_000
+"""Most slots that are believed; more would take any load for none."""
+
+MAX_WARM_UP_SECONDS = 3600.0
+"""Longest time that a server may say that it needs to warm up."""
+
+KEY = re.compile(r"[!-~]{1,200}")
+"""Keys that can stand in a header, as each request names its server."""
+
+Text = Annotated[str, pydantic.Field(min_length=1, max_length=200)]
+Number = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+
+
+class EntryPart(pydantic.BaseModel):
+    """A part of an entry; types are exact, and unknown fields are ignored."""
+
+    model_config = pydantic.ConfigDict(strict=True, extra="ignore")
+
+
+class ServerInfo(EntryPart):
+    """What does not change while a server runs."""
+
+    service: Text
+    version: Text
+    zone: Text
+    slots: Annotated[int, pydantic.Field(ge=1, le=MAX_SLOTS)]
+
+
+class ServerStatus(EntryPart):
+    """What a server reports of itself again and again."""
+
+    state: Literal["ready", "draining"]
+    sequence: Number
+    warmup_left: Annotated[
+        str, pydantic.Field(pattern=r"^[0-9]{1,9}(\.[0-9]{1,9})?(ms|s)$")
+    ]
+
+
+class ServerEntry(EntryPart):
+    """One server's entry.
+
+    Attributes:
+        address: Where it is reached, as `ip:port`.
+        born: When its process started, in Unix ms; 0 if it does not say.
+    """
+
+    address: Annotated[
+        str, pydantic.Field(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")
+    ]
+    born: Number = 0
+    info: ServerInfo
+    status: ServerStatus
+
 
 class ServerDecoder(RegistrationDecoder):
     """Reads the platform's entries of servers, as JSON."""
@@ -27,21 +87,36 @@
             BadRegistration: `content` registers none.
         """
         try:
-            fields = orjson.loads(content)
-            info, status = fields["info"], fields["status"]
-            ip, _, port = fields["address"].rpartition(":")
-            left = read_seconds(status.get("warmup_left") or "0s")
-            return ListedTarget(
-                id=HostId(key),
-                role=HostRole.TARGET,
-                state=STATES[status["state"]],
-                ip=ip,
-                port=int(port),
-                failure_domain=FailureDomain(info["zone"]),
-                service=ServiceId(info["service"]),
-                slots=int(info.get("slots") or 2),
-                warm_at=Deadline(trio.current_time() + left if left else 0.0),
-            )
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            message = f"{key}: {type(error).__name__}: {error}"
+            return _read_target(key, content)
+        except (ValueError, RecursionError) as error:
+            cause = " ".join(str(error).split())
+            message = f"{key!r}: {type(error).__name__}: {cause}"
             raise BadRegistration(message) from error
+
+
+def _read_target(key: str, content: bytes) -> ListedTarget:
+    """Return the target; raises ValueError for whatever is not one."""
+    if not KEY.fullmatch(key):
+        raise ValueError("the key can't name a server")
+    if len(content) > MAX_ENTRY_BYTES:
+        raise ValueError(f"the entry has {len(content)} bytes")
+    entry = ServerEntry.model_validate_json(content)
+    ip, _, port = entry.address.rpartition(":")
+    left = read_seconds(entry.status.warmup_left)
+    if left > MAX_WARM_UP_SECONDS:
+        raise ValueError(f"{entry.status.warmup_left} are too long to warm up")
+    if not 1 <= int(port) <= 65535:
+        raise ValueError(f"{port} is no port")
+    return ListedTarget(
+        id=HostId(key),
+        role=HostRole.TARGET,
+        state=STATES[entry.status.state],
+        ip=str(ipaddress.IPv4Address(ip)),
+        port=int(port),
+        failure_domain=FailureDomain(entry.info.zone),
+        service=ServiceId(entry.info.service),
+        slots=entry.info.slots,
+        warm_at=Deadline(trio.current_time() + left if left else 0.0),
+        incarnation=entry.born,
+        sequence=entry.status.sequence,
+    )
--- a/agatetack/platform/test_records.py
+++ b/agatetack/platform/test_records.py
@@ -1,8 +1,13 @@
 """Test how the platform's records and headers become the product's types."""
 
+import contextlib
+import json
+
+import hypothesis
 import orjson
 import pytest
 import trio
+from hypothesis import strategies as st
 
 from agatetack.config.document import BadDocument
 from agatetack.config.route import RequestClass, SplitPart
@@ -11,13 +16,15 @@
 from agatetack.platform.configuration import ConfigurationDecoder
 from agatetack.platform.figures import read_seconds
 from agatetack.platform.load_header import ListLoadReader
-from agatetack.platform.registrations import ServerDecoder
+from agatetack.platform.registrations import MAX_SLOTS, ServerDecoder
 from agatetack.testing.store_fleet import (
     configuration,
     route_fields,
     template_settings,
 )
 
+MANY = hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+
 
 @pytest.mark.parametrize(
     ("text", "seconds"),
@@ -94,6 +101,16 @@
         ConfigurationDecoder().decode(content)
 
 
+def info(**changes):
+    fields = {"service": "s", "version": "v1", "zone": "z", "slots": 3}
+    return {**fields, **changes}
+
+
+def status(**changes):
+    fields = {"state": "ready", "sequence": 4, "warmup_left": "0ms"}
+    return {**fields, **changes}
+
+
 def entry(**changes):
     fields = {
         "address": "10.0.0.9:8080",
@@ -120,9 +137,42 @@
     [
         b"",
         b"7",
+        b"\xff\xfe",
+        b"[" * 100_000,
+        b'{"a":' * 2_000,
+        b" " * 20_000 + entry(),
         entry(address="10.0.0.9"),
+        entry(address="10.0.0.9:99999"),
+        entry(address="10.0.0.9:0"),
+        entry(address="10.0.0.999:80"),
+        entry(address="server-9:80"),
+        entry(address=["10.0.0.9", 80]),
         entry(info={}),
+        entry(info=info(zone=5)),
+        entry(info=info(service="")),
+        entry(info=info(service=["s"])),
+        entry(info=info(version=None)),
+        entry(info=info(slots=True)),
+        entry(info=info(slots=0)),
+        entry(info=info(slots=-3)),
+        entry(info=info(slots=1_000_000_000)),
+        entry(info=info(slots="3")),
+        entry(info=info(slots=2.7)),
         entry(status={"state": "odd"}),
+        entry(status=status(state="odd")),
+        entry(status=status(state=["ready"])),
+        entry(status=status(sequence="4")),
+        entry(status=status(sequence=-1)),
+        entry(status=status(warmup_left="nans")),
+        entry(status=status(warmup_left="-5s")),
+        entry(status=status(warmup_left="1e400s")),
+        entry(status=status(warmup_left="99999s")),
+        entry(status=status(warmup_left=None)),
+        entry(born="1764720000000"),
+        entry(born=1764720000000.5),
+        entry(born=True),
+        entry(born=None),
+        entry(born=-1),
     ],
 )
 def test_a_registration_that_cannot_be_read_is_told(content):
@@ -130,6 +180,54 @@
         ServerDecoder().decode("i-1", content)
 
 
+@pytest.mark.parametrize(
+    "key", ["", "i 1", "i-1\r\nhost: x", "i-\u00e9", "i" * 201]
+)
+def test_a_key_that_cannot_name_a_target_is_told(key):
+    with pytest.raises(BadRegistration):
+        ServerDecoder().decode(key, entry())
+
+
+@MANY
+@hypothesis.given(content=st.binary(max_size=300))
+def test_any_bytes_are_a_registration_or_told(content):
+    with contextlib.suppress(BadRegistration):
+        ServerDecoder().decode("i-1", content)
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.sampled_from(["ready", "10.0.0.9:8080", "0ms", "1s"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["state", "sequence", "slots", "zone", "service"]),
+            inner,
+            max_size=3,
+        )
+    ),
+    max_leaves=6,
+)
+
+
+@MANY
+@hypothesis.given(
+    name=st.sampled_from(["address", "info", "status", "born"]), value=JSON
+)
+def test_any_field_is_read_or_told(name, value):
+    content = json.dumps({**json.loads(entry()), name: value}).encode()
+    try:
+        target = ServerDecoder().decode("i-1", content)
+    except BadRegistration:
+        return
+    assert 1 <= target.port <= 65535
+    assert 1 <= target.slots <= MAX_SLOTS
+
+
 @pytest.mark.parametrize(
     ("value", "in_flight", "slots", "slowness"),
     [
--- a/agatetack/quarantine/liveness.py
+++ b/agatetack/quarantine/liveness.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from agatetack.ids import Deadline, TargetId
+from agatetack.ids import Deadline, ProcessId
 from agatetack.targets.pool import TargetPools
 from agatetack.targets.registry import TargetRegistry
 
@@ -17,7 +17,7 @@
 
     @abc.abstractmethod
     async def stayed_up(
-        self, target: TargetId, lost_at: Deadline, until: Deadline
+        self, target: ProcessId, lost_at: Deadline, until: Deadline
     ) -> bool:
         """Return whether `target` surely did not go down at `lost_at`."""
 
@@ -35,7 +35,7 @@
         self.pools = pools
 
     async def stayed_up(
-        self, target: TargetId, lost_at: Deadline, until: Deadline
+        self, target: ProcessId, lost_at: Deadline, until: Deadline
     ) -> bool:
         """Return whether `target` surely did not go down at `lost_at`."""
         # The ends of its other connections may arrive a little later.
@@ -58,11 +58,11 @@
         self.registry = registry
 
     async def stayed_up(
-        self, target: TargetId, lost_at: Deadline, until: Deadline
+        self, target: ProcessId, lost_at: Deadline, until: Deadline
     ) -> bool:
         """Return whether `target` surely did not go down at `lost_at`."""
         await trio.sleep_until(until)
-        known = self.registry.by_id.get(target)
+        known = self.registry.by_process.get(target)
         if known is None or known.report is None:
             return False
         # A report just after the loss may have left the target before it.
--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -16,7 +16,7 @@
 from agatetack.config.route import RequestClass, Route
 from agatetack.decisions import DecisionLog
 from agatetack.generated.quarantine.ttypes import CrashEvent, CrashNotice
-from agatetack.ids import Deadline, HostId, RouteId, ServiceId, TargetId
+from agatetack.ids import Deadline, HostId, ProcessId, RouteId, ServiceId
 from agatetack.logs import PartLog
 from agatetack.messages import CallerRequest
 from agatetack.metrics import Metrics
@@ -64,11 +64,11 @@
 
     route: RouteId
     service: ServiceId
-    crashed: dict[TargetId, Deadline]
+    crashed: dict[ProcessId, Deadline]
     forget_at: Deadline
     held_until: Deadline | None = None
     refusals: int = 0
-    seen_here: set[TargetId] = dataclasses.field(default_factory=set)
+    seen_here: set[ProcessId] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,7 +87,7 @@
     fingerprint: Fingerprint
     route: RouteId
     service: ServiceId
-    target: TargetId
+    target: ProcessId
     at: Deadline
     here: bool
 
@@ -149,7 +149,7 @@
         return held_until is not None and trio.current_time() < held_until
 
     def connection_lost(
-        self, route: Route, request: CallerRequest, target: TargetId
+        self, route: Route, request: CallerRequest, target: ProcessId
     ) -> None:
         """Note that `target` dropped the connection while it ran this."""
         print_ = fingerprint(route, request)
@@ -266,7 +266,7 @@
 
     def _count_told(self, print_: Fingerprint, notice: CrashNotice) -> None:
         now = Deadline(trio.current_time())
-        target = TargetId(notice.target)
+        target = ProcessId(notice.target)
         suspicion = self.suspicions.get(print_)
         lost_at = None if suspicion is None else suspicion.crashed.get(target)
         if lost_at is not None and now - lost_at < RETOLD_SECONDS:
--- a/agatetack/quarantine/tracker.py
+++ b/agatetack/quarantine/tracker.py
@@ -4,7 +4,7 @@
 from typing import NewType
 
 from agatetack.config.route import Route
-from agatetack.ids import TargetId
+from agatetack.ids import ProcessId
 from agatetack.messages import CallerRequest
 from agatetack.outcomes import Refusal
 
@@ -21,7 +21,7 @@
 
     @abc.abstractmethod
     def connection_lost(
-        self, route: Route, request: CallerRequest, target: TargetId
+        self, route: Route, request: CallerRequest, target: ProcessId
     ) -> None:
         """Note that `target` dropped the connection while it ran this."""
 
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -74,7 +74,7 @@
 
     async def call(self, attempt: Attempt) -> Answer:
         """Send the request and return the answer once its header is read."""
-        pool = self.pools.pool(attempt.target.id)
+        pool = self.pools.pool(attempt.target.process)
         connection = await self._connect(attempt, pool)
         parser = AnswerParser(
             attempt.request.method,
--- a/agatetack/targets/leaving.py
+++ b/agatetack/targets/leaving.py
@@ -56,6 +56,7 @@
         listed_leaving: Whether the list said leaving.
         listed_live: Whether the list said live after the hold.
         returns: Times it came back and left again.
+        incarnation: Which start of the target it is about.
     """
 
     sign: LeavingSign
@@ -65,6 +66,7 @@
     listed_leaving: bool = False
     listed_live: bool = False
     returns: int = 0
+    incarnation: int = 0
 
     @property
     def announced(self) -> bool:
--- a/agatetack/targets/pool.py
+++ b/agatetack/targets/pool.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from agatetack.ids import Deadline, TargetId
+from agatetack.ids import Deadline, ProcessId
 from agatetack.settings.model import Settings
 from agatetack.targets.client import Freshness
 from agatetack.targets.connection import (
@@ -115,19 +115,19 @@
 
 
 class TargetPools:
-    """The pools of all targets of one host."""
+    """The pools of all targets of one host, one for each of their starts."""
 
     def __init__(self, settings: Settings):
         """Start without connections."""
         self.settings = settings
-        self.pools: dict[TargetId, TargetPool] = {}
+        self.pools: dict[ProcessId, TargetPool] = {}
 
-    def pool(self, target: TargetId) -> TargetPool:
-        """Return the pool of `target`, a new one if there is none."""
-        pool = self.pools.get(target)
+    def pool(self, process: ProcessId) -> TargetPool:
+        """Return the pool of `process`, a new one if there is none."""
+        pool = self.pools.get(process)
         if pool is None:
             pool = TargetPool(self.settings)
-            self.pools[target] = pool
+            self.pools[process] = pool
         return pool
 
     async def close_old(self) -> None:
@@ -136,7 +136,7 @@
         while True:
             await trio.sleep(seconds / 2)
             oldest = Deadline(trio.current_time() - seconds)
-            for target, pool in list(self.pools.items()):
+            for process, pool in list(self.pools.items()):
                 pool.close_idle_before(oldest)
                 if not pool.open_count:
-                    del self.pools[target]
+                    del self.pools[process]
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -10,7 +10,7 @@
 
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.hosts.listed_target import ListedTarget
-from agatetack.ids import Deadline, ServiceId, TargetId
+from agatetack.ids import Deadline, ProcessId, ServiceId, TargetId
 from agatetack.logs import PartLog
 from agatetack.metrics import MeasureKind, Metrics
 from agatetack.settings.model import Settings
@@ -38,6 +38,7 @@
 
     Attributes:
         by_id: Every known target.
+        by_process: The same targets, by this start of their process.
         drained: Targets that an operator drained; they get no new work.
         watchers: Called with the service when its targets change or a load
             report arrives; must not block or raise.
@@ -58,6 +59,7 @@
         self.settings = settings
         self.metrics = metrics
         self.by_id: dict[TargetId, TargetState] = {}
+        self.by_process: dict[ProcessId, TargetState] = {}
         self.usable: dict[ServiceId, tuple[TargetState, ...]] = {}
         self.drained: set[TargetId] = set()
         self.leaving: dict[TargetId, LeavingRecord] = {}
@@ -95,6 +97,11 @@
             target_id = TargetId(host.id)
             seen.add(target_id)
             target = self.by_id.get(target_id)
+            if target is not None and _incarnation(host) > target.incarnation:
+                # It was started again, and nothing of before holds.
+                changed.add(self._remove(target_id, now).service)
+                self.drained.discard(target_id)
+                target = None
             if target is None:
                 target = self._add(host, now)
                 changed.add(target.service)
@@ -196,11 +203,20 @@
         return self.settings.balance.leaving_hold_seconds
 
     def _leave(self, target: TargetState, why: LeavingSign) -> None:
+        if self.by_id.get(target.id, target) is not target:
+            # The sign is of an earlier start of the target.
+            return
         now = Deadline(trio.current_time())
         record = self.leaving.get(target.id)
         if record is None:
             returns = self.returns.get(target.id, 0)
-            record = LeavingRecord(why, now, now, returns=returns)
+            record = LeavingRecord(
+                why,
+                now,
+                now,
+                returns=returns,
+                incarnation=target.incarnation,
+            )
             self.leaving[target.id] = record
             log.info("target %s is leaving: %s", target.id, why.value)
             record.hold(now, self._hold_seconds)
@@ -224,7 +240,7 @@
         self, target: TargetState, record: LeavingRecord | None, now: Deadline
     ) -> None:
         if record is None or not record.listed_leaving:
-            self.note_leaving(target, LeavingSign.HOST_LIST)
+            self._note_listed_leaving(target)
             self.leaving[target.id].listed_leaving = True
         elif record.sign is LeavingSign.HOST_LIST:
             record.listed_live = False
@@ -232,6 +248,15 @@
             # Peers read the list themselves, so they are told only once.
             record.hold(now, self._hold_seconds)
 
+    def _note_listed_leaving(self, target: TargetState) -> None:
+        if self.settings.platform.store.endpoint is None:
+            self.note_leaving(target, LeavingSign.HOST_LIST)
+            return
+        # What one host reads of a store reaches all as it stands there; told
+        # as a sign by each of a hundred hosts, it would be passed on by each.
+        self.counters.signs.inc({"sign": LeavingSign.HOST_LIST.value})
+        self._leave(target, LeavingSign.HOST_LIST)
+
     def _add(self, host: ListedHost, now: Deadline) -> TargetState:
         target = TargetState(
             id=TargetId(host.id),
@@ -239,6 +264,7 @@
             ip=host.ip,
             port=host.port,
             failure_domain=host.failure_domain,
+            incarnation=_incarnation(host),
             status_since=now,
             slots=self.settings.targets.slots,
             limit=self.settings.admission.max_target_limit,
@@ -249,7 +275,9 @@
             if host.warm_at <= now:
                 target.status = TargetStatus.READY
         self.by_id[target.id] = target
+        self.by_process[target.process] = target
         self.changes += 1
+        self._forget_earlier(target)
         record = self.leaving.get(target.id)
         if record is not None:
             # It was off the list in between, so this is a new process.
@@ -258,8 +286,17 @@
             target.status = TargetStatus.LEAVING
         return target
 
+    def _forget_earlier(self, target: TargetState) -> None:
+        """Forget the signs that an earlier start of `target` gave."""
+        record = self.leaving.get(target.id)
+        if record is None or record.incarnation >= target.incarnation:
+            return
+        del self.leaving[target.id]
+        self.returns.pop(target.id, None)
+
     def _remove(self, target_id: TargetId, now: Deadline) -> TargetState:
         target = self.by_id.pop(target_id)
+        self.by_process.pop(target.process, None)
         self.changes += 1
         target.status = TargetStatus.GONE
         target.status_since = now
@@ -315,3 +352,8 @@
         """Tell watchers that targets of `service` may have changed."""
         for watcher in self.watchers:
             watcher(service)
+
+
+def _incarnation(host: ListedHost) -> int:
+    """Return when the target's process started, in Unix ms; 0 if not said."""
+    return host.incarnation if isinstance(host, ListedTarget) else 0
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -5,7 +5,13 @@
 from collections import deque
 
 from agatetack.balance.learned import LearnedLoad
-from agatetack.ids import Deadline, FailureDomain, ServiceId, TargetId
+from agatetack.ids import (
+    Deadline,
+    FailureDomain,
+    ProcessId,
+    ServiceId,
+    TargetId,
+)
 from agatetack.targets.load import USUAL_SLOWNESS
 
 RECENT_LATENCIES = 64
@@ -54,19 +60,20 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetState:
-    """What this host knows of one target.
+    """What this host knows of one start of a target's process.
 
     Attributes:
-        id: Its name: `ip:port`, or that of one start of its process where
-            the platform names these.
+        id: Its name: `ip:port`, or what the platform calls it.
         service: The service it belongs to.
         ip: Its IP number.
         port: Its port.
         failure_domain: Where it is.
+        incarnation: When its process started, in Unix ms; 0 if not said.
         status: Whether it may get new work.
         status_since: When the status last changed.
         in_flight: Requests of this host there now; exact.
         told_in_flight: Requests that the other hosts say they have there.
+        told_by_all: Whether all hosts that send there tell this one of it.
         room_at: When it is this host's turn to take a slot that another host
             gave up there.
         slots: Requests it can run at the same time.
@@ -88,10 +95,12 @@
     ip: str
     port: int
     failure_domain: FailureDomain
+    incarnation: int = 0
     status: TargetStatus = TargetStatus.COLD
     status_since: Deadline = Deadline(0.0)
     in_flight: int = 0
     told_in_flight: int = 0
+    told_by_all: bool = True
     room_at: Deadline = Deadline(0.0)
     slots: int = 2
     limit: int = 8
@@ -107,3 +116,10 @@
     idle_connections: int = 0
     answer_bytes: float = 0.0
     learned: LearnedLoad = dataclasses.field(default_factory=LearnedLoad)
+
+    @property
+    def process(self) -> ProcessId:
+        """Return the name of this start of the target's process."""
+        if not self.incarnation:
+            return ProcessId(self.id)
+        return ProcessId(f"{self.id}/{self.incarnation}")
--- a/agatetack/targets/test_registry.py
+++ b/agatetack/targets/test_registry.py
@@ -6,6 +6,7 @@
 import trio
 
 from agatetack.hosts.host_list import HostState
+from agatetack.hosts.listed_target import ListedTarget
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.registry import (
@@ -141,3 +142,53 @@
     assert list(registry.leaving_targets()) == []
     # What is held against it goes too, once it can't come back by it.
     assert one.id not in registry.leaving
+
+
+def started(incarnation, state=LIVE):
+    listed = listed_target(1, state)
+    fields = {
+        field.name: getattr(listed, field.name)
+        for field in dataclasses.fields(listed)
+    }
+    return ListedTarget(**fields, incarnation=incarnation)
+
+
+@pytest.mark.parametrize("gone_between", [False, True])
+@pytest.mark.parametrize(
+    "sign", [HEADER, REFUSED, LeavingSign.OTHER_INSTANCE, LeavingSign.HEALTH]
+)
+async def test_a_new_start_knows_nothing_of_before(
+    autojump_clock, sign, gone_between
+):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([started(1000)])
+    before = registry.targets(SERVICE)[0]
+    before.in_flight = 2
+    before.told_in_flight = 3
+    before.failures = 5
+    registry.note_leaving(before, sign)
+    registry.set_drained(before.id, drained=not gone_between)
+    assert not registry.targets(SERVICE)
+    if gone_between:
+        registry.update([])
+    registry.update([started(2000)])
+    after = registry.targets(SERVICE)[0]
+    assert after is not before
+    assert after.id == before.id
+    assert after.process != before.process
+    assert (after.in_flight, after.told_in_flight) == (0, 0)
+    assert after.failures == 0
+    # What is said of the earlier start reaches only that one.
+    assert registry.by_process.get(before.process) is None
+    registry.note_leaving(before, sign)
+    assert registry.targets(SERVICE) == (after,)
+    assert registry.may_be_probed(after)
+
+
+async def test_an_older_start_changes_nothing(autojump_clock):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([started(2000)])
+    target = registry.targets(SERVICE)[0]
+    registry.update([started(1000)])
+    assert registry.targets(SERVICE) == (target,)
+    assert target.incarnation == 2000
