--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -19,7 +19,7 @@
     PermitRequest,
 )
 from agatetack.decisions import DecisionLog
-from agatetack.ids import Deadline, TargetId
+from agatetack.ids import Deadline
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal
 from agatetack.targets.look import TargetLook
@@ -84,20 +84,19 @@
 
     async def acquire(self, wanted: PermitRequest) -> Result[Permit, Refusal]:
         """Return a permit, or why the request is refused as not run."""
-        passed_over: set[TargetId] = set()
-        while True:
+        for _ in range(MOST_LOOKS):
             result = await self.inner.acquire(wanted)
-            if isinstance(result, Failure) or len(passed_over) >= MOST_LOOKS:
+            if isinstance(result, Failure):
                 return result
             permit = result.unwrap()
             verdict = await self._look_at(permit, wanted)
             if verdict is Verdict.ABLE:
                 return Success(permit)
             permit.release(SHOWN[verdict])
-            passed_over.add(permit.target.id)
             wanted = dataclasses.replace(
-                wanted, avoid=wanted.avoid | passed_over
+                wanted, avoid=wanted.avoid | {permit.target.id}
             )
+        return await self.inner.acquire(wanted)
 
     async def _look_at(self, permit: Permit, wanted: PermitRequest) -> Verdict:
         """Return whether the target is able to take the request now."""
--- a/agatetack/attempts/test_looking.py
+++ b/agatetack/attempts/test_looking.py
@@ -63,12 +63,16 @@
     def __init__(self, targets):
         self.targets = targets
         self.given = []
+        self.repeats = False
 
     async def acquire(self, wanted):
         for target in self.targets:
             if target.id not in wanted.avoid:
                 self.given.append(Leave(target))
                 return Success(self.given[-1])
+        if self.repeats:
+            self.given.append(Leave(self.targets[0]))
+            return Success(self.given[-1])
         return Failure(refuse(RefusalReason.NO_TARGET, "none is left"))
 
 
@@ -164,3 +168,14 @@
     with trio.move_on_after(0.01):
         await looking.acquire(wish())
     assert inner.given[0].result is CANCELLED
+
+
+async def test_the_only_target_gets_the_request_after_some_looks(
+    autojump_clock,
+):
+    _, inner, looking, look = make([SILENT])
+    inner.repeats = True
+    permit = (await looking.acquire(wish())).unwrap()
+    assert permit is inner.given[-1]
+    assert permit.result is None
+    assert look.asked == MOST_LOOKS
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -20,6 +20,11 @@
 from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 
+STRAY_SECONDS = 0.001
+"""How long bytes that follow the answer are waited for. A faulty target sends
+them with its answer or just behind it, and they would be taken for a broken
+answer to the request."""
+
 MAX_ANSWER_BYTES = 4096
 """Most bytes of a load endpoint's answer; one has some 200."""
 
@@ -109,7 +114,10 @@
         if not self._is_own_word(parser, target):
             return None
         load = self.load_reader.read(dict(parser.headers))
-        return None if load.in_flight is None else load
+        if load.in_flight is None:
+            return None
+        await trio.sleep(STRAY_SECONDS)
+        return load if connection.is_quiet() else None
 
     def _is_own_word(self, parser: AnswerParser, target: TargetState) -> bool:
         """Return whether this is the load endpoint's answer, and no other."""
