--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -82,11 +82,10 @@
 """After this time a target that failed is thought half as bad, so that it is
 tried again."""
 
-LARGE_BYTES = 50_000
+LARGE_BYTES = 15_000
 """Size of answers from which on they are kept in the failure domain as far as
 possible; the preference for it grows with the size up to there. For 5 KB it is
-an eighth of a service time: nearly equal targets elsewhere are passed over,
-and those of the own failure domain get no second request for it."""
+0.4 of a service time, less than the last free slot of a target costs."""
 
 CARRY_SHARE = 1.2
 """Typical service times by which a target of another failure domain is dearer
