--- a/agatetack/peers/transport.py
+++ b/agatetack/peers/transport.py
@@ -1,11 +1,13 @@
 """Open and accept the connections of links, with or without TLS."""
 
 import abc
+import socket
 
 import trio
 
 from agatetack.metrics import Metrics
 from agatetack.settings.model import PeersSettings
+from agatetack.streams import PlainStream, open_plain_stream
 from agatetack.tls import ClientTls, ServerTls
 
 
@@ -30,15 +32,23 @@
 
 
 class PlainTransport(Transport):
-    """TCP, for networks of the operators' own."""
+    """TCP, for networks of the operators' own.
+
+    Links use plain streams: a host of 18 takes some 550 messages a second, and
+    trio's own streams ask the socket for each once more than is needed.
+    """
 
     async def open(self, ip: str, port: int) -> trio.abc.Stream:
         """Return a connection to a peer."""
-        return await trio.open_tcp_stream(ip, port)
+        return await open_plain_stream(ip, port)
 
     def accept(self, stream: trio.abc.Stream) -> trio.abc.Stream:
-        """Return the connection itself."""
-        return stream
+        """Return a plain stream on the connection's socket."""
+        if not isinstance(stream, trio.SocketStream):
+            return stream
+        sock = socket.socket(fileno=stream.socket.detach())
+        sock.setblocking(False)
+        return PlainStream(sock)
 
     async def run(self) -> None:
         """Do nothing."""
