--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -38,10 +38,6 @@
     def must_read(self, topic: str) -> bool:
         """Return whether this host has to read `topic` at the store now."""
 
-    @abc.abstractmethod
-    def may_stop_at(self, topic: str) -> Deadline:
-        """Return when to look again whether it has to."""
-
 
 class EveryHost(ReaderChoice):
     """Every host reads every topic."""
@@ -50,10 +46,6 @@
         """Return True."""
         return True
 
-    def may_stop_at(self, topic: str) -> Deadline:
-        """Return never, as nothing changes."""
-        return Deadline(math.inf)
-
 
 class FleetReaders(ReaderChoice):
     """Some hosts of each failure domain read a topic for the fleet.
@@ -79,14 +71,9 @@
 
     def must_read(self, topic: str) -> bool:
         """Return whether this host has to read `topic` at the store now."""
-        return self.is_reader(topic) or trio.current_time() >= (
-            self.may_stop_at(topic)
-        )
-
-    def may_stop_at(self, topic: str) -> Deadline:
-        """Return until when the word of a reader holds."""
-        heard_at = self.heard_at.get(topic, Deadline(-math.inf))
-        return Deadline(heard_at + WORD_SECONDS)
+        heard_at = self.heard_at.get(topic, -math.inf)
+        word_holds = trio.current_time() < heard_at + WORD_SECONDS
+        return not word_holds or self.is_reader(topic)
 
     def is_reader(self, topic: str) -> bool:
         """Return whether this host is one of the readers of `topic`."""
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -1,6 +1,5 @@
 """Share load reports and leaving signs with the other hosts."""
 
-import dataclasses
 from collections.abc import Sequence
 
 import trio
@@ -16,6 +15,7 @@
 from agatetack.logs import PartLog
 from agatetack.measure.budget import TokenBucket
 from agatetack.measure.hashes import TargetHashes, target_hash
+from agatetack.measure.news import ReportNews, unseen_load, whole_load
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange, Scope, Topic
 from agatetack.targets.leaving import LeavingSign
@@ -43,16 +43,6 @@
 USUAL_PERCENT = 100
 """The slowness of a target on which work takes as long as usual."""
 
-TOLD_CHANGE = 0.15
-"""Change of a target's slowness that peers are told of at once.
-
-Each probe told to all costs a host of 14 some 430 messages a second, a sixth
-of a core; changes alone are about a quarter of them.
-"""
-
-REPEAT_SECONDS = 1.0
-"""How often peers are told of a target that does not change."""
-
 FAR_SECONDS = 0.25
 """How often other failure domains are told of what changed at the targets of
 this one. Bytes between them are paid for: 106 targets that change several
@@ -65,45 +55,15 @@
 log = PartLog("measure")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ToldSample:
-    """What peers were told of a target last.
-
-    Attributes:
-        slowness: How many times longer than usual work took there.
-        unseen: Requests there that no host told of.
-        repeat_at: When it is told again, even if nothing changes.
-    """
-
-    slowness: float
-    unseen: int
-    repeat_at: Deadline
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FarSample:
-    """What other failure domains were told of a target last.
-
-    Attributes:
-        slowness: How many times longer than usual work took there.
-        in_flight: Requests there, from all hosts.
-        repeat_at: When it is told again, even if nothing changes.
-    """
-
-    slowness: float
-    in_flight: int
-    repeat_at: Deadline
-
-
 class SampleExchange:
     """Send own samples to the peers and take theirs.
 
     Attributes:
         fresh: Targets measured since the last message, latest last.
         any_fresh: Set when there is something in `fresh`.
-        told: What the hosts of the own failure domain were told last.
+        near_news: What the hosts that hear of all requests were told.
         probed: Targets probed since other failure domains were told.
-        told_far: What those were told last.
+        far_news: What those were told.
     """
 
     def __init__(
@@ -125,10 +85,10 @@
                 kept back; it takes hosts that tell what they have there.
         """
         self.news_only = news_only
-        self.told: dict[ProcessId, ToldSample] = {}
+        self.near_news = ReportNews(registry, unseen_load)
+        self.far_news = ReportNews(registry, whole_load)
         self.probed: dict[ProcessId, TargetState] = {}
         self.any_probed = trio.Event()
-        self.told_far: dict[ProcessId, FarSample] = {}
         self.registry = registry
         self.exchange = exchange
         self.metrics = metrics
@@ -159,7 +119,11 @@
             if not self.exchange.bounded:
                 self.probed.clear()
                 continue
-            news = [t for t in self.probed.values() if self._is_far_news(t)]
+            news = [
+                target
+                for target in self.probed.values()
+                if self.far_news.take(target, target.report)
+            ]
             self.probed.clear()
             for first in range(0, len(news), MAX_SAMPLES):
                 payload = self._encode(news[first : first + MAX_SAMPLES])
@@ -242,56 +206,12 @@
         if report.source is ReportSource.PROBE:
             self.probed[target.process] = target
             self.any_probed.set()
-        if not self.news_only or self._is_news(target, report):
+        if not self.news_only or self.near_news.take(target, report):
             # Put it last, so that the latest survive a cut.
             self.fresh.pop(target.process, None)
             self.fresh[target.process] = target
             self.any_fresh.set()
 
-    def _is_news(self, target: TargetState, report: LoadReport) -> bool:
-        """Return whether peers would think otherwise without this report."""
-        unseen = report.in_flight - report.own_in_flight
-        unseen = max(0, unseen - report.told_in_flight)
-        now = trio.current_time()
-        last = self.told.get(target.process)
-        if last is not None and now < last.repeat_at:
-            change = abs(report.slowness - last.slowness)
-            if change <= TOLD_CHANGE * last.slowness and unseen == last.unseen:
-                return False
-        repeat_at = Deadline(now + REPEAT_SECONDS)
-        self.told[target.process] = ToldSample(
-            report.slowness, unseen, repeat_at
-        )
-        if len(self.told) > 2 * len(self.registry.by_id):
-            self._forget_told()
-        return True
-
-    def _is_far_news(self, target: TargetState) -> bool:
-        """Return whether hosts elsewhere would think otherwise."""
-        report = target.report
-        now = trio.current_time()
-        last = self.told_far.get(target.process)
-        if last is not None and now < last.repeat_at:
-            change = abs(report.slowness - last.slowness)
-            if (
-                change <= TOLD_CHANGE * last.slowness
-                and report.in_flight == last.in_flight
-            ):
-                return False
-        repeat_at = Deadline(now + REPEAT_SECONDS)
-        self.told_far[target.process] = FarSample(
-            report.slowness, report.in_flight, repeat_at
-        )
-        if len(self.told_far) > 2 * len(self.registry.by_id):
-            known = self.registry.by_process.keys()
-            for process in self.told_far.keys() - known:
-                del self.told_far[process]
-        return True
-
-    def _forget_told(self) -> None:
-        for process in self.told.keys() - self.registry.by_process.keys():
-            del self.told[process]
-
     def _take_samples(self, sender: HostId, payload: bytes) -> None:
         try:
             message = deserialize(LoadSamples(), payload, self.protocols)
--- a/agatetack/quarantine/test_liveness.py
+++ b/agatetack/quarantine/test_liveness.py
@@ -9,7 +9,7 @@
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource
-from agatetack.testing.targets import listed_target
+from agatetack.testing.targets import listed_target, started_target
 
 
 @pytest.mark.parametrize(
@@ -42,3 +42,20 @@
     until = Deadline(lost_at + 1.5)
     assert await check.stayed_up(target.id, lost_at, until) is stayed_up
     assert trio.current_time() == until
+
+
+async def test_a_process_that_was_started_again_did_not_stay_up(
+    autojump_clock,
+):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([started_target(1, 1000)])
+    before = next(iter(registry.by_id.values()))
+    lost_at = Deadline(trio.current_time())
+    registry.update([started_target(1, 2000)])
+    after = next(iter(registry.by_id.values()))
+    report = LoadReport(0, 2, 0, Deadline(lost_at + 1), ReportSource.PROBE)
+    registry.note_report(after, report)
+    check = ReportLivenessCheck(registry)
+    until = Deadline(lost_at + 1.5)
+    assert not await check.stayed_up(before.process, lost_at, until)
+    assert await check.stayed_up(after.process, lost_at, until)
--- a/agatetack/targets/test_registry.py
+++ b/agatetack/targets/test_registry.py
@@ -6,7 +6,6 @@
 import trio
 
 from agatetack.hosts.host_list import HostState
-from agatetack.hosts.listed_target import ListedTarget
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.registry import (
@@ -15,7 +14,11 @@
     TargetRegistry,
 )
 from agatetack.targets.state import TargetStatus
-from agatetack.testing.targets import SERVICE, listed_target
+from agatetack.testing.targets import (
+    SERVICE,
+    listed_target,
+    started_target,
+)
 
 HOLD = default_settings().balance.leaving_hold_seconds
 LIVE = HostState.LIVE
@@ -144,15 +147,6 @@
     assert one.id not in registry.leaving
 
 
-def started(incarnation, state=LIVE):
-    listed = listed_target(1, state)
-    fields = {
-        field.name: getattr(listed, field.name)
-        for field in dataclasses.fields(listed)
-    }
-    return ListedTarget(**fields, incarnation=incarnation)
-
-
 @pytest.mark.parametrize("gone_between", [False, True])
 @pytest.mark.parametrize(
     "sign", [HEADER, REFUSED, LeavingSign.OTHER_INSTANCE, LeavingSign.HEALTH]
@@ -161,7 +155,7 @@
     autojump_clock, sign, gone_between
 ):
     registry = TargetRegistry(default_settings(), Metrics())
-    registry.update([started(1000)])
+    registry.update([started_target(1, 1000)])
     before = registry.targets(SERVICE)[0]
     before.in_flight = 2
     before.told_in_flight = 3
@@ -171,7 +165,7 @@
     assert not registry.targets(SERVICE)
     if gone_between:
         registry.update([])
-    registry.update([started(2000)])
+    registry.update([started_target(1, 2000)])
     after = registry.targets(SERVICE)[0]
     assert after is not before
     assert after.id == before.id
@@ -187,8 +181,8 @@
 
 async def test_an_older_start_changes_nothing(autojump_clock):
     registry = TargetRegistry(default_settings(), Metrics())
-    registry.update([started(2000)])
+    registry.update([started_target(1, 2000)])
     target = registry.targets(SERVICE)[0]
-    registry.update([started(1000)])
+    registry.update([started_target(1, 1000)])
     assert registry.targets(SERVICE) == (target,)
     assert target.incarnation == 2000
--- a/agatetack/testing/targets.py
+++ b/agatetack/testing/targets.py
@@ -1,9 +1,12 @@
 """Build targets and requests for tests of balancing and admission."""
 
+import dataclasses
+
 import trio
 
 from agatetack.config.route import RequestClass, Route
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
+from agatetack.hosts.listed_target import ListedTarget
 from agatetack.ids import (
     CallerId,
     Deadline,
@@ -38,6 +41,18 @@
     )
 
 
+def started_target(
+    number: int, incarnation: int, state: HostState = HostState.LIVE
+) -> ListedTarget:
+    """Return an entry for one start of target `number`, in Unix ms."""
+    listed = listed_target(number, state)
+    fields = {
+        field.name: getattr(listed, field.name)
+        for field in dataclasses.fields(listed)
+    }
+    return ListedTarget(**fields, incarnation=incarnation)
+
+
 def make_route(name: str = "profiles", **fields: object) -> Route:
     """Return a fast route to `SERVICE`; `fields` override."""
     values = {
