--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -69,6 +69,10 @@
         """Note that a host which reads `topic` is in touch with the store."""
         self.heard_at[topic] = Deadline(trio.current_time())
 
+    def doubt(self, topic: str) -> None:
+        """Let this host read `topic` itself until a reader tells again."""
+        self.heard_at.pop(topic, None)
+
     def must_read(self, topic: str) -> bool:
         """Return whether this host has to read `topic` at the store now."""
         heard_at = self.heard_at.get(topic, -math.inf)
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -30,7 +30,12 @@
 which takes a message's time longer than the peer's."""
 
 FETCH_SECONDS = 1.0
-"""Longest time for a peer to answer."""
+"""Longest time for a peer to answer a host that reads for itself, too."""
+
+ONLY_FETCH_SECONDS = 0.25
+"""The same for a host that leaves reading to others. After it the host reads
+for itself: a change then is known after half of the 2 s in which it has to be
+in force, also if the peer that told of it is lost with the reply."""
 
 log = DecisionLog("keyed")
 
@@ -119,7 +124,9 @@
 
     async def _ask(self, follower: TopicFollower, peer: HostId) -> None:
         request = wire.FetchRecords(follower.name, follower.next_offset or 0)
-        deadline = Deadline(trio.current_time() + FETCH_SECONDS)
+        alone = follower.leaves_it_to_others
+        seconds = ONLY_FETCH_SECONDS if alone else FETCH_SECONDS
+        deadline = Deadline(trio.current_time() + seconds)
         try:
             reply = await self.exchange.call(
                 peer,
@@ -128,8 +135,8 @@
                 deadline,
             )
         except PeerUnreachable as error:
-            # Another peer tells within a second how far it is.
             log.note("fetch-failed", topic=follower.name, cause=str(error))
+            self.readers.doubt(follower.name)
             return
         try:
             records = deserialize(wire.Records(), reply, self.protocols)
--- a/agatetack/keyed/test_follower.py
+++ b/agatetack/keyed/test_follower.py
@@ -278,3 +278,17 @@
         await trio.sleep(seconds)
         assert all(host.kept.values == expected(store) for host in others)
         nursery.cancel_scope.cancel()
+
+
+async def test_a_change_is_known_soon_when_readers_do_not_answer(
+    autojump_clock,
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net, hosts = await start_readers(nursery, store)
+        net.reply_bytes_per_second = 1
+        store.append(NAME, "k1", b"changed")
+        await trio.sleep(1.2)
+        assert all(host.kept.values == expected(store) for host in hosts)
+        nursery.cancel_scope.cancel()
--- a/agatetack/peers/link.py
+++ b/agatetack/peers/link.py
@@ -23,6 +23,7 @@
 )
 from agatetack.peers.handshake import Side
 from agatetack.settings.model import PeersSettings
+from agatetack.streams import PlainStream
 
 
 class LinkOwner(abc.ABC):
@@ -69,6 +70,8 @@
         calls: Calls to the peer that wait for their replies.
         incoming: Calls of the peer that are not whole yet.
         answering: Calls of the peer that are being answered.
+        sending: Whether the writing task is sending.
+        unsent: The rest of a frame of which the socket took a part.
         ended: Set once the link is closed and its owner has let it go.
     """
 
@@ -99,6 +102,8 @@
         self.control: deque[bytes] = deque()
         self.published: deque[bytes] = deque()
         self.published_bytes = 0
+        self.sending = False
+        self.unsent = b""
         self.work: deque[Outgoing] = deque()
         self.outgoing: deque[Outgoing] = deque()
         self.answering = 0
@@ -173,11 +178,29 @@
         room = self.settings.max_frame_bytes - self.published_bytes
         if len(content) > room:
             return False
+        if self._send_at_once(content):
+            return True
         self.published.append(content)
         self.published_bytes += len(content)
         self.wake.set()
         return True
 
+    def _send_at_once(self, content: bytes) -> bool:
+        """Send `content` without the writing task, if nothing is before it.
+
+        Nearly every message finds its link idle, and waking the task for it
+        costs more than sending it.
+        """
+        queued = self.sending or self.unsent or self.control or self.published
+        if queued or not isinstance(self.stream, PlainStream):
+            return False
+        sent = self.stream.send_nowait(content)
+        self.counters.sent(sent)
+        if 0 < sent < len(content):
+            self.unsent = content[sent:]
+            self.wake.set()
+        return sent > 0
+
     def send_outgoing(self, outgoing: Outgoing) -> None:
         """Queue a call or reply; it is sent as the budget allows."""
         queue = self.outgoing if outgoing.budgeted else self.work
@@ -210,12 +233,17 @@
                 if content is None:
                     await self._wait_for_content()
                     continue
+                self.sending = True
                 await self.stream.send_all(content)
+                self.sending = False
                 self.counters.sent(len(content))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.close(CloseReason.CONNECTION_LOST)
 
     def _next_content(self) -> bytes | None:
+        if self.unsent:
+            content, self.unsent = self.unsent, b""
+            return content
         now = self.clock.now()
         if now >= self.heartbeat_at:
             self._queue_heartbeat(now)
--- a/agatetack/peers/test_mesh.py
+++ b/agatetack/peers/test_mesh.py
@@ -223,3 +223,27 @@
     assert {host for host, payloads in taken.items() if payloads} == wanted
     assert all(len(payloads) <= 1 for payloads in taken.values())
     assert len(crossed) == (1 if wanted - near else 0)
+
+
+async def test_a_frame_that_is_sent_in_parts_arrives_whole(nursery):
+    fleet = await start_fleet(
+        nursery, ["gateway-1", "gateway-2"], bytes_per_second=10**9, **PATIENT
+    )
+    one, two = fleet.values()
+    await wait_until(lambda: one.live_peers() and two.live_peers())
+    taken = []
+    two.subscribe(Topic.LOAD_SAMPLES, lambda _, payload: taken.append(payload))
+    # More than the kernel's buffers hold, as the other end reads nothing yet.
+    sent = [bytes([number % 256]) * 50_000 for number in range(120)]
+    for payload in sent:
+        one.publish(Topic.LOAD_SAMPLES, payload)
+    link = next(iter(one.connector.links.values()))
+    assert link.unsent
+    link.send_heartbeat()
+    await wait_until(lambda: not link.published and not link.unsent)
+    one.publish(Topic.LOAD_SAMPLES, b"last")
+    await wait_until(lambda: taken and taken[-1] == b"last")
+    # What found no room was left out; nothing came in pieces or out of order.
+    kept = [payload for payload in sent if payload in set(taken)]
+    assert taken == [*kept, b"last"]
+    assert len(kept) > 50
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -46,6 +46,16 @@
             except OSError as error:
                 raise self._translate(error) from error
 
+    def send_nowait(self, data: bytes) -> int:
+        """Send what the socket takes now; return how many bytes it took.
+
+        A connection that is lost takes none; the next `send_all` tells.
+        """
+        try:
+            return self.sock.send(data)
+        except OSError:
+            return 0
+
     async def receive_some(self, max_bytes: int | None = 65536) -> bytes:
         """Return bytes received, or `b""` at the end.
 
