--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -102,11 +102,11 @@
         """Return whether the target is able to take the request now."""
         target = permit.target
         now = Deadline(trio.current_time())
-        if not self.look.can_ask(target):
-            return Verdict.ABLE
         if _is_fresh(target, now):
             slow = target.report.slowness > BAD_SLOWNESS
             return Verdict.SLOW if slow else Verdict.ABLE
+        if not self.look.take(target):
+            return Verdict.ABLE
         left = max(0.0, wanted.deadline - now)
         seconds = min(LOOK_SECONDS, LOOK_SHARE * left)
         try:
--- a/agatetack/attempts/test_looking.py
+++ b/agatetack/attempts/test_looking.py
@@ -84,9 +84,10 @@
             zip((target.id for target in targets), says, strict=True)
         )
         self.asked = 0
+        self.most = 100
 
-    def can_ask(self, target):
-        return True
+    def take(self, target):
+        return self.asked < self.most
 
     async def ask(self, target, deadline):
         self.asked += 1
@@ -179,3 +180,11 @@
     assert permit is inner.given[-1]
     assert permit.result is None
     assert look.asked == MOST_LOOKS
+
+
+async def test_without_a_look_left_the_choice_stands(autojump_clock):
+    _, inner, looking, look = make([SLOW, GOOD])
+    look.most = 0
+    permit = (await looking.acquire(wish())).unwrap()
+    assert permit is inner.given[0]
+    assert look.asked == 0
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -162,13 +162,15 @@
         load_paths: Mapping[ServiceId, str] | None,
     ) -> AdmissionController:
         """Return the admission that requests go through."""
-        if not self.settings.measure.look_before_send:
+        if not self.settings.measure.target_looks_per_second:
             return self.admission
         look = TargetLook(
             self.settings,
             self.registry,
             self.client.pools,
             load_reader or HeaderLoadReader(self.settings),
+            self.peers.fleet_size,
+            self.metrics,
             load_paths,
         )
         return LookingAdmission(self.admission, look, self.metrics)
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -220,7 +220,7 @@
     probe_reuses: Count
     report_half_life_seconds: Seconds
     target_probes_per_second: Annotated[float, pydantic.Field(ge=0)]
-    look_before_send: bool
+    target_looks_per_second: Annotated[float, pydantic.Field(ge=0)]
 
 
 class PolicyName(enum.Enum):
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -1,11 +1,13 @@
 """Ask a target for its load on the connection that a request will use."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import trio
 
-from agatetack.ids import Deadline, ServiceId
+from agatetack.ids import Deadline, ProcessId, ServiceId
+from agatetack.measure.budget import TokenBucket
 from agatetack.messages import find_header
+from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 from agatetack.targets.answer_check import encode_name
 from agatetack.targets.client import Freshness
@@ -25,6 +27,9 @@
 them with its answer or just behind it, and they would be taken for a broken
 answer to the request."""
 
+BURST_LOOKS = 2.0
+"""Looks at one target that a host may save up, and has at its start."""
+
 MAX_ANSWER_BYTES = 4096
 """Most bytes of a load endpoint's answer; one has some 200."""
 
@@ -42,6 +47,8 @@
         registry: TargetRegistry,
         pools: TargetPools,
         load_reader: LoadReader,
+        fleet_size: Callable[[], int],
+        metrics: Metrics,
         load_paths: Mapping[ServiceId, str] | None = None,
     ):
         """Note in `registry` what targets say.
@@ -51,21 +58,50 @@
             registry: The targets.
             pools: Their connections.
             load_reader: Reads load reports.
+            fleet_size: Returns the number of hosts, never too low.
+            metrics: Where the spending is counted.
             load_paths: Load paths of services that have one of their own.
         """
         self.settings = settings
         self.registry = registry
         self.pools = pools
         self.load_reader = load_reader
+        self.fleet_size = fleet_size
+        self.metrics = metrics
         self.load_paths = load_paths
+        self.rate = settings.measure.target_looks_per_second
+        self.buckets: dict[ProcessId, TokenBucket] = {}
         names = settings.targets.headers
         self.instance_name = encode_name(names.answering_instance)
         self.request_id_name = encode_name(names.request_id)
         self.not_run_name = names.outcome.encode()
 
-    def can_ask(self, target: TargetState) -> bool:
-        """Return whether the target's load path is known."""
-        return self.load_paths is None or target.service in self.load_paths
+    def take(self, target: TargetState) -> bool:
+        """Spend one look at `target`; return whether there is one left.
+
+        The load path must be known: asked for another, the target would count
+        it as a request.
+        """
+        known = self.load_paths is None or target.service in self.load_paths
+        if not known or not self._bucket(target).take():
+            return False
+        self.metrics.budget_spent.add({"unit": "probes"}, 1)
+        return True
+
+    def _bucket(self, target: TargetState) -> TokenBucket:
+        bucket = self.buckets.get(target.process)
+        if bucket is None:
+            self._forget_gone()
+            bucket = TokenBucket(
+                self.rate, self.fleet_size, BURST_LOOKS, start_seconds=0.0
+            )
+            bucket.tokens = BURST_LOOKS
+            self.buckets[target.process] = bucket
+        return bucket
+
+    def _forget_gone(self) -> None:
+        for process in self.buckets.keys() - self.registry.by_process.keys():
+            del self.buckets[process]
 
     async def ask(
         self, target: TargetState, deadline: Deadline
--- /dev/null
+++ b/agatetack/targets/test_look.py
@@ -0,0 +1,112 @@
+"""Test how often targets are looked at, and what a look makes of an answer."""
+
+import pytest
+import trio
+
+from agatetack.ids import Deadline
+from agatetack.metrics import Metrics
+from agatetack.platform.load_header import ListLoadReader
+from agatetack.targets.load import LoadReader
+from agatetack.targets.look import BURST_LOOKS, TargetLook
+from agatetack.targets.pool import TargetPools
+from agatetack.targets.registry import TargetRegistry
+from agatetack.testing.store_fleet import template_settings
+from agatetack.testing.targets import SERVICE, started_target
+
+RATE = 30.0
+
+
+def make_look(reader: LoadReader | None = None, hosts=10, paths=None):
+    settings = template_settings(1)
+    measure = settings.measure.model_copy(
+        update={"target_looks_per_second": RATE}
+    )
+    settings = settings.model_copy(update={"measure": measure})
+    registry = TargetRegistry(settings, Metrics())
+    registry.update([started_target(1, 1000)])
+    look = TargetLook(
+        settings,
+        registry,
+        TargetPools(settings),
+        reader or ListLoadReader(settings),
+        lambda: hosts,
+        Metrics(),
+        paths,
+    )
+    return look, registry.targets(SERVICE)[0]
+
+
+@pytest.mark.parametrize("hosts", [1, 18, 116])
+async def test_all_hosts_together_keep_to_the_rate(autojump_clock, hosts):
+    look, target = make_look(hosts=hosts)
+    seconds, taken = 20.0, 0
+    until = trio.current_time() + seconds
+    while trio.current_time() < until:
+        taken += look.take(target)
+        await trio.sleep(0.002)
+    most = RATE / hosts * seconds + max(BURST_LOOKS, RATE / hosts * 0.1) + 1
+    assert taken <= most
+    assert taken >= 0.9 * RATE / hosts * seconds
+
+
+async def test_a_new_start_of_a_target_has_looks_of_its_own(autojump_clock):
+    look, target = make_look(hosts=100)
+    while look.take(target):
+        pass
+    look.registry.update([started_target(1, 2000)])
+    after = look.registry.targets(SERVICE)[0]
+    assert look.take(after)
+    assert list(look.buckets) == [after.process]
+
+
+async def test_without_a_load_path_no_target_is_looked_at(autojump_clock):
+    look, target = make_look(paths={})
+    assert not look.take(target)
+
+
+OWN = b"instance-id: 10.0.0.1:80\r\n"
+LOAD = b"server-load: 1,0,3,100\r\n"
+
+
+def answer(*headers, status=b"200 OK", after=b""):
+    head = b"HTTP/1.1 " + status + b"\r\ncontent-length: 0\r\n"
+    return head + b"".join(headers) + b"\r\n" + after
+
+
+@pytest.mark.parametrize(
+    ("content", "told"),
+    [
+        (answer(OWN, LOAD), True),
+        (answer(OWN, LOAD, status=b"503 Busy"), True),
+        (answer(OWN), False),
+        (answer(LOAD), False),
+        (answer(b"instance-id: other\r\n", LOAD), False),
+        # What it says of a request is no word on its load.
+        (answer(OWN, LOAD, b"request-id: r1\r\n"), False),
+        (answer(OWN, LOAD, b"not-executed: 1\r\n"), False),
+        (answer(OWN, LOAD, b"connection: close\r\n"), False),
+        (answer(OWN, LOAD, after=b"junk"), False),
+        (b"junk", False),
+        (b"", False),
+    ],
+)
+async def test_only_the_load_endpoints_own_answer_counts(content, told):
+    async def serve(stream):
+        await stream.receive_some(1000)
+        await stream.send_all(content)
+        if not content:
+            return
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        look, target = make_look()
+        target.ip = "127.0.0.1"
+        target.port = listeners[0].socket.getsockname()[1]
+        deadline = Deadline(trio.current_time() + 1.0)
+        report = await look.ask(target, deadline)
+        assert (report is not None) is told
+        # A connection with anything else on it is not used again.
+        pool = look.pools.pool(target.process)
+        assert bool(pool.idle) is told
+        nursery.cancel_scope.cancel()
