--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -18,7 +18,7 @@
 )
 from agatetack.targets.load import LoadReader, ReadLoad
 from agatetack.targets.parser import AnswerParser, AnswerState
-from agatetack.targets.pool import TargetPools
+from agatetack.targets.pool import TargetPool, TargetPools
 from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 
@@ -108,28 +108,54 @@
     ) -> LoadReport | None:
         """Return what the target says, or None if it does not by `deadline`.
 
-        A connection on which anything else came is closed: a later answer on
-        it could be taken for that of the request.
+        A pooled connection may have been lost or gone silent without a word,
+        which says nothing of the target: a new one is tried then.
         """
         pool = self.pools.pool(target.process)
+        while True:
+            connection = await self._connect(pool, target, deadline)
+            if connection is None:
+                return None
+            pooled = connection.requests > 0
+            load = await self._ask_on(connection, pool, deadline)
+            if load is not None:
+                return self._note(target, load)
+            if not pooled or trio.current_time() >= deadline:
+                return None
+
+    async def _connect(
+        self, pool: TargetPool, target: TargetState, deadline: Deadline
+    ) -> TargetConnection | None:
         connection = pool.take(Freshness.ANY)
+        if connection is not None:
+            return connection
         try:
-            if connection is None:
-                connection = await pool.open(target, deadline)
+            return await pool.open(target, deadline)
         except ConnectFailed as error:
             if isinstance(error, ConnectRefused):
                 self.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
             return None
+
+    async def _ask_on(
+        self, connection: TargetConnection, pool: TargetPool, deadline: Deadline
+    ) -> ReadLoad | None:
+        """Ask on `connection`, which is closed if anything else comes.
+
+        A later answer on it could be taken for that of the request. A pooled
+        connection has half of the time.
+        """
+        now = trio.current_time()
+        until = (now + deadline) / 2 if connection.requests else deadline
         load = None
         try:
-            with trio.move_on_at(deadline):
-                load = await self._exchange(connection, target)
+            with trio.move_on_at(until):
+                load = await self._exchange(connection, connection.target)
         finally:
             if load is None:
                 pool.discard(connection)
             else:
                 pool.put_back(connection)
-        return None if load is None else self._note(target, load)
+        return load
 
     async def _exchange(
         self, connection: TargetConnection, target: TargetState
--- a/agatetack/targets/test_look.py
+++ b/agatetack/targets/test_look.py
@@ -110,3 +110,31 @@
         pool = look.pools.pool(target.process)
         assert bool(pool.idle) is told
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("lost", ["reset", "silent"])
+async def test_a_lost_pooled_connection_says_nothing_of_its_target(lost):
+    accepted = []
+
+    async def serve(stream):
+        accepted.append(stream)
+        first = len(accepted) == 1
+        while await stream.receive_some(1000):
+            if first and len(accepted) == 1 and stream in answered:
+                if lost == "reset":
+                    return
+                await trio.sleep_forever()
+            answered.append(stream)
+            await stream.send_all(answer(OWN, LOAD))
+
+    answered = []
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        look, target = make_look()
+        target.ip = "127.0.0.1"
+        target.port = listeners[0].socket.getsockname()[1]
+        for _ in range(2):
+            deadline = Deadline(trio.current_time() + 1.0)
+            assert await look.ask(target, deadline) is not None
+        assert len(accepted) == 2
+        nursery.cancel_scope.cancel()
