--- a/agatetack/hosts/registered_targets.py
+++ b/agatetack/hosts/registered_targets.py
@@ -131,23 +131,31 @@
             return
         known = self.targets.get(key)
         if known is not None and target.is_older_than(known):
-            self.taken.inc({"result": "outdated"})
-            log.note(
-                "registration-outdated",
-                target=key,
-                incarnation=target.incarnation,
-                sequence=target.sequence,
-                known_incarnation=known.incarnation,
-                known_sequence=known.sequence,
-            )
+            self._note_outdated(known, target)
             return
         self.doubted.pop(key, None)
         self.targets[key] = target
+        self._note_change(known, target)
+
+    def _note_outdated(self, known: ListedTarget, target: ListedTarget) -> None:
+        self.taken.inc({"result": "outdated"})
+        log.note(
+            "registration-outdated",
+            target=target.id,
+            incarnation=target.incarnation,
+            sequence=target.sequence,
+            known_incarnation=known.incarnation,
+            known_sequence=known.sequence,
+        )
+
+    def _note_change(
+        self, known: ListedTarget | None, target: ListedTarget
+    ) -> None:
         if known is None:
             self.taken.inc({"result": "new"})
             log.note(
                 "target-registered",
-                target=key,
+                target=target.id,
                 service=target.service,
                 incarnation=target.incarnation,
             )
@@ -155,13 +163,14 @@
             self.taken.inc({"result": "restarted"})
             log.note(
                 "target-restarted",
-                target=key,
+                target=target.id,
                 incarnation=target.incarnation,
                 before=known.incarnation,
             )
         elif known.state is not target.state:
             self.taken.inc({"result": "changed"})
-            log.note("target-state", target=key, state=target.state.value)
+            state = target.state.value
+            log.note("target-state", target=target.id, state=state)
 
     def _lose(self, key: str) -> None:
         target = self.targets.get(key)
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -12,8 +12,9 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange
 from agatetack.settings.model import PolicyName, Settings
+from agatetack.targets.load import ReadLoad
 from agatetack.targets.registry import LeavingSign, TargetRegistry
-from agatetack.targets.state import LoadReport, ReportSource, TargetState
+from agatetack.targets.state import ReportSource, TargetState
 
 PROBE_BYTES = 1024
 """Most bytes that one probe may cost, both ways together."""
@@ -205,16 +206,8 @@
         self.probe_bytes.give_back(max(0, PROBE_BYTES - answer.used_bytes))
         used = min(answer.used_bytes, PROBE_BYTES)
         self.metrics.budget_spent.add({"unit": "bytes"}, used)
-        report = LoadReport(
-            in_flight=answer.in_flight,
-            slots=answer.slots or target.slots,
-            own_in_flight=target.in_flight,
-            told_in_flight=target.told_in_flight,
-            at=Deadline(trio.current_time()),
-            source=ReportSource.PROBE,
-            slowness=answer.slowness,
-        )
-        self.registry.note_report(target, report)
+        load = ReadLoad(answer.in_flight, answer.slots, answer.slowness)
+        self.registry.note_load(target, load, ReportSource.PROBE)
         self.registry.note_probe(target, answer.state)
 
     def _note_failure(self, target: TargetState, failure: ProbeFailure) -> None:
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -34,7 +34,7 @@
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool, TargetPools
 from agatetack.targets.registry import LeavingSign, TargetRegistry
-from agatetack.targets.state import LoadReport, ReportSource, TargetState
+from agatetack.targets.state import ReportSource, TargetState
 
 FINAL_EARLY_STATUS = 300
 """An answer from this status on, before the upload's end, ends the upload."""
@@ -263,16 +263,7 @@
             self.registry.note_leaving(target, LeavingSign.ANSWER_HEADER)
         if load.in_flight is None:
             return
-        report = LoadReport(
-            in_flight=load.in_flight,
-            slots=target.slots if load.slots is None else load.slots,
-            own_in_flight=target.in_flight,
-            told_in_flight=target.told_in_flight,
-            at=Deadline(trio.current_time()),
-            source=ReportSource.ANSWER,
-            slowness=load.slowness,
-        )
-        self.registry.note_report(target, report)
+        self.registry.note_load(target, load, ReportSource.ANSWER)
 
 
 class Upload:
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -119,7 +119,9 @@
             pooled = connection.requests > 0
             load = await self._ask_on(connection, pool, deadline)
             if load is not None:
-                return self._note(target, load)
+                return self.registry.note_load(
+                    target, load, ReportSource.ANSWER
+                )
             if not pooled or trio.current_time() >= deadline:
                 return None
 
@@ -202,16 +204,3 @@
         if instance is not None:
             self.registry.note_leaving(target, LeavingSign.OTHER_INSTANCE)
         return False
-
-    def _note(self, target: TargetState, load: ReadLoad) -> LoadReport:
-        report = LoadReport(
-            in_flight=load.in_flight,
-            slots=target.slots if load.slots is None else load.slots,
-            own_in_flight=target.in_flight,
-            told_in_flight=target.told_in_flight,
-            at=Deadline(trio.current_time()),
-            source=ReportSource.ANSWER,
-            slowness=load.slowness,
-        )
-        self.registry.note_report(target, report)
-        return report
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -16,7 +16,7 @@
 from agatetack.settings.model import Settings
 from agatetack.targets.counters import TargetCounters
 from agatetack.targets.leaving import LeavingRecord, LeavingSign
-from agatetack.targets.load import ReportedState
+from agatetack.targets.load import ReadLoad, ReportedState
 from agatetack.targets.state import (
     LoadReport,
     ReportSource,
@@ -129,6 +129,22 @@
             watcher(target, report)
         self.notify(target.service)
 
+    def note_load(
+        self, target: TargetState, load: ReadLoad, source: ReportSource
+    ) -> LoadReport:
+        """Take what `target` itself said just now of its load."""
+        report = LoadReport(
+            in_flight=load.in_flight,
+            slots=target.slots if load.slots is None else load.slots,
+            own_in_flight=target.in_flight,
+            told_in_flight=target.told_in_flight,
+            at=Deadline(trio.current_time()),
+            source=source,
+            slowness=load.slowness,
+        )
+        self.note_report(target, report)
+        return report
+
     def note_leaving(self, target: TargetState, why: LeavingSign) -> None:
         """Stop new work at `target` at once and let peers be told."""
         self.counters.signs.inc({"sign": why.value})
