--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -31,9 +31,10 @@
 """After this time, what a target reported beyond what the hosts tell of
 themselves counts half."""
 
-UNTOLD_HALF_LIFE_SECONDS = 2.0
+UNTOLD_HALF_LIFE_SECONDS = 1.0
 """The same for a target of which only reports tell, as most of the hosts that
-send there are in other failure domains; it is told of twice in this time."""
+send there are in other failure domains; each change is told within a quarter
+of this time, and the rest once in it."""
 
 SLOWNESS_SECONDS = 2.5
 """After this time a report says nothing of how slow a target is now.
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -43,11 +43,11 @@
 USUAL_PERCENT = 100
 """The slowness of a target on which work takes as long as usual."""
 
-FAR_SECONDS = 1.0
+FAR_SECONDS = 0.25
 """How often other failure domains are told of what changed at the targets of
-this one. Each of these messages reaches every host: of 116 hosts that told four
-times a second each took some 320 a second, half of all that it heard. A look
-before the request shows what changed since."""
+this one. Told four times a second, 116 hosts answered 99 % of the requests in
+time, and 94 % when told once a second (8 s of a calm day, one run each), for
+0.15 and 0.13 cores a host."""
 
 SIGN_NUMBERS = {sign: number for number, sign in enumerate(LeavingSign, 1)}
 SIGNS = {number: sign for sign, number in SIGN_NUMBERS.items()}
