Start hosts from what a seed has read, and register them together

Ruled out: longer pauses between reads, as most calls are first reads. A host now asks the hosts that its settings name; these register it with one append for all.

--- a/agatetack/hosts/member_directory.py
+++ b/agatetack/hosts/member_directory.py
@@ -1,7 +1,7 @@
 """Find the other hosts by the topic in which each host registers."""
 
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import orjson
 import trio
@@ -16,6 +16,15 @@
 
 log = DecisionLog("members")
 
+GATHER_SECONDS = 0.1
+"""How long registrations that another host asked for are gathered, so that
+hundreds of hosts that start together cost a few calls of the store."""
+
+OTHERS_SECONDS = 2.5
+"""How long a host waits until it sees that another one has registered it:
+0.1 s to gather, 0.5 s until a reader has read it, the rest until the reader
+has told this host."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberRecord:
@@ -40,6 +49,8 @@
 
     Attributes:
         known: Whether the topic has been read.
+        known_records: What each host registered, as the store holds it.
+        waiting: Hosts that asked this one to register them.
     """
 
     def __init__(self, settings: Settings, topic: KeyedTopic, metrics: Metrics):
@@ -49,6 +60,9 @@
         self.own = settings.host.id
         self.known = False
         self.hosts: dict[str, ListedHost] = {}
+        self.known_records: dict[str, bytes] = {}
+        self.waiting: dict[str, bytes] = {}
+        self.asked = trio.Event()
         self.callbacks: list[Callable[..., None]] = []
         self.read = trio.Event()
         self.registrations = metrics.counter(
@@ -67,6 +81,7 @@
     def take_all(self, records: Sequence[KeyedRecord]) -> None:
         """Take every host that registered."""
         self.hosts.clear()
+        self.known_records.clear()
         self.take_new(records)
 
     def take_new(self, records: Sequence[KeyedRecord]) -> None:
@@ -74,7 +89,9 @@
         for record in records:
             if record.value is None:
                 self.hosts.pop(record.key, None)
+                self.known_records.pop(record.key, None)
             else:
+                self.known_records[record.key] = record.value
                 self._take(record.key, record.value)
         self.known = True
         self.read.set()
@@ -97,28 +114,58 @@
             service=ServiceId(""),
         )
 
-    async def register(self, port: int) -> None:
+    def own_record(self, port: int) -> bytes:
+        """Return what this host registers, with its port for peers."""
+        listen = self.settings.peers.listen
+        domain = self.settings.host.failure_domain
+        record = MemberRecord(listen.host, port, domain)
+        return orjson.dumps(dataclasses.asdict(record))
+
+    async def register(self, port: int, others_do: bool = False) -> None:
         """Register this host, unless its last registration is still true.
 
         Args:
             port: The port for peers.
+            others_do: Whether another host was asked to do it; it is given
+                some time.
         """
-        listen = self.settings.peers.listen
-        domain = self.settings.host.failure_domain
         await self.read.wait()
-        own = self.hosts.get(self.own)
-        if own is not None and (own.ip, own.port) == (listen.host, port):
+        if others_do:
+            with trio.move_on_after(OTHERS_SECONDS):
+                while not self._is_registered(port):
+                    await trio.sleep(GATHER_SECONDS)
+        if self._is_registered(port):
             self.registrations.inc({"result": "kept"})
             return
-        record = MemberRecord(listen.host, port, domain)
-        await self._append(orjson.dumps(dataclasses.asdict(record)))
+        await self._append({self.own: self.own_record(port)})
 
-    async def _append(self, content: bytes) -> None:
+    def _is_registered(self, port: int) -> bool:
+        own = self.hosts.get(self.own)
+        listen = self.settings.peers.listen
+        return own is not None and (own.ip, own.port) == (listen.host, port)
+
+    def register_other(self, host: str, content: bytes) -> None:
+        """Register another host soon, together with all that ask meanwhile."""
+        if self.known_records.get(host) != content:
+            self.waiting[host] = content
+            self.asked.set()
+
+    async def register_others(self) -> None:
+        """Register the hosts that asked for it, until cancelled."""
+        while True:
+            await self.asked.wait()
+            await trio.sleep(GATHER_SECONDS)
+            self.asked = trio.Event()
+            waiting, self.waiting = self.waiting, {}
+            if waiting:
+                await self._append(waiting)
+
+    async def _append(self, records: Mapping[str, bytes]) -> None:
         limits = self.settings.platform.store
         while True:
             deadline = Deadline(trio.current_time() + limits.timeout_seconds)
             try:
-                offset = await self.topic.append(self.own, content, deadline)
+                offset = await self.topic.append_all(records, deadline)
             except TopicUnavailable as error:
                 # A registration that is made twice does no harm.
                 self.registrations.inc({"result": "unavailable"})
@@ -126,5 +173,5 @@
                 await trio.sleep(limits.retry_seconds)
             else:
                 self.registrations.inc({"result": "made"})
-                log.note("registered", offset=offset)
+                log.note("registered", offset=offset, hosts=sorted(records))
                 return
--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -166,15 +166,18 @@
             self._answered("new")
             self._take(page, whole=False)
         if not self.reachable:
-            self.reachable = True
-            self.in_touch_at = Deadline(trio.current_time())
             log.note("store-in-touch", topic=self.name, offset=page.end)
-            self.reader.in_touch()
+            self._regained()
         if page.records:
             # What follows closely comes with the next read, so that a burst
             # of changes costs one call and not one for each.
             await trio.sleep(self.limits.batch_seconds)
 
+    def _regained(self) -> None:
+        self.reachable = True
+        self.in_touch_at = Deadline(trio.current_time())
+        self.reader.in_touch()
+
     async def _read_on(self, first: LogOffset) -> TopicPage:
         # After a failure the first answer is wanted at once, to know that
         # the store is back.
@@ -207,6 +210,19 @@
         self._take(page, whole, sound)
         self.reading.cancel()
 
+    def start_from(self, page: TopicPage) -> None:
+        """Take what another host has read in place of a first read.
+
+        Args:
+            page: All keys.
+        """
+        if self.next_offset is not None:
+            return
+        self._count("seed")
+        log.note("topic-from-seed", topic=self.name, end=page.end)
+        self._take(page, whole=True)
+        self._regained()
+
     @property
     def sound(self) -> bool:
         """Return whether the store has been there for a while for this host.
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -36,6 +36,11 @@
 of. A large document takes longer than that from a peer whose bytes are bounded,
 when several hosts ask it at once; the store gives it in some ms."""
 
+TRUST_SECONDS = 2.0
+"""How long a host that was told at its start what is in the store waits for
+links with those that read it. Until it is listed they refuse it, which takes
+0.1 s until its seed registers it and 0.5 s until the readers read that."""
+
 CHOICE_SECONDS = 0.3
 """How often readers are chosen anew; with 116 hosts it takes a quarter of a ms.
 Readers that are gone stop to tell meanwhile, which is noticed by itself."""
@@ -81,6 +86,7 @@
         heard_at: When a reader last told that it is in touch, by topic.
         chosen: Whether this host is a reader, by topic.
         doubted_until: Until when this host reads a topic whoever tells.
+        trusted_until: Until when it does not, as it was just told all of it.
     """
 
     def __init__(self, settings: Settings, exchange: Exchange):
@@ -91,6 +97,12 @@
         self.heard_at: dict[str, Deadline] = {}
         self.chosen: dict[str, ChosenReader] = {}
         self.doubted_until: dict[str, Deadline] = {}
+        self.trusted_until: dict[str, Deadline] = {}
+
+    def trust(self, topic: str) -> None:
+        """Leave `topic` to others for a while, whoever reads it."""
+        until = trio.current_time() + TRUST_SECONDS
+        self.trusted_until[topic] = Deadline(until)
 
     def heard(self, topic: str) -> None:
         """Note that a host which reads `topic` is in touch with the store."""
@@ -105,6 +117,8 @@
         """Return whether this host has to read `topic` at the store now."""
         heard_at = self.heard_at.get(topic, -math.inf)
         now = trio.current_time()
+        if now < self.trusted_until.get(topic, -math.inf):
+            return False
         if now >= heard_at + WORD_SECONDS:
             return True
         if now < self.doubted_until.get(topic, -math.inf):
--- /dev/null
+++ b/agatetack/keyed/test_seeds.py
@@ -0,0 +1,122 @@
+"""Test that hosts start from their seeds, and without them from the store."""
+
+import contextlib
+
+import pytest
+import trio
+
+from agatetack.settings.section import Endpoint
+from agatetack.testing.memory_store import StoreFault
+from agatetack.testing.store_fleet import LOOPBACK, store_fleet
+
+MEMBERS = "keyed.agatetack-members"
+
+
+def seeds_at(*ports):
+    return {"seeds": tuple(Endpoint(ip=LOOPBACK, port=p) for p in ports)}
+
+
+@contextlib.asynccontextmanager
+async def listener(answer):
+    """Listen and let `answer` have each connection; yield the port."""
+    async with trio.open_nursery() as nursery:
+        serve = trio.serve_tcp
+        found = await nursery.start(
+            lambda task_status: serve(
+                answer, 0, host=LOOPBACK, task_status=task_status
+            )
+        )
+        yield found[0].socket.getsockname()[1]
+        nursery.cancel_scope.cancel()
+
+
+async def dark(stream):
+    await trio.sleep_forever()
+
+
+async def closing(stream):
+    await stream.receive_some()
+
+
+async def garbling(stream):
+    await stream.receive_some()
+    await stream.send_all(b"\0\0\0\4junk")
+
+
+async def too_long(stream):
+    await stream.receive_some()
+    await stream.send_all(b"\xff\xff\xff\xff")
+
+
+async def test_a_host_that_starts_from_a_seed_does_not_call_the_store():
+    async with store_fleet() as fleet:
+        calls = fleet.store.calls
+        # The seed's own reads now wait for something new, one each topic.
+        await fleet.until(lambda: calls["/agatetack/log-read"] >= 3)
+        before = dict(calls)
+        change = seeds_at(fleet.gateways[0].seed_port)
+        host = await fleet.add_gateway(peers=change)
+        assert (await fleet.get("/a/x", gateway=1)).status == 200
+        own = host.settings.host.id
+        await fleet.until(lambda: own in fleet.gateways[0].members.hosts)
+        assert calls["/agatetack/log-newest"] == before["/agatetack/log-newest"]
+        assert (
+            calls["/agatetack/log-append"]
+            == before["/agatetack/log-append"] + 1
+        )
+
+
+async def test_hosts_that_start_together_are_registered_by_one_call():
+    async with store_fleet() as fleet:
+        seed = fleet.gateways[0]
+        before = fleet.store.calls["/agatetack/log-append"]
+        for number in range(50):
+            seed.members.register_other(f"h{number}", b'{"ip":"127.0.0.9"}')
+        newest = fleet.store.topics[MEMBERS].newest
+        await fleet.until(lambda: len(newest) == 51)
+        assert fleet.store.calls["/agatetack/log-append"] == before + 1
+
+
+@pytest.mark.parametrize("answer", [dark, closing, garbling, too_long, None])
+async def test_a_host_without_a_sound_seed_reads_the_store(answer):
+    async with store_fleet() as fleet, contextlib.AsyncExitStack() as stack:
+        port = 1
+        if answer is not None:
+            port = await stack.enter_async_context(listener(answer))
+        host = await fleet.add_gateway(peers=seeds_at(port))
+        assert (await fleet.get("/a/x", gateway=1)).status == 200
+        assert all(follower.reachable for follower in host.followers)
+
+
+@pytest.mark.parametrize("answer", [dark, closing, garbling])
+async def test_a_faulty_seed_does_not_hide_a_sound_one(answer):
+    async with store_fleet() as fleet, listener(answer) as port:
+        sound = fleet.gateways[0].seed_port
+        fleet.store.fault = StoreFault.SILENT
+        host = await fleet.add_gateway(peers=seeds_at(port, sound))
+        assert (await fleet.get("/a/x", gateway=1)).status == 200
+        assert host.documents.version == 1
+
+
+async def test_a_seed_that_has_read_nothing_says_so_to_another_seed():
+    async with store_fleet() as fleet:
+        fleet.store.fault = StoreFault.REFUSED
+        first = await fleet.add_gateway()
+        own = Endpoint(ip=LOOPBACK, port=0)
+        change = seeds_at(first.seed_port)
+        change["seeds"] += (own,)
+        second = await fleet.add_gateway(peers=change)
+        assert second.seed_client.is_seed
+        assert second.documents.version < 1
+        fleet.store.fault = None
+        await fleet.until(lambda: second.documents.version == 1)
+
+
+async def test_a_host_that_no_seed_registers_does_it_itself(monkeypatch):
+    monkeypatch.setattr("agatetack.hosts.member_directory.OTHERS_SECONDS", 0.2)
+    async with store_fleet() as fleet:
+        seed = fleet.gateways[0]
+        seed.members.register_other = lambda host, content: None
+        await fleet.add_gateway(peers=seeds_at(seed.seed_port))
+        newest = fleet.store.topics[MEMBERS].newest
+        await fleet.until(lambda: "edge-2" in newest)
--- a/agatetack/keyed/topic.py
+++ b/agatetack/keyed/topic.py
@@ -2,7 +2,7 @@
 
 import abc
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from agatetack.ids import Deadline, LogOffset
 
@@ -83,6 +83,15 @@
         """
 
     @abc.abstractmethod
+    async def append_all(
+        self, values: Mapping[str, bytes], deadline: Deadline
+    ) -> LogOffset:
+        """Append a record for each key, all or none, and return the first.
+
+        Raises:
+            TopicUnavailable: They are not known to stand in the topic.
+        """
+
     async def append(
         self, key: str, value: bytes, deadline: Deadline
     ) -> LogOffset:
@@ -91,3 +100,4 @@
         Raises:
             TopicUnavailable: It is not known to stand in the topic.
         """
+        return await self.append_all({key: value}, deadline)
--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -141,22 +141,21 @@
             raise TopicUnavailable(f"status {reply.status}")
         return _read_records(reply.body, first)
 
-    async def append(
-        self, key: str, value: bytes, deadline: Deadline
+    async def append_all(
+        self, values: Mapping[str, bytes], deadline: Deadline
     ) -> LogOffset:
-        """Append a record and return its offset.
+        """Append a record for each key, all or none, and return the first.
 
         Raises:
-            TopicUnavailable: It is not known to stand in the topic.
+            TopicUnavailable: They are not known to stand in the topic.
         """
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
+        body = b"".join(_record(key, value) for key, value in values.items())
         reply = await self.client.call(
             "POST",
             "/agatetack/log-append",
             {"topic": self.name, "part": PARTITION},
             deadline,
-            LENGTH.pack(len(record)) + record,
+            body,
         )
         if reply.status != OK:
             raise TopicUnavailable(f"status {reply.status}")
@@ -179,6 +178,12 @@
     more: bool
 
 
+def _record(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    record = bytes([len(name)]) + name + value
+    return LENGTH.pack(len(record)) + record
+
+
 def _read_newest(body: bytes) -> _NewestPart:
     try:
         fields = orjson.loads(body)
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -202,6 +202,8 @@
 
     listen: Endpoint
     advertise: Endpoint | None
+    seed_listen: Endpoint | None
+    seeds: tuple[Endpoint, ...]
     tls: TlsFiles | None
     shared_key: str | None
     heartbeat_seconds: Seconds
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -13,6 +13,7 @@
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
 from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
+from agatetack.keyed.seeds import SeedClient, SeedServer
 from agatetack.keyed.sharing import TopicSharing
 from agatetack.keyed.topic import KeyedTopic
 from agatetack.lifecycle.readiness import ReadinessView
@@ -77,6 +78,7 @@
         targets: The targets that registered.
         members: The hosts that registered.
         followers: What keeps these three up to date.
+        seed_port: Where hosts that start ask this one; 0 if they can't.
     """
 
     def __init__(self, settings: Settings, clock: Clock | None = None):
@@ -106,6 +108,7 @@
             settings, ServerDecoder(), self.registry.update, metrics
         )
         self.read_counters = ReadCounters(metrics)
+        self.seed_port = 0
         self.followers = [
             self._follower("documents", CONFIGURATION_TOPIC, self.documents),
             self._follower("targets", REGISTRATIONS_TOPIC, self.targets),
@@ -114,6 +117,12 @@
         self.sharing = TopicSharing(
             settings, self.followers, self.peers, metrics
         )
+        self.seed_server = SeedServer(
+            settings, self.followers, self.members, metrics
+        )
+        self.seed_client = SeedClient(
+            settings, self.followers, self.sharing.readers, metrics
+        )
         self._build_classes()
         self.documents.watchers.append(self._limit_callers)
 
@@ -183,19 +192,32 @@
     ) -> None:
         """Serve until cancelled; the ports are reported once all listen."""
         async with trio.open_nursery() as nursery:
-            for follower in self.followers:
-                nursery.start_soon(follower.run)
             nursery.start_soon(self.sharing.run)
             nursery.start_soon(self.targets.run)
+            nursery.start_soon(self.members.register_others)
             peers_port = await nursery.start(self.peers.run)
-            nursery.start_soon(self.members.register, peers_port)
-            await self._until_configured()
+            self.seed_port = await nursery.start(self.seed_server.run)
+            await self._read_store(nursery, peers_port)
             callers_port = await self.start_serving(nursery)
             ready, metrics = await self._start_status(nursery)
             task_status.started(
                 StorePorts(callers_port, peers_port, ready, metrics)
             )
 
+    async def _read_store(self, nursery: trio.Nursery, port: int) -> None:
+        """Learn what is in the store, and register this host there.
+
+        Args:
+            nursery: Runs what keeps it up to date.
+            port: This host's port for peers.
+        """
+        own = self.settings.host.id
+        told = await self.seed_client.start(own, self.members.own_record(port))
+        for follower in self.followers:
+            nursery.start_soon(follower.run)
+        nursery.start_soon(self.members.register, port, told)
+        await self._until_configured()
+
     async def _until_configured(self) -> None:
         """Wait a little for routes and targets before callers are served.
 
--- a/agatetack/testing/memory_topic.py
+++ b/agatetack/testing/memory_topic.py
@@ -1,5 +1,7 @@
 """Stand in for one keyed topic, without a network."""
 
+from collections.abc import Mapping
+
 import trio
 
 from agatetack.ids import Deadline, LogOffset
@@ -53,12 +55,15 @@
         records = [_record(r) for r in found.records if r.offset >= first]
         return TopicPage(records, LogOffset(first + len(records)))
 
-    async def append(
-        self, key: str, value: bytes, deadline: Deadline
+    async def append_all(
+        self, values: Mapping[str, bytes], deadline: Deadline
     ) -> LogOffset:
-        """Append a record and return its offset."""
+        """Append a record for each key, and return the first offset."""
         await self._call(deadline)
-        return LogOffset(self.store.append(NAME, key, value))
+        offsets = [
+            self.store.append(NAME, key, value) for key, value in values.items()
+        ]
+        return LogOffset(offsets[0])
 
     async def _call(self, deadline: Deadline) -> None:
         self.reads += 1
--- a/agatetack/testing/store_fleet.py
+++ b/agatetack/testing/store_fleet.py
@@ -31,6 +31,7 @@
     "ip": LOOPBACK,
     "listen.front": f"{LOOPBACK}:0",
     "listen.ready": f"{LOOPBACK}:0",
+    "listen.control": f"{LOOPBACK}:0",
     "internal_port_range.0": "0",
     "internal_port_range.1": "0",
 }
@@ -49,14 +50,24 @@
 
 def fill_template(text: str, values: Mapping[str, str]) -> str:
     """Return the template with the platform's values in their places."""
-    section = re.compile(r"\{\{#bounds\}\}\n(.*?)\{\{/bounds\}\}\n", re.S)
+    sections = {"bounds": BOUNDS, "seeds": {}}
+    for name, entries in sections.items():
+        text = _fill_section(text, name, entries)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda m: values[m[1]], text)
+
+
+def _fill_section(text: str, name: str, entries: Mapping[str, str]) -> str:
+    """Return `text` with a section filled in once for each entry."""
+    first, last = "{{#" + name + "}}", "{{/" + name + "}}"
+    section = re.compile(
+        rf"{re.escape(first)}\n?(.*?){re.escape(last)}\n?", re.S
+    )
     row = section.search(text)[1]
     rows = "".join(
-        row.replace("{{@}}", name).replace("{{.}}", value)
-        for name, value in BOUNDS.items()
+        row.replace("{{@}}", key).replace("{{.}}", value)
+        for key, value in entries.items()
     )
-    text = section.sub(lambda _: rows, text)
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda m: values[m[1]], text)
+    return section.sub(lambda _: rows, text)
 
 
 def template_text(store_port: int, name: str = "edge-1") -> str:
@@ -191,6 +202,16 @@
         self.register(target, **fields)
         return target
 
+    async def add_gateway(self, **change: Mapping) -> StoreGateway:
+        """Start one more host, with settings changed by section."""
+        name = f"edge-{len(self.gateways) + 1}"
+        store_port = self.gateways[0].settings.platform.store.endpoint.port
+        settings = _changed(template_settings(store_port, name), change)
+        gateway = StoreGateway(settings)
+        self.gateways.append(gateway)
+        self.ports.append(await self.nursery.start(gateway.run))
+        return gateway
+
     async def until(self, holds, seconds: float = 10.0) -> None:
         """Wait until `holds()`; fail after a while."""
         with trio.fail_after(seconds):
--- a/thrift/keyed.thrift
+++ b/thrift/keyed.thrift
@@ -32,3 +32,20 @@
   3: required list<Record> records
   4: optional bool sound        // the store was there for the sender lately
 }
+
+// What one host that starts asks of another, in place of reading the store.
+struct StartRequest {
+  1: required string host       // the key under which the sender registers
+  2: required binary member     // what it registers, as the store will hold it
+  3: required bool waits        // whether it waits until the other has read
+}
+
+struct StartTopic {
+  1: required string topic
+  2: required Records records   // every key there is
+}
+
+// The topics that the sender has read; none if it has not read all of them.
+struct StartReply {
+  1: required list<StartTopic> topics
+}
