Split a large fleet into groups that share targets, links and load

Cause: above 49 hosts a failure domain was linked as a whole or, if larger, with some hosts at random. 116 hosts took 0.14 cores each, some 730 messages a second, half of them reports from other failure domains and 40 a second copies of one announcement; at 312 hosts one in six heard no reader of the store, and 93 connections were opened for 100 requests, as each host sent to all targets.

Hosts of a group have links with each other and share targets; two leaders have links with other groups and pass on what all need, and the first one tells of the group's targets. Eight leaders read the store.

--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -67,6 +67,13 @@
 (simulated deployment of 14 hosts, two seconds of 160 requests each).
 """
 
+UNSHARED_SHARE = 0.25
+"""Share of a typical service time by which a target of another group of hosts
+is dearer. What its own group has there is not told, and few requests of this
+host go there, so that mostly a connection has to be opened: 312 hosts that sent
+1.5 requests a second each to any of 241 targets opened 93 connections for 100
+requests (22 s of a calm day)."""
+
 SPARE_SLOWNESS = 2.0
 """Slowness up to which a target is worth a second attempt."""
 
@@ -176,6 +183,8 @@
         cost = self.network(target) + service * (1 + wait)
         if not target.idle_connections:
             cost += CONNECT_SHARE * typical
+        if not target.told_by_all:
+            cost += UNSHARED_SHARE * typical
         if target.failure_domain != self.domain:
             carried = min(1.0, target.answer_bytes / LARGE_BYTES)
             cost += CARRY_SHARE * carried * typical
--- a/agatetack/balance/start_share.py
+++ b/agatetack/balance/start_share.py
@@ -74,7 +74,9 @@
 
     def allows(self, target: TargetState) -> bool:
         """Return whether this host may take one more slot of `target`."""
-        return self.over or target.in_flight < self._slots(target)
+        if self.over or not self._shares(target):
+            return True
+        return target.in_flight < self._slots(target)
 
     def _end(self) -> None:
         self.over = True
@@ -83,14 +85,20 @@
 
     def _hears_others(self) -> bool:
         hosts = len(self._hosts())
-        return 1 + len(self.exchange.live_peers()) >= HEARD_RATIO * hosts
+        return 1 + len(self.exchange.near_peers()) >= HEARD_RATIO * hosts
 
     def _hosts(self) -> Sequence[HostId]:
-        return sorted({self.own, *self.listed()})
+        """Return the hosts that share the same targets, in order."""
+        others = self.exchange.group_hosts() or self.listed()
+        return sorted({self.own, *others})
+
+    def _shares(self, target: TargetState) -> bool:
+        return self.exchange.shares(target.id, target.failure_domain)
 
     def _slots(self, target: TargetState) -> int:
         targets = self.registry.targets(target.service)
-        shares = own_slots(self.own, self._hosts(), target.service, targets)
+        shared = [each for each in targets if self._shares(each)]
+        shares = own_slots(self.own, self._hosts(), target.service, shared)
         return shares[target.id]
 
 
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -169,7 +169,7 @@
             self.registry,
             self.client.pools,
             load_reader or HeaderLoadReader(self.settings),
-            self.peers.fleet_size,
+            self.peers,
             self.metrics,
             load_paths,
         )
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -2,13 +2,16 @@
 
 Every read of the store is paid for. A host that reads tells its peers how far
 it is, so that the others need not: they ask a peer when they are behind, and
-read for themselves when no reader has told them anything for a while.
+read for themselves when no reader has told them anything for a while. In a
+fleet too large for links with all, the leaders of groups read, or pass on to
+their groups what a leader that reads has told them.
 """
 
 import abc
 import dataclasses
 import math
 from collections import defaultdict
+from collections.abc import Sequence
 
 import trio
 import xxhash
@@ -24,6 +27,11 @@
 does so with all of twelve happens once in half a million times.
 """
 
+LEAST_LEADERS = 8
+"""Leaders that read a topic in a fleet too large for links with all. They are
+some of ten or more, and each host that hears none of them reads for itself, so
+that all eight turned away cost calls of the store and no time."""
+
 WORD_SECONDS = 0.9
 """A host reads for itself when no reader told it anything for this time.
 
@@ -31,6 +39,10 @@
 is known everywhere within 1.5 s, also if all readers are lost with it.
 """
 
+PASSED_ON_SECONDS = 0.6
+"""Age up to which the leader of a group passes a reader's word on; a word that
+comes every 0.4 s is no older, unless one was late."""
+
 DOUBT_SECONDS = 5.0
 """How long a host reads for itself to which a peer did not give what it told
 of. A large document takes longer than that from a peer whose bytes are bounded,
@@ -104,9 +116,27 @@
         until = trio.current_time() + TRUST_SECONDS
         self.trusted_until[topic] = Deadline(until)
 
-    def heard(self, topic: str) -> None:
-        """Note that a host which reads `topic` is in touch with the store."""
-        self.heard_at[topic] = Deadline(trio.current_time())
+    def heard(self, topic: str, age_seconds: float = 0.0) -> None:
+        """Note that a host which reads `topic` is in touch with the store.
+
+        Args:
+            topic: The topic.
+            age_seconds: How long ago that host said so.
+        """
+        heard_at = trio.current_time() - max(0.0, age_seconds)
+        known_at = self.heard_at.get(topic, -math.inf)
+        self.heard_at[topic] = Deadline(max(known_at, heard_at))
+
+    def word_age(self, topic: str) -> float | None:
+        """Return how old the word is that this host may pass on, in seconds.
+
+        None if this host leads no group, or the word is too old to be of use
+        to those that get it.
+        """
+        if not self.exchange.leads:
+            return None
+        age = trio.current_time() - self.heard_at.get(topic, -math.inf)
+        return age if age < PASSED_ON_SECONDS else None
 
     def doubt(self, topic: str) -> None:
         """Let this host read `topic` itself for a while, whoever tells."""
@@ -136,16 +166,20 @@
         return chosen.own
 
     def _is_among_readers(self, topic: str) -> bool:
+        if self.exchange.bounded:
+            leaders = self.exchange.first_leaders()
+            return self.own in _best(topic, leaders, LEAST_LEADERS)
         domains: dict[FailureDomain, list[HostId]] = defaultdict(list)
         domains[self.domain].append(self.own)
         for peer in self.exchange.known_hosts():
             if not peer.leaving:
                 domains[peer.failure_domain].append(peer.id)
         readers = math.ceil(LEAST_READERS / len(domains))
-        ranked = sorted(
-            domains[self.domain], key=lambda host: _rank(topic, host)
-        )
-        return self.own in ranked[:readers]
+        return self.own in _best(topic, domains[self.domain], readers)
+
+
+def _best(topic: str, hosts: Sequence[HostId], count: int) -> list[HostId]:
+    return sorted(hosts, key=lambda host: _rank(topic, host))[:count]
 
 
 def _rank(topic: str, host: HostId) -> int:
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -80,15 +80,23 @@
         self._tell([follower])
 
     def _tell(self, followers: Sequence[TopicFollower]) -> None:
-        ends = [
-            wire.TopicEnd(each.name, each.next_offset)
-            for each in followers
-            if each.next_offset is not None and each.vouches
-        ]
+        ends = [end for each in followers if (end := self._end_of(each))]
         if ends:
             payload = serialize(wire.TopicEnds(ends), self.protocols)
             self.exchange.publish(Topic.TOPIC_RECORDS, payload)
 
+    def _end_of(self, follower: TopicFollower) -> wire.TopicEnd | None:
+        """Return how far a topic is read, if this host may vouch for it."""
+        end = follower.next_offset
+        if end is None:
+            return None
+        if follower.vouches:
+            return wire.TopicEnd(follower.name, end)
+        age = self.readers.word_age(follower.name)
+        if age is None:
+            return None
+        return wire.TopicEnd(follower.name, end, round(age * 1000))
+
     def _take_ends(self, sender: HostId, payload: bytes) -> None:
         try:
             message = deserialize(wire.TopicEnds(), payload, self.protocols)
@@ -100,7 +108,7 @@
             follower = self.followers.get(said.topic)
             if follower is None:
                 continue
-            self.readers.heard(said.topic)
+            self.readers.heard(said.topic, (said.age_ms or 0) / 1000)
             if said.topic in self.fetching:
                 continue
             if follower.is_behind(LogOffset(said.end)) and self.nursery:
--- a/agatetack/measure/budget.py
+++ b/agatetack/measure/budget.py
@@ -35,7 +35,7 @@
     def __init__(
         self,
         fleet_rate: float,
-        fleet_size: Callable[[], int],
+        fleet_size: Callable[[], float],
         smallest_burst: float = 1.0,
         start_seconds: float = START_SECONDS,
     ):
--- a/agatetack/peers/choice.py
+++ b/agatetack/peers/choice.py
@@ -6,59 +6,55 @@
 among them: those links alone form one ring over the whole fleet.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import xxhash
 
 from agatetack.ids import FailureDomain, HostId
+from agatetack.peers.groups import Groups
 
-NEAR_SHARE = 0.375
-"""Share of a host's own choices that fall into its failure domain."""
+LEADER_SHARE = 0.5
+"""Most links between the leaders of groups, as a share of `max_peers`: in a
+larger fleet a leader has links with some of the others."""
 
-FAR_LINKS = 2
-"""Hosts of each other failure domain that a host dials at least, one of which
-passes its messages on there; the second is there when the first is lost."""
+SECOND_LINKS = 3
+"""Leaders of other groups that the second leader of a group dials; it stands
+in for the first one."""
 
 
 def choose_peers(
     own: HostId,
     domains: Mapping[HostId, FailureDomain],
     max_peers: int,
+    lost: Collection[HostId] = (),
 ) -> frozenset[HostId]:
     """Return the hosts that `own` dials.
 
-    Up to `max_peers` others all are chosen. Above that a host chooses all of
-    its failure domain and a few of each other one, if it has `max_peers` links
-    then. In a still larger fleet it chooses half of `max_peers`, as about as
-    many others choose it.
+    Up to `max_peers` others all are chosen. Above that a host chooses those of
+    its group, and one that leads it chooses leaders of other groups too.
 
     Args:
         own: The host that chooses.
         domains: The failure domain of each known host, `own` included.
         max_peers: How many links a host should have.
+        lost: Hosts that could not be reached when they were dialled last.
     """
     others = [host for host in domains if host != own]
     if len(others) <= max_peers:
         return frozenset(others)
-    near = [host for host in others if domains[host] == domains[own]]
-    far = [host for host in others if domains[host] != domains[own]]
-    chosen = {_next_in_hash_order(own, others)}
-    far_domains = {domains[host] for host in far}
-    # A host dials some and about as many dial it.
-    far_links = 2 * (FAR_LINKS * len(far_domains) + 1)
-    if len(near) + far_links <= max_peers:
-        chosen.update(near)
-        for domain in far_domains:
-            there = [host for host in far if domains[host] == domain]
-            chosen.update(_best(own, there, FAR_LINKS))
-        return frozenset(chosen)
-    own_choices = max(2, max_peers // 2)
-    near_count = max(1, round(own_choices * NEAR_SHARE))
-    chosen.update(_best(own, near, near_count))
-    chosen.update(_best(own, far, own_choices - len(chosen)))
-    # A domain that has too few hosts leaves its places to any.
-    rest = [host for host in others if host not in chosen]
-    chosen.update(_best(own, rest, own_choices - len(chosen)))
+    groups = Groups(domains, max_peers)
+    group = groups.group_of[own]
+    chosen = {host for host in groups.hosts[group] if host != own}
+    chosen.add(_next_in_hash_order(own, others))
+    leaders = groups.leaders(group, lost)
+    if own in leaders:
+        far = [h for h in groups.first_leaders(lost) if h not in leaders]
+        most = int(max_peers * LEADER_SHARE)
+        # Where not all are chosen, about as many choose this one.
+        count = len(far) if len(far) <= most else most // 2
+        if own != leaders[0]:
+            count = min(count, SECOND_LINKS)
+        chosen.update(_best(own, far, count))
     return frozenset(chosen)
 
 
--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -2,7 +2,7 @@
 
 import abc
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import trio
 
@@ -17,6 +17,7 @@
     FrameReader,
     LinkClosed,
 )
+from agatetack.peers.groups import GroupId, Groups
 from agatetack.peers.handshake import Side, shake_hands
 from agatetack.peers.link import Link, LinkOwner
 from agatetack.peers.members import Member, MemberTable
@@ -76,6 +77,10 @@
         wanted: The hosts that this host keeps links with.
         missing: Those of them without a link, as peers were told last.
         bounded: Whether the fleet is too large for links with all.
+        groups: The groups of such a fleet, else None.
+        group: This host's group in it.
+        leaders: The hosts that lead this group now, the first one first.
+        lost: Hosts that could not be reached when they were dialled last.
         open_stream: Opens a connection to an IP number and port.
     """
 
@@ -93,6 +98,10 @@
         self.wanted: frozenset[HostId] = frozenset()
         self.missing: frozenset[HostId] = frozenset()
         self.bounded = False
+        self.groups: Groups | None = None
+        self.group: GroupId | None = None
+        self.leaders: Sequence[HostId] = ()
+        self.lost: set[HostId] = set()
         self.open_stream: OpenStream = self.transport.open
         self.dialling: dict[HostId, trio.CancelScope] = {}
         self.handshakes = 0
@@ -124,7 +133,10 @@
             for host, domain in domains.items()
             if host == self.own or self._is_reachable(host)
         }
-        self.wanted = choose_peers(self.own, reachable, self.settings.max_peers)
+        self._split(domains)
+        self.wanted = choose_peers(
+            self.own, reachable, self.settings.max_peers, self.lost
+        )
         for host in sorted(self.dialling.keys() - self.wanted):
             self.dialling.pop(host).cancel()
         for host in sorted(self.wanted - self.dialling.keys()):
@@ -132,6 +144,15 @@
             self.dialling[host] = scope
             nursery.start_soon(self._dial, host, scope)
 
+    def _split(self, domains: Mapping[HostId, FailureDomain]) -> None:
+        """Work out the groups of a fleet that is too large for all links."""
+        if not self.bounded:
+            self.groups = None
+            return
+        self.groups = Groups(domains, self.settings.max_peers)
+        self.group = self.groups.group_of[self.own]
+        self.leaders = self.groups.leaders(self.group, self.lost)
+
     def _is_reachable(self, host: HostId) -> bool:
         # A live link outweighs a list that has lost its host.
         return host in self.links or bool(self._addresses(host))
@@ -211,9 +232,16 @@
                 LOG.debug("There is no connection to %s: %s.", peer, error)
         if stream is None:
             self.counters.closed_for(CloseReason.CONNECT_FAILED)
+            self._lose(peer)
             return
         await self._serve(stream, Side.DIALLING, admit)
 
+    def _lose(self, peer: HostId) -> None:
+        """Leave leading to others while `peer` can't be reached."""
+        if peer not in self.lost:
+            self.lost.add(peer)
+            self.view_changed()
+
     def _addresses(self, peer: HostId) -> list[ListedHost | Member]:
         """Return who says where `peer` is: the list, or itself.
 
@@ -311,6 +339,7 @@
         if current is not None:
             current.close(CloseReason.REPLACED)
         self.links[link.id] = link
+        self.lost.discard(link.id)
         self.owner.linked(link)
         if self.missing:
             link.send_control(self._missing_frame())
@@ -331,6 +360,7 @@
     def _unregister(self, link: Link) -> None:
         if self.links.get(link.id) is link:
             del self.links[link.id]
+            self.lost.add(link.id)
             self.owner.unlinked(link)
             self.view_changed()
         link.ended.set()
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Awaitable, Callable, Sequence
 
-from agatetack.ids import Deadline, FailureDomain, HostId
+from agatetack.ids import Deadline, FailureDomain, HostId, TargetId
 
 
 class Topic(enum.Enum):
@@ -30,9 +30,10 @@
     ALL = "all"
     NEAR = "near"
     """All of a fleet that is small enough for links with all, and those of
-    the own failure domain in a larger one."""
+    the own group in a larger one."""
     FAR = "far"
-    """Those that `NEAR` leaves out."""
+    """Those that `NEAR` leaves out; only the first leader of a group reaches
+    them."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,6 +112,36 @@
         """Return whether the fleet is too large for links with all."""
         return False
 
+    @property
+    def leads(self) -> bool:
+        """Return whether this host passes on what its group has to hear."""
+        return False
+
+    @property
+    def speaks(self) -> bool:
+        """Return whether this host tells others of its group's targets."""
+        return False
+
+    def first_leaders(self) -> Sequence[HostId]:
+        """Return the first leader of each group, this host included."""
+        return ()
+
+    def group_hosts(self) -> Sequence[HostId]:
+        """Return the hosts of this one's group, itself included.
+
+        They are the listed ones, live or not; none if there are no groups.
+        """
+        return ()
+
+    def shares(self, target: TargetId, domain: FailureDomain) -> bool:
+        """Return whether `target` is one of this host's group.
+
+        Args:
+            target: The target.
+            domain: Its failure domain.
+        """
+        return True
+
     @abc.abstractmethod
     def fleet_size(self) -> int:
         """Return the number of hosts, this one included, never too low.
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -1,10 +1,11 @@
 """Exchange messages with the other hosts over links of this host's own.
 
-Up to `peers.max_peers` hosts every host has a link with every other one.
-Above that it dials some, see `choice`, and messages that every host needs are
-passed on. Messages on load cross to another failure domain once, to one host
-there that passes them on to the others. What a host hears of another through
-a third never makes it believe that it can reach that host itself.
+Up to `peers.max_peers` hosts every host has a link with every other one, and
+messages on load cross to another failure domain once, to one host there that
+passes them on to the others. Above that hosts are split into groups, see
+`groups`: the leaders of the groups pass on what every host needs. What a host
+hears of another through a third never makes it believe that it can reach that
+host itself.
 """
 
 import random
@@ -14,7 +15,7 @@
 
 from agatetack.clock import Clock
 from agatetack.generated.peers import ttypes
-from agatetack.ids import Deadline, FailureDomain, HostId
+from agatetack.ids import Deadline, FailureDomain, HostId, TargetId
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.peers.budget import peers_budget
@@ -166,7 +167,7 @@
         peers = self.live_peers()
         if not self.bounded:
             return peers
-        return [p for p in peers if p.failure_domain == self.failure_domain]
+        return [peer for peer in peers if self._is_of_group(peer.id)]
 
     def known_hosts(self) -> Sequence[Peer]:
         """Return all other hosts that are taken for live.
@@ -192,6 +193,35 @@
         """Return whether the fleet is too large for links with all."""
         return self.connector.bounded
 
+    @property
+    def leads(self) -> bool:
+        """Return whether this host passes on what its group has to hear."""
+        return self.bounded and self.own in self.connector.leaders
+
+    @property
+    def speaks(self) -> bool:
+        """Return whether this host tells others of its group's targets."""
+        return self.bounded and self.own in self.connector.leaders[:1]
+
+    def first_leaders(self) -> Sequence[HostId]:
+        """Return the first leader of each group, this host included."""
+        groups = self.connector.groups
+        return (
+            () if groups is None else groups.first_leaders(self.connector.lost)
+        )
+
+    def group_hosts(self) -> Sequence[HostId]:
+        """Return the hosts of this one's group, itself included."""
+        groups = self.connector.groups
+        return () if groups is None else groups.hosts[self.connector.group]
+
+    def shares(self, target: TargetId, domain: FailureDomain) -> bool:
+        """Return whether `target` is one of this host's group."""
+        groups = self.connector.groups
+        if groups is None:
+            return True
+        return groups.of_target(target, domain) == self.connector.group
+
     def fleet_size(self) -> int:
         """Return the larger of the list and the hosts heard of lately."""
         return self.members.fleet_size()
@@ -241,16 +271,27 @@
         if topic not in DOMAIN_TOPICS:
             return links
         near = [link for link in links if self._is_near(link)]
-        if scope is Scope.NEAR and self.bounded:
-            return near
-        relays = self._relays(links)
+        if not self.bounded:
+            return [] if scope is Scope.FAR else [*near, *self._relays(links)]
+        if scope is Scope.NEAR or not self.speaks:
+            return [] if scope is Scope.FAR else near
         if scope is Scope.FAR:
-            return relays if self.bounded else []
-        return [*near, *relays]
+            return [link for link in links if not self._is_near(link)]
+        return links
 
     def _is_near(self, link: Link) -> bool:
+        """Return whether messages on load reach a peer over its own link."""
+        if self.bounded:
+            return self._is_of_group(link.id)
         return link.failure_domain == self.failure_domain
 
+    def _is_of_group(self, host: HostId) -> bool:
+        groups = self.connector.groups
+        return (
+            groups is not None
+            and groups.group_of.get(host) == self.connector.group
+        )
+
     def _relays(self, links: Sequence[Link]) -> Sequence[Link]:
         """Return the link with one host of each other failure domain."""
         found: dict[FailureDomain, Link] = {}
@@ -320,21 +361,29 @@
     def _pass_on(
         self, link: Link, publish: ttypes.Publish, take: Take | None = None
     ) -> None:
-        if self._is_for_domain(link, publish):
+        if self._is_for_others(link, publish):
             links = self.connector.links.values()
             targets = [each for each in links if self._is_near(each)]
+        elif publish.flood and not self.leads:
+            # The leaders of the group pass it on.
+            targets = []
         else:
             targets = self.relay.targets(publish, link, self.connector.links)
         if targets:
             self.counters.passed_on(len(targets))
             self._send_publish(publish, targets, take)
 
-    def _is_for_domain(self, link: Link, publish: ttypes.Publish) -> bool:
-        """Return whether a host elsewhere told it to this failure domain."""
+    def _is_for_others(self, link: Link, publish: ttypes.Publish) -> bool:
+        """Return whether this host is to tell those near what comes from far.
+
+        In a small fleet a host of another failure domain chose it for that;
+        in a large one the leader of another group told each first leader.
+        """
         return (
             publish.topic in DOMAIN_TOPICS
             and publish.origin == link.id
             and not self._is_near(link)
+            and (self.speaks or not self.bounded)
         )
 
     def _deliver(self, publish: ttypes.Publish) -> None:
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -1,6 +1,6 @@
 """Ask a target for its load on the connection that a request will use."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import trio
 
@@ -8,6 +8,7 @@
 from agatetack.measure.budget import TokenBucket
 from agatetack.messages import find_header
 from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange
 from agatetack.settings.model import Settings
 from agatetack.targets.answer_check import encode_name
 from agatetack.targets.client import Freshness
@@ -30,6 +31,10 @@
 BURST_LOOKS = 2.0
 """Looks at one target that a host may save up, and has at its start."""
 
+GROUP_LOOKS = 0.75
+"""Share of the looks at a target that the hosts of its group have among them,
+as they send most of its requests; all others have the rest."""
+
 MAX_ANSWER_BYTES = 4096
 """Most bytes of a load endpoint's answer; one has some 200."""
 
@@ -47,7 +52,7 @@
         registry: TargetRegistry,
         pools: TargetPools,
         load_reader: LoadReader,
-        fleet_size: Callable[[], int],
+        exchange: Exchange,
         metrics: Metrics,
         load_paths: Mapping[ServiceId, str] | None = None,
     ):
@@ -58,7 +63,7 @@
             registry: The targets.
             pools: Their connections.
             load_reader: Reads load reports.
-            fleet_size: Returns the number of hosts, never too low.
+            exchange: The other hosts, which look too.
             metrics: Where the spending is counted.
             load_paths: Load paths of services that have one of their own.
         """
@@ -66,7 +71,7 @@
         self.registry = registry
         self.pools = pools
         self.load_reader = load_reader
-        self.fleet_size = fleet_size
+        self.exchange = exchange
         self.metrics = metrics
         self.load_paths = load_paths
         self.rate = settings.measure.target_looks_per_second
@@ -93,12 +98,24 @@
         if bucket is None:
             self._forget_gone()
             bucket = TokenBucket(
-                self.rate, self.fleet_size, BURST_LOOKS, start_seconds=0.0
+                self.rate,
+                lambda: self._lookers(target),
+                BURST_LOOKS,
+                start_seconds=0.0,
             )
             bucket.tokens = BURST_LOOKS
             self.buckets[target.process] = bucket
         return bucket
 
+    def _lookers(self, target: TargetState) -> float:
+        """Return how many hosts share the looks at `target` evenly."""
+        hosts = self.exchange.group_hosts()
+        if not hosts:
+            return self.exchange.fleet_size()
+        if self.exchange.shares(target.id, target.failure_domain):
+            return len(hosts) / GROUP_LOOKS
+        return self.exchange.fleet_size() / (1 - GROUP_LOOKS)
+
     def _forget_gone(self) -> None:
         for process in self.buckets.keys() - self.registry.by_process.keys():
             del self.buckets[process]
--- a/thrift/keyed.thrift
+++ b/thrift/keyed.thrift
@@ -7,6 +7,8 @@
 struct TopicEnd {
   1: required string topic
   2: required i64 end           // the next offset that it will read
+  3: optional i32 age_ms        // since a host that reads the store said so;
+                                // absent: the sender reads it itself
 }
 
 struct TopicEnds {
