Make settings and registrations with msgspec, not pydantic

Ruled out: deferred building of the models, which a start needs anyway. Findings keep their words and places: the loader's tables and the fuzz tests are unchanged. A whole number written as 5.0 is now refused where a whole number is wanted.

--- a/agatetack/demo.py
+++ b/agatetack/demo.py
@@ -126,7 +126,7 @@
     return default_settings(
         host={"id": f"gateway-{number + 1}"},
         callers=anywhere,
-        operators={**anywhere, "tokens": [demo.token.entry.model_dump()]},
+        operators={**anywhere, "tokens": [demo.token.entry.as_map()]},
         peers=anywhere,
         platform={
             "log": {"endpoint": endpoint},
--- a/agatetack/keyed/test_follower.py
+++ b/agatetack/keyed/test_follower.py
@@ -56,12 +56,8 @@
         )
         self.sharing = None
         if exchange is not None:
-            settings = SETTINGS.model_copy(
-                update={
-                    "host": SETTINGS.host.model_copy(
-                        update={"id": exchange.host}
-                    )
-                }
+            settings = SETTINGS.copy_with(
+                {"host": SETTINGS.host.copy_with({"id": exchange.host})}
             )
             self.sharing = TopicSharing(
                 settings, [self.follower], exchange, metrics
--- a/agatetack/lifecycle/status.py
+++ b/agatetack/lifecycle/status.py
@@ -89,8 +89,8 @@
     settings: Settings, listen: Endpoint, handler: Handler, metrics: Metrics
 ) -> CallerServer:
     """Return a plain HTTP server at `listen`."""
-    callers = settings.callers.model_copy(
-        update={"listen": listen, "pipeline_depth": 1, "end_means_gone": False}
+    callers = settings.callers.copy_with(
+        {"listen": listen, "pipeline_depth": 1, "end_means_gone": False}
     )
-    own = settings.model_copy(update={"callers": callers})
+    own = settings.copy_with({"callers": callers})
     return CallerServer(own, handler, metrics)
--- a/agatetack/operators/test_access.py
+++ b/agatetack/operators/test_access.py
@@ -92,7 +92,7 @@
 
 async def test_a_new_token_is_let_in():
     token = make_token("ops", TeamId("platform"))
-    access = authenticator(tokens=[token.entry.model_dump()])
+    access = authenticator(tokens=[token.entry.as_map()])
     sender = Sender(f"Bearer {token.secret}".encode(), ADDRESS)
     assert access.authenticate(sender).all_services
     assert token.secret not in repr(token.entry)
--- a/agatetack/operators/test_contract.py
+++ b/agatetack/operators/test_contract.py
@@ -61,7 +61,7 @@
         callers=anywhere,
         platform={"log": {"poll_seconds": 0.05}},
         peers=anywhere,
-        operators={**anywhere, "tokens": [TOKEN.entry.model_dump()]},
+        operators={**anywhere, "tokens": [TOKEN.entry.as_map()]},
     )
 
 
--- a/agatetack/operators/test_fleet.py
+++ b/agatetack/operators/test_fleet.py
@@ -34,7 +34,7 @@
         host={"id": name},
         callers=anywhere,
         peers={**anywhere, "heartbeat_seconds": 0.05},
-        operators={**anywhere, "tokens": [TOKEN.entry.model_dump()]},
+        operators={**anywhere, "tokens": [TOKEN.entry.as_map()]},
         platform={
             "log": {"poll_seconds": 0.05},
             "host_list": {"poll_seconds": 0.05},
--- a/agatetack/platform/bounds.py
+++ b/agatetack/platform/bounds.py
@@ -83,16 +83,16 @@
     measure = settings.measure
     if bounds.stop_seconds is not None:
         drain = max(1.0, bounds.stop_seconds - KILL_MARGIN_SECONDS)
-        lifecycle = lifecycle.model_copy(
-            update={
+        lifecycle = lifecycle.copy_with(
+            {
                 "drain_seconds": drain,
                 "notice_seconds": min(
                     lifecycle.notice_seconds, NOTICE_SHARE * drain
                 ),
             }
         )
-    attempts = attempts.model_copy(
-        update=_given(
+    attempts = attempts.copy_with(
+        _given(
             fleet_ratio=bounds.repeat_ratio,
             fleet_slack=bounds.repeat_slack,
             fleet_window_seconds=bounds.repeat_window_seconds,
@@ -101,11 +101,11 @@
     if bounds.probes_per_second is not None:
         most = bounds.probes_per_second * PROBE_SHARE
         wanted = measure.target_probes_per_second
-        measure = measure.model_copy(
-            update={"target_probes_per_second": min(wanted, most)}
+        measure = measure.copy_with(
+            {"target_probes_per_second": min(wanted, most)}
         )
-    return settings.model_copy(
-        update={
+    return settings.copy_with(
+        {
             "lifecycle": lifecycle,
             "attempts": attempts,
             "measure": measure,
--- a/agatetack/platform/registrations.py
+++ b/agatetack/platform/registrations.py
@@ -4,8 +4,9 @@
 import re
 from typing import Annotated, Literal
 
-import pydantic
+import msgspec
 import trio
+from msgspec import Meta
 
 from agatetack.hosts.host_list import HostRole, HostState
 from agatetack.hosts.listed_target import (
@@ -32,51 +33,46 @@
 KEY = re.compile(r"[!-~]{1,200}")
 """Keys that can stand in a header, as each request names its server."""
 
-Text = Annotated[str, pydantic.Field(min_length=1, max_length=200)]
-Number = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+Text = Annotated[str, Meta(min_length=1, max_length=200)]
+Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 
 
-class EntryPart(pydantic.BaseModel):
-    """A part of an entry; types are exact, and unknown fields are ignored."""
-
-    model_config = pydantic.ConfigDict(strict=True, extra="ignore")
-
-
-class ServerInfo(EntryPart):
+class ServerInfo(msgspec.Struct):
     """What does not change while a server runs."""
 
     service: Text
     version: Text
     zone: Text
-    slots: Annotated[int, pydantic.Field(ge=1, le=MAX_SLOTS)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 
 
-class ServerStatus(EntryPart):
+class ServerStatus(msgspec.Struct):
     """What a server reports of itself again and again."""
 
     state: Literal["ready", "draining"]
     sequence: Number
     warmup_left: Annotated[
-        str, pydantic.Field(pattern=r"^[0-9]{1,9}(\.[0-9]{1,9})?(ms|s)$")
+        str, Meta(pattern=r"^[0-9]{1,9}(\.[0-9]{1,9})?(ms|s)$")
     ]
 
 
-class ServerEntry(EntryPart):
-    """One server's entry.
+class ServerEntry(msgspec.Struct, kw_only=True):
+    """One server's entry; types are exact, and unknown fields are ignored.
 
     Attributes:
         address: Where it is reached, as `ip:port`.
         born: When its process started, in Unix ms; 0 if it does not say.
     """
 
-    address: Annotated[
-        str, pydantic.Field(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")
-    ]
+    address: Annotated[str, Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
     born: Number = 0
     info: ServerInfo
     status: ServerStatus
 
 
+ENTRIES = msgspec.json.Decoder(ServerEntry)
+
+
 class ServerDecoder(RegistrationDecoder):
     """Reads the platform's entries of servers, as JSON."""
 
@@ -100,7 +96,7 @@
         raise ValueError("the key can't name a server")
     if len(content) > MAX_ENTRY_BYTES:
         raise ValueError(f"the entry has {len(content)} bytes")
-    entry = ServerEntry.model_validate_json(content)
+    entry = ENTRIES.decode(content)
     ip, _, port = entry.address.rpartition(":")
     left = read_seconds(entry.status.warmup_left)
     if left > MAX_WARM_UP_SECONDS:
--- a/agatetack/settings/cross_checks.py
+++ b/agatetack/settings/cross_checks.py
@@ -158,7 +158,7 @@
 def _check_headers(settings: Settings) -> Iterator[Misfit]:
     for section in ("callers", "targets"):
         headers = value_at(settings, (section, "headers"))
-        names = {key: name for key, name in headers if name is not None}
+        names = {key: name for key, name in headers.items() if name is not None}
         counts = Counter(names.values())
         for key, name in names.items():
             if name in RESERVED_HEADERS:
--- a/agatetack/settings/defaults.py
+++ b/agatetack/settings/defaults.py
@@ -5,6 +5,7 @@
 import pathlib
 from collections.abc import Mapping
 
+from agatetack.settings.building import build
 from agatetack.settings.model import Settings
 from agatetack.settings.yaml_file import read_yaml
 
@@ -46,6 +47,6 @@
         **overrides: One nested map per section, such as `host={"id": "a"}`.
 
     Raises:
-        pydantic.ValidationError: A value is out of bounds.
+        BadSettings: A value is out of bounds.
     """
-    return Settings.model_validate(merge_layers(default_layer(), overrides))
+    return build(Settings, merge_layers(default_layer(), overrides))
--- a/agatetack/settings/loader.py
+++ b/agatetack/settings/loader.py
@@ -6,10 +6,14 @@
 import typing
 from collections.abc import Callable, Iterable, Iterator
 
-import pydantic
-from pydantic_core import ErrorDetails
 from returns.result import Failure, Result, Success
 
+from agatetack.settings.building import (
+    BadValue,
+    Builder,
+    field_kinds,
+    is_section,
+)
 from agatetack.settings.cross_checks import find_misfits
 from agatetack.settings.defaults import default_layer, merge_layers
 from agatetack.settings.findings import (
@@ -22,7 +26,6 @@
 from agatetack.settings.hints import near_key, plain_number
 from agatetack.settings.misfit import Misfit
 from agatetack.settings.model import Section, Settings
-from agatetack.settings.wording import word_error
 from agatetack.settings.yaml_file import YamlFile, parse_yaml, read_yaml
 
 FindMisfits = Callable[[Settings], Iterator[Misfit]]
@@ -99,49 +102,24 @@
     layer: dict, file: YamlFile
 ) -> tuple[Settings | None, set[KeyPath]]:
     """Return the settings, or None and the paths that are at fault."""
-    try:
-        return Settings.model_validate(layer), set()
-    except pydantic.ValidationError as error:
-        details = error.errors(include_url=False)
-    by_path: dict[KeyPath, list[ErrorDetails]] = {}
-    for detail in details:
-        keys = _real_path(detail, layer)
-        by_path.setdefault(keys, []).append(detail)
-    for keys, same_path in by_path.items():
-        if not _is_unread(keys, file):
-            _add_error(keys, same_path, file)
-    return None, set(by_path)
-
-
-def _add_error(
-    keys: KeyPath, details: list[ErrorDetails], file: YamlFile
-) -> None:
-    # A union yields one error for each of its kinds.
-    message = " or ".join(dict.fromkeys(map(word_error, details)))
-    if details[0]["type"] == "extra_forbidden":
+    builder = Builder()
+    settings = builder.build(Settings, layer)
+    for bad in builder.bad:
+        if not _is_unread(bad.path, file):
+            _add_error(bad, file)
+    return settings, {bad.path for bad in builder.bad}
+
+
+def _add_error(bad: BadValue, file: YamlFile) -> None:
+    keys = bad.path
+    if bad.unknown:
         siblings = _known_keys(keys[:-1])
         hint = near_key(keys, siblings, default_layer())
-        file.add(keys, file.key_place(keys), message, hint)
+        file.add(keys, file.key_place(keys), bad.message, hint)
         return
     name = str(keys[-1]) if keys else ""
-    hint = plain_number(name, details[0]["input"])
-    file.add(keys, file.place(keys), message, hint)
-
-
-def _real_path(detail: ErrorDetails, layer: dict) -> KeyPath:
-    """Return the path of an error, as far as it leads through `layer`.
-
-    For a union pydantic appends the name of a kind to the path.
-    """
-    path = detail["loc"]
-    value: object = layer
-    for depth, step in enumerate(path):
-        try:
-            value = value[step]
-        except (KeyError, IndexError, TypeError):
-            is_missing = detail["type"] == "missing"
-            return path[: depth + 1] if is_missing else path[:depth]
-    return path
+    hint = plain_number(name, bad.value)
+    file.add(keys, file.place(keys), bad.message, hint)
 
 
 def _is_unread(keys: KeyPath, file: YamlFile) -> bool:
@@ -154,18 +132,18 @@
     for step in keys:
         if isinstance(step, int):
             continue
-        section = _section_in(section.model_fields[step].annotation)
-    return tuple(section.model_fields)
+        section = _section_in(field_kinds(section)[step])
+    return section.__struct_fields__
 
 
-def _section_in(annotation: object) -> type[Section]:
+def _section_in(kind: object) -> type[Section]:
     """Return the section that a field's annotation speaks of."""
-    if isinstance(annotation, type) and issubclass(annotation, Section):
-        return annotation
-    for part in typing.get_args(annotation):
+    if is_section(kind):
+        return kind
+    for part in typing.get_args(kind):
         if part not in (type(None), Ellipsis):
             return _section_in(part)
-    raise TypeError(f"{annotation} holds no section")
+    raise TypeError(f"{kind} holds no section")
 
 
 def _settings_without(
@@ -175,10 +153,7 @@
     repaired = copy.deepcopy(layer)
     for keys in broken:
         _reset(repaired, default_layer(), keys)
-    try:
-        return Settings.model_validate(repaired)
-    except pydantic.ValidationError:
-        return None
+    return Builder().build(Settings, repaired)
 
 
 def _reset(layer: dict, default: dict, keys: KeyPath) -> None:
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -5,16 +5,19 @@
 """
 
 import enum
-from typing import Annotated, Literal
+from typing import Annotated
 
-import pydantic
+from msgspec import Meta
 
 from agatetack.settings.section import (
+    LARGEST,
     Bytes,
     Count,
     Endpoint,
     HeaderName,
     Name,
+    NotNegative,
+    Positive,
     Ratio,
     Seconds,
     Section,
@@ -43,7 +46,7 @@
     ticket: HeaderName
 
 
-RefusalStatus = Annotated[int, pydantic.Field(ge=400, le=599)]
+RefusalStatus = Annotated[int, Meta(ge=400, le=599)]
 
 
 class CallersSettings(Section):
@@ -66,7 +69,7 @@
     pipeline_depth: Count
     refusal_statuses: dict[str, RefusalStatus]
     statuses_promise: bool
-    retry_after_decimals: Annotated[int, pydantic.Field(ge=0, le=3)]
+    retry_after_decimals: Annotated[int, Meta(ge=0, le=3)]
 
 
 class TargetHeaders(Section):
@@ -107,7 +110,7 @@
     timeout_seconds: Seconds
     poll_seconds: Seconds
     retry_seconds: Seconds
-    appends_per_second: Annotated[float, pydantic.Field(gt=0)]
+    appends_per_second: Positive
     retention_seconds: Seconds
     max_record_bytes: Bytes
 
@@ -127,11 +130,11 @@
 
     endpoint: Endpoint | None
     timeout_seconds: Seconds
-    poll_seconds: Annotated[Seconds, pydantic.Field(le=30)]
-    batch_seconds: Annotated[float, pydantic.Field(ge=0, le=1)]
+    poll_seconds: Annotated[float, Meta(gt=0, le=30)]
+    batch_seconds: Annotated[float, Meta(ge=0, le=1)]
     retry_seconds: Seconds
-    silent_seconds: Annotated[int, pydantic.Field(ge=1, le=30)]
-    doubt_seconds: Annotated[float, pydantic.Field(ge=0)]
+    silent_seconds: Annotated[int, Meta(ge=1, le=30)]
+    doubt_seconds: NotNegative
     member_topic: Name
     bounds: tuple[str, ...]
 
@@ -159,22 +162,27 @@
     fetch_delay_seconds: Seconds
     fetch_timeout_seconds: Seconds
     transfer_timeout_seconds: Seconds
-    log_reads_per_second: Annotated[float, pydantic.Field(gt=0)]
-    acknowledge_seconds: Annotated[float, pydantic.Field(ge=0)]
-    snapshot_age_ratio: Annotated[float, pydantic.Field(gt=0, le=0.5)]
+    log_reads_per_second: Positive
+    acknowledge_seconds: NotNegative
+    snapshot_age_ratio: Annotated[float, Meta(gt=0, le=0.5)]
     snapshot_stagger_seconds: Seconds
     snapshot_records: Count
     kept_records: Count
 
 
+AnyOrName = Annotated[
+    str, Meta(pattern=r"^(\*|[A-Za-z0-9][A-Za-z0-9._-]*)$", max_length=100)
+]
+
+
 class OperatorToken(Section):
     """One operator's access; the token itself is never stored."""
 
     name: Name
     team: Name
-    sha256: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+    sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
     roles: tuple[OperatorRole, ...]
-    services: tuple[Literal["*"] | Name, ...]
+    services: tuple[AnyOrName, ...]
 
 
 class TeamLimits(Section):
@@ -182,7 +190,7 @@
 
     team: Name
     max_routes: Count
-    max_requests_per_second: Annotated[float, pydantic.Field(ge=0)]
+    max_requests_per_second: NotNegative
 
 
 class OperatorsSettings(Section):
@@ -193,7 +201,7 @@
     tokens: tuple[OperatorToken, ...]
     failed_attempts_per_minute: Count
     max_routes_per_team: Count
-    max_requests_per_second_per_team: Annotated[float, pydantic.Field(ge=0)]
+    max_requests_per_second_per_team: NotNegative
     team_limits: tuple[TeamLimits, ...]
 
 
@@ -216,13 +224,13 @@
 class MeasureSettings(Section):
     """The budget of measuring; figures are for the whole fleet."""
 
-    probes_per_second: Annotated[float, pydantic.Field(ge=0)]
-    bytes_per_second: Annotated[float, pydantic.Field(ge=0)]
+    probes_per_second: NotNegative
+    bytes_per_second: NotNegative
     probe_timeout_seconds: Seconds
     probe_reuses: Count
     report_half_life_seconds: Seconds
-    target_probes_per_second: Annotated[float, pydantic.Field(ge=0)]
-    target_looks_per_second: Annotated[float, pydantic.Field(ge=0)]
+    target_probes_per_second: NotNegative
+    target_looks_per_second: NotNegative
 
 
 class PolicyName(enum.Enum):
@@ -241,9 +249,9 @@
 
     policy: PolicyName
     cold_seconds: Seconds
-    same_domain_seconds: Annotated[float, pydantic.Field(ge=0)]
-    other_domain_seconds: Annotated[float, pydantic.Field(ge=0)]
-    slow_ratio: Annotated[float, pydantic.Field(gt=1)]
+    same_domain_seconds: NotNegative
+    other_domain_seconds: NotNegative
+    slow_ratio: Annotated[float, Meta(gt=1, le=LARGEST)]
     slow_retry_seconds: Seconds
     leaving_hold_seconds: Seconds
 
@@ -271,7 +279,7 @@
     hedge_on_new: bool
     max_attempts: Count
     fleet_ratio: Ratio
-    fleet_slack: Annotated[float, pydantic.Field(ge=0)]
+    fleet_slack: NotNegative
     fleet_window_seconds: Seconds
 
 
@@ -281,7 +289,7 @@
     partitions: Count
     key_window_seconds: Seconds
     undated_window_seconds: Seconds
-    fleet_appends_per_second: Annotated[float, pydantic.Field(gt=0)]
+    fleet_appends_per_second: Positive
     max_batch: Count
     max_keys: Count
     steward_timeout_seconds: Seconds
@@ -307,7 +315,7 @@
     upkeep_seconds: Seconds
     submit_timeout_seconds: Seconds
     append_interval_seconds: Seconds
-    append_ratio: Annotated[float, pydantic.Field(gt=0, le=1)]
+    append_ratio: Annotated[float, Meta(gt=0, le=1)]
     append_burst: Count
     cache_bytes: Bytes
 
--- a/agatetack/settings/reload.py
+++ b/agatetack/settings/reload.py
@@ -23,7 +23,7 @@
     """Return the names of the sections that differ."""
     return [
         name
-        for name in type(before).model_fields
+        for name in type(before).__struct_fields__
         if getattr(before, name) != getattr(after, name)
     ]
 
--- a/agatetack/settings/section.py
+++ b/agatetack/settings/section.py
@@ -1,54 +1,62 @@
 """Define what all sections of the settings are made of."""
 
 import ipaddress
-from typing import Annotated
-
-import pydantic
-from pydantic_core import PydanticCustomError
-
-Seconds = Annotated[float, pydantic.Field(gt=0, le=30 * 86_400)]
-Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
-Bytes = Annotated[int, pydantic.Field(ge=1, le=2**40)]
-Count = Annotated[int, pydantic.Field(ge=1, le=10**9)]
-Ratio = Annotated[float, pydantic.Field(ge=0, le=1)]
+import sys
+from collections.abc import Iterator, Mapping
+from typing import Annotated, Self
+
+import msgspec
+from msgspec import Meta
+
+LARGEST = sys.float_info.max
+"""Largest finite number; infinity is no setting."""
+
+Seconds = Annotated[float, Meta(gt=0, le=30 * 86_400)]
+NotNegative = Annotated[float, Meta(ge=0, le=LARGEST)]
+Positive = Annotated[float, Meta(gt=0, le=LARGEST)]
+Port = Annotated[int, Meta(ge=0, le=65_535)]
+Bytes = Annotated[int, Meta(ge=1, le=2**40)]
+Count = Annotated[int, Meta(ge=1, le=10**9)]
+Ratio = Annotated[float, Meta(ge=0, le=1)]
 Name = Annotated[
-    str,
-    pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100),
+    str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100)
 ]
-HeaderName = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9-]+$")]
+HeaderName = Annotated[str, Meta(pattern=r"^[a-z0-9-]+$")]
 
 
-class Section(pydantic.BaseModel):
-    """A part of the settings; unknown keys are findings."""
+class Section(msgspec.Struct, frozen=True, kw_only=True):
+    """A part of the settings; `building` makes it and finds what is wrong."""
 
-    model_config = pydantic.ConfigDict(
-        extra="forbid", frozen=True, allow_inf_nan=False
-    )
-
-    @pydantic.field_validator("*", mode="before")
     @classmethod
-    def refuse_other_kind(
-        cls, value: object, info: pydantic.ValidationInfo
-    ) -> object:
-        """Refuse text or a boolean for a number, and the other way round.
-
-        Pydantic would convert them, so that `yes` became 1.
-        """
-        kind = cls.model_fields[info.field_name].annotation
-        if kind is bool and not isinstance(value, bool):
-            raise PydanticCustomError("flag_kind", "must be true or false")
-        if kind is int and isinstance(value, bool | str):
-            raise PydanticCustomError("int_kind", "must be a whole number")
-        if kind is float and isinstance(value, bool | str):
-            raise PydanticCustomError("float_kind", "must be a number")
+    def prepare(cls, value: object) -> object:
+        """Return the map that `value` stands for, if it is another form."""
         return value
 
+    def copy_with(self, update: Mapping[str, object]) -> Self:
+        """Return a copy with other values, which are not checked."""
+        return msgspec.structs.replace(self, **update)
+
+    def as_map(self) -> dict[str, object]:
+        """Return the values as a settings file gives them."""
+        return msgspec.to_builtins(self, enc_hook=str)
+
+    def items(self) -> Iterator[tuple[str, object]]:
+        """Yield each key and its value."""
+        for name in self.__struct_fields__:
+            yield name, getattr(self, name)
 
-def parse_ip(value: object) -> object:
+
+class IpError(ValueError):
+    """A text is no IP number."""
+
+
+def parse_ip(
+    value: object,
+) -> ipaddress.IPv4Address | ipaddress.IPv6Address:
     """Return the IP number that a text gives.
 
     Raises:
-        PydanticCustomError: It is neither an IP number nor such a text.
+        IpError: It is neither an IP number nor such a text.
     """
     if isinstance(value, ipaddress.IPv4Address | ipaddress.IPv6Address):
         return value
@@ -57,13 +65,11 @@
             return ipaddress.ip_address(value)
     except ValueError:
         pass
-    raise PydanticCustomError("ip_kind", "must be an IP number, not a name")
+    raise IpError("must be an IP number, not a name")
 
 
-IpNumber = Annotated[
-    ipaddress.IPv4Address | ipaddress.IPv6Address,
-    pydantic.BeforeValidator(parse_ip),
-]
+class IpNumber:
+    """The kind of a field that holds an IP number."""
 
 
 class Endpoint(Section):
@@ -72,15 +78,22 @@
     ip: IpNumber
     port: Port
 
-    @pydantic.model_validator(mode="before")
+    def __post_init__(self):
+        """Take an IP number as text, too."""
+        msgspec.structs.force_setattr(self, "ip", parse_ip(self.ip))
+
     @classmethod
-    def split_text(cls, value: object) -> object:
-        """Take `IP:PORT` for a map of both."""
+    def prepare(cls, value: object) -> object:
+        """Take `IP:PORT` for a map of both.
+
+        Raises:
+            ValueError: It is another text.
+        """
         if not isinstance(value, str):
             return value
         ip, _, port = value.rpartition(":")
         if not ip or not port.isdecimal():
-            raise PydanticCustomError("endpoint_kind", "must be IP:PORT")
+            raise ValueError("must be IP:PORT")
         return {"ip": ip.strip("[]"), "port": int(port)}
 
     @property
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -168,8 +168,8 @@
         callers = self.settings.callers
         limits = self.documents.limits
         if limits is not None:
-            callers = callers.model_copy(
-                update={
+            callers = callers.copy_with(
+                {
                     "max_header_bytes": limits.max_header_bytes,
                     "max_body_bytes": limits.max_body_bytes,
                     "header_timeout_seconds": limits.header_timeout_seconds,
--- a/agatetack/targets/test_look.py
+++ b/agatetack/targets/test_look.py
@@ -19,10 +19,8 @@
 
 def make_look(reader: LoadReader | None = None, hosts=10, paths=None):
     settings = template_settings(1)
-    measure = settings.measure.model_copy(
-        update={"target_looks_per_second": RATE}
-    )
-    settings = settings.model_copy(update={"measure": measure})
+    measure = settings.measure.copy_with({"target_looks_per_second": RATE})
+    settings = settings.copy_with({"measure": measure})
     registry = TargetRegistry(settings, Metrics())
     registry.update([started_target(1, 1000)])
     exchange = NoExchange()
--- a/agatetack/test_tls.py
+++ b/agatetack/test_tls.py
@@ -55,7 +55,7 @@
 async def test_a_renewed_certificate_is_served(nursery, tmp_path, monkeypatch):
     monkeypatch.setattr("agatetack.tls.POLL_SECONDS", 0.01)
     authority = Authority(tmp_path)
-    settings = make_settings(tls=authority.files().model_dump())
+    settings = make_settings(tls=authority.files().as_map())
     port = await nursery.start(
         serve_operators, settings, make_backend(settings), Metrics()
     )
--- a/agatetack/testing/processes.py
+++ b/agatetack/testing/processes.py
@@ -182,7 +182,7 @@
     def _settings(self, name: str) -> dict:
         endpoint = {"ip": "127.0.0.1", "port": self.stand_ins.ports.platform}
         anywhere = {"listen": {"ip": "127.0.0.1", "port": 0}}
-        token = self.token.entry.model_dump(mode="json")
+        token = self.token.entry.as_map()
         return {
             "host": {"id": name},
             "callers": anywhere,
--- a/agatetack/testing/store_fleet.py
+++ b/agatetack/testing/store_fleet.py
@@ -268,7 +268,7 @@
 
 def _changed(settings: Settings, change: Mapping[str, Mapping]) -> Settings:
     sections = {
-        name: getattr(settings, name).model_copy(update=dict(values))
+        name: getattr(settings, name).copy_with(dict(values))
         for name, values in change.items()
     }
-    return settings.model_copy(update=sections)
+    return settings.copy_with(sections)
