--- a/agatetack/peers/choice.py
+++ b/agatetack/peers/choice.py
@@ -27,6 +27,7 @@
     domains: Mapping[HostId, FailureDomain],
     max_peers: int,
     lost: Collection[HostId] = (),
+    groups: Groups | None = None,
 ) -> frozenset[HostId]:
     """Return the hosts that `own` dials.
 
@@ -38,11 +39,12 @@
         domains: The failure domain of each known host, `own` included.
         max_peers: How many links a host should have.
         lost: Hosts that could not be reached when they were dialled last.
+        groups: The groups of `domains`, if they are known already.
     """
     others = [host for host in domains if host != own]
     if len(others) <= max_peers:
         return frozenset(others)
-    groups = Groups(domains, max_peers)
+    groups = groups or Groups(domains, max_peers)
     group = groups.group_of[own]
     chosen = {host for host in groups.hosts[group] if host != own}
     chosen.add(_next_in_hash_order(own, others))
--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -32,6 +32,10 @@
 CHOICE_PAUSE_SECONDS = 0.05
 """Shortest time between two choices of peers, as changes come in groups."""
 
+PAUSE_HOSTS = 50
+"""Hosts for each of which that time holds; a choice among 312 hosts takes 2 ms
+of processor time, and they all come within some seconds."""
+
 LOG = PartLog("peers")
 
 OpenStream = Callable[[str, int], Awaitable[trio.abc.Stream]]
@@ -122,7 +126,11 @@
                 self._tell_missing()
                 with trio.move_on_after(self.settings.timeout_seconds):
                     await self.changed.wait()
-                await trio.sleep(CHOICE_PAUSE_SECONDS)
+                await trio.sleep(self._choice_pause())
+
+    def _choice_pause(self) -> float:
+        hosts = 1 + len(self.members.listed)
+        return CHOICE_PAUSE_SECONDS * max(1.0, hosts / PAUSE_HOSTS)
 
     def _choose(self, nursery: trio.Nursery) -> None:
         domains = self.members.domains()
@@ -133,9 +141,13 @@
             for host, domain in domains.items()
             if host == self.own or self._is_reachable(host)
         }
-        self._split(domains)
+        self._split(reachable)
         self.wanted = choose_peers(
-            self.own, reachable, self.settings.max_peers, self.lost
+            self.own,
+            reachable,
+            self.settings.max_peers,
+            self.lost,
+            self.groups,
         )
         for host in sorted(self.dialling.keys() - self.wanted):
             self.dialling.pop(host).cancel()
@@ -149,7 +161,8 @@
         if not self.bounded:
             self.groups = None
             return
-        self.groups = Groups(domains, self.settings.max_peers)
+        if self.groups is None or self.groups.domains != domains:
+            self.groups = Groups(domains, self.settings.max_peers)
         self.group = self.groups.group_of[self.own]
         self.leaders = self.groups.leaders(self.group, self.lost)
 
--- a/agatetack/peers/groups.py
+++ b/agatetack/peers/groups.py
@@ -47,6 +47,8 @@
         hosts: The hosts of each group, those that lead it first.
         group_of: The group of each host.
         by_domain: The groups of each failure domain.
+        domains: The failure domain of each host.
+        found: The group of each target that was asked for.
     """
 
     def __init__(self, domains: Mapping[HostId, FailureDomain], max_peers: int):
@@ -60,6 +62,8 @@
         self.hosts: dict[GroupId, list[HostId]] = {}
         self.group_of: dict[HostId, GroupId] = {}
         self.by_domain: dict[FailureDomain, list[GroupId]] = {}
+        self.domains = dict(domains)
+        self.found: dict[TargetId, GroupId | None] = {}
         near: dict[FailureDomain, list[HostId]] = defaultdict(list)
         for host, domain in domains.items():
             near[domain].append(host)
@@ -95,12 +99,18 @@
             domain: Its failure domain. One without hosts leaves its targets
                 to the groups of all others.
         """
+        if target not in self.found:
+            self.found[target] = self._find_group(target, domain)
+        return self.found[target]
+
+    def _find_group(
+        self, target: TargetId, domain: FailureDomain
+    ) -> GroupId | None:
         groups = self.by_domain.get(domain) or list(self.hosts)
-        if not groups:
-            return None
         return max(
             groups,
             key=lambda g: _rank(f"{g.failure_domain}/{g.number}", target),
+            default=None,
         )
 
     def leaders(
