--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -20,7 +20,6 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.budget import peers_budget
 from agatetack.peers.call_service import CallService
-from agatetack.peers.choice import pair_rank
 from agatetack.peers.connector import Connector, ConnectorOwner
 from agatetack.peers.counters import PeerCounters
 from agatetack.peers.directory import GatewayDirectory
@@ -43,12 +42,8 @@
 from agatetack.peers.identity import Announcements, Identity
 from agatetack.peers.link import Link
 from agatetack.peers.members import MemberTable
-from agatetack.peers.relay import (
-    DOMAIN_TOPICS,
-    MEMBER_TOPIC,
-    Relay,
-    without_origin,
-)
+from agatetack.peers.reach import Reach
+from agatetack.peers.relay import MEMBER_TOPIC, Relay, without_origin
 from agatetack.peers.transport import make_transport
 from agatetack.settings.model import Settings
 
@@ -65,6 +60,7 @@
         identity: Who this host is.
         members: The hosts known.
         connector: The links of this host.
+        reach: Which of them a message goes over.
     """
 
     def __init__(
@@ -94,6 +90,7 @@
         self.calls = CallService(settings.peers, self.counters)
         self.transport = make_transport(settings.peers, metrics)
         self.connector = Connector(self, self.random)
+        self.reach = Reach(self.own, self.failure_domain, self.connector)
         self.max_publish_bytes = min(
             settings.peers.max_frame_bytes, self.budget.max_publish()
         )
@@ -133,7 +130,7 @@
         self, topic: Topic, payload: bytes, scope: Scope = Scope.ALL
     ) -> None:
         """Send to connected peers; dropped when over the byte budget."""
-        links = self._links_in(scope, topic.value)
+        links = self.reach.links_in(scope, topic.value)
         if links:
             self._publish(topic.value, payload, links)
 
@@ -167,7 +164,7 @@
         peers = self.live_peers()
         if not self.bounded:
             return peers
-        return [peer for peer in peers if self._is_of_group(peer.id)]
+        return [peer for peer in peers if self.reach.is_of_group(peer.id)]
 
     def known_hosts(self) -> Sequence[Peer]:
         """Return all other hosts that are taken for live.
@@ -196,31 +193,24 @@
     @property
     def leads(self) -> bool:
         """Return whether this host passes on what its group has to hear."""
-        return self.bounded and self.own in self.connector.leaders
+        return self.reach.leads
 
     @property
     def speaks(self) -> bool:
         """Return whether this host tells others of its group's targets."""
-        return self.bounded and self.own in self.connector.leaders[:1]
+        return self.reach.speaks
 
     def first_leaders(self) -> Sequence[HostId]:
         """Return the first leader of each group, this host included."""
-        groups = self.connector.groups
-        return (
-            () if groups is None else groups.first_leaders(self.connector.lost)
-        )
+        return self.reach.first_leaders()
 
     def group_hosts(self) -> Sequence[HostId]:
         """Return the hosts of this one's group, itself included."""
-        groups = self.connector.groups
-        return () if groups is None else groups.hosts[self.connector.group]
+        return self.reach.group_hosts()
 
     def shares(self, target: TargetId, domain: FailureDomain) -> bool:
         """Return whether `target` is one of this host's group."""
-        groups = self.connector.groups
-        if groups is None:
-            return True
-        return groups.of_target(target, domain) == self.connector.group
+        return self.reach.shares(target, domain)
 
     def fleet_size(self) -> int:
         """Return the larger of the list and the hosts heard of lately."""
@@ -265,46 +255,6 @@
         else:
             raise LinkClosed(CloseReason.UNEXPECTED_FRAME)
 
-    def _links_in(self, scope: Scope, topic: int) -> Sequence[Link]:
-        """Return the links over which a message reaches all of `scope`."""
-        links = list(self.connector.links.values())
-        if topic not in DOMAIN_TOPICS:
-            return links
-        near = [link for link in links if self._is_near(link)]
-        if not self.bounded:
-            return [] if scope is Scope.FAR else [*near, *self._relays(links)]
-        if scope is Scope.NEAR or not self.speaks:
-            return [] if scope is Scope.FAR else near
-        if scope is Scope.FAR:
-            return [link for link in links if not self._is_near(link)]
-        return links
-
-    def _is_near(self, link: Link) -> bool:
-        """Return whether messages on load reach a peer over its own link."""
-        if self.bounded:
-            return self._is_of_group(link.id)
-        return link.failure_domain == self.failure_domain
-
-    def _is_of_group(self, host: HostId) -> bool:
-        groups = self.connector.groups
-        return (
-            groups is not None
-            and groups.group_of.get(host) == self.connector.group
-        )
-
-    def _relays(self, links: Sequence[Link]) -> Sequence[Link]:
-        """Return the link with one host of each other failure domain."""
-        found: dict[FailureDomain, Link] = {}
-        for link in links:
-            if self._is_near(link) or not link.live or link.leaving:
-                continue
-            known = found.get(link.failure_domain)
-            if known is None or pair_rank(self.own, link.id) < pair_rank(
-                self.own, known.id
-            ):
-                found[link.failure_domain] = link
-        return list(found.values())
-
     def _publish(
         self, topic: int, payload: bytes, links: Iterable[Link] | None = None
     ) -> None:
@@ -361,9 +311,8 @@
     def _pass_on(
         self, link: Link, publish: ttypes.Publish, take: Take | None = None
     ) -> None:
-        if self._is_for_others(link, publish):
-            links = self.connector.links.values()
-            targets = [each for each in links if self._is_near(each)]
+        if self.reach.is_for_others(link, publish):
+            targets = self.reach.near_links()
         elif publish.flood and not self.leads:
             # The leaders of the group pass it on.
             targets = []
@@ -373,19 +322,6 @@
             self.counters.passed_on(len(targets))
             self._send_publish(publish, targets, take)
 
-    def _is_for_others(self, link: Link, publish: ttypes.Publish) -> bool:
-        """Return whether this host is to tell those near what comes from far.
-
-        In a small fleet a host of another failure domain chose it for that;
-        in a large one the leader of another group told each first leader.
-        """
-        return (
-            publish.topic in DOMAIN_TOPICS
-            and publish.origin == link.id
-            and not self._is_near(link)
-            and (self.speaks or not self.bounded)
-        )
-
     def _deliver(self, publish: ttypes.Publish) -> None:
         for handler in self.handlers.get(publish.topic, ()):
             try:
