Wait in a contract test until the killed server is gone

Cause, traced: test_append_under_faults[http-server gone] gave the server 1 ms to end after it was killed. A busy machine needs longer; the client then sends on the connection that it has, is reset, and says rightly that the outcome is unknown.

--- a/agatetack/record_log/test_log_contract.py
+++ b/agatetack/record_log/test_log_contract.py
@@ -269,6 +269,7 @@
         await append(world, b"before")
         for fault in faults:
             fault.begin(world)
+        await world.until_gone()
         await trio.sleep(0.001)
         seconds = TRY_SECONDS if len(faults) == 1 else PAIR_TRY_SECONDS
         result = await try_append(world, seconds)
--- a/agatetack/testing/platform_worlds.py
+++ b/agatetack/testing/platform_worlds.py
@@ -56,6 +56,7 @@
         port: Where the server listens.
         life: Ends the server.
         stream: A stream that nobody else uses.
+        ended: Set once the server has ended.
     """
 
     logs: Sequence[Log]
@@ -67,11 +68,17 @@
     port: int = 0
     life: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
     stream: StreamId = dataclasses.field(default_factory=new_stream)
+    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def kill(self) -> None:
         """End the server at once; its port refuses connections."""
         self.life.cancel()
 
+    async def until_gone(self) -> None:
+        """Wait until a server that was killed has closed its connections."""
+        if self.life.cancel_called:
+            await self.ended.wait()
+
     async def heal(self) -> None:
         """End all faults and start a killed server again."""
         self.service.faults = LogFaults()
@@ -87,15 +94,18 @@
     async def start(self) -> None:
         """Start the server, on the same port as before."""
         self.life = trio.CancelScope()
+        self.ended = trio.Event()
         self.port = await self.nursery.start(self._serve, self.port)
 
     async def _serve(
         self, port: int, task_status: trio.TaskStatus[int]
     ) -> None:
+        ended = self.ended
         with self.life:
             await serve_platform(
                 self.service, self.source, self.http, port, task_status
             )
+        ended.set()
 
 
 @contextlib.asynccontextmanager
