Let hosts that start in an outage serve with what a seed knows

Cause: a host rolled or killed while the store is out refused every caller until the store was back; a seed that has lost the store said that it knows nothing. It now tells what it has, marked; the host serves with it, doubts what vanishes as any host after an outage, and reads for itself. The test failed before (the host answered 503). Ruled out: believing it as fresh, as a change would then be known 2 s late.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -211,18 +211,26 @@
         self._take(page, whole, sound)
         self.reading.cancel()
 
-    def start_from(self, page: TopicPage) -> None:
+    def start_from(self, page: TopicPage, in_touch: bool) -> None:
         """Take what another host has read in place of a first read.
 
         Args:
             page: All keys.
+            in_touch: Whether the store is there for that host. If not, this
+                one serves with what may be outdated, rather than refuse all
+                callers until the store is back, and reads for itself.
         """
         if self.next_offset is not None:
             return
         self._count("seed")
-        log.note("topic-from-seed", topic=self.name, end=page.end)
+        log.note(
+            "topic-from-seed", topic=self.name, end=page.end, in_touch=in_touch
+        )
         self._take(page, whole=True)
-        self._regained()
+        if in_touch:
+            self._regained()
+        else:
+            self.reader.lost_touch()
 
     @property
     def sound(self) -> bool:
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -60,7 +60,8 @@
     """Tells hosts that start what this one has read.
 
     Attributes:
-        content: The answer, for the ends of the topics in `content_ends`.
+        content: The answer while topics are as in `content_of`.
+        content_of: For each topic its end, and whether the store is there.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         self.members = members
         self.protocols = TCompactProtocolAcceleratedFactory()
         self.content = b""
-        self.content_ends: list[LogOffset] = []
+        self.content_of: list[tuple[LogOffset | None, bool]] = []
         self.asked = metrics.counter(
             "agatetack_start_requests_total",
             "Hosts that asked for a start from this one, by result.",
@@ -116,18 +117,18 @@
         self.members.register_other(request.host, request.member)
 
     def _knows_all(self) -> bool:
-        return all(each.reachable for each in self.followers)
+        return all(each.next_offset is not None for each in self.followers)
 
     def _reply(self) -> bytes:
         """Return the answer, which is the same until a topic goes on."""
         if not self._knows_all():
             return zlib.compress(serialize(wire.StartReply([]), self.protocols))
-        ends = [each.next_offset for each in self.followers]
-        if ends != self.content_ends:
+        known = [(each.next_offset, each.reachable) for each in self.followers]
+        if known != self.content_of:
             topics = [_topic(each) for each in self.followers]
             reply = serialize(wire.StartReply(topics), self.protocols)
             self.content = zlib.compress(reply, level=1)
-            self.content_ends = ends
+            self.content_of = known
         return self.content
 
 
@@ -251,9 +252,11 @@
                 KeyedRecord(r.key, r.value, LogOffset(r.offset))
                 for r in told.records.records
             ]
-            end = LogOffset(told.records.end)
-            follower.start_from(TopicPage(records, end))
-            self.readers.trust(told.topic)
+            page = TopicPage(records, LogOffset(told.records.end))
+            in_touch = bool(told.records.sound)
+            follower.start_from(page, in_touch)
+            if in_touch:
+                self.readers.trust(told.topic)
 
 
 def _topic(follower: TopicFollower) -> wire.StartTopic:
@@ -263,9 +266,8 @@
         for record in page.records
         if record.value is not None
     ]
-    return wire.StartTopic(
-        follower.name, wire.Records(page.end, whole, records)
-    )
+    told = wire.Records(page.end, whole, records, follower.reachable)
+    return wire.StartTopic(follower.name, told)
 
 
 def _decode(message, content: bytes, protocols):
--- a/agatetack/keyed/test_seeds.py
+++ b/agatetack/keyed/test_seeds.py
@@ -107,6 +107,28 @@
         assert host.documents.version == 1
 
 
+async def test_a_host_that_starts_in_an_outage_serves_with_what_a_seed_knows():
+    async with store_fleet() as fleet:
+        seed = fleet.gateways[0]
+        fleet.store.fault = StoreFault.REFUSED
+        for follower in seed.followers:
+            follower.reading.cancel()
+        await fleet.until(
+            lambda: not any(each.reachable for each in seed.followers)
+        )
+        host = await fleet.add_gateway(peers=seeds_at(seed.seed_port))
+        assert (await fleet.get("/a/x", gateway=1)).status == 200
+        assert not any(follower.reachable for follower in host.followers)
+        fleet.store.fault = None
+        await fleet.until(
+            lambda: all(follower.reachable for follower in host.followers)
+        )
+        # What an outage hid is doubted first, as by any other host.
+        gone = fleet.targets[0].instance
+        fleet.store.append("keyed.servers", gone, b"")
+        await fleet.until(lambda: gone in host.targets.doubted)
+
+
 async def test_a_seed_that_has_read_nothing_says_so_to_another_seed():
     async with store_fleet() as fleet:
         fleet.store.fault = StoreFault.REFUSED
