Take a host for lost when it can't be reached, not when a link is given up

Cause, found on reading: a fleet that grows beyond links with all gives up most of them, and each end took the other for lost; hosts taken for lost lead no group, so that a leader that fails would have had no successor in the eyes of others. Only silence and failed dials count now. Ruled out: asking whether the host is wanted, as both ends choose anew at other moments (the test failed so too). The test failed before.

--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -36,6 +36,9 @@
 """Hosts for each of which that time holds; a choice among 312 hosts takes 2 ms
 of processor time, and they all come within some seconds."""
 
+GONE_REASONS = frozenset({CloseReason.SILENT, CloseReason.UNACKNOWLEDGED})
+"""Why a link ends with a host that can't be reached."""
+
 LOG = PartLog("peers")
 
 OpenStream = Callable[[str, int], Awaitable[trio.abc.Stream]]
@@ -373,7 +376,10 @@
     def _unregister(self, link: Link) -> None:
         if self.links.get(link.id) is link:
             del self.links[link.id]
-            self.lost.add(link.id)
+            if link.reason in GONE_REASONS:
+                # Any other end may be wanted; whether the host is there is
+                # seen when it is dialled again.
+                self.lost.add(link.id)
             self.owner.unlinked(link)
             self.view_changed()
         link.ended.set()
--- a/agatetack/peers/test_mesh.py
+++ b/agatetack/peers/test_mesh.py
@@ -291,3 +291,30 @@
     await trio.sleep(0.05)
     assert {host for host, payloads in taken.items() if payloads} == wanted
     assert all(len(payloads) <= 1 for payloads in taken.values())
+
+
+async def test_hosts_that_are_no_longer_chosen_are_not_taken_for_lost(nursery):
+    directory = StaticDirectory()
+    fleet = []
+    for number in range(20):
+        exchange = new_exchange(
+            f"gateway-{number}", directory, 2, max_peers=12, **PATIENT
+        )
+        await nursery.start(exchange.run)
+        fleet.append(exchange)
+    few = fleet[:12]
+    directory.replace([listed(exchange) for exchange in few])
+    await wait_until(lambda: all(len(e.live_peers()) >= 11 for e in few))
+    links = sum(len(e.connector.links) for e in fleet)
+    directory.replace([listed(exchange) for exchange in fleet])
+
+    def settled(exchange):
+        connector = exchange.connector
+        return connector.bounded and connector.wanted <= connector.links.keys()
+
+    await wait_until(lambda: all(settled(e) for e in fleet))
+    # Links that were given up have ended, and no host lost another by that.
+    await wait_until(
+        lambda: sum(len(e.connector.links) for e in fleet) < 0.75 * links
+    )
+    assert [e.connector.lost for e in fleet if e.connector.lost] == []
