Leave out what is no registration when a seed is asked to make one

Cause, found on reading: anyone who reaches a seed's port could name a host of more than 255 bytes, and the error ended the seed's task that registers, and the seed with it. The test failed before. Types of the answer's state named.

--- a/agatetack/hosts/member_directory.py
+++ b/agatetack/hosts/member_directory.py
@@ -12,6 +12,7 @@
 from agatetack.keyed.follower import TopicReader
 from agatetack.keyed.topic import KeyedRecord, KeyedTopic, TopicUnavailable
 from agatetack.metrics import Metrics
+from agatetack.peers.frames import HOST_PATTERN
 from agatetack.settings.model import Settings
 
 log = DecisionLog("members")
@@ -100,7 +101,7 @@
 
     def _take(self, key: str, content: bytes) -> None:
         try:
-            member = MemberRecord(**orjson.loads(content))
+            member = _read_member(content)
         except (TypeError, ValueError) as error:
             log.note("member-malformed", host=key, cause=str(error))
             return
@@ -145,7 +146,14 @@
         return own is not None and (own.ip, own.port) == (listen.host, port)
 
     def register_other(self, host: str, content: bytes) -> None:
-        """Register another host soon, together with all that ask meanwhile."""
+        """Register another host soon, together with all that ask meanwhile.
+
+        Whoever reaches this host may ask; what is no registration is left out.
+        """
+        if not HOST_PATTERN.fullmatch(host) or not _is_member(content):
+            self.registrations.inc({"result": "malformed"})
+            log.note("member-malformed", host=host, cause="asked for by it")
+            return
         if self.known_records.get(host) != content:
             self.waiting[host] = content
             self.asked.set()
@@ -175,3 +183,24 @@
                 self.registrations.inc({"result": "made"})
                 log.note("registered", offset=offset, hosts=sorted(records))
                 return
+
+
+def _read_member(content: bytes) -> MemberRecord:
+    """Return what a host registered.
+
+    Raises:
+        TypeError: A field is missing, or is none of these.
+        ValueError: It is no JSON.
+    """
+    return MemberRecord(**orjson.loads(content))
+
+
+def _is_member(content: bytes) -> bool:
+    try:
+        member = _read_member(content)
+    except (TypeError, ValueError):
+        return False
+    texts = isinstance(member.ip, str) and isinstance(
+        member.failure_domain, str
+    )
+    return texts and isinstance(member.port, int)
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -7,8 +7,10 @@
 """
 
 import contextlib
+import dataclasses
 import zlib
 from collections.abc import Sequence
+from typing import TypeVar
 
 import trio
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -52,10 +54,26 @@
 """Longest answer, compressed or not."""
 
 LENGTH_BYTES = 4
+"""Bytes of the length in front of each block."""
+
+Message = TypeVar("Message", wire.StartRequest, wire.StartReply)
 
 log = DecisionLog("keyed")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TopicState:
+    """How far a topic is known.
+
+    Attributes:
+        end: The offset to read next, or None before the first read.
+        in_touch: Whether the store is there for whoever reads it.
+    """
+
+    end: LogOffset | None
+    in_touch: bool
+
+
 class SeedServer:
     """Tells hosts that start what this one has read.
 
@@ -77,7 +95,7 @@
         self.members = members
         self.protocols = TCompactProtocolAcceleratedFactory()
         self.content = b""
-        self.content_of: list[tuple[LogOffset | None, bool]] = []
+        self.content_of: list[TopicState] = []
         self.asked = metrics.counter(
             "agatetack_start_requests_total",
             "Hosts that asked for a start from this one, by result.",
@@ -123,7 +141,10 @@
         """Return the answer, which is the same until a topic goes on."""
         if not self._knows_all():
             return zlib.compress(serialize(wire.StartReply([]), self.protocols))
-        known = [(each.next_offset, each.reachable) for each in self.followers]
+        known = [
+            TopicState(each.next_offset, each.reachable)
+            for each in self.followers
+        ]
         if known != self.content_of:
             topics = [_topic(each) for each in self.followers]
             reply = serialize(wire.StartReply(topics), self.protocols)
@@ -136,7 +157,9 @@
     """Asks the seeds for a start.
 
     Attributes:
-        own: The address at which this host itself is a seed, or None.
+        own: The address at which this host answers others, or None.
+        seeds: The seeds, without this host.
+        is_seed: Whether this host is one of them.
     """
 
     def __init__(
@@ -270,7 +293,11 @@
     return wire.StartTopic(follower.name, told)
 
 
-def _decode(message, content: bytes, protocols):
+def _decode(
+    message: Message,
+    content: bytes,
+    protocols: TCompactProtocolAcceleratedFactory,
+) -> Message:
     """Return `message` as `content` gives it.
 
     Raises:
--- a/agatetack/keyed/test_seeds.py
+++ b/agatetack/keyed/test_seeds.py
@@ -21,6 +21,9 @@
 MEMBERS = "keyed.agatetack-members"
 
 
+MEMBER = b'{"ip":"127.0.0.9","port":1,"failure_domain":"zone-a"}'
+
+
 def seeds_at(*ports):
     return {"seeds": tuple(Endpoint(ip=LOOPBACK, port=p) for p in ports)}
 
@@ -80,12 +83,35 @@
         seed = fleet.gateways[0]
         before = fleet.store.calls["/agatetack/log-append"]
         for number in range(50):
-            seed.members.register_other(f"h{number}", b'{"ip":"127.0.0.9"}')
+            seed.members.register_other(f"h{number}", MEMBER)
         newest = fleet.store.topics[MEMBERS].newest
         await fleet.until(lambda: len(newest) == 51)
         assert fleet.store.calls["/agatetack/log-append"] == before + 1
 
 
+@pytest.mark.parametrize(
+    ("host", "content"),
+    [
+        ("", MEMBER),
+        ("a b", MEMBER),
+        ("x" * 300, MEMBER),
+        ("h1", b""),
+        ("h1", b"junk"),
+        ("h1", b"[]"),
+        ("h1", b"{}"),
+        ("h1", MEMBER.replace(b":1,", b':"1",')),
+    ],
+)
+async def test_what_is_no_registration_is_left_out(host, content):
+    async with store_fleet() as fleet:
+        seed = fleet.gateways[0]
+        seed.members.register_other(host, content)
+        seed.members.register_other("h2", MEMBER)
+        newest = fleet.store.topics[MEMBERS].newest
+        await fleet.until(lambda: "h2" in newest)
+        assert sorted(newest) == ["edge-1", "h2"]
+
+
 @pytest.mark.parametrize("answer", [dark, closing, garbling, too_long, None])
 async def test_a_host_without_a_sound_seed_reads_the_store(answer):
     async with store_fleet() as fleet, contextlib.AsyncExitStack() as stack:
