--- a/agatetack/balance/start_share.py
+++ b/agatetack/balance/start_share.py
@@ -93,7 +93,7 @@
         return sorted({self.own, *others})
 
     def _shares(self, target: TargetState) -> bool:
-        return self.exchange.shares(target.id, target.failure_domain)
+        return self.exchange.shares_target(target.id, target.failure_domain)
 
     def _slots(self, target: TargetState) -> int:
         targets = self.registry.targets(target.service)
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -133,7 +133,7 @@
         None if this host leads no group, or the word is too old to be of use
         to those that get it.
         """
-        if not self.exchange.leads:
+        if not self.exchange.is_leader:
             return None
         age = trio.current_time() - self.heard_at.get(topic, -math.inf)
         return age if age < PASSED_ON_SECONDS else None
--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -195,7 +195,7 @@
     def _mark_told(self) -> None:
         """Mark the targets of which only some hosts tell what they have."""
         for target in self.registry.by_id.values():
-            target.told_by_all = self.exchange.shares(
+            target.told_by_all = self.exchange.shares_target(
                 target.id, target.failure_domain
             )
 
--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -130,7 +130,7 @@
         targets = [
             target
             for target in self.registry.by_id.values()
-            if self.exchange.shares(target.id, target.failure_domain)
+            if self.exchange.shares_target(target.id, target.failure_domain)
         ]
         able = able_hosts(hosts, targets)
         self.owned = {
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -119,7 +119,7 @@
             await self.any_known.wait()
             self.any_known = trio.Event()
             await trio.sleep(self._far_seconds())
-            if not self.exchange.speaks:
+            if not self.exchange.is_first_leader:
                 self.known.clear()
                 continue
             news = [
@@ -209,7 +209,7 @@
 
     def _measured(self, target: TargetState, report: LoadReport) -> None:
         # By mark and not by name, as each report of a target comes here.
-        if self.exchange.speaks and target.told_by_all:
+        if self.exchange.is_first_leader and target.told_by_all:
             self.known[target.process] = target
             self.any_known.set()
         if report.source is ReportSource.PEER:
--- a/agatetack/measure/test_rounds.py
+++ b/agatetack/measure/test_rounds.py
@@ -212,7 +212,7 @@
     def group_hosts(self):
         return self.groups.hosts[self.group]
 
-    def shares(self, target, domain):
+    def shares_target(self, target, domain):
         return self.groups.of_target(target, domain) == self.group
 
 
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -113,12 +113,12 @@
         return False
 
     @property
-    def leads(self) -> bool:
+    def is_leader(self) -> bool:
         """Return whether this host passes on what its group has to hear."""
         return False
 
     @property
-    def speaks(self) -> bool:
+    def is_first_leader(self) -> bool:
         """Return whether this host tells others of its group's targets."""
         return False
 
@@ -133,7 +133,7 @@
         """
         return ()
 
-    def shares(self, target: TargetId, domain: FailureDomain) -> bool:
+    def shares_target(self, target: TargetId, domain: FailureDomain) -> bool:
         """Return whether `target` is one of this host's group.
 
         Args:
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -191,14 +191,14 @@
         return self.connector.bounded
 
     @property
-    def leads(self) -> bool:
+    def is_leader(self) -> bool:
         """Return whether this host passes on what its group has to hear."""
-        return self.reach.leads
+        return self.reach.is_leader
 
     @property
-    def speaks(self) -> bool:
+    def is_first_leader(self) -> bool:
         """Return whether this host tells others of its group's targets."""
-        return self.reach.speaks
+        return self.reach.is_first_leader
 
     def first_leaders(self) -> Sequence[HostId]:
         """Return the first leader of each group, this host included."""
@@ -208,9 +208,9 @@
         """Return the hosts of this one's group, itself included."""
         return self.reach.group_hosts()
 
-    def shares(self, target: TargetId, domain: FailureDomain) -> bool:
+    def shares_target(self, target: TargetId, domain: FailureDomain) -> bool:
         """Return whether `target` is one of this host's group."""
-        return self.reach.shares(target, domain)
+        return self.reach.shares_target(target, domain)
 
     def fleet_size(self) -> int:
         """Return the larger of the list and the hosts heard of lately."""
@@ -313,7 +313,7 @@
     ) -> None:
         if self.reach.is_for_others(link, publish):
             targets = self.reach.near_links()
-        elif publish.flood and not self.leads:
+        elif publish.flood and not self.is_leader:
             # The leaders of the group pass it on.
             targets = []
         else:
--- a/agatetack/peers/reach.py
+++ b/agatetack/peers/reach.py
@@ -28,13 +28,13 @@
         self.connector = connector
 
     @property
-    def leads(self) -> bool:
+    def is_leader(self) -> bool:
         """Return whether this host passes on what its group has to hear."""
         connector = self.connector
         return connector.bounded and self.own in connector.leaders
 
     @property
-    def speaks(self) -> bool:
+    def is_first_leader(self) -> bool:
         """Return whether this host tells others of its group's targets."""
         connector = self.connector
         return connector.bounded and self.own in connector.leaders[:1]
@@ -58,7 +58,7 @@
             return False
         return groups.group_of.get(host) == self.connector.group
 
-    def shares(self, target: TargetId, domain: FailureDomain) -> bool:
+    def shares_target(self, target: TargetId, domain: FailureDomain) -> bool:
         """Return whether a target is the own group's, or there are none."""
         groups = self.connector.groups
         if groups is None:
@@ -94,7 +94,7 @@
             publish.topic in DOMAIN_TOPICS
             and publish.origin == link.id
             and not self._is_near(link)
-            and (self.speaks or not self.connector.bounded)
+            and (self.is_first_leader or not self.connector.bounded)
         )
 
     def _is_near(self, link: Link) -> bool:
@@ -106,7 +106,7 @@
         """Return the links over which load is told beyond those near."""
         if self.connector.bounded:
             far = [link for link in links if not self._is_near(link)]
-            return far if self.speaks else []
+            return far if self.is_first_leader else []
         return self._relays(links)
 
     def _relays(self, links: Sequence[Link]) -> list[Link]:
--- a/agatetack/settings/building.py
+++ b/agatetack/settings/building.py
@@ -85,7 +85,9 @@
                 bad = BadValue((*path, name), message, value[name], True)
                 self.bad.append(bad)
 
-    def _build_value(self, kind: object, value: object, path: KeyPath):
+    def _build_value(
+        self, kind: object, value: object, path: KeyPath
+    ) -> object:
         """Return a value of `kind`; None if it is bad."""
         if value is None and type(None) in typing.get_args(kind):
             return None
@@ -109,19 +111,22 @@
             }
         return self._convert(kind, value, path)
 
-    def _build_ip(self, value: object, path: KeyPath):
+    def _build_ip(self, value: object, path: KeyPath) -> object:
         try:
             return parse_ip(value)
         except ValueError as error:
             return self._refuse(path, str(error), value)
 
-    def _convert(self, kind: object, value: object, path: KeyPath):
+    def _convert(self, kind: object, value: object, path: KeyPath) -> object:
         try:
             return msgspec.convert(value, kind)
         except msgspec.ValidationError:
             return self._refuse(path, word_misfit(kind, value), value)
 
-    def _refuse(self, path: KeyPath, message: str, value: object = None):
+    def _refuse(
+        self, path: KeyPath, message: str, value: object = None
+    ) -> None:
+        """Note a bad value; return what stands in its place."""
         self.bad.append(BadValue(path, message, value))
 
 
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -112,7 +112,7 @@
         hosts = self.exchange.group_hosts()
         if not hosts:
             return self.exchange.fleet_size()
-        if self.exchange.shares(target.id, target.failure_domain):
+        if self.exchange.shares_target(target.id, target.failure_domain):
             return len(hosts) / GROUP_LOOKS
         return self.exchange.fleet_size() / (1 - GROUP_LOOKS)
 
