Test that work spills from a group's targets to others

The pattern of 312 hosts before 109 targets; the test fails without the preference for one's own group.

--- a/agatetack/balance/test_fleet_view.py
+++ b/agatetack/balance/test_fleet_view.py
@@ -197,3 +197,28 @@
         target.learned.service_seconds = None
         target.idle_connections = 0
     assert choose(targets) == ids(targets)
+
+
+@pytest.mark.parametrize(
+    ("own_load", "spills"),
+    [
+        pytest.param(0, False, id="the group's targets are free"),
+        pytest.param(1, True, id="one slot of each is left"),
+        pytest.param(2, True, id="the group's targets are full"),
+    ],
+)
+async def test_targets_of_other_groups_take_what_the_own_group_has_no_room_for(
+    autojump_clock, own_load, spills
+):
+    # The pattern: 312 hosts send 1.5 requests a second each to 109 targets of
+    # two slots, 5 of them shared with 16 other hosts. Connections stay open to
+    # few targets, so that hosts keep to their group's, but they don't wait there.
+    targets = make_targets(15)
+    own, others = targets[:5], targets[5:]
+    for target in own:
+        target.told_in_flight = own_load
+    for target in others:
+        target.told_by_all = False
+    chosen = choose(targets, times=200)
+    assert (chosen <= ids(own)) is not spills
+    assert bool(chosen & ids(others)) is spills
