--- a/agatetack/balance/test_fleet_view.py
+++ b/agatetack/balance/test_fleet_view.py
@@ -212,7 +212,7 @@
 ):
     # The pattern: 312 hosts send 1.5 requests a second each to 109 targets of
     # two slots, 5 of them shared with 16 other hosts. Connections stay open to
-    # few targets, so that hosts keep to their group's, but they don't wait there.
+    # few targets, so that hosts keep to their group's, but do not wait there.
     targets = make_targets(15)
     own, others = targets[:5], targets[5:]
     for target in own:
