Read a page of records from a message in one place

A host that starts from a seed turned the message's records into a page with the same lines as one that asks a peer; it now calls those.

--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -22,7 +22,7 @@
 from agatetack.ids import LogOffset
 from agatetack.keyed.follower import TopicFollower
 from agatetack.keyed.readers import FleetReaders
-from agatetack.keyed.topic import KeyedRecord, TopicPage
+from agatetack.keyed.sharing import page_of
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 from agatetack.settings.section import Endpoint
@@ -271,13 +271,8 @@
             follower = self.followers.get(told.topic)
             if follower is None:
                 continue
-            records = [
-                KeyedRecord(r.key, r.value, LogOffset(r.offset))
-                for r in told.records.records
-            ]
-            page = TopicPage(records, LogOffset(told.records.end))
             in_touch = bool(told.records.sound)
-            follower.start_from(page, in_touch)
+            follower.start_from(page_of(told.records), in_touch)
             if in_touch:
                 self.readers.trust(told.topic)
 
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -152,7 +152,7 @@
         # A gap, and what a host that reads is behind, are asked for.
         if follower.next_offset >= said.first:
             follower.take_from_peer(
-                _page(said.news), said.news.whole, bool(said.news.sound)
+                page_of(said.news), said.news.whole, bool(said.news.sound)
             )
 
     async def _fetch(
@@ -186,7 +186,7 @@
             return
         try:
             records = deserialize(wire.Records(), reply, self.protocols)
-            page = _page(records)
+            page = page_of(records)
         except Exception:  # noqa: BLE001
             self._drop("records-malformed")
             return
@@ -213,7 +213,8 @@
     return wire.Records(page.end, whole, records, follower.sound)
 
 
-def _page(records: wire.Records) -> TopicPage:
+def page_of(records: wire.Records) -> TopicPage:
+    """Return the page that a message between hosts carries."""
     return TopicPage(
         [
             KeyedRecord(r.key, r.value, LogOffset(r.offset))
