Read every message of a host whole or not at all, so that none ends another

Thrift's decoder leaves out fields that are absent or mistyped, and only some readers checked the outermost of them. Ruled out: the store's answers (decoded with their own checks). Change: one codec that checks required fields of all parts, used by every reader of peers' messages; a host without records gives none; registrations of hosts and operators' documents of other types are refused by one error.

--- a/agatetack/hosts/member_directory.py
+++ b/agatetack/hosts/member_directory.py
@@ -1,9 +1,8 @@
 """Find the other hosts by the topic in which each host registers."""
 
-import dataclasses
 from collections.abc import Callable, Mapping, Sequence
 
-import orjson
+import msgspec
 import trio
 
 from agatetack.decisions import DecisionLog
@@ -27,8 +26,7 @@
 has told this host."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberRecord:
+class MemberRecord(msgspec.Struct, frozen=True):
     """What a host registers of itself.
 
     Attributes:
@@ -102,7 +100,7 @@
     def _take(self, key: str, content: bytes) -> None:
         try:
             member = _read_member(content)
-        except (TypeError, ValueError) as error:
+        except ValueError as error:
             log.note("member-malformed", host=key, cause=str(error))
             return
         self.hosts[key] = ListedHost(
@@ -120,7 +118,7 @@
         listen = self.settings.peers.listen
         domain = self.settings.host.failure_domain
         record = MemberRecord(listen.host, port, domain)
-        return orjson.dumps(dataclasses.asdict(record))
+        return msgspec.json.encode(record)
 
     async def register(self, port: int, others_do: bool = False) -> None:
         """Register this host, unless its last registration is still true.
@@ -189,18 +187,14 @@
     """Return what a host registered.
 
     Raises:
-        TypeError: A field is missing, or is none of these.
-        ValueError: It is no JSON.
+        ValueError: It is no JSON, or a field is missing or of another type.
     """
-    return MemberRecord(**orjson.loads(content))
+    return msgspec.json.decode(content, type=MemberRecord)
 
 
 def _is_member(content: bytes) -> bool:
     try:
-        member = _read_member(content)
-    except (TypeError, ValueError):
+        _read_member(content)
+    except ValueError:
         return False
-    texts = isinstance(member.ip, str) and isinstance(
-        member.failure_domain, str
-    )
-    return texts and isinstance(member.port, int)
+    return True
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -10,11 +10,8 @@
 import dataclasses
 import zlib
 from collections.abc import Sequence
-from typing import TypeVar
 
 import trio
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.TSerialization import deserialize, serialize
 
 from agatetack.decisions import DecisionLog
 from agatetack.generated.keyed import ttypes as wire
@@ -27,6 +24,7 @@
 from agatetack.settings.model import Settings
 from agatetack.settings.section import Endpoint
 from agatetack.streams import open_plain_stream
+from agatetack.thrift_codec import decode, encode
 
 ASK_SECONDS = 0.2
 """Longest time that a host which starts waits for its seeds. Callers wait as
@@ -56,8 +54,6 @@
 LENGTH_BYTES = 4
 """Bytes of the length in front of each block."""
 
-Message = TypeVar("Message", wire.StartRequest, wire.StartReply)
-
 log = DecisionLog("keyed")
 
 
@@ -93,7 +89,6 @@
         self.settings = settings
         self.followers = followers
         self.members = members
-        self.protocols = TCompactProtocolAcceleratedFactory()
         self.content = b""
         self.content_of: list[TopicState] = []
         self.asked = metrics.counter(
@@ -126,7 +121,7 @@
 
     async def _answer(self, stream: trio.abc.Stream) -> None:
         content = await _receive_block(stream, MAX_REQUEST_BYTES)
-        request = _decode(wire.StartRequest(), content, self.protocols)
+        request = decode(wire.StartRequest, content)
         while request.waits and not self._knows_all():
             await trio.sleep(POLL_SECONDS)
         reply = self._reply()
@@ -140,14 +135,14 @@
     def _reply(self) -> bytes:
         """Return the answer, which is the same until a topic goes on."""
         if not self._knows_all():
-            return zlib.compress(serialize(wire.StartReply([]), self.protocols))
+            return zlib.compress(encode(wire.StartReply([])))
         known = [
             TopicState(each.next_offset, each.reachable)
             for each in self.followers
         ]
         if known != self.content_of:
             topics = [_topic(each) for each in self.followers]
-            reply = serialize(wire.StartReply(topics), self.protocols)
+            reply = encode(wire.StartReply(topics))
             self.content = zlib.compress(reply, level=1)
             self.content_of = known
         return self.content
@@ -175,7 +170,6 @@
         self.is_seed = len(self.seeds) < len(settings.peers.seeds)
         self.followers = {each.name: each for each in followers}
         self.readers = readers
-        self.protocols = TCompactProtocolAcceleratedFactory()
         self.starts = metrics.counter(
             "agatetack_starts_total",
             "Starts of this host, by where it learned what is in the store.",
@@ -192,7 +186,7 @@
             Whether a seed answered, which then registers this host.
         """
         request = wire.StartRequest(host, member, not self.is_seed)
-        content = serialize(request, self.protocols)
+        content = encode(request)
         reply = await self._ask_all(content) if self.seeds else None
         if reply is None:
             self.starts.inc({"from": "store"})
@@ -259,7 +253,7 @@
             content = await _receive_block(stream, MAX_REPLY_BYTES)
             inflater = zlib.decompressobj()
             text = inflater.decompress(content, MAX_REPLY_BYTES)
-            return _decode(wire.StartReply(), text, self.protocols)
+            return decode(wire.StartReply, text)
         except (trio.BrokenResourceError, ValueError, zlib.error) as error:
             log.note("seed-failed", seed=seed.host, cause=str(error))
             return None
@@ -288,25 +282,6 @@
     return wire.StartTopic(follower.name, told)
 
 
-def _decode(
-    message: Message,
-    content: bytes,
-    protocols: TCompactProtocolAcceleratedFactory,
-) -> Message:
-    """Return `message` as `content` gives it.
-
-    Raises:
-        ValueError: It is malformed.
-    """
-    try:
-        deserialize(message, content, protocols)
-        message.validate()
-    except Exception as error:
-        # Thrift raises many kinds of errors on a malformed message.
-        raise ValueError(f"malformed: {error}") from error
-    return message
-
-
 async def _receive_block(stream: trio.abc.Stream, most: int) -> bytes:
     """Return one block that follows its length.
 
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -8,8 +8,6 @@
 from collections.abc import Sequence
 
 import trio
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.TSerialization import deserialize, serialize
 
 from agatetack.decisions import DecisionLog
 from agatetack.generated.keyed import ttypes as wire
@@ -25,6 +23,7 @@
     Topic,
 )
 from agatetack.settings.model import Settings
+from agatetack.thrift_codec import MalformedMessage, decode, encode
 
 TELL_SECONDS = 0.4
 """How often a reader tells peers how far its topics are read, some 100 bytes
@@ -71,7 +70,6 @@
         self.followers = {each.name: each for each in followers}
         self.exchange = exchange
         self.metrics = metrics
-        self.protocols = TCompactProtocolAcceleratedFactory()
         self.fetching: set[str] = set()
         self.nursery: trio.Nursery | None = None
         for follower in followers:
@@ -109,7 +107,7 @@
         self, ends: Sequence[wire.TopicEnd], scope: Scope = Scope.ALL
     ) -> None:
         if ends:
-            payload = serialize(wire.TopicEnds(ends), self.protocols)
+            payload = encode(wire.TopicEnds(ends))
             self.exchange.publish(Topic.TOPIC_RECORDS, payload, scope)
 
     def _end_of(self, follower: TopicFollower) -> wire.TopicEnd | None:
@@ -126,10 +124,9 @@
 
     def _take_ends(self, sender: HostId, payload: bytes) -> None:
         try:
-            message = deserialize(wire.TopicEnds(), payload, self.protocols)
-        except Exception:  # noqa: BLE001
-            # Thrift raises many kinds of errors on a malformed message.
-            self._drop("ends-malformed")
+            message = decode(wire.TopicEnds, payload)
+        except MalformedMessage as error:
+            self._drop("ends-malformed", sender, error)
             return
         for said in message.ends:
             follower = self.followers.get(said.topic)
@@ -177,7 +174,7 @@
             reply = await self.exchange.call(
                 peer,
                 Topic.TOPIC_RECORDS,
-                serialize(request, self.protocols),
+                encode(request),
                 deadline,
             )
         except PeerUnreachable as error:
@@ -185,22 +182,34 @@
             self.readers.doubt(follower.name)
             return
         try:
-            records = deserialize(wire.Records(), reply, self.protocols)
-            page = page_of(records)
-        except Exception:  # noqa: BLE001
-            self._drop("records-malformed")
+            records = decode(wire.Records, reply)
+        except MalformedMessage as error:
+            self._drop("records-malformed", peer, error)
+            self.readers.doubt(follower.name)
             return
+        page = page_of(records)
         follower.take_from_peer(page, records.whole, bool(records.sound))
 
-    async def _give(self, sender: HostId, payload: bytes) -> bytes:
-        """Return what a peer that is behind asks for."""
-        request = deserialize(wire.FetchRecords(), payload, self.protocols)
-        follower = self.followers[request.topic]
-        reply = _records(follower, LogOffset(request.first))
-        return serialize(reply, self.protocols)
+    async def _give(self, sender: HostId, payload: bytes) -> bytes | None:
+        """Return what a peer that is behind asks for, or None if not known.
+
+        A host that has just started has read nothing yet.
+        """
+        try:
+            request = decode(wire.FetchRecords, payload)
+        except MalformedMessage as error:
+            self._drop("fetch-malformed", sender, error)
+            return None
+        follower = self.followers.get(request.topic)
+        if follower is None or follower.next_offset is None:
+            return None
+        return encode(_records(follower, LogOffset(request.first)))
 
-    def _drop(self, reason: str) -> None:
+    def _drop(
+        self, reason: str, sender: HostId, error: MalformedMessage
+    ) -> None:
         self.metrics.dropped.inc({"part": "keyed", "reason": reason})
+        log.note("message-malformed", sender=sender, cause=str(error))
 
 
 def _records(follower: TopicFollower, first: LogOffset) -> wire.Records:
--- a/agatetack/keyed/test_follower.py
+++ b/agatetack/keyed/test_follower.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from agatetack.generated.keyed import ttypes as wire
 from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
 from agatetack.keyed.readers import LEAST_READERS
 from agatetack.keyed.sharing import NEWS_BYTES, TopicSharing
@@ -12,6 +13,7 @@
 from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.memory_topic import NAME, MemoryTopic
+from agatetack.thrift_codec import encode
 
 SETTINGS = default_settings(
     host={"failure_domain": "domain"},
@@ -330,3 +332,54 @@
         await trio.sleep(1)
         assert all(host.kept.values == expected(store) for host in hosts)
         nursery.cancel_scope.cancel()
+
+
+async def test_a_peer_that_has_read_nothing_gives_nothing(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        store = MemoryStore()
+        fill(store, 3)
+        empty = Host(MemoryStore(), mesh.join("h1"))
+        empty.topic.hanging = True
+        mesh.hosts["h1"].handlers.clear()
+        host = Host(store, mesh.join("h2"))
+        empty.start(nursery)
+        host.start(nursery)
+        await trio.sleep(1)
+        # A word that it sent before it was started again may come late.
+        ends = wire.TopicEnds([wire.TopicEnd(NAME, 1000)])
+        mesh.hosts["h1"].publish(Topic.TOPIC_RECORDS, encode(ends))
+        await trio.sleep(5)
+        assert empty.follower.next_offset is None
+        assert host.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"",
+        b"junk",
+        encode(wire.Records(whole=True, records=[])),
+        encode(wire.Records(1000, True)),
+        encode(wire.Records(1000, True, [wire.Record("k")])),
+    ],
+)
+async def test_a_malformed_reply_of_a_peer_ends_nothing(autojump_clock, reply):
+    async def answer(sender, payload):
+        return reply
+
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        store = MemoryStore()
+        fill(store, 3)
+        other = mesh.join("h1")
+        other.serve(Topic.TOPIC_RECORDS, answer)
+        host = Host(store, mesh.join("h2"))
+        host.start(nursery)
+        await trio.sleep(1)
+        ends = wire.TopicEnds([wire.TopicEnd(NAME, 1000)])
+        other.publish(Topic.TOPIC_RECORDS, encode(ends))
+        await trio.sleep(5)
+        assert host.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -13,8 +13,6 @@
 from collections import Counter, defaultdict
 
 import trio
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.TSerialization import deserialize, serialize
 
 from agatetack.generated.measure.ttypes import InFlightCount, InFlightCounts
 from agatetack.ids import Deadline, HostId, ProcessId, TargetId
@@ -24,6 +22,7 @@
 from agatetack.peers.exchange import Exchange, Scope, Topic
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
+from agatetack.thrift_codec import MalformedMessage, decode, encode
 
 FORGET_SECONDS = 0.5
 """How often the counts of hosts that are gone are looked for."""
@@ -56,7 +55,6 @@
         self.registry = registry
         self.exchange = exchange
         self.metrics = metrics
-        self.protocols = TCompactProtocolAcceleratedFactory()
         self.told: dict[int, Counter[HostId]] = defaultdict(Counter)
         self.hashes = TargetHashes(registry)
         self.said: dict[ProcessId, int] = {}
@@ -111,14 +109,13 @@
             for target in targets
         ]
         message = InFlightCounts(counts, whole or None)
-        payload = serialize(message, self.protocols)
+        payload = encode(message)
         self.exchange.publish(Topic.IN_FLIGHT, payload, Scope.NEAR)
 
     def _take(self, sender: HostId, payload: bytes) -> None:
         try:
-            message = deserialize(InFlightCounts(), payload, self.protocols)
-        except Exception:  # noqa: BLE001
-            # Thrift raises many kinds of errors on a malformed message.
+            message = decode(InFlightCounts, payload)
+        except MalformedMessage:
             self.metrics.dropped.inc(
                 {"part": "measure", "reason": "counts-malformed"}
             )
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -3,8 +3,6 @@
 from collections.abc import Sequence
 
 import trio
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.TSerialization import deserialize, serialize
 
 from agatetack.generated.measure.ttypes import (
     LoadSample,
@@ -21,6 +19,7 @@
 from agatetack.targets.leaving import LeavingSign
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
+from agatetack.thrift_codec import MalformedMessage, decode, encode
 
 MAX_SAMPLES = 32
 """Most samples in one message."""
@@ -96,7 +95,6 @@
         self.exchange = exchange
         self.metrics = metrics
         self.bucket = bucket
-        self.protocols = TCompactProtocolAcceleratedFactory()
         self.fresh: dict[ProcessId, TargetState] = {}
         self.any_fresh = trio.Event()
         self.hashes = TargetHashes(registry)
@@ -185,7 +183,7 @@
             for target in targets
             if target.report is not None
         ]
-        return serialize(LoadSamples(samples=samples), self.protocols)
+        return encode(LoadSamples(samples=samples))
 
     def _sample(
         self, target: TargetState, report: LoadReport, now: Deadline
@@ -222,8 +220,8 @@
 
     def _take_samples(self, sender: HostId, payload: bytes) -> None:
         try:
-            message = deserialize(LoadSamples(), payload, self.protocols)
-        except Exception:  # noqa: BLE001
+            message = decode(LoadSamples, payload)
+        except MalformedMessage:
             self._drop("samples-malformed")
             return
         now = trio.current_time()
@@ -253,15 +251,15 @@
 
     def _send_sign(self, target: TargetState, sign: LeavingSign) -> None:
         message = TargetSign(target=target.process, sign=SIGN_NUMBERS[sign])
-        payload = serialize(message, self.protocols)
+        payload = encode(message)
         # Signs are not held back by the budget: they are few, and a late one
         # sends work to a target that is leaving.
         self.exchange.publish(Topic.TARGET_SIGNS, payload)
 
     def _take_sign(self, sender: HostId, payload: bytes) -> None:
         try:
-            message = deserialize(TargetSign(), payload, self.protocols)
-        except Exception:  # noqa: BLE001
+            message = decode(TargetSign, payload)
+        except MalformedMessage:
             self._drop("sign-malformed")
             return
         target = self.registry.by_process.get(ProcessId(message.target))
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -60,8 +60,9 @@
 MessageHandler = Callable[[HostId, bytes], None]
 """Takes the sender and the payload; must not block or raise."""
 
-CallHandler = Callable[[HostId, bytes], Awaitable[bytes]]
-"""Takes the sender and the request, returns the reply."""
+CallHandler = Callable[[HostId, bytes], Awaitable[bytes | None]]
+"""Takes the sender and the request, returns the reply; None if there is none,
+which the sender is told."""
 
 
 class PeerUnreachable(Exception):
--- a/agatetack/platform/configuration.py
+++ b/agatetack/platform/configuration.py
@@ -46,7 +46,13 @@
                 services=tuple(map(_read_service, fields["services"])),
                 limits=_read_limits(fields.get("limits")),
             )
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (
+            LookupError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            OverflowError,
+        ) as error:
             raise BadDocument(f"{type(error).__name__}: {error}") from error
 
 
--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -184,12 +184,19 @@
     return LENGTH.pack(len(record)) + record
 
 
+def _key(value: object) -> str:
+    """Return a record's key; raises ValueError for what is none."""
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is no key")
+    return value
+
+
 def _read_newest(body: bytes) -> _NewestPart:
     try:
         fields = orjson.loads(body)
         records = [
             KeyedRecord(
-                item["key"],
+                _key(item["key"]),
                 base64.b64decode(item["value"]) or None,
                 LogOffset(int(item["offset"])),
             )
--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -10,8 +10,6 @@
 import dataclasses
 
 import trio
-from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
-from thrift.TSerialization import deserialize, serialize
 
 from agatetack.config.route import RequestClass, Route
 from agatetack.decisions import DecisionLog
@@ -26,6 +24,7 @@
 from agatetack.quarantine.liveness import LivenessCheck
 from agatetack.quarantine.tracker import CrashTracker, Fingerprint
 from agatetack.settings.model import Settings
+from agatetack.thrift_codec import MalformedMessage, decode, encode
 
 CONFIRM_BACKLOG = 1000
 """Lost connections waiting to be looked into; more are dropped."""
@@ -42,8 +41,6 @@
 
 FINGERPRINT_BYTES = 16
 
-PROTOCOL = TCompactProtocolFactory()
-
 log = PartLog("quarantine")
 decisions = DecisionLog("quarantine")
 
@@ -244,15 +241,13 @@
         )
 
     def _send(self, notice: CrashNotice) -> None:
-        payload = serialize(notice, PROTOCOL)
+        payload = encode(notice)
         self.exchange.publish(Topic.CRASH_FINGERPRINTS, payload)
 
     def _take_notice(self, sender: HostId, payload: bytes) -> None:
         try:
-            notice = deserialize(CrashNotice(), payload, PROTOCOL)
-            notice.validate()
-        except Exception:
-            # Thrift raises many kinds of errors on a malformed message.
+            notice = decode(CrashNotice, payload)
+        except MalformedMessage:
             self._drop_notice(sender)
             return
         if len(notice.fingerprint) != FINGERPRINT_BYTES:
--- a/agatetack/targets/drains.py
+++ b/agatetack/targets/drains.py
@@ -8,8 +8,6 @@
 import dataclasses
 
 import trio
-from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
-from thrift.TSerialization import deserialize, serialize
 
 from agatetack.clock import Clock
 from agatetack.generated.targets import ttypes
@@ -18,6 +16,7 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange, Topic
 from agatetack.targets.registry import TargetRegistry
+from agatetack.thrift_codec import MalformedMessage, decode, encode
 
 REPEAT_SECONDS = 5.0
 """How often all marks are told again."""
@@ -25,8 +24,6 @@
 FORGET_MS = 24 * 3600 * 1000
 """After this time a mark that was taken back is forgotten."""
 
-PROTOCOL = TCompactProtocolFactory()
-
 log = PartLog("targets")
 
 
@@ -88,17 +85,13 @@
             ttypes.TargetDrain(target, mark.drained, mark.set_unix_ms)
             for target, mark in self.marks.items()
         ]
-        payload = serialize(ttypes.TargetDrains(drains), PROTOCOL)
+        payload = encode(ttypes.TargetDrains(drains))
         self.exchange.publish(Topic.TARGET_DRAINS, payload)
 
     def _take(self, sender: HostId, payload: bytes) -> None:
         try:
-            message = deserialize(ttypes.TargetDrains(), payload, PROTOCOL)
-            message.validate()
-            for drain in message.drains:
-                drain.validate()
-        except Exception:
-            # Thrift raises many kinds of errors on a malformed message.
+            message = decode(ttypes.TargetDrains, payload)
+        except MalformedMessage:
             self.metrics.dropped.inc(
                 {"part": "targets", "reason": "malformed-marks"}
             )
--- a/agatetack/testing/memory_exchange.py
+++ b/agatetack/testing/memory_exchange.py
@@ -113,6 +113,8 @@
                 await trio.sleep_forever()
             handler = self.mesh.hosts[peer].servers[topic]
             reply = await handler(self.host, payload)
+            if reply is None:
+                raise PeerUnreachable(f"{peer} has no reply")
             await self.mesh.hosts[peer].send_reply(len(reply))
             if not self.mesh.linked(peer, self.host):
                 await trio.sleep_forever()
