Send nothing to the targets of failure domains that operators evacuated

Ruled out: a topic or a message of their own; the record travels with the document already, to hosts that start, lag or are turned away. Change: the topic's records go to a second reader that keeps the evacuated failure domains; their targets are neither chosen nor probed, and who waits for a service without targets is refused at once as not run. Before: the new tests of a host fail (200 for 503).

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -87,11 +87,7 @@
         if now >= wanted.deadline:
             return self._late(now, "The deadline has passed.")
         if not self.registry.targets(self.service):
-            return refuse(
-                RefusalReason.NO_TARGET,
-                "No target of the service takes work now.",
-                self.retry_at(now),
-            )
+            return self._refuse_without_target(now)
         if now + self.quick_latency > wanted.deadline:
             return self._late(now, "Answers take longer than the time left.")
         return None
@@ -149,6 +145,25 @@
             if queue.size:
                 return
 
+    def refuse_all(self, now: Deadline) -> None:
+        """Refuse whoever waits, as no target of the service takes work now.
+
+        A caller that is told so can ask again; one that waits for targets that
+        may stay away learns it at its deadline.
+        """
+        for queue in self.queues.values():
+            for waiter in queue.waiters():
+                waiter.refusal = self._refuse_without_target(now)
+                queue.remove(waiter)
+                waiter.event.set()
+
+    def _refuse_without_target(self, now: Deadline) -> Refusal:
+        return refuse(
+            RefusalReason.NO_TARGET,
+            "No target of the service takes work now.",
+            self.retry_at(now),
+        )
+
     def give_up_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
         """Return when a target would come too late for an answer."""
         latest = wanted.deadline - self.quick_latency
--- a/agatetack/admission/queue.py
+++ b/agatetack/admission/queue.py
@@ -77,6 +77,15 @@
         queue.remove(waiter)
         self._forget(waiter)
 
+    def waiters(self) -> list[Waiter]:
+        """Return all that wait."""
+        return [
+            waiter
+            for callers in self.routes.values()
+            for queue in callers.values()
+            for waiter in queue
+        ]
+
     def peek(
         self, order: Order, in_time: Callable[[Waiter], bool] = lambda _: True
     ) -> Waiter | None:
--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -285,8 +285,13 @@
 
     def _targets_changed(self, service: ServiceId) -> None:
         lane = self.lanes.get(service)
-        if lane is not None and lane.size:
-            self._serve(lane, Deadline(trio.current_time()))
+        if lane is None or not lane.size:
+            return
+        now = Deadline(trio.current_time())
+        if self.registry.targets(service):
+            self._serve(lane, now)
+        else:
+            lane.refuse_all(now)
 
     def _serve(self, lane: Lane, now: Deadline) -> None:
         if lane.size:
--- a/agatetack/admission/test_service.py
+++ b/agatetack/admission/test_service.py
@@ -201,3 +201,26 @@
     assert first.in_flight <= before
     assert second.last_chosen_at is not None
     assert [p.target for p in bed.permits] == []
+
+
+async def test_who_waits_is_refused_at_once_when_no_target_is_left(
+    autojump_clock,
+):
+    bed = make_bed(targets=2, limit=1)
+    domain = bed.targets[0].failure_domain
+    async with trio.open_nursery() as nursery:
+        await fill(bed, nursery, "abcde")
+        assert bed.served == ["a", "b"]
+        bed.registry.set_evacuated(frozenset([domain]))
+        await trio.testing.wait_all_tasks_blocked()
+        assert sorted(bed.refused) == ["c", "d", "e"]
+        for refusal in bed.refused.values():
+            assert refusal.reason is RefusalReason.NO_TARGET
+            assert refusal.retry_at > trio.current_time()
+        # Those under way end where they are, and nobody follows them.
+        bed.answer()
+        bed.answer()
+        assert bed.in_flight() == 0
+        bed.registry.set_evacuated(frozenset())
+        await fill(bed, nursery, "f")
+        assert bed.served == ["a", "b", "f"]
--- /dev/null
+++ b/agatetack/hosts/test_evacuations.py
@@ -0,0 +1,57 @@
+"""Test which failure domains are evacuated, however their records come."""
+
+import pytest
+
+from agatetack.hosts.evacuations import Evacuations
+from agatetack.keyed.topic import KeyedRecord
+from agatetack.metrics import Metrics
+from agatetack.platform.configuration import EvacuationNames
+
+
+def begun(domain, offset=1):
+    return KeyedRecord(f"evacuate/{domain}", b"{}", offset)
+
+
+def over(domain, offset=2):
+    return KeyedRecord(f"evacuate/{domain}", None, offset)
+
+
+CONFIG = KeyedRecord("config", b"{}", 1)
+
+
+@pytest.mark.parametrize(
+    ("steps", "evacuated"),
+    [
+        ([], ""),
+        ([("new", [CONFIG])], ""),
+        ([("new", [begun("a")])], "a"),
+        ([("all", [CONFIG, begun("a")])], "a"),
+        ([("new", [begun("a"), over("a")])], ""),
+        ([("new", [begun("a"), over("a"), begun("a", 3)])], "a"),
+        ([("new", [begun("a")]), ("new", [over("a")])], ""),
+        # Told twice, or ended before it was known.
+        ([("new", [begun("a")]), ("new", [begun("a")])], "a"),
+        ([("new", [over("a")]), ("new", [])], ""),
+        # Two at once, of which one ends.
+        ([("new", [begun("a"), begun("b")]), ("new", [over("a", 3)])], "b"),
+        # Other records change nothing.
+        ([("new", [begun("a")]), ("new", [CONFIG])], "a"),
+        # The removal was dropped before this host read it.
+        ([("new", [begun("a")]), ("all", [CONFIG])], ""),
+        ([("new", [begun("a")]), ("all", [CONFIG, begun("a")])], "a"),
+        # Whatever the record says, and whoever names it oddly.
+        ([("new", [KeyedRecord("evacuate/a", b"\xff", 1)])], "a"),
+        ([("new", [KeyedRecord("evacuate/", b"{}", 1)])], ""),
+        ([("new", [KeyedRecord("evacuate", b"{}", 1)])], ""),
+    ],
+)
+def test_what_is_evacuated_after_records(steps, evacuated):
+    told = []
+    evacuations = Evacuations(EvacuationNames(), told.append, Metrics())
+    for kind, records in steps:
+        take = evacuations.take_all if kind == "all" else evacuations.take_new
+        take(records)
+    assert "".join(sorted(evacuations.domains)) == evacuated
+    # Whoever listens hears each change once.
+    assert all(a != b for a, b in zip(told, told[1:], strict=False))
+    assert (told[-1] if told else frozenset()) == evacuations.domains
--- a/agatetack/platform/configuration.py
+++ b/agatetack/platform/configuration.py
@@ -12,11 +12,13 @@
     ServiceInfo,
 )
 from agatetack.config.route import RequestClass, Route, SplitPart
-from agatetack.ids import RouteId, ServiceId, TeamId
+from agatetack.hosts.evacuations import EvacuationKeys
+from agatetack.ids import FailureDomain, RouteId, ServiceId, TeamId
 from agatetack.platform.figures import read_seconds
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 
 ROUTE_TYPES = {
     "idempotent": RequestClass.FAST,
@@ -56,6 +58,15 @@
             raise BadDocument(f"{type(error).__name__}: {error}") from error
 
 
+class EvacuationNames(EvacuationKeys):
+    """Reads the names of the platform's records that evacuate a zone."""
+
+    def domain(self, key: str) -> FailureDomain | None:
+        """Return the failure domain that the record `key` evacuates, if any."""
+        zone = key.removeprefix(EVACUATION_PREFIX)
+        return FailureDomain(zone) if zone and zone != key else None
+
+
 def _read_route(fields: Mapping) -> Route:
     split = tuple(
         SplitPart(ServiceId(part["service"]), float(part["weight"]))
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -10,8 +10,10 @@
 from agatetack.config.document_routes import DocumentRoutes
 from agatetack.config.route import RequestClass
 from agatetack.gateway_core import GatewayCore, GatewayReadiness
+from agatetack.hosts.evacuations import Evacuations
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
+from agatetack.keyed.fan_out import FanOutReader
 from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
 from agatetack.keyed.seeds import SeedClient, SeedServer
 from agatetack.keyed.sharing import TopicSharing
@@ -26,6 +28,7 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     ConfigurationDecoder,
+    EvacuationNames,
 )
 from agatetack.platform.load_header import ListLoadReader
 from agatetack.platform.registrations import (
@@ -75,6 +78,7 @@
     Attributes:
         store: The store.
         documents: The operators' document in force.
+        evacuations: The failure domains that operators evacuated.
         targets: The targets that registered.
         members: The hosts that registered.
         followers: What keeps these three up to date.
@@ -107,10 +111,17 @@
         self.targets = RegisteredTargets(
             settings, ServerDecoder(), self.registry.update, metrics
         )
+        self.evacuations = Evacuations(
+            EvacuationNames(), self.registry.set_evacuated, metrics
+        )
         self.read_counters = ReadCounters(metrics)
         self.seed_port = 0
         self.followers = [
-            self._follower("documents", CONFIGURATION_TOPIC, self.documents),
+            self._follower(
+                "documents",
+                CONFIGURATION_TOPIC,
+                FanOutReader(self.documents, self.evacuations),
+            ),
             self._follower("targets", REGISTRATIONS_TOPIC, self.targets),
             self._follower("members", member_topic, self.members),
         ]
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -4,13 +4,19 @@
 later is weighed against it.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence, Set
 
 import trio
 
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.hosts.listed_target import ListedTarget
-from agatetack.ids import Deadline, ProcessId, ServiceId, TargetId
+from agatetack.ids import (
+    Deadline,
+    FailureDomain,
+    ProcessId,
+    ServiceId,
+    TargetId,
+)
 from agatetack.logs import PartLog
 from agatetack.metrics import MeasureKind, Metrics
 from agatetack.settings.model import Settings
@@ -40,6 +46,7 @@
         by_id: Every known target.
         by_process: The same targets, by this start of their process.
         drained: Targets that an operator drained; they get no new work.
+        evacuated: Failure domains whose targets get no new work.
         watchers: Called with the service when its targets change or a load
             report arrives; must not block or raise.
         report_watchers: Called with the target and each report taken.
@@ -62,6 +69,7 @@
         self.by_process: dict[ProcessId, TargetState] = {}
         self.usable: dict[ServiceId, tuple[TargetState, ...]] = {}
         self.drained: set[TargetId] = set()
+        self.evacuated: Set[FailureDomain] = frozenset()
         self.leaving: dict[TargetId, LeavingRecord] = {}
         self.returns: dict[TargetId, int] = {}
         self.watchers: list[Callable[[ServiceId], None]] = []
@@ -207,10 +215,13 @@
                 # It is gone, and its hold would keep out nothing any more.
                 del self.leaving[target_id]
                 self.returns.pop(target_id, None)
-        return [self.by_id[each] for each in over if each in self.by_id]
+        targets = [self.by_id[each] for each in over if each in self.by_id]
+        return [each for each in targets if self.may_be_probed(each)]
 
     def may_be_probed(self, target: TargetState) -> bool:
-        """Return whether a probe of `target` can bring anything."""
+        """Return whether a probe of `target` is allowed and of any use."""
+        if target.failure_domain in self.evacuated:
+            return False
         record = self.leaving.get(target.id)
         return record is None or trio.current_time() >= record.hold_until
 
@@ -338,18 +349,28 @@
             return
         found: dict[ServiceId, list[TargetState]] = {s: [] for s in changed}
         for target in self.by_id.values():
-            if target.id in self.drained:
-                continue
-            if target.service in changed and target.status in (
-                TargetStatus.COLD,
-                TargetStatus.READY,
-            ):
+            if target.service in changed and self._may_get_work(target):
                 found[target.service].append(target)
         for service, targets in found.items():
             self.usable[service] = tuple(targets)
             self.counters.usable.set({"service": service}, len(targets))
             self.notify(service)
 
+    def _may_get_work(self, target: TargetState) -> bool:
+        if target.id in self.drained or target.failure_domain in self.evacuated:
+            return False
+        return target.status in (TargetStatus.COLD, TargetStatus.READY)
+
+    def set_evacuated(self, domains: Set[FailureDomain]) -> None:
+        """Give the targets of `domains` no new work, and all others some."""
+        changed = domains ^ self.evacuated
+        self.evacuated = domains
+        self._rebuild(
+            target.service
+            for target in self.by_id.values()
+            if target.failure_domain in changed
+        )
+
     def set_drained(self, target_id: TargetId, drained: bool) -> None:
         """Give a target no new work, or let it have some again.
 
--- a/agatetack/targets/test_registry.py
+++ b/agatetack/targets/test_registry.py
@@ -186,3 +186,34 @@
     registry.update([started_target(1, 1000)])
     assert registry.targets(SERVICE) == (target,)
     assert target.incarnation == 2000
+
+
+@pytest.mark.parametrize(
+    ("steps", "usable"),
+    [
+        (["a"], ["10.0.0.2:80"]),
+        (["a", "ab"], []),
+        (["ab", "b"], ["10.0.0.1:80"]),
+        (["a", ""], ["10.0.0.1:80", "10.0.0.2:80"]),
+        (["a", "", "a"], ["10.0.0.2:80"]),
+        (["c"], ["10.0.0.1:80", "10.0.0.2:80"]),
+    ],
+)
+@pytest.mark.parametrize("listed_first", [True, False])
+async def test_targets_of_evacuated_domains_get_nothing(
+    autojump_clock, steps, usable, listed_first
+):
+    registry = TargetRegistry(default_settings(), Metrics())
+    listed = [listed_target(1, domain="a"), listed_target(2, domain="b")]
+    if listed_first:
+        registry.update(listed)
+    for domains in steps:
+        registry.set_evacuated(frozenset(domains))
+    registry.update(listed)
+    found = [target.id for target in registry.targets(SERVICE)]
+    assert sorted(found) == usable
+    # What gets no work is not probed either.
+    probed = [
+        t.id for t in registry.by_id.values() if registry.may_be_probed(t)
+    ]
+    assert sorted(probed) == usable
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -5,9 +5,12 @@
 import pytest
 import trio
 
+from agatetack.settings.section import Endpoint
 from agatetack.targets.leaving import LeavingSign
 from agatetack.testing.fake_entry import EntryHost, FakeEntry
+from agatetack.testing.memory_store import StoreFault
 from agatetack.testing.store_fleet import (
+    CONFIGURATION,
     LOOPBACK,
     route_fields,
     store_fleet,
@@ -217,3 +220,43 @@
         usable = gateway.registry.targets
         await fleet.until(lambda: usable("svc-a"), 15)
         assert (await fleet.get("/a/x")).status == 200
+
+
+EVACUATION = "evacuate/zone-a"
+
+
+async def answers(fleet, gateway=0):
+    response = await fleet.get("/a/x", gateway=gateway)
+    return response.status
+
+
+async def test_an_evacuated_zone_gets_nothing_until_it_is_taken_back():
+    async with store_fleet(gateways=2) as fleet:
+        for value, status, domains in (
+            (b"{}", 503, {"zone-a"}),
+            (b"", 200, set()),
+            (b"{}", 503, {"zone-a"}),
+        ):
+            fleet.store.append(CONFIGURATION, EVACUATION, value)
+            await fleet.until(
+                lambda domains=domains: all(
+                    g.evacuations.domains == domains for g in fleet.gateways
+                )
+            )
+            before = len(executed_urls(fleet))
+            assert [await answers(fleet, n) for n in (0, 1)] == [status] * 2
+            ran = len(executed_urls(fleet)) - before
+            assert ran == (2 if status == 200 else 0)
+
+
+async def test_a_host_that_starts_in_an_outage_keeps_to_an_evacuation():
+    async with store_fleet() as fleet:
+        seed = fleet.gateways[0]
+        fleet.store.append(CONFIGURATION, EVACUATION, b"{}")
+        await fleet.until(lambda: seed.evacuations.domains)
+        fleet.store.fault = StoreFault.REFUSED
+        seeds = (Endpoint(ip=LOOPBACK, port=seed.seed_port),)
+        host = await fleet.add_gateway(peers={"seeds": seeds})
+        assert host.evacuations.domains == {"zone-a"}
+        assert await answers(fleet, gateway=1) == 503
+        assert executed_urls(fleet) == []
