Let only its owner send to a target that warms up, until it says it is warm

Ways weighed, in virtual time with 3, 17, 96 and 400 hosts: (a) the owner by hash of the registered hosts sends at a third of the bound; (b) all hosts of a group share the rate, which breaks where more than 16 hosts take themselves for members; (c) nothing until warm, a whole outage where a service comes back at once. (a) as the last choice is as (c) while a warm target is there. Change: what a target says of its warm-up to probes and looks is kept and told to peers; refusals and the end of an evacuation make it doubtful; the owner's share bounds choice, retries and second attempts alike. Services without a rate keep the ramp. Before: nothing bounded it.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -1,10 +1,11 @@
 """Decide for one service who goes to a target, who waits and who is refused."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from agatetack.admission.controller import PermitRequest, Priority
 from agatetack.admission.queue import FairQueue, Order, Waiter, new_queues
 from agatetack.balance.policy import Policy
+from agatetack.balance.target_share import TargetShare
 from agatetack.ids import Deadline, ServiceId
 from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.settings.model import Settings
@@ -52,7 +53,7 @@
         settings: Settings,
         registry: TargetRegistry,
         policy: Policy,
-        allows: Callable[[TargetState], bool],
+        share: TargetShare,
     ):
         """Start with nobody waiting.
 
@@ -61,13 +62,13 @@
             settings: The host's settings.
             registry: The targets.
             policy: How one is chosen.
-            allows: Whether this host may take one more slot of a target.
+            share: What this host may send to each target.
         """
         self.service = service
         self.settings = settings
         self.registry = registry
         self.policy = policy
-        self.allows = allows
+        self.share = share
         self.queues = new_queues()
         self.latency: float | None = None
         self.gap: float | None = None
@@ -96,6 +97,13 @@
         self, wanted: PermitRequest, now: Deadline
     ) -> Refusal | None:
         """Return why the request may not wait, or None; may push one out."""
+        opens_at = self._opens_at(now)
+        if opens_at + self.quick_latency > wanted.deadline:
+            return refuse(
+                RefusalReason.NO_TARGET,
+                "All targets of the service are warming up.",
+                opens_at,
+            )
         queue = self.queues[wanted.priority]
         route = wanted.route
         newest_first = self._order(now) is Order.NEWEST_FIRST
@@ -112,6 +120,11 @@
             return None
         return self.refuse_full(now, "The route's queue is full.")
 
+    def _opens_at(self, now: Deadline) -> Deadline:
+        """Return when this host may send to any of the targets again."""
+        targets = self.registry.targets(self.service)
+        return min(self.share.opens_at(target, now) for target in targets)
+
     def take_now(
         self, wanted: PermitRequest, now: Deadline
     ) -> TargetState | None:
@@ -257,8 +270,11 @@
         target = self.policy.choose(free, now)
         for changed in self.policy.take_changed():
             self.registry.note_changed(changed)
-        if target is not None and target.status is TargetStatus.COLD:
+        if target is None:
+            return None
+        if target.status is TargetStatus.COLD:
             self.registry.warm(target, now)
+        self.share.taken(target)
         return target
 
     def _free(
@@ -270,7 +286,7 @@
         free = [
             target
             for target in usable
-            if target.in_flight < target.limit and self.allows(target)
+            if target.in_flight < target.limit and self.share.allows(target)
         ]
         if wanted.avoid:
             other = [t for t in free if t.id not in wanted.avoid]
--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -18,6 +18,7 @@
 from agatetack.admission.queue import Waiter
 from agatetack.admission.rates import RouteRates
 from agatetack.balance.policy import Policy
+from agatetack.balance.target_share import NoShare, TargetShare
 from agatetack.ids import Deadline, ServiceId
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
@@ -97,7 +98,7 @@
         policy: Policy,
         metrics: Metrics,
         fleet_size: Callable[[], int] = lambda: 1,
-        allows: Callable[[TargetState], bool] = lambda _: True,
+        share: TargetShare | None = None,
     ):
         """Watch the registry, to serve waiting requests when it changes.
 
@@ -107,9 +108,9 @@
             policy: How one is chosen.
             metrics: Where refusals are counted by the caller of `acquire`.
             fleet_size: Returns the number of hosts, for routes with a rate.
-            allows: Whether this host may take one more slot of a target.
+            share: What this host may send to each target; all if None.
         """
-        self.allows = allows
+        self.share = share or NoShare()
         self.settings = settings
         self.registry = registry
         self.policy = policy
@@ -254,7 +255,7 @@
                 self.settings,
                 self.registry,
                 self.policy,
-                self.allows,
+                self.share,
             )
             self.lanes[service] = lane
         return lane
--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -52,12 +52,14 @@
     SILENT = "silent"
     SLOW = "slow"
     FULL = "full"
+    COLD = "cold"
 
 
 SHOWN = {
     Verdict.SILENT: AttemptResult.FAILED,
     Verdict.SLOW: AttemptResult.CANCELLED,
     Verdict.FULL: AttemptResult.CANCELLED,
+    Verdict.COLD: AttemptResult.CANCELLED,
 }
 """What a verdict says against its target; one that is only busy or slow now
 does not speak against it."""
@@ -107,6 +109,7 @@
             return Verdict.SLOW if slow else Verdict.ABLE
         if not self.look.take(target):
             return Verdict.ABLE
+        known_cold = _is_cold(target)
         left = max(0.0, wanted.deadline - now)
         seconds = min(LOOK_SECONDS, LOOK_SHARE * left)
         try:
@@ -115,6 +118,9 @@
             permit.release(AttemptResult.CANCELLED)
             raise
         verdict = _judge(report)
+        if verdict is Verdict.ABLE and _is_cold(target) and not known_cold:
+            # It turned cold without a word, and the permit was for a warm one.
+            verdict = Verdict.COLD
         self.looks.inc({"result": verdict.value})
         if verdict is not Verdict.ABLE:
             decisions.held(
@@ -128,6 +134,11 @@
         return verdict
 
 
+def _is_cold(target: TargetState) -> bool:
+    now = Deadline(trio.current_time())
+    return target.warm_up_rate > 0 and target.warmth.is_cold(now)
+
+
 def _is_fresh(target: TargetState, now: Deadline) -> bool:
     report = target.report
     return report is not None and now - report.at < FRESH_SECONDS
--- a/agatetack/attempts/test_looking.py
+++ b/agatetack/attempts/test_looking.py
@@ -188,3 +188,37 @@
     permit = (await looking.acquire(wish())).unwrap()
     assert permit is inner.given[0]
     assert look.asked == 0
+
+
+@pytest.mark.parametrize(
+    ("rate", "known_cold", "results"),
+    [
+        # It turned cold without a word, and the permit was for a warm target.
+        (5.6, False, [CANCELLED, None]),
+        # This host may send to it while it is cold.
+        (5.6, True, [None]),
+        # Nothing bounds what it gets while it is cold.
+        (0.0, False, [None]),
+    ],
+)
+async def test_a_target_found_cold_is_passed_over(
+    autojump_clock, rate, known_cold, results
+):
+    targets, inner, looking, look = make([GOOD, GOOD])
+    warm_at = Deadline(trio.current_time() + 3.0)
+    asked = look.ask
+
+    async def ask(target, deadline):
+        said = await asked(target, deadline)
+        if target is targets[0]:
+            target.warmth.note(warm_at, Deadline(trio.current_time()))
+        return said
+
+    look.ask = ask
+    for target in targets:
+        target.warm_up_rate = rate
+    if known_cold:
+        targets[0].warmth.note(warm_at, Deadline(trio.current_time()))
+    permit = (await looking.acquire(wish())).unwrap()
+    assert [leave.result for leave in inner.given] == results
+    assert permit is inner.given[-1]
--- a/agatetack/balance/start_share.py
+++ b/agatetack/balance/start_share.py
@@ -12,6 +12,7 @@
 import trio
 import xxhash
 
+from agatetack.balance.target_share import TargetShare
 from agatetack.ids import Deadline, HostId, ServiceId, TargetId
 from agatetack.peers.exchange import Exchange
 from agatetack.targets.registry import TargetRegistry
@@ -28,7 +29,7 @@
 """How often a host that starts looks whether it hears the others."""
 
 
-class StartShare:
+class StartShare(TargetShare):
     """The slots that this host may take while it hears few others.
 
     18 hosts that started at the same moment sent 60 requests within 10 ms, up
--- /dev/null
+++ b/agatetack/balance/target_share.py
@@ -0,0 +1,51 @@
+"""Define what keeps a host to its part of what a fleet may send to a target."""
+
+import abc
+from collections.abc import Sequence
+
+from agatetack.ids import Deadline
+from agatetack.targets.state import TargetState
+
+
+class TargetShare(abc.ABC):
+    """One host's part of what all hosts together may send to a target."""
+
+    @abc.abstractmethod
+    def allows(self, target: TargetState) -> bool:
+        """Return whether this host may send one more request to `target`."""
+
+    def opens_at(self, target: TargetState, now: Deadline) -> Deadline:
+        """Return when it may at the soonest; `now` if that is not known."""
+        return now
+
+    def taken(self, target: TargetState) -> None:  # noqa: B027
+        """Note that a request was given to `target`."""
+
+
+class NoShare(TargetShare):
+    """Lets a host send as if it were alone."""
+
+    def allows(self, target: TargetState) -> bool:
+        """Return True."""
+        return True
+
+
+class AllShares(TargetShare):
+    """Lets a host send what each of several shares lets it."""
+
+    def __init__(self, shares: Sequence[TargetShare]):
+        """Ask each of `shares`."""
+        self.shares = shares
+
+    def allows(self, target: TargetState) -> bool:
+        """Return whether every share allows one more request."""
+        return all(share.allows(target) for share in self.shares)
+
+    def opens_at(self, target: TargetState, now: Deadline) -> Deadline:
+        """Return when the last of them may."""
+        return max(share.opens_at(target, now) for share in self.shares)
+
+    def taken(self, target: TargetState) -> None:
+        """Tell each share of a request."""
+        for share in self.shares:
+            share.taken(target)
--- a/agatetack/config/document.py
+++ b/agatetack/config/document.py
@@ -20,11 +20,14 @@
         load_path: What is asked for a target's load.
         max_connections: Connections that one of its targets accepts from all
             hosts together, or 0 if not said.
+        warm_up_rate: Requests a second that one of its targets takes from all
+            hosts together while it warms up, or 0 if not said.
     """
 
     id: ServiceId
     load_path: str
     max_connections: int = 0
+    warm_up_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -11,8 +11,10 @@
 from agatetack.attempts.looking import LookingAdmission
 from agatetack.attempts.race import AttemptRunner
 from agatetack.attempts.single import SingleAttempt
+from agatetack.balance.cold_share import ColdShare
 from agatetack.balance.policies import make_policy
 from agatetack.balance.start_share import StartShare
+from agatetack.balance.target_share import AllShares
 from agatetack.callers.server import CallerServer
 from agatetack.clock import Clock, SystemClock
 from agatetack.config.route import RequestClass, RouteSource
@@ -123,7 +125,12 @@
             make_policy(settings, seed),
             metrics,
             self.peers.fleet_size,
-            self.start_share.allows,
+            AllShares(
+                [
+                    self.start_share,
+                    ColdShare(settings, self.registry, directory.gateways),
+                ]
+            ),
         )
         self.client = HttpTargetClient(settings, self.registry, load_reader)
         self.prober = Prober(
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -171,6 +171,7 @@
         state=load.state or ReportedState.READY,
         used_bytes=used_bytes,
         slowness=load.slowness,
+        warm_up_seconds=load.warm_up_seconds,
     )
 
 
--- a/agatetack/measure/news.py
+++ b/agatetack/measure/news.py
@@ -27,11 +27,13 @@
     Attributes:
         slowness: How many times longer than usual work took there.
         load: Requests there that the hearers don't know of otherwise.
+        cold: Whether it was warming up.
         repeat_at: When it is told again, even if nothing changes.
     """
 
     slowness: float
     load: int
+    cold: bool
     repeat_at: Deadline
 
 
@@ -59,14 +61,18 @@
     def take(self, target: TargetState, report: LoadReport) -> bool:
         """Return whether to tell `report`, which then counts as told."""
         load = self.load(report)
-        now = trio.current_time()
+        now = Deadline(trio.current_time())
+        cold = target.warmth.is_cold(now)
         last = self.told.get(target.process)
         if last is not None and now < last.repeat_at:
             change = abs(report.slowness - last.slowness)
-            if change <= TOLD_CHANGE * last.slowness and load == last.load:
+            slower = change > TOLD_CHANGE * last.slowness
+            if not slower and (load, cold) == (last.load, last.cold):
                 return False
         repeat_at = Deadline(now + REPEAT_SECONDS)
-        self.told[target.process] = ToldReport(report.slowness, load, repeat_at)
+        self.told[target.process] = ToldReport(
+            report.slowness, load, cold, repeat_at
+        )
         if len(self.told) > 2 * len(self.registry.by_process):
             self._forget_gone()
         return True
--- a/agatetack/measure/probe.py
+++ b/agatetack/measure/probe.py
@@ -31,6 +31,7 @@
         used_bytes: Bytes sent and received for it.
         slowness: How many times longer than usual work takes there now.
         instance: Which instance answered, if it says so.
+        warm_up_seconds: How long it still warms up; None if it can't be read.
     """
 
     in_flight: int
@@ -39,6 +40,7 @@
     used_bytes: int
     slowness: float = USUAL_SLOWNESS
     instance: TargetId | None = None
+    warm_up_seconds: float | None = 0.0
 
 
 class ProbeClient(abc.ABC):
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -206,8 +206,13 @@
         self.probe_bytes.give_back(max(0, PROBE_BYTES - answer.used_bytes))
         used = min(answer.used_bytes, PROBE_BYTES)
         self.metrics.budget_spent.add({"unit": "bytes"}, used)
-        load = ReadLoad(answer.in_flight, answer.slots, answer.slowness)
-        self.registry.note_load(target, load, ReportSource.PROBE)
+        load = ReadLoad(
+            answer.in_flight,
+            answer.slots,
+            answer.slowness,
+            warm_up_seconds=answer.warm_up_seconds,
+        )
+        self.registry.note_asked(target, load, ReportSource.PROBE)
         self.registry.note_probe(target, answer.state)
 
     def _note_failure(self, target: TargetState, failure: ProbeFailure) -> None:
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -199,12 +199,24 @@
         slowness_pct = round(report.slowness * USUAL_PERCENT)
         if slowness_pct != USUAL_PERCENT:
             sample.slowness_pct = slowness_pct
+        if target.warm_up_rate and target.warmth.said:
+            self._add_warmth(sample, target, now)
         service = target.learned.service_seconds
         # A peer's word that went round would look like ever new evidence.
         if service is not None and not target.learned.adopted:
             sample.service_us = round(service * 1e6)
         return sample
 
+    def _add_warmth(
+        self, sample: LoadSample, target: TargetState, now: Deadline
+    ) -> None:
+        warmth = target.warmth
+        left = max(0.0, warmth.warm_at - warmth.said_at)
+        sample.warm_up_ms = round(left * 1000)
+        said_ms = round((now - warmth.said_at) * 1000)
+        if said_ms > 0:
+            sample.said_ms = said_ms
+
     def _measured(self, target: TargetState, report: LoadReport) -> None:
         # By mark and not by name, as each report of a target comes here.
         if self.exchange.is_first_leader and target.told_by_all:
@@ -245,6 +257,10 @@
             slowness=max(1, sample.slowness_pct or USUAL_PERCENT)
             / USUAL_PERCENT,
         )
+        if sample.warm_up_ms is not None:
+            said_at = Deadline(now - max(0, sample.said_ms or 0) / 1000)
+            warm_at = Deadline(said_at + max(0, sample.warm_up_ms) / 1000)
+            self.registry.note_warmth(target, warm_at, said_at)
         self.registry.note_report(target, report)
         if sample.service_us and at > target.learned.peer_at:
             target.learned.note_peer(sample.service_us / 1e6, at)
--- a/agatetack/measure/test_news.py
+++ b/agatetack/measure/test_news.py
@@ -46,3 +46,22 @@
     assert told.take(target, report(*first))
     await trio.sleep(pause)
     assert told.take(target, report(*second)) is news
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "news"),
+    [(0.0, 0.0, False), (0.0, 3.0, True), (3.0, 0.0, True), (3.0, 2.9, False)],
+)
+async def test_a_target_that_turns_cold_or_warm_is_news(
+    autojump_clock, first, second, news
+):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([listed_target(1)])
+    target = registry.targets(SERVICE)[0]
+    told = ReportNews(registry, unseen_load)
+    for left in (first, second):
+        now = Deadline(trio.current_time())
+        target.warmth.note(Deadline(now + left), now)
+        taken = told.take(target, report(0, 0, 0, 1.0))
+        await trio.sleep(0.1)
+    assert taken is news
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -294,3 +294,30 @@
     host, _ = joined()
     host.registry.update([listed_target(9)])
     assert host.prober.sharing.hashes.known() == {target_hash("10.0.0.9:80")}
+
+
+@pytest.mark.parametrize(
+    ("left", "cold"), [(0.0, False), (3.0, True), (None, True)]
+)
+async def test_peers_learn_whether_a_target_is_warm(autojump_clock, left, cold):
+    first, second = joined()
+    for each in (first, second):
+        each.registry.set_warm_up_rates({SERVICE: 5.6})
+        # Nobody knows until a probe shows it.
+        each.registry.set_evacuated(frozenset(["domain-a"]))
+        each.registry.set_evacuated(frozenset())
+    state = ReportedState.READY
+    answer = ProbeAnswer(3, 2, state, 200, warm_up_seconds=left)
+    first.probe.result = Success(answer)
+    target, told = first.targets[0], second.targets[0]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(first.prober.run)
+        await trio.sleep(START_SECONDS + 1)
+        await first.prober.probe(target)
+        await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    now = Deadline(trio.current_time())
+    assert told.warmth.is_cold(now) is target.warmth.is_cold(now) is cold
+    assert told.warmth.warm_at == pytest.approx(
+        target.warmth.warm_at, abs=0.002
+    )
--- a/agatetack/platform/bounds.py
+++ b/agatetack/platform/bounds.py
@@ -34,6 +34,9 @@
         repeat_slack: How many more there may be in one window.
         repeat_window_seconds: The length of that window.
         probes_per_second: Probes that one target may get from all hosts.
+        cold_rate_ratio: Requests that a cold target may get from all hosts in
+            one second, as a multiple of what its service says it takes.
+        cold_rate_slack: How many more there may be.
     """
 
     stop_seconds: float | None = None
@@ -41,6 +44,8 @@
     repeat_slack: float | None = None
     repeat_window_seconds: float | None = None
     probes_per_second: float | None = None
+    cold_rate_ratio: float | None = None
+    cold_rate_slack: float | None = None
 
 
 READERS = {
@@ -49,6 +54,8 @@
     "budget_slack": ("repeat_slack", float),
     "budget_window": ("repeat_window_seconds", read_seconds),
     "probes_per_s": ("probes_per_second", float),
+    "cold_over": ("cold_rate_ratio", float),
+    "cold_slack": ("cold_rate_slack", float),
 }
 """Field and reader of each bound, by the platform's name for it."""
 
@@ -104,9 +111,16 @@
         measure = measure.copy_with(
             {"target_probes_per_second": min(wanted, most)}
         )
+    balance = settings.balance.copy_with(
+        _given(
+            cold_rate_ratio=bounds.cold_rate_ratio,
+            cold_rate_slack=bounds.cold_rate_slack,
+        )
+    )
     return settings.copy_with(
         {
             "lifecycle": lifecycle,
+            "balance": balance,
             "attempts": attempts,
             "measure": measure,
         }
--- a/agatetack/platform/configuration.py
+++ b/agatetack/platform/configuration.py
@@ -99,6 +99,7 @@
         id=ServiceId(fields["name"]),
         load_path=fields.get("health_path") or "/",
         max_connections=int(fields.get("max_connections") or 0),
+        warm_up_rate=max(0.0, float(fields.get("warmup_per_s") or 0.0)),
     )
 
 
--- a/agatetack/platform/load_header.py
+++ b/agatetack/platform/load_header.py
@@ -7,13 +7,18 @@
 
 USUAL_PERCENT = 100.0
 
+LONGEST_WARM_UP_MS = 3_600_000.0
+"""Longest time that a target is believed to need to warm up."""
+
 
 class ListLoadReader(LoadReader):
     """Reads running, waiting, slots and slowness in percent, by commas."""
 
     def __init__(self, settings: Settings):
         """Read the header that `settings` name."""
-        self.name = settings.targets.headers.load.encode()
+        names = settings.targets.headers
+        self.name = names.load.encode()
+        self.warm_up_name = (names.warm_up_ms or "").encode()
         self.names = frozenset((self.name,))
 
     def read(self, headers: Mapping[bytes, bytes]) -> ReadLoad:
@@ -30,4 +35,20 @@
         slowness = USUAL_SLOWNESS
         if len(figures) > 3:
             slowness = max(figures[3], 1.0) / USUAL_PERCENT
-        return ReadLoad(running + waiting, max(1, slots), slowness)
+        return ReadLoad(
+            running + waiting,
+            max(1, slots),
+            slowness,
+            warm_up_seconds=self._warm_up_seconds(headers),
+        )
+
+    def _warm_up_seconds(self, headers: Mapping[bytes, bytes]) -> float | None:
+        """Return how long the target still warms up, or None if unreadable.
+
+        A target that does not say so has no need to.
+        """
+        try:
+            left = float(headers.get(self.warm_up_name, b"0"))
+        except ValueError:
+            return None
+        return left / 1000 if 0 <= left <= LONGEST_WARM_UP_MS else None
--- a/agatetack/platform/test_records.py
+++ b/agatetack/platform/test_records.py
@@ -247,3 +247,25 @@
     load = reader.read({b"server-load": value})
     assert (load.in_flight, load.slots) == (in_flight, slots)
     assert load.slowness == slowness
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        (None, 0.0),
+        (b"0", 0.0),
+        (b"2900", 2.9),
+        # What can't be read says nothing, and not that the server is warm.
+        (b"", None),
+        (b"soon", None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"1e300", None),
+    ],
+)
+def test_the_time_to_warm_up_is_read(value, seconds):
+    reader = ListLoadReader(template_settings(1))
+    headers = {b"server-load": b"1,0,6,100"}
+    if value is not None:
+        headers[b"warmup-remaining-ms"] = value
+    assert reader.read(headers).warm_up_seconds == seconds
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -86,6 +86,7 @@
     answering_instance: HeaderName | None
     signature: HeaderName | None
     load: HeaderName | None
+    warm_up_ms: HeaderName | None
 
 
 class TargetsSettings(Section):
@@ -249,6 +250,8 @@
 
     policy: PolicyName
     cold_seconds: Seconds
+    cold_rate_ratio: NotNegative
+    cold_rate_slack: NotNegative
     same_domain_seconds: NotNegative
     other_domain_seconds: NotNegative
     slow_ratio: Annotated[float, Meta(gt=1, le=LARGEST)]
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -136,6 +136,7 @@
         )
         self._build_classes()
         self.documents.watchers.append(self._limit_callers)
+        self.documents.watchers.append(self._bound_cold_targets)
 
     def _follower(
         self, name: str, topic: str | KeyedTopic, reader: TopicReader
@@ -189,6 +190,15 @@
             )
         self.callers.limit(callers)
 
+    def _bound_cold_targets(self) -> None:
+        """Take from the document what targets bear while they warm up."""
+        self.registry.set_warm_up_rates(
+            {
+                info.id: info.warm_up_rate
+                for info in self.documents.services.values()
+            }
+        )
+
     def liveness_check(self) -> LivenessCheck:
         """Return what tells a crashed target from one lost connection."""
         return ReportLivenessCheck(self.registry)
--- a/agatetack/targets/counters.py
+++ b/agatetack/targets/counters.py
@@ -12,6 +12,7 @@
         slow: Times that a target was found slow.
         returned: Targets that got work again.
         usable: Targets that may get work now.
+        warmth: Times that a target was found cold, or warm again.
     """
 
     def __init__(self, metrics: Metrics):
@@ -31,5 +32,9 @@
         self.usable = metrics.gauge(
             "agatetack_targets_usable", "Targets that may get work, by service."
         )
+        self.warmth = metrics.counter(
+            "agatetack_targets_warmth_total",
+            "Times that a target was found cold, or warm again, by state.",
+        )
         for sign in LeavingSign:
             self.signs.add({"sign": sign.value}, 0)
--- a/agatetack/targets/load.py
+++ b/agatetack/targets/load.py
@@ -32,12 +32,15 @@
         slots: Requests that run at the same time, or None if not said.
         slowness: How many times longer than usual work takes there now.
         state: What it says of its state, or None if nothing.
+        warm_up_seconds: How long it still warms up, by an answer of its load
+            path; other answers do not say. None if it can't be read.
     """
 
     in_flight: int | None
     slots: int | None = None
     slowness: float = USUAL_SLOWNESS
     state: ReportedState | None = None
+    warm_up_seconds: float | None = 0.0
 
 
 class LoadReader(abc.ABC):
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -136,7 +136,7 @@
             pooled = connection.requests > 0
             load = await self._ask_on(connection, pool, deadline)
             if load is not None:
-                return self.registry.note_load(
+                return self.registry.note_asked(
                     target, load, ReportSource.ANSWER
                 )
             if not pooled or trio.current_time() >= deadline:
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -4,10 +4,11 @@
 later is weighed against it.
 """
 
-from collections.abc import Callable, Iterable, Sequence, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 
 import trio
 
+from agatetack.decisions import DecisionLog, age
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.hosts.listed_target import ListedTarget
 from agatetack.ids import (
@@ -37,6 +38,7 @@
 }
 
 log = PartLog("targets")
+decisions = DecisionLog("targets")
 
 
 class TargetRegistry:
@@ -47,6 +49,8 @@
         by_process: The same targets, by this start of their process.
         drained: Targets that an operator drained; they get no new work.
         evacuated: Failure domains whose targets get no new work.
+        warm_up_rates: Requests a second that a cold target of each service
+            takes from all hosts, where that is known.
         watchers: Called with the service when its targets change or a load
             report arrives; must not block or raise.
         report_watchers: Called with the target and each report taken.
@@ -70,6 +74,7 @@
         self.usable: dict[ServiceId, tuple[TargetState, ...]] = {}
         self.drained: set[TargetId] = set()
         self.evacuated: Set[FailureDomain] = frozenset()
+        self.warm_up_rates: Mapping[ServiceId, float] = {}
         self.leaving: dict[TargetId, LeavingRecord] = {}
         self.returns: dict[TargetId, int] = {}
         self.watchers: list[Callable[[ServiceId], None]] = []
@@ -117,6 +122,8 @@
                 changed.add(target.service)
                 changed.add(host.service)
                 target.service = host.service
+            elif isinstance(host, ListedTarget):
+                target.warmth.note_listed(host.warm_at, now)
             self._take_listed_state(target, host.state, now)
         for target_id in list(self.by_id):
             if target_id not in seen:
@@ -153,6 +160,40 @@
         self.note_report(target, report)
         return report
 
+    def note_asked(
+        self, target: TargetState, load: ReadLoad, source: ReportSource
+    ) -> LoadReport:
+        """Take what the load path of `target` answered just now."""
+        if load.warm_up_seconds is not None:
+            now = Deadline(trio.current_time())
+            warm_at = Deadline(now + load.warm_up_seconds)
+            self.note_warmth(target, warm_at, now)
+        return self.note_load(target, load, source)
+
+    def note_warmth(
+        self, target: TargetState, warm_at: Deadline, said_at: Deadline
+    ) -> None:
+        """Take the word of `target` itself, of `said_at`, when it is warm."""
+        now = Deadline(trio.current_time())
+        before = target.warmth.is_cold(now)
+        target.warmth.note(warm_at, said_at)
+        cold = target.warmth.is_cold(now)
+        if cold != before and target.warm_up_rate:
+            self.counters.warmth.inc({"state": "cold" if cold else "warm"})
+            decisions.note(
+                "target-cold" if cold else "target-warm",
+                target=target.id,
+                service=target.service,
+                left_ms=round(max(0.0, warm_at - now) * 1000),
+                age=age(said_at),
+            )
+
+    def set_warm_up_rates(self, rates: Mapping[ServiceId, float]) -> None:
+        """Note how many requests a second cold targets of services take."""
+        self.warm_up_rates = rates
+        for target in self.by_id.values():
+            target.warm_up_rate = rates.get(target.service, 0.0)
+
     def note_leaving(self, target: TargetState, why: LeavingSign) -> None:
         """Stop new work at `target` at once and let peers be told."""
         self.counters.signs.inc({"sign": why.value})
@@ -197,8 +238,12 @@
 
     def warm(self, target: TargetState, now: Deadline) -> None:
         """Make a cold target ready once its ramp is over."""
-        age = now - target.status_since
-        if age >= self.settings.balance.cold_seconds:
+        if target.warm_up_rate:
+            over = not target.warmth.is_cold(now)
+        else:
+            cold_seconds = self.settings.balance.cold_seconds
+            over = now - target.status_since >= cold_seconds
+        if over:
             target.status = TargetStatus.READY
             target.status_since = now
 
@@ -297,8 +342,10 @@
             limit=self.settings.admission.max_target_limit,
         )
         target.learned.limit = target.limit
+        target.warm_up_rate = self.warm_up_rates.get(host.service, 0.0)
         if isinstance(host, ListedTarget):
             target.slots = host.slots
+            target.warmth.note_listed(host.warm_at, now)
             if host.warm_at <= now:
                 target.status = TargetStatus.READY
         self.by_id[target.id] = target
@@ -338,6 +385,7 @@
         self.returns[target.id] = record.returns + 1
         target.status = TargetStatus.COLD
         target.status_since = now
+        target.warmth.doubt(now)
         target.failures = 0
         self.counters.returned.inc({"sign": record.sign.value})
         log.info("target %s gets work again", target.id)
@@ -364,6 +412,11 @@
     def set_evacuated(self, domains: Set[FailureDomain]) -> None:
         """Give the targets of `domains` no new work, and all others some."""
         changed = domains ^ self.evacuated
+        over = self.evacuated - domains
+        now = Deadline(trio.current_time())
+        for target in self.by_id.values():
+            if target.failure_domain in over:
+                target.warmth.doubt(now)
         self.evacuated = domains
         self._rebuild(
             target.service
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -13,6 +13,7 @@
     TargetId,
 )
 from agatetack.targets.load import USUAL_SLOWNESS
+from agatetack.targets.warmth import Warmth
 
 RECENT_LATENCIES = 64
 """How many of a target's latest latencies are kept."""
@@ -88,6 +89,9 @@
         idle_connections: Open connections of this host without a request.
         answer_bytes: Moving size of its answers' bodies.
         learned: What this host's balancing has learned of it.
+        warmth: Whether it has warmed up.
+        warm_up_rate: Requests a second that it takes from all hosts while it
+            is cold; 0 if nobody said so.
     """
 
     id: TargetId
@@ -116,6 +120,8 @@
     idle_connections: int = 0
     answer_bytes: float = 0.0
     learned: LearnedLoad = dataclasses.field(default_factory=LearnedLoad)
+    warmth: Warmth = dataclasses.field(default_factory=Warmth)
+    warm_up_rate: float = 0.0
 
     @property
     def process(self) -> ProcessId:
--- a/thrift/measure.thrift
+++ b/thrift/measure.thrift
@@ -11,6 +11,9 @@
   4: optional i32 age_ms        // absent: 0
   5: optional i32 service_us    // time of one request on a free slot
   6: optional i32 slowness_pct  // time of work there, usual is 100; absent: 100
+  7: optional i32 warm_up_ms    // how long it had still to warm up when it said
+                                // so last; absent: nobody knows
+  8: optional i32 said_ms       // how long ago that was; absent: 0
 }
 
 // The samples of one interval.
