Fill targets up to where they do most, found out from their answers

Kept: learned for each service by each host, as services of other sheets lose a third of their slots by a fixed figure.

--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -1,10 +1,13 @@
 """Choose by what all hosts have at each target and how fast it is now."""
 
 import math
+import random
 from collections.abc import Sequence
 
 from agatetack.balance.learning import FAILURES_TO_LEAVE, LearningPolicy
+from agatetack.balance.room import LearnedKnee, SlotRoom, is_above_knee
 from agatetack.ids import Deadline
+from agatetack.settings.model import Settings
 from agatetack.targets.load import USUAL_SLOWNESS
 from agatetack.targets.state import TargetState
 
@@ -21,7 +24,7 @@
 """Candidates within this share of the best cost count as equally good."""
 
 FULL_FACTOR = 1.5
-"""How much longer work takes on a target whose last slot is taken.
+"""How much longer work takes on a target whose last slots are taken.
 
 Targets that slow down when they are nearly full take about 1.7 times as long;
 others do not, so that the figure lies between.
@@ -104,7 +107,21 @@
 
 
 class FleetView(LearningPolicy):
-    """Choose the target where the request is expected to end first."""
+    """Choose the target where the request is expected to end first.
+
+    Attributes:
+        room: How many requests targets should have.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        rng: random.Random,
+        room: SlotRoom | None = None,
+    ):
+        """Fill targets as `room` says; up to where they do most if None."""
+        super().__init__(settings, rng)
+        self.room = room or LearnedKnee()
 
     def choose(
         self, candidates: Sequence[TargetState], now: Deadline
@@ -131,7 +148,7 @@
         """Return whether a request would not wait at `target`."""
         if now < target.room_at:
             return False
-        most = target.slots + MOST_WAITING
+        most = self.room.most(target, now) + MOST_WAITING
         return self.expected_load(target, now) < most
 
     def spare(
@@ -178,7 +195,7 @@
         """Return the expected seconds from sending to the answer."""
         load = self.expected_load(target, now)
         service = typical * self.slowness(target, now)
-        if load + 1 >= target.slots:
+        if is_above_knee(load + 1, target.slots):
             service *= FULL_FACTOR
         wait = max(0.0, load + 1 - target.slots) / target.slots
         cost = self.network(target) + service * (1 + wait)
@@ -203,6 +220,7 @@
     ) -> None:
         """Learn from an answer."""
         super().answered(target, latency, waiting, now)
+        self.room.answered(target, latency, waiting, now)
         self._note_end(target, 0.0, now)
 
     def shed(self, target: TargetState, now: Deadline) -> None:
--- /dev/null
+++ b/agatetack/balance/test_room.py
@@ -0,0 +1,113 @@
+"""Test how far targets are filled, and that it is found out by itself.
+
+The pattern: some services' targets slow down when they are nearly full, so that
+in an overload the last slots add work and no answers; others do not, and lose
+a third of what they can do if these stay empty. Which is which nobody says.
+"""
+
+import random
+
+import pytest
+
+from agatetack.balance.room import FORGET_SECONDS, AllSlots, LearnedKnee
+from agatetack.targets.state import TargetState
+
+SERVICE_SECONDS = 0.26
+SPREAD = 0.3
+"""Sigma of a request's time, as a logarithm."""
+
+SLOW_SHARE, SLOW_FACTOR = 0.05, 5.0
+"""Requests that met a slow machine although it was looked at."""
+
+
+def make_target(slots, service="svc"):
+    target = TargetState("t", service, "10.0.0.1", 80, "d")
+    target.slots = slots
+    return target
+
+
+def answer(room, target, factor, rng, now, ahead=None):
+    """Answer one request, slower by `factor` above 0.8 of the slots."""
+    if ahead is None:
+        ahead = rng.randrange(target.slots)
+    seconds = SERVICE_SECONDS * rng.lognormvariate(0, SPREAD)
+    if ahead + 1 > 0.8 * target.slots:
+        seconds *= factor
+    if rng.random() < SLOW_SHARE:
+        seconds *= SLOW_FACTOR
+    room.answered(target, seconds, ahead, now)
+
+
+@pytest.mark.parametrize(
+    ("slots", "factor", "most"),
+    [
+        (6, 1.7, 4),
+        (6, 1.0, 6),
+        (6, 1.2, 6),
+        (10, 1.7, 8),
+        (16, 2.0, 12),
+        # The last one adds more than it costs.
+        (2, 1.7, 2),
+        (2, 1.0, 2),
+        (3, 1.0, 3),
+        (1, 1.7, 1),
+        (1, 1.0, 1),
+    ],
+)
+def test_targets_are_filled_as_far_as_they_do_more(slots, factor, most):
+    target = make_target(slots)
+    wrong = 0
+    for seed in range(20):
+        rng = random.Random(seed)
+        room = LearnedKnee()
+        for step in range(300):
+            answer(room, target, factor, rng, step * 0.1)
+        wrong += room.most(target, 30.0) != most
+    assert wrong == 0
+    assert AllSlots().most(target, 0.0) == slots
+
+
+def test_it_is_known_after_some_twenty_answers_under_load():
+    target = make_target(6)
+    known = 0
+    for seed in range(200):
+        rng = random.Random(seed)
+        room = LearnedKnee()
+        for _ in range(20):
+            answer(room, target, 1.7, rng, 0.0, ahead=1)
+            answer(room, target, 1.7, rng, 0.0, ahead=4)
+        known += room.most(target, 0.0) == 4
+    # On nine hosts of ten.
+    assert known >= 180
+
+
+def test_it_does_not_flap():
+    target = make_target(6)
+    changes = 0
+    for factor in (1.0, 1.7):
+        rng = random.Random(3)
+        room = LearnedKnee()
+        for _ in range(60):
+            answer(room, target, factor, rng, 0.0)
+        before = room.most(target, 0.0)
+        for step in range(600):
+            answer(room, target, factor, rng, step * 0.1)
+            after = room.most(target, step * 0.1)
+            changes += after != before
+            before = after
+    assert changes <= 2
+
+
+def test_what_was_learned_is_forgotten_and_each_service_has_its_own():
+    target, other = make_target(6), make_target(6, "other")
+    rng = random.Random(1)
+    room = LearnedKnee()
+    for _ in range(100):
+        answer(room, target, 1.7, rng, 0.0)
+        answer(room, other, 1.0, rng, 0.0)
+    assert room.most(target, 0.0) == 4
+    assert room.most(other, 0.0) == 6
+    assert room.most(target, 12 * FORGET_SECONDS) == 6
+    # One request that waited there says nothing.
+    room.answered(target, 9.0, 6.0, 0.0)
+    assert room.most(target, 0.0) == 4
