Keep requests in the regions that their route allows

Change: routes name regions (document, route files, records); the settings say in which region each failure domain lies; choice, waiting, retries and second attempts take targets of these only, and a request without one is refused as not run. Where no region is named nothing changes. Before: nothing kept to it. After: tables of admission, records and rules.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -87,7 +87,7 @@
             self.normal_at = now
         if now >= wanted.deadline:
             return self._late(now, "The deadline has passed.")
-        if not self.registry.targets(self.service):
+        if not self._usable(wanted):
             return self._refuse_without_target(now)
         if now + self.quick_latency > wanted.deadline:
             return self._late(now, "Answers take longer than the time left.")
@@ -97,7 +97,7 @@
         self, wanted: PermitRequest, now: Deadline
     ) -> Refusal | None:
         """Return why the request may not wait, or None; may push one out."""
-        opens_at = self._opens_at(now)
+        opens_at = self._opens_at(wanted, now)
         if opens_at + self.quick_latency > wanted.deadline:
             return refuse(
                 RefusalReason.NO_TARGET,
@@ -120,9 +120,13 @@
             return None
         return self.refuse_full(now, "The route's queue is full.")
 
-    def _opens_at(self, now: Deadline) -> Deadline:
+    def _usable(self, wanted: PermitRequest) -> Sequence[TargetState]:
+        """Return the targets that may get new work and this request."""
+        return self.registry.targets_in(self.service, wanted.route.regions)
+
+    def _opens_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
         """Return when this host may send to any of the targets again."""
-        targets = self.registry.targets(self.service)
+        targets = self._usable(wanted)
         return min(self.share.opens_at(target, now) for target in targets)
 
     def take_now(
@@ -263,8 +267,7 @@
     def _choose(
         self, wanted: PermitRequest, now: Deadline
     ) -> TargetState | None:
-        usable = self.registry.targets(self.service)
-        free = self._free(usable, wanted, now)
+        free = self._free(self._usable(wanted), wanted, now)
         if not free:
             return None
         target = self.policy.choose(free, now)
--- a/agatetack/admission/test_service.py
+++ b/agatetack/admission/test_service.py
@@ -1,5 +1,7 @@
 """Test limits, queues and refusals with faults in tables."""
 
+import dataclasses
+
 import pytest
 import trio
 import trio.testing
@@ -224,3 +226,37 @@
         bed.registry.set_evacuated(frozenset())
         await fill(bed, nursery, "f")
         assert bed.served == ["a", "b", "f"]
+
+
+REGIONS = {"d1": "north", "d2": "south"}
+
+
+@pytest.mark.parametrize(
+    ("regions", "usable"),
+    [
+        ((), {"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}),
+        (("north",), {"10.0.0.1:80"}),
+        (("north", "south"), {"10.0.0.1:80", "10.0.0.2:80"}),
+        # A failure domain that is not named lies in the host's own region.
+        (("region-a",), {"10.0.0.3:80"}),
+        (("elsewhere",), set()),
+    ],
+)
+async def test_requests_stay_in_the_regions_of_their_route(
+    autojump_clock, regions, usable
+):
+    bed = make_bed(targets=0, limit=1)
+    host = bed.registry.settings.host.copy_with({"regions": REGIONS})
+    bed.registry.settings = bed.registry.settings.copy_with({"host": host})
+    domains = ("d1", "d2", "d3")
+    bed.registry.update(
+        [listed_target(n, domain=d) for n, d in enumerate(domains, 1)]
+    )
+    route = dataclasses.replace(make_route(), regions=regions)
+    for name in "abcd":
+        # One that finds no place left, a hedge too, is refused at once.
+        await bed.ask(name, route=route, wait=False)
+    assert {permit.target.id for permit in bed.permits} == usable
+    assert len(bed.refused) == 4 - len(usable)
+    if not usable:
+        assert bed.refused["a"].reason is RefusalReason.NO_TARGET
--- a/agatetack/config/records.py
+++ b/agatetack/config/records.py
@@ -15,6 +15,7 @@
 from agatetack.ids import (
     ChangeId,
     LogOffset,
+    Region,
     RouteId,
     ServiceId,
     StreamId,
@@ -180,6 +181,7 @@
         "target_latency_seconds": float(route.target_latency_seconds),
         "priority": route.priority,
         "split": split,
+        "regions": list(route.regions),
     }
     return {name: value for name, value in fields.items() if value}
 
@@ -204,6 +206,7 @@
         "target_latency_seconds": record.target_latency_seconds,
         "priority": record.priority,
         "split": _split_from_wire(record.split),
+        "regions": _regions_from_wire(record.regions),
     }
     return Route(
         id=RouteId(record.id),
@@ -226,6 +229,12 @@
     )
 
 
+def _regions_from_wire(
+    names: Sequence[str] | None,
+) -> tuple[Region, ...] | None:
+    return None if names is None else tuple(map(Region, names))
+
+
 def wall_to_ms(wall: WallTime) -> int:
     """Return whole milliseconds since 1970."""
     return int(wall * 1000)
--- a/agatetack/config/route.py
+++ b/agatetack/config/route.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Sequence
 
-from agatetack.ids import LogOffset, RouteId, ServiceId, TeamId
+from agatetack.ids import LogOffset, Region, RouteId, ServiceId, TeamId
 
 
 class RequestClass(enum.Enum):
@@ -52,6 +52,7 @@
         target_latency_seconds: Time within which answers are wanted, or 0.
         priority: Its rank among the routes of a service; 0 goes first.
         split: The services that share its requests; empty for `service`.
+        regions: Where its requests may be run; empty for anywhere.
     """
 
     id: RouteId
@@ -70,6 +71,7 @@
     target_latency_seconds: float = 0.0
     priority: int = 0
     split: tuple[SplitPart, ...] = ()
+    regions: tuple[Region, ...] = ()
 
 
 class RouteTable:
--- a/agatetack/config/route_file.py
+++ b/agatetack/config/route_file.py
@@ -121,6 +121,8 @@
             values["request_class"] = name
         if "split" in values:
             values["split"] = _read_split(values["split"])
+        if isinstance(values.get("regions"), list):
+            values["regions"] = tuple(values["regions"])
         return Route(**values)
 
     def _check_rules(self, index: int, entry: dict, route: Route) -> None:
--- a/agatetack/config/route_rules.py
+++ b/agatetack/config/route_rules.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple
 
 from agatetack.config.route import RequestClass, Route, SplitPart
-from agatetack.ids import RouteId
+from agatetack.ids import Region, RouteId
 
 MAX_NAME_LENGTH = 100
 """Longest id, team or service, in characters."""
@@ -35,6 +35,7 @@
 MAX_PRIORITY = 1000
 MAX_SPLIT_PARTS = 100
 MAX_WEIGHT = 1e6
+MAX_REGIONS = 100
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
 HOST = re.compile(r"[a-z0-9_]([a-z0-9_.-]*[a-z0-9_])?|\[[0-9a-f:.]+\]")
@@ -60,6 +61,7 @@
     TARGET_LATENCY_SECONDS = "target_latency_seconds"
     PRIORITY = "priority"
     SPLIT = "split"
+    REGIONS = "regions"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,6 +217,18 @@
     )
     yield from _check_whole(RouteField.PRIORITY, route.priority, MAX_PRIORITY)
     yield from _check_split(route.split)
+    yield from _check_regions(route.regions)
+
+
+def _check_regions(regions: Sequence[Region]) -> Iterable[RouteFinding]:
+    if not isinstance(regions, tuple) or not all(
+        isinstance(name, str) and NAME.fullmatch(name) for name in regions
+    ):
+        yield RouteFinding(RouteField.REGIONS, "must be a list of names")
+    elif len(regions) > MAX_REGIONS:
+        yield RouteFinding(
+            RouteField.REGIONS, f"must have at most {MAX_REGIONS} names"
+        )
 
 
 def _check_split(split: Sequence[SplitPart]) -> Iterable[RouteFinding]:
--- a/agatetack/config/test_route_rules.py
+++ b/agatetack/config/test_route_rules.py
@@ -34,11 +34,16 @@
     {"max_body_bytes": 0},
     {"max_body_bytes": MAX_BODY_BYTES},
     {"requests_per_second": 0.5},
+    {"regions": ("north", "south")},
 ]
 
 BAD = [
     ("id", ""),
     ("id", "a b"),
+    ("regions", "north"),
+    ("regions", ("a b",)),
+    ("regions", (1,)),
+    ("regions", ("north",) * 101),
     ("id", "profiles\n"),
     ("id", "-a"),
     ("id", "ä"),
--- a/agatetack/ids.py
+++ b/agatetack/ids.py
@@ -12,6 +12,7 @@
 """One operator's change of configuration, chosen by the operator."""
 
 FailureDomain = NewType("FailureDomain", str)
+Region = NewType("Region", str)
 """A set of hosts that fail together."""
 
 HostId = NewType("HostId", str)
--- a/agatetack/platform/configuration.py
+++ b/agatetack/platform/configuration.py
@@ -1,6 +1,6 @@
 """Read the configuration that operators write to the platform's store."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import orjson
 
@@ -13,7 +13,13 @@
 )
 from agatetack.config.route import RequestClass, Route, SplitPart
 from agatetack.hosts.evacuations import EvacuationKeys
-from agatetack.ids import FailureDomain, RouteId, ServiceId, TeamId
+from agatetack.ids import (
+    FailureDomain,
+    Region,
+    RouteId,
+    ServiceId,
+    TeamId,
+)
 from agatetack.platform.figures import read_seconds
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -86,9 +92,16 @@
         target_latency_seconds=_optional_seconds(fields, "target_latency"),
         priority=int(fields.get("priority") or 0),
         split=split,
+        regions=_read_regions(fields.get("allowed_regions")),
     )
 
 
+def _read_regions(names: Sequence[str] | None) -> tuple[Region, ...]:
+    if isinstance(names, str):
+        raise TypeError("allowed_regions is no list")
+    return tuple(Region(str(name)) for name in names or ())
+
+
 def _optional_seconds(fields: Mapping, name: str) -> float:
     text = fields.get(name)
     return read_seconds(text) if text else 0.0
--- a/agatetack/platform/test_records.py
+++ b/agatetack/platform/test_records.py
@@ -269,3 +269,26 @@
     if value is not None:
         headers[b"warmup-remaining-ms"] = value
     assert reader.read(headers).warm_up_seconds == seconds
+
+
+@pytest.mark.parametrize(
+    ("names", "regions"),
+    [
+        (None, ()),
+        ([], ()),
+        (["north"], ("north",)),
+        (["north", "south"], ("north", "south")),
+    ],
+)
+def test_the_regions_of_a_route_are_read(names, regions):
+    fields = route_fields()
+    if names is not None:
+        fields["allowed_regions"] = names
+    document = ConfigurationDecoder().decode(configuration(1, fields))
+    assert document.routes[0].regions == regions
+
+
+def test_regions_that_are_no_list_are_refused():
+    content = configuration(1, route_fields(allowed_regions="north"))
+    with pytest.raises(BadDocument):
+        ConfigurationDecoder().decode(content)
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -31,6 +31,7 @@
     id: Name
     failure_domain: Name
     region: Name
+    regions: dict[str, Name]
 
 
 class CallerHeaders(Section):
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -15,6 +15,7 @@
     Deadline,
     FailureDomain,
     ProcessId,
+    Region,
     ServiceId,
     TargetId,
 )
@@ -103,6 +104,24 @@
         """Return the targets of `service` that may get new work."""
         return self.usable.get(service, ())
 
+    def targets_in(
+        self, service: ServiceId, regions: Sequence[Region]
+    ) -> Sequence[TargetState]:
+        """Return the targets that may get new work in any of `regions`.
+
+        Args:
+            service: The service.
+            regions: The regions; empty for all there are.
+        """
+        targets = self.targets(service)
+        if not regions:
+            return targets
+        return [t for t in targets if self._region(t) in regions]
+
+    def _region(self, target: TargetState) -> str:
+        host = self.settings.host
+        return host.regions.get(target.failure_domain, host.region)
+
     def update(self, listed: Sequence[ListedHost]) -> None:
         """Take a new host list; gateways in it are skipped."""
         now = Deadline(trio.current_time())
--- a/agatetack/testing/store_fleet.py
+++ b/agatetack/testing/store_fleet.py
@@ -50,7 +50,8 @@
 
 def fill_template(text: str, values: Mapping[str, str]) -> str:
     """Return the template with the platform's values in their places."""
-    sections = {"bounds": BOUNDS, "seeds": {}}
+    zones = {values["zone"]: values["region"]}
+    sections = {"bounds": BOUNDS, "seeds": {}, "zones": zones}
     for name, entries in sections.items():
         text = _fill_section(text, name, entries)
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: values[m[1]], text)
@@ -63,10 +64,11 @@
         rf"{re.escape(first)}\n?(.*?){re.escape(last)}\n?", re.S
     )
     row = section.search(text)[1]
-    rows = "".join(
-        row.replace("{{@}}", key).replace("{{.}}", value)
+    rows = "{{,}}".join(
+        row.replace("{{,}}", "").replace("{{@}}", key).replace("{{.}}", value)
         for key, value in entries.items()
     )
+    rows = rows.replace("{{,}}", "," if "{{,}}" in row else "")
     return section.sub(lambda _: rows, text)
 
 
--- a/thrift/common.thrift
+++ b/thrift/common.thrift
@@ -41,4 +41,5 @@
   13: optional double target_latency_seconds  // 0: not known
   14: optional i32 priority               // 0 goes first
   15: optional list<SplitPart> split      // absent: all to service_name
+  16: optional list<string> regions       // absent: its targets anywhere
 }
