--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -109,7 +109,7 @@
             return Verdict.SLOW if slow else Verdict.ABLE
         if not self.look.take(target):
             return Verdict.ABLE
-        known_cold = _is_cold(target)
+        known_cold = target.warms_up(now)
         left = max(0.0, wanted.deadline - now)
         seconds = min(LOOK_SECONDS, LOOK_SHARE * left)
         try:
@@ -118,7 +118,8 @@
             permit.release(AttemptResult.CANCELLED)
             raise
         verdict = _judge(report)
-        if verdict is Verdict.ABLE and _is_cold(target) and not known_cold:
+        now = Deadline(trio.current_time())
+        if verdict is Verdict.ABLE and target.warms_up(now) and not known_cold:
             # It turned cold without a word, and the permit was for a warm one.
             verdict = Verdict.COLD
         self.looks.inc({"result": verdict.value})
@@ -134,11 +135,6 @@
         return verdict
 
 
-def _is_cold(target: TargetState) -> bool:
-    now = Deadline(trio.current_time())
-    return target.warm_up_rate > 0 and target.warmth.is_cold(now)
-
-
 def _is_fresh(target: TargetState, now: Deadline) -> bool:
     report = target.report
     return report is not None and now - report.at < FRESH_SECONDS
--- a/agatetack/balance/cold_share.py
+++ b/agatetack/balance/cold_share.py
@@ -82,7 +82,7 @@
     def allows(self, target: TargetState) -> bool:
         """Return whether this host may send one more request to `target`."""
         now = Deadline(trio.current_time())
-        if not self._bounds(target, now):
+        if not target.warms_up(now):
             return True
         if self._rate(target) <= 0 or not self._find(target, now).own:
             return False
@@ -90,7 +90,7 @@
 
     def opens_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return when it may at the soonest; `now` if that is not known."""
-        if not self._bounds(target, now) or not target.warmth.known:
+        if not target.warms_up(now) or not target.warmth.known:
             return now
         if self._rate(target) > 0 and self._find(target, now).own:
             return max(now, self._free_at(target, now))
@@ -99,7 +99,7 @@
     def taken(self, target: TargetState) -> None:
         """Note that a request was given to `target`."""
         now = Deadline(trio.current_time())
-        if self._bounds(target, now):
+        if target.warms_up(now):
             pause = 1 / max(self._rate(target), 1e-6)
             self._find(target, now).free_at = Deadline(now + pause)
 
@@ -108,9 +108,6 @@
         quiet_until = Deadline(target.warmth.cold_since + QUIET_SECONDS)
         return max(self._find(target, now).free_at, quiet_until)
 
-    def _bounds(self, target: TargetState, now: Deadline) -> bool:
-        return target.warm_up_rate > 0 and target.warmth.is_cold(now)
-
     def _rate(self, target: TargetState) -> float:
         """Return the requests a second that one owner may send.
 
--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -163,7 +163,7 @@
             target
             for target in candidates
             if self.expected_load(target, now) + 1 <= target.slots
-            and not (target.warm_up_rate and target.warmth.is_cold(now))
+            and not target.warms_up(now)
             and self.slowness(target, now) <= SPARE_SLOWNESS
         ]
 
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -123,6 +123,10 @@
     warmth: Warmth = dataclasses.field(default_factory=Warmth)
     warm_up_rate: float = 0.0
 
+    def warms_up(self, now: Deadline) -> bool:
+        """Return whether it may be cold, and takes only so many requests."""
+        return self.warm_up_rate > 0 and self.warmth.is_cold(now)
+
     @property
     def process(self) -> ProcessId:
         """Return the name of this start of the target's process."""
