--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -23,6 +23,7 @@
 from agatetack.metrics import MeasureKind, Metrics
 from agatetack.settings.model import Settings
 from agatetack.targets.counters import TargetCounters
+from agatetack.targets.departures import Departures
 from agatetack.targets.leaving import LeavingRecord, LeavingSign
 from agatetack.targets.load import ReadLoad, ReportedState
 from agatetack.targets.state import (
@@ -48,6 +49,7 @@
     Attributes:
         by_id: Every known target.
         by_process: The same targets, by this start of their process.
+        departures: The targets that leave.
         drained: Targets that an operator drained; they get no new work.
         evacuated: Failure domains whose targets get no new work.
         warm_up_rates: Requests a second that a cold target of each service
@@ -77,8 +79,7 @@
         self.drained: set[TargetId] = set()
         self.evacuated: Set[FailureDomain] = frozenset()
         self.warm_up_rates: Mapping[ServiceId, float] = {}
-        self.leaving: dict[TargetId, LeavingRecord] = {}
-        self.returns: dict[TargetId, int] = {}
+        self.departures = Departures(settings.balance.leaving_hold_seconds)
         self.watchers: list[Callable[[ServiceId], None]] = []
         self.report_watchers: list[
             Callable[[TargetState, LoadReport], None]
@@ -95,6 +96,11 @@
         ] = []
         self.counters = TargetCounters(metrics)
 
+    @property
+    def leaving(self) -> Mapping[TargetId, LeavingRecord]:
+        """Return why targets are leaving, by target."""
+        return self.departures.records
+
     @property
     def services(self) -> Sequence[ServiceId]:
         """Return the services that have or had targets."""
@@ -255,12 +261,12 @@
             if target.status is not TargetStatus.LEAVING:
                 self.note_leaving(target, LeavingSign.HEALTH)
             return
-        record = self.leaving.get(target.id)
+        record = self.departures.get(target.id)
         if record is None:
             return
         if state is ReportedState.COLD:
             record.restarted = True
-        if record.may_return(now, self._hold_seconds):
+        if self.departures.may_return(target.id, now):
             self._return(target, now)
 
     def warm(self, target: TargetState, now: Deadline) -> None:
@@ -276,17 +282,11 @@
 
     def leaving_targets(self) -> Iterable[TargetState]:
         """Return the targets whose hold is over, to be probed for return."""
-        now = trio.current_time()
-        over = [
-            target_id
-            for target_id, record in self.leaving.items()
-            if now >= record.hold_until
-        ]
+        over = self.departures.over(Deadline(trio.current_time()))
         for target_id in over:
             if target_id not in self.by_id:
                 # It is gone, and its hold would keep out nothing any more.
-                del self.leaving[target_id]
-                self.returns.pop(target_id, None)
+                self.departures.forget(target_id)
         targets = [self.by_id[each] for each in over if each in self.by_id]
         return [each for each in targets if self.may_be_probed(each)]
 
@@ -294,33 +294,15 @@
         """Return whether a probe of `target` is allowed and of any use."""
         if target.failure_domain in self.evacuated:
             return False
-        record = self.leaving.get(target.id)
-        return record is None or trio.current_time() >= record.hold_until
-
-    @property
-    def _hold_seconds(self) -> float:
-        return self.settings.balance.leaving_hold_seconds
+        now = Deadline(trio.current_time())
+        return not self.departures.holds(target.id, now)
 
     def _leave(self, target: TargetState, why: LeavingSign) -> None:
         if self.by_id.get(target.id, target) is not target:
             # The sign is of an earlier start of the target.
             return
         now = Deadline(trio.current_time())
-        record = self.leaving.get(target.id)
-        if record is None:
-            returns = self.returns.get(target.id, 0)
-            record = LeavingRecord(
-                why,
-                now,
-                now,
-                returns=returns,
-                incarnation=target.incarnation,
-            )
-            self.leaving[target.id] = record
-            log.info("target %s is leaving: %s", target.id, why.value)
-            record.hold(now, self._hold_seconds)
-        else:
-            record.note_sign(why, now, self._hold_seconds)
+        self.departures.note_sign(target, why, now)
         if target.status is not TargetStatus.LEAVING:
             target.status = TargetStatus.LEAVING
             target.status_since = now
@@ -329,7 +311,7 @@
     def _take_listed_state(
         self, target: TargetState, state: HostState, now: Deadline
     ) -> None:
-        record = self.leaving.get(target.id)
+        record = self.departures.get(target.id)
         if state is HostState.LEAVING:
             self._take_listed_leaving(target, record, now)
         elif record is not None:
@@ -340,12 +322,12 @@
     ) -> None:
         if record is None or not record.listed_leaving:
             self._note_listed_leaving(target)
-            self.leaving[target.id].listed_leaving = True
+            self.departures.get(target.id).listed_leaving = True
         elif record.sign is LeavingSign.HOST_LIST:
             record.listed_live = False
         else:
             # Peers read the list themselves, so they are told only once.
-            record.hold(now, self._hold_seconds)
+            record.hold(now, self.departures.hold_seconds)
 
     def _note_listed_leaving(self, target: TargetState) -> None:
         if self.settings.platform.store.endpoint is None:
@@ -378,8 +360,8 @@
         self.by_id[target.id] = target
         self.by_process[target.process] = target
         self.changes += 1
-        self._forget_earlier(target)
-        record = self.leaving.get(target.id)
+        self.departures.forget_earlier(target)
+        record = self.departures.get(target.id)
         if record is not None:
             # It was off the list in between, so this is a new process.
             record.restarted = True
@@ -387,29 +369,17 @@
             target.status = TargetStatus.LEAVING
         return target
 
-    def _forget_earlier(self, target: TargetState) -> None:
-        """Forget the signs that an earlier start of `target` gave."""
-        record = self.leaving.get(target.id)
-        if record is None or record.incarnation >= target.incarnation:
-            return
-        del self.leaving[target.id]
-        self.returns.pop(target.id, None)
-
     def _remove(self, target_id: TargetId, now: Deadline) -> TargetState:
         target = self.by_id.pop(target_id)
         self.by_process.pop(target.process, None)
         self.changes += 1
         target.status = TargetStatus.GONE
         target.status_since = now
-        record = self.leaving.get(target_id)
-        if record is not None and now >= record.hold_until:
-            del self.leaving[target_id]
-            self.returns.pop(target_id, None)
+        self.departures.forget_if_over(target_id, now)
         return target
 
     def _return(self, target: TargetState, now: Deadline) -> None:
-        record = self.leaving.pop(target.id)
-        self.returns[target.id] = record.returns + 1
+        record = self.departures.end(target.id)
         target.status = TargetStatus.COLD
         target.status_since = now
         target.warmth.doubt(now)
