--- a/agatetack/balance/cold_share.py
+++ b/agatetack/balance/cold_share.py
@@ -99,9 +99,9 @@
     def taken(self, target: TargetState) -> None:
         """Note that a request was given to `target`."""
         now = Deadline(trio.current_time())
-        if target.warms_up(now):
-            pause = 1 / max(self._rate(target), 1e-6)
-            self._find(target, now).free_at = Deadline(now + pause)
+        rate = self._rate(target)
+        if rate > 0 and target.warms_up(now):
+            self._find(target, now).free_at = Deadline(now + 1 / rate)
 
     def _free_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return when the owner may send there next."""
--- a/agatetack/balance/test_room.py
+++ b/agatetack/balance/test_room.py
@@ -67,10 +67,11 @@
     assert AllSlots().most(target, 0.0) == slots
 
 
-def test_it_is_known_after_some_twenty_answers_under_load():
+@pytest.mark.parametrize(("seeds", "least"), [(20, 18), (200, 180)])
+def test_it_is_known_after_some_twenty_answers_under_load(seeds, least):
     target = make_target(6)
     known = 0
-    for seed in range(200):
+    for seed in range(seeds):
         rng = random.Random(seed)
         room = LearnedKnee()
         for _ in range(20):
@@ -78,7 +79,7 @@
             answer(room, target, 1.7, rng, 0.0, ahead=4)
         known += room.most(target, 0.0) == 4
     # On nine hosts of ten.
-    assert known >= 180
+    assert known >= least
 
 
 def test_it_does_not_flap():
