Read the rate that targets name in their answers, and log and count it

Logs and counters could not tell whether a host knows that a target limits its rate, nor how much of what reaches such a target are probes and looks. The header is now read from answers to requests and of the load path: a line at each change with rate, source and age of the word, one for a rate that is not believed, counters of both and of what is sent to such targets by kind. Nothing is decided by it yet.

--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -10,6 +10,7 @@
 
 from agatetack.ids import Deadline, ProcessId, ServiceId, TargetId
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
+from agatetack.messages import Header
 from agatetack.settings.model import Settings
 from agatetack.streams import PlainStream, open_plain_stream
 from agatetack.targets.load import (
@@ -35,16 +36,19 @@
 
     Attributes:
         headers: The answer's header fields, names in lower case.
+        fields: The same with those that come twice, in their order.
         body: The answer's body.
         complete: Whether the answer has ended.
     """
 
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    fields: list[Header] = dataclasses.field(default_factory=list)
     body: bytes = b""
     complete: bool = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep one header field."""
+        self.fields.append(Header(name.lower(), value))
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
@@ -172,6 +176,7 @@
         used_bytes=used_bytes,
         slowness=load.slowness,
         warm_up_seconds=load.warm_up_seconds,
+        headers=report.fields,
     )
 
 
--- a/agatetack/measure/probe.py
+++ b/agatetack/measure/probe.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from agatetack.ids import Deadline, TargetId
+from agatetack.messages import Headers
 from agatetack.targets.load import USUAL_SLOWNESS, ReportedState
 from agatetack.targets.state import TargetState
 
@@ -32,6 +33,7 @@
         slowness: How many times longer than usual work takes there now.
         instance: Which instance answered, if it says so.
         warm_up_seconds: How long it still warms up; None if it can't be read.
+        headers: The headers of its answer, names in lower case.
     """
 
     in_flight: int
@@ -41,6 +43,7 @@
     slowness: float = USUAL_SLOWNESS
     instance: TargetId | None = None
     warm_up_seconds: float | None = 0.0
+    headers: Headers = ()
 
 
 class ProbeClient(abc.ABC):
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -13,6 +13,7 @@
 from agatetack.peers.exchange import Exchange
 from agatetack.settings.model import PolicyName, Settings
 from agatetack.targets.load import ReadLoad
+from agatetack.targets.rate_limits import SendKind
 from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import ReportSource, TargetState
 
@@ -187,6 +188,7 @@
         """Ask one target for its load, if it can be, and note what it says."""
         if not self.client.can_ask(target):
             return
+        self.registry.rate_limits.note_sent(target, SendKind.PROBE)
         timeout = self.settings.measure.probe_timeout_seconds
         deadline = Deadline(trio.current_time() + timeout)
         result = await self.client.probe(target, deadline, PROBE_BYTES)
@@ -212,6 +214,9 @@
             answer.slowness,
             warm_up_seconds=answer.warm_up_seconds,
         )
+        self.registry.rate_limits.note_load_answer(
+            target, answer.headers, ReportSource.PROBE
+        )
         self.registry.note_asked(target, load, ReportSource.PROBE)
         self.registry.note_probe(target, answer.state)
 
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -88,6 +88,7 @@
     signature: HeaderName | None
     load: HeaderName | None
     warm_up_ms: HeaderName | None
+    rate_limit: HeaderName | None
 
 
 class TargetsSettings(Section):
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -33,6 +33,7 @@
 )
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool, TargetPools
+from agatetack.targets.rate_limits import SendKind
 from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import ReportSource, TargetState
 
@@ -82,6 +83,7 @@
             self.check.echo(attempt.request),
         )
         sent_at = Deadline(trio.current_time())
+        self.registry.rate_limits.note_sent(attempt.target, SendKind.REQUEST)
         try:
             with trio.move_on_at(attempt.deadline) as scope:
                 sent_whole = await self._exchange(attempt, connection, parser)
@@ -105,6 +107,7 @@
         if not self.check.is_sound(parser):
             pool.discard(connection)
             raise _failed(RefusalReason.ANSWER_MALFORMED, suspect=True)
+        self._note_rate_limit(attempt.target, parser, sent_at)
         return await self._finish(attempt, connection, pool, parser, sent_whole)
 
     async def _connect(
@@ -256,6 +259,18 @@
         ]
         return Answer(parser.status, headers, body)
 
+    def _note_rate_limit(
+        self, target: TargetState, parser: AnswerParser, sent_at: Deadline
+    ) -> None:
+        limits = self.registry.rate_limits
+        if self.check.is_other_instance(parser):
+            return
+        if self.check.is_not_run(parser):
+            # A full target may answer before it comes to name its rate.
+            limits.note_load_answer(target, parser.headers, ReportSource.ANSWER)
+        else:
+            limits.note_answer(target, parser.headers, sent_at)
+
     def _note_load(self, target: TargetState, parser: AnswerParser) -> None:
         found = {name: value for name, value in parser.headers}
         load = self.load_reader.read(found)
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -20,6 +20,7 @@
 from agatetack.targets.load import LoadReader, ReadLoad
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool, TargetPools
+from agatetack.targets.rate_limits import SendKind
 from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 
@@ -186,6 +187,7 @@
         self, connection: TargetConnection, target: TargetState
     ) -> ReadLoad | None:
         connection.requests += 1
+        self.registry.rate_limits.note_sent(target, SendKind.LOOK)
         path = (self.load_paths or {}).get(
             target.service, self.settings.targets.load_path
         )
@@ -201,6 +203,9 @@
         if not self._is_own_word(parser, target):
             return None
         load = self.load_reader.read(dict(parser.headers))
+        self.registry.rate_limits.note_load_answer(
+            target, parser.headers, ReportSource.ANSWER
+        )
         if load.in_flight is None:
             return None
         await trio.sleep(STRAY_SECONDS)
--- /dev/null
+++ b/agatetack/targets/rate_limits.py
@@ -0,0 +1,138 @@
+"""Learn from answers which targets limit their rate, and tell operators."""
+
+import enum
+from collections.abc import Sequence
+
+import trio
+
+from agatetack.decisions import DecisionLog, age
+from agatetack.ids import Deadline
+from agatetack.messages import Headers
+from agatetack.metrics import Metrics
+from agatetack.settings.model import Settings
+from agatetack.targets.rate_limit import read_rate
+from agatetack.targets.state import ReportSource, TargetState
+
+decisions = DecisionLog("targets")
+
+
+class SendKind(enum.Enum):
+    """What reaches a target from this host."""
+
+    REQUEST = "request"
+    LOOK = "look"
+    PROBE = "probe"
+
+
+class RateLimits:
+    """The rates that targets take from all hosts together.
+
+    Attributes:
+        name: The header that holds a rate, or None if targets name none.
+    """
+
+    def __init__(self, settings: Settings, metrics: Metrics):
+        """Read the header that `settings` name."""
+        name = settings.targets.headers.rate_limit
+        self.name = None if name is None else name.encode()
+        self.words = metrics.counter(
+            "agatetack_rate_limit_words_total",
+            "Answers and messages that named a target's rate, by source.",
+        )
+        self.refused = metrics.counter(
+            "agatetack_rate_limit_refused_total",
+            "Rates in answers that were not believed, by problem.",
+        )
+        self.changes = metrics.counter(
+            "agatetack_rate_limit_changes_total",
+            "Times that a target's rate changed or ended, by source.",
+        )
+        self.sends = metrics.counter(
+            "agatetack_rate_limited_sends_total",
+            "What this host sent to targets that limit their rate, by kind.",
+        )
+
+    def note_sent(self, target: TargetState, kind: SendKind) -> None:
+        """Count what this host sends to a target that limits its rate."""
+        if target.rate_limit.rate is not None:
+            self.sends.inc({"kind": kind.value})
+
+    def note_answer(
+        self, target: TargetState, headers: Headers, sent_at: Deadline
+    ) -> None:
+        """Take what the answer to a request says, or that it says nothing.
+
+        Args:
+            target: The target, which ran the request.
+            headers: The answer's headers, names in lower case.
+            sent_at: When the request was sent. An answer that names no rate
+                may have left the target before one that did; it ends the
+                limit only if its request was sent after that was known.
+        """
+        values = self._values(headers)
+        if values:
+            self._take(target, values, ReportSource.ANSWER)
+        elif self.name is not None and sent_at > target.rate_limit.said_at:
+            self._note(target, None, sent_at, ReportSource.ANSWER)
+
+    def note_load_answer(
+        self,
+        target: TargetState,
+        headers: Headers,
+        source: ReportSource,
+    ) -> None:
+        """Take the rate that an answer of the load path names.
+
+        One that names none says nothing: targets may name their rate only in
+        answers to requests.
+        """
+        values = self._values(headers)
+        if values:
+            self._take(target, values, source)
+
+    def _values(self, headers: Headers) -> Sequence[bytes]:
+        if self.name is None:
+            return ()
+        return [value for name, value in headers if name == self.name]
+
+    def _take(
+        self, target: TargetState, values: Sequence[bytes], source: ReportSource
+    ) -> None:
+        read = read_rate(values)
+        if read.problem is not None:
+            self.refused.inc({"problem": read.problem.value})
+            decisions.note(
+                "rate-limit-refused",
+                target=target.id,
+                service=target.service,
+                problem=read.problem.value,
+                source=source.value,
+            )
+            return
+        now = Deadline(trio.current_time())
+        self._note(target, read.rate, now, source)
+
+    def _note(
+        self,
+        target: TargetState,
+        rate: float | None,
+        said_at: Deadline,
+        source: ReportSource,
+    ) -> None:
+        limit = target.rate_limit
+        before, since = limit.rate, limit.since
+        if rate is not None:
+            self.words.inc({"source": source.value})
+        if not limit.note(rate, said_at):
+            return
+        self.changes.inc({"source": source.value})
+        decisions.note(
+            "rate-limited" if rate is not None else "rate-limit-over",
+            target=target.id,
+            service=target.service,
+            rate=rate,
+            before=before,
+            source=source.value,
+            age=age(said_at),
+            lasted_ms=None if before is None else age(since),
+        )
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -26,6 +26,7 @@
 from agatetack.targets.departures import Departures
 from agatetack.targets.leaving import LeavingRecord, LeavingSign
 from agatetack.targets.load import ReadLoad, ReportedState
+from agatetack.targets.rate_limits import RateLimits
 from agatetack.targets.state import (
     LoadReport,
     ReportSource,
@@ -54,6 +55,7 @@
         evacuated: Failure domains whose targets get no new work.
         warm_up_rates: Requests a second that a cold target of each service
             takes from all hosts, where that is known.
+        rate_limits: Takes what targets say of the rate that they take.
         watchers: Called with the service when its targets change or a load
             report arrives; must not block or raise.
         report_watchers: Called with the target and each report taken.
@@ -95,6 +97,7 @@
             Callable[[TargetState, LeavingSign], None]
         ] = []
         self.counters = TargetCounters(metrics)
+        self.rate_limits = RateLimits(settings, metrics)
 
     @property
     def leaving(self) -> Mapping[TargetId, LeavingRecord]:
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -13,6 +13,7 @@
     TargetId,
 )
 from agatetack.targets.load import USUAL_SLOWNESS
+from agatetack.targets.rate_limit import RateLimit
 from agatetack.targets.warmth import Warmth
 
 RECENT_LATENCIES = 64
@@ -92,6 +93,7 @@
         warmth: Whether it has warmed up.
         warm_up_rate: Requests a second that it takes from all hosts while it
             is cold; 0 if nobody said so.
+        rate_limit: The rate that it takes from all hosts, if it named one.
     """
 
     id: TargetId
@@ -122,6 +124,7 @@
     learned: LearnedLoad = dataclasses.field(default_factory=LearnedLoad)
     warmth: Warmth = dataclasses.field(default_factory=Warmth)
     warm_up_rate: float = 0.0
+    rate_limit: RateLimit = dataclasses.field(default_factory=RateLimit)
 
     def warms_up(self, now: Deadline) -> bool:
         """Return whether it may be cold, and takes only so many requests."""
--- /dev/null
+++ b/agatetack/targets/test_rate_limit.py
@@ -0,0 +1,68 @@
+"""Test what is read and believed of the rate that a target names."""
+
+import math
+
+import pytest
+
+from agatetack.targets.rate_limit import (
+    RateLimit,
+    RateProblem,
+    ReadRate,
+    read_rate,
+)
+
+
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [
+        ((), None),
+        ((b"1.3",), 1.3),
+        ((b"40",), 40.0),
+        ((b" 0.2 ",), 0.2),
+    ],
+)
+def test_a_rate_is_a_decimal_number(values, rate):
+    assert read_rate(values) == ReadRate(rate)
+
+
+@pytest.mark.parametrize(
+    ("values", "problem"),
+    [
+        ((b"",), RateProblem.NOT_A_NUMBER),
+        ((b"-1.3",), RateProblem.NOT_A_NUMBER),
+        ((b"+1.3",), RateProblem.NOT_A_NUMBER),
+        ((b"nan",), RateProblem.NOT_A_NUMBER),
+        ((b"inf",), RateProblem.NOT_A_NUMBER),
+        ((b"1e309",), RateProblem.NOT_A_NUMBER),
+        ((b"1,3",), RateProblem.NOT_A_NUMBER),
+        ((b"0",), RateProblem.OUT_OF_RANGE),
+        ((b"0.000",), RateProblem.OUT_OF_RANGE),
+        ((b"10000000",), RateProblem.OUT_OF_RANGE),
+        ((b"1.3", b"1.3"), RateProblem.REPEATED),
+        ((b"1" * 65536,), RateProblem.TOO_LONG),
+    ],
+)
+def test_anything_else_is_not_believed(values, problem):
+    assert read_rate(values) == ReadRate(problem=problem)
+
+
+@pytest.mark.parametrize(
+    ("words", "rate", "since"),
+    [
+        ([], None, -math.inf),
+        ([(2.0, 10.0)], 2.0, 10.0),
+        # It falls and rises; the limit is still the same one.
+        ([(2.0, 10.0), (0.5, 11.0), (3.0, 12.0)], 3.0, 10.0),
+        # It ends and comes again.
+        ([(2.0, 10.0), (None, 11.0)], None, 10.0),
+        ([(2.0, 10.0), (None, 11.0), (2.0, 12.0)], 2.0, 12.0),
+        # An older word, told late, changes nothing.
+        ([(2.0, 10.0), (None, 9.0)], 2.0, 10.0),
+        ([(2.0, 10.0), (3.0, 9.0)], 2.0, 10.0),
+    ],
+)
+def test_the_latest_word_counts(words, rate, since):
+    limit = RateLimit()
+    for word in words:
+        limit.note(*word)
+    assert (limit.rate, limit.since) == (rate, since)
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -337,6 +337,10 @@
         if names.signature is not None:
             marks += f"{names.signature}: {self.target.instance}\r\n".encode()
         asked_load = self.current.path == self.load_path
+        faults = self.target.faults
+        if not asked_load or faults.rate_limit_on_load_path:
+            for value in faults.rate_limits:
+                marks += b"%b: %b\r\n" % (names.rate_limit.encode(), value)
         if names.answering_instance is not None and asked_load:
             name = names.answering_instance
             marks += f"{name}: {self.target.instance}\r\n".encode()
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -44,6 +44,9 @@
         wrong_range_bytes: How far a partial answer starts off its range.
         chunked: Whether answers are chunked and announce no length.
         bytes_per_second: Speed of exports, or 0 for no limit.
+        rate_limits: Values of the header that names the requests a second it
+            takes, one field for each.
+        rate_limit_on_load_path: Whether answers of the load path bear it too.
     """
 
     draining: bool = False
@@ -71,3 +74,5 @@
     wrong_range_bytes: int = 0
     chunked: bool = False
     bytes_per_second: float = 0.0
+    rate_limits: tuple[bytes, ...] = ()
+    rate_limit_on_load_path: bool = False
