--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -67,6 +67,21 @@
     seed: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request that reached a fake target, whatever became of it.
+
+    Attributes:
+        at: When its header had come.
+        port: The port that it came from.
+        asks_load: Whether it asked for the load only.
+    """
+
+    at: Deadline
+    port: int
+    asks_load: bool
+
+
 class FakeTarget:
     """A target on a kernel-chosen loopback port.
 
@@ -81,6 +96,8 @@
         faults: What goes wrong now.
         port: Where it listens, once `serve` has started.
         executed: Every request that got a slot, in order.
+        arrivals: Every request that came, in order.
+        rate_named: When each port first got an answer that named a rate.
         in_flight: Requests running or waiting.
         connections: Open connections.
         accepted: Connections accepted so far.
@@ -102,6 +119,8 @@
         self.faults = TargetFaults()
         self.port = 0
         self.executed: list[ExecutedRequest] = []
+        self.arrivals: list[Arrival] = []
+        self.rate_named: dict[int, Deadline] = {}
         self.in_flight = 0
         self.connections: set[TargetConnection] = set()
         self.accepted = 0
@@ -198,6 +217,16 @@
         if self.faults.report_lag_seconds:
             self.history.append((trio.current_time(), self.in_flight))
 
+    def note_arrival(self, stream: trio.SocketStream, asks_load: bool) -> None:
+        """Record that a request came on `stream`."""
+        now = Deadline(trio.current_time())
+        self.arrivals.append(Arrival(now, _peer_port(stream), asks_load))
+
+    def note_rate_named(self, stream: trio.SocketStream) -> None:
+        """Record that an answer on `stream` names a rate."""
+        now = Deadline(trio.current_time())
+        self.rate_named.setdefault(_peer_port(stream), now)
+
     def state(self) -> str:
         """Return the state that reports carry: ready, cold or draining."""
         if self.faults.reported_state is not None:
@@ -281,6 +310,10 @@
             await self.restarted.wait()
 
 
+def _peer_port(stream: trio.SocketStream) -> int:
+    return stream.socket.getpeername()[1]
+
+
 def _text(request: TargetRequest, name: str | None) -> str | None:
     if name is None:
         return None
--- /dev/null
+++ b/agatetack/testing/limited_fleet.py
@@ -0,0 +1,221 @@
+"""Run hosts and targets that limit their rate in one process, for tests.
+
+All of them run on one clock, which a test may let jump, and talk over
+loopback, so that everything that reaches a target is seen there.
+"""
+
+import contextlib
+import contextvars
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Sequence
+
+import pytest
+import trio
+
+from agatetack.attempts.race import AttemptRunner
+from agatetack.config.route import Route
+from agatetack.gateway_core import GatewayCore
+from agatetack.hosts.host_list import HostRole, HostState
+from agatetack.hosts.listed_target import ListedTarget
+from agatetack.ids import Deadline, FailureDomain, HostId
+from agatetack.messages import read_whole
+from agatetack.peers.mesh import PeerExchange
+from agatetack.platform.load_header import ListLoadReader
+from agatetack.streams import PlainStream, open_plain_stream
+from agatetack.testing.fake_target import Arrival, FakeTarget, FakeTargetOptions
+from agatetack.testing.peer_fleet import StaticDirectory, listed
+from agatetack.testing.store_fleet import LOOPBACK, template_settings
+from agatetack.testing.targets import SERVICE, make_request, make_route
+
+SERVICE_SECONDS = 0.1
+SLOTS = 2
+
+NO_STORE_PORT = 1
+"""Stands in the settings of hosts that read no store."""
+
+OPENERS = (
+    "agatetack.targets.connection.open_plain_stream",
+    "agatetack.measure.http_probe.open_plain_stream",
+)
+"""What opens connections to targets."""
+
+current_host: contextvars.ContextVar[HostId] = contextvars.ContextVar("host")
+"""The host whose task this is."""
+
+
+@dataclasses.dataclass(slots=True)
+class LimitedFleet:
+    """Hosts, and the targets of one service.
+
+    Attributes:
+        hosts: The hosts.
+        targets: The targets.
+        directory: The list of hosts that all of them see.
+        nursery: Runs all of them.
+        ports: The host that opened each connection, by its local port.
+        answered: Requests that were answered with success.
+        refused: Requests that were refused, or failed.
+    """
+
+    hosts: list[GatewayCore]
+    targets: list[FakeTarget]
+    directory: StaticDirectory
+    nursery: trio.Nursery
+    ports: dict[int, HostId] = dataclasses.field(default_factory=dict)
+    answered: int = 0
+    refused: int = 0
+
+    async def press(
+        self, seconds: float, per_second: float, seed: int = 1
+    ) -> None:
+        """Have callers send requests at random times to random hosts.
+
+        Args:
+            seconds: For how long.
+            per_second: Requests a second, to all hosts together.
+            seed: Of times and hosts.
+        """
+        rng = random.Random(seed)
+        end = trio.current_time() + seconds
+        number = 0
+        while True:
+            at = trio.current_time() + rng.expovariate(per_second)
+            if at >= end:
+                await trio.sleep_until(end)
+                return
+            await trio.sleep_until(at)
+            host = rng.choice(self.hosts)
+            number += 1
+            self.nursery.start_soon(self._ask, host, f"r{seed}-{number}")
+
+    async def _ask(self, host: GatewayCore, name: str) -> None:
+        current_host.set(HostId(host.settings.host.id))
+        route = make_route(target_latency_seconds=0.3, max_attempts=2)
+        request = make_request(seconds=2.5, name=name)
+        if await _is_answered(host.attempts, route, request):
+            self.answered += 1
+        else:
+            self.refused += 1
+
+    def from_told(self, target: FakeTarget, after: float) -> list[Arrival]:
+        """Return what came from hosts that had passed on a named rate.
+
+        Args:
+            target: The target.
+            after: How long they must have, in seconds.
+        """
+        told: dict[HostId, Deadline] = {}
+        for port, at in target.rate_named.items():
+            host = self.ports[port]
+            told[host] = min(at, told.get(host, at))
+        return [
+            arrival
+            for arrival in target.arrivals
+            if told.get(self.ports[arrival.port], float("inf"))
+            <= arrival.at - after
+        ]
+
+
+async def _is_answered(runner: AttemptRunner, route: Route, request) -> bool:
+    result = await runner.run(route, request, hedged=True)
+    answer = result.value_or(None)
+    if answer is None:
+        return False
+    await read_whole(answer.body)
+    await answer.body.aclose()
+    return True
+
+
+def most_within(arrivals: Sequence[Arrival], seconds: float) -> int:
+    """Return the most arrivals in any span of `seconds`."""
+    times = [arrival.at for arrival in arrivals]
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - seconds:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+@contextlib.asynccontextmanager
+async def limited_fleet(
+    monkeypatch: pytest.MonkeyPatch,
+    hosts: int,
+    targets: int,
+    linked: bool = True,
+) -> AsyncIterator[LimitedFleet]:
+    """Start hosts and targets; the hosts list each other.
+
+    Args:
+        monkeypatch: Notes who opens connections.
+        hosts: How many hosts.
+        targets: How many targets.
+        linked: Whether hosts hear each other.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = LimitedFleet([], [], StaticDirectory(), nursery)
+        _note_ports(monkeypatch, fleet)
+        for number in range(hosts):
+            settings = template_settings(NO_STORE_PORT, f"h{number:03}")
+            host = GatewayCore(settings)
+            host.build_target_side(
+                fleet.directory, ListLoadReader(settings), {SERVICE: "/load"}
+            )
+            fleet.hosts.append(host)
+        options = FakeTargetOptions(SLOTS, SERVICE_SECONDS, spread=0.3)
+        for number in range(targets):
+            own = dataclasses.replace(options, seed=number)
+            target = FakeTarget(fleet.hosts[0].settings, own)
+            # Its name decides which hosts send to it.
+            target.instance = f"t{number}"
+            await nursery.start(target.serve)
+            fleet.targets.append(target)
+        for host in fleet.hosts:
+            await _start(fleet, host, linked)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def _note_ports(monkeypatch: pytest.MonkeyPatch, fleet: LimitedFleet) -> None:
+    async def open_noted(ip: str, port: int) -> PlainStream:
+        stream = await open_plain_stream(ip, port)
+        local = stream.sock.getsockname()[1]
+        fleet.ports[local] = current_host.get()
+        return stream
+
+    for opener in OPENERS:
+        monkeypatch.setattr(opener, open_noted)
+
+
+async def _start(fleet: LimitedFleet, host: GatewayCore, linked: bool) -> None:
+    current_host.set(HostId(host.settings.host.id))
+    if linked:
+        await fleet.nursery.start(host.peers.run)
+    host.registry.update([_registration(each) for each in fleet.targets])
+    _list(fleet.directory, host.peers)
+    await fleet.nursery.start(host.prober.run)
+    for task in (
+        host.rounds.run,
+        host.occupancy.run,
+        host.client.pools.close_old,
+        host.attempts.hedger.run,
+    ):
+        fleet.nursery.start_soon(task)
+
+
+def _list(directory: StaticDirectory, peers: PeerExchange) -> None:
+    directory.replace([*directory.hosts, listed(peers)])
+
+
+def _registration(target: FakeTarget) -> ListedTarget:
+    return ListedTarget(
+        id=HostId(target.instance),
+        role=HostRole.TARGET,
+        state=HostState.LIVE,
+        ip=LOOPBACK,
+        port=target.port,
+        failure_domain=FailureDomain("zone-a"),
+        service=SERVICE,
+        slots=SLOTS,
+    )
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -148,6 +148,7 @@
         target = self.target
         faults = target.faults
         self.current = request
+        target.note_arrival(self.stream, request.path == self.load_path)
         if self._is_for_another(request):
             target.misdirected += 1
             await self._send(421, b"another instance\n")
@@ -237,6 +238,8 @@
             raise _Close
         request_id = request.headers.get(self.request_id_name, b"-")
         line = b"%s %s %s\n" % (request.method, request.url, request_id)
+        if faults.rate_limits:
+            self.target.note_rate_named(self.stream)
         await self._send(200, line + request.body)
 
     async def _send_export(self, request: TargetRequest) -> None:
