Let the requests of the test of limited targets bear their id

Targets echo it, and without it every answer was refused by the hosts, so that the test saw sends whose answers nobody believed.

--- a/agatetack/testing/limited_fleet.py
+++ b/agatetack/testing/limited_fleet.py
@@ -19,7 +19,7 @@
 from agatetack.hosts.host_list import HostRole, HostState
 from agatetack.hosts.listed_target import ListedTarget
 from agatetack.ids import Deadline, FailureDomain, HostId
-from agatetack.messages import read_whole
+from agatetack.messages import Header, read_whole
 from agatetack.peers.mesh import PeerExchange
 from agatetack.platform.load_header import ListLoadReader
 from agatetack.streams import PlainStream, open_plain_stream
@@ -93,6 +93,7 @@
         current_host.set(HostId(host.settings.host.id))
         route = make_route(target_latency_seconds=0.3, max_attempts=2)
         request = make_request(seconds=2.5, name=name)
+        request.headers = [Header(b"request-id", name.encode())]
         if await _is_answered(host.attempts, route, request):
             self.answered += 1
         else:
