Keep the whole fleet within the rate that a target says it takes

What callers saw: some late answers. What targets saw: up to 31 requests in 4 s at a limit of 1.3 a second, where 13 are allowed, as before they named it.

Cause: nobody read the limit, so that no part of the product was bound by it: choice of target, repeats, looks and probes went on by load alone.

Now the requests of a turn, of 4.5 s or a little more, are dealt out among the registered hosts in an order that all work out alike, and a host sends what is its own and nothing else. It needs no message, so that it holds for hosts that are cut off from each other; other lists and new starts add one request a turn each. 14 hosts that allow themselves one request in 4 s would be over the bound at 1.3 a second; six of them have one in 4.6 s here. Probes come out of the same part, looks are left out. Hosts tell each other of the rate with their load samples. A request that no target takes in time is refused at once.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -101,8 +101,8 @@
         if opens_at + self.quick_latency > wanted.deadline:
             return refuse(
                 RefusalReason.NO_TARGET,
-                "All targets of the service are warming up.",
-                opens_at,
+                "No target of the service takes one more request in time.",
+                self._any_opens_at(wanted, now),
             )
         queue = self.queues[wanted.priority]
         route = wanted.route
@@ -129,6 +129,11 @@
         targets = self._usable(wanted)
         return min(self.share.opens_at(target, now) for target in targets)
 
+    def _any_opens_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
+        """Return when any host may send to any of the targets again."""
+        targets = self._usable(wanted)
+        return min(self.share.any_opens_at(target, now) for target in targets)
+
     def take_now(
         self, wanted: PermitRequest, now: Deadline
     ) -> TargetState | None:
@@ -192,6 +197,19 @@
         least = self.settings.admission.retry_after_seconds
         return Deadline(now + max(least, wait))
 
+    def look_again_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
+        """Return when a waiting request has to look for a target by itself.
+
+        That a target's share opens, or that estimates fade once the answer is
+        late, no event announces.
+        """
+        late_at = self.late_at(wanted)
+        targets = self._usable(wanted)
+        if not targets:
+            return late_at
+        opens_at = self._opens_at(wanted, now)
+        return min(late_at, opens_at) if opens_at > now else late_at
+
     def late_at(self, wanted: PermitRequest) -> Deadline:
         """Return from when on the answer would come after what is wanted."""
         target = wanted.route.target_latency_seconds
--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -195,7 +195,7 @@
         with trio.move_on_at(lane.give_up_at(waiter.wanted, now)):
             poll = LOW_POLL_SECONDS
             if waiter.wanted.priority is not Priority.LOW:
-                with trio.move_on_at(lane.late_at(waiter.wanted)):
+                with trio.move_on_at(lane.look_again_at(waiter.wanted, now)):
                     await waiter.event.wait()
                 poll = LATE_POLL_SECONDS
             # Estimates fade with time, and others' turns pass, which no event
--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -104,6 +104,9 @@
         """Return whether the target is able to take the request now."""
         target = permit.target
         now = Deadline(trio.current_time())
+        if target.rate_limit.rate is not None:
+            # It counts a look as a request.
+            return Verdict.ABLE
         if _is_fresh(target, now):
             slow = target.report.slowness > BAD_SLOWNESS
             return Verdict.SLOW if slow else Verdict.ABLE
--- /dev/null
+++ b/agatetack/balance/rate_share.py
@@ -0,0 +1,306 @@
+"""Keep a whole fleet within the rate that a target says it takes.
+
+A target in need names the requests a second that it takes from all hosts
+together. Hosts can't count on hearing each other, so each sends what is its own
+by a list that all of them read: in a turn of some seconds the target takes so
+many requests, and these are dealt out among the hosts in an order that all work
+out alike. A host without a part sends nothing there. Hosts whose lists differ
+add one request a turn each, for which the promise to the target has room.
+
+Probes count at the target like requests, and so come out of the same part.
+"""
+
+import dataclasses
+import math
+from collections.abc import Callable, Sequence
+
+import trio
+
+from agatetack.balance.target_share import TargetShare
+from agatetack.decisions import DecisionLog
+from agatetack.hosts.host_list import ListedHost
+from agatetack.ids import Deadline, HostId, ProcessId
+from agatetack.measure.rounds import rank
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange
+from agatetack.settings.model import Settings
+from agatetack.targets.rate_limit import RateLimit
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState
+
+TURN_SECONDS = 4.5
+"""Shortest turn. Targets count what they get over some 4 s: in any such time a
+host that sends once a turn sends once."""
+
+PART_SECONDS = 0.3
+"""How often this host's part is worked out anew by the list of hosts."""
+
+QUIET_SECONDS = 5.0
+"""A target of which nothing was heard for as long is probed."""
+
+SILENT_SECONDS = 10.0
+"""A host without a part that has heard nothing of a target for as long may try
+it, as nobody may be left to tell it that the target takes more again."""
+
+Registered = Callable[[], Sequence[ListedHost]]
+"""Returns the hosts that are registered, this one included if it is."""
+
+decisions = DecisionLog("balance")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """This host's part of what a target takes.
+
+    Attributes:
+        turn: Seconds in which the target takes `requests`, from all hosts.
+        requests: Requests of one turn.
+        own: How many of them are this host's.
+        place: This host's place in the order of hosts, from 0; None if it is
+            not one of them.
+        hosts: How many hosts there are.
+    """
+
+    turn: float
+    requests: int
+    own: int
+    place: int | None
+    hosts: int
+
+    @property
+    def interval(self) -> float:
+        """Return the seconds between two requests of this host."""
+        if self.own:
+            return self.turn / self.own
+        return math.inf if self.place is None else self.turn * self.hosts
+
+
+def deal_out(rate: float, place: int | None, hosts: int) -> Part:
+    """Return the part of the host at `place` of what a target takes.
+
+    Args:
+        rate: Requests a second that the target takes from all hosts.
+        place: The host's place in the order of hosts; None if it has none.
+        hosts: How many hosts there are.
+    """
+    requests = math.ceil(rate * TURN_SECONDS)
+    own = 0
+    if place is not None:
+        own = requests // hosts + (place < requests % hosts)
+    return Part(requests / rate, requests, own, place, hosts)
+
+
+@dataclasses.dataclass(slots=True)
+class RatedTarget:
+    """A target that limits its rate, as this host sees it.
+
+    Attributes:
+        part: This host's part.
+        until: When it is looked whether that has changed.
+        rate: The rate that it is a part of.
+        sharers: The hosts among which it was dealt out.
+        since: Since when the target limits its rate.
+        sent_at: When this host last sent there.
+        opens_at: When it may for the first time by its part.
+    """
+
+    part: Part
+    until: Deadline
+    rate: float
+    sharers: Sequence[HostId]
+    since: Deadline
+    sent_at: Deadline
+    opens_at: Deadline
+
+
+class RateShare(TargetShare):
+    """This host's part of the rates that targets name.
+
+    Attributes:
+        targets: The targets that were asked for, by start of a process.
+        started_at: When this host started; what it sent before is not known.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        registry: TargetRegistry,
+        registered: Registered,
+        exchange: Exchange,
+        metrics: Metrics,
+    ):
+        """Share rates with the hosts that `registered` returns.
+
+        Args:
+            settings: The host's settings.
+            registry: The targets.
+            registered: Returns the hosts that are registered.
+            exchange: The other hosts.
+            metrics: Where what is held back is counted.
+        """
+        self.own = HostId(settings.host.id)
+        self.registry = registry
+        self.registered = registered
+        self.exchange = exchange
+        self.targets: dict[ProcessId, RatedTarget] = {}
+        self.started_at = Deadline(trio.current_time())
+        self.held = metrics.counter(
+            "agatetack_rate_limited_held_total",
+            "Choices that passed over a target for its rate, by service.",
+        )
+
+    def allows(self, target: TargetState) -> bool:
+        """Return whether this host may send one more request to `target`."""
+        if target.rate_limit.rate is None:
+            return True
+        now = Deadline(trio.current_time())
+        if now >= self._free_at(target, now):
+            return True
+        self.held.inc({"service": target.service})
+        return False
+
+    def opens_at(self, target: TargetState, now: Deadline) -> Deadline:
+        """Return when it may at the soonest."""
+        if target.rate_limit.rate is None:
+            return now
+        return max(now, self._free_at(target, now))
+
+    def any_opens_at(self, target: TargetState, now: Deadline) -> Deadline:
+        """Return when some host may, on the mean."""
+        rate = target.rate_limit.rate
+        return now if rate is None else Deadline(now + 1 / rate)
+
+    def taken(self, target: TargetState) -> None:
+        """Note that a request was given to `target`."""
+        if target.rate_limit.rate is not None:
+            now = Deadline(trio.current_time())
+            self._find(target, now).sent_at = now
+
+    def probed(self, target: TargetState) -> None:
+        """Note that a probe is sent, which the target counts as a request."""
+        self.taken(target)
+
+    def may_probe(self, target: TargetState) -> bool:
+        """Return whether this host may probe `target`.
+
+        Answers to requests tell as much, so that a probe must not take the
+        place of one.
+        """
+        limit = target.rate_limit
+        if limit.rate is None:
+            return True
+        quiet_until = limit.said_at + QUIET_SECONDS
+        return trio.current_time() >= quiet_until and self.allows(target)
+
+    def _free_at(self, target: TargetState, now: Deadline) -> Deadline:
+        rated = self._find(target, now)
+        free_at = max(rated.sent_at + rated.part.interval, rated.opens_at)
+        if not rated.part.own:
+            return max(free_at, _trial_at(rated.part, target.rate_limit))
+        return Deadline(free_at)
+
+    def _find(self, target: TargetState, now: Deadline) -> RatedTarget:
+        limit = target.rate_limit
+        rated = self.targets.get(target.process)
+        if rated is None or rated.since != limit.since:
+            self._forget_gone()
+            rated = self._begin(target, now)
+            self.targets[target.process] = rated
+        elif now >= rated.until or rated.rate != limit.rate:
+            self._renew(rated, target, now)
+        return rated
+
+    def _begin(self, target: TargetState, now: Deadline) -> RatedTarget:
+        sharers = self._sharers(target)
+        part = self._part(target, sharers)
+        sent_at, opens_at = Deadline(-math.inf), now
+        if part.own:
+            if target.last_chosen_at is not None:
+                sent_at = target.last_chosen_at
+            # All hosts learn of the rate at the same moment.
+            stagger = part.interval * part.place / part.hosts
+            not_known_until = self.started_at + part.interval
+            opens_at = Deadline(max(now + stagger, not_known_until))
+        rated = RatedTarget(
+            part=part,
+            until=Deadline(now + PART_SECONDS),
+            rate=target.rate_limit.rate,
+            sharers=sharers,
+            since=target.rate_limit.since,
+            sent_at=sent_at,
+            opens_at=opens_at,
+        )
+        self._tell(target, part)
+        return rated
+
+    def _renew(
+        self, rated: RatedTarget, target: TargetState, now: Deadline
+    ) -> None:
+        rated.until = Deadline(now + PART_SECONDS)
+        sharers = self._sharers(target)
+        rate = target.rate_limit.rate
+        if (rate, sharers) == (rated.rate, rated.sharers):
+            return
+        part = self._part(target, sharers)
+        rated.rate, rated.sharers = rate, sharers
+        if part.own and not rated.part.own:
+            # Whoever had this part until now may have just used it.
+            rated.opens_at = Deadline(now + part.interval)
+        rated.part = part
+        self._tell(target, part)
+
+    def _sharers(self, target: TargetState) -> Sequence[HostId]:
+        """Return the hosts among which the target's rate is dealt out.
+
+        In a fleet of groups they are those that keep connections with it.
+        """
+        group = self.exchange.group_hosts()
+        if group and self._is_of_group(target):
+            return list(group)
+        return [host.id for host in self.registered()]
+
+    def _part(self, target: TargetState, sharers: Sequence[HostId]) -> Part:
+        place = self._place(sharers, target)
+        part = deal_out(target.rate_limit.rate, place, len(sharers))
+        if self.exchange.group_hosts() and not self._is_of_group(target):
+            return dataclasses.replace(part, own=0)
+        return part
+
+    def _place(
+        self, hosts: Sequence[HostId], target: TargetState
+    ) -> int | None:
+        """Return this host's place among `hosts`, or None if it has none."""
+        if self.own not in hosts:
+            return None
+        own = rank(self.own, target.id)
+        return sum(rank(host, target.id) > own for host in hosts)
+
+    def _is_of_group(self, target: TargetState) -> bool:
+        return self.exchange.shares_target(target.id, target.failure_domain)
+
+    def _tell(self, target: TargetState, part: Part) -> None:
+        decisions.note(
+            "rate-part",
+            target=target.id,
+            service=target.service,
+            rate=target.rate_limit.rate,
+            requests=part.own,
+            turn_ms=round(part.turn * 1000),
+            hosts=part.hosts,
+            place=part.place,
+        )
+
+    def _forget_gone(self) -> None:
+        for process in self.targets.keys() - self.registry.by_process.keys():
+            del self.targets[process]
+
+
+def _trial_at(part: Part, limit: RateLimit) -> Deadline:
+    """Return when a host without a part may try the target.
+
+    One host each turn may, so that they add one request to those of the others.
+    """
+    if part.place is None:
+        return Deadline(math.inf)
+    wait = SILENT_SECONDS + (part.place + 1) * part.turn
+    return Deadline(limit.said_at + wait)
--- a/agatetack/balance/target_share.py
+++ b/agatetack/balance/target_share.py
@@ -18,9 +18,20 @@
         """Return when it may at the soonest; `now` if that is not known."""
         return now
 
+    def any_opens_at(self, target: TargetState, now: Deadline) -> Deadline:
+        """Return when any host may at the soonest, as far as is known."""
+        return self.opens_at(target, now)
+
     def taken(self, target: TargetState) -> None:  # noqa: B027
         """Note that a request was given to `target`."""
 
+    def may_probe(self, target: TargetState) -> bool:
+        """Return whether this host may probe `target`."""
+        return True
+
+    def probed(self, target: TargetState) -> None:  # noqa: B027
+        """Note that a probe is sent to `target`."""
+
 
 class NoShare(TargetShare):
     """Lets a host send as if it were alone."""
@@ -45,6 +56,10 @@
         """Return when the last of them may."""
         return max(share.opens_at(target, now) for share in self.shares)
 
+    def any_opens_at(self, target: TargetState, now: Deadline) -> Deadline:
+        """Return when the last of them may let any host."""
+        return max(share.any_opens_at(target, now) for share in self.shares)
+
     def taken(self, target: TargetState) -> None:
         """Tell each share of a request."""
         for share in self.shares:
--- /dev/null
+++ b/agatetack/balance/test_rate_share.py
@@ -0,0 +1,363 @@
+"""Test what targets that name a rate get from hosts that may not hear others.
+
+The pattern: one target, or many at one moment, name the requests a second that
+they take from all hosts together, and every host has more for them. In any 4 s
+no more may come than one and a half times the rate, and five; and not much less
+than the rate, as what such a target may take is service to callers.
+"""
+
+import dataclasses
+
+import pytest
+import trio
+
+from agatetack.balance.cold_share import ColdShare
+from agatetack.balance.rate_share import (
+    QUIET_SECONDS,
+    SILENT_SECONDS,
+    RateShare,
+    deal_out,
+)
+from agatetack.balance.target_share import AllShares
+from agatetack.balance.test_cold_share import host
+from agatetack.ids import Deadline
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import NoExchange
+from agatetack.settings.defaults import default_settings
+from agatetack.targets.registry import TargetRegistry
+from agatetack.testing.targets import SERVICE, listed_target, started_target
+
+SETTINGS = default_settings()
+WINDOW_SECONDS = 4.0
+STEP_SECONDS = 0.02
+LARGE_STEP_SECONDS = 0.1
+"""Time between two looks of hosts with requests waiting; in a large fleet the
+test itself takes too long otherwise."""
+
+LARGE_FLEET = 90
+HOSTS = (2, 14, 96, 400)
+RATES = (0.2, 1.3, 1.8, 40.0)
+LONG_SECONDS = 100.0
+"""How long a host has run that knows what it sent."""
+
+LEAST_USE = 0.8
+"""Share of the rate that hosts use which have more requests than that."""
+
+
+def bound(rate):
+    return 1.5 * rate * WINDOW_SECONDS + 5
+
+
+@dataclasses.dataclass
+class Sender:
+    """One host, with its own view of hosts and targets.
+
+    Attributes:
+        share: What it may send.
+        registry: Its targets.
+        listed: The hosts that it reads in the list.
+    """
+
+    share: RateShare
+    registry: TargetRegistry
+    listed: list
+
+    @property
+    def target(self):
+        """Return the one target."""
+        return self.registry.targets(SERVICE)[0]
+
+    def tell(self, rate):
+        """Let the host learn now what the target takes."""
+        now = Deadline(trio.current_time())
+        self.target.rate_limit.note(rate, now)
+
+
+def make_sender(own, listed, exchange=None):
+    registry = TargetRegistry(SETTINGS, Metrics())
+    registry.update([listed_target(1)])
+    settings = SETTINGS.copy_with(
+        {"host": SETTINGS.host.copy_with({"id": own.id})}
+    )
+    sender = Sender(None, registry, list(listed))
+    sender.share = RateShare(
+        settings,
+        registry,
+        lambda: sender.listed,
+        exchange or NoExchange(),
+        Metrics(),
+    )
+    return sender
+
+
+async def make_fleet(count, views=None):
+    hosts = [host(n) for n in range(count)]
+    listed = views(hosts) if views else [hosts] * count
+    fleet = [
+        make_sender(own, seen) for own, seen in zip(hosts, listed, strict=True)
+    ]
+    await trio.sleep(LONG_SECONDS)
+    return fleet
+
+
+async def press(fleet, seconds):
+    """Let every host send whenever it may; return the times."""
+    sent = []
+    step = STEP_SECONDS if len(fleet) < LARGE_FLEET else LARGE_STEP_SECONDS
+    end = trio.current_time() + seconds
+    while trio.current_time() < end:
+        for sender in fleet:
+            if sender.share.allows(sender.target):
+                sender.share.taken(sender.target)
+                sent.append(trio.current_time())
+        await trio.sleep(step)
+    return sent
+
+
+def most_in_a_window(times):
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - WINDOW_SECONDS:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+@pytest.mark.parametrize("count", HOSTS)
+@pytest.mark.parametrize("rate", RATES)
+async def test_a_fleet_sends_what_a_target_takes(autojump_clock, count, rate):
+    fleet = await make_fleet(count)
+    for sender in fleet:
+        sender.tell(rate)
+    seconds = 30.0
+    sent = await press(fleet, seconds)
+    assert most_in_a_window(sent) <= bound(rate)
+    # Steps of the test are all that a host with many requests loses.
+    assert len(sent) >= LEAST_USE * rate * seconds
+
+
+def one_less(hosts):
+    return [hosts if n % 2 else hosts[:-1] for n in range(len(hosts))]
+
+
+def three_lists(hosts):
+    lists = (hosts, hosts[1:], hosts[:-1])
+    return [lists[n % 3] for n in range(len(hosts))]
+
+
+def half_unlisted(hosts):
+    return [[] if n % 2 else hosts for n in range(len(hosts))]
+
+
+@pytest.mark.parametrize("views", [one_less, three_lists, half_unlisted])
+@pytest.mark.parametrize("count", [2, 14, 96])
+@pytest.mark.parametrize("rate", RATES)
+async def test_hosts_with_other_lists_keep_to_it(
+    autojump_clock, count, rate, views
+):
+    fleet = await make_fleet(count, views)
+    for sender in fleet:
+        sender.tell(rate)
+    assert most_in_a_window(await press(fleet, 20.0)) <= bound(rate)
+
+
+def everybody(number):
+    return 0.0
+
+
+def one_by_one(number):
+    return 0.1 * number
+
+
+def every_other(number):
+    return 0.0 if number % 2 else 5.0
+
+
+@pytest.mark.parametrize("told_after", [everybody, one_by_one, every_other])
+@pytest.mark.parametrize("rate", RATES)
+async def test_hosts_that_learn_of_it_late_keep_to_it(
+    autojump_clock, rate, told_after
+):
+    fleet = await make_fleet(14)
+    told, sent = [], []
+    begin = trio.current_time()
+    while trio.current_time() < begin + 20.0:
+        for number, sender in enumerate(fleet):
+            if sender not in told and (
+                trio.current_time() >= begin + told_after(number)
+            ):
+                sender.tell(rate)
+                told.append(sender)
+        # What hosts send that do not know of it yet doesn't count.
+        sent += await press(told, STEP_SECONDS)
+    assert most_in_a_window(sent) <= bound(rate)
+
+
+@pytest.mark.parametrize("count", [2, 14, 96])
+@pytest.mark.parametrize("rate", RATES)
+async def test_hosts_that_start_again_keep_to_it(autojump_clock, count, rate):
+    fleet = await make_fleet(count)
+    for sender in fleet:
+        sender.tell(rate)
+    sent = await press(fleet, 6.0)
+    for _ in range(3):
+        hosts = fleet[0].listed
+        fleet = [make_sender(own, hosts) for own in hosts]
+        for sender in fleet:
+            sender.tell(rate)
+        sent += await press(fleet, 2.0)
+    assert most_in_a_window(sent) <= bound(rate)
+
+
+@pytest.mark.parametrize("rate", RATES)
+async def test_a_host_that_takes_over_a_part_keeps_to_it(autojump_clock, rate):
+    # Every host leaves the list in turn, the one with the first part as well.
+    fleet = await make_fleet(14)
+    for sender in fleet:
+        sender.tell(rate)
+    sent = []
+    hosts = fleet[0].listed
+    for gone in hosts:
+        for sender in fleet:
+            sender.listed[:] = [each for each in hosts if each is not gone]
+        sent += await press(fleet, 1.0)
+    assert most_in_a_window(sent) <= bound(rate)
+
+
+@pytest.mark.parametrize(
+    ("before", "after"), [(1.8, 0.2), (0.2, 1.8), (1.3, 40.0)]
+)
+async def test_a_rate_that_changes_binds_at_once(autojump_clock, before, after):
+    fleet = await make_fleet(14)
+    for sender in fleet:
+        sender.tell(before)
+    sent = await press(fleet, 10.0)
+    assert most_in_a_window(sent) <= bound(before)
+    for sender in fleet:
+        sender.tell(after)
+    assert most_in_a_window(await press(fleet, 10.0)) <= bound(after)
+
+
+async def test_a_rate_that_ends_and_comes_again(autojump_clock):
+    fleet = await make_fleet(14)
+    for sender in fleet:
+        sender.tell(1.3)
+    await press(fleet, 5.0)
+    for sender in fleet:
+        sender.tell(None)
+    assert len(await press(fleet, 1.0)) >= 14
+    for sender in fleet:
+        sender.tell(1.3)
+    assert most_in_a_window(await press(fleet, 10.0)) <= bound(1.3)
+
+
+@pytest.mark.parametrize("rate", RATES)
+@pytest.mark.parametrize("count", [2, 14, 96])
+async def test_a_host_without_a_part_tries_in_its_turn(
+    autojump_clock, rate, count
+):
+    # All heard of the rate at the same moment, and nobody hears more of it.
+    fleet = await make_fleet(count)
+    for sender in fleet:
+        sender.tell(rate)
+    seconds = SILENT_SECONDS + 40.0
+    sent = await press(fleet, seconds)
+    assert most_in_a_window(sent) <= bound(rate)
+    part = deal_out(rate, count - 1, count)
+    turns = int(40.0 / part.turn)
+    idle = [s for s in fleet if not s.share.targets[s.target.process].part.own]
+    tried = [s for s in idle if s.share.targets[s.target.process].sent_at > 0.1]
+    assert len(tried) >= min(len(idle), turns - part.requests) - 1
+
+
+async def test_a_new_start_of_a_target_has_no_rate(autojump_clock):
+    fleet = await make_fleet(1)
+    sender = fleet[0]
+    sender.registry.update([started_target(1, 1000)])
+    sender.tell(0.2)
+    assert len(await press(fleet, 2.0)) <= 1
+    sender.registry.update([started_target(1, 2000)])
+    assert sender.share.allows(sender.target)
+    # It is another process, with a rate and a part of its own.
+    sender.tell(0.2)
+    await press(fleet, 1.0)
+    assert list(sender.share.targets) == [sender.target.process]
+
+
+async def test_only_a_target_that_is_silent_is_probed(autojump_clock):
+    fleet = await make_fleet(1)
+    sender = fleet[0]
+    assert sender.share.may_probe(sender.target)
+    sender.tell(1.3)
+    assert not sender.share.may_probe(sender.target)
+    await trio.sleep(QUIET_SECONDS)
+    assert sender.share.may_probe(sender.target)
+    sender.share.probed(sender.target)
+    # The probe took the place of a request.
+    assert not sender.share.allows(sender.target)
+    assert not sender.share.may_probe(sender.target)
+
+
+async def test_the_narrowest_share_binds(autojump_clock):
+    fleet = await make_fleet(1)
+    sender = fleet[0]
+    settings = default_settings(host={"id": "h000"})
+    cold = ColdShare(settings, sender.registry, lambda: sender.listed)
+    both = AllShares([cold, sender.share])
+    sender.registry.set_warm_up_rates({SERVICE: 5.0})
+    now = Deadline(trio.current_time())
+    sender.target.warmth.note(Deadline(now + 3.0), now)
+    sender.tell(40.0)
+    assert sender.share.allows(sender.target)
+    assert not both.allows(sender.target)
+    await trio.sleep(4.0)
+    sender.tell(0.2)
+    both.taken(sender.target)
+    assert cold.allows(sender.target)
+    assert not both.allows(sender.target)
+
+
+class Grouped(NoExchange):
+    """A fleet in groups, where the target is of one of them."""
+
+    def __init__(self, group, shares):
+        self.group = group
+        self.shares = shares
+
+    def group_hosts(self):
+        return self.group
+
+    def shares_target(self, target, domain):
+        return self.shares
+
+
+async def test_the_group_of_a_target_has_its_rate(autojump_clock):
+    hosts = [host(n) for n in range(96)]
+    group = [each.id for each in hosts[:12]]
+    fleet = [
+        make_sender(own, hosts, Grouped(group, own.id in group))
+        for own in hosts
+    ]
+    await trio.sleep(LONG_SECONDS)
+    for sender in fleet:
+        sender.tell(1.3)
+    sent = await press(fleet[:12], 20.0)
+    assert len(sent) >= LEAST_USE * 1.3 * 20.0
+    for sender in fleet:
+        sender.tell(1.3)
+    assert await press(fleet[12:], SILENT_SECONDS) == []
+
+
+@pytest.mark.parametrize(
+    ("rate", "hosts", "own"),
+    [
+        (1.3, 14, [1] * 6 + [0] * 8),
+        (0.2, 2, [1, 0]),
+        (1.3, 4, [2, 2, 1, 1]),
+        (40.0, 14, [13] * 12 + [12] * 2),
+    ],
+)
+def test_a_turn_is_dealt_out_in_order(rate, hosts, own):
+    parts = [deal_out(rate, place, hosts) for place in range(hosts)]
+    assert [part.own for part in parts] == own
+    assert deal_out(rate, None, hosts).own == 0
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -13,6 +13,7 @@
 from agatetack.attempts.single import SingleAttempt
 from agatetack.balance.cold_share import ColdShare
 from agatetack.balance.policies import make_policy
+from agatetack.balance.rate_share import RateShare
 from agatetack.balance.start_share import StartShare
 from agatetack.balance.target_share import AllShares
 from agatetack.callers.server import CallerServer
@@ -120,6 +121,9 @@
         self.start_share = StartShare(
             self.registry, self.peers, lambda: list(self.peers.members.listed)
         )
+        self.rate_share = RateShare(
+            settings, self.registry, directory.gateways, self.peers, metrics
+        )
         self.admission = ServiceAdmission(
             settings,
             self.registry,
@@ -130,6 +134,7 @@
                 [
                     self.start_share,
                     ColdShare(settings, self.registry, directory.gateways),
+                    self.rate_share,
                 ]
             ),
         )
@@ -141,6 +146,7 @@
             metrics,
             HttpProbe(settings, load_reader, load_paths),
             seed,
+            self.rate_share,
         )
         self.rounds = ProbeRounds(
             settings,
--- a/agatetack/measure/news.py
+++ b/agatetack/measure/news.py
@@ -28,12 +28,14 @@
         slowness: How many times longer than usual work took there.
         load: Requests there that the hearers don't know of otherwise.
         cold: Whether it was warming up.
+        rate: The rate that it named, or None.
         repeat_at: When it is told again, even if nothing changes.
     """
 
     slowness: float
     load: int
     cold: bool
+    rate: float | None
     repeat_at: Deadline
 
 
@@ -63,15 +65,17 @@
         load = self.load(report)
         now = Deadline(trio.current_time())
         cold = target.warmth.is_cold(now)
+        rate = target.rate_limit.rate
         last = self.told.get(target.process)
         if last is not None and now < last.repeat_at:
             change = abs(report.slowness - last.slowness)
             slower = change > TOLD_CHANGE * last.slowness
-            if not slower and (load, cold) == (last.load, last.cold):
+            same = (load, cold, rate) == (last.load, last.cold, last.rate)
+            if same and not slower:
                 return False
         repeat_at = Deadline(now + REPEAT_SECONDS)
         self.told[target.process] = ToldReport(
-            report.slowness, load, cold, repeat_at
+            report.slowness, load, cold, rate, repeat_at
         )
         if len(self.told) > 2 * len(self.registry.by_process):
             self._forget_gone()
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -5,6 +5,7 @@
 import trio
 from returns.result import Result, Success
 
+from agatetack.balance.target_share import NoShare, TargetShare
 from agatetack.ids import Deadline, ServiceId
 from agatetack.measure.budget import START_SECONDS, TokenBucket
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
@@ -66,6 +67,7 @@
         metrics: Metrics,
         probe: ProbeClient,
         seed: int = 0,
+        share: TargetShare | None = None,
     ):
         """Start with nothing to spend.
 
@@ -76,7 +78,9 @@
             metrics: Where the spending is counted.
             probe: How a target is asked.
             seed: Of the choice of targets to probe.
+            share: What this host may send to each target; all if None.
         """
+        self.share = share or NoShare()
         self.settings = settings
         self.registry = registry
         self.metrics = metrics
@@ -188,6 +192,9 @@
         """Ask one target for its load, if it can be, and note what it says."""
         if not self.client.can_ask(target):
             return
+        if not self.share.may_probe(target):
+            return
+        self.share.probed(target)
         self.registry.rate_limits.note_sent(target, SendKind.PROBE)
         timeout = self.settings.measure.probe_timeout_seconds
         deadline = Deadline(trio.current_time() + timeout)
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -17,6 +17,7 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Exchange, Scope, Topic
 from agatetack.targets.leaving import LeavingSign
+from agatetack.targets.rate_limit import RateLimit
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 from agatetack.thrift_codec import MalformedMessage, decode, encode
@@ -53,6 +54,9 @@
 """The same for each group of the fleet, so that a host hears 40 such messages a
 second at most, however many groups there are."""
 
+NO_RATE = 0.0
+"""The rate of a target that names none any more."""
+
 SIGN_NUMBERS = {sign: number for number, sign in enumerate(LeavingSign, 1)}
 SIGNS = {number: sign for sign, number in SIGN_NUMBERS.items()}
 
@@ -226,6 +230,8 @@
             sample.slowness_pct = slowness_pct
         if target.warm_up_rate and target.warmth.said:
             self._add_warmth(sample, target, now)
+        if target.rate_limit.known:
+            self._add_rate(sample, target.rate_limit, now)
         service = target.learned.service_seconds
         # A peer's word that went round would look like ever new evidence.
         if service is not None and not target.learned.adopted:
@@ -242,6 +248,14 @@
         if said_ms > 0:
             sample.said_ms = said_ms
 
+    def _add_rate(
+        self, sample: LoadSample, limit: RateLimit, now: Deadline
+    ) -> None:
+        sample.rate = limit.rate or NO_RATE
+        said_ms = round((now - limit.said_at) * 1000)
+        if said_ms > 0:
+            sample.rate_said_ms = said_ms
+
     def _measured(self, target: TargetState, report: LoadReport) -> None:
         # By mark and not by name, as each report of a target comes here.
         if self.exchange.is_first_leader and target.told_by_all:
@@ -290,6 +304,9 @@
             said_at = Deadline(now - max(0, sample.said_ms or 0) / 1000)
             warm_at = Deadline(said_at + max(0, sample.warm_up_ms) / 1000)
             self.registry.note_warmth(target, warm_at, said_at)
+        if sample.rate is not None:
+            said_at = Deadline(now - max(0, sample.rate_said_ms or 0) / 1000)
+            self.registry.rate_limits.note_told(target, sample.rate, said_at)
         self.registry.note_report(target, report)
         if sample.service_us and at > target.learned.peer_at:
             target.learned.note_peer(sample.service_us / 1e6, at)
--- a/agatetack/targets/rate_limits.py
+++ b/agatetack/targets/rate_limits.py
@@ -10,7 +10,7 @@
 from agatetack.messages import Headers
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
-from agatetack.targets.rate_limit import read_rate
+from agatetack.targets.rate_limit import MAX_RATE, RateProblem, read_rate
 from agatetack.targets.state import ReportSource, TargetState
 
 decisions = DecisionLog("targets")
@@ -90,6 +90,21 @@
         if values:
             self._take(target, values, source)
 
+    def note_told(
+        self, target: TargetState, rate: float, said_at: Deadline
+    ) -> None:
+        """Take what a peer told of the rate of `target`.
+
+        Args:
+            target: The target.
+            rate: Requests a second; 0 if it names none any more.
+            said_at: When the target said so to whoever told first.
+        """
+        if not 0 <= rate <= MAX_RATE:
+            self._refuse(target, RateProblem.OUT_OF_RANGE, ReportSource.PEER)
+            return
+        self._note(target, rate or None, said_at, ReportSource.PEER)
+
     def _values(self, headers: Headers) -> Sequence[bytes]:
         if self.name is None:
             return ()
@@ -100,18 +115,23 @@
     ) -> None:
         read = read_rate(values)
         if read.problem is not None:
-            self.refused.inc({"problem": read.problem.value})
-            decisions.note(
-                "rate-limit-refused",
-                target=target.id,
-                service=target.service,
-                problem=read.problem.value,
-                source=source.value,
-            )
+            self._refuse(target, read.problem, source)
             return
         now = Deadline(trio.current_time())
         self._note(target, read.rate, now, source)
 
+    def _refuse(
+        self, target: TargetState, problem: RateProblem, source: ReportSource
+    ) -> None:
+        self.refused.inc({"problem": problem.value})
+        decisions.note(
+            "rate-limit-refused",
+            target=target.id,
+            service=target.service,
+            problem=problem.value,
+            source=source.value,
+        )
+
     def _note(
         self,
         target: TargetState,
--- a/thrift/measure.thrift
+++ b/thrift/measure.thrift
@@ -14,6 +14,10 @@
   7: optional i32 warm_up_ms    // how long it had still to warm up when it said
                                 // so last; absent: nobody knows
   8: optional i32 said_ms       // how long ago that was; absent: 0
+  9: optional double rate       // requests a second that it takes from all
+                                // hosts, as it said last; 0: it names no rate
+                                // any more; absent: it never named one
+  10: optional i32 rate_said_ms // how long ago that was; absent: 0
 }
 
 // The samples of one interval.
