Find out soon that a target's limit is over

What targets saw: one that named 0.2 requests a second and then none got no request for as long as others were free, so no host learned that the limit was over. Cause, by the trace of a fleet of 14 hosts: each time the one host with a part might send, its probe took the part, and answers of the load path need not name the rate; and a target of which no report is fresh looks dearer than all others, so that no request chose it.

A request is now due at such a target after 5 s without a word, before it goes anywhere else, and a probe waits until no request came for a whole interval. test_a_limit_that_ends_is_heard_by_hosts_that_send_nothing failed before.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -325,6 +325,9 @@
             ]
         if not wanted.wait:
             free = self.policy.spare(free, now)
+        else:
+            due = [target for target in free if self.share.is_due(target, now)]
+            free = due or free
         if wanted.priority is Priority.LOW:
             return self._idle(free, now)
         return free
--- a/agatetack/balance/rate_share.py
+++ b/agatetack/balance/rate_share.py
@@ -36,7 +36,8 @@
 """How often this host's part is worked out anew by the list of hosts."""
 
 QUIET_SECONDS = 5.0
-"""A target of which nothing was heard for as long is probed."""
+"""A target of which nothing was heard for as long gets the next request of a
+host that may send there, and a probe if there is none."""
 
 SILENT_SECONDS = 10.0
 """A host without a part that has heard nothing of a target for as long may try
@@ -170,6 +171,15 @@
         rate = target.rate_limit.rate
         return now if rate is None else Deadline(now + 1 / rate)
 
+    def is_due(self, target: TargetState, now: Deadline) -> bool:
+        """Return whether only a request can show that the limit is over.
+
+        A target of which nothing is heard looks worse than others, and would
+        not be chosen any more.
+        """
+        limit = target.rate_limit
+        return limit.rate is not None and now >= limit.said_at + QUIET_SECONDS
+
     def taken(self, target: TargetState) -> None:
         """Note that a request was given to `target`."""
         if target.rate_limit.rate is not None:
@@ -183,14 +193,17 @@
     def may_probe(self, target: TargetState) -> bool:
         """Return whether this host may probe `target`.
 
-        Answers to requests tell as much, so that a probe must not take the
-        place of one.
+        Answers to requests tell more, so that a probe must not take the place
+        of one: it waits until no request has come for a whole interval.
         """
-        limit = target.rate_limit
-        if limit.rate is None:
+        if target.rate_limit.rate is None:
             return True
-        quiet_until = limit.said_at + QUIET_SECONDS
-        return trio.current_time() >= quiet_until and self.allows(target)
+        now = Deadline(trio.current_time())
+        if not self.is_due(target, now):
+            return False
+        unused_since = self._free_at(target, now)
+        interval = self.targets[target.process].part.interval
+        return now >= unused_since + interval
 
     def _free_at(self, target: TargetState, now: Deadline) -> Deadline:
         rated = self._find(target, now)
--- a/agatetack/balance/target_share.py
+++ b/agatetack/balance/target_share.py
@@ -22,6 +22,15 @@
         """Return when any host may at the soonest, as far as is known."""
         return self.opens_at(target, now)
 
+    def is_due(self, target: TargetState, now: Deadline) -> bool:
+        """Return whether a request should go there before all others.
+
+        Args:
+            target: A target to which one is allowed.
+            now: The time.
+        """
+        return False
+
     def taken(self, target: TargetState) -> None:  # noqa: B027
         """Note that a request was given to `target`."""
 
@@ -60,6 +69,10 @@
         """Return when the last of them may let any host."""
         return max(share.any_opens_at(target, now) for share in self.shares)
 
+    def is_due(self, target: TargetState, now: Deadline) -> bool:
+        """Return whether a request is due by any of them."""
+        return any(share.is_due(target, now) for share in self.shares)
+
     def taken(self, target: TargetState) -> None:
         """Tell each share of a request."""
         for share in self.shares:
--- a/agatetack/balance/test_rate_share.py
+++ b/agatetack/balance/test_rate_share.py
@@ -288,9 +288,16 @@
     fleet = await make_fleet(1)
     sender = fleet[0]
     assert sender.share.may_probe(sender.target)
-    sender.tell(1.3)
+    sender.tell(0.2)
+    assert not sender.share.may_probe(sender.target)
+    sender.share.taken(sender.target)
+    await trio.sleep(QUIET_SECONDS + 0.1)
+    # A request may go first, and is due.
+    now = Deadline(trio.current_time())
+    assert sender.share.allows(sender.target)
+    assert sender.share.is_due(sender.target, now)
     assert not sender.share.may_probe(sender.target)
-    await trio.sleep(QUIET_SECONDS)
+    await trio.sleep(5.0)
     assert sender.share.may_probe(sender.target)
     sender.share.probed(sender.target)
     # The probe took the place of a request.
--- a/agatetack/balance/test_targets_that_limit_their_rate.py
+++ b/agatetack/balance/test_targets_that_limit_their_rate.py
@@ -15,8 +15,12 @@
 """
 
 import pytest
+import trio
 
+from agatetack.outcomes import Outcome, RefusalReason
+from agatetack.targets.rate_limit import RateProblem
 from agatetack.testing.limited_fleet import limited_fleet, most_within
+from agatetack.testing.targets import make_request, make_route
 
 WINDOW_SECONDS = 4.0
 TOLD_SECONDS = 0.5
@@ -52,3 +56,84 @@
             for target in limited
         ]
         assert max(most) <= bound(rate)
+
+
+async def test_a_limit_that_ends_is_heard_by_hosts_that_send_nothing(
+    autojump_clock, monkeypatch
+):
+    async with limited_fleet(monkeypatch, 14, 3) as fleet:
+        target = fleet.targets[0]
+        target.faults.rate_limits = (b"0.2",)
+        await fleet.press(6.0, 15.0)
+        known = [host.registry.by_id[target.instance] for host in fleet.hosts]
+        assert all(state.rate_limit.rate == 0.2 for state in known)
+        # One host in fourteen has a part at this rate.
+        parts = [
+            host.rate_share.targets[target.instance].part.own
+            for host in fleet.hosts
+        ]
+        assert sum(parts) == 1
+        target.faults.rate_limits = ()
+        await fleet.press(12.0, 15.0, seed=2)
+        assert all(state.rate_limit.rate is None for state in known)
+
+
+async def test_one_host_tells_the_others_of_a_rate(autojump_clock, monkeypatch):
+    async with limited_fleet(monkeypatch, 14, 2) as fleet:
+        target = fleet.targets[0]
+        target.faults.rate_limits = (b"1.3",)
+        alone = fleet.hosts
+        fleet.hosts = alone[:1]
+        await fleet.press(2.0, 3.0)
+        fleet.hosts = alone
+        known = [host.registry.by_id[target.instance] for host in fleet.hosts]
+        assert all(state.rate_limit.rate == 1.3 for state in known)
+
+
+async def test_what_no_target_takes_in_time_is_refused_at_once(
+    autojump_clock, monkeypatch
+):
+    async with limited_fleet(monkeypatch, 14, 2) as fleet:
+        for target in fleet.targets:
+            target.faults.rate_limits = (b"0.2",)
+        await fleet.press(4.0, 30.0)
+        idle = next(
+            host
+            for host in fleet.hosts
+            if not any(r.part.own for r in host.rate_share.targets.values())
+        )
+        request = make_request(seconds=2.5, name="late")
+        begin = trio.current_time()
+        result = await idle.attempts.run(make_route(), request, hedged=True)
+        refusal = result.failure()
+        assert trio.current_time() == begin
+        assert refusal.reason is RefusalReason.NO_TARGET
+        assert refusal.outcome is Outcome.NOT_RUN
+        # Both targets take one request in 5 s, from any host.
+        assert refusal.retry_at == pytest.approx(begin + 5.0)
+
+
+@pytest.mark.parametrize(
+    ("values", "problem"),
+    [
+        ((b"",), RateProblem.NOT_A_NUMBER),
+        ((b"-1",), RateProblem.NOT_A_NUMBER),
+        ((b"0",), RateProblem.OUT_OF_RANGE),
+        ((b"nan",), RateProblem.NOT_A_NUMBER),
+        ((b"1e309",), RateProblem.NOT_A_NUMBER),
+        ((b"1.3", b"2"), RateProblem.REPEATED),
+        ((b"9" * 65_536,), RateProblem.TOO_LONG),
+    ],
+)
+async def test_an_answer_with_a_bad_rate_reaches_its_caller(
+    autojump_clock, monkeypatch, values, problem
+):
+    async with limited_fleet(monkeypatch, 1, 1) as fleet:
+        host, target = fleet.hosts[0], fleet.targets[0]
+        target.faults.rate_limits = values
+        await fleet.press(2.0, 3.0)
+        assert fleet.answered > 0
+        assert fleet.refused == 0
+        limits = host.registry.rate_limits
+        assert limits.refused.get({"problem": problem.value}) > 0
+        assert host.registry.by_id[target.instance].rate_limit.rate is None
