--- a/agatetack/targets/test_parser.py
+++ b/agatetack/targets/test_parser.py
@@ -4,6 +4,7 @@
 import pytest
 from hypothesis import strategies
 
+from agatetack.settings.defaults import default_settings
 from agatetack.targets.parser import AnswerParser, AnswerState
 
 FEW = hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
@@ -96,3 +97,15 @@
     parser = AnswerParser(b"GET", 1000)
     parser.feed(raw)
     assert parser.state is AnswerState.BROKEN
+
+
+def test_a_field_of_64_kb_is_no_broken_answer_however_it_arrives():
+    most = default_settings().targets.max_header_bytes
+    parser = AnswerParser(b"GET", most)
+    field = b"x-rate: " + b"9" * 65_536 + b"\r\n"
+    others = b"x-other: %b\r\n" % (b"a" * 2_000)
+    end = b"content-length: 0\r\n\r\n"
+    answer = b"HTTP/1.1 200 OK\r\n" + field + others + end
+    for first in range(0, len(answer), 1_000):
+        parser.feed(answer[first : first + 1_000])
+    assert parser.state is AnswerState.COMPLETE
