Keep to a host's part of the connections that a target accepts

Now a host opens its part of the number in force, one less for its probes, and never more than its settings say. The test opens connections at fleets of 1 to 400 hosts; four of its five cases failed before.

--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -39,6 +39,8 @@
 from agatetack.quarantine.liveness import LivenessCheck, ReportLivenessCheck
 from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
 from agatetack.settings.model import Settings
+from agatetack.targets.pool import ConnectionShare, OwnConnections
+from agatetack.targets.state import TargetState
 
 FIRST_READ_SECONDS = 0.25
 """Longest time that a host which starts leaves callers waiting for its first
@@ -59,6 +61,28 @@
     metrics: int = 0
 
 
+PROBE_CONNECTIONS = 1
+"""Connections to a target that a host keeps beside those for requests."""
+
+
+class DocumentConnections(ConnectionShare):
+    """This host's part of what the document says that targets accept."""
+
+    def __init__(self, gateway: "StoreGateway"):
+        """Look at the document and at the hosts that `gateway` knows."""
+        self.gateway = gateway
+        self.own = OwnConnections(gateway.settings)
+
+    def most(self, target: TargetState) -> int:
+        """Return this host's part; the number of the settings at most."""
+        own = self.own.most(target)
+        info = self.gateway.documents.services.get(target.service)
+        if info is None or not info.max_connections:
+            return own
+        part = info.max_connections // self.gateway.peers.fleet_size()
+        return max(1, min(own, part - PROBE_CONNECTIONS))
+
+
 class StoreReadiness(GatewayReadiness):
     """What a host on a store must know before it takes requests."""
 
@@ -134,6 +158,7 @@
         self.seed_client = SeedClient(
             settings, self.followers, self.sharing.readers, metrics
         )
+        self.client.pools.share = DocumentConnections(self)
         self._build_classes()
         self.documents.watchers.append(self._limit_callers)
         self.documents.watchers.append(self._bound_cold_targets)
--- a/agatetack/targets/pool.py
+++ b/agatetack/targets/pool.py
@@ -1,5 +1,7 @@
 """Keep open connections to targets for the next request."""
 
+import abc
+
 import trio
 
 from agatetack.ids import Deadline, ProcessId
@@ -17,19 +19,41 @@
 request on its way then would be lost."""
 
 
+class ConnectionShare(abc.ABC):
+    """What one host may keep of the connections that a target accepts."""
+
+    @abc.abstractmethod
+    def most(self, target: TargetState) -> int:
+        """Return how many connections to `target` this host may have open."""
+
+
+class OwnConnections(ConnectionShare):
+    """As many as the settings say, whatever other hosts have."""
+
+    def __init__(self, settings: Settings):
+        """Take the number from `settings`."""
+        self.limit = settings.targets.max_connections
+
+    def most(self, target: TargetState) -> int:
+        """Return the number of the settings."""
+        return self.limit
+
+
 class TargetPool:
     """Idle connections to one target, latest used last.
 
     Attributes:
+        share: How many may be open.
         idle: Connections without a request.
         open_count: Connections open now, idle or not.
         suspect_before: Connections that had no byte since then are not used
             again, because one of them was found silent.
     """
 
-    def __init__(self, settings: Settings):
-        """Keep connections as `settings` say."""
+    def __init__(self, settings: Settings, share: ConnectionShare):
+        """Keep connections as `settings` and `share` say."""
         self.settings = settings
+        self.share = share
         self.idle: list[TargetConnection] = []
         self.open_count = 0
         self.suspect_before = Deadline(0.0)
@@ -101,7 +125,7 @@
             ConnectFailed: None could be opened, or too many are open.
         """
         limits = self.settings.targets
-        if self.open_count >= limits.max_connections:
+        if self.open_count >= self.share.most(target):
             raise ConnectFailed("too many connections are open")
         self.open_count += 1
         latest = trio.current_time() + limits.connect_timeout_seconds
@@ -115,18 +139,23 @@
 
 
 class TargetPools:
-    """The pools of all targets of one host, one for each of their starts."""
+    """The pools of all targets of one host, one for each of their starts.
+
+    Attributes:
+        share: How many connections each of them may have open.
+    """
 
     def __init__(self, settings: Settings):
         """Start without connections."""
         self.settings = settings
+        self.share: ConnectionShare = OwnConnections(settings)
         self.pools: dict[ProcessId, TargetPool] = {}
 
     def pool(self, process: ProcessId) -> TargetPool:
         """Return the pool of `process`, a new one if there is none."""
         pool = self.pools.get(process)
         if pool is None:
-            pool = TargetPool(self.settings)
+            pool = TargetPool(self.settings, self.share)
             self.pools[process] = pool
         return pool
 
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -5,13 +5,16 @@
 import pytest
 import trio
 
+from agatetack.ids import Deadline
 from agatetack.settings.section import Endpoint
+from agatetack.targets.connection import ConnectFailed
 from agatetack.targets.leaving import LeavingSign
 from agatetack.testing.fake_entry import EntryHost, FakeEntry
 from agatetack.testing.memory_store import StoreFault
 from agatetack.testing.store_fleet import (
     CONFIGURATION,
     LOOPBACK,
+    SERVICE,
     route_fields,
     store_fleet,
 )
@@ -260,3 +263,22 @@
         assert host.evacuations.domains == {"zone-a"}
         assert await answers(fleet, gateway=1) == 503
         assert executed_urls(fleet) == []
+
+
+@pytest.mark.parametrize(
+    ("hosts", "most"), [(1, 15), (14, 14), (55, 3), (110, 1), (400, 1)]
+)
+async def test_a_host_keeps_its_part_of_a_targets_connections(hosts, most):
+    # The document says that targets accept 220 from all hosts.
+    async with store_fleet() as fleet:
+        gateway = fleet.gateways[0]
+        gateway.peers.fleet_size = lambda: hosts
+        target = gateway.registry.targets(SERVICE)[0]
+        pool = gateway.client.pools.pool(target.process)
+        before = pool.open_count
+        deadline = Deadline(trio.current_time() + 5)
+        with pytest.raises(ConnectFailed):
+            while pool.open_count <= 15:
+                await pool.open(target, deadline)
+        assert pool.open_count == most
+        assert before <= most
