Show the rate of each target that limits it among the counters

The log lines of many targets that name a rate in one moment are bounded, so that on-call could not tell from a host which targets do. A gauge by target says it, 0 once the limit is over or the target gone.

--- a/agatetack/balance/test_targets_that_limit_their_rate.py
+++ b/agatetack/balance/test_targets_that_limit_their_rate.py
@@ -73,8 +73,12 @@
             for host in fleet.hosts
         ]
         assert sum(parts) == 1
+        label = {"target": target.instance}
+        shown = [h.registry.rate_limits.rates for h in fleet.hosts]
+        assert all(gauge.get(label) == 0.2 for gauge in shown)
         target.faults.rate_limits = ()
         await fleet.press(12.0, 15.0, seed=2)
+        assert all(gauge.get(label) == 0.0 for gauge in shown)
         assert all(state.rate_limit.rate is None for state in known)
 
 
--- a/agatetack/targets/rate_limits.py
+++ b/agatetack/targets/rate_limits.py
@@ -6,13 +6,16 @@
 import trio
 
 from agatetack.decisions import DecisionLog, age
-from agatetack.ids import Deadline
+from agatetack.ids import Deadline, TargetId
 from agatetack.messages import Headers
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 from agatetack.targets.rate_limit import MAX_RATE, RateProblem, read_rate
 from agatetack.targets.state import ReportSource, TargetState
 
+MAX_SHOWN_TARGETS = 200
+"""Targets with a rate of their own among the counters."""
+
 decisions = DecisionLog("targets")
 
 
@@ -29,6 +32,7 @@
 
     Attributes:
         name: The header that holds a rate, or None if targets name none.
+        shown: The targets whose rate stands among the counters.
     """
 
     def __init__(self, settings: Settings, metrics: Metrics):
@@ -52,6 +56,17 @@
             "What this host sent to targets that limit their rate, by kind.",
         )
 
+        self.rates = metrics.gauge(
+            "agatetack_target_rate_limit",
+            "Requests a second that a target takes; 0 if it names no rate.",
+        )
+        self.shown: set[TargetId] = set()
+
+    def forget(self, target: TargetState) -> None:
+        """Show no rate of a target that is gone."""
+        if target.id in self.shown:
+            self.rates.set({"target": target.id}, 0.0)
+
     def note_sent(self, target: TargetState, kind: SendKind) -> None:
         """Count what this host sends to a target that limits its rate."""
         if target.rate_limit.rate is not None:
@@ -120,6 +135,13 @@
         now = Deadline(trio.current_time())
         self._note(target, read.rate, now, source)
 
+    def _show(self, target: TargetState) -> None:
+        if len(self.shown) < MAX_SHOWN_TARGETS:
+            self.shown.add(target.id)
+        if target.id in self.shown:
+            rate = target.rate_limit.rate or 0.0
+            self.rates.set({"target": target.id}, rate)
+
     def _refuse(
         self, target: TargetState, problem: RateProblem, source: ReportSource
     ) -> None:
@@ -146,6 +168,7 @@
         if not limit.note(rate, said_at):
             return
         self.changes.inc({"source": source.value})
+        self._show(target)
         decisions.note(
             "rate-limited" if rate is not None else "rate-limit-over",
             target=target.id,
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -375,6 +375,7 @@
     def _remove(self, target_id: TargetId, now: Deadline) -> TargetState:
         target = self.by_id.pop(target_id)
         self.by_process.pop(target.process, None)
+        self.rate_limits.forget(target)
         self.changes += 1
         target.status = TargetStatus.GONE
         target.status_since = now
