Seed the choices of replayed hosts

The replay of crashing-request failed once without a seed to play it again, as each host drew the seed of its choices. The seed is a setting of the trace now, 0 if none is given.

--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -52,6 +52,7 @@
         platform_log: Log,
         host_list: HostList,
         clock: Clock | None = None,
+        seed: int | None = None,
     ):
         """Build every slice; nothing runs before `run`.
 
@@ -60,8 +61,9 @@
             platform_log: The platform's log.
             host_list: The platform's list of hosts.
             clock: The host's clocks; the system's if None.
+            seed: Of its choices; drawn if None.
         """
-        super().__init__(settings, clock)
+        super().__init__(settings, clock, seed)
         self.directory = HostDirectory(settings, host_list, self.metrics)
         self.build_target_side(self.directory)
         self.directory.on_change(self._targets_listed)
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -77,6 +77,7 @@
     Attributes:
         settings: The host's settings.
         clock: Its clocks.
+        seed: Of its choices among targets.
         metrics: Its counters.
         peers: The other hosts.
         routes: The routes in force.
@@ -86,14 +87,23 @@
         stops: Takes a value for each wish to stop, by signal or operator.
     """
 
-    def __init__(self, settings: Settings, clock: Clock | None = None):
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock | None = None,
+        seed: int | None = None,
+    ):
         """Start with what the other slices need.
 
         Args:
             settings: The host's settings.
             clock: The host's clocks; the system's if None.
+            seed: Of its choices; drawn if None.
         """
         self.settings = settings
+        self.seed = seed
+        if seed is None:
+            self.seed = random.SystemRandom().getrandbits(63)
         self.clock = clock or SystemClock()
         self.metrics = Metrics()
         self.routes = RouteSource()
@@ -117,7 +127,7 @@
         self.peers = PeerExchange(settings, directory, metrics, self.clock)
         self.registry = TargetRegistry(settings, metrics)
         self.registry.listing_watchers.append(self.peers.note_targets)
-        seed = random.SystemRandom().getrandbits(63)
+        seed = self.seed
         self.start_share = StartShare(
             self.registry, self.peers, lambda: list(self.peers.members.listed)
         )
--- a/agatetack/testing/replay_fleet.py
+++ b/agatetack/testing/replay_fleet.py
@@ -151,8 +151,9 @@
 
     async def _start_gateway(self, number: int) -> None:
         settings = self._host_settings(number)
+        seed = self.trace.about.seed + number
         log = MemoryLog(self.service, self.nursery)
-        gateway = Gateway(settings, log, self.host_list, self.clock)
+        gateway = Gateway(settings, log, self.host_list, self.clock, seed)
         host = ReplayHost(gateway, log, trio.CancelScope())
         await self.nursery.start(self._run_gateway, host)
         self.hosts.append(host)
--- a/agatetack/testing/test_replay.py
+++ b/agatetack/testing/test_replay.py
@@ -17,6 +17,14 @@
     assert not findings, "\n".join(findings)
 
 
+@pytest.mark.parametrize(("name", "seed"), [("crashing-request", 100)])
+def test_trace_ends_as_stated_by_other_choices(name, seed):
+    trace = load_trace(next(path for path in TRACES if path.stem == name))
+    trace.about.seed = seed
+    findings = check_replay(run_trace(trace), name)
+    assert not findings, "\n".join(findings)
+
+
 FLEET = """
 {"kind": "about", "text": "Two targets.", "seconds": 1, "gateways": 1}
 {"kind": "targets", "names": ["p1", "p2"], "service": "p"}
--- a/agatetack/testing/trace.py
+++ b/agatetack/testing/trace.py
@@ -43,6 +43,7 @@
         gateways: How many hosts there are.
         seconds: When the last event is over and the outcomes are checked.
         settings: Settings laid over the defaults.
+        seed: Of the choices of the first host; the next one has one more.
     """
 
     kind: Literal["about"]
@@ -50,6 +51,7 @@
     gateways: int = 2
     seconds: At
     settings: dict[str, Any] = {}
+    seed: int = 0
 
 
 class TargetsLine(Line):
