Refuse at once at a host that is not registered and so has no part

A host that isn't in the list yet, as just after its start, has no part in the rate of a target. It took that for a part that opens now, so that callers waited until their deadline where all targets of a service limit their rate: its time between two requests was infinite and subtracted from nothing known. The test failed before.

--- a/agatetack/balance/rate_share.py
+++ b/agatetack/balance/rate_share.py
@@ -70,10 +70,11 @@
 
     @property
     def interval(self) -> float:
-        """Return the seconds between two requests of this host."""
-        if self.own:
-            return self.turn / self.own
-        return math.inf if self.place is None else self.turn * self.hosts
+        """Return the seconds between two requests of this host.
+
+        One without a part goes by the trials of all that have none.
+        """
+        return self.turn / self.own if self.own else self.turn * self.hosts
 
 
 def deal_out(rate: float, place: int | None, hosts: int) -> Part:
@@ -207,6 +208,8 @@
 
     def _free_at(self, target: TargetState, now: Deadline) -> Deadline:
         rated = self._find(target, now)
+        if rated.part.place is None:
+            return Deadline(math.inf)
         free_at = max(rated.sent_at + rated.part.interval, rated.opens_at)
         if not rated.part.own:
             return max(free_at, _trial_at(rated.part, target.rate_limit))
@@ -313,7 +316,5 @@
 
     One host each turn may, so that they add one request to those of the others.
     """
-    if part.place is None:
-        return Deadline(math.inf)
     wait = SILENT_SECONDS + (part.place + 1) * part.turn
     return Deadline(limit.said_at + wait)
--- a/agatetack/balance/test_rate_share.py
+++ b/agatetack/balance/test_rate_share.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 import pytest
 import trio
@@ -270,6 +271,17 @@
     assert len(tried) >= min(len(idle), turns - part.requests) - 1
 
 
+async def test_a_host_that_is_not_listed_does_not_wait_for_a_part(
+    autojump_clock,
+):
+    fleet = await make_fleet(2, lambda hosts: [hosts, hosts[:1]])
+    unlisted = fleet[1]
+    unlisted.tell(1.3)
+    now = Deadline(trio.current_time())
+    assert unlisted.share.opens_at(unlisted.target, now) == math.inf
+    assert await press([unlisted], 60.0) == []
+
+
 async def test_a_new_start_of_a_target_has_no_rate(autojump_clock):
     fleet = await make_fleet(1)
     sender = fleet[0]
