Let no more requests wait than targets with a rate take in time

Where all targets of a service limit their rate, callers waited until their deadline although it was known that they could not be served: whoever found a part that opens in time was queued, however many waited for it. A host knows how many requests its parts allow until a deadline; one more is refused at once, and where newer requests go first, the oldest one. Of ten requests at one moment, with four to be served in time, six ended at their deadline before, none does now.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -97,17 +97,17 @@
         self, wanted: PermitRequest, now: Deadline
     ) -> Refusal | None:
         """Return why the request may not wait, or None; may push one out."""
-        opens_at = self._opens_at(wanted, now)
-        if opens_at + self.quick_latency > wanted.deadline:
-            return refuse(
-                RefusalReason.NO_TARGET,
-                "No target of the service takes one more request in time.",
-                self._any_opens_at(wanted, now),
-            )
         queue = self.queues[wanted.priority]
         route = wanted.route
         newest_first = self._order(now) is Order.NEWEST_FIRST
         ahead = 0 if newest_first else self._ahead(wanted)
+        most_in_time = self._most_in_time(wanted, now)
+        if most_in_time <= self._ahead(wanted):
+            oldest = queue.oldest_of_longest(route.id)
+            if not newest_first or oldest is None or not most_in_time:
+                return self._refuse_for_share(wanted, now)
+            # It would go after all that are newer, and come too late.
+            self._push_out(oldest, self._refuse_for_share(wanted, now))
         wait = ahead * (self.gap or 0.0)
         if now + wait + self.quick_latency > wanted.deadline:
             return self._late(now, "The queue is longer than the time left.")
@@ -116,7 +116,8 @@
             return None
         oldest = queue.oldest_of_longest(route.id)
         if newest_first and oldest is not None:
-            self._push_out(oldest, now)
+            refusal = self.refuse_full(now, "Newer requests go first now.")
+            self._push_out(oldest, refusal)
             return None
         return self.refuse_full(now, "The route's queue is full.")
 
@@ -129,6 +130,14 @@
         targets = self._usable(wanted)
         return min(self.share.opens_at(target, now) for target in targets)
 
+    def _most_in_time(self, wanted: PermitRequest, now: Deadline) -> float:
+        """Return how many requests its share lets this host send in time."""
+        until = Deadline(wanted.deadline - self.quick_latency)
+        return sum(
+            self.share.most_until(target, now, until)
+            for target in self._usable(wanted)
+        )
+
     def _any_opens_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
         """Return when any host may send to any of the targets again."""
         targets = self._usable(wanted)
@@ -179,6 +188,15 @@
                 queue.remove(waiter)
                 waiter.event.set()
 
+    def _refuse_for_share(
+        self, wanted: PermitRequest, now: Deadline
+    ) -> Refusal:
+        return refuse(
+            RefusalReason.NO_TARGET,
+            "No target of the service takes one more request in time.",
+            self._any_opens_at(wanted, now),
+        )
+
     def _refuse_without_target(self, now: Deadline) -> Refusal:
         return refuse(
             RefusalReason.NO_TARGET,
@@ -252,8 +270,8 @@
             ahead += self.queues[Priority.LOW].size
         return ahead
 
-    def _push_out(self, waiter: Waiter, now: Deadline) -> None:
-        waiter.refusal = self.refuse_full(now, "Newer requests go first now.")
+    def _push_out(self, waiter: Waiter, refusal: Refusal) -> None:
+        waiter.refusal = refusal
         self.queues[waiter.wanted.priority].remove(waiter)
         waiter.event.set()
 
--- a/agatetack/balance/rate_share.py
+++ b/agatetack/balance/rate_share.py
@@ -167,6 +167,18 @@
             return now
         return max(now, self._free_at(target, now))
 
+    def most_until(
+        self, target: TargetState, now: Deadline, until: Deadline
+    ) -> float:
+        """Return how many requests it may send from `now` to `until`."""
+        if target.rate_limit.rate is None:
+            return math.inf
+        opens_at = self.opens_at(target, now)
+        if opens_at > until:
+            return 0
+        interval = self._find(target, now).part.interval
+        return 1 + (until - opens_at) // interval
+
     def any_opens_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return when some host may, on the mean."""
         rate = target.rate_limit.rate
--- a/agatetack/balance/target_share.py
+++ b/agatetack/balance/target_share.py
@@ -1,6 +1,7 @@
 """Define what keeps a host to its part of what a fleet may send to a target."""
 
 import abc
+import math
 from collections.abc import Sequence
 
 from agatetack.ids import Deadline
@@ -18,6 +19,15 @@
         """Return when it may at the soonest; `now` if that is not known."""
         return now
 
+    def most_until(
+        self, target: TargetState, now: Deadline, until: Deadline
+    ) -> float:
+        """Return how many requests it may send from `now` to `until`.
+
+        Infinite where the share does not count them.
+        """
+        return math.inf if self.opens_at(target, now) <= until else 0
+
     def any_opens_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return when any host may at the soonest, as far as is known."""
         return self.opens_at(target, now)
@@ -65,6 +75,14 @@
         """Return when the last of them may."""
         return max(share.opens_at(target, now) for share in self.shares)
 
+    def most_until(
+        self, target: TargetState, now: Deadline, until: Deadline
+    ) -> float:
+        """Return what the narrowest of them lets it send."""
+        return min(
+            share.most_until(target, now, until) for share in self.shares
+        )
+
     def any_opens_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return when the last of them may let any host."""
         return max(share.any_opens_at(target, now) for share in self.shares)
--- a/agatetack/balance/test_rate_share.py
+++ b/agatetack/balance/test_rate_share.py
@@ -380,3 +380,20 @@
     parts = [deal_out(rate, place, hosts) for place in range(hosts)]
     assert [part.own for part in parts] == own
     assert deal_out(rate, None, hosts).own == 0
+
+
+@pytest.mark.parametrize(
+    ("rate", "seconds", "most"),
+    [(0.2, 2.0, 1), (0.2, 5.0, 2), (1.3, 5.0, 7), (1.3, 0.0, 1)],
+)
+async def test_a_host_knows_what_it_may_send_in_time(
+    autojump_clock, rate, seconds, most
+):
+    # Alone it has the whole rate, and is as good as free to send now.
+    sender = (await make_fleet(1))[0]
+    sender.tell(rate)
+    now = Deadline(trio.current_time())
+    until = Deadline(now + seconds + 0.001)
+    assert sender.share.most_until(sender.target, now, until) == most
+    sender.share.taken(sender.target)
+    assert sender.share.most_until(sender.target, now, until) == most - 1
--- a/agatetack/balance/test_targets_that_limit_their_rate.py
+++ b/agatetack/balance/test_targets_that_limit_their_rate.py
@@ -16,7 +16,9 @@
 
 import pytest
 import trio
+from returns.pipeline import is_successful
 
+from agatetack.messages import Header
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.targets.rate_limit import RateProblem
 from agatetack.testing.limited_fleet import limited_fleet, most_within
@@ -141,3 +143,30 @@
         limits = host.registry.rate_limits
         assert limits.refused.get({"problem": problem.value}) > 0
         assert host.registry.by_id[target.instance].rate_limit.rate is None
+
+
+async def test_no_more_requests_wait_than_targets_take_in_time(
+    autojump_clock, monkeypatch
+):
+    # One host and two targets that take one request in 5 s each.
+    async with limited_fleet(monkeypatch, 1, 2) as fleet:
+        for target in fleet.targets:
+            target.faults.rate_limits = (b"0.2",)
+        await fleet.press(4.0, 10.0)
+        begin = trio.current_time()
+        ended = []
+
+        async def ask(number):
+            request = make_request(seconds=9.0, name=f"w{number}")
+            request.headers = [Header(b"request-id", b"w%d" % number)]
+            result = await fleet.hosts[0].attempts.run(
+                make_route(), request, hedged=False
+            )
+            ended.append((trio.current_time() - begin, is_successful(result)))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(10):
+                nursery.start_soon(ask, number)
+        late = [seconds for seconds, answered in ended if not answered]
+        assert late == [0.0] * len(late)
+        assert 2 <= len(ended) - len(late) <= 4
