--- a/agatetack/balance/rate_share.py
+++ b/agatetack/balance/rate_share.py
@@ -1,13 +1,13 @@
 """Keep a whole fleet within the rate that a target says it takes.
 
 A target in need names the requests a second that it takes from all hosts
-together. Hosts can't count on hearing each other, so each sends what is its own
-by a list that all of them read: in a turn of some seconds the target takes so
-many requests, and these are dealt out among the hosts in an order that all work
-out alike. A host without a part sends nothing there. Hosts whose lists differ
-add one request a turn each, for which the promise to the target has room.
+together. Hosts can't count on hearing each other, so each has a quota by a list
+that all of them read: the requests that the target takes in a window of some
+seconds are split among the hosts in an order that all compute alike. A host
+without a quota sends nothing there. Hosts whose lists differ add one request a
+window each, for which the bound that targets are promised has room.
 
-Probes count at the target like requests, and so come out of the same part.
+Probes count at the target like requests, and so come out of the same quota.
 """
 
 import dataclasses
@@ -28,20 +28,20 @@
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
 
-TURN_SECONDS = 4.5
-"""Shortest turn. Targets count what they get over some 4 s: in any such time a
-host that sends once a turn sends once."""
+WINDOW_SECONDS = 4.5
+"""Shortest window. Targets count what they get over some 4 s: in any such time
+a host that sends once in a window sends once."""
 
-PART_SECONDS = 0.3
-"""How often this host's part is worked out anew by the list of hosts."""
+REFRESH_SECONDS = 0.3
+"""How often this host's quota is worked out anew by the list of hosts."""
 
 QUIET_SECONDS = 5.0
 """A target of which nothing was heard for as long gets the next request of a
 host that may send there, and a probe if there is none."""
 
 SILENT_SECONDS = 10.0
-"""A host without a part that has heard nothing of a target for as long may try
-it, as nobody may be left to tell it that the target takes more again."""
+"""A host without a quota that has heard nothing of a target for as long may try
+it, as no host may be left that tells it of the limit's end."""
 
 Registered = Callable[[], Sequence[ListedHost]]
 """Returns the hosts that are registered, this one included if it is."""
@@ -50,19 +50,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Part:
-    """This host's part of what a target takes.
+class Quota:
+    """This host's quota of what a target takes.
 
     Attributes:
-        turn: Seconds in which the target takes `requests`, from all hosts.
-        requests: Requests of one turn.
+        window: Seconds in which the target takes `requests`, from all hosts.
+        requests: Requests of one window.
         own: How many of them are this host's.
         place: This host's place in the order of hosts, from 0; None if it is
             not one of them.
         hosts: How many hosts there are.
     """
 
-    turn: float
+    window: float
     requests: int
     own: int
     place: int | None
@@ -72,24 +72,24 @@
     def interval(self) -> float:
         """Return the seconds between two requests of this host.
 
-        One without a part goes by the trials of all that have none.
+        One without a quota goes by the trials of all that have none.
         """
-        return self.turn / self.own if self.own else self.turn * self.hosts
+        return self.window / self.own if self.own else self.window * self.hosts
 
 
-def deal_out(rate: float, place: int | None, hosts: int) -> Part:
-    """Return the part of the host at `place` of what a target takes.
+def split_rate(rate: float, place: int | None, hosts: int) -> Quota:
+    """Return the quota of the host at `place` of what a target takes.
 
     Args:
         rate: Requests a second that the target takes from all hosts.
         place: The host's place in the order of hosts; None if it has none.
         hosts: How many hosts there are.
     """
-    requests = math.ceil(rate * TURN_SECONDS)
+    requests = math.ceil(rate * WINDOW_SECONDS)
     own = 0
     if place is not None:
         own = requests // hosts + (place < requests % hosts)
-    return Part(requests / rate, requests, own, place, hosts)
+    return Quota(requests / rate, requests, own, place, hosts)
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,16 +97,16 @@
     """A target that limits its rate, as this host sees it.
 
     Attributes:
-        part: This host's part.
+        quota: This host's quota.
         until: When it is looked whether that has changed.
-        rate: The rate that it is a part of.
+        rate: The rate that it is a quota of.
         sharers: The hosts among which it was dealt out.
         since: Since when the target limits its rate.
         sent_at: When this host last sent there.
-        opens_at: When it may for the first time by its part.
+        opens_at: When it may for the first time by its quota.
     """
 
-    part: Part
+    quota: Quota
     until: Deadline
     rate: float
     sharers: Sequence[HostId]
@@ -116,7 +116,7 @@
 
 
 class RateShare(TargetShare):
-    """This host's part of the rates that targets name.
+    """This host's quota of the rates that targets name.
 
     Attributes:
         targets: The targets that were asked for, by start of a process.
@@ -176,7 +176,7 @@
         opens_at = self.opens_at(target, now)
         if opens_at > until:
             return 0
-        interval = self._find(target, now).part.interval
+        interval = self._find(target, now).quota.interval
         return 1 + (until - opens_at) // interval
 
     def any_opens_at(self, target: TargetState, now: Deadline) -> Deadline:
@@ -215,16 +215,16 @@
         if not self.is_due(target, now):
             return False
         unused_since = self._free_at(target, now)
-        interval = self.targets[target.process].part.interval
+        interval = self.targets[target.process].quota.interval
         return now >= unused_since + interval
 
     def _free_at(self, target: TargetState, now: Deadline) -> Deadline:
         rated = self._find(target, now)
-        if rated.part.place is None:
+        if rated.quota.place is None:
             return Deadline(math.inf)
-        free_at = max(rated.sent_at + rated.part.interval, rated.opens_at)
-        if not rated.part.own:
-            return max(free_at, _trial_at(rated.part, target.rate_limit))
+        free_at = max(rated.sent_at + rated.quota.interval, rated.opens_at)
+        if not rated.quota.own:
+            return max(free_at, _trial_at(rated.quota, target.rate_limit))
         return Deadline(free_at)
 
     def _find(self, target: TargetState, now: Deadline) -> RatedTarget:
@@ -240,42 +240,42 @@
 
     def _begin(self, target: TargetState, now: Deadline) -> RatedTarget:
         sharers = self._sharers(target)
-        part = self._part(target, sharers)
+        quota = self._quota(target, sharers)
         sent_at, opens_at = Deadline(-math.inf), now
-        if part.own:
+        if quota.own:
             if target.last_chosen_at is not None:
                 sent_at = target.last_chosen_at
             # All hosts learn of the rate at the same moment.
-            stagger = part.interval * part.place / part.hosts
-            not_known_until = self.started_at + part.interval
+            stagger = quota.interval * quota.place / quota.hosts
+            not_known_until = self.started_at + quota.interval
             opens_at = Deadline(max(now + stagger, not_known_until))
         rated = RatedTarget(
-            part=part,
-            until=Deadline(now + PART_SECONDS),
+            quota=quota,
+            until=Deadline(now + REFRESH_SECONDS),
             rate=target.rate_limit.rate,
             sharers=sharers,
             since=target.rate_limit.since,
             sent_at=sent_at,
             opens_at=opens_at,
         )
-        self._tell(target, part)
+        self._tell(target, quota)
         return rated
 
     def _renew(
         self, rated: RatedTarget, target: TargetState, now: Deadline
     ) -> None:
-        rated.until = Deadline(now + PART_SECONDS)
+        rated.until = Deadline(now + REFRESH_SECONDS)
         sharers = self._sharers(target)
         rate = target.rate_limit.rate
         if (rate, sharers) == (rated.rate, rated.sharers):
             return
-        part = self._part(target, sharers)
+        quota = self._quota(target, sharers)
         rated.rate, rated.sharers = rate, sharers
-        if part.own and not rated.part.own:
-            # Whoever had this part until now may have just used it.
-            rated.opens_at = Deadline(now + part.interval)
-        rated.part = part
-        self._tell(target, part)
+        if quota.own and not rated.quota.own:
+            # Whoever had this quota until now may have just used it.
+            rated.opens_at = Deadline(now + quota.interval)
+        rated.quota = quota
+        self._tell(target, quota)
 
     def _sharers(self, target: TargetState) -> Sequence[HostId]:
         """Return the hosts among which the target's rate is dealt out.
@@ -287,12 +287,12 @@
             return list(group)
         return [host.id for host in self.registered()]
 
-    def _part(self, target: TargetState, sharers: Sequence[HostId]) -> Part:
+    def _quota(self, target: TargetState, sharers: Sequence[HostId]) -> Quota:
         place = self._place(sharers, target)
-        part = deal_out(target.rate_limit.rate, place, len(sharers))
+        quota = split_rate(target.rate_limit.rate, place, len(sharers))
         if self.exchange.group_hosts() and not self._is_of_group(target):
-            return dataclasses.replace(part, own=0)
-        return part
+            return dataclasses.replace(quota, own=0)
+        return quota
 
     def _place(
         self, hosts: Sequence[HostId], target: TargetState
@@ -306,16 +306,16 @@
     def _is_of_group(self, target: TargetState) -> bool:
         return self.exchange.shares_target(target.id, target.failure_domain)
 
-    def _tell(self, target: TargetState, part: Part) -> None:
+    def _tell(self, target: TargetState, quota: Quota) -> None:
         decisions.note(
-            "rate-part",
+            "rate-quota",
             target=target.id,
             service=target.service,
             rate=target.rate_limit.rate,
-            requests=part.own,
-            turn_ms=round(part.turn * 1000),
-            hosts=part.hosts,
-            place=part.place,
+            requests=quota.own,
+            window_ms=round(quota.window * 1000),
+            hosts=quota.hosts,
+            place=quota.place,
         )
 
     def _forget_gone(self) -> None:
@@ -323,10 +323,11 @@
             del self.targets[process]
 
 
-def _trial_at(part: Part, limit: RateLimit) -> Deadline:
-    """Return when a host without a part may try the target.
+def _trial_at(quota: Quota, limit: RateLimit) -> Deadline:
+    """Return when a host without a quota may try the target.
 
-    One host each turn may, so that they add one request to those of the others.
+    One host may in each window, so that they add one request to those of the
+    others.
     """
-    wait = SILENT_SECONDS + (part.place + 1) * part.turn
+    wait = SILENT_SECONDS + (quota.place + 1) * quota.window
     return Deadline(limit.said_at + wait)
--- a/agatetack/balance/test_rate_share.py
+++ b/agatetack/balance/test_rate_share.py
@@ -17,7 +17,7 @@
     QUIET_SECONDS,
     SILENT_SECONDS,
     RateShare,
-    deal_out,
+    split_rate,
 )
 from agatetack.balance.target_share import AllShares
 from agatetack.balance.test_cold_share import host
@@ -211,8 +211,8 @@
 
 
 @pytest.mark.parametrize("rate", RATES)
-async def test_a_host_that_takes_over_a_part_keeps_to_it(autojump_clock, rate):
-    # Every host leaves the list in turn, the one with the first part as well.
+async def test_a_host_that_takes_over_a_quota_keeps_to_it(autojump_clock, rate):
+    # Every host leaves the list in turn, the one with the first quota as well.
     fleet = await make_fleet(14)
     for sender in fleet:
         sender.tell(rate)
@@ -254,7 +254,7 @@
 
 @pytest.mark.parametrize("rate", RATES)
 @pytest.mark.parametrize("count", [2, 14, 96])
-async def test_a_host_without_a_part_tries_in_its_turn(
+async def test_a_host_without_a_quota_tries_in_its_window(
     autojump_clock, rate, count
 ):
     # All heard of the rate at the same moment, and nobody hears more of it.
@@ -264,11 +264,11 @@
     seconds = SILENT_SECONDS + 40.0
     sent = await press(fleet, seconds)
     assert most_in_a_window(sent) <= bound(rate)
-    part = deal_out(rate, count - 1, count)
-    turns = int(40.0 / part.turn)
-    idle = [s for s in fleet if not s.share.targets[s.target.process].part.own]
+    quota = split_rate(rate, count - 1, count)
+    windows = int(40.0 / quota.window)
+    idle = [s for s in fleet if not s.share.targets[s.target.process].quota.own]
     tried = [s for s in idle if s.share.targets[s.target.process].sent_at > 0.1]
-    assert len(tried) >= min(len(idle), turns - part.requests) - 1
+    assert len(tried) >= min(len(idle), windows - quota.requests) - 1
 
 
 async def test_a_host_that_is_not_listed_does_not_wait_for_a_part(
@@ -290,7 +290,7 @@
     assert len(await press(fleet, 2.0)) <= 1
     sender.registry.update([started_target(1, 2000)])
     assert sender.share.allows(sender.target)
-    # It is another process, with a rate and a part of its own.
+    # It is another process, with a rate and a quota of its own.
     sender.tell(0.2)
     await press(fleet, 1.0)
     assert list(sender.share.targets) == [sender.target.process]
@@ -376,10 +376,10 @@
         (40.0, 14, [13] * 12 + [12] * 2),
     ],
 )
-def test_a_turn_is_dealt_out_in_order(rate, hosts, own):
-    parts = [deal_out(rate, place, hosts) for place in range(hosts)]
-    assert [part.own for part in parts] == own
-    assert deal_out(rate, None, hosts).own == 0
+def test_a_window_is_split_in_order(rate, hosts, own):
+    quotas = [split_rate(rate, place, hosts) for place in range(hosts)]
+    assert [quota.own for quota in quotas] == own
+    assert split_rate(rate, None, hosts).own == 0
 
 
 @pytest.mark.parametrize(
--- a/agatetack/balance/test_targets_that_limit_their_rate.py
+++ b/agatetack/balance/test_targets_that_limit_their_rate.py
@@ -69,12 +69,12 @@
         await fleet.press(6.0, 15.0)
         known = [host.registry.by_id[target.instance] for host in fleet.hosts]
         assert all(state.rate_limit.rate == 0.2 for state in known)
-        # One host in fourteen has a part at this rate.
-        parts = [
-            host.rate_share.targets[target.instance].part.own
+        # One host in fourteen has a quota at this rate.
+        quotas = [
+            host.rate_share.targets[target.instance].quota.own
             for host in fleet.hosts
         ]
-        assert sum(parts) == 1
+        assert sum(quotas) == 1
         label = {"target": target.instance}
         shown = [h.registry.rate_limits.rates for h in fleet.hosts]
         assert all(gauge.get(label) == 0.2 for gauge in shown)
@@ -106,7 +106,7 @@
         idle = next(
             host
             for host in fleet.hosts
-            if not any(r.part.own for r in host.rate_share.targets.values())
+            if not any(r.quota.own for r in host.rate_share.targets.values())
         )
         request = make_request(seconds=2.5, name="late")
         begin = trio.current_time()
--- a/agatetack/targets/rate_limits.py
+++ b/agatetack/targets/rate_limits.py
@@ -39,8 +39,8 @@
         """Read the header that `settings` name."""
         name = settings.targets.headers.rate_limit
         self.name = None if name is None else name.encode()
-        self.words = metrics.counter(
-            "agatetack_rate_limit_words_total",
+        self.reports = metrics.counter(
+            "agatetack_rate_limit_reports_total",
             "Answers and messages that named a target's rate, by source.",
         )
         self.refused = metrics.counter(
@@ -164,7 +164,7 @@
         limit = target.rate_limit
         before, since = limit.rate, limit.since
         if rate is not None:
-            self.words.inc({"source": source.value})
+            self.reports.inc({"source": source.value})
         if not limit.note(rate, said_at):
             return
         self.changes.inc({"source": source.value})
