Read, log and count the generation that the store names

A store that comes back from an older copy says so in a header of every answer, which no part read. Logs could not tell whether a host had heard of it, when and from which call, and so not whether hosts that stay behind missed the news or heard it and compared offsets of two histories.

The header is read with every reply, refusals too; bad values are counted and logged. Repeated fields of a reply were dropped but for the last one; they are joined now, as two generations are none. Nothing is decided by it yet.

--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -3,7 +3,7 @@
 import dataclasses
 import socket
 import typing
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import trio
 
@@ -43,7 +43,8 @@
 
     Attributes:
         status: The HTTP status.
-        headers: Header fields, names in lower case.
+        headers: Header fields, names in lower case; the values of repeated
+            ones are joined by commas.
         body: The whole body.
     """
 
@@ -172,7 +173,7 @@
                 body += chunk
                 if len(body) > request.max_reply_bytes:
                     raise CallFailed("the reply is too long", sent=True)
-        headers = {name.lower(): value for name, value in response.headers}
+        headers = _joined(response.headers)
         return PlatformReply(response.status, headers, bytes(body))
 
     def _suspect(self, generation: _Generation, progress: _Progress) -> None:
@@ -211,5 +212,14 @@
     ]
 
 
+def _joined(fields: Sequence[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
+    """Return header fields by name, the values of repeated ones joined."""
+    joined: dict[bytes, bytes] = {}
+    for name, value in fields:
+        key = name.lower()
+        joined[key] = joined[key] + b", " + value if key in joined else value
+    return joined
+
+
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/agatetack/ids.py
+++ b/agatetack/ids.py
@@ -37,6 +37,9 @@
 ServiceId = NewType("ServiceId", str)
 """A group of targets that run the same requests."""
 
+StoreGeneration = NewType("StoreGeneration", int)
+"""How often the metadata store has lost records, as it says itself."""
+
 StreamId = NewType("StreamId", str)
 """One stream of the platform's log."""
 
--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -16,6 +16,7 @@
     PlatformRequest,
 )
 from agatetack.ids import Deadline, LogOffset
+from agatetack.keyed.generations import StoreGenerations, read_generation
 from agatetack.keyed.topic import (
     KeyedRecord,
     KeyedTopic,
@@ -28,6 +29,8 @@
 OK = 200
 GONE = 410
 
+GENERATION_HEADER = b"store-era"
+
 LENGTH = struct.Struct(">I")
 READ_HEAD = struct.Struct(">QQ")
 """Before the records of a read: the end, and the first offset still kept."""
@@ -45,11 +48,16 @@
 
 
 class StoreClient:
-    """The store at the address that the settings name."""
+    """The store at the address that the settings name.
+
+    Attributes:
+        generations: What the store's replies say of its generation.
+    """
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, generations: StoreGenerations):
         """Make a client; it connects when it is first used."""
         store = settings.platform.store
+        self.generations = generations
         self.caller = PlatformCaller(
             store.endpoint, store.timeout_seconds, store.silent_seconds
         )
@@ -75,10 +83,14 @@
         request = PlatformRequest(
             method, f"{path}?{text}", deadline, body, max_reply_bytes=64 << 20
         )
+        asked_in = self.generations.newest
         try:
-            return await self.caller.call(request)
+            reply = await self.caller.call(request)
         except CallFailed as error:
             raise TopicUnavailable(str(error), error.sent) from error
+        read = read_generation(reply.headers.get(GENERATION_HEADER))
+        self.generations.of_reply(read, asked_in, path)
+        return reply
 
 
 class StoreTopic(KeyedTopic):
--- a/agatetack/platform/test_platform_words.py
+++ b/agatetack/platform/test_platform_words.py
@@ -28,6 +28,7 @@
     "log-newest",
     "log-read",
     "log-append",
+    "store-era",
     "budget_ratio",
     "budget_slack",
     "probes_per_s\\b",
--- a/agatetack/platform/test_store_client.py
+++ b/agatetack/platform/test_store_client.py
@@ -6,7 +6,9 @@
 import trio
 
 from agatetack.ids import Deadline, LogOffset
+from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.topic import TopicTruncated, TopicUnavailable
+from agatetack.metrics import Metrics
 from agatetack.platform.store_client import StoreClient, StoreTopic
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_store import MemoryStore, StoreFault
@@ -26,7 +28,8 @@
         port = await nursery.start(store_server(store).run)
         endpoint = f"127.0.0.1:{port}"
         client = StoreClient(
-            default_settings(platform={"store": {"endpoint": endpoint}})
+            default_settings(platform={"store": {"endpoint": endpoint}}),
+            StoreGenerations(Metrics()),
         )
         yield store, StoreTopic(client, NAME)
         await client.aclose()
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -15,6 +15,7 @@
 from agatetack.hosts.registered_targets import RegisteredTargets
 from agatetack.keyed.fan_out import FanOutReader
 from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
+from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.seeds import SeedClient, SeedServer
 from agatetack.keyed.sharing import TopicSharing
 from agatetack.keyed.topic import KeyedTopic
@@ -101,6 +102,7 @@
 
     Attributes:
         store: The store.
+        generations: In which generation the store is.
         documents: The operators' document in force.
         evacuations: The failure domains that operators evacuated.
         targets: The targets that registered.
@@ -118,7 +120,8 @@
         """
         super().__init__(settings, clock)
         metrics = self.metrics
-        self.store = StoreClient(settings)
+        self.generations = StoreGenerations(metrics)
+        self.store = StoreClient(settings, self.generations)
         self.documents = DocumentRoutes(
             CONFIGURATION_KEY, ConfigurationDecoder(), self.routes, metrics
         )
