Add failing tests of a store that came back from an older copy

Hosts of a fleet read some changes, the store comes back without them and gives their offsets out again.

The stand-in of the store refuses reads from offsets that it does not have, as the platform says, comes back from copies and names its generation. The hosts of the follower's tests moved to testing/topic_fleet.py, to be used by both.

--- a/agatetack/keyed/test_follower.py
+++ b/agatetack/keyed/test_follower.py
@@ -4,81 +4,21 @@
 import trio
 
 from agatetack.generated.keyed import ttypes as wire
-from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
 from agatetack.keyed.readers import LEAST_READERS
-from agatetack.keyed.sharing import NEWS_BYTES, TopicSharing
-from agatetack.metrics import Metrics
+from agatetack.keyed.sharing import NEWS_BYTES
 from agatetack.peers.exchange import Topic
-from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_store import MemoryStore
-from agatetack.testing.memory_topic import NAME, MemoryTopic
-from agatetack.thrift_codec import encode
-
-SETTINGS = default_settings(
-    host={"failure_domain": "domain"},
-    platform={"store": {"poll_seconds": 20, "batch_seconds": 0.1}},
+from agatetack.testing.memory_topic import NAME
+from agatetack.testing.topic_fleet import (
+    SETTINGS,
+    TopicHost,
+    expected,
+    fill,
+    is_reader,
+    start_readers,
 )
-
-
-class Kept(TopicReader):
-    """Keeps the newest value of each key, and what it was told."""
-
-    def __init__(self):
-        self.values = {}
-        self.told = []
-
-    def take_all(self, records):
-        self.values.clear()
-        self.take_new(records)
-
-    def take_new(self, records):
-        for record in records:
-            if record.value is None:
-                self.values.pop(record.key, None)
-            else:
-                self.values[record.key] = record.value
-
-    def lost_touch(self):
-        self.told.append("lost")
-
-    def in_touch(self):
-        self.told.append("in touch")
-
-
-class Host:
-    """One host's view of the topic."""
-
-    def __init__(self, store, exchange=None):
-        self.topic = MemoryTopic(store)
-        self.kept = Kept()
-        metrics = Metrics()
-        self.follower = TopicFollower(
-            SETTINGS, NAME, self.topic, self.kept, ReadCounters(metrics)
-        )
-        self.sharing = None
-        if exchange is not None:
-            settings = SETTINGS.copy_with(
-                {"host": SETTINGS.host.copy_with({"id": exchange.host})}
-            )
-            self.sharing = TopicSharing(
-                settings, [self.follower], exchange, metrics
-            )
-
-    def start(self, nursery):
-        nursery.start_soon(self.follower.run)
-        if self.sharing is not None:
-            nursery.start_soon(self.sharing.run)
-
-
-def fill(store, count, prefix="k"):
-    for number in range(count):
-        store.append(NAME, f"{prefix}{number}", b"%d" % number)
-
-
-def expected(store):
-    newest = store.topics[NAME].newest
-    return {key: record.value for key, record in newest.items()}
+from agatetack.thrift_codec import encode
 
 
 async def test_records_come_at_once_and_a_burst_costs_few_reads(
@@ -86,7 +26,7 @@
 ):
     store = MemoryStore()
     fill(store, 3)
-    host = Host(store)
+    host = TopicHost(store)
     async with trio.open_nursery() as nursery:
         host.start(nursery)
         await trio.sleep(1)
@@ -109,7 +49,7 @@
 ):
     store = MemoryStore()
     fill(store, 5)
-    host = Host(store)
+    host = TopicHost(store)
     async with trio.open_nursery() as nursery:
         host.start(nursery)
         await trio.sleep(1)
@@ -132,7 +72,7 @@
 async def test_truncation_loses_nothing(autojump_clock):
     store = MemoryStore()
     fill(store, 5)
-    host = Host(store)
+    host = TopicHost(store)
     async with trio.open_nursery() as nursery:
         host.start(nursery)
         await trio.sleep(0.05)
@@ -153,7 +93,7 @@
     fill(store, 5)
     async with trio.open_nursery() as nursery:
         net = MemoryMesh(nursery)
-        one, other = (Host(store, net.join(name)) for name in ("h1", "h2"))
+        one, other = (TopicHost(store, net.join(name)) for name in ("h1", "h2"))
         one.start(nursery)
         setattr(other.topic, fault, not started_before)
         other.start(nursery)
@@ -175,7 +115,10 @@
     fill(silent_store, 2)
     async with trio.open_nursery() as nursery:
         net = MemoryMesh(nursery)
-        one, other = Host(store, net.join("h1")), Host(store, net.join("h2"))
+        one, other = (
+            TopicHost(store, net.join("h1")),
+            TopicHost(store, net.join("h2")),
+        )
         # The read that waits hears nothing of the store any more.
         other.topic.store = silent_store
         one.start(nursery)
@@ -198,7 +141,7 @@
 ):
     store = MemoryStore()
     fill(store, 3)
-    host = Host(store)
+    host = TopicHost(store)
     host.topic.refused = True
     async with trio.open_nursery() as nursery:
         host.start(nursery)
@@ -211,28 +154,6 @@
         nursery.cancel_scope.cancel()
 
 
-HOSTS = 30
-
-
-async def start_readers(nursery, store):
-    """Start a fleet and wait until few of its hosts read."""
-    net = MemoryMesh(nursery)
-    hosts = [Host(store, net.join(f"h{n}")) for n in range(HOSTS)]
-    for host in hosts:
-        # Their words come at other moments, one each 30 ms.
-        await trio.sleep(0.037)
-        host.start(nursery)
-    await trio.sleep(2)
-    # The reads that all began with end at the next record.
-    store.append(NAME, "k0", b"all")
-    await trio.sleep(2)
-    return net, hosts
-
-
-def is_reader(host):
-    return not host.follower.leaves_it_to_others
-
-
 async def test_few_hosts_of_a_large_fleet_read(autojump_clock):
     store = MemoryStore()
     fill(store, 5)
@@ -339,10 +260,10 @@
         mesh = MemoryMesh(nursery)
         store = MemoryStore()
         fill(store, 3)
-        empty = Host(MemoryStore(), mesh.join("h1"))
+        empty = TopicHost(MemoryStore(), mesh.join("h1"))
         empty.topic.hanging = True
         mesh.hosts["h1"].handlers.clear()
-        host = Host(store, mesh.join("h2"))
+        host = TopicHost(store, mesh.join("h2"))
         empty.start(nursery)
         host.start(nursery)
         await trio.sleep(1)
@@ -375,7 +296,7 @@
         fill(store, 3)
         other = mesh.join("h1")
         other.serve(Topic.TOPIC_RECORDS, answer)
-        host = Host(store, mesh.join("h2"))
+        host = TopicHost(store, mesh.join("h2"))
         host.start(nursery)
         await trio.sleep(1)
         ends = wire.TopicEnds([wire.TopicEnd(NAME, 1000)])
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -15,6 +15,7 @@
     CONFIGURATION,
     LOOPBACK,
     SERVICE,
+    configuration,
     route_fields,
     store_fleet,
 )
@@ -252,6 +253,23 @@
             assert ran == (2 if status == 200 else 0)
 
 
+# Guards against 404 for a route added after the store gave offsets again.
+async def test_a_route_added_after_the_store_lost_records_is_served():
+    async with store_fleet(gateways=2) as fleet:
+        copy = fleet.store.copy()
+        await fleet.configure(2, route_fields())
+        fleet.store.restore(copy)
+        added = route_fields(name="route-b", path_prefix="/b/")
+        content = configuration(3, route_fields(), added)
+        fleet.store.append(CONFIGURATION, "config", content)
+        await fleet.until(
+            lambda: all(g.documents.version == 3 for g in fleet.gateways),
+            seconds=2,
+        )
+        for gateway in range(2):
+            assert (await fleet.get("/b/x", gateway)).status == 200
+
+
 async def test_a_host_that_starts_in_an_outage_keeps_to_an_evacuation():
     async with store_fleet() as fleet:
         seed = fleet.gateways[0]
--- a/agatetack/testing/memory_store.py
+++ b/agatetack/testing/memory_store.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 from collections import defaultdict
+from collections.abc import Mapping
 
 import trio
 
@@ -56,6 +57,9 @@
         changed: Set, and replaced, at each append and change of the fault.
         calls: Calls so far, by path.
         latency_seconds: How long each call takes.
+        generation: What its answers name as its generation, whatever it is;
+            None if they name none.
+        losses: How often it came back from a copy.
     """
 
     def __init__(self) -> None:
@@ -65,6 +69,8 @@
         self.changed = trio.Event()
         self.calls: defaultdict[str, int] = defaultdict(int)
         self.latency_seconds = 0.0
+        self.generation: object = 1
+        self.losses = 0
 
     def append(self, topic: str, key: str, value: bytes) -> int:
         """Append a record and return its offset; no value removes the key."""
@@ -79,6 +85,24 @@
         self._tell()
         return record.offset
 
+    def copy(self) -> Mapping[str, StoredTopic]:
+        """Return a copy of all topics, from which `restore` brings it back."""
+        return {
+            name: dataclasses.replace(
+                found, records=list(found.records), newest=dict(found.newest)
+            )
+            for name, found in self.topics.items()
+        }
+
+    def restore(self, copy: Mapping[str, StoredTopic]) -> None:
+        """Come back from `copy`, without what was appended since."""
+        self.topics.clear()
+        self.topics.update(copy)
+        self.losses += 1
+        if isinstance(self.generation, int):
+            self.generation += 1
+        self._tell()
+
     def compact(self, topic: str) -> None:
         """Forget all records but the newest of each key."""
         found = self.topics[topic]
@@ -95,7 +119,13 @@
         self.changed = trio.Event()
 
     async def wait_for(self, topic: str, first: int, seconds: float) -> None:
-        """Wait until there is a record at `first`, for `seconds` at most."""
+        """Wait until there is a record at `first`, for `seconds` at most.
+
+        A read of what the store does not have, or no longer has, ends at once.
+        """
+        losses = self.losses
         with trio.move_on_after(seconds):
-            while self.topics[topic].end <= first and self.fault is None:
+            while self.topics[topic].end == first and self.fault is None:
                 await self.changed.wait()
+                if self.losses != losses:
+                    return
--- a/agatetack/testing/memory_topic.py
+++ b/agatetack/testing/memory_topic.py
@@ -50,7 +50,7 @@
         await self.store.wait_for(NAME, first, seconds)
         await self._call(deadline)
         found = self.store.topics[NAME]
-        if first < found.first:
+        if not found.first <= first <= found.end:
             raise TopicTruncated
         records = [_record(r) for r in found.records if r.offset >= first]
         return TopicPage(records, LogOffset(first + len(records)))
--- a/agatetack/testing/store_server.py
+++ b/agatetack/testing/store_server.py
@@ -53,6 +53,9 @@
         body = (await read_whole(request.body)).content
         answer = await call(query, body)
         await self._fail()
+        if self.store.generation is not None:
+            generation = str(self.store.generation).encode()
+            answer.headers.append((b"store-era", generation))
         return answer
 
     async def _fail(self) -> None:
@@ -72,7 +75,7 @@
         if self.store.fault is StoreFault.REFUSED:
             return _json(503, {})
         found = self.store.topics[topic]
-        if first < found.first:
+        if not found.first <= first <= found.end:
             return _json(410, {"first": found.first})
         content = READ_HEAD.pack(found.end, found.first)
         for record in found.records:
--- /dev/null
+++ b/agatetack/testing/topic_fleet.py
@@ -0,0 +1,113 @@
+"""Run hosts that follow one topic of a store in memory, for tests."""
+
+import trio
+
+from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
+from agatetack.keyed.sharing import TopicSharing
+from agatetack.metrics import Metrics
+from agatetack.settings.defaults import default_settings
+from agatetack.testing.memory_exchange import MemoryMesh
+from agatetack.testing.memory_topic import NAME, MemoryTopic
+
+SETTINGS = default_settings(
+    host={"failure_domain": "domain"},
+    platform={"store": {"poll_seconds": 20, "batch_seconds": 0.1}},
+)
+
+HOSTS = 30
+
+
+class Kept(TopicReader):
+    """Keeps the newest value of each key, and what it was told."""
+
+    def __init__(self):
+        """Keep nothing yet."""
+        self.values = {}
+        self.told = []
+
+    def take_all(self, records):
+        """Keep `records` alone."""
+        self.values.clear()
+        self.take_new(records)
+
+    def take_new(self, records):
+        """Keep `records` too."""
+        for record in records:
+            if record.value is None:
+                self.values.pop(record.key, None)
+            else:
+                self.values[record.key] = record.value
+
+    def lost_touch(self):
+        """Keep that the store was lost."""
+        self.told.append("lost")
+
+    def in_touch(self):
+        """Keep that the store is back."""
+        self.told.append("in touch")
+
+
+class TopicHost:
+    """One host's view of the topic.
+
+    Attributes:
+        topic: The topic as this host reaches it.
+        kept: What its reader was handed.
+        follower: What reads the topic.
+        sharing: What tells other hosts, or None.
+    """
+
+    def __init__(self, store, exchange=None):
+        """Follow the topic in `store`; tell others through `exchange`."""
+        self.topic = MemoryTopic(store)
+        self.kept = Kept()
+        metrics = Metrics()
+        self.follower = TopicFollower(
+            SETTINGS, NAME, self.topic, self.kept, ReadCounters(metrics)
+        )
+        self.sharing = None
+        if exchange is not None:
+            settings = SETTINGS.copy_with(
+                {"host": SETTINGS.host.copy_with({"id": exchange.host})}
+            )
+            self.sharing = TopicSharing(
+                settings, [self.follower], exchange, metrics
+            )
+
+    def start(self, nursery):
+        """Run in `nursery`."""
+        nursery.start_soon(self.follower.run)
+        if self.sharing is not None:
+            nursery.start_soon(self.sharing.run)
+
+
+def fill(store, count, prefix="k"):
+    """Append `count` records of keys that begin with `prefix`."""
+    for number in range(count):
+        store.append(NAME, f"{prefix}{number}", b"%d" % number)
+
+
+def expected(store):
+    """Return the newest value of each key."""
+    newest = store.topics[NAME].newest
+    return {key: record.value for key, record in newest.items()}
+
+
+async def start_readers(nursery, store, count=HOSTS):
+    """Start a fleet and wait until few of its hosts read."""
+    net = MemoryMesh(nursery)
+    hosts = [TopicHost(store, net.join(f"h{n}")) for n in range(count)]
+    for host in hosts:
+        # Their words come at other moments, one each 30 ms.
+        await trio.sleep(0.037)
+        host.start(nursery)
+    await trio.sleep(2)
+    # The reads that all began with end at the next record.
+    store.append(NAME, "k0", b"all")
+    await trio.sleep(2)
+    return net, hosts
+
+
+def is_reader(host):
+    """Return whether `host` reads the topic at the store."""
+    return not host.follower.leaves_it_to_others
