--- a/agatetack/keyed/fan_out.py
+++ b/agatetack/keyed/fan_out.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Sequence
 
-from agatetack.keyed.follower import TopicReader
+from agatetack.ids import Deadline
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.topic import KeyedRecord
 
 
@@ -28,6 +29,18 @@
         for reader in self.readers:
             reader.take_sound(records, whole)
 
+    def holds_until(
+        self, known: KeyedRecord, found: KeyedRecord | None
+    ) -> Deadline | None:
+        """Return until when the first reader holds to `known`, if any does."""
+        times = (each.holds_until(known, found) for each in self.readers)
+        return next((time for time in times if time is not None), None)
+
+    def take_lost(self, lost: Sequence[KeyedRecord], place: int | None) -> None:
+        """Note which records hold that the store has lost."""
+        for reader in self.readers:
+            reader.take_lost(lost, place)
+
     def lost_touch(self) -> None:
         """Note that the store can't be read any more."""
         for reader in self.readers:
--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -1,19 +1,23 @@
-"""Keep up with a keyed topic through outages, truncation and lost answers."""
+"""Keep up with a keyed topic through outages, truncation and lost records."""
 
-import abc
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import trio
 
 from agatetack.decisions import DecisionLog, age
 from agatetack.ids import Deadline, LogOffset
+from agatetack.keyed.carried import CarriedEnd, CarriedRecords
+from agatetack.keyed.generations import StoreGenerations
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.readers import EveryHost, ReaderChoice
 from agatetack.keyed.topic import (
     KeyedRecord,
     KeyedTopic,
     TopicPage,
+    TopicPosition,
+    TopicRestored,
     TopicTruncated,
     TopicUnavailable,
 )
@@ -23,43 +27,29 @@
 LOOK_SECONDS = 0.1
 """How often a host that leaves a topic to others looks whether it may."""
 
-MOST_BACKOFFS = 2
-"""How often the pause after failed calls doubles."""
-
-log = DecisionLog("keyed")
+FIRST_READERS = 4
+"""Readers that read all keys of a new generation at once; the others, and all
+other hosts, are told by them."""
 
+TOLD_SECONDS = 1.0
+"""How long those wait to be told until they read all keys themselves."""
 
-class TopicReader(abc.ABC):
-    """Whoever takes the records of a topic."""
+MOST_TOLD_SPREAD = 1.5
+"""By how much that time differs between hosts, so that hundreds of them that
+nobody tells do not read at once."""
 
-    @abc.abstractmethod
-    def take_all(self, records: Sequence[KeyedRecord]) -> None:
-        """Take the newest record of every key; other keys are gone."""
+MOST_NAMED_KEYS = 20
+"""Keys that one line of the log names; others are counted."""
 
-    @abc.abstractmethod
-    def take_new(self, records: Sequence[KeyedRecord]) -> None:
-        """Take records that follow those taken before."""
-
-    def take_sound(self, records: Sequence[KeyedRecord], whole: bool) -> None:
-        """Take what a host read for which the store was there all the while.
-
-        Args:
-            records: The records.
-            whole: Whether these are all keys, and not only what follows.
-        """
-        if whole:
-            self.take_all(records)
-        else:
-            self.take_new(records)
-
-    def lost_touch(self) -> None:  # noqa: B027
-        """Note that the store can't be read any more."""
+MOST_BACKOFFS = 2
+"""How often the pause after failed calls doubles."""
 
-    def in_touch(self) -> None:  # noqa: B027
-        """Note that the store can be read again; what it has was taken."""
+log = DecisionLog("keyed")
 
 
-def _tell_nobody(follower: "TopicFollower", before: LogOffset) -> None:
+def _tell_nobody(
+    follower: "TopicFollower", before: TopicPosition | None
+) -> None:
     """Do nothing; in place until peers are told."""
 
 
@@ -81,6 +71,14 @@
             "agatetack_store_read_age_seconds",
             "Time since a topic was last read, by topic.",
         )
+        self.carried = metrics.gauge(
+            "agatetack_carried_records",
+            "Records that hold though the store lost them, by topic.",
+        )
+        self.carried_ends = metrics.counter(
+            "agatetack_carried_records_ended_total",
+            "Records that held and do so no more, by topic and result.",
+        )
 
 
 class TopicFollower:
@@ -89,18 +87,25 @@
     A read waits at the store until there is something. An answer that never
     comes is given up at a deadline; records are never skipped, as the next
     read starts where the last one ended, and all is read anew where that is
-    no longer kept.
+    no longer kept, or where the store has lost records: a position is one of
+    a generation of the store. What the store lost and still holds is carried
+    over until it is written again.
 
     Attributes:
-        next_offset: The offset to read next, or None before the first read.
-        known: The newest record of each key, removals since `known_from`
-            included.
+        position: How far the topic is read, or None before the first read.
+        truncated: Whether what follows `position` is no longer kept.
+        generations: The generations of the store.
+        carried: Records of earlier generations that still hold.
+        changes: How often what holds has changed.
+        known: The newest record of each key in the store, removals since
+            `known_from` included.
         known_from: The offset from which on removals are known too.
         readers: Tells whether this host reads, or leaves it to others.
-        advanced: Called with this follower when it has read on, and with the
-            offset that it was to read next before.
+        advanced: Called with this follower when it has read on, and with its
+            position before.
         reachable: Whether the last call was answered.
         in_touch_at: When the store was regained last.
+        told_spread: By how much this host waits longer than others to be told.
         read_at: When the last call was answered, or None.
     """
 
@@ -111,27 +116,58 @@
         topic: KeyedTopic,
         reader: TopicReader,
         counters: "ReadCounters",
+        generations: StoreGenerations,
     ):
         """Follow `topic`, called `name` in logs and counters."""
         self.limits = settings.platform.store
         self.name = name
         self.topic = topic
         self.reader = reader
-        self.next_offset: LogOffset | None = None
+        self.position: TopicPosition | None = None
+        self.truncated = False
+        self.generations = generations
+        self.carried = CarriedRecords(reader)
+        self.changes = 0
         self.known: dict[str, KeyedRecord] = {}
         self.known_from = LogOffset(0)
         self.readers: ReaderChoice = EveryHost()
-        self.advanced: Callable[[TopicFollower, LogOffset], None] = _tell_nobody
+        self.advanced: Callable[[TopicFollower, TopicPosition | None], None] = (
+            _tell_nobody
+        )
         self.reading = trio.CancelScope()
         self.reachable = False
         self.in_touch_at = Deadline(0.0)
         self.read_at: Deadline | None = None
         self.failures = 0
         self.random = random.Random()
+        self.told_spread = self.random.uniform(1.0, MOST_TOLD_SPREAD)
         self.counters = counters
+        generations.watchers.append(self._end_outdated_read)
+
+    @property
+    def next_offset(self) -> LogOffset | None:
+        """Return the offset to read next, or None before the first read."""
+        return None if self.position is None else self.position.offset
+
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether the store has lost records since this was read."""
+        if self.position is None:
+            return False
+        return self.position.generation < self.generations.newest
+
+    def _end_outdated_read(self) -> None:
+        """Give up a read that waits for what follows a lost position."""
+        if self.is_outdated:
+            self.reading.cancel()
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_carried)
+            await self._follow()
+
+    async def _follow(self) -> None:
         while True:
             await self._until_needed()
             try:
@@ -139,8 +175,13 @@
                     await self._read()
             except TopicTruncated:
                 self._count("truncated")
-                log.note("topic-truncated", topic=self.name)
-                self.next_offset = None
+                log.note(
+                    "topic-truncated", topic=self.name, offset=self.next_offset
+                )
+                # Of another generation it can be told by peers, too.
+                self.truncated = not self.is_outdated
+            except TopicRestored:
+                self._count("restored")
             except TopicUnavailable as error:
                 self._count("unavailable")
                 self._failed(str(error))
@@ -148,26 +189,48 @@
 
     async def _until_needed(self) -> None:
         """Wait while other hosts read for this one, which knows all so far."""
-        while self.leaves_it_to_others:
+        while self.leaves_it_to_others or self._may_be_told():
             await trio.sleep(LOOK_SECONDS)
 
+    def _may_be_told(self) -> bool:
+        """Return whether others may soon tell all keys of a new generation."""
+        if not self.is_outdated or self.truncated:
+            return False
+        place = self.readers.place(self.name)
+        if place is not None and place < FIRST_READERS:
+            return False
+        waited = trio.current_time() - self.generations.learned_at
+        return waited < TOLD_SECONDS * self.told_spread
+
     @property
     def leaves_it_to_others(self) -> bool:
         """Return whether this host knows the topic and need not read it."""
-        known = self.reachable and self.next_offset is not None
-        return known and not self.readers.must_read(self.name)
+        known = self.reachable and self.position is not None
+        if not known or self.truncated:
+            return False
+        return not self.readers.must_read(self.name)
 
     async def _read(self) -> None:
-        if self.next_offset is None:
+        position = self.position
+        if position is None or self.truncated or self.is_outdated:
             page = await self.topic.newest(self._deadline(0.0))
             self._answered("all")
+            if page.generation < self.generations.newest:
+                raise TopicRestored
             self._take(page, whole=True)
         else:
-            page = await self._read_on(self.next_offset)
+            page = await self._read_on(position.offset)
             self._answered("new")
+            if page.generation != position.generation:
+                raise TopicRestored
             self._take(page, whole=False)
         if not self.reachable:
-            log.note("store-in-touch", topic=self.name, offset=page.end)
+            log.note(
+                "store-in-touch",
+                topic=self.name,
+                offset=page.end,
+                generation=page.generation,
+            )
             self._regained()
         if page.records:
             # What follows closely comes with the next read, so that a burst
@@ -186,7 +249,13 @@
         wait_until = Deadline(trio.current_time() + wait)
         return await self.topic.read(first, wait_until, self._deadline(wait))
 
-    def take_from_peer(self, page: TopicPage, whole: bool, sound: bool) -> None:
+    def take_from_peer(
+        self,
+        page: TopicPage,
+        whole: bool,
+        sound: bool,
+        carried: Sequence[KeyedRecord] = (),
+    ) -> None:
         """Take what a peer has read, and read on from there.
 
         The read under way is given up: it should have brought the records,
@@ -196,8 +265,12 @@
             page: What the peer has read.
             whole: Whether these are all keys, and not only what follows.
             sound: Whether the store has been there for the peer lately.
+            carried: Records of earlier generations that hold for the peer.
         """
-        if not self.is_behind(page.end):
+        if not self.is_behind(page.position):
+            return
+        if not whole and not self._follows(page):
+            self._count("peer-partial")
             return
         self._count("peer")
         log.note(
@@ -205,13 +278,40 @@
             topic=self.name,
             before=self.next_offset,
             end=page.end,
+            generation=page.generation,
             sound=sound,
             age=age(self.read_at),
         )
-        self._take(page, whole, sound)
+        self._take(page, whole, sound, carried)
         self.reading.cancel()
 
-    def start_from(self, page: TopicPage, in_touch: bool) -> None:
+    def _follows(self, page: TopicPage) -> bool:
+        """Return whether `page` is of the generation that is read here."""
+        if self.position is None:
+            return False
+        return page.generation == self.position.generation
+
+    def take_carried(self, carried: Sequence[KeyedRecord]) -> None:
+        """Take what holds for a peer though the store has lost it."""
+        candidates = [each.record for each in self.carried.records.values()]
+        self.carried.choose([*candidates, *carried], self.known)
+        self.changes += 1
+        log.note(
+            "carried-from-peer",
+            topic=self.name,
+            keys=sorted(self.carried.records)[:MOST_NAMED_KEYS],
+            count=len(self.carried.records),
+        )
+        self.reader.take_all(self.carried.laid_over(self.known))
+        self._tell_lost()
+        self._show_carried()
+
+    def start_from(
+        self,
+        page: TopicPage,
+        in_touch: bool,
+        carried: Sequence[KeyedRecord] = (),
+    ) -> None:
         """Take what another host has read in place of a first read.
 
         Args:
@@ -219,14 +319,19 @@
             in_touch: Whether the store is there for that host. If not, this
                 one serves with what may be outdated, rather than refuse all
                 callers until the store is back, and reads for itself.
+            carried: Records of earlier generations that hold for that host.
         """
-        if self.next_offset is not None:
+        if self.position is not None:
             return
         self._count("seed")
         log.note(
-            "topic-from-seed", topic=self.name, end=page.end, in_touch=in_touch
+            "topic-from-seed",
+            topic=self.name,
+            end=page.end,
+            generation=page.generation,
+            in_touch=in_touch,
         )
-        self._take(page, whole=True)
+        self._take(page, whole=True, carried=carried)
         if in_touch:
             self._regained()
         else:
@@ -244,43 +349,154 @@
     @property
     def vouches(self) -> bool:
         """Return whether this host itself reads and is in touch."""
+        if self.is_outdated:
+            return False
         return self.reachable and not self.leaves_it_to_others
 
-    def is_behind(self, end: LogOffset) -> bool:
-        """Return whether somebody who has read up to `end` knows more."""
-        return self.next_offset is None or self.next_offset < end
+    def is_behind(self, position: TopicPosition) -> bool:
+        """Return whether somebody who has read up to there knows more."""
+        return self.position is None or self.position < position
 
-    def records_since(self, first: LogOffset) -> tuple[TopicPage, bool]:
+    def records_since(
+        self, first: TopicPosition | None
+    ) -> tuple[TopicPage, bool]:
         """Return what followed `first`, or all keys, and whether it is all."""
-        whole = first < self.known_from
+        whole = (
+            first is None
+            or first.generation != self.position.generation
+            or first.offset < max(self.known_from, 1)
+        )
         records = [
             record
             for record in self.known.values()
             if record.value is not None or not whole
-            if whole or record.offset >= first
+            if whole or record.offset >= first.offset
         ]
-        return TopicPage(records, self.next_offset), whole
+        position = self.position
+        return TopicPage(records, position.offset, position.generation), whole
 
-    def _take(self, page: TopicPage, whole: bool, sound: bool = False) -> None:
-        before = self.next_offset or LogOffset(0)
-        records = page.records
+    def _take(
+        self,
+        page: TopicPage,
+        whole: bool,
+        sound: bool = False,
+        carried: Sequence[KeyedRecord] = (),
+    ) -> None:
+        before = self.position
+        self.changes += 1
         if whole:
-            self.known = {record.key: record for record in records}
-            self.known_from = page.end
+            records = self._merge_all(page, carried)
+            self.truncated = False
         else:
-            # A peer may have brought some of them already.
-            records = [r for r in records if r.offset >= before]
-            self.known.update((record.key, record) for record in records)
+            records = self._merge_new(page)
+        if before is None or page.position > before:
+            self.position = page.position
         if sound:
             self.reader.take_sound(records, whole)
         elif whole:
             self.reader.take_all(records)
         elif records:
             self.reader.take_new(records)
-        if self.next_offset is None or page.end > self.next_offset:
-            self.next_offset = page.end
+        if whole:
+            self._tell_lost()
+        self._show_carried()
+        if self.position != before:
             self.advanced(self, before)
 
+    def _merge_all(
+        self, page: TopicPage, carried: Sequence[KeyedRecord]
+    ) -> Sequence[KeyedRecord]:
+        """Take all keys that the store has; return what holds of all."""
+        before, known = self.position, self.known
+        self.known = {record.key: record for record in page.records}
+        self.known_from = page.end
+        candidates = {key: c.record for key, c in self.carried.records.items()}
+        lost = before is not None and before.generation < page.generation
+        if lost:
+            candidates = {**known, **candidates}
+        else:
+            # That a key was removed may matter once the store has lost it.
+            removed_at = LogOffset(max(0, page.end - 1))
+            for key in known.keys() - self.known.keys():
+                self.known[key] = KeyedRecord(key, None, removed_at)
+        self.carried.choose([*candidates.values(), *carried], self.known)
+        if lost:
+            self._note_lost(page, before, known)
+        return self.carried.laid_over(self.known)
+
+    def _merge_new(self, page: TopicPage) -> Sequence[KeyedRecord]:
+        """Take records that follow; return those that hold."""
+        # A peer may have brought some of them already.
+        records = [r for r in page.records if r.offset >= self.position.offset]
+        self.known.update((record.key, record) for record in records)
+        carried = len(self.carried.records)
+        holding = [r for r in records if not self.carried.outlasts(r)]
+        self._count_ended(
+            CarriedEnd.REPLACED, carried - len(self.carried.records)
+        )
+        return holding
+
+    def _note_lost(
+        self,
+        page: TopicPage,
+        before: TopicPosition,
+        known: Mapping[str, KeyedRecord],
+    ) -> None:
+        kept = self.carried.records
+        log.note(
+            "topic-restored",
+            topic=self.name,
+            generation=page.generation,
+            end=page.end,
+            records=len(page.records),
+            before_generation=before.generation,
+            before=before.offset,
+            learned=age(self.generations.learned_at),
+            carried=sorted(kept)[:MOST_NAMED_KEYS],
+            carried_count=len(kept),
+            dropped_count=sum(
+                record.value is not None
+                and key not in self.known
+                and key not in kept
+                for key, record in known.items()
+            ),
+        )
+
+    def _tell_lost(self) -> None:
+        lost = self.carried.lost(self.known)
+        self.reader.take_lost(lost, self.readers.place(self.name))
+
+    async def _end_carried(self) -> None:
+        """Give up records that hold no more, until cancelled."""
+        while True:
+            await self.carried.until_due()
+            keys = self.carried.expire()
+            if not keys:
+                continue
+            self.changes += 1
+            self._count_ended(CarriedEnd.EXPIRED, len(keys))
+            log.note(
+                "carried-expired",
+                topic=self.name,
+                keys=sorted(keys)[:MOST_NAMED_KEYS],
+                count=len(keys),
+            )
+            # What the store has of these keys holds from now on.
+            gone = [KeyedRecord(key, None, self.next_offset) for key in keys]
+            self.reader.take_new(
+                [self.known.get(each.key, each) for each in gone]
+            )
+            self._show_carried()
+
+    def _count_ended(self, result: CarriedEnd, count: int) -> None:
+        if count:
+            labels = {"topic": self.name, "result": result.value}
+            self.counters.carried_ends.add(labels, count)
+
+    def _show_carried(self) -> None:
+        count = len(self.carried.records)
+        self.counters.carried.set({"topic": self.name}, count)
+
     def _answered(self, result: str) -> None:
         self._count(result)
         self.failures = 0
@@ -317,7 +533,7 @@
 
     def _pause(self) -> float:
         doublings = min(self.failures - 1, MOST_BACKOFFS)
-        if self.next_offset is None:
+        if self.position is None:
             # A host that knows nothing refuses all callers until it does.
             doublings = 0
         pause = self.limits.retry_seconds * 2**doublings
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -65,6 +65,13 @@
     def must_read(self, topic: str) -> bool:
         """Return whether this host has to read `topic` at the store now."""
 
+    @abc.abstractmethod
+    def place(self, topic: str) -> int | None:
+        """Return this host's place among the readers of `topic`, from 0.
+
+        None if it is none of them.
+        """
+
 
 class EveryHost(ReaderChoice):
     """Every host reads every topic."""
@@ -73,17 +80,21 @@
         """Return True."""
         return True
 
+    def place(self, topic: str) -> int | None:
+        """Return 0."""
+        return 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChosenReader:
     """Whether this host reads a topic.
 
     Attributes:
-        own: Whether it is one of the readers.
+        place: Its place among the readers of the fleet, or None.
         until: When that is worked out anew.
     """
 
-    own: bool
+    place: int | None
     until: Deadline
 
 
@@ -162,25 +173,37 @@
 
     def is_reader(self, topic: str) -> bool:
         """Return whether this host is one of the readers of `topic`."""
+        return self.place(topic) is not None
+
+    def place(self, topic: str) -> int | None:
+        """Return this host's place among the readers of `topic`, or None."""
         now = trio.current_time()
         chosen = self.chosen.get(topic)
         if chosen is None or now >= chosen.until:
             until = Deadline(now + CHOICE_SECONDS)
-            chosen = ChosenReader(self._is_among_readers(topic), until)
+            chosen = ChosenReader(self._find_place(topic), until)
             self.chosen[topic] = chosen
-        return chosen.own
+        return chosen.place
 
-    def _is_among_readers(self, topic: str) -> bool:
+    def _find_place(self, topic: str) -> int | None:
         if self.exchange.bounded:
             leaders = self.exchange.first_leaders()
-            return self.own in _best(topic, leaders, LEAST_LEADERS)
+            return _place(self.own, _best(topic, leaders, LEAST_LEADERS))
         domains: dict[FailureDomain, list[HostId]] = defaultdict(list)
         domains[self.domain].append(self.own)
         for peer in self.exchange.known_hosts():
             if not peer.leaving:
                 domains[peer.failure_domain].append(peer.id)
         readers = math.ceil(LEAST_READERS / len(domains))
-        return self.own in _best(topic, domains[self.domain], readers)
+        near = _place(self.own, _best(topic, domains[self.domain], readers))
+        if near is None:
+            return None
+        # The first readers of all domains come before any second one.
+        return near * len(domains) + sorted(domains).index(self.domain)
+
+
+def _place(host: HostId, hosts: Sequence[HostId]) -> int | None:
+    return hosts.index(host) if host in hosts else None
 
 
 def _best(topic: str, hosts: Sequence[HostId], count: int) -> list[HostId]:
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -16,10 +16,10 @@
 from agatetack.decisions import DecisionLog
 from agatetack.generated.keyed import ttypes as wire
 from agatetack.hosts.member_directory import MemberDirectory
-from agatetack.ids import LogOffset
 from agatetack.keyed.follower import TopicFollower
+from agatetack.keyed.generations import GenerationSource, StoreGenerations
+from agatetack.keyed.messages import carried_of, page_of, records_since
 from agatetack.keyed.readers import FleetReaders
-from agatetack.keyed.sharing import page_of
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 from agatetack.settings.section import Endpoint
@@ -59,14 +59,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TopicState:
-    """How far a topic is known.
+    """What is known of a topic.
 
     Attributes:
-        end: The offset to read next, or None before the first read.
+        changes: How often that has changed.
         in_touch: Whether the store is there for whoever reads it.
     """
 
-    end: LogOffset | None
+    changes: int
     in_touch: bool
 
 
@@ -75,7 +75,8 @@
 
     Attributes:
         content: The answer while topics are as in `content_of`.
-        content_of: For each topic its end, and whether the store is there.
+        content_of: For each topic how often it has changed, and whether the
+            store is there.
     """
 
     def __init__(
@@ -130,15 +131,14 @@
         self.members.register_other(request.host, request.member)
 
     def _knows_all(self) -> bool:
-        return all(each.next_offset is not None for each in self.followers)
+        return all(each.position is not None for each in self.followers)
 
     def _reply(self) -> bytes:
         """Return the answer, which is the same until a topic goes on."""
         if not self._knows_all():
             return zlib.compress(encode(wire.StartReply([])))
         known = [
-            TopicState(each.next_offset, each.reachable)
-            for each in self.followers
+            TopicState(each.changes, each.reachable) for each in self.followers
         ]
         if known != self.content_of:
             topics = [_topic(each) for each in self.followers]
@@ -163,8 +163,10 @@
         followers: Sequence[TopicFollower],
         readers: FleetReaders,
         metrics: Metrics,
+        generations: StoreGenerations,
     ):
         """Let `followers` start from what a seed tells."""
+        self.generations = generations
         self.own = settings.peers.seed_listen
         self.seeds = [s for s in settings.peers.seeds if s != self.own]
         self.is_seed = len(self.seeds) < len(settings.peers.seeds)
@@ -233,6 +235,7 @@
                 reply = await self._ask_once(seed, request)
                 if reply is not None:
                     if reply.topics:
+                        self._note_generations(seed, reply)
                         answers.send_nowait(reply)
                     return
                 if self.is_seed:
@@ -260,25 +263,29 @@
         finally:
             await trio.aclose_forcefully(stream)
 
+    def _note_generations(self, seed: Endpoint, reply: wire.StartReply) -> None:
+        for told in reply.topics:
+            self.generations.note(
+                page_of(told.records).generation,
+                GenerationSource.SEED,
+                seed.host,
+            )
+
     def _take(self, reply: wire.StartReply) -> None:
         for told in reply.topics:
             follower = self.followers.get(told.topic)
             if follower is None:
                 continue
             in_touch = bool(told.records.sound)
-            follower.start_from(page_of(told.records), in_touch)
+            page, carried = page_of(told.records), carried_of(told.records)
+            follower.start_from(page, in_touch, carried)
             if in_touch:
                 self.readers.trust(told.topic)
 
 
 def _topic(follower: TopicFollower) -> wire.StartTopic:
-    page, whole = follower.records_since(LogOffset(0))
-    records = [
-        wire.Record(record.key, record.value, record.offset)
-        for record in page.records
-        if record.value is not None
-    ]
-    told = wire.Records(page.end, whole, records, follower.reachable)
+    told = records_since(follower, None)
+    told.sound = follower.reachable
     return wire.StartTopic(follower.name, told)
 
 
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -11,10 +11,17 @@
 
 from agatetack.decisions import DecisionLog
 from agatetack.generated.keyed import ttypes as wire
-from agatetack.ids import Deadline, HostId, LogOffset
+from agatetack.ids import Deadline, HostId, LogOffset, StoreGeneration
 from agatetack.keyed.follower import TopicFollower
+from agatetack.keyed.generations import (
+    NOT_NAMED,
+    GenerationSource,
+    StoreGenerations,
+)
+from agatetack.keyed.held import MalformedHolding, hash_records
+from agatetack.keyed.messages import carried_of, page_of, records_since
 from agatetack.keyed.readers import FleetReaders
-from agatetack.keyed.topic import KeyedRecord, TopicPage
+from agatetack.keyed.topic import KeyedRecord, TopicPage, TopicPosition
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import (
     Exchange,
@@ -54,8 +61,12 @@
     """What the hosts tell each other of the topics they follow.
 
     Attributes:
+        generations: The generations of the store; words of an earlier one
+            than the newest are not heard.
         followers: By the topic's name.
         fetching: Topics that are being asked for.
+        carried_asked_in: In which generation a peer was asked last for records
+            that it carries, by topic.
     """
 
     def __init__(
@@ -64,13 +75,16 @@
         followers: Sequence[TopicFollower],
         exchange: Exchange,
         metrics: Metrics,
+        generations: StoreGenerations,
     ):
         """Tell peers through `exchange` what `followers` have read."""
+        self.generations = generations
         self.readers = FleetReaders(settings, exchange)
         self.followers = {each.name: each for each in followers}
         self.exchange = exchange
         self.metrics = metrics
         self.fetching: set[str] = set()
+        self.carried_asked_in: dict[str, StoreGeneration] = {}
         self.nursery: trio.Nursery | None = None
         for follower in followers:
             follower.advanced = self._advanced
@@ -85,7 +99,9 @@
                 await trio.sleep(TELL_SECONDS)
                 self._tell(list(self.followers.values()))
 
-    def _advanced(self, follower: TopicFollower, before: LogOffset) -> None:
+    def _advanced(
+        self, follower: TopicFollower, before: TopicPosition | None
+    ) -> None:
         end = self._end_of(follower)
         if end is None:
             return
@@ -93,9 +109,9 @@
         # are paid for: told to all by all readers, news cost 0.004 GB of the
         # 0.02 to 0.03 that 18 hosts sent between domains in 40 s.
         self._publish([end], Scope.ELSEWHERE)
-        news = _records(follower, before)
+        news = records_since(follower, before)
         if not news.whole and _count_bytes(news) <= NEWS_BYTES:
-            end.first, end.news = before, news
+            end.first, end.news = before.offset, news
         self._publish([end], Scope.DOMAIN)
 
     def _tell(self, followers: Sequence[TopicFollower]) -> None:
@@ -112,15 +128,21 @@
 
     def _end_of(self, follower: TopicFollower) -> wire.TopicEnd | None:
         """Return how far a topic is read, if this host may vouch for it."""
-        end = follower.next_offset
-        if end is None:
+        position = follower.position
+        if position is None or follower.is_outdated:
             return None
-        if follower.vouches:
-            return wire.TopicEnd(follower.name, end)
-        age = self.readers.word_age(follower.name)
-        if age is None:
-            return None
-        return wire.TopicEnd(follower.name, end, round(age * 1000))
+        end = wire.TopicEnd(
+            follower.name,
+            position.offset,
+            generation=position.generation,
+            carried=len(follower.carried.records) or None,
+        )
+        if not follower.vouches:
+            age = self.readers.word_age(follower.name)
+            if age is None:
+                return None
+            end.age_ms = round(age * 1000)
+        return end
 
     def _take_ends(self, sender: HostId, payload: bytes) -> None:
         try:
@@ -132,41 +154,81 @@
             follower = self.followers.get(said.topic)
             if follower is None:
                 continue
+            position = _position(said.generation, said.end)
+            self.generations.note(
+                position.generation, GenerationSource.PEER, sender
+            )
+            if position.generation != self.generations.newest:
+                # It says nothing of what the store holds now.
+                self.metrics.dropped.inc(
+                    {"part": "keyed", "reason": "ends-outdated"}
+                )
+                continue
             self.readers.heard(said.topic, (said.age_ms or 0) / 1000)
-            self._take_news(follower, said)
-            if said.topic in self.fetching:
+            self._take_news(follower, said, position)
+            if said.topic in self.fetching or self.nursery is None:
                 continue
-            if follower.is_behind(LogOffset(said.end)) and self.nursery:
+            if follower.is_behind(position) or self._lacks(follower, said):
                 self.fetching.add(said.topic)
-                self.nursery.start_soon(
-                    self._fetch, follower, sender, LogOffset(said.end)
-                )
+                self.nursery.start_soon(self._fetch, follower, sender, said)
 
-    def _take_news(self, follower: TopicFollower, said: wire.TopicEnd) -> None:
+    def _lacks(self, follower: TopicFollower, said: wire.TopicEnd) -> bool:
+        """Return whether a peer holds to records that are not known here.
+
+        A host that started after the store lost records has not seen them.
+        """
+        if not said.carried or follower.carried.records:
+            return False
+        asked_in = self.carried_asked_in.get(said.topic, NOT_NAMED)
+        return asked_in < self.generations.newest
+
+    def _take_news(
+        self,
+        follower: TopicFollower,
+        said: wire.TopicEnd,
+        position: TopicPosition,
+    ) -> None:
         """Take what a peer has just read, if this host leaves it to others."""
         if said.news is None or not follower.leaves_it_to_others:
             return
         # A gap, and what a host that reads is behind, are asked for.
-        if follower.next_offset >= said.first:
+        first = TopicPosition(position.generation, LogOffset(said.first or 0))
+        known = follower.position
+        if known.generation == first.generation and known >= first:
             follower.take_from_peer(
                 page_of(said.news), said.news.whole, bool(said.news.sound)
             )
 
     async def _fetch(
-        self, follower: TopicFollower, peer: HostId, end: LogOffset
+        self, follower: TopicFollower, peer: HostId, said: wire.TopicEnd
     ) -> None:
         """Ask `peer` for what it has read, unless the store brings it first."""
         try:
             own_read = not follower.leaves_it_to_others
-            if follower.next_offset is not None and own_read:
+            known = follower.position is not None and not follower.is_outdated
+            if known and own_read:
                 await trio.sleep(GRACE_SECONDS)
-            if follower.is_behind(end):
+            if follower.is_behind(_position(said.generation, said.end)):
                 await self._ask(follower, peer)
+            elif self._lacks(follower, said):
+                self.carried_asked_in[follower.name] = self.generations.newest
+                await self._ask(follower, peer, again=True)
         finally:
             self.fetching.discard(follower.name)
 
-    async def _ask(self, follower: TopicFollower, peer: HostId) -> None:
-        request = wire.FetchRecords(follower.name, follower.next_offset or 0)
+    async def _ask(
+        self, follower: TopicFollower, peer: HostId, again: bool = False
+    ) -> None:
+        """Ask `peer` for what follows here, or for all keys.
+
+        Args:
+            follower: What follows the topic.
+            peer: The host to ask.
+            again: Whether all keys are wanted, as `peer` carries some.
+        """
+        request = self._request(follower, again)
+        held = self._held(follower) if again or follower.is_outdated else ()
+        request.held = hash_records(held) if held else None
         alone = follower.leaves_it_to_others
         seconds = ONLY_FETCH_SECONDS if alone else FETCH_SECONDS
         deadline = Deadline(trio.current_time() + seconds)
@@ -183,12 +245,42 @@
             return
         try:
             records = decode(wire.Records, reply)
-        except MalformedMessage as error:
+            page = page_of(records, held)
+        except (MalformedMessage, MalformedHolding) as error:
             self._drop("records-malformed", peer, error)
             self.readers.doubt(follower.name)
             return
-        page = page_of(records)
-        follower.take_from_peer(page, records.whole, bool(records.sound))
+        self._take_records(follower, records, page)
+
+    def _request(
+        self, follower: TopicFollower, again: bool
+    ) -> wire.FetchRecords:
+        position = follower.position
+        if position is None or again:
+            return wire.FetchRecords(follower.name, 0, NOT_NAMED)
+        return wire.FetchRecords(
+            follower.name, position.offset, position.generation
+        )
+
+    def _held(self, follower: TopicFollower) -> Sequence[KeyedRecord]:
+        """Return the records that need not be sent to this host."""
+        known = follower.known.values()
+        return [record for record in known if record.value is not None]
+
+    def _take_records(
+        self, follower: TopicFollower, records: wire.Records, page: TopicPage
+    ) -> None:
+        if page.generation < self.generations.newest:
+            self.metrics.dropped.inc(
+                {"part": "keyed", "reason": "records-outdated"}
+            )
+            return
+        carried = carried_of(records)
+        if follower.is_behind(page.position):
+            sound = bool(records.sound)
+            follower.take_from_peer(page, records.whole, sound, carried)
+        elif carried and page.generation == follower.position.generation:
+            follower.take_carried(carried)
 
     async def _give(self, sender: HostId, payload: bytes) -> bytes | None:
         """Return what a peer that is behind asks for, or None if not known.
@@ -201,37 +293,30 @@
             self._drop("fetch-malformed", sender, error)
             return None
         follower = self.followers.get(request.topic)
-        if follower is None or follower.next_offset is None:
+        if follower is None or follower.position is None:
             return None
-        return encode(_records(follower, LogOffset(request.first)))
+        generation = request.generation
+        if generation is None:
+            # A host of an older version means the generation that is read.
+            generation = follower.position.generation
+        first = _position(generation, request.first)
+        try:
+            records = records_since(follower, first, request.held)
+        except MalformedHolding as error:
+            self._drop("fetch-malformed", sender, error)
+            return None
+        return encode(records)
 
-    def _drop(
-        self, reason: str, sender: HostId, error: MalformedMessage
-    ) -> None:
+    def _drop(self, reason: str, sender: HostId, error: Exception) -> None:
         self.metrics.dropped.inc({"part": "keyed", "reason": reason})
         log.note("message-malformed", sender=sender, cause=str(error))
 
 
-def _records(follower: TopicFollower, first: LogOffset) -> wire.Records:
-    """Return what a follower knows from `first` on, or all keys."""
-    page, whole = follower.records_since(first)
-    records = [
-        wire.Record(record.key, record.value, record.offset)
-        for record in page.records
-    ]
-    return wire.Records(page.end, whole, records, follower.sound)
-
-
-def page_of(records: wire.Records) -> TopicPage:
-    """Return the page that a message between hosts carries."""
-    return TopicPage(
-        [
-            KeyedRecord(r.key, r.value, LogOffset(r.offset))
-            for r in records.records
-        ],
-        LogOffset(records.end),
-    )
-
-
 def _count_bytes(records: wire.Records) -> int:
     return sum(len(r.key) + len(r.value or b"") for r in records.records)
+
+
+def _position(generation: int | None, offset: int) -> TopicPosition:
+    """Return the position that a message names."""
+    named = NOT_NAMED if generation is None else StoreGeneration(generation)
+    return TopicPosition(named, LogOffset(offset))
--- a/agatetack/keyed/test_seeds.py
+++ b/agatetack/keyed/test_seeds.py
@@ -16,7 +16,12 @@
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.section import Endpoint
 from agatetack.testing.memory_store import StoreFault
-from agatetack.testing.store_fleet import LOOPBACK, store_fleet
+from agatetack.testing.store_fleet import (
+    LOOPBACK,
+    configuration,
+    route_fields,
+    store_fleet,
+)
 
 MEMBERS = "keyed.agatetack-members"
 
@@ -78,6 +83,23 @@
         )
 
 
+# Guards against an answer kept from before the store gave offsets out again.
+async def test_a_seed_tells_what_holds_after_the_store_lost_records():
+    async with store_fleet() as fleet:
+        seed = fleet.gateways[0]
+        copy = fleet.store.copy()
+        await fleet.configure(2, route_fields())
+        first = await fleet.add_gateway(peers=seeds_at(seed.seed_port))
+        assert first.documents.version == 2
+        fleet.store.restore(copy)
+        content = configuration(3, route_fields())
+        fleet.store.append("keyed.op", "config", content)
+        await fleet.until(lambda: seed.documents.version == 3)
+        second = await fleet.add_gateway(peers=seeds_at(seed.seed_port))
+        assert second.documents.version == 3
+        assert second.generations.newest == fleet.store.generation
+
+
 async def test_hosts_that_start_together_are_registered_by_one_call():
     async with store_fleet() as fleet:
         seed = fleet.gateways[0]
@@ -188,7 +210,7 @@
     assert not readers.must_read("topic")
     await trio.sleep(TRUST_SECONDS)
     readers.heard("topic")
-    readers.chosen["topic"] = ChosenReader(False, Deadline(math.inf))
+    readers.chosen["topic"] = ChosenReader(None, Deadline(math.inf))
     assert not readers.must_read("topic")
     readers.doubt("topic")
     assert readers.must_read("topic")
--- a/agatetack/keyed/test_store_restored.py
+++ b/agatetack/keyed/test_store_restored.py
@@ -3,9 +3,21 @@
 import pytest
 import trio
 
+from agatetack.generated.keyed import ttypes as wire
+from agatetack.ids import StoreGeneration
+from agatetack.keyed.follower import FIRST_READERS
+from agatetack.keyed.generations import GenerationSource
+from agatetack.peers.exchange import Topic
+from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.memory_topic import NAME
-from agatetack.testing.topic_fleet import expected, fill, start_readers
+from agatetack.testing.topic_fleet import (
+    TopicHost,
+    expected,
+    fill,
+    start_readers,
+)
+from agatetack.thrift_codec import decode, encode
 
 KNOWN_SECONDS = 2.0
 """In which each change has to be known at every host."""
@@ -42,3 +54,308 @@
         await trio.sleep(KNOWN_SECONDS)
         assert all(host.kept.values == expected(store) for host in fleet)
         nursery.cancel_scope.cancel()
+
+
+def refuse(hosts, refused=True):
+    for host in hosts:
+        host.topic.refused = refused
+        # A read that waits breaks off, as its connection does.
+        host.follower.reading.cancel()
+
+
+# Guards against a read of all keys by each host once the store is back.
+@pytest.mark.parametrize(
+    ("hosts", "away_seconds"),
+    [(14, 0.0), (14, 1.5), (99, 0.0), (99, 1.5), (400, 1.5)],
+)
+async def test_few_hosts_read_all_keys_of_a_store_that_lost_records(
+    autojump_clock, hosts, away_seconds
+):
+    store = MemoryStore()
+    fill(store, 20)
+    async with trio.open_nursery() as nursery:
+        _, fleet = await start_readers(nursery, store, hosts)
+        copy = store.copy()
+        fill(store, 3, "lost")
+        await trio.sleep(KNOWN_SECONDS)
+        before = sum(host.topic.whole_reads for host in fleet)
+        if away_seconds:
+            refuse(fleet)
+            await trio.sleep(away_seconds)
+        store.restore(copy)
+        fill(store, 3, "new")
+        refuse(fleet, refused=False)
+        await trio.sleep(2 * KNOWN_SECONDS)
+        assert all(host.kept.values == expected(store) for host in fleet)
+        whole = sum(host.topic.whole_reads for host in fleet) - before
+        assert whole <= FIRST_READERS + 1
+        nursery.cancel_scope.cancel()
+
+
+async def start_two(nursery, store):
+    """Start two hosts that both read; return the network and both."""
+    net = MemoryMesh(nursery)
+    hosts = [TopicHost(store, net.join(name)) for name in ("h1", "h2")]
+    for host in hosts:
+        host.start(nursery)
+    await trio.sleep(1)
+    return net, hosts
+
+
+async def by_a_reply(host, store):
+    host.follower.reading.cancel()
+
+
+async def by_a_refusal(host, store):
+    host.topic.refused = True
+    host.follower.reading.cancel()
+    await trio.sleep(0.01)
+    host.topic.refused = False
+
+
+async def by_an_append(host, store):
+    await host.topic.append("k9", b"own", trio.current_time() + 1)
+
+
+async def by_another_topic(host, store):
+    host.generations.note(
+        StoreGeneration(store.generation), GenerationSource.REPLY, "other"
+    )
+
+
+async def by_nothing(host, store):
+    pass
+
+
+@pytest.mark.parametrize(
+    "learn",
+    [by_a_reply, by_a_refusal, by_an_append, by_another_topic, by_nothing],
+)
+@pytest.mark.parametrize("alone", [True, False])
+@pytest.mark.parametrize("appended", [0, LOST, LOST + 4])
+async def test_a_host_learns_that_the_store_lost_records(
+    autojump_clock, learn, alone, appended
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net, hosts = await start_two(nursery, store)
+        if alone:
+            net.isolate("h2")
+        copy = store.copy()
+        for number in range(LOST):
+            store.append(NAME, f"k{number}", b"lost")
+        await trio.sleep(1)
+        store.restore(copy)
+        fill(store, appended, "new")
+        await learn(hosts[0], store)
+        await trio.sleep(KNOWN_SECONDS)
+        assert hosts[0].kept.values == expected(store)
+        if not alone:
+            assert hosts[1].kept.values == expected(store)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("losses", [1, 2])
+async def test_a_host_that_was_cut_off_catches_up(autojump_clock, losses):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net, (one, other) = await start_two(nursery, store)
+        net.isolate("h2")
+        other.topic.hanging = True
+        other.follower.reading.cancel()
+        for number in range(losses):
+            copy = store.copy()
+            fill(store, 3, "lost")
+            await trio.sleep(1)
+            store.restore(copy)
+            fill(store, 3, f"new{number}-")
+            await trio.sleep(1)
+        other.topic.hanging = False
+        net.cut.clear()
+        await trio.sleep(2 * KNOWN_SECONDS)
+        assert one.kept.values == other.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a reply of before the loss that arrives after it is known.
+@pytest.mark.parametrize("whole", [True, False])
+async def test_a_late_reply_of_the_generation_before_is_dropped(
+    autojump_clock, whole
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        _, (host, _) = await start_two(nursery, store)
+        call = "newest" if whole else "read"
+        answer = getattr(host.topic, call)
+
+        async def late(*arguments):
+            page = await answer(*arguments)
+            setattr(host.topic, call, answer)
+            copy = store.copy()
+            copy[NAME].newest.pop("k4")
+            store.restore(copy)
+            host.generations.note(
+                StoreGeneration(store.generation), GenerationSource.PEER, "h9"
+            )
+            return page
+
+        setattr(host.topic, call, late)
+        host.follower.truncated = whole
+        host.follower.reading.cancel()
+        await trio.sleep(0.3)
+        if not whole:
+            store.append(NAME, "k0", b"wakes the read")
+        await trio.sleep(KNOWN_SECONDS)
+        assert "k4" not in host.kept.values
+        assert host.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "named", [None, "", "-1", "seven", "9" * 65536, "4, 5", 0, 1]
+)
+async def test_a_store_that_names_no_sound_generation_is_read_on(
+    autojump_clock, named
+):
+    store = MemoryStore()
+    store.generation = 1
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        _, hosts = await start_two(nursery, store)
+        store.generation = named
+        for number in range(5):
+            store.append(NAME, "k1", b"%d" % number)
+            await trio.sleep(0.5)
+        assert all(host.kept.values == expected(store) for host in hosts)
+        assert all(host.generations.newest == 1 for host in hosts)
+        assert all(host.topic.whole_reads == 1 for host in hosts)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_store_that_never_named_a_generation_is_kept_up_with(
+    autojump_clock,
+):
+    store = MemoryStore()
+    store.generation = None
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        _, hosts = await start_readers(nursery, store, 14)
+        for number in range(5):
+            store.append(NAME, "k1", b"%d" % number)
+            await trio.sleep(0.5)
+        assert all(host.kept.values == expected(store) for host in hosts)
+        # It starts to name one: what was read of before can't be compared.
+        store.generation = 7
+        store.append(NAME, "k1", b"named")
+        await trio.sleep(KNOWN_SECONDS)
+        assert all(host.kept.values == expected(store) for host in hosts)
+        assert all(host.generations.newest == 7 for host in hosts)
+        nursery.cancel_scope.cancel()
+
+
+def ends_of(end, **fields):
+    return encode(wire.TopicEnds([wire.TopicEnd(NAME, end, **fields)]))
+
+
+# Guards against words and records of peers of another generation.
+@pytest.mark.parametrize("generation", [None, 0, 1])
+@pytest.mark.parametrize("with_news", [True, False])
+async def test_a_word_of_an_earlier_generation_is_not_heard(
+    autojump_clock, generation, with_news
+):
+    store = MemoryStore()
+    fill(store, 5)
+    store.generation = 2
+    asked = []
+
+    async def answer(sender, payload):
+        asked.append(decode(wire.FetchRecords, payload))
+        records = [wire.Record("k1", b"outdated", 900)]
+        return encode(
+            wire.Records(1000, True, records, True, generation=generation)
+        )
+
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        other = mesh.join("h1")
+        other.serve(Topic.TOPIC_RECORDS, answer)
+        host = TopicHost(store, mesh.join("h2"))
+        host.start(nursery)
+        await trio.sleep(1)
+        news = wire.Records(1000, True, [wire.Record("k1", b"old", 900)])
+        news = wire.Records(
+            1000, False, news.records, True, generation=generation
+        )
+        fields = {"first": 5, "news": news} if with_news else {}
+        payload = ends_of(1000, generation=generation, **fields)
+        for _ in range(10):
+            other.publish(Topic.TOPIC_RECORDS, payload)
+            await trio.sleep(0.4)
+        assert not asked
+        assert host.kept.values == expected(store)
+        # Such a word is no reason to leave the reading to others.
+        store.append(NAME, "k0", b"changed")
+        await trio.sleep(0.5)
+        assert host.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("generation", "whole", "taken"),
+    [(3, True, True), (3, False, False), (1, True, False), (None, True, False)],
+)
+async def test_records_of_another_generation_are_taken_whole_and_later(
+    autojump_clock, generation, whole, taken
+):
+    store = MemoryStore()
+    fill(store, 5)
+    store.generation = 2
+
+    async def answer(sender, payload):
+        records = [wire.Record("k1", b"told", 1)]
+        return encode(
+            wire.Records(2, whole, records, True, generation=generation)
+        )
+
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        other = mesh.join("h1")
+        other.serve(Topic.TOPIC_RECORDS, answer)
+        host = TopicHost(store, mesh.join("h2"))
+        host.start(nursery)
+        await trio.sleep(1)
+        host.topic.hanging = True
+        other.publish(Topic.TOPIC_RECORDS, ends_of(2, generation=3))
+        await trio.sleep(0.8)
+        assert (host.kept.values == {"k1": b"told"}) is taken
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_host_of_an_older_version_is_given_what_it_asks_for(
+    autojump_clock,
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        older = mesh.join("h1")
+        host = TopicHost(store, mesh.join("h2"))
+        host.start(nursery)
+        await trio.sleep(1)
+        store.append(NAME, "k0", b"changed")
+        await trio.sleep(1)
+        reply = await older.call(
+            "h2",
+            Topic.TOPIC_RECORDS,
+            encode(wire.FetchRecords(NAME, 5)),
+            trio.current_time() + 1,
+        )
+        records = decode(wire.Records, reply)
+        assert [(r.key, r.value) for r in records.records] == [
+            ("k0", b"changed")
+        ]
+        assert (records.end, records.whole) == (6, False)
+        nursery.cancel_scope.cancel()
--- a/agatetack/keyed/topic.py
+++ b/agatetack/keyed/topic.py
@@ -4,7 +4,8 @@
 import dataclasses
 from collections.abc import Mapping, Sequence
 
-from agatetack.ids import Deadline, LogOffset
+from agatetack.ids import Deadline, LogOffset, StoreGeneration
+from agatetack.keyed.generations import NOT_NAMED
 
 
 class TopicUnavailable(Exception):
@@ -24,6 +25,23 @@
     """The records asked for are no longer kept."""
 
 
+class TopicRestored(Exception):
+    """What was read is of another generation of the store than expected."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class TopicPosition:
+    """How far a topic is read; any of a later generation is later.
+
+    Attributes:
+        generation: The generation of the store that it was read in.
+        offset: The offset to read next.
+    """
+
+    generation: StoreGeneration
+    offset: LogOffset
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedRecord:
     """One record.
@@ -46,10 +64,17 @@
     Attributes:
         records: The records, by offset; of one key the last one counts.
         end: The offset that the topic's next record will get.
+        generation: The generation of the store that they were read in.
     """
 
     records: Sequence[KeyedRecord]
     end: LogOffset
+    generation: StoreGeneration = NOT_NAMED
+
+    @property
+    def position(self) -> TopicPosition:
+        """Return how far the topic is read with these records."""
+        return TopicPosition(self.generation, self.end)
 
 
 class KeyedTopic(abc.ABC):
@@ -63,6 +88,7 @@
         the page's end on.
 
         Raises:
+            TopicRestored: The store lost records meanwhile.
             TopicUnavailable: They could not be read before `deadline`.
         """
 
--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -9,18 +9,14 @@
 import orjson
 import trio
 
-from agatetack.http_call import (
-    CallFailed,
-    PlatformCaller,
-    PlatformReply,
-    PlatformRequest,
-)
-from agatetack.ids import Deadline, LogOffset
+from agatetack.http_call import CallFailed, PlatformCaller, PlatformRequest
+from agatetack.ids import Deadline, LogOffset, StoreGeneration
 from agatetack.keyed.generations import StoreGenerations, read_generation
 from agatetack.keyed.topic import (
     KeyedRecord,
     KeyedTopic,
     TopicPage,
+    TopicRestored,
     TopicTruncated,
     TopicUnavailable,
 )
@@ -47,6 +43,21 @@
     return f"keyed.{name}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreReply:
+    """A complete reply of the store.
+
+    Attributes:
+        status: The HTTP status.
+        body: The whole body.
+        generation: The generation of the store that it is of.
+    """
+
+    status: int
+    body: bytes
+    generation: StoreGeneration
+
+
 class StoreClient:
     """The store at the address that the settings name.
 
@@ -73,7 +84,7 @@
         query: Mapping[str, object],
         deadline: Deadline,
         body: bytes = b"",
-    ) -> PlatformReply:
+    ) -> StoreReply:
         """Call the store once.
 
         Raises:
@@ -89,8 +100,8 @@
         except CallFailed as error:
             raise TopicUnavailable(str(error), error.sent) from error
         read = read_generation(reply.headers.get(GENERATION_HEADER))
-        self.generations.of_reply(read, asked_in, path)
-        return reply
+        generation = self.generations.of_reply(read, asked_in, path)
+        return StoreReply(reply.status, reply.body, generation)
 
 
 class StoreTopic(KeyedTopic):
@@ -105,9 +116,11 @@
         """Return the newest record of each key.
 
         Raises:
+            TopicRestored: The store lost records between two pages.
             TopicUnavailable: They could not be read before `deadline`.
         """
         records: list[KeyedRecord] = []
+        generations: set[StoreGeneration] = set()
         end: int | None = None
         after: str | None = None
         for _ in range(MAX_PAGES):
@@ -119,12 +132,15 @@
             )
             if reply.status != OK:
                 raise TopicUnavailable(f"status {reply.status}")
+            generations.add(reply.generation)
+            if len(generations) > 1:
+                raise TopicRestored
             part = _read_newest(reply.body)
             records += part.page.records
             # Later pages may hold later records, which are read again.
             end = part.page.end if end is None else min(end, part.page.end)
             if not part.more:
-                return TopicPage(records, LogOffset(end))
+                return TopicPage(records, LogOffset(end), reply.generation)
             after = records[-1].key
         raise TopicUnavailable("the pages do not end")
 
@@ -151,7 +167,7 @@
             raise TopicTruncated
         if reply.status != OK:
             raise TopicUnavailable(f"status {reply.status}")
-        return _read_records(reply.body, first)
+        return _read_records(reply.body, first, reply.generation)
 
     async def append_all(
         self, values: Mapping[str, bytes], deadline: Deadline
@@ -171,6 +187,8 @@
         )
         if reply.status != OK:
             raise TopicUnavailable(f"status {reply.status}")
+        if reply.generation < self.client.generations.newest:
+            raise TopicUnavailable("an answer of an earlier generation", True)
         try:
             return LogOffset(int(orjson.loads(reply.body)["offset"]))
         except (KeyError, TypeError, ValueError) as error:
@@ -220,14 +238,17 @@
         raise TopicUnavailable(f"odd answer: {error}") from error
 
 
-def _read_records(body: bytes, first: LogOffset) -> TopicPage:
+def _read_records(
+    body: bytes, first: LogOffset, generation: StoreGeneration
+) -> TopicPage:
     try:
         READ_HEAD.unpack_from(body)
         records = list(_split_records(body, first))
     except (struct.error, IndexError, UnicodeDecodeError) as error:
         raise TopicUnavailable(f"odd answer: {error}") from error
     # The end said first may lie behind what one answer holds.
-    return TopicPage(records, LogOffset(first + len(records)))
+    end = LogOffset(first + len(records))
+    return TopicPage(records, end, generation)
 
 
 def _split_records(body: bytes, first: LogOffset) -> Iterator[KeyedRecord]:
--- a/agatetack/platform/test_store_client.py
+++ b/agatetack/platform/test_store_client.py
@@ -5,9 +5,13 @@
 import pytest
 import trio
 
-from agatetack.ids import Deadline, LogOffset
-from agatetack.keyed.generations import StoreGenerations
-from agatetack.keyed.topic import TopicTruncated, TopicUnavailable
+from agatetack.ids import Deadline, LogOffset, StoreGeneration
+from agatetack.keyed.generations import GenerationSource, StoreGenerations
+from agatetack.keyed.topic import (
+    TopicRestored,
+    TopicTruncated,
+    TopicUnavailable,
+)
 from agatetack.metrics import Metrics
 from agatetack.platform.store_client import StoreClient, StoreTopic
 from agatetack.settings.defaults import default_settings
@@ -91,6 +95,69 @@
         assert values(await topic.newest(soon())) == {"a": b"1"}
 
 
+async def test_pages_of_two_generations_are_not_one_list():
+    async with open_topic() as (store, topic):
+        for number in range(PAGE_KEYS + 1):
+            store.append(NAME, f"k{number:04}", b"x")
+        call = topic.client.call
+
+        async def lose_records_after(*arguments):
+            reply = await call(*arguments)
+            topic.client.call = call
+            store.restore(store.copy())
+            return reply
+
+        topic.client.call = lose_records_after
+        with pytest.raises(TopicRestored):
+            await topic.newest(soon())
+        page = await topic.newest(soon())
+        assert (len(page.records), page.generation) == (PAGE_KEYS + 1, 2)
+
+
+@pytest.mark.parametrize("call", ["read", "newest", "append", "refused"])
+async def test_each_answer_tells_the_generation(call):
+    async with open_topic() as (store, topic):
+        calls = {
+            "read": lambda: topic.read(LogOffset(0), soon(0), soon()),
+            "newest": lambda: topic.newest(soon()),
+            "append": lambda: topic.append("a", b"1", soon()),
+            "refused": lambda: topic.read(LogOffset(0), soon(0), soon()),
+        }
+        await topic.newest(soon())
+        assert topic.client.generations.newest == 1
+        store.restore(store.copy())
+        if call == "refused":
+            store.set_fault(StoreFault.REFUSED)
+        with contextlib.suppress(TopicUnavailable):
+            await calls[call]()
+        assert topic.client.generations.newest == 2
+
+
+async def test_a_position_that_the_store_lost_is_refused():
+    async with open_topic() as (store, topic):
+        copy = store.copy()
+        store.append(NAME, "a", b"1")
+        store.restore(copy)
+        with pytest.raises(TopicTruncated):
+            await topic.read(LogOffset(1), soon(5), soon())
+
+
+async def test_an_append_answered_before_a_loss_is_not_taken_for_made():
+    async with open_topic() as (store, topic):
+        generations = topic.client.generations
+        call = topic.client.caller.call
+
+        async def late(request):
+            reply = await call(request)
+            generations.note(StoreGeneration(9), GenerationSource.PEER, "h1")
+            return reply
+
+        topic.client.caller.call = late
+        with pytest.raises(TopicUnavailable) as caught:
+            await topic.append("a", b"1", soon())
+        assert caught.value.may_have_run
+
+
 @pytest.mark.parametrize(
     ("fault", "may_have_run"),
     [
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -14,8 +14,9 @@
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
 from agatetack.keyed.fan_out import FanOutReader
-from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
+from agatetack.keyed.follower import ReadCounters, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.seeds import SeedClient, SeedServer
 from agatetack.keyed.sharing import TopicSharing
 from agatetack.keyed.topic import KeyedTopic
@@ -153,13 +154,17 @@
             self._follower("members", member_topic, self.members),
         ]
         self.sharing = TopicSharing(
-            settings, self.followers, self.peers, metrics
+            settings, self.followers, self.peers, metrics, self.generations
         )
         self.seed_server = SeedServer(
             settings, self.followers, self.members, metrics
         )
         self.seed_client = SeedClient(
-            settings, self.followers, self.sharing.readers, metrics
+            settings,
+            self.followers,
+            self.sharing.readers,
+            metrics,
+            self.generations,
         )
         self.client.pools.share = DocumentConnections(self)
         self._build_classes()
@@ -172,7 +177,12 @@
         if isinstance(topic, str):
             topic = StoreTopic(self.store, topic)
         return TopicFollower(
-            self.settings, name, topic, reader, self.read_counters
+            self.settings,
+            name,
+            topic,
+            reader,
+            self.read_counters,
+            self.generations,
         )
 
     def _build_classes(self) -> None:
--- a/agatetack/testing/memory_topic.py
+++ b/agatetack/testing/memory_topic.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from agatetack.ids import Deadline, LogOffset
+from agatetack.ids import Deadline, LogOffset, StoreGeneration
+from agatetack.keyed.generations import StoreGenerations, read_generation
 from agatetack.keyed.topic import (
     KeyedRecord,
     KeyedTopic,
@@ -24,22 +25,26 @@
         store: The store.
         refused: Whether calls are refused.
         hanging: Whether calls bring no answer.
-        reads: Calls made so far.
+        reads: Calls made so far; a read counts at its start and its end.
+        whole_reads: Calls for all keys made so far.
     """
 
-    def __init__(self, store: MemoryStore):
-        """Reach `store`."""
+    def __init__(self, store: MemoryStore, generations: StoreGenerations):
+        """Reach `store`; note its generation in `generations`."""
         self.store = store
+        self.generations = generations
         self.refused = False
         self.hanging = False
         self.reads = 0
+        self.whole_reads = 0
 
     async def newest(self, deadline: Deadline) -> TopicPage:
         """Return the newest record of each key."""
-        await self._call(deadline)
+        self.whole_reads += 1
+        generation = await self._call(deadline)
         found = self.store.topics[NAME]
         records = [_record(each) for each in found.newest.values()]
-        return TopicPage(records, LogOffset(found.end))
+        return TopicPage(records, LogOffset(found.end), generation)
 
     async def read(
         self, first: LogOffset, wait_until: Deadline, deadline: Deadline
@@ -48,12 +53,12 @@
         await self._call(deadline)
         seconds = max(0.0, wait_until - trio.current_time())
         await self.store.wait_for(NAME, first, seconds)
-        await self._call(deadline)
+        generation = await self._call(deadline)
         found = self.store.topics[NAME]
         if not found.first <= first <= found.end:
             raise TopicTruncated
         records = [_record(r) for r in found.records if r.offset >= first]
-        return TopicPage(records, LogOffset(first + len(records)))
+        return TopicPage(records, LogOffset(first + len(records)), generation)
 
     async def append_all(
         self, values: Mapping[str, bytes], deadline: Deadline
@@ -65,14 +70,20 @@
         ]
         return LogOffset(offsets[0])
 
-    async def _call(self, deadline: Deadline) -> None:
+    async def _call(self, deadline: Deadline) -> StoreGeneration:
+        """Return the generation that the answer names."""
         self.reads += 1
+        asked_in = self.generations.newest
         await trio.sleep(0.001)
-        if self.refused:
-            raise TopicUnavailable("refused")
         if self.hanging:
             await trio.sleep_until(deadline)
             raise TopicUnavailable("no answer in time", may_have_run=True)
+        named = self.store.generation
+        read = read_generation(None if named is None else str(named).encode())
+        generation = self.generations.of_reply(read, asked_in, "call")
+        if self.refused:
+            raise TopicUnavailable("refused")
+        return generation
 
 
 def _record(stored) -> KeyedRecord:
--- a/agatetack/testing/topic_fleet.py
+++ b/agatetack/testing/topic_fleet.py
@@ -2,7 +2,10 @@
 
 import trio
 
-from agatetack.keyed.follower import ReadCounters, TopicFollower, TopicReader
+from agatetack.keyed.fan_out import FanOutReader
+from agatetack.keyed.follower import ReadCounters, TopicFollower
+from agatetack.keyed.generations import StoreGenerations
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.sharing import TopicSharing
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
@@ -51,19 +54,28 @@
     """One host's view of the topic.
 
     Attributes:
+        generations: What this host knows of the store's generation.
         topic: The topic as this host reaches it.
         kept: What its reader was handed.
         follower: What reads the topic.
         sharing: What tells other hosts, or None.
     """
 
-    def __init__(self, store, exchange=None):
+    def __init__(self, store, exchange=None, reader=None):
         """Follow the topic in `store`; tell others through `exchange`."""
-        self.topic = MemoryTopic(store)
-        self.kept = Kept()
         metrics = Metrics()
+        self.generations = StoreGenerations(metrics)
+        self.topic = MemoryTopic(store, self.generations)
+        self.kept = Kept()
+        if reader is not None:
+            reader = FanOutReader(self.kept, reader(self.topic))
         self.follower = TopicFollower(
-            SETTINGS, NAME, self.topic, self.kept, ReadCounters(metrics)
+            SETTINGS,
+            NAME,
+            self.topic,
+            reader or self.kept,
+            ReadCounters(metrics),
+            self.generations,
         )
         self.sharing = None
         if exchange is not None:
@@ -71,7 +83,11 @@
                 {"host": SETTINGS.host.copy_with({"id": exchange.host})}
             )
             self.sharing = TopicSharing(
-                settings, [self.follower], exchange, metrics
+                settings,
+                [self.follower],
+                exchange,
+                metrics,
+                self.generations,
             )
 
     def start(self, nursery):
@@ -94,14 +110,22 @@
 
 
 async def start_readers(nursery, store, count=HOSTS):
-    """Start a fleet and wait until few of its hosts read."""
+    """Start a fleet and wait until few of its hosts read.
+
+    Beyond `HOSTS` they start from what the first one has read.
+    """
     net = MemoryMesh(nursery)
     hosts = [TopicHost(store, net.join(f"h{n}")) for n in range(count)]
-    for host in hosts:
+    for host in hosts[:HOSTS]:
         # Their words come at other moments, one each 30 ms.
         await trio.sleep(0.037)
         host.start(nursery)
     await trio.sleep(2)
+    page, _ = hosts[0].follower.records_since(None)
+    for host in hosts[HOSTS:]:
+        host.follower.start_from(page, in_touch=True)
+        host.sharing.readers.trust(NAME)
+        host.start(nursery)
     # The reads that all began with end at the next record.
     store.append(NAME, "k0", b"all")
     await trio.sleep(2)
--- a/thrift/keyed.thrift
+++ b/thrift/keyed.thrift
@@ -8,6 +8,7 @@
   1: required string key
   2: optional binary value      // absent: the key was removed
   3: required i64 offset
+  4: optional bool carried      // of an earlier generation, and still holds
 }
 
 struct Records {
@@ -15,6 +16,10 @@
   2: required bool whole        // every key there is, and not only what follows
   3: required list<Record> records
   4: optional bool sound        // the store was there for the sender lately
+  5: optional i64 generation    // of the store, when `end` was read; absent:
+                                // the store names none, or the sender is older
+  6: optional binary held       // one bit for each record that the receiver
+                                // named: whether the store holds it, too
 }
 
 // How far the sender has read one topic.
@@ -25,6 +30,8 @@
                                 // absent: the sender reads it itself
   4: optional i64 first         // where `news` begin
   5: optional Records news      // what the sender has just read, if it is little
+  6: optional i64 generation    // of the store, when `end` was read
+  7: optional i32 carried       // records of earlier generations that hold
 }
 
 struct TopicEnds {
@@ -35,6 +42,10 @@
 struct FetchRecords {
   1: required string topic
   2: required i64 first
+  3: optional i64 generation    // in which `first` was read; absent: the
+                                // sender is older and knows of none
+  4: optional binary held       // hashes of 8 bytes of the records that the
+                                // sender holds, by which it is told of others
 }
 
 // What one host that starts asks of another, in place of reading the store.
