Hold to what the store lost until it is written again

A store that came back from a copy has forgotten documents, registrations, removals and evacuations that were acknowledged.

Each reader says which record of an earlier generation holds against what the store has, and until when: a document by its version, a target's report and its removal by the report's number, a lost registration for 5 s, a lost evacuation for 60 s.

Ruled out: to believe the store at once, and to keep everything for good. An evacuation that was over and that the copy has again is taken for one begun anew, as nothing tells them apart.

--- a/agatetack/config/document_routes.py
+++ b/agatetack/config/document_routes.py
@@ -1,5 +1,6 @@
 """Put the operators' document in force, never an older one."""
 
+import math
 from collections.abc import Callable, Sequence
 
 from agatetack.config.document import (
@@ -11,8 +12,8 @@
 )
 from agatetack.config.route import Route, RouteSource, RouteTable
 from agatetack.decisions import DecisionLog
-from agatetack.ids import LogOffset, ServiceId
-from agatetack.keyed.follower import TopicReader
+from agatetack.ids import Deadline, LogOffset, ServiceId
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.topic import KeyedRecord
 from agatetack.metrics import Metrics
 
@@ -94,6 +95,25 @@
             if record.key == self.key and record.value is not None:
                 self._take(record.value, record.offset)
 
+    def holds_until(
+        self, known: KeyedRecord, found: KeyedRecord | None
+    ) -> Deadline | None:
+        """Return until when a lost document holds: until a later one comes."""
+        if known.key != self.key:
+            return None
+        if self._version(known) <= self._version(found):
+            return None
+        return Deadline(math.inf)
+
+    def _version(self, record: KeyedRecord | None) -> int:
+        """Return the version of the document in `record`, if it holds one."""
+        if record is None or record.value is None:
+            return NO_DOCUMENT
+        try:
+            return self.decoder.decode(record.value).version
+        except BadDocument:
+            return NO_DOCUMENT
+
     def _take(self, content: bytes, offset: LogOffset) -> None:
         try:
             document = self.decoder.decode(content)
--- a/agatetack/hosts/evacuations.py
+++ b/agatetack/hosts/evacuations.py
@@ -8,12 +8,18 @@
 import abc
 from collections.abc import Callable, Sequence, Set
 
+import trio
+
 from agatetack.decisions import DecisionLog
-from agatetack.ids import FailureDomain
-from agatetack.keyed.follower import TopicReader
+from agatetack.ids import Deadline, FailureDomain
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.topic import KeyedRecord
 from agatetack.metrics import Metrics
 
+LOST_SECONDS = 60.0
+"""How long an evacuation holds that the store has lost, unless it is written
+again. One that ended meanwhile may have left nothing there that says so."""
+
 Listen = Callable[[Set[FailureDomain]], None]
 """Called with all evacuated failure domains after each change; must not block
 or raise."""
@@ -61,6 +67,19 @@
         """Take evacuations that began or ended."""
         self._put_in_force(self._changed(self.domains, records))
 
+    def holds_until(
+        self, known: KeyedRecord, found: KeyedRecord | None
+    ) -> Deadline | None:
+        """Return until when an evacuation holds that the store has lost.
+
+        One that is found there again though it was over may have been begun
+        anew, and is taken for that.
+        """
+        lost = known.value is not None and found is None
+        if not lost or self.keys.domain(known.key) is None:
+            return None
+        return Deadline(trio.current_time() + LOST_SECONDS)
+
     def _changed(
         self, domains: Set[FailureDomain], records: Sequence[KeyedRecord]
     ) -> frozenset[FailureDomain]:
--- a/agatetack/hosts/registered_targets.py
+++ b/agatetack/hosts/registered_targets.py
@@ -1,5 +1,6 @@
 """Keep the targets that registered themselves, and doubt what an outage hid."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
 import trio
@@ -12,13 +13,24 @@
     RegistrationDecoder,
 )
 from agatetack.ids import Deadline
-from agatetack.keyed.follower import TopicReader
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.topic import KeyedRecord
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 
 log = DecisionLog("targets")
 
+LOST_SECONDS = 5.0
+"""How long a target is believed whose registration the store has lost; a live
+one registers again with its next reports, 1.5 s apart."""
+
+OUTDATED_SECONDS = 30.0
+"""How long what is known of a target holds against an older registration that
+the store has in its place. One of a target that has left lapses meanwhile."""
+
+MAX_DEPARTED = 10_000
+"""Targets that were removed and are remembered; the oldest are forgotten."""
+
 REPEAT_SECONDS = 2.0
 """How often targets are told again when nothing changes."""
 
@@ -36,6 +48,7 @@
 
     Attributes:
         targets: The targets believed, by key.
+        departed: What was known last of targets that were removed, by key.
         doubted: Those whose registration is missing, with the time at which
             they are taken for gone.
         known: Whether the registrations have been read.
@@ -54,6 +67,7 @@
         self.decoder = decoder
         self.listen = listen
         self.targets: dict[str, ListedTarget] = {}
+        self.departed: OrderedDict[str, ListedTarget] = OrderedDict()
         self.doubted: dict[str, Deadline] = {}
         self.doubt_until = Deadline(0.0)
         self.changed = trio.Event()
@@ -104,6 +118,30 @@
         super().take_sound(records, whole)
         self.doubt_until = before
 
+    def holds_until(
+        self, known: KeyedRecord, found: KeyedRecord | None
+    ) -> Deadline | None:
+        """Return until when a lost registration, or a removal, holds."""
+        now = trio.current_time()
+        if found is None:
+            lost = known.value is not None
+            return Deadline(now + LOST_SECONDS) if lost else None
+        last = self.departed.get(known.key)
+        if known.value is not None:
+            last = self._decoded(known)
+        stored = self._decoded(found)
+        if last is None or stored is None or not _repeats(stored, last, known):
+            return None
+        return Deadline(now + OUTDATED_SECONDS)
+
+    def _decoded(self, record: KeyedRecord) -> ListedTarget | None:
+        if record.value is None:
+            return None
+        try:
+            return self.decoder.decode(record.key, record.value)
+        except BadRegistration:
+            return None
+
     def lost_touch(self) -> None:
         """Doubt what vanishes until the store has been back for a while."""
         self._doubt_until(Deadline(float("inf")))
@@ -134,6 +172,7 @@
             self._note_outdated(known, target)
             return
         self.doubted.pop(key, None)
+        self.departed.pop(key, None)
         self.targets[key] = target
         self._note_change(known, target)
 
@@ -187,7 +226,10 @@
         self._remove(key, "registration-removed")
 
     def _remove(self, key: str, why: str) -> None:
-        del self.targets[key]
+        self.departed[key] = self.targets.pop(key)
+        self.departed.move_to_end(key)
+        if len(self.departed) > MAX_DEPARTED:
+            self.departed.popitem(last=False)
         self.doubted.pop(key, None)
         self.taken.inc({"result": "gone"})
         log.note("target-gone", target=key, why=why)
@@ -202,3 +244,20 @@
 
     def _tell(self) -> None:
         self.listen(tuple(self.targets.values()))
+
+
+def _repeats(
+    stored: ListedTarget, last: ListedTarget, known: KeyedRecord
+) -> bool:
+    """Return whether a registration says nothing later than was known.
+
+    Args:
+        stored: The registration that the store has.
+        last: What the target said last, as far as it was known.
+        known: The record that was known, which may be its removal.
+    """
+    if stored.incarnation != last.incarnation:
+        return stored.is_older_than(last)
+    if known.value is None:
+        return stored.sequence <= last.sequence
+    return stored.sequence < last.sequence
--- /dev/null
+++ b/agatetack/hosts/test_lost_records.py
@@ -0,0 +1,266 @@
+"""Test what hosts believe once the store has lost what it acknowledged."""
+
+import contextlib
+
+import orjson
+import pytest
+import trio
+
+from agatetack.config.document_routes import DocumentRoutes
+from agatetack.config.route import RouteSource
+from agatetack.hosts.evacuations import LOST_SECONDS as EVACUATION_SECONDS
+from agatetack.hosts.evacuations import Evacuations
+from agatetack.hosts.host_list import HostState
+from agatetack.hosts.registered_targets import (
+    LOST_SECONDS,
+    OUTDATED_SECONDS,
+    RegisteredTargets,
+)
+from agatetack.metrics import Metrics
+from agatetack.platform.configuration import (
+    ConfigurationDecoder,
+    EvacuationNames,
+)
+from agatetack.platform.registrations import ServerDecoder
+from agatetack.settings.defaults import default_settings
+from agatetack.testing.memory_exchange import MemoryMesh
+from agatetack.testing.memory_store import MemoryStore
+from agatetack.testing.memory_topic import NAME
+from agatetack.testing.topic_fleet import TopicHost
+
+KNOWN_SECONDS = 2.0
+
+
+def entry(sequence=1, state="ready", born=0):
+    return orjson.dumps(
+        {
+            "address": "10.0.0.1:80",
+            "born": born,
+            "info": {"service": "s", "version": "1", "zone": "z", "slots": 2},
+            "status": {
+                "state": state,
+                "sequence": sequence,
+                "warmup_left": "0ms",
+            },
+        }
+    )
+
+
+DRAINING = entry(5, "draining")
+
+
+def document(version):
+    return orjson.dumps({"version": version, "routes": [], "services": []})
+
+
+class Drill:
+    """A store that loses records, and hosts that follow it.
+
+    Attributes:
+        store: The store.
+        copy: What it comes back from.
+        mesh: The network between the hosts.
+        hosts: The hosts.
+        readers: What each of them believes.
+    """
+
+    def __init__(self, nursery, make):
+        self.nursery = nursery
+        self.make = make
+        self.store = MemoryStore()
+        self.copy = self.store.copy()
+        self.mesh = MemoryMesh(nursery)
+        self.hosts = []
+        self.readers = []
+
+    def add_host(self):
+        def reader(topic):
+            self.readers.append(self.make(topic))
+            return self.readers[-1]
+
+        name = f"h{len(self.hosts)}"
+        host = TopicHost(self.store, self.mesh.join(name), reader)
+        host.start(self.nursery)
+        self.hosts.append(host)
+
+    def write(self, **records):
+        for key, value in records.items():
+            self.store.append(NAME, key.replace("_", "/"), value or b"")
+
+    async def lose(self, **records):
+        """Let all hosts read `records`, which the store then loses."""
+        self.copy = self.store.copy()
+        self.write(**records)
+        await trio.sleep(KNOWN_SECONDS)
+        self.store.restore(self.copy)
+        for host in self.hosts:
+            host.follower.reading.cancel()
+        await trio.sleep(0.5)
+
+
+@contextlib.asynccontextmanager
+async def drill(make, hosts=14, **records):
+    """Start hosts that have read `records`."""
+    async with trio.open_nursery() as nursery:
+        play = Drill(nursery, make)
+        play.write(**records)
+        for _ in range(hosts):
+            play.add_host()
+        await trio.sleep(KNOWN_SECONDS)
+        yield play
+        nursery.cancel_scope.cancel()
+
+
+def make_targets(topic):
+    settings = default_settings(platform={"store": {"doubt_seconds": 2.0}})
+    return RegisteredTargets(
+        settings, ServerDecoder(), lambda targets: None, Metrics()
+    )
+
+
+def make_documents(topic):
+    return DocumentRoutes(
+        "config", ConfigurationDecoder(), RouteSource(), Metrics()
+    )
+
+
+def make_evacuations(topic):
+    return Evacuations(EvacuationNames(), lambda domains: None, Metrics())
+
+
+def states(play):
+    """Return the state of each target, which all hosts have to know alike."""
+    found = [
+        {key: target.state for key, target in each.targets.items()}
+        for each in play.readers
+    ]
+    assert all(each == found[0] for each in found)
+    return found[0]
+
+
+LIVE, LEAVING = HostState.LIVE, HostState.LEAVING
+
+
+@pytest.mark.parametrize(
+    ("lost", "believed", "later"),
+    [
+        # Registered after the copy: live ones come again within some seconds.
+        ({"b": entry()}, {"a": LIVE, "b": LIVE}, {"a": LIVE}),
+        # Gone after the copy: it gets no requests again while it is listed.
+        ({"a": None}, {}, {}),
+        ({"a": DRAINING}, {"a": LEAVING}, {"a": LEAVING}),
+        (
+            {"a": DRAINING, "b": entry()},
+            {"a": LEAVING, "b": LIVE},
+            {"a": LEAVING},
+        ),
+        # Said twice that it is ready.
+        ({"a": entry(4)}, {"a": LIVE}, {"a": LIVE}),
+    ],
+)
+async def test_targets_hold_though_the_store_lost_their_registrations(
+    autojump_clock, lost, believed, later
+):
+    async with drill(make_targets, a=entry(3)) as play:
+        await play.lose(**lost)
+        assert states(play) == believed
+        await trio.sleep(LOST_SECONDS)
+        assert states(play) == later
+        await trio.sleep(OUTDATED_SECONDS)
+        # What the store has all the while holds in the end.
+        assert states(play) == {"a": LIVE}
+
+
+@pytest.mark.parametrize(
+    ("lost", "rewritten", "believed"),
+    [
+        ({"b": entry()}, {"b": entry(2)}, {"a": LIVE, "b": LIVE}),
+        ({"b": entry()}, {"b": None}, {"a": LIVE}),
+        ({"a": DRAINING}, {"a": entry(6, "draining")}, {"a": LEAVING}),
+        ({"a": DRAINING}, {"a": None}, {}),
+        # A report that landed late is no later one.
+        ({"a": DRAINING}, {"a": entry(4)}, {"a": LEAVING}),
+        # One that was taken for gone and is not.
+        ({"a": None}, {"a": entry(4)}, {"a": LIVE}),
+        ({"a": None}, {"a": None}, {}),
+    ],
+)
+async def test_what_targets_write_again_is_believed(
+    autojump_clock, lost, rewritten, believed
+):
+    async with drill(make_targets, a=entry(3)) as play:
+        await play.lose(**lost)
+        play.write(**rewritten)
+        await trio.sleep(0.5)
+        assert states(play) == believed
+        await trio.sleep(LOST_SECONDS)
+        assert states(play) == believed
+
+
+def versions(play):
+    return {each.version for each in play.readers}
+
+
+@pytest.mark.parametrize("others", [0, 1, 2])
+async def test_the_newest_document_stays_in_force(autojump_clock, others):
+    async with drill(make_documents, config=document(21)) as play:
+        await play.lose(config=document(24))
+        assert versions(play) == {24}
+        # Offsets that are given out again tell nothing.
+        for number in range(others):
+            play.write(**{f"other{number}": b"x"})
+        for written, in_force in ((21, 24), (24, 24), (27, 27), (29, 29)):
+            play.write(config=document(written))
+            await trio.sleep(KNOWN_SECONDS)
+            assert versions(play) == {in_force}
+
+
+@pytest.mark.parametrize(
+    ("before", "lost", "believed", "later"),
+    [
+        ({}, {"evacuate_z": b"1"}, {"z"}, set()),
+        ({"evacuate_z": b"1"}, {"evacuate_z": None}, {"z"}, {"z"}),
+        ({"evacuate_z": b"1"}, {"evacuate_y": b"1"}, {"y", "z"}, {"z"}),
+    ],
+)
+async def test_an_evacuation_holds_though_the_store_lost_it(
+    autojump_clock, before, lost, believed, later
+):
+    async with drill(make_evacuations, **before) as play:
+        await play.lose(**lost)
+        assert all(each.domains == believed for each in play.readers)
+        await trio.sleep(EVACUATION_SECONDS)
+        assert all(each.domains == later for each in play.readers)
+
+
+@pytest.mark.parametrize("rewritten", [b"1", None])
+async def test_an_evacuation_that_is_written_again_is_believed(
+    autojump_clock, rewritten
+):
+    async with drill(make_evacuations) as play:
+        await play.lose(evacuate_z=b"1")
+        play.write(evacuate_z=rewritten)
+        await trio.sleep(EVACUATION_SECONDS + KNOWN_SECONDS)
+        wanted = {"z"} if rewritten else set()
+        assert all(each.domains == wanted for each in play.readers)
+
+
+# Guards against an older document at a host that starts before it is written
+# again.
+@pytest.mark.parametrize("seeded", [True, False])
+async def test_a_host_that_starts_after_a_loss_holds_what_others_hold(
+    autojump_clock, seeded
+):
+    async with drill(make_documents, config=document(21)) as play:
+        await play.lose(config=document(24))
+        play.add_host()
+        if seeded:
+            told = play.hosts[0].follower
+            page, _ = told.records_since(None)
+            carried = [each.record for each in told.carried.records.values()]
+            play.hosts[-1].follower.start_from(page, True, carried)
+        await trio.sleep(KNOWN_SECONDS)
+        assert versions(play) == {24}
+        play.write(config=document(27))
+        await trio.sleep(KNOWN_SECONDS)
+        assert versions(play) == {27}
