Register hosts anew that the store has lost

Nobody writes the hosts' own registrations again. A host that had registered after the copy stayed out of the topic for good: hosts that started later would not have known it, and quotas, readers, groups and links hang on that list.

The list does not shrink by a loss. The first host that reads for all makes the lost registrations with one call; the next three do what is still missing 0.4 s after one another, and any host its own after 1.6 s. A host whose registration was acknowledged and lost before anybody had read it makes it again when it does not see it for 10 s.

Measured on the stand-ins: one call for 2, 14 and 99 hosts that were all lost.

--- a/agatetack/hosts/member_directory.py
+++ b/agatetack/hosts/member_directory.py
@@ -1,5 +1,7 @@
 """Find the other hosts by the topic in which each host registers."""
 
+import math
+import random
 from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
@@ -8,7 +10,7 @@
 from agatetack.decisions import DecisionLog
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import Deadline, FailureDomain, HostId, ServiceId
-from agatetack.keyed.follower import TopicReader
+from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.topic import KeyedRecord, KeyedTopic, TopicUnavailable
 from agatetack.metrics import Metrics
 from agatetack.peers.frames import HOST_PATTERN
@@ -26,6 +28,19 @@
 has told this host."""
 
 
+REWRITE_STEP_SECONDS = 0.4
+"""How long each host that reads the topic for all waits longer than the one
+before it until it registers anew what the store has lost: one call and the read
+that shows it to the others."""
+
+MOST_REWRITERS = 4
+"""Hosts at most that do so for others; any other one does it for itself."""
+
+SEEN_SECONDS = 10.0
+"""How long a host waits until it sees its own registration, before it makes it
+again."""
+
+
 class MemberRecord(msgspec.Struct, frozen=True):
     """What a host registers of itself.
 
@@ -50,6 +65,9 @@
         known: Whether the topic has been read.
         known_records: What each host registered, as the store holds it.
         waiting: Hosts that asked this one to register them.
+        lost: Registrations that the store has lost, by host.
+        place: This host's place among those that read the topic for all.
+        loss: Set, and replaced, when the store has lost some.
     """
 
     def __init__(self, settings: Settings, topic: KeyedTopic, metrics: Metrics):
@@ -62,6 +80,9 @@
         self.known_records: dict[str, bytes] = {}
         self.waiting: dict[str, bytes] = {}
         self.asked = trio.Event()
+        self.lost: dict[str, bytes] = {}
+        self.place: int | None = None
+        self.loss = trio.Event()
         self.callbacks: list[Callable[..., None]] = []
         self.read = trio.Event()
         self.registrations = metrics.counter(
@@ -92,11 +113,57 @@
             else:
                 self.known_records[record.key] = record.value
                 self._take(record.key, record.value)
+            self.lost.pop(record.key, None)
         self.known = True
         self.read.set()
         for callback in self.callbacks:
             callback(None)
 
+    def holds_until(
+        self, known: KeyedRecord, found: KeyedRecord | None
+    ) -> Deadline | None:
+        """Return until when a lost registration holds.
+
+        The list of hosts is never thought too short. Of two registrations of a
+        host the earlier known one is the later made, unless the host has just
+        made another one, which it does again if it is not believed.
+        """
+        if known.value is None:
+            return None
+        if found is None:
+            return Deadline(math.inf)
+        if found.value is None or found.value == known.value:
+            return None
+        return Deadline(trio.current_time() + SEEN_SECONDS)
+
+    def take_lost(self, lost: Sequence[KeyedRecord], place: int | None) -> None:
+        """Note which registrations the store has lost, to make them anew."""
+        self.lost = {record.key: record.value for record in lost}
+        self.place = place
+        if self.lost:
+            self.loss.set()
+
+    async def replace_lost(self) -> None:
+        """Make registrations anew that the store has lost, until cancelled.
+
+        Hosts do not write them again as targets and operators do.
+        """
+        while True:
+            await self.loss.wait()
+            self.loss = trio.Event()
+            place = self.place
+            for_all = place is not None and place < MOST_REWRITERS
+            step = place if for_all else MOST_REWRITERS + random.random()
+            await trio.sleep(step * REWRITE_STEP_SECONDS)
+            missing = {
+                host: content
+                for host, content in self.lost.items()
+                if for_all or host == self.own
+            }
+            if missing:
+                log.note("registering-lost", hosts=len(missing), place=place)
+                await self._append(missing)
+
     def _take(self, key: str, content: bytes) -> None:
         try:
             member = _read_member(content)
@@ -136,7 +203,12 @@
         if self._is_registered(port):
             self.registrations.inc({"result": "kept"})
             return
-        await self._append({self.own: self.own_record(port)})
+        while not self._is_registered(port):
+            await self._append({self.own: self.own_record(port)})
+            # What was acknowledged may be lost before anybody has read it.
+            with trio.move_on_after(SEEN_SECONDS):
+                while not self._is_registered(port):
+                    await trio.sleep(GATHER_SECONDS)
 
     def _is_registered(self, port: int) -> bool:
         own = self.hosts.get(self.own)
--- a/agatetack/hosts/test_lost_records.py
+++ b/agatetack/hosts/test_lost_records.py
@@ -11,6 +11,7 @@
 from agatetack.hosts.evacuations import LOST_SECONDS as EVACUATION_SECONDS
 from agatetack.hosts.evacuations import Evacuations
 from agatetack.hosts.host_list import HostState
+from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import (
     LOST_SECONDS,
     OUTDATED_SECONDS,
@@ -26,7 +27,7 @@
 from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.memory_topic import NAME
-from agatetack.testing.topic_fleet import TopicHost
+from agatetack.testing.topic_fleet import SETTINGS, TopicHost
 
 KNOWN_SECONDS = 2.0
 
@@ -264,3 +265,44 @@
         play.write(config=document(27))
         await trio.sleep(KNOWN_SECONDS)
         assert versions(play) == {27}
+
+
+def member_maker(nursery):
+    def make(topic):
+        members = MemberDirectory(SETTINGS, topic, Metrics())
+        nursery.start_soon(members.replace_lost)
+        return members
+
+    return make
+
+
+MEMBER = b'{"ip":"10.0.0.9","port":1,"failure_domain":"domain"}'
+
+
+@pytest.mark.parametrize("hosts", [2, 14, 99])
+async def test_hosts_that_the_store_lost_are_registered_by_few_calls(
+    autojump_clock, hosts
+):
+    appends = []
+    async with trio.open_nursery() as nursery:
+        play = Drill(nursery, member_maker(nursery))
+        for _ in range(hosts):
+            play.add_host()
+        await trio.sleep(KNOWN_SECONDS)
+        for host in play.hosts:
+            append = host.topic.append_all
+
+            async def count(values, deadline, append=append):
+                appends.append(values)
+                return await append(values, deadline)
+
+            host.topic.append_all = count
+        names = [f"m{number}" for number in range(hosts)]
+        await play.lose(**dict.fromkeys(names, MEMBER))
+        # The list is never thought too short meanwhile.
+        assert all(len(each.hosts) == hosts for each in play.readers)
+        await trio.sleep(3 * KNOWN_SECONDS)
+        assert sorted(play.store.topics[NAME].newest) == sorted(names)
+        assert all(not each.lost for each in play.readers)
+        assert len(appends) == 1
+        nursery.cancel_scope.cancel()
