Believe no generation of a peer that a store cannot be in

Found on reading the change again.

Records, news and what a seed tells are taken only of generations that this host has heard of and believed. A second test asks a host while it reads all keys anew; it passed before, too.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -267,7 +267,7 @@
             sound: Whether the store has been there for the peer lately.
             carried: Records of earlier generations that hold for the peer.
         """
-        if not self.is_behind(page.position):
+        if not self.is_behind(page.position) or not self._may_be_of(page):
             return
         if not whole and not self._follows(page):
             self._count("peer-partial")
@@ -285,6 +285,10 @@
         self._take(page, whole, sound, carried)
         self.reading.cancel()
 
+    def _may_be_of(self, page: TopicPage) -> bool:
+        """Return whether the store has been in the generation of `page`."""
+        return page.generation <= self.generations.newest
+
     def _follows(self, page: TopicPage) -> bool:
         """Return whether `page` is of the generation that is read here."""
         if self.position is None:
@@ -321,7 +325,7 @@
                 callers until the store is back, and reads for itself.
             carried: Records of earlier generations that hold for that host.
         """
-        if self.position is not None:
+        if self.position is not None or not self._may_be_of(page):
             return
         self._count("seed")
         log.note(
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -250,7 +250,7 @@
             self._drop("records-malformed", peer, error)
             self.readers.doubt(follower.name)
             return
-        self._take_records(follower, records, page)
+        self._take_records(follower, peer, records, page)
 
     def _request(
         self, follower: TopicFollower, again: bool
@@ -268,9 +268,14 @@
         return [record for record in known if record.value is not None]
 
     def _take_records(
-        self, follower: TopicFollower, records: wire.Records, page: TopicPage
+        self,
+        follower: TopicFollower,
+        peer: HostId,
+        records: wire.Records,
+        page: TopicPage,
     ) -> None:
-        if page.generation < self.generations.newest:
+        self.generations.note(page.generation, GenerationSource.PEER, peer)
+        if page.generation != self.generations.newest:
             self.metrics.dropped.inc(
                 {"part": "keyed", "reason": "records-outdated"}
             )
--- a/agatetack/keyed/test_store_restored.py
+++ b/agatetack/keyed/test_store_restored.py
@@ -359,3 +359,72 @@
         ]
         assert (records.end, records.whole) == (6, False)
         nursery.cancel_scope.cancel()
+
+
+# Guards against a loop without end at a generation that no store can be in.
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("generation", [-7, 10**12 + 1, 2**63 - 1])
+async def test_a_generation_that_cannot_be_is_not_taken_from_a_peer(
+    autojump_clock, asked, generation
+):
+    store = MemoryStore()
+    fill(store, 5)
+    records = [wire.Record("k1", b"told", 1)]
+    told = wire.Records(9, True, records, True, generation=generation)
+
+    async def answer(sender, payload):
+        return encode(told)
+
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        other = mesh.join("h1")
+        other.serve(Topic.TOPIC_RECORDS, answer)
+        host = TopicHost(store, mesh.join("h2"))
+        host.start(nursery)
+        await trio.sleep(1)
+        host.follower.readers.heard(NAME)
+        word = ends_of(9, generation=1)
+        if not asked:
+            word = ends_of(9, generation=generation, first=0, news=told)
+        reads = host.topic.reads
+        other.publish(Topic.TOPIC_RECORDS, word)
+        await trio.sleep(2)
+        assert host.kept.values == expected(store)
+        assert host.generations.newest == 1
+        assert host.topic.reads - reads < 10
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_host_that_reads_all_keys_anew_answers_its_peers(
+    autojump_clock,
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        _, (one, other) = await start_two(nursery, store)
+        read = one.topic.newest
+
+        async def slowly(deadline):
+            await trio.sleep(1)
+            return await read(deadline)
+
+        one.topic.newest = slowly
+        copy = store.copy()
+        fill(store, 3, "lost")
+        await trio.sleep(1)
+        store.restore(copy)
+        one.follower.reading.cancel()
+        await trio.sleep(0.1)
+        for first in (0, 3, 5, 8, 900):
+            for generation in (None, -1, 1, 2):
+                request = wire.FetchRecords(NAME, first, generation)
+                reply = await other.sharing.exchange.call(
+                    "h1",
+                    Topic.TOPIC_RECORDS,
+                    encode(request),
+                    trio.current_time() + 1,
+                )
+                decode(wire.Records, reply)
+        await trio.sleep(KNOWN_SECONDS)
+        assert one.kept.values == other.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
