Let a recent answer speak for a request that was lost twice

Cause: a crash counts against whatever ran at the target, and two hosts that retry at the same moment choose the same free target. Nothing weighed that a request which crashes its targets never has an answer, while the other one had some within the last second; answers were noted only once a request was suspected.

--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -39,6 +39,13 @@
 """A peer that tells of the same target's loss again within this time means the
 one that is known; one told later is another."""
 
+ANSWERED_SECONDS = 10.0
+"""How long an answer speaks for a request: one that crashes its targets gets
+none, and one that is lost beside it may be lost beside it twice."""
+
+MAX_ANSWERED = 4096
+"""Requests of which the last answer is remembered."""
+
 FINGERPRINT_BYTES = 16
 
 log = PartLog("quarantine")
@@ -94,6 +101,7 @@
 
     Attributes:
         suspicions: What is held against requests, oldest first.
+        answers: Until when the last answer speaks for a request, oldest first.
     """
 
     def __init__(
@@ -111,6 +119,9 @@
         self.suspicions: collections.OrderedDict[Fingerprint, Suspicion] = (
             collections.OrderedDict()
         )
+        self.answers: collections.OrderedDict[Fingerprint, Deadline] = (
+            collections.OrderedDict()
+        )
         self.losses_in, self.losses_out = trio.open_memory_channel[
             CrashSighting
         ](CONFIRM_BACKLOG)
@@ -167,12 +178,23 @@
 
     def answered(self, route: Route, request: CallerRequest) -> None:
         """Note that a target answered this request, so it is harmless."""
-        if not self.suspicions:
-            return
         print_ = fingerprint(route, request)
+        self._note_answer(print_)
         if self._forget(print_):
             self._publish(print_, CrashEvent.ANSWERED)
 
+    def _note_answer(self, print_: Fingerprint) -> None:
+        now = trio.current_time()
+        self.answers[print_] = Deadline(now + ANSWERED_SECONDS)
+        self.answers.move_to_end(print_)
+        if len(self.answers) > MAX_ANSWERED:
+            self.answers.popitem(last=False)
+
+    def _most_crashes(self, print_: Fingerprint, now: Deadline) -> int:
+        """Return at how many crashes the request is held back."""
+        spoken_for = self.answers.get(print_, now) > now
+        return self.limits.crashes + (1 if spoken_for else 0)
+
     def release(self, print_: Fingerprint) -> bool:
         """Let a request run again, and return whether it was suspected."""
         known = self._forget(print_)
@@ -190,7 +212,7 @@
         suspicion.crashed[event.target] = now
         if event.here:
             suspicion.seen_here.add(event.target)
-        if len(suspicion.crashed) >= self.limits.crashes:
+        if len(suspicion.crashed) >= self._most_crashes(print_, now):
             if suspicion.held_until is None:
                 log.warning("Request %s is held back.", print_.hex())
             suspicion.held_until = Deadline(now + self.limits.hold_seconds)
--- a/agatetack/quarantine/test_local_tracker.py
+++ b/agatetack/quarantine/test_local_tracker.py
@@ -24,7 +24,11 @@
 from agatetack.peers.exchange import NoExchange, Topic
 from agatetack.quarantine.fingerprint import fingerprint
 from agatetack.quarantine.liveness import LivenessCheck
-from agatetack.quarantine.local_tracker import LocalCrashTracker
+from agatetack.quarantine.local_tracker import (
+    ANSWERED_SECONDS,
+    MAX_ANSWERED,
+    LocalCrashTracker,
+)
 from agatetack.settings.defaults import default_settings
 
 SETTINGS = default_settings(
@@ -279,3 +283,34 @@
             refusal = tracker.check(ROUTE, make_request())
             assert (refusal is None) is up
         nursery.cancel_scope.cancel()
+
+
+# Guards against holding back a request that meets a crashing one twice.
+@pytest.mark.parametrize(
+    ("since_answer", "lost", "held"),
+    [
+        (0.0, 2, False),
+        (0.0, 3, True),
+        (ANSWERED_SECONDS - 0.1, 2, False),
+        (ANSWERED_SECONDS + 0.1, 2, True),
+        (None, 2, True),
+    ],
+)
+async def test_an_answer_speaks_for_a_request_for_a_while(
+    since_answer, lost, held, autojump_clock
+):
+    tracker = make_trackers()[0]
+    request = make_request()
+    if since_answer is not None:
+        tracker.answered(ROUTE, request)
+        await trio.sleep(since_answer)
+    for number in range(lost):
+        tracker.connection_lost(ROUTE, request, TargetId(f"t{number}"))
+    assert (tracker.check(ROUTE, request) is not None) is held
+
+
+async def test_answers_are_remembered_in_bounded_memory(autojump_clock):
+    tracker = make_trackers()[0]
+    for number in range(MAX_ANSWERED + 100):
+        tracker.answered(ROUTE, make_request(path=b"/%d" % number))
+    assert len(tracker.answers) == MAX_ANSWERED
--- a/agatetack/testing/test_replay.py
+++ b/agatetack/testing/test_replay.py
@@ -17,7 +17,14 @@
     assert not findings, "\n".join(findings)
 
 
-@pytest.mark.parametrize(("name", "seed"), [("crashing-request", 100)])
+@pytest.mark.parametrize(
+    ("name", "seed"),
+    [
+        ("crashing-request", 50),
+        ("crashing-request", 100),
+        ("crashing-request", 330),
+    ],
+)
 def test_trace_ends_as_stated_by_other_choices(name, seed):
     trace = load_trace(next(path for path in TRACES if path.stem == name))
     trace.about.seed = seed
