Test a loss of records beside lost readers, compaction, a replaced fleet, old seeds

Cases of the users' list that had no test: the first readers refused, silent, gone or cut off with and without compaction; half of the hosts of an older version; a host that starts from a seed which has not heard.

--- a/agatetack/keyed/test_store_restored.py
+++ b/agatetack/keyed/test_store_restored.py
@@ -428,3 +428,107 @@
         await trio.sleep(KNOWN_SECONDS)
         assert one.kept.values == other.kept.values == expected(store)
         nursery.cancel_scope.cancel()
+
+
+def first_readers(fleet):
+    """Return the hosts that read all keys of a new generation at once."""
+    places = {host: host.follower.readers.place(NAME) for host in fleet}
+    return [h for h, p in places.items() if p is not None and p < FIRST_READERS]
+
+
+# Guards against a fleet that waits for readers which can't tell it anything.
+@pytest.mark.parametrize("fault", ["refused", "hanging", "gone", "cut"])
+@pytest.mark.parametrize("compacted", [False, True])
+async def test_changes_are_known_when_the_first_readers_are_lost_with_records(
+    autojump_clock, fault, compacted
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net, fleet = await start_readers(nursery, store)
+        copy = store.copy()
+        fill(store, 3, "lost")
+        await trio.sleep(KNOWN_SECONDS)
+        lost = first_readers(fleet)
+        assert len(lost) == FIRST_READERS
+        for host in lost:
+            name = host.sharing.exchange.host
+            if fault == "gone":
+                net.leave(name)
+            elif fault == "cut":
+                net.isolate(name)
+            else:
+                setattr(host.topic, fault, True)
+                host.follower.reading.cancel()
+        store.restore(copy)
+        fill(store, 2, "new")
+        if compacted:
+            store.compact(NAME)
+        others = [host for host in fleet if host not in lost]
+        await trio.sleep(2 * KNOWN_SECONDS)
+        assert all(host.kept.values == expected(store) for host in others)
+        nursery.cancel_scope.cancel()
+
+
+class UnnamedStore:
+    """A store as hosts of an older version see it: of no generation."""
+
+    generation = None
+
+    def __init__(self, store):
+        self.store = store
+
+    def __getattr__(self, name):
+        """Return what the store has."""
+        return getattr(self.store, name)
+
+
+@pytest.mark.parametrize("lost", [False, True])
+async def test_a_fleet_that_is_being_replaced_keeps_up(autojump_clock, lost):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net = MemoryMesh(nursery)
+        older = [
+            TopicHost(UnnamedStore(store), net.join(f"old{n}"))
+            for n in range(10)
+        ]
+        newer = [TopicHost(store, net.join(f"new{n}")) for n in range(10)]
+        for host in older + newer:
+            await trio.sleep(0.037)
+            host.start(nursery)
+        await trio.sleep(KNOWN_SECONDS)
+        copy = store.copy()
+        fill(store, 3, "lost")
+        await trio.sleep(KNOWN_SECONDS)
+        assert all(h.kept.values == expected(store) for h in older + newer)
+        if lost:
+            store.restore(copy)
+        fill(store, 2, "new")
+        await trio.sleep(KNOWN_SECONDS)
+        assert all(host.kept.values == expected(store) for host in newer)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("behind", [True, False])
+async def test_a_host_that_starts_from_a_seed_that_has_not_heard_catches_up(
+    autojump_clock, behind
+):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net, hosts = await start_two(nursery, store)
+        copy = store.copy()
+        fill(store, 3, "lost")
+        await trio.sleep(1)
+        page, _ = hosts[0].follower.records_since(None)
+        store.restore(copy)
+        fill(store, 1 if behind else 4, "new")
+        starting = TopicHost(store, net.join("h3"))
+        starting.generations.note(page.generation, GenerationSource.SEED, "h1")
+        starting.follower.start_from(page, in_touch=True)
+        starting.sharing.readers.trust(NAME)
+        starting.start(nursery)
+        await trio.sleep(2 * KNOWN_SECONDS)
+        assert starting.kept.values == expected(store)
+        nursery.cancel_scope.cancel()
