Share the fixtures of registrations and of a scripted peer; ask every share of a probe

Tests keep their assertions. AllShares passed on sends and not probes; the prober is given the share of rates itself, so nothing changes for it.

--- a/agatetack/balance/target_share.py
+++ b/agatetack/balance/target_share.py
@@ -95,3 +95,12 @@
         """Tell each share of a request."""
         for share in self.shares:
             share.taken(target)
+
+    def may_probe(self, target: TargetState) -> bool:
+        """Return whether every share lets this host probe `target`."""
+        return all(share.may_probe(target) for share in self.shares)
+
+    def probed(self, target: TargetState) -> None:
+        """Tell each share of a probe."""
+        for share in self.shares:
+            share.probed(target)
--- a/agatetack/hosts/test_lost_records.py
+++ b/agatetack/hosts/test_lost_records.py
@@ -27,24 +27,14 @@
 from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.memory_topic import NAME
+from agatetack.testing.server_entry import server_entry
 from agatetack.testing.topic_fleet import SETTINGS, TopicHost
 
 KNOWN_SECONDS = 2.0
 
 
-def entry(sequence=1, state="ready", born=0):
-    return orjson.dumps(
-        {
-            "address": "10.0.0.1:80",
-            "born": born,
-            "info": {"service": "s", "version": "1", "zone": "z", "slots": 2},
-            "status": {
-                "state": state,
-                "sequence": sequence,
-                "warmup_left": "0ms",
-            },
-        }
-    )
+def entry(sequence=1, state="ready"):
+    return server_entry(0, sequence, state)
 
 
 DRAINING = entry(5, "draining")
--- a/agatetack/hosts/test_registered_targets.py
+++ b/agatetack/hosts/test_registered_targets.py
@@ -1,6 +1,5 @@
 """Test which registered targets are believed, through outages of the store."""
 
-import orjson
 import pytest
 import trio
 
@@ -11,25 +10,10 @@
 from agatetack.metrics import Metrics
 from agatetack.platform.registrations import ServerDecoder
 from agatetack.settings.defaults import default_settings
+from agatetack.testing.server_entry import server_entry as entry
 
 DOUBT = 2.0
 
-
-def entry(born=1000, sequence=1, state="ready"):
-    return orjson.dumps(
-        {
-            "address": "10.0.0.1:80",
-            "born": born,
-            "info": {"service": "s", "version": "1", "zone": "z", "slots": 2},
-            "status": {
-                "state": state,
-                "sequence": sequence,
-                "warmup_left": "0ms",
-            },
-        }
-    )
-
-
 READY = entry()
 DRAINING = entry(sequence=2, state="draining")
 
--- a/agatetack/keyed/test_store_restored.py
+++ b/agatetack/keyed/test_store_restored.py
@@ -256,6 +256,17 @@
         nursery.cancel_scope.cancel()
 
 
+async def start_beside(nursery, store, answer):
+    """Start a host beside a peer that gives `answer`; return both."""
+    mesh = MemoryMesh(nursery)
+    peer = mesh.join("h1")
+    peer.serve(Topic.TOPIC_RECORDS, answer)
+    host = TopicHost(store, mesh.join("h2"))
+    host.start(nursery)
+    await trio.sleep(1)
+    return peer, host
+
+
 def ends_of(end, **fields):
     return encode(wire.TopicEnds([wire.TopicEnd(NAME, end, **fields)]))
 
@@ -279,15 +290,13 @@
         )
 
     async with trio.open_nursery() as nursery:
-        mesh = MemoryMesh(nursery)
-        other = mesh.join("h1")
-        other.serve(Topic.TOPIC_RECORDS, answer)
-        host = TopicHost(store, mesh.join("h2"))
-        host.start(nursery)
-        await trio.sleep(1)
-        news = wire.Records(1000, True, [wire.Record("k1", b"old", 900)])
+        other, host = await start_beside(nursery, store, answer)
         news = wire.Records(
-            1000, False, news.records, True, generation=generation
+            1000,
+            False,
+            [wire.Record("k1", b"old", 900)],
+            True,
+            generation=generation,
         )
         fields = {"first": 5, "news": news} if with_news else {}
         payload = ends_of(1000, generation=generation, **fields)
@@ -321,12 +330,7 @@
         )
 
     async with trio.open_nursery() as nursery:
-        mesh = MemoryMesh(nursery)
-        other = mesh.join("h1")
-        other.serve(Topic.TOPIC_RECORDS, answer)
-        host = TopicHost(store, mesh.join("h2"))
-        host.start(nursery)
-        await trio.sleep(1)
+        other, host = await start_beside(nursery, store, answer)
         host.topic.hanging = True
         other.publish(Topic.TOPIC_RECORDS, ends_of(2, generation=3))
         await trio.sleep(0.8)
@@ -376,12 +380,7 @@
         return encode(told)
 
     async with trio.open_nursery() as nursery:
-        mesh = MemoryMesh(nursery)
-        other = mesh.join("h1")
-        other.serve(Topic.TOPIC_RECORDS, answer)
-        host = TopicHost(store, mesh.join("h2"))
-        host.start(nursery)
-        await trio.sleep(1)
+        other, host = await start_beside(nursery, store, answer)
         host.follower.readers.heard(NAME)
         word = ends_of(9, generation=1)
         if not asked:
