--- a/agatetack/attempts/once.py
+++ b/agatetack/attempts/once.py
@@ -7,7 +7,6 @@
 
 from agatetack.admission.controller import AdmissionController, PermitRequest
 from agatetack.attempts.fleet_budget import FleetBudget
-from agatetack.attempts.ids import new_attempt_id
 from agatetack.attempts.rules import failure_refusal, retry_reason
 from agatetack.attempts.single import AttemptPlan, SingleAttempt
 from agatetack.claims.store import Claim, ClaimStore
@@ -18,6 +17,7 @@
 from agatetack.outcomes import Outcome, Refusal
 from agatetack.settings.model import Settings
 from agatetack.targets.client import AttemptFailure, Freshness
+from agatetack.unique import new_attempt_id
 
 RELEASE_SHARE = 0.1
 """Share of the time left that is kept for releasing an unused claim."""
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -6,7 +6,6 @@
 from returns.result import Failure, Result, Success
 
 from agatetack.admission.controller import AttemptResult, Permit
-from agatetack.attempts.ids import new_attempt_id
 from agatetack.config.route import Route
 from agatetack.decisions import DecisionLog, age
 from agatetack.ids import AttemptId, Deadline
@@ -31,6 +30,7 @@
     TargetClient,
 )
 from agatetack.targets.state import TargetState
+from agatetack.unique import new_attempt_id
 
 ATTEMPT_RESULTS = {
     RefusalReason.SHED_BY_TARGET: AttemptResult.SHED,
--- a/agatetack/deferred/queue.py
+++ b/agatetack/deferred/queue.py
@@ -29,17 +29,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TicketRefusal(Refusal):
-    """A refusal about a ticket, which its caller may still poll.
-
-    Attributes:
-        ticket: What to send in the ticket header along with the refusal.
-    """
-
-    ticket: TicketId = TicketId("")
-
-
 class DeferredQueue(abc.ABC):
     """Requests that may wait; kept in the platform's log."""
 
--- a/agatetack/deferred/submitter.py
+++ b/agatetack/deferred/submitter.py
@@ -11,7 +11,6 @@
 from agatetack.deferred.counters import Counters
 from agatetack.deferred.fold import Ticket
 from agatetack.deferred.partition import Partition
-from agatetack.deferred.queue import TicketRefusal
 from agatetack.deferred.records import (
     identity_of,
     make_submission,
@@ -21,7 +20,7 @@
 from agatetack.generated.deferred.ttypes import Entry
 from agatetack.ids import Deadline, TicketId
 from agatetack.messages import Body, CallerGone, CallerRequest
-from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.outcomes import Refusal, RefusalReason, TicketRefusal, refuse
 from agatetack.settings.model import Settings
 
 MAX_DOUBTFUL = 100
--- a/agatetack/deferred/test_log_queue.py
+++ b/agatetack/deferred/test_log_queue.py
@@ -7,10 +7,10 @@
 import trio
 from returns.result import Failure, Success
 
-from agatetack.deferred.queue import TicketRefusal, TicketState
+from agatetack.deferred.queue import TicketState
 from agatetack.ids import TicketId
 from agatetack.messages import Header
-from agatetack.outcomes import Outcome, RefusalReason
+from agatetack.outcomes import Outcome, RefusalReason, TicketRefusal
 from agatetack.testing.deferred_fleet import (
     ROUTE,
     DeferredFleet,
--- a/agatetack/gateway.py
+++ b/agatetack/gateway.py
@@ -15,10 +15,12 @@
 from agatetack.hosts.host_list import HostList
 from agatetack.ids import Deadline
 from agatetack.record_log.log import Log
-from agatetack.serving.runners import (
+from agatetack.serving.deferred_runners import (
     DeferredRunner,
-    FastRunner,
     LowPriorityExecutor,
+)
+from agatetack.serving.runners import (
+    FastRunner,
     OnceClassRunner,
     WholeRunner,
 )
--- a/agatetack/keyed/messages.py
+++ b/agatetack/keyed/messages.py
@@ -1,14 +1,26 @@
-"""Turn what a follower knows into messages between hosts, and back."""
+"""Turn what a follower knows into messages between hosts, and back.
+
+A store that lost records still has most of what hosts know, and so has one that
+forgot its history. The host that asks names what it holds by hashes; the one
+that answers tells which of these the store has, and sends what is left.
+"""
 
 from collections.abc import Sequence
 
+import xxhash
+
 from agatetack.generated.keyed import ttypes as wire
 from agatetack.ids import LogOffset, StoreGeneration
 from agatetack.keyed.follower import TopicFollower
 from agatetack.keyed.generations import NOT_NAMED
-from agatetack.keyed.held import join_held, split_held
 from agatetack.keyed.topic import KeyedRecord, TopicPage, TopicPosition
 
+HASH_BYTES = 8
+
+
+class MalformedHolding(ValueError):
+    """A list of hashes, or the answer to one, can't be read."""
+
 
 def records_since(
     follower: TopicFollower,
@@ -76,3 +88,72 @@
 
 def _record(record: wire.Record) -> KeyedRecord:
     return KeyedRecord(record.key, record.value, LogOffset(record.offset))
+
+
+def hash_records(records: Sequence[KeyedRecord]) -> bytes:
+    """Return the hashes of `records`, which all have a value."""
+    return b"".join(map(_hash, records))
+
+
+def split_held(
+    records: Sequence[KeyedRecord], hashes: bytes
+) -> tuple[bytes, Sequence[KeyedRecord]]:
+    """Return which hashes are of one of `records`, and the other records.
+
+    Args:
+        records: Records with a value.
+        hashes: What another host holds.
+
+    Returns:
+        One bit for each hash, the first one the lowest of the first byte; and
+        the records of which no hash was named.
+
+    Raises:
+        MalformedHolding: `hashes` has half a hash.
+    """
+    if len(hashes) % HASH_BYTES:
+        raise MalformedHolding(f"{len(hashes)} bytes of hashes")
+    by_hash = {_hash(record): record for record in records}
+    bits = 0
+    for number in range(len(hashes) // HASH_BYTES):
+        start = number * HASH_BYTES
+        if by_hash.pop(hashes[start : start + HASH_BYTES], None) is not None:
+            bits |= 1 << number
+    return bits.to_bytes(_bytes_of(hashes), "little"), [*by_hash.values()]
+
+
+def join_held(
+    held: Sequence[KeyedRecord], bits: bytes, end: LogOffset
+) -> Sequence[KeyedRecord]:
+    """Return those of `held` that the answering host found in the store.
+
+    Args:
+        held: The records of which the hashes were sent, in their order.
+        bits: The answer.
+        end: The end of the topic; the records stand before it.
+
+    Raises:
+        MalformedHolding: `bits` is not of these records.
+    """
+    if len(bits) != _bytes_of(held):
+        raise MalformedHolding(f"{len(bits)} bytes for {len(held)} records")
+    number = int.from_bytes(bits, "little")
+    if number >> len(held):
+        raise MalformedHolding("a record that was not named")
+    last = LogOffset(max(0, end - 1))
+    return [
+        KeyedRecord(record.key, record.value, min(record.offset, last))
+        for place, record in enumerate(held)
+        if number >> place & 1
+    ]
+
+
+def _bytes_of(held: Sequence) -> int:
+    """Return the bytes of one bit for each record, or for each hash."""
+    count = len(held) // HASH_BYTES if isinstance(held, bytes) else len(held)
+    return (count + 7) // 8
+
+
+def _hash(record: KeyedRecord) -> bytes:
+    content = record.key.encode() + b"\0" + (record.value or b"")
+    return xxhash.xxh64_digest(content)
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -18,8 +18,13 @@
     GenerationSource,
     StoreGenerations,
 )
-from agatetack.keyed.held import MalformedHolding, hash_records
-from agatetack.keyed.messages import carried_of, page_of, records_since
+from agatetack.keyed.messages import (
+    MalformedHolding,
+    carried_of,
+    hash_records,
+    page_of,
+    records_since,
+)
 from agatetack.keyed.readers import FleetReaders
 from agatetack.keyed.topic import KeyedRecord, TopicPage, TopicPosition
 from agatetack.metrics import Metrics
--- a/agatetack/outcomes.py
+++ b/agatetack/outcomes.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 
-from agatetack.ids import Deadline
+from agatetack.ids import Deadline, TicketId
 
 
 class Outcome(enum.Enum):
@@ -143,6 +143,17 @@
         return REASON_RULES[self.reason].status
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketRefusal(Refusal):
+    """A refusal about a ticket, which its caller may still poll.
+
+    Attributes:
+        ticket: What to send in the ticket header along with the refusal.
+    """
+
+    ticket: TicketId = TicketId("")
+
+
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that callers take as a promise that the request did not run."""
 
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -11,7 +11,6 @@
 from agatetack.callers.problem import refusal_answer, refusal_status
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.decisions import DecisionLog, Importance
-from agatetack.deferred.queue import TicketRefusal
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
 from agatetack.messages import (
@@ -22,7 +21,13 @@
     Header,
 )
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
+from agatetack.outcomes import (
+    Outcome,
+    Refusal,
+    RefusalReason,
+    TicketRefusal,
+    refuse,
+)
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.serving.explain import Explanations
 from agatetack.serving.split import Splitter
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -12,7 +12,6 @@
     RouteSource,
     RouteTable,
 )
-from agatetack.deferred.queue import TicketRefusal
 from agatetack.ids import (
     CallerId,
     Deadline,
@@ -33,7 +32,13 @@
     find_header,
 )
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Outcome, RefusalReason, RetryReason, refuse
+from agatetack.outcomes import (
+    Outcome,
+    RefusalReason,
+    RetryReason,
+    TicketRefusal,
+    refuse,
+)
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.serving.dispatcher import ClassRunner, Dispatcher
 from agatetack.serving.explain import Explanations
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -13,10 +13,9 @@
 from agatetack.hosts.evacuations import Evacuations
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
-from agatetack.keyed.fan_out import FanOutReader
 from agatetack.keyed.follower import ReadCounters, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
-from agatetack.keyed.reader import TopicReader
+from agatetack.keyed.reader import FanOutReader, TopicReader
 from agatetack.keyed.seeds import SeedClient, SeedServer
 from agatetack.keyed.sharing import TopicSharing
 from agatetack.keyed.topic import KeyedTopic
--- a/agatetack/testing/topic_fleet.py
+++ b/agatetack/testing/topic_fleet.py
@@ -2,10 +2,9 @@
 
 import trio
 
-from agatetack.keyed.fan_out import FanOutReader
 from agatetack.keyed.follower import ReadCounters, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
-from agatetack.keyed.reader import TopicReader
+from agatetack.keyed.reader import FanOutReader, TopicReader
 from agatetack.keyed.sharing import TopicSharing
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
--- a/agatetack/unique.py
+++ b/agatetack/unique.py
@@ -3,6 +3,8 @@
 import itertools
 import os
 
+from agatetack.ids import AttemptId
+
 _prefix = os.urandom(9).hex()
 _numbers = itertools.count()
 
@@ -14,3 +16,8 @@
     bits for each name would cost a system call.
     """
     return f"{_prefix}-{next(_numbers):x}"
+
+
+def new_attempt_id() -> AttemptId:
+    """Return an id of an attempt."""
+    return AttemptId(unique_name())
