--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -130,7 +130,7 @@
             CallFailed: No complete reply came before the deadline.
         """
         # Loaded here, as a host that starts from what another one has read
-        # makes no call; it is 40 ms of the 0.55 s of a start.
+        # makes no call.
         import httpcore
 
         if self.generation is None:
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -23,8 +23,8 @@
 LEAST_READERS = 12
 """Hosts at least that read a topic for the fleet.
 
-The store may turn away a third of all hosts at once without a word; that it
-does so with all of twelve happens once in half a million times.
+The store may turn away a third of all hosts at once without a word, and hardly
+ever all of these.
 """
 
 LEAST_LEADERS = 8
@@ -45,17 +45,17 @@
 
 DOUBT_SECONDS = 5.0
 """How long a host reads for itself to which a peer did not give what it told
-of. A large document takes longer than that from a peer whose bytes are bounded,
-when several hosts ask it at once; the store gives it in some ms."""
+of. A large document takes long from a peer whose bytes are bounded, when
+several hosts ask it at once."""
 
 TRUST_SECONDS = 2.0
 """How long a host that was told at its start what is in the store waits for
-links with those that read it. Until it is listed they refuse it, which takes
-0.1 s until its seed registers it and 0.5 s until the readers read that."""
+links with those that read it. They refuse it until its seed has registered it
+and they have read that."""
 
 CHOICE_SECONDS = 0.3
-"""How often readers are chosen anew; with 116 hosts it takes a quarter of a ms.
-Readers that are gone stop to tell meanwhile, which is noticed by itself."""
+"""How often readers are chosen anew. That one is gone is noticed sooner, as it
+tells nothing any more."""
 
 
 class ReaderChoice(abc.ABC):
@@ -153,7 +153,7 @@
         """Let this host read `topic` itself for a while, whoever tells.
 
         Not one that was just told all there is: peers of a fleet that starts
-        are busy, and 47 doubts of 20 hosts cost some 400 reads of the store.
+        are busy, and each doubt costs reads of the store.
         """
         now = trio.current_time()
         if now >= self.trusted_until.get(topic, -math.inf):
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -47,9 +47,8 @@
 
 NEWS_BYTES = 8192
 """Most bytes of records that are told at once and not only asked for; some 40
-registrations of targets. Asked for, each record cost every host of a fleet a
-call and its reply; those whose reply was late then read the store for
-themselves: 17 of 20 hosts of a fleet of 116 that started together."""
+registrations of targets. Asked for, each costs every host a call and its reply,
+and those whose reply is late read the store for themselves."""
 
 FETCH_SECONDS = 1.0
 """Longest time for a peer to answer a host that reads for itself, too."""
@@ -111,8 +110,7 @@
         if end is None:
             return
         # Each failure domain has readers of its own, and bytes between them
-        # are paid for: told to all by all readers, news cost 0.004 GB of the
-        # 0.02 to 0.03 that 18 hosts sent between domains in 40 s.
+        # are paid for.
         self._publish([end], Scope.ELSEWHERE)
         news = records_since(follower, before)
         if not news.whole and _count_bytes(news) <= NEWS_BYTES:
