Keep what is known of a topic apart from how it is read

What a host knows of a topic, how far it is read and what holds of it after a loss is TopicContent now, beside the records that it carries; the follower reads, waits and tells. Behaviour as it was; tests change only by the names.

--- a/agatetack/hosts/test_lost_records.py
+++ b/agatetack/hosts/test_lost_records.py
@@ -247,8 +247,10 @@
         play.add_host()
         if seeded:
             told = play.hosts[0].follower
-            page, _ = told.records_since(None)
-            carried = [each.record for each in told.carried.records.values()]
+            page, _ = told.content.records_since(None)
+            carried = [
+                each.record for each in told.content.carried.records.values()
+            ]
             play.hosts[-1].follower.start_from(page, True, carried)
         await trio.sleep(KNOWN_SECONDS)
         assert versions(play) == {24}
--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -2,13 +2,17 @@
 
 import math
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
 from agatetack.decisions import DecisionLog, age
 from agatetack.ids import Deadline, LogOffset
-from agatetack.keyed.carried import CarriedEnd, CarriedRecords
+from agatetack.keyed.content import (
+    MOST_NAMED_KEYS,
+    CarriedEnd,
+    TopicContent,
+)
 from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.readers import EveryHost, ReaderChoice
@@ -38,9 +42,6 @@
 """By how much that time differs between hosts, so that hundreds of them that
 nobody tells do not read at once."""
 
-MOST_NAMED_KEYS = 20
-"""Keys that one line of the log names; others are counted."""
-
 MOST_BACKOFFS = 2
 """How often the pause after failed calls doubles."""
 
@@ -92,14 +93,9 @@
     over until it is written again.
 
     Attributes:
-        position: How far the topic is read, or None before the first read.
-        truncated: Whether what follows `position` is no longer kept.
+        content: What is known of the topic, and how far it is read.
+        truncated: Whether what follows there is no longer kept.
         generations: The generations of the store.
-        carried: Records of earlier generations that still hold.
-        changes: How often what holds has changed.
-        known: The newest record of each key in the store, removals since
-            `known_from` included.
-        known_from: The offset from which on removals are known too.
         readers: Tells whether this host reads, or leaves it to others.
         advanced: Called with this follower when it has read on, and with its
             position before.
@@ -123,13 +119,9 @@
         self.name = name
         self.topic = topic
         self.reader = reader
-        self.position: TopicPosition | None = None
+        self.content = TopicContent(name, reader)
         self.truncated = False
         self.generations = generations
-        self.carried = CarriedRecords(reader)
-        self.changes = 0
-        self.known: dict[str, KeyedRecord] = {}
-        self.known_from = LogOffset(0)
         self.readers: ReaderChoice = EveryHost()
         self.advanced: Callable[[TopicFollower, TopicPosition | None], None] = (
             _tell_nobody
@@ -144,17 +136,12 @@
         self.counters = counters
         generations.watchers.append(self._end_outdated_read)
 
-    @property
-    def next_offset(self) -> LogOffset | None:
-        """Return the offset to read next, or None before the first read."""
-        return None if self.position is None else self.position.offset
-
     @property
     def is_outdated(self) -> bool:
         """Return whether the store has lost records since this was read."""
-        if self.position is None:
+        if self.content.position is None:
             return False
-        return self.position.generation < self.generations.newest
+        return self.content.position.generation < self.generations.newest
 
     def _end_outdated_read(self) -> None:
         """Give up a read that waits for what follows a lost position."""
@@ -176,7 +163,9 @@
             except TopicTruncated:
                 self._count("truncated")
                 log.note(
-                    "topic-truncated", topic=self.name, offset=self.next_offset
+                    "topic-truncated",
+                    topic=self.name,
+                    offset=self.content.next_offset,
                 )
                 # Of another generation it can be told by peers, too.
                 self.truncated = not self.is_outdated
@@ -205,13 +194,13 @@
     @property
     def leaves_it_to_others(self) -> bool:
         """Return whether this host knows the topic and need not read it."""
-        known = self.reachable and self.position is not None
+        known = self.reachable and self.content.position is not None
         if not known or self.truncated:
             return False
         return not self.readers.must_read(self.name)
 
     async def _read(self) -> None:
-        position = self.position
+        position = self.content.position
         if position is None or self.truncated or self.is_outdated:
             page = await self.topic.newest(self._deadline(0.0))
             self._answered("all")
@@ -267,7 +256,9 @@
             sound: Whether the store has been there for the peer lately.
             carried: Records of earlier generations that hold for the peer.
         """
-        if not self.is_behind(page.position) or not self._may_be_of(page):
+        if not self.content.is_behind(page.position) or not self._may_be_of(
+            page
+        ):
             return
         if not whole and not self._follows(page):
             self._count("peer-partial")
@@ -276,7 +267,7 @@
         log.note(
             "topic-from-peer",
             topic=self.name,
-            before=self.next_offset,
+            before=self.content.next_offset,
             end=page.end,
             generation=page.generation,
             sound=sound,
@@ -291,22 +282,20 @@
 
     def _follows(self, page: TopicPage) -> bool:
         """Return whether `page` is of the generation that is read here."""
-        if self.position is None:
+        if self.content.position is None:
             return False
-        return page.generation == self.position.generation
+        return page.generation == self.content.position.generation
 
     def take_carried(self, carried: Sequence[KeyedRecord]) -> None:
         """Take what holds for a peer though the store has lost it."""
-        candidates = [each.record for each in self.carried.records.values()]
-        self.carried.choose([*candidates, *carried], self.known)
-        self.changes += 1
+        records = self.content.carry(carried)
         log.note(
             "carried-from-peer",
             topic=self.name,
-            keys=sorted(self.carried.records)[:MOST_NAMED_KEYS],
-            count=len(self.carried.records),
+            keys=sorted(self.content.carried.records)[:MOST_NAMED_KEYS],
+            count=len(self.content.carried.records),
         )
-        self.reader.take_all(self.carried.laid_over(self.known))
+        self.reader.take_all(records)
         self._tell_lost()
         self._show_carried()
 
@@ -325,7 +314,7 @@
                 callers until the store is back, and reads for itself.
             carried: Records of earlier generations that hold for that host.
         """
-        if self.position is not None or not self._may_be_of(page):
+        if self.content.position is not None or not self._may_be_of(page):
             return
         self._count("seed")
         log.note(
@@ -357,28 +346,6 @@
             return False
         return self.reachable and not self.leaves_it_to_others
 
-    def is_behind(self, position: TopicPosition) -> bool:
-        """Return whether somebody who has read up to there knows more."""
-        return self.position is None or self.position < position
-
-    def records_since(
-        self, first: TopicPosition | None
-    ) -> tuple[TopicPage, bool]:
-        """Return what followed `first`, or all keys, and whether it is all."""
-        whole = (
-            first is None
-            or first.generation != self.position.generation
-            or first.offset < max(self.known_from, 1)
-        )
-        records = [
-            record
-            for record in self.known.values()
-            if record.value is not None or not whole
-            if whole or record.offset >= first.offset
-        ]
-        position = self.position
-        return TopicPage(records, position.offset, position.generation), whole
-
     def _take(
         self,
         page: TopicPage,
@@ -386,15 +353,14 @@
         sound: bool = False,
         carried: Sequence[KeyedRecord] = (),
     ) -> None:
-        before = self.position
-        self.changes += 1
+        before = self.content.position
+        carried_before = len(self.content.carried.records)
+        records = self.content.merge(page, whole, carried)
         if whole:
-            records = self._merge_all(page, carried)
             self.truncated = False
         else:
-            records = self._merge_new(page)
-        if before is None or page.position > before:
-            self.position = page.position
+            count = carried_before - len(self.content.carried.records)
+            self._count_ended(CarriedEnd.REPLACED, count)
         if sound:
             self.reader.take_sound(records, whole)
         elif whole:
@@ -404,92 +370,28 @@
         if whole:
             self._tell_lost()
         self._show_carried()
-        if self.position != before:
+        if self.content.position != before:
             self.advanced(self, before)
 
-    def _merge_all(
-        self, page: TopicPage, carried: Sequence[KeyedRecord]
-    ) -> Sequence[KeyedRecord]:
-        """Take all keys that the store has; return what holds of all."""
-        before, known = self.position, self.known
-        self.known = {record.key: record for record in page.records}
-        self.known_from = page.end
-        candidates = {key: c.record for key, c in self.carried.records.items()}
-        lost = before is not None and before.generation < page.generation
-        if lost:
-            candidates = {**known, **candidates}
-        else:
-            # That a key was removed may matter once the store has lost it.
-            removed_at = LogOffset(max(0, page.end - 1))
-            for key in known.keys() - self.known.keys():
-                self.known[key] = KeyedRecord(key, None, removed_at)
-        self.carried.choose([*candidates.values(), *carried], self.known)
-        if lost:
-            self._note_lost(page, before, known)
-        return self.carried.laid_over(self.known)
-
-    def _merge_new(self, page: TopicPage) -> Sequence[KeyedRecord]:
-        """Take records that follow; return those that hold."""
-        # A peer may have brought some of them already.
-        records = [r for r in page.records if r.offset >= self.position.offset]
-        self.known.update((record.key, record) for record in records)
-        carried = len(self.carried.records)
-        holding = [r for r in records if not self.carried.outlasts(r)]
-        self._count_ended(
-            CarriedEnd.REPLACED, carried - len(self.carried.records)
-        )
-        return holding
-
-    def _note_lost(
-        self,
-        page: TopicPage,
-        before: TopicPosition,
-        known: Mapping[str, KeyedRecord],
-    ) -> None:
-        kept = self.carried.records
-        log.note(
-            "topic-restored",
-            topic=self.name,
-            generation=page.generation,
-            end=page.end,
-            records=len(page.records),
-            before_generation=before.generation,
-            before=before.offset,
-            learned=age(self.generations.learned_at),
-            carried=sorted(kept)[:MOST_NAMED_KEYS],
-            carried_count=len(kept),
-            dropped_count=sum(
-                record.value is not None
-                and key not in self.known
-                and key not in kept
-                for key, record in known.items()
-            ),
-        )
-
     def _tell_lost(self) -> None:
-        lost = self.carried.lost(self.known)
+        lost = self.content.carried.lost(self.content.known)
         self.reader.take_lost(lost, self.readers.place(self.name))
 
     async def _end_carried(self) -> None:
         """Give up records that hold no more, until cancelled."""
         while True:
-            await self.carried.until_due()
-            keys = self.carried.expire()
-            if not keys:
+            await self.content.carried.until_due()
+            records = self.content.expire()
+            if not records:
                 continue
-            self.changes += 1
-            self._count_ended(CarriedEnd.EXPIRED, len(keys))
+            self._count_ended(CarriedEnd.EXPIRED, len(records))
             log.note(
                 "carried-expired",
                 topic=self.name,
-                keys=sorted(keys)[:MOST_NAMED_KEYS],
-                count=len(keys),
-            )
-            # What the store has of these keys holds from now on.
-            gone = [KeyedRecord(key, None, self.next_offset) for key in keys]
-            self.reader.take_new(
-                [self.known.get(each.key, each) for each in gone]
+                keys=sorted(r.key for r in records)[:MOST_NAMED_KEYS],
+                count=len(records),
             )
+            self.reader.take_new(records)
             self._show_carried()
 
     def _count_ended(self, result: CarriedEnd, count: int) -> None:
@@ -498,7 +400,7 @@
             self.counters.carried_ends.add(labels, count)
 
     def _show_carried(self) -> None:
-        count = len(self.carried.records)
+        count = len(self.content.carried.records)
         self.counters.carried.set({"topic": self.name}, count)
 
     def _answered(self, result: str) -> None:
@@ -513,7 +415,7 @@
                 "store-out-of-touch",
                 topic=self.name,
                 cause=cause,
-                offset=self.next_offset,
+                offset=self.content.next_offset,
                 age=self.age_seconds(),
             )
         if self.reachable:
@@ -537,7 +439,7 @@
 
     def _pause(self) -> float:
         doublings = min(self.failures - 1, MOST_BACKOFFS)
-        if self.position is None:
+        if self.content.position is None:
             # A host that knows nothing refuses all callers until it does.
             doublings = 0
         pause = self.limits.retry_seconds * 2**doublings
--- a/agatetack/keyed/messages.py
+++ b/agatetack/keyed/messages.py
@@ -37,7 +37,7 @@
     Raises:
         MalformedHolding: `held` is no list of hashes.
     """
-    page, whole = follower.records_since(first)
+    page, whole = follower.content.records_since(first)
     records, bits = page.records, None
     if whole and held is not None:
         bits, records = split_held(records, held)
@@ -53,7 +53,9 @@
 
 
 def _carried(follower: TopicFollower) -> Sequence[wire.Record]:
-    records = [each.record for each in follower.carried.records.values()]
+    records = [
+        each.record for each in follower.content.carried.records.values()
+    ]
     return [wire.Record(r.key, r.value, r.offset, True) for r in records]
 
 
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -131,14 +131,15 @@
         self.members.register_other(request.host, request.member)
 
     def _knows_all(self) -> bool:
-        return all(each.position is not None for each in self.followers)
+        return all(each.content.position is not None for each in self.followers)
 
     def _reply(self) -> bytes:
         """Return the answer, which is the same until a topic goes on."""
         if not self._knows_all():
             return zlib.compress(encode(wire.StartReply([])))
         known = [
-            TopicState(each.changes, each.reachable) for each in self.followers
+            TopicState(each.content.changes, each.reachable)
+            for each in self.followers
         ]
         if known != self.content_of:
             topics = [_topic(each) for each in self.followers]
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -131,14 +131,14 @@
 
     def _end_of(self, follower: TopicFollower) -> wire.TopicEnd | None:
         """Return how far a topic is read, if this host may vouch for it."""
-        position = follower.position
+        position = follower.content.position
         if position is None or follower.is_outdated:
             return None
         end = wire.TopicEnd(
             follower.name,
             position.offset,
             generation=position.generation,
-            carried=len(follower.carried.records) or None,
+            carried=len(follower.content.carried.records) or None,
         )
         if not follower.vouches:
             age = self.readers.word_age(follower.name)
@@ -171,7 +171,9 @@
             self._take_news(follower, said, position)
             if said.topic in self.fetching or self.nursery is None:
                 continue
-            if follower.is_behind(position) or self._lacks(follower, said):
+            if follower.content.is_behind(position) or self._lacks(
+                follower, said
+            ):
                 self.fetching.add(said.topic)
                 self.nursery.start_soon(self._fetch, follower, sender, said)
 
@@ -180,7 +182,7 @@
 
         A host that started after the store lost records has not seen them.
         """
-        if not said.carried or follower.carried.records:
+        if not said.carried or follower.content.carried.records:
             return False
         asked_in = self.carried_asked_in.get(said.topic, NOT_NAMED)
         return asked_in < self.generations.newest
@@ -196,7 +198,7 @@
             return
         # A gap, and what a host that reads is behind, are asked for.
         first = TopicPosition(position.generation, LogOffset(said.first or 0))
-        known = follower.position
+        known = follower.content.position
         if known.generation == first.generation and known >= first:
             follower.take_from_peer(
                 page_of(said.news), said.news.whole, bool(said.news.sound)
@@ -208,10 +210,13 @@
         """Ask `peer` for what it has read, unless the store brings it first."""
         try:
             own_read = not follower.leaves_it_to_others
-            known = follower.position is not None and not follower.is_outdated
+            known = (
+                follower.content.position is not None
+                and not follower.is_outdated
+            )
             if known and own_read:
                 await trio.sleep(GRACE_SECONDS)
-            if follower.is_behind(_position(said.generation, said.end)):
+            if follower.content.is_behind(_position(said.generation, said.end)):
                 await self._ask(follower, peer)
             elif self._lacks(follower, said):
                 self.carried_asked_in[follower.name] = self.generations.newest
@@ -258,7 +263,7 @@
     def _request(
         self, follower: TopicFollower, again: bool
     ) -> wire.FetchRecords:
-        position = follower.position
+        position = follower.content.position
         if position is None or again:
             return wire.FetchRecords(follower.name, 0, NOT_NAMED)
         return wire.FetchRecords(
@@ -267,7 +272,7 @@
 
     def _held(self, follower: TopicFollower) -> Sequence[KeyedRecord]:
         """Return the records that need not be sent to this host."""
-        known = follower.known.values()
+        known = follower.content.known.values()
         return [record for record in known if record.value is not None]
 
     def _take_records(
@@ -284,10 +289,12 @@
             )
             return
         carried = carried_of(records)
-        if follower.is_behind(page.position):
+        if follower.content.is_behind(page.position):
             sound = bool(records.sound)
             follower.take_from_peer(page, records.whole, sound, carried)
-        elif carried and page.generation == follower.position.generation:
+        elif (
+            carried and page.generation == follower.content.position.generation
+        ):
             follower.take_carried(carried)
 
     async def _give(self, sender: HostId, payload: bytes) -> bytes | None:
@@ -301,12 +308,12 @@
             self._drop("fetch-malformed", sender, error)
             return None
         follower = self.followers.get(request.topic)
-        if follower is None or follower.position is None:
+        if follower is None or follower.content.position is None:
             return None
         generation = request.generation
         if generation is None:
             # A host of an older version means the generation that is read.
-            generation = follower.position.generation
+            generation = follower.content.position.generation
         first = _position(generation, request.first)
         try:
             records = records_since(follower, first, request.held)
--- a/agatetack/keyed/test_follower.py
+++ b/agatetack/keyed/test_follower.py
@@ -271,7 +271,7 @@
         ends = wire.TopicEnds([wire.TopicEnd(NAME, 1000)])
         mesh.hosts["h1"].publish(Topic.TOPIC_RECORDS, encode(ends))
         await trio.sleep(5)
-        assert empty.follower.next_offset is None
+        assert empty.follower.content.next_offset is None
         assert host.kept.values == expected(store)
         nursery.cancel_scope.cancel()
 
--- a/agatetack/keyed/test_store_restored.py
+++ b/agatetack/keyed/test_store_restored.py
@@ -520,7 +520,7 @@
         copy = store.copy()
         fill(store, 3, "lost")
         await trio.sleep(1)
-        page, _ = hosts[0].follower.records_since(None)
+        page, _ = hosts[0].follower.content.records_since(None)
         store.restore(copy)
         fill(store, 1 if behind else 4, "new")
         starting = TopicHost(store, net.join("h3"))
--- a/agatetack/testing/topic_fleet.py
+++ b/agatetack/testing/topic_fleet.py
@@ -120,7 +120,7 @@
         await trio.sleep(0.037)
         host.start(nursery)
     await trio.sleep(2)
-    page, _ = hosts[0].follower.records_since(None)
+    page, _ = hosts[0].follower.content.records_since(None)
     for host in hosts[HOSTS:]:
         host.follower.start_from(page, in_touch=True)
         host.sharing.readers.trust(NAME)
