--- a/agatetack/hosts/member_directory.py
+++ b/agatetack/hosts/member_directory.py
@@ -63,7 +63,8 @@
 
     Attributes:
         known: Whether the topic has been read.
-        known_records: What each host registered, as the store holds it.
+        known_records: What each host registered, as the store holds it or
+            held it before it was lost.
         waiting: Hosts that asked this one to register them.
         lost: Registrations that the store has lost, by host.
         place: This host's place among those that read the topic for all.
