Read, log and count how long targets ask this host to stay away

Retry-After of a target that turns a request away is read in one place, from answers to requests, looks and probes, also from those that bring no report. The line pushback names target and seconds, and what is sent there in that time is counted by kind, which tells a host that does not know of the wish from one that loses it again. Nothing is decided by it.

Decimal numbers in headers are read in headers.py for this and for rates. The fingerprint of requests and the directory's protocol move to the modules that define their neighbours, as a start may load no more modules than before.

--- a/agatetack/balance/test_targets_that_limit_their_rate.py
+++ b/agatetack/balance/test_targets_that_limit_their_rate.py
@@ -18,9 +18,9 @@
 import trio
 from returns.pipeline import is_successful
 
+from agatetack.headers import DecimalProblem
 from agatetack.messages import Header
 from agatetack.outcomes import Outcome, RefusalReason
-from agatetack.targets.rate_limit import RateProblem
 from agatetack.testing.limited_fleet import limited_fleet, most_within
 from agatetack.testing.targets import make_request, make_route
 
@@ -122,13 +122,13 @@
 @pytest.mark.parametrize(
     ("values", "problem"),
     [
-        ((b"",), RateProblem.NOT_A_NUMBER),
-        ((b"-1",), RateProblem.NOT_A_NUMBER),
-        ((b"0",), RateProblem.OUT_OF_RANGE),
-        ((b"nan",), RateProblem.NOT_A_NUMBER),
-        ((b"1e309",), RateProblem.NOT_A_NUMBER),
-        ((b"1.3", b"2"), RateProblem.REPEATED),
-        ((b"9" * 65_536,), RateProblem.TOO_LONG),
+        ((b"",), DecimalProblem.NOT_A_NUMBER),
+        ((b"-1",), DecimalProblem.NOT_A_NUMBER),
+        ((b"0",), DecimalProblem.OUT_OF_RANGE),
+        ((b"nan",), DecimalProblem.NOT_A_NUMBER),
+        ((b"1e309",), DecimalProblem.NOT_A_NUMBER),
+        ((b"1.3", b"2"), DecimalProblem.REPEATED),
+        ((b"9" * 65_536,), DecimalProblem.TOO_LONG),
     ],
 )
 async def test_an_answer_with_a_bad_rate_reaches_its_caller(
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -29,7 +29,7 @@
 from agatetack.measure.rounds import ProbeRounds
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
-from agatetack.peers.directory import GatewayDirectory
+from agatetack.peers.exchange import GatewayDirectory
 from agatetack.peers.mesh import PeerExchange
 from agatetack.quarantine.liveness import LivenessCheck, PoolLivenessCheck
 from agatetack.quarantine.local_tracker import LocalCrashTracker
@@ -154,7 +154,9 @@
             self.registry,
             self.peers,
             metrics,
-            HttpProbe(settings, load_reader, load_paths),
+            HttpProbe(
+                settings, load_reader, load_paths, self.registry.pushbacks
+            ),
             seed,
             self.rate_share,
         )
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -20,7 +20,8 @@
     ReadLoad,
     ReportedState,
 )
-from agatetack.targets.state import TargetState
+from agatetack.targets.pushbacks import Pushbacks
+from agatetack.targets.state import ReportSource, TargetState
 
 MAX_IDLE = 64
 """Most idle connections kept for later probes."""
@@ -68,6 +69,7 @@
         settings: Settings,
         load_reader: LoadReader | None = None,
         load_paths: Mapping[ServiceId, str] | None = None,
+        pushbacks: Pushbacks | None = None,
     ):
         """Keep the path and the names of the headers.
 
@@ -76,7 +78,10 @@
             load_reader: Reads load reports; by the headers of the settings
                 if None.
             load_paths: Load paths of services that have one of their own.
+            pushbacks: Told of answers that bring no report, too; nobody if
+                None.
         """
+        self.pushbacks = pushbacks
         self.settings = settings
         self.load_reader = load_reader or HeaderLoadReader(settings)
         self.load_paths = load_paths
@@ -141,6 +146,7 @@
                 raise EOFError
             used += len(data)
             parser.feed_data(data)
+        self._note_pushback(target, parser.get_status_code(), report)
         if parser.get_status_code() >= 500 and not report.headers:
             raise Malformed
         answer = read_report(report, self.load_reader, used)
@@ -149,6 +155,15 @@
             answer = dataclasses.replace(answer, instance=instance)
         return answer
 
+    def _note_pushback(
+        self, target: TargetState, status: int, report: ReportParser
+    ) -> None:
+        instance = report.headers.get(self.instance_name, target.id)
+        if self.pushbacks is not None and instance == target.id:
+            self.pushbacks.note_answer(
+                target, status, report.fields, ReportSource.PROBE
+            )
+
     def _keep(self, process: ProcessId, stream: PlainStream) -> None:
         if process in self.idle or len(self.idle) >= MAX_IDLE:
             stream.close()
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -195,7 +195,7 @@
         if not self.share.may_probe(target):
             return
         self.share.probed(target)
-        self.registry.rate_limits.note_sent(target, SendKind.PROBE)
+        self.registry.note_sent(target, SendKind.PROBE)
         timeout = self.settings.measure.probe_timeout_seconds
         deadline = Deadline(trio.current_time() + timeout)
         result = await self.client.probe(target, deadline, PROBE_BYTES)
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -4,7 +4,9 @@
 import dataclasses
 import enum
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
 
+from agatetack.hosts.host_list import ListedHost
 from agatetack.ids import Deadline, FailureDomain, HostId, TargetId
 
 
@@ -69,6 +71,16 @@
     """A peer did not answer a call in time."""
 
 
+class GatewayDirectory(Protocol):
+    """The platform's list of hosts as it was read last; maybe outdated."""
+
+    def gateways(self) -> Sequence[ListedHost]:
+        """Return the agatetack hosts of the list."""
+
+    def on_change(self, callback: Callable[..., None]) -> None:
+        """Call `callback`, with what changed, after each change."""
+
+
 class Exchange(abc.ABC):
     """Messages with the other hosts. Delivery is not guaranteed."""
 
--- a/agatetack/peers/members.py
+++ b/agatetack/peers/members.py
@@ -6,7 +6,7 @@
 from agatetack.clock import Clock
 from agatetack.hosts.host_list import ListedHost
 from agatetack.ids import Deadline, FailureDomain, HostId
-from agatetack.peers.directory import GatewayDirectory
+from agatetack.peers.exchange import GatewayDirectory
 
 INCARNATION_MEMORY_SECONDS = 60.0
 """How long a host's incarnation is remembered after it was last heard.
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -22,11 +22,11 @@
 from agatetack.peers.call_service import CallService
 from agatetack.peers.connector import Connector, ConnectorOwner
 from agatetack.peers.counters import PeerCounters
-from agatetack.peers.directory import GatewayDirectory
 from agatetack.peers.duplicates import Verdict
 from agatetack.peers.exchange import (
     CallHandler,
     Exchange,
+    GatewayDirectory,
     MessageHandler,
     Peer,
     Scope,
--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -20,9 +20,8 @@
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
 from agatetack.peers.exchange import Exchange, Topic
-from agatetack.quarantine.fingerprint import fingerprint
 from agatetack.quarantine.liveness import LivenessCheck
-from agatetack.quarantine.tracker import CrashTracker, Fingerprint
+from agatetack.quarantine.tracker import CrashTracker, Fingerprint, fingerprint
 from agatetack.settings.model import Settings
 from agatetack.thrift_codec import MalformedMessage, decode, encode
 
--- a/agatetack/quarantine/test_local_tracker.py
+++ b/agatetack/quarantine/test_local_tracker.py
@@ -22,13 +22,13 @@
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.peers.exchange import NoExchange, Topic
-from agatetack.quarantine.fingerprint import fingerprint
 from agatetack.quarantine.liveness import LivenessCheck
 from agatetack.quarantine.local_tracker import (
     ANSWERED_SECONDS,
     MAX_ANSWERED,
     LocalCrashTracker,
 )
+from agatetack.quarantine.tracker import fingerprint
 from agatetack.settings.defaults import default_settings
 
 SETTINGS = default_settings(
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -83,7 +83,7 @@
             self.check.echo(attempt.request),
         )
         sent_at = Deadline(trio.current_time())
-        self.registry.rate_limits.note_sent(attempt.target, SendKind.REQUEST)
+        self.registry.note_sent(attempt.target, SendKind.REQUEST)
         try:
             with trio.move_on_at(attempt.deadline) as scope:
                 sent_whole = await self._exchange(attempt, connection, parser)
@@ -107,7 +107,7 @@
         if not self.check.is_sound(parser):
             pool.discard(connection)
             raise _failed(RefusalReason.ANSWER_MALFORMED, suspect=True)
-        self._note_rate_limit(attempt.target, parser, sent_at)
+        self._note_demands(attempt.target, parser, sent_at)
         return await self._finish(attempt, connection, pool, parser, sent_whole)
 
     async def _connect(
@@ -259,12 +259,16 @@
         ]
         return Answer(parser.status, headers, body)
 
-    def _note_rate_limit(
+    def _note_demands(
         self, target: TargetState, parser: AnswerParser, sent_at: Deadline
     ) -> None:
+        """Note what the target wants of hosts that send to it."""
         limits = self.registry.rate_limits
         if self.check.is_other_instance(parser):
             return
+        self.registry.pushbacks.note_answer(
+            target, parser.status, parser.headers, ReportSource.ANSWER
+        )
         if self.check.is_not_run(parser):
             # A full target may answer before it comes to name its rate.
             limits.note_load_answer(target, parser.headers, ReportSource.ANSWER)
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -187,7 +187,7 @@
         self, connection: TargetConnection, target: TargetState
     ) -> ReadLoad | None:
         connection.requests += 1
-        self.registry.rate_limits.note_sent(target, SendKind.LOOK)
+        self.registry.note_sent(target, SendKind.LOOK)
         path = (self.load_paths or {}).get(
             target.service, self.settings.targets.load_path
         )
@@ -200,6 +200,10 @@
         while parser.state in (AnswerState.HEAD, AnswerState.BODY):
             await connection.receive_into(parser)
         connection.idle_seconds = parser.keep_alive_seconds
+        if self._is_answer_of(parser, target):
+            self.registry.pushbacks.note_answer(
+                target, parser.status, parser.headers, ReportSource.ANSWER
+            )
         if not self._is_own_word(parser, target):
             return None
         load = self.load_reader.read(dict(parser.headers))
@@ -211,6 +215,22 @@
         await trio.sleep(STRAY_SECONDS)
         return load if connection.is_quiet() else None
 
+    def _is_answer_of(self, parser: AnswerParser, target: TargetState) -> bool:
+        """Return whether `target` answered, if only to turn the look away."""
+        if parser.state is not AnswerState.COMPLETE or self._is_late(parser):
+            return False
+        if self.instance_name is None:
+            return True
+        instance = find_header(parser.headers, self.instance_name)
+        return instance in (None, target.id.encode())
+
+    def _is_late(self, parser: AnswerParser) -> bool:
+        """Return whether it answers an earlier request of the connection."""
+        name = self.request_id_name
+        return name is not None and (
+            find_header(parser.headers, name) is not None
+        )
+
     def _is_own_word(self, parser: AnswerParser, target: TargetState) -> bool:
         """Return whether this is the load endpoint's answer, and no other."""
         if parser.state is not AnswerState.COMPLETE or parser.stray:
@@ -219,10 +239,7 @@
             return False
         if find_header(parser.headers, self.not_run_name) is not None:
             return False
-        if self.request_id_name is not None and (
-            find_header(parser.headers, self.request_id_name) is not None
-        ):
-            # A late answer to an earlier request of this connection.
+        if self._is_late(parser):
             return False
         if self.instance_name is None:
             return True
--- a/agatetack/targets/rate_limits.py
+++ b/agatetack/targets/rate_limits.py
@@ -6,11 +6,12 @@
 import trio
 
 from agatetack.decisions import DecisionLog, age
+from agatetack.headers import DecimalProblem
 from agatetack.ids import Deadline, TargetId
 from agatetack.messages import Headers
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
-from agatetack.targets.rate_limit import MAX_RATE, RateProblem, read_rate
+from agatetack.targets.rate_limit import MAX_RATE, read_rate
 from agatetack.targets.state import ReportSource, TargetState
 
 MAX_SHOWN_TARGETS = 200
@@ -116,7 +117,7 @@
             said_at: When the target said so to whoever told first.
         """
         if not 0 <= rate <= MAX_RATE:
-            self._refuse(target, RateProblem.OUT_OF_RANGE, ReportSource.PEER)
+            self._refuse(target, DecimalProblem.OUT_OF_RANGE, ReportSource.PEER)
             return
         self._note(target, rate or None, said_at, ReportSource.PEER)
 
@@ -133,7 +134,7 @@
             self._refuse(target, read.problem, source)
             return
         now = Deadline(trio.current_time())
-        self._note(target, read.rate, now, source)
+        self._note(target, read.value, now, source)
 
     def _show(self, target: TargetState) -> None:
         if len(self.shown) < MAX_SHOWN_TARGETS:
@@ -143,7 +144,7 @@
             self.rates.set({"target": target.id}, rate)
 
     def _refuse(
-        self, target: TargetState, problem: RateProblem, source: ReportSource
+        self, target: TargetState, problem: DecimalProblem, source: ReportSource
     ) -> None:
         self.refused.inc({"problem": problem.value})
         decisions.note(
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -26,7 +26,8 @@
 from agatetack.targets.departures import Departures
 from agatetack.targets.leaving import LeavingRecord, LeavingSign
 from agatetack.targets.load import ReadLoad, ReportedState
-from agatetack.targets.rate_limits import RateLimits
+from agatetack.targets.pushbacks import Pushbacks
+from agatetack.targets.rate_limits import RateLimits, SendKind
 from agatetack.targets.state import (
     LoadReport,
     ReportSource,
@@ -56,6 +57,7 @@
         warm_up_rates: Requests a second that a cold target of each service
             takes from all hosts, where that is known.
         rate_limits: Takes what targets say of the rate that they take.
+        pushbacks: Takes for how long targets want nothing of this host.
         watchers: Called with the service when its targets change or a load
             report arrives; must not block or raise.
         report_watchers: Called with the target and each report taken.
@@ -98,6 +100,7 @@
         ] = []
         self.counters = TargetCounters(metrics)
         self.rate_limits = RateLimits(settings, metrics)
+        self.pushbacks = Pushbacks(metrics)
 
     @property
     def leaving(self) -> Mapping[TargetId, LeavingRecord]:
@@ -206,6 +209,11 @@
             self.note_warmth(target, warm_at, now)
         return self.note_load(target, load, source)
 
+    def note_sent(self, target: TargetState, kind: SendKind) -> None:
+        """Note what this host sends to `target`, requests or not."""
+        self.rate_limits.note_sent(target, kind)
+        self.pushbacks.note_sent(target, kind)
+
     def note_warmth(
         self, target: TargetState, warm_at: Deadline, said_at: Deadline
     ) -> None:
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from collections import deque
 
 from agatetack.balance.learned import LearnedLoad
@@ -94,6 +95,7 @@
         warm_up_rate: Requests a second that it takes from all hosts while it
             is cold; 0 if nobody said so.
         rate_limit: The rate that it takes from all hosts, if it named one.
+        pushback_until: Until when it wants nothing of this host, by its word.
     """
 
     id: TargetId
@@ -125,6 +127,7 @@
     warmth: Warmth = dataclasses.field(default_factory=Warmth)
     warm_up_rate: float = 0.0
     rate_limit: RateLimit = dataclasses.field(default_factory=RateLimit)
+    pushback_until: Deadline = Deadline(-math.inf)
 
     def warms_up(self, now: Deadline) -> bool:
         """Return whether it may be cold, and takes only so many requests."""
--- /dev/null
+++ b/agatetack/targets/test_pushbacks.py
@@ -0,0 +1,99 @@
+"""Test what is believed of a target that asks to be left alone."""
+
+import pytest
+import trio
+
+from agatetack.headers import DecimalProblem
+from agatetack.ids import FailureDomain, TargetId
+from agatetack.messages import Header
+from agatetack.metrics import Metrics
+from agatetack.targets.pushbacks import LONGEST_SECONDS, Pushbacks
+from agatetack.targets.rate_limits import SendKind
+from agatetack.targets.state import ReportSource, TargetState
+from agatetack.testing.targets import SERVICE
+
+
+def make_target():
+    return TargetState(
+        id=TargetId("t"),
+        service=SERVICE,
+        ip="10.0.0.1",
+        port=80,
+        failure_domain=FailureDomain("zone-a"),
+    )
+
+
+def note(pushbacks, target, status, values):
+    headers = [Header(b"retry-after", value) for value in values]
+    pushbacks.note_answer(target, status, headers, ReportSource.ANSWER)
+
+
+@pytest.mark.parametrize(
+    ("status", "values", "seconds"),
+    [
+        (503, (b"3",), 3.0),
+        (503, (b" 0.25 ",), 0.25),
+        (429, (b"3",), 3.0),
+        (503, (b"999999",), LONGEST_SECONDS),
+        (503, (b"0",), None),
+        (503, (), None),
+        # Of these it says nothing of its own load.
+        (500, (b"3",), None),
+        (200, (b"3",), None),
+        (421, (b"3",), None),
+    ],
+)
+async def test_a_target_that_turns_away_says_for_how_long(
+    autojump_clock, status, values, seconds
+):
+    target = make_target()
+    now = trio.current_time()
+    note(Pushbacks(Metrics()), target, status, values)
+    if seconds is None:
+        assert target.pushback_until <= now
+    else:
+        assert target.pushback_until == pytest.approx(now + seconds)
+
+
+@pytest.mark.parametrize(
+    ("values", "problem"),
+    [
+        ((b"",), DecimalProblem.NOT_A_NUMBER),
+        ((b"-1",), DecimalProblem.NOT_A_NUMBER),
+        ((b"soon",), DecimalProblem.NOT_A_NUMBER),
+        ((b"Wed, 21 Oct 2026 07:28:00 GMT",), DecimalProblem.NOT_A_NUMBER),
+        ((b"1e9",), DecimalProblem.NOT_A_NUMBER),
+        ((b"1000001",), DecimalProblem.OUT_OF_RANGE),
+        ((b"3", b"3"), DecimalProblem.REPEATED),
+        ((b"9" * 65_536,), DecimalProblem.TOO_LONG),
+    ],
+)
+async def test_anything_else_is_counted_and_not_believed(
+    autojump_clock, values, problem
+):
+    target = make_target()
+    pushbacks = Pushbacks(Metrics())
+    note(pushbacks, target, 503, values)
+    assert target.pushback_until < trio.current_time()
+    assert pushbacks.refused.get({"problem": problem.value}) == 1
+
+
+async def test_a_shorter_wish_does_not_end_a_longer_one(autojump_clock):
+    target = make_target()
+    pushbacks = Pushbacks(Metrics())
+    note(pushbacks, target, 503, (b"3",))
+    until = target.pushback_until
+    note(pushbacks, target, 503, (b"0.5",))
+    assert target.pushback_until == until
+
+
+@pytest.mark.parametrize(("after", "counted"), [(2.9, 1), (3.1, 0)])
+async def test_what_is_sent_in_that_time_is_counted(
+    autojump_clock, after, counted
+):
+    target = make_target()
+    pushbacks = Pushbacks(Metrics())
+    note(pushbacks, target, 503, (b"3",))
+    await trio.sleep(after)
+    pushbacks.note_sent(target, SendKind.LOOK)
+    assert pushbacks.sends.get({"kind": "look"}) == counted
--- a/agatetack/targets/test_rate_limit.py
+++ b/agatetack/targets/test_rate_limit.py
@@ -4,12 +4,8 @@
 
 import pytest
 
-from agatetack.targets.rate_limit import (
-    RateLimit,
-    RateProblem,
-    ReadRate,
-    read_rate,
-)
+from agatetack.headers import DecimalProblem, ReadDecimal
+from agatetack.targets.rate_limit import RateLimit, read_rate
 
 
 @pytest.mark.parametrize(
@@ -22,28 +18,28 @@
     ],
 )
 def test_a_rate_is_a_decimal_number(values, rate):
-    assert read_rate(values) == ReadRate(rate)
+    assert read_rate(values) == ReadDecimal(rate)
 
 
 @pytest.mark.parametrize(
     ("values", "problem"),
     [
-        ((b"",), RateProblem.NOT_A_NUMBER),
-        ((b"-1.3",), RateProblem.NOT_A_NUMBER),
-        ((b"+1.3",), RateProblem.NOT_A_NUMBER),
-        ((b"nan",), RateProblem.NOT_A_NUMBER),
-        ((b"inf",), RateProblem.NOT_A_NUMBER),
-        ((b"1e309",), RateProblem.NOT_A_NUMBER),
-        ((b"1,3",), RateProblem.NOT_A_NUMBER),
-        ((b"0",), RateProblem.OUT_OF_RANGE),
-        ((b"0.000",), RateProblem.OUT_OF_RANGE),
-        ((b"10000000",), RateProblem.OUT_OF_RANGE),
-        ((b"1.3", b"1.3"), RateProblem.REPEATED),
-        ((b"1" * 65536,), RateProblem.TOO_LONG),
+        ((b"",), DecimalProblem.NOT_A_NUMBER),
+        ((b"-1.3",), DecimalProblem.NOT_A_NUMBER),
+        ((b"+1.3",), DecimalProblem.NOT_A_NUMBER),
+        ((b"nan",), DecimalProblem.NOT_A_NUMBER),
+        ((b"inf",), DecimalProblem.NOT_A_NUMBER),
+        ((b"1e309",), DecimalProblem.NOT_A_NUMBER),
+        ((b"1,3",), DecimalProblem.NOT_A_NUMBER),
+        ((b"0",), DecimalProblem.OUT_OF_RANGE),
+        ((b"0.000",), DecimalProblem.OUT_OF_RANGE),
+        ((b"10000000",), DecimalProblem.OUT_OF_RANGE),
+        ((b"1.3", b"1.3"), DecimalProblem.REPEATED),
+        ((b"1" * 65536,), DecimalProblem.TOO_LONG),
     ],
 )
 def test_anything_else_is_not_believed(values, problem):
-    assert read_rate(values) == ReadRate(problem=problem)
+    assert read_rate(values) == ReadDecimal(problem=problem)
 
 
 @pytest.mark.parametrize(
--- a/agatetack/testing/peer_fleet.py
+++ b/agatetack/testing/peer_fleet.py
@@ -8,7 +8,7 @@
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
 from agatetack.ids import HostId, ServiceId
 from agatetack.metrics import Metrics
-from agatetack.peers.directory import GatewayDirectory
+from agatetack.peers.exchange import GatewayDirectory
 from agatetack.peers.mesh import PeerExchange
 from agatetack.settings.defaults import default_settings
 
