--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -89,6 +89,7 @@
     load: HeaderName | None
     warm_up_ms: HeaderName | None
     rate_limit: HeaderName | None
+    leaving: HeaderName | None
 
 
 class TargetsSettings(Section):
--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -97,6 +97,9 @@
         port: Where it listens, once `serve` has started.
         executed: Every request that got a slot, in order.
         arrivals: Every request that came, in order.
+        turned_away: Every request that it shed, in order.
+        said_to_leave: When each port first got an answer that says that it
+            leaves.
         rate_named: When each port first got an answer that named a rate.
         in_flight: Requests running or waiting.
         connections: Open connections.
@@ -120,6 +123,8 @@
         self.port = 0
         self.executed: list[ExecutedRequest] = []
         self.arrivals: list[Arrival] = []
+        self.turned_away: list[Arrival] = []
+        self.said_to_leave: dict[int, Deadline] = {}
         self.rate_named: dict[int, Deadline] = {}
         self.in_flight = 0
         self.connections: set[TargetConnection] = set()
@@ -222,6 +227,16 @@
         now = Deadline(trio.current_time())
         self.arrivals.append(Arrival(now, _peer_port(stream), asks_load))
 
+    def note_turned_away(self, stream: trio.SocketStream) -> None:
+        """Record that a request on `stream` is shed."""
+        now = Deadline(trio.current_time())
+        self.turned_away.append(Arrival(now, _peer_port(stream), False))
+
+    def note_said_to_leave(self, stream: trio.SocketStream) -> None:
+        """Record that an answer on `stream` says that it leaves."""
+        now = Deadline(trio.current_time())
+        self.said_to_leave.setdefault(_peer_port(stream), now)
+
     def note_rate_named(self, stream: trio.SocketStream) -> None:
         """Record that an answer on `stream` names a rate."""
         now = Deadline(trio.current_time())
--- a/agatetack/testing/limited_fleet.py
+++ b/agatetack/testing/limited_fleet.py
@@ -1,4 +1,4 @@
-"""Run hosts and targets that limit their rate in one process, for tests.
+"""Run hosts and targets that limit what they take in one process, for tests.
 
 All of them run on one clock, which a test may let jump, and talk over
 loopback, so that everything that reaches a target is seen there.
@@ -8,7 +8,7 @@
 import contextvars
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 
 import pytest
 import trio
@@ -66,6 +66,12 @@
     answered: int = 0
     refused: int = 0
 
+    def list_targets(self, targets: Sequence[FakeTarget]) -> None:
+        """Let all hosts read a list that has only `targets`."""
+        registrations = [_registration(target) for target in targets]
+        for host in self.hosts:
+            host.registry.update(registrations)
+
     async def press(
         self, seconds: float, per_second: float, seed: int = 1
     ) -> None:
@@ -106,8 +112,26 @@
             target: The target.
             after: How long they must have, in seconds.
         """
+        return self._from_told(target, target.rate_named, after)
+
+    def sent_to_leaving(
+        self, target: FakeTarget, after: float
+    ) -> list[Arrival]:
+        """Return the requests of hosts that `target` had told that it leaves.
+
+        Args:
+            target: The target.
+            after: How long they may go on, in seconds.
+        """
+        told = target.said_to_leave
+        came = self._from_told(target, told, after)
+        return [arrival for arrival in came if not arrival.asks_load]
+
+    def _from_told(
+        self, target: FakeTarget, ports: Mapping[int, Deadline], after: float
+    ) -> list[Arrival]:
         told: dict[HostId, Deadline] = {}
-        for port, at in target.rate_named.items():
+        for port, at in ports.items():
             host = self.ports[port]
             told[host] = min(at, told.get(host, at))
         return [
@@ -117,6 +141,29 @@
             <= arrival.at - after
         ]
 
+    def after_pushback(
+        self, target: FakeTarget, after: float, seconds: float
+    ) -> int:
+        """Return the most that came from one host that was to stay away.
+
+        Args:
+            target: The target, which asked to be left alone for `seconds`
+                whenever it shed a request.
+            after: Seconds from such an answer that do not count.
+            seconds: How long hosts were to stay away.
+        """
+        most = 0
+        for shed in target.turned_away:
+            host = self.ports[shed.port]
+            came = [
+                arrival
+                for arrival in target.arrivals
+                if self.ports[arrival.port] == host
+                and shed.at + after <= arrival.at <= shed.at + seconds
+            ]
+            most = max(most, len(came))
+        return most
+
 
 async def _is_answered(runner: AttemptRunner, route: Route, request) -> bool:
     result = await runner.run(route, request, hedged=True)
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -154,8 +154,11 @@
             await self._send(421, b"another instance\n")
         elif request.path == self.load_path:
             target.probes += 1
+            if faults.load_path_turned_away:
+                await self._shed()
+                return
             await self._send(200, self._load_body())
-        elif faults.refusing or self._too_many():
+        elif faults.refusing or faults.turning_away or self._too_many():
             await self._shed()
         elif faults.fail_status is not None:
             target.record(request).finished = trio.current_time()
@@ -191,6 +194,9 @@
     async def _shed(self) -> None:
         self.target.shed += 1
         mark = self.not_run_mark if self.target.faults.shed_marked else b""
+        for value in self.target.faults.retry_after:
+            mark += b"retry-after: %b\r\n" % value
+        self.target.note_turned_away(self.stream)
         await self._send(503, b"shed\n", mark)
         if self.target.faults.refusing:
             raise _Close
@@ -344,6 +350,9 @@
         if not asked_load or faults.rate_limit_on_load_path:
             for value in faults.rate_limits:
                 marks += b"%b: %b\r\n" % (names.rate_limit.encode(), value)
+        if faults.leaving:
+            marks += f"{names.leaving}: 1\r\n".encode()
+            self.target.note_said_to_leave(self.stream)
         if names.answering_instance is not None and asked_load:
             name = names.answering_instance
             marks += f"{name}: {self.target.instance}\r\n".encode()
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -44,6 +44,12 @@
         wrong_range_bytes: How far a partial answer starts off its range.
         chunked: Whether answers are chunked and announce no length.
         bytes_per_second: Speed of exports, or 0 for no limit.
+        turning_away: Whether each request is shed with the not-run mark, and
+            its connection kept; load reports go on as if nothing were wrong.
+        load_path_turned_away: Whether that holds for the load path, too.
+        retry_after: Values of the header that says when to come back, one
+            field for each, on answers to requests that it sheds.
+        leaving: Whether each answer bears the header that says so.
         rate_limits: Values of the header that names the requests a second it
             takes, one field for each.
         rate_limit_on_load_path: Whether answers of the load path bear it too.
@@ -74,5 +80,9 @@
     wrong_range_bytes: int = 0
     chunked: bool = False
     bytes_per_second: float = 0.0
+    turning_away: bool = False
+    load_path_turned_away: bool = False
+    retry_after: tuple[bytes, ...] = ()
+    leaving: bool = False
     rate_limits: tuple[bytes, ...] = ()
     rate_limit_on_load_path: bool = False
