Leave a target alone for as long as it asks after turning a request away

Callers saw 503 and late answers while targets that turned every request away got up to seven times as many as before. A target says in Retry-After for how long it wants nothing of the host that it turned away. That was read into the failure of the one request and ended as the time that its caller was told; the choice of a target never saw it, and a target that runs nothing reports no load, so that it was chosen first.

The wish now stands with the target, and one more share keeps permits, looks and probes away from it until the time is over, so that no way to a target goes past it. A request that nobody takes in time is refused at once, with the time at which the first target may be asked again.

--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -125,6 +125,9 @@
         if verdict is Verdict.ABLE and target.warms_up(now) and not known_cold:
             # It turned cold without a word, and the permit was for a warm one.
             verdict = Verdict.COLD
+        if now < target.pushback_until:
+            # It turned the look away, or meanwhile another request.
+            verdict = Verdict.FULL
         self.looks.inc({"result": verdict.value})
         if verdict is not Verdict.ABLE:
             decisions.held(
--- a/agatetack/balance/test_targets_that_push_back.py
+++ b/agatetack/balance/test_targets_that_push_back.py
@@ -1,8 +1,13 @@
 """Test what reaches targets that asked hosts to stay away."""
 
 import pytest
+import trio
+from returns.pipeline import is_successful
 
+from agatetack.messages import Header
+from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.testing.limited_fleet import limited_fleet
+from agatetack.testing.targets import make_request, make_route
 
 TOLD_SECONDS = 0.5
 """After which a host that was turned away has to stay away."""
@@ -45,3 +50,70 @@
         ]
         assert all(target.turned_away for target in pushing)
         assert max(most) <= MOST_IN_THAT_TIME
+
+
+async def _turned_away_by_all(fleet):
+    """Let every target of `fleet` ask its only host to stay away for 3 s."""
+    for target in fleet.targets:
+        target.faults.turning_away = True
+        target.faults.retry_after = (b"3",)
+    await fleet.press(1.0, 20.0)
+    for target in fleet.targets:
+        target.faults.turning_away = False
+    states = fleet.hosts[0].registry.by_id.values()
+    return min(state.pushback_until for state in states)
+
+
+@pytest.mark.parametrize(
+    ("left", "refused"), [(0.5, True), (1.5, True), (2.9, False), (9.0, False)]
+)
+async def test_a_request_waits_only_where_it_can_still_be_answered(
+    autojump_clock, monkeypatch, left, refused
+):
+    async with limited_fleet(monkeypatch, 1, 2) as fleet:
+        opens_at = await _turned_away_by_all(fleet)
+        begin = trio.current_time()
+        assert opens_at > begin + 1.6
+        request = make_request(seconds=left, name="r")
+        request.headers = [Header(b"request-id", b"r")]
+        result = await fleet.hosts[0].attempts.run(
+            make_route(), request, hedged=True
+        )
+        if refused:
+            refusal = result.failure()
+            assert trio.current_time() == begin
+            assert refusal.reason is RefusalReason.NO_TARGET
+            assert refusal.outcome is Outcome.NOT_RUN
+            assert refusal.retry_at == opens_at
+        else:
+            assert is_successful(result)
+            assert trio.current_time() >= opens_at
+
+
+async def test_a_target_gets_work_again_once_the_time_is_over(
+    autojump_clock, monkeypatch
+):
+    async with limited_fleet(monkeypatch, 2, 3) as fleet:
+        target = fleet.targets[0]
+        target.faults.turning_away = True
+        target.faults.retry_after = (b"1",)
+        await fleet.press(1.0, 20.0)
+        target.faults.turning_away = False
+        await fleet.press(1.5, 20.0, seed=2)
+        before = len(target.executed)
+        await fleet.press(2.0, 20.0, seed=3)
+        assert len(target.executed) > before
+        assert fleet.refused == 0
+
+
+async def test_a_target_that_was_started_again_is_not_bound_by_it(
+    autojump_clock, monkeypatch
+):
+    async with limited_fleet(monkeypatch, 1, 2) as fleet:
+        await _turned_away_by_all(fleet)
+        registry = fleet.hosts[0].registry
+        fleet.list_targets([])
+        fleet.list_targets(fleet.targets)
+        now = trio.current_time()
+        states = registry.by_id.values()
+        assert all(state.pushback_until <= now for state in states)
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -13,6 +13,7 @@
 from agatetack.attempts.single import SingleAttempt
 from agatetack.balance.cold_share import ColdShare
 from agatetack.balance.policies import make_policy
+from agatetack.balance.pushback_share import PushbackShare
 from agatetack.balance.rate_share import RateShare
 from agatetack.balance.start_share import StartShare
 from agatetack.balance.target_share import AllShares
@@ -134,6 +135,7 @@
         self.rate_share = RateShare(
             settings, self.registry, directory.gateways, self.peers, metrics
         )
+        pushback_share = PushbackShare(metrics)
         self.admission = ServiceAdmission(
             settings,
             self.registry,
@@ -142,6 +144,7 @@
             self.peers.fleet_size,
             AllShares(
                 [
+                    pushback_share,
                     self.start_share,
                     ColdShare(settings, self.registry, directory.gateways),
                     self.rate_share,
@@ -158,7 +161,7 @@
                 settings, load_reader, load_paths, self.registry.pushbacks
             ),
             seed,
-            self.rate_share,
+            AllShares([pushback_share, self.rate_share]),
         )
         self.rounds = ProbeRounds(
             settings,
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -146,7 +146,8 @@
                 return self.registry.note_asked(
                     target, load, ReportSource.ANSWER
                 )
-            if not pooled or trio.current_time() >= deadline:
+            now = trio.current_time()
+            if not pooled or now >= deadline or now < target.pushback_until:
                 return None
 
     async def _connect(
