Give a target nothing more once it says in its answers that it leaves

A target that leaves says so in the headers of all its answers, which may come long before its registration says so, or while the store is out. The header was passed on to callers and read by nobody, so that requests went there for as long as the list had the target as live.

A look that finds it passes the target over (unwilling) instead of asking once more on a new connection. The load and state of another instance, which answers at an address that was given out again, are no longer noted for the target that was meant.

--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -53,6 +53,7 @@
     SLOW = "slow"
     FULL = "full"
     COLD = "cold"
+    UNWILLING = "unwilling"
 
 
 SHOWN = {
@@ -60,6 +61,7 @@
     Verdict.SLOW: AttemptResult.CANCELLED,
     Verdict.FULL: AttemptResult.CANCELLED,
     Verdict.COLD: AttemptResult.CANCELLED,
+    Verdict.UNWILLING: AttemptResult.CANCELLED,
 }
 """What a verdict says against its target; one that is only busy or slow now
 does not speak against it."""
@@ -125,9 +127,9 @@
         if verdict is Verdict.ABLE and target.warms_up(now) and not known_cold:
             # It turned cold without a word, and the permit was for a warm one.
             verdict = Verdict.COLD
-        if now < target.pushback_until:
-            # It turned the look away, or meanwhile another request.
-            verdict = Verdict.FULL
+        if not target.wants_looks(now):
+            # It said so to the look, or meanwhile to another request.
+            verdict = Verdict.UNWILLING
         self.looks.inc({"result": verdict.value})
         if verdict is not Verdict.ABLE:
             decisions.held(
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -228,7 +228,12 @@
         parser: AnswerParser,
         sent_whole: bool,
     ) -> Answer:
-        self._note_load(attempt.target, parser)
+        if self.check.is_other_instance(parser):
+            self.registry.note_leaving(
+                attempt.target, LeavingSign.OTHER_INSTANCE
+            )
+        else:
+            self._note_load(attempt.target, parser)
         body = TargetBody(
             connection,
             pool,
@@ -236,10 +241,6 @@
             reusable=sent_whole,
             byte_timeout_seconds=self.settings.targets.byte_timeout_seconds,
         )
-        if self.check.is_other_instance(parser):
-            self.registry.note_leaving(
-                attempt.target, LeavingSign.OTHER_INSTANCE
-            )
         if self.check.is_not_run(parser):
             # What it has left of its body is read, as a new connection costs
             # more than a few bytes.
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -17,7 +17,7 @@
     ConnectRefused,
     TargetConnection,
 )
-from agatetack.targets.load import LoadReader, ReadLoad
+from agatetack.targets.load import LoadReader, ReadLoad, ReportedState
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool, TargetPools
 from agatetack.targets.rate_limits import SendKind
@@ -147,7 +147,7 @@
                     target, load, ReportSource.ANSWER
                 )
             now = trio.current_time()
-            if not pooled or now >= deadline or now < target.pushback_until:
+            if not pooled or now >= deadline or not target.wants_looks(now):
                 return None
 
     async def _connect(
@@ -201,13 +201,11 @@
         while parser.state in (AnswerState.HEAD, AnswerState.BODY):
             await connection.receive_into(parser)
         connection.idle_seconds = parser.keep_alive_seconds
+        load = self.load_reader.read(dict(parser.headers))
         if self._is_answer_of(parser, target):
-            self.registry.pushbacks.note_answer(
-                target, parser.status, parser.headers, ReportSource.ANSWER
-            )
+            self._note_wishes(parser, target, load)
         if not self._is_own_word(parser, target):
             return None
-        load = self.load_reader.read(dict(parser.headers))
         self.registry.rate_limits.note_load_answer(
             target, parser.headers, ReportSource.ANSWER
         )
@@ -216,6 +214,16 @@
         await trio.sleep(STRAY_SECONDS)
         return load if connection.is_quiet() else None
 
+    def _note_wishes(
+        self, parser: AnswerParser, target: TargetState, load: ReadLoad
+    ) -> None:
+        """Note what the answer says of whether `target` wants requests."""
+        self.registry.pushbacks.note_answer(
+            target, parser.status, parser.headers, ReportSource.ANSWER
+        )
+        if load.state is ReportedState.DRAINING:
+            self.registry.note_leaving(target, LeavingSign.ANSWER_HEADER)
+
     def _is_answer_of(self, parser: AnswerParser, target: TargetState) -> bool:
         """Return whether `target` answered, if only to turn the look away."""
         if parser.state is not AnswerState.COMPLETE or self._is_late(parser):
