Take a target's own word that it leaves for final

A target that had said in its answers that it leaves got work again once it was listed as live under the same id: after an outage of the store in which its registration lapsed it was taken for a new process, as the sign is forgotten with a target that is off the list, and otherwise after 60 s.

Where a target checks the instance that a request names, its id stands for one start of its process, which has no way back: the sign is then kept, for 20,000 targets at most, until a later start is registered under the id. Peers are told once of it, not with each answer of the target.

--- a/agatetack/targets/departures.py
+++ b/agatetack/targets/departures.py
@@ -7,23 +7,32 @@
 from agatetack.targets.leaving import LeavingRecord, LeavingSign
 from agatetack.targets.state import TargetState
 
+MOST_RECORDS = 20_000
+"""Targets of which it is remembered that they leave; the first go first."""
+
 log = PartLog("targets")
 
 
 class Departures:
     """The targets that get no new work as they leave.
 
+    Where each start of a target has an id of its own, nothing undoes what the
+    target said itself: it has no way to be live again under that id, whatever
+    lists and load endpoints say meanwhile.
+
     Attributes:
         records: Why, by target.
         returns: How often each target has come back from that.
         hold_seconds: How long nothing undoes a sign.
+        ids_by_start: Whether each start of a target has an id of its own.
     """
 
-    def __init__(self, hold_seconds: float):
+    def __init__(self, hold_seconds: float, ids_by_start: bool = False):
         """Start with no target that leaves."""
         self.records: dict[TargetId, LeavingRecord] = {}
         self.returns: dict[TargetId, int] = {}
         self.hold_seconds = hold_seconds
+        self.ids_by_start = ids_by_start
 
     def get(self, target_id: TargetId) -> LeavingRecord | None:
         """Return why a target leaves, or None if it does not."""
@@ -44,6 +53,8 @@
             returns=self.returns.get(target.id, 0),
             incarnation=target.incarnation,
         )
+        if len(self.records) >= MOST_RECORDS:
+            self.forget(next(iter(self.records)))
         self.records[target.id] = record
         log.info("target %s is leaving: %s", target.id, why.value)
         record.hold(now, self.hold_seconds)
@@ -51,6 +62,8 @@
     def may_return(self, target_id: TargetId, now: Deadline) -> bool:
         """Return whether a target that says to be ready may get work."""
         record = self.records[target_id]
+        if self._is_final(record):
+            return False
         return record.may_return(now, self.hold_seconds)
 
     def end(self, target_id: TargetId) -> LeavingRecord:
@@ -76,7 +89,9 @@
         Until then they keep out one that is listed again under its name.
         """
         record = self.records.get(target_id)
-        if record is not None and now >= record.hold_until:
+        if record is None or self._is_final(record):
+            return
+        if now >= record.hold_until:
             self.forget(target_id)
 
     def over(self, now: Deadline) -> Sequence[TargetId]:
@@ -84,10 +99,20 @@
         return [
             target_id
             for target_id, record in self.records.items()
-            if now >= record.hold_until
+            if now >= record.hold_until and not self._is_final(record)
         ]
 
     def holds(self, target_id: TargetId, now: Deadline) -> bool:
         """Return whether nothing undoes the signs of a target yet."""
         record = self.records.get(target_id)
-        return record is not None and now < record.hold_until
+        if record is None:
+            return False
+        return now < record.hold_until or self._is_final(record)
+
+    def is_final(self, target_id: TargetId) -> bool:
+        """Return whether nothing undoes the signs of a target ever."""
+        record = self.records.get(target_id)
+        return record is not None and self._is_final(record)
+
+    def _is_final(self, record: LeavingRecord) -> bool:
+        return self.ids_by_start and record.own_word
--- a/agatetack/targets/leaving.py
+++ b/agatetack/targets/leaving.py
@@ -44,6 +44,10 @@
 """
 
 
+OWN_WORDS = frozenset({LeavingSign.ANSWER_HEADER, LeavingSign.HEALTH})
+"""Signs by which the target itself said that it leaves."""
+
+
 @dataclasses.dataclass(slots=True)
 class LeavingRecord:
     """Why a target gets no new work.
@@ -73,6 +77,11 @@
         """Return whether the target or the platform said that it leaves."""
         return STRENGTHS[self.sign] > 0
 
+    @property
+    def own_word(self) -> bool:
+        """Return whether the target itself said that it leaves."""
+        return self.sign in OWN_WORDS
+
     def note_sign(
         self, sign: LeavingSign, now: Deadline, hold_seconds: float
     ) -> None:
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -83,7 +83,12 @@
         self.drained: set[TargetId] = set()
         self.evacuated: Set[FailureDomain] = frozenset()
         self.warm_up_rates: Mapping[ServiceId, float] = {}
-        self.departures = Departures(settings.balance.leaving_hold_seconds)
+        # Targets check the instance that a request names, so that it stands
+        # for one start of a process.
+        self.departures = Departures(
+            settings.balance.leaving_hold_seconds,
+            settings.targets.headers.instance is not None,
+        )
         self.watchers: list[Callable[[ServiceId], None]] = []
         self.report_watchers: list[
             Callable[[TargetState, LoadReport], None]
@@ -241,6 +246,9 @@
     def note_leaving(self, target: TargetState, why: LeavingSign) -> None:
         """Stop new work at `target` at once and let peers be told."""
         self.counters.signs.inc({"sign": why.value})
+        if self.departures.is_final(target.id):
+            # It says so in each answer; peers were told of the first.
+            return
         self._leave(target, why)
         for watcher in self.leaving_watchers:
             watcher(target, why)
--- a/agatetack/targets/test_registry.py
+++ b/agatetack/targets/test_registry.py
@@ -14,6 +14,7 @@
     TargetRegistry,
 )
 from agatetack.targets.state import TargetStatus
+from agatetack.testing.store_fleet import template_settings
 from agatetack.testing.targets import (
     SERVICE,
     listed_target,
@@ -217,3 +218,64 @@
         t.id for t in registry.by_id.values() if registry.may_be_probed(t)
     ]
     assert sorted(probed) == usable
+
+
+# Guards against: a target that had said that it leaves got work again as the
+# list named it live once more.
+@pytest.mark.parametrize(
+    ("steps", "usable"),
+    [
+        ([HEADER, 31 * HOLD, Listed(LIVE), READY], False),
+        ([HEADER, Listed(None), HOLD + 1, Listed(LIVE), READY], False),
+        ([HEADER, Listed(None), 31 * HOLD, Listed(LIVE), READY], False),
+        ([HEADER, REFUSED, HOLD + 1, Listed(LIVE), READY], False),
+        ([ReportedState.DRAINING, 31 * HOLD, Listed(LIVE), READY], False),
+        # What others say of it may still be taken back.
+        ([REFUSED, HOLD + 1, Listed(LIVE), READY], True),
+        ([Listed(LEAVING), HOLD + 1, Listed(LIVE), READY], True),
+    ],
+)
+async def test_its_own_word_is_final_for_an_id_of_one_start(
+    autojump_clock, steps, usable
+):
+    registry = TargetRegistry(template_settings(1), Metrics())
+    registry.update([listed_target(1)])
+    for step in steps:
+        if isinstance(step, int | float):
+            await trio.sleep(step)
+        else:
+            apply(registry, step)
+    assert bool(registry.targets(SERVICE)) is usable
+
+
+async def test_peers_are_told_once_of_a_target_that_says_it_leaves(
+    autojump_clock,
+):
+    registry = TargetRegistry(template_settings(1), Metrics())
+    registry.update([listed_target(1)])
+    told = []
+    registry.leaving_watchers.append(lambda _, sign: told.append(sign))
+    for _ in range(3):
+        apply(registry, HEADER)
+    assert told == [HEADER]
+
+
+async def test_a_later_start_under_its_id_gets_work(autojump_clock):
+    registry = TargetRegistry(template_settings(1), Metrics())
+    registry.update([started_target(1, 1000)])
+    apply(registry, HEADER)
+    registry.update([started_target(1, 2000)])
+    assert registry.targets(SERVICE)
+
+
+async def test_the_first_that_left_are_forgotten_first(
+    autojump_clock, monkeypatch
+):
+    monkeypatch.setattr("agatetack.targets.departures.MOST_RECORDS", 2)
+    registry = TargetRegistry(template_settings(1), Metrics())
+    registry.update([listed_target(number) for number in (1, 2, 3)])
+    for target in list(registry.by_id.values()):
+        registry.note_leaving(target, HEADER)
+    assert list(registry.leaving) == [
+        listed_target(number).id for number in (2, 3)
+    ]
