Ask again at the moment of sending whether a target takes requests

Three ways past a target's wish were left, found by going through what may reach it, each with a test that failed before:

- A request that had leave to go to a target was sent there after the target had said that it leaves, is gone or wants to be left alone, as opening a connection takes up to half a second.
The client asks once more before the first byte; what was not sent goes to another target and spends neither an attempt nor a budget (target-unwilling).
- The wish stood with the registration, so that one which lapsed and was made anew ended it.
It stands with the start of the process now.
The test that expected otherwise was wrong, as the same start has not taken its wish back; the one in its place asks both ways.
- An answer whose body never ends lost the wish of its head, at looks and probes.

Beside it, what callers were told: a single target's Retry-After went to the caller whose request was refused, though its other targets took requests. The time is now that of the first target that opens. A target that asks to be left alone is no longer marked as full or failing for that answer, too.

--- a/agatetack/admission/controller.py
+++ b/agatetack/admission/controller.py
@@ -75,3 +75,7 @@
     @abc.abstractmethod
     async def acquire(self, wanted: PermitRequest) -> Result[Permit, Refusal]:
         """Return a permit, or why the request is refused as not run."""
+
+    @abc.abstractmethod
+    def retry_at(self, route: Route) -> Deadline:
+        """Return when a caller that was refused should ask again."""
--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -6,6 +6,7 @@
 from agatetack.admission.queue import FairQueue, Order, Waiter, new_queues
 from agatetack.balance.policy import Policy
 from agatetack.balance.target_share import TargetShare
+from agatetack.config.route import Route
 from agatetack.ids import Deadline, ServiceId
 from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.settings.model import Settings
@@ -87,7 +88,7 @@
             self.normal_at = now
         if now >= wanted.deadline:
             return self._late(now, "The deadline has passed.")
-        if not self._usable(wanted):
+        if not self._usable(wanted.route):
             return self._refuse_without_target(now)
         if now + self.quick_latency > wanted.deadline:
             return self._late(now, "Answers take longer than the time left.")
@@ -121,13 +122,13 @@
             return None
         return self.refuse_full(now, "The route's queue is full.")
 
-    def _usable(self, wanted: PermitRequest) -> Sequence[TargetState]:
-        """Return the targets that may get new work and this request."""
-        return self.registry.targets_in(self.service, wanted.route.regions)
+    def _usable(self, route: Route) -> Sequence[TargetState]:
+        """Return the targets that may get new work and requests of `route`."""
+        return self.registry.targets_in(self.service, route.regions)
 
     def _opens_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
         """Return when this host may send to any of the targets again."""
-        targets = self._usable(wanted)
+        targets = self._usable(wanted.route)
         return min(self.share.opens_at(target, now) for target in targets)
 
     def _most_in_time(self, wanted: PermitRequest, now: Deadline) -> float:
@@ -135,12 +136,12 @@
         until = Deadline(wanted.deadline - self.quick_latency)
         return sum(
             self.share.most_until(target, now, until)
-            for target in self._usable(wanted)
+            for target in self._usable(wanted.route)
         )
 
-    def _any_opens_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
+    def _any_opens_at(self, route: Route, now: Deadline) -> Deadline:
         """Return when any host may send to any of the targets again."""
-        targets = self._usable(wanted)
+        targets = self._usable(route)
         return min(self.share.any_opens_at(target, now) for target in targets)
 
     def take_now(
@@ -194,7 +195,7 @@
         return refuse(
             RefusalReason.NO_TARGET,
             "No target of the service takes one more request in time.",
-            self._any_opens_at(wanted, now),
+            self._any_opens_at(wanted.route, now),
         )
 
     def _refuse_without_target(self, now: Deadline) -> Refusal:
@@ -215,6 +216,16 @@
         least = self.settings.admission.retry_after_seconds
         return Deadline(now + max(least, wait))
 
+    def come_back_at(self, route: Route, now: Deadline) -> Deadline:
+        """Return when a caller whose request targets refused should be back.
+
+        What one target asked for says nothing of the others.
+        """
+        retry_at = self.retry_at(now)
+        if not self._usable(route):
+            return retry_at
+        return max(retry_at, self._any_opens_at(route, now))
+
     def look_again_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
         """Return when a waiting request has to look for a target by itself.
 
@@ -222,7 +233,7 @@
         late, no event announces.
         """
         late_at = self.late_at(wanted)
-        targets = self._usable(wanted)
+        targets = self._usable(wanted.route)
         if not targets:
             return late_at
         opens_at = self._opens_at(wanted, now)
@@ -303,7 +314,7 @@
     def _choose(
         self, wanted: PermitRequest, now: Deadline
     ) -> TargetState | None:
-        free = self._free(self._usable(wanted), wanted, now)
+        free = self._free(self._usable(wanted.route), wanted, now)
         if not free:
             return None
         target = self.policy.choose(free, now)
--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -19,6 +19,7 @@
 from agatetack.admission.rates import RouteRates
 from agatetack.balance.policy import Policy
 from agatetack.balance.target_share import NoShare, TargetShare
+from agatetack.config.route import Route
 from agatetack.ids import Deadline, ServiceId
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
@@ -154,6 +155,11 @@
             return Failure(lane.refuse_full(now, "No target is free."))
         return await self._wait(lane, wanted, now)
 
+    def retry_at(self, route: Route) -> Deadline:
+        """Return when a caller that was refused should ask again."""
+        now = Deadline(trio.current_time())
+        return self._lane(route.service).come_back_at(route, now)
+
     async def _wait(
         self, lane: Lane, wanted: PermitRequest, now: Deadline
     ) -> Result[Permit, Refusal]:
--- a/agatetack/attempts/looking.py
+++ b/agatetack/attempts/looking.py
@@ -18,6 +18,7 @@
     Permit,
     PermitRequest,
 )
+from agatetack.config.route import Route
 from agatetack.decisions import DecisionLog
 from agatetack.ids import Deadline
 from agatetack.metrics import Metrics
@@ -102,6 +103,10 @@
             )
         return await self.inner.acquire(wanted)
 
+    def retry_at(self, route: Route) -> Deadline:
+        """Return when a caller that was refused should ask again."""
+        return self.inner.retry_at(route)
+
     async def _look_at(self, permit: Permit, wanted: PermitRequest) -> Verdict:
         """Return whether the target is able to take the request now."""
         target = permit.target
@@ -127,7 +132,7 @@
         if verdict is Verdict.ABLE and target.warms_up(now) and not known_cold:
             # It turned cold without a word, and the permit was for a warm one.
             verdict = Verdict.COLD
-        if not target.wants_looks(now):
+        if not target.is_willing(now):
             # It said so to the look, or meanwhile to another request.
             verdict = Verdict.UNWILLING
         self.looks.inc({"result": verdict.value})
--- a/agatetack/attempts/once.py
+++ b/agatetack/attempts/once.py
@@ -31,11 +31,13 @@
         claim: The leave to dispatch.
         tried: Targets that are known not to have run it.
         failure: The last attempt's failure, or None.
+        sent: Attempts of which a target may have seen anything.
     """
 
     claim: Claim
     tried: set[TargetId] = dataclasses.field(default_factory=set)
     failure: AttemptFailure | None = None
+    sent: int = 0
 
 
 class OnceRunner:
@@ -114,10 +116,13 @@
                     await self.claims.finish(state.claim, status)
                     return result
             state.failure = result.failure()
+            state.sent += state.failure.sent
             if not self._may_try_again(route, request, state):
-                return await self._give_up(
-                    failure_refusal(state.failure), state
+                refusal = dataclasses.replace(
+                    failure_refusal(state.failure),
+                    retry_at=self.admission.retry_at(route),
                 )
+                return await self._give_up(refusal, state)
             self.metrics.retried(route.id, retry_reason(state.failure))
 
     async def _permit(
@@ -140,10 +145,10 @@
         most = route.max_attempts or self.limits.max_attempts
         return (
             state.failure.outcome is Outcome.NOT_RUN
-            and len(state.tried) < most
+            and state.sent < most
             and trio.current_time() < request.deadline
             and request.replayable
-            and self.fleet.spend(route.service)
+            and (not state.failure.sent or self.fleet.spend(route.service))
         )
 
     async def _give_up(
--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -43,7 +43,9 @@
 """Second attempts that go on a new connection, as the first may be late
 because open connections have gone silent."""
 
-BEFORE_BODY = frozenset({RetryReason.CONNECT_FAILED})
+BEFORE_BODY = frozenset(
+    {RetryReason.CONNECT_FAILED, RetryReason.TARGET_UNWILLING}
+)
 """Failures that come before any byte of the request's body is read. After
 others a streamed body lacks its begin, also where the target did not run."""
 
@@ -280,7 +282,10 @@
         elif answered:
             state.answer = result.unwrap()
         else:
-            state.note_failure(result.failure())
+            failure = result.failure()
+            state.note_failure(failure)
+            if not failure.sent:
+                state.started -= 1
 
     def _freshness(self, reason: RetryReason | None) -> Freshness:
         if reason is RetryReason.HEDGE and not self.limits.hedge_on_new:
@@ -314,7 +319,7 @@
         if refusal is not None:
             state.refusal = refusal
             return None
-        if not self._spend(state, self.retries):
+        if state.failure.sent and not self._spend(state, self.retries):
             return None
         permit = await self._permit(state, wait=True)
         if permit is not None:
@@ -328,10 +333,11 @@
         refusal = failure_refusal(state.failure)
         if state.may_have_run:
             refusal = dataclasses.replace(refusal, outcome=Outcome.UNKNOWN)
-        if state.refusal is not None and refusal.retry_at is None:
+        if state.refusal is not None:
             retry_at = state.refusal.retry_at
-            refusal = dataclasses.replace(refusal, retry_at=retry_at)
-        return refusal
+        else:
+            retry_at = self.admission.retry_at(state.route)
+        return dataclasses.replace(refusal, retry_at=retry_at)
 
     def _hedge_after(self, route: Route) -> float | None:
         """Return the seconds after which an answer is late enough to hedge.
--- a/agatetack/attempts/rules.py
+++ b/agatetack/attempts/rules.py
@@ -8,6 +8,7 @@
 RETRY_REASONS = {
     RefusalReason.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
     RefusalReason.SHED_BY_TARGET: RetryReason.SHED_BY_TARGET,
+    RefusalReason.TARGET_UNWILLING: RetryReason.TARGET_UNWILLING,
     RefusalReason.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
     RefusalReason.ANSWER_TIMEOUT: RetryReason.ANSWER_TIMEOUT,
     RefusalReason.ANSWER_MALFORMED: RetryReason.ANSWER_MALFORMED,
@@ -18,6 +19,7 @@
 DETAILS = {
     RefusalReason.CONNECT_FAILED: "No target could be reached.",
     RefusalReason.SHED_BY_TARGET: "The target has too much work.",
+    RefusalReason.TARGET_UNWILLING: "The target takes no work now.",
     RefusalReason.CONNECTION_LOST: "The target dropped the connection.",
     RefusalReason.ANSWER_TIMEOUT: "The target did not answer in time.",
     RefusalReason.ANSWER_MALFORMED: "The target's answer is not HTTP.",
@@ -34,6 +36,4 @@
     """Return what a caller is told when `failure` was the last one."""
     reason = failure.reason
     plain = refuse(reason, DETAILS.get(reason, reason.value))
-    return dataclasses.replace(
-        plain, outcome=failure.outcome, retry_at=failure.retry_at
-    )
+    return dataclasses.replace(plain, outcome=failure.outcome)
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -34,6 +34,7 @@
 
 ATTEMPT_RESULTS = {
     RefusalReason.SHED_BY_TARGET: AttemptResult.SHED,
+    RefusalReason.TARGET_UNWILLING: AttemptResult.CANCELLED,
 }
 """What a failure's reason says of the target; else `FAILED`."""
 
@@ -293,6 +294,10 @@
         self, plan: AttemptPlan, permit: Permit, failure: AttemptFailure
     ) -> None:
         result = ATTEMPT_RESULTS.get(failure.reason, AttemptResult.FAILED)
+        now = Deadline(trio.current_time())
+        if result is AttemptResult.SHED and not permit.target.is_willing(now):
+            # It has said itself how long it wants to be left alone.
+            result = AttemptResult.CANCELLED
         permit.release(result)
         if failure.reason is RefusalReason.CONNECTION_LOST:
             self.crashes.connection_lost(
--- a/agatetack/attempts/test_looking.py
+++ b/agatetack/attempts/test_looking.py
@@ -57,6 +57,9 @@
         self.result = result
 
 
+RETRY_AT = Deadline(7.0)
+
+
 class InOrder(AdmissionController):
     """Gives leave for the first target that is not to be avoided."""
 
@@ -65,6 +68,9 @@
         self.given = []
         self.repeats = False
 
+    def retry_at(self, route):
+        return RETRY_AT
+
     async def acquire(self, wanted):
         for target in self.targets:
             if target.id not in wanted.avoid:
--- a/agatetack/attempts/test_once.py
+++ b/agatetack/attempts/test_once.py
@@ -12,6 +12,7 @@
     SHED,
     SLOW,
     TIMEOUT,
+    UNWILLING,
     Claims,
     OpenAdmission,
     Parts,
@@ -27,6 +28,7 @@
     [
         ([OK], 1, None, None, [200], 0),
         ([CONNECT, OK], 2, None, None, [200], 0),
+        ([UNWILLING, OK], 2, None, None, [200], 0),
         ([SHED, OK], 2, None, None, [200], 0),
         (
             [LOST, OK],
--- a/agatetack/attempts/test_race.py
+++ b/agatetack/attempts/test_race.py
@@ -14,10 +14,12 @@
     LATE_SHED,
     LOST,
     OK,
+    RETRY_AT,
     ROUTE,
     SHED,
     SLOW,
     TIMEOUT,
+    UNWILLING,
     Crashes,
     OpenAdmission,
     Parts,
@@ -36,6 +38,7 @@
     [
         ([OK], 1, None, None),
         ([CONNECT, OK], 2, None, None),
+        ([UNWILLING, OK], 2, None, None),
         ([SHED, OK], 2, None, None),
         ([LOST, OK], 2, None, None),
         ([TIMEOUT, OK], 2, None, None),
@@ -137,6 +140,25 @@
     assert len(parts.client.attempts) <= 1000 * 1.05 + 5
 
 
+async def test_what_was_not_sent_spends_no_budget_and_no_attempt(
+    autojump_clock,
+):
+    parts = Parts(ScriptedClient([*[UNWILLING] * 20, SHED, SHED, OK]))
+    runner = parts.runner()
+    left = runner.retries.of(ROUTE.id).tokens
+    result = await runner.run(ROUTE, make_request(), hedged=True)
+    assert result.unwrap().status == 200
+    assert runner.retries.of(ROUTE.id).tokens >= left - 2
+
+
+async def test_a_caller_is_told_when_the_service_takes_requests(
+    autojump_clock,
+):
+    parts = Parts(ScriptedClient([SHED] * 3))
+    result = await parts.runner().run(ROUTE, make_request(), hedged=True)
+    assert result.failure().retry_at == RETRY_AT
+
+
 async def run_hedged(parts, requests=1):
     """Run requests whose answers count as late after 20 ms."""
     runner = parts.runner()
--- a/agatetack/attempts/test_support.py
+++ b/agatetack/attempts/test_support.py
@@ -50,6 +50,7 @@
 
 
 CONNECT = failure(RefusalReason.CONNECT_FAILED, Outcome.NOT_RUN)
+UNWILLING = failure(RefusalReason.TARGET_UNWILLING, Outcome.NOT_RUN)
 SHED = failure(RefusalReason.SHED_BY_TARGET, Outcome.NOT_RUN)
 LOST = failure(RefusalReason.CONNECTION_LOST, Outcome.UNKNOWN)
 TIMEOUT = failure(RefusalReason.ANSWER_TIMEOUT, Outcome.UNKNOWN)
@@ -133,6 +134,9 @@
         self.results.append(result)
 
 
+RETRY_AT = Deadline(7.0)
+
+
 class OpenAdmission(AdmissionController):
     """Permits a number of attempts, then refuses."""
 
@@ -141,6 +145,9 @@
         self.given: list[CountedPermit] = []
         self.wanted = []
 
+    def retry_at(self, route):
+        return RETRY_AT
+
     async def acquire(self, wanted):
         await trio.lowlevel.checkpoint()
         self.wanted.append(wanted)
--- a/agatetack/balance/test_targets_that_push_back.py
+++ b/agatetack/balance/test_targets_that_push_back.py
@@ -4,10 +4,15 @@
 import trio
 from returns.pipeline import is_successful
 
+from agatetack.balance.pushback_share import PushbackShare
 from agatetack.messages import Header
+from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import ReportSource
 from agatetack.testing.limited_fleet import limited_fleet
-from agatetack.testing.targets import make_request, make_route
+from agatetack.testing.store_fleet import template_settings
+from agatetack.testing.targets import make_request, make_route, started_target
 
 TOLD_SECONDS = 0.5
 """After which a host that was turned away has to stay away."""
@@ -106,14 +111,52 @@
         assert fleet.refused == 0
 
 
-async def test_a_target_that_was_started_again_is_not_bound_by_it(
-    autojump_clock, monkeypatch
+@pytest.mark.parametrize(
+    ("incarnation", "bound"), [(1000, True), (2000, False)]
+)
+async def test_only_a_new_start_of_a_target_ends_its_wish(
+    autojump_clock, incarnation, bound
+):
+    registry = TargetRegistry(template_settings(1), Metrics())
+    registry.update([started_target(1, 1000)])
+    target = next(iter(registry.by_id.values()))
+    headers = [Header(b"retry-after", b"3")]
+    registry.pushbacks.note_answer(target, 503, headers, ReportSource.ANSWER)
+    # Its registration lapses and is made anew.
+    registry.update([])
+    registry.update([started_target(1, incarnation)])
+    target = next(iter(registry.by_id.values()))
+    now = trio.current_time()
+    assert (target.pushback_until > now) is bound
+    assert PushbackShare(Metrics()).allows(target) is not bound
+    await trio.sleep(3.0)
+    assert PushbackShare(Metrics()).allows(target)
+
+
+@pytest.mark.parametrize(
+    ("wishes", "wait"),
+    [
+        # The other target may be asked at once.
+        ((b"3", None), 0.3),
+        ((None, b"3"), 0.3),
+        # The first one that ends.
+        ((b"3", b"1"), 1.0),
+        ((b"1", b"3"), 1.0),
+    ],
+)
+async def test_a_refused_caller_is_told_of_the_first_target_that_opens(
+    autojump_clock, monkeypatch, wishes, wait
 ):
     async with limited_fleet(monkeypatch, 1, 2) as fleet:
-        await _turned_away_by_all(fleet)
-        registry = fleet.hosts[0].registry
-        fleet.list_targets([])
-        fleet.list_targets(fleet.targets)
+        host = fleet.hosts[0]
         now = trio.current_time()
-        states = registry.by_id.values()
-        assert all(state.pushback_until <= now for state in states)
+        states = list(host.registry.by_id.values())
+        for state, wish in zip(states, wishes, strict=True):
+            values = () if wish is None else (wish,)
+            headers = [Header(b"retry-after", value) for value in values]
+            host.registry.pushbacks.note_answer(
+                state, 503, headers, ReportSource.ANSWER
+            )
+        assert host.attempts.admission.retry_at(make_route()) == pytest.approx(
+            now + wait
+        )
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -39,12 +39,14 @@
         headers: The answer's header fields, names in lower case.
         fields: The same with those that come twice, in their order.
         body: The answer's body.
+        head_complete: Whether all header fields are there.
         complete: Whether the answer has ended.
     """
 
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     fields: list[Header] = dataclasses.field(default_factory=list)
     body: bytes = b""
+    head_complete: bool = False
     complete: bool = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -52,6 +54,10 @@
         self.fields.append(Header(name.lower(), value))
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        """Note the end of the header."""
+        self.head_complete = True
+
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body."""
         self.body += data
@@ -137,6 +143,7 @@
         await stream.send_all(request)
         used = len(request)
         report = ReportParser()
+        noted = False
         parser = httptools.HttpResponseParser(report)
         while not report.complete:
             if used >= max_bytes:
@@ -146,7 +153,9 @@
                 raise EOFError
             used += len(data)
             parser.feed_data(data)
-        self._note_pushback(target, parser.get_status_code(), report)
+            if report.head_complete and not noted:
+                noted = True
+                self._note_pushback(target, parser.get_status_code(), report)
         if parser.get_status_code() >= 500 and not report.headers:
             raise Malformed
         answer = read_report(report, self.load_reader, used)
--- a/agatetack/outcomes.py
+++ b/agatetack/outcomes.py
@@ -37,6 +37,7 @@
     QUARANTINED = "quarantined"
     CONNECT_FAILED = "connect-failed"
     SHED_BY_TARGET = "shed-by-target"
+    TARGET_UNWILLING = "target-unwilling"
     LOG_UNAVAILABLE = "log-unavailable"
     KEY_MISSING = "key-missing"
     KEY_MALFORMED = "key-malformed"
@@ -64,6 +65,7 @@
 
     CONNECT_FAILED = "connect-failed"
     SHED_BY_TARGET = "shed-by-target"
+    TARGET_UNWILLING = "target-unwilling"
     CONNECTION_LOST = "connection-lost"
     ANSWER_TIMEOUT = "answer-timeout"
     ANSWER_MALFORMED = "answer-malformed"
@@ -97,6 +99,7 @@
     RefusalReason.QUARANTINED: ReasonRule(422, Outcome.NOT_RUN),
     RefusalReason.CONNECT_FAILED: ReasonRule(502, Outcome.NOT_RUN),
     RefusalReason.SHED_BY_TARGET: ReasonRule(503, Outcome.NOT_RUN),
+    RefusalReason.TARGET_UNWILLING: ReasonRule(503, Outcome.NOT_RUN),
     RefusalReason.LOG_UNAVAILABLE: ReasonRule(503, Outcome.NOT_RUN),
     RefusalReason.KEY_MISSING: ReasonRule(400, Outcome.NOT_RUN),
     RefusalReason.KEY_MALFORMED: ReasonRule(400, Outcome.NOT_RUN),
--- a/agatetack/targets/client.py
+++ b/agatetack/targets/client.py
@@ -26,13 +26,16 @@
         reason: What went wrong, as the caller would be told.
         outcome: Whether the target can have run the request.
         target_suspect: Whether it speaks against the target itself.
-        retry_at: When the target asked to be tried again, or None.
     """
 
     reason: RefusalReason
     outcome: Outcome
     target_suspect: bool
-    retry_at: Deadline | None = None
+
+    @property
+    def sent(self) -> bool:
+        """Return whether the target may have seen anything of it."""
+        return self.reason is not RefusalReason.TARGET_UNWILLING
 
 
 class AttemptFailed(Exception):
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -2,14 +2,13 @@
 
 import trio
 
-from agatetack.headers import read_count, strip_hop_by_hop
+from agatetack.headers import strip_hop_by_hop
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
 from agatetack.messages import (
     Answer,
     BytesBody,
     CallerRequest,
-    find_header,
 )
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.settings.model import Settings
@@ -83,6 +82,16 @@
             self.check.echo(attempt.request),
         )
         sent_at = Deadline(trio.current_time())
+        if not attempt.target.is_willing(sent_at):
+            # It said so since the attempt was given leave to go there.
+            pool.put_back(connection)
+            raise AttemptFailed(
+                AttemptFailure(
+                    RefusalReason.TARGET_UNWILLING,
+                    Outcome.NOT_RUN,
+                    target_suspect=False,
+                )
+            )
         self.registry.note_sent(attempt.target, SendKind.REQUEST)
         try:
             with trio.move_on_at(attempt.deadline) as scope:
@@ -250,7 +259,6 @@
                     RefusalReason.SHED_BY_TARGET,
                     Outcome.NOT_RUN,
                     target_suspect=False,
-                    retry_at=_retry_at(parser),
                 )
             )
         headers = [
@@ -336,10 +344,3 @@
     if parser.head_bytes:
         return RefusalReason.ANSWER_MALFORMED
     return RefusalReason.CONNECTION_LOST
-
-
-def _retry_at(parser: AnswerParser) -> Deadline | None:
-    seconds = read_count(find_header(parser.headers, b"retry-after"))
-    if seconds is None:
-        return None
-    return Deadline(trio.current_time() + seconds)
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -147,7 +147,7 @@
                     target, load, ReportSource.ANSWER
                 )
             now = trio.current_time()
-            if not pooled or now >= deadline or not target.wants_looks(now):
+            if not pooled or now >= deadline or not target.is_willing(now):
                 return None
 
     async def _connect(
@@ -198,12 +198,14 @@
             await connection.send(question.encode() + b"\r\n")
         except trio.BrokenResourceError:
             return None
-        while parser.state in (AnswerState.HEAD, AnswerState.BODY):
+        while parser.state is AnswerState.HEAD:
             await connection.receive_into(parser)
-        connection.idle_seconds = parser.keep_alive_seconds
         load = self.load_reader.read(dict(parser.headers))
         if self._is_answer_of(parser, target):
             self._note_wishes(parser, target, load)
+        while parser.state is AnswerState.BODY:
+            await connection.receive_into(parser)
+        connection.idle_seconds = parser.keep_alive_seconds
         if not self._is_own_word(parser, target):
             return None
         self.registry.rate_limits.note_load_answer(
@@ -226,7 +228,7 @@
 
     def _is_answer_of(self, parser: AnswerParser, target: TargetState) -> bool:
         """Return whether `target` answered, if only to turn the look away."""
-        if parser.state is not AnswerState.COMPLETE or self._is_late(parser):
+        if parser.state is AnswerState.BROKEN or self._is_late(parser):
             return False
         if self.instance_name is None:
             return True
--- a/agatetack/targets/pushbacks.py
+++ b/agatetack/targets/pushbacks.py
@@ -9,7 +9,7 @@
 
 from agatetack.decisions import DecisionLog
 from agatetack.headers import read_decimal
-from agatetack.ids import Deadline
+from agatetack.ids import Deadline, ProcessId
 from agatetack.messages import Headers
 from agatetack.metrics import Metrics
 from agatetack.targets.rate_limits import SendKind
@@ -31,10 +31,16 @@
 
 
 class Pushbacks:
-    """The targets that want nothing of this host for some time."""
+    """The targets that want nothing of this host for some time.
+
+    Attributes:
+        until: Until when, by start of a process; it outlasts a registration
+            that lapses and is made again.
+    """
 
     def __init__(self, metrics: Metrics):
         """Count in `metrics`."""
+        self.until: dict[ProcessId, Deadline] = {}
         self.learned = metrics.counter(
             "agatetack_target_pushbacks_total",
             "Answers that asked this host to stay away, by source.",
@@ -50,6 +56,12 @@
         for kind in SendKind:
             self.sends.add({"kind": kind.value}, 0)
 
+    def restore(self, target: TargetState) -> None:
+        """Let `target`, registered anew, have the time that it asked for."""
+        target.pushback_until = self.until.get(
+            target.process, target.pushback_until
+        )
+
     def note_sent(self, target: TargetState, kind: SendKind) -> None:
         """Count what this host sends to a target that wants nothing."""
         if trio.current_time() < target.pushback_until:
@@ -104,3 +116,10 @@
             source=source.value,
         )
         target.pushback_until = until
+        self._forget_over(now)
+        self.until[target.process] = until
+
+    def _forget_over(self, now: Deadline) -> None:
+        over = [process for process, at in self.until.items() if at <= now]
+        for process in over:
+            del self.until[process]
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -378,6 +378,7 @@
                 target.status = TargetStatus.READY
         self.by_id[target.id] = target
         self.by_process[target.process] = target
+        self.pushbacks.restore(target)
         self.changes += 1
         self.departures.forget_earlier(target)
         record = self.departures.get(target.id)
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -133,10 +133,10 @@
         """Return whether it may be cold, and takes only so many requests."""
         return self.warm_up_rate > 0 and self.warmth.is_cold(now)
 
-    def wants_looks(self, now: Deadline) -> bool:
-        """Return whether it is of any use to ask it for its load."""
-        leaves = self.status is TargetStatus.LEAVING
-        return not leaves and now >= self.pushback_until
+    def is_willing(self, now: Deadline) -> bool:
+        """Return whether it wants anything of this host, as far as is known."""
+        ends = self.status in (TargetStatus.LEAVING, TargetStatus.GONE)
+        return not ends and now >= self.pushback_until
 
     @property
     def process(self) -> ProcessId:
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -422,6 +422,46 @@
         assert [header.name for header in answer.headers] == [b"x-b"]
 
 
+# Guards against: a request that had leave to go to a target was sent there
+# after the target had said that it wants none.
+@pytest.mark.parametrize(
+    ("status", "pushed_back"),
+    [
+        (TargetStatus.READY, True),
+        (TargetStatus.LEAVING, False),
+        (TargetStatus.GONE, False),
+    ],
+)
+async def test_nothing_is_sent_to_a_target_that_became_unwilling(
+    status, pushed_back
+):
+    async with raw_target(sends(OK)) as caller:
+        await caller.fetch()
+        caller.state.status = status
+        if pushed_back:
+            caller.state.pushback_until = Deadline(trio.current_time() + 3)
+        with pytest.raises(AttemptFailed) as failed:
+            await caller.call()
+        failure = failed.value.failure
+        assert failure.reason is RefusalReason.TARGET_UNWILLING
+        assert failure.outcome is Outcome.NOT_RUN
+        assert not failure.sent
+        # The connection is kept for later.
+        assert caller.pool.open_count == len(caller.pool.idle) == 1
+
+
+# Guards against: the wish was lost with a body that never ends.
+async def test_a_pushback_is_known_once_the_head_is_read():
+    head = (
+        b"HTTP/1.1 503 Full\r\nretry-after: 3\r\nx-target-outcome: not-run"
+        b"\r\ncontent-length: 5\r\n\r\n"
+    )
+    async with raw_target(sends(head)) as caller:
+        with pytest.raises(AttemptFailed):
+            await caller.call(seconds=1.0)
+        assert caller.state.pushback_until > trio.current_time() + 1.0
+
+
 @pytest.mark.parametrize(
     ("status", "name"),
     [
@@ -443,7 +483,8 @@
         try:
             await caller.fetch()
         except AttemptFailed as error:
-            assert error.failure.retry_at is None
+            assert error.failure.outcome is Outcome.NOT_RUN
+        assert caller.state.pushback_until <= trio.current_time()
         assert caller.pool.open_count == len(caller.pool.idle)
         report = caller.state.report
         assert report is None or report.in_flight <= 1
