Note what an answer asks for that comes as its attempt is given up

A request that lost against another attempt in the very moment in which its target turned it away closed the connection without reading the answer, and with it for how long the target wants nothing of this host. What has arrived by then is read first (the test failed before).

The hosts of that fixture are seeded now.

Only a request that was taken ends the count of pushbacks, not a 503 without the mark that it was not run. A hedge goes to no target on trial at all.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -382,8 +382,12 @@
     One that asked to be left alone gets a single request when that is over.
     Whoever has been turned away, or has one attempt only, goes elsewhere.
     """
+    proven = [target for target in free if not target.pushbacks]
+    if not wanted.wait:
+        # The first attempt of a hedge is still under way.
+        return proven
     if wanted.avoid or wanted.route.max_attempts == 1:
-        return [target for target in free if not target.pushbacks] or free
+        return proven or free
     return [
         target
         for target in free
--- a/agatetack/targets/connection.py
+++ b/agatetack/targets/connection.py
@@ -74,6 +74,16 @@
         else:
             parser.end()
 
+    def receive_nowait_into(self, parser: AnswerParser) -> None:
+        """Give what is here to `parser`, without waiting for more."""
+        try:
+            data = self.stream.receive_nowait()
+        except trio.BrokenResourceError:
+            return
+        if data:
+            self.last_byte_at = Deadline(trio.current_time())
+            parser.feed(data)
+
     def close(self) -> None:
         """Close at once; a request that is open there is cancelled by it."""
         if not self.closed:
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -32,6 +32,7 @@
 )
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool, TargetPools
+from agatetack.targets.pushbacks import TURNED_AWAY_STATUSES
 from agatetack.targets.rate_limits import SendKind
 from agatetack.targets.registry import LeavingSign, TargetRegistry
 from agatetack.targets.state import ReportSource, TargetState
@@ -97,6 +98,7 @@
             with trio.move_on_at(attempt.deadline) as scope:
                 sent_whole = await self._exchange(attempt, connection, parser)
         except trio.Cancelled:
+            self._note_late_wish(attempt, connection, parser)
             self._note_silence(connection, pool, sent_at)
             raise
         except BaseException:
@@ -119,6 +121,23 @@
         self._note_demands(attempt.target, parser, sent_at)
         return await self._finish(attempt, connection, pool, parser, sent_whole)
 
+    def _note_late_wish(
+        self,
+        attempt: Attempt,
+        connection: TargetConnection,
+        parser: AnswerParser,
+    ) -> None:
+        """Note what an answer that nobody waits for any more asks of hosts."""
+        if parser.state is AnswerState.HEAD:
+            connection.receive_nowait_into(parser)
+        if self.check.is_not_run(parser):
+            self.registry.pushbacks.note_answer(
+                attempt.target,
+                parser.status,
+                parser.headers,
+                ReportSource.ANSWER,
+            )
+
     async def _connect(
         self, attempt: Attempt, pool: TargetPool
     ) -> TargetConnection:
@@ -275,11 +294,12 @@
         limits = self.registry.rate_limits
         if self.check.is_other_instance(parser):
             return
-        self.registry.pushbacks.note_answer(
+        pushbacks = self.registry.pushbacks
+        pushbacks.note_answer(
             target, parser.status, parser.headers, ReportSource.ANSWER
         )
-        if not self.check.is_not_run(parser):
-            self.registry.pushbacks.note_taken(target)
+        if parser.status not in TURNED_AWAY_STATUSES:
+            pushbacks.note_taken(target)
         if self.check.is_not_run(parser):
             # A full target may answer before it comes to name its rate.
             limits.note_load_answer(target, parser.headers, ReportSource.ANSWER)
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -1,6 +1,7 @@
 """Check what becomes of a request with targets that misbehave."""
 
 import contextlib
+import os
 
 import pytest
 import trio
@@ -462,6 +463,45 @@
         assert caller.state.pushback_until > trio.current_time() + 1.0
 
 
+# Guards against: the wish of a target was lost if another attempt was answered
+# in the same moment.
+async def test_the_wish_of_an_answer_that_comes_too_late_is_known():
+    answer = OK.replace(
+        b"200 OK", b"503 Full\r\nretry-after: 3\r\nx-target-outcome: not-run"
+    )
+    scope = trio.CancelScope()
+
+    async def script(stream, number):
+        await stream.receive_some()
+        # Both in one step of this task, so that the caller's comes after.
+        os.write(stream.socket.fileno(), answer)
+        scope.cancel()
+
+    async with raw_target(script) as caller:
+        with scope:
+            await caller.call()
+        assert scope.cancelled_caught
+        assert caller.state.pushback_until > trio.current_time() + 1.0
+
+
+@pytest.mark.parametrize(
+    ("status", "pushbacks"),
+    [
+        (b"200 OK", 0),
+        (b"500 Broken", 0),
+        (b"503 Full\r\nx-target-outcome: not-run", 3),
+        (b"503 Full", 3),
+        (b"503 Full\r\nretry-after: 1", 4),
+    ],
+)
+async def test_only_a_request_that_was_taken_ends_the_count(status, pushbacks):
+    async with raw_target(sends(OK.replace(b"200 OK", status))) as caller:
+        caller.state.pushbacks = 3
+        with contextlib.suppress(AttemptFailed):
+            await caller.fetch()
+        assert caller.state.pushbacks == pushbacks
+
+
 @pytest.mark.parametrize(
     ("status", "name"),
     [
--- a/agatetack/testing/limited_fleet.py
+++ b/agatetack/testing/limited_fleet.py
@@ -206,7 +206,7 @@
         _note_ports(monkeypatch, fleet)
         for number in range(hosts):
             settings = template_settings(NO_STORE_PORT, f"h{number:03}")
-            host = GatewayCore(settings)
+            host = GatewayCore(settings, seed=number)
             host.build_target_side(
                 fleet.directory, ListLoadReader(settings), {SERVICE: "/load"}
             )
