--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -377,19 +377,17 @@
 def _proven(
     free: Sequence[TargetState], wanted: PermitRequest
 ) -> Sequence[TargetState]:
-    """Return the targets without those that may turn the request away again.
+    """Return the targets without those on trial that this is no request for.
 
-    One that asked to be left alone gets a single request when that is over.
-    Whoever has been turned away, or has one attempt only, goes elsewhere.
+    A target on trial gets one request at a time. A request that was turned
+    away already, or has one attempt only, goes elsewhere if it can.
     """
-    proven = [target for target in free if not target.pushbacks]
+    proven = [target for target in free if not target.on_trial]
     if not wanted.wait:
         # The first attempt of a hedge is still under way.
         return proven
     if wanted.avoid or wanted.route.max_attempts == 1:
         return proven or free
     return [
-        target
-        for target in free
-        if not target.pushbacks or not target.in_flight
+        target for target in free if not target.on_trial or not target.in_flight
     ]
--- a/agatetack/balance/pushback_share.py
+++ b/agatetack/balance/pushback_share.py
@@ -19,7 +19,7 @@
         """Count in `metrics` what is held back."""
         self.held = metrics.counter(
             "agatetack_target_pushback_held_total",
-            "Choices that passed over a target by its own wish, by service.",
+            "Choices that passed over a target as it had asked, by service.",
         )
 
     def allows(self, target: TargetState) -> bool:
--- a/agatetack/balance/test_targets_that_push_back.py
+++ b/agatetack/balance/test_targets_that_push_back.py
@@ -117,7 +117,7 @@
 @pytest.mark.parametrize(
     ("incarnation", "bound"), [(1000, True), (2000, False)]
 )
-async def test_only_a_new_start_of_a_target_ends_its_wish(
+async def test_only_a_new_start_of_a_target_ends_its_pushback(
     autojump_clock, incarnation, bound
 ):
     registry = TargetRegistry(template_settings(1), Metrics())
@@ -137,7 +137,7 @@
 
 
 @pytest.mark.parametrize(
-    ("wishes", "wait"),
+    ("asked", "wait"),
     [
         # The other target may be asked at once.
         ((b"3", None), 0.3),
@@ -148,14 +148,14 @@
     ],
 )
 async def test_a_refused_caller_is_told_of_the_first_target_that_opens(
-    autojump_clock, monkeypatch, wishes, wait
+    autojump_clock, monkeypatch, asked, wait
 ):
     async with limited_fleet(monkeypatch, 1, 2) as fleet:
         host = fleet.hosts[0]
         now = trio.current_time()
         states = list(host.registry.by_id.values())
-        for state, wish in zip(states, wishes, strict=True):
-            values = () if wish is None else (wish,)
+        for state, value in zip(states, asked, strict=True):
+            values = () if value is None else (value,)
             headers = [Header(b"retry-after", value) for value in values]
             host.registry.pushbacks.note_answer(
                 state, 503, headers, ReportSource.ANSWER
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -98,7 +98,7 @@
             with trio.move_on_at(attempt.deadline) as scope:
                 sent_whole = await self._exchange(attempt, connection, parser)
         except trio.Cancelled:
-            self._note_late_wish(attempt, connection, parser)
+            self._note_late_pushback(attempt, connection, parser)
             self._note_silence(connection, pool, sent_at)
             raise
         except BaseException:
@@ -118,10 +118,10 @@
         if not self.check.is_sound(parser):
             pool.discard(connection)
             raise _failed(RefusalReason.ANSWER_MALFORMED, suspect=True)
-        self._note_demands(attempt.target, parser, sent_at)
+        self._note_target_limits(attempt.target, parser, sent_at)
         return await self._finish(attempt, connection, pool, parser, sent_whole)
 
-    def _note_late_wish(
+    def _note_late_pushback(
         self,
         attempt: Attempt,
         connection: TargetConnection,
@@ -287,7 +287,7 @@
         ]
         return Answer(parser.status, headers, body)
 
-    def _note_demands(
+    def _note_target_limits(
         self, target: TargetState, parser: AnswerParser, sent_at: Deadline
     ) -> None:
         """Note what the target wants of hosts that send to it."""
--- a/agatetack/targets/look.py
+++ b/agatetack/targets/look.py
@@ -202,7 +202,7 @@
             await connection.receive_into(parser)
         load = self.load_reader.read(dict(parser.headers))
         if self._is_answer_of(parser, target):
-            self._note_wishes(parser, target, load)
+            self._note_availability(parser, target, load)
         while parser.state is AnswerState.BODY:
             await connection.receive_into(parser)
         connection.idle_seconds = parser.keep_alive_seconds
@@ -216,7 +216,7 @@
         await trio.sleep(STRAY_SECONDS)
         return load if connection.is_quiet() else None
 
-    def _note_wishes(
+    def _note_availability(
         self, parser: AnswerParser, target: TargetState, load: ReadLoad
     ) -> None:
         """Note what the answer says of whether `target` wants requests."""
--- a/agatetack/targets/state.py
+++ b/agatetack/targets/state.py
@@ -140,6 +140,11 @@
         ends = self.status in (TargetStatus.LEAVING, TargetStatus.GONE)
         return not ends and now >= self.pushback_until
 
+    @property
+    def on_trial(self) -> bool:
+        """Return whether it has taken no request since it pushed back."""
+        return self.pushbacks > 0
+
     @property
     def process(self) -> ProcessId:
         """Return the name of this start of the target's process."""
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -451,7 +451,7 @@
         assert caller.pool.open_count == len(caller.pool.idle) == 1
 
 
-# Guards against: the wish was lost with a body that never ends.
+# Guards against: the pushback was lost with a body that never ends.
 async def test_a_pushback_is_known_once_the_head_is_read():
     head = (
         b"HTTP/1.1 503 Full\r\nretry-after: 3\r\nx-target-outcome: not-run"
@@ -463,9 +463,9 @@
         assert caller.state.pushback_until > trio.current_time() + 1.0
 
 
-# Guards against: the wish of a target was lost if another attempt was answered
+# Guards against: a pushback was lost if another attempt was answered
 # in the same moment.
-async def test_the_wish_of_an_answer_that_comes_too_late_is_known():
+async def test_the_pushback_of_an_answer_that_comes_too_late_is_known():
     answer = OK.replace(
         b"200 OK", b"503 Full\r\nretry-after: 3\r\nx-target-outcome: not-run"
     )
--- a/agatetack/targets/test_pushbacks.py
+++ b/agatetack/targets/test_pushbacks.py
@@ -78,7 +78,7 @@
     assert pushbacks.refused.get({"problem": problem.value}) == 1
 
 
-async def test_a_shorter_wish_does_not_end_a_longer_one(autojump_clock):
+async def test_a_shorter_pushback_does_not_end_a_longer_one(autojump_clock):
     target = make_target()
     pushbacks = Pushbacks(Metrics())
     note(pushbacks, target, 503, (b"3",))
