--- a/thrift/operators.thrift
+++ b/thrift/operators.thrift
@@ -67,6 +67,7 @@
   CALLER_GONE = 33
   INTERNAL_ERROR = 34
   KEY_STORE_FULL = 35
+  TARGET_UNWILLING = 36
 }
 
 // Why a request was sent to a target once more.
@@ -81,6 +82,7 @@
   RESUME = 8
   ANSWER_CUT = 9
   STALLED = 10
+  TARGET_UNWILLING = 11
 }
 
 // What an attempt showed of its target.
