Let the hold of a target's own word never end

That a target's own word is final was asked in five places of Departures, beside the hold that answers the same question for all other signs. The hold of such a sign has no end now, and return, probes, memory of targets that are gone and the list's word go by it as they did for the others. Behaviour is as it was: the tests of registry, leaving targets, prober and store gateway pass unchanged.

--- a/agatetack/targets/departures.py
+++ b/agatetack/targets/departures.py
@@ -52,24 +52,23 @@
             now,
             returns=self.returns.get(target.id, 0),
             incarnation=target.incarnation,
+            id_of_one_start=self.ids_by_start,
         )
         if len(self.records) >= MOST_RECORDS:
             self.forget(next(iter(self.records)))
         self.records[target.id] = record
+        record.hold(now, self.hold_seconds)
         decisions.note(
             "target-leaving",
             target=target.id,
             service=target.service,
             sign=why.value,
-            final=self._is_final(record),
+            final=record.final,
         )
-        record.hold(now, self.hold_seconds)
 
     def may_return(self, target_id: TargetId, now: Deadline) -> bool:
         """Return whether a target that says to be ready may get work."""
         record = self.records[target_id]
-        if self._is_final(record):
-            return False
         return record.may_return(now, self.hold_seconds)
 
     def end(self, target_id: TargetId) -> LeavingRecord:
@@ -95,9 +94,7 @@
         Until then they keep out one that is listed again under its name.
         """
         record = self.records.get(target_id)
-        if record is None or self._is_final(record):
-            return
-        if now >= record.hold_until:
+        if record is not None and now >= record.hold_until:
             self.forget(target_id)
 
     def over(self, now: Deadline) -> Sequence[TargetId]:
@@ -105,20 +102,15 @@
         return [
             target_id
             for target_id, record in self.records.items()
-            if now >= record.hold_until and not self._is_final(record)
+            if now >= record.hold_until
         ]
 
     def holds(self, target_id: TargetId, now: Deadline) -> bool:
         """Return whether nothing undoes the signs of a target yet."""
         record = self.records.get(target_id)
-        if record is None:
-            return False
-        return now < record.hold_until or self._is_final(record)
+        return record is not None and now < record.hold_until
 
     def is_final(self, target_id: TargetId) -> bool:
         """Return whether nothing undoes the signs of a target ever."""
         record = self.records.get(target_id)
-        return record is not None and self._is_final(record)
-
-    def _is_final(self, record: LeavingRecord) -> bool:
-        return self.ids_by_start and record.own_word
+        return record is not None and record.final
--- a/agatetack/targets/leaving.py
+++ b/agatetack/targets/leaving.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import math
 
 from agatetack.ids import Deadline
 
@@ -61,6 +62,8 @@
         listed_live: Whether the list said live after the hold.
         returns: Times it came back and left again.
         incarnation: Which start of the target it is about.
+        id_of_one_start: Whether a later start has another id, so that what
+            the target said itself holds for ever.
     """
 
     sign: LeavingSign
@@ -71,6 +74,7 @@
     listed_live: bool = False
     returns: int = 0
     incarnation: int = 0
+    id_of_one_start: bool = False
 
     @property
     def announced(self) -> bool:
@@ -78,9 +82,9 @@
         return STRENGTHS[self.sign] > 0
 
     @property
-    def own_word(self) -> bool:
-        """Return whether the target itself said that it leaves."""
-        return self.sign in OWN_WORDS
+    def final(self) -> bool:
+        """Return whether nothing undoes it ever."""
+        return self.id_of_one_start and self.sign in OWN_WORDS
 
     def note_sign(
         self, sign: LeavingSign, now: Deadline, hold_seconds: float
@@ -96,6 +100,9 @@
         """Let no evidence count for another hold."""
         self.at = now
         self.listed_live = False
+        if self.final:
+            self.hold_until = Deadline(math.inf)
+            return
         doublings = min(self.returns, MAX_HOLD_DOUBLINGS)
         self.hold_until = Deadline(now + hold_seconds * 2**doublings)
 
