Pass pushbacks of answers on in one place of the client

Answers that are waited for and those that come too late named the same four arguments. Behaviour is as it was; test_http_client passes unchanged.

--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -131,12 +131,12 @@
         if parser.state is AnswerState.HEAD:
             connection.receive_nowait_into(parser)
         if self.check.is_not_run(parser):
-            self.registry.pushbacks.note_answer(
-                attempt.target,
-                parser.status,
-                parser.headers,
-                ReportSource.ANSWER,
-            )
+            self._note_pushback(attempt.target, parser)
+
+    def _note_pushback(self, target: TargetState, parser: AnswerParser) -> None:
+        self.registry.pushbacks.note_answer(
+            target, parser.status, parser.headers, ReportSource.ANSWER
+        )
 
     async def _connect(
         self, attempt: Attempt, pool: TargetPool
@@ -294,12 +294,9 @@
         limits = self.registry.rate_limits
         if self.check.is_other_instance(parser):
             return
-        pushbacks = self.registry.pushbacks
-        pushbacks.note_answer(
-            target, parser.status, parser.headers, ReportSource.ANSWER
-        )
+        self._note_pushback(target, parser)
         if parser.status not in TURNED_AWAY_STATUSES:
-            pushbacks.note_taken(target)
+            self.registry.pushbacks.note_taken(target)
         if self.check.is_not_run(parser):
             # A full target may answer before it comes to name its rate.
             limits.note_load_answer(target, parser.headers, ReportSource.ANSWER)
