Give the bits of an answer their count, and two times their own names

_bytes_of took records or hashes and asked which it had, so that a third kind of caller would have got a wrong number in silence; it takes a count now. Two modules named different times LOST_SECONDS, one of which a test imported under another name. Behaviour is as it was; the tests of hosts and of a restored store pass, with that import renamed.

--- a/agatetack/hosts/evacuations.py
+++ b/agatetack/hosts/evacuations.py
@@ -16,7 +16,7 @@
 from agatetack.keyed.topic import KeyedRecord
 from agatetack.metrics import Metrics
 
-LOST_SECONDS = 60.0
+LOST_EVACUATION_SECONDS = 60.0
 """How long an evacuation holds that the store has lost, unless it is written
 again. One that ended meanwhile may have left nothing there that says so."""
 
@@ -78,7 +78,7 @@
         lost = known.value is not None and found is None
         if not lost or self.keys.domain(known.key) is None:
             return None
-        return Deadline(trio.current_time() + LOST_SECONDS)
+        return Deadline(trio.current_time() + LOST_EVACUATION_SECONDS)
 
     def _changed(
         self, domains: Set[FailureDomain], records: Sequence[KeyedRecord]
--- a/agatetack/hosts/registered_targets.py
+++ b/agatetack/hosts/registered_targets.py
@@ -20,7 +20,7 @@
 
 log = DecisionLog("targets")
 
-LOST_SECONDS = 5.0
+LOST_TARGET_SECONDS = 5.0
 """How long a target is believed whose registration the store has lost; a live
 one registers again with its next reports, 1.5 s apart."""
 
@@ -125,7 +125,7 @@
         now = trio.current_time()
         if found is None:
             lost = known.value is not None
-            return Deadline(now + LOST_SECONDS) if lost else None
+            return Deadline(now + LOST_TARGET_SECONDS) if lost else None
         last = self.departed.get(known.key)
         if known.value is not None:
             last = self._decoded(known)
--- a/agatetack/hosts/test_lost_records.py
+++ b/agatetack/hosts/test_lost_records.py
@@ -8,12 +8,11 @@
 
 from agatetack.config.document_routes import DocumentRoutes
 from agatetack.config.route import RouteSource
-from agatetack.hosts.evacuations import LOST_SECONDS as EVACUATION_SECONDS
-from agatetack.hosts.evacuations import Evacuations
+from agatetack.hosts.evacuations import LOST_EVACUATION_SECONDS, Evacuations
 from agatetack.hosts.host_list import HostState
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import (
-    LOST_SECONDS,
+    LOST_TARGET_SECONDS,
     OUTDATED_SECONDS,
     RegisteredTargets,
 )
@@ -155,7 +154,7 @@
     async with drill(make_targets, a=entry(3)) as play:
         await play.lose(**lost)
         assert states(play) == believed
-        await trio.sleep(LOST_SECONDS)
+        await trio.sleep(LOST_TARGET_SECONDS)
         assert states(play) == later
         await trio.sleep(OUTDATED_SECONDS)
         # What the store has all the while holds in the end.
@@ -184,7 +183,7 @@
         play.write(**rewritten)
         await trio.sleep(0.5)
         assert states(play) == believed
-        await trio.sleep(LOST_SECONDS)
+        await trio.sleep(LOST_TARGET_SECONDS)
         assert states(play) == believed
 
 
@@ -220,7 +219,7 @@
     async with drill(make_evacuations, **before) as play:
         await play.lose(**lost)
         assert all(each.domains == believed for each in play.readers)
-        await trio.sleep(EVACUATION_SECONDS)
+        await trio.sleep(LOST_EVACUATION_SECONDS)
         assert all(each.domains == later for each in play.readers)
 
 
@@ -231,7 +230,7 @@
     async with drill(make_evacuations) as play:
         await play.lose(evacuate_z=b"1")
         play.write(evacuate_z=rewritten)
-        await trio.sleep(EVACUATION_SECONDS + KNOWN_SECONDS)
+        await trio.sleep(LOST_EVACUATION_SECONDS + KNOWN_SECONDS)
         wanted = {"z"} if rewritten else set()
         assert all(each.domains == wanted for each in play.readers)
 
--- a/agatetack/keyed/messages.py
+++ b/agatetack/keyed/messages.py
@@ -116,12 +116,13 @@
     if len(hashes) % HASH_BYTES:
         raise MalformedHolding(f"{len(hashes)} bytes of hashes")
     by_hash = {_hash(record): record for record in records}
+    count = len(hashes) // HASH_BYTES
     bits = 0
-    for number in range(len(hashes) // HASH_BYTES):
+    for number in range(count):
         start = number * HASH_BYTES
         if by_hash.pop(hashes[start : start + HASH_BYTES], None) is not None:
             bits |= 1 << number
-    return bits.to_bytes(_bytes_of(hashes), "little"), [*by_hash.values()]
+    return bits.to_bytes(_bit_bytes(count), "little"), [*by_hash.values()]
 
 
 def join_held(
@@ -137,7 +138,7 @@
     Raises:
         MalformedHolding: `bits` is not of these records.
     """
-    if len(bits) != _bytes_of(held):
+    if len(bits) != _bit_bytes(len(held)):
         raise MalformedHolding(f"{len(bits)} bytes for {len(held)} records")
     number = int.from_bytes(bits, "little")
     if number >> len(held):
@@ -150,9 +151,8 @@
     ]
 
 
-def _bytes_of(held: Sequence) -> int:
-    """Return the bytes of one bit for each record, or for each hash."""
-    count = len(held) // HASH_BYTES if isinstance(held, bytes) else len(held)
+def _bit_bytes(count: int) -> int:
+    """Return how many bytes hold `count` bits."""
     return (count + 7) // 8
 
 
