Look for targets on trial once in a choice where there are none

Each choice of a target went through the free ones twice, also in the usual case that none of them has pushed back.

--- a/agatetack/admission/lane.py
+++ b/agatetack/admission/lane.py
@@ -383,8 +383,8 @@
     away already, or has one attempt only, goes elsewhere if it can.
     """
     proven = [target for target in free if not target.on_trial]
-    if not wanted.wait:
-        # The first attempt of a hedge is still under way.
+    if len(proven) == len(free) or not wanted.wait:
+        # A hedge can do without, as the first attempt is still under way.
         return proven
     if wanted.avoid or wanted.route.max_attempts == 1:
         return proven or free
