--- a/agatetack/deferred/log_queue.py
+++ b/agatetack/deferred/log_queue.py
@@ -1,5 +1,7 @@
 """Keep deferred requests in the platform's log and see that each ends."""
 
+import random
+
 import trio
 from returns.result import Result
 
@@ -56,9 +58,23 @@
         executor: Executor,
         metrics: Metrics,
         clock: Clock,
+        entropy: random.Random | None = None,
     ):
-        """Build all parts; nothing is read or run before `run`."""
+        """Build all parts; nothing is read or run before `run`.
+
+        Args:
+            settings: The host's settings.
+            log: The platform's log.
+            exchange: What peers tell.
+            source: The routes in force.
+            executor: Runs requests at targets.
+            metrics: The host's counters.
+            clock: The host's clocks.
+            entropy: Makes ids; the system's if None, as others must not be
+                able to guess a ticket.
+        """
         self.settings = settings
+        self.entropy = entropy or random.SystemRandom()
         self.clock = SteadyClock(clock)
         self.counters = Counters(metrics)
         self.metrics = metrics
@@ -72,7 +88,11 @@
             settings, self.partitions, self.choice, source, self.clock
         )
         self.submitter = Submitter(
-            settings, self.partitions, self.counters, self.clock
+            settings,
+            self.partitions,
+            self.counters,
+            self.clock,
+            self.entropy,
         )
         self.fetcher = Fetcher(
             settings, self.partitions, self.counters, self.clock
@@ -84,6 +104,7 @@
             executor,
             self.counters,
             self.clock,
+            self.entropy,
         )
 
     async def run(
@@ -100,6 +121,7 @@
                     self.choice,
                     self.counters,
                     self.clock,
+                    self.entropy,
                 )
                 nursery.start_soon(partition.run)
                 nursery.start_soon(partition.writer.run)
--- a/agatetack/deferred/partition.py
+++ b/agatetack/deferred/partition.py
@@ -223,16 +223,18 @@
         self.changed.set()
         self.changed = trio.Event()
 
-    def _apply(self, record: LogRecord) -> set[TicketId]:
+    def _apply(self, record: LogRecord) -> list[TicketId]:
+        """Fold a record; return the tickets in it, each once."""
         try:
             entries = decode_batch(record.payload)
         except MalformedRecord:
             self.metrics.dropped.inc(
                 {"part": "deferred", "reason": "malformed-record"}
             )
-            return set()
+            return []
         self._keep(record.offset, record.payload)
-        return {self.fold.apply(record, entry) for entry in entries}
+        tickets = [self.fold.apply(record, entry) for entry in entries]
+        return list(dict.fromkeys(tickets))
 
     def _announce(self, ticket: TicketId) -> None:
         event = self.watched.pop(ticket, None)
--- a/agatetack/deferred/records.py
+++ b/agatetack/deferred/records.py
@@ -1,7 +1,8 @@
 """Encode and decode the records that deferred requests leave in the log."""
 
+import base64
 import hashlib
-import secrets
+import random
 from collections.abc import Iterable
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -17,8 +18,10 @@
     Submission,
 )
 from agatetack.ids import (
+    AttemptId,
     CallerId,
     Deadline,
+    HostId,
     IdempotencyKey,
     RequestId,
     StreamId,
@@ -30,6 +33,9 @@
 TICKET_BYTES = 16
 """Random bytes of a ticket id, so that none can be guessed."""
 
+ATTEMPT_BYTES = 6
+"""Random bytes of an attempt's id; the host's id stands before them."""
+
 IDENTITY_BYTES = 16
 ENTRY_OVERHEAD = 8
 """Most bytes that a batch adds to an entry."""
@@ -47,9 +53,18 @@
     return StreamId(f"deferred-{partition}")
 
 
-def new_ticket(partition: int) -> TicketId:
-    """Return a ticket id that names its partition and can't be guessed."""
-    return TicketId(f"{partition}-{secrets.token_urlsafe(TICKET_BYTES)}")
+def new_ticket(partition: int, entropy: random.Random) -> TicketId:
+    """Return a ticket id that names its partition.
+
+    It can't be guessed if `entropy` is the system's.
+    """
+    token = base64.urlsafe_b64encode(entropy.randbytes(TICKET_BYTES))
+    return TicketId(f"{partition}-{token.decode().rstrip('=')}")
+
+
+def new_attempt(host: HostId, entropy: random.Random) -> AttemptId:
+    """Return an attempt's id that is unique over all hosts and restarts."""
+    return AttemptId(f"{host}-{entropy.randbytes(ATTEMPT_BYTES).hex()}")
 
 
 def partition_of(ticket: TicketId, partitions: int) -> int | None:
--- a/agatetack/deferred/runner.py
+++ b/agatetack/deferred/runner.py
@@ -1,7 +1,7 @@
 """Take up open tickets, run them, and record how they end."""
 
 import dataclasses
-import secrets
+import random
 from collections.abc import Sequence
 
 import trio
@@ -13,7 +13,7 @@
 from agatetack.deferred.fold import Hold, Ticket
 from agatetack.deferred.partition import NotKept, Partition
 from agatetack.deferred.queue import Executor
-from agatetack.deferred.records import load_request
+from agatetack.deferred.records import load_request, new_attempt
 from agatetack.deferred.schedule import LATER_SECONDS, Schedule
 from agatetack.deferred.verdict import Next, Verdict, run_once
 from agatetack.deferred.writer import Landing
@@ -24,7 +24,7 @@
     Start,
 )
 from agatetack.generated.deferred.ttypes import Hold as HoldRecord
-from agatetack.ids import AttemptId, Deadline, RouteId
+from agatetack.ids import AttemptId, Deadline, HostId, RouteId
 from agatetack.outcomes import RefusalReason
 from agatetack.record_log.log import LogUnavailable
 from agatetack.settings.model import Settings
@@ -64,6 +64,7 @@
         executor: Executor,
         counters: Counters,
         clock: Clock,
+        entropy: random.Random,
     ):
         """Run what `schedule` hands out."""
         self.settings = settings
@@ -72,6 +73,7 @@
         self.executor = executor
         self.counters = counters
         self.clock = clock
+        self.entropy = entropy
         self.slots = trio.CapacityLimiter(settings.deferred.concurrency)
         self.refusals: dict[RouteId, int] = {}
 
@@ -162,10 +164,11 @@
     def _next_hold(self, ticket: Ticket) -> HoldRecord:
         old = ticket.hold
         seconds = self.settings.deferred.attempt_timeout_seconds
+        host = HostId(self.settings.host.id)
         return HoldRecord(
             number=1 if old is None else old.number + 1,
-            attempt=f"{self.settings.host.id}-{secrets.token_hex(6)}",
-            host=self.settings.host.id,
+            attempt=new_attempt(host, self.entropy),
+            host=host,
             until=self.clock.wall() + HOLD_TIMEOUTS * seconds,
             tries=1 if old is None else old.tries + 1,
         )
--- a/agatetack/deferred/submitter.py
+++ b/agatetack/deferred/submitter.py
@@ -1,6 +1,7 @@
 """Take requests into the log, each under one ticket."""
 
 import dataclasses
+import random
 from collections.abc import Mapping
 
 import trio
@@ -52,12 +53,14 @@
         partitions: Mapping[int, Partition],
         counters: Counters,
         clock: Clock,
+        entropy: random.Random,
     ):
         """Submit into `partitions`."""
         self.settings = settings
         self.partitions = partitions
         self.counters = counters
         self.clock = clock
+        self.entropy = entropy
         self.doubts: dict[bytes, Doubt] = {}
         self.under_way: dict[bytes, trio.Event] = {}
 
@@ -115,7 +118,7 @@
             return await self._land(partition, identity, doubt, True)
         if self._full():
             return Failure(self._refuse_full())
-        ticket = new_ticket(number)
+        ticket = new_ticket(number, self.entropy)
         submission = make_submission(
             ticket, identity, route, request, body, self.clock
         )
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -1,6 +1,6 @@
 """Expire, forget and re-append tickets in time."""
 
-import secrets
+import random
 from collections.abc import Iterable
 
 import trio
@@ -11,10 +11,11 @@
 from agatetack.deferred.ends import make_end
 from agatetack.deferred.fold import NOT_STORED, Ticket
 from agatetack.deferred.partition import NotKept, Partition
+from agatetack.deferred.records import new_attempt
 from agatetack.deferred.writer import Waiting
 from agatetack.generated.deferred.ttypes import EndKind, Entry
 from agatetack.generated.deferred.ttypes import Hold as HoldRecord
-from agatetack.ids import AttemptId, WallTime
+from agatetack.ids import HostId, WallTime
 from agatetack.outcomes import RefusalReason
 from agatetack.record_log.log import LogUnavailable
 from agatetack.settings.model import Settings
@@ -43,6 +44,7 @@
         choice: Choice,
         counters: Counters,
         clock: Clock,
+        entropy: random.Random,
     ):
         """Look after `partition`."""
         self.settings = settings
@@ -50,6 +52,7 @@
         self.choice = choice
         self.counters = counters
         self.clock = clock
+        self.entropy = entropy
 
     async def run(self) -> None:
         """Look through all tickets every `upkeep_seconds`, for ever."""
@@ -180,8 +183,8 @@
         self, ticket: Ticket, kind: int, reason: RefusalReason
     ) -> Waiting:
         keep = self.clock.wall() + self.settings.deferred.result_keep_seconds
-        attempt = f"{self.settings.host.id}-{secrets.token_hex(6)}"
-        end = make_end(ticket, AttemptId(attempt), kind, keep)
+        attempt = new_attempt(HostId(self.settings.host.id), self.entropy)
+        end = make_end(ticket, attempt, kind, keep)
         end.reason = reason.value
         return self.partition.writer.put(Entry(end=end))
 
--- a/agatetack/testing/deferred_fleet.py
+++ b/agatetack/testing/deferred_fleet.py
@@ -203,8 +203,16 @@
         nursery: trio.Nursery,
         work: Work | None = None,
         settings: Mapping[str, Mapping] | None = None,
+        seed: int = 5,
     ):
-        """Start without hosts; `settings` are laid over the defaults."""
+        """Start without hosts.
+
+        Args:
+            nursery: Runs the hosts.
+            work: What the targets do.
+            settings: Laid over the defaults.
+            seed: Of the ids of tickets and attempts.
+        """
         self.nursery = nursery
         self.clock = VirtualClock()
         self.service = MemoryLogService(self.clock)
@@ -212,8 +220,10 @@
         self.settings = dict(settings or {})
         self.hosts: dict[HostId, FleetHost] = {}
         self.blind = False
-        self.callers: dict[HostId, set[trio.CancelScope]] = {}
+        # Keys of dictionaries, unlike those of sets, keep their order.
+        self.callers: dict[HostId, dict[trio.CancelScope, None]] = {}
         self.started = 0
+        self.entropy = random.Random(f"ids {seed}")
 
     async def start(self, name: str | None = None) -> FleetHost:
         """Start a host and return it once its tasks run."""
@@ -231,6 +241,7 @@
             FakeExecutor(self.work),
             metrics,
             self.clock,
+            self.entropy,
         )
         found = FleetHost(queue, log, trio.CancelScope(), metrics)
         self.hosts[host] = found
@@ -247,11 +258,11 @@
     def serving(self, host: HostId) -> Iterator[None]:
         """Cut the call inside if the host is killed meanwhile."""
         with trio.CancelScope() as scope:
-            self.callers.setdefault(host, set()).add(scope)
+            self.callers.setdefault(host, {})[scope] = None
             try:
                 yield
             finally:
-                self.callers.get(host, set()).discard(scope)
+                self.callers.get(host, {}).pop(scope, None)
 
     async def drop_old_records(self) -> None:
         """Drop records older than the retention, for ever."""
--- a/agatetack/testing/memory_log.py
+++ b/agatetack/testing/memory_log.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 
 import trio
 
@@ -59,6 +60,7 @@
         ends: The offset of each stream's next append.
         appends: Number of appends that took effect.
         faults: Faults for every client.
+        watchers: Called with each record that is appended.
     """
 
     def __init__(self, clock: Clock | None = None):
@@ -68,6 +70,7 @@
         self.ends: dict[StreamId, int] = {}
         self.appends = 0
         self.faults = LogFaults()
+        self.watchers: list[Callable[[StreamId, LogRecord], None]] = []
         self.changed = trio.Event()
         self.paced_until = 0.0
 
@@ -92,6 +95,8 @@
         self.streams.setdefault(stream, []).append(record)
         self.ends[stream] = offset + 1
         self.appends += 1
+        for watcher in self.watchers:
+            watcher(stream, record)
         self.changed.set()
         self.changed = trio.Event()
         return offset
--- a/agatetack/testing/virtual_clock.py
+++ b/agatetack/testing/virtual_clock.py
@@ -15,3 +15,13 @@
     def wall(self) -> WallTime:
         """Return the wall time, in seconds since 1970."""
         return WallTime(WALL_START + trio.current_time())
+
+
+def seed_scheduler(seed: int) -> None:
+    """Have trio's scheduler choose the same at each run with this seed.
+
+    Trio has no public way to do it; this is the one that Hypothesis uses.
+    """
+    trio_run = trio._core._run
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(seed)
--- a/bench/deferred.py
+++ b/bench/deferred.py
@@ -5,6 +5,7 @@
 tracemalloc where asked for, never wall-clock times.
 """
 
+import collections
 import dataclasses
 import random
 import sys
@@ -14,9 +15,12 @@
 import trio.testing
 from returns.result import Success
 
-from agatetack.deferred.queue import StoredAnswer
-from agatetack.ids import Deadline, TicketId
+from agatetack.deferred.queue import StoredAnswer, TicketState
+from agatetack.deferred.records import decode_batch
+from agatetack.generated.deferred.ttypes import Entry
+from agatetack.ids import Deadline, StreamId, TicketId
 from agatetack.outcomes import RefusalReason
+from agatetack.record_log.log import LogRecord
 from agatetack.testing.deferred_fleet import (
     ROUTE,
     DeferredFleet,
@@ -25,6 +29,7 @@
     make_request,
 )
 from agatetack.testing.memory_log import AppendFault
+from agatetack.testing.virtual_clock import seed_scheduler
 
 TICKET_SECONDS = 3000.0
 """How long a ticket may wait for its answer."""
@@ -89,6 +94,59 @@
     outages: int = 0
 
 
+class Story:
+    """What became of each ticket, to be told of those that are lost.
+
+    Attributes:
+        lines: What happened to a ticket, in the order of time.
+    """
+
+    def __init__(self) -> None:
+        """Start with no ticket."""
+        self.lines: dict[TicketId, list[str]] = collections.defaultdict(list)
+        self.last_poll: dict[TicketId, str] = {}
+
+    def note(self, ticket: TicketId, text: str) -> None:
+        """Note what happens to a ticket now."""
+        self.lines[ticket].append(f"{trio.current_time():9.3f} s  {text}")
+
+    def note_record(self, stream: StreamId, record: LogRecord) -> None:
+        """Note the tickets in a record that was appended."""
+        for entry in decode_batch(record.payload):
+            ticket, text = describe(entry)
+            self.note(ticket, f"{stream} {record.offset}: {text}")
+
+    def note_poll(self, ticket: TicketId, result) -> None:
+        """Note the answer to a poll, if it is not the last one's."""
+        if result is None:
+            text = "cut"
+        elif isinstance(result, Success):
+            found = result.unwrap()
+            state = isinstance(found, TicketState)
+            text = found.value if state else "answered"
+        else:
+            text = result.failure().reason.value
+        if text != self.last_poll.get(ticket):
+            self.last_poll[ticket] = text
+            self.note(ticket, f"poll: {text}")
+
+
+def describe(entry: Entry) -> tuple[TicketId, str]:
+    """Return the ticket of an entry, and what the entry says of it."""
+    if entry.submission is not None:
+        part = entry.submission
+        copy = "" if part.origin is None else f", copy of {part.origin}"
+        hold = "" if part.hold is None else f", held by {part.hold.attempt}"
+        return TicketId(part.ticket), f"submission{copy}{hold}"
+    if entry.start is not None:
+        hold = entry.start.hold
+        text = f"hold {hold.number} of {hold.attempt}, try {hold.tries}"
+        return TicketId(entry.start.ticket), text
+    part = entry.end
+    copy = "" if part.origin is None else f", copy of {part.origin}"
+    return TicketId(part.ticket), f"end of kind {part.kind}{copy}"
+
+
 class Trial:
     """One run of a plan."""
 
@@ -99,6 +157,9 @@
         self.dice = random.Random(plan.seed)
         self.count = Count()
         self.ended_at = 0.0
+        self.story = Story()
+        self.lost: list[TicketId] = []
+        fleet.service.watchers.append(self.story.note_record)
 
     async def call(self, one_call, *args):
         """Call a random host; None if it is killed before it answers."""
@@ -119,6 +180,7 @@
         end = trio.current_time() + TICKET_SECONDS + 100
         while trio.current_time() < end:
             result = await self.call(fetch, ticket)
+            self.story.note_poll(ticket, result)
             if isinstance(result, Success):
                 found = result.unwrap()
                 if isinstance(found, StoredAnswer):
@@ -126,6 +188,7 @@
                     return
             await trio.sleep(1 + self.dice.random() * POLL_SECONDS)
         self.count.lost += 1
+        self.lost.append(ticket)
 
     async def submit_once(self, number: int) -> TicketId | None:
         """Submit a request on a random host; None if it must be sent again."""
@@ -223,7 +286,7 @@
             "deferred": {"result_keep_seconds": 400},
         }
         work = Work(seconds=0.2, fault_ratio=0.02)
-        fleet = DeferredFleet(nursery, work, settings)
+        fleet = DeferredFleet(nursery, work, settings, plan.seed)
         trial = Trial(plan, fleet)
         for _ in range(plan.hosts):
             await fleet.start()
@@ -249,6 +312,9 @@
     print(f"appends {fleet.service.appends}, {per_ticket:.2f} a ticket")
     print(f"virtual seconds {trial.ended_at:.0f}")
     print(f"second ends, most seen by one host: {trial.second_ends()}")
+    for ticket in trial.lost:
+        print(f"ticket {ticket} was lost:")
+        print("\n".join(trial.story.lines[ticket]))
 
 
 def trial(
@@ -268,11 +334,12 @@
         per_second: Requests submitted a second.
         kill_seconds: Mean time between two kills, or 0 for none.
         calm: Whether nothing fails.
-        seed: Seeds times and faults; ids of tickets stay random.
+        seed: Seeds all that is drawn; the same seed gives the same run.
     """
     plan = Plan(tickets, hosts, per_second, kill_seconds, seed=seed)
     if calm:
         plan.kill_seconds = plan.outage_seconds = plan.fault_ratio = 0
+    seed_scheduler(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
     done = trio.run(run_trial, plan, clock=clock)
     report(done)
--- a/bench/deferred_slopes.py
+++ b/bench/deferred_slopes.py
@@ -6,6 +6,7 @@
 """
 
 import gc
+import random
 import time
 import tracemalloc
 
@@ -49,6 +50,7 @@
 def make_entries(count: int, clock: VirtualClock) -> list[list[Entry]]:
     """Return the submissions, starts and ends of `count` tickets."""
     submissions, starts, ends = [], [], []
+    entropy = random.Random(count)
     answer = StoredAnswer(
         200, (Header(b"content-type", b"text/csv"),), b"r" * RESULT_BYTES
     )
@@ -56,7 +58,7 @@
         body = b"b" * BODY_BYTES
         request = make_request(number, body=body)
         identity = identity_of(ROUTE, request, body)
-        ticket = Ticket(new_ticket(0), identity, WallTime(0))
+        ticket = Ticket(new_ticket(0, entropy), identity, WallTime(0))
         submission = make_submission(
             ticket.id, identity, ROUTE, request, body, clock
         )
@@ -124,7 +126,12 @@
     """Return the seconds that one look through all tickets takes."""
     partition = queue.partitions[0]
     upkeep = Upkeep(
-        queue.settings, partition, queue.choice, queue.counters, queue.clock
+        queue.settings,
+        partition,
+        queue.choice,
+        queue.counters,
+        queue.clock,
+        queue.entropy,
     )
     begun = time.process_time()
     upkeep.candidates(partition.fold.tickets.values())
