--- a/agatetack/deferred/counters.py
+++ b/agatetack/deferred/counters.py
@@ -20,6 +20,11 @@
             "agatetack_deferred_reappended_total",
             "Records appended again before retention, by kind.",
         )
+        self.looks = metrics.counter(
+            "agatetack_deferred_looks_total",
+            "Looks through the tickets of a partition, by whether copies "
+            "waited for hosts that go first.",
+        )
         self.open = metrics.gauge(
             "agatetack_deferred_open", "Open tickets of the whole fleet."
         )
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -6,16 +6,16 @@
 import trio
 
 from agatetack.clock import Clock
-from agatetack.deferred.choice import Choice
+from agatetack.deferred.choice import Choice, score
 from agatetack.deferred.counters import Counters
 from agatetack.deferred.ends import make_end
 from agatetack.deferred.fold import NOT_STORED, Ticket
 from agatetack.deferred.partition import NotKept, Partition
 from agatetack.deferred.records import new_attempt
-from agatetack.deferred.writer import Waiting
+from agatetack.deferred.writer import Landing, Waiting
 from agatetack.generated.deferred.ttypes import EndKind, Entry
 from agatetack.generated.deferred.ttypes import Hold as HoldRecord
-from agatetack.ids import HostId, WallTime
+from agatetack.ids import Deadline, HostId, WallTime
 from agatetack.outcomes import RefusalReason
 from agatetack.record_log.log import LogUnavailable
 from agatetack.settings.model import Settings
@@ -27,15 +27,28 @@
 """The share of the retention that each lower rank waits longer."""
 
 MAX_STAGGERS = 10
+MAX_DOUBLINGS = 6
 SLICE = 2000
 """Tickets looked at before other tasks get their turn."""
 
 GROUP = 100
 """Tickets whose records are queued together."""
 
+KEPT = (Landing.LANDED, Landing.NEEDLESS)
+"""What became of a copy if its ticket is kept now."""
+
 
 class Upkeep:
-    """Look through the tickets of one partition now and then."""
+    """Look through the tickets of one partition now and then.
+
+    Ranks spread the copies over the hosts that stay. A host that has just read
+    to the end of the stream can't know whether anybody was there before, or
+    how long it will be there itself, so it waits for nobody.
+
+    Attributes:
+        ranked: Whether copies wait for hosts that go before this one.
+        failures: Looks in a row that could not append all that was due.
+    """
 
     def __init__(
         self,
@@ -53,33 +66,75 @@
         self.counters = counters
         self.clock = clock
         self.entropy = entropy
+        self.ranked = False
+        self.failures = 0
 
     async def run(self) -> None:
-        """Look through all tickets every `upkeep_seconds`, for ever."""
+        """Look through all tickets, for ever.
+
+        At once when the stream has been read to its end, soon after an append
+        that failed, and every `upkeep_seconds` otherwise.
+        """
         while True:
-            await trio.sleep(self.settings.deferred.upkeep_seconds)
+            resumed = self.partition.resumed
+            all_kept = True
             if self.partition.fresh:
-                await self.look_through()
+                all_kept = await self.look_through()
+            self.failures = 0 if all_kept else self.failures + 1
+            self.ranked = all_kept
+            with trio.move_on_after(self._pause()):
+                await resumed.wait()
+                self.ranked = False
+                self.failures = 0
+
+    def _pause(self) -> float:
+        """Return the seconds until the next look."""
+        limits = self.settings.deferred
+        if not self.failures:
+            return limits.upkeep_seconds
+        pause = limits.retry_seconds * 2 ** min(self.failures, MAX_DOUBLINGS)
+        return min(pause, limits.upkeep_seconds)
+
+    async def look_through(self) -> bool:
+        """Expire, forget and re-append what is due now.
 
-    async def look_through(self) -> None:
-        """Expire, forget and re-append what is due now."""
+        Returns:
+            Whether all that was due is known to have been appended.
+        """
+        self.counters.looks.inc({"ranked": str(self.ranked).lower()})
         tickets = list(self.partition.fold.tickets.values())
         due: list[Ticket] = []
         for start in range(0, len(tickets), SLICE):
             due += self._due_among(tickets[start : start + SLICE])
             await trio.lowlevel.checkpoint()
+        due.sort(key=self._urgency)
+        all_kept = True
         for start in range(0, len(due), GROUP):
-            await self._append(due[start : start + GROUP])
+            all_kept &= await self._append(due[start : start + GROUP])
+        return all_kept
+
+    def _urgency(self, ticket: Ticket) -> tuple[float, int]:
+        """Return what orders due tickets, the most urgent one first.
+
+        Hosts that start together begin with different ones of those that are
+        equally near their end, and find the rest copied.
+        """
+        retention = self.settings.platform.log.retention_seconds
+        step = _kept_since(ticket) // (STAGGER_RATIO * retention)
+        weight = score(ticket.id, self.choice.host)
+        return step, -int.from_bytes(weight, "big")
 
     def _due_among(self, tickets: list[Ticket]) -> list[Ticket]:
         """Forget what is over and return what needs a record now."""
         return [
             ticket
             for ticket in self.candidates(tickets)
-            if not self._forget(ticket)
-            and (self._expired(ticket) or self._due(ticket))
+            if not self._forget(ticket) and self._needs_record(ticket)
         ]
 
+    def _needs_record(self, ticket: Ticket) -> bool:
+        return self._expired(ticket) or self._due(ticket)
+
     def candidates(self, tickets: Iterable[Ticket]) -> list[Ticket]:
         """Return the tickets for which anything may be due now.
 
@@ -99,16 +154,45 @@
             found.append(ticket)
         return found
 
-    async def _append(self, tickets: list[Ticket]) -> None:
-        """Append what a group of tickets needs now, so that they share."""
+    async def _append(self, tickets: list[Ticket]) -> bool:
+        """Append what a group of tickets needs now, so that they share.
+
+        Returns once it is read back, with what other hosts have appended
+        before it, so that the next group leaves that out.
+        """
         waiting: list[Waiting] = []
+        readable = True
         for ticket in tickets:
-            waiting += await self._put(ticket)
+            try:
+                waiting += await self._put(ticket)
+            except LogUnavailable:
+                self.counters.reappended("log-unavailable")
+                readable = False
         for entry in waiting:
             await entry.done.wait()
+        missed = sum(entry.landing not in KEPT for entry in waiting)
+        self.counters.kept.add({"kind": "not-landed"}, missed)
+        if waiting and not missed:
+            await self._read_back(tickets)
+        return readable and not missed
+
+    async def _read_back(self, tickets: list[Ticket]) -> None:
+        seconds = self.settings.platform.log.timeout_seconds
+        until = Deadline(self.clock.now() + seconds)
+        for ticket in tickets:
+            if self.partition.get(ticket.id) is ticket:
+                await self.partition.wait_for(
+                    ticket.id,
+                    lambda known: not self._needs_record(known),
+                    until,
+                )
 
     async def _put(self, ticket: Ticket) -> list[Waiting]:
-        """Queue the records that a ticket needs now."""
+        """Queue the records that a ticket needs now.
+
+        Raises:
+            LogUnavailable: What is to be copied can't be read.
+        """
         if self.partition.get(ticket.id) is not ticket:
             return []
         try:
@@ -118,9 +202,6 @@
                 return await self._put_again(ticket)
         except NotKept:
             return self._end_lost(ticket)
-        except LogUnavailable:
-            # The next round tries again; the due time leaves room for it.
-            self.counters.reappended("log-unavailable")
         return []
 
     def _end_lost(self, ticket: Ticket) -> list[Waiting]:
@@ -162,15 +243,15 @@
 
     def _due(self, ticket: Ticket) -> bool:
         """Return whether a ticket's records must be appended again."""
-        kept_since = ticket.kept_since
-        if ticket.end is not None:
-            kept_since = ticket.end.kept_since
-        elif not ticket.open:
+        if ticket.end is None and not ticket.open:
             return False
+        kept_since = _kept_since(ticket)
         retention = self.settings.platform.log.retention_seconds
         now = self.clock.wall()
         if kept_since + DUE_RATIO * retention > now:
             return False
+        if not self.ranked:
+            return True
         staggers = min(self.choice.rank(ticket.id), MAX_STAGGERS)
         share = DUE_RATIO + staggers * STAGGER_RATIO
         return kept_since + share * retention <= now
@@ -190,17 +271,26 @@
 
     async def _put_again(self, ticket: Ticket) -> list[Waiting]:
         writer = self.partition.writer
+
+        def needed() -> bool:
+            return self._due(ticket)
+
         if ticket.end is not None:
             self.counters.reappended("end")
             chunks = await self.partition.load_chunks(ticket, ticket.end)
             for chunk in chunks:
                 chunk.origin = ticket.end.origin
-            return [writer.put(Entry(end=chunk)) for chunk in chunks]
+            return [writer.put(Entry(end=chunk), needed) for chunk in chunks]
         self.counters.reappended("submission")
         submission = await self.partition.load_submission(ticket)
         submission.hold = _store_hold(ticket)
         submission.origin = ticket.origin
-        return [writer.put(Entry(submission=submission))]
+        return [writer.put(Entry(submission=submission), needed)]
+
+
+def _kept_since(ticket: Ticket) -> WallTime:
+    """Return the time of the oldest record that a ticket needs."""
+    return ticket.kept_since if ticket.end is None else ticket.end.kept_since
 
 
 def _store_hold(ticket: Ticket) -> HoldRecord | None:
--- a/agatetack/deferred/writer.py
+++ b/agatetack/deferred/writer.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Callable
 
 import trio
 
@@ -37,6 +38,7 @@
     LANDED = "landed"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    NEEDLESS = "needless"
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -46,12 +48,14 @@
     Attributes:
         entry: The entry.
         size: The most bytes that it takes in a record.
+        needed: Asked shortly before it is sent; if not, it is left out.
         done: Set once the append has ended.
         landing: What became of it, once it has ended.
     """
 
     entry: Entry
     size: int
+    needed: Callable[[], bool]
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
     landing: Landing | None = None
 
@@ -113,9 +117,11 @@
         limit = self.settings.platform.log.max_record_bytes
         return size_of(entry) + ENTRY_OVERHEAD + COPY_OVERHEAD <= limit
 
-    def put(self, entry: Entry) -> Waiting:
+    def put(
+        self, entry: Entry, needed: Callable[[], bool] = lambda: True
+    ) -> Waiting:
         """Queue an entry that fits; wait for its `done`."""
-        waiting = Waiting(entry, size_of(entry))
+        waiting = Waiting(entry, size_of(entry), needed)
         self.queue.append(waiting)
         self.wake.set()
         return waiting
@@ -153,6 +159,9 @@
         room = self.settings.platform.log.max_record_bytes - ENTRY_OVERHEAD
         batch: list[Waiting] = []
         while self.queue and len(batch) < MAX_BATCH:
+            if not self.queue[0].needed():
+                self._end(self.queue.popleft(), Landing.NEEDLESS)
+                continue
             room -= self.queue[0].size
             # An entry too large for any record goes alone, and is refused.
             if room < 0 and batch:
@@ -180,8 +189,11 @@
             landing = Landing.LANDED
         self._count(landing.value, len(batch))
         for waiting in batch:
-            waiting.landing = landing
-            waiting.done.set()
+            self._end(waiting, landing)
+
+    def _end(self, waiting: Waiting, landing: Landing) -> None:
+        waiting.landing = landing
+        waiting.done.set()
 
     def _count(self, result: str, records: int) -> None:
         self.metrics.appends.inc({"kind": STREAM_KIND, "result": result})
--- a/agatetack/testing/deferred_fleet.py
+++ b/agatetack/testing/deferred_fleet.py
@@ -10,6 +10,7 @@
 from agatetack.config.route import RequestClass, Route, RouteSource, RouteTable
 from agatetack.deferred.log_queue import LogDeferredQueue
 from agatetack.deferred.queue import Executor
+from agatetack.deferred.records import decode_batch
 from agatetack.ids import (
     CallerId,
     Deadline,
@@ -18,12 +19,15 @@
     RequestId,
     RouteId,
     ServiceId,
+    StreamId,
     TeamId,
+    TicketId,
 )
 from agatetack.messages import Answer, BytesBody, CallerRequest, Header
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.peers.exchange import NoExchange, Peer
+from agatetack.record_log.log import LogRecord
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_log import MemoryLog, MemoryLogService
 from agatetack.testing.virtual_clock import VirtualClock
@@ -280,3 +284,31 @@
     ) -> None:
         with host.scope:
             await host.queue.run(task_status)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """A copy of a ticket's record that was appended.
+
+    Attributes:
+        ticket: Whose it is.
+        at: When it was appended.
+    """
+
+    ticket: TicketId
+    at: Deadline
+
+
+def watch_copies(fleet: DeferredFleet) -> list[Copy]:
+    """Return a list that takes each copy that is appended from now on."""
+    copies: list[Copy] = []
+
+    def watch(stream: StreamId, record: LogRecord) -> None:
+        for entry in decode_batch(record.payload):
+            part = entry.submission or entry.end
+            if part is not None and part.origin is not None:
+                at = Deadline(trio.current_time())
+                copies.append(Copy(TicketId(part.ticket), at))
+
+    fleet.service.watchers.append(watch)
+    return copies
--- a/agatetack/testing/virtual_clock.py
+++ b/agatetack/testing/virtual_clock.py
@@ -1,5 +1,8 @@
 """Give tests a wall clock that goes with trio's clock."""
 
+import contextlib
+from collections.abc import Iterator
+
 import trio
 
 from agatetack.clock import Clock
@@ -17,11 +20,19 @@
         return WallTime(WALL_START + trio.current_time())
 
 
-def seed_scheduler(seed: int) -> None:
-    """Have trio's scheduler choose the same at each run with this seed.
+@contextlib.contextmanager
+def seeded_scheduler(seed: int) -> Iterator[None]:
+    """Have `trio.run` inside choose the same at each run with this seed.
 
     Trio has no public way to do it; this is the one that Hypothesis uses.
     """
     trio_run = trio._core._run
+    before = trio_run._ALLOW_DETERMINISTIC_SCHEDULING
+    state = trio_run._r.getstate()
     trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio_run._r.seed(seed)
+    try:
+        yield
+    finally:
+        trio_run._ALLOW_DETERMINISTIC_SCHEDULING = before
+        trio_run._r.setstate(state)
--- a/bench/deferred.py
+++ b/bench/deferred.py
@@ -29,7 +29,7 @@
     make_request,
 )
 from agatetack.testing.memory_log import AppendFault
-from agatetack.testing.virtual_clock import seed_scheduler
+from agatetack.testing.virtual_clock import seeded_scheduler
 
 TICKET_SECONDS = 3000.0
 """How long a ticket may wait for its answer."""
@@ -300,6 +300,13 @@
     return trial
 
 
+def run_seeded(plan: Plan) -> Trial:
+    """Run a plan in virtual time, the same way at each call."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    with seeded_scheduler(plan.seed):
+        return trio.run(run_trial, plan, clock=clock)
+
+
 def report(trial: Trial) -> None:
     """Print what happened."""
     fleet, work = trial.fleet, trial.fleet.work
@@ -339,9 +346,7 @@
     plan = Plan(tickets, hosts, per_second, kill_seconds, seed=seed)
     if calm:
         plan.kill_seconds = plan.outage_seconds = plan.fault_ratio = 0
-    seed_scheduler(seed)
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    done = trio.run(run_trial, plan, clock=clock)
+    done = run_seeded(plan)
     report(done)
     if done.count.answered != tickets:
         sys.exit(1)
