--- a/agatetack/claims/keeper.py
+++ b/agatetack/claims/keeper.py
@@ -30,6 +30,8 @@
 
     The steward of a partition comes first. Another host finds a key due only
     if those before it failed to write it; two that do so at once do no harm.
+    A host that has just read to the end of the stream waits for nobody, as it
+    can't know whether anybody was there before.
     """
 
     def __init__(self, settings: Settings, router: Router, metrics: Metrics):
@@ -42,20 +44,35 @@
         )
 
     async def run(self, partition: Partition) -> None:
-        """Write due keys again until cancelled."""
+        """Write due keys again until cancelled.
+
+        Every second, and at once when the stream was read to its end.
+        """
+        place = 0
         while True:
-            await trio.sleep(PASS_SECONDS)
-            entries = self._due_entries(partition)
-            if not entries or not partition.ready:
-                continue
+            resumed = partition.resumed
+            if partition.ready:
+                await self._write_due(partition, place)
+            with trio.move_on_after(PASS_SECONDS) as pass_over:
+                await resumed.wait()
+            place = 0
+            if pass_over.cancelled_caught:
+                place = min(self.router.place(partition.number), LAST_PLACE)
+
+    async def _write_due(self, partition: Partition, place: int) -> None:
+        """Write the keys that are due at a place, the oldest ones first."""
+        oldest = None
+        entries = self._due_entries(partition, place)
+        # A key that is not settled stays in front and is due again.
+        while entries and entries[0].key != oldest:
+            oldest = entries[0].key
             timeout = self.settings.platform.log.timeout_seconds
             deadline = Deadline(trio.current_time() + timeout)
-            # A key that is not settled stays in front and is due again.
             await partition.submit(entries, deadline)
             self.kept.add({}, len(entries))
+            entries = self._due_entries(partition, place)
 
-    def _due_entries(self, partition: Partition) -> list[Entry]:
-        place = min(self.router.place(partition.number), LAST_PLACE)
+    def _due_entries(self, partition: Partition, place: int) -> list[Entry]:
         wait_ms = self.retention_ms * (FIRST_SHARE + NEXT_SHARE * place)
         due_ms = partition.log_ms() - wait_ms
         limit = self.settings.claims.max_batch
