--- a/agatetack/config/counters.py
+++ b/agatetack/config/counters.py
@@ -51,6 +51,7 @@
             "agatetack_config_snapshots_written_total",
             "Snapshots written by this host.",
         )
+        self.snapshots_written.set({}, 0)
         self.problems = metrics.counter(
             "agatetack_config_problems_total",
             "Failures in reading, spreading or keeping configuration.",
--- a/agatetack/config/snapshot_writer.py
+++ b/agatetack/config/snapshot_writer.py
@@ -30,6 +30,14 @@
 APPEND_TRIES = 5
 """Appends of one chunk before a snapshot is given up for now."""
 
+STAGGER_SHARE = 0.05
+"""The share of what is left of a snapshot's time that a host may wait before
+it writes a new one, so that hosts that start shortly before its end do not wait
+past it."""
+
+LEAST_STAGGER_SECONDS = 0.05
+"""What a host may wait in any case."""
+
 
 @dataclasses.dataclass(slots=True)
 class SeenSnapshot:
@@ -38,10 +46,12 @@
     Attributes:
         version: The last offset folded into it.
         due_at: When it has to be written anew.
+        dropped_at: When the log drops it.
     """
 
     version: LogOffset
     due_at: Deadline
+    dropped_at: Deadline
 
 
 class SnapshotWriter:
@@ -78,9 +88,10 @@
         )
 
     async def run(self) -> None:
-        """Look for due snapshots for ever."""
+        """Look for due snapshots for ever, and first once there is a state."""
+        while not self.state.ready:
+            await self.state.changed.wait()
         while True:
-            await trio.sleep(self._stagger())
             try:
                 await self._watch()
                 if self._due():
@@ -92,11 +103,16 @@
                 self.state.problem(
                     Problem.SNAPSHOT_FAILED, "no snapshot written: %s.", error
                 )
+            await trio.sleep(self._stagger())
 
     def _stagger(self) -> float:
+        """Return how long to leave it to other hosts, in seconds."""
         most = min(
             self.settings.snapshot_stagger_seconds, self.max_age_seconds / 4
         )
+        if self.newest is not None:
+            left = max(0.0, self.newest.dropped_at - self.clock.now())
+            most = min(most, max(left * STAGGER_SHARE, LEAST_STAGGER_SECONDS))
         return random.uniform(0, most)
 
     def _due(self) -> bool:
@@ -145,15 +161,17 @@
         if self.newest is None or chunk.version >= self.newest.version:
             # Incomplete ones that are older will not be waited for.
             self.missing.clear()
-            self.newest = SeenSnapshot(
-                LogOffset(chunk.version), self._due_at(record.appended_at)
-            )
+            self.newest = self._seen(chunk.version, record.appended_at)
 
-    def _due_at(self, appended_at: WallTime) -> Deadline:
+    def _seen(self, version: int, appended_at: WallTime) -> SeenSnapshot:
         # The wall clock is asked once; later jumps of it change nothing.
-        age = self.clock.wall() - appended_at
-        age = min(max(age, 0.0), self.max_age_seconds)
-        return Deadline(self.clock.now() + self.max_age_seconds - age)
+        age = max(self.clock.wall() - appended_at, 0.0)
+        begun = self.clock.now() - min(age, self.log_settings.retention_seconds)
+        return SeenSnapshot(
+            LogOffset(version),
+            Deadline(begun + self.max_age_seconds),
+            Deadline(begun + self.log_settings.retention_seconds),
+        )
 
     async def _write(self) -> None:
         fold = self.state.fold
--- a/agatetack/config/test_spread.py
+++ b/agatetack/config/test_spread.py
@@ -371,3 +371,56 @@
         await start("g3")
         while not all(s.ready and s.version() == 0 for s in stores):
             await trio.sleep(0.01)
+
+
+# Guards against a configuration that is dropped since no host lived to write
+# a snapshot.
+@pytest.mark.parametrize("live_seconds", [0.5, 2, 7])
+async def test_configuration_outlives_all_hosts(live_seconds, autojump_clock):
+    log = {"retention_seconds": 40}
+    async with open_fleet(3, platform={"log": log}) as fleet:
+        await fill(fleet)
+        fleet.nursery.start_soon(keep_for, fleet, 110, 40)
+        number = 0
+        end = trio.current_time() + 100
+        while trio.current_time() < end:
+            await trio.sleep(live_seconds)
+            for name in list(fleet.hosts):
+                fleet.stop(name)
+            number += 1
+            await fleet.start(f"short-{number}")
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.assert_agreed()
+        store = fleet.hosts[f"short-{number}"]
+        assert store.version() == ROUTES - 1
+
+
+# Guards against a configuration that is dropped after all hosts were lost.
+@pytest.mark.parametrize("left_seconds", [1.5, 3, 6, 12])
+async def test_configuration_outlives_the_loss_of_all_hosts(
+    left_seconds, autojump_clock
+):
+    log = {"retention_seconds": 40}
+    async with open_fleet(3, platform={"log": log}) as fleet:
+        await fill(fleet)
+        # The last records that stand for the whole state.
+        await keep_for(fleet, 30, 40)
+        for name in list(fleet.hosts):
+            fleet.stop(name)
+        newest = max(
+            record.appended_at
+            for records in fleet.service.streams.values()
+            for record in records
+        )
+        age = fleet.service.clock.wall_time - newest
+        await keep_for(fleet, 40 - left_seconds - age, 40)
+        for number in range(3):
+            await fleet.start(f"next-{number}")
+        await keep_for(fleet, 4, 40)
+        for name in list(fleet.hosts):
+            fleet.stop(name)
+        await keep_for(fleet, left_seconds, 40)
+        await fleet.start("last")
+        await trio.sleep(IN_FORCE_SECONDS)
+        fleet.assert_agreed()
+        assert fleet.hosts["last"].version() == ROUTES - 1
