--- a/agatetack/testing/limited_fleet.py
+++ b/agatetack/testing/limited_fleet.py
@@ -44,6 +44,37 @@
 """The host whose task this is."""
 
 
+class Openers:
+    """Tells which host opened a connection.
+
+    The kernel gives one local port to connections of several hosts if they go
+    to different targets, and to one after another if they go to the same.
+
+    Attributes:
+        opened: For each pair of local port and target's port the hosts that
+            opened a connection, with when each did so.
+    """
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self.opened: dict[tuple[int, int], list[tuple[Deadline, HostId]]] = {}
+
+    def note(self, local_port: int, target_port: int, host: HostId) -> None:
+        """Note a connection that `host` has just opened."""
+        now = Deadline(trio.current_time())
+        pair = (local_port, target_port)
+        self.opened.setdefault(pair, []).append((now, host))
+
+    def find(self, local_port: int, target: FakeTarget, at: Deadline) -> HostId:
+        """Return who had opened the connection that was in use at `at`."""
+        hosts = [
+            host
+            for opened_at, host in self.opened[local_port, target.port]
+            if opened_at <= at
+        ]
+        return hosts[-1]
+
+
 @dataclasses.dataclass(slots=True)
 class LimitedFleet:
     """Hosts, and the targets of one service.
@@ -53,7 +84,7 @@
         targets: The targets.
         directory: The list of hosts that all of them see.
         nursery: Runs all of them.
-        ports: The host that opened each connection, by its local port.
+        openers: Tells which host opened a connection to a target.
         answered: Requests that were answered with success.
         refused: Requests that were refused, or failed.
     """
@@ -62,7 +93,7 @@
     targets: list[FakeTarget]
     directory: StaticDirectory
     nursery: trio.Nursery
-    ports: dict[int, HostId] = dataclasses.field(default_factory=dict)
+    openers: Openers = dataclasses.field(default_factory=Openers)
     answered: int = 0
     refused: int = 0
 
@@ -132,15 +163,18 @@
     ) -> list[Arrival]:
         told: dict[HostId, Deadline] = {}
         for port, at in ports.items():
-            host = self.ports[port]
+            host = self.openers.find(port, target, at)
             told[host] = min(at, told.get(host, at))
         return [
             arrival
             for arrival in target.arrivals
-            if told.get(self.ports[arrival.port], float("inf"))
+            if told.get(self._sender(target, arrival), float("inf"))
             <= arrival.at - after
         ]
 
+    def _sender(self, target: FakeTarget, arrival: Arrival) -> HostId:
+        return self.openers.find(arrival.port, target, arrival.at)
+
     def after_pushback(
         self, target: FakeTarget, after: float, seconds: float
     ) -> int:
@@ -154,11 +188,11 @@
         """
         most = 0
         for shed in target.turned_away:
-            host = self.ports[shed.port]
+            host = self._sender(target, shed)
             came = [
                 arrival
                 for arrival in target.arrivals
-                if self.ports[arrival.port] == host
+                if self._sender(target, arrival) == host
                 and shed.at + after <= arrival.at <= shed.at + seconds
             ]
             most = max(most, len(came))
@@ -203,7 +237,7 @@
     """
     async with trio.open_nursery() as nursery:
         fleet = LimitedFleet([], [], StaticDirectory(), nursery)
-        _note_ports(monkeypatch, fleet)
+        _note_openers(monkeypatch, fleet)
         for number in range(hosts):
             settings = template_settings(NO_STORE_PORT, f"h{number:03}")
             host = GatewayCore(settings, seed=number)
@@ -225,11 +259,11 @@
         nursery.cancel_scope.cancel()
 
 
-def _note_ports(monkeypatch: pytest.MonkeyPatch, fleet: LimitedFleet) -> None:
+def _note_openers(monkeypatch: pytest.MonkeyPatch, fleet: LimitedFleet) -> None:
     async def open_noted(ip: str, port: int) -> PlainStream:
         stream = await open_plain_stream(ip, port)
         local = stream.sock.getsockname()[1]
-        fleet.ports[local] = current_host.get()
+        fleet.openers.note(local, port, current_host.get())
         return stream
 
     for opener in OPENERS:
