--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -169,6 +169,7 @@
             self.peers,
             self.prober,
             self.fleet_size,
+            random.Random(f"{seed} rounds"),
         )
         self.occupancy = None
         if settings.balance.policy is PolicyName.FLEET_VIEW:
--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -69,6 +69,7 @@
         exchange: Exchange,
         prober: Prober,
         fleet_size: Callable[[], int | None],
+        rng: random.Random,
     ):
         """Probe with `prober`.
 
@@ -79,6 +80,7 @@
             prober: Makes the probes.
             fleet_size: Returns the number of hosts, never too low, or None
                 if it is not known.
+            rng: Draws the play between probes.
         """
         self.own = HostId(settings.host.id)
         self.domain = FailureDomain(settings.host.failure_domain)
@@ -92,7 +94,7 @@
         self.owned: dict[TargetId, TargetState] = {}
         self.probing: set[TargetId] = set()
         self.view: tuple[dict[HostId, FailureDomain], int] | None = None
-        self.random = random.Random()
+        self.random = rng
 
     async def run(self) -> None:
         """Probe until cancelled."""
--- a/agatetack/measure/test_rounds.py
+++ b/agatetack/measure/test_rounds.py
@@ -52,13 +52,14 @@
     exchange = NoExchange()
     exchange.live_peers = lambda: peers
     exchange.fleet_size = lambda: len(names)
-    rounds = ProbeRounds(
-        settings, registry, exchange, prober, lambda: exchange.fleet_size()
+    return ProbeRounds(
+        settings,
+        registry,
+        exchange,
+        prober,
+        lambda: exchange.fleet_size(),
+        random.Random(own),
     )
-    # The play between probes is drawn; a drawn seed broke the bound of the
-    # fleet's rate by half a percent in 2 of 40 runs.
-    rounds.random = random.Random(own)
-    return rounds
 
 
 async def run_for(rounds, seconds):
