--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -45,6 +45,10 @@
 MOST_BACKOFFS = 2
 """How often the pause after failed calls doubles."""
 
+FIRST_PAUSE_SECONDS = TOLD_SECONDS / 2
+"""Mean pause, at most, of hosts that read all keys for the others. They have to
+be back before the others give up waiting to be told."""
+
 log = DecisionLog("keyed")
 
 
@@ -113,8 +117,19 @@
         reader: TopicReader,
         counters: "ReadCounters",
         generations: StoreGenerations,
+        rng: random.Random,
     ):
-        """Follow `topic`, called `name` in logs and counters."""
+        """Follow `topic`.
+
+        Args:
+            settings: The host's settings.
+            name: The topic's name in logs and counters.
+            topic: Where to read.
+            reader: Takes the records.
+            counters: Where reads are counted.
+            generations: The generations of the store.
+            rng: Draws pauses.
+        """
         self.limits = settings.platform.store
         self.name = name
         self.topic = topic
@@ -131,7 +146,7 @@
         self.in_touch_at = Deadline(0.0)
         self.read_at: Deadline | None = None
         self.failures = 0
-        self.random = random.Random()
+        self.random = rng
         self.told_spread = self.random.uniform(1.0, MOST_TOLD_SPREAD)
         self.counters = counters
         generations.watchers.append(self._end_outdated_read)
@@ -185,12 +200,16 @@
         """Return whether others may soon tell all keys of a new generation."""
         if not self.is_outdated or self.truncated:
             return False
-        place = self.readers.place(self.name)
-        if place is not None and place < FIRST_READERS:
+        if self._reads_first():
             return False
         waited = trio.current_time() - self.generations.learned_at
         return waited < TOLD_SECONDS * self.told_spread
 
+    def _reads_first(self) -> bool:
+        """Return whether this host is to read all keys for the others."""
+        place = self.readers.place(self.name)
+        return place is not None and place < FIRST_READERS
+
     @property
     def leaves_it_to_others(self) -> bool:
         """Return whether this host knows the topic and need not read it."""
@@ -443,6 +462,8 @@
             # A host that knows nothing refuses all callers until it does.
             doublings = 0
         pause = self.limits.retry_seconds * 2**doublings
+        if self._reads_first():
+            pause = min(pause, FIRST_PAUSE_SECONDS)
         return pause * self.random.uniform(0.75, 1.25)
 
     def _count(self, result: str) -> None:
--- a/agatetack/keyed/test_store_restored.py
+++ b/agatetack/keyed/test_store_restored.py
@@ -1,11 +1,13 @@
 """Test that hosts keep up with a store that came back from an older copy."""
 
+import random
+
 import pytest
 import trio
 
 from agatetack.generated.keyed import ttypes as wire
 from agatetack.ids import StoreGeneration
-from agatetack.keyed.follower import FIRST_READERS
+from agatetack.keyed.follower import FIRST_READERS, TOLD_SECONDS
 from agatetack.keyed.generations import GenerationSource
 from agatetack.peers.exchange import Topic
 from agatetack.testing.memory_exchange import MemoryMesh
@@ -92,6 +94,49 @@
         nursery.cancel_scope.cancel()
 
 
+class Extreme(random.Random):
+    """Draws the longest pause, or the shortest."""
+
+    def __init__(self, longest):
+        super().__init__(0)
+        self.longest = longest
+
+    def uniform(self, a, b):
+        return b if self.longest else a
+
+
+# Guards against first readers that sleep while all others wait for them, and
+# then read all keys themselves.
+@pytest.mark.parametrize("seed", [0, 1, 2])
+@pytest.mark.parametrize("away_seconds", [1.1, 1.5, 2.1, 3.0])
+async def test_first_readers_are_back_before_others_stop_waiting(
+    autojump_clock, seed, away_seconds
+):
+    store = MemoryStore()
+    fill(store, 20)
+    async with trio.open_nursery() as nursery:
+        _, fleet = await start_readers(nursery, store, 99, seed)
+        copy = store.copy()
+        fill(store, 3, "lost")
+        await trio.sleep(KNOWN_SECONDS)
+        for host in fleet:
+            place = host.follower.readers.place(NAME)
+            first = place is not None and place < FIRST_READERS
+            host.follower.random = Extreme(longest=first)
+        before = sum(host.topic.whole_reads for host in fleet)
+        refuse(fleet)
+        await trio.sleep(away_seconds)
+        store.restore(copy)
+        fill(store, 3, "new")
+        refuse(fleet, refused=False)
+        await trio.sleep(TOLD_SECONDS)
+        assert all(host.kept.values == expected(store) for host in fleet)
+        await trio.sleep(KNOWN_SECONDS)
+        whole = sum(host.topic.whole_reads for host in fleet) - before
+        assert whole <= FIRST_READERS
+        nursery.cancel_scope.cancel()
+
+
 async def start_two(nursery, store):
     """Start two hosts that both read; return the network and both."""
     net = MemoryMesh(nursery)
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -1,6 +1,7 @@
 """Wire a host whose routes, targets and peers stand in a metadata store."""
 
 import dataclasses
+import random
 
 import trio
 
@@ -182,6 +183,7 @@
             reader,
             self.read_counters,
             self.generations,
+            random.Random(f"{self.seed} {name}"),
         )
 
     def _build_classes(self) -> None:
--- a/agatetack/testing/topic_fleet.py
+++ b/agatetack/testing/topic_fleet.py
@@ -1,5 +1,7 @@
 """Run hosts that follow one topic of a store in memory, for tests."""
 
+import random
+
 import trio
 
 from agatetack.keyed.follower import ReadCounters, TopicFollower
@@ -60,8 +62,9 @@
         sharing: What tells other hosts, or None.
     """
 
-    def __init__(self, store, exchange=None, reader=None):
+    def __init__(self, store, exchange=None, reader=None, seed=0):
         """Follow the topic in `store`; tell others through `exchange`."""
+        name = "" if exchange is None else exchange.host
         metrics = Metrics()
         self.generations = StoreGenerations(metrics)
         self.topic = MemoryTopic(store, self.generations)
@@ -75,6 +78,7 @@
             reader or self.kept,
             ReadCounters(metrics),
             self.generations,
+            random.Random(f"{seed} {name}"),
         )
         self.sharing = None
         if exchange is not None:
@@ -108,13 +112,15 @@
     return {key: record.value for key, record in newest.items()}
 
 
-async def start_readers(nursery, store, count=HOSTS):
+async def start_readers(nursery, store, count=HOSTS, seed=0):
     """Start a fleet and wait until few of its hosts read.
 
     Beyond `HOSTS` they start from what the first one has read.
     """
     net = MemoryMesh(nursery)
-    hosts = [TopicHost(store, net.join(f"h{n}")) for n in range(count)]
+    hosts = [
+        TopicHost(store, net.join(f"h{n}"), seed=seed) for n in range(count)
+    ]
     for host in hosts[:HOSTS]:
         # Their words come at other moments, one each 30 ms.
         await trio.sleep(0.037)
