--- a/agatetack/balance/room.py
+++ b/agatetack/balance/room.py
@@ -17,31 +17,33 @@
 last one.
 """
 
-USUAL_FACTOR = 1.35
-"""How much longer a request takes above that, before any was measured: half of
-the services slow down to 1.7 times the time, the others not at all."""
+FACTORS = {1.0: 0.42, 1.2: 0.05, 1.35: 0.05, 1.7: 0.42, 2.0: 0.03, 2.6: 0.03}
+"""How much longer a request may take above that, and how likely that is before
+any was measured: half of the services slow down to 1.7 times the time, nearly
+all others not at all."""
 
-USUAL_WEIGHT = 4.0
-"""Answers that this counts as. A request's time varies by a third, so that some
-ten are needed to tell 1.7 from 1."""
+TIME_SPREAD = 0.33
+"""Standard deviation of the logarithm of a request's time."""
 
 LEAST_ANSWERS = 5
-"""How many of them there must be to compare others with."""
+"""How many at full speed there must be to compare others with."""
 
-LEAST_RATIO = 0.5
-MOST_RATIO = 3.0
-"""Bounds of one answer's part in the factor: one that waited for a slow machine
-is five times late and says nothing of its slots."""
+OUTLIER_SPREADS = 2.0
+"""Spreads from which on a time says nothing of slots: one that waited for a
+slow machine is five times as long."""
 
-USUAL_ANSWERS = 16
-"""Latest requests at full speed of which the middle time counts. A mean would
-follow those that met a slow machine."""
+USUAL_ANSWERS = 32
+"""Latest requests at full speed that others are compared with."""
 
 FORGET_SECONDS = 60.0
 """After this time without a request above it, what was learned counts half, so
 that a service whose targets became better is tried again."""
 
 
+EVEN_ODDS = 0.5
+"""How likely the last slots must add nothing to be left empty."""
+
+
 class SlotRoom(abc.ABC):
     """A way to say how many requests targets should have."""
 
@@ -74,44 +76,63 @@
 class KneeEstimate:
     """What is known of how the targets of one service slow down.
 
+    Which of some factors is true is weighed by what each makes of the answers.
+
     Attributes:
-        usual: Latest times of requests at full speed, in seconds.
-        ratios: Sum of what answers above the knee took, in that time.
-        weight: How many answers that is.
+        usual: Logarithms of the latest times at full speed.
+        logs: Logarithms of how well each of `FACTORS` explains the answers
+            above the knee.
         known_at: When the last of them came.
     """
 
     usual: deque[float] = dataclasses.field(
         default_factory=lambda: deque(maxlen=USUAL_ANSWERS)
     )
-    ratios: float = 0.0
-    weight: float = 0.0
+    logs: list[float] = dataclasses.field(
+        default_factory=lambda: [0.0] * len(FACTORS)
+    )
     known_at: Deadline = Deadline(-math.inf)
 
-    def factor(self, now: Deadline) -> float:
-        """Return how much longer a request takes above the knee."""
-        weight = self._weight(now)
-        ratios = self.ratios * weight / self.weight if weight else 0.0
-        known = USUAL_FACTOR * USUAL_WEIGHT + ratios
-        return known / (USUAL_WEIGHT + weight)
+    def likely_above(self, limit: float, now: Deadline) -> float:
+        """Return how likely a request above the knee takes `limit` as long."""
+        kept = self._kept(now)
+        best = max(self.logs)
+        total = above = 0.0
+        for (factor, share), log in zip(
+            FACTORS.items(), self.logs, strict=True
+        ):
+            weight = share * math.exp((log - best) * kept)
+            total += weight
+            above += weight * (factor > limit)
+        return above / total
+
+    def note_usual(self, seconds: float) -> None:
+        """Take the time of a request that was started at full speed."""
+        self.usual.append(math.log(seconds))
 
     def note_above(self, seconds: float, now: Deadline) -> None:
         """Take the time of a request that was started above the knee."""
         if len(self.usual) < LEAST_ANSWERS:
             return
-        ratio = seconds / statistics.median(self.usual)
-        ratio = min(MOST_RATIO, max(LEAST_RATIO, ratio))
-        weight = self._weight(now)
-        if self.weight:
-            self.ratios *= weight / self.weight
-        self.ratios += ratio
-        self.weight = weight + 1
+        kept = self._kept(now)
         self.known_at = now
+        late = math.log(seconds) - self._usual_log()
+        # What it is compared with varies as well.
+        spread = TIME_SPREAD * math.sqrt(1 + 1 / len(self.usual))
+        for number, factor in enumerate(FACTORS):
+            off = min(abs(late - math.log(factor)) / spread, OUTLIER_SPREADS)
+            self.logs[number] = self.logs[number] * kept - off * off / 2
+
+    def _usual_log(self) -> float:
+        """Return the mean at full speed, without those that met trouble."""
+        middle = statistics.median(self.usual)
+        most = OUTLIER_SPREADS * TIME_SPREAD
+        near = [log for log in self.usual if abs(log - middle) <= most]
+        return statistics.fmean(near or [middle])
 
-    def _weight(self, now: Deadline) -> float:
-        if not self.weight:
-            return 0.0
-        return self.weight * 0.5 ** ((now - self.known_at) / FORGET_SECONDS)
+    def _kept(self, now: Deadline) -> float:
+        """Return how much of what was learned still counts."""
+        return 0.5 ** ((now - self.known_at) / FORGET_SECONDS)
 
 
 class LearnedKnee(SlotRoom):
@@ -137,9 +158,8 @@
         estimate = self.services.get(target.service)
         if estimate is None or fast < 1:
             return target.slots
-        if fast * estimate.factor(now) > target.slots:
-            return fast
-        return target.slots
+        slower = estimate.likely_above(target.slots / fast, now)
+        return fast if slower > EVEN_ODDS else target.slots
 
     def answered(
         self, target: TargetState, seconds: float, ahead: float, now: Deadline
@@ -148,12 +168,12 @@
         estimate = self.services.get(target.service)
         if estimate is None:
             estimate = self.services[target.service] = KneeEstimate()
-        if ahead + 1 > target.slots:
+        if ahead + 1 > target.slots or seconds <= 0:
             return
         if is_above_knee(ahead + 1, target.slots):
             estimate.note_above(seconds, now)
         else:
-            estimate.usual.append(seconds)
+            estimate.note_usual(seconds)
 
 
 def is_above_knee(requests: float, slots: int) -> bool:
