--- /dev/null
+++ b/agatetack/measure/far_samples.py
@@ -0,0 +1,103 @@
+"""Pass on what other groups of a large fleet tell of their targets.
+
+The first leader of a group hears each other group several times a second. Its
+group hears of all of them in one message at a time, as reading a message costs
+each host more than the samples in it.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+import trio
+
+from agatetack.generated.measure.ttypes import LoadSample, LoadSamples
+from agatetack.ids import Deadline, HostId
+from agatetack.peers.exchange import Exchange, Scope, Topic
+from agatetack.thrift_codec import encode
+
+PASS_ON_SECONDS = 0.25
+"""How long samples are gathered; far targets get few requests of this group,
+and are looked at before most of them."""
+
+MAX_SAMPLES = 32
+"""Most samples in one message."""
+
+MS = 1000
+"""Milliseconds in a second."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeardSample:
+    """A sample that waits to be passed on.
+
+    Attributes:
+        sample: What another group told last of a target.
+        at: When it came.
+    """
+
+    sample: LoadSample
+    at: Deadline
+
+
+class FarSamples:
+    """Gathers samples of other groups while this host leads its own.
+
+    Attributes:
+        heard: The latest sample of each target that waits, by its hash.
+        any_heard: Set when there is something in `heard`.
+        urgent: Set when that can't wait.
+    """
+
+    def __init__(self, exchange: Exchange):
+        """Pass on through `exchange`."""
+        self.exchange = exchange
+        self.heard: dict[int, HeardSample] = {}
+        self.any_heard = trio.Event()
+        self.urgent = trio.Event()
+
+    def note(self, sender: HostId, samples: Sequence[LoadSample]) -> None:
+        """Take what `sender` told, if it is for this host to pass on."""
+        exchange = self.exchange
+        if not exchange.is_first_leader or sender in exchange.group_hosts():
+            return
+        now = Deadline(trio.current_time())
+        for sample in samples:
+            self.heard[sample.target] = HeardSample(sample, now)
+        if self.heard:
+            self.any_heard.set()
+        # Until it is known that a target is cold nobody holds requests back.
+        if any(sample.warm_up_ms for sample in samples):
+            self.urgent.set()
+
+    async def run(self) -> None:
+        """Pass on what was gathered, until cancelled."""
+        while True:
+            # An idle host must not wake at all.
+            await self.any_heard.wait()
+            self.any_heard = trio.Event()
+            with trio.move_on_after(PASS_ON_SECONDS):
+                await self.urgent.wait()
+            self.urgent = trio.Event()
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        now = Deadline(trio.current_time())
+        samples = [_aged(each, now) for each in self.heard.values()]
+        self.heard.clear()
+        for first in range(0, len(samples), MAX_SAMPLES):
+            message = LoadSamples(samples=samples[first : first + MAX_SAMPLES])
+            self.exchange.publish(
+                Topic.LOAD_SAMPLES, encode(message), Scope.NEAR
+            )
+
+
+def _aged(heard: HeardSample, now: Deadline) -> LoadSample:
+    """Return a sample that is older by the time that it waited."""
+    sample = heard.sample
+    waited_ms = round((now - heard.at) * MS)
+    sample.age_ms = (sample.age_ms or 0) + waited_ms
+    if sample.warm_up_ms is not None:
+        sample.said_ms = (sample.said_ms or 0) + waited_ms
+    if sample.rate is not None:
+        sample.rate_said_ms = (sample.rate_said_ms or 0) + waited_ms
+    return sample
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -12,6 +12,7 @@
 from agatetack.ids import Deadline, HostId, ProcessId
 from agatetack.logs import PartLog
 from agatetack.measure.budget import TokenBucket
+from agatetack.measure.far_samples import MAX_SAMPLES, FarSamples
 from agatetack.measure.hashes import TargetHashes, target_hash
 from agatetack.measure.news import ReportNews, unseen_load, whole_load
 from agatetack.metrics import Metrics
@@ -22,9 +23,6 @@
 from agatetack.targets.state import LoadReport, ReportSource, TargetState
 from agatetack.thrift_codec import MalformedMessage, decode, encode
 
-MAX_SAMPLES = 32
-"""Most samples in one message."""
-
 FRAME_BYTES = 60
 """What a message costs on the wire besides its payload."""
 
@@ -73,6 +71,7 @@
         known: Targets of this group whose load became known since other groups
             were told.
         far_news: What those were told.
+        far_samples: What they told, to be passed on to this group.
     """
 
     def __init__(
@@ -96,6 +95,7 @@
         self.news_only = news_only
         self.near_news = ReportNews(registry, unseen_load)
         self.far_news = ReportNews(registry, whole_load)
+        self.far_samples = FarSamples(exchange)
         self.known: dict[ProcessId, TargetState] = {}
         self.any_known = trio.Event()
         self.registry = registry
@@ -115,6 +115,7 @@
         """Send samples for ever, at once nearby and now and then elsewhere."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tell_far)
+            nursery.start_soon(self.far_samples.run)
             await self._tell_near()
 
     async def _tell_far(self) -> None:
@@ -276,6 +277,7 @@
             self._drop("samples-malformed")
             return
         self.take(message.samples)
+        self.far_samples.note(sender, message.samples)
 
     def take(self, samples: Sequence[LoadSample]) -> None:
         """Take what a peer told of targets."""
--- a/agatetack/peers/reach.py
+++ b/agatetack/peers/reach.py
@@ -8,7 +8,7 @@
 from agatetack.peers.connector import Connector
 from agatetack.peers.exchange import Scope
 from agatetack.peers.link import Link
-from agatetack.peers.relay import DOMAIN_TOPICS
+from agatetack.peers.relay import DOMAIN_TOPICS, GATHERED_TOPICS
 
 
 class Reach:
@@ -96,7 +96,9 @@
         """
         if publish.topic not in DOMAIN_TOPICS or publish.origin != link.id:
             return False
-        if self.connector.bounded and not self.is_first_leader:
+        if self.connector.bounded and (
+            publish.topic in GATHERED_TOPICS or not self.is_first_leader
+        ):
             return False
         return not self._is_near(link)
 
--- a/agatetack/peers/relay.py
+++ b/agatetack/peers/relay.py
@@ -37,6 +37,10 @@
 themselves stand in for them meanwhile.
 """
 
+GATHERED_TOPICS = frozenset({Topic.LOAD_SAMPLES.value})
+"""Topics whose readers at the first leader of a group tell the group what other
+groups say, in fewer messages."""
+
 RELAYS_FOR_CUT_LINK = 2
 """Hosts that pass on messages between two hosts without a link."""
 
