--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -22,7 +22,6 @@
 from agatetack.peers.call_service import CallService
 from agatetack.peers.connector import Connector, ConnectorOwner
 from agatetack.peers.counters import PeerCounters
-from agatetack.peers.duplicates import Verdict
 from agatetack.peers.exchange import (
     CallHandler,
     Exchange,
@@ -44,7 +43,7 @@
 from agatetack.peers.link import Link
 from agatetack.peers.members import MemberTable
 from agatetack.peers.reach import Reach
-from agatetack.peers.relay import MEMBER_TOPIC, Relay, without_origin
+from agatetack.peers.relay import MEMBER_TOPIC, Relay, Verdict, without_origin
 from agatetack.peers.transport import make_transport
 from agatetack.settings.model import Settings
 
--- a/agatetack/peers/test_choice.py
+++ b/agatetack/peers/test_choice.py
@@ -4,7 +4,7 @@
 
 from agatetack.ids import FailureDomain, HostId
 from agatetack.peers.choice import choose_peers
-from agatetack.peers.duplicates import (
+from agatetack.peers.relay import (
     MAX_ORIGINS,
     WINDOW,
     DuplicateFilter,
