--- a/agatetack/claims/keeper.py
+++ b/agatetack/claims/keeper.py
@@ -50,7 +50,7 @@
         """
         place = 0
         while True:
-            resumed = partition.resumed
+            resumed = partition.reading.resumed
             if partition.ready:
                 await self._write_due(partition, place)
             with trio.move_on_after(PASS_SECONDS) as pass_over:
--- a/agatetack/claims/partition.py
+++ b/agatetack/claims/partition.py
@@ -27,6 +27,7 @@
     LogTruncated,
     LogUnavailable,
 )
+from agatetack.record_log.resumption import Resumption
 from agatetack.settings.model import Settings
 
 POSITIONS = 512
@@ -59,8 +60,7 @@
         fold: Who holds which key.
         ready: Whether the fold has reached the stream's end.
         reachable: Whether the log answered last.
-        resumed: Set, and replaced, when the fold reaches the stream's end for
-            the first time since the start or since the log could not be read.
+        reading: Tells when the stream was read to its end after a gap.
         current_from: When the last read began that reached the end.
     """
 
@@ -86,8 +86,7 @@
         self.fold = Fold(settings)
         self.ready = False
         self.reachable = True
-        self.resumed = trio.Event()
-        self.interrupted = True
+        self.reading = Resumption()
         self.current_from = Deadline(-math.inf)
         self.read_scope = trio.CancelScope()
         self.kicked = trio.Event()
@@ -187,10 +186,10 @@
                 with trio.CancelScope() as self.read_scope:
                     await self._read()
             except LogTruncated as error:
-                self.interrupted = True
+                self.reading.interrupt()
                 self._start_over(error.first)
             except LogUnavailable:
-                self.interrupted = True
+                self.reading.interrupt()
                 self.reachable = False
                 await trio.sleep(RETRY_SECONDS)
             else:
@@ -244,10 +243,7 @@
         if self.fold.next >= page.end:
             self.ready = True
             self.current_from = started
-            if self.interrupted:
-                self.interrupted = False
-                self.resumed.set()
-                self.resumed = trio.Event()
+            self.reading.reach_end()
         label = {"stream": self.stream}
         self.metrics.log_offset.set(label, self.fold.next)
         self.metrics.log_lag.set(label, max(0, page.end - self.fold.next))
--- a/agatetack/deferred/partition.py
+++ b/agatetack/deferred/partition.py
@@ -25,6 +25,7 @@
     LogTruncated,
     LogUnavailable,
 )
+from agatetack.record_log.resumption import Resumption
 from agatetack.settings.model import Settings
 
 LOG = PartLog("deferred")
@@ -54,8 +55,7 @@
         position: The offset of the next record to read.
         caught_up: Whether the stream was read to its end since the start.
         end_read_at: When it was last read to its end.
-        resumed: Set, and replaced, when the stream is read to its end for the
-            first time since the start or since the log could not be read.
+        reading: Tells when the stream was read to its end after a gap.
         writer: Appends to the stream.
     """
 
@@ -79,8 +79,7 @@
         self.position = LogOffset(0)
         self.caught_up = False
         self.end_read_at = Deadline(0.0)
-        self.resumed = trio.Event()
-        self.interrupted = True
+        self.reading = Resumption()
         self.changed = trio.Event()
         self.watched: dict[TicketId, trio.Event] = {}
         self.cache: collections.OrderedDict[LogOffset, bytes] = (
@@ -96,10 +95,10 @@
             try:
                 await self._read_on()
             except LogTruncated as error:
-                self.interrupted = True
+                self.reading.interrupt()
                 self._start_over(error.first)
             except LogUnavailable:
-                self.interrupted = True
+                self.reading.interrupt()
                 await trio.sleep(RETRY_SECONDS)
 
     @property
@@ -226,10 +225,7 @@
         if self.position >= page.end:
             self.caught_up = True
             self.end_read_at = self.clock.now()
-            if self.interrupted:
-                self.interrupted = False
-                self.resumed.set()
-                self.resumed = trio.Event()
+            self.reading.reach_end()
         self.changed.set()
         self.changed = trio.Event()
 
--- a/agatetack/deferred/test_kept_alive.py
+++ b/agatetack/deferred/test_kept_alive.py
@@ -23,7 +23,6 @@
     },
     "deferred": {"result_keep_seconds": 900, "cache_bytes": 1},
 }
-PATH = b"/waves/1"
 
 
 @contextlib.asynccontextmanager
--- a/agatetack/deferred/upkeep.py
+++ b/agatetack/deferred/upkeep.py
@@ -76,7 +76,7 @@
         that failed, and every `upkeep_seconds` otherwise.
         """
         while True:
-            resumed = self.partition.resumed
+            resumed = self.partition.reading.resumed
             all_kept = True
             if self.partition.fresh:
                 all_kept = await self.look_through()
