--- a/agatetack/balance/room.py
+++ b/agatetack/balance/room.py
@@ -43,6 +43,10 @@
 EVEN_ODDS = 0.5
 """How likely the last slots must add nothing to be left empty."""
 
+DECIDED_SECONDS = 1.0
+"""How long a decision holds if no answer comes, as it is asked for each target
+at each choice."""
+
 
 class SlotRoom(abc.ABC):
     """A way to say how many requests targets should have."""
@@ -83,6 +87,8 @@
         logs: Logarithms of how well each of `FACTORS` explains the answers
             above the knee.
         known_at: When the last of them came.
+        decisions: What `is_above` said of each limit since then.
+        decided_until: Until when that holds.
     """
 
     usual: deque[float] = dataclasses.field(
@@ -92,9 +98,22 @@
         default_factory=lambda: [0.0] * len(FACTORS)
     )
     known_at: Deadline = Deadline(-math.inf)
+    decisions: dict[float, bool] = dataclasses.field(default_factory=dict)
+    decided_until: Deadline = Deadline(-math.inf)
+
+    def is_above(self, limit: float, now: Deadline) -> bool:
+        """Return whether a request above the knee takes `limit` as long."""
+        if not 0.0 < self.decided_until - now <= DECIDED_SECONDS:
+            self.decisions.clear()
+            self.decided_until = Deadline(now + DECIDED_SECONDS)
+        decided = self.decisions.get(limit)
+        if decided is None:
+            decided = self.likely_above(limit, now) > EVEN_ODDS
+            self.decisions[limit] = decided
+        return decided
 
     def likely_above(self, limit: float, now: Deadline) -> float:
-        """Return how likely a request above the knee takes `limit` as long."""
+        """Return how likely that is."""
         kept = self._kept(now)
         best = max(self.logs)
         total = above = 0.0
@@ -116,6 +135,7 @@
             return
         kept = self._kept(now)
         self.known_at = now
+        self.decisions.clear()
         late = math.log(seconds) - self._usual_log()
         # What it is compared with varies as well.
         spread = TIME_SPREAD * math.sqrt(1 + 1 / len(self.usual))
@@ -158,8 +178,8 @@
         estimate = self.services.get(target.service)
         if estimate is None or fast < 1:
             return target.slots
-        slower = estimate.likely_above(target.slots / fast, now)
-        return fast if slower > EVEN_ODDS else target.slots
+        slower = estimate.is_above(target.slots / fast, now)
+        return fast if slower else target.slots
 
     def answered(
         self, target: TargetState, seconds: float, ahead: float, now: Deadline
--- a/bench/deferred.py
+++ b/bench/deferred.py
@@ -99,6 +99,7 @@
 
     Attributes:
         lines: What happened to a ticket, in the order of time.
+        last_poll: What its last poll was told.
     """
 
     def __init__(self) -> None:
