--- a/agatetack/balance/room.py
+++ b/agatetack/balance/room.py
@@ -12,9 +12,8 @@
 KNEE_SHARE = 0.8
 """Share of its slots up to which a target runs requests at full speed.
 
-Those that slow down when they are nearly full do so above it: of six slots the
-first four took 260 ms each and the fifth 450 ms. Of two or three it is the
-last one.
+Those that slow down when they are nearly full do so above it. Of two or three
+slots it is the last one.
 """
 
 FACTORS = {1.0: 0.42, 1.2: 0.05, 1.35: 0.05, 1.7: 0.42, 2.0: 0.03, 2.6: 0.03}
@@ -160,9 +159,7 @@
 
     A target of six slots that slows down above four does 4 requests in the time
     of one with four, and 3.5 with six. Where the last slots add nothing a
-    request waits at the host instead, which can still send it elsewhere:
-    answers in time rose from 80 to 82 % in a day of high load, and in its worst
-    seconds from 55 to 60 % (played with 96 hosts, one day each).
+    request waits at the host instead, which can still send it elsewhere.
 
     Attributes:
         services: What is known of each service.
--- a/agatetack/balance/test_looked_at_cold_targets.py
+++ b/agatetack/balance/test_looked_at_cold_targets.py
@@ -1,9 +1,9 @@
 """Test what reaches a target that turns cold without a word, with looks.
 
 The pattern: requests come at random, and until a probe or a look shows that
-the target is cold and the word is with the others, nobody holds any back. At
-60 requests a second up to 21 came to one target in the 0.19 s of a probe and
-its word where none was looked at, whatever the owner and the quiet time do.
+the target is cold and the word is with the others, nobody holds any back. Only
+the looks before sends bound what comes by then; the owner and the quiet time
+bound what comes after.
 """
 
 import random
--- a/agatetack/peers/relay.py
+++ b/agatetack/peers/relay.py
@@ -35,9 +35,7 @@
 for all of them.
 
 Bytes between failure domains are paid for, and load is told hundreds of times
-a second: 18 hosts in four domains that serve 100 requests a second told every
-host of each start, end and change at a cost of some 15 MB in 40 s, and so at a
-quarter of that. A relay that is lost without a word keeps its part of the
+a second. A relay that is lost without a word keeps its part of the
 messages from its domain until it is taken for gone; reports of the targets
 themselves stand in for them meanwhile.
 """
@@ -193,8 +191,8 @@
 def without_origin(publish: ttypes.Publish) -> ttypes.Publish:
     """Return a host's own message as it goes to peers that know its origin.
 
-    A message that tells of one request has 30 bytes instead of 58, and a host
-    of 14 sends some 200 of them a second.
+    A message that tells of one request is half as long then, and they are the
+    most that a host sends.
     """
     return ttypes.Publish(
         sequence=publish.sequence,
