Run the deployment as real processes, with callers and stand-ins

`python -m bench.soak run FOLDER` reads deploy/system.toml, builds, fills in the template of the settings for each machine and starts one process for each on a loopback address of its own, against the stand-ins of the store and of targets. It starts again whatever ends and reports ends, shares served and the time to the first answer.

Measured on: 3 hosts as deployed, 0 of 313 requests served, each host ended 18 times in 12 s with status 1 (callers.listen: Address already in use).

--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the deployment as real processes, with callers, stand-ins and faults."""
--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,84 @@
+"""Run a soak from the command line.
+
+`python -m bench.soak run FOLDER` starts the committed build's processes as the
+deploy file says, sends a load and prints what was seen.
+"""
+
+import pathlib
+import sys
+
+import defopt
+import orjson
+import trio
+
+from bench.soak.deploy_file import build
+from bench.soak.run import Plan, Report, run_soak
+from bench.soak.site import read_site, small_site
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+def run(
+    folder: str,
+    *,
+    site: str = "",
+    hosts: int = 3,
+    per_second: float = 40.0,
+    seconds: float = 20.0,
+    lead_seconds: float = 3.0,
+    seed: int = 1,
+    root: str = "",
+    cores: int = 0,
+) -> int:
+    """Build, run one soak and print its report as JSON.
+
+    Args:
+        folder: Gets settings and output of all hosts.
+        site: A site file of the platform; a small site if empty.
+        hosts: Hosts of the small site.
+        per_second: Requests a second at the small site.
+        seconds: How long requests are sent.
+        lead_seconds: Time from the start of the hosts to that of the load.
+        seed: Seed of load and faults.
+        root: The checkout to run; this one if empty.
+        cores: Processor cores that the hosts share; all if 0.
+    """
+    checkout = pathlib.Path(root).resolve() if root else ROOT
+    build(checkout)
+    place = pathlib.Path(folder).resolve()
+    place.mkdir(parents=True, exist_ok=True)
+    found = (
+        read_site(pathlib.Path(site)) if site else small_site(hosts, per_second)
+    )
+    plan = Plan(
+        found, seconds, seed, checkout, place, range(cores), lead_seconds
+    )
+    report = trio.run(run_soak, plan)
+    print(_as_json(report))
+    return int(bool(report.ends) or report.served_share == 0)
+
+
+def _as_json(report: Report) -> str:
+    """Return the report with the ends grouped by what they said."""
+    ends: dict[str, int] = {}
+    for end in report.ends:
+        last = (end.output.strip().splitlines() or [""])[-1]
+        key = f"status {end.status}: {last}"
+        ends[key] = ends.get(key, 0) + 1
+    fields = {
+        "requests": report.requests,
+        "served_share": round(report.served_share, 4),
+        "counts": {r.value: n for r, n in report.counts.items() if n},
+        "refusals": dict(report.refusals),
+        "first_answer_seconds": report.first_answer_seconds,
+        "longest_gap_seconds": report.longest_gap_seconds,
+        "ends": ends,
+        "twice": report.twice,
+        "ran_though_refused": report.ran_though_refused,
+        "peak_mb": report.peak_mb,
+    }
+    return orjson.dumps(fields, option=orjson.OPT_INDENT_2).decode()
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run({"run": run}))
--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,327 @@
+"""Send the load of a site and note what became of each request."""
+
+import dataclasses
+import enum
+import math
+import random
+from collections.abc import Mapping
+
+import trio
+
+from agatetack.ids import FailureDomain
+from agatetack.testing.export_content import ByteRange, export_chunks
+from bench.soak.connection import CallerAnswer, Connection, ConnectionCut
+from bench.soak.machines import CALLERS_PORT
+from bench.soak.site import Habit, Kind, RequestKind, Site, Traffic
+from bench.soak.world import World
+
+CONNECT_SECONDS = 1.0
+"""Longest time to open a connection."""
+
+MAX_BACKOFF_RATIO = 1 / 3
+"""Largest part of the time left that a caller waits as it is told."""
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that promise that the request has not run."""
+
+FINAL = frozenset({400, 401, 404, 413, 431})
+"""Statuses after which nothing is asked again."""
+
+
+class Result(enum.Enum):
+    """What became of one attempt of a caller."""
+
+    SERVED = "served"
+    WRONG = "wrong-answer"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CUT = "cut"
+    NOT_CONNECTED = "not-connected"
+    LATE = "late"
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt of a caller.
+
+    Attributes:
+        request_id: Its own id.
+        host: The host that it went to.
+        started: When, in seconds of the run.
+        ended: When its answer or end came.
+        result: What became of it.
+        status: The status of its answer; 0 without one.
+        detail: The reason of a refusal, or how it was cut.
+    """
+
+    request_id: str
+    host: str
+    started: float
+    ended: float = 0.0
+    result: Result = Result.LATE
+    status: int = 0
+    detail: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class CallerRequest:
+    """One request of a caller, with all its attempts.
+
+    Attributes:
+        kind: What it asks for.
+        domain: Where its caller is.
+        started: When, in seconds of the run.
+        attempts: Its attempts, oldest first.
+    """
+
+    kind: RequestKind
+    domain: FailureDomain
+    started: float
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+
+    @property
+    def served(self) -> bool:
+        """Return whether it got the answer that it asked for."""
+        return any(each.result is Result.SERVED for each in self.attempts)
+
+
+class Callers:
+    """All callers of a site.
+
+    Attributes:
+        requests: All requests so far, oldest first.
+        epoch: The start of the run on trio's clock.
+    """
+
+    def __init__(self, site: Site, world: World, seed: int):
+        """Send the load of `site` to the hosts of `world`."""
+        self.site = site
+        self.world = world
+        self.seed = seed
+        self.requests: list[CallerRequest] = []
+        self.epoch = 0.0
+        self.number = 0
+
+    async def run(self, epoch: float, until: float) -> None:
+        """Send requests until a time on trio's clock, then wait for answers.
+
+        Args:
+            epoch: The start of the run.
+            until: When the last request is sent.
+        """
+        self.epoch = epoch
+        async with trio.open_nursery() as nursery:
+            for traffic in self.site.traffic:
+                for name, rate in traffic.rates.items():
+                    kind = self.site.kinds[name]
+                    nursery.start_soon(
+                        self._send_kind, traffic, kind, rate, until, nursery
+                    )
+
+    def now(self) -> float:
+        """Return the time since the start of the run, in seconds."""
+        return trio.current_time() - self.epoch
+
+    def new_id(self) -> str:
+        """Return a request id that no other request has."""
+        self.number += 1
+        return f"s{self.seed}-{self.number}"
+
+    async def _send_kind(
+        self,
+        traffic: Traffic,
+        kind: RequestKind,
+        rate: float,
+        until: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        source = random.Random(f"{self.seed} {traffic.domain} {kind.name}")
+        clients = [
+            Client(self, kind, traffic.domain, f"{kind.name}-{number}", source)
+            for number in range(traffic.clients)
+        ]
+        at = trio.current_time()
+        while True:
+            at += source.expovariate(rate)
+            if at >= until:
+                break
+            await trio.sleep_until(at)
+            nursery.start_soon(source.choice(clients).ask)
+
+
+class Client:
+    """One client, with the connections that it keeps open."""
+
+    def __init__(
+        self,
+        callers: Callers,
+        kind: RequestKind,
+        domain: FailureDomain,
+        name: str,
+        source: random.Random,
+    ):
+        """Ask for one kind of request."""
+        self.callers = callers
+        self.kind = kind
+        self.domain = domain
+        self.name = f"{domain}-{name}"
+        self.source = source
+        self.idle: dict[str, list[Connection]] = {}
+        self.asked = 0
+
+    async def ask(self) -> None:
+        """Ask once, and again as the callers' rules allow."""
+        callers, kind = self.callers, self.kind
+        request = CallerRequest(kind, self.domain, callers.now())
+        callers.requests.append(request)
+        deadline = trio.current_time() + kind.deadline_seconds
+        for number in range(kind.retries + 1):
+            attempt = await self._attempt(request, number, deadline)
+            if not self._may_repeat(attempt):
+                return
+            left = deadline - trio.current_time()
+            told = _retry_after(attempt)
+            await trio.sleep(min(told, max(0.0, left) * MAX_BACKOFF_RATIO))
+            if trio.current_time() >= deadline:
+                return
+
+    def _may_repeat(self, attempt: Attempt) -> bool:
+        if attempt.result in (Result.SERVED, Result.WRONG, Result.LATE):
+            return False
+        if attempt.status in FINAL:
+            return False
+        if self.kind.kind is not Kind.ONCE:
+            return True
+        return attempt.result in (Result.REFUSED, Result.NOT_CONNECTED)
+
+    async def _attempt(
+        self, request: CallerRequest, number: int, deadline: float
+    ) -> Attempt:
+        callers = self.callers
+        self.asked += number > 0
+        host = callers.world.entry.choose(
+            f"{self.name} {self.asked}", self.domain
+        )
+        attempt = Attempt(callers.new_id(), host.id, callers.now())
+        request.attempts.append(attempt)
+        with trio.move_on_at(deadline):
+            await self._exchange(attempt, deadline, fresh=number > 0)
+        attempt.ended = callers.now()
+        return attempt
+
+    async def _exchange(
+        self, attempt: Attempt, deadline: float, fresh: bool
+    ) -> None:
+        connection = None if fresh else self._take_idle(attempt)
+        if connection is None:
+            connection = await self._connect(attempt)
+        if connection is None:
+            return
+        path = self._path()
+        try:
+            await connection.send(self._request(attempt, path, deadline))
+            answer = await connection.receive()
+        except ConnectionCut as cut:
+            attempt.result, attempt.detail = Result.CUT, str(cut)
+            with trio.CancelScope(shield=True):
+                await connection.close()
+            return
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+            raise
+        self._judge(attempt, answer, path)
+        if connection.usable and self.kind.habit is not Habit.FRESH:
+            self.idle.setdefault(attempt.host, []).append(connection)
+        else:
+            await connection.close()
+
+    def _take_idle(self, attempt: Attempt) -> Connection | None:
+        """Return an open connection, to whichever host it stands."""
+        for host, connections in self.idle.items():
+            if connections:
+                attempt.host = host
+                return connections.pop()
+        return None
+
+    async def _connect(self, attempt: Attempt) -> Connection | None:
+        ip = self.callers.world.ready_addresses[attempt.host]
+        try:
+            with trio.fail_after(CONNECT_SECONDS):
+                stream = await trio.open_tcp_stream(ip, CALLERS_PORT)
+        except (OSError, trio.TooSlowError) as error:
+            attempt.result = Result.NOT_CONNECTED
+            attempt.detail = type(error).__name__
+            return None
+        return Connection(stream)
+
+    def _path(self) -> str:
+        kind = self.kind
+        if kind.kind is Kind.DOWNLOAD:
+            return f"/export?bytes={kind.answer_bytes}&service_ms={self._work_ms():.1f}"
+        return f"/{kind.name}/x?service_ms={self._work_ms():.1f}"
+
+    def _work_ms(self) -> float:
+        sigma = self.kind.work_sigma
+        mu = math.log(self.kind.work_seconds) - sigma * sigma / 2
+        return self.source.lognormvariate(mu, sigma) * 1000
+
+    def _request(self, attempt: Attempt, path: str, deadline: float) -> bytes:
+        left_ms = max(1, round((deadline - trio.current_time()) * 1000))
+        method = self._method()
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {self.kind.name}.example",
+            f"Request-Id: {attempt.request_id}",
+            f"Request-Timeout-Ms: {left_ms}",
+        ]
+        if method == "POST":
+            lines.append("Content-Length: 0")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    def _method(self) -> str:
+        return "POST" if self.kind.kind is Kind.ONCE else "GET"
+
+    def _judge(self, attempt: Attempt, answer: CallerAnswer, path: str) -> None:
+        attempt.status = answer.status
+        attempt.detail = answer.headers.get(b"x-reason", b"").decode()
+        if answer.status == 200:
+            whole = answer.body == self._whole(attempt, path)
+            signed = b"server-signature" in answer.headers
+            right = whole and signed
+            attempt.result = Result.SERVED if right else Result.WRONG
+        elif answer.status in NOT_RUN:
+            attempt.result = Result.REFUSED
+            told = answer.headers.get(b"retry-after", b"0").decode()
+            attempt.detail += f" retry-after={told}"
+        else:
+            attempt.result = Result.FAILED
+
+    def _whole(self, attempt: Attempt, path: str) -> bytes:
+        if self.kind.kind is Kind.DOWNLOAD:
+            span = ByteRange(0, self.kind.answer_bytes)
+            return b"".join(export_chunks(span))
+        line = f"{self._method()} {path} {attempt.request_id}\n"
+        return line.encode()
+
+
+def _retry_after(attempt: Attempt) -> float:
+    """Return how long the answer asked to wait, in seconds."""
+    _, _, told = attempt.detail.partition("retry-after=")
+    try:
+        return float(told or 0)
+    except ValueError:
+        return 0.0
+
+
+def count_results(
+    requests: list[CallerRequest],
+) -> Mapping[Result, int]:
+    """Return the number of requests by the result of their last attempt."""
+    counts = dict.fromkeys(Result, 0)
+    for request in requests:
+        if request.served:
+            counts[Result.SERVED] += 1
+        elif request.attempts:
+            counts[request.attempts[-1].result] += 1
+    return counts
--- /dev/null
+++ b/bench/soak/connection.py
@@ -0,0 +1,116 @@
+"""Speak HTTP/1.1 as a caller, on connections that stay open."""
+
+import dataclasses
+from collections import deque
+
+import httptools
+import trio
+
+RECEIVE_BYTES = 1 << 16
+
+
+class ConnectionCut(Exception):
+    """The connection ended before the whole answer."""
+
+
+@dataclasses.dataclass(slots=True)
+class CallerAnswer:
+    """One answer as a caller reads it.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Header fields, names in lower case; the last one counts.
+        body: The whole body.
+        keep_alive: Whether the connection may be used again.
+    """
+
+    status: int = 0
+    headers: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+
+
+class AnswerReader:
+    """Turn the bytes of one connection into answers."""
+
+    def __init__(self) -> None:
+        """Start with no answer."""
+        self.parser = httptools.HttpResponseParser(self)
+        self.complete: deque[CallerAnswer] = deque()
+        self.current = CallerAnswer()
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        self.current = CallerAnswer()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field."""
+        self.current.headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self.current.body += body
+
+    def on_message_complete(self) -> None:
+        """Finish the answer."""
+        self.current.status = self.parser.get_status_code()
+        self.current.keep_alive = self.parser.should_keep_alive()
+        self.complete.append(self.current)
+
+
+class Connection:
+    """One connection of a caller.
+
+    Attributes:
+        stream: The TCP stream.
+        usable: Whether further requests may be sent on it.
+    """
+
+    def __init__(self, stream: trio.SocketStream):
+        """Use `stream`."""
+        self.stream = stream
+        self.reader = AnswerReader()
+        self.usable = True
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes of requests.
+
+        Raises:
+            ConnectionCut: The host has closed the connection.
+        """
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self.usable = False
+            raise ConnectionCut("on sending") from error
+
+    async def receive(self) -> CallerAnswer:
+        """Return the next answer.
+
+        Raises:
+            ConnectionCut: The connection ended, or what came is no answer.
+        """
+        while not self.reader.complete:
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    raise ConnectionCut("closed")
+                self.reader.parser.feed_data(data)
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+                httptools.HttpParserError,
+            ) as error:
+                self.usable = False
+                raise ConnectionCut(type(error).__name__) from error
+            except ConnectionCut:
+                self.usable = False
+                raise
+        answer = self.reader.complete.popleft()
+        self.usable = self.usable and answer.keep_alive
+        return answer
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self.usable = False
+        await trio.aclose_forcefully(self.stream)
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,149 @@
+"""Run one soak: start the hosts, send the load, and report."""
+
+import dataclasses
+import pathlib
+from collections import Counter
+from collections.abc import Sequence
+
+import trio
+
+from agatetack.testing.fake_target import ExecutedRequest
+from bench.soak.callers import Callers, Result, count_results
+from bench.soak.deploy_file import read_role
+from bench.soak.host import End, Host, ends_by_themselves
+from bench.soak.machines import make_hosts
+from bench.soak.site import Kind, Site
+from bench.soak.world import World
+
+SETTLE_SECONDS = 1.0
+"""Time after the last answer in which late runs at targets are seen."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What is run.
+
+    Attributes:
+        site: The deployment.
+        seconds: How long requests are sent.
+        seed: Seed of load and faults.
+        root: The checkout that is run.
+        folder: Gets settings and output of all hosts.
+        cores: Processor cores that the hosts share; all if empty.
+        lead_seconds: Time from the start of the hosts to that of the load.
+    """
+
+    site: Site
+    seconds: float
+    seed: int
+    root: pathlib.Path
+    folder: pathlib.Path
+    cores: Sequence[int] = ()
+    lead_seconds: float = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What was seen.
+
+    Attributes:
+        requests: Requests of callers.
+        counts: Requests by their result.
+        refusals: Attempts that were refused, by reason.
+        first_answer_seconds: Time from the first start of a host to the first
+            served request; None without one.
+        longest_gap_seconds: Longest time without a served request.
+        ends: Ends of processes that nothing outside ended.
+        twice: Requests that may run once only and ran more often.
+        ran_though_refused: Requests that may run once only, were refused and
+            ran.
+        peak_mb: Most resident memory of a process.
+    """
+
+    requests: int = 0
+    counts: dict[Result, int] = dataclasses.field(default_factory=dict)
+    refusals: Counter = dataclasses.field(default_factory=Counter)
+    first_answer_seconds: float | None = None
+    longest_gap_seconds: float = 0.0
+    ends: list[End] = dataclasses.field(default_factory=list)
+    twice: list[str] = dataclasses.field(default_factory=list)
+    ran_though_refused: list[str] = dataclasses.field(default_factory=list)
+    peak_mb: float = 0.0
+
+    @property
+    def served_share(self) -> float:
+        """Return the share of requests that were served; 0 without any."""
+        if not self.requests:
+            return 0.0
+        return self.counts[Result.SERVED] / self.requests
+
+
+async def run_soak(plan: Plan) -> Report:
+    """Run the hosts of a plan under its load, and return what was seen."""
+    world = World(plan.site)
+    callers = Callers(plan.site, world, plan.seed)
+    async with trio.open_nursery() as nursery:
+        await world.start(nursery)
+        role = read_role(plan.root)
+        address = f"127.0.0.1:{world.store_port}"
+        hosts = make_hosts(plan.site, role, address, plan.folder, plan.cores)
+        world.add_hosts(hosts)
+        epoch = trio.current_time()
+        for host in hosts:
+            nursery.start_soon(host.run, epoch)
+        nursery.start_soon(world.entry.run)
+        await trio.sleep(plan.lead_seconds)
+        until = trio.current_time() + plan.seconds
+        await callers.run(epoch, until)
+        await trio.sleep(SETTLE_SECONDS)
+        nursery.cancel_scope.cancel()
+    return _report(plan, world, callers, hosts)
+
+
+def _report(
+    plan: Plan, world: World, callers: Callers, hosts: Sequence[Host]
+) -> Report:
+    report = Report(len(callers.requests))
+    report.counts = dict(count_results(callers.requests))
+    report.ends = list(ends_by_themselves(list(hosts)))
+    report.peak_mb = max(host.peak_bytes for host in hosts) / (1 << 20)
+    served_at = []
+    for request in callers.requests:
+        for attempt in request.attempts:
+            if attempt.result is Result.SERVED:
+                served_at.append(attempt.ended)
+            elif attempt.result is Result.REFUSED:
+                reason = attempt.detail.partition(" ")[0]
+                report.refusals[f"{attempt.status} {reason}"] += 1
+    served_at.sort()
+    if served_at:
+        report.first_answer_seconds = served_at[0]
+    report.longest_gap_seconds = _longest_gap(
+        [plan.lead_seconds, *served_at, plan.lead_seconds + plan.seconds]
+    )
+    _check_runs(report, world, callers)
+    return report
+
+
+def _longest_gap(times: Sequence[float]) -> float:
+    return max(
+        later - earlier
+        for earlier, later in zip(times, times[1:], strict=False)
+    )
+
+
+def _check_runs(report: Report, world: World, callers: Callers) -> None:
+    """Compare what callers were told with what ran at targets."""
+    runs: Counter[str] = Counter()
+    for placed in world.targets.values():
+        executed: list[ExecutedRequest] = placed.target.executed
+        runs.update(str(each.request_id) for each in executed)
+    for request in callers.requests:
+        if request.kind.kind is not Kind.ONCE:
+            continue
+        for attempt in request.attempts:
+            count = runs[attempt.request_id]
+            if count > 1:
+                report.twice.append(attempt.request_id)
+            if count and attempt.result is Result.REFUSED:
+                report.ran_though_refused.append(attempt.request_id)
--- /dev/null
+++ b/bench/soak/world.py
@@ -0,0 +1,160 @@
+"""Stand in for the platform's store, its entry and the targets of a site."""
+
+import dataclasses
+from collections.abc import Sequence
+
+import orjson
+import trio
+
+from agatetack.ids import FailureDomain, TargetId
+from agatetack.settings.model import Settings
+from agatetack.testing.fake_entry import EntryHost, FakeEntry
+from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
+from agatetack.testing.memory_store import MemoryStore
+from agatetack.testing.store_fleet import (
+    CONFIGURATION,
+    REGISTRATIONS,
+    configuration,
+    template_settings,
+)
+from agatetack.testing.store_server import store_server
+from agatetack.unique import unique_name
+from bench.soak.host import Host
+from bench.soak.machines import READY_PORT
+from bench.soak.site import Kind, RequestKind, Service, Site
+
+STORE_SECONDS = 0.004
+"""Time that the store takes for an answer."""
+
+ONCE_ATTEMPTS, OTHER_ATTEMPTS = 1, 2
+"""Most targets that one request may be sent to."""
+
+READY_PATH = "/agatetack/readyz"
+
+
+@dataclasses.dataclass(slots=True)
+class SiteTarget:
+    """A target and where it is registered."""
+
+    target: FakeTarget
+    service: Service
+    domain: FailureDomain
+
+    def registration(self, state: str = "ready") -> bytes:
+        """Return what the target registers of itself."""
+        return orjson.dumps(
+            {
+                "address": self.target.id,
+                "info": {
+                    "service": self.service.id,
+                    "version": "v1",
+                    "zone": self.domain,
+                    "slots": self.service.slots,
+                },
+                "status": {
+                    "state": state,
+                    "sequence": 1,
+                    "warmup_left": "0ms",
+                },
+            }
+        )
+
+
+class World:
+    """All that hosts meet.
+
+    Attributes:
+        site: The site.
+        store: The store.
+        store_port: Where it listens.
+        targets: The targets, by id.
+        version: The version of the configuration.
+        entry: Chooses hosts for callers.
+    """
+
+    def __init__(self, site: Site):
+        """Make an empty store; `start` starts everything."""
+        self.site = site
+        self.store = MemoryStore()
+        self.store.latency_seconds = STORE_SECONDS
+        self.store_port = 0
+        self.targets: dict[TargetId, SiteTarget] = {}
+        self.version = 0
+        self.entry = FakeEntry([], {}, self._is_ready)
+        self.ready_addresses: dict[str, str] = {}
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start store and targets, and publish the configuration."""
+        server = store_server(self.store)
+        self.store_port = await nursery.start(server.run)
+        settings = template_settings(self.store_port)
+        for service in self.site.services:
+            for domain, count in service.targets.items():
+                for _ in range(count):
+                    await self._add_target(nursery, settings, service, domain)
+        self.publish()
+
+    async def _add_target(
+        self,
+        nursery: trio.Nursery,
+        settings: Settings,
+        service: Service,
+        domain: FailureDomain,
+    ) -> None:
+        options = FakeTargetOptions(slots=service.slots)
+        target = FakeTarget(settings, options)
+        target.instance = TargetId(f"i-{unique_name()}")
+        target.faults.shed_above = service.slots + service.queue
+        await nursery.start(target.serve)
+        placed = SiteTarget(target, service, domain)
+        self.targets[target.instance] = placed
+        self.store.append(REGISTRATIONS, target.instance, placed.registration())
+
+    def publish(self) -> None:
+        """Publish a configuration with one route for each kind of request."""
+        self.version += 1
+        routes = [route_fields(kind) for kind in self.site.kinds.values()]
+        content = configuration(self.version, *routes)
+        self.store.append(CONFIGURATION, "config", content)
+
+    def add_hosts(self, hosts: Sequence[Host]) -> None:
+        """Let the entry choose among `hosts` from now on."""
+        self.ready_addresses = {host.id: host.ip for host in hosts}
+        domains = list(self.site.hosts)
+        near = {
+            domain: [other for other in domains if other != domain]
+            for domain in domains
+        }
+        entries = [EntryHost(host.id, host.domain) for host in hosts]
+        self.entry = FakeEntry(entries, near, self._is_ready)
+
+    async def _is_ready(self, host: EntryHost) -> bool:
+        try:
+            stream = await trio.open_tcp_stream(
+                self.ready_addresses[host.id], READY_PORT
+            )
+            async with stream:
+                await stream.send_all(
+                    f"GET {READY_PATH} HTTP/1.1\r\nHost: r\r\n"
+                    "Connection: close\r\n\r\n".encode()
+                )
+                answer = await stream.receive_some(4096)
+        except (OSError, trio.BrokenResourceError):
+            return False
+        return bytes(answer).startswith(b"HTTP/1.1 200")
+
+
+def route_fields(kind: RequestKind) -> dict[str, object]:
+    """Return the route of one kind of request as operators write it."""
+    once = kind.kind is Kind.ONCE
+    return {
+        "name": kind.name,
+        "host": f"{kind.name}.example",
+        "path_prefix": "/",
+        "route_type": kind.kind.value,
+        "timeout": f"{kind.timeout_seconds * 1000:.0f}ms",
+        "target_latency": f"{kind.latency_seconds * 1000:.0f}ms",
+        "priority": kind.priority,
+        "service": kind.service,
+        "max_attempts": ONCE_ATTEMPTS if once else OTHER_ATTEMPTS,
+    }
