--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -257,9 +257,10 @@
 
     def _path(self) -> str:
         kind = self.kind
+        work = f"service_ms={self._work_ms():.1f}"
         if kind.kind is Kind.DOWNLOAD:
-            return f"/export?bytes={kind.answer_bytes}&service_ms={self._work_ms():.1f}"
-        return f"/{kind.name}/x?service_ms={self._work_ms():.1f}"
+            return f"/export?bytes={kind.answer_bytes}&{work}"
+        return f"/{kind.name}/x?{work}"
 
     def _work_ms(self) -> float:
         sigma = self.kind.work_sigma
