Name the error that ends a daemon in one line, and the age of a start

What callers saw: processes that ended by themselves, of which the users had no logs. A daemon that failed printed a traceback of nested exception groups, or, with JSON lines, nothing in its log, and ended with status 1 like one with bad settings. It now logs the type, text and place of each cause in one line, the traceback in the next, and ends with status 70. The start line tells how long the process had run, so that a slow start and a late one can be told apart.

--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -14,8 +14,8 @@
     """Run the daemon directly, or else parse the command line."""
     if sys.argv[1:] == DAEMON:
         # These come first, as loading the rest takes most of a second.
-        from agatetack.collector import disable_collector
         from agatetack.early_listener import listen_early
+        from agatetack.process import disable_collector
 
         disable_collector()
         problem = listen_early()
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from agatetack.collector import tune_collector
 from agatetack.daemon_parts import count_dropped_lines, forward_signals
 from agatetack.gateway import Gateway
 from agatetack.hosts.http_host_list import HttpHostList
@@ -12,6 +11,7 @@
 from agatetack.logs import PartLog
 from agatetack.operators.app import serve_operators
 from agatetack.operators.host_backend import HostBackend
+from agatetack.process import tune_collector
 from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.model import Settings
 
--- a/agatetack/collector.py
+++ b/agatetack/process.py
@@ -1,6 +1,13 @@
-"""Keep Python's cyclic garbage collector from delaying requests."""
+"""Control the process itself: its age, and Python's garbage collector.
+
+To be loaded quickly, this module may import nothing but `gc` and `time`.
+"""
 
 import gc
+import time
+
+started_at = time.monotonic()
+"""When this module was loaded, on the steady clock."""
 
 YOUNG_THRESHOLD = 2_000
 """Net allocations that start a collection of the youngest generation, which
@@ -37,3 +44,8 @@
     gc.freeze()
     gc.set_threshold(YOUNG_THRESHOLD, MIDDLE_THRESHOLD, OLD_THRESHOLD)
     gc.enable()
+
+
+def seconds_since_start() -> float:
+    """Return how long the process has run, in seconds."""
+    return time.monotonic() - started_at
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -1,6 +1,7 @@
 """Start a daemon from its settings file."""
 
 import os
+import traceback
 
 import trio
 
@@ -18,6 +19,11 @@
 """Environment variable with the path of the settings file; the command line
 takes precedence."""
 
+EXIT_FAILURE = 70
+"""Exit status of a daemon that ends by an unexpected error."""
+
+log = PartLog("daemon")
+
 
 def start_gateway(config: str = "") -> int:
     """Serve callers until SIGTERM or SIGINT; return the exit status.
@@ -39,7 +45,22 @@
     for finding in checked.findings:
         PartLog("settings").warning("%s", render_findings([finding]))
     _close_unused_listeners(checked.settings.callers.listen)
-    return _run_daemon(checked.settings, config)
+    try:
+        return _run_daemon(checked.settings, config)
+    except UserError:
+        raise
+    except Exception as error:
+        report_failure(error)
+        return EXIT_FAILURE
+
+
+def report_failure(error: Exception) -> None:
+    """Say in one line why the daemon ends, with the traceback in the next."""
+    # Imported late, as a start loads no module that it may not need.
+    from agatetack.failures import describe_failure
+
+    log.error("Ended by an unexpected error: %s.", describe_failure(error))
+    log.error("Traceback: %s", "".join(traceback.format_exception(error)))
 
 
 def _close_unused_listeners(listen: Endpoint) -> None:
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from agatetack.collector import tune_collector
 from agatetack.daemon_parts import count_dropped_lines, forward_signals
 from agatetack.decisions import DecisionLog
 from agatetack.platform.bounds import apply_bounds
+from agatetack.process import seconds_since_start, tune_collector
 from agatetack.settings.model import Settings
 from agatetack.settings.reload import SettingsWatch
 from agatetack.store_gateway import StoreGateway
@@ -51,6 +51,7 @@
                 "start",
                 host=settings.host.id,
                 pid=os.getpid(),
+                after_seconds=round(seconds_since_start(), 3),
                 callers=ports.callers,
                 peers=ports.peers,
                 ready=ports.ready,
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -44,3 +44,47 @@
 )
 def test_a_start_leaves_out_what_it_does_not_need(modules, name):
     assert name not in modules
+
+
+FAILING = """
+import sys
+from agatetack import start
+from agatetack.errors import UserError
+def fail(settings, path):
+    raise {error}
+start._run_daemon = fail
+try:
+    sys.exit(start.start_gateway(sys.argv[1]))
+except UserError:
+    sys.exit(1)
+"""
+FREE = (
+    "callers:\n  listen: {port: 0}\noperators:\n  listen: {port: 0}\n"
+    "peers:\n  listen: {port: 0}\n"
+)
+
+
+# Guards against daemons that end without a line that says why.
+@pytest.mark.parametrize(
+    ("error", "status", "text"),
+    [
+        ("KeyError('x')", 70, "unexpected error: KeyError: 'x' ("),
+        (
+            "ExceptionGroup('', [ExceptionGroup('', [OSError('a\\nb')])])",
+            70,
+            "unexpected error: OSError: a b.",
+        ),
+        ("UserError('known')", 1, ""),
+    ],
+)
+def test_an_unexpected_error_is_named_in_one_line(
+    error, status, text, tmp_path
+):
+    path = tmp_path / "settings.yaml"
+    path.write_text(FREE)
+    code = FAILING.format(error=error)
+    command = [sys.executable, "-c", code, str(path)]
+    done = subprocess.run(command, capture_output=True, text=True)
+    assert done.returncode == status
+    found = [line for line in done.stderr.splitlines() if "Ended by" in line]
+    assert [text in line for line in found] == [True] * bool(text)
--- a/bench/capacity/tasks.py
+++ b/bench/capacity/tasks.py
@@ -11,11 +11,11 @@
 
 import trio
 
-from agatetack.collector import tune_collector
 from agatetack.daemon import serve_host
 from agatetack.gateway import Gateway
 from agatetack.hosts.http_host_list import HttpHostList
 from agatetack.logs import set_up_logs
+from agatetack.process import tune_collector
 from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Settings
--- a/bench/datapath/serve.py
+++ b/bench/datapath/serve.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from agatetack.collector import tune_collector
 from agatetack.config.route import RequestClass, Route, RouteTable
 from agatetack.gateway import Gateway
 from agatetack.hosts.host_list import HostRole, HostState, ListedHost
@@ -19,6 +18,7 @@
     TeamId,
 )
 from agatetack.logs import set_up_logs
+from agatetack.process import tune_collector
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
 from agatetack.testing.memory_host_list import MemoryHostList
