Let one owner open each listening socket, so that a host can start

What callers saw: no request served; each process started as deploy/system.toml says ended after 0.4 s with status 1, callers.listen: Address already in use.

Cause: the host listens on the callers' address before it reads its settings (AGATETACK_LISTEN), and then the check of the settings bound each address for a moment to see whether it can be had. The class is two parts of a process that each take a resource of the process without knowing of the other.

agatetack/listeners.py binds each address once and holds it; the check asks it, and so do the servers for callers, peers, starting hosts, readiness, counters and operators, which listen on the socket that the check has bound. There is nothing left to collide with, and an address that was free at the check is still there when it is served.

--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -14,7 +14,7 @@
     """Run the daemon directly, or else parse the command line."""
     if sys.argv[1:] == DAEMON:
         # These come first, as loading the rest takes most of a second.
-        from agatetack.early_listener import listen_early
+        from agatetack.listeners import listen_early
         from agatetack.process import disable_collector
 
         disable_collector()
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -6,7 +6,7 @@
 
 from agatetack.callers.connection import CallerConnection, reap_connections
 from agatetack.callers.read_ahead import ReadAheadConnection
-from agatetack.early_listener import BACKLOG
+from agatetack.listeners import BACKLOG
 from agatetack.logs import PartLog
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -23,7 +23,7 @@
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 from agatetack.settings.section import Endpoint
-from agatetack.streams import open_plain_stream
+from agatetack.streams import open_plain_stream, trio_listener
 from agatetack.thrift_codec import decode, encode
 
 SEEDS_TIMEOUT_SECONDS = 0.2
@@ -104,9 +104,9 @@
         if listen is None:
             task_status.started(0)
             return
-        listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
-        task_status.started(listeners[0].socket.getsockname()[1])
-        await trio.serve_listeners(self._serve, listeners)
+        listener = trio_listener(listen.host, listen.port)
+        task_status.started(listener.socket.getsockname()[1])
+        await trio.serve_listeners(self._serve, [listener])
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
         with trio.move_on_after(SERVE_TIMEOUT_SECONDS) as scope:
--- a/agatetack/operators/app.py
+++ b/agatetack/operators/app.py
@@ -10,6 +10,7 @@
 from aioprometheus.formats.text import TEXT_CONTENT_TYPE
 
 from agatetack.lifecycle.status import render_metrics
+from agatetack.listeners import take_listener
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.operators import rpc
@@ -199,7 +200,8 @@
 
     listen = settings.operators.listen
     config = ReloadingConfig()
-    config.bind = [f"{listen.host}:{listen.port}"]
+    listener = take_listener(listen.host, listen.port)
+    config.bind = [f"fd://{listener.detach()}"]
     config.errorlog = None
     config.include_server_header = False
     config.graceful_timeout = GRACE_SECONDS
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -46,6 +46,7 @@
 from agatetack.peers.relay import MEMBER_TOPIC, Relay, Verdict, without_origin
 from agatetack.peers.transport import make_transport
 from agatetack.settings.model import Settings
+from agatetack.streams import trio_listener
 
 LOG = PartLog("peers")
 
@@ -116,12 +117,12 @@
         Reports the bound port once peers can connect.
         """
         listen = self.settings.listen
-        listeners = await trio.open_tcp_listeners(listen.port, host=listen.host)
-        self.identity.port = listeners[0].socket.getsockname()[1]
+        listener = trio_listener(listen.host, listen.port)
+        self.identity.port = listener.socket.getsockname()[1]
         async with trio.open_nursery() as nursery:
             self.calls.nursery = nursery
             nursery.start_soon(
-                trio.serve_listeners, self.connector.accept, listeners
+                trio.serve_listeners, self.connector.accept, [listener]
             )
             nursery.start_soon(self.connector.keep_links)
             nursery.start_soon(self._announce)
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -1,8 +1,8 @@
 """Try, before a host starts, what only this host can tell of its settings."""
 
-import socket
 from collections.abc import Iterator
 
+from agatetack.listeners import hold_address
 from agatetack.settings.cross_checks import find_misfits
 from agatetack.settings.findings import KeyPath
 from agatetack.settings.misfit import Misfit, value_at
@@ -18,13 +18,12 @@
 def find_start_misfits(settings: Settings) -> Iterator[Misfit]:
     """Yield what `find_misfits` finds, and what would fail at the start.
 
-    Each address is bound for a moment and TLS files are loaded, so that all
-    that is wrong is told at once and with its place in the file.
+    Each address is bound, to be listened on later, and TLS files are loaded, so
+    that all that is wrong is told at once and with its place in the file.
     """
     yield from find_misfits(settings)
-    for section in LISTENERS:
-        keys = (section, "listen")
-        yield from _try_address(keys, value_at(settings, keys))
+    for keys, endpoint in listen_addresses(settings):
+        yield from _hold_address(keys, endpoint)
     for section in SECURE_LISTENERS:
         keys = (section, "tls")
         files = value_at(settings, keys)
@@ -32,13 +31,16 @@
             yield from _try_files(keys, files)
 
 
-def _try_address(keys: KeyPath, endpoint: Endpoint) -> Iterator[Misfit]:
-    family = socket.AF_INET6 if endpoint.ip.version == 6 else socket.AF_INET
+def listen_addresses(settings: Settings) -> Iterator[tuple[KeyPath, Endpoint]]:
+    """Yield the addresses that the host listens on, with their settings."""
+    for section in LISTENERS:
+        keys = (section, "listen")
+        yield keys, value_at(settings, keys)
+
+
+def _hold_address(keys: KeyPath, endpoint: Endpoint) -> Iterator[Misfit]:
     try:
-        with socket.socket(family, socket.SOCK_STREAM) as listener:
-            # As trio does it, so that a port left a moment ago can be taken.
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((endpoint.host, endpoint.port))
+        hold_address(endpoint.host, endpoint.port)
     except OSError as error:
         address = f"{endpoint.host} port {endpoint.port}"
         yield Misfit((keys,), f"cannot listen on {address}: {error.strerror}")
--- a/agatetack/settings/test_start_checks.py
+++ b/agatetack/settings/test_start_checks.py
@@ -5,6 +5,7 @@
 import pytest
 import trustme
 
+from agatetack import listeners
 from agatetack.settings.loader import check_settings_text
 from agatetack.settings.start_checks import find_start_misfits
 
@@ -14,6 +15,12 @@
 )
 
 
+@pytest.fixture(autouse=True)
+def no_held_listeners():
+    yield
+    listeners.release_others([])
+
+
 def check(text):
     checked = check_settings_text(text, "f", find_start_misfits)
     return [str(finding) for finding in checked.findings]
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -5,15 +5,17 @@
 
 import trio
 
-from agatetack import early_listener
+from agatetack import listeners
 from agatetack.decisions import set_up_decisions
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
 from agatetack.settings.model import Settings
-from agatetack.settings.section import Endpoint
-from agatetack.settings.start_checks import find_start_misfits
+from agatetack.settings.start_checks import (
+    find_start_misfits,
+    listen_addresses,
+)
 
 CONFIG_VARIABLE = "AGATETACK_CONFIG"
 """Environment variable with the path of the settings file; the command line
@@ -44,7 +46,7 @@
     set_up_decisions(checked.settings.logs.decisions)
     for finding in checked.findings:
         PartLog("settings").warning("%s", render_findings([finding]))
-    _close_unused_listeners(checked.settings.callers.listen)
+    _close_unused_listeners(checked.settings)
     try:
         return _run_daemon(checked.settings, config)
     except UserError:
@@ -63,12 +65,14 @@
     log.error("Traceback: %s", "".join(traceback.format_exception(error)))
 
 
-def _close_unused_listeners(listen: Endpoint) -> None:
+def _close_unused_listeners(settings: Settings) -> None:
     """Close an early listener whose address is not that of the settings."""
-    for address in early_listener.close_others(listen.host, listen.port):
+    wanted = [(each.host, each.port) for _, each in listen_addresses(settings)]
+    listen = settings.callers.listen
+    for address in listeners.release_others(wanted):
         PartLog("callers").warning(
             "%s names %s, and callers.listen is %s:%d.",
-            early_listener.LISTEN_VARIABLE,
+            listeners.LISTEN_VARIABLE,
             address,
             listen.host,
             listen.port,
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from agatetack.early_listener import take_listener
+from agatetack.listeners import take_listener
 
 LINGER_NONE = struct.pack("ii", 1, 0)
 """SO_LINGER value that makes a close send a reset, so that a truncated answer
@@ -160,8 +160,7 @@
         Raises:
             OSError: The address can't be listened on.
         """
-        self.sock = take_listener(ip, port)
-        self.sock.listen(backlog)
+        self.sock = take_listener(ip, port, backlog)
         self.port = self.sock.getsockname()[1]
 
     async def accept(self) -> PlainStream:
@@ -195,6 +194,17 @@
         self.sock.close()
 
 
+def trio_listener(ip: str, port: int) -> trio.SocketListener:
+    """Return a listener for trio's servers; port 0 is any port.
+
+    Raises:
+        OSError: The address can't be listened on.
+    """
+    return trio.SocketListener(
+        trio.socket.from_stdlib_socket(take_listener(ip, port))
+    )
+
+
 async def open_plain_stream(ip: str, port: int) -> PlainStream:
     """Connect to an IP address and return the stream.
 
--- a/agatetack/test_early_listener.py
+++ b/agatetack/test_listeners.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from agatetack import early_listener
+from agatetack import listeners
 from agatetack.callers.server import CallerServer
 from agatetack.messages import Answer, BytesBody, Handler
 from agatetack.metrics import Metrics
@@ -22,15 +22,15 @@
 
 
 @pytest.fixture(autouse=True)
-def no_early_listeners():
+def no_held_listeners():
     yield
-    early_listener.close_others("", 0)
+    listeners.release_others([])
 
 
 def listen_on_any_port(monkeypatch):
-    monkeypatch.setenv(early_listener.LISTEN_VARIABLE, f"{LOOPBACK}:0")
-    assert early_listener.listen_early() is None
-    return early_listener.early[LOOPBACK, 0].getsockname()[1]
+    monkeypatch.setenv(listeners.LISTEN_VARIABLE, f"{LOOPBACK}:0")
+    assert listeners.listen_early() is None
+    return listeners.held[LOOPBACK, 0].getsockname()[1]
 
 
 async def test_a_request_sent_before_the_server_runs_is_answered(
@@ -42,7 +42,7 @@
     settings = default_settings(callers={"listen": f"{LOOPBACK}:0"})
     server = CallerServer(settings, HelloHandler(), Metrics())
     assert await nursery.start(server.run) == port
-    assert not early_listener.early
+    assert not listeners.held
     with trio.fail_after(5):
         answer = await stream.receive_some()
     assert answer.startswith(b"HTTP/1.1 200")
@@ -59,9 +59,9 @@
     ],
 )
 def test_an_address_that_is_no_good_is_named(monkeypatch, text, listens):
-    monkeypatch.setenv(early_listener.LISTEN_VARIABLE, text)
-    problem = early_listener.listen_early()
-    assert not early_listener.early
+    monkeypatch.setenv(listeners.LISTEN_VARIABLE, text)
+    problem = listeners.listen_early()
+    assert not listeners.held
     if listens is None:
         assert problem is None
     else:
@@ -70,6 +70,6 @@
 
 def test_a_listener_elsewhere_is_closed(monkeypatch):
     port = listen_on_any_port(monkeypatch)
-    assert early_listener.close_others(LOOPBACK, port) == [f"{LOOPBACK}:0"]
+    assert listeners.release_others([(LOOPBACK, port)]) == [f"{LOOPBACK}:0"]
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection((LOOPBACK, port), timeout=5)
