--- a/bench/soak/test_template.py
+++ b/bench/soak/test_template.py
@@ -1,9 +1,17 @@
 """Test filling in the template of the settings."""
 
+import pathlib
+
 import pytest
 
+from agatetack.settings.loader import check_settings_text
+from bench.soak.deploy_file import read_role
+from bench.soak.machines import make_hosts
+from bench.soak.site import small_site
 from bench.soak.template import TemplateError, fill_template
 
+ROOT = pathlib.Path(__file__).parents[2]
+
 FIELDS = {
     "ip": "127.0.0.1",
     "on": True,
@@ -42,3 +50,22 @@
 def test_a_section_without_an_end_is_refused():
     with pytest.raises(TemplateError, match="ports"):
         fill_template("{{#ports}}x", FIELDS)
+
+
+# Guards against hosts that refuse their settings on a platform that gives no
+# entry for a list.
+@pytest.mark.parametrize(
+    "empty",
+    [
+        {},
+        {"bounds": {}},
+        {"seeds": []},
+        {"zones": {}},
+        {"bounds": {}, "seeds": [], "zones": {}},
+    ],
+)
+def test_the_deployed_template_is_valid_with_empty_lists(empty, tmp_path):
+    role = read_role(ROOT)
+    (host,) = make_hosts(small_site(1), role, "127.0.0.1:8642", tmp_path)
+    text = role.settings({**host.fields, **empty})
+    assert check_settings_text(text, "settings").findings == ()
