Say in one line why a daemon cannot be loaded

Started without its dependencies, or by another Python than the build's, a daemon ended with a traceback of the import (ModuleNotFoundError: orjson.orjson by Python 3.12.1 and 3.13.0 on a build by 3.11.7). It now ends with status 1 and one line that names the Python, the module and the build's command.

The new test starts a daemon without dependencies and failed before.

--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -10,6 +10,16 @@
 """
 
 
+def _explain_import(error: ImportError) -> str:
+    """Return the line for a program that can't be loaded."""
+    version = ".".join(map(str, sys.version_info[:3]))
+    return (
+        f"agatetack: cannot be loaded by Python {version}: {error}; its"
+        " dependencies come from `python3 deploy/build.py`, run by the same"
+        " Python"
+    )
+
+
 def main() -> None:
     """Run the daemon directly, or else parse the command line."""
     if sys.argv[1:] == DAEMON:
@@ -21,9 +31,11 @@
         problem = listen_early()
         if problem is not None:
             print(f"agatetack: not listening yet: {problem}", file=sys.stderr)
-        from agatetack.errors import UserError
-        from agatetack.start import start_gateway
-
+        try:
+            from agatetack.errors import UserError
+            from agatetack.start import start_gateway
+        except ImportError as error:
+            sys.exit(_explain_import(error))
         try:
             sys.exit(start_gateway())
         except UserError as error:
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -7,11 +7,15 @@
 """
 
 import json
+import os
+import pathlib
 import subprocess
 import sys
 
 import pytest
 
+ROOT = pathlib.Path(__file__).parents[1]
+
 LOADED = (
     "import json, sys; import agatetack.start, agatetack.store_daemon;"
     "print(json.dumps(sorted(sys.modules)))"
@@ -88,3 +92,17 @@
     assert done.returncode == status
     found = [line for line in done.stderr.splitlines() if "Ended by" in line]
     assert [text in line for line in found] == [True] * bool(text)
+
+
+# Guards against daemons that end with a traceback where the build is missing or
+# was made with another Python.
+def test_a_start_without_dependencies_says_so_in_one_line():
+    command = [sys.executable, "-S", "-m", "agatetack", "gateway"]
+    environment = {k: v for k, v in os.environ.items() if k != "PYTHONPATH"}
+    done = subprocess.run(
+        command, cwd=ROOT, env=environment, capture_output=True, text=True
+    )
+    assert done.returncode == 1
+    (line,) = done.stderr.splitlines()
+    assert "No module named 'trio'" in line
+    assert "python3 deploy/build.py" in line
