Install dependencies anew where a build was broken off or its folder is gone

The build wrote its stamp at the end but left the one before in place. After an upgrade that was broken off, a build of the requirements before took the half upgraded folder for installed; after target/deps was deleted, every build failed (ModuleNotFoundError while it compiles the defaults) until the stamp was deleted, too. The stamp is now removed before pip runs, and counts only where the folder is there.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -24,12 +24,21 @@
     stamp = "\n".join([sys.version, *requirements])
     # Sources that are not compiled cost each start half a second more.
     compileall.compile_dir(ROOT / "agatetack", quiet=1)
-    if not STAMP.exists() or STAMP.read_text() != stamp:
+    if not _is_installed(stamp):
+        # An installation that is broken off leaves no stamp.
+        STAMP.unlink(missing_ok=True)
         _install(requirements)
         STAMP.write_text(stamp)
     _compile_defaults()
 
 
+def _is_installed(stamp: str) -> bool:
+    """Return whether the dependencies that `stamp` names are there."""
+    if not TARGET.is_dir() or not STAMP.exists():
+        return False
+    return STAMP.read_text() == stamp
+
+
 def _install(requirements: list[str]) -> None:
     command = [sys.executable, "-m", "pip", "install", "--quiet"]
     command += ["--disable-pip-version-check", "--upgrade"]
