Let one build install at a time

Two builds of one checkout ran pip on the same folder at the same time. The second now waits for a lock and finds the dependencies installed. The new test starts two builds with a stand-in of pip and failed before: the second build installed while the first one did.

--- a/bench/soak/test_build.py
+++ b/bench/soak/test_build.py
@@ -5,6 +5,7 @@
 import shutil
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -68,6 +69,18 @@
     return Checkout(tmp_path)
 
 
+def until(holds):
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while not holds():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+def waits_for_a_lock(process):
+    lines = pathlib.Path("/proc/locks").read_text().splitlines()
+    return any("->" in line and str(process.pid) in line for line in lines)
+
+
 def test_a_second_build_installs_only_what_changed(checkout):
     assert checkout.build() == 0
     assert checkout.build() == 0
@@ -94,3 +107,16 @@
     checkout.require("thing>=1")
     assert checkout.build() == 0
     assert checkout.installs == ["thing>=1", "thing>=2", "thing>=1"]
+
+
+# Guards against two builds that install into one folder at the same time.
+def test_builds_at_the_same_time_install_once(checkout):
+    (checkout.root / "hold").touch()
+    first = checkout.start()
+    until(lambda: checkout.installs)
+    second = checkout.start()
+    until(lambda: len(checkout.installs) > 1 or waits_for_a_lock(second))
+    (checkout.root / "hold").unlink()
+    assert first.wait(PATIENCE_SECONDS) == 0
+    assert second.wait(PATIENCE_SECONDS) == 0
+    assert checkout.installs == ["thing>=1"]
--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,15 +1,19 @@
 """Install the run-time dependencies under `target/`, if they changed."""
 
 import compileall
+import contextlib
+import fcntl
 import os
 import pathlib
 import subprocess
 import sys
 import tomllib
+from collections.abc import Iterator
 
 ROOT = pathlib.Path(__file__).parents[1]
 TARGET = ROOT / "target" / "deps"
 STAMP = ROOT / "target" / "installed.txt"
+LOCK = ROOT / "target" / "build.lock"
 
 
 def wanted() -> list[str]:
@@ -24,14 +28,24 @@
     stamp = "\n".join([sys.version, *requirements])
     # Sources that are not compiled cost each start half a second more.
     compileall.compile_dir(ROOT / "agatetack", quiet=1)
-    if not _is_installed(stamp):
-        # An installation that is broken off leaves no stamp.
-        STAMP.unlink(missing_ok=True)
-        _install(requirements)
-        STAMP.write_text(stamp)
+    with _lock():
+        if not _is_installed(stamp):
+            # An installation that is broken off leaves no stamp.
+            STAMP.unlink(missing_ok=True)
+            _install(requirements)
+            STAMP.write_text(stamp)
     _compile_defaults()
 
 
+@contextlib.contextmanager
+def _lock() -> Iterator[None]:
+    """Let one build install at a time."""
+    LOCK.parent.mkdir(exist_ok=True)
+    with LOCK.open("w") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        yield
+
+
 def _is_installed(stamp: str) -> bool:
     """Return whether the dependencies that `stamp` names are there."""
     if not TARGET.is_dir() or not STAMP.exists():
