Hold signals wherever no part of a daemon handles them

What callers saw: hosts that got SIGHUP while they started ended (-1), and were started again to end again if the signals went on; SIGTERM at a start reset the callers that waited in the backlog (-15); SIGHUP in the last moment of a drain ended the host (-1) before it had closed its connections.

Cause: signals had their default action until trio's receivers stood, 0.4 s after the start, and again once these were closed at the end of the drain. The class is a window in which a signal that the host knows finds nobody to handle it.

Evidence: signals sent at ages of 0 to 0.5 s ended each host.

The signals are blocked from the program's first line, are let through while receivers stand, and blocked again before these close; those that waited are delivered then. The console script starts daemons by the same first lines as python -m agatetack.

--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -12,15 +12,17 @@
 
 def main() -> None:
     """Run the daemon directly, or else parse the command line."""
-    if sys.argv[1:] == DAEMON:
+    if sys.argv[1:2] == DAEMON:
         # These come first, as loading the rest takes most of a second.
         from agatetack.listeners import listen_early
-        from agatetack.process import disable_collector
+        from agatetack.process import disable_collector, hold_signals
 
+        hold_signals()
         disable_collector()
         problem = listen_early()
         if problem is not None:
             print(f"agatetack: not listening yet: {problem}", file=sys.stderr)
+    if sys.argv[1:] == DAEMON:
         from agatetack.errors import UserError
         from agatetack.start import start_gateway
 
@@ -34,4 +36,5 @@
     run_commands()
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -4,7 +4,12 @@
 
 import trio
 
-from agatetack.daemon_parts import count_dropped_lines, forward_signals
+from agatetack.daemon_parts import (
+    count_dropped_lines,
+    delivered_signals,
+    forward_signals,
+    note_reload_signals,
+)
 from agatetack.gateway import Gateway
 from agatetack.hosts.http_host_list import HttpHostList
 from agatetack.lifecycle.drain import DrainReport
@@ -75,8 +80,10 @@
     tune_collector()
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(forward_signals, gateway.stops)
-            report = await serve_host(gateway)
+            await nursery.start(forward_signals, gateway.stops)
+            await nursery.start(note_reload_signals)
+            with delivered_signals():
+                report = await serve_host(gateway)
             nursery.cancel_scope.cancel()
     finally:
         with trio.move_on_after(CLOSE_SECONDS) as scope:
--- a/agatetack/daemon_parts.py
+++ b/agatetack/daemon_parts.py
@@ -1,17 +1,48 @@
 """Parts of both daemons: handle signals, and count dropped log lines."""
 
+import contextlib
+import signal
+from collections.abc import Iterator
+
 import trio
 
-from agatetack.lifecycle.drain import STOP_SIGNALS
-from agatetack.logs import count_drops
+from agatetack.logs import PartLog, count_drops
 from agatetack.metrics import Metrics
+from agatetack.process import STOP_SIGNALS, hold_signals, release_signals
+
+log = PartLog("daemon")
+
 
+@contextlib.contextmanager
+def delivered_signals() -> Iterator[None]:
+    """Deliver signals within the context, in which all of them are handled."""
+    release_signals()
+    try:
+        yield
+    finally:
+        hold_signals()
 
-async def forward_signals(stops: trio.MemorySendChannel[int]) -> None:
+
+async def forward_signals(
+    stops: trio.MemorySendChannel[int],
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """Send each stop signal to `stops` as a stop request; never returns."""
     with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-        async for signal in signals:
-            await stops.send(signal)
+        task_status.started()
+        async for number in signals:
+            log.info("Got %s.", signal.Signals(number).name)
+            await stops.send(number)
+
+
+async def note_reload_signals(
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Log each SIGHUP, which would end the process otherwise."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        task_status.started()
+        async for _ in signals:
+            log.warning("Got SIGHUP; settings are read at a start only.")
 
 
 def count_dropped_lines(metrics: Metrics) -> None:
--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import signal
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
 import trio
@@ -22,6 +21,7 @@
 )
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
+from agatetack.process import STOP_SIGNALS
 from agatetack.settings.model import Settings
 
 READY_POLL_SECONDS = 0.02
@@ -30,9 +30,6 @@
 FLUSH_TIME_RATIO = 0.1
 """Share of the drain time reserved for flushes if requests don't end."""
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-"""The first signal received starts the drain, the second ends it."""
-
 LOG = PartLog("lifecycle")
 
 Hook = Callable[[], None]
--- a/agatetack/process.py
+++ b/agatetack/process.py
@@ -1,11 +1,19 @@
-"""Control the process itself: its age, and Python's garbage collector.
+"""Control the process itself: signals, its age, and the garbage collector.
 
-To be loaded quickly, this module may import nothing but `gc` and `time`.
+To be loaded quickly, this module may import nothing but `gc`, `signal` and
+`time`.
 """
 
 import gc
+import signal
 import time
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""The first signal received starts the drain, the second ends it."""
+
+HELD_SIGNALS = frozenset({*STOP_SIGNALS, signal.SIGHUP})
+"""Signals that wait while no part of the daemon handles them."""
+
 started_at = time.monotonic()
 """When this module was loaded, on the steady clock."""
 
@@ -24,6 +32,20 @@
 """Collections of the middle generation before a full one."""
 
 
+def hold_signals() -> None:
+    """Let signals wait that would end the process, as nothing handles them.
+
+    Threads that are started later hold them, too, so that they are delivered to
+    the main thread.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD_SIGNALS)
+
+
+def release_signals() -> None:
+    """Deliver signals that waited, and all later ones, to their handlers."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_SIGNALS)
+
+
 def disable_collector() -> None:
     """Turn the collector off while the program loads.
 
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -4,7 +4,11 @@
 
 import trio
 
-from agatetack.daemon_parts import count_dropped_lines, forward_signals
+from agatetack.daemon_parts import (
+    count_dropped_lines,
+    delivered_signals,
+    forward_signals,
+)
 from agatetack.decisions import DecisionLog
 from agatetack.platform.bounds import apply_bounds
 from agatetack.process import seconds_since_start, tune_collector
@@ -44,24 +48,25 @@
     )
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(forward_signals, gateway.stops)
+            await nursery.start(forward_signals, gateway.stops)
             await nursery.start(watch.run)
-            ports = await nursery.start(gateway.run)
-            log.note(
-                "start",
-                host=settings.host.id,
-                pid=os.getpid(),
-                after_seconds=round(seconds_since_start(), 3),
-                callers=ports.callers,
-                peers=ports.peers,
-                ready=ports.ready,
-                metrics=ports.metrics,
-                drain_seconds=gateway.settings.lifecycle.drain_seconds,
-                fleet_ratio=gateway.settings.attempts.fleet_ratio,
-                fleet_slack=gateway.settings.attempts.fleet_slack,
-                bounds=list(settings.platform.store.bounds),
-            )
-            report = await gateway.lifecycle.drain_on(gateway.stops_out)
+            with delivered_signals():
+                ports = await nursery.start(gateway.run)
+                log.note(
+                    "start",
+                    host=settings.host.id,
+                    pid=os.getpid(),
+                    after_seconds=round(seconds_since_start(), 3),
+                    callers=ports.callers,
+                    peers=ports.peers,
+                    ready=ports.ready,
+                    metrics=ports.metrics,
+                    drain_seconds=gateway.settings.lifecycle.drain_seconds,
+                    fleet_ratio=gateway.settings.attempts.fleet_ratio,
+                    fleet_slack=gateway.settings.attempts.fleet_slack,
+                    bounds=list(settings.platform.store.bounds),
+                )
+                report = await gateway.lifecycle.drain_on(gateway.stops_out)
             nursery.cancel_scope.cancel()
     finally:
         with trio.move_on_after(CLOSE_SECONDS) as scope:
--- a/agatetack/test_daemon.py
+++ b/agatetack/test_daemon.py
@@ -182,3 +182,14 @@
                 await trio.sleep(0.005)
         assert content == export_bytes(0, size)
         assert await trio.to_thread.run_sync(gateway.wait) == 0
+
+
+# Guards against a reload signal that ends a host on the product's platform.
+async def test_a_reload_signal_does_not_end_the_host(tmp_path):
+    async with serving(tmp_path, ["profiles"], 1) as (fleet, http):
+        gateway = fleet.gateways[0]
+        gateway.send(signal.SIGHUP)
+        response = await http.request("GET", url(gateway, "/profiles"))
+        assert response.status == 200
+        gateway.send(signal.SIGTERM)
+        assert await trio.to_thread.run_sync(gateway.wait) == 0
--- a/bench/soak/test_starts.py
+++ b/bench/soak/test_starts.py
@@ -134,6 +134,21 @@
         assert await ended(host.process) == 0
 
 
+# Guards against reload signals that end a host in the last moment of its drain.
+async def test_reload_signals_to_the_end_of_a_drain_do_not_end_the_host(
+    role, tmp_path
+):
+    async with one_host(role, tmp_path) as host:
+        host.start()
+        await until_ready(host)
+        host.signal(signal.SIGTERM)
+        with trio.fail_after(PATIENCE_SECONDS):
+            while host.running:
+                host.signal(signal.SIGHUP)
+                await trio.sleep(0.001)
+        assert host.process.returncode == 0
+
+
 # Guards against a host that ends because the one before it still drains.
 async def test_a_host_waits_for_the_addresses_of_one_that_drains(
     role, tmp_path
