Check only the addresses that a host listens on

What callers saw: hosts on a metadata store that ended at their start with status 1, operators.listen: cannot listen on 127.0.0.1 port 8081, beside any program that has this port, the default of a setting that such a host doesn't use. An address for readiness, counters or starting hosts that was in use ended it later instead, with a traceback.

Cause: the check of a start had its own list of addresses, for another kind of host.

One list for each kind of host now says what it listens on; the checks of settings, of a start and the release of unused sockets read it.

--- a/agatetack/settings/cross_checks.py
+++ b/agatetack/settings/cross_checks.py
@@ -8,6 +8,22 @@
 from agatetack.settings.model import Endpoint, Settings
 from agatetack.settings.orders import check_orders, check_strict_orders
 
+PLATFORM_LISTENERS = (
+    ("callers", "listen"),
+    ("operators", "listen"),
+    ("peers", "listen"),
+)
+"""The addresses that a host on the product's platform listens on."""
+
+STORE_LISTENERS = (
+    ("callers", "listen"),
+    ("peers", "listen"),
+    ("peers", "seed_listen"),
+    ("status", "ready_listen"),
+    ("status", "metrics_listen"),
+)
+"""The addresses that a host on a metadata store listens on."""
+
 MAX_USUAL_HEDGE_RATIO = 0.1
 """Hedges beyond this share make an overload worse than a slow target does."""
 
@@ -94,16 +110,23 @@
             )
 
 
+def listen_addresses(settings: Settings) -> Iterator[tuple[KeyPath, Endpoint]]:
+    """Yield the addresses that the host listens on, with their settings."""
+    on_store = settings.platform.store.endpoint is not None
+    for keys in STORE_LISTENERS if on_store else PLATFORM_LISTENERS:
+        endpoint = value_at(settings, keys)
+        if endpoint is not None:
+            yield keys, endpoint
+
+
 def _check_listeners(settings: Settings) -> Iterator[Misfit]:
     seen: list[tuple[KeyPath, Endpoint]] = []
-    for section in ("callers", "operators", "peers"):
-        keys = (section, "listen")
-        endpoint = value_at(settings, keys)
+    for keys, endpoint in listen_addresses(settings):
         for other_keys, other in seen:
             if _same_address(endpoint, other):
                 yield Misfit(
                     ((*keys, "port"), (*other_keys, "port")),
-                    f"{other_keys[0]}.listen has this port too",
+                    f"{'.'.join(other_keys)} has this port too",
                 )
         seen.append((keys, endpoint))
 
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -3,14 +3,11 @@
 from collections.abc import Iterator
 
 from agatetack.listeners import hold_address
-from agatetack.settings.cross_checks import find_misfits
+from agatetack.settings.cross_checks import find_misfits, listen_addresses
 from agatetack.settings.findings import KeyPath
 from agatetack.settings.misfit import Misfit, value_at
 from agatetack.settings.model import Endpoint, Settings, TlsFiles
 
-LISTENERS = ("callers", "operators", "peers")
-"""The sections with an address to listen on."""
-
 SECURE_LISTENERS = ("callers", "operators", "peers")
 """The sections with TLS files."""
 
@@ -31,13 +28,6 @@
             yield from _try_files(keys, files)
 
 
-def listen_addresses(settings: Settings) -> Iterator[tuple[KeyPath, Endpoint]]:
-    """Yield the addresses that the host listens on, with their settings."""
-    for section in LISTENERS:
-        keys = (section, "listen")
-        yield keys, value_at(settings, keys)
-
-
 def _hold_address(keys: KeyPath, endpoint: Endpoint) -> Iterator[Misfit]:
     try:
         hold_address(endpoint.host, endpoint.port)
--- a/agatetack/settings/test_start_checks.py
+++ b/agatetack/settings/test_start_checks.py
@@ -73,6 +73,41 @@
     assert check(text) == [line.replace("@", str(taken)) for line in lines]
 
 
+ON_STORE = (
+    "platform: {store: {endpoint: 127.0.0.1:9}}\n"
+    "callers: {listen: 127.0.0.1:0}\n"
+    "peers: {listen: 127.0.0.1:0}\n"
+)
+
+
+# Guards against hosts that end for an address that they don't listen on.
+@pytest.mark.parametrize(
+    ("added", "lines"),
+    [
+        ("operators: {listen: 127.0.0.1:@}", []),
+        (
+            "status: {ready_listen: 127.0.0.1:@}",
+            [
+                "f:4:24: status.ready_listen: cannot listen on 127.0.0.1"
+                " port @: Address already in use"
+            ],
+        ),
+    ],
+)
+def test_a_host_on_a_store_needs_the_addresses_it_serves(added, lines, taken):
+    found = check(ON_STORE + added.replace("@", str(taken)))
+    assert found == [line.replace("@", str(taken)) for line in lines]
+
+
+def test_two_addresses_of_a_host_on_a_store_are_not_the_same():
+    added = "status: {ready_listen: 127.0.0.1:7, metrics_listen: 127.0.0.1:7}"
+    checked = check_settings_text(ON_STORE + added, "f")
+    assert [str(finding) for finding in checked.findings] == [
+        "f:4:53: status.metrics_listen.port:"
+        " status.ready_listen has this port too"
+    ]
+
+
 def test_all_that_would_fail_is_found_at_once(taken):
     text = FREE.replace("port: 0", f"port: {taken}")
     text += "claims: {max_bach: 1}\nadmission: {min_target_limit: 9}"
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -9,13 +9,11 @@
 from agatetack.decisions import set_up_decisions
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
+from agatetack.settings.cross_checks import listen_addresses
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
 from agatetack.settings.model import Settings
-from agatetack.settings.start_checks import (
-    find_start_misfits,
-    listen_addresses,
-)
+from agatetack.settings.start_checks import find_start_misfits
 
 CONFIG_VARIABLE = "AGATETACK_CONFIG"
 """Environment variable with the path of the settings file; the command line
