Let a host wait for addresses that another process still has

What callers saw: a host that was started while the one before drained on the same addresses ended at once with status 1, and again at each restart, so that the host's place stayed empty for up to the whole drain plus the supervisor's pause.

Cause: an address that is taken for a moment was a final error of the start.

The start tries again until lifecycle.address_wait_seconds have passed, and says so. As long as another address is missing it does not listen for callers, who are refused and can go to another host; a stop signal ends the wait.

--- a/agatetack/process.py
+++ b/agatetack/process.py
@@ -46,6 +46,11 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_SIGNALS)
 
 
+def is_stop_pending() -> bool:
+    """Return whether a held signal asks the process to stop."""
+    return not signal.sigpending().isdisjoint(STOP_SIGNALS)
+
+
 def disable_collector() -> None:
     """Turn the collector off while the program loads.
 
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -1,8 +1,12 @@
 """Try, before a host starts, what only this host can tell of its settings."""
 
-from collections.abc import Iterator
+import errno
+import sys
+import time
+from collections.abc import Iterator, Sequence
 
-from agatetack.listeners import hold_address
+from agatetack.listeners import hold_address, release_address
+from agatetack.process import is_stop_pending
 from agatetack.settings.cross_checks import find_misfits, listen_addresses
 from agatetack.settings.findings import KeyPath
 from agatetack.settings.misfit import Misfit, value_at
@@ -12,6 +16,71 @@
 """The sections with TLS files."""
 
 
+ADDRESS_POLL_SECONDS = 0.05
+"""Interval at which an address in use is tried again."""
+
+
+class StopRequested(Exception):
+    """A signal stops the process before it has its addresses."""
+
+
+def wait_for_addresses(settings: Settings) -> None:
+    """Hold the addresses of the host, and wait for those that are in use.
+
+    The wait ends after `lifecycle.address_wait_seconds`, whatever is held by
+    then. Signals have to be held by the process.
+
+    Raises:
+        StopRequested: A stop signal came meanwhile.
+    """
+    wait_seconds = settings.lifecycle.address_wait_seconds
+    deadline = time.monotonic() + wait_seconds
+    told: set[Endpoint] = set()
+    while in_use := _hold_addresses(settings):
+        if is_stop_pending():
+            raise StopRequested
+        if time.monotonic() >= deadline:
+            return
+        for endpoint in set(in_use) - told:
+            told.add(endpoint)
+            print(
+                f"agatetack: {endpoint.host} port {endpoint.port} is in use;"
+                f" waiting for it, up to {wait_seconds:g} s",
+                file=sys.stderr,
+            )
+        time.sleep(ADDRESS_POLL_SECONDS)
+
+
+def _hold_addresses(settings: Settings) -> Sequence[Endpoint]:
+    """Hold the addresses of the host, and return those that are in use.
+
+    The callers' address is held only together with all others, so that callers
+    go to another host instead of waiting for this one.
+    """
+    callers = settings.callers.listen
+    others = [
+        endpoint
+        for _, endpoint in listen_addresses(settings)
+        if endpoint is not callers
+    ]
+    in_use = [each for each in others if _is_in_use(each)]
+    if in_use:
+        release_address(callers.host, callers.port)
+    elif _is_in_use(callers):
+        return [callers]
+    return in_use
+
+
+def _is_in_use(endpoint: Endpoint) -> bool:
+    """Hold an address; return whether another process has it."""
+    try:
+        hold_address(endpoint.host, endpoint.port)
+    except OSError as error:
+        # Any other error is a finding of the check that follows.
+        return error.errno == errno.EADDRINUSE
+    return False
+
+
 def find_start_misfits(settings: Settings) -> Iterator[Misfit]:
     """Yield what `find_misfits` finds, and what would fail at the start.
 
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -2,6 +2,7 @@
 
 import os
 import traceback
+from collections.abc import Iterator
 
 import trio
 
@@ -12,8 +13,13 @@
 from agatetack.settings.cross_checks import listen_addresses
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
+from agatetack.settings.misfit import Misfit
 from agatetack.settings.model import Settings
-from agatetack.settings.start_checks import find_start_misfits
+from agatetack.settings.start_checks import (
+    StopRequested,
+    find_start_misfits,
+    wait_for_addresses,
+)
 
 CONFIG_VARIABLE = "AGATETACK_CONFIG"
 """Environment variable with the path of the settings file; the command line
@@ -37,7 +43,10 @@
     config = config or os.environ.get(CONFIG_VARIABLE, "")
     if not config:
         raise UserError(f"give -c FILE, or set {CONFIG_VARIABLE}")
-    checked = check_settings(config, find_start_misfits)
+    try:
+        checked = check_settings(config, _wait_and_find_misfits)
+    except StopRequested:
+        return 0
     if checked.settings is None:
         raise SettingsError(render_findings(checked.findings))
     set_up_logs(checked.settings.logs)
@@ -54,6 +63,11 @@
         return EXIT_FAILURE
 
 
+def _wait_and_find_misfits(settings: Settings) -> Iterator[Misfit]:
+    wait_for_addresses(settings)
+    yield from find_start_misfits(settings)
+
+
 def report_failure(error: Exception) -> None:
     """Say in one line why the daemon ends, with the traceback in the next."""
     # Imported late, as a start loads no module that it may not need.
--- a/bench/soak/test_starts.py
+++ b/bench/soak/test_starts.py
@@ -170,6 +170,24 @@
         assert await serves(host)
 
 
+# Guards against callers held in the backlog of a host that can't serve yet.
+async def test_a_host_that_waits_for_an_address_refuses_callers_and_stops(
+    role, tmp_path
+):
+    async with one_host(role, tmp_path) as host:
+        with socket.create_server((host.ip, READY_PORT)):
+            host.start()
+
+            async def waits():
+                return "waiting for it" in host.errors.read_text()
+
+            await until(waits)
+            with pytest.raises(OSError, match="refused|connect"):
+                await trio.open_tcp_stream(host.ip, CALLERS_PORT)
+            host.signal(signal.SIGTERM)
+            assert await ended(host.process) == 0
+
+
 # Guards against a host that ends because another program has an address that
 # the host does not serve.
 async def test_a_host_on_a_store_starts_beside_an_operators_address_in_use(
