Refuse a reload whose bounds can't be read, instead of ending the host

What callers saw: would be a host that ends with all its requests when the settings file changes to a bound that the host can't read, and ends at each restart.

Cause: bounds are read when settings are applied, after their check, and the error left the task that follows the file, and with it the nursery.

Evidence: test_a_bound_that_cannot_be_read_is_refused_at_a_reload failed before, as the process ended.

Settings that can't be applied are refused like those that can't be checked; the last ones stay in force, and the log names what is wrong.

--- a/agatetack/settings/reload.py
+++ b/agatetack/settings/reload.py
@@ -7,6 +7,7 @@
 import trio
 
 from agatetack.decisions import DecisionLog
+from agatetack.errors import UserError
 from agatetack.settings.loader import check_settings
 from agatetack.settings.model import Settings
 
@@ -16,7 +17,8 @@
 log = DecisionLog("settings")
 
 Apply = Callable[[Settings], None]
-"""Takes new settings; must not block or raise."""
+"""Takes new settings; must not block. A `UserError` says that it can't, and that
+the last settings stay in force."""
 
 
 def changed_sections(before: Settings, after: Settings) -> Sequence[str]:
@@ -84,14 +86,17 @@
     def _reload(self, why: str) -> None:
         checked = check_settings(self.path)
         if checked.settings is None:
-            # The last settings stay in force; what is wrong is told.
             findings = [str(finding) for finding in checked.findings]
-            log.note("reload", why=why, outcome="refused", findings=findings)
+            self._refuse(why, findings)
+            return
+        try:
+            self.apply(checked.settings)
+        except UserError as error:
+            self._refuse(why, [str(error)])
             return
         changed = changed_sections(self.settings, checked.settings)
         later = [name for name in changed if name not in self.live]
         self.settings = checked.settings
-        self.apply(checked.settings)
         log.note(
             "reload",
             why=why,
@@ -99,3 +104,7 @@
             changed=changed,
             after_a_restart=later,
         )
+
+    def _refuse(self, why: str, findings: Sequence[str]) -> None:
+        """Say what is wrong; the last settings stay in force."""
+        log.note("reload", why=why, outcome="refused", findings=findings)
--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -154,6 +154,21 @@
         assert stop["cut"] == []
 
 
+# Guards against a reload that ends the host, as a bound can't be read.
+async def test_a_bound_that_cannot_be_read_is_refused_at_a_reload(tmp_path):
+    path = tmp_path / "node.yaml"
+    async with running_daemon(path) as (daemon, _):
+        start = await daemon.line(event="start")
+        await wait_ready(start["ready"])
+        path.write_text(path.read_text().replace("grace=6s", "grace=soon"))
+        refused = await daemon.line(event="reload", outcome="refused")
+        assert "grace=soon" in refused["findings"][0]
+        path.write_text(path.read_text().replace("grace=soon", "grace=2s"))
+        changed = await daemon.line(event="reload", outcome="in-force")
+        assert changed["changed"] == ["platform"]
+        assert await ask(start["callers"]) == 200
+
+
 async def test_a_reader_that_pauses_delays_no_request(tmp_path):
     async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
         start = await daemon.line(event="start")
