--- a/agatetack/settings/reload.py
+++ b/agatetack/settings/reload.py
@@ -17,7 +17,7 @@
 log = DecisionLog("settings")
 
 Apply = Callable[[Settings], None]
-"""Takes new settings; must not block. A `UserError` says that it can't, and that
+"""Takes new settings; must not block. With a `UserError` it refuses them, and
 the last settings stay in force."""
 
 
