Leave out a host's registration that is nested too deeply

What callers saw: 3 kB sent to the control port of any host, and its process ended; put into the store as a registration, every host ended and ended again at each start.

Cause: msgspec raises RecursionError for JSON within more than about 1000 lists, which is no ValueError, so it left the task that reads the topic and that serves starting hosts. The decoder of targets' registrations expects it already; that of hosts' did not.

--- a/agatetack/hosts/member_directory.py
+++ b/agatetack/hosts/member_directory.py
@@ -267,7 +267,10 @@
     Raises:
         ValueError: It is not JSON, or a field is missing or has a wrong type.
     """
-    return msgspec.json.decode(content, type=MemberRecord)
+    try:
+        return msgspec.json.decode(content, type=MemberRecord)
+    except RecursionError as error:
+        raise ValueError("it is nested too deeply") from error
 
 
 def _is_member(content: bytes) -> bool:
--- a/agatetack/keyed/test_seeds.py
+++ b/agatetack/keyed/test_seeds.py
@@ -28,6 +28,8 @@
 
 MEMBER = b'{"ip":"127.0.0.9","port":1,"failure_domain":"zone-a"}'
 
+NESTED_MEMBER = b'{"x":' + b"[" * 3000
+
 
 def seeds_at(*ports):
     return {"seeds": tuple(Endpoint(ip=LOOPBACK, port=p) for p in ports)}
@@ -122,6 +124,7 @@
         ("h1", b"[]"),
         ("h1", b"{}"),
         ("h1", MEMBER.replace(b":1,", b':"1",')),
+        pytest.param("h1", NESTED_MEMBER, id="nested too deeply"),
     ],
 )
 async def test_what_is_no_registration_is_left_out(host, content):
