Take only registrations of hosts whose address can be dialled

What callers saw: one registration with port 65536, put into the store or sent to the control port of any host, and the process of every host ended, and again at each start. One with a name in place of its IP address held up all requests of a host while the name was looked up, at each dial. One with a key that is no host's name closed links: peers refuse the frames that carry it.

Cause: the address came from the store unchecked. connect() raises OverflowError for the port and TypeError for a NUL, neither of them an OSError, and resolves names in the calling thread.

The key, the IP number, the port and the failure domain are checked where a registration is decoded, which the control port shares. The same cause stood in announcements and hellos of peers, whose IP number was only limited in length.

The cases added to test_member_directory, test_seeds (2) and test_handshake (2) failed before.

--- a/agatetack/hosts/member_directory.py
+++ b/agatetack/hosts/member_directory.py
@@ -1,8 +1,10 @@
 """Discover the other hosts from the topic in which each host registers."""
 
+import ipaddress
 import math
 import random
 from collections.abc import Callable, Mapping, Sequence
+from typing import Annotated
 
 import msgspec
 import trio
@@ -52,9 +54,20 @@
     """
 
     ip: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
     failure_domain: str
 
+    def __post_init__(self) -> None:
+        """Check what a type can't express.
+
+        Raises:
+            ValueError: A field is not valid.
+        """
+        # A name would be resolved, which blocks all tasks of this host.
+        ipaddress.ip_address(self.ip)
+        if not HOST_PATTERN.fullmatch(self.failure_domain):
+            raise ValueError(f"{self.failure_domain!r} is no failure domain")
+
 
 class MemberDirectory(TopicReader):
     """The hosts that registered; some of them may no longer run.
@@ -171,7 +184,7 @@
 
     def _take(self, key: str, content: bytes) -> None:
         try:
-            member = _read_member(content)
+            member = _read_member(key, content)
         except ValueError as error:
             log.note("member-malformed", host=key, cause=str(error))
             return
@@ -226,7 +239,7 @@
         Anyone who can connect to this host may send a request, so invalid
         registrations are dropped.
         """
-        if not HOST_PATTERN.fullmatch(host) or not _is_member(content):
+        if not _is_member(host, content):
             self.registrations.inc({"result": "malformed"})
             log.note("member-malformed", host=host, cause="asked for by it")
             return
@@ -261,21 +274,24 @@
                 return
 
 
-def _read_member(content: bytes) -> MemberRecord:
+def _read_member(host: str, content: bytes) -> MemberRecord:
     """Return the decoded registration of a host.
 
     Raises:
-        ValueError: It is not JSON, or a field is missing or has a wrong type.
+        ValueError: `host` is no name of a host, or `content` is not JSON, or a
+            field is missing or not valid.
     """
+    if not HOST_PATTERN.fullmatch(host):
+        raise ValueError("the key is no name of a host")
     try:
         return msgspec.json.decode(content, type=MemberRecord)
     except RecursionError as error:
         raise ValueError("it is nested too deeply") from error
 
 
-def _is_member(content: bytes) -> bool:
+def _is_member(host: str, content: bytes) -> bool:
     try:
-        _read_member(content)
+        _read_member(host, content)
     except ValueError:
         return False
     return True
--- a/agatetack/hosts/test_member_directory.py
+++ b/agatetack/hosts/test_member_directory.py
@@ -1,5 +1,7 @@
 """Test which registrations of hosts are taken from the store."""
 
+import json
+
 import pytest
 
 from agatetack.hosts.member_directory import MemberDirectory
@@ -11,7 +13,13 @@
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.memory_topic import MemoryTopic
 
-MEMBER = b'{"ip":"127.0.0.9","port":1,"failure_domain":"zone-a"}'
+
+def member(**fields):
+    sound = {"ip": "127.0.0.9", "port": 1, "failure_domain": "zone-a"}
+    return json.dumps({**sound, **fields}).encode()
+
+
+MEMBER = member()
 
 
 def record(key, value):
@@ -31,6 +39,13 @@
         pytest.param("h1", b'{"x":' + b"[" * 3000, id="nested too deeply"),
         pytest.param("h1", b"\xff", id="not text"),
         pytest.param("h1", b"[]", id="not an object"),
+        pytest.param("h 1", MEMBER, id="no host's name"),
+        pytest.param("h1", member(ip="store.example"), id="name, no address"),
+        pytest.param("h1", member(ip="127.0.0.9\0"), id="address with a NUL"),
+        pytest.param("h1", member(ip=""), id="no address"),
+        pytest.param("h1", member(port=0), id="port 0"),
+        pytest.param("h1", member(port=65536), id="port too high"),
+        pytest.param("h1", member(port=2**70), id="port of 70 bits"),
     ],
 )
 async def test_a_malformed_registration_is_left_out(key, content):
--- a/agatetack/keyed/test_seeds.py
+++ b/agatetack/keyed/test_seeds.py
@@ -125,6 +125,8 @@
         ("h1", b"{}"),
         ("h1", MEMBER.replace(b":1,", b':"1",')),
         pytest.param("h1", NESTED_MEMBER, id="nested too deeply"),
+        ("h1", MEMBER.replace(b":1,", b":65536,")),
+        ("h1", MEMBER.replace(b"127.0.0.9", b"store.example")),
     ],
 )
 async def test_what_is_no_registration_is_left_out(host, content):
--- a/agatetack/peers/frames.py
+++ b/agatetack/peers/frames.py
@@ -1,6 +1,7 @@
 """Encode and decode the frames that peers exchange and limit their size."""
 
 import enum
+import ipaddress
 import re
 from collections.abc import Callable
 
@@ -21,9 +22,6 @@
 HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 """Format of host ids and failure domains in the settings."""
 
-MAX_IP_CHARS = 45
-"""Length of the longest IPv6 address, in characters."""
-
 _FRAME_KINDS = (
     "hello",
     "proof",
@@ -137,11 +135,20 @@
     return (
         _is_name(member.host)
         and _is_name(member.failure_domain)
-        and len(member.ip) <= MAX_IP_CHARS
+        and _is_ip(member.ip)
         and 0 <= member.port <= 65_535
     )
 
 
+def _is_ip(text: str) -> bool:
+    # A name would be resolved, which blocks all tasks of this host.
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _is_name(text: object) -> bool:
     return isinstance(text, str) and HOST_PATTERN.fullmatch(text) is not None
 
--- a/agatetack/peers/test_handshake.py
+++ b/agatetack/peers/test_handshake.py
@@ -87,6 +87,8 @@
     Refused("own name", "wrong-host", framed(hello=hello(host=HOST))),
     Refused("bad name", "malformed-frame", framed(hello=hello(host="a b"))),
     Refused("bad port", "malformed-frame", framed(hello=hello(port=-1))),
+    Refused("bad ip", "malformed-frame", framed(hello=hello(ip="h.example"))),
+    Refused("no ip", "malformed-frame", framed(hello=hello(ip=""))),
     Refused("short nonce", "malformed-frame", framed(hello=hello(nonce=b"1"))),
     Refused("two kinds", "malformed-frame",
             framed(hello=hello(), proof=ttypes.Proof(b""))),
