Count a load endpoint that switches protocols as a failed probe

What callers saw: one target answered a probe with 101 and an Upgrade header, and the process of the host that had probed it ended.

Cause: httptools raises HttpParserUpgrade, which is no HttpParserError, and the probe runs in a task of the host's nursery.

test_no_report[...101 Switching Protocols...] failed before (the error left the probe) and passes now.

--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -123,7 +123,11 @@
             return Failure(
                 ProbeFailure.REFUSED if refused else ProbeFailure.LOST
             )
-        except (Malformed, httptools.HttpParserError):
+        except (
+            Malformed,
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ):
             return Failure(ProbeFailure.MALFORMED)
         else:
             self._keep_idle(target.process, stream)
--- a/agatetack/measure/test_http_probe.py
+++ b/agatetack/measure/test_http_probe.py
@@ -13,6 +13,10 @@
 from agatetack.targets.state import TargetState
 
 HEADERS = b"x-target-in-flight: 3\r\nX-Target-Slots: 4\r\n"
+SWITCHING = (
+    b"HTTP/1.1 101 Switching Protocols\r\n"
+    b"Upgrade: websocket\r\nConnection: Upgrade\r\n\r\n"
+)
 READY = ReportedState.READY
 
 
@@ -98,6 +102,7 @@
         (answer(b"x-target-in-flight: \r\n"), ProbeFailure.MALFORMED),
         (answer(status=b"500 No"), ProbeFailure.MALFORMED),
         (b"junk\r\n\r\n", ProbeFailure.MALFORMED),
+        (SWITCHING, ProbeFailure.MALFORMED),
         (b"", ProbeFailure.LOST),
         (None, ProbeFailure.TIMEOUT),
     ],
