Refuse counts in a load endpoint's body that peers can't be sent

Cause: the count went unchecked into the samples for peers, whose fields have 32 bits. encode(LoadSample(target=1, in_flight=2**31)) raises OverflowError in the task that sends samples; 2**31 - 1 is encoded. Counts in headers have 9 digits at most; those in a body have now the same limit.

--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -8,6 +8,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from agatetack.headers import MAX_COUNT_DIGITS
 from agatetack.ids import Deadline, ProcessId, ServiceId, TargetId
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
 from agatetack.messages import Header
@@ -23,6 +24,9 @@
 from agatetack.targets.pushbacks import Pushbacks
 from agatetack.targets.state import ReportSource, TargetState
 
+MAX_COUNT = 10**MAX_COUNT_DIGITS - 1
+"""Highest count in a JSON body; peers get it as an integer of 32 bits."""
+
 MAX_IDLE_CONNECTIONS = 64
 """Maximum number of idle connections kept for later probes."""
 
@@ -215,14 +219,22 @@
         fields = orjson.loads(body) if body[:1] == b"{" else {}
         own_slots = fields.get("slots")
         return ParsedLoad(
-            in_flight=max(0, int(fields.get("in_flight"))),
-            slots=slots if own_slots is None else int(own_slots),
+            in_flight=max(0, _count(fields.get("in_flight"))),
+            slots=slots if own_slots is None else _count(own_slots),
             state=STATES.get(str(fields.get("state")).encode()),
         )
     except (TypeError, ValueError):
         raise Malformed from None
 
 
+def _count(value: object) -> int:
+    """Return a count as an integer; raises ValueError if it is too high."""
+    count = int(value)
+    if count > MAX_COUNT:
+        raise ValueError(f"{count} is too high")
+    return count
+
+
 def _is_refused(error: BaseException) -> bool:
     cause: BaseException | None = error
     while cause is not None:
--- a/agatetack/measure/test_http_probe.py
+++ b/agatetack/measure/test_http_probe.py
@@ -103,6 +103,12 @@
         (answer(status=b"500 No"), ProbeFailure.MALFORMED),
         (b"junk\r\n\r\n", ProbeFailure.MALFORMED),
         (SWITCHING, ProbeFailure.MALFORMED),
+        (answer(body=b'{"in_flight": 1e30}'), ProbeFailure.MALFORMED),
+        (answer(body=b'{"in_flight": 2147483648}'), ProbeFailure.MALFORMED),
+        (
+            answer(body=b'{"in_flight": 1, "slots": 2147483648}'),
+            ProbeFailure.MALFORMED,
+        ),
         (b"", ProbeFailure.LOST),
         (None, ProbeFailure.TIMEOUT),
     ],
