Report latencies, refusals over time and waits for a processor in soaks

A run that served too little could not be told apart by its report: slow answers, refusals, lost connections and hosts without processor time looked alike. The report now has latencies beside target latencies, how long refused attempts were held, occupancy of targets, a timeline by second, the kernel's counters of lost connections, the hosts' own counters, and how long the hosts waited for a processor. Hosts that share a few cores share them with neither callers nor stand-ins, which a starved stand-in would make slow as well.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -4,7 +4,9 @@
 deploy file says, sends a load and prints what was seen.
 """
 
+import os
 import pathlib
+import signal
 import sys
 
 import defopt
@@ -29,6 +31,8 @@
     seed: int = 1,
     root: str = "",
     cores: int = 0,
+    first_core: int = 0,
+    load: float = 1.0,
 ) -> int:
     """Build, run one soak and print its report as JSON.
 
@@ -41,7 +45,10 @@
         lead_seconds: Time from the start of the hosts to that of the load.
         seed: Seed of load and faults.
         root: The checkout to run; this one if empty.
-        cores: Processor cores that the hosts share; all if 0.
+        cores: Processor cores that the hosts share; all if 0. Callers and
+            stand-ins then use the others.
+        first_core: The first of those cores.
+        load: Factor of the site's rates.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
     build(checkout)
@@ -50,10 +57,24 @@
     found = (
         read_site(pathlib.Path(site)) if site else small_site(hosts, per_second)
     )
+    # Whoever ends this run by SIGTERM leaves no hosts behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    shared = range(first_core, first_core + cores)
+    others = os.sched_getaffinity(0).difference(shared)
+    if cores and others:
+        os.sched_setaffinity(0, others)
     plan = Plan(
-        found, seconds, seed, checkout, place, range(cores), lead_seconds
+        found.scaled(load),
+        seconds,
+        seed,
+        checkout,
+        place,
+        shared,
+        lead_seconds,
     )
     report = trio.run(run_soak, plan)
+    counters = orjson.dumps(report.host_counters, option=orjson.OPT_SORT_KEYS)
+    (place / "host_counters.json").write_bytes(counters)
     print(_as_json(report))
     return int(bool(report.ends) or report.served_share == 0)
 
@@ -76,6 +97,13 @@
         "twice": report.twice,
         "ran_though_refused": report.ran_though_refused,
         "peak_mb": report.peak_mb,
+        "latencies": report.latencies,
+        "refusal_times": report.refusal_times,
+        "processor_seconds": report.processor_seconds,
+        "processor_wait_seconds": report.processor_wait_seconds,
+        "occupancy": report.occupancy,
+        "kernel": dict(report.kernel),
+        "timeline": report.timeline,
     }
     return orjson.dumps(fields, option=orjson.OPT_INDENT_2).decode()
 
--- a/bench/soak/host.py
+++ b/bench/soak/host.py
@@ -158,6 +158,15 @@
         if resident > self.fields["limits"]["memory_mb"] << 20:
             self.process.kill()
 
+    def processor_times(self) -> tuple[float, float]:
+        """Return how long the process ran on a processor and waited for one."""
+        try:
+            path = pathlib.Path(f"/proc/{self.process.pid}/schedstat")
+            ran, waited, _ = map(int, path.read_text().split())
+        except (OSError, ValueError):
+            return 0.0, 0.0
+        return ran / 1e9, waited / 1e9
+
     def _note_end(self, epoch: float) -> None:
         now = trio.current_time()
         with self.errors.open("rb") as file:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -12,6 +12,14 @@
 from bench.soak.deploy_file import read_role
 from bench.soak.host import End, Host, ends_by_themselves
 from bench.soak.machines import make_hosts
+from bench.soak.observe import (
+    Occupancy,
+    latencies,
+    read_host_counters,
+    read_kernel_counters,
+    refusal_times,
+    timeline,
+)
 from bench.soak.site import Kind, Site
 from bench.soak.world import World
 
@@ -58,6 +66,15 @@
         ran_though_refused: Requests that may run once only, were refused and
             ran.
         peak_mb: Most resident memory of a process.
+        latencies: By kind of request, how long callers waited for answers.
+        refusal_times: By reason, how long refused attempts were held.
+        processor_seconds: Processor time of all hosts' processes.
+        processor_wait_seconds: Most time that one of them, ready to run,
+            waited for a processor.
+        occupancy: Busy share of the slots, by service.
+        kernel: What the whole machine's kernel counted meanwhile.
+        host_counters: Sums of the hosts' own counters at the end.
+        timeline: What became of the attempts of each second.
     """
 
     requests: int = 0
@@ -69,6 +86,14 @@
     twice: list[str] = dataclasses.field(default_factory=list)
     ran_though_refused: list[str] = dataclasses.field(default_factory=list)
     peak_mb: float = 0.0
+    latencies: dict[str, dict] = dataclasses.field(default_factory=dict)
+    refusal_times: dict[str, dict] = dataclasses.field(default_factory=dict)
+    processor_seconds: float = 0.0
+    processor_wait_seconds: float = 0.0
+    occupancy: dict[str, float] = dataclasses.field(default_factory=dict)
+    kernel: Counter = dataclasses.field(default_factory=Counter)
+    host_counters: Counter = dataclasses.field(default_factory=Counter)
+    timeline: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def served_share(self) -> float:
@@ -82,6 +107,8 @@
     """Run the hosts of a plan under its load, and return what was seen."""
     world = World(plan.site)
     callers = Callers(plan.site, world, plan.seed)
+    occupancy = Occupancy()
+    before = read_kernel_counters()
     async with trio.open_nursery() as nursery:
         await world.start(nursery)
         role = read_role(plan.root)
@@ -94,10 +121,20 @@
         nursery.start_soon(world.entry.run)
         await trio.sleep(plan.lead_seconds)
         until = trio.current_time() + plan.seconds
+        nursery.start_soon(occupancy.run, world)
         await callers.run(epoch, until)
+        shares = occupancy.shares()
         await trio.sleep(SETTLE_SECONDS)
+        host_counters = await read_host_counters(hosts)
+        processor = [host.processor_times() for host in hosts]
         nursery.cancel_scope.cancel()
-    return _report(plan, world, callers, hosts)
+    report = _report(plan, world, callers, hosts)
+    report.occupancy = shares
+    report.processor_seconds = sum(ran for ran, _ in processor)
+    report.processor_wait_seconds = max(waited for _, waited in processor)
+    report.kernel = read_kernel_counters() - before
+    report.host_counters = host_counters
+    return report
 
 
 def _report(
@@ -121,6 +158,9 @@
     report.longest_gap_seconds = _longest_gap(
         [plan.lead_seconds, *served_at, plan.lead_seconds + plan.seconds]
     )
+    report.latencies = latencies(callers.requests)
+    report.refusal_times = refusal_times(callers.requests)
+    report.timeline = timeline(callers.requests)
     _check_runs(report, world, callers)
     return report
 
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -121,6 +121,16 @@
     descriptors: int = 4100
     lead_seconds: float = 10.0
 
+    def scaled(self, factor: float) -> "Site":
+        """Return the site with its rates multiplied by `factor`."""
+        traffic = [
+            dataclasses.replace(
+                each, rates={k: r * factor for k, r in each.rates.items()}
+            )
+            for each in self.traffic
+        ]
+        return dataclasses.replace(self, traffic=traffic)
+
 
 BOUNDS = {
     "seed_lag": "3s",
