Let the soak disturb hosts, targets and the store by seed, and judge runs

Faults come in series and overlap. A plan is drawn from a seed and printed as JSON lines; violations of rules are printed with time, host and request. Hosts watch every process that is started beside another one.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,17 +1,21 @@
 """Run a soak from the command line.
 
 `python -m bench.soak run FOLDER` starts the committed build's processes as the
-deploy file says, sends a load and prints what was seen.
+deploy file says, sends a load and prints what was seen. `hunt` does so for many
+seeds of faults.
 """
 
 import pathlib
 import sys
+from collections import Counter
 
 import defopt
 import orjson
 import trio
 
 from bench.soak.deploy_file import build
+from bench.soak.fault_plan import as_lines
+from bench.soak.hunt import run_hunt
 from bench.soak.run import Plan, Report, run_soak
 from bench.soak.site import read_site, small_site
 
@@ -29,9 +33,14 @@
     seed: int = 1,
     root: str = "",
     cores: int = 0,
+    faults: int = -1,
+    built: bool = False,
 ) -> int:
     """Build, run one soak and print its report as JSON.
 
+    The plan of the faults and the violations come first, one JSON object a
+    line.
+
     Args:
         folder: Gets settings and output of all hosts.
         site: A site file of the platform; a small site if empty.
@@ -42,20 +51,69 @@
         seed: Seed of load and faults.
         root: The checkout to run; this one if empty.
         cores: Processor cores that the hosts share; all if 0.
+        faults: Seed of the faults; none if negative.
+        built: Take the checkout as it is built.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
-    build(checkout)
+    if not built:
+        build(checkout)
     place = pathlib.Path(folder).resolve()
     place.mkdir(parents=True, exist_ok=True)
     found = (
         read_site(pathlib.Path(site)) if site else small_site(hosts, per_second)
     )
     plan = Plan(
-        found, seconds, seed, checkout, place, range(cores), lead_seconds
+        found,
+        seconds,
+        seed,
+        checkout,
+        place,
+        range(cores),
+        lead_seconds,
+        faults if faults >= 0 else None,
     )
     report = trio.run(run_soak, plan)
+    if report.faults:
+        print(as_lines(report.faults))
+    for violation in report.violations:
+        print(orjson.dumps(violation).decode())
     print(_as_json(report))
-    return int(bool(report.ends) or report.served_share == 0)
+    return int(bool(report.violations) or report.served_share == 0)
+
+
+def hunt(
+    folder: str,
+    *,
+    seeds: int = 50,
+    first: int = 1,
+    jobs: int = 2,
+    site: str = "",
+    hosts: int = 3,
+    per_second: float = 40.0,
+    seconds: float = 20.0,
+) -> int:
+    """Run soaks with faults of many seeds, and print one line for each.
+
+    Args:
+        folder: Gets the settings and output of runs in which a rule broke.
+        seeds: How many.
+        first: The first seed.
+        jobs: Runs at the same time.
+        site: A site file of the platform; a small site if empty.
+        hosts: Hosts of the small site.
+        per_second: Requests a second at the small site.
+        seconds: How long each run sends requests.
+    """
+    build(ROOT)
+    options = [
+        *("--hosts", str(hosts), "--per-second", str(per_second)),
+        *("--seconds", str(seconds), "--built"),
+    ]
+    if site:
+        options += ["--site", str(pathlib.Path(site).resolve())]
+    place = pathlib.Path(folder).resolve()
+    numbers = range(first, first + seeds)
+    return trio.run(run_hunt, place, numbers, jobs, options)
 
 
 def _as_json(report: Report) -> str:
@@ -76,9 +134,13 @@
         "twice": report.twice,
         "ran_though_refused": report.ran_though_refused,
         "peak_mb": report.peak_mb,
+        "peak_descriptors": report.peak_descriptors,
+        "starts": report.starts,
+        "calm_requests": report.calm_requests,
+        "violations": Counter(each.rule for each in report.violations),
     }
     return orjson.dumps(fields, option=orjson.OPT_INDENT_2).decode()
 
 
 if __name__ == "__main__":
-    sys.exit(defopt.run({"run": run}))
+    sys.exit(defopt.run({"run": run, "hunt": hunt}))
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,7 +4,8 @@
 import enum
 import math
 import random
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Mapping, Sequence
 
 import trio
 
@@ -24,6 +25,12 @@
 NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request has not run."""
 
+MAX_PIPELINED = 4
+"""Most requests that are sent on one connection before the first answer."""
+
+LOSS_SLACK_SECONDS = 0.2
+"""A connection that ends so soon after a request may cross it."""
+
 FINAL = frozenset({400, 401, 404, 413, 431})
 """Statuses after which nothing is asked again."""
 
@@ -37,9 +44,14 @@
     FAILED = "failed"
     CUT = "cut"
     NOT_CONNECTED = "not-connected"
+    NOT_READ = "not-read"
     LATE = "late"
 
 
+NOT_SEEN = frozenset({Result.REFUSED, Result.NOT_CONNECTED, Result.NOT_READ})
+"""Results after which a request that may run once only is asked again."""
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """One attempt of a caller.
@@ -52,6 +64,9 @@
         result: What became of it.
         status: The status of its answer; 0 without one.
         detail: The reason of a refusal, or how it was cut.
+        sent: When its last byte was sent.
+        kept: Whether it went over a connection that was used before.
+        behind: Whether it was sent behind another one that was not answered.
     """
 
     request_id: str
@@ -61,6 +76,9 @@
     result: Result = Result.LATE
     status: int = 0
     detail: str = ""
+    sent: float = 0.0
+    kept: bool = False
+    behind: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,11 +160,14 @@
         ]
         at = trio.current_time()
         while True:
-            at += source.expovariate(rate)
+            count = 1
+            if kind.habit is Habit.PIPELINE:
+                count = source.randint(1, MAX_PIPELINED)
+            at += source.expovariate(rate / count)
             if at >= until:
                 break
             await trio.sleep_until(at)
-            nursery.start_soon(source.choice(clients).ask)
+            nursery.start_soon(source.choice(clients).ask, count)
 
 
 class Client:
@@ -169,14 +190,29 @@
         self.idle: dict[str, list[Connection]] = {}
         self.asked = 0
 
-    async def ask(self) -> None:
-        """Ask once, and again as the callers' rules allow."""
+    async def ask(self, count: int) -> None:
+        """Ask, and again as the callers' rules allow.
+
+        Args:
+            count: Requests that are sent on one connection before the first
+                answer.
+        """
         callers, kind = self.callers, self.kind
-        request = CallerRequest(kind, self.domain, callers.now())
-        callers.requests.append(request)
+        requests = [
+            CallerRequest(kind, self.domain, callers.now())
+            for _ in range(count)
+        ]
+        callers.requests += requests
         deadline = trio.current_time() + kind.deadline_seconds
-        for number in range(kind.retries + 1):
-            attempt = await self._attempt(request, number, deadline)
+        attempts = await self._attempt(requests, 0, deadline)
+        async with trio.open_nursery() as nursery:
+            for request, attempt in zip(requests, attempts, strict=True):
+                nursery.start_soon(self._ask_again, request, attempt, deadline)
+
+    async def _ask_again(
+        self, request: CallerRequest, attempt: Attempt, deadline: float
+    ) -> None:
+        for number in range(1, self.kind.retries + 1):
             if not self._may_repeat(attempt):
                 return
             left = deadline - trio.current_time()
@@ -184,6 +220,7 @@
             await trio.sleep(min(told, max(0.0, left) * MAX_BACKOFF_RATIO))
             if trio.current_time() >= deadline:
                 return
+            (attempt,) = await self._attempt([request], number, deadline)
 
     def _may_repeat(self, attempt: Attempt) -> bool:
         if attempt.result in (Result.SERVED, Result.WRONG, Result.LATE):
@@ -192,66 +229,97 @@
             return False
         if self.kind.kind is not Kind.ONCE:
             return True
-        return attempt.result in (Result.REFUSED, Result.NOT_CONNECTED)
+        return attempt.result in NOT_SEEN
 
     async def _attempt(
-        self, request: CallerRequest, number: int, deadline: float
-    ) -> Attempt:
+        self, requests: Sequence[CallerRequest], number: int, deadline: float
+    ) -> Sequence[Attempt]:
+        """Attempt some requests on one connection; return the attempts."""
         callers = self.callers
         self.asked += number > 0
         host = callers.world.entry.choose(
             f"{self.name} {self.asked}", self.domain
         )
-        attempt = Attempt(callers.new_id(), host.id, callers.now())
-        request.attempts.append(attempt)
+        attempts = []
+        for request in requests:
+            attempt = Attempt(callers.new_id(), host.id, callers.now())
+            attempt.behind = bool(attempts)
+            request.attempts.append(attempt)
+            attempts.append(attempt)
         with trio.move_on_at(deadline):
-            await self._exchange(attempt, deadline, fresh=number > 0)
-        attempt.ended = callers.now()
-        return attempt
+            await self._exchange(attempts, deadline, fresh=number > 0)
+        for attempt in attempts:
+            attempt.ended = attempt.ended or callers.now()
+        return attempts
 
     async def _exchange(
-        self, attempt: Attempt, deadline: float, fresh: bool
+        self, attempts: Sequence[Attempt], deadline: float, fresh: bool
     ) -> None:
-        connection = None if fresh else self._take_idle(attempt)
+        connection = None if fresh else await self._take_idle(attempts)
         if connection is None:
-            connection = await self._connect(attempt)
+            connection = await self._connect(attempts)
         if connection is None:
             return
-        path = self._path()
+        paths = [self._path() for _ in attempts]
+        waiting = deque(zip(attempts, paths, strict=True))
         try:
-            await connection.send(self._request(attempt, path, deadline))
-            answer = await connection.receive()
+            for attempt, path in waiting:
+                await connection.send(self._request(attempt, path, deadline))
+                attempt.sent = self.callers.now()
+            while waiting and (connection.usable or connection.held):
+                answer = await connection.receive()
+                self._judge(*waiting.popleft(), answer)
+                if waiting:
+                    waiting[0][0].behind = False
+            for attempt, _ in waiting:
+                attempt.result = Result.NOT_READ
+                attempt.detail = "behind the last answer"
         except ConnectionCut as cut:
-            attempt.result, attempt.detail = Result.CUT, str(cut)
-            with trio.CancelScope(shield=True):
-                await connection.close()
-            return
+            for attempt, _ in waiting:
+                self._note_cut(attempt, cut)
         except trio.Cancelled:
             with trio.CancelScope(shield=True):
                 await connection.close()
             raise
-        self._judge(attempt, answer, path)
         if connection.usable and self.kind.habit is not Habit.FRESH:
-            self.idle.setdefault(attempt.host, []).append(connection)
+            self.idle.setdefault(attempts[0].host, []).append(connection)
         else:
-            await connection.close()
+            with trio.CancelScope(shield=True):
+                await connection.close()
 
-    def _take_idle(self, attempt: Attempt) -> Connection | None:
+    def _note_cut(self, attempt: Attempt, cut: ConnectionCut) -> None:
+        """Note a cut; one that comes at once may cross the request."""
+        now = self.callers.now()
+        early = attempt.behind or now - attempt.sent <= LOSS_SLACK_SECONDS
+        ran = self.callers.world.has_run(attempt.request_id)
+        attempt.ended = now
+        attempt.detail = str(cut)
+        attempt.result = Result.NOT_READ if early and not ran else Result.CUT
+
+    async def _take_idle(
+        self, attempts: Sequence[Attempt]
+    ) -> Connection | None:
         """Return an open connection, to whichever host it stands."""
         for host, connections in self.idle.items():
-            if connections:
-                attempt.host = host
-                return connections.pop()
+            while connections:
+                connection = connections.pop()
+                if not connection.open:
+                    await connection.close()
+                    continue
+                for attempt in attempts:
+                    attempt.host, attempt.kept = host, True
+                return connection
         return None
 
-    async def _connect(self, attempt: Attempt) -> Connection | None:
-        ip = self.callers.world.ready_addresses[attempt.host]
+    async def _connect(self, attempts: Sequence[Attempt]) -> Connection | None:
+        ip = self.callers.world.ready_addresses[attempts[0].host]
         try:
             with trio.fail_after(CONNECT_SECONDS):
                 stream = await trio.open_tcp_stream(ip, CALLERS_PORT)
         except (OSError, trio.TooSlowError) as error:
-            attempt.result = Result.NOT_CONNECTED
-            attempt.detail = type(error).__name__
+            for attempt in attempts:
+                attempt.result = Result.NOT_CONNECTED
+                attempt.detail = type(error).__name__
             return None
         return Connection(stream)
 
@@ -283,7 +351,8 @@
     def _method(self) -> str:
         return "POST" if self.kind.kind is Kind.ONCE else "GET"
 
-    def _judge(self, attempt: Attempt, answer: CallerAnswer, path: str) -> None:
+    def _judge(self, attempt: Attempt, path: str, answer: CallerAnswer) -> None:
+        attempt.ended = self.callers.now()
         attempt.status = answer.status
         attempt.detail = answer.headers.get(b"x-reason", b"").decode()
         if answer.status == 200:
--- a/bench/soak/connection.py
+++ b/bench/soak/connection.py
@@ -1,13 +1,21 @@
 """Speak HTTP/1.1 as a caller, on connections that stay open."""
 
 import dataclasses
+import math
+import re
+import socket
 from collections import deque
 
 import httptools
 import trio
 
+from agatetack.ids import Deadline
+
 RECEIVE_BYTES = 1 << 16
 
+TIMEOUT = re.compile(rb"timeout=([0-9.]+)")
+"""What a `Keep-Alive` header says."""
+
 
 class ConnectionCut(Exception):
     """The connection ended before the whole answer."""
@@ -64,6 +72,7 @@
     Attributes:
         stream: The TCP stream.
         usable: Whether further requests may be sent on it.
+        lapses: When the host may close it while it is idle.
     """
 
     def __init__(self, stream: trio.SocketStream):
@@ -71,6 +80,26 @@
         self.stream = stream
         self.reader = AnswerReader()
         self.usable = True
+        self.lapses = Deadline(math.inf)
+
+    @property
+    def open(self) -> bool:
+        """Return whether an idle connection still stands."""
+        if trio.current_time() >= self.lapses:
+            return False
+        try:
+            self.stream.socket._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Either its end, or bytes that belong to no request.
+        return False
+
+    @property
+    def held(self) -> bool:
+        """Return whether an answer has come that was not received yet."""
+        return bool(self.reader.complete)
 
     async def send(self, data: bytes) -> None:
         """Send bytes of requests.
@@ -108,6 +137,10 @@
                 raise
         answer = self.reader.complete.popleft()
         self.usable = self.usable and answer.keep_alive
+        found = TIMEOUT.search(answer.headers.get(b"keep-alive", b""))
+        if found is not None:
+            seconds = float(found[1])
+            self.lapses = Deadline(trio.current_time() + seconds)
         return answer
 
     async def close(self) -> None:
--- /dev/null
+++ b/bench/soak/fault_plan.py
@@ -0,0 +1,140 @@
+"""Draw the faults of a run from a seed."""
+
+import random
+from collections.abc import Callable, Sequence
+
+import orjson
+
+from agatetack.testing.memory_store import StoreFault
+from bench.soak.faults import (
+    Crash,
+    Fault,
+    Freeze,
+    Kill,
+    Leave,
+    Publish,
+    Reload,
+    Stop,
+    StoreOutage,
+)
+from bench.soak.site import Site
+
+MOMENTS = (1, 3)
+"""Fewest and most moments around which faults come."""
+
+FAULTS = (1, 4)
+"""Fewest and most faults around one moment."""
+
+SPREAD_SECONDS = 2.0
+"""Time over which the faults of one moment are spread."""
+
+FAULTY_SHARE = 0.5
+"""Share of the run in which faults start; the rest shows recovery."""
+
+START_SHARE = 0.4
+"""Share of first moments that are at the start of the hosts."""
+
+
+def draw_faults(
+    seed: int, site: Site, hosts: Sequence[str], seconds: float
+) -> list[Fault]:
+    """Return the faults of a run, in the order of their starts.
+
+    Args:
+        seed: The seed.
+        site: The deployment.
+        hosts: Ids of its hosts.
+        seconds: How long the run lasts.
+    """
+    return _Draw(seed, site, hosts).faults(seconds)
+
+
+def as_lines(faults: Sequence[Fault]) -> str:
+    """Return the plan with one JSON object a line."""
+    return "\n".join(orjson.dumps(each.fields()).decode() for each in faults)
+
+
+class _Draw:
+    """Draws faults, all from one source."""
+
+    def __init__(self, seed: int, site: Site, hosts: Sequence[str]):
+        self.source = random.Random(f"faults {seed}")
+        self.hosts = hosts
+        self.targets = sum(
+            count
+            for service in site.services
+            for count in service.targets.values()
+        )
+        self.kinds: list[tuple[float, Callable[[float], Fault]]] = [
+            (3.0, self._stop),
+            (3.0, self._kill),
+            (2.0, self._freeze),
+            (3.0, self._reload),
+            (2.0, self._store),
+            (1.0, self._publish),
+            (1.0, self._crash),
+            (1.0, self._leave),
+        ]
+
+    def faults(self, seconds: float) -> list[Fault]:
+        found = []
+        weights = [weight for weight, _ in self.kinds]
+        for number in range(self.source.randint(*MOMENTS)):
+            moment = self.source.uniform(0.0, seconds * FAULTY_SHARE)
+            if number == 0 and self.source.random() < START_SHARE:
+                moment = 0.0
+            for _ in range(self.source.randint(*FAULTS)):
+                at = moment + self.source.uniform(0.0, SPREAD_SECONDS)
+                (kind,) = self.source.choices(self.kinds, weights)
+                found.append(kind[1](round(at, 3)))
+        return sorted(found, key=lambda fault: fault.at)
+
+    def _some_hosts(self) -> tuple[Sequence[str], float]:
+        """Return one host, some or all, and the time between two of them."""
+        how = self.source.choices(("one", "some", "all"), (5, 3, 2))[0]
+        count = {"one": 1, "all": len(self.hosts)}.get(
+            how, self.source.randint(1, len(self.hosts))
+        )
+        gap = 0.0
+        if count > 1 and self.source.random() < 0.5:
+            gap = round(min(1.0, 5.0 / count) * self.source.random(), 3)
+        return self.source.sample(self.hosts, count), gap
+
+    def _seconds(self, least: float, most: float) -> float:
+        return round(self.source.uniform(least, most), 3)
+
+    def _stop(self, at: float) -> Fault:
+        overlap = None
+        if self.source.random() < 0.4:
+            overlap = self._seconds(0.0, 1.0)
+        return Stop(at, *self._some_hosts(), overlap)
+
+    def _kill(self, at: float) -> Fault:
+        return Kill(at, *self._some_hosts())
+
+    def _freeze(self, at: float) -> Fault:
+        return Freeze(at, *self._some_hosts(), self._seconds(0.1, 2.0))
+
+    def _reload(self, at: float) -> Fault:
+        slacks = [
+            self.source.choice((None, self.source.randint(20, 80)))
+            for _ in range(self.source.randint(1, 5))
+        ]
+        return Reload(at, *self._some_hosts(), slacks, self._seconds(0.0, 0.3))
+
+    def _store(self, at: float) -> Fault:
+        how = self.source.choice(list(StoreFault))
+        return StoreOutage(at, how, self._seconds(0.5, 5.0))
+
+    def _publish(self, at: float) -> Fault:
+        return Publish(at, self.source.randint(1, 5), self._seconds(0.1, 0.6))
+
+    def _some_targets(self) -> Sequence[int]:
+        count = self.source.randint(1, max(1, self.targets // 5))
+        return self.source.sample(range(self.targets), count)
+
+    def _crash(self, at: float) -> Fault:
+        return Crash(at, self._some_targets(), self._seconds(0.5, 4.0))
+
+    def _leave(self, at: float) -> Fault:
+        return Leave(at, self._some_targets())
--- /dev/null
+++ b/bench/soak/faults.py
@@ -0,0 +1,298 @@
+"""Carry out faults: signals to hosts, outages of the store, targets' lives."""
+
+import abc
+import dataclasses
+import signal
+from collections.abc import Mapping, Sequence
+
+import trio
+
+from agatetack.testing.memory_store import StoreFault
+from bench.soak.host import Host, HostProcess
+from bench.soak.world import World
+
+GRACE_SECONDS = 6.0
+"""Time from SIGTERM to SIGKILL."""
+
+LAPSE_SECONDS = 4.5
+"""Time after which the registration of a target that crashed is removed."""
+
+LEAVE_SECONDS = 2.5
+"""Time that a draining target goes on serving: `drain` and a little more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Span:
+    """A time in which something is disturbed, in seconds of the run."""
+
+    kind: str
+    start: float
+    end: float
+
+
+class Stage:
+    """What faults act on.
+
+    Attributes:
+        world: The store and the targets.
+        hosts: The hosts, by id.
+        epoch: The start of the run on trio's clock.
+        spans: When faults were in force.
+    """
+
+    def __init__(self, world: World, hosts: Sequence[Host], epoch: float):
+        """Act on `world` and `hosts`."""
+        self.world = world
+        self.hosts = {host.id: host for host in hosts}
+        self.epoch = epoch
+        self.spans: list[Span] = []
+
+    def now(self) -> float:
+        """Return the time since the start of the run, in seconds."""
+        return trio.current_time() - self.epoch
+
+    async def carry_out(self, faults: Sequence["Fault"]) -> None:
+        """Carry out all faults, each at its time."""
+        async with trio.open_nursery() as nursery:
+            for fault in faults:
+                nursery.start_soon(self._carry_out, fault)
+
+    async def _carry_out(self, fault: "Fault") -> None:
+        await trio.sleep_until(self.epoch + fault.at)
+        started = self.now()
+        try:
+            await fault.run(self)
+        finally:
+            self.spans.append(Span(fault.kind, started, self.now()))
+
+    def all_spans(self) -> list[Span]:
+        """Return all spans, also those of a time before any host served."""
+        return [Span("start", 0.0, 0.0), *self.spans]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault(abc.ABC):
+    """One fault, or one piece of planned work.
+
+    Attributes:
+        at: When it starts, in seconds of the run.
+    """
+
+    at: float
+
+    @property
+    def kind(self) -> str:
+        """Return the name of its kind."""
+        return type(self).__name__
+
+    @abc.abstractmethod
+    async def run(self, stage: Stage) -> None:
+        """Carry it out, and return once it is over."""
+
+    def fields(self) -> Mapping[str, object]:
+        """Return what describes it."""
+        return {"kind": self.kind, **dataclasses.asdict(self)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostFault(Fault):
+    """A fault of some hosts, one after the other.
+
+    Attributes:
+        hosts: Their ids.
+        gap: Time between two hosts, in seconds.
+    """
+
+    hosts: Sequence[str]
+    gap: float
+
+    async def run(self, stage: Stage) -> None:
+        """Carry it out at each host."""
+        async with trio.open_nursery() as nursery:
+            for name in self.hosts:
+                nursery.start_soon(self.disturb, stage, stage.hosts[name])
+                await trio.sleep(self.gap)
+
+    @abc.abstractmethod
+    async def disturb(self, stage: Stage, host: Host) -> None:
+        """Carry it out at one host."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kill(HostFault):
+    """SIGKILL, and a new start soon after."""
+
+    async def disturb(self, stage: Stage, host: Host) -> None:
+        """Kill all processes of the host."""
+        started, starts = stage.now(), host.starts
+        host.signal_all(signal.SIGKILL)
+        while host.starts == starts:
+            await trio.sleep(0.02)
+        host.disturbed.append((started, stage.now()))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop(HostFault):
+    """SIGTERM, then SIGKILL after the grace, and a new start.
+
+    Attributes:
+        overlap: When a new process is started beside the one that drains, in
+            seconds from the SIGTERM; None for a start after its end.
+    """
+
+    overlap: float | None
+
+    async def disturb(self, stage: Stage, host: Host) -> None:
+        """Stop the newest process of the host."""
+        process = host.process
+        if process is None or process.stopping or process.poll() is not None:
+            return
+        process.signal(signal.SIGTERM)
+        if self.overlap is not None:
+            await trio.sleep(self.overlap)
+            if host.process is process:
+                host.start()
+        await _wait_for_end(process, GRACE_SECONDS - (self.overlap or 0.0))
+        process.signal(signal.SIGKILL)
+        while host.process is process:
+            await trio.sleep(0.02)
+
+
+async def _wait_for_end(process: HostProcess, seconds: float) -> None:
+    with trio.move_on_after(seconds):
+        while process.poll() is None:
+            await trio.sleep(0.02)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freeze(HostFault):
+    """SIGSTOP, and SIGCONT later.
+
+    Attributes:
+        seconds: How long.
+    """
+
+    seconds: float
+
+    async def disturb(self, stage: Stage, host: Host) -> None:
+        """Freeze all processes of the host."""
+        started, frozen = stage.now(), list(host.processes)
+        for process in frozen:
+            process.signal(signal.SIGSTOP)
+        await trio.sleep(self.seconds)
+        for process in frozen:
+            process.signal(signal.SIGCONT)
+        host.disturbed.append((started, stage.now()))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reload(HostFault):
+    """SIGHUP, with or without a changed settings file.
+
+    Attributes:
+        slacks: The budget's slack in the file at each signal; None leaves the
+            file as it is.
+        pause: Time between two signals, in seconds.
+    """
+
+    slacks: Sequence[int | None]
+    pause: float
+
+    async def disturb(self, stage: Stage, host: Host) -> None:
+        """Send the signals to all processes of the host."""
+        for slack in self.slacks:
+            if slack is not None:
+                host.fields["bounds"]["budget_slack"] = str(slack)
+                host.write_settings()
+            host.signal_all(signal.SIGHUP)
+            await trio.sleep(self.pause)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOutage(Fault):
+    """The store fails for some time.
+
+    Attributes:
+        how: What happens to calls.
+        seconds: How long.
+    """
+
+    how: StoreFault
+    seconds: float
+
+    async def run(self, stage: Stage) -> None:
+        """Let calls fail."""
+        stage.world.store.set_fault(self.how)
+        await trio.sleep(self.seconds)
+        stage.world.store.set_fault(None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Publish(Fault):
+    """New versions of the configuration.
+
+    Attributes:
+        count: How many.
+        pause: Time between two, in seconds.
+    """
+
+    count: int
+    pause: float
+
+    async def run(self, stage: Stage) -> None:
+        """Publish the versions."""
+        for _ in range(self.count):
+            stage.world.publish()
+            await trio.sleep(self.pause)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetFault(Fault):
+    """A fault of some targets.
+
+    Attributes:
+        numbers: Their places in the order in which targets were added.
+    """
+
+    numbers: Sequence[int]
+
+    async def run(self, stage: Stage) -> None:
+        """Carry it out at each target."""
+        async with trio.open_nursery() as nursery:
+            for number in self.numbers:
+                nursery.start_soon(self.disturb, stage.world, number)
+
+    @abc.abstractmethod
+    async def disturb(self, world: World, number: int) -> None:
+        """Carry it out at one target."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash(TargetFault):
+    """A target crashes and comes back under a new id.
+
+    Attributes:
+        seconds: How long it is away.
+    """
+
+    seconds: float
+
+    async def disturb(self, world: World, number: int) -> None:
+        """Crash one target."""
+        crashed = world.crash(number)
+        if crashed is None:
+            return
+        await trio.sleep(self.seconds)
+        world.restart(number)
+        await trio.sleep(max(0.0, LAPSE_SECONDS - self.seconds))
+        world.forget(crashed)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave(TargetFault):
+    """A target drains and leaves, and another one comes in its place."""
+
+    async def disturb(self, world: World, number: int) -> None:
+        """Replace one target."""
+        await world.add_beside(number)
+        await world.leave(number, LEAVE_SECONDS)
--- a/bench/soak/host.py
+++ b/bench/soak/host.py
@@ -1,12 +1,12 @@
-"""Start, stop and watch the process of one host."""
+"""Start, stop and watch the processes of one host."""
 
 import dataclasses
 import os
 import pathlib
 import resource
-import signal
 import subprocess
 from collections.abc import Iterator
+from signal import SIGINT, SIGKILL, SIGTERM, Signals
 
 import trio
 
@@ -18,13 +18,18 @@
 """Time after which a process that has ended is started again."""
 
 POLL_SECONDS = 0.02
-"""Interval at which a process is looked at."""
+"""Interval at which processes are looked at."""
 
 TAIL_BYTES = 2000
 """Bytes of output that are kept of a process that ended."""
 
 PAGE_BYTES = resource.getpagesize()
 
+FAILURE_LINE = b"Ended by an unexpected error"
+"""What a process writes that ends by an error nobody expected."""
+
+ENDING = (SIGTERM, SIGINT, SIGKILL)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
@@ -36,6 +41,8 @@
         lived_seconds: How long it ran.
         status: Its exit status; negative for a signal.
         by_itself: Whether nothing outside ended it.
+        killed: Whether it was killed from outside.
+        failed: Whether it named an unexpected error.
         output: The end of what it wrote to standard error.
     """
 
@@ -44,11 +51,90 @@
     lived_seconds: float
     status: int
     by_itself: bool
+    killed: bool
+    failed: bool
     output: str
 
 
+class HostProcess:
+    """One process of a host.
+
+    Attributes:
+        popen: The process.
+        output: Gets its standard output.
+        errors: Gets its standard error.
+        started_at: When it was started, on trio's clock.
+        sent: Signals sent to it that may end it.
+    """
+
+    def __init__(
+        self,
+        popen: subprocess.Popen,
+        output: pathlib.Path,
+        errors: pathlib.Path,
+    ):
+        """Watch `popen`."""
+        self.popen = popen
+        self.output = output
+        self.errors = errors
+        self.started_at = trio.current_time()
+        self.sent: set[Signals] = set()
+
+    def poll(self) -> int | None:
+        """Return the exit status, None while it runs."""
+        return self.popen.poll()
+
+    @property
+    def returncode(self) -> int | None:
+        """Return the exit status as `poll` last saw it."""
+        return self.popen.returncode
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether it was told to end."""
+        return bool(self.sent)
+
+    def signal(self, number: Signals) -> None:
+        """Send a signal, if it still runs."""
+        if self.poll() is None:
+            if number in ENDING:
+                self.sent.add(number)
+            self.popen.send_signal(number)
+
+    def resident_bytes(self) -> int:
+        """Return its resident memory; 0 once it has ended."""
+        try:
+            with open(f"/proc/{self.popen.pid}/statm") as file:
+                return int(file.read().split()[1]) * PAGE_BYTES
+        except (OSError, IndexError):
+            return 0
+
+    def descriptors(self) -> int:
+        """Return the number of its descriptors; 0 once it has ended."""
+        try:
+            return len(os.listdir(f"/proc/{self.popen.pid}/fd"))
+        except OSError:
+            return 0
+
+    def end(self, host: HostId, epoch: float) -> End:
+        """Return how it ended."""
+        now = trio.current_time()
+        return End(
+            host=host,
+            at=now - epoch,
+            lived_seconds=now - self.started_at,
+            status=self.popen.returncode,
+            by_itself=not self.sent,
+            killed=SIGKILL in self.sent,
+            failed=FAILURE_LINE in self.output.read_bytes(),
+            output=self.errors.read_bytes()[-TAIL_BYTES:].decode(
+                errors="replace"
+            ),
+        )
+
+
 class Host:
-    """The process of one host, started again whenever it ends.
+    """The processes of one host; one is started whenever none runs.
 
     Attributes:
         id: The host's name.
@@ -56,11 +142,14 @@
         domain: Its failure domain.
         fields: What the platform would know of the machine.
         folder: Holds its settings and output.
-        process: The running process, or None.
-        wanted: Whether it is started again.
+        processes: Those that run or whose end is not noted, oldest first.
+        process: The newest process, or None.
+        wanted: Whether a process is started when none runs.
         ends: How its processes ended.
         starts: Number of processes started.
         peak_bytes: Most resident memory that any of them had.
+        peak_descriptors: Most descriptors that any of them had.
+        disturbed: Spans of the run in which one was killed or frozen.
     """
 
     def __init__(
@@ -88,15 +177,25 @@
         self.folder = folder
         self.cores = cores
         self.config = folder / f"{self.id}.yaml"
-        self.output = folder / f"{self.id}.log"
-        self.errors = folder / f"{self.id}.err"
-        self.process: subprocess.Popen | None = None
+        self.processes: list[HostProcess] = []
+        self.process: HostProcess | None = None
         self.wanted = True
-        self.ended_from_outside = False
-        self.started_at = 0.0
         self.ends: list[End] = []
         self.starts = 0
+        self.start_at = 0.0
         self.peak_bytes = 0
+        self.peak_descriptors = 0
+        self.disturbed: list[tuple[float, float]] = []
+
+    @property
+    def errors(self) -> pathlib.Path:
+        """Return the file with the newest process's standard error."""
+        return self.folder / f"{self.id}-{self.starts}.err"
+
+    @property
+    def output(self) -> pathlib.Path:
+        """Return the file with the newest process's standard output."""
+        return self.folder / f"{self.id}-{self.starts}.log"
 
     def write_settings(self) -> None:
         """Put the settings file where the process looks for it."""
@@ -107,8 +206,9 @@
     def start(self) -> None:
         """Start one process beside whatever else runs."""
         self.write_settings()
-        with self.output.open("ab") as out, self.errors.open("ab") as errors:
-            self.process = subprocess.Popen(
+        self.starts += 1
+        with self.output.open("wb") as out, self.errors.open("wb") as errors:
+            popen = subprocess.Popen(
                 self.role.command(self.fields),
                 cwd=self.role.root,
                 env=self.role.environment(self.fields, self.config),
@@ -117,14 +217,12 @@
                 stderr=errors,
                 process_group=0,
             )
-        pid = self.process.pid
         limit = self.fields["limits"]["max_fds"]
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
+        resource.prlimit(popen.pid, resource.RLIMIT_NOFILE, (limit, limit))
         if self.cores:
-            os.sched_setaffinity(pid, self.cores)
-        self.starts += 1
-        self.started_at = trio.current_time()
-        self.ended_from_outside = False
+            os.sched_setaffinity(popen.pid, self.cores)
+        self.process = HostProcess(popen, self.output, self.errors)
+        self.processes.append(self.process)
 
     async def run(self, epoch: float) -> None:
         """Keep a process running until cancelled.
@@ -134,66 +232,53 @@
         """
         try:
             while True:
-                if self.wanted:
+                self._look(epoch)
+                now = trio.current_time()
+                if self.wanted and not self.processes and now >= self.start_at:
                     self.start()
-                    await self._wait()
-                    self._note_end(epoch)
-                await trio.sleep(RESTART_SECONDS)
+                await trio.sleep(POLL_SECONDS)
         finally:
             self.kill()
 
-    async def _wait(self) -> None:
-        while self.process.poll() is None:
-            self._watch_memory()
-            await trio.sleep(POLL_SECONDS)
+    def _look(self, epoch: float) -> None:
+        for process in list(self.processes):
+            if process.poll() is None:
+                self._watch_limits(process)
+                continue
+            self.processes.remove(process)
+            self.ends.append(process.end(self.id, epoch))
+            self.start_at = trio.current_time() + RESTART_SECONDS
 
-    def _watch_memory(self) -> None:
+    def _watch_limits(self, process: HostProcess) -> None:
         """End a process that has more memory than its machine."""
-        try:
-            with open(f"/proc/{self.process.pid}/statm") as file:
-                resident = int(file.read().split()[1]) * PAGE_BYTES
-        except (OSError, IndexError):
-            return
+        resident = process.resident_bytes()
         self.peak_bytes = max(self.peak_bytes, resident)
-        if resident > self.fields["limits"]["memory_mb"] << 20:
-            self.process.kill()
-
-    def _note_end(self, epoch: float) -> None:
-        now = trio.current_time()
-        with self.errors.open("rb") as file:
-            size = self.errors.stat().st_size
-            file.seek(max(0, size - TAIL_BYTES))
-            output = file.read().decode(errors="replace")
-        self.ends.append(
-            End(
-                self.id,
-                now - epoch,
-                now - self.started_at,
-                self.process.returncode,
-                not self.ended_from_outside,
-                output,
-            )
+        self.peak_descriptors = max(
+            self.peak_descriptors, process.descriptors()
         )
+        if resident > self.fields["limits"]["memory_mb"] << 20:
+            process.popen.kill()
 
     @property
     def running(self) -> bool:
-        """Return whether its process runs."""
+        """Return whether its newest process runs."""
         return self.process is not None and self.process.poll() is None
 
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process, if it runs."""
-        if not self.running:
-            return
-        if number in (signal.SIGTERM, signal.SIGINT, signal.SIGKILL):
-            self.ended_from_outside = True
-        self.process.send_signal(number)
+    def signal(self, number: Signals) -> None:
+        """Send a signal to the newest process, if it runs."""
+        if self.process is not None:
+            self.process.signal(number)
+
+    def signal_all(self, number: Signals) -> None:
+        """Send a signal to all its processes."""
+        for process in self.processes:
+            process.signal(number)
 
     def kill(self) -> None:
-        """End the process, whatever it does."""
-        if self.running:
-            self.ended_from_outside = True
-            self.process.kill()
-            self.process.wait()
+        """End all processes, whatever they do."""
+        for process in self.processes:
+            process.signal(SIGKILL)
+            process.popen.wait()
 
 
 def ends_by_themselves(hosts: list[Host]) -> Iterator[End]:
--- a/bench/soak/machines.py
+++ b/bench/soak/machines.py
@@ -23,33 +23,53 @@
 """Second figures of the loopback networks that runs choose from."""
 
 
+HOLDER = "255.254"
+"""The address in a network that whoever uses the network holds."""
+
+
 class NoFreeNetwork(Exception):
     """All loopback networks that runs choose from are taken."""
 
 
+held_networks: list[socket.socket] = []
+"""Sockets that keep the networks of this process from being chosen again."""
+
+
 def choose_network() -> str:
     """Return the first two figures of a loopback network that is not in use.
 
+    It stays taken while this process runs, also when no host of it does.
+
     Raises:
         NoFreeNetwork: There is none.
     """
     count = LAST_NET - FIRST_NET
     for step in range(count):
         network = f"127.{FIRST_NET + (os.getpid() + step) % count}"
-        if _is_free(f"{network}.0.1"):
-            return network
+        holder = _bind(f"{network}.{HOLDER}")
+        if holder is None:
+            continue
+        first = _bind(f"{network}.0.1")
+        if first is None:
+            holder.close()
+            continue
+        first.close()
+        held_networks.append(holder)
+        return network
     raise NoFreeNetwork
 
 
-def _is_free(ip: str) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind((ip, CALLERS_PORT))
-        except OSError as error:
-            if error.errno == errno.EADDRINUSE:
-                return False
-            raise
-    return True
+def _bind(ip: str) -> socket.socket | None:
+    """Return a socket bound to an address, None if another one has it."""
+    sock = socket.socket()
+    try:
+        sock.bind((ip, CALLERS_PORT))
+    except OSError as error:
+        sock.close()
+        if error.errno == errno.EADDRINUSE:
+            return None
+        raise
+    return sock
 
 
 def make_hosts(
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,9 +10,12 @@
 from agatetack.testing.fake_target import ExecutedRequest
 from bench.soak.callers import Callers, Result, count_results
 from bench.soak.deploy_file import read_role
+from bench.soak.fault_plan import draw_faults
+from bench.soak.faults import Fault, Stage
 from bench.soak.host import End, Host, ends_by_themselves
 from bench.soak.machines import make_hosts
 from bench.soak.site import Kind, Site
+from bench.soak.verdict import Evidence, Violation, judge
 from bench.soak.world import World
 
 SETTLE_SECONDS = 1.0
@@ -31,6 +34,7 @@
         folder: Gets settings and output of all hosts.
         cores: Processor cores that the hosts share; all if empty.
         lead_seconds: Time from the start of the hosts to that of the load.
+        faults: Seed of the faults; None for a run without.
     """
 
     site: Site
@@ -40,6 +44,7 @@
     folder: pathlib.Path
     cores: Sequence[int] = ()
     lead_seconds: float = 3.0
+    faults: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,6 +63,11 @@
         ran_though_refused: Requests that may run once only, were refused and
             ran.
         peak_mb: Most resident memory of a process.
+        peak_descriptors: Most descriptors of a process.
+        starts: Processes started.
+        faults: The faults that were carried out.
+        calm_requests: Requests to which the bound of calm times applies.
+        violations: Broken rules.
     """
 
     requests: int = 0
@@ -69,6 +79,11 @@
     twice: list[str] = dataclasses.field(default_factory=list)
     ran_though_refused: list[str] = dataclasses.field(default_factory=list)
     peak_mb: float = 0.0
+    peak_descriptors: int = 0
+    starts: int = 0
+    faults: Sequence[Fault] = ()
+    calm_requests: int = 0
+    violations: list[Violation] = dataclasses.field(default_factory=list)
 
     @property
     def served_share(self) -> float:
@@ -89,6 +104,9 @@
         hosts = make_hosts(plan.site, role, address, plan.folder, plan.cores)
         world.add_hosts(hosts)
         epoch = trio.current_time()
+        stage = Stage(world, hosts, epoch)
+        faults = _draw(plan, hosts)
+        nursery.start_soon(stage.carry_out, faults)
         for host in hosts:
             nursery.start_soon(host.run, epoch)
         nursery.start_soon(world.entry.run)
@@ -97,13 +115,34 @@
         await callers.run(epoch, until)
         await trio.sleep(SETTLE_SECONDS)
         nursery.cancel_scope.cancel()
-    return _report(plan, world, callers, hosts)
+    report = _report(plan, world, callers, hosts)
+    report.faults = faults
+    evidence = Evidence(
+        world, hosts, callers.requests, stage.all_spans(), until - epoch
+    )
+    report.calm_requests = sum(
+        evidence.calm(each.started, each.attempts[-1].ended)
+        for each in callers.requests
+        if each.attempts
+    )
+    report.violations = judge(evidence)
+    return report
+
+
+def _draw(plan: Plan, hosts: Sequence[Host]) -> Sequence[Fault]:
+    if plan.faults is None:
+        return []
+    names = [host.id for host in hosts]
+    seconds = plan.lead_seconds + plan.seconds
+    return draw_faults(plan.faults, plan.site, names, seconds)
 
 
 def _report(
     plan: Plan, world: World, callers: Callers, hosts: Sequence[Host]
 ) -> Report:
     report = Report(len(callers.requests))
+    report.starts = sum(host.starts for host in hosts)
+    report.peak_descriptors = max(host.peak_descriptors for host in hosts)
     report.counts = dict(count_results(callers.requests))
     report.ends = list(ends_by_themselves(list(hosts)))
     report.peak_mb = max(host.peak_bytes for host in hosts) / (1 << 20)
--- /dev/null
+++ b/bench/soak/verdict.py
@@ -0,0 +1,200 @@
+"""Judge a run by those rules that can be judged from outside the hosts."""
+
+import dataclasses
+from collections import Counter
+from collections.abc import Iterator, Sequence
+
+from bench.soak.callers import (
+    FINAL,
+    LOSS_SLACK_SECONDS,
+    Attempt,
+    CallerRequest,
+    Result,
+)
+from bench.soak.faults import Span
+from bench.soak.host import Host
+from bench.soak.site import Kind
+from bench.soak.world import World
+
+STABLE_SECONDS = 3.0
+"""`stable_window`: time after a fault until the rules with a bound hold."""
+
+RECOVER_SECONDS = 15.0
+"""`recover`: time after the last fault until requests are served again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken rule.
+
+    Attributes:
+        rule: The rule.
+        at: When, in seconds of the run.
+        host: The host; empty if it was none in particular.
+        request: The id of the request; empty without one.
+        detail: What was seen.
+    """
+
+    rule: str
+    at: float
+    host: str
+    request: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What was seen in a run.
+
+    Attributes:
+        world: The store and the targets.
+        hosts: The hosts.
+        requests: All requests of callers.
+        spans: When faults were in force.
+        until: When the last request was sent, in seconds of the run.
+    """
+
+    world: World
+    hosts: Sequence[Host]
+    requests: Sequence[CallerRequest]
+    spans: Sequence[Span]
+    until: float
+
+    def disturbed(self, attempt: Attempt) -> bool:
+        """Return whether its host was killed or frozen around an attempt."""
+        spans = next(
+            host.disturbed for host in self.hosts if host.id == attempt.host
+        )
+        return _meets(spans, attempt.started - STABLE_SECONDS, attempt.ended)
+
+    def calm(self, start: float, end: float) -> bool:
+        """Return whether no fault was in force, nor shortly before."""
+        spans = [(span.start, span.end) for span in self.spans]
+        return not _meets(spans, start - STABLE_SECONDS, end)
+
+
+def _meets(
+    spans: Sequence[tuple[float, float]], start: float, end: float
+) -> bool:
+    return any(first <= end and start <= last for first, last in spans)
+
+
+def judge(evidence: Evidence) -> list[Violation]:
+    """Return all violations of a run, in the order of time."""
+    found = [
+        *_ends(evidence),
+        *_limits(evidence),
+        *_runs(evidence),
+        *_attempts(evidence),
+        *_calm(evidence),
+        *_recovery(evidence),
+    ]
+    return sorted(found, key=lambda each: each.at)
+
+
+def _ends(evidence: Evidence) -> Iterator[Violation]:
+    for host in evidence.hosts:
+        for end in host.ends:
+            last = (end.output.strip().splitlines() or [""])[-1]
+            detail = f"status {end.status} after {end.lived_seconds:.2f} s"
+            detail += f": {last}" if last else ""
+            if end.by_itself:
+                yield Violation("FAULT", end.at, host.id, "", detail)
+            elif end.failed or (end.status != 0 and not end.killed):
+                yield Violation("END", end.at, host.id, "", detail)
+
+
+def _limits(evidence: Evidence) -> Iterator[Violation]:
+    memory, descriptors = (
+        evidence.world.site.memory_mb,
+        evidence.world.site.descriptors,
+    )
+    for host in evidence.hosts:
+        if host.peak_bytes > memory << 20:
+            seen = f"{host.peak_bytes >> 20} MB"
+            yield Violation("MEMORY", evidence.until, host.id, "", seen)
+        if host.peak_descriptors > descriptors:
+            seen = str(host.peak_descriptors)
+            yield Violation("DESCRIPTORS", evidence.until, host.id, "", seen)
+
+
+def _runs(evidence: Evidence) -> Iterator[Violation]:
+    """Compare what callers were told with what ran at targets."""
+    runs = Counter(
+        str(each.request_id)
+        for placed in evidence.world.targets.values()
+        for each in placed.target.executed
+    )
+    for request in evidence.requests:
+        if request.kind.kind is not Kind.ONCE:
+            continue
+        for attempt in request.attempts:
+            count = runs[attempt.request_id]
+            if count > 1:
+                yield _of(attempt, "TWICE", f"{count} runs")
+            if count and attempt.result is Result.REFUSED:
+                yield _of(attempt, "REFUSED", "refused, and has run")
+
+
+def _attempts(evidence: Evidence) -> Iterator[Violation]:
+    for request in evidence.requests:
+        for attempt in request.attempts:
+            if attempt.result is Result.WRONG:
+                yield _of(attempt, "MIXED", "not the whole answer of a target")
+            elif attempt.status in FINAL:
+                yield _of(attempt, "DENIED", attempt.detail)
+            elif attempt.result is Result.CUT:
+                yield from _cut(evidence, request, attempt)
+
+
+def _cut(
+    evidence: Evidence, request: CallerRequest, attempt: Attempt
+) -> Iterator[Violation]:
+    taken = attempt.ended - attempt.sent
+    ran = evidence.world.has_run(attempt.request_id)
+    if evidence.disturbed(attempt):
+        return
+    if attempt.ended - attempt.started >= request.kind.timeout_seconds:
+        return
+    if ran or (taken > LOSS_SLACK_SECONDS and not attempt.behind):
+        kept = "kept" if attempt.kept else "new"
+        passed = "passed on" if ran else "not passed on"
+        yield _of(
+            attempt,
+            "LOST",
+            f"{request.kind.name}: {attempt.detail} {taken:.2f} s after it was "
+            f"sent on a {kept} connection, {passed}",
+        )
+
+
+def _calm(evidence: Evidence) -> Iterator[Violation]:
+    """Yield what was not served though nothing was disturbed."""
+    for request in evidence.requests:
+        if request.served or not request.attempts:
+            continue
+        last = request.attempts[-1]
+        if evidence.calm(request.started, last.ended):
+            seen = ", ".join(
+                f"{each.host} {each.result.value} {each.status} {each.detail}"
+                for each in request.attempts
+            )
+            yield _of(last, "SHORT", f"{request.kind.name}: {seen}")
+
+
+def _recovery(evidence: Evidence) -> Iterator[Violation]:
+    last = max((span.end for span in evidence.spans), default=0.0)
+    after = [
+        request
+        for request in evidence.requests
+        if request.started > last + RECOVER_SECONDS
+    ]
+    served = sum(request.served for request in after)
+    if after and served < len(after) / 4:
+        seen = f"{served} of {len(after)} served"
+        yield Violation("RECOVER", last + RECOVER_SECONDS, "", "", seen)
+
+
+def _of(attempt: Attempt, rule: str, detail: str) -> Violation:
+    return Violation(
+        rule, attempt.ended, attempt.host, attempt.request_id, detail
+    )
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -7,7 +7,6 @@
 import trio
 
 from agatetack.ids import FailureDomain, TargetId
-from agatetack.settings.model import Settings
 from agatetack.testing.fake_entry import EntryHost, FakeEntry
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
 from agatetack.testing.memory_store import MemoryStore
@@ -34,11 +33,21 @@
 
 @dataclasses.dataclass(slots=True)
 class SiteTarget:
-    """A target and where it is registered."""
+    """A target and where it is registered.
+
+    Attributes:
+        target: The target.
+        service: Its service.
+        domain: Its failure domain.
+        down: Whether it crashed and is not back.
+        left: Whether it drains or is gone for good.
+    """
 
     target: FakeTarget
     service: Service
     domain: FailureDomain
+    down: bool = False
+    left: bool = False
 
     def registration(self, state: str = "ready") -> bytes:
         """Return what the target registers of itself."""
@@ -53,7 +62,7 @@
                 },
                 "status": {
                     "state": state,
-                    "sequence": 1,
+                    "sequence": 1 if state == "ready" else 2,
                     "warmup_left": "0ms",
                 },
             }
@@ -67,7 +76,8 @@
         site: The site.
         store: The store.
         store_port: Where it listens.
-        targets: The targets, by id.
+        targets: The targets, by the id of their first start, in the order in
+            which they were added.
         version: The version of the configuration.
         entry: Chooses hosts for callers.
     """
@@ -82,33 +92,85 @@
         self.version = 0
         self.entry = FakeEntry([], {}, self._is_ready)
         self.ready_addresses: dict[str, str] = {}
+        self.nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start store and targets, and publish the configuration."""
+        self.nursery = nursery
         server = store_server(self.store)
         self.store_port = await nursery.start(server.run)
-        settings = template_settings(self.store_port)
         for service in self.site.services:
             for domain, count in service.targets.items():
                 for _ in range(count):
-                    await self._add_target(nursery, settings, service, domain)
+                    await self._add_target(service, domain)
         self.publish()
 
     async def _add_target(
-        self,
-        nursery: trio.Nursery,
-        settings: Settings,
-        service: Service,
-        domain: FailureDomain,
+        self, service: Service, domain: FailureDomain
     ) -> None:
+        settings = template_settings(self.store_port)
         options = FakeTargetOptions(slots=service.slots)
         target = FakeTarget(settings, options)
         target.instance = TargetId(f"i-{unique_name()}")
         target.faults.shed_above = service.slots + service.queue
-        await nursery.start(target.serve)
+        await self.nursery.start(target.serve)
         placed = SiteTarget(target, service, domain)
         self.targets[target.instance] = placed
-        self.store.append(REGISTRATIONS, target.instance, placed.registration())
+        self._register(placed)
+
+    def _register(self, placed: SiteTarget, state: str = "ready") -> None:
+        key = placed.target.instance
+        self.store.append(REGISTRATIONS, key, placed.registration(state))
+
+    def _placed(self, number: int) -> SiteTarget:
+        return list(self.targets.values())[number]
+
+    def has_run(self, request_id: str) -> bool:
+        """Return whether a target began to run a request."""
+        return any(
+            each.request_id == request_id
+            for placed in self.targets.values()
+            for each in placed.target.executed
+        )
+
+    def crash(self, number: int) -> TargetId | None:
+        """Let a target crash; return its id, None if it does not run."""
+        placed = self._placed(number)
+        if placed.down or placed.left:
+            return None
+        placed.down = True
+        crashed = placed.target.instance
+        placed.target.crash()
+        return crashed
+
+    def restart(self, number: int) -> None:
+        """Let a target come back after a crash, under a new id."""
+        placed = self._placed(number)
+        placed.down = False
+        placed.target.instance = TargetId(f"i-{unique_name()}")
+        placed.target.restart()
+        self._register(placed)
+
+    def forget(self, target: TargetId) -> None:
+        """Remove the registration of a target that sends nothing more."""
+        self.store.append(REGISTRATIONS, target, b"")
+
+    async def add_beside(self, number: int) -> None:
+        """Add a target like another one."""
+        placed = self._placed(number)
+        await self._add_target(placed.service, placed.domain)
+
+    async def leave(self, number: int, seconds: float) -> None:
+        """Let a target drain, serve for some more seconds, and go."""
+        placed = self._placed(number)
+        if placed.down or placed.left:
+            return
+        placed.left = True
+        placed.target.drain()
+        self._register(placed, "draining")
+        await trio.sleep(seconds)
+        self.forget(placed.target.instance)
+        placed.target.refuse()
 
     def publish(self) -> None:
         """Publish a configuration with one route for each kind of request."""
