--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -6,6 +6,7 @@
 """
 
 import pathlib
+import signal
 import sys
 from collections import Counter
 
@@ -143,4 +144,6 @@
 
 
 if __name__ == "__main__":
+    # Whoever is stopped ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(defopt.run({"run": run, "hunt": hunt}))
--- a/bench/soak/hunt.py
+++ b/bench/soak/hunt.py
@@ -47,22 +47,20 @@
     place.mkdir(parents=True, exist_ok=True)
     command = [sys.executable, "-m", "bench.soak", "run", str(place)]
     command += ["--seed", str(seed), "--faults", str(seed), *options]
+    report = place / "report.txt"
     try:
-        done = await trio.run_process(
-            command,
-            check=False,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-        )
+        with report.open("wb") as file:
+            done = await trio.run_process(
+                command, check=False, stdout=file, stderr=subprocess.STDOUT
+            )
     finally:
         limiter.release_on_behalf_of(seed)
-    text = done.stdout.decode(errors="replace")
+    text = report.read_text(errors="replace")
     print(f"seed {seed}: {_summary(text)}", flush=True)
     if done.returncode == 0:
         shutil.rmtree(place)
-        return
-    broken.append(seed)
-    (place / "report.txt").write_text(text)
+    else:
+        broken.append(seed)
 
 
 def _summary(text: str) -> str:
--- /dev/null
+++ b/bench/soak/test_soak.py
@@ -0,0 +1,192 @@
+"""Test faults by seed, and what a run with faults is judged by."""
+
+import dataclasses
+import pathlib
+import socket
+
+import pytest
+import trio
+
+from bench.soak import machines
+from bench.soak.callers import Attempt, CallerRequest, Result
+from bench.soak.deploy_file import build
+from bench.soak.fault_plan import as_lines, draw_faults
+from bench.soak.faults import Freeze, Kill, Reload, Span, Stage, Stop
+from bench.soak.host import Host
+from bench.soak.run import Plan, run_soak
+from bench.soak.site import Kind, small_site
+from bench.soak.verdict import Evidence, judge
+from bench.soak.world import World
+
+ROOT = pathlib.Path(__file__).parents[2]
+SEEDS = range(200)
+HOSTS = ["a-1", "a-2", "a-3"]
+
+
+@dataclasses.dataclass(frozen=True)
+class ScriptedRole:
+    """Starts a shell script in place of a host."""
+
+    root: pathlib.Path
+    script: str
+
+    def command(self, fields):
+        return ["sh", "-c", self.script]
+
+    def settings(self, fields):
+        return f"slack={fields['bounds']['budget_slack']}\n"
+
+    def environment(self, fields, config):
+        return {}
+
+
+def scripted_host(script, folder):
+    fields = {
+        "node_name": "a-1",
+        "ip": "127.0.0.1",
+        "limits": {"max_fds": 100, "memory_mb": 300},
+        "bounds": {"budget_slack": "58"},
+    }
+    return Host(ScriptedRole(folder, script), fields, "a", folder, frozenset())
+
+
+async def play(script, folder, *faults):
+    """Carry out faults at one host that runs `script`; return the host."""
+    host = scripted_host(script, folder)
+    async with trio.open_nursery() as nursery:
+        epoch = trio.current_time()
+        nursery.start_soon(host.run, epoch)
+        while not host.starts:
+            await trio.sleep(0.01)
+        await Stage(World(small_site()), [host], epoch).carry_out(faults)
+        # An end and the start after it are noted at the same time.
+        while any(each.poll() is not None for each in host.processes):
+            await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    return host
+
+
+def test_a_seed_always_draws_the_same_faults():
+    for seed in SEEDS:
+        first, second = (
+            as_lines(draw_faults(seed, small_site(), HOSTS, 30.0))
+            for _ in range(2)
+        )
+        assert first == second
+
+
+def test_seeds_draw_all_kinds_of_faults_at_one_some_and_all_hosts():
+    drawn = [
+        fault
+        for seed in SEEDS
+        for fault in draw_faults(seed, small_site(), HOSTS, 30.0)
+    ]
+    assert {fault.kind for fault in drawn} == {
+        *("Stop", "Kill", "Freeze", "Reload", "StoreOutage"),
+        *("Publish", "Crash", "Leave"),
+    }
+    for kind in (Stop, Kill, Freeze, Reload):
+        found = {len(each.hosts) for each in drawn if isinstance(each, kind)}
+        assert found == {1, 2, 3}
+    assert any(isinstance(each, Stop) and each.overlap for each in drawn)
+
+
+async def test_a_host_that_ends_by_itself_is_told_from_one_that_is_ended(
+    tmp_path,
+):
+    host = await play("exec sleep 60", tmp_path, Kill(0.0, ["a-1"], 0.0))
+    assert [end.by_itself for end in host.ends] == [False]
+    host = scripted_host("exit 3", tmp_path)
+    with trio.move_on_after(30):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(host.run, trio.current_time())
+            while len(host.ends) < 2:
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+    assert {(end.by_itself, end.status) for end in host.ends} == {(True, 3)}
+
+
+async def test_a_process_started_beside_one_that_drains_is_watched(tmp_path):
+    script = "trap 'sleep 0.5; exit 1' TERM; while :; do sleep 0.1; done"
+    stop = Stop(0.5, ["a-1"], 0.0, 0.1)
+    host = await play(script, tmp_path, stop)
+    assert host.starts == 2
+    (end,) = host.ends
+    assert (end.status, end.by_itself, end.killed) == (1, False, False)
+
+
+async def test_a_reload_changes_the_settings_before_the_signal(tmp_path):
+    script = "trap 'cat a-1.yaml' HUP; while :; do sleep 0.1; done"
+    reload = Reload(0.5, ["a-1"], 0.0, [7, None], 0.5)
+    host = await play(f"cd {tmp_path}; {script}", tmp_path, reload)
+    assert host.output.read_text().split() == ["slack=7", "slack=7"]
+
+
+def evidence(tmp_path, result, status=0, ran=0, disturbed=(), spans=()):
+    """Return what is seen of one request that may run once only."""
+    site = small_site()
+    (kind,) = (each for each in site.kinds.values() if each.kind is Kind.ONCE)
+    world = World(site)
+    attempt = Attempt("r1", "a-1", 10.0, 11.0, result, status, sent=10.0)
+    host = scripted_host("", tmp_path)
+    host.disturbed += disturbed
+    seen = Evidence(
+        world,
+        [host],
+        [CallerRequest(kind, "a", 10.0, [attempt])],
+        spans,
+        30.0,
+    )
+    return seen, ran
+
+
+class Runs:
+    """A target at which a request ran some times."""
+
+    def __init__(self, count):
+        run = type("Run", (), {"request_id": "r1"})
+        self.target = type("Target", (), {"executed": [run] * count})
+
+
+CALM, FAULTY = (), [Span("Kill", 8.0, 8.3)]
+
+
+@pytest.mark.parametrize(
+    ("result", "status", "runs", "disturbed", "spans", "rules"),
+    [
+        (Result.SERVED, 200, 1, (), CALM, set()),
+        (Result.SERVED, 200, 2, (), CALM, {"TWICE"}),
+        (Result.WRONG, 200, 1, (), FAULTY, {"MIXED"}),
+        (Result.REFUSED, 503, 0, (), FAULTY, set()),
+        (Result.REFUSED, 503, 0, (), CALM, {"SHORT"}),
+        (Result.REFUSED, 503, 1, (), FAULTY, {"REFUSED"}),
+        (Result.FAILED, 404, 0, (), FAULTY, {"DENIED"}),
+        (Result.CUT, 0, 1, (), FAULTY, {"LOST"}),
+        (Result.CUT, 0, 0, (), FAULTY, {"LOST"}),
+        (Result.CUT, 0, 1, [(8.0, 8.3)], FAULTY, set()),
+        (Result.CUT, 0, 1, [(2.0, 6.0)], FAULTY, {"LOST"}),
+        (Result.NOT_READ, 0, 0, (), FAULTY, set()),
+        (Result.LATE, 0, 0, (), CALM, {"SHORT"}),
+    ],
+)
+def test_rules(tmp_path, result, status, runs, disturbed, spans, rules):
+    seen, _ = evidence(tmp_path, result, status, 0, disturbed, spans)
+    seen.world.targets["i-1"] = Runs(runs)
+    assert {each.rule for each in judge(seen)} == rules
+
+
+# Guards against two runs that take the same addresses.
+def test_a_network_stays_taken_while_no_host_of_it_runs():
+    first, second = machines.choose_network(), machines.choose_network()
+    assert first != second
+    with socket.socket() as sock, pytest.raises(OSError):
+        sock.bind((f"{first}.{machines.HOLDER}", machines.CALLERS_PORT))
+
+
+@pytest.mark.parametrize("seed", [2, 5])
+async def test_a_run_with_faults_breaks_no_rule(tmp_path, seed):
+    build(ROOT)
+    plan = Plan(small_site(), 17.0, seed, ROOT, tmp_path, faults=seed)
+    report = await run_soak(plan)
+    assert report.violations == []
+    assert report.calm_requests > 0
