--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,6 +10,8 @@
 from agatetack.testing.fake_target import ExecutedRequest
 from bench.soak.callers import Callers, Result, count_results
 from bench.soak.deploy_file import read_role
+from bench.soak.fault_plan import draw_faults
+from bench.soak.faults import Fault, Stage
 from bench.soak.host import End, Host, ends_by_themselves
 from bench.soak.machines import make_hosts
 from bench.soak.observe import (
@@ -21,6 +23,7 @@
     timeline,
 )
 from bench.soak.site import Kind, Site
+from bench.soak.verdict import Evidence, Violation, judge
 from bench.soak.world import World
 
 SETTLE_SECONDS = 1.0
@@ -39,6 +42,7 @@
         folder: Gets settings and output of all hosts.
         cores: Processor cores that the hosts share; all if empty.
         lead_seconds: Time from the start of the hosts to that of the load.
+        faults: Seed of the faults; None for a run without.
     """
 
     site: Site
@@ -48,6 +52,7 @@
     folder: pathlib.Path
     cores: Sequence[int] = ()
     lead_seconds: float = 3.0
+    faults: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +80,11 @@
         kernel: What the whole machine's kernel counted meanwhile.
         host_counters: Sums of the hosts' own counters at the end.
         timeline: What became of the attempts of each second.
+        peak_descriptors: Most descriptors of a process.
+        starts: Processes started.
+        faults: The faults that were carried out.
+        calm_requests: Requests to which the bound of calm times applies.
+        violations: Broken rules.
     """
 
     requests: int = 0
@@ -94,6 +104,11 @@
     kernel: Counter = dataclasses.field(default_factory=Counter)
     host_counters: Counter = dataclasses.field(default_factory=Counter)
     timeline: list[str] = dataclasses.field(default_factory=list)
+    peak_descriptors: int = 0
+    starts: int = 0
+    faults: Sequence[Fault] = ()
+    calm_requests: int = 0
+    violations: list[Violation] = dataclasses.field(default_factory=list)
 
     @property
     def served_share(self) -> float:
@@ -116,6 +131,9 @@
         hosts = make_hosts(plan.site, role, address, plan.folder, plan.cores)
         world.add_hosts(hosts)
         epoch = trio.current_time()
+        stage = Stage(world, hosts, epoch)
+        faults = _draw(plan, hosts)
+        nursery.start_soon(stage.carry_out, faults)
         for host in hosts:
             nursery.start_soon(host.run, epoch)
         nursery.start_soon(world.entry.run)
@@ -134,13 +152,33 @@
     report.processor_wait_seconds = max(waited for _, waited in processor)
     report.kernel = read_kernel_counters() - before
     report.host_counters = host_counters
+    report.faults = faults
+    evidence = Evidence(
+        world, hosts, callers.requests, stage.all_spans(), until - epoch
+    )
+    report.calm_requests = sum(
+        evidence.calm(each.started, each.attempts[-1].ended)
+        for each in callers.requests
+        if each.attempts
+    )
+    report.violations = judge(evidence)
     return report
 
 
+def _draw(plan: Plan, hosts: Sequence[Host]) -> Sequence[Fault]:
+    if plan.faults is None:
+        return []
+    names = [host.id for host in hosts]
+    seconds = plan.lead_seconds + plan.seconds
+    return draw_faults(plan.faults, plan.site, names, seconds)
+
+
 def _report(
     plan: Plan, world: World, callers: Callers, hosts: Sequence[Host]
 ) -> Report:
     report = Report(len(callers.requests))
+    report.starts = sum(host.starts for host in hosts)
+    report.peak_descriptors = max(host.peak_descriptors for host in hosts)
     report.counts = dict(count_results(callers.requests))
     report.ends = list(ends_by_themselves(list(hosts)))
     report.peak_mb = max(host.peak_bytes for host in hosts) / (1 << 20)
