Dial peers from the address that this host is listed with

Hosts that run on one machine, each on an address of its own, had no link with each other: each refused the others' connections as not listed, since Linux chose 127.0.0.1 as the source of every one of them. So no host knew what others knew of the targets.

Without a shared key peers admit listed addresses only, so that the address that is registered, the one listened on, is the one to dial from.

The test fails on the code before: the hosts never link.

--- a/agatetack/peers/test_mesh.py
+++ b/agatetack/peers/test_mesh.py
@@ -1,5 +1,7 @@
 """Test the exchange of messages among the hosts of a fleet."""
 
+import dataclasses
+
 import pytest
 import trio
 import trustme
@@ -80,6 +82,20 @@
     assert not any(h.live_peers() for h in hosts)
 
 
+# Guards against links refused for a source address that the kernel chose.
+async def test_hosts_with_two_addresses_of_one_machine_link(nursery):
+    directory = StaticDirectory()
+    hosts, entries = [], []
+    for name, ip in (("g0", "127.0.0.2"), ("g1", "127.0.0.3")):
+        listen = {"ip": ip, "port": 0}
+        host = new_exchange(name, directory, listen=listen, **FAST)
+        await nursery.start(host.run)
+        hosts.append(host)
+        entries.append(dataclasses.replace(listed(host), ip=ip))
+    directory.replace(entries)
+    await wait_until(lambda: all(h.live_peers() for h in hosts))
+
+
 @pytest.mark.parametrize("key", [None, "secret"])
 async def test_all_peers_link_publish_and_call(nursery, key):
     fleet = await start_fleet(nursery, ["g0", "g1", "g2"], shared_key=key)
--- a/agatetack/peers/transport.py
+++ b/agatetack/peers/transport.py
@@ -36,11 +36,26 @@
 
     Links use `PlainStream`: a host in a fleet of 18 receives about 550 messages
     a second, and trio's streams make one unnecessary socket call for each.
+
+    Attributes:
+        source_ip: Where connections come from; empty for the kernel's choice.
     """
 
+    def __init__(self, settings: PeersSettings):
+        """Connect as `settings` require.
+
+        Without a shared key, peers accept connections from listed addresses
+        only, and on a machine with several addresses the kernel may choose
+        another one.
+        """
+        listen = settings.listen
+        self.source_ip = ""
+        if settings.shared_key is None and not listen.ip.is_unspecified:
+            self.source_ip = listen.host
+
     async def open(self, ip: str, port: int) -> trio.abc.Stream:
         """Return a connection to a peer."""
-        return await open_plain_stream(ip, port)
+        return await open_plain_stream(ip, port, self.source_ip)
 
     def accept(self, stream: trio.abc.Stream) -> trio.abc.Stream:
         """Return a `PlainStream` on the connection's socket."""
@@ -85,5 +100,5 @@
 def make_transport(settings: PeersSettings, metrics: Metrics) -> Transport:
     """Return the transport that `settings` require."""
     if settings.tls is None:
-        return PlainTransport()
+        return PlainTransport(settings)
     return TlsTransport(settings, metrics)
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -205,9 +205,16 @@
     )
 
 
-async def open_plain_stream(ip: str, port: int) -> PlainStream:
+async def open_plain_stream(
+    ip: str, port: int, source_ip: str = ""
+) -> PlainStream:
     """Connect to an IP address and return the stream.
 
+    Args:
+        ip: The address.
+        port: The port.
+        source_ip: The address to connect from; the kernel chooses it if empty.
+
     Raises:
         OSError: The connection could not be opened.
     """
@@ -215,6 +222,8 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
+        if source_ip:
+            sock.bind((source_ip, 0))
         await _connect(sock, ip, port)
         return PlainStream(sock)
     except BaseException:
--- a/bench/soak/observe.py
+++ b/bench/soak/observe.py
@@ -32,7 +32,7 @@
 )
 """Counters of connections that the machine dropped or delayed."""
 
-METRICS_PORT = INTERNAL_PORTS[0] + 1
+METRICS_PORT = INTERNAL_PORTS[1]
 """Where hosts show their counters."""
 
 
