Limit ages in load samples to what their fields can hold

What callers saw: a host that had not heard a target's rate limit or warm-up for 24.9 days ended when that target next reported its load.

Cause: the age goes to peers in milliseconds in a field of 32 bits, and the encoder raises OverflowError in the task that sends samples. Ages and the service time are now cut at the highest number that the field holds; older is as good as never for who reads them.

test_what_was_said_a_month_ago_is_sent_on (virtual clock) failed before with that error.

--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -56,6 +56,9 @@
 """The same for each group of the fleet, so that a host receives at most 40 such
 messages a second, however many groups there are."""
 
+MAX_FIELD = 2**31 - 1
+"""Highest number that the 32 bits of a sample's field can hold."""
+
 NO_RATE = 0.0
 """Rate sent for a target that no longer announces a rate limit."""
 
@@ -231,7 +234,7 @@
         )
         if report.slots != DEFAULT_SLOTS:
             sample.slots = report.slots
-        age_ms = round((now - report.at) * 1000)
+        age_ms = _age_ms(report.at, now)
         if age_ms > 0:
             sample.age_ms = age_ms
         slowness_pct = round(report.slowness * USUAL_PERCENT)
@@ -245,7 +248,7 @@
         # A value adopted from a peer is not sent on: as it circulated, it
         # would look like new evidence each time.
         if service is not None and not target.learned.from_peers:
-            sample.service_us = round(service * 1e6)
+            sample.service_us = min(round(service * 1e6), MAX_FIELD)
         return sample
 
     def _add_warmth(
@@ -254,7 +257,7 @@
         warmth = target.warmth
         left = max(0.0, warmth.warm_at - warmth.reported_at)
         sample.warm_up_ms = round(left * 1000)
-        said_ms = round((now - warmth.reported_at) * 1000)
+        said_ms = _age_ms(warmth.reported_at, now)
         if said_ms > 0:
             sample.said_ms = said_ms
 
@@ -262,7 +265,7 @@
         self, sample: LoadSample, limit: RateLimit, now: Deadline
     ) -> None:
         sample.rate = limit.rate or NO_RATE
-        said_ms = round((now - limit.reported_at) * 1000)
+        said_ms = _age_ms(limit.reported_at, now)
         if said_ms > 0:
             sample.rate_said_ms = said_ms
 
@@ -346,3 +349,8 @@
 
     def _drop(self, reason: str) -> None:
         self.metrics.dropped.inc({"part": "measure", "reason": reason})
+
+
+def _age_ms(since: Deadline, now: Deadline) -> int:
+    """Return the time since then, or the longest that a sample can carry."""
+    return min(round((now - since) * 1000), MAX_FIELD)
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -321,3 +321,21 @@
     assert received.warmth.warm_at == pytest.approx(
         target.warmth.warm_at, abs=0.002
     )
+
+
+# Guards against an age in a sample that its field of 32 bits can't hold.
+async def test_what_was_said_a_month_ago_is_sent_on(autojump_clock):
+    first, second = joined()
+    target, received = first.targets[0], second.targets[0]
+    then = Deadline(trio.current_time() - 30 * 24 * 3600)
+    first.registry.set_warm_up_rates({SERVICE: 5.6})
+    first.registry.note_warmth(target, then, then)
+    target.rate_limit.note(7.0, then)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(first.prober.run)
+        await trio.sleep(START_DELAY_SECONDS + 1)
+        first.report(target, 3)
+        await trio.sleep(1)
+        nursery.cancel_scope.cancel()
+    assert received.report.in_flight == 3
+    assert received.rate_limit.rate == 7.0
