Refuse a configuration whose texts are of another type

What callers saw: one configuration in the store with a number or a list where a text belongs, such as {"path_prefix": 7}, and every host ended, and again at each start, until the record was replaced.

Cause: only the decoding was guarded; the table of routes is built from the values after it, in the task that follows the topic. In a trial on the stand-in of the store a host ended with "AttributeError: 'int' object has no attribute 'rstrip'" and "TypeError: unhashable type: 'list'"; it serves now with the configuration before it.

--- a/agatetack/platform/configuration.py
+++ b/agatetack/platform/configuration.py
@@ -26,6 +26,9 @@
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 
+MAX_VERSION = 2**63 - 1
+"""Highest version of a document; it is shown as a gauge."""
+
 ROUTE_TYPES = {
     "idempotent": RequestClass.FAST,
     "non_idempotent": RequestClass.ONCE,
@@ -49,7 +52,7 @@
         try:
             fields = orjson.loads(content)
             return RouteDocument(
-                version=int(fields["version"]),
+                version=_version(fields["version"]),
                 routes=tuple(map(_read_route, fields["routes"])),
                 services=tuple(map(_read_service, fields["services"])),
                 limits=_read_limits(fields.get("limits")),
@@ -73,19 +76,33 @@
         return FailureDomain(zone) if zone and zone != key else None
 
 
+def _text(value: object) -> str:
+    """Return a text; other types fail later, where it is used."""
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a text")
+    return value
+
+
+def _version(value: object) -> int:
+    version = int(value)
+    if version > MAX_VERSION:
+        raise ValueError("the version is too high")
+    return version
+
+
 def _read_route(fields: Mapping) -> Route:
     split = tuple(
-        SplitPart(ServiceId(part["service"]), float(part["weight"]))
+        SplitPart(ServiceId(_text(part["service"])), float(part["weight"]))
         for part in fields.get("traffic_split") or ()
     )
     main = fields.get("service") or split[0].service
     return Route(
-        id=RouteId(fields["name"]),
+        id=RouteId(_text(fields["name"])),
         team=TEAM,
-        service=ServiceId(main),
+        service=ServiceId(_text(main)),
         request_class=ROUTE_TYPES[fields["route_type"]],
-        path_prefix=fields["path_prefix"],
-        host=fields["host"].lower(),
+        path_prefix=_text(fields["path_prefix"]),
+        host=_text(fields["host"]).lower(),
         timeout_seconds=_optional_seconds(fields, "timeout"),
         # The platform limits the number of servers tried. This is the same
         # as a limit on attempts, as each attempt goes to another target.
@@ -110,8 +127,8 @@
 
 def _read_service(fields: Mapping) -> ServiceInfo:
     return ServiceInfo(
-        id=ServiceId(fields["name"]),
-        load_path=fields.get("health_path") or "/",
+        id=ServiceId(_text(fields["name"])),
+        load_path=_text(fields.get("health_path") or "/"),
         max_connections=int(fields.get("max_connections") or 0),
         warm_up_rate=max(0.0, float(fields.get("warmup_per_s") or 0.0)),
     )
--- a/agatetack/platform/test_records.py
+++ b/agatetack/platform/test_records.py
@@ -83,6 +83,32 @@
     assert document.services[0].load_path == "/load"
 
 
+def service_fields(**fields):
+    return {"name": "svc-a", "health_path": "/load", **fields}
+
+
+SOUND = configuration(1, route_fields())
+
+MISTYPED = [
+    configuration(1, route_fields(name=["a"])),
+    configuration(1, route_fields(name=7)),
+    configuration(1, route_fields(path_prefix=7)),
+    configuration(1, route_fields(path_prefix=None)),
+    SOUND.replace(b'"service":"svc-a"', b'"service":7'),
+    SOUND.replace(b'"service":"svc-a"', b'"service":["svc-a"]'),
+    SOUND.replace(
+        b'"service":"svc-a"', b'"traffic_split":[{"service":7,"weight":1}]'
+    ),
+    configuration(1, route_fields(timeout="nans")),
+    configuration(1, route_fields(timeout="infs")),
+    configuration(1, route_fields(), services=[service_fields(name=7)]),
+    configuration(1, route_fields(), services=[service_fields(name=["x"])]),
+    configuration(1, route_fields(), services=[service_fields(health_path=7)]),
+    configuration("1" + "0" * 400, route_fields()),
+]
+"""Documents with a value of another type or out of range."""
+
+
 @pytest.mark.parametrize(
     "content",
     [
@@ -95,6 +121,7 @@
         configuration(1, route_fields(timeout="soon")),
         configuration(1, route_fields(host=None)),
         configuration(1, route_fields(), routes=7),
+        *MISTYPED,
     ],
 )
 def test_a_document_that_cannot_be_read_is_told(content):
