--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -151,6 +151,7 @@
         "refusal_times": report.refusal_times,
         "processor_seconds": report.processor_seconds,
         "processor_wait_seconds": report.processor_wait_seconds,
+        "stall_seconds": report.stall_seconds,
         "occupancy": report.occupancy,
         "kernel": dict(report.kernel),
         "timeline": report.timeline,
--- a/bench/soak/observe.py
+++ b/bench/soak/observe.py
@@ -55,12 +55,15 @@
     Attributes:
         busy: Sum over all samples of the busy slots, by service.
         slots: The same sum of all slots.
+        stall_seconds: Longest time by which a sample came late: so long the
+            runner, with callers, targets and the store, did nothing.
     """
 
     def __init__(self) -> None:
         """Start without samples."""
         self.busy: Counter[ServiceId] = Counter()
         self.slots: Counter[ServiceId] = Counter()
+        self.stall_seconds = 0.0
 
     async def run(self, world: World) -> None:
         """Take samples until cancelled."""
@@ -70,7 +73,10 @@
                 running = min(placed.target.in_flight, service.slots)
                 self.busy[service.id] += running
                 self.slots[service.id] += service.slots
-            await trio.sleep(SAMPLE_SECONDS)
+            due = trio.current_time() + SAMPLE_SECONDS
+            await trio.sleep_until(due)
+            late = trio.current_time() - due
+            self.stall_seconds = max(self.stall_seconds, late)
 
     def shares(self) -> dict[str, float]:
         """Return the busy share of each service's slots."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -76,6 +76,7 @@
         processor_seconds: Processor time of all hosts' processes.
         processor_wait_seconds: Most time that one of them, ready to run,
             waited for a processor.
+        stall_seconds: Longest time in which the runner itself did nothing.
         occupancy: Busy share of the slots, by service.
         kernel: What the whole machine's kernel counted meanwhile.
         host_counters: Sums of the hosts' own counters at the end.
@@ -100,6 +101,7 @@
     refusal_times: dict[str, dict] = dataclasses.field(default_factory=dict)
     processor_seconds: float = 0.0
     processor_wait_seconds: float = 0.0
+    stall_seconds: float = 0.0
     occupancy: dict[str, float] = dataclasses.field(default_factory=dict)
     kernel: Counter = dataclasses.field(default_factory=Counter)
     host_counters: Counter = dataclasses.field(default_factory=Counter)
@@ -131,6 +133,7 @@
         hosts = make_hosts(plan.site, role, address, plan.folder, plan.cores)
         world.add_hosts(hosts)
         epoch = trio.current_time()
+        nursery.start_soon(occupancy.run, world)
         stage = Stage(world, hosts, epoch)
         faults = _draw(plan, hosts)
         nursery.start_soon(stage.carry_out, faults)
@@ -139,7 +142,6 @@
         nursery.start_soon(world.entry.run)
         await trio.sleep(plan.lead_seconds)
         until = trio.current_time() + plan.seconds
-        nursery.start_soon(occupancy.run, world)
         await callers.run(epoch, until)
         shares = occupancy.shares()
         await trio.sleep(SETTLE_SECONDS)
@@ -148,6 +150,7 @@
         nursery.cancel_scope.cancel()
     report = _report(plan, world, callers, hosts)
     report.occupancy = shares
+    report.stall_seconds = occupancy.stall_seconds
     report.processor_seconds = sum(ran for ran, _ in processor)
     report.processor_wait_seconds = max(waited for _, waited in processor)
     report.kernel = read_kernel_counters() - before
