Count a request's deadline from when its bytes came

A host that was stopped, busy or about to start reads requests that the kernel took in long before, and counted the callers' time from the moment at which it read them. So it sent targets requests whose callers' time was over, with as much time left as if they had just come.

The test fails on the code before: the request arrives when it is read.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -172,8 +172,11 @@
             self.ended = True
             self.parser.end()
             return
-        self.last_byte_at = Deadline(trio.current_time())
-        self.parser.feed(data)
+        now = Deadline(trio.current_time())
+        self.last_byte_at = now
+        transport = self._transport()
+        waited = 0.0 if transport is None else transport.seconds_since_data()
+        self.parser.feed(data, Deadline(now - waited))
 
     async def _next_request(self) -> ParsedRequest | None:
         while not self.parser.ready:
--- a/agatetack/callers/head.py
+++ b/agatetack/callers/head.py
@@ -31,7 +31,7 @@
         version: The HTTP version, such as `1.1`.
         headers: All header fields, names in lower case.
         keep_alive: Whether the caller wants the connection kept.
-        arrived: When the last header byte was read.
+        arrived: When the last header byte came.
     """
 
     method: bytes
--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -95,6 +95,7 @@
         broken: Whether no more requests can be read.
         head_since: When the current header began.
         framing_bytes: Bytes received since the last byte of a body.
+        came_at: When the bytes that are being parsed came.
     """
 
     def __init__(self, max_header_bytes: int, read_more: ReadMore):
@@ -117,6 +118,7 @@
         self.headers: list[Header] = []
         self.in_trailer = False
         self.framing_bytes = 0
+        self.came_at = Deadline(0.0)
         self.body: RequestBody | None = None
 
     @property
@@ -124,8 +126,14 @@
         """Return whether no request is being received."""
         return not self.in_head and self.body is None
 
-    def feed(self, data: bytes) -> None:
-        """Parse received bytes; requests appear in `ready`."""
+    def feed(self, data: bytes, came_at: Deadline | None = None) -> None:
+        """Parse received bytes; requests appear in `ready`.
+
+        Args:
+            data: The bytes.
+            came_at: When they came; now if None.
+        """
+        self.came_at = came_at or Deadline(trio.current_time())
         if self.broken:
             return
         self.framing_bytes += len(data)
@@ -215,7 +223,7 @@
             version=self.parser.get_http_version(),
             headers=self.headers,
             keep_alive=self.parser.should_keep_alive(),
-            arrived=Deadline(trio.current_time()),
+            arrived=self.came_at,
         )
         self.body = RequestBody(content_length(self.headers), self.read_more)
         request = ParsedRequest(head, self.body)
--- a/agatetack/callers/test_server.py
+++ b/agatetack/callers/test_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import ssl
+import time
 
 import pytest
 import trio
@@ -77,6 +78,21 @@
         assert statuses(await read_all(stream, 2)) == [200]
 
 
+# Guards against deadlines that start only when a busy host reads a request.
+async def test_a_request_arrives_when_its_bytes_come():
+    async with serving() as (server, port):
+        client = socket.create_connection(("127.0.0.1", port))
+        client.send(REQUEST)
+        # Nothing else runs meanwhile, as in a host that is stopped.
+        time.sleep(0.1)
+        read_from = trio.current_time()
+        client.setblocking(False)
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(client))
+        assert statuses(await read_all(stream, 0.1)) == [200]
+        [request] = server.handler.requests
+        assert request.arrived < read_from
+
+
 @pytest.mark.parametrize(
     "head",
     [
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -19,6 +19,16 @@
 """SO_LINGER value that makes a close send a reset, so that a truncated answer
 can't look complete."""
 
+TCP_INFO = getattr(socket, "TCP_INFO", None)
+"""Socket option with the kernel's record of a connection; None without one."""
+
+TCP_INFO_BYTES = 56
+"""Bytes of that record that are read."""
+
+LAST_DATA_RECV_OFFSET = 52
+"""Where `tcpi_last_data_recv` stands in it: the milliseconds since the last
+bytes came."""
+
 
 class PlainStream(trio.abc.Stream):
     """One connected TCP socket.
@@ -138,6 +148,25 @@
         poller.register(self.sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
+    def seconds_since_data(self) -> float:
+        """Return how long ago the last bytes came; 0 if that is not known.
+
+        The kernel takes bytes in while this process is stopped, busy or about
+        to start.
+        """
+        if TCP_INFO is None:
+            return 0.0
+        try:
+            info = self.sock.getsockopt(
+                socket.IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES
+            )
+        except OSError:
+            return 0.0
+        if len(info) < TCP_INFO_BYTES:
+            return 0.0
+        (milliseconds,) = struct.unpack_from("=I", info, LAST_DATA_RECV_OFFSET)
+        return milliseconds / 1000
+
     def abort_on_close(self) -> None:
         """Make the next close send a reset."""
         if self.sock.fileno() >= 0:
