--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -22,15 +22,17 @@
 
 def main() -> None:
     """Run the daemon directly, or else parse the command line."""
-    if sys.argv[1:] == DAEMON:
+    if sys.argv[1:2] == DAEMON:
         # These come first, as loading the rest takes most of a second.
         from agatetack.listeners import listen_early
-        from agatetack.process import disable_collector
+        from agatetack.process import disable_collector, hold_signals
 
+        hold_signals()
         disable_collector()
         problem = listen_early()
         if problem is not None:
             print(f"agatetack: not listening yet: {problem}", file=sys.stderr)
+    if sys.argv[1:] == DAEMON:
         try:
             from agatetack.errors import UserError
             from agatetack.start import start_gateway
@@ -46,4 +48,5 @@
     run_commands()
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,17 +1,23 @@
 """Run a soak from the command line.
 
 `python -m bench.soak run FOLDER` starts the committed build's processes as the
-deploy file says, sends a load and prints what was seen.
+deploy file says, sends a load and prints what was seen. `hunt` does so for many
+seeds of faults.
 """
 
+import os
 import pathlib
+import signal
 import sys
+from collections import Counter
 
 import defopt
 import orjson
 import trio
 
 from bench.soak.deploy_file import build
+from bench.soak.fault_plan import as_lines
+from bench.soak.hunt import run_hunt
 from bench.soak.run import Plan, Report, run_soak
 from bench.soak.site import read_site, small_site
 
@@ -29,9 +35,16 @@
     seed: int = 1,
     root: str = "",
     cores: int = 0,
+    first_core: int = 0,
+    load: float = 1.0,
+    faults: int = -1,
+    built: bool = False,
 ) -> int:
     """Build, run one soak and print its report as JSON.
 
+    The plan of the faults and the violations come first, one JSON object a
+    line.
+
     Args:
         folder: Gets settings and output of all hosts.
         site: A site file of the platform; a small site if empty.
@@ -41,21 +54,79 @@
         lead_seconds: Time from the start of the hosts to that of the load.
         seed: Seed of load and faults.
         root: The checkout to run; this one if empty.
-        cores: Processor cores that the hosts share; all if 0.
+        cores: Processor cores that the hosts share; all if 0. Callers and
+            stand-ins then use the others.
+        first_core: The first of those cores.
+        load: Factor of the site's rates.
+        faults: Seed of the faults; none if negative.
+        built: Take the checkout as it is built.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
-    build(checkout)
+    if not built:
+        build(checkout)
     place = pathlib.Path(folder).resolve()
     place.mkdir(parents=True, exist_ok=True)
     found = (
         read_site(pathlib.Path(site)) if site else small_site(hosts, per_second)
     )
+    shared = range(first_core, first_core + cores)
+    others = os.sched_getaffinity(0).difference(shared)
+    if cores and others:
+        os.sched_setaffinity(0, others)
     plan = Plan(
-        found, seconds, seed, checkout, place, range(cores), lead_seconds
+        found.scaled(load),
+        seconds,
+        seed,
+        checkout,
+        place,
+        shared,
+        lead_seconds,
+        faults if faults >= 0 else None,
     )
     report = trio.run(run_soak, plan)
+    if report.faults:
+        print(as_lines(report.faults))
+    for violation in report.violations:
+        print(orjson.dumps(violation).decode())
+    counters = orjson.dumps(report.host_counters, option=orjson.OPT_SORT_KEYS)
+    (place / "host_counters.json").write_bytes(counters)
     print(_as_json(report))
-    return int(bool(report.ends) or report.served_share == 0)
+    return int(bool(report.violations) or report.served_share == 0)
+
+
+def hunt(
+    folder: str,
+    *,
+    seeds: int = 50,
+    first: int = 1,
+    jobs: int = 2,
+    site: str = "",
+    hosts: int = 3,
+    per_second: float = 40.0,
+    seconds: float = 20.0,
+) -> int:
+    """Run soaks with faults of many seeds, and print one line for each.
+
+    Args:
+        folder: Gets the settings and output of runs in which a rule broke.
+        seeds: How many.
+        first: The first seed.
+        jobs: Runs at the same time.
+        site: A site file of the platform; a small site if empty.
+        hosts: Hosts of the small site.
+        per_second: Requests a second at the small site.
+        seconds: How long each run sends requests.
+    """
+    build(ROOT)
+    options = [
+        *("--hosts", str(hosts), "--per-second", str(per_second)),
+        *("--seconds", str(seconds), "--built"),
+    ]
+    if site:
+        options += ["--site", str(pathlib.Path(site).resolve())]
+    place = pathlib.Path(folder).resolve()
+    numbers = range(first, first + seeds)
+    return trio.run(run_hunt, place, numbers, jobs, options)
 
 
 def _as_json(report: Report) -> str:
@@ -76,9 +147,23 @@
         "twice": report.twice,
         "ran_though_refused": report.ran_though_refused,
         "peak_mb": report.peak_mb,
+        "latencies": report.latencies,
+        "refusal_times": report.refusal_times,
+        "processor_seconds": report.processor_seconds,
+        "processor_wait_seconds": report.processor_wait_seconds,
+        "stall_seconds": report.stall_seconds,
+        "occupancy": report.occupancy,
+        "kernel": dict(report.kernel),
+        "timeline": report.timeline,
+        "peak_descriptors": report.peak_descriptors,
+        "starts": report.starts,
+        "calm_requests": report.calm_requests,
+        "violations": Counter(each.rule for each in report.violations),
     }
     return orjson.dumps(fields, option=orjson.OPT_INDENT_2).decode()
 
 
 if __name__ == "__main__":
-    sys.exit(defopt.run({"run": run}))
+    # Whoever is stopped ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    sys.exit(defopt.run({"run": run, "hunt": hunt}))
