Close an early listener on all addresses before others are bound

Where AGATETACK_LISTEN names another address than callers.listen, a host should report it and start; where that is 0.0.0.0, :PORT or [::] with the same port, the early listener was in the way of the host's own address and the host ended: "callers.listen: cannot listen on ...: Address already in use" (three of five values tried by hand). Early listeners of other addresses are now closed before the addresses of the settings are held, and reported on standard error, as log lines can't be written yet. The test failed before.

--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -1,6 +1,7 @@
 """Start a daemon from its settings file."""
 
 import os
+import sys
 import traceback
 from collections.abc import Iterator
 
@@ -44,7 +45,7 @@
     if not config:
         raise UserError(f"give -c FILE, or set {CONFIG_VARIABLE}")
     try:
-        checked = check_settings(config, _wait_and_find_misfits)
+        checked = check_settings(config, hold_addresses)
     except StopRequested:
         return 0
     if checked.settings is None:
@@ -53,7 +54,6 @@
     set_up_decisions(checked.settings.logs.decisions)
     for finding in checked.findings:
         PartLog("settings").warning("%s", render_findings([finding]))
-    _close_unused_listeners(checked.settings)
     try:
         return _run_daemon(checked.settings, config)
     except UserError:
@@ -63,7 +63,10 @@
         return EXIT_FAILURE
 
 
-def _wait_and_find_misfits(settings: Settings) -> Iterator[Misfit]:
+def hold_addresses(settings: Settings) -> Iterator[Misfit]:
+    """Hold the addresses that a host listens on, and yield what misfits."""
+    # An early listener on all addresses would be in the way of the others.
+    _close_unused_listeners(settings)
     wait_for_addresses(settings)
     yield from find_start_misfits(settings)
 
@@ -82,12 +85,10 @@
     wanted = [(each.host, each.port) for _, each in listen_addresses(settings)]
     listen = settings.callers.listen
     for address in listeners.release_others(wanted):
-        PartLog("callers").warning(
-            "%s names %s, and callers.listen is %s:%d.",
-            listeners.LISTEN_VARIABLE,
-            address,
-            listen.host,
-            listen.port,
+        print(
+            f"agatetack: {listeners.LISTEN_VARIABLE} names {address}, and"
+            f" callers.listen is {listen.host}:{listen.port}",
+            file=sys.stderr,
         )
 
 
--- a/agatetack/test_listeners.py
+++ b/agatetack/test_listeners.py
@@ -10,6 +10,7 @@
 from agatetack.messages import Answer, BytesBody, Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
+from agatetack.start import hold_addresses
 
 LOOPBACK = "127.0.0.1"
 
@@ -73,3 +74,25 @@
     assert listeners.release_others([(LOOPBACK, port)]) == [f"{LOOPBACK}:0"]
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection((LOOPBACK, port), timeout=5)
+
+
+# Guards against a host that ends because it listens early on all addresses.
+@pytest.mark.parametrize("text", ["0.0.0.0:0", ":0"])
+def test_an_early_listener_on_all_addresses_is_closed(
+    text, monkeypatch, capsys
+):
+    monkeypatch.setenv(listeners.LISTEN_VARIABLE, text)
+    assert listeners.listen_early() is None
+    ((_, early),) = listeners.held.items()
+    port = early.getsockname()[1]
+    any_port = {"listen": f"{LOOPBACK}:0"}
+    settings = default_settings(
+        callers={"listen": f"{LOOPBACK}:{port}"},
+        operators=any_port,
+        peers=any_port,
+        lifecycle={"address_wait_seconds": 0.01},
+    )
+    errors = [each.message for each in hold_addresses(settings)]
+    assert not [text for text in errors if "cannot listen" in text]
+    assert list(listeners.held) == [(LOOPBACK, port)]
+    assert listeners.LISTEN_VARIABLE in capsys.readouterr().err
