Start also where nobody takes what a start reports

A start reports on standard error, before logs are set up, that an address is in use, or that AGATETACK_LISTEN can't be used, and goes on. With standard error full (/dev/full) or its reader gone the daemon ended instead, status 1 (both tried by hand with a variable that can't be used). Such lines are now written to the descriptor directly, and a failure is no reason to end. The new test failed before in each of its cases.

--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -25,13 +25,17 @@
     if sys.argv[1:2] == DAEMON:
         # These come first, as loading the rest takes most of a second.
         from agatetack.listeners import listen_early
-        from agatetack.process import disable_collector, hold_signals
+        from agatetack.process import (
+            disable_collector,
+            hold_signals,
+            report_early,
+        )
 
         hold_signals()
         disable_collector()
         problem = listen_early()
         if problem is not None:
-            print(f"agatetack: not listening yet: {problem}", file=sys.stderr)
+            report_early(f"not listening yet: {problem}")
     if sys.argv[1:] == DAEMON:
         try:
             from agatetack.errors import UserError
--- a/agatetack/process.py
+++ b/agatetack/process.py
@@ -1,10 +1,11 @@
 """Control the process itself: signals, its age, and the garbage collector.
 
-To be loaded quickly, this module may import nothing but `gc`, `signal` and
-`time`.
+To be loaded quickly, this module may import nothing but `gc`, `os`,
+`signal` and `time`.
 """
 
 import gc
+import os
 import signal
 import time
 
@@ -14,6 +15,9 @@
 HELD_SIGNALS = frozenset({*STOP_SIGNALS, signal.SIGHUP})
 """Signals that wait while no part of the daemon handles them."""
 
+STANDARD_ERROR = 2
+"""Its file descriptor."""
+
 started_at = time.monotonic()
 """When this module was loaded, on the steady clock."""
 
@@ -51,6 +55,18 @@
     return not signal.sigpending().isdisjoint(STOP_SIGNALS)
 
 
+def report_early(text: str) -> None:
+    """Write a line to standard error, where no log is set up yet.
+
+    A daemon starts also if nobody takes the line.
+    """
+    try:
+        os.write(STANDARD_ERROR, f"agatetack: {text}\n".encode())
+    except OSError:
+        # There is no other place to report to.
+        return
+
+
 def disable_collector() -> None:
     """Turn the collector off while the program loads.
 
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -1,12 +1,11 @@
 """Try, before a host starts, what only this host can tell of its settings."""
 
 import errno
-import sys
 import time
 from collections.abc import Iterator, Sequence
 
 from agatetack.listeners import hold_address, release_address
-from agatetack.process import is_stop_pending
+from agatetack.process import is_stop_pending, report_early
 from agatetack.settings.cross_checks import find_misfits, listen_addresses
 from agatetack.settings.findings import KeyPath
 from agatetack.settings.misfit import Misfit, value_at
@@ -43,10 +42,9 @@
             return
         for endpoint in set(in_use) - told:
             told.add(endpoint)
-            print(
-                f"agatetack: {endpoint.host} port {endpoint.port} is in use;"
-                f" waiting for it, up to {wait_seconds:g} s",
-                file=sys.stderr,
+            report_early(
+                f"{endpoint.host} port {endpoint.port} is in use;"
+                f" waiting for it, up to {wait_seconds:g} s"
             )
         time.sleep(ADDRESS_POLL_SECONDS)
 
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -1,7 +1,6 @@
 """Start a daemon from its settings file."""
 
 import os
-import sys
 import traceback
 from collections.abc import Iterator
 
@@ -11,6 +10,7 @@
 from agatetack.decisions import set_up_decisions
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
+from agatetack.process import report_early
 from agatetack.settings.cross_checks import listen_addresses
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
@@ -85,10 +85,9 @@
     wanted = [(each.host, each.port) for _, each in listen_addresses(settings)]
     listen = settings.callers.listen
     for address in listeners.release_others(wanted):
-        print(
-            f"agatetack: {listeners.LISTEN_VARIABLE} names {address}, and"
-            f" callers.listen is {listen.host}:{listen.port}",
-            file=sys.stderr,
+        report_early(
+            f"{listeners.LISTEN_VARIABLE} names {address}, and"
+            f" callers.listen is {listen.host}:{listen.port}"
         )
 
 
--- a/agatetack/test_listeners.py
+++ b/agatetack/test_listeners.py
@@ -78,9 +78,7 @@
 
 # Guards against a host that ends because it listens early on all addresses.
 @pytest.mark.parametrize("text", ["0.0.0.0:0", ":0"])
-def test_an_early_listener_on_all_addresses_is_closed(
-    text, monkeypatch, capsys
-):
+def test_an_early_listener_on_all_addresses_is_closed(text, monkeypatch, capfd):
     monkeypatch.setenv(listeners.LISTEN_VARIABLE, text)
     assert listeners.listen_early() is None
     ((_, early),) = listeners.held.items()
@@ -95,4 +93,4 @@
     errors = [each.message for each in hold_addresses(settings)]
     assert not [text for text in errors if "cannot listen" in text]
     assert list(listeners.held) == [(LOOPBACK, port)]
-    assert listeners.LISTEN_VARIABLE in capsys.readouterr().err
+    assert listeners.LISTEN_VARIABLE in capfd.readouterr().err
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -62,6 +62,15 @@
 except UserError:
     sys.exit(1)
 """
+REPORTING = """
+import os, sys
+if {close}:
+    os.close(2)
+from agatetack import __main__, start
+start.start_gateway = lambda: print("started")
+sys.argv[1:] = ["gateway"]
+__main__.main()
+"""
 FREE = (
     "callers:\n  listen: {port: 0}\noperators:\n  listen: {port: 0}\n"
     "peers:\n  listen: {port: 0}\n"
@@ -106,3 +115,21 @@
     (line,) = done.stderr.splitlines()
     assert "No module named 'trio'" in line
     assert "python3 deploy/build.py" in line
+
+
+# Guards against a daemon that ends because nobody takes what it reports.
+@pytest.mark.parametrize("output", ["full", "reader-gone", "closed"])
+def test_a_report_that_cannot_be_written_does_not_end_a_start(output):
+    read_end, gone = os.pipe()
+    os.close(read_end)
+    with open("/dev/full", "wb") as full, os.fdopen(gone, "wb") as pipe:
+        code = REPORTING.format(close=output == "closed")
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            stdout=subprocess.PIPE,
+            stderr=pipe if output == "reader-gone" else full,
+            text=True,
+            env={**os.environ, "AGATETACK_LISTEN": "nonsense"},
+        )
+    assert done.stdout == "started\n"
+    assert done.returncode == 0
