Keep the failure of one peer's or starting host's connection to itself

What callers saw: any error that nobody expected, on one connection of a peer or of a starting host, ended the process of the host with all its callers. While descriptors ran out, each failed accept there logged a traceback, ten a second for each listener.

Cause: these connections share the host's nursery, as callers' do, but only those of callers were contained; trio.serve_listeners logs a traceback for EMFILE and its kin, and ends for any other error of accept.

Such a failure is now counted (result=failed, reason=failed), logged in one line of the limited log, and its connection closed; a dialled link is opened again by the task that keeps it. Errors of accept are logged likewise and tried again after 0.1 s, whatever they are, as the callers' listener does already.

test_a_starting_host_whose_request_fails_ends_no_other and test_a_failed_accept_is_told_in_one_line failed before (the first with the error, the second with EINVAL after three tracebacks).

--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -11,12 +11,13 @@
 from agatetack.messages import Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.model import CallersSettings, Settings
-from agatetack.streams import PlainListener, PlainStream
+from agatetack.streams import (
+    ACCEPT_RETRY_SECONDS,
+    PlainListener,
+    PlainStream,
+)
 from agatetack.tls import ServerTls
 
-ACCEPT_RETRY_SECONDS = 0.1
-"""Pause after accept failed, for example for lack of file descriptors."""
-
 END_POLL_SECONDS = 0.02
 """Interval at which a closed listener checks for open connections."""
 
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -20,10 +20,15 @@
 from agatetack.keyed.generations import GenerationSource, StoreGenerations
 from agatetack.keyed.messages import carried_of, page_of, records_since
 from agatetack.keyed.readers import FleetReaders
+from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 from agatetack.settings.section import Endpoint
-from agatetack.streams import open_plain_stream, trio_listener
+from agatetack.streams import (
+    open_plain_stream,
+    serve_streams,
+    trio_listener,
+)
 from agatetack.thrift_codec import decode, encode
 
 SEEDS_TIMEOUT_SECONDS = 0.2
@@ -55,6 +60,7 @@
 """Size of the length prefix of each block."""
 
 log = DecisionLog("keyed")
+part_log = PartLog("keyed")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,7 +112,7 @@
             return
         listener = trio_listener(listen.host, listen.port)
         task_status.started(listener.socket.getsockname()[1])
-        await trio.serve_listeners(self._serve, [listener])
+        await serve_streams(listener, self._serve, part_log)
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
         with trio.move_on_after(SERVE_TIMEOUT_SECONDS) as scope:
@@ -115,6 +121,9 @@
             except (trio.BrokenResourceError, ValueError) as error:
                 self.asked.inc({"result": "failed"})
                 log.note("start-not-told", cause=str(error))
+            except Exception:
+                self.asked.inc({"result": "failed"})
+                raise
         if scope.cancelled_caught:
             self.asked.inc({"result": "late"})
         await trio.aclose_forcefully(stream)
--- a/agatetack/keyed/test_seeds.py
+++ b/agatetack/keyed/test_seeds.py
@@ -1,11 +1,14 @@
 """Test that hosts start from a seed, or from the store if no seed answers."""
 
 import contextlib
+import errno
 import math
+import os
 
 import pytest
 import trio
 
+from agatetack.generated.keyed import ttypes as wire
 from agatetack.ids import Deadline
 from agatetack.keyed.readers import (
     TRUST_SECONDS,
@@ -22,6 +25,7 @@
     route_fields,
     store_fleet,
 )
+from agatetack.thrift_codec import encode
 
 MEMBERS = "keyed.agatetack-members"
 
@@ -221,3 +225,54 @@
     assert not readers.must_read("topic")
     readers.doubt("topic")
     assert readers.must_read("topic")
+
+
+async def ask_seed(port, content):
+    stream = await trio.open_tcp_stream(LOOPBACK, port)
+    async with stream:
+        size = len(content).to_bytes(4, "big")
+        await stream.send_all(size + content)
+        with contextlib.suppress(trio.BrokenResourceError):
+            return bytes(await stream.receive_some())
+
+
+# Guards against an error that ends the whole host instead of one connection.
+async def test_a_starting_host_whose_request_fails_ends_no_other(monkeypatch):
+    async with store_fleet() as fleet:
+        seed = fleet.gateways[0]
+        request = encode(wire.StartRequest("h1", MEMBER, False))
+        with monkeypatch.context() as patch:
+
+            def fail(host, content):
+                raise RuntimeError("a fault in the code")
+
+            patch.setattr(seed.members, "register_other", fail)
+            assert await ask_seed(seed.seed_port, request)
+            failed = {"result": "failed"}
+            await fleet.until(lambda: seed.seed_server.asked.values.get(failed))
+        assert await ask_seed(seed.seed_port, request)
+        assert (await fleet.get("/a/x")).status == 200
+
+
+# Guards against a traceback for each failed accept, ten a second.
+async def test_a_failed_accept_is_told_in_one_line(monkeypatch, caplog):
+    accept = trio.SocketListener.accept
+    failures = iter([errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EINVAL])
+
+    async with store_fleet() as fleet:
+        port = fleet.gateways[0].seed_port
+
+        async def fail_at_first(listener):
+            own = listener.socket.getsockname()[1] == port
+            number = next(failures, None) if own else None
+            if number is not None:
+                raise OSError(number, os.strerror(number))
+            return await accept(listener)
+
+        monkeypatch.setattr(trio.SocketListener, "accept", fail_at_first)
+        request = encode(wire.StartRequest("h1", MEMBER, False))
+        # The first one is taken by the accept that is under way already.
+        for _ in range(2):
+            assert await ask_seed(port, request)
+    assert next(failures, None) is None
+    assert [record for record in caplog.records if record.exc_info] == []
--- a/agatetack/peers/connector.py
+++ b/agatetack/peers/connector.py
@@ -317,6 +317,18 @@
 
     async def _serve(
         self, stream: trio.abc.Stream, side: Side, admit: Admit
+    ) -> None:
+        try:
+            await self._serve_link(stream, side, admit)
+        except Exception as error:
+            # One connection's failure must not end the others, which share
+            # the nursery; a dialled one is opened again.
+            self.counters.closed_for(CloseReason.FAILED)
+            LOG.error("A connection with a peer failed: %r.", error)
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_link(
+        self, stream: trio.abc.Stream, side: Side, admit: Admit
     ) -> None:
         reader = FrameReader(stream, self.counters.received)
         try:
--- a/agatetack/peers/frames.py
+++ b/agatetack/peers/frames.py
@@ -53,6 +53,7 @@
     DUPLICATE = "duplicate"
     TOO_MANY = "too-many"
     OVER_BUDGET = "over-budget"
+    FAILED = "failed"
 
 
 class LinkClosed(Exception):
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -46,7 +46,7 @@
 from agatetack.peers.relay import MEMBER_TOPIC, Relay, Verdict, without_origin
 from agatetack.peers.transport import make_transport
 from agatetack.settings.model import Settings
-from agatetack.streams import trio_listener
+from agatetack.streams import serve_streams, trio_listener
 
 LOG = PartLog("peers")
 
@@ -122,7 +122,7 @@
         async with trio.open_nursery() as nursery:
             self.calls.nursery = nursery
             nursery.start_soon(
-                trio.serve_listeners, self.connector.accept, [listener]
+                serve_streams, listener, self.connector.accept, LOG
             )
             nursery.start_soon(self.connector.keep_links)
             nursery.start_soon(self._announce)
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -10,10 +10,15 @@
 import select
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 
 import trio
 
 from agatetack.listeners import take_listener
+from agatetack.logs import PartLog
+
+ACCEPT_RETRY_SECONDS = 0.1
+"""Pause after accept failed, for example for lack of file descriptors."""
 
 LINGER_NONE = struct.pack("ii", 1, 0)
 """SO_LINGER value that makes a close send a reset, so that a truncated answer
@@ -205,6 +210,36 @@
     )
 
 
+async def serve_streams(
+    listener: trio.SocketListener,
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+    log: PartLog,
+) -> None:
+    """Serve each connection in a task of its own until cancelled.
+
+    A failed accept and a connection whose task fails are logged in one line;
+    neither ends the others.
+    """
+
+    async def serve_one(stream: trio.SocketStream) -> None:
+        try:
+            await serve(stream)
+        except Exception as error:
+            log.error("A connection failed: %r.", error)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async with listener, trio.open_nursery() as nursery:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                log.warning("Accept failed: %s.", error)
+                await trio.sleep(ACCEPT_RETRY_SECONDS)
+            else:
+                nursery.start_soon(serve_one, stream)
+
+
 async def open_plain_stream(ip: str, port: int) -> PlainStream:
     """Connect to an IP address and return the stream.
 
