--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,9 +10,20 @@
 from agatetack.testing.fake_target import ExecutedRequest
 from bench.soak.callers import Callers, Result, count_results
 from bench.soak.deploy_file import read_role
+from bench.soak.fault_plan import draw_faults
+from bench.soak.faults import Fault, Stage
 from bench.soak.host import End, Host, ends_by_themselves
 from bench.soak.machines import make_hosts
+from bench.soak.observe import (
+    Occupancy,
+    latencies,
+    read_host_counters,
+    read_kernel_counters,
+    refusal_times,
+    timeline,
+)
 from bench.soak.site import Kind, Site
+from bench.soak.verdict import Evidence, Violation, judge
 from bench.soak.world import World
 
 SETTLE_SECONDS = 1.0
@@ -31,6 +42,7 @@
         folder: Gets settings and output of all hosts.
         cores: Processor cores that the hosts share; all if empty.
         lead_seconds: Time from the start of the hosts to that of the load.
+        faults: Seed of the faults; None for a run without.
     """
 
     site: Site
@@ -40,6 +52,7 @@
     folder: pathlib.Path
     cores: Sequence[int] = ()
     lead_seconds: float = 3.0
+    faults: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,6 +71,21 @@
         ran_though_refused: Requests that may run once only, were refused and
             ran.
         peak_mb: Most resident memory of a process.
+        latencies: By kind of request, how long callers waited for answers.
+        refusal_times: By reason, how long refused attempts were held.
+        processor_seconds: Processor time of all hosts' processes.
+        processor_wait_seconds: Most time that one of them, ready to run,
+            waited for a processor.
+        stall_seconds: Longest time in which the runner itself did nothing.
+        occupancy: Busy share of the slots, by service.
+        kernel: What the whole machine's kernel counted meanwhile.
+        host_counters: Sums of the hosts' own counters at the end.
+        timeline: What became of the attempts of each second.
+        peak_descriptors: Most descriptors of a process.
+        starts: Processes started.
+        faults: The faults that were carried out.
+        calm_requests: Requests to which the bound of calm times applies.
+        violations: Broken rules.
     """
 
     requests: int = 0
@@ -69,6 +97,20 @@
     twice: list[str] = dataclasses.field(default_factory=list)
     ran_though_refused: list[str] = dataclasses.field(default_factory=list)
     peak_mb: float = 0.0
+    latencies: dict[str, dict] = dataclasses.field(default_factory=dict)
+    refusal_times: dict[str, dict] = dataclasses.field(default_factory=dict)
+    processor_seconds: float = 0.0
+    processor_wait_seconds: float = 0.0
+    stall_seconds: float = 0.0
+    occupancy: dict[str, float] = dataclasses.field(default_factory=dict)
+    kernel: Counter = dataclasses.field(default_factory=Counter)
+    host_counters: Counter = dataclasses.field(default_factory=Counter)
+    timeline: list[str] = dataclasses.field(default_factory=list)
+    peak_descriptors: int = 0
+    starts: int = 0
+    faults: Sequence[Fault] = ()
+    calm_requests: int = 0
+    violations: list[Violation] = dataclasses.field(default_factory=list)
 
     @property
     def served_share(self) -> float:
@@ -82,6 +124,8 @@
     """Run the hosts of a plan under its load, and return what was seen."""
     world = World(plan.site)
     callers = Callers(plan.site, world, plan.seed)
+    occupancy = Occupancy()
+    before = read_kernel_counters()
     async with trio.open_nursery() as nursery:
         await world.start(nursery)
         role = read_role(plan.root)
@@ -89,21 +133,55 @@
         hosts = make_hosts(plan.site, role, address, plan.folder, plan.cores)
         world.add_hosts(hosts)
         epoch = trio.current_time()
+        nursery.start_soon(occupancy.run, world)
+        stage = Stage(world, hosts, epoch)
+        faults = _draw(plan, hosts)
+        nursery.start_soon(stage.carry_out, faults)
         for host in hosts:
             nursery.start_soon(host.run, epoch)
         nursery.start_soon(world.entry.run)
         await trio.sleep(plan.lead_seconds)
         until = trio.current_time() + plan.seconds
         await callers.run(epoch, until)
+        shares = occupancy.shares()
         await trio.sleep(SETTLE_SECONDS)
+        host_counters = await read_host_counters(hosts)
+        processor = [host.processor_times() for host in hosts]
         nursery.cancel_scope.cancel()
-    return _report(plan, world, callers, hosts)
+    report = _report(plan, world, callers, hosts)
+    report.occupancy = shares
+    report.stall_seconds = occupancy.stall_seconds
+    report.processor_seconds = sum(ran for ran, _ in processor)
+    report.processor_wait_seconds = max(waited for _, waited in processor)
+    report.kernel = read_kernel_counters() - before
+    report.host_counters = host_counters
+    report.faults = faults
+    evidence = Evidence(
+        world, hosts, callers.requests, stage.all_spans(), until - epoch
+    )
+    report.calm_requests = sum(
+        evidence.calm(each.started, each.attempts[-1].ended)
+        for each in callers.requests
+        if each.attempts
+    )
+    report.violations = judge(evidence)
+    return report
+
+
+def _draw(plan: Plan, hosts: Sequence[Host]) -> Sequence[Fault]:
+    if plan.faults is None:
+        return []
+    names = [host.id for host in hosts]
+    seconds = plan.lead_seconds + plan.seconds
+    return draw_faults(plan.faults, plan.site, names, seconds)
 
 
 def _report(
     plan: Plan, world: World, callers: Callers, hosts: Sequence[Host]
 ) -> Report:
     report = Report(len(callers.requests))
+    report.starts = sum(host.starts for host in hosts)
+    report.peak_descriptors = max(host.peak_descriptors for host in hosts)
     report.counts = dict(count_results(callers.requests))
     report.ends = list(ends_by_themselves(list(hosts)))
     report.peak_mb = max(host.peak_bytes for host in hosts) / (1 << 20)
@@ -121,6 +199,9 @@
     report.longest_gap_seconds = _longest_gap(
         [plan.lead_seconds, *served_at, plan.lead_seconds + plan.seconds]
     )
+    report.latencies = latencies(callers.requests)
+    report.refusal_times = refusal_times(callers.requests)
+    report.timeline = timeline(callers.requests)
     _check_runs(report, world, callers)
     return report
 
--- a/bench/soak/test_starts.py
+++ b/bench/soak/test_starts.py
@@ -134,6 +134,21 @@
         assert await ended(host.process) == 0
 
 
+# Guards against reload signals that end a host in the last moment of its drain.
+async def test_reload_signals_to_the_end_of_a_drain_do_not_end_the_host(
+    role, tmp_path
+):
+    async with one_host(role, tmp_path) as host:
+        host.start()
+        await until_ready(host)
+        host.signal(signal.SIGTERM)
+        with trio.fail_after(PATIENCE_SECONDS):
+            while host.running:
+                host.signal(signal.SIGHUP)
+                await trio.sleep(0.001)
+        assert host.process.returncode == 0
+
+
 # Guards against a host that ends because the one before it still drains.
 async def test_a_host_waits_for_the_addresses_of_one_that_drains(
     role, tmp_path
@@ -155,6 +170,24 @@
         assert await serves(host)
 
 
+# Guards against callers held in the backlog of a host that can't serve yet.
+async def test_a_host_that_waits_for_an_address_refuses_callers_and_stops(
+    role, tmp_path
+):
+    async with one_host(role, tmp_path) as host:
+        with socket.create_server((host.ip, READY_PORT)):
+            host.start()
+
+            async def waits():
+                return "waiting for it" in host.errors.read_text()
+
+            await until(waits)
+            with pytest.raises(OSError, match="refused|connect"):
+                await trio.open_tcp_stream(host.ip, CALLERS_PORT)
+            host.signal(signal.SIGTERM)
+            assert await ended(host.process) == 0
+
+
 # Guards against a host that ends because another program has an address that
 # the host does not serve.
 async def test_a_host_on_a_store_starts_beside_an_operators_address_in_use(
