Take offsets of the store that no message can hold as a malformed reply

What callers saw: a store that names an offset or end of 2**63 or more, or none below 0, such as {"end": 1e30}, could end each host that reads it and has peers or serves starts.

Cause: the number was taken as it was and encoded later into 64 bits, by the tasks that report positions and answer starting hosts, where the encoder raises OverflowError (measured for 2**63). Such a reply is now malformed, and the read is tried again like any other that failed.

The 6 cases of test_an_offset_out_of_range_is_a_malformed_reply failed before.

--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -35,6 +35,9 @@
 PARTITION = 0
 """The only partition of a keyed topic."""
 
+MAX_OFFSET = 2**63 - 1
+"""Highest offset; peers get it as a signed integer of 64 bits."""
+
 MAX_PAGES = 1000
 """Most pages, of 500 keys each, that are read for one listing. It ends the
 loop if the store always reports that another page follows."""
@@ -197,7 +200,7 @@
         if reply.generation < self.client.generations.newest:
             raise TopicUnavailable("an answer of an earlier generation", True)
         try:
-            return LogOffset(int(orjson.loads(reply.body)["offset"]))
+            return _offset(orjson.loads(reply.body)["offset"])
         except (KeyError, TypeError, ValueError) as error:
             raise TopicUnavailable(f"malformed reply: {error}", True) from error
 
@@ -228,6 +231,14 @@
     return value
 
 
+def _offset(value: object) -> LogOffset:
+    """Return an offset; raises ValueError if it is out of range."""
+    offset = int(value)
+    if not 0 <= offset <= MAX_OFFSET:
+        raise ValueError(f"{offset} is not an offset")
+    return LogOffset(offset)
+
+
 def _read_newest(body: bytes) -> _NewestPart:
     try:
         fields = orjson.loads(body)
@@ -235,11 +246,11 @@
             KeyedRecord(
                 _key(item["key"]),
                 base64.b64decode(item["value"]) or None,
-                LogOffset(int(item["offset"])),
+                _offset(item["offset"]),
             )
             for item in fields["items"]
         ]
-        page = TopicPage(records, LogOffset(int(fields["end"])))
+        page = TopicPage(records, _offset(fields["end"]))
         return _NewestPart(page, bool(fields["more"] and records))
     except (KeyError, TypeError, ValueError) as error:
         raise TopicUnavailable(f"malformed reply: {error}") from error
--- a/agatetack/platform/test_store_client.py
+++ b/agatetack/platform/test_store_client.py
@@ -1,6 +1,7 @@
 """Test the client of the store against a fake store."""
 
 import contextlib
+import functools
 
 import pytest
 import trio
@@ -182,3 +183,37 @@
         store.set_fault(None)
         await topic.append("b", b"2", soon())
         assert "b" in values(await topic.newest(soon()))
+
+
+# Guards against numbers that no message to a peer can hold.
+@pytest.mark.parametrize("number", ["1e30", "9223372036854775808", "-1"])
+@pytest.mark.parametrize(
+    "body",
+    [
+        '{"items": [], "end": N, "more": false}',
+        '{"items": [{"key": "a", "value": "", "offset": N}], "end": 1,'
+        ' "more": false}',
+    ],
+)
+async def test_an_offset_out_of_range_is_a_malformed_reply(body, number):
+    content = body.replace("N", number).encode()
+
+    async def answer(stream):
+        await stream.receive_some()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        await stream.send_all(head % len(content) + content)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            functools.partial(trio.serve_tcp, answer, 0, host="127.0.0.1")
+        )
+        port = listeners[0].socket.getsockname()[1]
+        endpoint = f"127.0.0.1:{port}"
+        client = StoreClient(
+            default_settings(platform={"store": {"endpoint": endpoint}}),
+            StoreGenerations(Metrics()),
+        )
+        with pytest.raises(TopicUnavailable):
+            await StoreTopic(client, NAME).newest(soon())
+        await client.aclose()
+        nursery.cancel_scope.cancel()
