Share out slots at a start in time that does not grow with them

What callers saw: a host that starts while a target reports a million slots answers nobody for half a second at a time: 0.49 s for one call for one target of 999,999 slots (trial); load headers may state up to that.

Cause: own_slots walked over each slot, at each choice of a target.

test_slots_without_number_are_shared_out does not end before.

--- a/agatetack/balance/start_share.py
+++ b/agatetack/balance/start_share.py
@@ -127,8 +127,10 @@
     shares: Counter[TargetId] = Counter()
     passed = 0
     for target in sorted(targets, key=lambda each: each.id):
-        for slot in range(passed, passed + target.slots):
-            if slot % len(hosts) == place:
-                shares[target.id] += 1
+        # The numbers of the slots from `passed` on that leave the remainder
+        # `place`; a target may report a million slots.
+        first_own = (place - passed) % len(hosts)
+        own_count = len(range(first_own, target.slots, len(hosts)))
+        shares[target.id] = own_count
         passed += target.slots
     return shares
--- a/agatetack/balance/test_start_share.py
+++ b/agatetack/balance/test_start_share.py
@@ -46,6 +46,20 @@
         assert sum(share[target.id] for share in shares) == SLOTS
 
 
+# Guards against time that grows with the slots that a target reports.
+async def test_slots_without_number_are_shared_out(autojump_clock):
+    names = ["h0", "h1", "h2"]
+    registry = make_registry(names[0], 2)
+    known = registry.targets(SERVICE)
+    for target in known:
+        target.slots = 10**15
+    shares = [own_slots(name, names, SERVICE, known) for name in names]
+    for target in known:
+        counts = [share[target.id] for share in shares]
+        assert sum(counts) == 10**15
+        assert max(counts) - min(counts) <= 1
+
+
 def make_share(own, names, targets, connected):
     registry = make_registry(own, targets)
     exchange = NoExchange()
