--- a/bench/soak/observe.py
+++ b/bench/soak/observe.py
@@ -65,6 +65,11 @@
         self.slots: Counter[ServiceId] = Counter()
         self.stall_seconds = 0.0
 
+    def restart(self) -> None:
+        """Forget the samples, as from now on requests are sent."""
+        self.busy.clear()
+        self.slots.clear()
+
     async def run(self, world: World) -> None:
         """Take samples until cancelled."""
         while True:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -142,6 +142,7 @@
         nursery.start_soon(world.entry.run)
         await trio.sleep(plan.lead_seconds)
         until = trio.current_time() + plan.seconds
+        occupancy.restart()
         await callers.run(epoch, until)
         shares = occupancy.shares()
         await trio.sleep(SETTLE_SECONDS)
