Measure how late a host's own event loop is

A host that gets less processor time than it needs ran each step of its work late and could not know it. A task that sleeps now records by how much it woke late, averaged over 1 s; operators see it as agatetack_loop_lateness_seconds and by a line in the log when the host becomes late and when it is on time again. Nothing depends on it yet.

--- a/agatetack/clock.py
+++ b/agatetack/clock.py
@@ -5,11 +5,32 @@
 """
 
 import abc
+import math
 import time
 
 import trio
 
 from agatetack.ids import Deadline, WallTime
+from agatetack.logs import PartLog
+from agatetack.metrics import Metrics
+
+LATENESS_INTERVAL_SECONDS = 0.05
+"""Time for which the task that measures the lateness sleeps."""
+
+LATENESS_MEAN_SECONDS = 1.0
+"""Time over which the lateness is averaged."""
+
+MAX_LATENESS_SECONDS = 2.0
+"""Longest lateness of one sample, so that one long stop of the process does
+not count for longer than the average lasts."""
+
+ENTER_LATE_SECONDS = 0.1
+"""Mean lateness above which a host counts as late."""
+
+LEAVE_LATE_SECONDS = 0.05
+"""Mean lateness at which a late host no longer counts as late."""
+
+log = PartLog("clock")
 
 
 class Clock(abc.ABC):
@@ -52,3 +73,60 @@
 def deadline_to_wall(clock: Clock, deadline: Deadline) -> WallTime:
     """Return what the wall clock should read at `deadline`."""
     return WallTime(clock.wall() + (deadline - clock.now()))
+
+
+class Lateness:
+    """How late this host's event loop runs what is due.
+
+    A host that gets less processor time than it needs runs each step of its
+    work late. Components read here by how much.
+
+    Attributes:
+        seconds: Mean time by which tasks woke late recently.
+        late: Whether the host counts as late.
+    """
+
+    def __init__(self) -> None:
+        """Start on time."""
+        self.seconds = 0.0
+        self.late = False
+
+    def note_wake(self, due: Deadline, woken: Deadline) -> bool:
+        """Record that a task that was due woke; return if `late` changed."""
+        sample = min(MAX_LATENESS_SECONDS, max(0.0, woken - due))
+        # The time between two samples grows with the lateness itself.
+        elapsed = LATENESS_INTERVAL_SECONDS + sample
+        weight = 1.0 - math.exp(-elapsed / LATENESS_MEAN_SECONDS)
+        self.seconds += weight * (sample - self.seconds)
+        before = self.late
+        limit = LEAVE_LATE_SECONDS if before else ENTER_LATE_SECONDS
+        self.late = self.seconds > limit
+        return self.late is not before
+
+
+class LatenessMeter:
+    """Measures a host's lateness with a task that sleeps."""
+
+    def __init__(self, lateness: Lateness, metrics: Metrics):
+        """Update `lateness` and show it in `metrics`."""
+        self.lateness = lateness
+        self.gauge = metrics.gauge(
+            "agatetack_loop_lateness_seconds",
+            "Mean time by which this host's tasks woke late recently.",
+        )
+        self.gauge.set({}, 0.0)
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            due = Deadline(trio.current_time() + LATENESS_INTERVAL_SECONDS)
+            await trio.sleep_until(due)
+            changed = self.lateness.note_wake(
+                due, Deadline(trio.current_time())
+            )
+            seconds = self.lateness.seconds
+            self.gauge.set({}, round(seconds, 4))
+            if changed and self.lateness.late:
+                log.warning("the loop runs %.2f s late.", seconds)
+            elif changed:
+                log.info("the loop is on time again.")
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -18,7 +18,7 @@
 from agatetack.balance.start_share import StartShare
 from agatetack.balance.target_share import CombinedShares
 from agatetack.callers.server import CallerServer
-from agatetack.clock import Clock, SystemClock
+from agatetack.clock import Clock, Lateness, LatenessMeter, SystemClock
 from agatetack.config.route import RequestClass, RouteSource
 from agatetack.ids import Deadline, RouteId, ServiceId
 from agatetack.lifecycle.drain import Lifecycle
@@ -81,6 +81,7 @@
         clock: Its wall clock and monotonic clock.
         seed: Seed of the random generators that choose targets.
         metrics: Its metrics.
+        lateness: How late its event loop is.
         peers: The exchange with the other hosts.
         routes: The routes in force.
         registry: The known targets and their state.
@@ -108,6 +109,8 @@
             self.seed = random.SystemRandom().getrandbits(63)
         self.clock = clock or SystemClock()
         self.metrics = Metrics()
+        self.lateness = Lateness()
+        self.lateness_meter = LatenessMeter(self.lateness, self.metrics)
         self.routes = RouteSource()
         self.stops, self.stops_out = trio.open_memory_channel[int](
             MAX_STOP_REQUESTS
@@ -277,6 +280,7 @@
 
     async def start_serving(self, nursery: trio.Nursery) -> int:
         """Start the tasks of all components; return the port for callers."""
+        nursery.start_soon(self.lateness_meter.run)
         await nursery.start(self.prober.run)
         nursery.start_soon(self.rounds.run)
         if self.occupancy is not None:
