Measure and report less while a host's loop is late

Callers of hosts that got slightly less processor time than they needed got almost no answers in time. Much of that time went to messages of peers and to measuring, which only improve choices. Budgets for probes, looks and samples and the rate of the rounds now fall with the lateness of the loop, from 0.02 s on and down to a tenth, and changes of requests in flight are collected for as long as the loop is late, 0.25 s at most. Signs of leaving, heartbeats, calls and the repeats of all counts are as before.

--- a/agatetack/clock.py
+++ b/agatetack/clock.py
@@ -30,6 +30,16 @@
 LEAVE_LATE_SECONDS = 0.05
 """Mean lateness at which a late host no longer counts as late."""
 
+USUAL_LATENESS_SECONDS = 0.02
+"""Mean lateness up to which a host does all that it does when idle."""
+
+MIN_INFORMING_RATIO = 0.1
+"""Least share of the usual rate at which a late host informs itself and
+others, so that what it knows doesn't become arbitrarily old."""
+
+MAX_MESSAGE_DELAY_SECONDS = 0.25
+"""Longest time for which a late host collects changes for one message."""
+
 log = PartLog("clock")
 
 
@@ -91,6 +101,23 @@
         self.seconds = 0.0
         self.late = False
 
+    @property
+    def informing_ratio(self) -> float:
+        """Return at which share of its usual rate a host measures.
+
+        Probes and messages only improve choices of targets. On a late host
+        they take the time that requests need.
+        """
+        if self.seconds <= USUAL_LATENESS_SECONDS:
+            return 1.0
+        return max(MIN_INFORMING_RATIO, USUAL_LATENESS_SECONDS / self.seconds)
+
+    @property
+    def message_delay_seconds(self) -> float:
+        """Return how long changes are collected for one message to peers."""
+        delay = max(0.0, self.seconds - USUAL_LATENESS_SECONDS)
+        return min(MAX_MESSAGE_DELAY_SECONDS, delay)
+
     def note_wake(self, due: Deadline, woken: Deadline) -> bool:
         """Record that a task that was due woke; return if `late` changed."""
         sample = min(MAX_LATENESS_SECONDS, max(0.0, woken - due))
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -169,6 +169,7 @@
             ),
             seed,
             CombinedShares([pushback_share, self.rate_share]),
+            self.lateness,
         )
         self.rounds = ProbeRounds(
             settings,
@@ -177,11 +178,16 @@
             self.prober,
             self.fleet_size,
             random.Random(f"{seed} rounds"),
+            self.lateness,
         )
         self.occupancy = None
         if settings.balance.policy is PolicyName.FLEET_VIEW:
             self.occupancy = Occupancy(
-                self.registry, self.peers, metrics, self.prober.sharing
+                self.registry,
+                self.peers,
+                metrics,
+                self.prober.sharing,
+                self.lateness,
             )
         self.crashes = LocalCrashTracker(
             settings, self.peers, self.liveness_check(), metrics
@@ -217,6 +223,7 @@
             self.peers,
             self.metrics,
             load_paths,
+            self.lateness,
         )
         return ProbingAdmission(self.admission, presend_prober, self.metrics)
 
--- a/agatetack/measure/budget.py
+++ b/agatetack/measure/budget.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from agatetack.clock import Lateness
+
 BURST_SECONDS = 0.1
 """Longest pause whose unused tokens are saved, so that pauses do not add up."""
 
@@ -38,6 +40,7 @@
         fleet_size: Callable[[], float],
         min_burst: float = 1.0,
         start_seconds: float = START_DELAY_SECONDS,
+        lateness: Lateness | None = None,
     ):
         """Start empty.
 
@@ -47,10 +50,13 @@
             min_burst: Minimum capacity of the bucket in units, so that
                 the largest single spend is possible at all.
             start_seconds: Time after a start in which it gets no tokens.
+            lateness: How late the host's loop is, which lowers the rate; never
+                if None.
         """
         self.fleet_rate = fleet_rate
         self.fleet_size = fleet_size
         self.min_burst = min_burst
+        self.lateness = lateness or Lateness()
         self.tokens = 0.0
         self.spent = 0.0
         self.filled_at = trio.current_time() + start_seconds
@@ -58,7 +64,8 @@
     @property
     def rate(self) -> float:
         """Return this host's share, in units per second."""
-        return self.fleet_rate / max(1, self.fleet_size())
+        share = self.fleet_rate / max(1, self.fleet_size())
+        return share * self.lateness.informing_ratio
 
     def refill(self) -> None:
         """Add the tokens for the time since the last refill."""
--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from agatetack.clock import Lateness
 from agatetack.generated.measure.ttypes import InFlightCount, InFlightCounts
 from agatetack.ids import Deadline, HostId, ProcessId, TargetId
 from agatetack.measure.hashes import TargetHashes, target_hash
@@ -46,6 +47,8 @@
         turn_seconds: Time between two hosts' turns to take a slot.
         turns: When it is this host's turn, by target with a freed slot.
         turn_added: Set when something was added to `turns`.
+        collected: Targets with changes that a late host has not sent yet.
+        collected_added: Set when there is something in `collected`.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         exchange: Exchange,
         metrics: Metrics,
         sharing: SampleExchange | None = None,
+        lateness: Lateness | None = None,
     ):
         """Subscribe to the registry and to messages of the peers.
 
@@ -62,7 +66,11 @@
             exchange: The other hosts.
             metrics: Where dropped messages are counted.
             sharing: Samples to be sent along with the counts, or None.
+            lateness: How late the host's loop is; never late if None.
         """
+        self.lateness = lateness or Lateness()
+        self.collected: dict[ProcessId, TargetState] = {}
+        self.collected_added = trio.Event()
         self.sharing = sharing
         self.own = HostId(registry.settings.host.id)
         self.registry = registry
@@ -83,6 +91,7 @@
         """Repeat counts and offer freed slots in turn, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_repeats)
+            nursery.start_soon(self._run_collected)
             await self._run_offers()
 
     async def _run_repeats(self) -> None:
@@ -102,6 +111,7 @@
         Otherwise a peer that missed the end of a request would overestimate
         the target's load until this host sends a request there again.
         """
+        self.collected.clear()
         busy = [t for t in self.registry.by_id.values() if t.in_flight]
         self.sent = {target.process: target.in_flight for target in busy}
         if busy or self.changed_since_full:
@@ -109,12 +119,35 @@
             self._send(busy, whole=True)
 
     def _on_change(self, target: TargetState) -> None:
-        if self.sent.get(target.process, 0) == target.in_flight:
-            # A slot that passes from one request to the next changes no count.
+        if self.lateness.message_delay_seconds:
+            self.collected[target.process] = target
+            self.collected_added.set()
+        else:
+            self._send_changes([target])
+
+    async def _run_collected(self) -> None:
+        """Send the collected changes of a late host, until cancelled."""
+        while True:
+            await self.collected_added.wait()
+            await trio.sleep(self.lateness.message_delay_seconds)
+            self.collected_added = trio.Event()
+            targets = list(self.collected.values())
+            self.collected.clear()
+            self._send_changes(targets)
+
+    def _send_changes(self, targets: list[TargetState]) -> None:
+        # A slot that passes from one request to the next changes no count.
+        changed = [
+            target
+            for target in targets
+            if self.sent.get(target.process, 0) != target.in_flight
+        ]
+        if not changed:
             return
-        self.sent[target.process] = target.in_flight
+        for target in changed:
+            self.sent[target.process] = target.in_flight
         self.changed_since_full = True
-        self._send([target])
+        self._send(changed)
 
     def _send(self, targets: list[TargetState], whole: bool = False) -> None:
         counts = [
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -6,6 +6,7 @@
 from returns.result import Result, Success
 
 from agatetack.balance.target_share import TargetShare, UnlimitedShare
+from agatetack.clock import Lateness
 from agatetack.ids import Deadline, ServiceId
 from agatetack.measure.budget import START_DELAY_SECONDS, TokenBucket
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
@@ -68,6 +69,7 @@
         probe: ProbeClient,
         seed: int = 0,
         share: TargetShare | None = None,
+        lateness: Lateness | None = None,
     ):
         """Start with empty buckets.
 
@@ -79,7 +81,9 @@
             probe: The client that probes targets.
             seed: Seed of the random choice of targets to probe.
             share: What this host may send to each target; all if None.
+            lateness: How late the host's loop is; never late if None.
         """
+        self.lateness = lateness or Lateness()
         self.share = share or UnlimitedShare()
         self.settings = settings
         self.registry = registry
@@ -88,10 +92,15 @@
         self.rng = random.Random(seed)
         budget = settings.measure
         size = exchange.fleet_size
-        self.probes = TokenBucket(budget.probes_per_second, size)
+        self.probes = TokenBucket(
+            budget.probes_per_second, size, lateness=self.lateness
+        )
         share = budget.bytes_per_second * SAMPLES_BYTES_RATIO
         self.probe_bytes = TokenBucket(
-            budget.bytes_per_second - share, size, PROBE_BYTES
+            budget.bytes_per_second - share,
+            size,
+            PROBE_BYTES,
+            lateness=self.lateness,
         )
         updates_only = settings.balance.policy is PolicyName.FLEET_VIEW
         sample_bytes = TokenBucket(
@@ -101,6 +110,7 @@
             UPDATES_START_DELAY_SECONDS
             if updates_only
             else START_DELAY_SECONDS,
+            lateness=self.lateness,
         )
         self.sharing = SampleExchange(
             registry,
--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -7,6 +7,7 @@
 import trio
 import xxhash
 
+from agatetack.clock import Lateness
 from agatetack.ids import Deadline, FailureDomain, HostId, TargetId
 from agatetack.measure.prober import Prober
 from agatetack.peers.exchange import Exchange, Peer
@@ -71,6 +72,7 @@
         prober: Prober,
         fleet_size: Callable[[], int | None],
         rng: random.Random,
+        lateness: Lateness | None = None,
     ):
         """Probe with `prober`.
 
@@ -82,7 +84,9 @@
             fleet_size: Returns the number of hosts, never too low, or None
                 if it is not known.
             rng: Draws the jitter of the interval between probes.
+            lateness: How late the host's loop is; never late if None.
         """
+        self.lateness = lateness or Lateness()
         self.own = HostId(settings.host.id)
         self.domain = FailureDomain(settings.host.failure_domain)
         self.max_peers = settings.peers.max_peers
@@ -169,6 +173,10 @@
         finally:
             self.probing.discard(target.id)
 
+    def _rate(self) -> float:
+        """Return how often this host probes each target that it owns."""
+        return self.rate * self.share * self.lateness.informing_ratio
+
     async def _wait_until_due(
         self, target: TargetState, probed_at: float, jitter: float
     ) -> bool:
@@ -178,7 +186,7 @@
         """
         while self.owned.get(target.id) is target:
             last_at = max(probed_at, _reported_at(target))
-            due_at = last_at + jitter / self.rate / self.share
+            due_at = last_at + jitter / self._rate()
             now = trio.current_time()
             if now >= due_at:
                 return True
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -158,7 +158,8 @@
         while True:
             # An idle host must not wake up at all.
             await self.fresh_added.wait()
-            await trio.sleep(MIN_INTERVAL_SECONDS)
+            delay = self.bucket.lateness.message_delay_seconds
+            await trio.sleep(MIN_INTERVAL_SECONDS + delay)
             peers = len(self.exchange.near_peers())
             # Without peers the samples are dropped: by the time that a peer
             # connects they are outdated.
--- a/agatetack/measure/test_budget.py
+++ b/agatetack/measure/test_budget.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from agatetack.clock import Lateness
 from agatetack.measure.budget import START_DELAY_SECONDS, TokenBucket
 
 RATE = 50.0
@@ -142,3 +143,17 @@
     await trio.sleep(0.2)
     assert bucket.take(4.0)
     assert held <= 5.0
+
+
+# Guards against hosts that measure as much while they lack the time to serve.
+@pytest.mark.parametrize(
+    ("late_seconds", "ratio"),
+    [(0.0, 1.0), (0.02, 1.0), (0.04, 0.5), (0.1, 0.2), (1.0, 0.1)],
+)
+async def test_a_late_host_spends_less(autojump_clock, late_seconds, ratio):
+    lateness = Lateness()
+    bucket = TokenBucket(RATE, lambda: 1, lateness=lateness)
+    lateness.seconds = late_seconds
+    assert bucket.rate == pytest.approx(RATE * ratio)
+    lateness.seconds = 0.0
+    assert bucket.rate == RATE
--- a/agatetack/measure/test_occupancy.py
+++ b/agatetack/measure/test_occupancy.py
@@ -218,3 +218,50 @@
             assert two.target().peer_in_flight == count
             assert two.occupancy.sharing.taken == [sample]
         nursery.cancel_scope.cancel()
+
+
+# Guards against hosts that send each count at once while they lack the time to
+# serve.
+@pytest.mark.parametrize(
+    ("late_seconds", "least", "most"),
+    [(0.0, 20, 21), (0.02, 20, 21), (0.07, 3, 6), (1.0, 1, 2)],
+)
+async def test_a_late_host_collects_counts_for_one_message(
+    autojump_clock, late_seconds, least, most
+):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two = Host(mesh, "h1"), Host(mesh, "h2")
+        await start(nursery, one, two)
+        two.occupancy.lateness.seconds = late_seconds
+        # All counts are repeated once in this time, too.
+        sent = []
+        publish = two.occupancy.exchange.publish
+        two.occupancy.exchange.publish = lambda *args: (
+            sent.append(args),
+            publish(*args),
+        )
+        for count in range(1, 21):
+            two.set(count, number=1 + count % 2)
+            await trio.sleep(0.01)
+        await trio.sleep(0.3)
+        assert least <= len(sent) <= most
+        assert one.target(1).peer_in_flight == 20
+        assert one.target(2).peer_in_flight == 19
+        nursery.cancel_scope.cancel()
+
+
+async def test_what_a_late_host_collected_is_sent_once_it_is_on_time(
+    autojump_clock,
+):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two = Host(mesh, "h1"), Host(mesh, "h2")
+        await start(nursery, one, two)
+        two.occupancy.lateness.seconds = 1.0
+        two.set(1)
+        two.occupancy.lateness.seconds = 0.0
+        two.set(2)
+        await trio.sleep(0.3)
+        assert one.target().peer_in_flight == 2
+        nursery.cancel_scope.cancel()
--- a/agatetack/measure/test_rounds.py
+++ b/agatetack/measure/test_rounds.py
@@ -283,3 +283,18 @@
         await run_for(rounds, 10)
         nursery.cancel_scope.cancel()
     assert least <= len(prober.probes) <= most
+
+
+# Guards against hosts that probe as often while they lack the time to serve.
+@pytest.mark.parametrize(
+    ("late_seconds", "ratio"), [(0.0, 1.0), (0.02, 1.0), (0.04, 0.5), (1, 0.1)]
+)
+async def test_a_late_host_probes_less_often(
+    autojump_clock, late_seconds, ratio
+):
+    prober = CountingProber(0.001)
+    rounds = make_rounds("h1", ["h1"], prober, 1)
+    rounds.lateness.seconds = late_seconds
+    await run_for(rounds, 20.0)
+    wanted = 20 * RATE * ratio
+    assert 0.7 * wanted <= len(prober.probes) <= 1.3 * wanted
--- a/agatetack/targets/presend_probe.py
+++ b/agatetack/targets/presend_probe.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from agatetack.clock import Lateness
 from agatetack.ids import Deadline, ProcessId, ServiceId
 from agatetack.measure.budget import TokenBucket
 from agatetack.messages import find_header
@@ -64,6 +65,7 @@
         exchange: Exchange,
         metrics: Metrics,
         load_paths: Mapping[ServiceId, str] | None = None,
+        lateness: Lateness | None = None,
     ):
         """Record the responses of targets in `registry`.
 
@@ -76,7 +78,9 @@
             metrics: Counts the probes.
             load_paths: The load path of each service; None if all services
                 use the load path in the settings.
+            lateness: How late the host's loop is; never late if None.
         """
+        self.lateness = lateness or Lateness()
         self.settings = settings
         self.registry = registry
         self.pools = pools
@@ -112,6 +116,7 @@
                 lambda: self._sharing_hosts(target),
                 PRE_SEND_PROBE_BURST,
                 start_seconds=0.0,
+                lateness=self.lateness,
             )
             bucket.tokens = PRE_SEND_PROBE_BURST
             self.buckets[target.process] = bucket
--- a/agatetack/targets/test_presend_probe.py
+++ b/agatetack/targets/test_presend_probe.py
@@ -143,3 +143,17 @@
             assert await prober.probe(target, deadline) is not None
         assert len(accepted) == 2
         nursery.cancel_scope.cancel()
+
+
+# Guards against hosts that ask targets as often while they lack the time to
+# serve.
+async def test_a_late_host_takes_fewer_looks(autojump_clock):
+    prober, target = make_prober(hosts=1)
+    prober.lateness.seconds = 0.2
+    seconds, taken = 20.0, 0
+    until = trio.current_time() + seconds
+    while trio.current_time() < until:
+        taken += prober.take(target)
+        await trio.sleep(0.01)
+    assert 0.09 * RATE * seconds <= taken
+    assert taken <= 0.11 * RATE * seconds + PRE_SEND_PROBE_BURST
