Add the test of early refusals on late hosts, which still fails

A host whose loop is late refuses what it can't answer in time only after more than a second, and tells callers to come back before it can have recovered. The new test of two cases states what is wanted and fails: the host answers 200. A second test guards what may still be answered in time.

A rule was tried that counts twice the mean lateness as part of the time to an answer, at the dispatcher and in the queue, with a Retry-After from when on the host may be on time. So the rule is left out.

--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from agatetack.callers.bounded import BodyTooLarge
+from agatetack.clock import Lateness
 from agatetack.config.route import (
     RequestClass,
     Route,
@@ -192,6 +193,40 @@
     assert note.refusal.reason.value == reason
 
 
+async def handle_on_late_host(late_seconds, left):
+    """Return a request, its answer and its note from a host that is late."""
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    dispatcher.lateness = Lateness()
+    dispatcher.lateness.seconds = late_seconds
+    request = make_request(b"/fast", left=left)
+    answer = await dispatcher.handle(request)
+    return request, answer, dispatcher.explanations.find(RequestId("r1"))[0]
+
+
+@pytest.mark.parametrize(
+    ("late_seconds", "left"), [(0.0, 0.5), (0.1, 0.5), (1.0, 3.0)]
+)
+async def test_what_a_late_host_may_answer_in_time_is_not_refused(
+    autojump_clock, late_seconds, left
+):
+    _, answer, _ = await handle_on_late_host(late_seconds, left)
+    assert answer.status == 200
+
+
+# Guards against hosts that hold requests which they lack the time to answer.
+@pytest.mark.parametrize(("late_seconds", "left"), [(0.6, 0.5), (2.0, 1.5)])
+async def test_what_a_late_host_cannot_answer_in_time_is_refused_at_once(
+    autojump_clock, late_seconds, left
+):
+    request, answer, note = await handle_on_late_host(late_seconds, left)
+    assert trio.current_time() == request.arrived
+    assert answer.status == 503
+    reason = find_header(answer.headers, b"x-reason")
+    assert reason == b"cannot-meet-deadline"
+    # Until then the host cannot answer in time even if it recovers at once.
+    assert note.refusal.retry_at >= request.arrived + late_seconds
+
+
 class Stream(Body):
     """A body without a Content-Length; an exception in `parts` is raised."""
 
