--- a/agatetack/test_listeners.py
+++ b/agatetack/test_listeners.py
@@ -7,10 +7,11 @@
 
 from agatetack import listeners
 from agatetack.callers.server import CallerServer
+from agatetack.errors import SettingsError
 from agatetack.messages import Answer, BytesBody, Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
-from agatetack.start import hold_addresses
+from agatetack.start import hold_addresses, start_gateway
 
 LOOPBACK = "127.0.0.1"
 
@@ -76,6 +77,21 @@
         socket.create_connection((LOOPBACK, port), timeout=5)
 
 
+# Guards against addresses that a start that failed still holds.
+def test_settings_with_errors_hold_no_address(tmp_path):
+    any_port = "{listen: 127.0.0.1:0}"
+    with socket.create_server((LOOPBACK, 0)) as free:
+        port = free.getsockname()[1]
+    path = tmp_path / "settings.yaml"
+    path.write_text(
+        f"callers: {{listen: 127.0.0.1:{port}}}\noperators: {any_port}\n"
+        f"peers: {any_port}\nclaims: {{partitions: -1}}"
+    )
+    with pytest.raises(SettingsError):
+        start_gateway(str(path))
+    assert not listeners.held
+
+
 # Guards against a host that ends because it listens early on all addresses.
 @pytest.mark.parametrize("text", ["0.0.0.0:0", ":0"])
 def test_an_early_listener_on_all_addresses_is_closed(text, monkeypatch, capfd):
