Close an early listener at another address before addresses are held

What callers saw: nothing served; a host whose AGATETACK_LISTEN names its address in another form than callers.listen, such as localhost:P, 0.0.0.0:P or [::ffff:127.0.0.1]:P for 127.0.0.1:P, waited for itself for address_wait_seconds and ended with status 1, Address already in use.

The new test failed before and passes now.

The early listener is compared with callers.listen, closed if it is another address, and named on standard error, before any address is held.

--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -1,6 +1,7 @@
 """Start a daemon from its settings file."""
 
 import os
+import sys
 import traceback
 from collections.abc import Iterator
 
@@ -10,7 +11,6 @@
 from agatetack.decisions import set_up_decisions
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
-from agatetack.settings.cross_checks import listen_addresses
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
 from agatetack.settings.misfit import Misfit
@@ -53,7 +53,6 @@
     set_up_decisions(checked.settings.logs.decisions)
     for finding in checked.findings:
         PartLog("settings").warning("%s", render_findings([finding]))
-    _close_unused_listeners(checked.settings)
     try:
         return _run_daemon(checked.settings, config)
     except UserError:
@@ -64,6 +63,8 @@
 
 
 def _wait_and_find_misfits(settings: Settings) -> Iterator[Misfit]:
+    # First, as Linux may count such a listener as one on the same address.
+    _close_unused_listeners(settings)
     wait_for_addresses(settings)
     yield from find_start_misfits(settings)
 
@@ -79,15 +80,12 @@
 
 def _close_unused_listeners(settings: Settings) -> None:
     """Close an early listener whose address is not that of the settings."""
-    wanted = [(each.host, each.port) for _, each in listen_addresses(settings)]
     listen = settings.callers.listen
-    for address in listeners.release_others(wanted):
-        PartLog("callers").warning(
-            "%s names %s, and callers.listen is %s:%d.",
-            listeners.LISTEN_VARIABLE,
-            address,
-            listen.host,
-            listen.port,
+    for address in listeners.release_others([(listen.host, listen.port)]):
+        print(
+            f"agatetack: {listeners.LISTEN_VARIABLE} names {address}, and"
+            f" callers.listen is {listen.host}:{listen.port}",
+            file=sys.stderr,
         )
 
 
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -94,6 +94,37 @@
     assert [text in line for line in found] == [True] * bool(text)
 
 
+ELSEWHERE = """
+import pathlib, sys
+from agatetack import listeners, start
+assert listeners.listen_early() is None
+port = listeners.held["127.0.0.1", 0].getsockname()[1]
+path = pathlib.Path(sys.argv[1])
+path.write_text(path.read_text().replace("@", str(port)))
+start._run_daemon = lambda settings, path: 0
+sys.exit(start.start_gateway(str(path)))
+"""
+AT_THE_SAME_PORT = (
+    "callers:\n  listen: {port: @}\noperators:\n  listen: {port: 0}\n"
+    "peers:\n  listen: {port: 0}\nlifecycle: {address_wait_seconds: 0.1}\n"
+)
+
+
+# Guards against a host that ends because it has its address already, named in
+# another form by the environment than by the settings.
+def test_an_early_listener_does_not_take_the_address_of_the_settings(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(AT_THE_SAME_PORT)
+    done = subprocess.run(
+        [sys.executable, "-c", ELSEWHERE, str(path)],
+        env={**os.environ, "AGATETACK_LISTEN": "127.0.0.1:0"},
+        capture_output=True,
+        text=True,
+    )
+    assert "AGATETACK_LISTEN names 127.0.0.1:0" in done.stderr
+    assert done.returncode == 0
+
+
 # Guards against daemons that end with a traceback where the build is missing or
 # was made with another Python.
 def test_a_start_without_dependencies_says_so_in_one_line():
