Hold none of a host's addresses while another process has one of them

What callers saw: a host started at the same moment as another one on the same addresses ended with status 70 (OSError, Address already in use, in take_listener) once the other one drained, instead of taking its place.

Cause: Linux lets two sockets with SO_REUSEADDR bind an address while neither listens, and lets only the first of them listen. The waiting host kept what it had bound while the other one still loaded, so it took for its own what the other one listens on.

Evidence: test_a_host_waits_for_one_that_started_at_the_same_moment failed before and passes now.

A host that misses one address now keeps none, and tries all of them again. A host that finds all addresses free at the moment at which another one does still ends when it listens as the second.

--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -54,20 +54,14 @@
 def _hold_addresses(settings: Settings) -> Sequence[Endpoint]:
     """Hold the addresses of the host, and return those that are in use.
 
-    The callers' address is held only together with all others, so that callers
-    go to another host instead of waiting for this one.
+    All are held or none: callers go to another host instead of waiting for
+    this one, and another process may still listen on what is only bound here.
     """
-    callers = settings.callers.listen
-    others = [
-        endpoint
-        for _, endpoint in listen_addresses(settings)
-        if endpoint is not callers
-    ]
-    in_use = [each for each in others if _is_in_use(each)]
+    endpoints = [endpoint for _, endpoint in listen_addresses(settings)]
+    in_use = [each for each in endpoints if _is_in_use(each)]
     if in_use:
-        release_address(callers.host, callers.port)
-    elif _is_in_use(callers):
-        return [callers]
+        for each in endpoints:
+            release_address(each.host, each.port)
     return in_use
 
 
--- a/bench/soak/test_starts.py
+++ b/bench/soak/test_starts.py
@@ -1,6 +1,7 @@
 """Test starts and ends of processes that are started as deployed."""
 
 import contextlib
+import dataclasses
 import pathlib
 import signal
 import socket
@@ -170,6 +171,55 @@
         assert await serves(host)
 
 
+# Guards against a host that binds what a host that starts will listen on.
+async def test_a_host_waits_for_one_that_started_at_the_same_moment(
+    role, tmp_path
+):
+    template = role.template.replace(
+        "lifecycle:\n", "lifecycle:\n  address_wait_seconds: 60\n"
+    )
+    role = dataclasses.replace(role, template=template)
+    async with one_host(role, tmp_path) as host:
+        host.start()
+        first = host.process
+        await (await connect(host)).close()
+        first.signal(signal.SIGSTOP)
+        host.start()
+        second, errors = host.process, host.errors
+
+        async def waits():
+            assert second.poll() is None, errors.read_text()
+            return "waiting for it" in errors.read_text()
+
+        async def first_is_ready():
+            assert first.poll() is None
+            with contextlib.suppress(OSError):
+                stream = await trio.open_tcp_stream(host.ip, READY_PORT)
+                connection = Connection(stream)
+                await connection.send(
+                    b"GET /agatetack/readyz HTTP/1.1\r\nHost: ready\r\n\r\n"
+                )
+                answer = await connection.receive()
+                await connection.close()
+                return answer.status == 200
+            return False
+
+        await until(waits)
+        first.signal(signal.SIGCONT)
+        await until(first_is_ready)
+        # A request that does not end keeps the first one draining.
+        open_request = await connect(host)
+        await open_request.send(
+            b"POST /profile-read/x HTTP/1.1\r\nHost: profile-read.example\r\n"
+            b"Request-Id: r1\r\nContent-Length: 9\r\n\r\n"
+        )
+        first.signal(signal.SIGTERM)
+        await ended(first)
+        await until_ready(host)
+        assert await serves(host)
+        await open_request.close()
+
+
 # Guards against callers held in the backlog of a host that can't serve yet.
 async def test_a_host_that_waits_for_an_address_refuses_callers_and_stops(
     role, tmp_path
