Accept the wait of 0 s for addresses that the settings offer

What operators saw: lifecycle.address_wait_seconds: 0, which the default settings explain as no wait, ended the host with the finding that it must be more than 0.

Cause: the field had the type of durations that can't be 0.

Evidence: the new test failed before and passes now.

--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -343,7 +343,7 @@
     notice_seconds: Seconds
     drain_seconds: Seconds
     warm_up_seconds: Seconds
-    address_wait_seconds: Seconds
+    address_wait_seconds: NotNegative
 
 
 class StatusSettings(Section):
--- a/agatetack/settings/test_start_checks.py
+++ b/agatetack/settings/test_start_checks.py
@@ -108,6 +108,12 @@
     ]
 
 
+# Guards against a documented value that ends the host as a finding.
+def test_a_host_may_be_told_not_to_wait_for_addresses():
+    text = FREE + "lifecycle: {address_wait_seconds: 0}"
+    assert check(text) == []
+
+
 def test_all_that_would_fail_is_found_at_once(taken):
     text = FREE.replace("port: 0", f"port: {taken}")
     text += "claims: {max_bach: 1}\nadmission: {min_target_limit: 9}"
