Wait for addresses only with settings that are right

What operators saw: a host with an error in its settings waited up to address_wait_seconds for an address in use before it named the error; with an error in callers.listen it waited for the default address, which nobody asked for.

Cause: the wait was part of the check of the settings, which also runs, with defaults in place of faulty values, to find all errors at once.

Both cases of the new test failed before and pass now.

The wait is now a step of its own before the check, which is left out after an error.

--- a/agatetack/settings/loader.py
+++ b/agatetack/settings/loader.py
@@ -31,6 +31,13 @@
 FindMisfits = Callable[[Settings], Iterator[Misfit]]
 """Yields the settings that do not fit together."""
 
+Prepare = Callable[[Settings], None]
+"""Called before `FindMisfits`, with settings in which nothing is wrong yet."""
+
+
+def prepare_nothing(settings: Settings) -> None:
+    """Leave all as it is."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckedSettings:
@@ -64,10 +71,12 @@
 
 
 def check_settings(
-    path: str | pathlib.Path, find: FindMisfits = find_misfits
+    path: str | pathlib.Path,
+    find: FindMisfits = find_misfits,
+    prepare: Prepare = prepare_nothing,
 ) -> CheckedSettings:
     """Return the settings that a file gives and all its findings."""
-    return _check_file(read_yaml(path), find)
+    return _check_file(read_yaml(path), find, prepare)
 
 
 def check_settings_text(
@@ -77,7 +86,9 @@
     return _check_file(parse_yaml(text, name), find)
 
 
-def _check_file(file: YamlFile, find: FindMisfits) -> CheckedSettings:
+def _check_file(
+    file: YamlFile, find: FindMisfits, prepare: Prepare = prepare_nothing
+) -> CheckedSettings:
     over = file.value
     if over is None:
         over = {}
@@ -89,15 +100,21 @@
     if settings is None:
         settings = _settings_without(layer, broken)
     if settings is not None:
+        if not _has_errors(file):
+            prepare(settings)
         _add_misfits(find(settings), broken, file)
     findings = tuple(
         sorted(file.findings, key=lambda found: (found.line, found.column))
     )
-    if any(found.severity is Severity.ERROR for found in findings):
+    if _has_errors(file):
         settings = None
     return CheckedSettings(settings, findings)
 
 
+def _has_errors(file: YamlFile) -> bool:
+    return any(found.severity is Severity.ERROR for found in file.findings)
+
+
 def _validate(
     layer: dict, file: YamlFile
 ) -> tuple[Settings | None, set[KeyPath]]:
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -8,7 +8,7 @@
 from agatetack.listeners import hold_address, release_address
 from agatetack.process import is_stop_pending
 from agatetack.settings.cross_checks import find_misfits, listen_addresses
-from agatetack.settings.findings import KeyPath
+from agatetack.settings.findings import KeyPath, Severity
 from agatetack.settings.misfit import Misfit, value_at
 from agatetack.settings.model import Endpoint, Settings, TlsFiles
 
@@ -28,11 +28,14 @@
     """Hold the addresses of the host, and wait for those that are in use.
 
     The wait ends after `lifecycle.address_wait_seconds`, whatever is held by
-    then. Signals have to be held by the process.
+    then. Nothing is waited for if the settings do not fit together. Signals
+    have to be held by the process.
 
     Raises:
         StopRequested: A stop signal came meanwhile.
     """
+    if any(each.severity is Severity.ERROR for each in find_misfits(settings)):
+        return
     wait_seconds = settings.lifecycle.address_wait_seconds
     deadline = time.monotonic() + wait_seconds
     told: set[Endpoint] = set()
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -3,7 +3,6 @@
 import os
 import sys
 import traceback
-from collections.abc import Iterator
 
 import trio
 
@@ -13,7 +12,6 @@
 from agatetack.logs import PartLog, set_up_logs
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
-from agatetack.settings.misfit import Misfit
 from agatetack.settings.model import Settings
 from agatetack.settings.start_checks import (
     StopRequested,
@@ -44,7 +42,7 @@
     if not config:
         raise UserError(f"give -c FILE, or set {CONFIG_VARIABLE}")
     try:
-        checked = check_settings(config, _wait_and_find_misfits)
+        checked = check_settings(config, find_start_misfits, _take_addresses)
     except StopRequested:
         return 0
     if checked.settings is None:
@@ -62,11 +60,10 @@
         return EXIT_FAILURE
 
 
-def _wait_and_find_misfits(settings: Settings) -> Iterator[Misfit]:
+def _take_addresses(settings: Settings) -> None:
     # First, as Linux may count such a listener as one on the same address.
     _close_unused_listeners(settings)
     wait_for_addresses(settings)
-    yield from find_start_misfits(settings)
 
 
 def report_failure(error: Exception) -> None:
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 
@@ -125,6 +126,29 @@
     assert done.returncode == 0
 
 
+# Guards against hosts that wait for addresses though their settings are wrong.
+@pytest.mark.parametrize(
+    "wrong", ["drain_secnds: 9", "notice_seconds: 9, drain_seconds: 2"]
+)
+def test_a_host_whose_settings_are_wrong_waits_for_no_address(wrong, tmp_path):
+    path = tmp_path / "settings.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = str(taken.getsockname()[1])
+        text = AT_THE_SAME_PORT.replace("@", port)
+        path.write_text(text.replace("0.1}", f"0.1, {wrong}}}"))
+        done = subprocess.run(
+            [sys.executable, "-m", "agatetack", "gateway"],
+            cwd=ROOT,
+            env={**os.environ, "AGATETACK_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+        )
+    assert done.returncode == 1
+    assert f"lifecycle.{wrong.partition(':')[0]}" in done.stderr
+    assert "callers.listen: cannot listen" in done.stderr
+    assert "waiting" not in done.stderr
+
+
 # Guards against daemons that end with a traceback where the build is missing or
 # was made with another Python.
 def test_a_start_without_dependencies_says_so_in_one_line():
