Add a failing test of callers in the backlog of a host that has to wait

What callers saw: a connection reset, with a request sent, at a host that listens for callers before it finds that another process still has one of its other addresses.

Cause: the early listener is closed, so that later callers are refused; closing it resets the connections that wait in its backlog. Not fixed: they need an answer, from a part of the program that is not loaded yet.

--- a/bench/soak/test_starts.py
+++ b/bench/soak/test_starts.py
@@ -238,6 +238,27 @@
             assert await ended(host.process) == 0
 
 
+# Guards against callers that are reset as a host stops to listen for a while.
+async def test_a_caller_in_the_backlog_of_a_host_that_has_to_wait_is_answered(
+    role, tmp_path
+):
+    async with one_host(role, tmp_path) as host:
+        with socket.create_server((host.ip, READY_PORT)):
+            host.start()
+            connection = await connect(host)
+            await connection.send(
+                b"GET /profile-read/x HTTP/1.1\r\n"
+                b"Host: profile-read.example\r\nRequest-Id: r1\r\n\r\n"
+            )
+
+            async def waits():
+                return "waiting for it" in host.errors.read_text()
+
+            await until(waits)
+        with trio.fail_after(PATIENCE_SECONDS):
+            assert (await connection.receive()).status in (200, 503)
+
+
 # Guards against a host that ends because another program has an address that
 # the host does not serve.
 async def test_a_host_on_a_store_starts_beside_an_operators_address_in_use(
