--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -7,7 +7,7 @@
 from agatetack.listeners import hold_address, release_address
 from agatetack.process import is_stop_pending, report_early
 from agatetack.settings.cross_checks import find_misfits, listen_addresses
-from agatetack.settings.findings import KeyPath
+from agatetack.settings.findings import KeyPath, Severity
 from agatetack.settings.misfit import Misfit, value_at
 from agatetack.settings.model import Endpoint, Settings, TlsFiles
 
@@ -27,11 +27,14 @@
     """Hold the addresses of the host, and wait for those that are in use.
 
     The wait ends after `lifecycle.address_wait_seconds`, whatever is held by
-    then. Signals have to be held by the process.
+    then. Nothing is waited for if the settings do not fit together. Signals
+    have to be held by the process.
 
     Raises:
         StopRequested: A stop signal came meanwhile.
     """
+    if any(each.severity is Severity.ERROR for each in find_misfits(settings)):
+        return
     wait_seconds = settings.lifecycle.address_wait_seconds
     deadline = time.monotonic() + wait_seconds
     told: set[Endpoint] = set()
@@ -52,20 +55,14 @@
 def _hold_addresses(settings: Settings) -> Sequence[Endpoint]:
     """Hold the addresses of the host, and return those that are in use.
 
-    The callers' address is held only together with all others, so that callers
-    go to another host instead of waiting for this one.
+    All are held or none: callers go to another host instead of waiting for
+    this one, and another process may still listen on what is only bound here.
     """
-    callers = settings.callers.listen
-    others = [
-        endpoint
-        for _, endpoint in listen_addresses(settings)
-        if endpoint is not callers
-    ]
-    in_use = [each for each in others if _is_in_use(each)]
+    endpoints = [endpoint for _, endpoint in listen_addresses(settings)]
+    in_use = [each for each in endpoints if _is_in_use(each)]
     if in_use:
-        release_address(callers.host, callers.port)
-    elif _is_in_use(callers):
-        return [callers]
+        for each in endpoints:
+            release_address(each.host, each.port)
     return in_use
 
 
--- a/agatetack/test_listeners.py
+++ b/agatetack/test_listeners.py
@@ -11,7 +11,8 @@
 from agatetack.messages import Answer, BytesBody, Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
-from agatetack.start import hold_addresses, start_gateway
+from agatetack.settings.start_checks import find_start_misfits
+from agatetack.start import start_gateway, take_addresses
 
 LOOPBACK = "127.0.0.1"
 
@@ -106,7 +107,8 @@
         peers=any_port,
         lifecycle={"address_wait_seconds": 0.01},
     )
-    errors = [each.message for each in hold_addresses(settings)]
+    take_addresses(settings)
+    errors = [each.message for each in find_start_misfits(settings)]
     assert not [text for text in errors if "cannot listen" in text]
     assert list(listeners.held) == [(LOOPBACK, port)]
     assert listeners.LISTEN_VARIABLE in capfd.readouterr().err
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 
@@ -103,6 +104,60 @@
     assert [text in line for line in found] == [True] * bool(text)
 
 
+ELSEWHERE = """
+import pathlib, sys
+from agatetack import listeners, start
+assert listeners.listen_early() is None
+port = listeners.held["127.0.0.1", 0].getsockname()[1]
+path = pathlib.Path(sys.argv[1])
+path.write_text(path.read_text().replace("@", str(port)))
+start._run_daemon = lambda settings, path: 0
+sys.exit(start.start_gateway(str(path)))
+"""
+AT_THE_SAME_PORT = (
+    "callers:\n  listen: {port: @}\noperators:\n  listen: {port: 0}\n"
+    "peers:\n  listen: {port: 0}\nlifecycle: {address_wait_seconds: 0.1}\n"
+)
+
+
+# Guards against a host that ends because it has its address already, named in
+# another form by the environment than by the settings.
+def test_an_early_listener_does_not_take_the_address_of_the_settings(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(AT_THE_SAME_PORT)
+    done = subprocess.run(
+        [sys.executable, "-c", ELSEWHERE, str(path)],
+        env={**os.environ, "AGATETACK_LISTEN": "127.0.0.1:0"},
+        capture_output=True,
+        text=True,
+    )
+    assert "AGATETACK_LISTEN names 127.0.0.1:0" in done.stderr
+    assert done.returncode == 0
+
+
+# Guards against hosts that wait for addresses though their settings are wrong.
+@pytest.mark.parametrize(
+    "wrong", ["drain_secnds: 9", "notice_seconds: 9, drain_seconds: 2"]
+)
+def test_a_host_whose_settings_are_wrong_waits_for_no_address(wrong, tmp_path):
+    path = tmp_path / "settings.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = str(taken.getsockname()[1])
+        text = AT_THE_SAME_PORT.replace("@", port)
+        path.write_text(text.replace("0.1}", f"0.1, {wrong}}}"))
+        done = subprocess.run(
+            [sys.executable, "-m", "agatetack", "gateway"],
+            cwd=ROOT,
+            env={**os.environ, "AGATETACK_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+        )
+    assert done.returncode == 1
+    assert f"lifecycle.{wrong.partition(':')[0]}" in done.stderr
+    assert "callers.listen: cannot listen" in done.stderr
+    assert "waiting" not in done.stderr
+
+
 # Guards against daemons that end with a traceback where the build is missing or
 # was made with another Python.
 def test_a_start_without_dependencies_says_so_in_one_line():
