Read no more of a store's reply than the store can send

Cause: replies of up to 64 MB were kept, one for each of three topics, twice over, before they were refused as malformed.

--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -35,6 +35,10 @@
 PARTITION = 0
 """The only partition of a keyed topic."""
 
+MAX_REPLY_BYTES = 8 << 20
+"""Longest reply that is read; the store sends 1 MB of records at most, which
+take a third more as base64."""
+
 MAX_OFFSET = 2**63 - 1
 """Highest offset; peers get it as a signed integer of 64 bits."""
 
@@ -97,7 +101,11 @@
         """
         text = urllib.parse.urlencode(query)
         request = PlatformRequest(
-            method, f"{path}?{text}", deadline, body, max_reply_bytes=64 << 20
+            method,
+            f"{path}?{text}",
+            deadline,
+            body,
+            max_reply_bytes=MAX_REPLY_BYTES,
         )
         generation_before = self.generations.newest
         try:
--- a/bench/soak/test_attacks.py
+++ b/bench/soak/test_attacks.py
@@ -326,6 +326,30 @@
             assert host.running
 
 
+# Guards against a reply that takes more memory than the machine has.
+async def test_a_huge_answer_of_a_store_is_not_kept(role, tmp_path):
+    meddler = Meddler()
+    body = b'{"items":[],"end":1,"more":false,"x":"' + b"x" * (60 << 20) + b'"}'
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    async with attacked(role, tmp_path, meddler) as (host, world):
+        meddler.answers = itertools.repeat(head + body)
+
+        async def has_answered():
+            return meddler.given >= 12
+
+        await until(has_answered)
+        meddler.answers = None
+        world.publish()
+        assert peak_mb(host) < host.fields["limits"]["memory_mb"]
+
+
+def peak_mb(host):
+    """Return the most resident memory that the host's process ever had."""
+    status = pathlib.Path(f"/proc/{host.process.popen.pid}/status").read_text()
+    (line,) = [row for row in status.splitlines() if row.startswith("VmHWM")]
+    return int(line.split()[1]) >> 10
+
+
 # Guards against answers of a target that end who asked it.
 async def test_answers_of_a_target_end_nothing(role, tmp_path):
     answers = itertools.cycle(ANSWERS)
