Fail a call whose library can't be loaded, instead of ending the host

What callers saw: a host that had started from another one's records, and came to read the store itself while it had no descriptor left, ended: "OSError: Too many open files: httpcore/__init__.py", seen on 1 of 3 hosts under a limit of 30 descriptors.

Cause: the client of the store is loaded at the first call, in the tasks that follow the topics, and the error of the import is none of the errors that a failed call has. It is a failed call now, which is counted, logged and tried again; it is the only module that a running host on a store loads late.

--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -135,7 +135,11 @@
         """
         # Imported here, because a host that starts from a copy of another
         # host's data makes no call and need not load it.
-        import httpcore
+        try:
+            import httpcore
+        except (OSError, ImportError) as error:
+            # There may be no file descriptor left to read it.
+            raise CallFailed(_describe(error), sent=False) from error
 
         if self.pool_state is None:
             self.pool_state = _PoolState(_new_pool(self.silent_seconds))
--- a/agatetack/test_http_call.py
+++ b/agatetack/test_http_call.py
@@ -1,5 +1,9 @@
 """Test what failed calls report, using a server with injected faults."""
 
+import errno
+import importlib.abc
+import sys
+
 import pytest
 import trio
 
@@ -102,3 +106,27 @@
         assert len(server.connections) >= 2
     await trio.testing.wait_all_tasks_blocked()
     assert len(server.connections) == 1
+
+
+# Guards against a host that ends where it can't load the client of the store.
+@pytest.mark.parametrize(
+    "error",
+    [OSError(errno.EMFILE, "Too many open files"), ModuleNotFoundError("no")],
+)
+async def test_a_library_that_cannot_be_loaded_fails_the_call(
+    server, monkeypatch, error
+):
+    class Unloadable(importlib.abc.MetaPathFinder):
+        def find_spec(self, name, path, target=None):
+            if name == "httpcore":
+                raise error
+
+    client = make_client(server)
+    with monkeypatch.context() as patch:
+        patch.delitem(sys.modules, "httpcore", raising=False)
+        patch.setattr(sys, "meta_path", [Unloadable(), *sys.meta_path])
+        with pytest.raises(CallFailed) as failed:
+            await call(client)
+        assert not failed.value.sent
+    await call(client)
+    await client.aclose()
--- a/bench/soak/test_attacks.py
+++ b/bench/soak/test_attacks.py
@@ -37,6 +37,13 @@
 PATIENCE_SECONDS = 60
 RECEIVE_BYTES = 1 << 16
 
+DEAF_SECONDS = 2
+"""How long hosts stay without descriptors; readers of the store are replaced
+within half of that."""
+
+OUT = b"Accept failed"
+"""What a host logs that has no descriptor for a connection."""
+
 PORTS = (CALLERS_PORT, READY_PORT, CONTROL_PORT, *INTERNAL_PORTS)
 """Every port on which a host listens."""
 
@@ -111,38 +118,48 @@
 
 
 @contextlib.asynccontextmanager
-async def attacked(role, folder, through=None):
-    """Start a host; yield it and its world, and then demand that it serves.
+async def attacked_fleet(role, folder, count, through=None):
+    """Start hosts; yield them and their world, and then demand that all serve.
 
     Args:
-        role: How the host is started.
-        folder: Gets its settings and output.
+        role: How the hosts are started.
+        folder: Gets their settings and output.
+        count: How many hosts.
         through: A relay in front of the store, or None.
     """
-    site = small_site(1)
+    site = small_site(count)
     world = World(site)
     async with trio.open_nursery() as nursery:
         await world.start(nursery)
         port = world.store_port
         if through is not None:
             port = await nursery.start(through.serve, port)
-        (host,) = make_hosts(site, role, f"127.0.0.1:{port}", folder)
+        hosts = make_hosts(site, role, f"127.0.0.1:{port}", folder)
         try:
-            host.start()
-            process = host.process
-            await until_ready(host)
-            yield host, world
-            await until_ready(host)
-            await until(functools.partial(serves, host))
-            assert host.process is process
-            assert process.poll() is None, process.output.read_text()
-            assert b"Traceback" not in process.output.read_bytes()
-            assert b"Traceback" not in process.errors.read_bytes()
+            for host in hosts:
+                host.start()
+            processes = [host.process for host in hosts]
+            for host in hosts:
+                await until_ready(host)
+            yield hosts, world
+            for host, process in zip(hosts, processes, strict=True):
+                await until_serving(host)
+                assert host.process is process
+                assert b"Traceback" not in process.output.read_bytes()
+                assert b"Traceback" not in process.errors.read_bytes()
         finally:
-            host.kill()
+            for host in hosts:
+                host.kill()
             nursery.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def attacked(role, folder, through=None):
+    """Do the same with one host."""
+    async with attacked_fleet(role, folder, 1, through) as (hosts, world):
+        yield hosts[0], world
+
+
 async def until(holds):
     with trio.fail_after(PATIENCE_SECONDS):
         while not await holds():
@@ -173,6 +190,11 @@
     await until(is_ready)
 
 
+async def until_serving(host):
+    await until_ready(host)
+    await until(functools.partial(serves, host))
+
+
 async def serves(host):
     path, name = "/profile-read/x", "profile-read.example"
     return await status_of(host, path, name, CALLERS_PORT) == 200
@@ -207,23 +229,37 @@
             await send_and_leave(host.ip, port, content, number % 2)
 
 
-# Guards against a host that ends, or stays deaf, once descriptors ran out.
-@pytest.mark.parametrize("limit", [60, 100])
-async def test_a_host_without_descriptors_serves_once_there_are(
+# Guards against hosts that end, or stay deaf, once descriptors ran out.
+@pytest.mark.parametrize("limit", [30, 60, 100])
+async def test_hosts_without_descriptors_serve_once_there_are(
     role, tmp_path, limit
 ):
-    async with attacked(role, tmp_path) as (host, _):
-        pid = host.process.popen.pid
-        before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, before[1]))
+    async with attacked_fleet(role, tmp_path, 3) as (hosts, world):
+        before = [cap_descriptors(host, limit) for host in hosts]
         async with contextlib.AsyncExitStack() as stack:
-            for number in range(3 * limit):
+            for host, number in itertools.product(hosts, range(2 * limit)):
                 port = PORTS[number % len(PORTS)]
                 stream = await trio.open_tcp_stream(host.ip, port)
                 await stack.enter_async_context(stream)
-            host.signal(signal.SIGHUP)
-            await until(functools.partial(has_logged, host, b"Accept failed"))
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, before)
+            world.publish()
+            for host in hosts:
+                host.signal(signal.SIGHUP)
+                await until(functools.partial(has_logged, host, OUT))
+            with trio.move_on_after(DEAF_SECONDS):
+                while True:
+                    for host in hosts:
+                        await serves(host)
+        for host, limits in zip(hosts, before, strict=True):
+            pid = host.process.popen.pid
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+
+
+def cap_descriptors(host, limit):
+    """Limit a host's descriptors; return the limits before."""
+    pid = host.process.popen.pid
+    before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, before[1]))
+    return before
 
 
 async def has_logged(host, text):
