Keep the failure of one late request's timer to itself

What callers saw: an error that nobody expected, where a second attempt for one late answer is decided or admitted, would have ended the host; found by reading, not seen in a run.

Cause: the attempt itself was contained, the steps before it ran bare in the nursery of all timers, which is the host's. They are contained and logged in one line now; the request goes on with its first attempt.

test_an_action_that_fails_ends_no_other failed before.

--- a/agatetack/attempts/hedger.py
+++ b/agatetack/attempts/hedger.py
@@ -7,6 +7,7 @@
 import trio
 
 from agatetack.ids import Deadline
+from agatetack.logs import PartLog
 
 MIN_SLEEP_SECONDS = 0.001
 """Minimum time between two checks of the timers; most are stopped before they
@@ -16,6 +17,9 @@
 """Callback for a late answer."""
 
 
+log = PartLog("attempts")
+
+
 class LateTimer:
     """One request's timer; it does nothing once it is stopped.
 
@@ -71,7 +75,7 @@
                 return
             heapq.heappop(self.heap)
             if timer.action is not None:
-                nursery.start_soon(timer.action)
+                nursery.start_soon(_run, timer.action)
                 timer.action = None
 
     async def _sleep(self) -> None:
@@ -82,3 +86,11 @@
             self.asleep_until = Deadline(max(self.heap[0][0], soonest))
         with trio.move_on_at(self.asleep_until):
             await self.wake.wait()
+
+
+async def _run(action: LateAction) -> None:
+    """Run an action, whose failure must not end the timers of all requests."""
+    try:
+        await action()
+    except Exception as error:
+        log.error("The action for a late answer failed: %r.", error)
