Keep sockets out of the places of closed standard files

A daemon started with standard output or standard error closed opened its callers' socket under that number (seen in /proc/PID/fd), so log lines went to a socket. Closed standard files are now opened on /dev/null first.

--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -28,10 +28,12 @@
         from agatetack.process import (
             disable_collector,
             hold_signals,
+            open_standard_files,
             report_early,
         )
 
         hold_signals()
+        open_standard_files()
         disable_collector()
         problem = listen_early()
         if problem is not None:
--- a/agatetack/process.py
+++ b/agatetack/process.py
@@ -55,6 +55,17 @@
     return not signal.sigpending().isdisjoint(STOP_SIGNALS)
 
 
+def open_standard_files() -> None:
+    """Open those of the standard files that are closed.
+
+    A socket would get their numbers otherwise, and log lines would go there.
+    """
+    descriptor = os.open(os.devnull, os.O_RDWR)
+    while descriptor <= STANDARD_ERROR:
+        descriptor = os.open(os.devnull, os.O_RDWR)
+    os.close(descriptor)
+
+
 def report_early(text: str) -> None:
     """Write a line to standard error, where no log is set up yet.
 
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -71,6 +71,14 @@
 sys.argv[1:] = ["gateway"]
 __main__.main()
 """
+OPENING = """
+import os, socket, sys
+from agatetack import __main__, start
+os.close({descriptor})
+start.start_gateway = lambda: int(socket.socket().fileno() <= 2)
+sys.argv[1:] = ["gateway"]
+__main__.main()
+"""
 FREE = (
     "callers:\n  listen: {port: 0}\noperators:\n  listen: {port: 0}\n"
     "peers:\n  listen: {port: 0}\n"
@@ -133,3 +141,15 @@
         )
     assert done.stdout == "started\n"
     assert done.returncode == 0
+
+
+# Guards against log lines in a socket that has the number of a closed standard
+# file.
+@pytest.mark.parametrize("descriptor", [0, 1, 2])
+def test_no_socket_takes_the_place_of_a_standard_file(descriptor):
+    code = OPENING.format(descriptor=descriptor)
+    environment = {
+        k: v for k, v in os.environ.items() if k != "AGATETACK_LISTEN"
+    }
+    done = subprocess.run([sys.executable, "-c", code], env=environment)
+    assert done.returncode == 0
