Refuse an empty settings file at a start

A host of the deploy file whose settings file was empty when it started, as one that is being written can be, served by the defaults alone on 127.0.0.1:8080 without a store, was never ready and read its settings no more: neither 2 s later when the file was there nor at SIGHUP. It now ends with status 1 and one line, and is started again. `check` takes an empty file as before. The test failed before.

--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -44,6 +44,7 @@
     config = config or os.environ.get(CONFIG_VARIABLE, "")
     if not config:
         raise UserError(f"give -c FILE, or set {CONFIG_VARIABLE}")
+    _refuse_empty_file(config)
     try:
         checked = check_settings(config, hold_addresses)
     except StopRequested:
@@ -63,6 +64,20 @@
         return EXIT_FAILURE
 
 
+def _refuse_empty_file(path: str) -> None:
+    """Refuse a file without a byte, which may be one that is being written.
+
+    By the defaults alone it would be a host that nobody meant.
+    """
+    try:
+        is_empty = os.stat(path).st_size == 0
+    except OSError:
+        # The check that follows tells why the file cannot be read.
+        return
+    if is_empty and os.path.isfile(path):
+        raise SettingsError(f"{path}: is empty")
+
+
 def hold_addresses(settings: Settings) -> Iterator[Misfit]:
     """Hold the addresses that a host listens on, and yield what misfits."""
     # An early listener on all addresses would be in the way of the others.
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -14,6 +14,9 @@
 
 import pytest
 
+from agatetack import start
+from agatetack.errors import SettingsError
+
 ROOT = pathlib.Path(__file__).parents[1]
 
 LOADED = (
@@ -153,3 +156,13 @@
     }
     done = subprocess.run([sys.executable, "-c", code], env=environment)
     assert done.returncode == 0
+
+
+# Guards against a host that serves by the defaults as its settings file was
+# read before it was written.
+def test_a_start_refuses_an_empty_settings_file(tmp_path, monkeypatch):
+    monkeypatch.setattr(start, "_run_daemon", lambda settings, path: 0)
+    path = tmp_path / "settings.yaml"
+    path.touch()
+    with pytest.raises(SettingsError, match="settings.yaml: is empty"):
+        start.start_gateway(str(path))
