Let go of held addresses where a start is refused

A start that its settings refuse kept the sockets of the addresses that it had tried, also those of the defaults where the file can't be read. In a process that lives on, such as one with tests, they stayed taken: test_a_request_sent_before_the_server_runs_is_answered failed after test_commands.py, which starts a gateway without a file, since. The new test failed before.

--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -50,6 +50,7 @@
     except StopRequested:
         return 0
     if checked.settings is None:
+        listeners.release_others([])
         raise SettingsError(render_findings(checked.findings))
     set_up_logs(checked.settings.logs)
     set_up_decisions(checked.settings.logs.decisions)
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -9,12 +9,13 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 
 import pytest
 
-from agatetack import start
+from agatetack import listeners, start
 from agatetack.errors import SettingsError
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -166,3 +167,14 @@
     path.touch()
     with pytest.raises(SettingsError, match="settings.yaml: is empty"):
         start.start_gateway(str(path))
+
+
+# Guards against addresses that stay taken after a start that is refused.
+def test_a_refused_start_holds_no_address(tmp_path):
+    path = tmp_path / "settings.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    path.write_text(FREE.replace("port: 0", f"port: {port}", 1) + "none: 1")
+    with pytest.raises(SettingsError, match="none: is not a known key"):
+        start.start_gateway(str(path))
+    assert not listeners.held
