--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -15,6 +15,9 @@
 
 import pytest
 
+from agatetack import listeners, start
+from agatetack.errors import SettingsError
+
 ROOT = pathlib.Path(__file__).parents[1]
 
 LOADED = (
@@ -72,6 +75,14 @@
 sys.argv[1:] = ["gateway"]
 __main__.main()
 """
+OPENING = """
+import os, socket, sys
+from agatetack import __main__, start
+os.close({descriptor})
+start.start_gateway = lambda: int(socket.socket().fileno() <= 2)
+sys.argv[1:] = ["gateway"]
+__main__.main()
+"""
 FREE = (
     "callers:\n  listen: {port: 0}\noperators:\n  listen: {port: 0}\n"
     "peers:\n  listen: {port: 0}\n"
@@ -188,3 +199,36 @@
         )
     assert done.stdout == "started\n"
     assert done.returncode == 0
+
+
+# Guards against log lines in a socket that has the number of a closed standard
+# file.
+@pytest.mark.parametrize("descriptor", [0, 1, 2])
+def test_no_socket_takes_the_place_of_a_standard_file(descriptor):
+    code = OPENING.format(descriptor=descriptor)
+    environment = {
+        k: v for k, v in os.environ.items() if k != "AGATETACK_LISTEN"
+    }
+    done = subprocess.run([sys.executable, "-c", code], env=environment)
+    assert done.returncode == 0
+
+
+# Guards against a host that serves by the defaults as its settings file was
+# read before it was written.
+def test_a_start_refuses_an_empty_settings_file(tmp_path, monkeypatch):
+    monkeypatch.setattr(start, "_run_daemon", lambda settings, path: 0)
+    path = tmp_path / "settings.yaml"
+    path.touch()
+    with pytest.raises(SettingsError, match="settings.yaml: is empty"):
+        start.start_gateway(str(path))
+
+
+# Guards against addresses that stay taken after a start that is refused.
+def test_a_refused_start_holds_no_address(tmp_path):
+    path = tmp_path / "settings.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    path.write_text(FREE.replace("port: 0", f"port: {port}", 1) + "none: 1")
+    with pytest.raises(SettingsError, match="none: is not a known key"):
+        start.start_gateway(str(path))
+    assert not listeners.held
