Leave a settings file that is being written alone

Cause: an empty file holds no finding, and a change was read as soon as it was seen.

Evidence: test_an_empty_settings_file_changes_nothing failed before in both cases.

A host refuses an empty file as it does at its start, and reads a file that changed without a signal once it has stood still between two looks.

--- a/agatetack/settings/reload.py
+++ b/agatetack/settings/reload.py
@@ -10,6 +10,7 @@
 from agatetack.errors import UserError
 from agatetack.settings.loader import check_settings
 from agatetack.settings.model import Settings
+from agatetack.settings.yaml_file import is_empty_file
 
 LOOK_SECONDS = 0.5
 """How often the file is looked at; a change may come without a signal."""
@@ -36,6 +37,8 @@
     Attributes:
         settings: The settings in force.
         live: The sections that can change while the host runs.
+        stamp: What `_look` returned of the file that was read last.
+        seen: What it returned last.
     """
 
     def __init__(
@@ -57,7 +60,7 @@
         self.settings = settings
         self.apply = apply
         self.live = live
-        self.stamp = self._look()
+        self.stamp = self.seen = self._look()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -70,8 +73,10 @@
                 with trio.move_on_after(LOOK_SECONDS):
                     await anext(signals)
                     asked = True
-                stamp = self._look()
-                if asked or stamp != self.stamp:
+                stamp, seen = self._look(), self.seen
+                self.seen = stamp
+                # A file that still changes may not be whole yet.
+                if asked or self.stamp != stamp == seen:
                     self.stamp = stamp
                     self._reload("signal" if asked else "file")
 
@@ -84,6 +89,9 @@
         return found.st_mtime_ns, found.st_size
 
     def _reload(self, why: str) -> None:
+        if is_empty_file(self.path):
+            self._refuse(why, [f"{self.path}: is empty"])
+            return
         checked = check_settings(self.path)
         if checked.settings is None:
             findings = [str(finding) for finding in checked.findings]
--- a/agatetack/settings/yaml_file.py
+++ b/agatetack/settings/yaml_file.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import os
 import pathlib
 
 import ruamel.yaml
@@ -97,6 +98,18 @@
         )
 
 
+def is_empty_file(path: str) -> bool:
+    """Return whether a file has no byte, as while it is being written.
+
+    By the defaults alone it would be a host that nobody meant. What can't be
+    read at all is left to `read_yaml`.
+    """
+    try:
+        return os.path.isfile(path) and os.stat(path).st_size == 0
+    except OSError:
+        return False
+
+
 def read_yaml(path: str | pathlib.Path) -> YamlFile:
     """Return the file's values; all that is wrong becomes findings."""
     file = YamlFile(str(path))
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -18,6 +18,7 @@
     find_start_misfits,
     wait_for_addresses,
 )
+from agatetack.settings.yaml_file import is_empty_file
 
 CONFIG_VARIABLE = "AGATETACK_CONFIG"
 """Environment variable with the path of the settings file; the command line
@@ -41,7 +42,8 @@
     config = config or os.environ.get(CONFIG_VARIABLE, "")
     if not config:
         raise UserError(f"give -c FILE, or set {CONFIG_VARIABLE}")
-    _refuse_empty_file(config)
+    if is_empty_file(config):
+        raise SettingsError(f"{config}: is empty")
     try:
         checked = check_settings(config, find_start_misfits, take_addresses)
     except StopRequested:
@@ -62,20 +64,6 @@
         return EXIT_FAILURE
 
 
-def _refuse_empty_file(path: str) -> None:
-    """Refuse a file without a byte, which may be one that is being written.
-
-    By the defaults alone it would be a host that nobody meant.
-    """
-    try:
-        is_empty = os.stat(path).st_size == 0
-    except OSError:
-        # The check that follows tells why the file cannot be read.
-        return
-    if is_empty and os.path.isfile(path):
-        raise SettingsError(f"{path}: is empty")
-
-
 def take_addresses(settings: Settings) -> None:
     """Hold the addresses that the host listens on, as soon as they are free."""
     # First, as Linux may count such a listener as one on the same address.
--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -169,6 +169,26 @@
         assert await ask(start["callers"]) == 200
 
 
+# Guards against defaults put in force from a settings file that is being
+# written.
+@pytest.mark.parametrize("asked", [False, True])
+async def test_an_empty_settings_file_changes_nothing(asked, tmp_path):
+    path = tmp_path / "node.yaml"
+    async with running_daemon(path) as (daemon, _):
+        start = await daemon.line(event="start")
+        await wait_ready(start["ready"])
+        whole = path.read_text()
+        path.write_text("")
+        if asked:
+            daemon.process.send_signal(signal.SIGHUP)
+        refused = await daemon.line(event="reload", outcome="refused")
+        assert "is empty" in refused["findings"][0]
+        assert await ask(start["callers"]) == 200
+        path.write_text(whole.replace("grace=6s", "grace=2s"))
+        changed = await daemon.line(event="reload", outcome="in-force")
+        assert changed["changed"] == ["platform"]
+
+
 async def test_a_reader_that_pauses_delays_no_request(tmp_path):
     async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
         start = await daemon.line(event="start")
