Find the dependencies of the build without an environment variable

Whether the users' machines set the variable is not known.

The program looks into the folder of its own build last.

--- a/agatetack/__main__.py
+++ b/agatetack/__main__.py
@@ -1,7 +1,15 @@
 """Run the command line with `python -m agatetack`."""
 
+import os
 import sys
 
+BUILT = os.path.join(
+    os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
+    "target",
+    "deps",
+)
+"""Where the build of the deploy file puts the dependencies."""
+
 DAEMON = ["gateway"]
 """Command line of a daemon whose settings file an environment variable names.
 
@@ -39,6 +47,10 @@
         if problem is not None:
             report_early(f"not listening yet: {problem}")
     if sys.argv[1:] == DAEMON:
+        if os.path.isdir(BUILT) and BUILT not in sys.path:
+            # Last, so that installed dependencies go first. `python3 -S` reads
+            # no path files, which may name this folder.
+            sys.path.append(BUILT)
         try:
             from agatetack.errors import UserError
             from agatetack.start import start_gateway
--- a/bench/soak/test_starts.py
+++ b/bench/soak/test_starts.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from bench.soak import deploy_file
 from bench.soak.connection import Connection
 from bench.soak.deploy_file import build, read_role
 from bench.soak.machines import CALLERS_PORT, READY_PORT, make_hosts
@@ -106,6 +107,18 @@
     assert report.served_share > 0.9
 
 
+# Guards against hosts that find their dependencies only by an environment
+# variable that the deploy file doesn't name.
+async def test_a_host_finds_the_dependencies_of_its_build(
+    role, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(deploy_file, "DEPENDENCIES", "target/nothing")
+    async with one_host(role, tmp_path) as host:
+        host.start()
+        await until_ready(host)
+        assert await serves(host)
+
+
 # Guards against a reload signal that ends a host before it handles signals.
 async def test_a_reload_signal_during_the_start_does_not_end_the_host(
     role, tmp_path
