--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -144,6 +144,7 @@
 
 
 if __name__ == "__main__":
-    # Whoever is stopped ends the processes that it started.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # A run that is stopped ends the processes that it started.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     sys.exit(defopt.run({"run": run, "hunt": hunt}))
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -122,7 +122,7 @@
     assert host.output.read_text().split() == ["slack=7", "slack=7"]
 
 
-def evidence(tmp_path, result, status=0, ran=0, disturbed=(), spans=()):
+def evidence(tmp_path, result, status, disturbed, spans):
     """Return what is seen of one request that may run once only."""
     site = small_site()
     (kind,) = (each for each in site.kinds.values() if each.kind is Kind.ONCE)
@@ -130,14 +130,8 @@
     attempt = Attempt("r1", "a-1", 10.0, 11.0, result, status, sent=10.0)
     host = scripted_host("", tmp_path)
     host.disturbed += disturbed
-    seen = Evidence(
-        world,
-        [host],
-        [CallerRequest(kind, "a", 10.0, [attempt])],
-        spans,
-        30.0,
-    )
-    return seen, ran
+    request = CallerRequest(kind, "a", 10.0, [attempt])
+    return Evidence(world, [host], [request], spans, 30.0)
 
 
 class Runs:
@@ -170,7 +164,7 @@
     ],
 )
 def test_rules(tmp_path, result, status, runs, disturbed, spans, rules):
-    seen, _ = evidence(tmp_path, result, status, 0, disturbed, spans)
+    seen = evidence(tmp_path, result, status, disturbed, spans)
     seen.world.targets["i-1"] = Runs(runs)
     assert {each.rule for each in judge(seen)} == rules
 
