--- a/bench/soak/fault_plan.py
+++ b/bench/soak/fault_plan.py
@@ -12,6 +12,7 @@
     Freeze,
     Kill,
     Leave,
+    Noise,
     Publish,
     Reload,
     Stop,
@@ -74,6 +75,7 @@
             (1.0, self._publish),
             (1.0, self._crash),
             (1.0, self._leave),
+            (1.0, self._noise),
         ]
 
     def faults(self, seconds: float) -> list[Fault]:
@@ -122,6 +124,12 @@
         ]
         return Reload(at, *self._some_hosts(), slacks, self._seconds(0.0, 0.3))
 
+    def _noise(self, at: float) -> Fault:
+        seed, count = self.source.randrange(1 << 32), self.source.randint(1, 60)
+        return Noise(
+            at, *self._some_hosts(), seed, count, self._seconds(0.0, 4.0)
+        )
+
     def _store(self, at: float) -> Fault:
         how = self.source.choice(list(StoreFault))
         return StoreOutage(at, how, self._seconds(0.5, 5.0))
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -186,6 +186,7 @@
         {kind.name: kind for kind in kinds},
         [Traffic(domain, rates, clients=12)],
         BOUNDS,
+        lead_seconds=3.0,
     )
 
 
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -11,14 +11,11 @@
     CallerRequest,
     Result,
 )
-from bench.soak.faults import Span
+from bench.soak.faults import STABLE_SECONDS, Span
 from bench.soak.host import Host
 from bench.soak.site import Kind
 from bench.soak.world import World
 
-STABLE_SECONDS = 3.0
-"""`stable_window`: time after a fault until the rules with a bound hold."""
-
 RECOVER_SECONDS = 15.0
 """`recover`: time after the last fault until requests are served again."""
 
