--- a/bench/soak/hunt.py
+++ b/bench/soak/hunt.py
@@ -69,5 +69,8 @@
     if not found:
         return (text.strip().splitlines() or ["no output"])[-1]
     figures = orjson.loads("{" + report)
-    names = ("violations", "requests", "served_share", "calm_requests")
+    names = (
+        *("violations", "requests", "served_share", "calm_requests"),
+        *("counts", "refusals"),
+    )
     return " ".join(f"{name}={figures[name]}" for name in names)
