--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -92,6 +92,7 @@
     hosts: int = 3,
     per_second: float = 40.0,
     seconds: float = 20.0,
+    lead_seconds: float = 3.0,
 ) -> int:
     """Run soaks with faults of many seeds, and print one line for each.
 
@@ -104,11 +105,13 @@
         hosts: Hosts of the small site.
         per_second: Requests a second at the small site.
         seconds: How long each run sends requests.
+        lead_seconds: Time from the start of the hosts to that of the load.
     """
     build(ROOT)
     options = [
         *("--hosts", str(hosts), "--per-second", str(per_second)),
-        *("--seconds", str(seconds), "--built"),
+        *("--seconds", str(seconds), "--lead-seconds", str(lead_seconds)),
+        "--built",
     ]
     if site:
         options += ["--site", str(pathlib.Path(site).resolve())]
