--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -192,6 +192,7 @@
             if host.process is process:
                 host.start()
         await _wait_for_end(process, GRACE_SECONDS - (self.overlap or 0.0))
+        process.over_grace = process.poll() is None
         process.signal(signal.SIGKILL)
         while host.process is process:
             await trio.sleep(0.02)
--- a/bench/soak/host.py
+++ b/bench/soak/host.py
@@ -42,6 +42,7 @@
         status: Its exit status; negative for a signal.
         by_itself: Whether nothing outside ended it.
         killed: Whether it was killed from outside.
+        over_grace: Whether it was killed as it did not end within the grace.
         failed: Whether it named an unexpected error.
         output: The end of what it wrote to standard error.
     """
@@ -52,6 +53,7 @@
     status: int
     by_itself: bool
     killed: bool
+    over_grace: bool
     failed: bool
     output: str
 
@@ -65,6 +67,7 @@
         errors: Gets its standard error.
         started_at: When it was started, on trio's clock.
         sent: Signals sent to it that may end it.
+        over_grace: Whether it ran on after the grace.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         self.errors = errors
         self.started_at = trio.current_time()
         self.sent: set[Signals] = set()
+        self.over_grace = False
 
     def poll(self) -> int | None:
         """Return the exit status, None while it runs."""
@@ -126,6 +130,7 @@
             status=self.popen.returncode,
             by_itself=not self.sent,
             killed=SIGKILL in self.sent,
+            over_grace=self.over_grace,
             failed=FAILURE_LINE in self.output.read_bytes(),
             output=self.errors.read_bytes()[-TAIL_BYTES:].decode(
                 errors="replace"
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -115,6 +115,16 @@
     assert (end.status, end.by_itself, end.killed) == (1, False, False)
 
 
+async def test_a_process_that_outlives_the_grace_is_killed_and_named(tmp_path):
+    script = "trap : TERM; while :; do sleep 0.1; done"
+    host = await play(script, tmp_path, Stop(0.5, ["a-1"], 0.0, None))
+    (end,) = host.ends
+    assert (end.killed, end.over_grace) == (True, True)
+    site = small_site()
+    seen = Evidence(World(site), [host], [], [], 30.0)
+    assert [each.rule for each in judge(seen)] == ["GRACE"]
+
+
 async def test_a_reload_changes_the_settings_before_the_signal(tmp_path):
     script = "trap 'cat a-1.yaml' HUP; while :; do sleep 0.1; done"
     reload = Reload(0.5, ["a-1"], 0.0, [7, None], 0.5)
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -11,7 +11,7 @@
     CallerRequest,
     Result,
 )
-from bench.soak.faults import STABLE_SECONDS, Span
+from bench.soak.faults import GRACE_SECONDS, STABLE_SECONDS, Span
 from bench.soak.host import Host
 from bench.soak.site import Kind
 from bench.soak.world import World
@@ -99,6 +99,10 @@
                 yield Violation("FAULT", end.at, host.id, "", detail)
             elif end.failed or (end.status != 0 and not end.killed):
                 yield Violation("END", end.at, host.id, "", detail)
+            elif end.over_grace and not _meets(
+                host.disturbed, end.at - GRACE_SECONDS - STABLE_SECONDS, end.at
+            ):
+                yield Violation("GRACE", end.at, host.id, "", detail)
 
 
 def _limits(evidence: Evidence) -> Iterator[Violation]:
