--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -5,6 +5,7 @@
 seeds of faults.
 """
 
+import os
 import pathlib
 import signal
 import sys
@@ -34,6 +35,8 @@
     seed: int = 1,
     root: str = "",
     cores: int = 0,
+    first_core: int = 0,
+    load: float = 1.0,
     faults: int = -1,
     built: bool = False,
 ) -> int:
@@ -51,7 +54,10 @@
         lead_seconds: Time from the start of the hosts to that of the load.
         seed: Seed of load and faults.
         root: The checkout to run; this one if empty.
-        cores: Processor cores that the hosts share; all if 0.
+        cores: Processor cores that the hosts share; all if 0. Callers and
+            stand-ins then use the others.
+        first_core: The first of those cores.
+        load: Factor of the site's rates.
         faults: Seed of the faults; none if negative.
         built: Take the checkout as it is built.
     """
@@ -63,13 +69,17 @@
     found = (
         read_site(pathlib.Path(site)) if site else small_site(hosts, per_second)
     )
+    shared = range(first_core, first_core + cores)
+    others = os.sched_getaffinity(0).difference(shared)
+    if cores and others:
+        os.sched_setaffinity(0, others)
     plan = Plan(
-        found,
+        found.scaled(load),
         seconds,
         seed,
         checkout,
         place,
-        range(cores),
+        shared,
         lead_seconds,
         faults if faults >= 0 else None,
     )
@@ -78,6 +88,8 @@
         print(as_lines(report.faults))
     for violation in report.violations:
         print(orjson.dumps(violation).decode())
+    counters = orjson.dumps(report.host_counters, option=orjson.OPT_SORT_KEYS)
+    (place / "host_counters.json").write_bytes(counters)
     print(_as_json(report))
     return int(bool(report.violations) or report.served_share == 0)
 
@@ -138,6 +150,13 @@
         "twice": report.twice,
         "ran_though_refused": report.ran_though_refused,
         "peak_mb": report.peak_mb,
+        "latencies": report.latencies,
+        "refusal_times": report.refusal_times,
+        "processor_seconds": report.processor_seconds,
+        "processor_wait_seconds": report.processor_wait_seconds,
+        "occupancy": report.occupancy,
+        "kernel": dict(report.kernel),
+        "timeline": report.timeline,
         "peak_descriptors": report.peak_descriptors,
         "starts": report.starts,
         "calm_requests": report.calm_requests,
--- a/bench/soak/host.py
+++ b/bench/soak/host.py
@@ -113,6 +113,15 @@
         except (OSError, IndexError):
             return 0
 
+    def processor_times(self) -> tuple[float, float]:
+        """Return how long it ran on a processor and waited for one."""
+        try:
+            path = pathlib.Path(f"/proc/{self.popen.pid}/schedstat")
+            ran, waited, _ = map(int, path.read_text().split())
+        except (OSError, ValueError):
+            return 0.0, 0.0
+        return ran / 1e9, waited / 1e9
+
     def descriptors(self) -> int:
         """Return the number of its descriptors; 0 once it has ended."""
         try:
@@ -264,6 +273,11 @@
         if resident > self.fields["limits"]["memory_mb"] << 20:
             process.popen.kill()
 
+    def processor_times(self) -> tuple[float, float]:
+        """Return how long its processes ran on a processor and waited."""
+        times = [process.processor_times() for process in self.processes]
+        return sum(t[0] for t in times), sum(t[1] for t in times)
+
     @property
     def running(self) -> bool:
         """Return whether its newest process runs."""
