--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -67,6 +67,7 @@
         sent: When its last byte was sent.
         kept: Whether it went over a connection that was used before.
         behind: Whether it was sent behind another one that was not answered.
+        delivered: Whether it reached a host that then cut the connection.
     """
 
     request_id: str
@@ -79,6 +80,7 @@
     sent: float = 0.0
     kept: bool = False
     behind: bool = False
+    delivered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -276,7 +278,7 @@
                 attempt.detail = "behind the last answer"
         except ConnectionCut as cut:
             for attempt, _ in waiting:
-                self._note_cut(attempt, cut)
+                self._note_cut(attempt, cut, connection.delivered)
         except trio.Cancelled:
             with trio.CancelScope(shield=True):
                 await connection.close()
@@ -287,14 +289,18 @@
             with trio.CancelScope(shield=True):
                 await connection.close()
 
-    def _note_cut(self, attempt: Attempt, cut: ConnectionCut) -> None:
+    def _note_cut(
+        self, attempt: Attempt, cut: ConnectionCut, delivered: bool
+    ) -> None:
         """Note a cut; one that comes at once may cross the request."""
         now = self.callers.now()
         early = attempt.behind or now - attempt.sent <= LOSS_SLACK_SECONDS
         ran = self.callers.world.has_run(attempt.request_id)
         attempt.ended = now
         attempt.detail = str(cut)
-        attempt.result = Result.NOT_READ if early and not ran else Result.CUT
+        attempt.delivered = delivered
+        unread = early or not delivered
+        attempt.result = Result.NOT_READ if unread and not ran else Result.CUT
 
     async def _take_idle(
         self, attempts: Sequence[Attempt]
--- a/bench/soak/connection.py
+++ b/bench/soak/connection.py
@@ -1,9 +1,12 @@
 """Speak HTTP/1.1 as a caller, on connections that stay open."""
 
 import dataclasses
+import fcntl
 import math
 import re
 import socket
+import struct
+import termios
 from collections import deque
 
 import httptools
@@ -96,6 +99,16 @@
         # Either its end, or bytes that belong to no request.
         return False
 
+    @property
+    def delivered(self) -> bool:
+        """Return whether the host's kernel took all that was sent.
+
+        It takes nothing more once the process has closed the connection.
+        """
+        fd = self.stream.socket.fileno()
+        (left,) = struct.unpack("i", fcntl.ioctl(fd, termios.TIOCOUTQ, b"0000"))
+        return left == 0
+
     @property
     def held(self) -> bool:
         """Return whether an answer has come that was not received yet."""
--- a/bench/soak/host.py
+++ b/bench/soak/host.py
@@ -20,6 +20,9 @@
 POLL_SECONDS = 0.02
 """Interval at which processes are looked at."""
 
+DESCRIPTORS_SECONDS = 0.25
+"""Interval at which descriptors are counted."""
+
 TAIL_BYTES = 2000
 """Bytes of output that are kept of a process that ended."""
 
@@ -43,6 +46,8 @@
         by_itself: Whether nothing outside ended it.
         killed: Whether it was killed from outside.
         over_grace: Whether it was killed as it did not end within the grace.
+        bare: Whether it was told to stop before it opened any socket, so that
+            no caller can have met it.
         failed: Whether it named an unexpected error.
         output: The end of what it wrote to standard error.
     """
@@ -54,6 +59,7 @@
     by_itself: bool
     killed: bool
     over_grace: bool
+    bare: bool
     failed: bool
     output: str
 
@@ -67,7 +73,9 @@
         errors: Gets its standard error.
         started_at: When it was started, on trio's clock.
         sent: Signals sent to it that may end it.
+        descriptors_at: When its descriptors are counted next.
         over_grace: Whether it ran on after the grace.
+        bare: Whether it had no socket when it was first told to stop.
     """
 
     def __init__(
@@ -83,6 +91,8 @@
         self.started_at = trio.current_time()
         self.sent: set[Signals] = set()
         self.over_grace = False
+        self.bare = False
+        self.descriptors_at = 0.0
 
     def poll(self) -> int | None:
         """Return the exit status, None while it runs."""
@@ -102,6 +112,7 @@
         """Send a signal, if it still runs."""
         if self.poll() is None:
             if number in ENDING:
+                self.bare = self.bare or not (self.sent or self.has_socket())
                 self.sent.add(number)
             self.popen.send_signal(number)
 
@@ -122,6 +133,16 @@
             return 0.0, 0.0
         return ran / 1e9, waited / 1e9
 
+    def has_socket(self) -> bool:
+        """Return whether it has opened any socket."""
+        folder = f"/proc/{self.popen.pid}/fd"
+        try:
+            names = [f"{folder}/{name}" for name in os.listdir(folder)]
+            return any(os.readlink(n).startswith("socket:") for n in names)
+        except OSError:
+            # A descriptor that was closed just now.
+            return True
+
     def descriptors(self) -> int:
         """Return the number of its descriptors; 0 once it has ended."""
         try:
@@ -140,6 +161,7 @@
             by_itself=not self.sent,
             killed=SIGKILL in self.sent,
             over_grace=self.over_grace,
+            bare=self.bare,
             failed=FAILURE_LINE in self.output.read_bytes(),
             output=self.errors.read_bytes()[-TAIL_BYTES:].decode(
                 errors="replace"
@@ -267,9 +289,12 @@
         """End a process that has more memory than its machine."""
         resident = process.resident_bytes()
         self.peak_bytes = max(self.peak_bytes, resident)
-        self.peak_descriptors = max(
-            self.peak_descriptors, process.descriptors()
-        )
+        now = trio.current_time()
+        if now >= process.descriptors_at:
+            process.descriptors_at = now + DESCRIPTORS_SECONDS
+            self.peak_descriptors = max(
+                self.peak_descriptors, process.descriptors()
+            )
         if resident > self.fields["limits"]["memory_mb"] << 20:
             process.popen.kill()
 
--- a/bench/soak/hunt.py
+++ b/bench/soak/hunt.py
@@ -71,6 +71,6 @@
     figures = orjson.loads("{" + report)
     names = (
         *("violations", "requests", "served_share", "calm_requests"),
-        *("counts", "refusals"),
+        *("counts", "refusals", "stall_seconds"),
     )
     return " ".join(f"{name}={figures[name]}" for name in names)
