--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -2,7 +2,6 @@
 
 import os
 import traceback
-from collections.abc import Iterator
 
 import trio
 
@@ -11,10 +10,8 @@
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
 from agatetack.process import report_early
-from agatetack.settings.cross_checks import listen_addresses
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
-from agatetack.settings.misfit import Misfit
 from agatetack.settings.model import Settings
 from agatetack.settings.start_checks import (
     StopRequested,
@@ -44,11 +41,13 @@
     config = config or os.environ.get(CONFIG_VARIABLE, "")
     if not config:
         raise UserError(f"give -c FILE, or set {CONFIG_VARIABLE}")
+    _refuse_empty_file(config)
     try:
-        checked = check_settings(config, hold_addresses)
+        checked = check_settings(config, find_start_misfits, take_addresses)
     except StopRequested:
         return 0
     if checked.settings is None:
+        listeners.release_others([])
         raise SettingsError(render_findings(checked.findings))
     set_up_logs(checked.settings.logs)
     set_up_decisions(checked.settings.logs.decisions)
@@ -63,12 +62,25 @@
         return EXIT_FAILURE
 
 
-def hold_addresses(settings: Settings) -> Iterator[Misfit]:
-    """Hold the addresses that a host listens on, and yield what misfits."""
-    # An early listener on all addresses would be in the way of the others.
+def _refuse_empty_file(path: str) -> None:
+    """Refuse a file without a byte, which may be one that is being written.
+
+    By the defaults alone it would be a host that nobody meant.
+    """
+    try:
+        is_empty = os.stat(path).st_size == 0
+    except OSError:
+        # The check that follows tells why the file cannot be read.
+        return
+    if is_empty and os.path.isfile(path):
+        raise SettingsError(f"{path}: is empty")
+
+
+def take_addresses(settings: Settings) -> None:
+    """Hold the addresses that the host listens on, as soon as they are free."""
+    # First, as Linux may count such a listener as one on the same address.
     _close_unused_listeners(settings)
     wait_for_addresses(settings)
-    yield from find_start_misfits(settings)
 
 
 def report_failure(error: Exception) -> None:
@@ -82,9 +94,8 @@
 
 def _close_unused_listeners(settings: Settings) -> None:
     """Close an early listener whose address is not that of the settings."""
-    wanted = [(each.host, each.port) for _, each in listen_addresses(settings)]
     listen = settings.callers.listen
-    for address in listeners.release_others(wanted):
+    for address in listeners.release_others([(listen.host, listen.port)]):
         report_early(
             f"{listeners.LISTEN_VARIABLE} names {address}, and"
             f" callers.listen is {listen.host}:{listen.port}"
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -9,11 +9,15 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 
 import pytest
 
+from agatetack import listeners, start
+from agatetack.errors import SettingsError
+
 ROOT = pathlib.Path(__file__).parents[1]
 
 LOADED = (
@@ -71,6 +75,14 @@
 sys.argv[1:] = ["gateway"]
 __main__.main()
 """
+OPENING = """
+import os, socket, sys
+from agatetack import __main__, start
+os.close({descriptor})
+start.start_gateway = lambda: int(socket.socket().fileno() <= 2)
+sys.argv[1:] = ["gateway"]
+__main__.main()
+"""
 FREE = (
     "callers:\n  listen: {port: 0}\noperators:\n  listen: {port: 0}\n"
     "peers:\n  listen: {port: 0}\n"
@@ -103,6 +115,60 @@
     assert [text in line for line in found] == [True] * bool(text)
 
 
+ELSEWHERE = """
+import pathlib, sys
+from agatetack import listeners, start
+assert listeners.listen_early() is None
+port = listeners.held["127.0.0.1", 0].getsockname()[1]
+path = pathlib.Path(sys.argv[1])
+path.write_text(path.read_text().replace("@", str(port)))
+start._run_daemon = lambda settings, path: 0
+sys.exit(start.start_gateway(str(path)))
+"""
+AT_THE_SAME_PORT = (
+    "callers:\n  listen: {port: @}\noperators:\n  listen: {port: 0}\n"
+    "peers:\n  listen: {port: 0}\nlifecycle: {address_wait_seconds: 0.1}\n"
+)
+
+
+# Guards against a host that ends because it has its address already, named in
+# another form by the environment than by the settings.
+def test_an_early_listener_does_not_take_the_address_of_the_settings(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(AT_THE_SAME_PORT)
+    done = subprocess.run(
+        [sys.executable, "-c", ELSEWHERE, str(path)],
+        env={**os.environ, "AGATETACK_LISTEN": "127.0.0.1:0"},
+        capture_output=True,
+        text=True,
+    )
+    assert "AGATETACK_LISTEN names 127.0.0.1:0" in done.stderr
+    assert done.returncode == 0
+
+
+# Guards against hosts that wait for addresses though their settings are wrong.
+@pytest.mark.parametrize(
+    "wrong", ["drain_secnds: 9", "notice_seconds: 9, drain_seconds: 2"]
+)
+def test_a_host_whose_settings_are_wrong_waits_for_no_address(wrong, tmp_path):
+    path = tmp_path / "settings.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = str(taken.getsockname()[1])
+        text = AT_THE_SAME_PORT.replace("@", port)
+        path.write_text(text.replace("0.1}", f"0.1, {wrong}}}"))
+        done = subprocess.run(
+            [sys.executable, "-m", "agatetack", "gateway"],
+            cwd=ROOT,
+            env={**os.environ, "AGATETACK_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+        )
+    assert done.returncode == 1
+    assert f"lifecycle.{wrong.partition(':')[0]}" in done.stderr
+    assert "callers.listen: cannot listen" in done.stderr
+    assert "waiting" not in done.stderr
+
+
 # Guards against daemons that end with a traceback where the build is missing or
 # was made with another Python.
 def test_a_start_without_dependencies_says_so_in_one_line():
@@ -133,3 +199,36 @@
         )
     assert done.stdout == "started\n"
     assert done.returncode == 0
+
+
+# Guards against log lines in a socket that has the number of a closed standard
+# file.
+@pytest.mark.parametrize("descriptor", [0, 1, 2])
+def test_no_socket_takes_the_place_of_a_standard_file(descriptor):
+    code = OPENING.format(descriptor=descriptor)
+    environment = {
+        k: v for k, v in os.environ.items() if k != "AGATETACK_LISTEN"
+    }
+    done = subprocess.run([sys.executable, "-c", code], env=environment)
+    assert done.returncode == 0
+
+
+# Guards against a host that serves by the defaults as its settings file was
+# read before it was written.
+def test_a_start_refuses_an_empty_settings_file(tmp_path, monkeypatch):
+    monkeypatch.setattr(start, "_run_daemon", lambda settings, path: 0)
+    path = tmp_path / "settings.yaml"
+    path.touch()
+    with pytest.raises(SettingsError, match="settings.yaml: is empty"):
+        start.start_gateway(str(path))
+
+
+# Guards against addresses that stay taken after a start that is refused.
+def test_a_refused_start_holds_no_address(tmp_path):
+    path = tmp_path / "settings.yaml"
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    path.write_text(FREE.replace("port: 0", f"port: {port}", 1) + "none: 1")
+    with pytest.raises(SettingsError, match="none: is not a known key"):
+        start.start_gateway(str(path))
+    assert not listeners.held
