Refuse callers in the backlog of a host that has to wait for an address

What callers saw: a reset, where a host that listened early found that another process had one of its other addresses, and closed its listener to wait.

Cause: closing a listener resets the connections in its backlog.

Requests that wait are answered with 503 and the mark that they have not run before the listener is closed. Callers of a TLS listener are still reset.

--- a/agatetack/listeners.py
+++ b/agatetack/listeners.py
@@ -8,10 +8,11 @@
 host that was killed needs about a second until it serves again, mostly to load
 modules. A connection that is refused in that time costs its caller an attempt;
 one that waits in the kernel's backlog is answered if the host serves soon
-enough. To be loaded quickly, this module may import nothing but `os` and
-`socket`.
+enough. To be loaded quickly, this module may import nothing but `contextlib`,
+`os` and `socket`.
 """
 
+import contextlib
 import os
 import socket
 from collections.abc import Collection
@@ -26,6 +27,9 @@
 Address = tuple[str, int]
 """An IP address and a port."""
 
+MAX_PENDING_BYTES = 1 << 20
+"""Bytes that are read of a request that is answered before a server runs."""
+
 held: dict[Address, socket.socket] = {}
 """Bound sockets that no server uses yet."""
 
@@ -102,6 +106,26 @@
     return sock
 
 
+def answer_pending(ip: str, port: int, answer: bytes) -> None:
+    """Answer the requests that wait at a held listener, and close them.
+
+    Closing the listener would reset their connections. A connection on which
+    nothing was sent yet is closed without an answer.
+    """
+    sock = held.get((ip, port))
+    while sock is not None:
+        try:
+            connection, _ = sock.accept()
+        except OSError:
+            # Nothing is left, or the socket does not listen.
+            return
+        with connection, contextlib.suppress(OSError):
+            connection.setblocking(False)
+            if connection.recv(MAX_PENDING_BYTES):
+                connection.send(answer)
+                connection.shutdown(socket.SHUT_WR)
+
+
 def release_address(ip: str, port: int) -> None:
     """Close the socket of an address, if it is held."""
     sock = held.pop((ip, port), None)
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -4,12 +4,21 @@
 import time
 from collections.abc import Iterator, Sequence
 
-from agatetack.listeners import hold_address, release_address
+from agatetack.listeners import (
+    answer_pending,
+    hold_address,
+    release_address,
+)
 from agatetack.process import is_stop_pending, report_early
 from agatetack.settings.cross_checks import find_misfits, listen_addresses
 from agatetack.settings.findings import KeyPath, Severity
 from agatetack.settings.misfit import Misfit, value_at
-from agatetack.settings.model import Endpoint, Settings, TlsFiles
+from agatetack.settings.model import (
+    CallersSettings,
+    Endpoint,
+    Settings,
+    TlsFiles,
+)
 
 SECURE_LISTENERS = ("callers", "operators", "peers")
 """The sections with TLS files."""
@@ -61,11 +70,26 @@
     endpoints = [endpoint for _, endpoint in listen_addresses(settings)]
     in_use = [each for each in endpoints if _is_in_use(each)]
     if in_use:
+        _refuse_pending(settings.callers)
         for each in endpoints:
             release_address(each.host, each.port)
     return in_use
 
 
+def _refuse_pending(callers: CallersSettings) -> None:
+    """Refuse callers that wait at the early listener, if it is held."""
+    if callers.tls is not None:
+        # Without TLS they can't be told anything.
+        return
+    answer = (
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        f"{callers.headers.outcome}: not-run\r\n"
+        "connection: close\r\ncontent-length: 0\r\n\r\n"
+    )
+    listen = callers.listen
+    answer_pending(listen.host, listen.port, answer.encode())
+
+
 def _is_in_use(endpoint: Endpoint) -> bool:
     """Hold an address; return whether another process has it."""
     try:
