--- a/agatetack/test_listeners.py
+++ b/agatetack/test_listeners.py
@@ -7,10 +7,12 @@
 
 from agatetack import listeners
 from agatetack.callers.server import CallerServer
+from agatetack.errors import SettingsError
 from agatetack.messages import Answer, BytesBody, Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
-from agatetack.start import hold_addresses
+from agatetack.settings.start_checks import find_start_misfits
+from agatetack.start import start_gateway, take_addresses
 
 LOOPBACK = "127.0.0.1"
 
@@ -76,6 +78,21 @@
         socket.create_connection((LOOPBACK, port), timeout=5)
 
 
+# Guards against addresses that a start that failed still holds.
+def test_settings_with_errors_hold_no_address(tmp_path):
+    any_port = "{listen: 127.0.0.1:0}"
+    with socket.create_server((LOOPBACK, 0)) as free:
+        port = free.getsockname()[1]
+    path = tmp_path / "settings.yaml"
+    path.write_text(
+        f"callers: {{listen: 127.0.0.1:{port}}}\noperators: {any_port}\n"
+        f"peers: {any_port}\nclaims: {{partitions: -1}}"
+    )
+    with pytest.raises(SettingsError):
+        start_gateway(str(path))
+    assert not listeners.held
+
+
 # Guards against a host that ends because it listens early on all addresses.
 @pytest.mark.parametrize("text", ["0.0.0.0:0", ":0"])
 def test_an_early_listener_on_all_addresses_is_closed(text, monkeypatch, capfd):
@@ -90,7 +107,8 @@
         peers=any_port,
         lifecycle={"address_wait_seconds": 0.01},
     )
-    errors = [each.message for each in hold_addresses(settings)]
+    take_addresses(settings)
+    errors = [each.message for each in find_start_misfits(settings)]
     assert not [text for text in errors if "cannot listen" in text]
     assert list(listeners.held) == [(LOOPBACK, port)]
     assert listeners.LISTEN_VARIABLE in capfd.readouterr().err
