--- a/agatetack/listeners.py
+++ b/agatetack/listeners.py
@@ -119,6 +119,7 @@
         except OSError:
             # Nothing is left, or the socket does not listen.
             return
+        # A caller that has gone needs no answer.
         with connection, contextlib.suppress(OSError):
             connection.setblocking(False)
             if connection.recv(MAX_PENDING_BYTES):
--- a/agatetack/settings/start_checks.py
+++ b/agatetack/settings/start_checks.py
@@ -23,7 +23,6 @@
 SECURE_LISTENERS = ("callers", "operators", "peers")
 """The sections with TLS files."""
 
-
 ADDRESS_POLL_SECONDS = 0.05
 """Interval at which an address in use is tried again."""
 
@@ -79,7 +78,7 @@
 def _refuse_pending(callers: CallersSettings) -> None:
     """Refuse callers that wait at the early listener, if it is held."""
     if callers.tls is not None:
-        # Without TLS they can't be told anything.
+        # A plain answer means nothing to a caller that speaks TLS.
         return
     answer = (
         "HTTP/1.1 503 Service Unavailable\r\n"
