Start the soak's processes with the default actions of signals

The product is not affected, as it sets its own handler.

The case with the signal ignored failed before. Processes get the default actions, as a supervisor gives them, and the tests' wait for a script has an end.

--- a/bench/soak/host.py
+++ b/bench/soak/host.py
@@ -6,7 +6,15 @@
 import resource
 import subprocess
 from collections.abc import Iterator
-from signal import SIGINT, SIGKILL, SIGTERM, Signals
+from signal import (
+    SIG_DFL,
+    SIGHUP,
+    SIGINT,
+    SIGKILL,
+    SIGTERM,
+    Signals,
+    signal,
+)
 
 import trio
 
@@ -34,6 +42,15 @@
 ENDING = (SIGTERM, SIGINT, SIGKILL)
 
 
+def _restore_signals() -> None:
+    """Give signals their default action, which a process inherits else.
+
+    A runner in the background may ignore some of them.
+    """
+    for number in (SIGHUP, SIGINT, SIGTERM):
+        signal(number, SIG_DFL)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
     """How one process ended.
@@ -252,6 +269,7 @@
                 stdout=out,
                 stderr=errors,
                 process_group=0,
+                preexec_fn=_restore_signals,
             )
         limit = self.fields["limits"]["max_fds"]
         resource.prlimit(popen.pid, resource.RLIMIT_NOFILE, (limit, limit))
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import signal
 import socket
 import sys
 
@@ -20,6 +21,7 @@
 from bench.soak.world import World
 
 ROOT = pathlib.Path(__file__).parents[2]
+PATIENCE_SECONDS = 60
 SEEDS = range(200)
 HOSTS = ["a-1", "a-2", "a-3"]
 
@@ -64,6 +66,12 @@
         last: What the script says last.
     """
     host = scripted_host(script, folder)
+    with trio.fail_after(PATIENCE_SECONDS):
+        await carry_out_at(host, faults, last)
+    return host
+
+
+async def carry_out_at(host, faults, last):
     async with trio.open_nursery() as nursery:
         nursery.start_soon(host.run, trio.current_time())
         while not (host.starts and "up" in host.output.read_text()):
@@ -76,7 +84,6 @@
         while any(each.poll() is not None for each in host.processes):
             await trio.sleep(0.01)
         nursery.cancel_scope.cancel()
-    return host
 
 
 def test_a_seed_always_draws_the_same_faults():
@@ -141,7 +148,19 @@
     assert [each.rule for each in judge(seen)] == ["GRACE"]
 
 
-async def test_a_reload_changes_the_settings_before_the_signal(tmp_path):
+# Guards against signals that a host ignores because the runner does.
+@pytest.mark.parametrize("action", [signal.SIG_DFL, signal.SIG_IGN])
+async def test_a_reload_changes_the_settings_before_the_signal(
+    action, tmp_path
+):
+    before = signal.signal(signal.SIGHUP, action)
+    try:
+        await reload_settings(tmp_path)
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
+async def reload_settings(tmp_path):
     script = "trap 'cat a-1.yaml; echo done' HUP; echo up; "
     script += "while :; do sleep 0.1; done"
     reload = Reload(0.0, ["a-1"], 0.0, [7], 0.0)
