--- a/agatetack/testing/store_fleet.py
+++ b/agatetack/testing/store_fleet.py
@@ -17,6 +17,7 @@
 from agatetack.store_gateway import StoreGateway, StorePorts
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
 from agatetack.testing.memory_store import MemoryStore
+from agatetack.testing.path_cuts import running_host
 from agatetack.testing.store_server import store_server
 
 LOOPBACK = "127.0.0.1"
@@ -211,6 +212,7 @@
         settings = _changed(template_settings(store_port, name), change)
         gateway = StoreGateway(settings)
         self.gateways.append(gateway)
+        running_host.set(settings.host.id)
         self.ports.append(await self.nursery.start(gateway.run))
         return gateway
 
@@ -257,6 +259,7 @@
             own = _changed(template_settings(store_port, name), change or {})
             gateway = StoreGateway(own)
             fleet.gateways.append(gateway)
+            running_host.set(own.host.id)
             fleet.ports.append(await nursery.start(gateway.run))
         await fleet.until(
             lambda: all(g.lifecycle.ready for g in fleet.gateways)
