Track which targets a host can reach itself

A target behind a lost path gets no new requests from this host. If another host has a younger report of a target that refused this one, the sign that it leaves is withdrawn here and the path alone counts as lost.

--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -249,6 +249,8 @@
         self.metrics.budget_spent.add({"unit": "bytes"}, PROBE_BYTES)
         if failure is ProbeFailure.REFUSED:
             self.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
+        elif failure is ProbeFailure.TIMEOUT:
+            self.registry.paths.note_silence(target)
 
 
 def _reported_at(target: TargetState) -> float:
--- a/agatetack/targets/connection.py
+++ b/agatetack/targets/connection.py
@@ -20,6 +20,10 @@
     """Nothing listens at the target's address."""
 
 
+class ConnectTimedOut(ConnectFailed):
+    """The target did not respond to the attempt to connect."""
+
+
 class TargetConnection:
     """A connection that carries one request at a time.
 
@@ -97,7 +101,8 @@
     """Open a connection to `target` before `deadline`.
 
     Raises:
-        ConnectFailed: It was refused or failed, or the deadline passed.
+        ConnectFailed: It was refused or failed.
+        ConnectTimedOut: The deadline passed.
     """
     try:
         with trio.move_on_at(deadline):
@@ -107,4 +112,4 @@
         raise ConnectRefused(str(error)) from error
     except OSError as error:
         raise ConnectFailed(str(error)) from error
-    raise ConnectFailed("the connection did not open in time")
+    raise ConnectTimedOut("the connection did not open in time")
--- a/agatetack/targets/departures.py
+++ b/agatetack/targets/departures.py
@@ -77,6 +77,11 @@
         self.returns[target_id] = record.returns + 1
         return record
 
+    def withdraw(self, target_id: TargetId) -> None:
+        """Forget a sign that was wrong, as if it had never been noted."""
+        record = self.records.pop(target_id)
+        self.returns[target_id] = record.returns
+
     def forget(self, target_id: TargetId) -> None:
         """Forget all signs of a target."""
         del self.records[target_id]
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -23,6 +23,7 @@
 from agatetack.targets.connection import (
     ConnectFailed,
     ConnectRefused,
+    ConnectTimedOut,
     TargetConnection,
 )
 from agatetack.targets.load import (
@@ -151,6 +152,8 @@
                 self.registry.note_leaving(
                     attempt.target, LeavingSign.CONNECT_REFUSED
                 )
+            elif isinstance(error, ConnectTimedOut):
+                self.registry.paths.note_silence(attempt.target)
             log.request(
                 attempt.request.request_id,
                 "No connection to %s: %s.",
--- a/agatetack/targets/presend_probe.py
+++ b/agatetack/targets/presend_probe.py
@@ -16,6 +16,7 @@
 from agatetack.targets.connection import (
     ConnectFailed,
     ConnectRefused,
+    ConnectTimedOut,
     TargetConnection,
 )
 from agatetack.targets.load import LoadReader, ParsedLoad, ReportedState
@@ -169,6 +170,8 @@
         except ConnectFailed as error:
             if isinstance(error, ConnectRefused):
                 self.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
+            elif isinstance(error, ConnectTimedOut):
+                self.registry.paths.note_silence(target)
             return None
 
     async def _probe_on(
@@ -183,8 +186,10 @@
         until = (now + deadline) / 2 if connection.requests else deadline
         load = None
         try:
-            with trio.move_on_at(until):
+            with trio.move_on_at(until) as scope:
                 load = await self._exchange(connection, connection.target)
+            if scope.cancelled_caught and connection.last_byte_at <= now:
+                self.registry.paths.note_silence(connection.target)
         finally:
             if load is None:
                 pool.discard(connection)
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -26,6 +26,7 @@
 from agatetack.targets.departures import Departures
 from agatetack.targets.leaving import LeavingRecord, LeavingSign
 from agatetack.targets.load import ParsedLoad, ReportedState
+from agatetack.targets.paths import EVIDENCE_MARGIN_SECONDS, TargetPaths
 from agatetack.targets.pushbacks import Pushbacks
 from agatetack.targets.rate_limits import RateLimits, SendKind
 from agatetack.targets.state import (
@@ -57,6 +58,7 @@
         evacuated: Failure domains whose targets get no new work.
         warm_up_rates: Requests per second that a cold target of each service
             accepts from all hosts, where that is known.
+        paths: Tracks which targets this host can reach itself.
         rate_limits: Tracks the rate limits that targets report.
         pushbacks: Tracks the pushbacks of targets for this host.
         watchers: Called with the service when its targets change or a load
@@ -106,6 +108,8 @@
             Callable[[TargetState, LeavingSign], None]
         ] = []
         self.counters = TargetCounters(metrics)
+        self.paths = TargetPaths(metrics, lambda: len(self.by_id))
+        self.paths.watchers.append(self._path_changed)
         self.rate_limits = RateLimits(settings, metrics)
         self.pushbacks = Pushbacks(metrics)
 
@@ -181,6 +185,10 @@
         self.metrics.measured.inc(
             {"source": MEASURE_KINDS[report.source].value}
         )
+        if report.source is ReportSource.PEER:
+            self._note_heard_elsewhere(target, report.at)
+        else:
+            self.paths.note_heard(target)
         if target.report is not None and report.at < target.report.at:
             return
         target.report = report
@@ -251,10 +259,50 @@
         if self.departures.is_final(target.id):
             # It repeats this in each response; peers know the first one.
             return
+        if sign is LeavingSign.CONNECT_REFUSED:
+            self._note_refused(target)
+            return
         self._leave(target, sign)
         for watcher in self.leaving_watchers:
             watcher(target, sign)
 
+    def _note_refused(self, target: TargetState) -> None:
+        """Stop new work at a target that refused a connection of this host.
+
+        Peers are told of the first refusal only, so that they look themselves.
+        """
+        is_new = self.paths.note_refused(target)
+        if not is_new and target.id not in self.departures.records:
+            # Only the path is lost: other hosts reach the target.
+            return
+        self._leave(target, LeavingSign.CONNECT_REFUSED)
+        if is_new:
+            for watcher in self.leaving_watchers:
+                watcher(target, LeavingSign.CONNECT_REFUSED)
+
+    def _note_heard_elsewhere(self, target: TargetState, at: Deadline) -> None:
+        """Weigh another host's report against failures of this host's path."""
+        self.paths.note_heard_elsewhere(target, at)
+        record = self.departures.get(target.id)
+        if (
+            record is None
+            or record.sign is not LeavingSign.CONNECT_REFUSED
+            or at <= record.at + EVIDENCE_MARGIN_SECONDS
+            or not self.paths.is_lost(target)
+        ):
+            return
+        # The target lives, so that it is the path that is lost. It ends no
+        # sooner for a longer hold.
+        self.departures.withdraw(target.id)
+        now = Deadline(trio.current_time())
+        target.status = TargetStatus.READY
+        target.status_since = now
+        self.counters.returned.inc({"sign": record.sign.value})
+
+    def _path_changed(self, target: TargetState) -> None:
+        self._rebuild((target.service,))
+        self.note_in_flight(target)
+
     def note_peer_sign(self, target: TargetState, sign: LeavingSign) -> None:
         """Stop new work at `target` because a peer reported a sign.
 
@@ -278,6 +326,7 @@
     def note_probe(self, target: TargetState, state: ReportedState) -> None:
         """Apply the state that a probe of `target`'s load endpoint reported."""
         now = Deadline(trio.current_time())
+        self.paths.note_heard(target)
         if state is ReportedState.DRAINING:
             if target.status is not TargetStatus.LEAVING:
                 self.note_leaving(target, LeavingSign.HEALTH)
@@ -396,6 +445,7 @@
         target = self.by_id.pop(target_id)
         self.by_process.pop(target.process, None)
         self.rate_limits.forget(target)
+        self.paths.forget(target)
         self.changes += 1
         target.status = TargetStatus.GONE
         target.status_since = now
@@ -428,6 +478,8 @@
     def _may_get_work(self, target: TargetState) -> bool:
         if target.id in self.drained or target.failure_domain in self.evacuated:
             return False
+        if self.paths.is_lost(target):
+            return False
         return target.status in (TargetStatus.COLD, TargetStatus.READY)
 
     def set_evacuated(self, domains: Set[FailureDomain]) -> None:
