Look for itself when a target refused another host

Callers of hosts with sound paths were refused as no-target while other hosts were cut off: a refused connection was told to all hosts as a sign that the target leaves, and each of them left the target for 2 s and more.

A refused connection shows that one path is lost, or that the target is gone. A host that is told of it now probes the target at once and goes by its own result: a target that is gone is left within two ticks of 50 ms, one that answers is kept. In groups only the hosts that send most of a target's requests look. Lost paths are looked at until they are back, gently, and at once when another one is back. What a target itself or the host list says of its leaving still counts at all hosts at once.

test_peers_look_at_once_at_a_target_that_refused_another_host failed before in all three cases (the target was left without a look). The two tests that asked that a peer takes over a refused connection now ask it of all other signs; what they asked for this one is asked by the new test.

--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -9,6 +9,7 @@
 from agatetack.clock import Lateness
 from agatetack.ids import Deadline, ServiceId
 from agatetack.measure.budget import START_DELAY_SECONDS, TokenBucket
+from agatetack.measure.path_looks import PathLooks
 from agatetack.measure.probe import ProbeAnswer, ProbeClient, ProbeFailure
 from agatetack.measure.samples import SampleExchange
 from agatetack.metrics import Metrics
@@ -57,6 +58,7 @@
         probes: The bucket of probes.
         probe_bytes: The bucket of their bytes.
         sharing: Sends samples to the peers and receives theirs.
+        looks: Looks at targets that this host or another one can't reach.
         chosen: Services with a choice of a target since their last probe.
     """
 
@@ -119,6 +121,10 @@
             sample_bytes,
             updates_only,
         )
+        self.looks = PathLooks(
+            registry, exchange, self.look, random.Random(f"{seed} looks")
+        )
+        self.sharing.refusal_watchers.append(self.looks.suspect)
         self.chosen: dict[ServiceId, None] = {}
         self.chosen_added = trio.Event()
         self.leaving_probe_at = 0.0
@@ -136,6 +142,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.sharing.run)
             nursery.start_soon(self._probe_leaving)
+            nursery.start_soon(self.looks.run)
             task_status.started()
             if self.settings.measure.probes_per_second > 0:
                 await self._probe_chosen(nursery)
@@ -216,6 +223,16 @@
         result = await self.client.probe(target, deadline, PROBE_BYTES)
         self._record(target, result)
 
+    async def look(self, target: TargetState) -> None:
+        """Probe a target that may be unreachable.
+
+        The next request shows whether it is, if it can't be probed.
+        """
+        if self.client.can_probe(target):
+            await self.probe(target)
+        else:
+            self.registry.paths.note_heard(target)
+
     def _record(
         self, target: TargetState, result: Result[ProbeAnswer, ProbeFailure]
     ) -> None:
@@ -251,6 +268,8 @@
             self.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
         elif failure is ProbeFailure.TIMEOUT:
             self.registry.paths.note_silence(target)
+        elif failure is ProbeFailure.MALFORMED:
+            self.registry.paths.note_heard(target)
 
 
 def _reported_at(target: TargetState) -> float:
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -1,6 +1,6 @@
 """Share load reports and leaving signs with the other hosts."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -81,6 +81,8 @@
         far_pending_added: Set when there is something in `far_pending`.
         far_filter: Tracks what was sent to the other groups.
         far_relay: Relays samples of the other groups to this group.
+        refusal_watchers: Called with a target that refused a connection of
+            another host.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
         self.fresh: dict[ProcessId, TargetState] = {}
         self.fresh_added = trio.Event()
         self.hashes = TargetHashes(registry)
+        self.refusal_watchers: list[Callable[[TargetState], None]] = []
         registry.report_watchers.append(self._on_report)
         registry.slowness_watchers.append(self._send_changed)
         registry.leaving_watchers.append(self._send_sign)
@@ -343,10 +346,17 @@
             self._drop("sign-malformed")
             return
         target = self.registry.by_process.get(ProcessId(message.target))
-        if target is not None:
-            sign = SIGNS.get(message.sign, LeavingSign.PEER)
-            log.info("%s saw %s leaving: %s", sender, target.id, sign.value)
-            self.registry.note_peer_sign(target, sign)
+        if target is None:
+            return
+        sign = SIGNS.get(message.sign, LeavingSign.PEER)
+        if sign is LeavingSign.CONNECT_REFUSED:
+            # The path of the sender may be lost, and not the target.
+            log.info("%s can't connect to %s.", sender, target.id)
+            for watcher in self.refusal_watchers:
+                watcher(target)
+            return
+        log.info("%s saw %s leaving: %s", sender, target.id, sign.value)
+        self.registry.note_peer_sign(target, sign)
 
     def _drop(self, reason: str) -> None:
         self.metrics.dropped.inc({"part": "measure", "reason": reason})
--- a/agatetack/targets/paths.py
+++ b/agatetack/targets/paths.py
@@ -27,6 +27,9 @@
 """Silences of one target after which its path counts as lost if another host
 has a report of the target from that time."""
 
+FIRST_LOOK_SECONDS = 0.5
+"""Time from the loss of a path to the first look whether it is back."""
+
 EVIDENCE_MARGIN_SECONDS = 0.1
 """How much younger than a failure another host's report has to be. The time
 that its message took is not known."""
@@ -176,7 +179,8 @@
     def _lose(self, target: TargetState, why: PathFailure) -> None:
         self.silences.pop(target.process, None)
         now = Deadline(trio.current_time())
-        self.lost[target.process] = LostPath(target, why, now, now)
+        look_at = Deadline(now + FIRST_LOOK_SECONDS)
+        self.lost[target.process] = LostPath(target, why, now, look_at)
         self.failures.inc({"reason": why.value})
         decisions.note(
             "path-lost",
