Tell peers which targets a host can't reach

While hosts were cut off, they went on owning the targets that they alone measured, so that the others chose by old reports; requests that hung behind their lost paths counted at all hosts as taking room there until they timed out; and no host could know which other host reaches a service.

Each host now sends its lost paths to its peers, at once and every second while there are any. A target is measured by a host that reaches it. Requests behind a lost path no longer count in what the other hosts are told; the target's own report still counts what it runs. A refused connection counts as lost until a new connection is answered, as answers on open ones don't show that.

test_targets_of_a_host_that_reaches_none_are_taken_over and test_requests_behind_a_lost_path_take_no_room can't pass without this: there was no state to say so.

--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -26,6 +26,7 @@
 from agatetack.lifecycle.readiness import ReadinessView
 from agatetack.measure.http_probe import HttpProbe
 from agatetack.measure.occupancy import Occupancy
+from agatetack.measure.path_sharing import PathSharing
 from agatetack.measure.prober import Prober
 from agatetack.measure.rounds import ProbeRounds
 from agatetack.messages import Handler
@@ -171,6 +172,7 @@
             CombinedShares([pushback_share, self.rate_share]),
             self.lateness,
         )
+        self.path_sharing = PathSharing(self.registry, self.peers, metrics)
         self.rounds = ProbeRounds(
             settings,
             self.registry,
@@ -179,6 +181,7 @@
             self.fleet_size,
             random.Random(f"{seed} rounds"),
             self.lateness,
+            self.path_sharing,
         )
         self.occupancy = None
         if settings.balance.policy is PolicyName.FLEET_VIEW:
@@ -290,6 +293,7 @@
         nursery.start_soon(self.lateness_meter.run)
         await nursery.start(self.prober.run)
         nursery.start_soon(self.rounds.run)
+        nursery.start_soon(self.path_sharing.run)
         if self.occupancy is not None:
             nursery.start_soon(self.occupancy.run)
             self.start_share.begin()
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -107,6 +107,12 @@
         """
         return self.load_paths is None or target.service in self.load_paths
 
+    def close_idle(self, target: TargetState) -> None:
+        """Have the next probe of `target` open a connection."""
+        stream = self.idle.pop(target.process, None)
+        if stream is not None:
+            stream.close()
+
     async def probe(
         self, target: TargetState, deadline: Deadline, max_bytes: int
     ) -> Result[ProbeAnswer, ProbeFailure]:
--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -112,8 +112,8 @@
         the target's load until this host sends a request there again.
         """
         self.collected.clear()
-        busy = [t for t in self.registry.by_id.values() if t.in_flight]
-        self.sent = {target.process: target.in_flight for target in busy}
+        busy = [t for t in self.registry.by_id.values() if self._count(t)]
+        self.sent = {target.process: self._count(target) for target in busy}
         if busy or self.changed_since_full:
             self.changed_since_full = False
             self._send(busy, whole=True)
@@ -140,18 +140,28 @@
         changed = [
             target
             for target in targets
-            if self.sent.get(target.process, 0) != target.in_flight
+            if self.sent.get(target.process, 0) != self._count(target)
         ]
         if not changed:
             return
         for target in changed:
-            self.sent[target.process] = target.in_flight
+            self.sent[target.process] = self._count(target)
         self.changed_since_full = True
         self._send(changed)
 
+    def _count(self, target: TargetState) -> int:
+        """Return the requests of this host that take room at `target`.
+
+        Those behind a lost path may never have arrived, or their target has
+        long answered them; its own report counts those that it still runs.
+        """
+        if self.registry.paths.is_lost(target):
+            return 0
+        return target.in_flight
+
     def _send(self, targets: list[TargetState], whole: bool = False) -> None:
         counts = [
-            InFlightCount(target_hash(target.process), target.in_flight)
+            InFlightCount(target_hash(target.process), self._count(target))
             for target in targets
         ]
         samples = [] if self.sharing is None else self.sharing.take_fresh()
--- /dev/null
+++ b/agatetack/measure/path_sharing.py
@@ -0,0 +1,125 @@
+"""Share which targets each host can't reach."""
+
+import dataclasses
+from collections.abc import Set
+
+import trio
+
+from agatetack.generated.measure.ttypes import LostPaths
+from agatetack.ids import Deadline, HostId, ServiceId
+from agatetack.measure.hashes import TargetHashes, target_hash
+from agatetack.metrics import Metrics
+from agatetack.peers.exchange import Exchange, Scope, Topic
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState, TargetStatus
+from agatetack.thrift_codec import MalformedMessage, decode, encode
+
+COLLECT_SECONDS = 0.02
+"""Time in which changes are collected for one message."""
+
+REPEAT_SECONDS = 1.0
+"""Interval at which lost paths are sent again, as messages may be lost."""
+
+VALID_SECONDS = 3.5
+"""How long a message counts that is not repeated."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerPaths:
+    """The lost paths of one other host.
+
+    Attributes:
+        lost: The hashes of the targets that it can't reach.
+        valid_until: When this no longer counts.
+    """
+
+    lost: Set[int]
+    valid_until: Deadline
+
+
+class PathSharing:
+    """The lost paths of all hosts.
+
+    Attributes:
+        peers: The lost paths of each other host that has any.
+        changes: How often a host's lost paths changed.
+        changed: Set when a path of this host was lost or is back.
+    """
+
+    def __init__(
+        self, registry: TargetRegistry, exchange: Exchange, metrics: Metrics
+    ):
+        """Subscribe to the registry and to messages of the peers."""
+        self.registry = registry
+        self.exchange = exchange
+        self.metrics = metrics
+        self.hashes = TargetHashes(registry)
+        self.peers: dict[HostId, PeerPaths] = {}
+        self.changes = 0
+        self.changed = trio.Event()
+        registry.paths.watchers.append(self._on_path)
+        exchange.subscribe(Topic.LOST_PATHS, self._on_message)
+
+    async def run(self) -> None:
+        """Send this host's lost paths until cancelled, while there are any."""
+        while True:
+            repeat_at = float("inf")
+            if self.registry.paths.lost:
+                repeat_at = trio.current_time() + REPEAT_SECONDS
+            with trio.move_on_at(repeat_at):
+                await self.changed.wait()
+            await trio.sleep(COLLECT_SECONDS)
+            self.changed = trio.Event()
+            hashes = [target_hash(p) for p in self.registry.paths.lost]
+            payload = encode(LostPaths(targets=hashes))
+            self.exchange.publish(Topic.LOST_PATHS, payload, Scope.NEAR)
+
+    def is_lost_by(self, host: HostId, target: TargetState) -> bool:
+        """Return whether another host says that it can't reach `target`."""
+        paths = self._valid(host)
+        return paths is not None and target_hash(target.process) in paths.lost
+
+    def reaches(self, host: HostId, service: ServiceId) -> bool:
+        """Return whether another host may reach a target of `service`."""
+        paths = self._valid(host)
+        return any(
+            target.service == service
+            and not self._is_leaving(target)
+            and (paths is None or target_hash(target.process) not in paths.lost)
+            for target in self.registry.by_id.values()
+        )
+
+    def _is_leaving(self, target: TargetState) -> bool:
+        """Return whether `target` leaves, by more than a refused connection."""
+        record = self.registry.leaving.get(target.id)
+        return target.status is TargetStatus.GONE or (
+            record is not None and record.announced
+        )
+
+    def _valid(self, host: HostId) -> PeerPaths | None:
+        paths = self.peers.get(host)
+        if paths is None or trio.current_time() < paths.valid_until:
+            return paths
+        del self.peers[host]
+        self.changes += 1
+        return None
+
+    def _on_path(self, target: TargetState) -> None:
+        self.changes += 1
+        self.changed.set()
+
+    def _on_message(self, sender: HostId, payload: bytes) -> None:
+        try:
+            message = decode(LostPaths, payload)
+        except MalformedMessage:
+            self.metrics.dropped.inc(
+                {"part": "measure", "reason": "paths-malformed"}
+            )
+            return
+        lost = frozenset(message.targets)
+        before = self.peers.pop(sender, None)
+        if lost:
+            until = Deadline(trio.current_time() + VALID_SECONDS)
+            self.peers[sender] = PeerPaths(lost, until)
+        if lost != (before.lost if before is not None else frozenset()):
+            self.changes += 1
--- a/agatetack/measure/probe.py
+++ b/agatetack/measure/probe.py
@@ -53,6 +53,9 @@
         """Return whether it is known how to probe `target`."""
         return True
 
+    def close_idle(self, target: TargetState) -> None:  # noqa: B027
+        """Have the next probe of `target` open a connection."""
+
     @abc.abstractmethod
     async def probe(
         self, target: TargetState, deadline: Deadline, max_bytes: int
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -210,8 +210,13 @@
         drawn = self.rng.sample(targets, count)
         return min(drawn, key=_reported_at)
 
-    async def probe(self, target: TargetState) -> None:
-        """Probe one target's load, if allowed, and record the result."""
+    async def probe(self, target: TargetState, fresh: bool = False) -> None:
+        """Probe one target's load, if allowed, and record the result.
+
+        Args:
+            target: The target.
+            fresh: Whether to open a connection, to find out if that works.
+        """
         if not self.client.can_probe(target):
             return
         if not self.share.may_probe(target):
@@ -220,7 +225,11 @@
         self.registry.note_sent(target, SendKind.PROBE)
         timeout = self.settings.measure.probe_timeout_seconds
         deadline = Deadline(trio.current_time() + timeout)
+        if fresh:
+            self.client.close_idle(target)
         result = await self.client.probe(target, deadline, PROBE_BYTES)
+        if fresh and _has_responded(result):
+            self.registry.paths.note_connected(target)
         self._record(target, result)
 
     async def look(self, target: TargetState) -> None:
@@ -229,9 +238,9 @@
         The next request shows whether it is, if it can't be probed.
         """
         if self.client.can_probe(target):
-            await self.probe(target)
+            await self.probe(target, self.registry.paths.is_lost(target))
         else:
-            self.registry.paths.note_heard(target)
+            self.registry.paths.note_connected(target)
 
     def _record(
         self, target: TargetState, result: Result[ProbeAnswer, ProbeFailure]
@@ -272,5 +281,12 @@
             self.registry.paths.note_heard(target)
 
 
+def _has_responded(result: Result[ProbeAnswer, ProbeFailure]) -> bool:
+    """Return whether the target sent a response, even a useless one."""
+    if isinstance(result, Success):
+        return True
+    return result.failure() is ProbeFailure.MALFORMED
+
+
 def _reported_at(target: TargetState) -> float:
     return float("-inf") if target.report is None else target.report.at
--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -9,6 +9,7 @@
 
 from agatetack.clock import Lateness
 from agatetack.ids import Deadline, FailureDomain, HostId, TargetId
+from agatetack.measure.path_sharing import PathSharing
 from agatetack.measure.prober import Prober
 from agatetack.peers.exchange import Exchange, Peer
 from agatetack.settings.model import Settings
@@ -60,8 +61,8 @@
             hosts that it does not know may own them, too.
         owned: Targets that this host owns.
         probing: Targets that are probed by a task.
-        view: The live hosts with their failure domains, and the change count
-            of the registry, from which `owned` was computed.
+        view: The live hosts with their failure domains, and the change counts
+            of the registry and of lost paths, from which `owned` was computed.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         fleet_size: Callable[[], int | None],
         rng: random.Random,
         lateness: Lateness | None = None,
+        paths: PathSharing | None = None,
     ):
         """Probe with `prober`.
 
@@ -85,8 +87,10 @@
                 if it is not known.
             rng: Draws the jitter of the interval between probes.
             lateness: How late the host's loop is; never late if None.
+            paths: Which targets each host can't reach; if None, all reach all.
         """
         self.lateness = lateness or Lateness()
+        self.paths = paths
         self.own = HostId(settings.host.id)
         self.domain = FailureDomain(settings.host.failure_domain)
         self.max_peers = settings.peers.max_peers
@@ -98,7 +102,7 @@
         self.share = 1.0
         self.owned: dict[TargetId, TargetState] = {}
         self.probing: set[TargetId] = set()
-        self.view: tuple[dict[HostId, FailureDomain], int] | None = None
+        self.view: tuple[dict[HostId, FailureDomain], int, int] | None = None
         self.random = rng
 
     async def run(self) -> None:
@@ -130,7 +134,8 @@
             if not peer.leaving:
                 hosts[peer.id] = peer.failure_domain
         self.share = min(1.0, len(hosts) / self._max_hosts())
-        view = (hosts, self.registry.changes)
+        path_changes = 0 if self.paths is None else self.paths.changes
+        view = (hosts, self.registry.changes, path_changes)
         if view == self.view:
             return
         self.view = view
@@ -143,9 +148,21 @@
         self.owned = {
             target.id: target
             for target in targets
-            if owner(eligible[target.failure_domain], target.id) == self.own
+            if self._owner(eligible[target.failure_domain], target) == self.own
         }
 
+    def _owner(self, hosts: Sequence[HostId], target: TargetState) -> HostId:
+        """Return which of `hosts` probes `target`: one that reaches it."""
+        if self.paths is None:
+            return owner(hosts, target.id)
+        reaching = [host for host in hosts if self._reaches(host, target)]
+        return owner(reaching or hosts, target.id)
+
+    def _reaches(self, host: HostId, target: TargetState) -> bool:
+        if host == self.own:
+            return not self.registry.paths.is_lost(target)
+        return not self.paths.is_lost_by(host, target)
+
     def _probing_hosts(self) -> Sequence[Peer]:
         """Return the other hosts that probe the same targets."""
         if self.exchange.is_grouped:
--- a/agatetack/measure/test_occupancy.py
+++ b/agatetack/measure/test_occupancy.py
@@ -73,6 +73,30 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against requests that hang behind a lost path taking up the room that
+# other hosts could use.
+async def test_requests_behind_a_lost_path_take_no_room(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        one, two = Host(mesh, "h1"), Host(mesh, "h2")
+        await start(nursery, one, two)
+        two.set(2)
+        two.set(1, number=2)
+        await trio.sleep(0.01)
+        assert one.target().peer_in_flight == 2
+        two.registry.paths.note_refused(two.target())
+        await trio.sleep(0.01)
+        assert one.target().peer_in_flight == 0
+        # The counts that are sent again leave them out, too.
+        await trio.sleep(2)
+        assert one.target().peer_in_flight == 0
+        assert one.target(2).peer_in_flight == 1
+        two.registry.paths.note_connected(two.target())
+        await trio.sleep(0.01)
+        assert one.target().peer_in_flight == 2
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize(("before", "after"), [(0, 2), (2, 0), (3, 1)])
 async def test_a_lost_message_is_made_good(autojump_clock, before, after):
     async with trio.open_nursery() as nursery:
--- a/agatetack/measure/test_rounds.py
+++ b/agatetack/measure/test_rounds.py
@@ -87,6 +87,39 @@
     assert len(probed) == len(set(probed)) == 30
 
 
+class Paths:
+    """Says that one host reaches no target."""
+
+    def __init__(self, cut_off):
+        self.cut_off = cut_off
+        self.changes = 1
+
+    def is_lost_by(self, host, target):
+        return host == self.cut_off
+
+
+# Guards against nobody measuring the targets of a host that can't reach them.
+async def test_targets_of_a_host_that_reaches_none_are_taken_over(
+    autojump_clock,
+):
+    names = [f"h{n}" for n in range(5)]
+    probed = []
+    for own in names:
+        prober = CountingProber(0.001)
+        rounds = make_rounds(own, names, prober, 30)
+        rounds.paths = Paths("h0")
+        if own == "h0":
+            for target in rounds.registry.by_id.values():
+                rounds.registry.paths.note_refused(target)
+            rounds.paths = Paths(None)
+            await run_for(rounds, 1.0)
+            assert not prober.probes
+            continue
+        await run_for(rounds, 1.0)
+        probed += set(prober.probes)
+    assert len(probed) == len(set(probed)) == 30
+
+
 async def test_targets_of_a_host_that_is_gone_are_taken_over(autojump_clock):
     prober = CountingProber(0.001)
     rounds = make_rounds("h1", ["h1", "h2"], prober, 30)
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -24,6 +24,9 @@
     TARGET_DRAINS = 9
     IN_FLIGHT = 10
     TOPIC_RECORDS = 11
+    LOST_PATHS = 12
+    FORWARD = 13
+    FORWARD_CANCEL = 14
 
 
 class Scope(enum.Enum):
--- a/agatetack/targets/paths.py
+++ b/agatetack/targets/paths.py
@@ -139,12 +139,27 @@
                 self._lose(each.target, PathFailure.SILENT)
 
     def note_heard(self, target: TargetState) -> None:
-        """Record that bytes of `target` arrived at this host."""
+        """Record that bytes of `target` arrived at this host.
+
+        On a connection that was open before, they don't show that a target
+        which refused a new one accepts it now.
+        """
         self.heard_at = Deadline(trio.current_time())
         self.silences.pop(target.process, None)
-        path = self.lost.pop(target.process, None)
-        if path is None:
-            return
+        path = self.lost.get(target.process)
+        if path is not None and path.why is PathFailure.SILENT:
+            self._restore(path)
+
+    def note_connected(self, target: TargetState) -> None:
+        """Record that `target` answered on a new connection."""
+        self.note_heard(target)
+        path = self.lost.get(target.process)
+        if path is not None:
+            self._restore(path)
+
+    def _restore(self, path: LostPath) -> None:
+        target = path.target
+        del self.lost[target.process]
         decisions.note(
             "path-back",
             target=target.id,
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -285,8 +285,7 @@
         self.paths.note_heard_elsewhere(target, at)
         record = self.departures.get(target.id)
         if (
-            record is None
-            or record.sign is not LeavingSign.CONNECT_REFUSED
+            not self._is_only_refused(target)
             or at <= record.at + EVIDENCE_MARGIN_SECONDS
             or not self.paths.is_lost(target)
         ):
@@ -299,6 +298,22 @@
         target.status_since = now
         self.counters.returned.inc({"sign": record.sign.value})
 
+    def count_unreachable(self, service: ServiceId) -> int:
+        """Return how many targets get no work as this host can't reach them.
+
+        These are the ones behind lost paths, and those that refused a
+        connection and have to be seen back for a while.
+        """
+        return sum(
+            self.paths.is_lost(target) or self._is_only_refused(target)
+            for target in self.by_id.values()
+            if target.service == service
+        )
+
+    def _is_only_refused(self, target: TargetState) -> bool:
+        record = self.departures.get(target.id)
+        return record is not None and record.sign is LeavingSign.CONNECT_REFUSED
+
     def _path_changed(self, target: TargetState) -> None:
         self._rebuild((target.service,))
         self.note_in_flight(target)
@@ -326,7 +341,6 @@
     def note_probe(self, target: TargetState, state: ReportedState) -> None:
         """Apply the state that a probe of `target`'s load endpoint reported."""
         now = Deadline(trio.current_time())
-        self.paths.note_heard(target)
         if state is ReportedState.DRAINING:
             if target.status is not TargetStatus.LEAVING:
                 self.note_leaving(target, LeavingSign.HEALTH)
@@ -454,6 +468,7 @@
 
     def _return(self, target: TargetState, now: Deadline) -> None:
         record = self.departures.end(target.id)
+        self.paths.note_connected(target)
         target.status = TargetStatus.COLD
         target.status_since = now
         target.warmth.invalidate(now)
--- a/thrift/measure.thrift
+++ b/thrift/measure.thrift
@@ -44,3 +44,9 @@
   2: optional bool whole        // the sender has nothing at other targets
   3: optional list<LoadSample> samples  // what it would have told next
 }
+
+// The targets that the sender can't reach itself. Each message replaces the
+// one before.
+struct LostPaths {
+  1: required list<i32> targets // xxhash32 of the targets' ids, as signed
+}
