Pass requests on when a host reaches no target of their service

A host that by lost paths has no target left for a service now passes the request to another host that reaches one, over their link and one hop far. That host treats it like a request of its own callers, with the time that is left, in its own admission and retry budget; its answer or refusal comes back whole. Not passed on again; a lost reply counts as unknown and is not repeated; another host is tried only after a refusal that says that the request has not run. Where the caller leaves, the other host cancels. If no host reaches the service, the request is refused at once.

--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -20,6 +20,9 @@
 from agatetack.callers.server import CallerServer
 from agatetack.clock import Clock, Lateness, LatenessMeter, SystemClock
 from agatetack.config.route import RequestClass, RouteSource
+from agatetack.forwarding.forwarder import Forwarder
+from agatetack.forwarding.receiver import ForwardReceiver
+from agatetack.forwarding.runner import ForwardingRunner
 from agatetack.ids import Deadline, RouteId, ServiceId
 from agatetack.lifecycle.drain import Lifecycle
 from agatetack.lifecycle.in_flight import TrackingHandler
@@ -173,6 +176,9 @@
             self.lateness,
         )
         self.path_sharing = PathSharing(self.registry, self.peers, metrics)
+        self.forwarder = Forwarder(
+            self.registry, self.peers, self.path_sharing, metrics
+        )
         self.rounds = ProbeRounds(
             settings,
             self.registry,
@@ -255,13 +261,23 @@
         self.dispatcher = Dispatcher(
             settings,
             self.routes,
-            dict(runners),
+            {
+                request_class: self._with_forwarding(request_class, runner)
+                for request_class, runner in runners.items()
+            },
             tickets,
             self.crashes,
             self.explanations,
             metrics,
             lambda: self.lifecycle.accepting,
         )
+        self.forward_receiver = ForwardReceiver(
+            self.peers,
+            self.dispatcher.run_forwarded,
+            self.lifecycle.in_flight,
+            settings.peers.max_frame_bytes,
+            metrics,
+        )
         self.callers_tls = None
         if settings.callers.tls is not None:
             self.callers_tls = ServerTls(
@@ -278,6 +294,14 @@
         self.lifecycle.on_closing(self.callers.close_idle)
         self.lifecycle.add_flush("callers", self._flush_callers)
 
+    def _with_forwarding(
+        self, request_class: RequestClass, runner: ClassRunner
+    ) -> ClassRunner:
+        if request_class is RequestClass.DEFERRED:
+            # Any host runs it later.
+            return runner
+        return ForwardingRunner(runner, self.forwarder)
+
     async def _flush_callers(self, deadline: Deadline) -> None:
         # A request that is still being received doesn't count as in flight
         # yet. Without this wait, its connection would be closed instead of
@@ -294,6 +318,7 @@
         await nursery.start(self.prober.run)
         nursery.start_soon(self.rounds.run)
         nursery.start_soon(self.path_sharing.run)
+        nursery.start_soon(self.forwarder.run)
         if self.occupancy is not None:
             nursery.start_soon(self.occupancy.run)
             self.start_share.begin()
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -168,6 +168,7 @@
             is the route's.
         attempts: Its attempts, in order.
         decision_trace: The decisions about it, for the log.
+        forwarded: Whether another host passed it to this one.
     """
 
     request_id: RequestId
@@ -185,6 +186,7 @@
     decision_trace: DecisionTrace = dataclasses.field(
         default_factory=DecisionTrace
     )
+    forwarded: bool = False
 
     @property
     def replayable(self) -> bool:
--- a/agatetack/peers/calls.py
+++ b/agatetack/peers/calls.py
@@ -24,7 +24,13 @@
 """
 
 
-UNBUDGETED_TOPICS = frozenset({Topic.CLAIM_BATCH.value})
+UNBUDGETED_TOPICS = frozenset(
+    {
+        Topic.CLAIM_BATCH.value,
+        Topic.FORWARD.value,
+        Topic.FORWARD_CANCEL.value,
+    }
+)
 """Topics whose calls are part of callers' requests.
 
 Admission control limits them. The byte budget, which limits the cost of control
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -126,6 +126,45 @@
             return self._refuse(route, request, result.failure())
         return self._finish_answer(route, request, result.unwrap())
 
+    async def run_forwarded(
+        self, request: CallerRequest
+    ) -> Result[Answer, Refusal]:
+        """Run a request that another host passed to this one.
+
+        That host answers the caller, also with a refusal.
+        """
+        found = self._find_route(request)
+        if isinstance(found, Refusal):
+            result = Failure(_with_unknown_outcome(request, found))
+            self._finish_forwarded(None, request, result)
+            return result
+        route = self.splitter.choose(found)
+        try:
+            result = await self._run(route, request)
+        except trio.Cancelled:
+            self._finish(route, request, Importance.FAILED, "caller-gone")
+            raise
+        except Exception as error:
+            log.error("[%s] failed: %r.", request.request_id, error)
+            result = Failure(
+                refuse(RefusalReason.INTERNAL_ERROR, "agatetack itself failed.")
+            )
+        self._finish_forwarded(route, request, result)
+        return result
+
+    def _finish_forwarded(
+        self,
+        route: Route | None,
+        request: CallerRequest,
+        result: Result[Answer, Refusal],
+    ) -> None:
+        if isinstance(result, Failure):
+            importance = Importance.FAILED
+            outcome = result.failure().reason.value
+        else:
+            importance, outcome = Importance.USUAL, "answered"
+        self._finish(route, request, importance, outcome, forwarded=True)
+
     def _is_for_tickets(self, request: CallerRequest) -> bool:
         if self.tickets is None:
             return False
