--- a/agatetack/forwarding/forwarder.py
+++ b/agatetack/forwarding/forwarder.py
@@ -118,7 +118,9 @@
             ):
                 return result
             last = result
-        return last or self._refuse(route, "No other host is known to reach it")
+        return last or self._refuse(
+            route, "No other host is known to reach it."
+        )
 
     def _refuse(self, route: Route, detail: str) -> Failure:
         self.counter.inc({"result": "no-host"})
@@ -152,18 +154,19 @@
         until = Deadline(request.deadline + REPLY_GRACE_SECONDS)
         self.in_progress[host] += 1
         self.last_used_at[host] = Deadline(trio.current_time())
-        result = None
+        replied = False
         try:
             reply = await self.exchange.call(
                 host, Topic.FORWARD, payload, until
             )
+            replied = True
             result = decode_reply(reply, request.method)
         except (PeerUnreachable, MalformedMessage) as error:
             # The other host may have sent it to a target.
             result = Failure(_unanswered(host, error, until))
         finally:
             self.in_progress[host] -= 1
-            if result is None:
+            if not replied:
                 self._cancel(host, number)
         self._note(host, route, request, result)
         return result
@@ -187,7 +190,7 @@
         )
 
     def _cancel(self, host: HostId, number: int) -> None:
-        """Have a request cancelled whose caller is gone."""
+        """Have a request cancelled whose reply nobody waits for."""
         try:
             self.cancels_in.send_nowait((host, number))
         except trio.WouldBlock:
--- a/agatetack/forwarding/receiver.py
+++ b/agatetack/forwarding/receiver.py
@@ -64,10 +64,11 @@
             "agatetack_forwarded_here_total",
             "Requests that other hosts passed to this one, by result.",
         )
-        exchange.serve(Topic.FORWARD, self._answer)
-        exchange.serve(Topic.FORWARD_CANCEL, self._cancel)
+        exchange.serve(Topic.FORWARD, self.answer)
+        exchange.serve(Topic.FORWARD_CANCEL, self.cancel)
 
-    async def _answer(self, sender: HostId, payload: bytes) -> bytes | None:
+    async def answer(self, sender: HostId, payload: bytes) -> bytes | None:
+        """Run the request of a call; return None if it was cancelled."""
         try:
             message = decode(ForwardedRequest, payload)
         except MalformedMessage as error:
@@ -89,7 +90,8 @@
             self.counter.inc({"result": "cancelled"})
         return reply
 
-    async def _cancel(self, sender: HostId, payload: bytes) -> bytes | None:
+    async def cancel(self, sender: HostId, payload: bytes) -> bytes | None:
+        """Cancel a request that `sender` no longer waits for."""
         try:
             message = decode(ForwardCancel, payload)
         except MalformedMessage as error:
