Cut hosts of the soak off from all targets, by seed

The soak had no fault in which a host reaches the store, its peers and its callers and no target. Targets now silence or reset the connections of some hosts for 2 to 12 s, up to three times and overlapping; whose a connection is, is asked of the kernel. The check is the users' rule: from 3 s after the cut first attempts at cut hosts are served two thirds as often as at the others, or no more than 10 and one in 50 of all fail there. The cuts have a source of their own, so that the other faults of a seed stay as they were.

--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Callable
 
 import trio
 
@@ -111,6 +112,7 @@
         probes: Requests of the load endpoint so far.
         misdirected: Requests that named another instance.
         instance: The name of this start of it.
+        on_accept: Called with each connection before it is served.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
         self.probes = 0
         self.misdirected = 0
         self.instance = TargetId(unique_name())
+        self.on_accept: Callable[[TargetConnection], None] = _serve_all
         self.random = random.Random(self.options.seed)
         self.slots = trio.Semaphore(self.options.slots)
         self.history: deque[tuple[float, int]] = deque(
@@ -210,6 +213,7 @@
         """Serve one connection until either side closes it."""
         connection = TargetConnection(self, stream)
         self.accepted += 1
+        self.on_accept(connection)
         self.connections.add(connection)
         try:
             await connection.run()
@@ -325,6 +329,10 @@
             await self.restarted.wait()
 
 
+def _serve_all(connection: TargetConnection) -> None:
+    """Serve every connection."""
+
+
 def _peer_port(stream: trio.SocketStream) -> int:
     return stream.socket.getpeername()[1]
 
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -66,6 +66,7 @@
 
     Attributes:
         silence: What it loses, or None while it works.
+        scope: Cancels it.
     """
 
     def __init__(self, target: "FakeTarget", stream: trio.abc.Stream):
@@ -73,6 +74,7 @@
         self.target = target
         self.stream = stream
         self.silence: Silence | None = None
+        self.scope = trio.CancelScope()
         self.reader = RequestReader()
         self.arrived = trio.Event()
         self.busy = False
@@ -95,15 +97,23 @@
     async def run(self) -> None:
         """Serve until either side closes."""
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._answer_all, nursery.cancel_scope)
-                await self._read_all()
-                nursery.cancel_scope.cancel()
+            with self.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._answer_all, nursery.cancel_scope)
+                    await self._read_all()
+                    nursery.cancel_scope.cancel()
         finally:
             if self.busy:
                 self.target.cancelled += 1
             await trio.aclose_forcefully(self.stream)
 
+    def reset(self) -> None:
+        """Close it with a reset, whatever it does."""
+        self.stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+        self.scope.cancel()
+
     async def _read_all(self) -> None:
         try:
             while data := await self.stream.receive_some(RECEIVE_BYTES):
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -38,6 +38,7 @@
     first_core: int = 0,
     load: float = 1.0,
     faults: int = -1,
+    path_cuts: int = -1,
     built: bool = False,
 ) -> int:
     """Build, run one soak and print its report as JSON.
@@ -59,6 +60,8 @@
         first_core: The first of those cores.
         load: Factor of the site's rates.
         faults: Seed of the faults; none if negative.
+        path_cuts: Seed of the times in which hosts lose their paths to all
+            targets; none if negative.
         built: Take the checkout as it is built.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
@@ -82,6 +85,7 @@
         shared,
         lead_seconds,
         faults if faults >= 0 else None,
+        path_cuts if path_cuts >= 0 else None,
     )
     report = trio.run(run_soak, plan)
     if report.faults:
@@ -105,6 +109,8 @@
     per_second: float = 40.0,
     seconds: float = 20.0,
     lead_seconds: float = 3.0,
+    path_cuts: bool = False,
+    signals: bool = True,
 ) -> int:
     """Run soaks with faults of many seeds, and print one line for each.
 
@@ -118,8 +124,11 @@
         per_second: Requests a second at the small site.
         seconds: How long each run sends requests.
         lead_seconds: Time from the start of the hosts to that of the load.
+        path_cuts: Whether hosts lose their paths to all targets at times.
+        signals: Whether all other faults come as well.
     """
     build(ROOT)
+    seeded = ["--faults"] * signals + ["--path-cuts"] * path_cuts
     options = [
         *("--hosts", str(hosts), "--per-second", str(per_second)),
         *("--seconds", str(seconds), "--lead-seconds", str(lead_seconds)),
@@ -129,7 +138,7 @@
         options += ["--site", str(pathlib.Path(site).resolve())]
     place = pathlib.Path(folder).resolve()
     numbers = range(first, first + seeds)
-    return trio.run(run_hunt, place, numbers, jobs, options)
+    return trio.run(run_hunt, place, numbers, jobs, options, seeded)
 
 
 def _as_json(report: Report) -> str:
--- a/bench/soak/fault_plan.py
+++ b/bench/soak/fault_plan.py
@@ -8,6 +8,7 @@
 from agatetack.testing.memory_store import StoreFault
 from bench.soak.faults import (
     Crash,
+    CutPaths,
     Fault,
     Freeze,
     Kill,
@@ -18,6 +19,7 @@
     Stop,
     StoreOutage,
 )
+from bench.soak.paths import PathFault
 from bench.soak.site import Site
 
 MOMENTS = (1, 3)
@@ -32,6 +34,12 @@
 FAULTY_SHARE = 0.5
 """Share of the run in which faults start; the rest shows recovery."""
 
+CUTS = (1, 3)
+"""Fewest and most times that hosts lose their paths to all targets."""
+
+CUT_SECONDS = (2.0, 12.0)
+"""Shortest and longest time for that."""
+
 START_SHARE = 0.4
 """Share of first moments that are at the start of the hosts."""
 
@@ -50,6 +58,33 @@
     return _Draw(seed, site, hosts).faults(seconds)
 
 
+def draw_path_cuts(
+    seed: int, hosts: Sequence[str], seconds: float
+) -> list[CutPaths]:
+    """Return cuts of hosts from all targets, in the order of their starts.
+
+    They have a source of their own, so that the other faults of a seed stay.
+
+    Args:
+        seed: The seed.
+        hosts: Ids of the hosts.
+        seconds: How long the run lasts.
+    """
+    source = random.Random(f"path cuts {seed}")
+    cuts = []
+    for _ in range(source.randint(*CUTS)):
+        count = source.randint(1, max(1, len(hosts) - 1))
+        cuts.append(
+            CutPaths(
+                round(source.uniform(0.0, seconds * FAULTY_SHARE), 3),
+                source.sample(hosts, count),
+                source.choice(list(PathFault)),
+                round(source.uniform(*CUT_SECONDS), 3),
+            )
+        )
+    return sorted(cuts, key=lambda cut: cut.at)
+
+
 def as_lines(faults: Sequence[Fault]) -> str:
     """Return the plan with one JSON object a line."""
     return "\n".join(orjson.dumps(each.fields()).decode() for each in faults)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import struct
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from socket import SO_LINGER, SOL_SOCKET
 
 import trio
@@ -18,6 +18,7 @@
     INTERNAL_PORTS,
     READY_PORT,
 )
+from bench.soak.paths import PathFault
 from bench.soak.world import World
 
 STABLE_SECONDS = 3.0
@@ -64,6 +65,15 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """A time in which hosts reached no target, in seconds of the run."""
+
+    hosts: Set[str]
+    start: float
+    end: float
+
+
 class Stage:
     """What faults act on.
 
@@ -72,6 +82,7 @@
         hosts: The hosts, by id.
         epoch: The start of the run on trio's clock.
         spans: When faults were in force.
+        cuts: When hosts reached no target.
     """
 
     def __init__(self, world: World, hosts: Sequence[Host], epoch: float):
@@ -80,6 +91,7 @@
         self.hosts = {host.id: host for host in hosts}
         self.epoch = epoch
         self.spans: list[Span] = []
+        self.cuts: list[Cut] = []
 
     def now(self) -> float:
         """Return the time since the start of the run, in seconds."""
@@ -294,6 +306,29 @@
     return whole[: source.randint(0, len(whole))]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutPaths(Fault):
+    """Some hosts lose their paths to all targets.
+
+    Attributes:
+        hosts: Their ids.
+        how: What happens to their connections.
+        seconds: How long.
+    """
+
+    hosts: Sequence[str]
+    how: PathFault
+    seconds: float
+
+    async def run(self, stage: Stage) -> None:
+        """Cut the paths, and restore them."""
+        started = stage.now()
+        stage.world.cut_paths(self.hosts, self.how)
+        await trio.sleep(self.seconds)
+        stage.world.restore_paths(self.hosts, self.how)
+        stage.cuts.append(Cut(frozenset(self.hosts), started, stage.now()))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreOutage(Fault):
     """The store fails for some time.
--- a/bench/soak/hunt.py
+++ b/bench/soak/hunt.py
@@ -11,7 +11,11 @@
 
 
 async def run_hunt(
-    folder: pathlib.Path, seeds: Sequence[int], jobs: int, options: list[str]
+    folder: pathlib.Path,
+    seeds: Sequence[int],
+    jobs: int,
+    options: list[str],
+    seeded: Sequence[str] = ("--faults",),
 ) -> int:
     """Run one soak for each seed and print a line for each.
 
@@ -20,6 +24,7 @@
         seeds: The seeds.
         jobs: Runs at the same time.
         options: Further options of each run.
+        seeded: Options that take the seed, besides that of the load.
 
     Returns:
         0, or 1 if a rule broke.
@@ -29,8 +34,9 @@
     async with trio.open_nursery() as nursery:
         for seed in seeds:
             await limiter.acquire_on_behalf_of(seed)
+            drawn = [word for name in seeded for word in (name, str(seed))]
             nursery.start_soon(
-                _run_seed, folder, seed, options, limiter, broken
+                _run_seed, folder, seed, [*drawn, *options], limiter, broken
             )
     print(f"{len(broken)} of {len(seeds)} seeds broke a rule: {broken}")
     return int(bool(broken))
@@ -46,7 +52,7 @@
     place = folder / f"seed-{seed}"
     place.mkdir(parents=True, exist_ok=True)
     command = [sys.executable, "-m", "bench.soak", "run", str(place)]
-    command += ["--seed", str(seed), "--faults", str(seed), *options]
+    command += ["--seed", str(seed), *options]
     report = place / "report.txt"
     try:
         with report.open("wb") as file:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,7 +10,7 @@
 from agatetack.testing.fake_target import ExecutedRequest
 from bench.soak.callers import Callers, Result, count_results
 from bench.soak.deploy_file import read_role
-from bench.soak.fault_plan import draw_faults
+from bench.soak.fault_plan import draw_faults, draw_path_cuts
 from bench.soak.faults import Fault, Stage
 from bench.soak.host import End, Host, ends_by_themselves
 from bench.soak.machines import make_hosts
@@ -43,6 +43,8 @@
         cores: Processor cores that the hosts share; all if empty.
         lead_seconds: Time from the start of the hosts to that of the load.
         faults: Seed of the faults; None for a run without.
+        path_cuts: Seed of the times in which hosts lose their paths to all
+            targets; None for a run without.
     """
 
     site: Site
@@ -53,6 +55,7 @@
     cores: Sequence[int] = ()
     lead_seconds: float = 3.0
     faults: int | None = None
+    path_cuts: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,7 +161,12 @@
     report.host_counters = host_counters
     report.faults = faults
     evidence = Evidence(
-        world, hosts, callers.requests, stage.all_spans(), until - epoch
+        world,
+        hosts,
+        callers.requests,
+        stage.all_spans(),
+        until - epoch,
+        stage.cuts,
     )
     report.calm_requests = sum(
         evidence.calm(each.started, each.attempts[-1].ended)
@@ -170,11 +178,14 @@
 
 
 def _draw(plan: Plan, hosts: Sequence[Host]) -> Sequence[Fault]:
-    if plan.faults is None:
-        return []
     names = [host.id for host in hosts]
     seconds = plan.lead_seconds + plan.seconds
-    return draw_faults(plan.faults, plan.site, names, seconds)
+    faults: list[Fault] = []
+    if plan.faults is not None:
+        faults += draw_faults(plan.faults, plan.site, names, seconds)
+    if plan.path_cuts is not None:
+        faults += draw_path_cuts(plan.path_cuts, names, seconds)
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 def _report(
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -1,6 +1,7 @@
 """Test faults by seed, and what a run with faults is judged by."""
 
 import dataclasses
+import os
 import pathlib
 import signal
 import socket
@@ -12,9 +13,10 @@
 from bench.soak import machines
 from bench.soak.callers import Attempt, CallerRequest, Result
 from bench.soak.deploy_file import build
-from bench.soak.fault_plan import as_lines, draw_faults
-from bench.soak.faults import Freeze, Kill, Reload, Span, Stage, Stop
+from bench.soak.fault_plan import as_lines, draw_faults, draw_path_cuts
+from bench.soak.faults import Cut, Freeze, Kill, Reload, Span, Stage, Stop
 from bench.soak.host import Host
+from bench.soak.paths import PathCuts, PathFault
 from bench.soak.run import Plan, run_soak
 from bench.soak.site import Kind, small_site
 from bench.soak.verdict import Evidence, judge
@@ -111,6 +113,85 @@
     assert any(isinstance(each, Stop) and each.overlap for each in drawn)
 
 
+def test_path_cuts_are_drawn_alike_and_leave_hosts_that_reach_targets():
+    kinds = set()
+    for seed in SEEDS:
+        first, second = (draw_path_cuts(seed, HOSTS, 30.0) for _ in range(2))
+        assert first == second
+        for cut in first:
+            kinds.add(cut.how)
+            assert 1 <= len(set(cut.hosts)) < len(HOSTS)
+    assert kinds == set(PathFault)
+
+
+async def test_only_connections_of_a_cut_host_are_cut():
+    class Process:
+        """This process."""
+
+        class popen:  # noqa: N801
+            """Its handle."""
+
+            pid = os.getpid()
+
+    host = type("Host", (), {"processes": [Process]})
+    nobody = type("Host", (), {"processes": []})
+    cuts = PathCuts(lambda: {"a-1": host, "a-2": nobody})
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listener.socket.getsockname()[1]
+    async with (
+        listener,
+        await trio.open_tcp_stream("127.0.0.1", port),
+        await listener.accept() as accepted,
+    ):
+        assert cuts.fault_of(accepted) is None
+        cuts.begin(["a-2"], PathFault.RESET)
+        assert cuts.fault_of(accepted) is None
+        cuts.begin(["a-1"], PathFault.RESET)
+        cuts.begin(["a-1"], PathFault.SILENT)
+        assert cuts.fault_of(accepted) is PathFault.SILENT
+        cuts.end(["a-1"], PathFault.SILENT)
+        assert cuts.fault_of(accepted) is PathFault.RESET
+        cuts.end(["a-1"], PathFault.RESET)
+        assert cuts.fault_of(accepted) is None
+
+
+# Guards against callers of hosts that reach no target being served far worse.
+@pytest.mark.parametrize(
+    ("failed", "others_failed", "cut_for", "span", "rules"),
+    [
+        (0, 0, 10.0, None, set()),
+        (13, 0, 10.0, None, {"RECOVER"}),
+        (11, 0, 10.0, None, set()),
+        (13, 13, 10.0, None, set()),
+        (13, 0, 2.0, None, set()),
+        (13, 0, 10.0, Span("Kill", 8.0, 9.0), set()),
+    ],
+)
+def test_hosts_that_reach_no_target_serve_as_the_others(
+    tmp_path, failed, others_failed, cut_for, span, rules
+):
+    site = small_site()
+    (kind,) = (each for each in site.kinds.values() if each.kind is Kind.ONCE)
+    requests = []
+    for host, failures in (("a-1", failed), ("a-2", others_failed)):
+        for number in range(30):
+            result = Result.REFUSED if number < failures else Result.SERVED
+            name = f"{host}-{number}"
+            attempt = Attempt(name, host, 9.0, 9.1, result, 503, sent=9.0)
+            served = Attempt(name, host, 9.2, 9.3, Result.SERVED, 200, sent=9.2)
+            attempts = [attempt, served] if number < failures else [attempt]
+            requests.append(CallerRequest(kind, "a", 9.0, attempts))
+    host = scripted_host("", tmp_path)
+    other = scripted_host("", tmp_path)
+    other.id = "a-2"
+    spans = [Span("CutPaths", 5.0, 5.0 + cut_for)]
+    spans += [span] if span is not None else []
+    cuts = [Cut(frozenset({"a-1"}), 5.0, 5.0 + cut_for)]
+    seen = Evidence(World(site), [host, other], requests, spans, 30.0, cuts)
+    broken = {each.rule for each in judge(seen)}
+    assert broken - {"SHORT"} == rules
+
+
 async def test_a_host_that_ends_by_itself_is_told_from_one_that_is_ended(
     tmp_path,
 ):
@@ -257,10 +338,21 @@
         sock.bind((f"{first}.{machines.HOLDER}", machines.CALLERS_PORT))
 
 
-@pytest.mark.parametrize("seed", [2, 5])
-async def test_a_run_with_faults_breaks_no_rule(tmp_path, seed):
+@pytest.mark.parametrize(
+    ("seed", "path_cuts"), [(2, None), (5, None), (1, 1), (3, 3)]
+)
+async def test_a_run_with_faults_breaks_no_rule(tmp_path, seed, path_cuts):
     build(ROOT)
-    plan = Plan(small_site(), 17.0, seed, ROOT, tmp_path, faults=seed)
+    faults = seed if path_cuts is None else None
+    plan = Plan(
+        small_site(),
+        17.0,
+        seed,
+        ROOT,
+        tmp_path,
+        faults=faults,
+        path_cuts=path_cuts,
+    )
     report = await run_soak(plan)
     # What is served in calm times depends on the processor's other work.
     broken = [each for each in report.violations if each.rule != "SHORT"]
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -12,11 +12,18 @@
     CallerRequest,
     Result,
 )
-from bench.soak.faults import GRACE_SECONDS, STABLE_SECONDS, Span
+from bench.soak.faults import GRACE_SECONDS, STABLE_SECONDS, Cut, CutPaths, Span
 from bench.soak.host import Host
 from bench.soak.site import Kind
 from bench.soak.world import World
 
+CUT_OFF_SERVED_RATIO = 2 / 3
+"""How much of the others' share hosts that reach no target have to serve."""
+
+CUT_OFF_FAILURES, CUT_OFF_FAILED_SHARE = 10, 1 / 50
+"""Failed first attempts there that are allowed all the same, with the share
+of all first attempts that is added."""
+
 RECOVER_SECONDS = 15.0
 """`recover`: time after the last fault until requests are served again."""
 
@@ -50,6 +57,7 @@
         requests: All requests of callers.
         spans: When faults were in force.
         until: When the last request was sent, in seconds of the run.
+        cuts: When hosts reached no target.
     """
 
     world: World
@@ -57,6 +65,7 @@
     requests: Sequence[CallerRequest]
     spans: Sequence[Span]
     until: float
+    cuts: Sequence[Cut] = ()
 
     def disturbed(self, attempt: Attempt) -> bool:
         """Return whether its host was killed or frozen around an attempt."""
@@ -65,6 +74,24 @@
         )
         return _meets(spans, attempt.started - STABLE_SECONDS, attempt.ended)
 
+    def is_cut_off(self, attempt: Attempt) -> bool:
+        """Return whether its host reached no target around an attempt."""
+        spans = [
+            (cut.start, cut.end)
+            for cut in self.cuts
+            if attempt.host in cut.hosts
+        ]
+        return _meets(spans, attempt.started - STABLE_SECONDS, attempt.ended)
+
+    def calm_but_for_cuts(self, start: float, end: float) -> bool:
+        """Return whether no fault but cuts of paths was in force."""
+        spans = [
+            (span.start, span.end)
+            for span in self.spans
+            if span.kind != CutPaths.__name__
+        ]
+        return not _meets(spans, start - STABLE_SECONDS, end)
+
     def calm(self, start: float, end: float) -> bool:
         """Return whether no fault was in force, nor shortly before."""
         spans = [(span.start, span.end) for span in self.spans]
@@ -86,6 +113,7 @@
         *_attempts(evidence),
         *_calm(evidence),
         *_recovery(evidence),
+        *_cut_off(evidence),
     ]
     return sorted(found, key=lambda each: each.at)
 
@@ -218,6 +246,42 @@
         yield Violation("RECOVER", last + RECOVER_SECONDS, "", "", seen)
 
 
+def _cut_off(evidence: Evidence) -> Iterator[Violation]:
+    """Compare hosts that reach no target with the others, by first attempts.
+
+    Only times without another fault count, as in those hosts may be down.
+    """
+    for cut in evidence.cuts:
+        served: Counter[bool] = Counter()
+        total: Counter[bool] = Counter()
+        for request in evidence.requests:
+            if not request.attempts:
+                continue
+            first = request.attempts[0]
+            inside = cut.start + STABLE_SECONDS <= first.started
+            if not inside or first.ended > cut.end:
+                continue
+            if not evidence.calm_but_for_cuts(first.started, first.ended):
+                continue
+            is_cut = first.host in cut.hosts
+            if not is_cut and evidence.is_cut_off(first):
+                continue
+            total[is_cut] += 1
+            served[is_cut] += first.result is Result.SERVED
+        failed = total[True] - served[True]
+        allowed = CUT_OFF_FAILURES + CUT_OFF_FAILED_SHARE * total.total()
+        if not total[True] or not total[False] or failed <= allowed:
+            continue
+        share = served[True] / total[True]
+        if share < CUT_OFF_SERVED_RATIO * served[False] / total[False]:
+            seen = (
+                f"hosts that reach no target served {served[True]} of "
+                f"{total[True]} first attempts, the others {served[False]} of "
+                f"{total[False]}"
+            )
+            yield Violation("RECOVER", cut.end, "", "", seen)
+
+
 def _of(attempt: Attempt, rule: str, detail: str) -> Violation:
     return Violation(
         rule, attempt.ended, attempt.host, attempt.request_id, detail
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -17,9 +17,12 @@
     template_settings,
 )
 from agatetack.testing.store_server import store_server
+from agatetack.testing.target_connection import TargetConnection
+from agatetack.testing.target_faults import Silence
 from agatetack.unique import unique_name
 from bench.soak.host import Host
 from bench.soak.machines import READY_PORT
+from bench.soak.paths import PathCuts, PathFault
 from bench.soak.site import Kind, RequestKind, Service, Site
 
 STORE_SECONDS = 0.004
@@ -80,6 +83,8 @@
             which they were added.
         version: The version of the configuration.
         entry: Chooses hosts for callers.
+        hosts: The hosts, by id.
+        path_cuts: The hosts that are cut off from all targets.
     """
 
     def __init__(self, site: Site):
@@ -91,6 +96,8 @@
         self.targets: dict[TargetId, SiteTarget] = {}
         self.version = 0
         self.entry = FakeEntry([], {}, self._is_ready)
+        self.hosts: dict[str, Host] = {}
+        self.path_cuts = PathCuts(lambda: self.hosts)
         self.ready_addresses: dict[str, str] = {}
         self.nursery: trio.Nursery | None = None
 
@@ -113,6 +120,7 @@
         target = FakeTarget(settings, options)
         target.instance = TargetId(f"i-{unique_name()}")
         target.faults.shed_above = service.slots + service.queue
+        target.on_accept = self._cut_if_due
         await self.nursery.start(target.serve)
         placed = SiteTarget(target, service, domain)
         self.targets[target.instance] = placed
@@ -172,6 +180,25 @@
         self.forget(placed.target.instance)
         placed.target.refuse()
 
+    def _cut_if_due(self, connection: TargetConnection) -> None:
+        """Cut a connection if its host is cut off."""
+        fault = self.path_cuts.fault_of(connection.stream)
+        if fault is PathFault.SILENT:
+            connection.silence = Silence.REQUEST_LOST
+        elif fault is PathFault.RESET:
+            connection.reset()
+
+    def cut_paths(self, hosts: Sequence[str], fault: PathFault) -> None:
+        """Cut hosts off from all targets."""
+        self.path_cuts.begin(hosts, fault)
+        for placed in self.targets.values():
+            for connection in list(placed.target.connections):
+                self._cut_if_due(connection)
+
+    def restore_paths(self, hosts: Sequence[str], fault: PathFault) -> None:
+        """End one cut of hosts; connections that were cut stay lost."""
+        self.path_cuts.end(hosts, fault)
+
     def publish(self) -> None:
         """Publish a configuration with one route for each kind of request."""
         self.version += 1
@@ -181,6 +208,7 @@
 
     def add_hosts(self, hosts: Sequence[Host]) -> None:
         """Let the entry choose among `hosts` from now on."""
+        self.hosts = {host.id: host for host in hosts}
         self.ready_addresses = {host.id: host.ip for host in hosts}
         domains = list(self.site.hosts)
         near = {
