Count new connections that end without a byte as a lost path

Callers of hosts whose connections to targets are accepted and then reset got 502 or were refused for as long as it lasted: such a path was no refused connection and no silence, so that it was never known to be lost.

--- a/agatetack/targets/presend_probe.py
+++ b/agatetack/targets/presend_probe.py
@@ -188,7 +188,9 @@
         try:
             with trio.move_on_at(until) as scope:
                 load = await self._exchange(connection, connection.target)
-            if scope.cancelled_caught and connection.last_byte_at <= now:
+            gave_up = scope.cancelled_caught or connection.requests == 1
+            if gave_up and connection.last_byte_at <= now:
+                # It was silent, or a new connection ended without a byte.
                 self.registry.paths.note_silence(connection.target)
         finally:
             if load is None:
