Blame no request for a crash while no target can be reached

The same cause elsewhere: a host took targets that it could not reach for crashed ones, and told all hosts which request it had sent them. After three such crashes all hosts refuse a request for a minute. While other hosts report the targets there is none, but a cut of all hosts leaves no such report.

A host that reaches no target at all, and has lost four or more, now confirms no crash. Two of four new cases of test_liveness failed before; the other two keep crashes of single targets and of small fleets as they were.

--- a/agatetack/quarantine/liveness.py
+++ b/agatetack/quarantine/liveness.py
@@ -12,6 +12,11 @@
 """Maximum delay of a load report that a peer forwards from its target."""
 
 
+MIN_LOST_TARGETS = 4
+"""Number of lost paths from which a host that reaches no target at all is taken
+to have lost its paths. One request crashes fewer before it is refused."""
+
+
 class LivenessCheck(abc.ABC):
     """Distinguishes a crashed target from a single lost connection."""
 
@@ -60,10 +65,21 @@
     async def stayed_up(
         self, target: ProcessId, lost_at: Deadline, until: Deadline
     ) -> bool:
-        """Return whether `target` surely did not go down at `lost_at`."""
+        """Return whether `target` surely did not go down at `lost_at`.
+
+        A host that reaches no target can't tell a crash from its own lost
+        path, so that it blames no request.
+        """
         await trio.sleep_until(until)
+        if self._is_cut_off():
+            return True
         known = self.registry.by_process.get(target)
         if known is None or known.report is None:
             return False
         # A report received just after the loss may have been sent before it.
         return known.report.at > lost_at + REPORT_DELAY_SECONDS
+
+    def _is_cut_off(self) -> bool:
+        if len(self.registry.paths.lost) < MIN_LOST_TARGETS:
+            return False
+        return not any(map(self.registry.targets, self.registry.services))
--- a/agatetack/quarantine/test_liveness.py
+++ b/agatetack/quarantine/test_liveness.py
@@ -44,6 +44,26 @@
     assert trio.current_time() == until
 
 
+# Guards against requests being refused by all hosts for crashes of targets that
+# a host only could not reach.
+@pytest.mark.parametrize(
+    ("targets", "lost", "stayed_up"),
+    [(5, 5, True), (5, 4, False), (3, 3, False), (4, 4, True)],
+)
+async def test_a_host_that_reaches_no_target_sees_no_crash(
+    autojump_clock, targets, lost, stayed_up
+):
+    registry = TargetRegistry(default_settings(), Metrics())
+    registry.update([listed_target(n + 1) for n in range(targets)])
+    known = list(registry.by_id.values())
+    for target in known[:lost]:
+        registry.paths.note_refused(target)
+    check = ReportLivenessCheck(registry)
+    until = Deadline(trio.current_time() + 1.5)
+    found = await check.stayed_up(known[0].process, until, until)
+    assert found is stayed_up
+
+
 async def test_a_process_that_was_started_again_did_not_stay_up(
     autojump_clock,
 ):
