Take silence for a lost path only if another host hears the target

Callers were refused as no-target in calm times, at hosts whose paths were sound: silence of three targets counted as lost paths, and while the processor was short all hosts heard all targets late.

A host that does not hear targets now asks its peers to look; each of them says at once what it finds. Only a report that is younger than the silence makes the path a lost one: what no other host hears, none could be asked to reach.

--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -175,7 +175,9 @@
             CombinedShares([pushback_share, self.rate_share]),
             self.lateness,
         )
-        self.path_sharing = PathSharing(self.registry, self.peers, metrics)
+        self.path_sharing = PathSharing(
+            self.registry, self.peers, metrics, self.prober.looks.suspect
+        )
         self.forwarder = Forwarder(
             self.registry, self.peers, self.path_sharing, metrics
         )
--- a/agatetack/measure/path_sharing.py
+++ b/agatetack/measure/path_sharing.py
@@ -1,11 +1,11 @@
 """Share which targets each host can't reach."""
 
 import dataclasses
-from collections.abc import Set
+from collections.abc import Callable, Sequence, Set
 
 import trio
 
-from agatetack.generated.measure.ttypes import LostPaths
+from agatetack.generated.measure.ttypes import LookRequest, LostPaths
 from agatetack.ids import Deadline, HostId, ServiceId
 from agatetack.measure.hashes import TargetHashes, target_hash
 from agatetack.metrics import Metrics
@@ -47,9 +47,21 @@
     """
 
     def __init__(
-        self, registry: TargetRegistry, exchange: Exchange, metrics: Metrics
+        self,
+        registry: TargetRegistry,
+        exchange: Exchange,
+        metrics: Metrics,
+        look: Callable[[TargetState], None],
     ):
-        """Subscribe to the registry and to messages of the peers."""
+        """Subscribe to the registry and to messages of the peers.
+
+        Args:
+            registry: The targets.
+            exchange: The other hosts.
+            metrics: Where dropped messages are counted.
+            look: Has this host look at a target that another one can't hear.
+        """
+        self.look = look
         self.registry = registry
         self.exchange = exchange
         self.metrics = metrics
@@ -58,7 +70,9 @@
         self.changes = 0
         self.changed = trio.Event()
         registry.paths.watchers.append(self._on_path)
+        registry.paths.doubt_watchers.append(self._ask_peers)
         exchange.subscribe(Topic.LOST_PATHS, self._on_message)
+        exchange.subscribe(Topic.LOOK_REQUESTS, self._on_request)
 
     async def run(self) -> None:
         """Send this host's lost paths until cancelled, while there are any."""
@@ -108,13 +122,33 @@
         self.changes += 1
         self.changed.set()
 
+    def _ask_peers(self, targets: Sequence[TargetState]) -> None:
+        """Have peers look at targets that this host does not hear."""
+        hashes = [target_hash(target.process) for target in targets]
+        payload = encode(LookRequest(targets=hashes))
+        self.exchange.publish(Topic.LOOK_REQUESTS, payload, Scope.NEAR)
+
+    def _on_request(self, sender: HostId, payload: bytes) -> None:
+        try:
+            message = decode(LookRequest, payload)
+        except MalformedMessage:
+            self._drop()
+            return
+        for number in message.targets:
+            target = self.hashes.find(number)
+            if target is not None:
+                self.look(target)
+
+    def _drop(self) -> None:
+        self.metrics.dropped.inc(
+            {"part": "measure", "reason": "paths-malformed"}
+        )
+
     def _on_message(self, sender: HostId, payload: bytes) -> None:
         try:
             message = decode(LostPaths, payload)
         except MalformedMessage:
-            self.metrics.dropped.inc(
-                {"part": "measure", "reason": "paths-malformed"}
-            )
+            self._drop()
             return
         lost = frozenset(message.targets)
         before = self.peers.pop(sender, None)
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -233,14 +233,17 @@
         self._record(target, result)
 
     async def look(self, target: TargetState) -> None:
-        """Probe a target that may be unreachable.
+        """Probe a target that may be unreachable, and tell peers what it says.
 
         The next request shows whether it is, if it can't be probed.
         """
-        if self.client.can_probe(target):
-            await self.probe(target, self.registry.paths.is_lost(target))
-        else:
+        if not self.client.can_probe(target):
             self.registry.paths.note_connected(target)
+            return
+        started = trio.current_time()
+        await self.probe(target, self.registry.paths.is_lost(target))
+        if target.report is not None and target.report.at >= started:
+            self.sharing.send_now(target)
 
     def _record(
         self, target: TargetState, result: Result[ProbeAnswer, ProbeFailure]
--- a/agatetack/measure/samples.py
+++ b/agatetack/measure/samples.py
@@ -118,7 +118,7 @@
         self.hashes = TargetHashes(registry)
         self.refusal_watchers: list[Callable[[TargetState], None]] = []
         registry.report_watchers.append(self._on_report)
-        registry.slowness_watchers.append(self._send_changed)
+        registry.slowness_watchers.append(self.send_now)
         registry.leaving_watchers.append(self._send_sign)
         exchange.subscribe(Topic.LOAD_SAMPLES, self._on_samples)
         exchange.subscribe(Topic.TARGET_SIGNS, self._on_sign)
@@ -200,7 +200,7 @@
         ready_at = self.bucket.ready_at(CHANGED_RESERVE_BYTES * peers)
         return min(ready_at, trio.current_time() + MAX_BUDGET_POLL_SECONDS)
 
-    def _send_changed(self, target: TargetState) -> None:
+    def send_now(self, target: TargetState) -> None:
         """Report a target to the peers at once, if the budget allows."""
         peers = len(self.exchange.near_peers())
         if peers and not self._send([target], peers, 0):
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -27,6 +27,7 @@
     LOST_PATHS = 12
     FORWARD = 13
     FORWARD_CANCEL = 14
+    LOOK_REQUESTS = 15
 
 
 class Scope(enum.Enum):
--- a/agatetack/targets/paths.py
+++ b/agatetack/targets/paths.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -18,21 +18,17 @@
 
 MIN_SILENT_TARGETS = 3
 """Number of targets that have to be silent, with no byte from any other, before
-their paths count as lost. One silent target may be slow or stopped."""
+the first silence of each of them counts."""
 
-MIN_SILENCES = 3
-"""Minimum number of silences for that, where there are fewer targets."""
-
-MIN_CONFIRMED_SILENCES = 2
-"""Silences of one target after which its path counts as lost if another host
-has a report of the target from that time."""
+MIN_SILENCES = 2
+"""Number of silences of one target that count for themselves."""
 
 FIRST_LOOK_SECONDS = 0.5
 """Time from the loss of a path to the first look whether it is back."""
 
 EVIDENCE_MARGIN_SECONDS = 0.1
-"""How much younger than a failure another host's report has to be. The time
-that its message took is not known."""
+"""How much younger than a refused connection another host's report has to be.
+The time that its message took is not known."""
 
 decisions = DecisionLog("targets")
 
@@ -69,11 +65,13 @@
         target: The target.
         since: When the first of them failed.
         count: How many there were since the last byte.
+        doubted: Whether a report of another host shows that the path is lost.
     """
 
     target: TargetState
     since: Deadline
     count: int = 0
+    doubted: bool = False
 
 
 class TargetPaths:
@@ -84,20 +82,17 @@
         silences: Targets that were silent and are not lost yet.
         heard_at: When a byte arrived from any target.
         watchers: Called with a target whose path was lost or is back.
+        doubt_watchers: Called with silent targets, so that other hosts can
+            find out whether they reach them.
     """
 
-    def __init__(self, metrics: Metrics, count_targets: Callable[[], int]):
-        """Start with all paths in order.
-
-        Args:
-            metrics: Where lost paths and failures are counted.
-            count_targets: Returns the number of known targets.
-        """
-        self.count_targets = count_targets
+    def __init__(self, metrics: Metrics):
+        """Start with all paths in order; lost ones are counted in `metrics`."""
         self.lost: dict[ProcessId, LostPath] = {}
         self.silences: dict[ProcessId, Silence] = {}
         self.heard_at = Deadline(float("-inf"))
         self.watchers: list[Callable[[TargetState], None]] = []
+        self.doubt_watchers: list[Callable[[Sequence[TargetState]], None]] = []
         self.lost_gauge = metrics.gauge(
             "agatetack_paths_lost",
             "Targets that this host can't reach itself, by service.",
@@ -121,7 +116,11 @@
         return True
 
     def note_silence(self, target: TargetState) -> None:
-        """Record that `target` sent no byte in time."""
+        """Record that `target` sent no byte in time.
+
+        It may be slow or stopped, or this host late. Only if another host
+        hears it meanwhile is the path lost.
+        """
         if self.is_lost(target):
             return
         now = Deadline(trio.current_time())
@@ -129,14 +128,16 @@
         if silence is None:
             silence = self.silences[target.process] = Silence(target, now)
         silence.count += 1
+        doubted = [silence] if silence.count >= MIN_SILENCES else []
         recent = [s for s in self.silences.values() if s.since > self.heard_at]
-        min_targets = min(MIN_SILENT_TARGETS, self.count_targets())
-        if (
-            len(recent) >= min_targets
-            and sum(s.count for s in recent) >= MIN_SILENCES
-        ):
-            for each in recent:
-                self._lose(each.target, PathFailure.SILENT)
+        if len(recent) >= MIN_SILENT_TARGETS:
+            doubted = recent
+        added = [each for each in doubted if not each.doubted]
+        for each in added:
+            each.doubted = True
+        if added:
+            for watcher in self.doubt_watchers:
+                watcher([each.target for each in added])
 
     def note_heard(self, target: TargetState) -> None:
         """Record that bytes of `target` arrived at this host.
@@ -174,11 +175,7 @@
     def note_heard_elsewhere(self, target: TargetState, at: Deadline) -> None:
         """Record that another host had a report of `target` at `at`."""
         silence = self.silences.get(target.process)
-        if (
-            silence is not None
-            and silence.count >= MIN_CONFIRMED_SILENCES
-            and at > silence.since + EVIDENCE_MARGIN_SECONDS
-        ):
+        if silence is not None and silence.doubted and at > silence.since:
             self._lose(target, PathFailure.SILENT)
 
     def forget(self, target: TargetState) -> None:
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -108,7 +108,7 @@
             Callable[[TargetState, LeavingSign], None]
         ] = []
         self.counters = TargetCounters(metrics)
-        self.paths = TargetPaths(metrics, lambda: len(self.by_id))
+        self.paths = TargetPaths(metrics)
         self.paths.watchers.append(self._path_changed)
         self.rate_limits = RateLimits(settings, metrics)
         self.pushbacks = Pushbacks(metrics)
--- a/thrift/measure.thrift
+++ b/thrift/measure.thrift
@@ -50,3 +50,9 @@
 struct LostPaths {
   1: required list<i32> targets // xxhash32 of the targets' ids, as signed
 }
+
+// Targets that the sender does not hear; the receiver looks at them and shares
+// what they report.
+struct LookRequest {
+  1: required list<i32> targets // xxhash32 of the targets' ids, as signed
+}
