Forget the paths of targets that are gone

An attempt or connect that began before a target was removed could fail afterwards, and its path then counted as lost for good: the host looked at an address once a second that may belong to another service by then. Such failures are now ignored; test_a_target_that_is_gone_has_no_path failed before.

--- a/agatetack/targets/paths.py
+++ b/agatetack/targets/paths.py
@@ -86,8 +86,17 @@
             find out whether they reach them.
     """
 
-    def __init__(self, metrics: Metrics):
-        """Start with all paths in order; lost ones are counted in `metrics`."""
+    def __init__(
+        self, metrics: Metrics, is_known: Callable[[TargetState], bool]
+    ):
+        """Start with all paths in order.
+
+        Args:
+            metrics: Where lost paths and failures are counted.
+            is_known: Returns whether a target is still in use; others are
+                forgotten, though attempts at them may still fail.
+        """
+        self.is_known = is_known
         self.lost: dict[ProcessId, LostPath] = {}
         self.silences: dict[ProcessId, Silence] = {}
         self.heard_at = Deadline(float("-inf"))
@@ -112,7 +121,8 @@
         """Record a refused connection; return whether that is new."""
         if self.is_lost(target):
             return False
-        self._lose(target, PathFailure.REFUSED)
+        if self.is_known(target):
+            self._lose(target, PathFailure.REFUSED)
         return True
 
     def note_silence(self, target: TargetState) -> None:
@@ -121,7 +131,7 @@
         It may be slow or stopped, or this host late. Only if another host
         hears it meanwhile is the path lost.
         """
-        if self.is_lost(target):
+        if self.is_lost(target) or not self.is_known(target):
             return
         now = Deadline(trio.current_time())
         silence = self.silences.get(target.process)
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -108,7 +108,7 @@
             Callable[[TargetState, LeavingSign], None]
         ] = []
         self.counters = TargetCounters(metrics)
-        self.paths = TargetPaths(metrics)
+        self.paths = TargetPaths(metrics, self._is_known)
         self.paths.watchers.append(self._path_changed)
         self.rate_limits = RateLimits(settings, metrics)
         self.pushbacks = Pushbacks(metrics)
@@ -290,8 +290,8 @@
             or not self.paths.is_lost(target)
         ):
             return
-        # The target lives, so that it is the path that is lost. It ends no
-        # sooner for a longer hold.
+        # The target lives, so only the path of this host is lost. A hold could
+        # outlast that.
         self.departures.withdraw(target.id)
         now = Deadline(trio.current_time())
         target.status = TargetStatus.READY
@@ -314,6 +314,9 @@
         record = self.departures.get(target.id)
         return record is not None and record.sign is LeavingSign.CONNECT_REFUSED
 
+    def _is_known(self, target: TargetState) -> bool:
+        return self.by_process.get(target.process) is target
+
     def _path_changed(self, target: TargetState) -> None:
         self._rebuild((target.service,))
         self.note_in_flight(target)
--- a/agatetack/targets/test_paths.py
+++ b/agatetack/targets/test_paths.py
@@ -108,3 +108,18 @@
     for _ in range(3):
         registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
     assert told == [(target, LeavingSign.CONNECT_REFUSED)]
+
+
+# Guards against looks at targets that are gone, without end.
+async def test_a_target_that_is_gone_has_no_path(autojump_clock):
+    registry, (target, other) = make_registry(2)
+    registry.paths.note_silence(target)
+    registry.note_leaving(other, LeavingSign.CONNECT_REFUSED)
+    registry.update([])
+    assert not registry.paths.lost
+    assert not registry.paths.silences
+    # Attempts that began before fail afterwards.
+    registry.paths.note_silence(target)
+    registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
+    assert not registry.paths.lost
+    assert not registry.paths.silences
