Pass requests on when the few targets left have no room

One target of each service was left to them, so that no request was passed on and all waited for its two slots. The same cause as that of a host which reaches none.

A host now asks one that reaches more targets of the service first, if by lost paths only targets without a free slot are left, and queues the request itself if that one can't take it. Hosts that reach the same pass nothing on, as a crash or overload that all see alike must not set requests going round. test_a_host_with_few_targets_left_passes_requests_on has both sides.

--- a/agatetack/forwarding/forwarder.py
+++ b/agatetack/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Set
+from collections.abc import Callable, Set
 
 import trio
 from returns.result import Failure, Result, Success
@@ -19,6 +19,7 @@
 from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
 from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
 from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState
 from agatetack.thrift_codec import MalformedMessage, encode
 
 MAX_HOSTS_TRIED = 2
@@ -63,6 +64,7 @@
         registry: TargetRegistry,
         exchange: Exchange,
         paths: PathSharing,
+        has_free_slot: Callable[[TargetState, Deadline], bool],
         metrics: Metrics,
     ):
         """Choose hosts by what they say of their paths.
@@ -71,11 +73,13 @@
             registry: The targets.
             exchange: The other hosts.
             paths: Which targets each host can't reach.
+            has_free_slot: Returns whether a request would not wait at a target.
             metrics: Where forwarded requests are counted.
         """
         self.registry = registry
         self.exchange = exchange
         self.paths = paths
+        self.has_free_slot = has_free_slot
         self.numbers = itertools.count()
         self.in_progress: Counter[HostId] = Counter()
         self.last_used_at: dict[HostId, Deadline] = {}
@@ -99,6 +103,20 @@
             return False
         return self.registry.count_unreachable(service) > 0
 
+    def is_short(self, service: ServiceId) -> bool:
+        """Return whether another host may have room for `service` sooner.
+
+        That is so if lost paths leave only targets without a free slot, and
+        another host reaches more of them.
+        """
+        now = Deadline(trio.current_time())
+        targets = self.registry.targets(service)
+        if any(self.has_free_slot(target, now) for target in targets):
+            return False
+        if not self.registry.count_unreachable(service):
+            return False
+        return self._choose(service, frozenset()) is not None
+
     async def forward(
         self, route: Route, request: CallerRequest
     ) -> Result[Answer, Refusal]:
@@ -113,9 +131,7 @@
                 break
             tried.add(host)
             result = await self._call(host, route, request)
-            if isinstance(result, Success) or not _may_try_another(
-                result.failure()
-            ):
+            if not may_try_another(result):
                 return result
             last = result
         return last or self._refuse(
@@ -132,14 +148,18 @@
         )
 
     def _choose(self, service: ServiceId, tried: Set[HostId]) -> HostId | None:
-        """Return the host with the fewest forwarded requests, or None."""
+        """Return the host with the fewest forwarded requests, or None.
+
+        It has to reach more targets of `service` than this host.
+        """
+        own = len(self.registry.targets(service))
         hosts = [
             peer.id
             for peer in self.exchange.live_peers()
             if peer.id not in tried
             and not peer.leaving
             and self.in_progress[peer.id] < MAX_FORWARDED_PER_HOST
-            and self.paths.reaches(peer.id, service)
+            and self.paths.count_reached(peer.id, service) > own
         ]
         return min(hosts, key=self._rank, default=None)
 
@@ -207,7 +227,11 @@
             log.info("A request is not cancelled at %s: %s.", host, error)
 
 
-def _may_try_another(refusal: Refusal) -> bool:
+def may_try_another(result: Result[Answer, Refusal]) -> bool:
+    """Return whether the request has not run and another host may run it."""
+    if isinstance(result, Success):
+        return False
+    refusal = result.failure()
     return (
         refusal.outcome is Outcome.NOT_RUN
         and refusal.reason in TRY_ANOTHER_REASONS
--- a/agatetack/forwarding/runner.py
+++ b/agatetack/forwarding/runner.py
@@ -3,7 +3,7 @@
 from returns.result import Failure, Result
 
 from agatetack.config.route import Route
-from agatetack.forwarding.forwarder import Forwarder
+from agatetack.forwarding.forwarder import Forwarder, may_try_another
 from agatetack.messages import Answer, CallerRequest
 from agatetack.outcomes import Outcome, Refusal, RefusalReason
 from agatetack.serving.dispatcher import ClassRunner
@@ -17,6 +17,8 @@
 class ForwardingRunner(ClassRunner):
     """Passes a request on if, by lost paths, no target is left for it.
 
+    If there is one, but all of them are in use, a host that reaches more of
+    them is asked first, and the request waits here if that one can't take it.
     A request that another host passed to this one is never passed on.
     """
 
@@ -33,6 +35,10 @@
             return await self.runner.run(route, request)
         if self.forwarder.is_cut_off(route.service):
             return await self.forwarder.forward(route, request)
+        if request.replayable and self.forwarder.is_short(route.service):
+            result = await self.forwarder.forward(route, request)
+            if not may_try_another(result):
+                return result
         result = await self.runner.run(route, request)
         if isinstance(result, Failure) and self._is_for_others(
             route, result.failure()
--- a/agatetack/forwarding/test_forwarding.py
+++ b/agatetack/forwarding/test_forwarding.py
@@ -63,7 +63,11 @@
             self.registry, self.exchange, self.metrics, lambda target: None
         )
         self.forwarder = Forwarder(
-            self.registry, self.exchange, self.paths, self.metrics
+            self.registry,
+            self.exchange,
+            self.paths,
+            lambda target, now: target.in_flight < target.slots,
+            self.metrics,
         )
         self.in_flight = InFlightRequests()
         self.receiver = ForwardReceiver(
@@ -143,11 +147,14 @@
     return Failure(refusal)
 
 
-def fleet(nursery, count=3):
+def fleet(nursery, count=3, cut_off=True):
+    """Return hosts, of which the first reaches no target if `cut_off`."""
     mesh = MemoryMesh(nursery)
     hosts = [Host(mesh, f"h{n}") for n in range(count)]
     for host in hosts:
         nursery.start_soon(host.forwarder.run)
+    if cut_off:
+        hosts[0].cut_off()
     return mesh, hosts
 
 
@@ -264,7 +271,6 @@
 ):
     async with trio.open_nursery() as nursery:
         _, (own, other) = fleet(nursery, 2)
-        own.cut_off()
         refused = failure(RefusalReason.NO_TARGET)
 
         class Refusing:
@@ -295,7 +301,7 @@
     autojump_clock, reason, outcome, cut_off, passed_on
 ):
     async with trio.open_nursery() as nursery:
-        _, (own, other) = fleet(nursery, 2)
+        _, (own, other) = fleet(nursery, 2, cut_off=False)
 
         class Losing:
             async def run(self, route, request):
@@ -310,6 +316,51 @@
         nursery.cancel_scope.cancel()
 
 
+class Local:
+    """Counts the requests that this host runs itself."""
+
+    def __init__(self):
+        self.count = 0
+
+    async def run(self, route, request):
+        self.count += 1
+        return Success(Answer(200, [], BytesBody(b"local")))
+
+
+# Guards against all callers of a host waiting for the one target that it still
+# reaches, and against hosts that reach the same passing requests around.
+@pytest.mark.parametrize(
+    ("lost", "lost_there", "in_use", "refused", "passed_on", "local"),
+    [
+        (1, 0, True, None, 1, 0),
+        (1, 0, False, None, 0, 1),
+        (0, 0, True, None, 0, 1),
+        (1, 1, True, None, 0, 1),
+        (1, 0, True, RefusalReason.NO_TARGET, 1, 1),
+        (1, 0, True, RefusalReason.QUEUE_FULL, 1, 0),
+        (1, 0, True, RefusalReason.CONNECTION_LOST, 1, 0),
+    ],
+)
+async def test_a_host_with_few_targets_left_passes_requests_on(
+    autojump_clock, lost, lost_there, in_use, refused, passed_on, local
+):
+    async with trio.open_nursery() as nursery:
+        _, (own, other) = fleet(nursery, 2, cut_off=False)
+        nursery.start_soon(other.paths.run)
+        for host, count in ((own, lost), (other, lost_there)):
+            for target in list(host.registry.targets(SERVICE))[:count]:
+                host.registry.paths.note_refused(target)
+        await trio.sleep(0.05)
+        for target in own.registry.targets(SERVICE) if in_use else ():
+            target.in_flight = target.slots
+        if refused is not None:
+            other.result = failure(refused)
+        runner = Local()
+        await ForwardingRunner(runner, own.forwarder).run(ROUTE, make_request())
+        assert (len(other.started), runner.count) == (passed_on, local)
+        nursery.cancel_scope.cancel()
+
+
 # Guards against a request waiting for a host that can't serve it either.
 @pytest.mark.parametrize("case", ["all cut off", "no peer", "streamed"])
 async def test_a_request_nobody_can_take_is_refused_at_once(
@@ -317,7 +368,6 @@
 ):
     async with trio.open_nursery() as nursery:
         mesh, (own, other) = fleet(nursery, 2)
-        own.cut_off()
         request = make_request()
         if case == "all cut off":
             nursery.start_soon(other.paths.run)
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -179,7 +179,11 @@
             self.registry, self.peers, metrics, self.prober.looks.suspect
         )
         self.forwarder = Forwarder(
-            self.registry, self.peers, self.path_sharing, metrics
+            self.registry,
+            self.peers,
+            self.path_sharing,
+            self.admission.policy.has_free_slot,
+            metrics,
         )
         self.rounds = ProbeRounds(
             settings,
--- a/agatetack/measure/path_sharing.py
+++ b/agatetack/measure/path_sharing.py
@@ -93,10 +93,10 @@
         paths = self._valid(host)
         return paths is not None and target_hash(target.process) in paths.lost
 
-    def reaches(self, host: HostId, service: ServiceId) -> bool:
-        """Return whether another host may reach a target of `service`."""
+    def count_reached(self, host: HostId, service: ServiceId) -> int:
+        """Return how many targets of `service` another host may reach."""
         paths = self._valid(host)
-        return any(
+        return sum(
             target.service == service
             and not self._is_leaving(target)
             and (paths is None or target_hash(target.process) not in paths.lost)
--- a/agatetack/measure/test_path_sharing.py
+++ b/agatetack/measure/test_path_sharing.py
@@ -43,15 +43,15 @@
         nursery.start_soon(first.sharing.run)
         await trio.sleep(0)
         first_target, other = first.targets
-        for lost, reaches in ((first_target, True), (other, False)):
+        for lost, reached in ((first_target, 1), (other, 0)):
             first.registry.paths.note_refused(lost)
             await trio.sleep(2 * COLLECT_SECONDS)
             assert second.sharing.is_lost_by(FIRST, lost)
-            assert second.sharing.reaches(FIRST, SERVICE) is reaches
+            assert second.sharing.count_reached(FIRST, SERVICE) == reached
         first.registry.paths.note_connected(other)
         await trio.sleep(2 * COLLECT_SECONDS)
         assert not second.sharing.is_lost_by(FIRST, other)
-        assert second.sharing.reaches(FIRST, SERVICE)
+        assert second.sharing.count_reached(FIRST, SERVICE) == 1
         nursery.cancel_scope.cancel()
 
 
@@ -80,9 +80,9 @@
     async with trio.open_nursery() as nursery:
         host = Host(MemoryMesh(nursery), FIRST)
         for target in host.targets:
-            assert host.sharing.reaches(SECOND, SERVICE)
+            assert host.sharing.count_reached(SECOND, SERVICE)
             host.registry.note_leaving(target, LeavingSign.HEALTH)
-        assert not host.sharing.reaches(SECOND, SERVICE)
+        assert not host.sharing.count_reached(SECOND, SERVICE)
 
 
 async def test_peers_look_at_targets_that_a_host_does_not_hear(autojump_clock):
