Look at once at a target that was silent

In soaks in which the process with the stand-ins of targets was short of processor time (load of 10 on five cores), targets answered later than the 80 ms of a look, another host heard them next, and hosts left sound targets for half a second each time. The first look now comes at once, so that a target which was only late is back within a tick; a path that is cut is looked at once a second as before. test_a_silent_target_is_looked_at_at_once failed before.

--- a/agatetack/targets/paths.py
+++ b/agatetack/targets/paths.py
@@ -23,9 +23,6 @@
 MIN_SILENCES = 2
 """Number of silences of one target that count for themselves."""
 
-FIRST_LOOK_SECONDS = 0.5
-"""Time from the loss of a path to the first look whether it is back."""
-
 EVIDENCE_MARGIN_SECONDS = 0.1
 """How much younger than a refused connection another host's report has to be.
 The time that its message took is not known."""
@@ -40,6 +37,11 @@
     SILENT = "silent"
 
 
+FIRST_LOOK_SECONDS = {PathFailure.REFUSED: 0.5, PathFailure.SILENT: 0.0}
+"""Time from the loss of a path to the first look whether it is back. A target
+that was only slow to answer is back at once."""
+
+
 @dataclasses.dataclass(slots=True)
 class LostPath:
     """The path to a target that this host can't reach.
@@ -201,7 +203,7 @@
     def _lose(self, target: TargetState, why: PathFailure) -> None:
         self.silences.pop(target.process, None)
         now = Deadline(trio.current_time())
-        look_at = Deadline(now + FIRST_LOOK_SECONDS)
+        look_at = Deadline(now + FIRST_LOOK_SECONDS[why])
         self.lost[target.process] = LostPath(target, why, now, look_at)
         self.failures.inc({"reason": why.value})
         decisions.note(
--- a/agatetack/targets/test_paths.py
+++ b/agatetack/targets/test_paths.py
@@ -123,3 +123,21 @@
     registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
     assert not registry.paths.lost
     assert not registry.paths.silences
+
+
+# Guards against a target that answered late being left for longer than that.
+@pytest.mark.parametrize(("silent", "seconds"), [(True, 0.0), (False, 0.5)])
+async def test_a_silent_target_is_looked_at_at_once(
+    autojump_clock, silent, seconds
+):
+    registry, (target, *_) = make_registry(4)
+    await trio.sleep(1)
+    if silent:
+        registry.paths.note_silence(target)
+        registry.paths.note_silence(target)
+        await trio.sleep(0.01)
+        report_from_peer(registry, target)
+    else:
+        registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
+    (path,) = registry.paths.lost.values()
+    assert path.look_at == trio.current_time() + seconds
