Ask for unreachable targets only while there are any

Whether a request should be passed on was worked out for each request from the room of all targets of its service; nearly always no path is lost and no target leaving, which two empty tables tell. No behaviour changes.

--- a/agatetack/forwarding/forwarder.py
+++ b/agatetack/forwarding/forwarder.py
@@ -109,6 +109,9 @@
         That is so if lost paths leave only targets without a free slot, and
         another host reaches more of them.
         """
+        if not (self.registry.paths.lost or self.registry.leaving):
+            # It is asked for each request.
+            return False
         now = Deadline(trio.current_time())
         targets = self.registry.targets(service)
         if any(self.has_free_slot(target, now) for target in targets):
