Compare cut hosts with others only while there are others

The trace: hosts 2 and 3 were cut off from 6.4 to 14.1 s, host 1 from 9.7 s on, so that no host reached a target for most of that time and none could serve; the 5 attempts were those of host 1 just before its own cut. Attempts in times when all hosts are cut off no longer count on either side; all others do, and the bounds are as they were. Two cases more show both.

--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -157,18 +157,20 @@
 
 # Guards against callers of hosts that reach no target being served far worse.
 @pytest.mark.parametrize(
-    ("failed", "others_failed", "cut_for", "span", "rules"),
+    ("failed", "others_failed", "cut_for", "span", "other_cut", "rules"),
     [
-        (0, 0, 10.0, None, set()),
-        (13, 0, 10.0, None, {"RECOVER"}),
-        (11, 0, 10.0, None, set()),
-        (13, 13, 10.0, None, set()),
-        (13, 0, 2.0, None, set()),
-        (13, 0, 10.0, Span("Kill", 8.0, 9.0), set()),
+        (0, 0, 10.0, None, None, set()),
+        (13, 0, 10.0, None, None, {"RECOVER"}),
+        (11, 0, 10.0, None, None, set()),
+        (13, 13, 10.0, None, None, set()),
+        (13, 0, 2.0, None, None, set()),
+        (13, 0, 10.0, Span("Kill", 8.0, 9.0), None, set()),
+        (13, 0, 10.0, None, (8.5, 9.5), set()),
+        (13, 0, 10.0, None, (1.0, 5.5), {"RECOVER"}),
     ],
 )
 def test_hosts_that_reach_no_target_serve_as_the_others(
-    tmp_path, failed, others_failed, cut_for, span, rules
+    tmp_path, failed, others_failed, cut_for, span, other_cut, rules
 ):
     site = small_site()
     (kind,) = (each for each in site.kinds.values() if each.kind is Kind.ONCE)
@@ -187,6 +189,8 @@
     spans = [Span("CutPaths", 5.0, 5.0 + cut_for)]
     spans += [span] if span is not None else []
     cuts = [Cut(frozenset({"a-1"}), 5.0, 5.0 + cut_for)]
+    if other_cut is not None:
+        cuts.append(Cut(frozenset({"a-2"}), *other_cut))
     seen = Evidence(World(site), [host, other], requests, spans, 30.0, cuts)
     broken = {each.rule for each in judge(seen)}
     assert broken - {"SHORT"} == rules
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -83,6 +83,15 @@
         ]
         return _meets(spans, attempt.started - STABLE_SECONDS, attempt.ended)
 
+    def all_cut_off(self, attempt: Attempt) -> bool:
+        """Return whether no host reached a target around an attempt."""
+        cut: set[str] = set()
+        for each in self.cuts:
+            span = (each.start, each.end)
+            if _meets([span], attempt.started - STABLE_SECONDS, attempt.ended):
+                cut |= each.hosts
+        return cut >= {host.id for host in self.hosts}
+
     def calm_but_for_cuts(self, start: float, end: float) -> bool:
         """Return whether no fault but cuts of paths was in force."""
         spans = [
@@ -249,7 +258,9 @@
 def _cut_off(evidence: Evidence) -> Iterator[Violation]:
     """Compare hosts that reach no target with the others, by first attempts.
 
-    Only times without another fault count, as in those hosts may be down.
+    Only times without another fault count, as in those hosts may be down, and
+    in which a host reaches the targets, as otherwise there is none to compare
+    with.
     """
     for cut in evidence.cuts:
         served: Counter[bool] = Counter()
@@ -263,6 +274,8 @@
                 continue
             if not evidence.calm_but_for_cuts(first.started, first.ended):
                 continue
+            if evidence.all_cut_off(first):
+                continue
             is_cut = first.host in cut.hosts
             if not is_cut and evidence.is_cut_off(first):
                 continue
