Limit how often a target is looked at for other hosts

What was looked at was forgotten after each tick without work, so that a target was probed up to 20 times a second by each host if hosts that lost their paths asked for it again and again: 34 times in 2 s. It is now four times a second at most, and a host asks again after half a second if a target stays silent, as the first report may be older than its silence. test_a_target_is_looked_at_four_times_a_second_at_most failed before.

--- a/agatetack/measure/path_looks.py
+++ b/agatetack/measure/path_looks.py
@@ -18,7 +18,10 @@
 """Maximum number of lost paths that are looked at in one tick."""
 
 LOOK_INTERVAL_SECONDS = 1.0
-"""Time between two looks at a target, which may be longer in large fleets."""
+"""Time between two looks at a lost path, which is longer in large fleets."""
+
+SUSPECT_INTERVAL_SECONDS = 0.25
+"""Minimum time between two looks at a target that other hosts can't reach."""
 
 MAX_FLEET_LOOKS_PER_SECOND = 15
 """Maximum number of looks per second at one target that all hosts have lost."""
@@ -28,11 +31,11 @@
     """Probes targets to find out whether this host reaches them.
 
     A path that is lost is looked at until it is back. A target that refused
-    another host is looked at once: it may be gone, or the other host may have
-    lost its path, which says nothing about this host's.
+    another host, or that it does not hear, is looked at soon: it may be gone,
+    or only the path of the other host lost.
 
     Attributes:
-        suspects: Targets that refused another host and are to be looked at.
+        suspects: Targets that another host can't reach, to be looked at.
         looked_at: When each target was looked at last.
         looking: Targets that are being looked at.
         added: Set when there may be something to look at.
@@ -64,13 +67,13 @@
         registry.paths.watchers.append(self._on_path)
 
     def suspect(self, target: TargetState) -> None:
-        """Look at a target that refused another host, unless just done.
+        """Look at a target that another host can't reach, unless just done.
 
         In a large fleet only the hosts that send most of its requests look.
         """
         last_at = self.looked_at.get(target.process, float("-inf"))
         if (
-            trio.current_time() - last_at < LOOK_INTERVAL_SECONDS
+            trio.current_time() - last_at < SUSPECT_INTERVAL_SECONDS
             or self.registry.paths.is_lost(target)
             or not self.exchange.shares_target(target.id, target.failure_domain)
         ):
@@ -83,7 +86,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 if not self.suspects and not self.registry.paths.lost:
-                    self.looked_at.clear()
+                    self._forget_old_looks()
                     self.added = trio.Event()
                     await self.added.wait()
                 for target in self._due():
@@ -91,6 +94,12 @@
                     nursery.start_soon(self._look, target)
                 await trio.sleep(TICK_SECONDS)
 
+    def _forget_old_looks(self) -> None:
+        oldest = trio.current_time() - SUSPECT_INTERVAL_SECONDS
+        self.looked_at = {
+            process: at for process, at in self.looked_at.items() if at > oldest
+        }
+
     def _on_path(self, target: TargetState) -> None:
         self.added.set()
 
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -302,6 +302,23 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against many hosts that lose their paths having a target probed by all
+# others for each of them.
+async def test_a_target_is_looked_at_four_times_a_second_at_most(
+    autojump_clock,
+):
+    host, _ = joined()
+    target = host.targets[0]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(host.prober.run)
+        for _ in range(100):
+            host.prober.looks.suspect(target)
+            await trio.sleep(0.02)
+        nursery.cancel_scope.cancel()
+    # The first one comes at once; each takes up to a tick to start.
+    assert 6 <= len(host.probe.probed) <= 8
+
+
 @pytest.mark.parametrize("sign", TOLD_SIGNS)
 async def test_peer_keeps_what_kind_of_sign_it_was(autojump_clock, sign):
     sender, taker = joined()
--- a/agatetack/targets/paths.py
+++ b/agatetack/targets/paths.py
@@ -23,6 +23,10 @@
 MIN_SILENCES = 2
 """Number of silences of one target that count for themselves."""
 
+ASK_INTERVAL_SECONDS = 0.5
+"""Minimum time between two requests to other hosts to look at a target that
+stays silent."""
+
 EVIDENCE_MARGIN_SECONDS = 0.1
 """How much younger than a refused connection another host's report has to be.
 The time that its message took is not known."""
@@ -68,12 +72,14 @@
         since: When the first of them failed.
         count: How many there were since the last byte.
         doubted: Whether a report of another host shows that the path is lost.
+        ask_at: When other hosts may be asked again to look.
     """
 
     target: TargetState
     since: Deadline
     count: int = 0
     doubted: bool = False
+    ask_at: Deadline = Deadline(0.0)
 
 
 class TargetPaths:
@@ -144,12 +150,13 @@
         recent = [s for s in self.silences.values() if s.since > self.heard_at]
         if len(recent) >= MIN_SILENT_TARGETS:
             doubted = recent
-        added = [each for each in doubted if not each.doubted]
-        for each in added:
+        unasked = [each for each in doubted if now >= each.ask_at]
+        for each in unasked:
             each.doubted = True
-        if added:
+            each.ask_at = Deadline(now + ASK_INTERVAL_SECONDS)
+        if unasked:
             for watcher in self.doubt_watchers:
-                watcher([each.target for each in added])
+                watcher([each.target for each in unasked])
 
     def note_heard(self, target: TargetState) -> None:
         """Record that bytes of `target` arrived at this host.
