Give the test of unreachable targets time on a busy machine

It failed once (1 of 12, at a load of 7 on five cores): 9 of 86 requests at hosts that were not cut ended with 504 after the second that callers wait. Four hosts, their targets and callers share one process; beside eight busy processes its loop sent no request in 2 s. Callers now wait three seconds, there are four targets instead of six, and half of the requests. Shares and bounds are as they were.

--- a/agatetack/test_unreachable_targets.py
+++ b/agatetack/test_unreachable_targets.py
@@ -16,7 +16,7 @@
 COUNT_SECONDS = 2.0
 """Time in which they count."""
 
-INTERVAL_SECONDS = 0.1
+INTERVAL_SECONDS = 0.2
 """Time between the requests to one host."""
 
 MIN_SERVED_OF_OTHERS = 2 / 3
@@ -26,6 +26,10 @@
 MIN_SERVED_ELSEWHERE = 0.97
 """Share that hosts which are not cut have to serve."""
 
+TIMEOUT_MS = 3000
+"""How long callers wait. Hosts, targets and callers share one process, which
+may stand still for a second on a busy machine."""
+
 HOSTS = 4
 
 
@@ -63,7 +67,7 @@
                 "/a/x",
                 gateway=host,
                 request_id=request_id,
-                timeout_ms=1000,
+                timeout_ms=TIMEOUT_MS,
                 method=self.method,
             )
             status = answer.status
@@ -106,7 +110,7 @@
     route = route_fields(route_type=route_type)
     options = FakeTargetOptions(service_seconds=0.02)
     async with store_fleet(
-        route, gateways=HOSTS, targets=6, options=options
+        route, gateways=HOSTS, targets=4, options=options
     ) as fleet:
         callers = Callers(fleet, KINDS[route_type])
         async with trio.open_nursery() as nursery:
@@ -118,7 +122,7 @@
             callers.counting = True
             await trio.sleep(COUNT_SECONDS)
             callers.counting = False
-            await trio.sleep(1.0)
+            await trio.sleep(TIMEOUT_MS / 1000)
             nursery.cancel_scope.cancel()
         others = callers.served(range(cut_hosts, HOSTS))
         assert others >= MIN_SERVED_ELSEWHERE, callers.statuses
