Identify client accounts by their API keys

Cause: tenants and keys of a configuration were not read, callers' keys went through to the targets, and a route of type upload made the whole document malformed, so that such a deployment had no route at all.

Change: the document has client accounts, found by keyed hashes of their keys. The dispatcher identifies the account, removes the key and the caller's own account header, and sets the account's name on each send; it refuses unknown keys (401), keys that may have been revoked (503, with a check of the configuration's age that comes separately) and requests over a quota (429, the limiter comes separately). Uploads run at most once. The application of a deployment's bounds moves from the adapter, which decides nothing, to the settings.

--- a/agatetack/config/document.py
+++ b/agatetack/config/document.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from agatetack.config.route import Route
+from agatetack.identity.accounts import AccountTable
 from agatetack.ids import ServiceId
 
 
@@ -56,12 +57,14 @@
         routes: All routes.
         services: All services.
         limits: Limits on callers, or None to use those of the settings.
+        accounts: The client accounts, or None if requests need no API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceInfo, ...]
     limits: CallerLimits | None = None
+    accounts: AccountTable | None = None
 
 
 class DocumentDecoder(abc.ABC):
--- a/agatetack/config/document_routes.py
+++ b/agatetack/config/document_routes.py
@@ -12,6 +12,7 @@
 )
 from agatetack.config.route import Route, RouteSource, RouteTable
 from agatetack.decisions import DecisionLog
+from agatetack.identity.accounts import AccountSource, AccountTable
 from agatetack.ids import Deadline, LogOffset, ServiceId
 from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.topic import KeyedRecord
@@ -57,6 +58,7 @@
         offset: The offset of its record in the topic.
         services: The services of the document in force.
         limits: The limits on callers in that document, or None.
+        accounts: The client accounts in that document.
         load_paths: Load path by service; one dict, updated in place.
         watchers: Called after each new document is in force.
     """
@@ -76,6 +78,7 @@
         self.offset = LogOffset(-1)
         self.services: dict[ServiceId, ServiceInfo] = {}
         self.limits: CallerLimits | None = None
+        self.accounts = AccountSource()
         self.watchers: list[Callable[[], None]] = []
         self.load_paths: dict[ServiceId, str] = {}
         self.results_counter = metrics.counter(
@@ -149,6 +152,7 @@
             (info.id, info.load_path) for info in document.services
         )
         self.limits = document.limits
+        self.accounts.table = document.accounts
         self.source.table = WholePrefixTable(document.routes)
         self.results_counter.inc({"result": "in-force"})
         self.version_gauge.set({}, document.version)
@@ -158,6 +162,11 @@
             before=before,
             offset=offset,
             routes=len(document.routes),
+            accounts=_count(document.accounts),
         )
         for watcher in self.watchers:
             watcher()
+
+
+def _count(accounts: AccountTable | None) -> int:
+    return 0 if accounts is None else len(accounts.by_id)
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -23,6 +23,7 @@
 from agatetack.forwarding.forwarder import Forwarder
 from agatetack.forwarding.receiver import ForwardReceiver
 from agatetack.forwarding.runner import ForwardingRunner
+from agatetack.identity.check import AccountCheck
 from agatetack.ids import Deadline, RouteId, ServiceId
 from agatetack.lifecycle.drain import Lifecycle
 from agatetack.lifecycle.in_flight import TrackingHandler
@@ -38,6 +39,7 @@
 from agatetack.peers.mesh import PeerExchange
 from agatetack.quarantine.liveness import LivenessCheck, PoolLivenessCheck
 from agatetack.quarantine.local_tracker import LocalCrashTracker
+from agatetack.quotas.limiter import QuotaLimiter
 from agatetack.serving.dispatcher import ClassRunner, Dispatcher
 from agatetack.serving.explain import Explanations
 from agatetack.settings.model import PolicyName, Settings
@@ -92,6 +94,8 @@
         lifecycle: The host's phase, from start to drain and exit.
         callers: The server for callers.
         stops: Receives a value for each stop request, by signal or operator.
+        accounts: Identifies client accounts, or None.
+        quotas: Limits the requests of client accounts, or None.
     """
 
     def __init__(
@@ -120,6 +124,8 @@
             MAX_STOP_REQUESTS
         )
         self.lifecycle = Lifecycle(settings, self.metrics, self.clock)
+        self.accounts: AccountCheck | None = None
+        self.quotas: QuotaLimiter | None = None
 
     def build_target_side(
         self,
@@ -276,6 +282,8 @@
             self.explanations,
             metrics,
             lambda: self.lifecycle.accepting,
+            self.accounts,
+            self.quotas,
         )
         self.forward_receiver = ForwardReceiver(
             self.peers,
--- a/agatetack/ids.py
+++ b/agatetack/ids.py
@@ -18,6 +18,9 @@
 HostId = NewType("HostId", str)
 """One agatetack process, as its settings name it."""
 
+ClientAccountId = NewType("ClientAccountId", str)
+"""A customer whose callers share API keys, a priority and a quota."""
+
 IdempotencyKey = NewType("IdempotencyKey", str)
 """Key that a caller sends so that a request runs at most once."""
 
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from agatetack.decisions import DecisionTrace
+from agatetack.identity.accounts import ClientAccount
 from agatetack.ids import (
     AttemptId,
     CallerId,
@@ -169,6 +170,7 @@
         attempts: Its attempts, in order.
         decision_trace: The decisions about it, for the log.
         forwarded: Whether another host passed it to this one.
+        account: The client account that it was identified as, or None.
     """
 
     request_id: RequestId
@@ -187,6 +189,7 @@
         default_factory=DecisionTrace
     )
     forwarded: bool = False
+    account: ClientAccount | None = None
 
     @property
     def replayable(self) -> bool:
--- a/agatetack/outcomes.py
+++ b/agatetack/outcomes.py
@@ -24,6 +24,10 @@
 
     MALFORMED_REQUEST = "malformed-request"
     NO_ROUTE = "no-route"
+    CREDENTIALS_UNKNOWN = "credentials-unknown"
+    CONFIGURATION_UNPROVEN = "configuration-unproven"
+    QUOTA_EXCEEDED = "quota-exceeded"
+    OVERLOADED = "overloaded"
     BODY_TOO_LARGE = "body-too-large"
     HEADERS_TOO_LARGE = "headers-too-large"
     DEADLINE_INVALID = "deadline-invalid"
@@ -86,6 +90,10 @@
 REASON_RULES: dict[RefusalReason, ReasonRule] = {
     RefusalReason.MALFORMED_REQUEST: ReasonRule(400, Outcome.NOT_RUN),
     RefusalReason.NO_ROUTE: ReasonRule(404, Outcome.NOT_RUN),
+    RefusalReason.CREDENTIALS_UNKNOWN: ReasonRule(401, Outcome.NOT_RUN),
+    RefusalReason.CONFIGURATION_UNPROVEN: ReasonRule(503, Outcome.NOT_RUN),
+    RefusalReason.QUOTA_EXCEEDED: ReasonRule(429, Outcome.NOT_RUN),
+    RefusalReason.OVERLOADED: ReasonRule(503, Outcome.NOT_RUN),
     RefusalReason.BODY_TOO_LARGE: ReasonRule(413, Outcome.NOT_RUN),
     RefusalReason.HEADERS_TOO_LARGE: ReasonRule(431, Outcome.NOT_RUN),
     RefusalReason.DEADLINE_INVALID: ReasonRule(400, Outcome.NOT_RUN),
--- a/agatetack/platform/configuration.py
+++ b/agatetack/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decode the configuration that operators write to the platform's store."""
 
+import math
 from collections.abc import Mapping, Sequence
 
 import orjson
@@ -13,7 +14,10 @@
 )
 from agatetack.config.route import RequestClass, Route, SplitPart
 from agatetack.hosts.evacuations import EvacuationKeys
+from agatetack.identity.accounts import AccountTable, ClientAccount
+from agatetack.identity.keys import hash_key
 from agatetack.ids import (
+    ClientAccountId,
     FailureDomain,
     Region,
     RouteId,
@@ -33,8 +37,10 @@
     "idempotent": RequestClass.FAST,
     "non_idempotent": RequestClass.ONCE,
     "download": RequestClass.WHOLE,
+    "upload": RequestClass.ONCE,
 }
-"""Request class for each of the platform's route types."""
+"""Request class for each of the platform's route types. The body of an `upload`
+is large, and it may run at most once."""
 
 TEAM = TeamId("platform")
 """Team of all routes, because the platform's routes name none."""
@@ -56,6 +62,7 @@
                 routes=tuple(map(_read_route, fields["routes"])),
                 services=tuple(map(_read_service, fields["services"])),
                 limits=_read_limits(fields.get("limits")),
+                accounts=_read_accounts(fields),
             )
         except (
             LookupError,
@@ -143,3 +150,51 @@
         header_timeout_seconds=read_seconds(fields["header_timeout"]),
         idle_timeout_seconds=read_seconds(fields["idle_timeout"]),
     )
+
+
+def _read_accounts(fields: Mapping) -> AccountTable | None:
+    """Return the tenants and public routes; None if there are no tenants."""
+    tenants = fields.get("tenants")
+    if tenants is None:
+        return None
+    if not isinstance(tenants, list):
+        raise TypeError("tenants must be a list")
+    return AccountTable(
+        [_read_account(n, each) for n, each in enumerate(tenants)],
+        [
+            RouteId(route["name"])
+            for route in fields["routes"]
+            if _flag(route.get("public"))
+        ],
+    )
+
+
+def _read_account(number: int, tenant: Mapping) -> ClientAccount:
+    """Return a tenant; errors name its place, but none of its keys."""
+    place = f"tenants[{number}]"
+    keys = tenant.get("api_keys") or []
+    if not isinstance(keys, list) or not all(
+        isinstance(key, str) and key.isascii() for key in keys
+    ):
+        raise TypeError(f"{place}.api_keys must be a list of ASCII texts")
+    priority = tenant.get("priority")
+    return ClientAccount(
+        id=ClientAccountId(_text(tenant["name"])),
+        key_hashes=frozenset(hash_key(key.encode()) for key in keys),
+        priority=None if priority is None else int(priority),
+        requests_per_second=_quota_figure(tenant, "rate_per_s", place),
+        burst=_quota_figure(tenant, "burst_size", place),
+    )
+
+
+def _quota_figure(tenant: Mapping, name: str, place: str) -> float:
+    value = float(tenant.get(name) or 0.0)
+    if not 0.0 <= value < math.inf:
+        raise ValueError(f"{place}.{name} must be 0 or more")
+    return value
+
+
+def _flag(value: object) -> bool:
+    if value is not None and not isinstance(value, bool):
+        raise TypeError(f"{value!r} is neither true nor false")
+    return bool(value)
--- a/agatetack/platform/test_bounds.py
+++ b/agatetack/platform/test_bounds.py
@@ -3,12 +3,11 @@
 import pytest
 
 from agatetack.platform.bounds import (
-    KILL_MARGIN_SECONDS,
-    MAX_PROBE_RATIO,
     BoundsError,
     apply_bounds,
     read_bounds,
 )
+from agatetack.settings.bounds import KILL_MARGIN_SECONDS, MAX_PROBE_RATIO
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.store_fleet import template_settings
 
@@ -38,6 +37,11 @@
             40 * MAX_PROBE_RATIO,
         ),
         ("probes_per_s=400", "measure", "target_probes_per_second", 20.0),
+        ("strict_revoke=true", "identity", "strict_revocation", True),
+        ("revoke=4500ms", "identity", "revocation_seconds", 4.5),
+        ("quota_window=6s", "quotas", "window_seconds", 6.0),
+        ("quota_over=0.1", "quotas", "overshoot_ratio", 0.1),
+        ("quota_slack=20", "quotas", "overshoot_slack", 20.0),
     ],
 )
 def test_each_bound_has_its_place(bound, section, name, value):
@@ -45,7 +49,9 @@
     assert getattr(getattr(settings, section), name) == pytest.approx(value)
 
 
-@pytest.mark.parametrize("bound", ["6s", "grace=6", "budget_ratio=x", "grace="])
+@pytest.mark.parametrize(
+    "bound", ["6s", "grace=6", "budget_ratio=x", "grace=", "strict_revoke=1"]
+)
 def test_a_bound_that_cannot_be_read_is_told(bound):
     with pytest.raises(BoundsError, match="platform.store.bounds"):
         read_bounds([bound])
--- a/agatetack/platform/test_platform_words.py
+++ b/agatetack/platform/test_platform_words.py
@@ -34,6 +34,12 @@
     "budget_slack",
     "probes_per_s\\b",
     "op/config",
+    "tenant-id",
+    "api_keys",
+    "rate_per_s\\b",
+    "burst_size",
+    "strict_revoke\\b",
+    "quota_over\\b",
 )
 """The platform's names of headers, topics, route types, fields, calls and
 bounds, as regular expressions except that a dot matches only a dot."""
--- a/agatetack/platform/test_records.py
+++ b/agatetack/platform/test_records.py
@@ -13,6 +13,7 @@
 from agatetack.config.route import RequestClass, SplitPart
 from agatetack.hosts.host_list import HostState
 from agatetack.hosts.listed_target import BadRegistration
+from agatetack.identity.keys import hash_key
 from agatetack.platform.configuration import ConfigurationDecoder
 from agatetack.platform.figures import read_seconds
 from agatetack.platform.load_header import CommaSeparatedLoadReader
@@ -51,6 +52,7 @@
             RequestClass.ONCE,
         ),
         ({"route_type": "download"}, "request_class", RequestClass.WHOLE),
+        ({"route_type": "upload"}, "request_class", RequestClass.ONCE),
         ({"timeout": "1500ms"}, "timeout_seconds", 1.5),
         ({"target_latency": "400ms"}, "target_latency_seconds", 0.4),
         ({"max_attempts": 1}, "max_attempts", 1),
@@ -83,6 +85,59 @@
     assert document.services[0].load_path == "/load"
 
 
+def tenant_fields(**fields):
+    return {"name": "acme", "api_keys": ["secret-1"], **fields}
+
+
+def with_tenants(*tenants, **fields):
+    content = orjson.loads(configuration(1, route_fields(**fields)))
+    return orjson.dumps({**content, "tenants": list(tenants)})
+
+
+def test_tenants_are_read():
+    content = with_tenants(
+        tenant_fields(priority=1, rate_per_s=154, burst_size=20.5),
+        tenant_fields(name="other", api_keys=[]),
+        public=True,
+    )
+    document = ConfigurationDecoder().decode(content)
+    first, second = document.accounts.by_id.values()
+    assert document.accounts.by_key[hash_key(b"secret-1")] is first
+    assert (first.id, first.priority) == ("acme", 1)
+    assert (first.requests_per_second, first.burst) == (154.0, 20.5)
+    assert (second.priority, second.requests_per_second) == (None, 0.0)
+    assert document.accounts.public_routes == {document.routes[0].id}
+
+
+def test_a_document_without_tenants_has_no_accounts():
+    content = configuration(1, route_fields())
+    assert ConfigurationDecoder().decode(content).accounts is None
+
+
+# Guards against an API key in the log line about a document that is refused.
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [tenant_fields(), tenant_fields(name="b")],
+        [tenant_fields(), tenant_fields(api_keys=["secret-2"])],
+        [tenant_fields(name=None)],
+        [tenant_fields(name="a b")],
+        [tenant_fields(api_keys=["secret-1", 5])],
+        [tenant_fields(api_keys="secret-1")],
+        [tenant_fields(api_keys=["secret-1", "\u00e9"])],
+        [tenant_fields(rate_per_s=-1)],
+        [tenant_fields(rate_per_s="many")],
+        [tenant_fields(burst_size="1e999")],
+        [tenant_fields(priority="high")],
+        ["secret-1"],
+    ],
+)
+def test_malformed_tenants_are_refused_without_naming_a_key(tenants):
+    with pytest.raises(BadDocument) as error:
+        ConfigurationDecoder().decode(with_tenants(*tenants))
+    assert "secret" not in str(error.value)
+
+
 def service_fields(**fields):
     return {"name": "svc-a", "health_path": "/load", **fields}
 
--- /dev/null
+++ b/agatetack/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limit the requests of each client account over the whole fleet."""
--- /dev/null
+++ b/agatetack/quotas/limiter.py
@@ -0,0 +1,34 @@
+"""Define how the requests of client accounts are limited."""
+
+import abc
+
+from agatetack.identity.accounts import ClientAccount
+from agatetack.ids import Deadline
+
+
+class QuotaLimiter(abc.ABC):
+    """Limits the requests of each client account over the whole fleet."""
+
+    @abc.abstractmethod
+    def admit(self, account: ClientAccount) -> Deadline | None:
+        """Count one request of `account`.
+
+        Returns:
+            None if it is within the account's quota, else when the caller
+            should retry.
+        """
+
+    @abc.abstractmethod
+    def refund(self, account: ClientAccount) -> None:
+        """Give back the credit of an admitted request that did not run."""
+
+
+class UnlimitedQuotas(QuotaLimiter):
+    """Admits all requests, for hosts whose configuration has no accounts."""
+
+    def admit(self, account: ClientAccount) -> Deadline | None:
+        """Return None."""
+        return None
+
+    def refund(self, account: ClientAccount) -> None:
+        """Do nothing."""
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -15,6 +15,7 @@
 from agatetack.callers.problem import refusal_answer, refusal_status
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.decisions import DecisionLog, Importance
+from agatetack.identity.check import AccountCheck
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
 from agatetack.messages import (
@@ -33,6 +34,7 @@
     refuse,
 )
 from agatetack.quarantine.tracker import CrashTracker
+from agatetack.quotas.limiter import QuotaLimiter
 from agatetack.serving.explain import Explanations
 from agatetack.serving.split import Splitter
 from agatetack.settings.model import Settings
@@ -40,6 +42,10 @@
 RETRY_AFTER_STATUSES = frozenset({429, 503})
 """Statuses of refusals that always carry a Retry-After header."""
 
+UNAUTHORIZED_STATUS = 401
+CHALLENGE = Header(b"www-authenticate", b"Bearer")
+"""The header that each answer with status 401 has to have (RFC 9110)."""
+
 MIN_FAILURE_STATUS = 500
 """The lowest status that counts as a failure of the target."""
 
@@ -70,6 +76,8 @@
         explanations: Explanations,
         metrics: Metrics,
         accepting: Callable[[], bool] = lambda: True,
+        accounts: AccountCheck | None = None,
+        quotas: QuotaLimiter | None = None,
     ):
         """Run the requests of each class with its runner.
 
@@ -83,7 +91,11 @@
             metrics: The host's counters.
             accepting: Whether new requests are accepted; late in a drain they
                 are refused, so that they can't delay its end.
+            accounts: Identifies client accounts; none if None.
+            quotas: Limits the requests of accounts; not limited if None.
         """
+        self.accounts = accounts
+        self.quotas = quotas
         self.accepting = accepting
         self.splitter = Splitter()
         self.settings = settings
@@ -206,9 +218,36 @@
             if route.request_class is RequestClass.ONCE:
                 refusal = _with_unknown_outcome(request, refusal)
             return Failure(refusal)
-        return await self.runners[route.request_class].run(route, request)
+        runner = self.runners[route.request_class]
+        if request.account is None or self.quotas is None:
+            return await runner.run(route, request)
+        return await self._run_within_quota(runner, route, request)
+
+    async def _run_within_quota(
+        self, runner: ClassRunner, route: Route, request: CallerRequest
+    ) -> Result[Answer, Refusal]:
+        retry_at = self.quotas.admit(request.account)
+        if retry_at is not None:
+            refusal = refuse(
+                RefusalReason.QUOTA_EXCEEDED,
+                "The client account's quota is used up.",
+                retry_at,
+            )
+            return Failure(_with_unknown_outcome(request, refusal))
+        result = await runner.run(route, request)
+        if (
+            isinstance(result, Failure)
+            and result.failure().outcome is Outcome.NOT_RUN
+        ):
+            self.quotas.refund(request.account)
+        return result
 
     def _check(self, route: Route, request: CallerRequest) -> Refusal | None:
+        if self.accounts is not None and not request.forwarded:
+            # The host that passed it on has identified its account.
+            refusal = self.accounts.identify(route, request)
+            if refusal is not None:
+                return refusal
         if not request.deadline_given:
             request.deadline = Deadline(
                 request.arrived + route.deadline_seconds
@@ -250,6 +289,8 @@
         )
         callers = self.settings.callers
         answer = refusal_answer(refusal, request.request_id, callers)
+        if status == UNAUTHORIZED_STATUS:
+            answer.headers.append(CHALLENGE)
         if isinstance(refusal, TicketRefusal):
             name = self.names.ticket.encode()
             answer.headers.append(Header(name, refusal.ticket.encode()))
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -13,6 +13,13 @@
     RouteSource,
     RouteTable,
 )
+from agatetack.identity.accounts import (
+    AccountSource,
+    AccountTable,
+    ClientAccount,
+)
+from agatetack.identity.check import AccountCheck
+from agatetack.identity.keys import hash_key
 from agatetack.ids import (
     CallerId,
     Deadline,
@@ -30,6 +37,7 @@
     CallerGone,
     CallerRequest,
     Handler,
+    Header,
     find_header,
 )
 from agatetack.metrics import Metrics
@@ -41,6 +49,7 @@
     refuse,
 )
 from agatetack.quarantine.tracker import CrashTracker
+from agatetack.quotas.limiter import QuotaLimiter
 from agatetack.serving.dispatcher import ClassRunner, Dispatcher
 from agatetack.serving.explain import Explanations
 from agatetack.settings.defaults import default_settings
@@ -115,7 +124,7 @@
         pass
 
 
-def make_dispatcher(table):
+def make_dispatcher(table, accounts=None, quotas=None):
     runner = Runner()
     runners = {request_class: runner for request_class in RequestClass}
     return Dispatcher(
@@ -126,6 +135,8 @@
         NoCrashes(),
         Explanations(),
         Metrics(),
+        accounts=accounts,
+        quotas=quotas,
     )
 
 
@@ -320,3 +331,68 @@
         refusal = refuse(reason, "")
         assert 400 <= refusal.status <= 599
         assert isinstance(refusal.outcome, Outcome)
+
+
+class FixedQuota(QuotaLimiter):
+    """Admits a fixed number of requests."""
+
+    def __init__(self, left):
+        self.left = left
+        self.refunded = 0
+
+    def admit(self, account):
+        if not self.left:
+            return Deadline(trio.current_time() + 2.0)
+        self.left -= 1
+        return None
+
+    def refund(self, account):
+        self.refunded += 1
+
+
+ACCOUNT = ClientAccount("acme", frozenset([hash_key(b"key")]))
+
+
+# Guards against a credit being lost for a request that did not run.
+@pytest.mark.parametrize(
+    ("path", "key", "left", "status", "used", "refunded"),
+    [
+        (b"/fast", b"key", 1, 200, 1, 0),
+        (b"/full", b"key", 1, 503, 1, 1),
+        (b"/broken", b"key", 1, 500, 1, 0),
+        (b"/doubt", b"key", 1, 504, 1, 0),
+        (b"/fast", b"key", 0, 429, 0, 0),
+        (b"/fast", b"other", 1, 401, 0, 0),
+        (b"/none", b"key", 1, 404, 0, 0),
+    ],
+)
+async def test_a_request_uses_the_quota_of_its_account(
+    autojump_clock, path, key, left, status, used, refunded
+):
+    table = RouteTable(ROUTES)
+    source = AccountSource(AccountTable([ACCOUNT]))
+    quotas = FixedQuota(left)
+    accounts = AccountCheck(SETTINGS, source, Metrics())
+    dispatcher = make_dispatcher(table, accounts, quotas)
+    request = make_request(path)
+    request.headers = [Header(b"authorization", b"Bearer " + key)]
+    answer = await dispatcher.handle(request)
+    assert answer.status == status
+    assert left - quotas.left == used
+    assert quotas.refunded == refunded
+    challenged = find_header(answer.headers, b"www-authenticate") is not None
+    assert challenged is (status == 401)
+    waits = find_header(answer.headers, b"retry-after") is not None
+    assert waits is (status in (429, 503))
+
+
+# Guards against a second check of the key, which was removed, by the host that
+# a request was passed to.
+async def test_a_forwarded_request_is_not_identified_again():
+    source = AccountSource(AccountTable([ACCOUNT]))
+    accounts = AccountCheck(SETTINGS, source, Metrics())
+    dispatcher = make_dispatcher(RouteTable(ROUTES), accounts, FixedQuota(0))
+    request = make_request(b"/fast")
+    request.forwarded = True
+    result = await dispatcher.run_forwarded(request)
+    assert result.unwrap().status == 200
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -42,6 +42,7 @@
     issued_at: HeaderName
     request_id: HeaderName
     caller: HeaderName
+    credentials: HeaderName
     outcome: HeaderName
     reason: HeaderName
     ticket: HeaderName
@@ -90,6 +91,7 @@
     warm_up_ms: HeaderName | None
     rate_limit: HeaderName | None
     leaving: HeaderName | None
+    account: HeaderName | None
 
 
 class TargetsSettings(Section):
@@ -337,6 +339,21 @@
     confirm_first: bool
 
 
+class IdentitySettings(Section):
+    """How the API keys of client accounts are checked."""
+
+    strict_revocation: bool
+    revocation_seconds: Seconds
+
+
+class QuotasSettings(Section):
+    """How exactly the quotas of client accounts are kept."""
+
+    window_seconds: Seconds
+    overshoot_ratio: NotNegative
+    overshoot_slack: NotNegative
+
+
 class LifecycleSettings(Section):
     """Start and stop."""
 
@@ -398,6 +415,8 @@
     claims: ClaimsSettings
     deferred: DeferredSettings
     quarantine: QuarantineSettings
+    identity: IdentitySettings
+    quotas: QuotasSettings
     lifecycle: LifecycleSettings
     status: StatusSettings
     logs: LogsSettings
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -14,6 +14,7 @@
 from agatetack.hosts.evacuations import Evacuations
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
+from agatetack.identity.check import AccountCheck
 from agatetack.keyed.follower import ReadCounters, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.reader import FanOutReader, TopicReader
@@ -189,6 +190,9 @@
         )
 
     def _build_classes(self) -> None:
+        self.accounts = AccountCheck(
+            self.settings, self.documents.accounts, self.metrics
+        )
         once = OnceRunner(
             self.settings,
             HostClaims(),
