Measure a peer's report while a request waits

The processor time of a busy host is spent on choices of targets that are repeated for each message of a peer while a request waits; the bench had only requests that get a target at once, and no shares.

--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -1,22 +1,37 @@
 """Print what one admission costs in processor time, by number of targets.
 
-The baseline of each ratio is the same run with the policy `random`.
+The baseline of each ratio is the same run with the policy `random`. The last
+lines show the policy `fleet-view` with the shares that a host on a metadata
+store has: a request that gets a target at once, and a report of a peer while a
+request waits for one of the targets, which are all full.
 """
 
 import time
 
 import defopt
 import trio
+import trio.testing
 
 from agatetack.admission.controller import AttemptResult, PermitRequest
 from agatetack.admission.service import ServiceAdmission
+from agatetack.balance.cold_share import ColdShare
 from agatetack.balance.policies import make_policy
+from agatetack.balance.pushback_share import PushbackShare
+from agatetack.balance.rate_share import RateShare
+from agatetack.balance.start_share import StartShare
+from agatetack.balance.target_share import CombinedShares
 from agatetack.ids import Deadline
 from agatetack.metrics import Metrics
+from agatetack.peers.exchange import NoExchange
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import PolicyName
 from agatetack.targets.registry import TargetRegistry
-from agatetack.targets.state import LoadReport, ReportSource
+from agatetack.targets.state import (
+    LoadReport,
+    ReportSource,
+    TargetState,
+    TargetStatus,
+)
 from agatetack.testing.targets import (
     SERVICE,
     listed_target,
@@ -26,6 +41,9 @@
 
 SERVICE_SECONDS = 0.01
 
+SLOTS = 4
+"""Slots of each target of the policy `fleet-view`."""
+
 
 async def measure(policy: PolicyName, targets: int, requests: int) -> float:
     """Return processor seconds for one acquire, report, answer, release."""
@@ -52,6 +70,79 @@
     return (time.process_time() - started) / requests
 
 
+def _new_fleet_view(targets: int) -> ServiceAdmission:
+    """Return the admission of a host with ready targets of `SLOTS` slots."""
+    settings = default_settings(balance={"policy": PolicyName.FLEET_VIEW.value})
+    metrics = Metrics()
+    registry = TargetRegistry(settings, metrics)
+    registry.update([listed_target(n + 1) for n in range(targets)])
+    exchange = NoExchange()
+    shares = CombinedShares(
+        [
+            PushbackShare(metrics),
+            StartShare(registry, exchange, list),
+            ColdShare(settings, registry, list),
+            RateShare(settings, registry, list, exchange, metrics),
+        ]
+    )
+    admission = ServiceAdmission(
+        settings,
+        registry,
+        make_policy(settings, 1),
+        metrics,
+        share=shares,
+    )
+    for target in registry.targets(SERVICE):
+        target.status = TargetStatus.READY
+        target.idle_connections = 1
+        _report(admission, target, 0)
+    return admission
+
+
+def _report(
+    admission: ServiceAdmission, target: TargetState, load: int
+) -> None:
+    now = Deadline(trio.current_time())
+    report = LoadReport(
+        load, SLOTS, 0, now, ReportSource.PEER, peer_in_flight=load
+    )
+    admission.registry.note_report(target, report)
+
+
+async def measure_grants(targets: int, requests: int) -> float:
+    """Return processor seconds of one request that gets a target at once."""
+    admission = _new_fleet_view(targets)
+    request = make_request(seconds=1000.0)
+    wanted = PermitRequest(make_route(), request, request.deadline)
+    started = time.process_time()
+    for _ in range(requests):
+        result = await admission.acquire(wanted)
+        permit = result.unwrap()
+        permit.answered_headers(SERVICE_SECONDS)
+        permit.release(AttemptResult.ANSWERED)
+    return (time.process_time() - started) / requests
+
+
+async def measure_reports(targets: int, reports: int) -> float:
+    """Return processor seconds of a peer's report while a request waits."""
+    admission = _new_fleet_view(targets)
+    request = make_request(seconds=1000.0)
+    wanted = PermitRequest(make_route(), request, request.deadline)
+    states = admission.registry.targets(SERVICE)
+    for target in states:
+        target.peer_in_flight = SLOTS
+        _report(admission, target, SLOTS)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(admission.acquire, wanted)
+        await trio.testing.wait_all_tasks_blocked()
+        started = time.process_time()
+        for number in range(reports):
+            _report(admission, states[number % targets], SLOTS)
+        spent = time.process_time() - started
+        nursery.cancel_scope.cancel()
+    return spent / reports
+
+
 def main(*, requests: int = 5000) -> None:
     """Print microseconds and ratios for 3 to 100 targets.
 
@@ -65,6 +156,13 @@
             f"{targets:4d} targets: random {base * 1e6:6.1f} us,"
             f" expected-wait {found * 1e6:6.1f} us, ratio {found / base:.2f}"
         )
+    for targets in (8, 61):
+        grant = trio.run(measure_grants, targets, requests)
+        report = trio.run(measure_reports, targets, requests)
+        print(
+            f"{targets:4d} targets, fleet-view: request {grant * 1e6:6.1f} us,"
+            f" report while one waits {report * 1e6:6.1f} us"
+        )
 
 
 if __name__ == "__main__":
