Skip shares and costs that cannot change the choice of a target

Every message of a peer led to a choice while a request waited: four shares were asked about each target, each reading the clock, and the cost of every target was computed although none had a free slot.

Shares now name the targets that they may restrict, and only these are asked about. The policy fleet-view looks for free slots first; where there is none and no cost draws a random number, it applies the measurements of peers and returns. Terms of the cost that are zero are left out.

--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -1,5 +1,6 @@
 """Admit, queue or refuse the requests of one service."""
 
+import math
 from collections.abc import Sequence
 
 from agatetack.admission.controller import PermitRequest, Priority
@@ -141,22 +142,35 @@
     def _next_send_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
         """Return the earliest time this host may send to one of the targets."""
         targets = self._usable_targets(wanted.route)
-        return min(self.share.next_send_at(target, now) for target in targets)
+        restricted = self.share.restricted(targets, now)
+        times = [self.share.next_send_at(target, now) for target in restricted]
+        if len(restricted) < len(targets):
+            times.append(now)
+        return min(times)
 
     def _max_sends_in_time(self, wanted: PermitRequest, now: Deadline) -> float:
         """Return how many requests this host's share allows in time."""
         until = Deadline(wanted.deadline - self.min_expected_latency)
-        return sum(
+        targets = self._usable_targets(wanted.route)
+        restricted = self.share.restricted(targets, now)
+        sends = sum(
             self.share.max_requests_until(target, now, until)
-            for target in self._usable_targets(wanted.route)
+            for target in restricted
         )
+        if len(restricted) < len(targets) and now <= until:
+            return math.inf
+        return sends
 
     def _fleet_next_send_at(self, route: Route, now: Deadline) -> Deadline:
         """Return the earliest time any host may send to one of the targets."""
         targets = self._usable_targets(route)
-        return min(
-            self.share.fleet_next_send_at(target, now) for target in targets
-        )
+        restricted = self.share.restricted(targets, now)
+        times = [
+            self.share.fleet_next_send_at(target, now) for target in restricted
+        ]
+        if len(restricted) < len(targets):
+            times.append(now)
+        return min(times)
 
     def choose_now(
         self, wanted: PermitRequest, now: Deadline
@@ -352,11 +366,14 @@
         wanted: PermitRequest,
         now: Deadline,
     ) -> Sequence[TargetState]:
-        free = [
-            target
-            for target in usable
-            if target.in_flight < target.limit and self.share.allows(target)
-        ]
+        free = [target for target in usable if target.in_flight < target.limit]
+        restricted = {t.id for t in self.share.restricted(free, now)}
+        if restricted:
+            free = [
+                target
+                for target in free
+                if target.id not in restricted or self.share.allows(target)
+            ]
         if wanted.avoid:
             others = [t for t in free if t.id not in wanted.avoid]
             # If there is no other target, a retry may go to the same one again,
@@ -374,8 +391,12 @@
             ]
         if not wanted.wait:
             free = self.policy.hedge_candidates(free, now)
-        else:
-            due = [target for target in free if self.share.is_due(target, now)]
+        elif restricted:
+            due = [
+                target
+                for target in free
+                if target.id in restricted and self.share.is_due(target, now)
+            ]
             free = due or free
         if wanted.priority is Priority.LOW:
             return self._with_idle_slots(free, now)
@@ -403,7 +424,8 @@
     A target on trial gets one request at a time. A retry, or a request that has
     one attempt only, goes to a target that is not on trial if there is one.
     """
-    proven = [target for target in free if not target.on_trial]
+    # Tests the field instead of `on_trial`, as it is done for each target.
+    proven = [target for target in free if not target.pushbacks]
     if len(proven) == len(free) or not wanted.wait:
         # A hedge is not needed, as the first attempt is still in flight.
         return proven
--- a/agatetack/balance/cold_share.py
+++ b/agatetack/balance/cold_share.py
@@ -93,6 +93,16 @@
             return False
         return now >= self._free_at(target, now)
 
+    def restricted(
+        self, targets: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        """Return the targets that are warming up."""
+        return [
+            target
+            for target in targets
+            if target.warm_up_rate > 0 and target.warmth.is_cold(now)
+        ]
+
     def next_send_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return the earliest time it may send; `now` if not known."""
         if not target.is_warming_up(now) or not target.warmth.known:
--- a/agatetack/balance/fleet_view.py
+++ b/agatetack/balance/fleet_view.py
@@ -9,7 +9,7 @@
 from agatetack.ids import Deadline
 from agatetack.settings.model import Settings
 from agatetack.targets.load import USUAL_SLOWNESS
-from agatetack.targets.state import TargetState
+from agatetack.targets.state import TargetState, TargetStatus
 
 MIN_TYPICAL_SECONDS = 0.1
 """Minimum service time, in seconds, for the computation of costs.
@@ -144,6 +144,12 @@
         """
         typical = max(self.update_typical(candidates, now), MIN_TYPICAL_SECONDS)
         limit = typical * self.settings.balance.slow_ratio
+        room = self._find_room(candidates, now)
+        if True not in room and not _needs_draw(candidates):
+            # No cost can change the result, so only the state is updated. This
+            # is the usual case while requests wait.
+            self._apply_peer_measurements(candidates, limit, now)
+            return None
         costs = [
             self._adjusted_cost(t, now, typical, limit) for t in candidates
         ]
@@ -152,17 +158,43 @@
         near = min(costs) + TIE_RATIO * typical
         ties = [
             target
-            for target, cost in zip(candidates, costs, strict=True)
-            if cost <= near and self.has_free_slot(target, now)
+            for target, cost, has_room in zip(
+                candidates, costs, room, strict=True
+            )
+            if cost <= near and has_room
         ]
         return self.rng.choice(ties) if ties else None
 
+    def _find_room(
+        self, candidates: Sequence[TargetState], now: Deadline
+    ) -> list[bool]:
+        """Return for each candidate whether it has a free slot."""
+        # All candidates are of one service, so the limit depends on the slots.
+        max_loads: dict[int, int] = {}
+        room = []
+        for target in candidates:
+            if now < target.free_slot_at:
+                room.append(False)
+                continue
+            max_load = max_loads.get(target.slots)
+            if max_load is None:
+                max_load = self._max_load(target, now)
+                max_loads[target.slots] = max_load
+            # The estimate is never below the requests that are known.
+            room.append(
+                target.in_flight + target.peer_in_flight < max_load
+                and self.expected_load(target, now) < max_load
+            )
+        return room
+
     def has_free_slot(self, target: TargetState, now: Deadline) -> bool:
         """Return whether a request would not wait at `target`."""
         if now < target.free_slot_at:
             return False
-        max_load = self.slot_policy.max_requests(target, now) + MAX_WAITING
-        return self.expected_load(target, now) < max_load
+        return self.expected_load(target, now) < self._max_load(target, now)
+
+    def _max_load(self, target: TargetState, now: Deadline) -> int:
+        return self.slot_policy.max_requests(target, now) + MAX_WAITING
 
     def hedge_candidates(
         self, candidates: Sequence[TargetState], now: Deadline
@@ -204,14 +236,26 @@
         self.postpone_trial(target, now)
         return -math.inf
 
+    def _apply_peer_measurements(
+        self, candidates: Sequence[TargetState], limit: float, now: Deadline
+    ) -> None:
+        for target in candidates:
+            learned = target.learned
+            if learned.peer_measured_at > learned.peer_applied_at:
+                self.apply_peer_measurement(target, limit, now)
+
     def cost(self, target: TargetState, now: Deadline, typical: float) -> float:
         """Return the expected seconds from sending to the answer."""
         load = self.expected_load(target, now)
+        slots = target.slots
         service = typical * self.slowness(target, now)
-        if is_above_knee(load + 1, target.slots):
+        if is_above_knee(load + 1, slots):
             service *= ABOVE_KNEE_FACTOR
-        wait = max(0.0, load + 1 - target.slots) / target.slots
-        cost = self.round_trip_seconds(target) + service * (1 + wait)
+        cost = self.round_trip_seconds(target)
+        if load + 1 > slots:
+            cost += service * (1 + (load + 1 - slots) / slots)
+        else:
+            cost += service
         if not target.idle_connections:
             cost += CONNECT_COST_RATIO * typical
         if not target.all_peers_report:
@@ -219,10 +263,18 @@
         if target.failure_domain != self.domain:
             size_ratio = min(1.0, target.answer_bytes / LARGE_ANSWER_BYTES)
             cost += OTHER_DOMAIN_COST_RATIO * size_ratio * typical
-        cost += self.extra_cost_ratio(target, now) * typical
-        return (
-            cost + FAILURE_COST_RATIO * self.failure_rate(target, now) * typical
-        )
+        learned = target.learned
+        if (
+            target.warm_up_rate
+            or target.status is TargetStatus.COLD
+            or learned.shed_count
+            or now < learned.shed_until
+        ):
+            cost += self.extra_cost_ratio(target, now) * typical
+        if learned.failure_rate:
+            rate = self.failure_rate(target, now)
+            cost += FAILURE_COST_RATIO * rate * typical
+        return cost
 
     def failure_rate(self, target: TargetState, now: Deadline) -> float:
         """Return the target's failure rate, which decays with time."""
@@ -261,7 +313,8 @@
         report = target.report
         if report is None or now - report.at > SLOWNESS_MAX_AGE_SECONDS:
             return UNKNOWN_SLOWNESS
-        return max(USUAL_SLOWNESS, report.slowness)
+        slowness = report.slowness
+        return slowness if slowness > USUAL_SLOWNESS else USUAL_SLOWNESS
 
     def expected_load(self, target: TargetState, now: Deadline) -> float:
         """Return the estimated number of requests at `target` now."""
@@ -269,8 +322,7 @@
         report = target.report
         if report is None:
             return float(known)
-        excess = report.in_flight - report.own_in_flight
-        excess -= report.peer_in_flight
+        excess = report.in_flight - report.own_in_flight - report.peer_in_flight
         if excess <= 0:
             return float(known)
         half_life = EXCESS_HALF_LIFE_SECONDS
@@ -278,3 +330,11 @@
             half_life = UNSHARED_HALF_LIFE_SECONDS
         half_lives = (now - report.at) / half_life
         return known + excess * 0.5 ** min(half_lives, 60.0)
+
+
+def _needs_draw(candidates: Sequence[TargetState]) -> bool:
+    """Return whether the cost of any candidate depends on a random number."""
+    cold = TargetStatus.COLD
+    return bool(
+        [1 for t in candidates if t.status is cold and not t.warm_up_rate]
+    )
--- a/agatetack/balance/pushback_share.py
+++ b/agatetack/balance/pushback_share.py
@@ -1,5 +1,7 @@
 """Stop sending to targets for as long as they asked this host to."""
 
+from collections.abc import Sequence
+
 import trio
 
 from agatetack.balance.target_share import TargetShare
@@ -29,6 +31,12 @@
         self.held.inc({"service": target.service})
         return False
 
+    def restricted(
+        self, targets: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        """Return the targets whose pushback delay is not over."""
+        return [t for t in targets if now < t.pushback_until]
+
     def next_send_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return the earliest time it may send."""
         return max(now, target.pushback_until)
--- a/agatetack/balance/rate_share.py
+++ b/agatetack/balance/rate_share.py
@@ -170,6 +170,12 @@
         self.held.inc({"service": target.service})
         return False
 
+    def restricted(
+        self, targets: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        """Return the targets that limit their rate."""
+        return [t for t in targets if t.rate_limit.rate is not None]
+
     def next_send_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return the earliest time it may send."""
         if target.rate_limit.rate is None:
--- a/agatetack/balance/start_share.py
+++ b/agatetack/balance/start_share.py
@@ -80,6 +80,12 @@
             return True
         return target.in_flight < self._slots(target)
 
+    def restricted(
+        self, targets: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        """Return all targets until the start is over."""
+        return () if self.ended else targets
+
     def _end(self) -> None:
         self.ended = True
         for service in self.registry.services:
--- a/agatetack/balance/target_share.py
+++ b/agatetack/balance/target_share.py
@@ -15,6 +15,17 @@
     def allows(self, target: TargetState) -> bool:
         """Return whether this host may send one more request to `target`."""
 
+    def restricted(
+        self, targets: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        """Return those of `targets` that the share may restrict now.
+
+        To any other target this host may send at once and without a limit, and
+        none of the methods that ask about it changes the share's state. They
+        need not be called for it; most of the time no target is restricted.
+        """
+        return targets
+
     def next_send_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return the earliest time it may send; `now` if not known."""
         return now
@@ -61,6 +72,12 @@
         """Return True."""
         return True
 
+    def restricted(
+        self, targets: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        """Return no target."""
+        return ()
+
 
 class CombinedShares(TargetShare):
     """Combines several shares; a request must be allowed by each of them."""
@@ -73,6 +90,17 @@
         """Return whether every share allows one more request."""
         return all(share.allows(target) for share in self.shares)
 
+    def restricted(
+        self, targets: Sequence[TargetState], now: Deadline
+    ) -> Sequence[TargetState]:
+        """Return the targets that any of the shares may restrict."""
+        found = {
+            target.id: target
+            for share in self.shares
+            for target in share.restricted(targets, now)
+        }
+        return list(found.values())
+
     def next_send_at(self, target: TargetState, now: Deadline) -> Deadline:
         """Return the earliest time at which all shares allow a request."""
         return max(share.next_send_at(target, now) for share in self.shares)
