Spend less on each frame of a peer

A freed slot of a full target made each host hash all its peers with the target to find its turn, and build a new list of peers, each with a clock reading. The order of turns is now kept until the peers change, a link keeps what the rest of the host sees of its peer, the clock is read once for all links, and the reader looks up the end of a frame once.

--- a/agatetack/measure/occupancy.py
+++ b/agatetack/measure/occupancy.py
@@ -47,6 +47,9 @@
         turn_seconds: Time between two hosts' turns to take a slot.
         turns: When it is this host's turn, by target with a freed slot.
         turn_added: Set when something was added to `turns`.
+        ranked_peers: The hosts that take turns with this one.
+        earlier_hosts: How many of them come before this host, by target; kept
+            until they change, as each freed slot needs it.
         collected: Targets with changes that a late host has not sent yet.
         collected_added: Set when there is something in `collected`.
     """
@@ -84,6 +87,8 @@
         self.turn_seconds = TURN_ONE_WAY_RATIO * one_way
         self.turns: dict[TargetId, Deadline] = {}
         self.turn_added = trio.Event()
+        self.ranked_peers: list[HostId] = []
+        self.earlier_hosts: dict[TargetId, int] = {}
         registry.in_flight_watchers.append(self._on_change)
         exchange.subscribe(Topic.IN_FLIGHT, self._on_counts)
 
@@ -217,17 +222,26 @@
         if before < target.slots:
             self.registry.notify(target.service)
             return
-        own = rank(self.own, target.id)
-        earlier = sum(
-            rank(peer.id, target.id) > own
-            for peer in self.exchange.near_peers()
-        )
+        earlier = self._count_earlier(target.id)
         target.free_slot_at = Deadline(
             trio.current_time() + earlier * self.turn_seconds
         )
         self.turns[target.id] = target.free_slot_at
         self.turn_added.set()
 
+    def _count_earlier(self, target: TargetId) -> int:
+        """Return how many hosts take their turn at `target` before this one."""
+        peers = [peer.id for peer in self.exchange.near_peers()]
+        if peers != self.ranked_peers:
+            self.ranked_peers = peers
+            self.earlier_hosts.clear()
+        earlier = self.earlier_hosts.get(target)
+        if earlier is None:
+            own = rank(self.own, target)
+            earlier = sum(rank(peer, target) > own for peer in peers)
+            self.earlier_hosts[target] = earlier
+        return earlier
+
     async def _run_offers(self) -> None:
         """Notify waiting requests of freed slots in this host's turns."""
         while True:
--- a/agatetack/measure/test_occupancy.py
+++ b/agatetack/measure/test_occupancy.py
@@ -7,7 +7,9 @@
 
 from agatetack.generated.measure.ttypes import LoadSample
 from agatetack.ids import HostId
+from agatetack.measure import occupancy
 from agatetack.measure.occupancy import Occupancy
+from agatetack.measure.rounds import rank
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import Topic
 from agatetack.settings.defaults import default_settings
@@ -186,6 +188,36 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a hash of each peer for each slot that is freed in the fleet.
+async def test_the_order_of_turns_is_computed_once(autojump_clock, monkeypatch):
+    async with trio.open_nursery() as nursery:
+        mesh = MemoryMesh(nursery)
+        first, *others = [Host(mesh, f"h{n}") for n in range(6)]
+        await start(nursery, first, *others)
+        hashed = []
+
+        def counted(host, target):
+            hashed.append((host, target))
+            return rank(host, target)
+
+        monkeypatch.setattr(occupancy, "rank", counted)
+        turns = []
+        for _ in range(20):
+            for count in (2, 0):
+                first.set(count)
+                await trio.sleep(0.01)
+            turns.append(others[0].target().free_slot_at - trio.current_time())
+        assert len(hashed) == len(others) * (1 + 5)
+        assert turns == pytest.approx([turns[0]] * 20)
+        # The order is computed again once a host left.
+        mesh.leave(others[-1].name)
+        for count in (2, 0):
+            first.set(count)
+            await trio.sleep(0.01)
+        assert len(hashed) == len(others) * (1 + 5) + 4 * (1 + 4)
+        nursery.cancel_scope.cancel()
+
+
 async def test_room_at_a_target_that_was_not_full_needs_no_turn(
     autojump_clock,
 ):
--- a/agatetack/peers/frames.py
+++ b/agatetack/peers/frames.py
@@ -22,16 +22,6 @@
 HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 """Format of host ids and failure domains in the settings."""
 
-_FRAME_KINDS = (
-    "hello",
-    "proof",
-    "heartbeat",
-    "publish",
-    "call",
-    "reply",
-    "missing",
-)
-
 
 class CloseReason(enum.Enum):
     """Why a connection with a peer was closed; a metric label."""
@@ -83,19 +73,13 @@
     """
     try:
         frame = CODEC.read_into(ttypes.Frame(), content)
-        kinds = [
-            kind for kind in _FRAME_KINDS if getattr(frame, kind) is not None
-        ]
-        if len(kinds) != 1:
-            raise LinkClosed(CloseReason.MALFORMED_FRAME)
+        (part,) = [each for each in _contents(frame) if each is not None]
         # The accelerated decoder leaves absent fields and fields of the wrong
         # type unset, so required fields have to be checked here.
-        getattr(frame, kinds[0]).validate()
-    except LinkClosed:
-        raise
+        part.validate()
     except Exception as error:
-        # Decoding and validation raise exceptions of many types for malformed
-        # content.
+        # Decoding, a frame without exactly one content, and validation raise
+        # exceptions of many types for malformed content.
         raise LinkClosed(CloseReason.MALFORMED_FRAME) from error
     if not _names_are_valid(frame):
         raise LinkClosed(CloseReason.MALFORMED_FRAME)
@@ -116,6 +100,19 @@
     return member if _member_is_valid(member) else None
 
 
+def _contents(frame: ttypes.Frame) -> tuple[object, ...]:
+    """Return the fields of `frame`, of which one is set."""
+    return (
+        frame.hello,
+        frame.proof,
+        frame.heartbeat,
+        frame.publish,
+        frame.call,
+        frame.reply,
+        frame.missing,
+    )
+
+
 def _names_are_valid(frame: ttypes.Frame) -> bool:
     if frame.hello is not None:
         return _member_is_valid(frame.hello)
@@ -179,29 +176,27 @@
             LinkClosed: The connection ended or was lost, or the frame is
                 malformed or too large.
         """
-        while not self._has_frame():
+        while not (end := self._complete_frame_end()):
             await self._fill_buffer()
-        self.last_frame = bytes(self.buffer[: self._frame_end()])
-        del self.buffer[: self._frame_end()]
+        self.last_frame = bytes(self.buffer[:end])
+        del self.buffer[:end]
         return decode_frame(self.last_frame[LENGTH_BYTES:])
 
-    def _has_frame(self) -> bool:
-        """Return whether the buffer holds a complete frame.
+    def _complete_frame_end(self) -> int:
+        """Return the size of the first frame with its length prefix.
+
+        It is 0 while the buffer doesn't hold the complete frame.
 
         Raises:
             LinkClosed: The frame is too large.
         """
         if len(self.buffer) < LENGTH_BYTES:
-            return False
-        end = self._frame_end()
-        if end - LENGTH_BYTES > self.max_bytes:
-            raise LinkClosed(CloseReason.OVERSIZED_FRAME)
-        return len(self.buffer) >= end
-
-    def _frame_end(self) -> int:
-        """Return the size of the first frame, with its length prefix."""
+            return 0
         length = int.from_bytes(self.buffer[:LENGTH_BYTES], "big")
-        return LENGTH_BYTES + length
+        if length > self.max_bytes:
+            raise LinkClosed(CloseReason.OVERSIZED_FRAME)
+        end = LENGTH_BYTES + length
+        return end if len(self.buffer) >= end else 0
 
     async def _fill_buffer(self) -> None:
         """Read the next bytes into the buffer."""
--- a/agatetack/peers/link.py
+++ b/agatetack/peers/link.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import dataclasses
 from collections import deque
 
 import trio
@@ -15,6 +16,7 @@
 from agatetack.peers.budget import ByteBudget
 from agatetack.peers.calls import IncomingCalls, OutgoingMessage, PendingCalls
 from agatetack.peers.counters import PeerCounters
+from agatetack.peers.exchange import Peer
 from agatetack.peers.frames import (
     CloseReason,
     FrameReader,
@@ -103,6 +105,9 @@
         self.counters = owner.counters
         self.clock = owner.clock
         self.leaving = bool(hello.leaving)
+        self._peer = Peer(
+            self.id, self.incarnation, self.failure_domain, self.leaving
+        )
         self.missing: frozenset[HostId] = frozenset()
         self.reason: CloseReason | None = None
         self.calls = PendingCalls(self.settings.max_frame_bytes)
@@ -141,10 +146,21 @@
         """Return the peer's failure domain."""
         return FailureDomain(self.hello.failure_domain)
 
+    @property
+    def peer(self) -> Peer:
+        """Return the peer as the rest of the host sees it."""
+        if self._peer.leaving != self.leaving:
+            self._peer = dataclasses.replace(self._peer, leaving=self.leaving)
+        return self._peer
+
     @property
     def live(self) -> bool:
         """Return whether bytes were received over this link recently."""
-        return self.reason is None and self.clock.now() < self.silent_at
+        return self.is_live(self.clock.now())
+
+    def is_live(self, now: Deadline) -> bool:
+        """Return whether bytes were received over this link recently."""
+        return self.reason is None and now < self.silent_at
 
     async def run(self) -> CloseReason:
         """Serve the link until it is closed; return the reason."""
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -156,10 +156,11 @@
 
     def live_peers(self) -> Sequence[Peer]:
         """Return the hosts with a live link to this one."""
+        now = self.clock.now()
         return [
-            Peer(link.id, link.incarnation, link.failure_domain, link.leaving)
+            link.peer
             for link in self.connector.links.values()
-            if link.live
+            if link.is_live(now)
         ]
 
     def near_peers(self) -> Sequence[Peer]:
@@ -167,9 +168,7 @@
         peers = self.live_peers()
         if not self.is_grouped:
             return peers
-        return [
-            peer for peer in peers if self.link_selector.is_in_group(peer.id)
-        ]
+        return self.link_selector.in_group(peers)
 
     def known_hosts(self) -> Sequence[Peer]:
         """Return all other hosts that are considered live.
--- a/agatetack/peers/reach.py
+++ b/agatetack/peers/reach.py
@@ -6,7 +6,7 @@
 from agatetack.ids import FailureDomain, HostId, TargetId
 from agatetack.peers.choice import pair_rank
 from agatetack.peers.connector import Connector
-from agatetack.peers.exchange import Scope
+from agatetack.peers.exchange import Peer, Scope
 from agatetack.peers.link import Link
 from agatetack.peers.relay import COMBINED_TOPICS, ONCE_PER_DOMAIN_TOPICS
 
@@ -59,6 +59,14 @@
             return False
         return groups.group_of.get(host) == self.connector.group
 
+    def in_group(self, peers: Sequence[Peer]) -> Sequence[Peer]:
+        """Return those of `peers` that are in the own group."""
+        groups = self.connector.groups
+        if groups is None:
+            return ()
+        group_of, own_group = groups.group_of, self.connector.group
+        return [peer for peer in peers if group_of.get(peer.id) == own_group]
+
     def shares_target(self, target: TargetId, domain: FailureDomain) -> bool:
         """Return whether a target is the own group's; True without groups."""
         groups = self.connector.groups
