Load parts of a host only when they are needed

LateModule stands for a module until one of its names is used. Forwarding is built when a path is lost, or at the first call of another host; the parts for client accounts and for at-most-once requests when a document needs them (StoreGateway._build_document_parts); TLS, hints about settings, the messages about crashes and another policy where they are used. The source of the accounts moved to config/document.py and can still be imported from identity/accounts.py.

--- a/agatetack/balance/policies.py
+++ b/agatetack/balance/policies.py
@@ -3,13 +3,15 @@
 import random
 from collections.abc import Sequence
 
-from agatetack.balance.expected_wait import ExpectedWait
 from agatetack.balance.fleet_view import FleetView
 from agatetack.balance.policy import Policy
 from agatetack.ids import Deadline
+from agatetack.late import LateModule
 from agatetack.settings.model import PolicyName, Settings
 from agatetack.targets.state import TargetState
 
+expected_wait = LateModule("agatetack.balance.expected_wait")
+
 
 class Random(Policy):
     """Chooses a random target."""
@@ -91,7 +93,7 @@
         return PowerOfTwo(rng)
     if name is PolicyName.FLEET_VIEW:
         return FleetView(settings, rng)
-    return ExpectedWait(settings, rng)
+    return expected_wait.ExpectedWait(settings, rng)
 
 
 def _last_chosen_at(target: TargetState) -> float:
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -1,6 +1,7 @@
 """Listen for callers and serve their connections."""
 
 import contextlib
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -16,7 +17,9 @@
     PlainListener,
     PlainStream,
 )
-from agatetack.tls import ServerTls
+
+if TYPE_CHECKING:
+    from agatetack.tls import ServerTls
 
 END_POLL_SECONDS = 0.02
 """Interval at which a closed listener checks for open connections."""
@@ -40,7 +43,7 @@
         settings: Settings,
         handler: Handler,
         metrics: Metrics,
-        tls: ServerTls | None = None,
+        tls: "ServerTls | None" = None,
     ):
         """Serve callers with `handler`, over TLS if `tls` is given."""
         self.settings = settings
--- a/agatetack/config/document.py
+++ b/agatetack/config/document.py
@@ -2,11 +2,14 @@
 
 import abc
 import dataclasses
+from typing import TYPE_CHECKING
 
 from agatetack.config.route import Route
-from agatetack.identity.accounts import AccountTable
 from agatetack.ids import ServiceId
 
+if TYPE_CHECKING:
+    from agatetack.identity.accounts import AccountTable
+
 
 class BadDocument(Exception):
     """The bytes are not a valid document."""
@@ -64,7 +67,20 @@
     routes: tuple[Route, ...]
     services: tuple[ServiceInfo, ...]
     limits: CallerLimits | None = None
-    accounts: AccountTable | None = None
+    accounts: "AccountTable | None" = None
+
+
+class AccountSource:
+    """Holds the accounts in force, which each change replaces as a whole.
+
+    Attributes:
+        table: The accounts, or None if the configuration has none, in which
+            case requests need no key.
+    """
+
+    def __init__(self, table: "AccountTable | None" = None):
+        """Start with `table`."""
+        self.table = table
 
 
 class DocumentDecoder(abc.ABC):
--- a/agatetack/config/document_routes.py
+++ b/agatetack/config/document_routes.py
@@ -2,8 +2,10 @@
 
 import math
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 from agatetack.config.document import (
+    AccountSource,
     BadDocument,
     CallerLimits,
     DocumentDecoder,
@@ -12,12 +14,14 @@
 )
 from agatetack.config.route import Route, RouteSource, RouteTable
 from agatetack.decisions import DecisionLog
-from agatetack.identity.accounts import AccountSource, AccountTable
 from agatetack.ids import Deadline, LogOffset, ServiceId
 from agatetack.keyed.reader import TopicReader
 from agatetack.keyed.topic import KeyedRecord
 from agatetack.metrics import Metrics
 
+if TYPE_CHECKING:
+    from agatetack.identity.accounts import AccountTable
+
 NO_DOCUMENT = -1
 """The version before the first document."""
 
@@ -168,5 +172,5 @@
             watcher()
 
 
-def _count(accounts: AccountTable | None) -> int:
+def _count(accounts: "AccountTable | None") -> int:
     return 0 if accounts is None else len(accounts.by_id)
--- a/agatetack/forwarding/forwarder.py
+++ b/agatetack/forwarding/forwarder.py
@@ -10,13 +10,14 @@
 from agatetack.config.route import Route
 from agatetack.decisions import DecisionLog
 from agatetack.forwarding.messages import decode_reply, encode_request
+from agatetack.forwarding.runner import ForwardingNeed, may_try_another
 from agatetack.generated.forwarding.ttypes import ForwardCancel
 from agatetack.ids import Deadline, HostId, ServiceId
 from agatetack.logs import PartLog
 from agatetack.measure.path_sharing import PathSharing
 from agatetack.messages import Answer, CallerRequest
 from agatetack.metrics import Metrics
-from agatetack.outcomes import Outcome, Refusal, RefusalReason, refuse
+from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.peers.exchange import Exchange, PeerUnreachable, Topic
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
@@ -37,21 +38,11 @@
 MAX_WAITING_CANCELS = 256
 """Maximum number of cancellations waiting to be sent."""
 
-TRY_ANOTHER_REASONS = frozenset(
-    {
-        RefusalReason.NO_TARGET,
-        RefusalReason.CONNECT_FAILED,
-        RefusalReason.NO_CONFIGURATION,
-        RefusalReason.SHUTTING_DOWN,
-    }
-)
-"""Refusals of one host that another one may not repeat."""
-
 decisions = DecisionLog("forwarding")
 log = PartLog("forwarding")
 
 
-class Forwarder:
+class Forwarder(ForwardingNeed):
     """Passes requests to hosts that reach targets of their service.
 
     Attributes:
@@ -76,10 +67,9 @@
             has_free_slot: Returns whether a request would not wait at a target.
             metrics: Where forwarded requests are counted.
         """
-        self.registry = registry
+        super().__init__(registry, has_free_slot)
         self.exchange = exchange
         self.paths = paths
-        self.has_free_slot = has_free_slot
         self.numbers = itertools.count()
         self.in_progress: Counter[HostId] = Counter()
         self.last_used_at: dict[HostId, Deadline] = {}
@@ -97,26 +87,13 @@
             async for host, number in self.cancels_out:
                 nursery.start_soon(self._send_cancel, host, number)
 
-    def is_cut_off(self, service: ServiceId) -> bool:
-        """Return whether lost paths leave no target of `service`."""
-        if self.registry.targets(service):
-            return False
-        return self.registry.count_unreachable(service) > 0
-
     def is_short(self, service: ServiceId) -> bool:
         """Return whether another host may have room for `service` sooner.
 
         That is so if lost paths leave only targets without a free slot, and
         another host reaches more of them.
         """
-        if not (self.registry.paths.lost or self.registry.leaving):
-            # It is asked for each request.
-            return False
-        now = Deadline(trio.current_time())
-        targets = self.registry.targets(service)
-        if any(self.has_free_slot(target, now) for target in targets):
-            return False
-        if not self.registry.count_unreachable(service):
+        if not self.may_be_short(service):
             return False
         return self._choose(service, frozenset()) is not None
 
@@ -231,17 +208,6 @@
             log.info("A request is not cancelled at %s: %s.", host, error)
 
 
-def may_try_another(result: Result[Answer, Refusal]) -> bool:
-    """Return whether the request has not run and another host may run it."""
-    if isinstance(result, Success):
-        return False
-    refusal = result.failure()
-    return (
-        refusal.outcome is Outcome.NOT_RUN
-        and refusal.reason in TRY_ANOTHER_REASONS
-    )
-
-
 def _unanswered(host: HostId, error: Exception, until: Deadline) -> Refusal:
     reason = RefusalReason.CONNECTION_LOST
     if trio.current_time() >= until:
--- a/agatetack/forwarding/runner.py
+++ b/agatetack/forwarding/runner.py
@@ -1,12 +1,22 @@
 """Run requests here, or at another host if this one reaches no target."""
 
-from returns.result import Failure, Result
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import trio
+from returns.result import Failure, Result, Success
 
 from agatetack.config.route import Route
-from agatetack.forwarding.forwarder import Forwarder, may_try_another
+from agatetack.ids import Deadline, ServiceId
 from agatetack.messages import Answer, CallerRequest
 from agatetack.outcomes import Outcome, Refusal, RefusalReason
 from agatetack.serving.dispatcher import ClassRunner
+from agatetack.targets.registry import TargetRegistry
+from agatetack.targets.state import TargetState
+
+if TYPE_CHECKING:
+    from agatetack.forwarding.forwarder import Forwarder
+    from agatetack.forwarding.late import LateForwarder
 
 PATH_REASONS = frozenset(
     {RefusalReason.NO_TARGET, RefusalReason.CONNECT_FAILED}
@@ -14,6 +24,47 @@
 """Refusals that may be due to this host's own paths."""
 
 
+TRY_ANOTHER_REASONS = frozenset(
+    {
+        RefusalReason.NO_TARGET,
+        RefusalReason.CONNECT_FAILED,
+        RefusalReason.NO_CONFIGURATION,
+        RefusalReason.SHUTTING_DOWN,
+    }
+)
+"""Refusals of one host that another one may not repeat."""
+
+
+class ForwardingNeed:
+    """Tells whether lost paths make it necessary to pass requests on."""
+
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        has_free_slot: Callable[[TargetState, Deadline], bool],
+    ):
+        """Judge by the targets in `registry` and their free slots."""
+        self.registry = registry
+        self.has_free_slot = has_free_slot
+
+    def is_cut_off(self, service: ServiceId) -> bool:
+        """Return whether lost paths leave no target of `service`."""
+        if self.registry.targets(service):
+            return False
+        return self.registry.count_unreachable(service) > 0
+
+    def may_be_short(self, service: ServiceId) -> bool:
+        """Return whether lost paths leave only targets without a free slot."""
+        if not (self.registry.paths.lost or self.registry.leaving):
+            # It is asked for each request.
+            return False
+        now = Deadline(trio.current_time())
+        targets = self.registry.targets(service)
+        if any(self.has_free_slot(target, now) for target in targets):
+            return False
+        return self.registry.count_unreachable(service) > 0
+
+
 class ForwardingRunner(ClassRunner):
     """Passes a request on if, by lost paths, no target is left for it.
 
@@ -22,7 +73,9 @@
     A request that another host passed to this one is never passed on.
     """
 
-    def __init__(self, runner: ClassRunner, forwarder: Forwarder):
+    def __init__(
+        self, runner: ClassRunner, forwarder: "Forwarder | LateForwarder"
+    ):
         """Run requests with `runner` unless `forwarder` has to take them."""
         self.runner = runner
         self.forwarder = forwarder
@@ -52,3 +105,14 @@
             and refusal.reason in PATH_REASONS
             and self.forwarder.is_cut_off(route.service)
         )
+
+
+def may_try_another(result: Result[Answer, Refusal]) -> bool:
+    """Return whether the request has not run and another host may run it."""
+    if isinstance(result, Success):
+        return False
+    refusal = result.failure()
+    return (
+        refusal.outcome is Outcome.NOT_RUN
+        and refusal.reason in TRY_ANOTHER_REASONS
+    )
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -20,11 +21,10 @@
 from agatetack.callers.server import CallerServer
 from agatetack.clock import Clock, Lateness, LatenessMeter, SystemClock
 from agatetack.config.route import RequestClass, RouteSource
-from agatetack.forwarding.forwarder import Forwarder
-from agatetack.forwarding.receiver import ForwardReceiver
+from agatetack.forwarding.late import LateForwarder, LateReceiver
 from agatetack.forwarding.runner import ForwardingRunner
-from agatetack.identity.check import AccountCheck
 from agatetack.ids import Deadline, RouteId, ServiceId
+from agatetack.late import LateModule
 from agatetack.lifecycle.drain import Lifecycle
 from agatetack.lifecycle.in_flight import TrackingHandler
 from agatetack.lifecycle.readiness import ReadinessView
@@ -39,7 +39,6 @@
 from agatetack.peers.mesh import PeerExchange
 from agatetack.quarantine.liveness import LivenessCheck, PoolLivenessCheck
 from agatetack.quarantine.local_tracker import LocalCrashTracker
-from agatetack.quotas.limiter import QuotaLimiter
 from agatetack.serving.dispatcher import ClassRunner, Dispatcher
 from agatetack.serving.explain import Explanations
 from agatetack.settings.model import PolicyName, Settings
@@ -47,7 +46,16 @@
 from agatetack.targets.load import HeaderLoadReader, LoadReader
 from agatetack.targets.presend_probe import PreSendProber
 from agatetack.targets.registry import TargetRegistry
-from agatetack.tls import ServerTls
+
+if TYPE_CHECKING:
+    from agatetack.forwarding.forwarder import Forwarder
+    from agatetack.forwarding.receiver import ForwardReceiver
+    from agatetack.identity.check import AccountCheck
+    from agatetack.quotas.limiter import QuotaLimiter
+
+forwarder = LateModule("agatetack.forwarding.forwarder")
+receiver = LateModule("agatetack.forwarding.receiver")
+tls = LateModule("agatetack.tls")
 
 MAX_STOP_REQUESTS = 2
 """Stop requests that are buffered: the first starts the drain, the second
@@ -184,12 +192,10 @@
         self.path_sharing = PathSharing(
             self.registry, self.peers, metrics, self.prober.looks.suspect
         )
-        self.forwarder = Forwarder(
+        self.forwarder = LateForwarder(
             self.registry,
-            self.peers,
-            self.path_sharing,
             self.admission.policy.has_free_slot,
-            metrics,
+            self._build_forwarder,
         )
         self.rounds = ProbeRounds(
             settings,
@@ -228,6 +234,24 @@
             self.fleet_budget,
         )
 
+    def _build_forwarder(self) -> "Forwarder":
+        return forwarder.Forwarder(
+            self.registry,
+            self.peers,
+            self.path_sharing,
+            self.admission.policy.has_free_slot,
+            self.metrics,
+        )
+
+    def _build_forward_receiver(self) -> "ForwardReceiver":
+        return receiver.ForwardReceiver(
+            self.peers,
+            self.dispatcher.run_forwarded,
+            self.lifecycle.in_flight,
+            self.settings.peers.max_frame_bytes,
+            self.metrics,
+        )
+
     def _build_request_admission(
         self,
         load_reader: LoadReader | None,
@@ -285,16 +309,10 @@
             self.accounts,
             self.quotas,
         )
-        self.forward_receiver = ForwardReceiver(
-            self.peers,
-            self.dispatcher.run_forwarded,
-            self.lifecycle.in_flight,
-            settings.peers.max_frame_bytes,
-            metrics,
-        )
+        LateReceiver(self.peers, self._build_forward_receiver)
         self.callers_tls = None
         if settings.callers.tls is not None:
-            self.callers_tls = ServerTls(
+            self.callers_tls = tls.ServerTls(
                 settings.callers.tls, "callers", metrics
             )
         self.callers = CallerServer(
@@ -308,6 +326,14 @@
         self.lifecycle.on_closing(self.callers.close_idle)
         self.lifecycle.add_flush("callers", self._flush_callers)
 
+    def add_runner(
+        self, request_class: RequestClass, runner: ClassRunner
+    ) -> None:
+        """Run the requests of `request_class` with `runner`."""
+        self.dispatcher.runners[request_class] = self._with_forwarding(
+            request_class, runner
+        )
+
     def _with_forwarding(
         self, request_class: RequestClass, runner: ClassRunner
     ) -> ClassRunner:
--- a/agatetack/identity/accounts.py
+++ b/agatetack/identity/accounts.py
@@ -4,6 +4,8 @@
 import re
 from collections.abc import Collection, Iterable
 
+# Defined there as it is needed without accounts.
+from agatetack.config.document import AccountSource as AccountSource
 from agatetack.identity.keys import ApiKeyHash
 from agatetack.ids import ClientAccountId, RouteId
 
@@ -74,16 +76,3 @@
                     raise BadAccount(
                         f"{other.id!r} and {account.id!r} have the same key"
                     )
-
-
-class AccountSource:
-    """Holds the accounts in force, which each change replaces as a whole.
-
-    Attributes:
-        table: The accounts, or None if the configuration has none, in which
-            case requests need no key.
-    """
-
-    def __init__(self, table: AccountTable | None = None):
-        """Start with `table`."""
-        self.table = table
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -3,10 +3,9 @@
 import abc
 import dataclasses
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from agatetack.decisions import DecisionTrace
-from agatetack.identity.accounts import ClientAccount
 from agatetack.ids import (
     AttemptId,
     CallerId,
@@ -18,6 +17,9 @@
 )
 from agatetack.outcomes import RefusalReason, RetryReason
 
+if TYPE_CHECKING:
+    from agatetack.identity.accounts import ClientAccount
+
 
 class Header(NamedTuple):
     """One HTTP header field; the name is in lower case."""
@@ -189,7 +191,7 @@
         default_factory=DecisionTrace
     )
     forwarded: bool = False
-    account: ClientAccount | None = None
+    account: "ClientAccount | None" = None
 
     @property
     def replayable(self) -> bool:
--- a/agatetack/peers/transport.py
+++ b/agatetack/peers/transport.py
@@ -5,10 +5,12 @@
 
 import trio
 
+from agatetack.late import LateModule
 from agatetack.metrics import Metrics
 from agatetack.settings.model import PeersSettings
 from agatetack.streams import PlainStream, open_plain_stream
-from agatetack.tls import ClientTls, ServerTls
+
+tls = LateModule("agatetack.tls")
 
 
 class Transport(abc.ABC):
@@ -79,8 +81,8 @@
             TlsFilesError: The files are unusable, or there is no certificate
                 authority.
         """
-        self.client = ClientTls(settings.tls, "peers_dial", metrics)
-        self.server = ServerTls(settings.tls, "peers", metrics)
+        self.client = tls.ClientTls(settings.tls, "peers_dial", metrics)
+        self.server = tls.ServerTls(settings.tls, "peers", metrics)
 
     async def open(self, ip: str, port: int) -> trio.abc.Stream:
         """Return a connection; TLS is negotiated when the hello is sent."""
--- a/agatetack/platform/configuration.py
+++ b/agatetack/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING
 
 import orjson
 
@@ -14,8 +15,6 @@
 )
 from agatetack.config.route import RequestClass, Route, SplitPart
 from agatetack.hosts.evacuations import EvacuationKeys
-from agatetack.identity.accounts import AccountTable, ClientAccount
-from agatetack.identity.keys import hash_key
 from agatetack.ids import (
     ClientAccountId,
     FailureDomain,
@@ -24,8 +23,16 @@
     ServiceId,
     TeamId,
 )
+from agatetack.late import LateModule
 from agatetack.platform.figures import read_seconds
 
+if TYPE_CHECKING:
+    from agatetack.identity.accounts import AccountTable, ClientAccount
+
+# Loaded for a document that has client accounts.
+account_parts = LateModule("agatetack.identity.accounts")
+key_parts = LateModule("agatetack.identity.keys")
+
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
@@ -152,14 +159,14 @@
     )
 
 
-def _read_accounts(fields: Mapping) -> AccountTable | None:
+def _read_accounts(fields: Mapping) -> "AccountTable | None":
     """Return the tenants and public routes; None if there are no tenants."""
     tenants = fields.get("tenants")
     if tenants is None:
         return None
     if not isinstance(tenants, list):
         raise TypeError("tenants must be a list")
-    return AccountTable(
+    return account_parts.AccountTable(
         [_read_account(n, each) for n, each in enumerate(tenants)],
         [
             RouteId(route["name"])
@@ -169,7 +176,7 @@
     )
 
 
-def _read_account(number: int, tenant: Mapping) -> ClientAccount:
+def _read_account(number: int, tenant: Mapping) -> "ClientAccount":
     """Return a tenant; errors name its place, but none of its keys."""
     place = f"tenants[{number}]"
     keys = tenant.get("api_keys") or []
@@ -178,9 +185,9 @@
     ):
         raise TypeError(f"{place}.api_keys must be a list of ASCII texts")
     priority = tenant.get("priority")
-    return ClientAccount(
+    return account_parts.ClientAccount(
         id=ClientAccountId(_text(tenant["name"])),
-        key_hashes=frozenset(hash_key(key.encode()) for key in keys),
+        key_hashes=frozenset(key_parts.hash_key(key.encode()) for key in keys),
         priority=None if priority is None else int(priority),
         requests_per_second=_quota_figure(tenant, "rate_per_s", place),
         burst=_quota_figure(tenant, "burst_size", place),
--- a/agatetack/quarantine/local_tracker.py
+++ b/agatetack/quarantine/local_tracker.py
@@ -9,13 +9,14 @@
 
 import collections
 import dataclasses
+from typing import TYPE_CHECKING
 
 import trio
 
 from agatetack.config.route import RequestClass, Route
 from agatetack.decisions import DecisionLog
-from agatetack.generated.quarantine.ttypes import CrashEvent, CrashNotice
 from agatetack.ids import Deadline, HostId, ProcessId, RouteId, ServiceId
+from agatetack.late import LateModule
 from agatetack.logs import PartLog
 from agatetack.messages import CallerRequest
 from agatetack.metrics import Metrics
@@ -26,6 +27,11 @@
 from agatetack.settings.model import Settings
 from agatetack.thrift_codec import MalformedMessage, decode, encode
 
+if TYPE_CHECKING:
+    from agatetack.generated.quarantine.ttypes import CrashNotice
+
+crash_messages = LateModule("agatetack.generated.quarantine.ttypes")
+
 MAX_PENDING_CHECKS = 1000
 """Maximum number of lost connections that wait to be checked; further ones are
 not checked."""
@@ -189,7 +195,9 @@
         request_fingerprint = fingerprint(route, request)
         self._note_answer(request_fingerprint)
         if self._forget(request_fingerprint):
-            self._publish(request_fingerprint, CrashEvent.ANSWERED)
+            self._publish(
+                request_fingerprint, crash_messages.CrashEvent.ANSWERED
+            )
 
     def _note_answer(self, request_fingerprint: Fingerprint) -> None:
         now = trio.current_time()
@@ -210,7 +218,7 @@
     def release(self, request_fingerprint: Fingerprint) -> bool:
         """Stop refusing a request; return whether it was suspected."""
         known = self._forget(request_fingerprint)
-        self._publish(request_fingerprint, CrashEvent.RELEASED)
+        self._publish(request_fingerprint, crash_messages.CrashEvent.RELEASED)
         return known
 
     def _count(self, loss: ConnectionLoss) -> None:
@@ -265,26 +273,26 @@
         self.held.set({}, held)
 
     def _publish(self, request_fingerprint: Fingerprint, event: int) -> None:
-        self._send(CrashNotice(request_fingerprint, event))
+        self._send(crash_messages.CrashNotice(request_fingerprint, event))
 
     def _publish_loss(self, loss: ConnectionLoss) -> None:
         self._send(
-            CrashNotice(
+            crash_messages.CrashNotice(
                 loss.fingerprint,
-                CrashEvent.LOST,
+                crash_messages.CrashEvent.LOST,
                 loss.target,
                 loss.route,
                 loss.service,
             )
         )
 
-    def _send(self, notice: CrashNotice) -> None:
+    def _send(self, notice: "CrashNotice") -> None:
         payload = encode(notice)
         self.exchange.publish(Topic.CRASH_FINGERPRINTS, payload)
 
     def _take_notice(self, sender: HostId, payload: bytes) -> None:
         try:
-            notice = decode(CrashNotice, payload)
+            notice = decode(crash_messages.CrashNotice, payload)
         except MalformedMessage:
             self._drop_notice(sender)
             return
@@ -292,13 +300,16 @@
             self._drop_notice(sender)
             return
         request_fingerprint = Fingerprint(notice.fingerprint)
-        if notice.event == CrashEvent.LOST and notice.target:
+        if notice.event == crash_messages.CrashEvent.LOST and notice.target:
             self._count_peer_loss(request_fingerprint, notice)
-        elif notice.event in (CrashEvent.ANSWERED, CrashEvent.RELEASED):
+        elif notice.event in (
+            crash_messages.CrashEvent.ANSWERED,
+            crash_messages.CrashEvent.RELEASED,
+        ):
             self._forget(request_fingerprint)
 
     def _count_peer_loss(
-        self, request_fingerprint: Fingerprint, notice: CrashNotice
+        self, request_fingerprint: Fingerprint, notice: "CrashNotice"
     ) -> None:
         now = Deadline(trio.current_time())
         target = ProcessId(notice.target)
--- a/agatetack/quotas/limiter.py
+++ b/agatetack/quotas/limiter.py
@@ -1,16 +1,19 @@
 """Define how the requests of client accounts are limited."""
 
 import abc
+from typing import TYPE_CHECKING
 
-from agatetack.identity.accounts import ClientAccount
 from agatetack.ids import Deadline
 
+if TYPE_CHECKING:
+    from agatetack.identity.accounts import ClientAccount
+
 
 class QuotaLimiter(abc.ABC):
     """Limits the requests of each client account over the whole fleet."""
 
     @abc.abstractmethod
-    def admit(self, account: ClientAccount) -> Deadline | None:
+    def admit(self, account: "ClientAccount") -> Deadline | None:
         """Count one request of `account`.
 
         Returns:
@@ -19,16 +22,16 @@
         """
 
     @abc.abstractmethod
-    def refund(self, account: ClientAccount) -> None:
+    def refund(self, account: "ClientAccount") -> None:
         """Give back the credit of an admitted request that did not run."""
 
 
 class UnlimitedQuotas(QuotaLimiter):
     """Admits all requests, for hosts whose configuration has no accounts."""
 
-    def admit(self, account: ClientAccount) -> Deadline | None:
+    def admit(self, account: "ClientAccount") -> Deadline | None:
         """Return None."""
         return None
 
-    def refund(self, account: ClientAccount) -> None:
+    def refund(self, account: "ClientAccount") -> None:
         """Do nothing."""
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import trio
 from returns.result import Failure, Result
@@ -15,7 +16,6 @@
 from agatetack.callers.problem import refusal_answer, refusal_status
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.decisions import DecisionLog, Importance
-from agatetack.identity.check import AccountCheck
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog
 from agatetack.messages import (
@@ -34,11 +34,14 @@
     refuse,
 )
 from agatetack.quarantine.tracker import CrashTracker
-from agatetack.quotas.limiter import QuotaLimiter
 from agatetack.serving.explain import Explanations
 from agatetack.serving.split import Splitter
 from agatetack.settings.model import Settings
 
+if TYPE_CHECKING:
+    from agatetack.identity.check import AccountCheck
+    from agatetack.quotas.limiter import QuotaLimiter
+
 RETRY_AFTER_STATUSES = frozenset({429, 503})
 """Statuses of refusals that always carry a Retry-After header."""
 
@@ -76,8 +79,8 @@
         explanations: Explanations,
         metrics: Metrics,
         accepting: Callable[[], bool] = lambda: True,
-        accounts: AccountCheck | None = None,
-        quotas: QuotaLimiter | None = None,
+        accounts: "AccountCheck | None" = None,
+        quotas: "QuotaLimiter | None" = None,
     ):
         """Run the requests of each class with its runner.
 
--- a/agatetack/serving/runners.py
+++ b/agatetack/serving/runners.py
@@ -1,16 +1,22 @@
 """Run the requests of each class with the package made for it."""
 
+from typing import TYPE_CHECKING
+
 from returns.result import Failure, Result, Success
 
-from agatetack.attempts.once import OnceRunner
 from agatetack.attempts.race import AttemptRunner
 from agatetack.config.route import Route
-from agatetack.download.resume import ResumingBody
+from agatetack.late import LateModule
 from agatetack.messages import Answer, CallerRequest
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal
 from agatetack.serving.dispatcher import ClassRunner
 
+if TYPE_CHECKING:
+    from agatetack.attempts.once import OnceRunner
+
+resume = LateModule("agatetack.download.resume")
+
 
 class FastRunner(ClassRunner):
     """Runs latency-critical requests, with retries and hedging."""
@@ -42,7 +48,7 @@
         if isinstance(result, Failure):
             return result
         answer = result.unwrap()
-        answer.body = ResumingBody(
+        answer.body = resume.ResumingBody(
             route, request, answer, self.attempts, self.metrics
         )
         return Success(answer)
@@ -51,7 +57,7 @@
 class OnceClassRunner(ClassRunner):
     """Runs at-most-once requests."""
 
-    def __init__(self, once: OnceRunner):
+    def __init__(self, once: "OnceRunner"):
         """Run requests with `once`."""
         self.once = once
 
--- a/agatetack/settings/building.py
+++ b/agatetack/settings/building.py
@@ -8,9 +8,11 @@
 
 import msgspec
 
+from agatetack.late import LateModule
 from agatetack.settings.findings import KeyPath
 from agatetack.settings.section import IpNumber, Section, parse_ip
-from agatetack.settings.wording import word_misfit
+
+wording = LateModule("agatetack.settings.wording")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +123,7 @@
         try:
             return msgspec.convert(value, kind)
         except msgspec.ValidationError:
-            return self._refuse(path, word_misfit(kind, value), value)
+            return self._refuse(path, wording.word_misfit(kind, value), value)
 
     def _refuse(
         self, path: KeyPath, message: str, value: object = None
--- a/agatetack/settings/loader.py
+++ b/agatetack/settings/loader.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
+from agatetack.late import LateModule
 from agatetack.settings.building import (
     BadValue,
     Builder,
@@ -23,11 +24,12 @@
     Severity,
     key_text,
 )
-from agatetack.settings.hints import near_key, plain_number
 from agatetack.settings.misfit import Misfit
 from agatetack.settings.model import Section, Settings
 from agatetack.settings.yaml_file import YamlFile, parse_yaml, read_yaml
 
+hints = LateModule("agatetack.settings.hints")
+
 FindMisfits = Callable[[Settings], Iterator[Misfit]]
 """Yields the settings that do not fit together."""
 
@@ -131,11 +133,11 @@
     keys = bad.path
     if bad.unknown:
         siblings = _known_keys(keys[:-1])
-        hint = near_key(keys, siblings, default_layer())
+        hint = hints.near_key(keys, siblings, default_layer())
         file.add(keys, file.key_place(keys), bad.message, hint)
         return
     name = str(keys[-1]) if keys else ""
-    hint = plain_number(name, bad.value)
+    hint = hints.plain_number(name, bad.value)
     file.add(keys, file.place(keys), bad.message, hint)
 
 
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -5,8 +5,6 @@
 
 import trio
 
-from agatetack.attempts.once import OnceRunner
-from agatetack.claims.host_claims import HostClaims
 from agatetack.clock import Clock
 from agatetack.config.document_routes import DocumentRoutes
 from agatetack.config.route import RequestClass
@@ -14,13 +12,13 @@
 from agatetack.hosts.evacuations import Evacuations
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
-from agatetack.identity.check import AccountCheck
 from agatetack.keyed.follower import ReadCounters, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.reader import FanOutReader, TopicReader
 from agatetack.keyed.seeds import SeedClient, SeedServer
 from agatetack.keyed.sharing import TopicSharing
 from agatetack.keyed.topic import KeyedTopic
+from agatetack.late import LateModule
 from agatetack.lifecycle.readiness import ReadinessView
 from agatetack.lifecycle.status import (
     MetricsHandler,
@@ -45,6 +43,12 @@
 from agatetack.targets.pool import ConnectionLimit, SettingsConnectionLimit
 from agatetack.targets.state import TargetState
 
+# Loaded for a document that has client accounts, or routes of these classes.
+account_check = LateModule("agatetack.identity.check")
+host_claims = LateModule("agatetack.claims.host_claims")
+once = LateModule("agatetack.attempts.once")
+resume = LateModule("agatetack.download.resume")
+
 FIRST_READ_TIMEOUT_SECONDS = 0.25
 """Longest time that callers wait, while a host starts, for its first read of
 the store, which usually takes 20 ms. After that the host refuses requests, so
@@ -171,6 +175,7 @@
         )
         self.client.pools.connection_limit = DocumentConnectionLimit(self)
         self._build_classes()
+        self.documents.watchers.append(self._build_document_parts)
         self.documents.watchers.append(self._apply_caller_limits)
         self.documents.watchers.append(self._apply_warm_up_rates)
 
@@ -190,24 +195,51 @@
         )
 
     def _build_classes(self) -> None:
-        self.accounts = AccountCheck(
+        self.build_caller_side(
+            {
+                RequestClass.FAST: FastRunner(self.attempts),
+                RequestClass.WHOLE: WholeRunner(self.attempts, self.metrics),
+            }
+        )
+
+    def _build_document_parts(self) -> None:
+        """Build the parts that the document in force needs.
+
+        This is done before a request can be matched with the document.
+        """
+        if self.accounts is None and self.documents.accounts.table is not None:
+            self._build_account_parts()
+        classes = {
+            route.request_class for route in self.routes.table.routes.values()
+        }
+        if RequestClass.WHOLE in classes:
+            resume.load()
+        if (
+            RequestClass.ONCE in classes
+            and RequestClass.ONCE not in self.dispatcher.runners
+        ):
+            self._build_once_runner()
+
+    def _build_account_parts(self) -> None:
+        """Build the parts that only client accounts need.
+
+        A host without accounts doesn't load their modules.
+        """
+        self.accounts = account_check.AccountCheck(
             self.settings, self.documents.accounts, self.metrics
         )
-        once = OnceRunner(
+        self.dispatcher.accounts = self.accounts
+
+    def _build_once_runner(self) -> None:
+        runner = once.OnceRunner(
             self.settings,
-            HostClaims(),
+            host_claims.HostClaims(),
             self.request_admission,
             self.single,
             self.metrics,
             self.fleet_budget,
         )
-        self.build_caller_side(
-            {
-                RequestClass.FAST: FastRunner(self.attempts),
-                RequestClass.ONCE: OnceClassRunner(once),
-                RequestClass.WHOLE: WholeRunner(self.attempts, self.metrics),
-            }
-        )
+        self.add_runner(RequestClass.ONCE, OnceClassRunner(runner))
 
     def readiness(self) -> ReadinessView:
         """Return the checks this host must pass before it takes requests."""
--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -48,7 +48,25 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["pydantic", "httpcore", "h11", "h2", "hypercorn", "defopt", "hypothesis"],
+    [
+        "pydantic",
+        "httpcore",
+        "h11",
+        "h2",
+        "hypercorn",
+        "defopt",
+        "hypothesis",
+        # Parts that are loaded for some configurations or failures only.
+        "agatetack.identity",
+        "agatetack.quotas",
+        "agatetack.claims",
+        "agatetack.download",
+        "agatetack.forwarding.forwarder",
+        "agatetack.forwarding.receiver",
+        "agatetack.generated.forwarding",
+        "agatetack.generated.quarantine",
+        "agatetack.tls",
+    ],
 )
 def test_a_start_leaves_out_what_it_does_not_need(modules, name):
     assert name not in modules
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from agatetack.config.route import RequestClass
 from agatetack.ids import Deadline
 from agatetack.settings.section import Endpoint
 from agatetack.targets.connection import ConnectFailed
@@ -272,6 +273,34 @@
             assert (await fleet.get("/b/x", gateway)).status == 200
 
 
+# Guards against requests of a new kind that are served without the parts that
+# the new document needs, and against parts that every host builds at its start.
+async def test_parts_are_built_once_the_document_needs_them():
+    async with store_fleet(targets=1) as fleet:
+        gateway = fleet.gateways[0]
+        assert gateway.accounts is None
+        assert RequestClass.ONCE not in gateway.dispatcher.runners
+        assert gateway.forwarder.built is None
+        once = route_fields(
+            name="route-b", path_prefix="/b/", route_type="non_idempotent"
+        )
+        await fleet.configure(2, route_fields(), once)
+        url = f"http://{LOOPBACK}:{fleet.ports[0].callers}/b/x"
+        headers = {"host": "a.example", "request-id": "r1"}
+        answer = await fleet.http.request("POST", url, headers=headers)
+        assert answer.status == 200
+        assert gateway.accounts is None
+        tenant = {"name": "tenant-a", "api_keys": ["secret"], "priority": 0}
+        content = configuration(3, route_fields(), once, tenants=[tenant])
+        fleet.store.append(CONFIGURATION, "config", content)
+        await fleet.until(lambda: gateway.documents.version == 3)
+        assert (await fleet.get("/a/x")).status == 401
+        registry = gateway.registry
+        (target,) = registry.by_id.values()
+        registry.paths.note_refused(target)
+        assert gateway.forwarder.built is not None
+
+
 async def test_a_host_that_starts_in_an_outage_keeps_to_an_evacuation():
     async with store_fleet() as fleet:
         seed = fleet.gateways[0]
