Limit client accounts' requests over the fleet: first version

Cause: a configuration with client accounts has quotas, which no part kept. Change: hosts report the use of accounts to their group's collector, collectors exchange sums, and hosts learn which accounts are not admitted in full.

--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -28,6 +28,9 @@
     FORWARD = 13
     FORWARD_CANCEL = 14
     LOOK_REQUESTS = 15
+    QUOTA_USE = 17
+    QUOTA_SUMS = 18
+    QUOTA_SHARES = 19
 
 
 class Scope(enum.Enum):
@@ -97,6 +100,13 @@
     ) -> None:
         """Send to connected peers; drop messages over the byte budget."""
 
+    @abc.abstractmethod
+    def send(self, peer: HostId, topic: Topic, payload: bytes) -> None:
+        """Send to one connected peer; drop the message over the byte budget.
+
+        Nothing is sent without a link with `peer`.
+        """
+
     @abc.abstractmethod
     def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
         """Call `handler` for each published message of `topic`."""
@@ -185,6 +195,9 @@
     ) -> None:
         """Drop the message."""
 
+    def send(self, peer: HostId, topic: Topic, payload: bytes) -> None:
+        """Drop the message."""
+
     def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
         """Ignore the handler, as no message will arrive."""
 
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -137,6 +137,12 @@
         if links:
             self._publish(topic.value, payload, links)
 
+    def send(self, peer: HostId, topic: Topic, payload: bytes) -> None:
+        """Send to one connected peer; drop the message over the budget."""
+        link = self.connector.links.get(peer)
+        if link is not None:
+            self._publish(topic.value, payload, [link])
+
     def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
         """Call `handler` for each published message of `topic`."""
         self.handlers.setdefault(topic.value, []).append(handler)
--- a/agatetack/peers/reach.py
+++ b/agatetack/peers/reach.py
@@ -8,7 +8,11 @@
 from agatetack.peers.connector import Connector
 from agatetack.peers.exchange import Scope
 from agatetack.peers.link import Link
-from agatetack.peers.relay import COMBINED_TOPICS, ONCE_PER_DOMAIN_TOPICS
+from agatetack.peers.relay import (
+    COMBINED_TOPICS,
+    DIRECT_TOPICS,
+    ONCE_PER_DOMAIN_TOPICS,
+)
 
 
 class LinkSelector:
@@ -78,6 +82,8 @@
             return [link for link in links if self._is_in_domain(link)]
         if scope is Scope.ELSEWHERE:
             return [link for link in links if not self._is_in_domain(link)]
+        if topic in DIRECT_TOPICS:
+            return self._direct_links(scope, links)
         if topic not in ONCE_PER_DOMAIN_TOPICS:
             return links
         near = self.near_links()
@@ -89,6 +95,14 @@
             return far if self.connector.is_grouped else []
         return [*near, *far]
 
+    def _direct_links(self, scope: Scope, links: list[Link]) -> list[Link]:
+        """Return the links with all hosts of `scope`."""
+        if scope is Scope.NEAR and self.connector.is_grouped:
+            return self.near_links()
+        if scope is Scope.FAR:
+            return self._far_links(links) if self.connector.is_grouped else []
+        return links
+
     def forwards_to_near(self, link: Link, publish: ttypes.Publish) -> bool:
         """Return whether this host forwards a message to the near hosts.
 
--- a/agatetack/peers/relay.py
+++ b/agatetack/peers/relay.py
@@ -45,6 +45,13 @@
 considered dead; the targets' own load reports are used meanwhile.
 """
 
+DIRECT_TOPICS = frozenset({Topic.QUOTA_SUMS.value, Topic.QUOTA_SHARES.value})
+"""Topics that are sent to exactly the hosts of their scope and not forwarded.
+
+These messages are few, and a host that failed unnoticed must not keep those of
+a failure domain from receiving them.
+"""
+
 COMBINED_TOPICS = frozenset({Topic.LOAD_SAMPLES.value})
 """Topics that first leaders of groups don't forward message by message.
 
--- /dev/null
+++ b/agatetack/quotas/decision.py
@@ -0,0 +1,329 @@
+"""Decide how much of an account's requests is admitted.
+
+Nothing here needs a network or a clock: the time and what is known of the
+fleet go in, and admission or the time to retry comes out.
+
+`FleetLevel` follows an account's bucket over all hosts, at the host that
+collects the reports of a group, and says which share of the requests is
+admitted. `HostShare` applies that share at one host, or the host's static
+share while it hears nothing from others.
+"""
+
+import dataclasses
+import math
+import random
+
+from agatetack.identity.accounts import ClientAccount
+from agatetack.ids import Deadline
+from agatetack.settings.model import QuotasSettings
+
+TARGET_DEBT_RATIO = 0.4
+"""Share of the tolerance that an account which asks for too much uses. The
+rest is for what is admitted before the hosts learn of it."""
+
+START_DEBT_RATIO = 0.3
+"""Share of the tolerance at which a bucket starts. The hosts may have used the
+burst just before they all restarted; a little above the target, so that a
+small account isn't refused its first requests."""
+
+CORRECTION_SECONDS = 0.3
+"""Time in which the level is brought to its target, somewhat above the delay
+of the reports; below that delay, the admitted rate would oscillate."""
+
+DEMAND_SECONDS = 0.4
+"""Time over which the demand is averaged."""
+
+EXPECTED_EXCESS = 4.0
+"""Requests beyond its rate, as a multiple of the rate, that an account may
+suddenly make; it determines how soon its use has to be reported."""
+
+MIN_REPORT_SECONDS = 0.05
+"""Minimum time for which a host collects the use of an account."""
+
+MAX_REPORT_SECONDS = 0.3
+"""Maximum time for which a host collects the use of an account."""
+
+SPARE_RATIO = 0.4
+"""Share of its rate that an account is expected to have left for requests that
+are repeated; a usual quota is 1.6 times what is usually asked."""
+
+MIN_RETRY_SECONDS = 0.5
+"""Shortest time after which a refused caller is told to retry."""
+
+MAX_RETRY_SECONDS = 30.0
+"""Longest time after which a refused caller is told to retry."""
+
+MIN_SPREAD_SECONDS = 1.0
+"""Shortest time over which refused callers are spread, which covers those
+that are refused between two messages about the account."""
+
+SPREAD_RATIO = 0.25
+"""Time over which refused callers are spread, as a share of their wait."""
+
+OVER_SHARE = 0.999
+"""Share of admitted requests below which an account is over its quota."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaLimits:
+    """What one account may use.
+
+    Attributes:
+        rate: Requests a second of all hosts.
+        burst: Requests that may be made at once beyond that rate.
+        tolerance: Requests that may be admitted beyond rate and burst in any
+            window.
+    """
+
+    rate: float
+    burst: float
+    tolerance: float
+
+    @property
+    def target(self) -> float:
+        """Return the level that an account is held at that asks too much."""
+        return -TARGET_DEBT_RATIO * self.tolerance
+
+    @property
+    def start(self) -> float:
+        """Return the level at which a bucket starts."""
+        return -START_DEBT_RATIO * self.tolerance
+
+    @property
+    def report_seconds(self) -> float:
+        """Return for how long a host may collect the use of the account.
+
+        In twice this time a sudden excess uses up half of the tolerance and a
+        quarter of the burst.
+        """
+        absorbed = self.tolerance / 2 + self.burst / 4
+        seconds = absorbed / (2 * EXPECTED_EXCESS * self.rate)
+        return min(MAX_REPORT_SECONDS, max(MIN_REPORT_SECONDS, seconds))
+
+    def unreported(self, groups: int) -> float:
+        """Return the use that a group may keep from the others for long."""
+        absorbed = self.tolerance / 2 + self.burst / 4
+        return max(1.0, absorbed / (2 * groups))
+
+
+def limits_of(account: ClientAccount, settings: QuotasSettings) -> QuotaLimits:
+    """Return the limits of `account` with the tolerance in the settings."""
+    rate, burst = account.requests_per_second, account.burst
+    in_window = rate * settings.window_seconds + burst
+    tolerance = in_window * settings.overshoot_ratio + settings.overshoot_slack
+    return QuotaLimits(rate, burst, tolerance)
+
+
+class FleetLevel:
+    """The bucket of one account, from the reports of all hosts.
+
+    Attributes:
+        limits: The account's limits.
+        level: Requests that may be made at `at`; negative while the tolerance
+            is used.
+        demand: Requests asked for per second at `at`, refused ones included.
+        refused: Refused requests that are expected to be repeated.
+    """
+
+    __slots__ = ("at", "demand", "level", "limits", "refused")
+
+    def __init__(self, limits: QuotaLimits, start: float, now: float):
+        """Fill a bucket that was empty at `start` until now.
+
+        Args:
+            limits: The account's limits.
+            start: Since when this host has known what all hosts use.
+            now: The current time.
+        """
+        self.limits = limits
+        filled = limits.start + limits.rate * (now - start)
+        self.level = min(limits.burst, filled)
+        self.at = now
+        self.demand = 0.0
+        self.refused = 0.0
+
+    def change(self, limits: QuotaLimits) -> None:
+        """Apply changed limits; a burst that grew is not filled."""
+        self.limits = limits
+        self.level = min(self.level, limits.burst)
+
+    def note(self, asked: int, used: int, now: float, part: float) -> None:
+        """Note what hosts were asked for and admitted.
+
+        Args:
+            asked: Requests since the last report.
+            used: Those admitted, less the credits returned.
+            now: The current time.
+            part: Share of the rate that the reporting hosts may use.
+        """
+        self._advance(now, part)
+        self.level = min(self.level - used, self.limits.burst)
+        self.demand += max(0, asked) / DEMAND_SECONDS
+        self.refused += max(0, asked - max(0, used))
+
+    def _advance(self, now: float, part: float) -> None:
+        seconds = max(0.0, now - self.at)
+        rate = self.limits.rate * part
+        # The hosts that are not heard use their share of the burst, too.
+        highest = self.limits.burst * part
+        self.level = min(highest, self.level + rate * seconds)
+        self.demand *= math.exp(-seconds / DEMAND_SECONDS)
+        self.refused = max(0.0, self.refused - rate * SPARE_RATIO * seconds)
+        self.at = max(self.at, now)
+
+    def share(self, now: float, part: float) -> float:
+        """Return which share of the requests is admitted, from 0 to 1.
+
+        Args:
+            now: The current time.
+            part: Share of the rate that the reporting hosts may use.
+        """
+        self._advance(now, part)
+        limits = self.limits
+        spare = self.level - limits.target
+        allowed = limits.rate * part + spare / CORRECTION_SECONDS
+        if allowed >= self.demand:
+            return 1.0
+        return max(0.0, allowed / self.demand)
+
+    def wait(self) -> float:
+        """Return after how many seconds a refused request has room."""
+        seconds = self.refused / (self.limits.rate * SPARE_RATIO)
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds))
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether a new bucket would be the same as this one."""
+        return (
+            self.level >= self.limits.burst
+            and self.demand < 0.01
+            and self.refused == 0.0
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareNews:
+    """What a host was last told of an account.
+
+    Attributes:
+        share: Which share of the requests is admitted.
+        wait_seconds: When a refused caller should retry.
+    """
+
+    share: float = 1.0
+    wait_seconds: float = MIN_RETRY_SECONDS
+
+
+ALL_ADMITTED = ShareNews()
+"""What holds for an account of which nothing was said."""
+
+
+class HostShare:
+    """One host's requests of one account.
+
+    Attributes:
+        key: Identifies the account in messages.
+        limits: The account's limits.
+        asked: Requests since the last report.
+        used: Admitted and not refunded requests since the host's start.
+        reported: The value of `used` in the last report.
+        due: When the next report has to be sent, or infinity.
+        credit: Sum of the shares of requests that were refused.
+        tokens: Requests that the host may admit now if it is on its own.
+        filled_at: When `tokens` was computed.
+    """
+
+    __slots__ = (
+        "asked",
+        "credit",
+        "due",
+        "filled_at",
+        "key",
+        "limits",
+        "reported",
+        "tokens",
+        "used",
+    )
+
+    def __init__(
+        self, key: int, limits: QuotaLimits, now: float, credit: float
+    ):
+        """Start with one free request.
+
+        Args:
+            key: Identifies the account in messages.
+            limits: The account's limits.
+            now: The current time.
+            credit: From 0 to 1 and different on each host, so that not all
+                hosts admit a request at the same moment.
+        """
+        self.key = key
+        self.limits = limits
+        self.asked = 0
+        self.used = 0
+        self.reported = 0
+        self.due = math.inf
+        self.credit = credit
+        self.tokens = 1.0
+        self.filled_at = now
+
+    def admit(
+        self,
+        now: float,
+        news: ShareNews | None,
+        hosts: int,
+        chance: random.Random,
+    ) -> Deadline | None:
+        """Count a request; return None, or when it should be repeated.
+
+        Args:
+            now: The current time.
+            news: What was said of the account, or None if this host has heard
+                nothing from others for long.
+            hosts: Number of hosts listed.
+            chance: Spreads the callers that are refused.
+        """
+        self.asked += 1
+        self.due = min(self.due, now + self.limits.report_seconds)
+        rate = self.limits.rate / max(1, hosts)
+        filled = self.tokens + rate * max(0.0, now - self.filled_at)
+        self.tokens = min(1.0, filled)
+        self.filled_at = now
+        if self._take(news):
+            self.used += 1
+            return None
+        if news is None:
+            wait = max(MIN_RETRY_SECONDS, (1.0 - self.tokens) / rate)
+        else:
+            wait = news.wait_seconds
+        wait = min(MAX_RETRY_SECONDS, wait)
+        spread = max(MIN_SPREAD_SECONDS, wait * SPREAD_RATIO)
+        return Deadline(now + wait + spread * chance.random())
+
+    def _take(self, news: ShareNews | None) -> bool:
+        if news is None:
+            admitted = self.tokens >= 1.0
+        else:
+            self.credit += news.share
+            admitted = self.credit >= 1.0
+            if admitted:
+                self.credit -= 1.0
+        if admitted:
+            # It counts in either case, so that a host that loses contact has
+            # no second request at once.
+            self.tokens = max(0.0, self.tokens - 1.0)
+        return admitted
+
+    def refund(self, now: float) -> None:
+        """Return the credit of an admitted request that did not run."""
+        self.used -= 1
+        self.tokens = min(1.0, self.tokens + 1.0)
+        self.due = min(self.due, now + self.limits.report_seconds)
+
+    def take_report(self) -> tuple[int, int]:
+        """Return what was asked and used since the last report."""
+        asked, used = self.asked, self.used - self.reported
+        self.asked = 0
+        self.reported = self.used
+        self.due = math.inf
+        return asked, used
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -40,6 +40,7 @@
 )
 from agatetack.platform.store_client import StoreClient, StoreTopic, topic_name
 from agatetack.quarantine.liveness import LivenessCheck, ReportLivenessCheck
+from agatetack.quotas.shared import SharedQuotas
 from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
 from agatetack.settings.model import Settings
 from agatetack.targets.pool import ConnectionLimit, SettingsConnectionLimit
@@ -170,6 +171,10 @@
             self.generations,
         )
         self.client.pools.connection_limit = DocumentConnectionLimit(self)
+        self.quotas = SharedQuotas(
+            settings, self.documents.accounts, self.peers, metrics, self.clock
+        )
+        self.documents.watchers.append(self.quotas.apply)
         self._build_classes()
         self.documents.watchers.append(self._apply_caller_limits)
         self.documents.watchers.append(self._apply_warm_up_rates)
@@ -259,6 +264,7 @@
         """Serve until cancelled; the ports are reported once all listen."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self.quotas.run)
             nursery.start_soon(self.targets.run)
             nursery.start_soon(self.members.register_others)
             nursery.start_soon(self.members.rewrite_lost)
--- a/agatetack/testing/memory_exchange.py
+++ b/agatetack/testing/memory_exchange.py
@@ -95,6 +95,15 @@
                 self.mesh.deliver, self.host, peer.id, topic, payload
             )
 
+    def send(self, peer: HostId, topic: Topic, payload: bytes) -> None:
+        """Send to one host, unless the topic is scripted lost."""
+        if topic in self.mesh.lost_topics:
+            return
+        self.sent_bytes += len(payload)
+        self.mesh.nursery.start_soon(
+            self.mesh.deliver, self.host, peer, topic, payload
+        )
+
     def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
         """Call `handler` for each published message of `topic`."""
         self.handlers.setdefault(topic, []).append(handler)
--- a/bench/policy/fleet.py
+++ b/bench/policy/fleet.py
@@ -82,6 +82,9 @@
                 for handler in gateway.exchange.handlers.get(topic, ()):
                     handler(sender, payload)
 
+    def send(self, peer: HostId, topic: Topic, payload: bytes) -> None:
+        """Drop the message; the bench sends to all hosts only."""
+
     def subscribe(self, topic: Topic, handler: MessageHandler) -> None:
         """Keep the handler."""
         self.handlers.setdefault(topic, []).append(handler)
