--- a/agatetack/quotas/decision.py
+++ b/agatetack/quotas/decision.py
@@ -217,10 +217,8 @@
     def _advance(self, now: float, part: float) -> None:
         if part < self.part:
             self.level *= part / self.part
-            self.level -= (self.part - part) * (
-                self.demand * UNTOLD_DEMAND_SECONDS
-                + self.limits.rate * UNTOLD_RATE_SECONDS
-            )
+            # All parts of the fleet that lost contact deduct it.
+            self._deduct((self.part - part) * part)
         else:
             # The hosts heard again may have used their part.
             self.level += (part - self.part) * self.limits.start
@@ -233,6 +231,16 @@
         self.refused = max(0.0, self.refused - rate * SPARE_RATIO * seconds)
         self.at = max(self.at, now)
 
+    def _deduct(self, part: float) -> None:
+        """Deduct what hosts with `part` of the bucket may have used unheard."""
+        rate = self.limits.rate
+        demand = min(self.demand, (1.0 + EXPECTED_EXCESS) * rate)
+        used = part * (
+            demand * UNTOLD_DEMAND_SECONDS + rate * UNTOLD_RATE_SECONDS
+        )
+        lowest = min(self.level, -self.limits.tolerance * self.part)
+        self.level = max(lowest, self.level - used)
+
     def share(self, now: float, part: float) -> float:
         """Return which share of the requests is admitted, from 0 to 1.
 
@@ -245,7 +253,7 @@
         allowed = self.limits.rate * part + spare / CORRECTION_SECONDS
         if allowed >= self.demand:
             return 1.0
-        return max(0.0, allowed / self.demand)
+        return 0.0 if allowed <= 0.0 else allowed / self.demand
 
     def wait(self) -> float:
         """Return after how many seconds a refused request has room."""
--- a/agatetack/quotas/node.py
+++ b/agatetack/quotas/node.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 from collections.abc import Iterable, Sequence
 
@@ -177,7 +178,11 @@
         others: Reports of other collectors.
         group: The use of the group, by account.
         part: Share of the rate that the hosts heard of may use.
-        over: When the last request of each limited account was refused.
+        over: When each limited account was last over its quota.
+        added: When accounts were added to the document.
+        retired: Buckets of accounts that were removed, and when; an account
+            that returns has no second burst.
+        returned: When such accounts returned; their demand is not known yet.
     """
 
     def __init__(self, limits: dict[int, QuotaLimits], now: float):
@@ -190,6 +195,9 @@
         self.group: dict[int, GroupUse] = {}
         self.part = 1.0
         self.over: dict[int, float] = {}
+        self.added: dict[int, float] = {}
+        self.retired: dict[int, tuple[FleetLevel, float]] = {}
+        self.returned: dict[int, float] = {}
 
     def note_group(self, key: int, asked: int, used: int, now: float) -> None:
         """Note the use of a host of the group."""
@@ -207,7 +215,9 @@
             return
         level = self.levels.get(key)
         if level is None:
-            level = FleetLevel(limits, self.since, now, self.part)
+            level = FleetLevel(
+                limits, self.added.get(key, self.since), now, self.part
+            )
             self.levels[key] = level
         level.note(asked, used, now, self.part)
 
@@ -216,20 +226,36 @@
         found = {}
         for key, level in self.levels.items():
             share = level.share(now, self.part)
+            if now - self.returned.get(key, -math.inf) < COLD_SECONDS:
+                share = min(share, COLD_SHARE)
             if share < OVER_SHARE:
                 found[key] = ShareNews(share, level.wait())
         return found
 
-    def change(self, limits: dict[int, QuotaLimits]) -> None:
+    def change(self, limits: dict[int, QuotaLimits], now: float) -> None:
         """Apply the limits of another document."""
+        added = limits.keys() - self.limits.keys()
+        self.added.update(dict.fromkeys(added, now))
         self.limits = limits
+        for key in added & self.retired.keys():
+            self.levels[key], _ = self.retired.pop(key)
+            self.returned[key] = now
         for key in list(self.levels):
             if key in limits:
                 self.levels[key].change(limits[key])
             else:
-                del self.levels[key]
+                self.retired[key] = self.levels.pop(key), now
         self.group = {k: u for k, u in self.group.items() if k in limits}
-        # An account that returns starts with an empty bucket.
+        self.added = {k: at for k, at in self.added.items() if k in limits}
+        self.returned = {
+            k: at for k, at in self.returned.items() if k in limits
+        }
+
+    def skip(self, seconds: float) -> None:
+        """Don't count the time of a pause as silence of the others."""
+        for book in (self.members, self.others):
+            for sender in book.senders.values():
+                sender.heard_at += seconds
 
     def forget(self, now: float) -> None:
         """Forget silent senders and buckets that are full."""
@@ -238,6 +264,12 @@
         idle = [key for key, level in self.levels.items() if level.is_idle]
         for key in idle:
             del self.levels[key]
+        before = now - FORGET_SECONDS
+        self.retired = {
+            key: (level, at)
+            for key, (level, at) in self.retired.items()
+            if at > before
+        }
 
 
 class QuotaNode:
@@ -250,6 +282,7 @@
         started_at: When it had the first one.
         deaf_until: Until when messages are ignored, after a pause.
         told: The shares of accounts that are not admitted in full.
+        removed: When accounts were removed from the document.
         own: This host's requests, by account.
         changed: The accounts to be reported.
         collector: The buckets of all accounts, while others report here.
@@ -279,6 +312,7 @@
         self.own: dict[ClientAccountId, HostShare] = {}
         self.changed: dict[int, HostShare] = {}
         self.told: dict[int, ShareNews] = {}
+        self.removed: dict[int, float] = {}
         self.told_by: dict[HostId, tuple[int, int]] = {}
         self.heard_at = float("-inf")
         self.own_heard_at = float("-inf")
@@ -302,9 +336,11 @@
         accounts = () if table is None else table.by_id.values()
         limited = [a for a in accounts if a.requests_per_second > 0]
         self.names = {account_key(a.id): a.id for a in limited}
-        self.limits = {
+        limits = {
             account_key(a.id): limits_of(a, self.settings) for a in limited
         }
+        removed = self.limits.keys() - limits.keys()
+        self.limits = limits
         for name, share in list(self.own.items()):
             if share.key in self.limits:
                 share.limits = self.limits[share.key]
@@ -312,8 +348,16 @@
                 del self.own[name]
                 self.changed.pop(share.key, None)
         self.told = {k: s for k, s in self.told.items() if k in self.limits}
+        for key in self.removed.keys() & self.limits.keys():
+            if now - self.removed.pop(key) < FORGET_SECONDS:
+                self.told[key] = ShareNews(COLD_SHARE)
+        self.removed = {
+            key: at
+            for key, at in self.removed.items()
+            if now - at < FORGET_SECONDS
+        } | dict.fromkeys(removed, now)
         if self.collector is not None:
-            self.collector.change(self.limits)
+            self.collector.change(self.limits, now)
         if table is None:
             self.collector = None
         self.due = now
@@ -340,6 +384,8 @@
     def _note_pause(self, now: float) -> None:
         """Distrust what was heard if this process was paused until now."""
         if self.turn_at is not None and now - self.turn_at > PAUSE_SECONDS:
+            if self.collector is not None:
+                self.collector.skip(now - self.turn_at)
             self.turn_at = now
             self.heard_at = self.own_heard_at = float("-inf")
             self.deaf_until = now + AFTER_PAUSE_SECONDS
@@ -538,9 +584,11 @@
         if not self._yields(now):
             if now - self.started_at < COLD_SECONDS:
                 shares = dict.fromkeys(self.limits, ShareNews(COLD_SHARE))
+            silent = now - self.own_heard_at > OWN_COLLECTOR_SILENCE_SECONDS
             if view.collector == self.host:
-                self.told = shares
-                self.heard_at = self.own_heard_at = now
+                self.own_heard_at = now
+            if view.collector == self.host or silent:
+                self.told, self.heard_at = shares, now
             out += self._shares(shares, now)
         collector.forget(now)
         self._log_changes(now)
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -302,3 +302,49 @@
                 await pool.open(target, deadline)
         assert pool.open_count == most
         assert before <= most
+
+
+# Guards against hosts that each admit an account's whole quota, and against
+# cost in a deployment without client accounts.
+async def test_hosts_keep_the_quota_of_an_account_together():
+    change = {"quotas": {"overshoot_ratio": 0.1, "overshoot_slack": 5}}
+    async with store_fleet(gateways=3, change=change) as fleet:
+        assert all(g.quotas.node is None for g in fleet.gateways)
+        tenant = {
+            "name": "acme",
+            "api_keys": ["secret-1"],
+            "rate_per_s": 1,
+            "burst_size": 3,
+        }
+        content = configuration(2, route_fields(), tenants=[tenant])
+        fleet.store.append(CONFIGURATION, "config", content)
+        await fleet.until(
+            lambda: all(
+                g.quotas.node is not None
+                and not g.quotas.node.is_alone(trio.current_time())
+                for g in fleet.gateways
+            )
+        )
+        started_at = trio.current_time()
+        statuses = []
+        for number in range(60):
+            port = fleet.ports[number % 3].callers
+            answer = await fleet.http.request(
+                "GET",
+                f"http://{LOOPBACK}:{port}/a/x",
+                headers={
+                    "host": "a.example",
+                    "request-id": f"r{number}",
+                    "request-timeout-ms": "5000",
+                    "authorization": "Bearer secret-1",
+                },
+            )
+            statuses.append(answer.status)
+            names = {name.lower() for name, _ in answer.headers}
+            assert (b"retry-after" in names) is (answer.status == 429)
+            await trio.sleep(0.02)
+        seconds = trio.current_time() - started_at
+        assert set(statuses) == {200, 429}
+        # Rate, burst and tolerance; a slow machine takes longer.
+        most = (max(5.0, seconds) * 1 + 3) * 1.1 + 5
+        assert statuses.count(200) <= most
--- a/agatetack/test_thrift_codec.py
+++ b/agatetack/test_thrift_codec.py
@@ -7,6 +7,7 @@
 from agatetack.generated.keyed import ttypes as keyed
 from agatetack.generated.measure import ttypes as measure
 from agatetack.generated.quarantine import ttypes as quarantine
+from agatetack.generated.quotas import ttypes as quotas
 from agatetack.generated.targets import ttypes as targets
 from agatetack.thrift_codec import MalformedMessage, decode, encode
 
@@ -27,6 +28,10 @@
     measure.InFlightCount(1, 2),
     measure.InFlightCounts([measure.InFlightCount(1, 2)]),
     quarantine.CrashNotice(b"\0" * 16, 1),
+    quotas.AccountUse(1, 2, 3, 4),
+    quotas.QuotaUse(1, 2, [quotas.AccountUse(1, 2, 3, 4)], 5),
+    quotas.AccountShare(1, 2, 3),
+    quotas.QuotaShares(1, 2, [quotas.AccountShare(1, 2, 3)]),
     targets.TargetDrain("t1", True, 1),
     targets.TargetDrains([targets.TargetDrain("t1", True, 1)]),
 ]
