--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -38,6 +38,7 @@
 )
 from agatetack.platform.store_client import StoreClient, StoreTopic, topic_name
 from agatetack.quarantine.liveness import LivenessCheck, ReportLivenessCheck
+from agatetack.quotas.shared import SharedQuotas
 from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
 from agatetack.settings.model import Settings
 from agatetack.targets.pool import ConnectionLimit, SettingsConnectionLimit
@@ -174,6 +175,10 @@
             self.generations,
         )
         self.client.pools.connection_limit = DocumentConnectionLimit(self)
+        self.quotas = SharedQuotas(
+            settings, self.documents.accounts, self.peers, metrics, self.clock
+        )
+        self.documents.watchers.append(self.quotas.apply)
         self._build_classes()
         self.documents.watchers.append(self._build_document_parts)
         self.documents.watchers.append(self._apply_caller_limits)
@@ -291,6 +296,7 @@
         """Serve until cancelled; the ports are reported once all listen."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self.quotas.run)
             nursery.start_soon(self.targets.run)
             nursery.start_soon(self.members.register_others)
             nursery.start_soon(self.members.rewrite_lost)
