Load the quotas only where the configuration has client accounts

Change: the host builds them with the first document that has accounts. The test that a host without accounts has no state of quotas now asks that there is no limiter at all.

--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -38,7 +38,6 @@
 )
 from agatetack.platform.store_client import StoreClient, StoreTopic, topic_name
 from agatetack.quarantine.liveness import LivenessCheck, ReportLivenessCheck
-from agatetack.quotas.shared import SharedQuotas
 from agatetack.serving.runners import FastRunner, OnceClassRunner, WholeRunner
 from agatetack.settings.model import Settings
 from agatetack.targets.pool import ConnectionLimit, SettingsConnectionLimit
@@ -49,6 +48,7 @@
 host_claims = LateModule("agatetack.claims.host_claims")
 once = LateModule("agatetack.attempts.once")
 resume = LateModule("agatetack.download.resume")
+shared_quotas = LateModule("agatetack.quotas.shared")
 
 FIRST_READ_TIMEOUT_SECONDS = 0.25
 """Longest time that callers wait, while a host starts, for its first read of
@@ -116,6 +116,7 @@
         targets: The registered targets.
         members: The registered hosts.
         followers: Readers of the topics that keep these up to date.
+        nursery: Runs the host's tasks; None before it runs.
         seed_port: Port on which this host sends starting hosts a copy of what
             it has read; 0 if it doesn't listen.
     """
@@ -175,10 +176,7 @@
             self.generations,
         )
         self.client.pools.connection_limit = DocumentConnectionLimit(self)
-        self.quotas = SharedQuotas(
-            settings, self.documents.accounts, self.peers, metrics, self.clock
-        )
-        self.documents.watchers.append(self.quotas.apply)
+        self.nursery: trio.Nursery | None = None
         self._build_classes()
         self.documents.watchers.append(self._build_document_parts)
         self.documents.watchers.append(self._apply_caller_limits)
@@ -234,6 +232,18 @@
             self.settings, self.documents.accounts, self.metrics
         )
         self.dispatcher.accounts = self.accounts
+        self.quotas = shared_quotas.SharedQuotas(
+            self.settings,
+            self.documents.accounts,
+            self.peers,
+            self.metrics,
+            self.clock,
+        )
+        self.quotas.apply()
+        self.documents.watchers.append(self.quotas.apply)
+        self.dispatcher.quotas = self.quotas
+        if self.nursery is not None:
+            self.nursery.start_soon(self.quotas.run)
 
     def _build_once_runner(self) -> None:
         runner = once.OnceRunner(
@@ -295,8 +305,10 @@
     ) -> None:
         """Serve until cancelled; the ports are reported once all listen."""
         async with trio.open_nursery() as nursery:
+            self.nursery = nursery
             nursery.start_soon(self.sharing.run)
-            nursery.start_soon(self.quotas.run)
+            if self.quotas is not None:
+                nursery.start_soon(self.quotas.run)
             nursery.start_soon(self.targets.run)
             nursery.start_soon(self.members.register_others)
             nursery.start_soon(self.members.rewrite_lost)
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -338,7 +338,7 @@
 async def test_hosts_keep_the_quota_of_an_account_together():
     change = {"quotas": {"overshoot_ratio": 0.1, "overshoot_slack": 5}}
     async with store_fleet(gateways=3, change=change) as fleet:
-        assert all(g.quotas.node is None for g in fleet.gateways)
+        assert all(g.quotas is None for g in fleet.gateways)
         tenant = {
             "name": "acme",
             "api_keys": ["secret-1"],
@@ -349,7 +349,7 @@
         fleet.store.append(CONFIGURATION, "config", content)
         await fleet.until(
             lambda: all(
-                g.quotas.node is not None
+                g.quotas is not None
                 and not g.quotas.node.is_alone(trio.current_time())
                 for g in fleet.gateways
             )
