--- a/agatetack/test_start.py
+++ b/agatetack/test_start.py
@@ -6,6 +6,7 @@
 same on all machines.
 """
 
+import ast
 import json
 import os
 import pathlib
@@ -73,6 +74,21 @@
     assert name not in modules
 
 
+# Guards against code that fails or is skipped in the daemon, which runs by
+# `python3 -OO`: it has no docstrings, and no assert is checked.
+def test_nothing_depends_on_docstrings_or_asserts():
+    found = []
+    for path in (ROOT / "agatetack").rglob("*.py"):
+        parts = path.relative_to(ROOT / "agatetack").parts
+        if "testing" in parts or path.name.startswith(("test_", "conftest")):
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            name = getattr(node, "attr", getattr(node, "id", ""))
+            if isinstance(node, ast.Assert) or name in ("__doc__", "getdoc"):
+                found.append(f"{path}:{node.lineno}")
+    assert not found
+
+
 FAILING = """
 import sys
 from agatetack import start
--- a/bench/soak/test_build.py
+++ b/bench/soak/test_build.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 import time
+import tomllib
+from importlib.util import cache_from_source
 
 import pytest
 
@@ -58,6 +60,13 @@
         """Build, and return the exit status."""
         return self.start().wait(PATIENCE_SECONDS)
 
+    @property
+    def daemon_levels(self):
+        """Return the optimization levels by which the deploy file runs."""
+        text = (BUILD.parent / "system.toml").read_text()
+        run = tomllib.loads(text)["roles"]["gateway"]["run"]
+        return [flag.count("O") for flag in run.split() if flag[:2] == "-O"]
+
     @property
     def installs(self):
         path = self.root / "installs.txt"
@@ -69,6 +78,17 @@
     return Checkout(tmp_path)
 
 
+# Guards against starts of the daemon that compile every module again.
+def test_a_build_compiles_for_the_daemon(checkout):
+    source = checkout.root / "target/deps/thing.py"
+    source.parent.mkdir(parents=True)
+    source.write_text("1")
+    assert checkout.build() == 0
+    for path in (source, checkout.root / "agatetack/settings/defaults.py"):
+        for level in checkout.daemon_levels:
+            assert os.path.exists(cache_from_source(path, optimization=level))
+
+
 def until(holds):
     deadline = time.monotonic() + PATIENCE_SECONDS
     while not holds():
