Call a store that refuses this host rarely while peers report

While a peer reports that it reads the topic, the pause is 4 s on average. The first four readers call as often as before, as the others wait for them after the store has lost records.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -50,6 +50,11 @@
 """Maximum mean pause of hosts that read all keys for the others. They have to
 retry before the others stop waiting for their records."""
 
+TOLD_PAUSE_SECONDS = 4.0
+"""Mean pause of a host that the store refuses while a peer reports that it
+reads the topic. In a fleet of 107 hosts, 37 of which were refused for 5.5 s,
+276 of 1,125 calls were refused ones."""
+
 log = DecisionLog("keyed")
 
 
@@ -191,7 +196,7 @@
             except TopicUnavailable as error:
                 self._count("unavailable")
                 self._failed(str(error))
-                await trio.sleep(self._pause())
+                await self._wait_after_failure()
 
     async def _until_needed(self) -> None:
         """Wait while this host can rely on reads of other hosts."""
@@ -462,6 +467,32 @@
         now = trio.current_time()
         return Deadline(now + wait + self.limits.timeout_seconds)
 
+    async def _wait_after_failure(self) -> None:
+        """Wait until the store has to be called again.
+
+        A host that the store refuses and that is told what others read calls
+        it rarely. As soon as it isn't told any more, the usual pause counts.
+        """
+        failed_at = trio.current_time()
+        pause = self._pause()
+        told_pause = TOLD_PAUSE_SECONDS * self.random.uniform(0.75, 1.25)
+        while True:
+            longest = max(pause, told_pause) if self._is_told() else pause
+            left = failed_at + longest - trio.current_time()
+            if left <= 0:
+                return
+            await trio.sleep(min(left, CHECK_SECONDS))
+
+    def _is_told(self) -> bool:
+        """Return whether peers tell this host all that they read."""
+        known = self.content.position is not None
+        if not known or self.truncated or self.is_outdated:
+            return False
+        if self._reads_first():
+            # The others wait for it after the store has lost records.
+            return False
+        return self.readers.hears_reader(self.name)
+
     def _pause(self) -> float:
         doublings = min(self.failures - 1, MAX_BACKOFF_DOUBLINGS)
         if self.content.position is None:
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -66,6 +66,10 @@
     def must_read(self, topic: str) -> bool:
         """Return whether this host has to read `topic` at the store now."""
 
+    def hears_reader(self, topic: str) -> bool:
+        """Return whether another host reports that it reads `topic`."""
+        return False
+
     @abc.abstractmethod
     def place(self, topic: str) -> int | None:
         """Return this host's rank among the readers of `topic`, from 0.
@@ -175,6 +179,16 @@
             return True
         return self.is_reader(topic)
 
+    def hears_reader(self, topic: str) -> bool:
+        """Return whether another host reports that it reads `topic`.
+
+        That is not so while records that such a host reported don't arrive.
+        """
+        now = trio.current_time()
+        reported_at = self.reported_at.get(topic, -math.inf)
+        doubted_until = self.doubted_until.get(topic, -math.inf)
+        return doubted_until <= now < reported_at + REPORT_TIMEOUT_SECONDS
+
     def is_reader(self, topic: str) -> bool:
         """Return whether this host is one of the readers of `topic`."""
         return self.place(topic) is not None
--- a/agatetack/keyed/test_follower.py
+++ b/agatetack/keyed/test_follower.py
@@ -4,6 +4,7 @@
 import trio
 
 from agatetack.generated.keyed import ttypes as wire
+from agatetack.keyed.follower import FIRST_READERS, MAX_BACKOFF_DOUBLINGS
 from agatetack.keyed.readers import MIN_READERS
 from agatetack.keyed.sharing import MAX_INLINE_BYTES
 from agatetack.peers.exchange import Topic
@@ -171,6 +172,41 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against calls by hosts that the store refuses, while peers tell them
+# all that changes, and against hosts that stay silent once nobody does.
+async def test_refused_hosts_call_rarely_while_others_read(autojump_clock):
+    store = MemoryStore()
+    fill(store, 5)
+    async with trio.open_nursery() as nursery:
+        net, hosts = await start_readers(nursery, store)
+        place = {host: host.follower.readers.place(NAME) for host in hosts}
+        refused = [
+            host for host in hosts if (place[host] or 0) >= FIRST_READERS
+        ]
+        assert len(refused) == MIN_READERS - FIRST_READERS
+        for host in refused:
+            host.topic.refused = True
+            host.follower.reading.cancel()
+        before = sum(host.topic.reads for host in refused)
+        for number in range(6):
+            store.append(NAME, "k1", b"%d" % number)
+            await trio.sleep(1.5)
+            assert all(host.kept.values == expected(store) for host in hosts)
+        calls = sum(host.topic.reads for host in refused) - before
+        assert calls <= 4 * len(refused)
+        # Nobody tells them anything from now on.
+        for host in hosts:
+            net.isolate(host.sharing.exchange.host)
+        for host in refused:
+            host.topic.refused = False
+        store.append(NAME, "k1", b"alone")
+        # The longest pause of a refused host that is told nothing.
+        pause = SETTINGS.platform.store.retry_seconds * 2**MAX_BACKOFF_DOUBLINGS
+        await trio.sleep(1.3 * pause)
+        assert all(host.kept.values == expected(store) for host in refused)
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("fault", ["refused", "hanging", "gone", "cut"])
 async def test_a_change_is_known_soon_when_all_readers_are_lost(
     autojump_clock, fault
