--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -1,6 +1,7 @@
 """Grant requests permits to go to targets, or queue or refuse them."""
 
 import itertools
+import math
 from collections.abc import Callable
 
 import trio
@@ -14,6 +15,9 @@
     Priority,
 )
 from agatetack.admission.limits import TargetLimits
+from agatetack.admission.overload import OverloadControl, SlotShares
+from agatetack.admission.overload_gate import OverloadGate, OverloadMetrics
+from agatetack.admission.pressure import PressureMeter
 from agatetack.admission.queue import Waiter
 from agatetack.admission.rates import RouteRates
 from agatetack.admission.service_queue import ServiceQueue
@@ -21,6 +25,7 @@
 from agatetack.balance.target_share import TargetShare, UnlimitedShare
 from agatetack.config.route import Route
 from agatetack.ids import Deadline, ServiceId
+from agatetack.messages import CallerRequest
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.settings.model import Settings
@@ -102,6 +107,7 @@
         metrics: Metrics,
         fleet_size: Callable[[], int] = lambda: 1,
         share: TargetShare | None = None,
+        make_control: Callable[[], OverloadControl] = SlotShares,
     ):
         """Watch the registry, to serve waiting requests when it changes.
 
@@ -114,7 +120,10 @@
             fleet_size: Returns the number of hosts, for routes with a rate.
             share: Limits what this host may send to each target; unlimited if
                 None.
+            make_control: Returns what decides which requests of client
+                accounts are refused while a service is overloaded.
         """
+        self.make_control = make_control
         self.share = share or UnlimitedShare()
         self.settings = settings
         self.registry = registry
@@ -131,6 +140,7 @@
             "agatetack_queue_waits_total",
             "Requests that waited for a target, by service and result.",
         )
+        self.overload_metrics = OverloadMetrics(metrics)
         registry.watchers.append(self._targets_changed)
 
     async def acquire(self, wanted: PermitRequest) -> Result[Permit, Refusal]:
@@ -164,6 +174,15 @@
         now = Deadline(trio.current_time())
         return self._service_queue(route.service).route_retry_at(route, now)
 
+    def stops_second_attempts(
+        self, route: Route, request: CallerRequest
+    ) -> bool:
+        """Return whether the request's service is overloaded."""
+        now = Deadline(trio.current_time())
+        return self._service_queue(route.service).overload.stops_second_attempt(
+            request.account is not None, now
+        )
+
     async def _wait(
         self, queue: ServiceQueue, wanted: PermitRequest, now: Deadline
     ) -> Result[Permit, Refusal]:
@@ -191,6 +210,7 @@
                 self._permit(waiter.target, now, already_counted=True)
             )
         self._count_wait(queue, "refused")
+        queue.note_wait(wanted, waiter.since, now, served=False)
         if waiter.refusal is not None:
             return Failure(waiter.refusal)
         return Failure(
@@ -207,8 +227,9 @@
         with trio.move_on_at(queue.give_up_at(waiter.wanted, now)):
             poll = LOW_PRIORITY_POLL_SECONDS
             if waiter.wanted.priority is not Priority.LOW:
-                with trio.move_on_at(queue.poll_from(waiter.wanted, now)):
-                    await waiter.event.wait()
+                await self._wait_until(
+                    queue, waiter, queue.poll_from(waiter.wanted, now)
+                )
                 poll = LATE_POLL_SECONDS
             # Load estimates decay with time, and other hosts' turns to take a
             # slot pass, neither of which triggers an event.
@@ -217,6 +238,19 @@
                     await waiter.event.wait()
                 self._serve(queue, Deadline(trio.current_time()))
 
+    async def _wait_until(
+        self, queue: ServiceQueue, waiter: Waiter, until: Deadline
+    ) -> None:
+        """Wait until `until`, or a target; look again after each yield."""
+        while True:
+            with trio.move_on_at(min(until, waiter.look_at)) as waiter.timer:
+                await waiter.event.wait()
+            now = Deadline(trio.current_time())
+            if waiter.event.is_set() or now >= until:
+                return
+            waiter.look_at = Deadline(math.inf)
+            self._serve(queue, now)
+
     def note_answer(self, permit: ServicePermit, latency: float) -> None:
         """Update the estimates of the target from an answer's headers."""
         now = Deadline(trio.current_time())
@@ -270,6 +304,12 @@
                 self.registry,
                 self.policy,
                 self.share,
+                OverloadGate(
+                    service,
+                    PressureMeter(self.policy.has_free_slot),
+                    self.make_control(),
+                    self.overload_metrics,
+                ),
             )
             self.service_queues[service] = queue
         return queue
--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -4,7 +4,9 @@
 from collections.abc import Sequence
 
 from agatetack.admission.controller import PermitRequest, Priority
+from agatetack.admission.overload_gate import OverloadGate
 from agatetack.admission.queue import FairQueue, Order, Waiter, new_queues
+from agatetack.admission.ranks import RankOrder
 from agatetack.balance.policy import Policy
 from agatetack.balance.target_share import TargetShare
 from agatetack.config.route import Route
@@ -55,6 +57,7 @@
             last became non-empty, if that is later.
         standing_since: Since when the queue has not been empty, or None.
         last_normal_at: When the last normal-priority request arrived.
+        ranks: The order of the requests of client accounts.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         registry: TargetRegistry,
         policy: Policy,
         share: TargetShare,
+        overload: OverloadGate,
     ):
         """Start with empty queues.
 
@@ -73,18 +77,21 @@
             registry: The targets.
             policy: How a target is chosen.
             share: Limits what this host may send to each target.
+            overload: Refuses requests of accounts while it is overloaded.
         """
         self.service = service
         self.settings = settings
         self.registry = registry
         self.policy = policy
         self.share = share
+        self.overload = overload
         self.queues = new_queues()
         self.mean_latency: float | None = None
         self.mean_interval: float | None = None
         self.last_served_at = Deadline(0.0)
         self.standing_since: Deadline | None = None
         self.last_normal_at = Deadline(float("-inf"))
+        self.ranks = RankOrder()
 
     @property
     def size(self) -> int:
@@ -95,6 +102,9 @@
         """Return a refusal if the request cannot be answered at all."""
         if wanted.priority is Priority.NORMAL:
             self.last_normal_at = now
+        if wanted.wait and not wanted.avoid:
+            self.ranks.note_arrival(wanted, now)
+            self.overload.note_arrival(wanted, now)
         if now >= wanted.deadline:
             return self._refuse_late(now, "The deadline has passed.")
         if not self._usable_targets(wanted.route):
@@ -109,6 +119,15 @@
         self, wanted: PermitRequest, now: Deadline
     ) -> Refusal | None:
         """Return a refusal if the request may not wait; may evict a waiter."""
+        refusal = self.overload.check(
+            wanted,
+            self._usable_targets(wanted.route),
+            self._waits(now),
+            now,
+            self.settings.admission.retry_after_seconds,
+        )
+        if refusal is not None:
+            return refusal
         queue = self.queues[wanted.priority]
         route = wanted.route
         newest_first = self._order(now) is Order.NEWEST_FIRST
@@ -181,7 +200,11 @@
                 return None
         if wanted.priority is Priority.LOW and self.queues[Priority.LOW].size:
             return None
-        return self._choose(wanted, now)
+        target = self._choose(wanted, now)
+        if target is not None:
+            self.ranks.note_served(wanted, now)
+            self.note_wait(wanted, now, now, served=True)
+        return target
 
     def add(self, waiter: Waiter, now: Deadline) -> None:
         """Add `waiter` to the queue of its priority."""
@@ -279,6 +302,30 @@
         """Return the refusal of a request for which there is no capacity."""
         return refuse(RefusalReason.QUEUE_FULL, detail, self.retry_at(now))
 
+    def _waits(self, now: Deadline) -> list[tuple[float, float]]:
+        """Return how long requests have waited, and how long they may."""
+        queue = self.queues[Priority.NORMAL]
+        if not queue.of_accounts:
+            return []
+        return [
+            (now - each.since, self._longest_wait(each.wanted))
+            for each in queue.waiters()
+        ]
+
+    def _longest_wait(self, wanted: PermitRequest) -> float:
+        return self.late_at(wanted) - wanted.request.arrived
+
+    def note_wait(
+        self,
+        wanted: PermitRequest,
+        since: Deadline,
+        now: Deadline,
+        served: bool,
+    ) -> None:
+        """Count how long a request waited, and whether it got a target."""
+        longest = self._longest_wait(wanted)
+        self.overload.note_wait(wanted, now - since, longest, now, served)
+
     def note_latency(self, latency: float) -> None:
         """Update the moving average of the time to an answer."""
         if self.mean_latency is None:
@@ -304,6 +351,10 @@
         return Order.OLDEST_FIRST
 
     def _waiting_ahead(self, wanted: PermitRequest) -> int:
+        queue = self.queues[Priority.NORMAL]
+        ranked = wanted.priority is Priority.NORMAL
+        if ranked and wanted.request.account is not None and queue.of_accounts:
+            return self.ranks.count_ahead(queue.waiters(), wanted)
         ahead = self.queues[Priority.NORMAL].size
         if wanted.priority is Priority.LOW:
             ahead += self.queues[Priority.LOW].size
@@ -315,22 +366,57 @@
         waiter.event.set()
 
     def _serve_one(self, queue: FairQueue, now: Deadline) -> bool:
-        waiter = queue.peek(
-            self._order(now), lambda each: now < self.late_at(each.wanted)
-        )
-        if waiter is None:
-            return False
-        target = self._choose(waiter.wanted, now)
-        if target is None:
-            return False
+        for waiter in self._next_waiters(queue, now):
+            target = self._choose(waiter.wanted, now)
+            if target is not None:
+                self._grant(queue, waiter, target, now)
+                return True
+            self._wake_after_yield(waiter, now)
+        return False
+
+    def _next_waiters(
+        self, queue: FairQueue, now: Deadline
+    ) -> Sequence[Waiter]:
+        """Return the waiters that may get the next target, best first."""
+
+        def in_time(waiter: Waiter) -> bool:
+            return now < self.late_at(waiter.wanted)
+
+        order = self._order(now)
+        if queue.of_accounts:
+            return self.ranks.candidates(queue.waiters(), order, in_time, now)
+        waiter = queue.peek(order, in_time)
+        return [] if waiter is None else [waiter]
+
+    def _wake_after_yield(self, waiter: Waiter, now: Deadline) -> None:
+        """Have a waiter look again once the slots that it leaves are free."""
+        wait = self.ranks.yield_seconds(waiter.wanted, now)
+        if not wait:
+            return
+        free_at = [
+            Deadline(target.free_slot_at + wait)
+            for target in self._usable_targets(waiter.wanted.route)
+            if target.free_slot_at <= now < target.free_slot_at + wait
+        ]
+        if free_at:
+            waiter.wake_at(min(free_at))
+
+    def _grant(
+        self,
+        queue: FairQueue,
+        waiter: Waiter,
+        target: TargetState,
+        now: Deadline,
+    ) -> None:
         queue.pop(waiter)
+        self.ranks.note_served(waiter.wanted, now)
+        self.note_wait(waiter.wanted, waiter.since, now, served=True)
         # Counted here and not by the woken task, as other tasks may choose a
         # target before that one runs.
         target.in_flight += 1
         waiter.target = target
         waiter.event.set()
         self._note_served(now)
-        return True
 
     def _note_served(self, now: Deadline) -> None:
         interval = now - self.last_served_at
@@ -381,8 +467,15 @@
             if others or not wanted.wait:
                 free = others
         free = _without_unsuitable_trials(free, wanted)
+        wait = self.ranks.yield_seconds(wanted, now)
+        if wait:
+            free = [
+                target
+                for target in free
+                if not target.free_slot_at or target.free_slot_at + wait <= now
+            ]
         if now >= self.late_at(wanted):
-            latest = now - LATE_YIELD_SECONDS
+            latest = now - LATE_YIELD_SECONDS - wait
             free = [
                 target
                 for target in free
