Pass large request bodies on as they arrive and keep them for a retry

Cause: bodies of up to 1 MB were read whole before their request was handled, so refusals came after the upload, and larger ones could not be sent again although their target had not run them.

Change: callers.stream_body_bytes hands longer bodies to the handler unread; StreamedBody keeps what was read, up to replay_body_bytes and kept_bodies_bytes of the host. 100 Continue is sent when the body is wanted. A caller that stalls or leaves ends the attempt, and is no failure of the target. Latencies count from the body's last byte.

--- a/agatetack/attempts/race.py
+++ b/agatetack/attempts/race.py
@@ -140,7 +140,8 @@
             raise
         if state.answer is None:
             return Failure(self._refusal(state))
-        self._add_latency(route.id, trio.current_time() - started)
+        sent_at = request.sent_since(Deadline(started))
+        self._add_latency(route.id, trio.current_time() - sent_at)
         return Success(state.answer)
 
     async def forget_routes(self, routes: RouteSource) -> None:
@@ -174,7 +175,6 @@
 
     def _set_timer(self, state: RaceState, hedged: bool) -> None:
         if not state.request.replayable:
-            # Two attempts would each read a part of the same stream.
             return
         hedge_delay = self._hedge_delay(state.route)
         if hedged and hedge_delay is not None:
@@ -185,14 +185,31 @@
             self._set_stall_timer(state)
 
     def _set_stall_timer(self, state: RaceState) -> None:
+        now = trio.current_time()
+        action = functools.partial(self._fail_over, state)
+        when = Deadline(now + self._stall_seconds(state))
+        state.timer = self.hedger.after(when, action)
+
+    def _stall_seconds(self, state: RaceState) -> float:
+        """Return the seconds after which an answer counts as stalled."""
         now = trio.current_time()
         late_threshold = self._late_threshold(state.route.id)
         if late_threshold is None:
-            wait = (state.request.deadline - now) * DEFAULT_STALL_TIME_RATIO
-        else:
-            wait = max(late_threshold * STALL_RATIO, MIN_STALL_SECONDS)
-        action = functools.partial(self._fail_over, state)
-        state.timer = self.hedger.after(Deadline(now + wait), action)
+            return (state.request.deadline - now) * DEFAULT_STALL_TIME_RATIO
+        return max(late_threshold * STALL_RATIO, MIN_STALL_SECONDS)
+
+    def _is_late(self, state: RaceState, wait_seconds: float) -> bool:
+        """Return whether the target had the whole request for so long.
+
+        While the body still arrives, a second attempt would only wait for the
+        same bytes.
+        """
+        body = state.request.body
+        if not body.in_memory:
+            return False
+        if body.arrived_at is None:
+            return True
+        return trio.current_time() >= body.arrived_at + wait_seconds
 
     async def _run_sequence(
         self, state: RaceState, permit: Permit | None
@@ -211,7 +228,13 @@
         spare = (
             self.fleet_budget.left(state.route.service) >= MIN_LEFT_FOR_HEDGE
         )
-        if state.needs_second() and spare and self._spend(state, self.hedges):
+        late = self._is_late(state, self._hedge_delay(state.route) or 0.0)
+        if (
+            state.needs_second()
+            and late
+            and spare
+            and self._spend(state, self.hedges)
+        ):
             await self._second_attempt(state, RetryReason.HEDGE)
         if state.needs_second():
             self._set_stall_timer(state)
@@ -222,7 +245,12 @@
         Its connection may never deliver anything again, so that it would wait
         until its deadline.
         """
-        if state.needs_second() and self._spend(state, self.retries):
+        if not state.needs_second() or not state.request.replayable:
+            return
+        if not self._is_late(state, MIN_STALL_SECONDS):
+            self._set_stall_timer(state)
+            return
+        if self._spend(state, self.retries):
             await self._second_attempt(state, RetryReason.STALLED)
 
     def _may_start(self, state: RaceState) -> bool:
--- a/agatetack/attempts/rules.py
+++ b/agatetack/attempts/rules.py
@@ -35,5 +35,8 @@
 def failure_refusal(failure: AttemptFailure) -> Refusal:
     """Return the refusal of a request whose last attempt was `failure`."""
     reason = failure.reason
-    plain = refuse(reason, DETAILS.get(reason, reason.value))
+    detail = DETAILS.get(reason, reason.value)
+    if reason is RefusalReason.ANSWER_TIMEOUT and not failure.target_suspect:
+        detail = "The request's body did not come in time."
+    plain = refuse(reason, detail)
     return dataclasses.replace(plain, outcome=failure.outcome)
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -206,8 +206,9 @@
             raise
         finally:
             note.ended = Deadline(trio.current_time())
+        # A caller that sends its body slowly doesn't make the target slow.
         complete_result = self._note_answer(
-            permit, answer, note.ended - started
+            permit, answer, note.ended - plan.request.sent_since(started)
         )
         if answer.body.length is not None:
             step = answer.body.length - permit.target.answer_bytes
@@ -298,6 +299,11 @@
         self, plan: AttemptPlan, permit: Permit, failure: AttemptFailure
     ) -> None:
         result = ATTEMPT_RESULTS.get(failure.reason, AttemptResult.FAILED)
+        if failure.reason is RefusalReason.ANSWER_TIMEOUT and (
+            not failure.target_suspect
+        ):
+            # The caller did not send the request's body in time.
+            result = AttemptResult.CANCELLED
         permit.release(result)
         if failure.reason is RefusalReason.CONNECTION_LOST:
             self.crashes.connection_lost(
--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -12,8 +12,13 @@
     body_too_large_refusal,
 )
 from agatetack.callers.head import read_metadata
-from agatetack.callers.parser import ParsedRequest, RequestParser
+from agatetack.callers.parser import (
+    ParsedRequest,
+    RequestBody,
+    RequestParser,
+)
 from agatetack.callers.problem import refusal_answer
+from agatetack.callers.streamed_body import KeptBodies, StreamedBody
 from agatetack.callers.writer import CONTINUE, AnswerWriter, abort
 from agatetack.headers import strip_hop_by_hop
 from agatetack.ids import Deadline, RequestId
@@ -40,6 +45,10 @@
 LINGER_SECONDS = 1.0
 """Time to read the last answer for a caller that is still sending."""
 
+CONTINUE_SECONDS = 1.0
+"""Maximum time to send `100 Continue`; a caller that takes no byte for longer
+has gone."""
+
 UNPARSED_ID = RequestId("-")
 """The id of a request whose header could not be read."""
 
@@ -63,8 +72,20 @@
         settings: CallersSettings,
         handler: Handler,
         metrics: Metrics,
+        kept_bodies: KeptBodies | None = None,
     ):
-        """Serve `stream` with `handler`."""
+        """Serve `stream` with `handler`.
+
+        Args:
+            stream: The caller's connection.
+            peer_ip: The caller's IP address.
+            settings: The settings for callers.
+            handler: Handles the requests.
+            metrics: Where refusals are counted.
+            kept_bodies: The host's memory for bodies that are streamed; as
+                much as the settings allow for this connection alone if None.
+        """
+        self.kept_bodies = kept_bodies or KeptBodies(settings, metrics)
         self.stream = stream
         self.peer_ip = peer_ip
         self.settings = settings
@@ -79,6 +100,7 @@
         self.idle_since = Deadline(trio.current_time())
         self.last_byte_at = self.idle_since
         self.reading = False
+        self.body_read_scope = trio.CancelScope()
         self.scope = trio.CancelScope()
 
     async def serve(self) -> None:
@@ -147,8 +169,14 @@
         return transport is not None and transport.is_reset()
 
     def abort(self) -> None:
-        """Reset the connection at once and cancel what runs for it."""
+        """Reset the connection at once and cancel what runs for it.
+
+        A target's attempt that is shielded from the cancellation ends as well
+        if it waits for the request's body.
+        """
         abort(self.stream)
+        self.parser.end()
+        self.body_read_scope.cancel()
         self.scope.cancel()
 
     async def _read_more(self) -> None:
@@ -159,13 +187,20 @@
         """
         self.reading = True
         try:
-            data = await self.stream.receive_some(RECEIVE_BYTES)
+            data = await self._receive()
         except trio.BrokenResourceError as error:
             raise CallerGone from error
         finally:
             self.reading = False
         self._feed(data)
 
+    async def _receive(self) -> bytes:
+        if self.parser.body is None:
+            return await self.stream.receive_some(RECEIVE_BYTES)
+        with trio.CancelScope() as self.body_read_scope:
+            return await self.stream.receive_some(RECEIVE_BYTES)
+        raise CallerGone
+
     def _feed(self, data: bytes) -> None:
         """Parse received bytes; no bytes mean the end of the stream."""
         if not data:
@@ -241,6 +276,9 @@
             self.metrics.refused(None, RefusalReason.CALLER_GONE)
             abort(self.stream)
             return False
+        finally:
+            if parsed.streamed is not None:
+                parsed.streamed.forget()
 
     async def _make_answer(self, parsed: ParsedRequest) -> Answer:
         """Return the handler's answer, or the refusal of a request."""
@@ -268,7 +306,7 @@
         if length is not None and length > self.settings.max_body_bytes:
             return body_too_large_refusal(self.settings.max_body_bytes)
         if parsed.expects_continue and not parsed.body.received:
-            await self.writer.send(CONTINUE)
+            parsed.body.before_first_read = self._send_continue
         body = await self._buffer_body(parsed, found.deadline)
         if isinstance(body, Refusal):
             return body
@@ -291,6 +329,22 @@
             deadline_given=found.deadline is not None,
         )
 
+    async def _send_continue(self) -> None:
+        """Tell a caller that waits for it to send the body.
+
+        Raises:
+            CallerGone: The connection is lost.
+        """
+        try:
+            # Half of an interim answer would spoil the final one.
+            with trio.move_on_after(CONTINUE_SECONDS) as scope:
+                scope.shield = True
+                await self.writer.send(CONTINUE)
+        except trio.BrokenResourceError as error:
+            raise CallerGone from error
+        if scope.cancelled_caught:
+            raise CallerGone
+
     async def _buffer_body(
         self, parsed: ParsedRequest, deadline: Deadline | None
     ) -> Body | Refusal:
@@ -304,6 +358,14 @@
             A refusal if the body did not arrive by the deadline.
         """
         body = parsed.body
+        if self._is_streamed(body):
+            parsed.streamed = StreamedBody(
+                body,
+                self.settings.max_body_bytes,
+                self.settings.replay_body_bytes,
+                self.kept_bodies,
+            )
+            return parsed.streamed
         if body.complete and body.received <= self.settings.max_body_bytes:
             return BytesBody(body.receive_nowait() or b"")
         bound = self.settings.replay_body_bytes
@@ -320,6 +382,21 @@
             )
         return BoundedBody(body, self.settings.max_body_bytes)
 
+    def _is_streamed(self, body: RequestBody) -> bool:
+        """Return whether a body is handed to the handler unread.
+
+        This depends on its announced length only, and not on how much of it
+        has come, so that a request that is repeated has the same fingerprint.
+        A body without an announced length is read before only if all of it
+        came with the header.
+        """
+        bound = self.settings.stream_body_bytes
+        if bound is None:
+            return False
+        if body.length is None:
+            return not (body.complete and body.received <= bound)
+        return body.length > bound
+
     async def _write(self, parsed: ParsedRequest, answer: Answer) -> bool:
         head = parsed.head
         method = b"GET" if head is None else head.method
--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -7,6 +7,7 @@
 import trio
 
 from agatetack.callers.head import RequestHead, content_length
+from agatetack.callers.streamed_body import StreamedBody
 from agatetack.ids import Deadline
 from agatetack.messages import Body, CallerGone, Header
 from agatetack.outcomes import Refusal, RefusalReason, refuse
@@ -22,6 +23,8 @@
         received: Bytes received so far, consumed or not.
         complete: Whether the last byte was received.
         lost: Whether no more bytes can come.
+        before_first_read: Called once before more bytes are waited for, or
+            None.
     """
 
     def __init__(self, length: int | None, read_more: ReadMore):
@@ -32,6 +35,7 @@
         self.received = 0
         self.complete = False
         self.lost = False
+        self.before_first_read: ReadMore | None = None
 
     @property
     def unread_bytes(self) -> int:
@@ -61,6 +65,9 @@
                 return b""
             if self.lost:
                 raise CallerGone
+            if self.before_first_read is not None:
+                before, self.before_first_read = self.before_first_read, None
+                await before()
             await self.read_more()
 
 
@@ -72,6 +79,7 @@
         body: The body, or None if the header can't be parsed.
         refusal: Why it is refused before it is handled, or None.
         expects_continue: Whether the caller waits for `100 Continue`.
+        streamed: The body that the handler reads while it arrives, or None.
     """
 
     def __init__(
@@ -85,6 +93,7 @@
         self.body = body
         self.refusal = refusal
         self.expects_continue = False
+        self.streamed: StreamedBody | None = None
 
 
 class RequestParser:
--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -20,10 +20,12 @@
 MAX_READ_AHEAD_REQUESTS = 64
 """Maximum of requests read but not started; then reading pauses."""
 
-MAX_READ_AHEAD_BYTES = 256 * 1024
+MAX_READ_AHEAD_BYTES = 64 * 1024
 """Maximum of body bytes read but not consumed; then reading pauses.
 
-TCP flow control slows down the caller while reading is paused.
+Bodies that wait for a free slot hold this much each, outside the host's bound
+of kept bodies. At 256 KB, 100 waiting uploads could hold 25 MB. TCP flow
+control slows down the caller while reading is paused.
 """
 
 
@@ -54,6 +56,27 @@
             nursery.cancel_scope.cancel()
 
     async def _read_ahead(self) -> None:
+        try:
+            await self._read_until_end()
+        except trio.Cancelled:
+            # An attempt that is shielded may still wait for the body.
+            self._note_lost()
+            raise
+        if self._is_gone() and self.busy:
+            self.metrics.refused(None, RefusalReason.CALLER_GONE)
+            self.abort()
+
+    def abort(self) -> None:
+        """Reset the connection at once and cancel what runs for it."""
+        self._note_lost()
+        super().abort()
+
+    def _note_lost(self) -> None:
+        """Wake up what waits for input, as there will be none."""
+        self.lost = True
+        self.input_arrived.set()
+
+    async def _read_until_end(self) -> None:
         while not (self.ended or self.lost or self.parser.broken):
             if self._is_full():
                 self.bytes_wanted = trio.Event()
@@ -66,9 +89,6 @@
             self._drop_if_gone()
             self.input_arrived.set()
             self.input_arrived = trio.Event()
-        if self._is_gone() and self.busy:
-            self.metrics.refused(None, RefusalReason.CALLER_GONE)
-            self.abort()
 
     def _read_available(self) -> None:
         """Read all bytes that have arrived, and the stream's end if it has.
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -6,6 +6,7 @@
 
 from agatetack.callers.connection import CallerConnection, reap_connections
 from agatetack.callers.read_ahead import ReadAheadConnection
+from agatetack.callers.streamed_body import KeptBodies
 from agatetack.listeners import BACKLOG
 from agatetack.logs import PartLog
 from agatetack.messages import Handler
@@ -30,6 +31,7 @@
     Attributes:
         connections: Open connections.
         limits: The settings in force for callers.
+        kept_bodies: The memory for bodies that are streamed.
         closing: Whether each connection ends after its current request.
         ended: Set once the listener and all connections are closed.
         port: The port listened on, once `run` has started.
@@ -48,6 +50,7 @@
         self.metrics = metrics
         self.tls = tls
         self.limits = settings.callers
+        self.kept_bodies = KeptBodies(self.limits, metrics)
         ahead = self.limits.pipeline_depth > 1 or self.limits.end_means_gone
         self.connection_class = (
             ReadAheadConnection if ahead else CallerConnection
@@ -126,6 +129,7 @@
             self.limits,
             self.handler,
             self.metrics,
+            self.kept_bodies,
         )
         connection.closing = self.closing
         self.connections.add(connection)
@@ -150,6 +154,7 @@
     def limit(self, callers: CallersSettings) -> None:
         """Apply `callers` to open and new connections."""
         self.limits = callers
+        self.kept_bodies.limit = callers.kept_bodies_bytes
         for connection in self.connections:
             connection.settings = callers
             connection.parser.max_header_bytes = callers.max_header_bytes
--- a/agatetack/forwarding/forwarder.py
+++ b/agatetack/forwarding/forwarder.py
@@ -124,7 +124,17 @@
         self, route: Route, request: CallerRequest
     ) -> Result[Answer, Refusal]:
         """Return what another host answered, or why none did."""
-        if not request.replayable:
+        with trio.move_on_at(request.deadline) as scope:
+            content = await request.body.hold()
+        if scope.cancelled_caught:
+            return Failure(
+                refuse(
+                    RefusalReason.CANNOT_MEET_DEADLINE,
+                    "The body did not come before the deadline.",
+                    Deadline(trio.current_time()),
+                )
+            )
+        if content is None:
             return self._refuse(route, "The body is too large to pass on.")
         tried: set[HostId] = set()
         last = None
@@ -133,7 +143,7 @@
             if host is None:
                 break
             tried.add(host)
-            result = await self._call(host, route, request)
+            result = await self._call(host, route, request, content)
             if not may_try_another(result):
                 return result
             last = result
@@ -171,10 +181,14 @@
         return self.in_progress[host], self.last_used_at.get(host, 0.0)
 
     async def _call(
-        self, host: HostId, route: Route, request: CallerRequest
+        self,
+        host: HostId,
+        route: Route,
+        request: CallerRequest,
+        content: bytes,
     ) -> Result[Answer, Refusal]:
         number = next(self.numbers)
-        payload = encode_request(number, request)
+        payload = encode_request(number, request, content)
         until = Deadline(request.deadline + REPLY_GRACE_SECONDS)
         self.in_progress[host] += 1
         self.last_used_at[host] = Deadline(trio.current_time())
--- a/agatetack/forwarding/messages.py
+++ b/agatetack/forwarding/messages.py
@@ -24,8 +24,16 @@
 MS_PER_SECOND = 1000
 
 
-def encode_request(number: int, request: CallerRequest) -> bytes:
-    """Return the message of a request whose body is in memory."""
+def encode_request(
+    number: int, request: CallerRequest, content: bytes
+) -> bytes:
+    """Return the message of a request.
+
+    Args:
+        number: Its number at this host.
+        request: The request.
+        content: Its whole body.
+    """
     left_seconds = max(0.0, request.deadline - trio.current_time())
     return encode(
         ForwardedRequest(
@@ -36,7 +44,7 @@
             path=request.path,
             host=request.host,
             headers=_header_fields(request.headers),
-            body=request.body.content,
+            body=content,
             left_ms=round(left_seconds * MS_PER_SECOND),
             key=request.key,
         )
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -50,9 +50,37 @@
 
     Attributes:
         length: The announced length in bytes, or None if not announced.
+        arrived_at: When the last byte of a request's body was read; None if
+            it was not or is not recorded.
     """
 
     length: int | None = None
+    arrived_at: Deadline | None = None
+
+    @property
+    def replayable(self) -> bool:
+        """Return whether it can be read again from its first byte."""
+        return False
+
+    @property
+    def in_memory(self) -> bool:
+        """Return whether all of it can be read at once, any number of times."""
+        return False
+
+    def reader(self) -> "Body":
+        """Return a body that reads this one from its first byte."""
+        return self
+
+    async def hold(self) -> bytes | None:
+        """Read all of a request's body and return it.
+
+        Returns:
+            None, with nothing read, if it is too large to be kept.
+        """
+        return None
+
+    def forget(self) -> None:  # noqa: B027
+        """Release what was kept of it, as it is not read again."""
 
     @abc.abstractmethod
     async def receive(self) -> bytes:
@@ -105,6 +133,20 @@
         self.taken = True
         return self.content
 
+    @property
+    def replayable(self) -> bool:
+        """Return True: it is in memory."""
+        return True
+
+    @property
+    def in_memory(self) -> bool:
+        """Return True."""
+        return True
+
+    async def hold(self) -> bytes:
+        """Return all bytes."""
+        return self.content
+
     def rewind(self) -> None:
         """Start again at the first byte."""
         self.taken = False
@@ -161,7 +203,8 @@
         path: Path and query as sent.
         host: The Host header without its port, in lower case.
         headers: Header fields, without hop-by-hop ones.
-        body: The body; a `BytesBody` if it is small enough to be sent again.
+        body: The body; a `BytesBody` if it was read before the request was
+            handled.
         deadline: Time after which the caller has no use for the answer.
         key: The idempotency key, or None.
         arrived: When the last header byte was read.
@@ -193,8 +236,16 @@
 
     @property
     def replayable(self) -> bool:
-        """Return whether the body can be sent a second time."""
-        return isinstance(self.body, BytesBody)
+        """Return whether the body can be sent again from its first byte."""
+        return self.body.replayable
+
+    def sent_since(self, started: Deadline) -> Deadline:
+        """Return since when a target could have all of the request.
+
+        Args:
+            started: When the request was sent to the target.
+        """
+        return max(started, self.body.arrived_at or started)
 
 
 @dataclasses.dataclass(slots=True)
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -13,6 +13,7 @@
     body_too_large_refusal,
 )
 from agatetack.callers.problem import refusal_answer, refusal_status
+from agatetack.callers.streamed_body import StreamedBody
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.decisions import DecisionLog, Importance
 from agatetack.identity.check import AccountCheck
@@ -122,6 +123,8 @@
                 )
             route = self.splitter.choose(found)
             result = await self._run(route, request)
+            # The caller may take its answer slowly.
+            request.body.forget()
         except (CallerGone, trio.Cancelled):
             # There is no caller to answer. The connection counts the refusal.
             self._finish(route, request, Importance.FAILED, "caller-gone")
@@ -259,7 +262,9 @@
         length = request.body.length
         if length is not None and length > route.max_body_bytes:
             return body_too_large_refusal(route.max_body_bytes)
-        if length is None:
+        if isinstance(request.body, StreamedBody):
+            request.body.limit(route.max_body_bytes)
+        elif length is None:
             request.body = BoundedBody(request.body, route.max_body_bytes)
         if trio.current_time() >= request.deadline:
             return refuse(
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -62,6 +62,8 @@
     max_header_bytes: Bytes
     max_body_bytes: Bytes
     replay_body_bytes: Bytes
+    stream_body_bytes: Bytes | None
+    kept_bodies_bytes: Bytes
     header_timeout_seconds: Seconds
     keep_alive_seconds: Seconds
     write_timeout_seconds: Seconds
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -95,24 +95,27 @@
                 )
             )
         self.registry.note_sent(attempt.target, SendKind.REQUEST)
+        upload = Upload(attempt.request, connection)
         try:
             with trio.move_on_at(attempt.deadline) as scope:
-                sent_whole = await self._exchange(attempt, connection, parser)
+                await self._exchange(attempt, connection, parser, upload)
         except trio.Cancelled:
             self._note_late_pushback(attempt, connection, parser)
-            self._note_silence(connection, pool, sent_at)
+            self._note_silence(connection, pool, sent_at, upload)
             raise
         except BaseException:
             pool.discard(connection)
             raise
-        if scope.cancelled_caught:
-            self._note_silence(connection, pool, sent_at)
+        if scope.cancelled_caught and parser.state is AnswerState.HEAD:
+            self._note_silence(connection, pool, sent_at, upload)
             log.request(
                 attempt.request.request_id,
                 "No answer from %s in time.",
                 attempt.target.id,
             )
-            raise _failed(RefusalReason.ANSWER_TIMEOUT, suspect=True)
+            raise _failed(
+                RefusalReason.ANSWER_TIMEOUT, suspect=not upload.reading
+            )
         if parser.state is AnswerState.BROKEN:
             pool.discard(connection)
             raise _failed(_broken_reason(parser), suspect=True)
@@ -120,7 +123,9 @@
             pool.discard(connection)
             raise _failed(RefusalReason.ANSWER_MALFORMED, suspect=True)
         self._note_target_limits(attempt.target, parser, sent_at)
-        return await self._finish(attempt, connection, pool, parser, sent_whole)
+        return await self._finish(
+            attempt, connection, pool, parser, upload.complete
+        )
 
     def _note_late_pushback(
         self,
@@ -172,21 +177,19 @@
         attempt: Attempt,
         connection: TargetConnection,
         parser: AnswerParser,
-    ) -> bool:
-        """Send the request and read the response's header.
-
-        Returns:
-            Whether the request was sent completely.
-        """
+        upload: "Upload",
+    ) -> None:
+        """Send the request and read the response's header."""
         connection.requests += 1
         request = attempt.request
         head = self._request_head(attempt)
         if isinstance(request.body, BytesBody):
             await self._send(connection, head + request.body.content)
+            upload.complete = True
             await self._receive_head(connection, parser)
-            return True
+            return
         await self._send(connection, head)
-        return await self._exchange_stream(request, connection, parser)
+        await self._exchange_stream(connection, parser, upload)
 
     async def _send(self, connection: TargetConnection, data: bytes) -> None:
         try:
@@ -204,11 +207,10 @@
 
     async def _exchange_stream(
         self,
-        request: CallerRequest,
         connection: TargetConnection,
         parser: AnswerParser,
-    ) -> bool:
-        upload = Upload(request, connection)
+        upload: "Upload",
+    ) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(upload.run, nursery.cancel_scope)
             await self._receive_head(connection, parser)
@@ -216,7 +218,6 @@
                 nursery.cancel_scope.cancel()
         if upload.error is not None:
             raise upload.error
-        return upload.complete
 
     def _request_head(self, attempt: Attempt) -> bytes:
         request = attempt.request
@@ -241,16 +242,21 @@
         return b"".join(parts)
 
     def _note_silence(
-        self, connection: TargetConnection, pool: TargetPool, sent_at: Deadline
+        self,
+        connection: TargetConnection,
+        pool: TargetPool,
+        sent_at: Deadline,
+        upload: "Upload",
     ) -> None:
         """Close the connection of an abandoned attempt.
 
+        A target that waits for the rest of a body has no reason to answer.
         A reused connection without a byte since the request was sent may have
         gone silent, and so may other connections to the target. On a new
         connection, silence only shows that the target is slow.
         """
         silent = connection.last_byte_at < sent_at
-        if silent and connection.requests > 1:
+        if silent and connection.requests > 1 and not upload.reading:
             pool.suspect(connection, sent_at)
         else:
             pool.discard(connection)
@@ -326,6 +332,7 @@
 
     Attributes:
         complete: Whether the last byte was sent.
+        reading: Whether it waits for the caller to send more.
         error: The error in reading the body, or None.
     """
 
@@ -334,6 +341,7 @@
         self.request = request
         self.connection = connection
         self.complete = False
+        self.reading = False
         self.error: Exception | None = None
 
     async def run(self, exchange: trio.CancelScope) -> None:
@@ -348,9 +356,12 @@
             exchange.cancel()
 
     async def _send_all(self) -> None:
-        chunked = self.request.body.length is None
+        body = self.request.body.reader()
+        chunked = body.length is None
         while True:
-            data = await self.request.body.receive()
+            self.reading = True
+            data = await body.receive()
+            self.reading = False
             if not data:
                 break
             if chunked:
