Test streamed bodies in the forwarder and the dispatcher

Cause: a body over its limit counted as ended although its last part was left out. Change: a body ends only with its last byte kept or passed on.

--- a/agatetack/attempts/test_uploads.py
+++ b/agatetack/attempts/test_uploads.py
@@ -143,6 +143,7 @@
             runner = AttemptRunner(
                 SETTINGS, self.admission, single, self.metrics
             )
+        self.runner = runner
         self.handler = Runs(runner)
         self.kept = KeptBodies(SETTINGS.callers, self.metrics)
         self.caller, ours = trio.testing.memory_stream_pair()
@@ -208,6 +209,8 @@
             if script is REFUSES:
                 state.port = 1
         found = World(states, targets, once, connection_class)
+        if not once:
+            nursery.start_soon(found.runner.hedger.run)
         nursery.start_soon(found.connection.serve)
         nursery.start_soon(reap_connections, {found.connection})
         with trio.fail_after(5):
@@ -442,3 +445,18 @@
         assert w.kept.used == 2500
         labels = {"part": "callers", "reason": "body-not-kept"}
         assert w.metrics.dropped.get(labels) == 1
+
+
+@pytest.mark.parametrize("whole", [True, False])
+async def test_a_stalled_target_is_passed_over_once_the_body_is_kept(whole):
+    """Guards against two attempts that share a body that still arrives."""
+    scripts = [target(OK, 10**9), target(OK, BODY_BYTES)]
+    async with world(*scripts, once=False) as w:
+        sent = BODY if whole else BODY[:500]
+        await w.send(head(deadline_ms=900), sent)
+        await w.read_answer()
+        assert w.statuses == [200 if whole else 504]
+        assert w.targets[1].connections == whole
+        if whole:
+            assert w.bodies() == [BODY, BODY]
+        w.check_released()
--- a/agatetack/callers/streamed_body.py
+++ b/agatetack/callers/streamed_body.py
@@ -153,9 +153,6 @@
 
     async def _read_more(self) -> None:
         data = await self.source.receive()
-        if self.source.complete and not self.source.parts:
-            self.ended = True
-            self.arrived_at = Deadline(trio.current_time())
         if self.received + len(data) > self.max_bytes:
             raise BodyTooLarge(self.max_bytes)
         if self.keeps and not self._reserve(self.received + len(data)):
@@ -165,6 +162,9 @@
             self.content.clear()
         self.content += data
         self.received += len(data)
+        if self.source.complete and not self.source.parts:
+            self.ended = True
+            self.arrived_at = Deadline(trio.current_time())
 
     def _reserve(self, size: int) -> bool:
         """Reserve memory for the first `size` bytes of the body."""
--- a/agatetack/forwarding/test_forwarding.py
+++ b/agatetack/forwarding/test_forwarding.py
@@ -6,6 +6,8 @@
 import trio
 from returns.result import Failure, Success
 
+from agatetack.callers.parser import RequestBody
+from agatetack.callers.streamed_body import KeptBodies, StreamedBody
 from agatetack.config.route import RequestClass, Route
 from agatetack.forwarding.forwarder import (
     MAX_FORWARDED_PER_HOST,
@@ -425,3 +427,39 @@
         _, (host,) = fleet(nursery, 1)
         assert await host.exchange.servers[topic]("x", payload) is None
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("length", "stalls", "reason", "passed_on"),
+    [
+        (4, False, None, [b"body"]),
+        (None, False, RefusalReason.NO_TARGET, []),
+        (11, False, RefusalReason.NO_TARGET, []),
+        (4, True, RefusalReason.CANNOT_MEET_DEADLINE, []),
+    ],
+    ids=["fits", "unknown-length", "too-long", "stalls"],
+)
+async def test_a_body_that_arrives_is_passed_on_only_whole(
+    autojump_clock, length, stalls, reason, passed_on
+):
+    """Guards against a part of a body at another host as if it were whole."""
+
+    async def read_more():
+        if stalls:
+            await trio.sleep_forever()
+        source.feed(b"bo" if not source.received else b"dy")
+        source.complete = source.received == 4
+
+    source = RequestBody(length, read_more)
+    kept = KeptBodies(default_settings().callers, Metrics())
+    body = StreamedBody(source, 1000, 10, kept)
+    async with trio.open_nursery() as nursery:
+        _, (own, other) = fleet(nursery, 2)
+        result = await own.forwarder.forward(ROUTE, make_request(body=body))
+        assert [each.body.content for each in other.started] == passed_on
+        if reason is not None:
+            assert result.failure().reason is reason
+            assert result.failure().outcome is Outcome.NOT_RUN
+            # Another target can still get all of it.
+            assert body.replayable
+        nursery.cancel_scope.cancel()
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -6,6 +6,8 @@
 from returns.result import Failure, Success
 
 from agatetack.callers.bounded import BodyTooLarge
+from agatetack.callers.parser import RequestBody
+from agatetack.callers.streamed_body import KeptBodies, StreamedBody
 from agatetack.clock import Lateness
 from agatetack.config.route import (
     RequestClass,
@@ -396,3 +398,65 @@
     request.forwarded = True
     result = await dispatcher.run_forwarded(request)
     assert result.unwrap().status == 200
+
+
+def streamed(length, read_more):
+    callers = SETTINGS.callers
+    kept = KeptBodies(callers, Metrics())
+    source = RequestBody(length, read_more)
+    return StreamedBody(source, callers.max_body_bytes, 1000, kept)
+
+
+@pytest.mark.parametrize(
+    ("path", "left", "accepting", "length", "reason"),
+    [
+        (b"/none", None, True, 3, "no-route"),
+        (b"/fast", 0, True, 3, "cannot-meet-deadline"),
+        (b"/fast", None, False, 3, "shutting-down"),
+        (b"/fast", None, True, 4, "body-too-large"),
+    ],
+)
+async def test_refusals_that_need_no_body_come_before_it_is_read(
+    path, left, accepting, length, reason, autojump_clock
+):
+    """Guards against uploads that are read only to be refused."""
+
+    async def read_more():
+        raise AssertionError("the body was read")
+
+    dispatcher = make_dispatcher(RouteTable(ROUTES))
+    dispatcher.accepting = lambda: accepting
+    request = make_request(path, None, b"", left)
+    request.body = streamed(length, read_more)
+    answer = await dispatcher.handle(request)
+    assert find_header(answer.headers, b"x-reason") == reason.encode()
+
+
+async def test_a_streamed_body_is_held_to_the_routes_bound(autojump_clock):
+    """Guards against a body without a length beyond its route's bound."""
+
+    async def read_more():
+        body.source.feed(b"ab")
+
+    body = streamed(None, read_more)
+    request = make_request(b"/fast")
+    request.body = body
+    answer = await make_dispatcher(RouteTable(ROUTES)).handle(request)
+    assert answer.status == 413
+    assert find_header(answer.headers, b"x-outcome") == b"unknown"
+
+
+async def test_what_was_kept_is_released_with_the_answer(autojump_clock):
+    """Guards against memory that a slow reader of an answer holds."""
+
+    async def read_more():
+        body.source.feed(b"ab")
+        body.source.complete = True
+
+    body = streamed(2, read_more)
+    request = make_request(b"/fast")
+    request.body = body
+    answer = await make_dispatcher(RouteTable(ROUTES)).handle(request)
+    assert answer.status == 200
+    assert body.received == 2
+    assert body.kept_bodies.used == 0
