Let a restarted target start anew in all that is kept by its id

Cause: an older registration could bring a removed process back or mark the new one as leaving; a late probe of the old process ended signs of the new one; returns of the old lengthened the new one's holds; an operator's drain mark hit a new process on hosts that heard of it late; a late rate of the old was exported for the new; a probe in progress delayed the first probe of the new process.

Change: each of these is compared by incarnation or kept by process. The time of a drain mark decides which process it is for.

--- a/agatetack/hosts/registered_targets.py
+++ b/agatetack/hosts/registered_targets.py
@@ -175,6 +175,11 @@
         if known is not None and target.is_older_than(known):
             self._note_outdated(known, target)
             return
+        last = self.departed.get(key)
+        if last is not None and 0 < target.incarnation < last.incarnation:
+            # It comes late, from a process before the one that was removed.
+            self._note_outdated(last, target)
+            return
         self.doubted.pop(key, None)
         self.departed.pop(key, None)
         self.targets[key] = target
--- a/agatetack/hosts/test_registered_targets.py
+++ b/agatetack/hosts/test_registered_targets.py
@@ -184,3 +184,24 @@
     assert [(t.incarnation, t.state) for t in harness.listed] == [
         (incarnation, state)
     ]
+
+
+@pytest.mark.parametrize(
+    ("steps", "incarnations"),
+    [
+        ([new(a=entry(2000)), new(a=None), new(a=entry(1000, 9))], []),
+        ([new(a=entry(2000)), everything(), new(a=entry(1000, 9))], []),
+        ([new(a=entry(2000)), new(a=b"junk"), new(a=entry(1000, 9))], []),
+        ([new(a=entry(2000)), new(a=None), new(a=entry(2000, 2))], [2000]),
+        ([new(a=entry(2000)), new(a=None), new(a=entry(3000))], [3000]),
+        # Without a time of birth, nothing tells which of the two is older.
+        ([new(a=entry(2000)), new(a=None), new(a=entry(0))], [0]),
+        ([new(a=entry(2000)), "lost", everything(a=entry(1000))], [2000]),
+    ],
+)
+async def test_an_older_process_does_not_come_back(
+    autojump_clock, steps, incarnations
+):
+    """Guards against requests to a process that ended before the last one."""
+    harness = await run_steps(steps)
+    assert [each.incarnation for each in harness.listed] == incarnations
--- a/agatetack/measure/rounds.py
+++ b/agatetack/measure/rounds.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from agatetack.clock import Lateness
-from agatetack.ids import Deadline, FailureDomain, HostId, TargetId
+from agatetack.ids import Deadline, FailureDomain, HostId, ProcessId, TargetId
 from agatetack.measure.path_sharing import PathSharing
 from agatetack.measure.prober import Prober
 from agatetack.peers.exchange import Exchange, Peer
@@ -60,7 +60,7 @@
         share: Part of the rate that this host uses for each of its targets;
             hosts that it does not know may own them, too.
         owned: Targets that this host owns.
-        probing: Targets that are probed by a task.
+        probing: Processes of targets that are probed by a task.
         view: The live hosts with their failure domains, and the change counts
             of the registry and of lost paths, from which `owned` was computed.
     """
@@ -101,7 +101,7 @@
         self.fleet_size = fleet_size
         self.share = 1.0
         self.owned: dict[TargetId, TargetState] = {}
-        self.probing: set[TargetId] = set()
+        self.probing: set[ProcessId] = set()
         self.view: tuple[dict[HostId, FailureDomain], int, int] | None = None
         self.random = rng
 
@@ -114,8 +114,8 @@
             while True:
                 self._update_owned()
                 for target in self.owned.values():
-                    if target.id not in self.probing:
-                        self.probing.add(target.id)
+                    if target.process not in self.probing:
+                        self.probing.add(target.process)
                         nursery.start_soon(self._probe_owned, target)
                 await trio.sleep(OWNERS_INTERVAL_SECONDS)
 
@@ -188,7 +188,7 @@
                 if self.registry.may_be_probed(target):
                     await self.prober.probe(target)
         finally:
-            self.probing.discard(target.id)
+            self.probing.discard(target.process)
 
     def _rate(self) -> float:
         """Return how often this host probes each target that it owns."""
--- a/agatetack/targets/departures.py
+++ b/agatetack/targets/departures.py
@@ -22,7 +22,8 @@
 
     Attributes:
         records: The signs that each target is leaving.
-        returns: How often each target has left and returned.
+        returns: How often each target has left and returned, and the
+            incarnation that did.
         hold_seconds: How long a sign can't be revoked.
         ids_by_incarnation: Whether each process incarnation has its own id.
     """
@@ -30,7 +31,7 @@
     def __init__(self, hold_seconds: float, ids_by_incarnation: bool = False):
         """Start without leaving targets."""
         self.records: dict[TargetId, LeavingRecord] = {}
-        self.returns: dict[TargetId, int] = {}
+        self.returns: dict[TargetId, tuple[int, int]] = {}
         self.hold_seconds = hold_seconds
         self.ids_by_incarnation = ids_by_incarnation
 
@@ -50,7 +51,7 @@
             sign,
             now,
             now,
-            returns=self.returns.get(target.id, 0),
+            returns=self._returns(target),
             incarnation=target.incarnation,
             id_per_incarnation=self.ids_by_incarnation,
         )
@@ -66,6 +67,10 @@
             final=record.final,
         )
 
+    def _returns(self, target: TargetState) -> int:
+        count, incarnation = self.returns.get(target.id, (0, 0))
+        return count if incarnation == target.incarnation else 0
+
     def may_return(self, target_id: TargetId, now: Deadline) -> bool:
         """Return whether a target that reports to be ready may get work."""
         record = self.records[target_id]
@@ -74,13 +79,14 @@
     def end(self, target_id: TargetId) -> LeavingRecord:
         """Let a target return; remove and return its record."""
         record = self.records.pop(target_id)
-        self.returns[target_id] = record.returns + 1
+        self.returns[target_id] = record.returns + 1, record.incarnation
         return record
 
     def withdraw(self, target_id: TargetId) -> None:
         """Forget a sign that was wrong, as if it had never been noted."""
         record = self.records.pop(target_id)
-        self.returns[target_id] = record.returns
+        if record.returns:
+            self.returns[target_id] = record.returns, record.incarnation
 
     def forget(self, target_id: TargetId) -> None:
         """Forget all signs of a target."""
--- a/agatetack/targets/drains.py
+++ b/agatetack/targets/drains.py
@@ -61,6 +61,10 @@
     def set(self, target: TargetId, drained: bool) -> None:
         """Drain a target on every host, or allow it new work again."""
         now_ms = int(self.clock.wall() * 1000)
+        known = self.registry.by_id.get(target)
+        if known is not None:
+            # Its clock may be ahead of this host's.
+            now_ms = max(now_ms, known.incarnation)
         earlier = self.marks.get(target)
         if earlier is not None:
             now_ms = max(now_ms, earlier.set_unix_ms + 1)
@@ -108,6 +112,6 @@
             return
         self.marks[target] = mark
         if earlier is None or earlier.drained != mark.drained:
-            self.registry.set_drained(target, mark.drained)
+            self.registry.set_drained(target, mark.drained, mark.set_unix_ms)
             action = "drained" if mark.drained else "undrained"
             log.info("An operator %s target %s.", action, target)
--- a/agatetack/targets/rate_limits.py
+++ b/agatetack/targets/rate_limits.py
@@ -12,7 +12,7 @@
 from agatetack.metrics import Metrics
 from agatetack.settings.model import Settings
 from agatetack.targets.rate_limit import MAX_REQUESTS_PER_SECOND, read_rate
-from agatetack.targets.state import ReportSource, TargetState
+from agatetack.targets.state import ReportSource, TargetState, TargetStatus
 
 MAX_EXPORTED_TARGETS = 200
 """Maximum number of targets whose rate limit is exported as a metric."""
@@ -141,6 +141,9 @@
         self._note(target, read.value, now, source)
 
     def _export(self, target: TargetState) -> None:
+        if target.status is TargetStatus.GONE:
+            # Another process may have its id now.
+            return
         if len(self.exported_targets) < MAX_EXPORTED_TARGETS:
             self.exported_targets.add(target.id)
         if target.id in self.exported_targets:
--- a/agatetack/targets/registry.py
+++ b/agatetack/targets/registry.py
@@ -4,6 +4,7 @@
 that it is back is weighed against the sign.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 
 import trio
@@ -54,7 +55,8 @@
         by_process: The same targets, by process incarnation.
         usable: The targets of each service that may get new work.
         departures: The targets that are leaving.
-        drained: Targets that an operator drained; they get no new work.
+        drained: Targets that an operator drained, with when that was set, in
+            Unix ms. They get no new work; processes started later do.
         evacuated: Failure domains whose targets get no new work.
         warm_up_rates: Requests per second that a cold target of each service
             accepts from all hosts, where that is known.
@@ -84,7 +86,7 @@
         self.by_id: dict[TargetId, TargetState] = {}
         self.by_process: dict[ProcessId, TargetState] = {}
         self.usable: dict[ServiceId, tuple[TargetState, ...]] = {}
-        self.drained: set[TargetId] = set()
+        self.drained: dict[TargetId, float] = {}
         self.evacuated: Set[FailureDomain] = frozenset()
         self.warm_up_rates: Mapping[ServiceId, float] = {}
         # If the settings name an instance header, targets check the instance
@@ -157,10 +159,13 @@
             target_id = TargetId(host.id)
             seen.add(target_id)
             target = self.by_id.get(target_id)
-            if target is not None and _incarnation(host) > target.incarnation:
+            incarnation = _incarnation(host)
+            if target is not None and 0 < incarnation < target.incarnation:
+                # It is about an earlier process.
+                continue
+            if target is not None and incarnation > target.incarnation:
                 # The process was restarted, so its earlier state is void.
                 changed.add(self._remove(target_id, now).service)
-                self.drained.discard(target_id)
                 target = None
             if target is None:
                 target = self._add(host, now)
@@ -343,6 +348,9 @@
 
     def note_probe(self, target: TargetState, state: ReportedState) -> None:
         """Apply the state that a probe of `target`'s load endpoint reported."""
+        if self.by_id.get(target.id) is not target:
+            # It was removed, and an id may stand for a later process now.
+            return
         now = Deadline(trio.current_time())
         if state is ReportedState.DRAINING:
             if target.status is not TargetStatus.LEAVING:
@@ -445,6 +453,8 @@
             target.warmth.note_listed(host.warm_at, now)
             if host.warm_at <= now:
                 target.status = TargetStatus.READY
+        if self.drained.get(target.id, math.inf) < target.incarnation:
+            del self.drained[target.id]
         self.by_id[target.id] = target
         self.by_process[target.process] = target
         self.pushbacks.restore(target)
@@ -515,17 +525,31 @@
             if target.failure_domain in changed
         )
 
-    def set_drained(self, target_id: TargetId, drained: bool) -> None:
+    def set_drained(
+        self,
+        target_id: TargetId,
+        drained: bool,
+        set_unix_ms: float | None = None,
+    ) -> None:
         """Stop new work at a target, or allow it again.
 
         An operator's mark is independent of the signs that a target is leaving
         and may arrive before the target is known.
+
+        Args:
+            target_id: The target.
+            drained: Whether it is to get no new work.
+            set_unix_ms: When the mark was set, in Unix ms; processes started
+                later are not concerned. None means the process known now.
         """
-        if drained:
-            self.drained.add(target_id)
-        else:
-            self.drained.discard(target_id)
         target = self.by_id.get(target_id)
+        born = 0 if target is None else target.incarnation
+        if set_unix_ms is None:
+            set_unix_ms = born or math.inf
+        if not drained:
+            self.drained.pop(target_id, None)
+        elif born <= set_unix_ms:
+            self.drained[target_id] = set_unix_ms
         if target is not None:
             self._rebuild((target.service,))
 
