--- a/agatetack/hosts/test_member_directory.py
+++ b/agatetack/hosts/test_member_directory.py
@@ -2,7 +2,10 @@
 
 import json
 
+import hypothesis
 import pytest
+import trio
+from hypothesis import strategies as st
 
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.ids import LogOffset
@@ -52,3 +55,31 @@
     members = make_members()
     members.apply_new([record(key, content), record("h2", MEMBER)])
     assert list(members.hosts) == ["h2"]
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(
+    key=st.text(max_size=4).filter(lambda key: key != "h2"),
+    fields=st.dictionaries(
+        st.sampled_from(["ip", "port", "failure_domain", "x"]),
+        st.none()
+        | st.integers()
+        | st.floats()
+        | st.text()
+        | st.lists(st.none()),
+    ),
+    raw=st.none() | st.binary(max_size=60),
+)
+def test_any_registration_leaves_the_others(key, fields, raw):
+    """Guards against values that end a host or hide another one."""
+    content = member(**fields) if raw is None else raw
+
+    async def main():
+        members = make_members()
+        for apply in (members.apply_new, members.apply_all):
+            apply([record(key, content), record("h2", MEMBER)])
+            assert "h2" in members.hosts
+            assert members.hosts.keys() <= {"h2", key}
+        members.register_other(key, content)
+
+    trio.run(main)
--- a/agatetack/platform/test_records.py
+++ b/agatetack/platform/test_records.py
@@ -399,3 +399,112 @@
     content = configuration(1, route_fields(allowed_regions="north"))
     with pytest.raises(BadDocument):
         ConfigurationDecoder().decode(content)
+
+
+DOCUMENT = orjson.loads(
+    with_tenants(
+        tenant_fields(priority=1, rate_per_s=2, burst_size=3),
+        timeout="1500ms",
+        max_attempts=2,
+        traffic_split=[{"service": "svc-a", "weight": 1}],
+        allowed_regions=["north"],
+        public=True,
+    )
+)
+DOCUMENT["limits"] = {
+    "max_header_bytes": 1000,
+    "max_body_bytes": 1000,
+    "header_timeout": "1s",
+    "idle_timeout": "1s",
+}
+DOCUMENT["services"] = [service_fields(max_connections=3, warmup_per_s=2.5)]
+
+
+def places(value, path=()):
+    """Yield the path of each value inside a document."""
+    items = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for name, inner in items:
+        yield (*path, name)
+        yield from places(inner, (*path, name))
+
+
+ODD = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.sampled_from(["nan", "1e999", "-1s", "9" * 5000, 10**400, "secret-2"]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(
+            st.sampled_from(["name", "service", "weight"]), inner, max_size=2
+        )
+    ),
+    max_leaves=4,
+)
+
+
+@MANY
+@hypothesis.given(
+    path=st.sampled_from(list(places(DOCUMENT))), value=ODD, drop=st.booleans()
+)
+def test_any_field_of_a_document_is_read_or_told(path, value, drop):
+    """Guards against a document that ends every host that reads it."""
+    document = json.loads(json.dumps(DOCUMENT))
+    parent = document
+    for name in path[:-1]:
+        parent = parent[name]
+    if drop:
+        del parent[path[-1]]
+    else:
+        parent[path[-1]] = value
+    try:
+        ConfigurationDecoder().decode(json.dumps(document).encode())
+    except BadDocument as error:
+        assert "secret-1" not in str(error)
+
+
+@MANY
+@hypothesis.given(content=st.binary(max_size=200))
+@hypothesis.example(content=b"[" * 100_000)
+@hypothesis.example(content=b'{"routes":' * 5000)
+def test_any_bytes_are_a_document_or_told(content):
+    """Guards against bytes that are no JSON, or nested too deeply."""
+    with pytest.raises(BadDocument):
+        ConfigurationDecoder().decode(content)
+
+
+FIGURE = (
+    st.integers().map(str)
+    | st.floats().map(str)
+    | st.sampled_from(["", " 1", "1_0", "0x1", "1e9", "nan", "-0", "9" * 400])
+).map(str.encode) | st.binary(max_size=6)
+
+
+@MANY
+@hypothesis.given(
+    load=st.lists(FIGURE, max_size=6).map(b",".join),
+    warm_up=FIGURE,
+    leaving=FIGURE,
+)
+def test_any_load_header_is_read_or_left_out(load, warm_up, leaving):
+    """Guards against a target whose header fails each of its answers."""
+    reader = CommaSeparatedLoadReader(template_settings(1))
+    found = reader.read(
+        {
+            b"server-load": load,
+            b"warmup-remaining-ms": warm_up,
+            b"server-leaving": leaving,
+        }
+    )
+    if found.in_flight is not None:
+        assert 0 <= found.in_flight < 2e6
+        assert 1 <= found.slots < 1e6
+        assert 0.01 <= found.slowness < 1e4
+    if found.warm_up_seconds is not None:
+        assert 0 <= found.warm_up_seconds <= 3600
