--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -4,9 +4,13 @@
 
 from agatetack.admission.controller import PermitRequest, Priority
 from agatetack.admission.queue import FairQueue, Order, Waiter, new_queues
+from agatetack.balance.known_load import (
+    REPORT_VALID_SECONDS,
+    has_known_room,
+)
 from agatetack.balance.policy import Policy
 from agatetack.balance.target_share import TargetShare
-from agatetack.config.route import Route
+from agatetack.config.route import RequestClass, Route
 from agatetack.ids import Deadline, ServiceId
 from agatetack.outcomes import Refusal, RefusalReason, refuse
 from agatetack.settings.model import Settings
@@ -250,6 +254,11 @@
         targets = self._usable_targets(wanted.route)
         if not targets:
             return late_at
+        if wanted.route.request_class is RequestClass.ONCE and (
+            self.settings.targets.max_queued is not None
+        ):
+            # No event announces that a report is too old to count.
+            late_at = min(late_at, Deadline(now + REPORT_VALID_SECONDS))
         next_send_at = self._next_send_at(wanted, now)
         return min(late_at, next_send_at) if next_send_at > now else late_at
 
@@ -357,6 +366,8 @@
             for target in usable
             if target.in_flight < target.limit and self.share.allows(target)
         ]
+        if wanted.route.request_class is RequestClass.ONCE:
+            free = [t for t in free if has_known_room(self.settings, t, now)]
         if wanted.avoid:
             others = [t for t in free if t.id not in wanted.avoid]
             # If there is no other target, a retry may go to the same one again,
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -103,6 +103,7 @@
     not_run_value: str | None
     load_path: str
     slots: Count
+    max_queued: Count | None
     max_connections: Count
     connect_timeout_seconds: Seconds
     idle_proof_seconds: Seconds
--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -107,6 +107,7 @@
         accepted: Connections accepted so far.
         cancelled: Requests whose connection closed before their answer.
         shed: Requests refused with 503.
+        unanswered: Requests that could not be queued and got no answer.
         expired: Requests whose deadline passed in the queue.
         crashes: Crashes so far.
         probes: Requests of the load endpoint so far.
@@ -133,6 +134,7 @@
         self.accepted = 0
         self.cancelled = 0
         self.shed = 0
+        self.unanswered = 0
         self.expired = 0
         self.crashes = 0
         self.probes = 0
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -168,6 +168,9 @@
                 await self._shed()
                 return
             await self._send(200, self._load_body())
+        elif self._cannot_queue():
+            self.silence = Silence.REQUEST_LOST
+            target.unanswered += 1
         elif faults.refusing or faults.turning_away or self._too_many():
             await self._shed()
         elif faults.fail_status is not None:
@@ -201,6 +204,10 @@
         bound = self.target.faults.shed_above
         return bound is not None and self.target.in_flight >= bound
 
+    def _cannot_queue(self) -> bool:
+        bound = self.target.faults.silent_above
+        return bound is not None and self.target.in_flight >= bound
+
     async def _shed(self) -> None:
         self.target.shed += 1
         mark = self.not_run_mark if self.target.faults.shed_marked else b""
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -25,6 +25,8 @@
         cold_factor: How many times longer a request takes while cold.
         slow_factor: How many times longer a request takes.
         shed_above: Requests running or waiting above which it sheds, or None.
+        silent_above: Requests running or waiting above which it answers
+            neither a request nor any later one on that connection, or None.
         shed_marked: Whether a shed answer carries the not-run mark.
         fail_status: Status that every request gets at once, or None.
         frozen: Whether it stands still; what was sent is handled afterwards.
@@ -61,6 +63,7 @@
     cold_factor: float = 10.0
     slow_factor: float = 1.0
     shed_above: int | None = None
+    silent_above: int | None = None
     shed_marked: bool = True
     fail_status: int | None = None
     frozen: bool = False
