Fuzz streamed bodies beside buffered ones, and test probes of restarts

Change: the fuzzed streams of callers get the same answers whether bodies are read before or streamed; a hanging probe of an earlier process doesn't delay the new one's.

--- a/agatetack/callers/test_fuzz.py
+++ b/agatetack/callers/test_fuzz.py
@@ -1,11 +1,14 @@
 """Check that any bytes from a caller lead to valid answers only."""
 
+import re
+
 import hypothesis
 import trio
 import trio.testing
 from hypothesis import strategies
 
 from agatetack.callers.connection import CallerConnection
+from agatetack.callers.streamed_body import KeptBodies
 from agatetack.callers.test_connection import SETTINGS, Echo, statuses
 from agatetack.metrics import Metrics
 
@@ -38,14 +41,23 @@
         b"\0",
     ]
 )
+STREAMING = SETTINGS.copy_with({"stream_body_bytes": 1})
+
+
+def without_ids(answers):
+    """Return answers without the ids that the host made for requests."""
+    return re.sub(rb'(x-request-id: |"request_id":")[^"\r]*', b"", answers)
+
+
 STREAMS = strategies.lists(PIECES | strategies.binary(max_size=20), max_size=14)
 
 
-async def feed(parts):
+async def feed(parts, settings=SETTINGS):
     """Return what the caller gets for `parts`, sent one after the other."""
     caller, ours = trio.testing.memory_stream_pair()
+    kept = KeptBodies(settings, Metrics())
     connection = CallerConnection(
-        ours, "127.0.0.1", SETTINGS, Echo(), Metrics()
+        ours, "127.0.0.1", settings, Echo(), Metrics(), kept
     )
     received = b""
     async with trio.open_nursery() as nursery:
@@ -60,6 +72,8 @@
         with trio.fail_after(5):
             while part := await caller.receive_some():
                 received += part
+    # Whatever came, no memory for bodies is left in use.
+    assert kept.used == 0
     return received
 
 
@@ -72,3 +86,14 @@
     if not received:
         # Only a request that was never complete gets no answer.
         assert b"\r\n\r\n" not in b"".join(parts).lstrip(b"\r\n")
+
+
+@FEW
+@hypothesis.given(STREAMS)
+def test_any_bytes_of_streamed_bodies_end_in_the_same_answers(parts):
+    """Guards against bodies that differ by how they are read."""
+    answers = []
+    for settings in (SETTINGS, STREAMING):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        answers.append(trio.run(feed, parts, settings, clock=clock))
+    assert without_ids(answers[0]) == without_ids(answers[1])
--- a/agatetack/measure/test_rounds.py
+++ b/agatetack/measure/test_rounds.py
@@ -13,7 +13,7 @@
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import LoadReport, ReportSource
-from agatetack.testing.targets import listed_target
+from agatetack.testing.targets import listed_target, started_target
 
 RATE = 10.0
 
@@ -331,3 +331,18 @@
     await run_for(rounds, 20.0)
     wanted = 20 * RATE * ratio
     assert 0.7 * wanted <= len(prober.probes) <= 1.3 * wanted
+
+
+async def test_a_probe_that_hangs_does_not_delay_a_restarted_target(
+    autojump_clock,
+):
+    """Guards against a new process that is unknown while the old is probed."""
+    prober = CountingProber(1000.0)
+    rounds = make_rounds("h1", ["h1"], prober, 0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(rounds.run)
+        for born in (1000, 2000):
+            rounds.registry.update([started_target(1, born)])
+            await trio.sleep(1.0)
+        assert prober.at_once == 2
+        nursery.cancel_scope.cancel()
