Pause reading ahead while a body waits for its turn

Cause: the task that waits for a connection's next request asked for more bytes whenever some arrived, so that reading ahead was never paused and a waiting body was read whole into memory, whatever MAX_READ_AHEAD_BYTES.

Change: only a body that is read asks for more. As the end of the stream may then stay unread, a caller that ended its sending side is polled for where that means that it has gone.

--- a/agatetack/attempts/once.py
+++ b/agatetack/attempts/once.py
@@ -111,6 +111,7 @@
             state.tried.add(granted.target.id)
             # From here on a disconnect of the caller must not cancel the
             # attempt: it would be unknown whether the target ran the request.
+            # Only an attempt whose body has not arrived ends with its caller.
             with trio.CancelScope(shield=True):
                 result = await self.single.run(plan, granted)
                 if isinstance(result, Success):
--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -157,16 +157,20 @@
         return now - self.idle_since > limits.keep_alive_seconds
 
     def is_lost(self) -> bool:
-        """Return whether the caller reset the connection while it waits.
+        """Return whether the caller has gone while it waits.
 
-        No task reads from the connection while a request is served, so a
-        reset has to be polled for. A caller that has only closed its sending
-        side still gets its answer.
+        Nothing may be read from the connection while a request is served, so
+        this has to be polled for. A caller that has only closed its sending
+        side still gets its answer unless `end_means_gone`.
         """
         if not self.busy:
             return False
         transport = self._transport()
-        return transport is not None and transport.is_reset()
+        if transport is None:
+            return False
+        if self.settings.end_means_gone and transport.has_ended():
+            return True
+        return transport.is_reset()
 
     def abort(self) -> None:
         """Reset the connection at once and cancel what runs for it.
@@ -220,11 +224,19 @@
             if self.closing and self._is_between_requests():
                 return None
             try:
-                await self._read_more()
+                await self._read_for_next_request()
             except CallerGone:
                 return None
         return self.parser.ready.popleft()
 
+    async def _read_for_next_request(self) -> None:
+        """Read once while no request's body is waited for.
+
+        Raises:
+            CallerGone: The connection is lost.
+        """
+        await self._read_more()
+
     async def _answer_all(self) -> None:
         keep = True
         while keep:
--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -127,13 +127,23 @@
     async def _read_more(self) -> None:
         """Wait until the reading task has received something.
 
+        Raises:
+            CallerGone: The connection is lost.
+        """
+        self.bytes_wanted.set()
+        await self._read_for_next_request()
+
+    async def _read_for_next_request(self) -> None:
+        """Wait until the reading task has received something.
+
+        While reading is paused, the body of an earlier request has to be read
+        first; to ask for bytes here would read all of it into memory.
+
         Raises:
             CallerGone: The connection is lost.
         """
         if not (self.lost or self.ended):
-            input_arrived = self.input_arrived
-            self.bytes_wanted.set()
-            await input_arrived.wait()
+            await self.input_arrived.wait()
         if self.lost:
             raise CallerGone
 
--- a/agatetack/callers/test_streamed_body.py
+++ b/agatetack/callers/test_streamed_body.py
@@ -3,16 +3,28 @@
 import hypothesis
 import pytest
 import trio
+import trio.testing
 from hypothesis import strategies as st
 
 from agatetack.callers.bounded import BodyTooLarge
 from agatetack.callers.parser import RequestBody
+from agatetack.callers.read_ahead import (
+    MAX_READ_AHEAD_BYTES,
+    ReadAheadConnection,
+)
+from agatetack.callers.server import CallerServer
 from agatetack.callers.streamed_body import (
     BodyNotKept,
     KeptBodies,
     StreamedBody,
 )
-from agatetack.messages import CallerGone, read_whole
+from agatetack.messages import (
+    Answer,
+    BytesBody,
+    CallerGone,
+    Handler,
+    read_whole,
+)
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
 
@@ -139,3 +151,77 @@
         assert made.kept.used == 0
 
     trio.run(main)
+
+
+class Waits(Handler):
+    """Reads a request's body once it is allowed to."""
+
+    def __init__(self):
+        self.allowed = trio.Event()
+        self.started = trio.Event()
+        self.cancelled = trio.Event()
+
+    async def handle(self, request):
+        self.started.set()
+        try:
+            await self.allowed.wait()
+        except trio.Cancelled:
+            self.cancelled.set()
+            raise
+        content = (await read_whole(request.body)).content
+        return Answer(200, [], BytesBody(b"%d" % len(content)))
+
+
+async def test_a_body_that_waits_for_its_turn_takes_little_memory(
+    autojump_clock,
+):
+    """Guards against a host that is filled by uploads that wait for slots."""
+    size = 1_000_000
+    settings = default_settings(
+        callers={"stream_body_bytes": 1000, "end_means_gone": True}
+    ).callers
+    kept = KeptBodies(settings, Metrics())
+    handler = Waits()
+    caller, ours = trio.testing.memory_stream_pair()
+    connection = ReadAheadConnection(
+        ours, "127.0.0.1", settings, handler, Metrics(), kept
+    )
+    head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connection.serve)
+        nursery.start_soon(caller.send_all, head + bytes(size))
+        await trio.sleep(1)
+        assert connection.parser.body.unread_bytes > 0
+        assert connection.parser.body.unread_bytes < 2 * MAX_READ_AHEAD_BYTES
+        assert kept.used == 0
+        handler.allowed.set()
+        answer = b""
+        while not answer.endswith(b"%d" % size):
+            answer += await caller.receive_some()
+        assert kept.used == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_caller_that_leaves_while_its_body_waits_is_noticed():
+    """Guards against an upload that gets a slot though nobody waits for it."""
+    # More than is read ahead; the kernel takes the rest.
+    size = 180_000
+    settings = default_settings(
+        callers={
+            "listen": {"ip": "127.0.0.1", "port": 0},
+            "stream_body_bytes": 1000,
+            "end_means_gone": True,
+        }
+    )
+    handler = Waits()
+    server = CallerServer(settings, handler, Metrics())
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(server.run)
+        caller = await trio.open_tcp_stream("127.0.0.1", port)
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+        with trio.fail_after(5):
+            await caller.send_all(head % size + bytes(size))
+            await handler.started.wait()
+            await caller.send_eof()
+            await handler.cancelled.wait()
+        nursery.cancel_scope.cancel()
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -145,6 +145,18 @@
             for _, events in poller.poll(0)
         )
 
+    def has_ended(self) -> bool:
+        """Return whether the other end sends no more, also if some is unread.
+
+        False where the kernel doesn't tell (only Linux does).
+        """
+        if self.sock.fileno() < 0:
+            return False
+        ended = getattr(select, "POLLRDHUP", 0)
+        poller = select.poll()
+        poller.register(self.sock.fileno(), ended)
+        return any(events & ended for _, events in poller.poll(0))
+
     def has_unread(self) -> bool:
         """Return whether received bytes, or the end, have not been read."""
         if self.sock.fileno() < 0:
