Prove how old a host's configuration may be

Cause: with strict revocation a host must not use a configuration from which a key may have been removed, also when it is cut off from the store or from its peers. The check of accounts had no age to go by.

The first reader reads the store once a second, the next ones step in by rank, and all other hosts get the proof as the reply to a call that waits for it. Proofs are dated by when the read or call was sent, on the monotonic clock and on the one that counts suspensions, and end with the generation of the store. Without strict revocation or accounts nothing is sent and no task wakes up.

--- a/agatetack/clock.py
+++ b/agatetack/clock.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import dataclasses
 import math
 import time
 
@@ -40,16 +41,51 @@
 MAX_MESSAGE_DELAY_SECONDS = 0.25
 """Longest time for which a late host collects changes for one message."""
 
+BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""Clock that counts suspensions of the system; only Linux has one."""
+
 log = PartLog("clock")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instant:
+    """A time on the monotonic clock and on the one that counts suspensions.
+
+    The monotonic clock stands still while the system is suspended, so it alone
+    can't tell how old something is.
+
+    Attributes:
+        monotonic: The time on trio's clock.
+        boot: The time since the system was booted, suspensions included.
+    """
+
+    monotonic: Deadline
+    boot: float
+
+    def seconds_until(self, later: "Instant") -> float:
+        """Return the time from this instant to `later`, by the faster clock."""
+        return max(later.monotonic - self.monotonic, later.boot - self.boot)
+
+    def moved(self, seconds: float) -> "Instant":
+        """Return the instant `seconds` later, or earlier if negative."""
+        return Instant(Deadline(self.monotonic + seconds), self.boot + seconds)
+
+
 class Clock(abc.ABC):
-    """The two clocks a host has."""
+    """The clocks a host has."""
 
     def now(self) -> Deadline:
         """Return the monotonic time, in seconds."""
         return Deadline(trio.current_time())
 
+    def boot(self) -> float:
+        """Return the time since boot, in seconds, suspensions included."""
+        return trio.current_time()
+
+    def instant(self) -> Instant:
+        """Return the current time on both clocks."""
+        return Instant(self.now(), self.boot())
+
     @abc.abstractmethod
     def wall(self) -> WallTime:
         """Return the wall time, in seconds since 1970."""
@@ -62,6 +98,10 @@
         """Return the wall time, in seconds since 1970."""
         return WallTime(time.time())
 
+    def boot(self) -> float:
+        """Return the time since boot, in seconds, suspensions included."""
+        return time.clock_gettime(BOOT_CLOCK)
+
 
 class FixedClock(Clock):
     """A wall clock for tests that only changes when it is set."""
--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from agatetack.clock import Clock, Instant, SystemClock
 from agatetack.decisions import DecisionLog, age
 from agatetack.ids import Deadline, LogOffset
 from agatetack.keyed.content import (
@@ -59,6 +60,10 @@
     """Do nothing; the default until the follower reports to peers."""
 
 
+def _keep_no_proof(sent: Instant, position: TopicPosition) -> None:
+    """Do nothing; the default if nobody asks how old the records may be."""
+
+
 class ReadCounters:
     """Metrics of the reads of all topics of one host.
 
@@ -104,6 +109,10 @@
         readers: Decides whether this host reads or relies on other hosts.
         on_advance: Called after the read position has advanced, with this
             follower and its previous position.
+        on_current: Called when a read has shown that there was no record
+            beyond the read position when the read was sent, with that time
+            and position.
+        clock: The clocks that tell when reads were sent.
         reachable: Whether the last call was answered.
         reachable_since: When the store last became reachable again.
         peer_wait_factor: This host's factor on the time that it waits for
@@ -143,6 +152,10 @@
         self.on_advance: Callable[
             [TopicFollower, TopicPosition | None], None
         ] = _report_to_nobody
+        self.on_current: Callable[[Instant, TopicPosition], None] = (
+            _keep_no_proof
+        )
+        self.clock: Clock = SystemClock()
         self.reading = trio.CancelScope()
         self.reachable = False
         self.reachable_since = Deadline(0.0)
@@ -222,7 +235,9 @@
 
     async def _read(self) -> None:
         position = self.content.position
-        if position is None or self.truncated or self.is_outdated:
+        sent = self.clock.instant()
+        whole = position is None or self.truncated or self.is_outdated
+        if whole:
             page = await self.topic.newest(self._deadline(0.0))
             self._answered("all")
             if page.generation < self.generations.newest:
@@ -234,6 +249,8 @@
             if page.generation != position.generation:
                 raise TopicRestored
             self._take(page, whole=False)
+        if whole or not page.records:
+            self.on_current(sent, page.position)
         if not self.reachable:
             log.note(
                 "store-in-touch",
@@ -297,6 +314,20 @@
         self._take(page, whole, sound, carried)
         self.reading.cancel()
 
+    def apply_read(self, page: TopicPage) -> None:
+        """Process records that another read of this host found.
+
+        The current read is cancelled: it should have returned these records.
+        """
+        if self.content.is_behind(page.position) and self._follows(page):
+            self._take(page, whole=False)
+            self.reading.cancel()
+
+    def note_truncated(self) -> None:
+        """Read all keys, as the store no longer keeps the next record."""
+        self.truncated = not self.is_outdated
+        self.reading.cancel()
+
     def _is_known_generation(self, page: TopicPage) -> bool:
         """Return whether `page` is not newer than the known generation."""
         return page.generation <= self.generations.newest
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -9,6 +9,7 @@
 
 import abc
 import dataclasses
+import itertools
 import math
 from collections import defaultdict
 from collections.abc import Sequence
@@ -189,15 +190,36 @@
             self.chosen[topic] = chosen
         return chosen.place
 
-    def _find_place(self, topic: str) -> int | None:
+    def ranked(self, topic: str) -> Sequence[HostId]:
+        """Return the readers of `topic`, the first one first.
+
+        Hosts with the same view of the fleet return the same readers.
+        """
         if self.exchange.is_grouped:
             leaders = self.exchange.first_leaders()
-            return _place(self.own, _best(topic, leaders, READING_LEADERS))
+            return _best(topic, leaders, READING_LEADERS)
+        domains = self._hosts_by_domain()
+        count = math.ceil(MIN_READERS / len(domains))
+        chosen = [
+            _best(topic, domains[each], count) for each in sorted(domains)
+        ]
+        # The first reader of each domain ranks before any second one.
+        turns = itertools.zip_longest(*chosen)
+        return [host for turn in turns for host in turn if host is not None]
+
+    def _hosts_by_domain(self) -> dict[FailureDomain, list[HostId]]:
         domains: dict[FailureDomain, list[HostId]] = defaultdict(list)
         domains[self.domain].append(self.own)
         for peer in self.exchange.known_hosts():
             if not peer.leaving:
                 domains[peer.failure_domain].append(peer.id)
+        return domains
+
+    def _find_place(self, topic: str) -> int | None:
+        if self.exchange.is_grouped:
+            leaders = self.exchange.first_leaders()
+            return _place(self.own, _best(topic, leaders, READING_LEADERS))
+        domains = self._hosts_by_domain()
         readers = math.ceil(MIN_READERS / len(domains))
         near = _place(self.own, _best(topic, domains[self.domain], readers))
         if near is None:
--- a/agatetack/peers/exchange.py
+++ b/agatetack/peers/exchange.py
@@ -28,6 +28,7 @@
     FORWARD = 13
     FORWARD_CANCEL = 14
     LOOK_REQUESTS = 15
+    CONFIGURATION_PROOF = 16
 
 
 class Scope(enum.Enum):
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -17,6 +17,7 @@
 from agatetack.identity.check import AccountCheck
 from agatetack.keyed.follower import ReadCounters, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
+from agatetack.keyed.proofs import ProvenAge
 from agatetack.keyed.reader import FanOutReader, TopicReader
 from agatetack.keyed.seeds import SeedClient, SeedServer
 from agatetack.keyed.sharing import TopicSharing
@@ -111,6 +112,7 @@
         targets: The registered targets.
         members: The registered hosts.
         followers: Readers of the topics that keep these up to date.
+        proofs: Tells how old the document in force may be.
         seed_port: Port on which this host sends starting hosts a copy of what
             it has read; 0 if it doesn't listen.
     """
@@ -169,6 +171,17 @@
             metrics,
             self.generations,
         )
+        self.proofs = ProvenAge(
+            settings,
+            self.followers[0],
+            self.documents.accounts,
+            self.sharing.readers,
+            self.peers,
+            metrics,
+            self.generations,
+            self.clock,
+        )
+        self.documents.watchers.append(self.proofs.update)
         self.client.pools.connection_limit = DocumentConnectionLimit(self)
         self._build_classes()
         self.documents.watchers.append(self._apply_caller_limits)
@@ -191,7 +204,10 @@
 
     def _build_classes(self) -> None:
         self.accounts = AccountCheck(
-            self.settings, self.documents.accounts, self.metrics
+            self.settings,
+            self.documents.accounts,
+            self.metrics,
+            self.proofs,
         )
         once = OnceRunner(
             self.settings,
@@ -218,6 +234,7 @@
         self.settings = settings
         self.lifecycle.settings = settings.lifecycle
         self.fleet_budget.set_limits(settings)
+        self.proofs.update(settings)
         self._apply_caller_limits()
 
     def _apply_caller_limits(self) -> None:
@@ -259,6 +276,7 @@
         """Serve until cancelled; the ports are reported once all listen."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self.proofs.run)
             nursery.start_soon(self.targets.run)
             nursery.start_soon(self.members.register_others)
             nursery.start_soon(self.members.rewrite_lost)
@@ -302,6 +320,7 @@
         """Serve readiness and metrics; return their ports, or 0 if off."""
         status = self.settings.status
         updaters = [follower.show for follower in self.followers]
+        updaters.append(self.proofs.show)
         servers = (
             (status.ready_listen, ReadyHandler(self.settings, self.lifecycle)),
             (
--- a/thrift/keyed.thrift
+++ b/thrift/keyed.thrift
@@ -64,3 +64,25 @@
 struct StartReply {
   1: required list<StartTopic> topics
 }
+
+// Asks for a proof that the store holds no record of a topic that the sender
+// lacks. The reply may wait until the receiver has a newer one.
+struct ProofRequest {
+  1: required string topic
+  2: optional i32 age_ms        // of the sender's own proof; absent: it has none
+  3: optional i64 end           // the next offset that the sender will read
+  4: optional i64 generation    // of the store, when `end` was read
+}
+
+// The newest proof of the sender: when the store was known to hold nothing from
+// an offset on.
+struct ProofReply {
+  1: required string topic
+  2: optional i32 age_ms        // of the proof when the request arrived, less
+                                // than 0 if it is newer than the request;
+                                // absent: the sender has no proof
+  3: optional i64 end           // the offset; who has not read up to it can't
+                                // use the proof
+  4: optional i64 generation    // of the store, when `end` was read
+  5: optional bool behind       // the sender has read less than the receiver
+}
