Ask the first leader of a group first

Cause: half of the members asked the second leader, whose proofs come from the first one. Change: all members ask the first leader, and a host returns to its preferred source after 3 s.

--- a/agatetack/keyed/proofs.py
+++ b/agatetack/keyed/proofs.py
@@ -57,21 +57,21 @@
 LEADER_RATIO = 0.4
 """Age at which a leader that is not one of the readers reads for its group."""
 
-MEMBER_RATIO = 0.48
+MEMBER_RATIO = 0.52
 """Least age at which any other host reads the store."""
 
-SPREAD_RATIO = 0.16
+SPREAD_RATIO = 0.14
 """Range over which hosts of the same kind spread that age. Of a group whose
 leaders fail, few hosts then read before others can ask them."""
 
 FRESH_RATIO = 0.1
 """Age up to which a host doesn't ask for a newer proof."""
 
-HOLD_RATIO = 0.24
+HOLD_RATIO = 0.28
 """How long a call waits for a newer proof than the caller has. It is longer
 than the usual time between two proofs."""
 
-CALL_RATIO = 0.3
+CALL_RATIO = 0.33
 """Timeout of a call. A host that failed unnoticed delays its callers' next
 proof by no more than this, since their last one."""
 
@@ -90,7 +90,7 @@
 ALONE_SECONDS = 0.5
 """Interval at which a host without any link checks for one."""
 
-PREFER_SECONDS = 10.0
+PREFER_SECONDS = 3.0
 """Time after which a host that has changed its source of proofs returns to the
 one that all hosts like it prefer."""
 
@@ -488,8 +488,9 @@
         elif self.exchange.is_leader:
             preferred = [*self.exchange.group_hosts()[:1], *ranked]
         else:
-            group = [h for h in self.exchange.group_hosts() if h in live]
-            preferred = [*self._rotated(group[:2]), *group[2:]]
+            # Its leaders come first. The second one has its proofs from the
+            # first one, so they are older by the way between them.
+            preferred = self.exchange.group_hosts()
         others = self._rotated(sorted(live))
         known = dict.fromkeys([*preferred, *others])
         return [host for host in known if host in live and host != self.own]
--- a/agatetack/testing/proof_fleet.py
+++ b/agatetack/testing/proof_fleet.py
@@ -20,11 +20,10 @@
 from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.proofs import ProvenAge
 from agatetack.keyed.sharing import TopicSharing
-from agatetack.keyed.topic import TopicPage, TopicUnavailable
+from agatetack.keyed.topic import KeyedRecord, TopicPage, TopicUnavailable
 from agatetack.messages import Header
 from agatetack.metrics import Metrics
 from agatetack.outcomes import RefusalReason
-from agatetack.peers.exchange import Topic
 from agatetack.platform.configuration import (
     CONFIGURATION_KEY,
     ConfigurationDecoder,
@@ -70,10 +69,9 @@
 
 
 class ProofTopic(MemoryTopic):
-    """A topic that tells reads for a proof from those that wait.
+    """A topic whose calls may take time.
 
     Attributes:
-        proof_reads: When each read without a wait began.
         delay_seconds: How long each call takes before the store has it.
         reply_delay_seconds: How long each reply takes.
     """
@@ -81,14 +79,11 @@
     def __init__(self, store, generations):
         """Reach `store`."""
         super().__init__(store, generations)
-        self.proof_reads = []
         self.delay_seconds = 0.0
         self.reply_delay_seconds = 0.0
 
     async def read(self, first, wait_until, deadline):
         """Return the records from `first` on."""
-        if wait_until <= trio.current_time():
-            self.proof_reads.append(trio.current_time())
         with trio.move_on_at(deadline):
             await trio.sleep(self.delay_seconds)
             page = await super().read(first, wait_until, deadline)
@@ -97,6 +92,22 @@
         raise TopicUnavailable("no answer in time")
 
 
+class Times:
+    """Takes the place of a counter and keeps the time of each step.
+
+    Attributes:
+        at: The times.
+    """
+
+    def __init__(self):
+        """Start without any."""
+        self.at = []
+
+    def inc(self, labels):
+        """Keep the current time."""
+        self.at.append(trio.current_time())
+
+
 class ProofHost:
     """One host that follows the configuration and checks requests.
 
@@ -105,15 +116,14 @@
         documents: What it has in force.
         proofs: The age of it.
         check: Checks its requests.
-        calls: When it called another host for a proof.
+        reads: When its reads for a proof ended.
+        calls: When its calls for a proof ended.
     """
 
     def __init__(self, fleet, host, settings):
         """Build a host of `fleet`."""
         self.id = host
         self.exchange = fleet.net.join(host)
-        self.calls = []
-        self._count_calls()
         settings = settings.copy_with(
             {
                 "host": settings.host.copy_with(
@@ -160,21 +170,13 @@
             self.generations,
             self.clock,
         )
+        self.reads = self.proofs.reads = Times()
+        self.calls = self.proofs.calls = Times()
         self.documents.watchers.append(self.proofs.update)
         self.check = AccountCheck(
             settings, self.documents.accounts, self.metrics, self.proofs
         )
 
-    def _count_calls(self):
-        call = self.exchange.call
-
-        async def counted(peer, topic, payload, deadline):
-            if topic is Topic.CONFIGURATION_PROOF:
-                self.calls.append(trio.current_time())
-            return await call(peer, topic, payload, deadline)
-
-        self.exchange.call = counted
-
     def start(self, nursery):
         """Run in `nursery`."""
         nursery.start_soon(self.follower.run)
@@ -293,18 +295,9 @@
             for host in watched:
                 oldest[host.id] = max(oldest[host.id], host.age())
             await trio.sleep(0.05)
-        reads = [
-            at
-            for host in self.hosts.values()
-            for at in host.topic.proof_reads
-            if at >= begin
-        ]
-        calls = [
-            at
-            for host in self.hosts.values()
-            for at in host.calls
-            if at >= begin
-        ]
+        hosts = self.hosts.values()
+        reads = [at for h in hosts for at in h.reads.at if at >= begin]
+        calls = [at for h in hosts for at in h.calls.at if at >= begin]
         slots = [int(at * 10) for at in reads]
         return Watch(
             oldest,
@@ -316,8 +309,6 @@
 
 
 def _keyed(stored):
-    from agatetack.keyed.topic import KeyedRecord
-
     return KeyedRecord(stored.key, stored.value, LogOffset(stored.offset))
 
 
