Test the age of the configuration, and bound the age at which readers read

Cause: the last of twelve readers would read only 5.4 s after the newest proof, later than hosts that are no readers, so that a fleet whose calls hang refused requests; a refused reader read once a second although others had proofs; a host without working sources took 1.6 s for each peer that it tried.

Change: a reader reads no later than any other host, pauses longer after failed reads while there are proofs, and calls of hosts with an old proof are held for 0.2 s only. The stand-in of the exchange no longer fails with a KeyError when a peer leaves during a call.

--- a/agatetack/keyed/proofs.py
+++ b/agatetack/keyed/proofs.py
@@ -71,6 +71,13 @@
 """How long a call waits for a newer proof than the caller has. It is longer
 than the usual time between two proofs."""
 
+OLD_RATIO = 0.4
+"""Age of a caller's proof above which its call is held only briefly. The usual
+sources have failed then, and the caller has to find a host that has a proof."""
+
+BRIEF_HOLD_RATIO = 0.04
+"""How long such a call is held."""
+
 CALL_RATIO = 0.33
 """Timeout of a call. A host that failed unnoticed delays its callers' next
 proof by no more than this, since their last one."""
@@ -104,7 +111,8 @@
 
 MAX_BACKOFF_DOUBLINGS = 3
 """Maximum number of doublings of the pause after a failed read. Readers don't
-double it: the others rely on them to notice that the store is back."""
+double it while there is no recent proof: the others rely on them to notice that
+the store is back."""
 
 MIN_SLEEP_SECONDS = 0.001
 """Shortest sleep. A wait below the resolution of the clock would not end."""
@@ -370,11 +378,13 @@
 
     def _read_age(self) -> float:
         """Return the age of the newest proof at which this host reads."""
+        ratio = LEADER_RATIO if self.exchange.is_leader else MEMBER_RATIO
+        ratio += self.spread * SPREAD_RATIO
         rank = self._rank()
         if rank is not None:
-            return self._seconds(READ_RATIO + rank * RANK_RATIO)
-        ratio = LEADER_RATIO if self.exchange.is_leader else MEMBER_RATIO
-        return self._seconds(ratio + self.spread * SPREAD_RATIO)
+            # The last readers rank so low that they would read too late.
+            ratio = min(ratio, READ_RATIO + rank * RANK_RATIO)
+        return self._seconds(ratio)
 
     def _rank(self) -> int | None:
         """Return this host's rank among the readers, or None."""
@@ -394,9 +404,10 @@
         )
 
     def _read_pause(self, failures: int) -> float:
-        doublings = 0
-        if self._rank() is None:
-            doublings = min(failures - 1, MAX_BACKOFF_DOUBLINGS)
+        doublings = min(failures - 1, MAX_BACKOFF_DOUBLINGS)
+        served = self.age_seconds() < self._seconds(USABLE_AGE_RATIO)
+        if self._rank() is not None and not served:
+            doublings = 0
         pause = self._seconds(READ_RATIO) * 2**doublings
         return pause * self.random.uniform(0.75, 1.25)
 
@@ -562,7 +573,7 @@
         if request.topic != self.follower.name:
             return None
         self._note_generation(request.generation, sender)
-        deadline = arrived.monotonic + self._seconds(HOLD_RATIO)
+        deadline = arrived.monotonic + self._hold_seconds(request)
         while self.active and not self._satisfies(request, arrived):
             with trio.move_on_at(deadline) as scope:
                 await self.updated.wait()
@@ -570,6 +581,13 @@
                 break
         return encode(self._reply(request, arrived))
 
+    def _hold_seconds(self, request: wire.ProofRequest) -> float:
+        """Return how long a call may wait here for a newer proof."""
+        old = request.age_ms is None or request.age_ms / 1000 > self._seconds(
+            OLD_RATIO
+        )
+        return self._seconds(BRIEF_HOLD_RATIO if old else HOLD_RATIO)
+
     def _satisfies(self, request: wire.ProofRequest, arrived: Instant) -> bool:
         """Return whether this host has a newer proof than the caller."""
         proof = self.usable()
--- a/agatetack/test_store_gateway.py
+++ b/agatetack/test_store_gateway.py
@@ -302,3 +302,37 @@
                 await pool.open(target, deadline)
         assert pool.open_count == most
         assert before <= most
+
+
+# Guards against a host that never asks for proofs, or asks without need, as
+# they are wired to the document and the settings.
+async def test_the_age_of_the_configuration_is_proven_where_it_matters():
+    strict = {"strict_revocation": True, "revocation_seconds": 1.0}
+    async with store_fleet(gateways=2, change={"identity": strict}) as fleet:
+        proofs = [gateway.proofs for gateway in fleet.gateways]
+        assert not any(each.active for each in proofs)
+        tenants = [{"name": "a", "api_keys": ["key-1"]}]
+        content = configuration(2, route_fields(), tenants=tenants)
+        fleet.store.append(CONFIGURATION, "config", content)
+        await fleet.until(
+            lambda: all(
+                each.active and each.age_seconds() < 0.5 for each in proofs
+            )
+        )
+        assert all(
+            gateway.accounts.age is gateway.proofs for gateway in fleet.gateways
+        )
+        fleet.store.set_fault(StoreFault.REFUSED)
+        await fleet.until(
+            lambda: all(each.age_seconds() > 0.8 for each in proofs)
+        )
+        await fleet.until(lambda: all(each.lost for each in proofs))
+        fleet.store.set_fault(None)
+        await fleet.until(
+            lambda: all(each.age_seconds() < 0.5 for each in proofs)
+        )
+        settings = fleet.gateways[0].settings
+        lax = settings.identity.copy_with({"strict_revocation": False})
+        fleet.gateways[0].reconfigure(settings.copy_with({"identity": lax}))
+        assert not proofs[0].active
+        assert proofs[1].active
--- a/agatetack/test_thrift_codec.py
+++ b/agatetack/test_thrift_codec.py
@@ -21,6 +21,8 @@
     keyed.StartRequest("h1", b"{}", True),
     keyed.StartTopic("documents", RECORDS),
     keyed.StartReply([keyed.StartTopic("documents", RECORDS)]),
+    keyed.ProofRequest("documents", 900, 8, 1),
+    keyed.ProofReply("documents", -20, 8, 1, True),
     measure.LoadSample(1, 2),
     measure.LoadSamples([measure.LoadSample(1, 2)]),
     measure.TargetSign("t1", 1),
--- a/agatetack/testing/grouped_exchange.py
+++ b/agatetack/testing/grouped_exchange.py
@@ -47,8 +47,10 @@
 
     def linked(self, sender: HostId, receiver: HostId) -> bool:
         """Return whether messages arrive from one host at another."""
-        return receiver in self.links[sender] and super().linked(
-            sender, receiver
+        return (
+            sender in self.hosts
+            and receiver in self.links[sender]
+            and super().linked(sender, receiver)
         )
 
     def lost_hosts(self) -> Sequence[HostId]:
--- a/agatetack/testing/memory_exchange.py
+++ b/agatetack/testing/memory_exchange.py
@@ -111,11 +111,12 @@
             await trio.sleep(self.mesh.delay_seconds)
             if not self.mesh.linked(self.host, peer):
                 await trio.sleep_forever()
-            handler = self.mesh.hosts[peer].servers[topic]
-            reply = await handler(self.host, payload)
+            # The peer may leave before it has replied.
+            other = self.mesh.hosts[peer]
+            reply = await other.servers[topic](self.host, payload)
             if reply is None:
                 raise PeerUnreachable(f"{peer} has no reply")
-            await self.mesh.hosts[peer].send_reply(len(reply))
+            await other.send_reply(len(reply))
             if not self.mesh.linked(peer, self.host):
                 await trio.sleep_forever()
             await trio.sleep(self.mesh.delay_seconds)
