--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -43,10 +44,14 @@
 from agatetack.targets.pool import ConnectionLimit, SettingsConnectionLimit
 from agatetack.targets.state import TargetState
 
+if TYPE_CHECKING:
+    from agatetack.keyed.proofs import ProvenAge
+
 # Loaded for a document that has client accounts, or routes of these classes.
 account_check = LateModule("agatetack.identity.check")
 host_claims = LateModule("agatetack.claims.host_claims")
 once = LateModule("agatetack.attempts.once")
+proofs = LateModule("agatetack.keyed.proofs")
 resume = LateModule("agatetack.download.resume")
 shared_quotas = LateModule("agatetack.quotas.shared")
 
@@ -117,6 +122,8 @@
         members: The registered hosts.
         followers: Readers of the topics that keep these up to date.
         nursery: Runs the host's tasks; None before it runs.
+        proofs: Tells how old the document in force may be; None without client
+            accounts.
         seed_port: Port on which this host sends starting hosts a copy of what
             it has read; 0 if it doesn't listen.
     """
@@ -175,6 +182,7 @@
             metrics,
             self.generations,
         )
+        self.proofs: ProvenAge | None = None
         self.client.pools.connection_limit = DocumentConnectionLimit(self)
         self.nursery: trio.Nursery | None = None
         self._build_classes()
@@ -228,8 +236,23 @@
 
         A host without accounts doesn't load their modules.
         """
+        self.proofs = proofs.ProvenAge(
+            self.settings,
+            self.followers[0],
+            self.documents.accounts,
+            self.sharing.readers,
+            self.peers,
+            self.metrics,
+            self.generations,
+            self.clock,
+        )
+        self.proofs.update()
+        self.documents.watchers.append(self.proofs.update)
         self.accounts = account_check.AccountCheck(
-            self.settings, self.documents.accounts, self.metrics
+            self.settings,
+            self.documents.accounts,
+            self.metrics,
+            self.proofs,
         )
         self.dispatcher.accounts = self.accounts
         self.quotas = shared_quotas.SharedQuotas(
@@ -243,7 +266,11 @@
         self.documents.watchers.append(self.quotas.apply)
         self.dispatcher.quotas = self.quotas
         if self.nursery is not None:
-            self.nursery.start_soon(self.quotas.run)
+            self._start_account_parts(self.nursery)
+
+    def _start_account_parts(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self.quotas.run)
+        nursery.start_soon(self.proofs.run)
 
     def _build_once_runner(self) -> None:
         runner = once.OnceRunner(
@@ -265,6 +292,8 @@
         self.settings = settings
         self.lifecycle.settings = settings.lifecycle
         self.fleet_budget.set_limits(settings)
+        if self.proofs is not None:
+            self.proofs.update(settings)
         self._apply_caller_limits()
 
     def _apply_caller_limits(self) -> None:
@@ -307,8 +336,8 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self.sharing.run)
-            if self.quotas is not None:
-                nursery.start_soon(self.quotas.run)
+            if self.accounts is not None:
+                self._start_account_parts(nursery)
             nursery.start_soon(self.targets.run)
             nursery.start_soon(self.members.register_others)
             nursery.start_soon(self.members.rewrite_lost)
@@ -352,6 +381,7 @@
         """Serve readiness and metrics; return their ports, or 0 if off."""
         status = self.settings.status
         updaters = [follower.show for follower in self.followers]
+        updaters.append(self._show_proof_age)
         servers = (
             (status.ready_listen, ReadyHandler(self.settings, self.lifecycle)),
             (
@@ -370,6 +400,10 @@
             ports.append(port)
         return ports[0], ports[1]
 
+    def _show_proof_age(self) -> None:
+        if self.proofs is not None:
+            self.proofs.show()
+
     async def aclose(self) -> None:
         """Close the connections to the store."""
         await self.store.aclose()
