--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import trio
 from returns.result import Failure, Result, Success
@@ -15,9 +16,6 @@
     Priority,
 )
 from agatetack.admission.limits import TargetLimits
-from agatetack.admission.overload import OverloadControl, SlotShares
-from agatetack.admission.overload_gate import OverloadGate, OverloadMetrics
-from agatetack.admission.pressure import PressureMeter
 from agatetack.admission.queue import Waiter
 from agatetack.admission.rates import RouteRates
 from agatetack.admission.service_queue import ServiceQueue
@@ -25,6 +23,7 @@
 from agatetack.balance.target_share import TargetShare, UnlimitedShare
 from agatetack.config.route import Route
 from agatetack.ids import Deadline, ServiceId
+from agatetack.late import LateModule
 from agatetack.messages import CallerRequest
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
@@ -32,6 +31,15 @@
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
 
+if TYPE_CHECKING:
+    from agatetack.admission.overload import OverloadControl
+    from agatetack.admission.overload_gate import OverloadGate, OverloadMetrics
+
+# Loaded for the first request of a client account.
+overload = LateModule("agatetack.admission.overload")
+overload_gate = LateModule("agatetack.admission.overload_gate")
+pressure = LateModule("agatetack.admission.pressure")
+
 LATENCY_WEIGHT = 0.1
 """Weight of one answer in the moving average of a target's latency."""
 
@@ -107,7 +115,7 @@
         metrics: Metrics,
         fleet_size: Callable[[], int] = lambda: 1,
         share: TargetShare | None = None,
-        make_control: Callable[[], OverloadControl] = SlotShares,
+        make_control: "Callable[[], OverloadControl] | None" = None,
     ):
         """Watch the registry, to serve waiting requests when it changes.
 
@@ -121,7 +129,8 @@
             share: Limits what this host may send to each target; unlimited if
                 None.
             make_control: Returns what decides which requests of client
-                accounts are refused while a service is overloaded.
+                accounts are refused while a service is overloaded; shares of
+                the slots if None.
         """
         self.make_control = make_control
         self.share = share or UnlimitedShare()
@@ -140,7 +149,7 @@
             "agatetack_queue_waits_total",
             "Requests that waited for a target, by service and result.",
         )
-        self.overload_metrics = OverloadMetrics(metrics)
+        self.overload_metrics: OverloadMetrics | None = None
         registry.watchers.append(self._targets_changed)
 
     async def acquire(self, wanted: PermitRequest) -> Result[Permit, Refusal]:
@@ -179,7 +188,7 @@
     ) -> bool:
         """Return whether the request's service is overloaded."""
         now = Deadline(trio.current_time())
-        return self._service_queue(route.service).overload.stops_second_attempt(
+        return self._service_queue(route.service).stops_second_attempt(
             request.account is not None, now
         )
 
@@ -304,16 +313,22 @@
                 self.registry,
                 self.policy,
                 self.share,
-                OverloadGate(
-                    service,
-                    PressureMeter(self.policy.has_free_slot),
-                    self.make_control(),
-                    self.overload_metrics,
-                ),
+                self._make_overload_gate,
             )
             self.service_queues[service] = queue
         return queue
 
+    def _make_overload_gate(self, service: ServiceId) -> "OverloadGate":
+        if self.overload_metrics is None:
+            self.overload_metrics = overload_gate.OverloadMetrics(self.metrics)
+        make_control = self.make_control or overload.SlotShares
+        return overload_gate.OverloadGate(
+            service,
+            pressure.PressureMeter(self.policy.has_free_slot),
+            make_control(),
+            self.overload_metrics,
+        )
+
     def _permit(
         self, target: TargetState, now: Deadline, already_counted: bool = False
     ) -> ServicePermit:
--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -1,10 +1,10 @@
 """Admit, queue or refuse the requests of one service."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 from agatetack.admission.controller import PermitRequest, Priority
-from agatetack.admission.overload_gate import OverloadGate
 from agatetack.admission.queue import FairQueue, Order, Waiter, new_queues
 from agatetack.admission.ranks import RankOrder
 from agatetack.balance.known_load import (
@@ -20,6 +20,9 @@
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState, TargetStatus
 
+if TYPE_CHECKING:
+    from agatetack.admission.overload_gate import OverloadGate
+
 LATENCY_WEIGHT = 0.05
 """Weight of one answer in the service's moving average of the latency."""
 
@@ -71,7 +74,7 @@
         registry: TargetRegistry,
         policy: Policy,
         share: TargetShare,
-        overload: OverloadGate,
+        make_overload_gate: "Callable[[ServiceId], OverloadGate]",
     ):
         """Start with empty queues.
 
@@ -81,14 +84,17 @@
             registry: The targets.
             policy: How a target is chosen.
             share: Limits what this host may send to each target.
-            overload: Refuses requests of accounts while it is overloaded.
+            make_overload_gate: Returns what refuses requests of accounts while
+                the service is overloaded. It is called for the first such
+                request.
         """
         self.service = service
         self.settings = settings
         self.registry = registry
         self.policy = policy
         self.share = share
-        self.overload = overload
+        self.make_overload_gate = make_overload_gate
+        self.overload: OverloadGate | None = None
         self.queues = new_queues()
         self.mean_latency: float | None = None
         self.mean_interval: float | None = None
@@ -108,7 +114,10 @@
             self.last_normal_at = now
         if wanted.wait and not wanted.avoid:
             self.ranks.note_arrival(wanted, now)
-            self.overload.note_arrival(wanted, now)
+            if wanted.request.account is not None:
+                if self.overload is None:
+                    self.overload = self.make_overload_gate(self.service)
+                self.overload.note_arrival(wanted, now)
         if now >= wanted.deadline:
             return self._refuse_late(now, "The deadline has passed.")
         if not self._usable_targets(wanted.route):
@@ -123,15 +132,16 @@
         self, wanted: PermitRequest, now: Deadline
     ) -> Refusal | None:
         """Return a refusal if the request may not wait; may evict a waiter."""
-        refusal = self.overload.check(
-            wanted,
-            self._usable_targets(wanted.route),
-            self._waits(now),
-            now,
-            self.settings.admission.retry_after_seconds,
-        )
-        if refusal is not None:
-            return refusal
+        if self.overload is not None:
+            refusal = self.overload.check(
+                wanted,
+                self._usable_targets(wanted.route),
+                self._waits(now),
+                now,
+                self.settings.admission.retry_after_seconds,
+            )
+            if refusal is not None:
+                return refusal
         queue = self.queues[wanted.priority]
         route = wanted.route
         newest_first = self._order(now) is Order.NEWEST_FIRST
@@ -332,9 +342,17 @@
         served: bool,
     ) -> None:
         """Count how long a request waited, and whether it got a target."""
+        if self.overload is None:
+            return
         longest = self._longest_wait(wanted)
         self.overload.note_wait(wanted, now - since, longest, now, served)
 
+    def stops_second_attempt(self, has_account: bool, now: Deadline) -> bool:
+        """Return whether an overload forbids a second attempt; count it."""
+        if self.overload is None:
+            return False
+        return self.overload.stops_second_attempt(has_account, now)
+
     def note_latency(self, latency: float) -> None:
         """Update the moving average of the time to an answer."""
         if self.mean_latency is None:
--- a/agatetack/admission/test_overload_gate.py
+++ b/agatetack/admission/test_overload_gate.py
@@ -151,4 +151,7 @@
         harness.admission._service_queue(service)
         for service in (SERVICE, "other")
     ]
-    assert queues[0].overload.control is not queues[1].overload.control
+    assert all(queue.overload is None for queue in queues)
+    gates = [queue.make_overload_gate(queue.service) for queue in queues]
+    assert gates[0].service != gates[1].service
+    assert gates[0].control is not gates[1].control
