--- a/agatetack/quotas/test_failures.py
+++ b/agatetack/quotas/test_failures.py
@@ -258,3 +258,14 @@
     found = figures(fleet, "acme", 3.0)
     assert found.peak <= found.bound
     assert found.admitted >= 0.98 * found.asked
+
+
+# Guards against a host that loses contact in the moment in which demand rises,
+# and admits what it is asked for until it notices.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_host_cut_off_as_demand_rises_keeps_the_bound(seed):
+    play = Play(3, 20.0, 1.0, seed)
+    play.cut(play.some, 8.0, 14.0)
+    play.fleet.run(END_SECONDS)
+    found = figures(play.fleet, "hot")
+    assert found.peak <= found.bound
