Remove an unused limiter and a second ranking of leaders

Cause: a read of the whole change. UnlimitedQuotas is used nowhere, as hosts without accounts have no limiter; FleetReaders chose the first leaders in two places. Change: the class goes, and the place of a reader is looked up in ranked(). Behaviour stays as it is.

--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -246,8 +246,7 @@
 
     def _find_place(self, topic: str) -> int | None:
         if self.exchange.is_grouped:
-            leaders = self.exchange.first_leaders()
-            return _place(self.own, _best(topic, leaders, READING_LEADERS))
+            return _place(self.own, self.ranked(topic))
         domains = self._hosts_by_domain()
         readers = math.ceil(MIN_READERS / len(domains))
         near = _place(self.own, _best(topic, domains[self.domain], readers))
--- a/agatetack/quotas/limiter.py
+++ b/agatetack/quotas/limiter.py
@@ -31,16 +31,3 @@
     @abc.abstractmethod
     def refund(self, account: "ClientAccount") -> None:
         """Give back the credit of an admitted request that did not run."""
-
-
-class UnlimitedQuotas(QuotaLimiter):
-    """Admits all requests, for hosts whose configuration has no accounts."""
-
-    def admit(
-        self, account: "ClientAccount", returning: bool = False
-    ) -> Deadline | None:
-        """Return None."""
-        return None
-
-    def refund(self, account: "ClientAccount") -> None:
-        """Do nothing."""
