Count a target's cancelled request before it leaves those in flight

Cause: the stand-in takes a cancelled request out of its count in flight one step of the event loop before it counts it as cancelled; a test that looks between the two sees neither. It is a fault of the stand-in, not of hosts.

Change: the request is counted as cancelled first. The new scene looks at every step of the event loop and failed each time before (0 == 1).

Measured: test_fake_target.py and test_gateway.py pass.

--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -101,12 +101,18 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._answer_all, nursery.cancel_scope)
                     await self._read_all()
+                    self._count_cancelled()
                     nursery.cancel_scope.cancel()
         finally:
-            if self.busy:
-                self.target.cancelled += 1
+            self._count_cancelled()
             await trio.aclose_forcefully(self.stream)
 
+    def _count_cancelled(self) -> None:
+        """Count a request whose connection ends before its answer, once."""
+        if self.busy:
+            self.busy = False
+            self.target.cancelled += 1
+
     def reset(self) -> None:
         """Close it with a reset, whatever it does."""
         self.stream.setsockopt(
--- a/agatetack/testing/test_fake_target.py
+++ b/agatetack/testing/test_fake_target.py
@@ -204,6 +204,18 @@
     assert len(target.executed) == 3
 
 
+# Guards against a cancelled request that for a moment counts neither as in
+# flight nor as cancelled.
+async def counts_cancelled_at_once(target, old) -> None:
+    await old.send_all(b"GET /a?service_ms=60000 HTTP/1.1\r\nhost: t\r\n\r\n")
+    while not target.in_flight:
+        await trio.sleep(0.001)
+    await old.aclose()
+    while target.in_flight:
+        await trio.lowlevel.checkpoint()
+    assert target.cancelled == 1
+
+
 async def queues_past_its_slots(target, old) -> None:
     async with trio.open_nursery() as nursery:
         for _ in range(2):
@@ -224,6 +236,7 @@
     crashes_and_restarts,
     refuses_connects,
     frees_slots_of_cancelled,
+    counts_cancelled_at_once,
     queues_past_its_slots,
 )
 
