Log who ends a caller's connection in a drain, and what was not delivered

Change: connection-end lines for connections that end while the host stops (cause, last request, bytes written, bytes not acknowledged by SIOCOUTQ), a drain line at its begin, the process's age in the stop line. No logic of the drain is changed.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -1,6 +1,7 @@
 """Serve one caller's connection from accept to close."""
 
 import contextlib
+import enum
 from collections.abc import Collection
 
 import trio
@@ -20,6 +21,7 @@
 from agatetack.callers.problem import refusal_answer
 from agatetack.callers.streamed_body import KeptBodies, StreamedBody
 from agatetack.callers.writer import CONTINUE, AnswerWriter, abort
+from agatetack.decisions import DecisionLog
 from agatetack.headers import strip_hop_by_hop
 from agatetack.ids import Deadline, RequestId
 from agatetack.messages import (
@@ -53,6 +55,19 @@
 """The id of a request whose header could not be read."""
 
 
+log = DecisionLog("callers")
+
+
+class ConnectionEnd(enum.Enum):
+    """What ended a caller's connection."""
+
+    CALLER = "caller"
+    IDLE = "idle"
+    ANSWERED = "answered"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+
+
 class CallerConnection:
     """One caller's connection, served by one task.
 
@@ -63,6 +78,8 @@
         busy: Whether a request has started and is not yet answered.
         closing: Whether the connection ends after the current request.
         answered: Whether the last request's answer was written completely.
+        end: What ended the connection, or None.
+        last_request: The id of the last request whose header was read.
     """
 
     def __init__(
@@ -97,6 +114,8 @@
         self.closing = False
         self.ended = False
         self.answered = False
+        self.end: ConnectionEnd | None = None
+        self.last_request = UNPARSED_ID
         self.idle_since = Deadline(trio.current_time())
         self.last_byte_at = self.idle_since
         self.reading = False
@@ -111,8 +130,15 @@
         try:
             with self.scope:
                 await self._serve_requests()
+                self._note_end(
+                    ConnectionEnd.CALLER
+                    if self.ended
+                    else ConnectionEnd.ANSWERED
+                )
                 await self._linger()
         finally:
+            self._note_end(ConnectionEnd.CANCELLED)
+            self._log_end()
             with trio.move_on_after(1) as scope:
                 scope.shield = True
                 await self.stream.aclose()
@@ -120,6 +146,26 @@
     async def _serve_requests(self) -> None:
         await self._answer_all()
 
+    def _note_end(self, end: ConnectionEnd) -> None:
+        """Record what ended the connection; the first cause is kept."""
+        self.end = self.end or end
+
+    def _log_end(self) -> None:
+        """Log the connection's end if it ends with the host."""
+        if not self.closing:
+            return
+        transport = self._transport()
+        log.note(
+            "connection-end",
+            cause=self.end.value,
+            request=self.last_request,
+            unanswered=self.busy,
+            written_bytes=self.writer.written_bytes,
+            unacknowledged_bytes=(
+                0 if transport is None else transport.unacknowledged_bytes()
+            ),
+        )
+
     def close_gracefully(self) -> None:
         """Close the connection now if idle, else after the current request.
 
@@ -127,6 +173,7 @@
         """
         self.closing = True
         if not self.busy and self._is_between_requests():
+            self._note_end(ConnectionEnd.IDLE)
             self.scope.cancel()
 
     def _is_between_requests(self) -> bool:
@@ -178,6 +225,7 @@
         A target's attempt that is shielded from the cancellation ends as well
         if it waits for the request's body.
         """
+        self._note_end(ConnectionEnd.RESET)
         abort(self.stream)
         self.parser.end()
         self.body_read_scope.cancel()
@@ -282,9 +330,11 @@
             return await self._write(parsed, answer)
         except AnswerCut:
             # The reset signals to the caller that the answer is incomplete.
+            self._note_end(ConnectionEnd.RESET)
             abort(self.stream)
             return False
         except (CallerGone, trio.BrokenResourceError):
+            self._note_end(ConnectionEnd.CALLER)
             self.metrics.refused(None, RefusalReason.CALLER_GONE)
             abort(self.stream)
             return False
@@ -314,6 +364,7 @@
         if isinstance(metadata, Failure):
             return metadata.failure()
         found = metadata.unwrap()
+        self.last_request = found.request_id
         length = parsed.body.length
         if length is not None and length > self.settings.max_body_bytes:
             return body_too_large_refusal(self.settings.max_body_bytes)
--- a/agatetack/callers/writer.py
+++ b/agatetack/callers/writer.py
@@ -60,11 +60,14 @@
         sending_since: When the current send began, or None.
             `reap_connections` resets the connection when that is too long
             ago; a timeout around each send would cost more than the send.
+        written_bytes: Bytes of the last answer that were written, with its
+            header.
     """
 
     def __init__(self, stream: trio.abc.Stream):
         """Write to `stream`."""
         self.stream = stream
+        self.written_bytes = 0
         self.sending_since: Deadline | None = None
 
     async def send(self, data: bytes) -> None:
@@ -76,6 +79,7 @@
         self.sending_since = Deadline(trio.current_time())
         await self.stream.send_all(data)
         self.sending_since = None
+        self.written_bytes += len(data)
 
     async def write(
         self, answer: Answer, method: bytes, version: str, close: bool
@@ -92,6 +96,7 @@
             AnswerCut: The body was cut off; the connection must be aborted.
             trio.BrokenResourceError: The caller is gone.
         """
+        self.written_bytes = 0
         if method == b"HEAD" or answer.status in BODYLESS_STATUSES:
             await self._write_without_body(answer, method, close)
             return not close
--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -10,6 +10,7 @@
 import trio
 
 from agatetack.clock import Clock
+from agatetack.decisions import DecisionLog
 from agatetack.ids import Deadline
 from agatetack.lifecycle.in_flight import InFlight, InFlightRequests
 from agatetack.lifecycle.phase import Phase
@@ -32,6 +33,8 @@
 
 LOG = PartLog("lifecycle")
 
+decisions = DecisionLog("lifecycle")
+
 Hook = Callable[[], None]
 """Called once at its step of the drain; must not block or raise."""
 
@@ -167,6 +170,12 @@
         self.drain_until = Deadline(now + self.settings.drain_seconds)
         notice_until = Deadline(now + self.settings.notice_seconds)
         self._enter(Phase.DRAINING)
+        decisions.note(
+            "drain",
+            in_flight=len(self.in_flight),
+            notice_seconds=round(notice_until - now, 3),
+            drain_seconds=round(self.drain_until - now, 3),
+        )
         for hook in self.leaving_hooks:
             hook()
         await trio.sleep_until(min(notice_until, self.drain_until))
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -54,7 +54,9 @@
     set_up_logs(checked.settings.logs)
     set_up_decisions(checked.settings.logs.decisions)
     for finding in checked.findings:
-        PartLog("settings").warning("%s", render_findings([finding]))
+        PartLog("settings").warning(
+            "At the start: %s", render_findings([finding])
+        )
     try:
         return _run_daemon(checked.settings, config)
     except UserError:
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -77,5 +77,6 @@
         host=settings.host.id,
         cut=[request.request_id for request in report.cut],
         unfinished=list(report.unfinished),
+        after_seconds=round(seconds_since_start(), 3),
     )
     return report.exit_code
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -7,9 +7,11 @@
 """
 
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -35,6 +37,29 @@
 bytes came."""
 
 
+TCP_STATE_CLOSED = 7
+"""`tcpi_state`, the record's first byte, of a connection that has ended
+(`TCP_CLOSE` in Linux's `net/tcp_states.h`)."""
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes sent the other end's kernel has not acknowledged.
+
+    The end of a stream counts as one byte. 0 if the connection has ended, or
+    where the kernel doesn't tell (only Linux does).
+    """
+    if sock.fileno() < 0 or TCP_INFO is None:
+        return 0
+    try:
+        (state,) = sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, 1)
+        if state == TCP_STATE_CLOSED:
+            return 0
+        left = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("=i", left)[0]
+
+
 class PlainStream(trio.abc.Stream):
     """One connected TCP socket.
 
@@ -165,6 +190,10 @@
         poller.register(self.sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how many bytes sent the other end has not acknowledged."""
+        return unacknowledged_bytes(self.sock)
+
     def seconds_since_data(self) -> float:
         """Return how long ago the last bytes came; 0 if that is not known.
 
--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -152,6 +152,8 @@
         assert await daemon.end() == 0
         stop = await daemon.line(event="stop")
         assert stop["cut"] == []
+        drain = await daemon.line(event="drain")
+        assert drain["in_flight"] == 0
 
 
 # Guards against a reload that ends the host, as a bound can't be read.
