Add tests of answers cut around a stop, which still fail

What callers saw: downloads that ended closed, with a status and a part of the body, around SIGTERMs. No test read an answer more slowly than loopback carries it, repeated a signal, or looked at how a cut connection ends.

The tests read over a connection with a small receive buffer, as behind a thin link.

--- a/agatetack/callers/test_server.py
+++ b/agatetack/callers/test_server.py
@@ -11,9 +11,11 @@
 
 from agatetack.callers.server import CallerServer
 from agatetack.callers.test_connection import Echo, read_all, statuses
+from agatetack.messages import Answer, Body, BytesBody, Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import TlsFiles
+from agatetack.testing.narrow_stream import open_narrow_stream
 from agatetack.tls import ServerTls
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -44,9 +46,41 @@
     return ServerTls(files, "callers", Metrics())
 
 
+ANSWER_BYTES = 300_000
+
+
+class TwoParts(Body):
+    """A body whose second half comes after an event."""
+
+    length = ANSWER_BYTES
+
+    def __init__(self, may_go_on):
+        self.parts = [b"x" * (ANSWER_BYTES // 2)] * 2
+        self.may_go_on = may_go_on
+
+    async def receive(self):
+        if len(self.parts) == 1:
+            await self.may_go_on.wait()
+        return self.parts.pop() if self.parts else b""
+
+
+class Large(Handler):
+    """Answers with one half at once and one after an event."""
+
+    def __init__(self):
+        self.may_answer = trio.Event()
+        self.may_go_on = trio.Event()
+
+    async def handle(self, request):
+        await self.may_answer.wait()
+        if self.may_go_on.is_set():
+            return Answer(200, [], BytesBody(b"x" * ANSWER_BYTES))
+        return Answer(200, [], TwoParts(self.may_go_on))
+
+
 @contextlib.asynccontextmanager
-async def serving(tls=None):
-    server = CallerServer(SETTINGS, Echo(), Metrics(), tls)
+async def serving(tls=None, handler=None, settings=SETTINGS):
+    server = CallerServer(settings, handler or Echo(), Metrics(), tls)
     async with trio.open_nursery() as nursery:
         port = await nursery.start(server.run)
         yield server, port
@@ -170,3 +204,84 @@
         with pytest.raises(trio.BrokenResourceError):
             while await secure.receive_some():
                 pass
+
+
+# Guards against a connection that goes on after the answer during which its
+# host stopped accepting.
+@pytest.mark.parametrize("begun", [False, True])
+@pytest.mark.parametrize("depth", [1, 8])
+async def test_a_connection_ends_with_the_answer_under_way(depth, begun):
+    handler = Large()
+    settings = default_settings(
+        callers={
+            "listen": {"ip": "127.0.0.1", "port": 0},
+            "pipeline_depth": depth,
+        }
+    )
+    async with serving(handler=handler, settings=settings) as (server, port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(REQUEST)
+        if begun:
+            handler.may_answer.set()
+            assert await stream.receive_some(1)
+        else:
+            await trio.sleep(0.05)
+        server.close_idle()
+        handler.may_answer.set()
+        handler.may_go_on.set()
+        data = b""
+        with trio.fail_after(5):
+            while part := await stream.receive_some():
+                data += part
+        assert len(data) > ANSWER_BYTES
+
+
+# Guards against an answer that is cut but looks as if it had ended in order.
+async def test_an_answer_cut_by_the_end_of_its_host_ends_with_a_reset():
+    handler = Large()
+    handler.may_answer.set()
+    async with serving(handler=handler) as (_, port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(REQUEST)
+        assert await stream.receive_some(1)
+    with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
+        while await stream.receive_some():
+            pass
+
+
+# Guards against a host that ends while the kernel still holds answers.
+@pytest.mark.parametrize("kept", [False, True])
+async def test_a_server_ends_after_the_caller_has_all_bytes(kept):
+    handler = Large()
+    handler.may_answer.set()
+    handler.may_go_on.set()
+    settings = default_settings(
+        callers={"listen": {"ip": "127.0.0.1", "port": 0}}
+    )
+    async with serving(handler=handler, settings=settings) as (server, port):
+        narrow = await open_narrow_stream("127.0.0.1", port)
+        close = b"" if kept else b"Connection: close\r\n"
+        await narrow.sock.send(REQUEST[:-2] + close + b"\r\n")
+        await trio.sleep(0.2)
+        assert narrow.arrived_bytes < ANSWER_BYTES
+        server.stop_accepting()
+        server.close_idle()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(narrow.read, 600_000)
+            with trio.fail_after(10):
+                await server.ended.wait()
+                assert narrow.arrived_bytes > ANSWER_BYTES
+        assert narrow.ended and not narrow.reset
+
+
+# Guards against an idle timeout that cuts an answer on its way to the caller.
+async def test_a_slow_caller_outlasts_the_idle_timeout():
+    handler = Large()
+    handler.may_answer.set()
+    handler.may_go_on.set()
+    async with serving(handler=handler) as (_, port):
+        narrow = await open_narrow_stream("127.0.0.1", port)
+        await narrow.sock.send(REQUEST)
+        with trio.fail_after(10):
+            await narrow.read(200_000)
+        assert len(narrow.received) > ANSWER_BYTES
--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -16,6 +16,7 @@
 
 from agatetack.testing.fake_target import FakeTarget
 from agatetack.testing.memory_store import MemoryStore
+from agatetack.testing.narrow_stream import open_narrow_stream
 from agatetack.testing.store_fleet import (
     CONFIGURATION,
     LOOPBACK,
@@ -37,6 +38,20 @@
 """More than the length of any log line in these tests."""
 
 
+EXPORT_ROUTE = route_fields(
+    name="route-export",
+    host="export.example",
+    path_prefix="/",
+    route_type="download",
+    timeout="20s",
+)
+
+EXPORT = (
+    "GET /export?bytes=%d HTTP/1.1\r\nHost: export.example\r\n"
+    "Request-Id: e1\r\nRequest-Timeout-Ms: 20000\r\n\r\n"
+)
+
+
 class Daemon:
     """A daemon's process and its log lines."""
 
@@ -93,7 +108,7 @@
         target = FakeTarget(template_settings(port))
         await nursery.start(target.serve)
         store.append(REGISTRATIONS, target.instance, registration(target))
-        content = configuration(1, route_fields())
+        content = configuration(1, route_fields(), EXPORT_ROUTE)
         store.append(CONFIGURATION, "config", content)
         path.write_text(change(template_text(port)))
         process = subprocess.Popen(
@@ -240,6 +255,76 @@
         assert await daemon.end() == 0
 
 
+# Guards against a stop signal that is repeated and ends the drain at once.
+@pytest.mark.parametrize(
+    "numbers",
+    [
+        (signal.SIGTERM, signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGINT),
+        (signal.SIGINT, signal.SIGTERM),
+    ],
+)
+async def test_a_repeated_stop_cuts_no_request(tmp_path, numbers):
+    async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
+        start = await daemon.line(event="start")
+        await wait_ready(start["ready"])
+        statuses = []
+
+        async def ask_slowly():
+            path = "/a/x?service_ms=1500"
+            statuses.append(await ask(start["callers"], path))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_slowly)
+            with trio.fail_after(PATIENCE_SECONDS):
+                while not target.in_flight:
+                    await trio.sleep(0.01)
+            for number in numbers:
+                daemon.process.send_signal(number)
+                await trio.sleep(0.1)
+        assert statuses == [200]
+        assert await daemon.end() == 0
+
+
+async def start_export(daemon, size):
+    """Ask a host for a large answer over a narrow connection."""
+    start = await daemon.line(event="start")
+    await wait_ready(start["ready"])
+    narrow = await open_narrow_stream(LOOPBACK, start["callers"])
+    await narrow.sock.send((EXPORT % size).encode())
+    with trio.fail_after(PATIENCE_SECONDS):
+        while not narrow.arrived_bytes:
+            await trio.sleep(0.01)
+    return narrow
+
+
+# Guards against a process that ends while its machine still sends an answer.
+async def test_a_host_ends_after_its_answers_are_delivered(tmp_path):
+    async with running_daemon(tmp_path / "node.yaml") as (daemon, _):
+        narrow = await start_export(daemon, 500_000)
+        daemon.process.send_signal(signal.SIGTERM)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(narrow.read, 130_000)
+            assert await daemon.end() == 0
+            arrived = narrow.arrived_bytes
+        assert len(narrow.received) > 500_000
+        assert arrived == len(narrow.received)
+
+
+# Guards against a drain that waits for a caller until the host is killed.
+@pytest.mark.parametrize("size", [300_000, 16_000_000])
+async def test_a_caller_that_never_reads_cannot_hold_a_host(tmp_path, size):
+    def change(text):
+        return text.replace("grace=6s", "grace=2s")
+
+    async with running_daemon(tmp_path / "node.yaml", change) as (daemon, _):
+        narrow = await start_export(daemon, size)
+        daemon.process.send_signal(signal.SIGTERM)
+        assert await daemon.end() == 1
+        await daemon.line(event="stop")
+        narrow.close()
+
+
 @pytest.mark.parametrize(
     ("old", "new", "finding"),
     [
