End a caller's connection after its machine has acknowledged all bytes

Callers saw downloads that ended closed, with a status and a part of the body, around a stop of their host.

Cause: written was taken for delivered. A request counted as ended when the kernel had its last byte, the connection was closed and the process ended up to seconds before the bytes were on the link. A machine whose network ends with the process loses them. Only answers larger than what the link and the caller take at once have such bytes.

Evidence: a caller that reads 500 KB at 130 KB/s had 313 KB when the process had ended with status 0 and nothing cut (test_a_host_ends_after_its_answers_ are_delivered, and test_a_server_ends_after_the_caller_has_all_bytes at 82 and 29 KB of 300 KB).

Change: a connection ends its stream and then waits until nothing is unacknowledged (SIOCOUTQ), for as long as something is acknowledged within the write timeout. The drain already waits for the connections of callers, so it now waits for the delivery, and its end bounds the wait. Nothing is read after the stream's end, so that a request that crosses it stays unread. A caller that never reads keeps a host that stops until the end of its drain, as one that never reads a larger answer did before.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -12,6 +12,7 @@
     BoundedBody,
     body_too_large_refusal,
 )
+from agatetack.callers.delivery import Delivery
 from agatetack.callers.head import read_metadata
 from agatetack.callers.parser import (
     ParsedRequest,
@@ -79,6 +80,9 @@
         closing: Whether the connection ends after the current request.
         answered: Whether the last request's answer was written completely.
         end: What ended the connection, or None.
+        delivery: What the caller's machine has not acknowledged.
+        delivering: Whether the connection ends once that is delivered.
+        aborted: Whether the connection ends with a reset.
         last_request: The id of the last request whose header was read.
     """
 
@@ -115,16 +119,22 @@
         self.ended = False
         self.answered = False
         self.end: ConnectionEnd | None = None
+        self.delivery = Delivery(self._transport())
+        self.delivering = False
+        self.aborted = False
         self.last_request = UNPARSED_ID
         self.idle_since = Deadline(trio.current_time())
         self.last_byte_at = self.idle_since
         self.reading = False
         self.body_read_scope = trio.CancelScope()
         self.scope = trio.CancelScope()
+        self.delivery_scope = trio.CancelScope()
 
     async def serve(self) -> None:
         """Answer requests until the connection ends, then close it.
 
+        It is closed once all answers are delivered.
+
         If the caller is lost, everything that runs for it is cancelled.
         """
         try:
@@ -136,6 +146,8 @@
                     else ConnectionEnd.ANSWERED
                 )
                 await self._linger()
+            with self.delivery_scope:
+                await self._deliver()
         finally:
             self._note_end(ConnectionEnd.CANCELLED)
             self._log_end()
@@ -146,6 +158,25 @@
     async def _serve_requests(self) -> None:
         await self._answer_all()
 
+    async def _deliver(self) -> None:
+        """End the stream and wait until the caller has taken all of it.
+
+        Nothing is read meanwhile: a request that crosses the end of the
+        stream must stay unread.
+        """
+        if self.aborted:
+            return
+        self.delivering = True
+        transport = self._transport()
+        if transport is self.stream:
+            # Under TLS its own end has to be sent before that of the stream.
+            transport.send_eof()
+        await self.delivery.wait()
+
+    def _reset_on_close(self) -> None:
+        self.aborted = True
+        abort(self.stream)
+
     def _note_end(self, end: ConnectionEnd) -> None:
         """Record what ended the connection; the first cause is kept."""
         self.end = self.end or end
@@ -190,6 +221,9 @@
     def has_timed_out(self, now: Deadline) -> bool:
         """Return whether a timeout of this connection has expired."""
         limits = self.settings
+        if self.delivering:
+            stalled = now - self.delivery.changed_at
+            return stalled > limits.write_timeout_seconds
         sending_since = self.writer.sending_since
         if sending_since is not None:
             return now - sending_since > limits.write_timeout_seconds
@@ -226,10 +260,11 @@
         if it waits for the request's body.
         """
         self._note_end(ConnectionEnd.RESET)
-        abort(self.stream)
+        self._reset_on_close()
         self.parser.end()
         self.body_read_scope.cancel()
         self.scope.cancel()
+        self.delivery_scope.cancel()
 
     async def _read_more(self) -> None:
         """Read once and parse the bytes received.
@@ -331,12 +366,12 @@
         except AnswerCut:
             # The reset signals to the caller that the answer is incomplete.
             self._note_end(ConnectionEnd.RESET)
-            abort(self.stream)
+            self._reset_on_close()
             return False
         except (CallerGone, trio.BrokenResourceError):
             self._note_end(ConnectionEnd.CALLER)
             self.metrics.refused(None, RefusalReason.CALLER_GONE)
-            abort(self.stream)
+            self._reset_on_close()
             return False
         finally:
             if parsed.streamed is not None:
