End a connection after the answer during which its host stopped accepting

Callers saw a connection that went on after its answer: a host that stops kept it open to its last moment, and requests sent on it crossed its end.

Cause: whether a connection ends was decided when an answer's header was written and not looked at again. With pipelining, nothing ended a connection whose answer was half written when the host closed to callers; one without pipelining checks between requests.

Evidence: the fourth case of test_a_connection_ends_with_the_answer_under_way (pipelining, answer begun) timed out before, the other three passed.

Change: after the last answer under way the connection ends if the host is closing and nothing has arrived; what has arrived is still answered.

--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -190,6 +190,9 @@
         if not self.unanswered:
             self.busy = False
             self.idle_since = Deadline(trio.current_time())
+            if self.closing and self._is_between_requests():
+                # The drain may have begun after the header was written.
+                keep = False
         done.set()
         self.answered_one.set()
         self.answered_one = trio.Event()
