Reset a caller's connection whose half-written answer is cancelled

Callers saw answers that ended before their last byte as if in order: the connection was closed, not reset, as if their host had nothing more to send.

Cause: only an answer that a target cut, and a caller that was lost, made the close a reset. A connection whose task was cancelled, as at the end of a drain, closed in order in the middle of an answer.

Evidence: test_an_answer_cut_by_the_end_of_its_host_ends_with_a_reset did not see a reset before.

Change: a connection that ends with an answer begun and not whole is reset. One whose answers are all written, or whose next one has not begun, still ends in order, so that the kernel sends what it has.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -149,6 +149,9 @@
             with self.delivery_scope:
                 await self._deliver()
         finally:
+            if self.writer.unfinished and self.end is None:
+                # A close in order would let a cut answer look complete.
+                self._reset_on_close()
             self._note_end(ConnectionEnd.CANCELLED)
             self._log_end()
             with trio.move_on_after(1) as scope:
--- a/agatetack/callers/writer.py
+++ b/agatetack/callers/writer.py
@@ -60,6 +60,7 @@
         sending_since: When the current send began, or None.
             `reap_connections` resets the connection when that is too long
             ago; a timeout around each send would cost more than the send.
+        unfinished: Whether an answer was begun and is not written whole.
         written_bytes: Bytes of the last answer that were written, with its
             header.
     """
@@ -67,6 +68,7 @@
     def __init__(self, stream: trio.abc.Stream):
         """Write to `stream`."""
         self.stream = stream
+        self.unfinished = False
         self.written_bytes = 0
         self.sending_since: Deadline | None = None
 
@@ -97,8 +99,10 @@
             trio.BrokenResourceError: The caller is gone.
         """
         self.written_bytes = 0
+        self.unfinished = True
         if method == b"HEAD" or answer.status in BODYLESS_STATUSES:
             await self._write_without_body(answer, method, close)
+            self.unfinished = False
             return not close
         length = answer.body.length
         chunked = length is None and version == "1.1"
@@ -114,6 +118,7 @@
             await self._write_chunks(head, answer)
         else:
             await self._write_plain(head, answer)
+        self.unfinished = False
         return not close
 
     async def _write_without_body(
