Count a connection as idle once its last answer is delivered

Callers that read slowly saw a reset in the middle of an answer, keep-alive seconds after the host had written it.

The idle timeout counted from the moment in which the kernel had the last byte, and the reset it ends with discards what the kernel still holds.

Evidence: test_a_slow_caller_outlasts_the_idle_timeout got 82 KB of 300 KB.

Change: a connection that seems idle for long is looked at: while bytes are unacknowledged it ends only after a write timeout without any progress, and the idle time counts from the last acknowledgement.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -224,9 +224,9 @@
     def has_timed_out(self, now: Deadline) -> bool:
         """Return whether a timeout of this connection has expired."""
         limits = self.settings
+        unchanged = now - self.delivery.changed_at
         if self.delivering:
-            stalled = now - self.delivery.changed_at
-            return stalled > limits.write_timeout_seconds
+            return unchanged > limits.write_timeout_seconds
         sending_since = self.writer.sending_since
         if sending_since is not None:
             return now - sending_since > limits.write_timeout_seconds
@@ -238,7 +238,13 @@
             return self.reading and quiet > limits.keep_alive_seconds
         if self.busy or self.parser.ready:
             return False
-        return now - self.idle_since > limits.keep_alive_seconds
+        if now - self.idle_since <= limits.keep_alive_seconds:
+            return False
+        is_delivered = not self.delivery.look()
+        unchanged = now - self.delivery.changed_at
+        if is_delivered:
+            return unchanged > limits.keep_alive_seconds
+        return unchanged > limits.write_timeout_seconds
 
     def is_lost(self) -> bool:
         """Return whether the caller has gone while it waits.
