Let only a second SIGINT end a drain early

Callers saw connections that closed without an answer, or in the middle of one, when their host was told to stop twice.

Cause: any second stop signal ended the drain at once. That is meant for a person at a terminal, but service managers and process groups repeat SIGTERM, or send SIGTERM and SIGINT, and none of them asks for less time.

Evidence: all three cases of test_a_repeated_stop_cuts_no_request lost the answer under way (the connection closed without a response).

Change: a drain ends early at the second SIGINT of a host, counting the one that began it. All other repeated stops are logged and change nothing.

--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -58,8 +58,7 @@
 tls = LateModule("agatetack.tls")
 
 MAX_STOP_REQUESTS = 2
-"""Stop requests that are buffered: the first starts the drain, the second
-aborts it."""
+"""Stop requests that are buffered."""
 
 
 class GatewayReadiness(ReadinessView):
--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import signal
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
 import trio
@@ -140,19 +141,20 @@
             await trio.sleep(READY_POLL_SECONDS)
 
     async def run_until_stopped(self) -> DrainReport:
-        """Wait for a signal, drain, and return what was cut.
-
-        A second signal ends the drain at once.
-        """
+        """Wait for a signal, drain, and return what was cut."""
         with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
             return await self.drain_on(signals)
 
     async def drain_on(self, signals: AsyncIterator[int]) -> DrainReport:
-        """Drain at the first of `signals`; end the drain at the second."""
-        await anext(signals)
+        """Drain at the first of `signals`; a second SIGINT ends the drain.
+
+        Service managers and process groups repeat signals; only a person at a
+        terminal sends SIGINT twice.
+        """
+        first = await anext(signals)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                self._cancel_on_signal, signals, nursery.cancel_scope
+                self._cancel_on_interrupt, first, signals, nursery.cancel_scope
             )
             report = await self.drain()
             nursery.cancel_scope.cancel()
@@ -233,12 +235,20 @@
         else:
             self.unflushed.remove(name)
 
-    async def _cancel_on_signal(
-        self, signals: AsyncIterator[int], scope: trio.CancelScope
+    async def _cancel_on_interrupt(
+        self,
+        first: int,
+        signals: AsyncIterator[int],
+        scope: trio.CancelScope,
     ) -> None:
-        await anext(signals)
-        LOG.warning("A second signal ends the drain at once.")
-        scope.cancel()
+        interrupts = int(first == signal.SIGINT)
+        async for number in signals:
+            interrupts += number == signal.SIGINT
+            if interrupts > 1:
+                LOG.warning("A second SIGINT ends the drain at once.")
+                scope.cancel()
+                return
+            LOG.info("Asked to stop again; the drain goes on.")
 
     def _stop(self) -> DrainReport:
         report = DrainReport(self.in_flight.all(), self.unflushed)
--- a/agatetack/process.py
+++ b/agatetack/process.py
@@ -10,7 +10,7 @@
 import time
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-"""The first signal received starts the drain, the second ends it."""
+"""The first signal received starts the drain; see `Lifecycle.drain_on`."""
 
 HELD_SIGNALS = frozenset({*STOP_SIGNALS, signal.SIGHUP})
 """Signals that wait while no part of the daemon handles them."""
