Count the drain from the time at which the stop may have been asked for

Callers of a host that was paused, or got no processor time, when it was told to stop were cut by the kill at the end of the platform's grace, in the middle of the host's drain.

Cause: the drain's time counted from the step in which the event loop took the signal. Whoever sent it counts from the sending.

Change: the task that measures the loop's lateness also knows when the loop last ran without the signal. The drain ends drain_seconds after that, and 0.25 s after the notice at least, so that a host names what it cuts and ends by itself. The notice to balancers still counts from now. A stop that waited for the end of a start counts from the start of the process. A host on time gives up 0.1 s of its drain at most. The drain line says how long ago.

--- a/agatetack/clock.py
+++ b/agatetack/clock.py
@@ -41,6 +41,9 @@
 MAX_MESSAGE_DELAY_SECONDS = 0.25
 """Longest time for which a late host collects changes for one message."""
 
+SAME_TURN_SECONDS = 0.01
+"""Time within which tasks that wake belong to one turn of the event loop."""
+
 BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 """Clock that counts suspensions of the system; only Linux has one."""
 
@@ -134,12 +137,32 @@
     Attributes:
         seconds: Mean time by which tasks woke late recently.
         late: Whether the host counts as late.
+        woken_at: When the measuring task last woke; None before.
+        slept_at: When it had begun to sleep before that.
     """
 
     def __init__(self) -> None:
         """Start on time."""
         self.seconds = 0.0
         self.late = False
+        self.woken_at: Deadline | None = None
+        self.slept_at: Deadline | None = None
+
+    def begin(self, started_at: Deadline) -> None:
+        """Count the loop as not seen to run since `started_at`."""
+        self.woken_at = self.slept_at = started_at
+
+    def earliest_arrival(self, now: Deadline) -> Deadline:
+        """Return when a signal that is noticed at `now` may have come.
+
+        A process that is stopped or gets no processor time notices it late;
+        it came after the loop last ran without it.
+        """
+        if self.woken_at is None:
+            return now
+        if now - self.woken_at > SAME_TURN_SECONDS:
+            return self.woken_at
+        return self.slept_at
 
     @property
     def informing_ratio(self) -> float:
@@ -160,6 +183,8 @@
 
     def note_wake(self, due: Deadline, woken: Deadline) -> bool:
         """Record that a task that was due woke; return if `late` changed."""
+        self.woken_at = woken
+        self.slept_at = Deadline(due - LATENESS_INTERVAL_SECONDS)
         sample = min(MAX_LATENESS_SECONDS, max(0.0, woken - due))
         # The time between two samples grows with the lateness itself.
         elapsed = LATENESS_INTERVAL_SECONDS + sample
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -12,11 +12,12 @@
 )
 from agatetack.gateway import Gateway
 from agatetack.hosts.http_host_list import HttpHostList
+from agatetack.ids import Deadline
 from agatetack.lifecycle.drain import DrainReport
 from agatetack.logs import PartLog
 from agatetack.operators.app import serve_operators
 from agatetack.operators.host_backend import HostBackend
-from agatetack.process import tune_collector
+from agatetack.process import seconds_since_start, tune_collector
 from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.model import Settings
 
@@ -77,6 +78,8 @@
     host_list = HttpHostList(settings)
     gateway = Gateway(settings, platform_log, host_list)
     count_dropped_lines(gateway.metrics)
+    started_at = Deadline(trio.current_time() - seconds_since_start())
+    gateway.lateness.begin(started_at)
     tune_collector()
     try:
         async with trio.open_nursery() as nursery:
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -130,7 +130,9 @@
         self.stops, self.stops_out = trio.open_memory_channel[int](
             MAX_STOP_REQUESTS
         )
-        self.lifecycle = Lifecycle(settings, self.metrics, self.clock)
+        self.lifecycle = Lifecycle(
+            settings, self.metrics, self.clock, self.lateness
+        )
         self.accounts: AccountCheck | None = None
         self.quotas: QuotaLimiter | None = None
 
--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from agatetack.clock import Clock
+from agatetack.clock import Clock, Lateness
 from agatetack.decisions import DecisionLog
 from agatetack.ids import Deadline
 from agatetack.lifecycle.in_flight import InFlight, InFlightRequests
@@ -29,6 +29,9 @@
 READY_POLL_SECONDS = 0.02
 """Interval at which a starting host checks whether it is ready."""
 
+MIN_DRAIN_SECONDS = 0.25
+"""Shortest drain of a host that notices late that it should stop."""
+
 FLUSH_TIME_RATIO = 0.1
 """Share of the drain time reserved for flushes if requests don't end."""
 
@@ -71,10 +74,24 @@
         drain_until: When requests in flight are cut; None before the drain.
     """
 
-    def __init__(self, settings: Settings, metrics: Metrics, clock: Clock):
-        """Start with a host that is not ready."""
+    def __init__(
+        self,
+        settings: Settings,
+        metrics: Metrics,
+        clock: Clock,
+        lateness: Lateness | None = None,
+    ):
+        """Start with a host that is not ready.
+
+        Args:
+            settings: The host's settings.
+            metrics: Shows the phase and counts what is cut.
+            clock: The host's clocks.
+            lateness: How late the host notices signals; at once if None.
+        """
         self.settings = settings.lifecycle
         self.clock = clock
+        self.lateness = lateness or Lateness()
         self.phase = Phase.STARTING
         self.in_flight = InFlightRequests()
         self.closing = trio.Event()
@@ -156,25 +173,35 @@
             nursery.start_soon(
                 self._cancel_on_interrupt, first, signals, nursery.cancel_scope
             )
-            report = await self.drain()
+            now = self.clock.now()
+            report = await self.drain(self.lateness.earliest_arrival(now))
             nursery.cancel_scope.cancel()
             return report
         return self._stop()
 
-    async def drain(self) -> DrainReport:
+    async def drain(self, asked_at: Deadline | None = None) -> DrainReport:
         """Let every request in flight end, and return what was cut.
 
         The host stops being ready and announces its leaving at once. It still
         accepts connections for `notice_seconds`, as the platform's load
         balancer keeps sending until it notices.
+
+        Args:
+            asked_at: The earliest time at which the stop may have been asked
+                for; now if None. The drain's time counts from it, as whoever
+                asked may kill the process soon after that time.
         """
         now = self.clock.now()
-        self.drain_until = Deadline(now + self.settings.drain_seconds)
+        asked_at = now if asked_at is None else asked_at
+        self.drain_until = Deadline(
+            max(asked_at + self.settings.drain_seconds, now + MIN_DRAIN_SECONDS)
+        )
         notice_until = Deadline(now + self.settings.notice_seconds)
         self._enter(Phase.DRAINING)
         decisions.note(
             "drain",
             in_flight=len(self.in_flight),
+            asked_ms_ago=round((now - asked_at) * 1000),
             notice_seconds=round(notice_until - now, 3),
             drain_seconds=round(self.drain_until - now, 3),
         )
--- a/agatetack/lifecycle/test_drain.py
+++ b/agatetack/lifecycle/test_drain.py
@@ -7,9 +7,9 @@
 import pytest
 import trio
 
-from agatetack.clock import FixedClock
+from agatetack.clock import FixedClock, LatenessMeter
 from agatetack.ids import RequestId, RouteId
-from agatetack.lifecycle.drain import Lifecycle
+from agatetack.lifecycle.drain import MIN_DRAIN_SECONDS, Lifecycle
 from agatetack.lifecycle.in_flight import Stage, TrackingHandler
 from agatetack.lifecycle.phase import Phase
 from agatetack.lifecycle.readiness import NotReadyReason, ReadinessView
@@ -276,3 +276,41 @@
     view.measured_at = start + 9999
     await trio.sleep(10)
     assert lifecycle.ready
+
+
+# Guards against a host that is killed in the middle of its drain, as it
+# noticed late that it should stop.
+@pytest.mark.parametrize(
+    ("stall", "drain_seconds"),
+    [(0.0, DRAIN - 0.1), (20.0, DRAIN - 20.1), (100.0, MIN_DRAIN_SECONDS)],
+)
+@pytest.mark.parametrize("late_first", [False, True])
+async def test_a_drain_counts_from_the_stop_request(
+    nursery, autojump_clock, stall, drain_seconds, late_first
+):
+    lifecycle = new_lifecycle()
+    meter = LatenessMeter(lifecycle.lateness, Metrics())
+    send, signals = trio.open_memory_channel(2)
+    reports = []
+
+    async def drain():
+        reports.append(await lifecycle.drain_on(signals))
+
+    nursery.start_soon(meter.run)
+    nursery.start_soon(drain)
+    lifecycle.in_flight.begin(RequestId("a"), ROUTE)
+    await trio.sleep(1.01)
+    asked = trio.current_time()
+    # The process stands still and is asked to stop at the begin of that.
+    autojump_clock.jump(stall)
+    if late_first:
+        await trio.sleep(0.001)
+    send.send_nowait(signal.SIGTERM)
+    await trio.testing.wait_all_tasks_blocked()
+    left = lifecycle.drain_until - trio.current_time()
+    assert drain_seconds <= left <= drain_seconds + 0.2
+    assert lifecycle.drain_until <= max(
+        asked + DRAIN, trio.current_time() + MIN_DRAIN_SECONDS
+    )
+    await trio.sleep(left + 1)
+    assert [request.request_id for request in reports[0].cut] == ["a"]
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -10,6 +10,7 @@
     forward_signals,
 )
 from agatetack.decisions import DecisionLog
+from agatetack.ids import Deadline
 from agatetack.platform.bounds import apply_bounds
 from agatetack.process import seconds_since_start, tune_collector
 from agatetack.settings.model import Settings
@@ -39,6 +40,8 @@
     """
     gateway = StoreGateway(apply_bounds(settings))
     count_dropped_lines(gateway.metrics)
+    started_at = Deadline(trio.current_time() - seconds_since_start())
+    gateway.lateness.begin(started_at)
     tune_collector()
     watch = SettingsWatch(
         path,
