Soak: stop hosts in overlapping series, over thin links that end with them

The soak never drained a host with a half-delivered answer: callers read at the speed of loopback with segments of 64 KB, all downloads had one size, a stop was one signal, and what the kernel held outlived the process.

--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -336,7 +336,11 @@
 
 
 def _peer_port(stream: trio.SocketStream) -> int:
-    return stream.socket.getpeername()[1]
+    """Return the other end's port; 0 if it has reset the connection."""
+    try:
+        return stream.socket.getpeername()[1]
+    except OSError:
+        return 0
 
 
 def _text(request: TargetRequest, name: str | None) -> str | None:
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -39,6 +39,7 @@
     load: float = 1.0,
     faults: int = -1,
     path_cuts: int = -1,
+    stops: int = -1,
     built: bool = False,
 ) -> int:
     """Build, run one soak and print its report as JSON.
@@ -58,10 +59,12 @@
         cores: Processor cores that the hosts share; all if 0. Callers and
             stand-ins then use the others.
         first_core: The first of those cores.
-        load: Factor of the site's rates.
+        load: Factor of the site's rates; below 1, of its size as well.
         faults: Seed of the faults; none if negative.
         path_cuts: Seed of the times in which hosts lose their paths to all
             targets; none if negative.
+        stops: Seed of a series of stops, with links that end with their
+            hosts; none if negative.
         built: Take the checkout as it is built.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
@@ -86,6 +89,7 @@
         lead_seconds,
         faults if faults >= 0 else None,
         path_cuts if path_cuts >= 0 else None,
+        stops if stops >= 0 else None,
     )
     report = trio.run(run_soak, plan)
     if report.faults:
@@ -109,7 +113,9 @@
     per_second: float = 40.0,
     seconds: float = 20.0,
     lead_seconds: float = 3.0,
+    load: float = 1.0,
     path_cuts: bool = False,
+    stops: bool = False,
     signals: bool = True,
 ) -> int:
     """Run soaks with faults of many seeds, and print one line for each.
@@ -124,14 +130,18 @@
         per_second: Requests a second at the small site.
         seconds: How long each run sends requests.
         lead_seconds: Time from the start of the hosts to that of the load.
+        load: Factor of the site's rates; below 1, of its size as well.
         path_cuts: Whether hosts lose their paths to all targets at times.
+        stops: Whether hosts are stopped one after the other.
         signals: Whether all other faults come as well.
     """
     build(ROOT)
     seeded = ["--faults"] * signals + ["--path-cuts"] * path_cuts
+    seeded += ["--stops"] * stops
     options = [
         *("--hosts", str(hosts), "--per-second", str(per_second)),
         *("--seconds", str(seconds), "--lead-seconds", str(lead_seconds)),
+        *("--load", str(load)),
         "--built",
     ]
     if site:
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -12,6 +12,7 @@
 from agatetack.ids import FailureDomain
 from agatetack.testing.export_content import ByteRange, export_chunks
 from bench.soak.connection import CallerAnswer, Connection, ConnectionCut
+from bench.soak.links import Link
 from bench.soak.machines import CALLERS_PORT
 from bench.soak.site import Habit, Kind, RequestKind, Site, Traffic
 from bench.soak.world import World
@@ -111,6 +112,7 @@
     Attributes:
         requests: All requests so far, oldest first.
         epoch: The start of the run on trio's clock.
+        links: The links of hosts, by id; none for hosts that are missing.
     """
 
     def __init__(self, site: Site, world: World, seed: int):
@@ -121,6 +123,7 @@
         self.requests: list[CallerRequest] = []
         self.epoch = 0.0
         self.number = 0
+        self.links: dict[str, Link] = {}
 
     async def run(self, epoch: float, until: float) -> None:
         """Send requests until a time on trio's clock, then wait for answers.
@@ -189,6 +192,7 @@
         self.domain = domain
         self.name = f"{domain}-{name}"
         self.source = source
+        self.sizes = random.Random(f"{callers.seed} {self.name} sizes")
         self.idle: dict[str, list[Connection]] = {}
         self.asked = 0
 
@@ -306,7 +310,7 @@
         self, attempts: Sequence[Attempt]
     ) -> Connection | None:
         """Return an open connection, to whichever host it stands."""
-        for host, connections in self.idle.items():
+        for host, connections in list(self.idle.items()):
             while connections:
                 connection = connections.pop()
                 if not connection.open:
@@ -318,24 +322,35 @@
         return None
 
     async def _connect(self, attempts: Sequence[Attempt]) -> Connection | None:
-        ip = self.callers.world.ready_addresses[attempts[0].host]
+        host = attempts[0].host
+        ip = self.callers.world.ready_addresses[host]
+        link = self.callers.links.get(host)
+        connect = trio.open_tcp_stream if link is None else link.open
         try:
             with trio.fail_after(CONNECT_SECONDS):
-                stream = await trio.open_tcp_stream(ip, CALLERS_PORT)
+                stream = await connect(ip, CALLERS_PORT)
         except (OSError, trio.TooSlowError) as error:
             for attempt in attempts:
                 attempt.result = Result.NOT_CONNECTED
                 attempt.detail = type(error).__name__
             return None
-        return Connection(stream)
+        return Connection(stream, link)
 
     def _path(self) -> str:
         kind = self.kind
         work = f"service_ms={self._work_ms():.1f}"
         if kind.kind is Kind.DOWNLOAD:
-            return f"/export?bytes={kind.answer_bytes}&{work}"
+            return f"/export?bytes={self._answer_bytes()}&{work}"
         return f"/{kind.name}/x?{work}"
 
+    def _answer_bytes(self) -> int:
+        kind, sigma = self.kind, self.kind.answer_sigma
+        if not self.callers.links:
+            return kind.answer_bytes
+        mu = math.log(kind.answer_bytes) - sigma * sigma / 2
+        drawn = round(self.sizes.lognormvariate(mu, sigma))
+        return min(drawn, kind.max_answer_bytes)
+
     def _work_ms(self) -> float:
         sigma = self.kind.work_sigma
         mu = math.log(self.kind.work_seconds) - sigma * sigma / 2
@@ -375,7 +390,8 @@
 
     def _whole(self, attempt: Attempt, path: str) -> bytes:
         if self.kind.kind is Kind.DOWNLOAD:
-            span = ByteRange(0, self.kind.answer_bytes)
+            size = int(path.partition("bytes=")[2].partition("&")[0])
+            span = ByteRange(0, size)
             return b"".join(export_chunks(span))
         line = f"{self._method()} {path} {attempt.request_id}\n"
         return line.encode()
--- a/bench/soak/connection.py
+++ b/bench/soak/connection.py
@@ -1,18 +1,18 @@
 """Speak HTTP/1.1 as a caller, on connections that stay open."""
 
+import contextlib
 import dataclasses
-import fcntl
 import math
 import re
 import socket
-import struct
-import termios
 from collections import deque
 
 import httptools
 import trio
 
 from agatetack.ids import Deadline
+from agatetack.streams import unacknowledged_bytes
+from bench.soak.links import STEP_BYTES, Link
 
 RECEIVE_BYTES = 1 << 16
 
@@ -76,11 +76,18 @@
         stream: The TCP stream.
         usable: Whether further requests may be sent on it.
         lapses: When the host may close it while it is idle.
+        link: The link that its answers come over, or None.
+        arrived: What had come and was not read when the host's network ended;
+            None while it stands.
     """
 
-    def __init__(self, stream: trio.SocketStream):
-        """Use `stream`."""
+    def __init__(self, stream: trio.SocketStream, link: Link | None = None):
+        """Use `stream`, whose bytes come over `link`."""
         self.stream = stream
+        self.link = link
+        self.arrived: bytes | None = None
+        if link is not None:
+            link.connections.add(self)
         self.reader = AnswerReader()
         self.usable = True
         self.lapses = Deadline(math.inf)
@@ -105,9 +112,7 @@
 
         It takes nothing more once the process has closed the connection.
         """
-        fd = self.stream.socket.fileno()
-        (left,) = struct.unpack("i", fcntl.ioctl(fd, termios.TIOCOUTQ, b"0000"))
-        return left == 0
+        return unacknowledged_bytes(self.stream.socket._sock) == 0
 
     @property
     def held(self) -> bool:
@@ -134,7 +139,7 @@
         """
         while not self.reader.complete:
             try:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
+                data = await self._receive_some()
                 if not data:
                     raise ConnectionCut("closed")
                 self.reader.parser.feed_data(data)
@@ -156,7 +161,30 @@
             self.lapses = Deadline(trio.current_time() + seconds)
         return answer
 
+    async def _receive_some(self) -> bytes:
+        if self.arrived is None:
+            if self.link is None:
+                return await self.stream.receive_some(RECEIVE_BYTES)
+            with contextlib.suppress(trio.ClosedResourceError):
+                data = await self.stream.receive_some(STEP_BYTES)
+                await self.link.carry(len(data))
+                return data
+        if not self.arrived:
+            raise ConnectionCut("the host's machine is gone")
+        data, self.arrived = self.arrived, b""
+        return data
+
+    def end_network(self) -> None:
+        """Lose all that has not come yet."""
+        self.arrived = b""
+        with contextlib.suppress(OSError):
+            while data := self.stream.socket._sock.recv(RECEIVE_BYTES):
+                self.arrived += data
+        self.stream.socket.close()
+
     async def close(self) -> None:
         """Close the connection."""
         self.usable = False
+        if self.link is not None:
+            self.link.connections.discard(self)
         await trio.aclose_forcefully(self.stream)
--- a/bench/soak/fault_plan.py
+++ b/bench/soak/fault_plan.py
@@ -1,6 +1,8 @@
 """Draw the faults of a run from a seed."""
 
+import math
 import random
+import signal
 from collections.abc import Callable, Sequence
 
 import orjson
@@ -16,6 +18,7 @@
     Noise,
     Publish,
     Reload,
+    RepeatedStop,
     Stop,
     StoreOutage,
 )
@@ -40,6 +43,16 @@
 CUT_SECONDS = (2.0, 12.0)
 """Shortest and longest time for that."""
 
+STOP_SECONDS = (0.5, 4.0)
+"""Shortest and longest time between two stops of a series; a drain may last
+longer."""
+
+STOP_SHARE = 1 / 6
+"""Largest share of the hosts that are stopped at the same moment."""
+
+MAX_REPEATS = 3
+"""Most further signals during a stop."""
+
 START_SHARE = 0.4
 """Share of first moments that are at the start of the hosts."""
 
@@ -85,6 +98,51 @@
     return sorted(cuts, key=lambda cut: cut.at)
 
 
+def draw_stops(
+    seed: int, hosts: Sequence[str], first: float, last: float
+) -> list[RepeatedStop]:
+    """Return a series of stops, some of which overlap.
+
+    SIGTERM is repeated and SIGHUP comes while hosts drain. SIGINT comes once
+    for a host at most, as a second one asks it to end.
+
+    Args:
+        seed: The seed.
+        hosts: Ids of the hosts.
+        first: When stops may begin, in seconds of the run.
+        last: When the last one begins.
+    """
+    source = random.Random(f"stops {seed}")
+    most = max(1, math.ceil(len(hosts) * STOP_SHARE))
+    stops = []
+    at = first + source.uniform(0.0, STOP_SECONDS[1])
+    while at < last:
+        again = [
+            (round(source.uniform(0.0, 5.0), 3), int(number))
+            for number in _further_signals(source)
+        ]
+        stops.append(
+            RepeatedStop(
+                round(at, 3),
+                source.sample(hosts, source.randint(1, most)),
+                0.0,
+                round(source.random(), 3) if source.random() < 0.3 else None,
+                again,
+            )
+        )
+        at += source.uniform(*STOP_SECONDS)
+    return stops
+
+
+def _further_signals(source: random.Random) -> list[signal.Signals]:
+    repeated = (signal.SIGTERM, signal.SIGHUP)
+    count = source.randint(0, MAX_REPEATS)
+    found = [source.choice(repeated) for _ in range(count)]
+    if source.random() < 0.2:
+        found.append(signal.SIGINT)
+    return found
+
+
 def as_lines(faults: Sequence[Fault]) -> str:
     """Return the plan with one JSON object a line."""
     return "\n".join(orjson.dumps(each.fields()).decode() for each in faults)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -210,6 +210,35 @@
             await trio.sleep(0.02)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepeatedStop(Stop):
+    """A stop during which further signals come.
+
+    Attributes:
+        again: Each further signal, and its time from the SIGTERM in seconds.
+    """
+
+    again: Sequence[tuple[float, int]]
+
+    async def disturb(self, stage: Stage, host: Host) -> None:
+        """Stop the newest process of the host."""
+        process = host.process
+        async with trio.open_nursery() as nursery:
+            for seconds, number in self.again:
+                nursery.start_soon(_signal_later, process, seconds, number)
+            # A class with slots is made anew, which `super()` doesn't know.
+            await Stop.disturb(self, stage, host)
+            nursery.cancel_scope.cancel()
+
+
+async def _signal_later(
+    process: HostProcess | None, seconds: float, number: int
+) -> None:
+    await trio.sleep(seconds)
+    if process is not None and process.stopping:
+        process.signal(signal.Signals(number))
+
+
 async def _wait_for_end(process: HostProcess, seconds: float) -> None:
     with trio.move_on_after(seconds):
         while process.poll() is None:
--- a/bench/soak/host.py
+++ b/bench/soak/host.py
@@ -5,7 +5,7 @@
 import pathlib
 import resource
 import subprocess
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from signal import (
     SIG_DFL,
     SIGHUP,
@@ -203,6 +203,7 @@
         peak_bytes: Most resident memory that any of them had.
         peak_descriptors: Most descriptors that any of them had.
         disturbed: Spans of the run in which one was killed or frozen.
+        when_ended: Called when its last process has ended.
     """
 
     def __init__(
@@ -239,6 +240,7 @@
         self.peak_bytes = 0
         self.peak_descriptors = 0
         self.disturbed: list[tuple[float, float]] = []
+        self.when_ended: Callable[[], None] | None = None
 
     @property
     def errors(self) -> pathlib.Path:
@@ -302,6 +304,8 @@
             self.processes.remove(process)
             self.ends.append(process.end(self.id, epoch))
             self.start_at = trio.current_time() + RESTART_SECONDS
+            if not self.processes and self.when_ended is not None:
+                self.when_ended()
 
     def _watch_limits(self, process: HostProcess) -> None:
         """End a process that has more memory than its machine."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,9 +10,10 @@
 from agatetack.testing.fake_target import ExecutedRequest
 from bench.soak.callers import Callers, Result, count_results
 from bench.soak.deploy_file import read_role
-from bench.soak.fault_plan import draw_faults, draw_path_cuts
+from bench.soak.fault_plan import draw_faults, draw_path_cuts, draw_stops
 from bench.soak.faults import Fault, Stage
 from bench.soak.host import End, Host, ends_by_themselves
+from bench.soak.links import Link
 from bench.soak.machines import make_hosts
 from bench.soak.observe import (
     Occupancy,
@@ -30,6 +31,10 @@
 """Time after the last answer in which late runs at targets are seen."""
 
 
+STOPS_SHARE = 0.7
+"""Share of the load's time in which stops begin; the rest shows recovery."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """What is run.
@@ -45,6 +50,9 @@
         faults: Seed of the faults; None for a run without.
         path_cuts: Seed of the times in which hosts lose their paths to all
             targets; None for a run without.
+        stops: Seed of a series of stops, with answers that come over links
+            which end with the processes of their hosts; None for a run
+            without.
     """
 
     site: Site
@@ -56,6 +64,7 @@
     lead_seconds: float = 3.0
     faults: int | None = None
     path_cuts: int | None = None
+    stops: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,6 +144,8 @@
         address = f"127.0.0.1:{world.store_port}"
         hosts = make_hosts(plan.site, role, address, plan.folder, plan.cores)
         world.add_hosts(hosts)
+        if plan.stops is not None:
+            callers.links = _link(plan.site, hosts)
         epoch = trio.current_time()
         nursery.start_soon(occupancy.run, world)
         stage = Stage(world, hosts, epoch)
@@ -177,6 +188,15 @@
     return report
 
 
+def _link(site: Site, hosts: Sequence[Host]) -> dict[str, Link]:
+    """Return a link for each host, which ends with its last process."""
+    links = {}
+    for host in hosts:
+        links[host.id] = Link(site.link_bytes_per_second)
+        host.when_ended = links[host.id].end
+    return links
+
+
 def _draw(plan: Plan, hosts: Sequence[Host]) -> Sequence[Fault]:
     names = [host.id for host in hosts]
     seconds = plan.lead_seconds + plan.seconds
@@ -185,6 +205,9 @@
         faults += draw_faults(plan.faults, plan.site, names, seconds)
     if plan.path_cuts is not None:
         faults += draw_path_cuts(plan.path_cuts, names, seconds)
+    if plan.stops is not None:
+        last = plan.lead_seconds + STOPS_SHARE * plan.seconds
+        faults += draw_stops(plan.stops, names, plan.lead_seconds, last)
     return sorted(faults, key=lambda fault: fault.at)
 
 
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -5,10 +5,14 @@
 import math
 import pathlib
 import tomllib
+from collections import Counter
 from collections.abc import Mapping, Sequence
 
 from agatetack.ids import FailureDomain, ServiceId
 
+LINK_BYTES_PER_SECOND = 1.25e6
+"""What a link of 10 Mbit/s carries."""
+
 
 class Habit(enum.Enum):
     """How callers use connections."""
@@ -68,6 +72,8 @@
         priority: Its rank; 0 is the highest.
         retries: How often a caller asks again.
         answer_bytes: Mean size of a download.
+        answer_sigma: Spread of that size, of a log-normal distribution.
+        max_answer_bytes: Largest size of a download.
     """
 
     name: str
@@ -82,6 +88,8 @@
     priority: int = 1
     retries: int = 1
     answer_bytes: int = 0
+    answer_sigma: float = 0.0
+    max_answer_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,6 +116,7 @@
         memory_mb: Most memory of one process.
         descriptors: Most file descriptors of one process.
         lead_seconds: Time from the start of hosts to that of callers.
+        link_bytes_per_second: What the thinnest link of a host carries.
     """
 
     name: str
@@ -120,9 +129,26 @@
     memory_mb: int = 300
     descriptors: int = 4100
     lead_seconds: float = 10.0
+    link_bytes_per_second: float = LINK_BYTES_PER_SECOND
 
     def scaled(self, factor: float) -> "Site":
-        """Return the site with its rates multiplied by `factor`."""
+        """Return the site with its rates multiplied by `factor`.
+
+        Below 1 it has fewer hosts and targets as well, one of each that it
+        has at least.
+        """
+        if factor >= 1:
+            return self._with_rates(factor)
+        services = [
+            dataclasses.replace(each, targets=_part(each.targets, factor))
+            for each in self.services
+        ]
+        smaller = dataclasses.replace(
+            self, hosts=_part(self.hosts, factor), services=services
+        )
+        return smaller._with_rates(factor)
+
+    def _with_rates(self, factor: float) -> "Site":
         traffic = [
             dataclasses.replace(
                 each, rates={k: r * factor for k, r in each.rates.items()}
@@ -132,6 +158,12 @@
         return dataclasses.replace(self, traffic=traffic)
 
 
+def _part(
+    counts: Mapping[FailureDomain, int], factor: float
+) -> Mapping[FailureDomain, int]:
+    return {name: math.ceil(n * factor) for name, n in counts.items()}
+
+
 BOUNDS = {
     "seed_lag": "3s",
     "reuse_after": "2s",
@@ -175,6 +207,8 @@
             Kind.DOWNLOAD,
             work_seconds=0.03,
             answer_bytes=90_000,
+            answer_sigma=0.6,
+            max_answer_bytes=540_000,
         ),
         RequestKind(
             "scan",
@@ -208,7 +242,7 @@
     return Site(
         name=found["name"],
         regions={each["name"]: each["region"] for each in found["zones"]},
-        hosts={each["zone"]: each["count"] for each in fronts},
+        hosts=_hosts(fronts),
         services=[_service(each) for each in found["services"]],
         kinds={each["name"]: _kind(each) for each in found["classes"]},
         traffic=[
@@ -219,9 +253,19 @@
         memory_mb=fronts[0]["memory_mb"],
         descriptors=fronts[0]["fds"],
         lead_seconds=found["lead_s"],
+        link_bytes_per_second=min(each["link_mbps"] for each in fronts)
+        * 125_000,
     )
 
 
+def _hosts(fronts: Sequence[Mapping]) -> Mapping[FailureDomain, int]:
+    """Return the hosts of each failure domain, of all sizes together."""
+    counts: Counter[FailureDomain] = Counter()
+    for each in fronts:
+        counts[each["zone"]] += each["count"]
+    return counts
+
+
 def _service(entry: Mapping) -> Service:
     targets = {each["zone"]: each["count"] for each in entry["servers"]}
     return Service(entry["name"], targets, entry["slots"], entry["queue"])
@@ -244,6 +288,8 @@
         priority=entry["priority"],
         retries=entry["retries"],
         answer_bytes=math.ceil(size),
+        answer_sigma=entry["resp_bytes"]["spread"],
+        max_answer_bytes=math.ceil(entry["resp_bytes"]["max"]),
     )
 
 
