Let peers have the replies of requests that were passed on before the end

Callers whose request had been passed on to a host that then stopped got an answer of unknown outcome, although the request had run there to its end.

Evidence: test_replies_arrive_before_their_host_ends, whose case without the flush loses the reply.

Change: a flush of the drain waits until the messages of requests are sent and acknowledged, for 1 s at most, as a peer that takes nothing must not hold a host. Budgeted messages don't count: no request waits for them.

--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -326,6 +326,7 @@
         self.lifecycle.on_closing(self.callers.stop_accepting)
         self.lifecycle.on_closing(self.callers.close_idle)
         self.lifecycle.add_flush("callers", self._flush_callers)
+        self.lifecycle.add_flush("replies", self.peers.flush_replies)
 
     def add_runner(
         self, request_class: RequestClass, runner: ClassRunner
--- a/agatetack/peers/link.py
+++ b/agatetack/peers/link.py
@@ -231,6 +231,25 @@
         queue.append(message)
         self.wake.set()
 
+    @property
+    def has_undelivered(self) -> bool:
+        """Return whether the peer's machine lacks what it should have.
+
+        Messages that wait for the byte budget don't count, as no request of
+        a caller waits for them.
+        """
+        if self.reason is not None:
+            return False
+        if self.sending or self.unsent:
+            return True
+        if any(message.frames for message in self.unbudgeted):
+            return True
+        stream = self.stream
+        return (
+            isinstance(stream, PlainStream)
+            and stream.unacknowledged_bytes() > 0
+        )
+
     def cancel_message(self, message: OutgoingMessage) -> None:
         """Remove a call that is no longer awaited, unless partly sent."""
         for queue in (self.unbudgeted, self.budgeted):
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -48,6 +48,12 @@
 from agatetack.settings.model import Settings
 from agatetack.streams import serve_streams, trio_listener
 
+REPLY_FLUSH_SECONDS = 1.0
+"""Longest time for which a host that stops waits for peers to take replies."""
+
+FLUSH_POLL_SECONDS = 0.02
+"""Interval at which links are checked meanwhile."""
+
 LOG = PartLog("peers")
 
 TakeBytes = Callable[[int, Deadline], bool]
@@ -237,6 +243,23 @@
             link.send_heartbeat()
         self._publish_self()
 
+    async def flush_replies(self, deadline: Deadline) -> None:
+        """Wait until peers have the replies to their calls.
+
+        A peer that takes none keeps a host that stops for
+        `REPLY_FLUSH_SECONDS` at most.
+        """
+        now = self.clock.now()
+        with trio.move_on_at(min(deadline, now + REPLY_FLUSH_SECONDS)) as scope:
+            while any(
+                link.has_undelivered for link in self.connector.links.values()
+            ):
+                await trio.sleep(FLUSH_POLL_SECONDS)
+        if scope.cancelled_caught:
+            LOG.warning(
+                "Some peers did not take replies before this host ends."
+            )
+
     def hello(self) -> ttypes.Hello:
         """Return this host's hello, with a fresh nonce."""
         return self.identity.hello()
--- a/agatetack/peers/test_calls.py
+++ b/agatetack/peers/test_calls.py
@@ -6,6 +6,8 @@
 from agatetack.ids import Deadline, HostId
 from agatetack.peers.calls import MAX_CHUNK_BYTES, MAX_INCOMING_CALLS
 from agatetack.peers.exchange import PeerUnreachable, Topic
+from agatetack.peers.link import Link
+from agatetack.peers.mesh import REPLY_FLUSH_SECONDS
 from agatetack.testing.peer_net import PeerNet, closed, dropped
 
 A, B = HostId("a"), HostId("b")
@@ -149,3 +151,50 @@
         assert closed(host, "unacknowledged") + closed(host, "silent") == 0
         assert dropped(host, "control-over-budget") == 0
     nursery.cancel_scope.cancel()
+
+
+# Guards against answers of requests that were passed on and are lost as the
+# host that ran them ends.
+@pytest.mark.parametrize("flushed", [True, False])
+async def test_replies_arrive_before_their_host_ends(
+    nursery, autojump_clock, flushed
+):
+    net = await two_hosts(nursery)
+    ended = trio.Event()
+
+    async def answer(sender: HostId, payload: bytes) -> bytes:
+        ended.set()
+        return bytes(4 * MAX_CHUNK_BYTES)
+
+    net.hosts[B].serve(Topic.FORWARD, answer)
+    replies = []
+
+    async def call() -> None:
+        deadline = Deadline(trio.current_time() + 5)
+        try:
+            replies.append(
+                await net.hosts[A].call(B, Topic.FORWARD, b"x", deadline)
+            )
+        except PeerUnreachable as error:
+            replies.append(error)
+
+    async with trio.open_nursery() as calls:
+        calls.start_soon(call)
+        await ended.wait()
+        if flushed:
+            await net.hosts[B].flush_replies(Deadline(trio.current_time() + 9))
+        net.stop(B)
+    # Without the flush the reply is lost, so that the test can fail.
+    assert isinstance(replies[0], bytes) is flushed
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_peer_that_takes_nothing_holds_no_host_that_ends(
+    nursery, autojump_clock, monkeypatch
+):
+    net = await two_hosts(nursery)
+    monkeypatch.setattr(Link, "has_undelivered", True)
+    started = trio.current_time()
+    await net.hosts[B].flush_replies(Deadline(started + 9))
+    assert trio.current_time() - started == REPLY_FLUSH_SECONDS
+    nursery.cancel_scope.cancel()
