--- a/agatetack/callers/test_server.py
+++ b/agatetack/callers/test_server.py
@@ -285,3 +285,33 @@
         with trio.fail_after(10):
             await narrow.read(200_000)
         assert len(narrow.received) > ANSWER_BYTES
+
+
+# Guards against a host that ends while the kernel still holds answers, under
+# TLS.
+async def test_a_server_ends_after_a_tls_caller_has_all_bytes(tls, authority):
+    handler = Large()
+    handler.may_answer.set()
+    handler.may_go_on.set()
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    async with serving(tls, handler) as (server, port):
+        narrow = await open_narrow_stream("127.0.0.1", port)
+        secure = trio.SSLStream(
+            trio.SocketStream(narrow.sock),
+            context,
+            server_hostname="127.0.0.1",
+            https_compatible=True,
+        )
+        await secure.send_all(REQUEST)
+        data = await secure.receive_some(1000)
+        await trio.sleep(0.2)
+        server.stop_accepting()
+        server.close_idle()
+        await trio.sleep(0.2)
+        assert not server.ended.is_set()
+        with trio.fail_after(10):
+            while part := await secure.receive_some(1000):
+                data += part
+            await server.ended.wait()
+        assert len(data) > ANSWER_BYTES
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -13,8 +13,22 @@
 from bench.soak import machines
 from bench.soak.callers import Attempt, CallerRequest, Result
 from bench.soak.deploy_file import build
-from bench.soak.fault_plan import as_lines, draw_faults, draw_path_cuts
-from bench.soak.faults import Cut, Freeze, Kill, Reload, Span, Stage, Stop
+from bench.soak.fault_plan import (
+    as_lines,
+    draw_faults,
+    draw_path_cuts,
+    draw_stops,
+)
+from bench.soak.faults import (
+    GRACE_SECONDS,
+    Cut,
+    Freeze,
+    Kill,
+    Reload,
+    Span,
+    Stage,
+    Stop,
+)
 from bench.soak.host import Host
 from bench.soak.paths import PathCuts, PathFault
 from bench.soak.run import Plan, run_soak
@@ -342,6 +356,29 @@
         sock.bind((f"{first}.{machines.HOLDER}", machines.CALLERS_PORT))
 
 
+# Guards against answers that are cut, or not delivered, as their host stops.
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_stops_break_no_rule(tmp_path, seed):
+    build(ROOT)
+    plan = Plan(small_site(), 17.0, seed, ROOT, tmp_path, stops=seed)
+    report = await run_soak(plan)
+    broken = [each for each in report.violations if each.rule != "SHORT"]
+    assert broken == []
+    assert report.served_share > 0
+
+
+def test_stops_overlap_and_repeat_signals():
+    stops = draw_stops(1, HOSTS, 3.0, 60.0)
+    repeats = [number for stop in stops for _, number in stop.again]
+    gaps = [b.at - a.at for a, b in zip(stops, stops[1:], strict=False)]
+    assert min(gaps) < GRACE_SECONDS
+    assert {signal.SIGTERM, signal.SIGHUP} <= set(repeats)
+    assert all(
+        [number for _, number in stop.again].count(signal.SIGINT) <= 1
+        for stop in stops
+    )
+
+
 @pytest.mark.parametrize(
     ("seed", "path_cuts"), [(2, None), (5, None), (1, 1), (3, 3)]
 )
