Count a stop during a start from the last step without one

Cause: the drain counted from the start of the process, as the start didn't look whether a stop already waited.

Change: a start looks between its steps, and the drain counts from the last look without a waiting stop.

--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -17,7 +17,7 @@
 from agatetack.logs import PartLog
 from agatetack.operators.app import serve_operators
 from agatetack.operators.host_backend import HostBackend
-from agatetack.process import seconds_since_start, tune_collector
+from agatetack.process import held_stop, tune_collector
 from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.model import Settings
 
@@ -78,13 +78,15 @@
     host_list = HttpHostList(settings)
     gateway = Gateway(settings, platform_log, host_list)
     count_dropped_lines(gateway.metrics)
-    started_at = Deadline(trio.current_time() - seconds_since_start())
-    gateway.lateness.begin(started_at)
     tune_collector()
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(forward_signals, gateway.stops)
             await nursery.start(note_reload_signals)
+            held_stop.look()
+            gateway.lateness.begin(
+                Deadline(trio.current_time() - held_stop.age_seconds())
+            )
             with delivered_signals():
                 report = await serve_host(gateway)
             nursery.cancel_scope.cancel()
--- a/agatetack/process.py
+++ b/agatetack/process.py
@@ -55,6 +55,31 @@
     return not signal.sigpending().isdisjoint(STOP_SIGNALS)
 
 
+class HeldStop:
+    """When a stop that waits until it is handled may have been sent.
+
+    Attributes:
+        earliest: The last time at which none waited, on the steady clock.
+    """
+
+    def __init__(self) -> None:
+        """Count from the start of the process."""
+        self.earliest = started_at
+
+    def look(self) -> None:
+        """Move `earliest` to now unless a stop waits."""
+        if not is_stop_pending():
+            self.earliest = time.monotonic()
+
+    def age_seconds(self) -> float:
+        """Return the time since `earliest`, in seconds."""
+        return time.monotonic() - self.earliest
+
+
+held_stop = HeldStop()
+"""Looked at between the steps of a start."""
+
+
 def open_standard_files() -> None:
     """Open those of the standard files that are closed.
 
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -9,7 +9,7 @@
 from agatetack.decisions import set_up_decisions
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
-from agatetack.process import report_early
+from agatetack.process import held_stop, report_early
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import check_settings
 from agatetack.settings.model import Settings
@@ -39,6 +39,7 @@
     Raises:
         UserError: No file was given, or it can't be read or has errors.
     """
+    held_stop.look()
     config = config or os.environ.get(CONFIG_VARIABLE, "")
     if not config:
         raise UserError(f"give -c FILE, or set {CONFIG_VARIABLE}")
@@ -48,6 +49,7 @@
         checked = check_settings(config, find_start_misfits, take_addresses)
     except StopRequested:
         return 0
+    held_stop.look()
     if checked.settings is None:
         listeners.release_others([])
         raise SettingsError(render_findings(checked.findings))
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -12,7 +12,7 @@
 from agatetack.decisions import DecisionLog
 from agatetack.ids import Deadline
 from agatetack.platform.bounds import apply_bounds
-from agatetack.process import seconds_since_start, tune_collector
+from agatetack.process import held_stop, seconds_since_start, tune_collector
 from agatetack.settings.model import Settings
 from agatetack.settings.reload import SettingsWatch
 from agatetack.store_gateway import StoreGateway
@@ -40,8 +40,6 @@
     """
     gateway = StoreGateway(apply_bounds(settings))
     count_dropped_lines(gateway.metrics)
-    started_at = Deadline(trio.current_time() - seconds_since_start())
-    gateway.lateness.begin(started_at)
     tune_collector()
     watch = SettingsWatch(
         path,
@@ -53,6 +51,10 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(forward_signals, gateway.stops)
             await nursery.start(watch.run)
+            held_stop.look()
+            gateway.lateness.begin(
+                Deadline(trio.current_time() - held_stop.age_seconds())
+            )
             with delivered_signals():
                 ports = await nursery.start(gateway.run)
                 log.note(
