Tell bytes that a reset lost from bytes that were acknowledged

The soak reported requests as LOST that a host had never read: closed 0.25 s after they were sent, on connections that the host had ended before.

Cause: unacknowledged_bytes() is 0 for a connection that was reset, as nobody should wait for its bytes, and the soak took that for delivery.

Change: the function counts what was not acknowledged, also before a reset; only a stream's own count, which is waited for, is 0 then.

Measured: tests of streams and the callers' server pass.

--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -45,21 +45,33 @@
 def unacknowledged_bytes(sock: socket.socket) -> int:
     """Return how many bytes sent the other end's kernel has not acknowledged.
 
-    The end of a stream counts as one byte. 0 if the connection has ended, or
-    where the kernel doesn't tell (only Linux does).
+    The end of a stream counts as one byte. What was not acknowledged before a
+    reset still counts. 0 if the socket is closed, or where the kernel doesn't
+    tell (only Linux does).
     """
-    if sock.fileno() < 0 or TCP_INFO is None:
+    if sock.fileno() < 0:
         return 0
     try:
-        (state,) = sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, 1)
-        if state == TCP_STATE_CLOSED:
-            return 0
         left = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
     except OSError:
         return 0
     return struct.unpack("=i", left)[0]
 
 
+def is_over(sock: socket.socket) -> bool:
+    """Return whether a connection has ended in both directions, or by a reset.
+
+    False where the kernel doesn't tell (only Linux does).
+    """
+    if TCP_INFO is None:
+        return False
+    try:
+        (state,) = sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, 1)
+    except OSError:
+        return True
+    return state == TCP_STATE_CLOSED
+
+
 class PlainStream(trio.abc.Stream):
     """One connected TCP socket.
 
@@ -191,8 +203,9 @@
         return bool(poller.poll(0))
 
     def unacknowledged_bytes(self) -> int:
-        """Return how many bytes sent the other end has not acknowledged."""
-        return unacknowledged_bytes(self.sock)
+        """Return how many bytes the other end may still acknowledge."""
+        left = unacknowledged_bytes(self.sock)
+        return 0 if left and is_over(self.sock) else left
 
     def seconds_since_data(self) -> float:
         """Return how long ago the last bytes came; 0 if that is not known.
--- a/agatetack/test_streams.py
+++ b/agatetack/test_streams.py
@@ -6,7 +6,11 @@
 import trio
 import trio.testing
 
-from agatetack.streams import PlainListener, open_plain_stream
+from agatetack.streams import (
+    PlainListener,
+    open_plain_stream,
+    unacknowledged_bytes,
+)
 
 LOOPBACK = "127.0.0.1"
 
@@ -73,3 +77,32 @@
     listener.close()
     with pytest.raises(ConnectionRefusedError):
         await open_plain_stream(LOOPBACK, listener.port)
+
+
+# Guards against bytes that a reset connection never delivered and that count
+# as delivered, or are waited for.
+async def test_a_reset_leaves_bytes_unacknowledged_that_nobody_waits_for():
+    near, far = await make_pair()
+    while near.send_nowait(bytes(100_000)):
+        pass
+    assert near.unacknowledged_bytes() > 0
+    far.abort_on_close()
+    far.close()
+    with trio.fail_after(5):
+        while not near.is_reset():
+            await trio.sleep(0.01)
+    assert near.unacknowledged_bytes() == 0
+    assert unacknowledged_bytes(near.sock) > 0
+    near.close()
+
+
+async def test_received_bytes_are_acknowledged():
+    near, far = await make_pair()
+    await near.send_all(b"x")
+    near.send_eof()
+    assert await far.receive_some() == b"x"
+    with trio.fail_after(5):
+        while near.unacknowledged_bytes():
+            await trio.sleep(0.01)
+    near.close()
+    far.close()
