Note a connection's end with its reset, and a held stop in one place

Read again: a reset was always noted and asked for in two calls, the end's line worked out anew what its delivery knows, has_timed_out computed the same difference twice, and both daemons repeated what they tell the lateness before signals are delivered.

Change: _reset_on_close takes the cause, the line uses the delivery, and delivered_signals does what both daemons did. Behaviour stays.

Measured: tests of callers, lifecycle, both daemons, starts and TLS pass.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -151,7 +151,7 @@
         finally:
             if self.writer.unfinished and self.end is None:
                 # A close in order would let a cut answer look complete.
-                self._reset_on_close()
+                self._reset_on_close(ConnectionEnd.CANCELLED)
             self._note_end(ConnectionEnd.CANCELLED)
             self._log_end()
             with trio.move_on_after(1) as scope:
@@ -176,7 +176,9 @@
             transport.send_eof()
         await self.delivery.wait()
 
-    def _reset_on_close(self) -> None:
+    def _reset_on_close(self, end: ConnectionEnd) -> None:
+        """Let the connection, which ended by `end`, close with a reset."""
+        self._note_end(end)
         self.aborted = True
         abort(self.stream)
 
@@ -188,16 +190,13 @@
         """Log the connection's end if it ends with the host."""
         if not self.closing:
             return
-        transport = self._transport()
         log.note(
             "connection-end",
             cause=self.end.value,
             request=self.last_request,
             unanswered=self.busy,
             written_bytes=self.writer.written_bytes,
-            unacknowledged_bytes=(
-                0 if transport is None else transport.unacknowledged_bytes()
-            ),
+            unacknowledged_bytes=self.delivery.look(),
         )
 
     def close_gracefully(self) -> None:
@@ -224,8 +223,8 @@
     def has_timed_out(self, now: Deadline) -> bool:
         """Return whether a timeout of this connection has expired."""
         limits = self.settings
-        unchanged = now - self.delivery.changed_at
         if self.delivering:
+            unchanged = now - self.delivery.changed_at
             return unchanged > limits.write_timeout_seconds
         sending_since = self.writer.sending_since
         if sending_since is not None:
@@ -240,11 +239,11 @@
             return False
         if now - self.idle_since <= limits.keep_alive_seconds:
             return False
-        is_delivered = not self.delivery.look()
-        unchanged = now - self.delivery.changed_at
-        if is_delivered:
-            return unchanged > limits.keep_alive_seconds
-        return unchanged > limits.write_timeout_seconds
+        if self.delivery.look():
+            allowed_seconds = limits.write_timeout_seconds
+        else:
+            allowed_seconds = limits.keep_alive_seconds
+        return now - self.delivery.changed_at > allowed_seconds
 
     def is_lost(self) -> bool:
         """Return whether the caller has gone while it waits.
@@ -268,8 +267,7 @@
         A target's attempt that is shielded from the cancellation ends as well
         if it waits for the request's body.
         """
-        self._note_end(ConnectionEnd.RESET)
-        self._reset_on_close()
+        self._reset_on_close(ConnectionEnd.RESET)
         self.parser.end()
         self.body_read_scope.cancel()
         self.scope.cancel()
@@ -374,13 +372,11 @@
             return await self._write(parsed, answer)
         except AnswerCut:
             # The reset signals to the caller that the answer is incomplete.
-            self._note_end(ConnectionEnd.RESET)
-            self._reset_on_close()
+            self._reset_on_close(ConnectionEnd.RESET)
             return False
         except (CallerGone, trio.BrokenResourceError):
-            self._note_end(ConnectionEnd.CALLER)
             self.metrics.refused(None, RefusalReason.CALLER_GONE)
-            self._reset_on_close()
+            self._reset_on_close(ConnectionEnd.CALLER)
             return False
         finally:
             if parsed.streamed is not None:
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -12,12 +12,11 @@
 )
 from agatetack.gateway import Gateway
 from agatetack.hosts.http_host_list import HttpHostList
-from agatetack.ids import Deadline
 from agatetack.lifecycle.drain import DrainReport
 from agatetack.logs import PartLog
 from agatetack.operators.app import serve_operators
 from agatetack.operators.host_backend import HostBackend
-from agatetack.process import held_stop, tune_collector
+from agatetack.process import tune_collector
 from agatetack.record_log.http_log import HttpLog
 from agatetack.settings.model import Settings
 
@@ -83,11 +82,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(forward_signals, gateway.stops)
             await nursery.start(note_reload_signals)
-            held_stop.look()
-            gateway.lateness.begin(
-                Deadline(trio.current_time() - held_stop.age_seconds())
-            )
-            with delivered_signals():
+            with delivered_signals(gateway.lateness):
                 report = await serve_host(gateway)
             nursery.cancel_scope.cancel()
     finally:
--- a/agatetack/daemon_parts.py
+++ b/agatetack/daemon_parts.py
@@ -6,16 +6,29 @@
 
 import trio
 
+from agatetack.clock import Lateness
+from agatetack.ids import Deadline
 from agatetack.logs import PartLog, count_drops
 from agatetack.metrics import Metrics
-from agatetack.process import STOP_SIGNALS, hold_signals, release_signals
+from agatetack.process import (
+    STOP_SIGNALS,
+    held_stop,
+    hold_signals,
+    release_signals,
+)
 
 log = PartLog("daemon")
 
 
 @contextlib.contextmanager
-def delivered_signals() -> Iterator[None]:
-    """Deliver signals within the context, in which all of them are handled."""
+def delivered_signals(lateness: Lateness) -> Iterator[None]:
+    """Deliver signals within the context, in which all of them are handled.
+
+    Args:
+        lateness: Learns since when a stop may have waited.
+    """
+    held_stop.look()
+    lateness.begin(Deadline(trio.current_time() - held_stop.age_seconds()))
     release_signals()
     try:
         yield
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -10,9 +10,8 @@
     forward_signals,
 )
 from agatetack.decisions import DecisionLog
-from agatetack.ids import Deadline
 from agatetack.platform.bounds import apply_bounds
-from agatetack.process import held_stop, seconds_since_start, tune_collector
+from agatetack.process import seconds_since_start, tune_collector
 from agatetack.settings.model import Settings
 from agatetack.settings.reload import SettingsWatch
 from agatetack.store_gateway import StoreGateway
@@ -51,11 +50,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(forward_signals, gateway.stops)
             await nursery.start(watch.run)
-            held_stop.look()
-            gateway.lateness.begin(
-                Deadline(trio.current_time() - held_stop.age_seconds())
-            )
-            with delivered_signals():
+            with delivered_signals(gateway.lateness):
                 ports = await nursery.start(gateway.run)
                 log.note(
                     "start",
