--- a/agatetack/callers/test_server.py
+++ b/agatetack/callers/test_server.py
@@ -15,7 +15,10 @@
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import TlsFiles
-from agatetack.testing.narrow_stream import open_narrow_stream
+from agatetack.testing.narrow_stream import (
+    open_narrow_socket,
+    open_narrow_stream,
+)
 from agatetack.tls import ServerTls
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -78,6 +81,14 @@
         return Answer(200, [], TwoParts(self.may_go_on))
 
 
+def whole_answers():
+    """Return a handler that answers at once."""
+    handler = Large()
+    handler.may_answer.set()
+    handler.may_go_on.set()
+    return handler
+
+
 @contextlib.asynccontextmanager
 async def serving(tls=None, handler=None, settings=SETTINGS):
     server = CallerServer(settings, handler or Echo(), Metrics(), tls)
@@ -252,9 +263,7 @@
 # Guards against a host that ends while the kernel still holds answers.
 @pytest.mark.parametrize("kept", [False, True])
 async def test_a_server_ends_after_the_caller_has_all_bytes(kept):
-    handler = Large()
-    handler.may_answer.set()
-    handler.may_go_on.set()
+    handler = whole_answers()
     settings = default_settings(
         callers={"listen": {"ip": "127.0.0.1", "port": 0}}
     )
@@ -276,9 +285,7 @@
 
 # Guards against an idle timeout that cuts an answer on its way to the caller.
 async def test_a_slow_caller_outlasts_the_idle_timeout():
-    handler = Large()
-    handler.may_answer.set()
-    handler.may_go_on.set()
+    handler = whole_answers()
     async with serving(handler=handler) as (_, port):
         narrow = await open_narrow_stream("127.0.0.1", port)
         await narrow.sock.send(REQUEST)
@@ -290,15 +297,13 @@
 # Guards against a host that ends while the kernel still holds answers, under
 # TLS.
 async def test_a_server_ends_after_a_tls_caller_has_all_bytes(tls, authority):
-    handler = Large()
-    handler.may_answer.set()
-    handler.may_go_on.set()
+    handler = whole_answers()
     context = ssl.create_default_context()
     authority.configure_trust(context)
     async with serving(tls, handler) as (server, port):
-        narrow = await open_narrow_stream("127.0.0.1", port)
+        sock = await open_narrow_socket("127.0.0.1", port)
         secure = trio.SSLStream(
-            trio.SocketStream(narrow.sock),
+            trio.SocketStream(sock),
             context,
             server_hostname="127.0.0.1",
             https_compatible=True,
--- a/agatetack/lifecycle/test_drain.py
+++ b/agatetack/lifecycle/test_drain.py
@@ -301,7 +301,7 @@
     lifecycle.in_flight.begin(RequestId("a"), ROUTE)
     await trio.sleep(1.01)
     asked = trio.current_time()
-    # The process stands still and is asked to stop at the begin of that.
+    # The process stands still and is asked to stop as that begins.
     autojump_clock.jump(stall)
     if late_first:
         await trio.sleep(0.001)
--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -235,8 +235,9 @@
         await daemon.line(event="end", request="lost-199")
 
 
-async def test_a_request_under_way_is_finished_in_a_stop(tmp_path):
-    async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
+async def stop_during_a_request(path, numbers):
+    """Stop a host while it serves a request, which must be answered."""
+    async with running_daemon(path) as (daemon, target):
         start = await daemon.line(event="start")
         await wait_ready(start["ready"])
         statuses = []
@@ -250,11 +251,17 @@
             with trio.fail_after(PATIENCE_SECONDS):
                 while not target.in_flight:
                     await trio.sleep(0.01)
-            daemon.process.send_signal(signal.SIGTERM)
+            for number in numbers:
+                daemon.process.send_signal(number)
+                await trio.sleep(0.1)
         assert statuses == [200]
         assert await daemon.end() == 0
 
 
+async def test_a_request_under_way_is_finished_in_a_stop(tmp_path):
+    await stop_during_a_request(tmp_path / "node.yaml", [signal.SIGTERM])
+
+
 # Guards against a stop signal that is repeated and ends the drain at once.
 @pytest.mark.parametrize(
     "numbers",
@@ -265,25 +272,7 @@
     ],
 )
 async def test_a_repeated_stop_cuts_no_request(tmp_path, numbers):
-    async with running_daemon(tmp_path / "node.yaml") as (daemon, target):
-        start = await daemon.line(event="start")
-        await wait_ready(start["ready"])
-        statuses = []
-
-        async def ask_slowly():
-            path = "/a/x?service_ms=1500"
-            statuses.append(await ask(start["callers"], path))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask_slowly)
-            with trio.fail_after(PATIENCE_SECONDS):
-                while not target.in_flight:
-                    await trio.sleep(0.01)
-            for number in numbers:
-                daemon.process.send_signal(number)
-                await trio.sleep(0.1)
-        assert statuses == [200]
-        assert await daemon.end() == 0
+    await stop_during_a_request(tmp_path / "node.yaml", numbers)
 
 
 async def start_export(daemon, size):
--- a/agatetack/testing/narrow_stream.py
+++ b/agatetack/testing/narrow_stream.py
@@ -8,7 +8,8 @@
 import trio
 
 RECEIVE_BUFFER_BYTES = 8192
-"""Receive buffer that is asked for; the kernel doubles it."""
+"""Receive buffer that is asked for, which the kernel doubles; with a larger
+one it would take a whole answer at once."""
 
 STEP_SECONDS = 0.02
 """Time between two reads."""
@@ -56,13 +57,40 @@
         self.sock.close()
 
 
-async def open_narrow_stream(ip: str, port: int) -> NarrowStream:
+async def open_narrow_socket(
+    ip: str, port: int, segment_bytes: int | None = None
+) -> trio.socket.SocketType:
     """Connect with a small receive buffer.
 
+    Args:
+        ip: The address.
+        port: The port.
+        segment_bytes: Largest segment in both directions; the kernel chooses
+            it if None.
+
     Raises:
         OSError: The connection could not be opened.
     """
     sock = trio.socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    await sock.connect((ip, port))
-    return NarrowStream(sock)
+    try:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        if segment_bytes is not None:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes
+            )
+        await sock.connect((ip, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+async def open_narrow_stream(ip: str, port: int) -> NarrowStream:
+    """Connect as a slow reader.
+
+    Raises:
+        OSError: The connection could not be opened.
+    """
+    return NarrowStream(await open_narrow_socket(ip, port))
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -344,17 +344,15 @@
         return f"/{kind.name}/x?{work}"
 
     def _answer_bytes(self) -> int:
-        kind, sigma = self.kind, self.kind.answer_sigma
+        kind = self.kind
         if not self.callers.links:
             return kind.answer_bytes
-        mu = math.log(kind.answer_bytes) - sigma * sigma / 2
-        drawn = round(self.sizes.lognormvariate(mu, sigma))
-        return min(drawn, kind.max_answer_bytes)
+        drawn = _draw(self.sizes, kind.answer_bytes, kind.answer_sigma)
+        return min(round(drawn), kind.max_answer_bytes)
 
     def _work_ms(self) -> float:
-        sigma = self.kind.work_sigma
-        mu = math.log(self.kind.work_seconds) - sigma * sigma / 2
-        return self.source.lognormvariate(mu, sigma) * 1000
+        kind = self.kind
+        return _draw(self.source, kind.work_seconds, kind.work_sigma) * 1000
 
     def _request(self, attempt: Attempt, path: str, deadline: float) -> bytes:
         left_ms = max(1, round((deadline - trio.current_time()) * 1000))
@@ -397,6 +395,11 @@
         return line.encode()
 
 
+def _draw(source: random.Random, mean: float, sigma: float) -> float:
+    """Draw from a log-normal distribution with a mean and a spread."""
+    return source.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+
+
 def _retry_after(attempt: Attempt) -> float:
     """Return how long the answer asked to wait, in seconds."""
     _, _, told = attempt.detail.partition("retry-after=")
--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -1,18 +1,15 @@
 """Carry answers at the speed of a host's link, in segments of usual size."""
 
 import math
-import socket
 from typing import TYPE_CHECKING
 
 import trio
 
+from agatetack.testing.narrow_stream import open_narrow_socket
+
 if TYPE_CHECKING:
     from bench.soak.connection import Connection
 
-RECEIVE_BUFFER_BYTES = 8192
-"""Receive buffer of callers, which the kernel doubles; with a larger one it
-would take a whole answer at once."""
-
 SEGMENT_BYTES = 1400
 
 STEP_BYTES = 4096
@@ -40,19 +37,9 @@
         Raises:
             OSError: The connection could not be opened.
         """
-        sock = trio.socket.socket()
-        try:
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
-            )
-            await sock.connect((ip, port))
-        except BaseException:
-            sock.close()
-            raise
-        return trio.SocketStream(sock)
+        return trio.SocketStream(
+            await open_narrow_socket(ip, port, SEGMENT_BYTES)
+        )
 
     async def carry(self, count: int) -> None:
         """Wait while the link carries `count` bytes."""
