Wait for a peer in a drain only if it lacks a part of a request

A host that is idle could stop up to 1 s later than before: the wait for replies counted any byte that a peer's machine had not acknowledged, so also heartbeats to a machine that is gone and not yet given up.

Change: a link counts up to which byte the last frame of a request was sent, and the drain waits for the acknowledgement of that. Sends under way need no checks of their own any more.

Evidence: test_only_requests_make_a_host_wait_for_a_peer; its idle case waited 1 s before. The case of a passed-on reply waits as before.

--- a/agatetack/peers/link.py
+++ b/agatetack/peers/link.py
@@ -78,6 +78,9 @@
         answering: Number of calls of the peer that are being answered.
         sending: Whether the writing task is sending.
         unsent: The rest of a frame that the socket accepted in part.
+        sent_bytes: Bytes sent over the link.
+        request_bytes: How many of them reach up to the end of the last
+            unbudgeted frame.
         ended: Set once the link is closed and its owner has removed it.
         sequence: Number of the last heartbeat sent.
         received_sequence: Highest number of a heartbeat received.
@@ -117,6 +120,8 @@
         self.published_bytes = 0
         self.sending = False
         self.unsent = b""
+        self.sent_bytes = 0
+        self.request_bytes = 0
         self.unbudgeted: deque[OutgoingMessage] = deque()
         self.budgeted: deque[OutgoingMessage] = deque()
         self.answering = 0
@@ -219,7 +224,7 @@
         if queued or not isinstance(self.stream, PlainStream):
             return False
         sent = self.stream.send_nowait(content)
-        self.counters.sent(sent)
+        self._count_sent(sent)
         if 0 < sent < len(content):
             self.unsent = content[sent:]
             self.wake.set()
@@ -233,22 +238,24 @@
 
     @property
     def has_undelivered(self) -> bool:
-        """Return whether the peer's machine lacks what it should have.
+        """Return whether the peer's machine lacks a part of a request.
 
-        Messages that wait for the byte budget don't count, as no request of
-        a caller waits for them.
+        Heartbeats and budgeted messages don't count, as no request of a
+        caller waits for them.
         """
         if self.reason is not None:
             return False
-        if self.sending or self.unsent:
-            return True
         if any(message.frames for message in self.unbudgeted):
             return True
-        stream = self.stream
-        return (
-            isinstance(stream, PlainStream)
-            and stream.unacknowledged_bytes() > 0
-        )
+        # The handshake's bytes may be unacknowledged as well.
+        delivered = max(0, self.sent_bytes - self.unacknowledged_bytes())
+        return delivered < self.request_bytes
+
+    def unacknowledged_bytes(self) -> int:
+        """Return how many bytes sent the peer's machine hasn't acknowledged."""
+        if not isinstance(self.stream, PlainStream):
+            return 0
+        return self.stream.unacknowledged_bytes()
 
     def cancel_message(self, message: OutgoingMessage) -> None:
         """Remove a call that is no longer awaited, unless partly sent."""
@@ -279,10 +286,14 @@
                 self.sending = True
                 await self.stream.send_all(content)
                 self.sending = False
-                self.counters.sent(len(content))
+                self._count_sent(len(content))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.close(CloseReason.CONNECTION_LOST)
 
+    def _count_sent(self, count: int) -> None:
+        self.sent_bytes += count
+        self.counters.sent(count)
+
     def _next_content(self) -> bytes | None:
         if self.unsent:
             content, self.unsent = self.unsent, b""
@@ -312,6 +323,7 @@
         size = len(first.frames[0])
         if not first.budgeted:
             self.counters.sent_unbudgeted(size)
+            self.request_bytes = self.sent_bytes + size
         elif not self.budget.take_chunk(size, self.clock.now()):
             return None
         first.started = True
--- a/agatetack/peers/test_calls.py
+++ b/agatetack/peers/test_calls.py
@@ -198,3 +198,26 @@
     await net.hosts[B].flush_replies(Deadline(started + 9))
     assert trio.current_time() - started == REPLY_FLUSH_SECONDS
     nursery.cancel_scope.cancel()
+
+
+# Guards against an idle host that stops late, as heartbeats to a peer whose
+# machine is gone are not acknowledged.
+@pytest.mark.parametrize("passed_on", [False, True])
+async def test_only_requests_make_a_host_wait_for_a_peer(
+    nursery, autojump_clock, monkeypatch, passed_on
+):
+    net = await two_hosts(nursery)
+
+    async def answer(sender: HostId, payload: bytes) -> bytes:
+        return b"reply"
+
+    net.hosts[B].serve(Topic.FORWARD, answer)
+    if passed_on:
+        deadline = Deadline(trio.current_time() + 5)
+        await net.hosts[A].call(B, Topic.FORWARD, b"x", deadline)
+    monkeypatch.setattr(Link, "unacknowledged_bytes", lambda _: 1000)
+    started = trio.current_time()
+    await net.hosts[B].flush_replies(Deadline(started + 9))
+    waited = trio.current_time() - started
+    assert waited == (REPLY_FLUSH_SECONDS if passed_on else 0)
+    nursery.cancel_scope.cancel()
