Name the code that wrote a log line, and its settings file

Cause: no line of the users' record says which code wrote it, and none of ours would have. It had to be told from a line number of the settings and from a prefix of one message.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -195,6 +195,8 @@
             cause=self.end.value,
             request=self.last_request,
             unanswered=self.busy,
+            status=self.writer.status,
+            body_bytes=self.writer.body_length,
             written_bytes=self.writer.written_bytes,
             unacknowledged_bytes=self.delivery.look(),
         )
--- a/agatetack/callers/writer.py
+++ b/agatetack/callers/writer.py
@@ -63,6 +63,8 @@
         unfinished: Whether an answer was begun and is not written whole.
         written_bytes: Bytes of the last answer that were written, with its
             header.
+        status: The last answer's status; 0 before the first one.
+        body_length: The last answer's announced length; None without one.
     """
 
     def __init__(self, stream: trio.abc.Stream):
@@ -70,6 +72,8 @@
         self.stream = stream
         self.unfinished = False
         self.written_bytes = 0
+        self.status = 0
+        self.body_length: int | None = None
         self.sending_since: Deadline | None = None
 
     async def send(self, data: bytes) -> None:
@@ -100,6 +104,7 @@
         """
         self.written_bytes = 0
         self.unfinished = True
+        self.status, self.body_length = answer.status, answer.body.length
         if method == b"HEAD" or answer.status in BODYLESS_STATUSES:
             await self._write_without_body(answer, method, close)
             self.unfinished = False
--- a/agatetack/daemon.py
+++ b/agatetack/daemon.py
@@ -4,11 +4,13 @@
 
 import trio
 
+from agatetack.build_id import running
 from agatetack.daemon_parts import (
     count_dropped_lines,
     delivered_signals,
     forward_signals,
     note_reload_signals,
+    show_build,
 )
 from agatetack.gateway import Gateway
 from agatetack.hosts.http_host_list import HttpHostList
@@ -18,7 +20,7 @@
 from agatetack.operators.host_backend import HostBackend
 from agatetack.process import tune_collector
 from agatetack.record_log.http_log import HttpLog
-from agatetack.settings.model import Settings
+from agatetack.settings.loader import CheckedSettings
 
 CLOSE_SECONDS = 1.0
 """Longest time for closing the connections to the platform on exit."""
@@ -67,16 +69,27 @@
     return report
 
 
-async def run_gateway(settings: Settings) -> int:
+async def run_gateway(checked: CheckedSettings) -> int:
     """Run one host with the platform's services, until it is stopped.
 
+    Args:
+        checked: The settings, without errors.
+
     Returns:
         The exit status of the process: 0, or 1 if requests were cut.
     """
+    settings = checked.settings
     platform_log = HttpLog(settings)
     host_list = HttpHostList(settings)
     gateway = Gateway(settings, platform_log, host_list)
     count_dropped_lines(gateway.metrics)
+    show_build(gateway.metrics, checked.digest)
+    log.info(
+        "Starting version %s, sources %s, settings %s.",
+        running.version,
+        running.tree,
+        checked.digest,
+    )
     tune_collector()
     try:
         async with trio.open_nursery() as nursery:
--- a/agatetack/daemon_parts.py
+++ b/agatetack/daemon_parts.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from agatetack.build_id import running
 from agatetack.clock import Lateness
 from agatetack.ids import Deadline
 from agatetack.logs import PartLog, count_drops
@@ -58,6 +59,21 @@
             log.warning("Got SIGHUP; settings are read at a start only.")
 
 
+def show_build(metrics: Metrics, settings_digest: str) -> None:
+    """Show which code runs, and on which settings file it was started."""
+    metrics.gauge(
+        "agatetack_build_info",
+        "1, with the version, the sources and the settings file at the start.",
+    ).set(
+        {
+            "version": running.version,
+            "sources": running.tree,
+            "settings": settings_digest,
+        },
+        1,
+    )
+
+
 def count_dropped_lines(metrics: Metrics) -> None:
     """Count each dropped log line in `metrics`."""
     count_drops(
--- a/agatetack/logs.py
+++ b/agatetack/logs.py
@@ -8,6 +8,7 @@
 import orjson
 from absl import flags, logging
 
+from agatetack.build_id import running
 from agatetack.ids import RequestId
 from agatetack.log_writer import (
     STANDARD_ERROR,
@@ -157,12 +158,16 @@
     """Write each line as one JSON object."""
 
     def format(self, record: std_logging.LogRecord) -> str:
-        """Return the JSON object of `record`, with its time and level."""
+        """Return the JSON object of `record`, with time, level and build."""
         fields = getattr(record, "line", None)
         if fields is None:
             # A library wrote the record, so it has no fields of ours.
             fields = {"part": record.name, "text": record.getMessage()}
-        line = {"time": _format_time(record), "level": record.levelname.lower()}
+        line = {
+            "time": _format_time(record),
+            "level": record.levelname.lower(),
+            "build": running.short_tree,
+        }
         for name, value in fields.items():
             if value is not None:
                 line[name] = _clean(value)
--- a/agatetack/settings/loader.py
+++ b/agatetack/settings/loader.py
@@ -48,10 +48,13 @@
     Attributes:
         settings: The settings, or None if a finding is an error.
         findings: Errors and warnings, in the order of their places.
+        digest: SHA-256 of the file in hexadecimal digits; empty if it could
+            not be read.
     """
 
     settings: Settings | None
     findings: tuple[Finding, ...]
+    digest: str = ""
 
 
 def load_settings(
@@ -110,7 +113,7 @@
     )
     if _has_errors(file):
         settings = None
-    return CheckedSettings(settings, findings)
+    return CheckedSettings(settings, findings, file.digest)
 
 
 def _has_errors(file: YamlFile) -> bool:
--- a/agatetack/settings/reload.py
+++ b/agatetack/settings/reload.py
@@ -109,6 +109,7 @@
             "reload",
             why=why,
             outcome="in-force",
+            settings=checked.digest,
             changed=changed,
             after_a_restart=later,
         )
--- a/agatetack/settings/yaml_file.py
+++ b/agatetack/settings/yaml_file.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import hashlib
 import os
 import pathlib
 
@@ -57,6 +58,8 @@
         key_places: Where the key of each value of a map stands.
         findings: What was wrong; `value` holds what could be read.
         unread: The paths of values that could not be read.
+        digest: SHA-256 of its bytes in hexadecimal digits; empty if it could
+            not be read.
     """
 
     file: str
@@ -65,6 +68,7 @@
     key_places: dict[KeyPath, Place] = dataclasses.field(default_factory=dict)
     findings: list[Finding] = dataclasses.field(default_factory=list)
     unread: set[KeyPath] = dataclasses.field(default_factory=set)
+    digest: str = ""
 
     def has(self, path: KeyPath) -> bool:
         """Return whether the file itself gives a value for `path`."""
@@ -138,6 +142,7 @@
         message = f"is larger than {MAX_FILE_BYTES} bytes"
         file.add((), Place(NO_PLACE, NO_PLACE), message)
         return None
+    file.digest = hashlib.sha256(content).hexdigest()
     try:
         return content.decode("utf-8-sig")
     except UnicodeDecodeError as error:
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -11,7 +11,7 @@
 from agatetack.logs import PartLog, set_up_logs
 from agatetack.process import held_stop, report_early
 from agatetack.settings.findings import render_findings
-from agatetack.settings.loader import check_settings
+from agatetack.settings.loader import CheckedSettings, check_settings
 from agatetack.settings.model import Settings
 from agatetack.settings.start_checks import (
     StopRequested,
@@ -60,7 +60,7 @@
             "At the start: %s", render_findings([finding])
         )
     try:
-        return _run_daemon(checked.settings, config)
+        return _run_daemon(checked, config)
     except UserError:
         raise
     except Exception as error:
@@ -94,12 +94,13 @@
         )
 
 
-def _run_daemon(settings: Settings, path: str) -> int:
+def _run_daemon(checked: CheckedSettings, path: str) -> int:
+    settings = checked.settings
     # Imported late, as each daemon needs modules that the other doesn't.
     if settings.platform.store.endpoint is None:
         from agatetack.daemon import run_gateway
 
-        return trio.run(run_gateway, settings)
+        return trio.run(run_gateway, checked)
     from agatetack.store_daemon import run_store_gateway
 
-    return trio.run(run_store_gateway, settings, path)
+    return trio.run(run_store_gateway, checked, path)
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -4,15 +4,17 @@
 
 import trio
 
+from agatetack.build_id import running
 from agatetack.daemon_parts import (
     count_dropped_lines,
     delivered_signals,
     forward_signals,
+    show_build,
 )
 from agatetack.decisions import DecisionLog
 from agatetack.platform.bounds import apply_bounds
 from agatetack.process import seconds_since_start, tune_collector
-from agatetack.settings.model import Settings
+from agatetack.settings.loader import CheckedSettings
 from agatetack.settings.reload import SettingsWatch
 from agatetack.store_gateway import StoreGateway
 
@@ -27,18 +29,20 @@
 log = DecisionLog("daemon")
 
 
-async def run_store_gateway(settings: Settings, path: str) -> int:
+async def run_store_gateway(checked: CheckedSettings, path: str) -> int:
     """Run one host on the store, until it is stopped.
 
     Args:
-        settings: The host's settings.
+        checked: The host's settings, without errors.
         path: The settings file, which is watched for changes.
 
     Returns:
         The exit status of the process: 0, or 1 if requests were cut.
     """
+    settings = checked.settings
     gateway = StoreGateway(apply_bounds(settings))
     count_dropped_lines(gateway.metrics)
+    show_build(gateway.metrics, checked.digest)
     tune_collector()
     watch = SettingsWatch(
         path,
@@ -56,6 +60,9 @@
                     "start",
                     host=settings.host.id,
                     pid=os.getpid(),
+                    version=running.version,
+                    sources=running.tree,
+                    settings=checked.digest,
                     after_seconds=round(seconds_since_start(), 3),
                     callers=ports.callers,
                     peers=ports.peers,
--- a/agatetack/test_logs.py
+++ b/agatetack/test_logs.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from agatetack import log_writer, logs
+from agatetack.build_id import running
 from agatetack.log_writer import LineDrop, LogWriter
 from agatetack.logs import JsonFormatter, LineLimiter, PartLog, set_up_logs
 from agatetack.settings.defaults import default_settings
@@ -89,6 +90,7 @@
     assert (fields["part"], fields["text"]) == ("p", text)
     assert fields.get("request") == request_id
     assert fields["level"] in ("info", "warning", "error")
+    assert fields["build"] == running.short_tree
 
 
 def test_lines_below_the_level_are_neither_filled_nor_counted(handler):
--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -3,6 +3,7 @@
 import array
 import contextlib
 import fcntl
+import hashlib
 import os
 import signal
 import subprocess
@@ -14,6 +15,7 @@
 import pytest
 import trio
 
+from agatetack.build_id import running
 from agatetack.testing.fake_target import FakeTarget
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.narrow_stream import open_narrow_stream
@@ -146,6 +148,8 @@
     async with running_daemon(path) as (daemon, target):
         start = await daemon.line(event="start")
         assert start["fleet_ratio"] == 0.2
+        digest = hashlib.sha256(path.read_bytes()).hexdigest()
+        assert (start["sources"], start["settings"]) == (running.tree, digest)
         await wait_ready(start["ready"])
         assert await ask(start["callers"]) == 200
         assert len(target.executed) == 1
--- a/bench/soak/test_build.py
+++ b/bench/soak/test_build.py
@@ -39,6 +39,7 @@
             "agatetack/__init__.py": "",
             "agatetack/settings/__init__.py": "",
             "agatetack/settings/defaults.py": "def compile_defaults(): pass\n",
+            "agatetack/build_id.py": "def write_build(): pass\n",
             "deploy/build.py": BUILD.read_text(),
         }.items():
             path = root / name
--- a/deploy/build.py
+++ b/deploy/build.py
@@ -51,6 +51,7 @@
             STAMP.write_text(stamp)
         _compile_libraries()
     _compile_defaults()
+    _write_build_id()
 
 
 @contextlib.contextmanager
@@ -104,7 +105,18 @@
 
 def _compile_defaults() -> None:
     """Spare each start the reading of the default settings' YAML."""
-    code = "from agatetack.settings.defaults import compile_defaults as c; c()"
+    _run_python(
+        "from agatetack.settings.defaults import compile_defaults as c; c()"
+    )
+
+
+def _write_build_id() -> None:
+    """Name the sources, so that log lines show what code wrote them."""
+    _run_python("from agatetack.build_id import write_build as w; w()")
+
+
+def _run_python(code: str) -> None:
+    """Run code that may import the package and its dependencies."""
     paths = os.pathsep.join([str(ROOT), str(TARGET)])
     environment = {**os.environ, "PYTHONPATH": paths}
     command = [sys.executable, "-c", code]
