Skip answers to other requests up to a bound

Cause: each answer to another request reset the count of the header's bytes, and nothing counted the answers.

The parser counts them and their bodies and takes more than 16 answers or 1 MB for a broken answer, so that the request goes to another target at once where it may. Late answers of usual size are skipped as before.

Test shown failing before: on the parser without the bound the state after 17 answers is HEAD.

--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -13,6 +13,13 @@
 
 BODYLESS_STATUSES = frozenset({204, 304})
 
+MAX_SKIPPED_ANSWERS = 16
+"""Most responses to other requests that are skipped: a late one stands in the
+way of the next, and each request can leave one behind."""
+
+MAX_SKIPPED_BYTES = 1_048_576
+"""Most bytes of their bodies."""
+
 
 class AnswerState(enum.Enum):
     """How much of a response has been parsed."""
@@ -37,7 +44,9 @@
         framing_bytes: Bytes received since the last byte of the body.
         keep_alive_seconds: The keep-alive timeout that the target announced,
             or None.
+        body_bytes: Bytes of the body received so far.
         skipped: Number of earlier responses to other requests.
+        skipped_bytes: Bytes of their bodies.
         lacks_echo: Whether the response lacks the expected request id header.
     """
 
@@ -57,7 +66,9 @@
         """
         self.method = method
         self.echo = echo
+        self.body_bytes = 0
         self.skipped = 0
+        self.skipped_bytes = 0
         self.skipping = False
         self.lacks_echo = False
         self.keep_alive_seconds: int | None = None
@@ -93,10 +104,16 @@
     def _is_too_long(self) -> bool:
         """Return whether an incomplete header or trailer is too long.
 
+        What comes before the header counts, too: responses to other requests.
+
         httptools buffers a field until its end, without a size limit.
         """
         if self.state is AnswerState.HEAD:
-            return self.head_bytes > self.max_header_bytes
+            return (
+                self.head_bytes > self.max_header_bytes
+                or self.skipped > MAX_SKIPPED_ANSWERS
+                or self.skipped_bytes > MAX_SKIPPED_BYTES
+            )
         if self.state is AnswerState.BODY:
             return self.framing_bytes > self.max_header_bytes
         return False
@@ -183,8 +200,10 @@
     def on_body(self, data: bytes) -> None:
         """Handle body bytes; called by httptools."""
         if self.skipping:
+            self.skipped_bytes += len(data)
             return
         if self.state is AnswerState.BODY:
+            self.body_bytes += len(data)
             self.parts.append(data)
             self.framing_bytes = 0
         else:
--- a/agatetack/targets/test_answer_check.py
+++ b/agatetack/targets/test_answer_check.py
@@ -5,7 +5,12 @@
 from agatetack.messages import Header
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.answer_check import AnswerCheck
-from agatetack.targets.parser import AnswerParser, AnswerState, read_keep_alive
+from agatetack.targets.parser import (
+    MAX_SKIPPED_ANSWERS,
+    AnswerParser,
+    AnswerState,
+    read_keep_alive,
+)
 from agatetack.testing.store_fleet import (
     route_fields,
     store_fleet,
@@ -181,3 +186,16 @@
         fleet.register(target)
         await fleet.until(lambda: "another" in registry.by_id)
         assert (await fleet.get("/a/x")).status == 200
+
+
+# Guards against responses to other requests that are read until the deadline.
+@pytest.mark.parametrize("size", [0, 200_000])
+def test_responses_to_other_requests_are_skipped_up_to_a_bound(size):
+    parser = AnswerParser(b"GET", 65536, ECHO)
+    other = (
+        b"HTTP/1.1 200 OK\r\n%b: other\r\ncontent-length: %d\r\n\r\n"
+        % (ECHO.name, size)
+    ) + b"x" * size
+    for _ in range(MAX_SKIPPED_ANSWERS + 1):
+        parser.feed(other)
+    assert parser.state is AnswerState.BROKEN
