Give up a load response whose body has no end

Cause: the look before a send bounded the header and the framing, and read the body until its end into the parser's list of parts.

The look drops the parts that it does not need and gives up after 4 KB of body; it counts as without an answer and the connection is closed. The three cases of the new test failed before with their look still reading after 5 s.

--- a/agatetack/targets/presend_probe.py
+++ b/agatetack/targets/presend_probe.py
@@ -46,8 +46,8 @@
 send most of its requests; all other hosts share the rest."""
 
 MAX_ANSWER_BYTES = 4096
-"""Maximum size of the header, and of the framing after it, in a response of a
-load endpoint; a usual response has about 200 bytes."""
+"""Maximum size of the header, of the body, and of the framing after it, in a
+response of a load endpoint; a usual response has about 200 bytes."""
 
 
 class PreSendProber:
@@ -221,6 +221,9 @@
         if self._is_answer_of(parser, target):
             self._note_availability(parser, target, load)
         while parser.state is AnswerState.BODY:
+            parser.parts.clear()
+            if parser.body_bytes > MAX_ANSWER_BYTES:
+                return None
             await connection.receive_into(parser)
         connection.idle_seconds = parser.keep_alive_seconds
         if not self._is_load_response(parser, target):
--- a/agatetack/targets/test_presend_probe.py
+++ b/agatetack/targets/test_presend_probe.py
@@ -1,5 +1,7 @@
 """Test the rate of pre-send probes and which responses to them count."""
 
+import contextlib
+
 import pytest
 import trio
 
@@ -145,6 +147,39 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a host that keeps all that a load endpoint sends until the
+# deadline of the probe.
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"\r\n",
+        b"transfer-encoding: chunked\r\n\r\n",
+        b"content-length: 100000000000000\r\n\r\n",
+    ],
+)
+async def test_an_endless_load_response_is_abandoned(head):
+    first = b"HTTP/1.1 200 OK\r\n" + OWN + LOAD + head
+    part = b"3e80\r\n" + b"x" * 16000 + b"\r\n"
+
+    async def serve(stream):
+        await stream.receive_some(1000)
+        await stream.send_all(first)
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(part)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        prober, target = make_prober()
+        target.ip = "127.0.0.1"
+        target.port = listeners[0].socket.getsockname()[1]
+        with trio.fail_after(5):
+            deadline = Deadline(trio.current_time() + 60.0)
+            assert await prober.probe(target, deadline) is None
+        assert not prober.pools.pool(target.process).open_count
+        nursery.cancel_scope.cancel()
+
+
 # Guards against hosts that ask targets as often while they lack the time to
 # serve.
 async def test_a_late_host_takes_fewer_looks(autojump_clock):
