End an answer's body at its deadline, not only when its target closes

A target in trouble so took a host's link and time from all others.

Cause: the deadline bound an answer until its header was read. After that only a pause of byte_timeout_seconds ended it.

The request's deadline now binds the body. Downloads of announced length, and those whose caller named no deadline, may outlast it while they come steadily; the route's timeout binds them as well. A length that can't be carried in time is a broken answer. The rest of an unneeded body is read up to 64 KB.

--- a/agatetack/attempts/rules.py
+++ b/agatetack/attempts/rules.py
@@ -2,8 +2,12 @@
 
 import dataclasses
 
+from agatetack.config.route import RequestClass, Route
+from agatetack.ids import Deadline
+from agatetack.messages import CallerRequest
 from agatetack.outcomes import Refusal, RefusalReason, RetryReason, refuse
-from agatetack.targets.client import AttemptFailure
+from agatetack.settings.model import CallersSettings
+from agatetack.targets.client import AttemptFailure, BodyDeadlines
 
 RETRY_REASONS = {
     RefusalReason.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
@@ -27,6 +31,26 @@
 }
 
 
+def body_deadlines(
+    route: Route, request: CallerRequest, settings: CallersSettings
+) -> BodyDeadlines:
+    """Return when answers to `request` must be complete.
+
+    An answer that began is worth as much as its last byte, so the request's
+    deadline binds it to its end. Downloads of announced length are the
+    exception: a caller that still reads one has no reason to lose it. Only the
+    route's timeout and the longest deadline of all bind these, and those
+    downloads for which the caller named no deadline.
+    """
+    if route.request_class is not RequestClass.WHOLE:
+        return BodyDeadlines(request.deadline, request.deadline)
+    seconds = route.timeout_seconds or settings.max_deadline_seconds
+    latest = Deadline(request.arrived + seconds)
+    latest = max(latest, request.deadline)
+    unannounced = request.deadline if request.deadline_given else latest
+    return BodyDeadlines(latest, unannounced)
+
+
 def retry_reason(failure: AttemptFailure | None) -> RetryReason | None:
     """Return the reason to retry after `failure`; None for a first attempt."""
     return None if failure is None else RETRY_REASONS[failure.reason]
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from agatetack.admission.controller import AttemptResult, Permit
+from agatetack.attempts.rules import body_deadlines
 from agatetack.config.route import Route
 from agatetack.decisions import DecisionLog, age
 from agatetack.ids import AttemptId, Deadline
@@ -164,7 +165,7 @@
         metrics: Metrics,
     ):
         """Call targets with `client`."""
-        self.max_buffered_bytes = settings.callers.replay_body_bytes
+        self.callers = settings.callers
         self.client = client
         self.crashes = crashes
         self.metrics = metrics
@@ -185,6 +186,9 @@
             target=permit.target,
             deadline=plan.deadline,
             freshness=plan.freshness,
+            body_deadlines=body_deadlines(
+                plan.route, plan.request, self.callers
+            ),
         )
         started = Deadline(trio.current_time())
         note = AttemptRecord(
@@ -272,7 +276,7 @@
             Why the body could not be read, or None.
         """
         length = answer.body.length
-        if length is None or length > self.max_buffered_bytes:
+        if length is None or length > self.callers.replay_body_bytes:
             return None
         content = answer.body.take_whole()
         if content is not None:
--- a/agatetack/download/resume.py
+++ b/agatetack/download/resume.py
@@ -21,6 +21,7 @@
 from agatetack.messages import (
     Answer,
     AnswerCut,
+    AnswerOverdue,
     Body,
     BytesBody,
     CallerRequest,
@@ -95,6 +96,8 @@
         while True:
             try:
                 data = await self.body.receive()
+            except AnswerOverdue as error:
+                raise self._cut_error(CutReason.DEADLINE) from error
             except AnswerCut:
                 await self._resume()
                 continue
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -47,6 +47,10 @@
     """An answer's body ended before its Content-Length or last chunk."""
 
 
+class AnswerOverdue(AnswerCut):
+    """An answer's body was not complete when it had to be."""
+
+
 class Body(abc.ABC):
     """The body of a request or an answer, read once from start to end.
 
--- a/agatetack/targets/body.py
+++ b/agatetack/targets/body.py
@@ -1,8 +1,12 @@
 """Stream the body of a target's response."""
 
+import dataclasses
+
 import trio
 
-from agatetack.messages import AnswerCut, Body
+from agatetack.decisions import DecisionLog
+from agatetack.ids import Deadline, RequestId
+from agatetack.messages import AnswerCut, AnswerOverdue, Body
 from agatetack.targets.connection import TargetConnection
 from agatetack.targets.parser import AnswerParser, AnswerState
 from agatetack.targets.pool import TargetPool
@@ -12,6 +16,48 @@
 together with its header."""
 
 
+MAX_DROP_BYTES = 65_536
+"""Most bytes that are read of such a body; a new connection costs less than
+more of them."""
+
+MAX_BYTES_PER_SECOND = 1.25e9
+"""What a link of 10 Gbit/s carries; no body comes faster."""
+
+MIN_STEADY_BYTES_PER_SECOND = 1024
+"""Least rate of a body that outlasts its request's deadline; a link of
+8 kbit/s carries as much."""
+
+log = DecisionLog("targets")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyPlan:
+    """How a response body is read.
+
+    Attributes:
+        request: The id of the request that it answers.
+        until: When its last byte must have come.
+        steady_from: After this time it must come steadily; earlier, it may
+            pause as long as `byte_timeout_seconds`.
+        byte_timeout_seconds: Maximum time without a byte.
+        reusable: Whether the request was sent completely.
+    """
+
+    request: RequestId
+    until: Deadline
+    steady_from: Deadline
+    byte_timeout_seconds: float
+    reusable: bool
+
+
+def is_deliverable(length: int | None, until: Deadline) -> bool:
+    """Return whether a body of announced length can come by a deadline."""
+    seconds = until - trio.current_time()
+    # Some bytes arrive with the header, also at the deadline.
+    most = MAX_BYTES_PER_SECOND * max(1.0, seconds)
+    return length is None or length <= most
+
+
 class TargetBody(Body):
     """A response body that is read from its connection on demand.
 
@@ -25,8 +71,7 @@
         connection: TargetConnection,
         pool: TargetPool,
         parser: AnswerParser,
-        reusable: bool,
-        byte_timeout_seconds: float,
+        plan: BodyPlan,
     ):
         """Read the rest of the response in `parser` from `connection`.
 
@@ -34,15 +79,16 @@
             connection: The connection that the response arrives on.
             pool: The pool of the connection.
             parser: The parser that has read the header.
-            reusable: Whether the request was sent completely.
-            byte_timeout_seconds: Maximum time without a byte.
+            plan: Until when it is read.
         """
         self.length = parser.length
         self.connection = connection
         self.pool = pool
         self.parser = parser
-        self.reusable = reusable
-        self.byte_timeout_seconds = byte_timeout_seconds
+        self.plan = plan
+        self.cut: AnswerCut | None = None
+        self.steady_bytes = 0
+        self.steady_wait_seconds = 0.0
         self.settled = False
         self.taken = False
         self._settle_if_complete()
@@ -67,7 +113,9 @@
         """Return the next bytes, or `b""` at the verified end.
 
         Raises:
-            AnswerCut: The connection ended or went silent before the end.
+            AnswerCut: The connection ended or went silent before the end, or
+                the body came too slowly.
+            AnswerOverdue: The body was not complete in time.
         """
         while True:
             data = self.receive_nowait()
@@ -78,21 +126,66 @@
                 return b""
             if self.parser.state is AnswerState.BROKEN or self.settled:
                 self._settle(reuse=False)
-                raise AnswerCut("the response body is incomplete")
+                raise self.cut or AnswerCut("the response body is incomplete")
             await self._receive_more()
 
     async def _receive_more(self) -> None:
-        with trio.move_on_after(self.byte_timeout_seconds) as scope:
-            await self.connection.receive_into(self.parser)
-        if scope.cancelled_caught:
-            self.settled = True
-            self.pool.suspect(self.connection, self.connection.last_byte_at)
-            raise AnswerCut("the target sent no byte for too long")
+        now = trio.current_time()
+        until = min(self.plan.until, now + self.plan.byte_timeout_seconds)
+        if now < self.plan.until:
+            with trio.move_on_at(until) as scope:
+                await self.connection.receive_into(self.parser)
+            if scope.cancelled_caught and until < self.plan.until:
+                self.settled = True
+                self.pool.suspect(self.connection, self.connection.last_byte_at)
+                self._note_cut(
+                    AnswerCut("the target sent no byte for too long")
+                )
+                raise self.cut
+        else:
+            # The caller may have taken longer than the target.
+            self.connection.receive_nowait_into(self.parser)
         self._settle_if_complete()
+        if self.settled:
+            return
+        if trio.current_time() >= self.plan.until:
+            self._cut(AnswerOverdue("the response body is overdue"))
+        elif now >= self.plan.steady_from and self._is_slow(now):
+            self._cut(AnswerCut("the response body comes too slowly"))
+
+    def _is_slow(self, waited_since: float) -> bool:
+        """Return whether the target delivers too little while it is waited for.
+
+        A caller that reads slowly does not count: nothing is waited for then.
+        """
+        self.steady_wait_seconds += trio.current_time() - waited_since
+        self.steady_bytes += sum(map(len, self.parser.parts))
+        if self.steady_wait_seconds < self.plan.byte_timeout_seconds:
+            return False
+        rate = self.steady_bytes / self.steady_wait_seconds
+        self.steady_wait_seconds, self.steady_bytes = 0.0, 0
+        return rate < MIN_STEADY_BYTES_PER_SECOND
+
+    def _cut(self, cut: AnswerCut) -> None:
+        """Close the connection, which cancels the request at the target."""
+        self._settle(reuse=False)
+        self._note_cut(cut)
+        raise cut
+
+    def _note_cut(self, cut: AnswerCut) -> None:
+        self.cut = cut
+        log.note(
+            "answer-cut",
+            request=self.plan.request,
+            target=self.connection.target.id,
+            why=str(cut),
+            body_bytes=self.length,
+            received_bytes=self.parser.body_bytes,
+        )
 
     def _settle_if_complete(self) -> None:
         if self.parser.state is AnswerState.COMPLETE:
-            self._settle(reuse=self.reusable and self.parser.keep_alive)
+            self._settle(reuse=self.plan.reusable and self.parser.keep_alive)
 
     def _settle(self, reuse: bool) -> None:
         if self.settled:
@@ -107,7 +200,11 @@
     async def drop(self) -> None:
         """Discard a short body, so that the connection can be reused."""
         with trio.move_on_after(MAX_DROP_SECONDS):
-            while self.parser.state is AnswerState.BODY and not self.settled:
+            while (
+                self.parser.state is AnswerState.BODY
+                and not self.settled
+                and self.parser.body_bytes < MAX_DROP_BYTES
+            ):
                 self.parser.parts.clear()
                 await self.connection.receive_into(self.parser)
                 self._settle_if_complete()
--- a/agatetack/targets/client.py
+++ b/agatetack/targets/client.py
@@ -55,6 +55,25 @@
         self.failure = failure
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyDeadlines:
+    """When the last byte of an answer's body must have come.
+
+    A body without an announced length may be one without an end.
+
+    Attributes:
+        announced: For a body of announced length.
+        unannounced: For any other.
+    """
+
+    announced: Deadline
+    unannounced: Deadline
+
+    def of_length(self, length: int | None) -> Deadline:
+        """Return the deadline of a body with this announced length."""
+        return self.unannounced if length is None else self.announced
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """One attempt to send a request to one target.
@@ -63,8 +82,10 @@
         id: Unique across all hosts and restarts.
         request: What to send.
         target: Where to send it.
-        deadline: When to abandon the attempt.
+        deadline: When to abandon the attempt if no answer has begun.
         freshness: Which connections may be used.
+        body_deadlines: When an answer that has begun must be complete; at
+            `deadline` if None.
     """
 
     id: AttemptId
@@ -72,6 +93,13 @@
     target: TargetState
     deadline: Deadline
     freshness: Freshness = Freshness.ANY
+    body_deadlines: BodyDeadlines | None = None
+
+    def body_deadline(self, length: int | None) -> Deadline:
+        """Return when a body with this announced length must be complete."""
+        if self.body_deadlines is None:
+            return self.deadline
+        return self.body_deadlines.of_length(length)
 
 
 class TargetClient(abc.ABC):
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -13,7 +13,7 @@
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.settings.model import Settings
 from agatetack.targets.answer_check import AnswerCheck, encode_name
-from agatetack.targets.body import TargetBody
+from agatetack.targets.body import BodyPlan, TargetBody, is_deliverable
 from agatetack.targets.client import (
     Attempt,
     AttemptFailed,
@@ -119,7 +119,9 @@
         if parser.state is AnswerState.BROKEN:
             pool.discard(connection)
             raise _failed(_broken_reason(parser), suspect=True)
-        if not self.check.is_valid(parser):
+        if not self.check.is_valid(parser) or not is_deliverable(
+            parser.length, attempt.body_deadline(parser.length)
+        ):
             pool.discard(connection)
             raise _failed(RefusalReason.ANSWER_MALFORMED, suspect=True)
         self._note_target_limits(attempt.target, parser, sent_at)
@@ -279,8 +281,15 @@
             connection,
             pool,
             parser,
-            reusable=sent_whole,
-            byte_timeout_seconds=self.settings.targets.byte_timeout_seconds,
+            BodyPlan(
+                request=attempt.request.request_id,
+                until=attempt.body_deadline(parser.length),
+                steady_from=attempt.deadline,
+                byte_timeout_seconds=(
+                    self.settings.targets.byte_timeout_seconds
+                ),
+                reusable=sent_whole,
+            ),
         )
         if self.check.is_not_run(parser):
             # The rest of a short body is read so that the connection can be
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -18,7 +18,13 @@
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.settings.defaults import default_settings
-from agatetack.targets.client import Attempt, AttemptFailed, Freshness
+from agatetack.targets.body import MAX_DROP_BYTES
+from agatetack.targets.client import (
+    Attempt,
+    AttemptFailed,
+    BodyDeadlines,
+    Freshness,
+)
 from agatetack.targets.http_client import HttpTargetClient
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetStatus
@@ -529,3 +535,29 @@
         assert caller.pool.open_count == len(caller.pool.idle)
         report = caller.state.report
         assert report is None or report.in_flight <= 1
+
+
+HUGE = b"HTTP/1.1 200 OK\r\ncontent-length: 900000000\r\n\r\n"
+
+
+# Guards against a body of ten bytes at a time that a host passes on for days.
+async def test_a_body_that_trickles_after_its_deadline_is_cut():
+    async with raw_target(sends(HUGE, *[b"x" * 10] * 2000)) as caller:
+        latest = Deadline(trio.current_time() + 60)
+        answer = await caller.call(
+            seconds=0.1, body_deadlines=BodyDeadlines(latest, latest)
+        )
+        with trio.fail_after(10), pytest.raises(AnswerCut):
+            while await answer.body.receive():
+                pass
+        assert caller.pool.open_count == 0
+
+
+# Guards against a connection that is read for as long as bytes come, only to
+# be used again.
+async def test_the_rest_of_an_unneeded_body_is_read_up_to_a_bound():
+    async with raw_target(sends(HUGE, *[b"x" * 60_000] * 2000)) as caller:
+        answer = await caller.call()
+        await answer.body.drop()
+        assert answer.body.parser.body_bytes < 2 * MAX_DROP_BYTES
+        assert caller.pool.open_count == 0
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -17,7 +17,7 @@
     export_chunks,
     parse_range,
 )
-from agatetack.testing.target_faults import Silence
+from agatetack.testing.target_faults import EndlessBytes, Silence
 from agatetack.testing.target_wire import (
     CONTINUE,
     RequestReader,
@@ -165,6 +165,10 @@
         faults = target.faults
         self.current = request
         target.note_arrival(self.stream, request.path == self.load_path)
+        endless = faults.endless
+        asks_load = request.path == self.load_path
+        if endless is not None and endless.at_load_path is asks_load:
+            await self._send_endlessly(endless)
         if self._is_for_another(request):
             target.misdirected += 1
             await self._send(421, b"another instance\n")
@@ -189,6 +193,13 @@
         if faults.extra_answer:
             await self._put(self._extra_answer())
 
+    async def _send_endlessly(self, endless: EndlessBytes) -> None:
+        """Send until the connection closes."""
+        await self._put(endless.first)
+        while True:
+            await self._put(endless.part)
+            await trio.sleep(endless.pause_seconds)
+
     def _is_for_another(self, request: TargetRequest) -> bool:
         """Return whether the request names another instance than this one."""
         name = self.names.instance
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -13,6 +13,24 @@
     ANSWER_LOST = "answer-lost"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndlessBytes:
+    """What is sent in place of an answer until the connection closes.
+
+    Attributes:
+        first: Sent once.
+        part: Sent again and again.
+        pause_seconds: Time between two parts.
+        at_load_path: Whether it is sent at the load path only; else at all
+            others.
+    """
+
+    first: bytes
+    part: bytes
+    pause_seconds: float = 0.0
+    at_load_path: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class TargetFaults:
     """Faults in force at one fake target; tests change them at any time.
@@ -55,6 +73,7 @@
         rate_limits: Values of the header that names the requests a second it
             takes, one field for each.
         rate_limit_on_load_path: Whether answers of the load path bear it too.
+        endless: Sent in place of answers, or None.
     """
 
     draining: bool = False
@@ -89,3 +108,4 @@
     leaving: bool = False
     rate_limits: tuple[bytes, ...] = ()
     rate_limit_on_load_path: bool = False
+    endless: EndlessBytes | None = None
