Give a target with a lost path time to answer a look

Cause: targets that took longer than the probes' timeout of 0.1 s counted as silent, and as other hosts had heard them shortly before, as unreachable. A look at a lost path gave up after the same 0.1 s, on a connection opened for it, so that no look ever showed that a slow target is reached. Hosts without any caller kept 32 targets busy with 600 to 900 probes a second, each on a new connection, two thirds of them closed before their answer (190 a second and no new connection while targets are on time).

A look at a lost path now waits 0.5 s, half of the least time between two looks. A path that is being looked at stays due, so that one that comes back still brings the looks at the others forward.

Test shown failing before: the slow target stays lost.

--- a/agatetack/measure/path_looks.py
+++ b/agatetack/measure/path_looks.py
@@ -110,7 +110,13 @@
         now = Deadline(trio.current_time())
         due = list(self.suspects.values())
         self.suspects.clear()
-        paths = sorted(self.registry.paths.lost.values(), key=_look_at)
+        # One that is being looked at stays due, as its time may be moved up.
+        paths = [
+            path
+            for path in self.registry.paths.lost.values()
+            if path.target.process not in self.looking
+        ]
+        paths.sort(key=_look_at)
         for path in paths[:MAX_LOOKS_PER_TICK]:
             if path.look_at > now:
                 break
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -44,6 +44,15 @@
 LEAVING_PROBE_INTERVAL_SECONDS = 1.0
 """Minimum time between two probes of leaving targets, which may return."""
 
+LOOK_ANSWER_SECONDS = 0.5
+"""Time that a target with a lost path has to answer a look, if that is longer
+than the timeout of probes.
+
+A target that is slow to answer is reached all the same. Looks that end before
+its answer never show that, and each of them costs it a connection: eleven hosts
+so kept 32 targets that took over 0.1 s from answering at all.
+"""
+
 DRAWN_TARGETS = 3
 """Targets drawn for a probe; the one with the oldest report is probed."""
 
@@ -224,9 +233,10 @@
         self.share.record_probe(target)
         self.registry.note_sent(target, SendKind.PROBE)
         timeout = self.settings.measure.probe_timeout_seconds
-        deadline = Deadline(trio.current_time() + timeout)
         if fresh:
+            timeout = max(timeout, LOOK_ANSWER_SECONDS)
             self.client.close_idle(target)
+        deadline = Deadline(trio.current_time() + timeout)
         result = await self.client.probe(target, deadline, PROBE_BYTES)
         if fresh and _has_responded(result):
             self.registry.paths.note_connected(target)
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -16,6 +16,7 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import NoExchange, Peer, Scope, Topic
 from agatetack.settings.defaults import default_settings
+from agatetack.targets.paths import MIN_SILENCES
 from agatetack.targets.registry import (
     LeavingSign,
     ReportedState,
@@ -323,6 +324,39 @@
     assert least <= len(host.probe.probed) <= most
 
 
+class SlowProbe(FakeProbe):
+    """Answers after some time, if the deadline allows."""
+
+    def __init__(self, seconds):
+        super().__init__()
+        self.seconds = seconds
+
+    async def probe(self, target, deadline, max_bytes):
+        self.probed.append(target.id)
+        with trio.move_on_at(deadline):
+            await trio.sleep(self.seconds)
+            return self.result
+        return Failure(ProbeFailure.TIMEOUT)
+
+
+# Guards against slow targets that count as unreachable until they are fast
+# again, and that each look makes slower.
+async def test_a_slow_answer_shows_that_a_path_is_back(autojump_clock):
+    host = Host(NoExchange())
+    host.prober.client = SlowProbe(0.3)
+    paths, target = host.registry.paths, host.targets[0]
+    for _ in range(MIN_SILENCES):
+        paths.note_silence(target)
+    paths.note_heard_elsewhere(target, Deadline(trio.current_time() + 0.1))
+    assert paths.is_lost(target)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(host.prober.run)
+        await trio.sleep(2.0)
+        assert not paths.is_lost(target)
+        assert len(host.prober.client.probed) == 1
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("sign", TOLD_SIGNS)
 async def test_peer_keeps_what_kind_of_sign_it_was(autojump_clock, sign):
     sender, taker = joined()
