--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -195,7 +195,8 @@
 
     async def _send_endlessly(self, endless: EndlessBytes) -> None:
         """Send until the connection closes."""
-        await self._put(endless.first)
+        head = self._head(200, b"") if endless.answers else b""
+        await self._put(head + endless.first)
         while True:
             await self._put(endless.part)
             await trio.sleep(endless.pause_seconds)
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -23,12 +23,15 @@
         pause_seconds: Time between two parts.
         at_load_path: Whether it is sent at the load path only; else at all
             others.
+        answers: Whether the first lines of an answer to the request come
+            before; without its length.
     """
 
     first: bytes
     part: bytes
     pause_seconds: float = 0.0
     at_load_path: bool = False
+    answers: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -40,6 +40,8 @@
     faults: int = -1,
     path_cuts: int = -1,
     stops: int = -1,
+    stop_all: bool = False,
+    endless: int = -1,
     built: bool = False,
 ) -> int:
     """Build, run one soak and print its report as JSON.
@@ -65,6 +67,9 @@
             targets; none if negative.
         stops: Seed of a series of stops, with links that end with their
             hosts; none if negative.
+        stop_all: Whether all hosts are stopped at once after that series.
+        endless: Seed of times in which targets send bytes without end; none if
+            negative.
         built: Take the checkout as it is built.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
@@ -90,6 +95,8 @@
         faults if faults >= 0 else None,
         path_cuts if path_cuts >= 0 else None,
         stops if stops >= 0 else None,
+        stop_all,
+        endless if endless >= 0 else None,
     )
     report = trio.run(run_soak, plan)
     if report.faults:
@@ -116,6 +123,7 @@
     load: float = 1.0,
     path_cuts: bool = False,
     stops: bool = False,
+    endless: bool = False,
     signals: bool = True,
 ) -> int:
     """Run soaks with faults of many seeds, and print one line for each.
@@ -133,11 +141,12 @@
         load: Factor of the site's rates; below 1, of its size as well.
         path_cuts: Whether hosts lose their paths to all targets at times.
         stops: Whether hosts are stopped one after the other.
+        endless: Whether targets send bytes without end at times.
         signals: Whether all other faults come as well.
     """
     build(ROOT)
     seeded = ["--faults"] * signals + ["--path-cuts"] * path_cuts
-    seeded += ["--stops"] * stops
+    seeded += ["--stops"] * stops + ["--endless"] * endless
     options = [
         *("--hosts", str(hosts), "--per-second", str(per_second)),
         *("--seconds", str(seconds), "--lead-seconds", str(lead_seconds)),
--- a/bench/soak/fault_plan.py
+++ b/bench/soak/fault_plan.py
@@ -9,8 +9,10 @@
 
 from agatetack.testing.memory_store import StoreFault
 from bench.soak.faults import (
+    ENDLESS,
     Crash,
     CutPaths,
+    Endless,
     Fault,
     Freeze,
     Kill,
@@ -43,6 +45,9 @@
 CUT_SECONDS = (2.0, 12.0)
 """Shortest and longest time for that."""
 
+ENDLESS_SECONDS = (1.0, 6.0)
+"""Shortest and longest time in which targets send bytes without end."""
+
 STOP_SECONDS = (0.5, 4.0)
 """Shortest and longest time between two stops of a series; a drain may last
 longer."""
@@ -98,6 +103,29 @@
     return sorted(cuts, key=lambda cut: cut.at)
 
 
+def draw_endless(seed: int, targets: int, seconds: float) -> list[Endless]:
+    """Return times in which targets send bytes without end, in their order.
+
+    Args:
+        seed: The seed.
+        targets: How many targets there are.
+        seconds: How long the run lasts.
+    """
+    source = random.Random(f"endless {seed}")
+    found = [
+        Endless(
+            round(source.uniform(0.0, seconds * FAULTY_SHARE), 3),
+            source.sample(
+                range(targets), source.randint(1, max(1, targets // 3))
+            ),
+            source.randrange(len(ENDLESS)),
+            round(source.uniform(*ENDLESS_SECONDS), 3),
+        )
+        for _ in range(source.randint(*MOMENTS))
+    ]
+    return sorted(found, key=lambda each: each.at)
+
+
 def draw_stops(
     seed: int, hosts: Sequence[str], first: float, last: float
 ) -> list[RepeatedStop]:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -11,6 +11,7 @@
 import trio
 
 from agatetack.testing.memory_store import StoreFault
+from agatetack.testing.target_faults import EndlessBytes
 from bench.soak.host import Host, HostProcess
 from bench.soak.machines import (
     CALLERS_PORT,
@@ -438,6 +439,44 @@
         world.forget(crashed)
 
 
+ENDLESS = (
+    EndlessBytes(b"\r\n", b"x" * 4096, answers=True),
+    EndlessBytes(
+        b"transfer-encoding: chunked\r\n\r\n",
+        b"4\r\nbody\r\n" * 400,
+        answers=True,
+    ),
+    EndlessBytes(b"\r\n", b"x", 0.05, answers=True),
+    EndlessBytes(b"", b"n: v\r\n", 0.05, answers=True),
+    EndlessBytes(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    EndlessBytes(
+        b"", b"HTTP/1.1 200 OK\r\nrequest-id: -\r\ncontent-length: 0\r\n\r\n"
+    ),
+    EndlessBytes(b"\r\n", b"x" * 4096, at_load_path=True, answers=True),
+)
+"""What targets in trouble send until their connection is closed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endless(TargetFault):
+    """Some targets send bytes without end in place of answers.
+
+    Attributes:
+        mode: The place in `ENDLESS` of what they send.
+        seconds: How long requests get that.
+    """
+
+    mode: int
+    seconds: float
+
+    async def disturb(self, world: World, number: int) -> None:
+        """Let one target do so."""
+        faults = world.placed(number).target.faults
+        faults.endless = ENDLESS[self.mode]
+        await trio.sleep(self.seconds)
+        faults.endless = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leave(TargetFault):
     """A target drains and leaves, and another one comes in its place."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,8 +10,13 @@
 from agatetack.testing.fake_target import ExecutedRequest
 from bench.soak.callers import Callers, Result, count_results
 from bench.soak.deploy_file import read_role
-from bench.soak.fault_plan import draw_faults, draw_path_cuts, draw_stops
-from bench.soak.faults import Fault, Stage
+from bench.soak.fault_plan import (
+    draw_endless,
+    draw_faults,
+    draw_path_cuts,
+    draw_stops,
+)
+from bench.soak.faults import Fault, Stage, Stop
 from bench.soak.host import End, Host, ends_by_themselves
 from bench.soak.links import Link
 from bench.soak.machines import make_hosts
@@ -53,6 +58,9 @@
         stops: Seed of a series of stops, with answers that come over links
             which end with the processes of their hosts; None for a run
             without.
+        stop_all: Whether all hosts are stopped at once after the series.
+        endless: Seed of times in which targets send bytes without end; None
+            for a run without.
     """
 
     site: Site
@@ -65,6 +73,8 @@
     faults: int | None = None
     path_cuts: int | None = None
     stops: int | None = None
+    stop_all: bool = False
+    endless: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -205,9 +215,14 @@
         faults += draw_faults(plan.faults, plan.site, names, seconds)
     if plan.path_cuts is not None:
         faults += draw_path_cuts(plan.path_cuts, names, seconds)
+    if plan.endless is not None:
+        targets = sum(sum(each.targets.values()) for each in plan.site.services)
+        faults += draw_endless(plan.endless, targets, seconds)
     if plan.stops is not None:
         last = plan.lead_seconds + STOPS_SHARE * plan.seconds
         faults += draw_stops(plan.stops, names, plan.lead_seconds, last)
+        if plan.stop_all:
+            faults.append(Stop(last, names, 0.0, None))
     return sorted(faults, key=lambda fault: fault.at)
 
 
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -15,11 +15,13 @@
 from bench.soak.deploy_file import build
 from bench.soak.fault_plan import (
     as_lines,
+    draw_endless,
     draw_faults,
     draw_path_cuts,
     draw_stops,
 )
 from bench.soak.faults import (
+    ENDLESS,
     GRACE_SECONDS,
     Cut,
     Freeze,
@@ -367,6 +369,25 @@
     assert report.served_share > 0
 
 
+# Guards against targets whose bytes without end take the time or the memory of
+# hosts, or come to callers as whole answers.
+async def test_targets_that_send_without_end_break_no_rule(tmp_path):
+    build(ROOT)
+    plan = Plan(small_site(), 17.0, 1, ROOT, tmp_path, endless=1)
+    report = await run_soak(plan)
+    broken = [each for each in report.violations if each.rule != "SHORT"]
+    assert broken == []
+    assert report.served_share > 0
+
+
+def test_targets_send_without_end_in_each_way():
+    drawn = [
+        fault for seed in range(30) for fault in draw_endless(seed, 9, 20.0)
+    ]
+    assert {fault.mode for fault in drawn} == set(range(len(ENDLESS)))
+    assert max(len(fault.numbers) for fault in drawn) == 3
+
+
 def test_stops_overlap_and_repeat_signals():
     stops = draw_stops(1, HOSTS, 3.0, 60.0)
     repeats = [number for stop in stops for _, number in stop.again]
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -130,7 +130,8 @@
         key = placed.target.instance
         self.store.append(REGISTRATIONS, key, placed.registration(state))
 
-    def _placed(self, number: int) -> SiteTarget:
+    def placed(self, number: int) -> SiteTarget:
+        """Return a target by its place in the order of their first starts."""
         return list(self.targets.values())[number]
 
     def has_run(self, request_id: str) -> bool:
@@ -143,7 +144,7 @@
 
     def crash(self, number: int) -> TargetId | None:
         """Let a target crash; return its id, None if it does not run."""
-        placed = self._placed(number)
+        placed = self.placed(number)
         if placed.down or placed.left:
             return None
         placed.down = True
@@ -153,7 +154,7 @@
 
     def restart(self, number: int) -> None:
         """Let a target come back after a crash, under a new id."""
-        placed = self._placed(number)
+        placed = self.placed(number)
         placed.down = False
         placed.target.instance = TargetId(f"i-{unique_name()}")
         placed.target.restart()
@@ -165,12 +166,12 @@
 
     async def add_beside(self, number: int) -> None:
         """Add a target like another one."""
-        placed = self._placed(number)
+        placed = self.placed(number)
         await self._add_target(placed.service, placed.domain)
 
     async def leave(self, number: int, seconds: float) -> None:
         """Let a target drain, serve for some more seconds, and go."""
-        placed = self._placed(number)
+        placed = self.placed(number)
         if placed.down or placed.left:
             return
         placed.left = True
