Count the time to accept from when a stop may have been asked for

Cause: each of the four was stopped while it started, or just after. It noticed the stop 1.8 to 2.7 s after the earliest time at which it could have come (asked_ms_ago of its drain line; all other drains have 26 to 75 ms). The end of the drain counts from then, since, but the time to accept counted from the notice: hosts let requests in until 0.4 to 1.3 s before they cut them.

Both count from the same time now, so that the last request keeps 3.1 s as in a drain on time. A host that noticed late has answered no readiness check meanwhile.

Test shown failing before in two of three cases (late by half of the time to accept, and by the whole drain).

--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -188,15 +188,20 @@
 
         Args:
             asked_at: The earliest time at which the stop may have been asked
-                for; now if None. The drain's time counts from it, as whoever
-                asked may kill the process soon after that time.
+                for; now if None. Both times of the drain count from it, as
+                whoever asked may kill the process soon after the second.
         """
         now = self.clock.now()
         asked_at = now if asked_at is None else asked_at
         self.drain_until = Deadline(
             max(asked_at + self.settings.drain_seconds, now + MIN_DRAIN_SECONDS)
         )
-        notice_until = Deadline(now + self.settings.notice_seconds)
+        # What is let in last gets as much time as in a drain that is on time. A
+        # host that notices late has answered no readiness check meanwhile, so
+        # the balancer has noticed as well.
+        notice_until = Deadline(
+            max(asked_at + self.settings.notice_seconds, now)
+        )
         self._enter(Phase.DRAINING)
         decisions.note(
             "drain",
--- a/agatetack/lifecycle/test_drain.py
+++ b/agatetack/lifecycle/test_drain.py
@@ -8,7 +8,7 @@
 import trio
 
 from agatetack.clock import FixedClock, LatenessMeter
-from agatetack.ids import RequestId, RouteId
+from agatetack.ids import Deadline, RequestId, RouteId
 from agatetack.lifecycle.drain import MIN_DRAIN_SECONDS, Lifecycle
 from agatetack.lifecycle.in_flight import Stage, TrackingHandler
 from agatetack.lifecycle.phase import Phase
@@ -191,6 +191,23 @@
     assert not lifecycle.accepting
 
 
+# Guards against requests that are let in as the drain ends, since a host that
+# noticed its stop late counted the two from different times.
+@pytest.mark.parametrize(
+    ("late_seconds", "accepts_seconds"),
+    [(0.0, NOTICE), (NOTICE / 2, NOTICE / 2), (DRAIN, 0.0)],
+)
+async def test_a_late_drain_leaves_as_much_time_for_the_last_request(
+    nursery, autojump_clock, late_seconds, accepts_seconds
+):
+    lifecycle = new_lifecycle()
+    await trio.sleep(100.0)
+    started = trio.current_time()
+    nursery.start_soon(lifecycle.drain, Deadline(started - late_seconds))
+    await lifecycle.closing.wait()
+    assert trio.current_time() - started == pytest.approx(accepts_seconds)
+
+
 async def test_half_delivered_answer_is_in_flight(autojump_clock):
     lifecycle = new_lifecycle()
     handler = TrackingHandler(OneAnswer(), lifecycle.in_flight)
