End an idle connection in the step in which a drain looks at it

Cause: a drain looks whether a connection is idle and cancels it; the end of the stream was sent when the connection's task ran next. At a host short of processor time a request comes in between, and is neither read nor refused.

The end is sent in the same step as the look. What comes later crosses it.

Test shown failing before: no end to be read in the same step.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -170,11 +170,15 @@
         if self.aborted:
             return
         self.delivering = True
+        self._end_stream()
+        await self.delivery.wait()
+
+    def _end_stream(self) -> None:
+        """Tell the caller's machine that no further bytes will come."""
         transport = self._transport()
         if transport is self.stream:
             # Under TLS its own end has to be sent before that of the stream.
             transport.send_eof()
-        await self.delivery.wait()
 
     def _reset_on_close(self, end: ConnectionEnd) -> None:
         """Let the connection, which ended by `end`, close with a reset."""
@@ -209,6 +213,8 @@
         self.closing = True
         if not self.busy and self._is_between_requests():
             self._note_end(ConnectionEnd.IDLE)
+            # At once, so that nothing comes between the look and the end.
+            self._end_stream()
             self.scope.cancel()
 
     def _is_between_requests(self) -> bool:
--- a/agatetack/callers/test_server.py
+++ b/agatetack/callers/test_server.py
@@ -123,6 +123,18 @@
         assert statuses(await read_all(stream, 2)) == [200]
 
 
+# Guards against requests that come to a busy host after it has looked for them
+# and before it ends the connection, and are then neither read nor refused.
+async def test_an_idle_connection_ends_in_the_step_that_looks_at_it():
+    async with serving() as (server, port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(REQUEST)
+        assert statuses(await read_all(stream, 0.1)) == [200]
+        server.close_idle()
+        # No task has run since.
+        assert stream.socket._sock.recv(1) == b""
+
+
 # Guards against deadlines that start only when a busy host reads a request.
 async def test_a_request_arrives_when_its_bytes_come():
     async with serving() as (server, port):
