--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -24,17 +24,24 @@
         shed: Whether it rejects it without running it.
         extra_after: Seconds after its answer at which it sends the same
             answer once more; None for never.
+        headers: Further header fields of a success.
+        body: The body of a success; a short text if None.
+        pause_seconds: Time between the two halves of the body.
     """
 
     shed: bool = False
     extra_after: float | None = None
+    headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    body: bytes | None = None
+    pause_seconds: float = 0.0
 
 
 class Server:
     """One server with slots and a queue; it tells its load.
 
     Attributes:
-        runs: Each run, as the request's id.
+        runs: The ids of the requests that it ran.
+        run_requests: The same requests.
         answers: Number of answers to requests so far.
     """
 
@@ -55,6 +62,10 @@
         self.free = asyncio.Semaphore(slots)
         self.running = self.waiting = 0
         self.runs: list[str] = []
+        self.run_requests: list[Message] = []
+        self.delivering = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.listener: asyncio.Server | None = None
         self.answers = 0
         self.plan: Callable[[Server, Message], Plan] = lambda *_: Plan()
         self.address = ""
@@ -62,8 +73,9 @@
 
     async def start(self) -> None:
         """Listen on a free loopback port, and register."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
         self.born = int(time.time() * 1000)
         self.sequence = 0
         await self.beat()
@@ -88,6 +100,13 @@
         }
         await self.store.put("keyed.servers", self.name, entry)
 
+    def crash(self) -> None:
+        """End as a process does that is killed: all its channels are reset."""
+        self.note("server", self.name, "crashes")
+        self.listener.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     def load(self) -> tuple[str, str]:
         """Return the header that tells the load."""
         figures = f"{self.running},{self.waiting},{self.slots}"
@@ -97,6 +116,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = Connection(reader, writer)
+        self.writers.add(writer)
         try:
             while (request := await connection.read_request()) is not None:
                 await self._answer(request, writer)
@@ -104,6 +124,7 @@
             # The other end has gone, or the case is over.
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _answer(
@@ -127,15 +148,16 @@
             status, body = 503, b""
             headers = [("Request-Id", request_id), ("Not-Executed", "1")]
         else:
-            body = await self._run(request_id)
+            body = await self._run(request)
+            body = body if plan.body is None else plan.body
             status = 200
             headers = [
                 ("Request-Id", request_id),
                 ("Server-Signature", f"sig.{self.name}.{request_id}"),
+                *plan.headers,
             ]
         answer = answer_bytes(status, [*headers, self.load()], body)
-        writer.write(answer)
-        await writer.drain()
+        await self._write(writer, answer, plan)
         if plan.extra_after is not None:
             self.note("server", self.name, "will repeat", request_id)
             asyncio.get_running_loop().call_later(
@@ -149,12 +171,29 @@
             self.note("server", self.name, "repeats answer to", request_id)
             writer.write(answer)
 
-    async def _run(self, request_id: str) -> bytes:
+    async def _write(
+        self, writer: asyncio.StreamWriter, answer: bytes, plan: Plan
+    ) -> None:
+        half = len(answer) // 2 if plan.pause_seconds else len(answer)
+        self.delivering += 1
+        try:
+            writer.write(answer[:half])
+            await writer.drain()
+            if plan.pause_seconds:
+                await asyncio.sleep(plan.pause_seconds)
+                writer.write(answer[half:])
+                await writer.drain()
+        finally:
+            self.delivering -= 1
+
+    async def _run(self, request: Message) -> bytes:
+        request_id = request.headers["request-id"]
         self.waiting += 1
         async with self.free:
             self.waiting -= 1
             self.running += 1
             self.runs.append(request_id)
+            self.run_requests.append(request)
             self.note("server", self.name, "runs", request_id)
             try:
                 await asyncio.sleep(self.work_seconds)
