--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -42,6 +42,8 @@
     Attributes:
         runs: The ids of the requests that it ran.
         run_requests: The same requests.
+        spans: When it was at work on each, by the loop's clock.
+        leaving: Whether it is being emptied.
         answers: Number of answers to requests so far.
     """
 
@@ -63,6 +65,8 @@
         self.running = self.waiting = 0
         self.runs: list[str] = []
         self.run_requests: list[Message] = []
+        self.spans: dict[str, tuple[float, float]] = {}
+        self.leaving = False
         self.delivering = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.listener: asyncio.Server | None = None
@@ -195,8 +199,12 @@
             self.runs.append(request_id)
             self.run_requests.append(request)
             self.note("server", self.name, "runs", request_id)
+            loop = asyncio.get_running_loop()
+            begin = loop.time()
+            self.spans[request_id] = begin, float("inf")
             try:
                 await asyncio.sleep(self.work_seconds)
             finally:
                 self.running -= 1
+                self.spans[request_id] = begin, loop.time()
         return f"body of {request_id}".encode()
