--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -26,13 +26,27 @@
 
 
 class Store:
-    """Keyed topics with the calls `log-append`, `log-read`, `log-newest`."""
+    """Keyed topics with the calls `log-append`, `log-read`, `log-newest`.
+
+    Attributes:
+        silent: Topics whose calls get no answer now. A channel on which an
+            answer was lost returns nothing any more.
+        lost: Number of calls whose answers were lost.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
         self.topics: dict[str, Topic] = defaultdict(Topic)
         self.appended = asyncio.Condition()
         self.address = ""
+        self.silent: set[str] = set()
+        self.lost = 0
+
+    async def go_silent(self, topic: str, seconds: float) -> None:
+        """Lose all answers to calls of a topic for a while."""
+        self.silent.add(topic)
+        await asyncio.sleep(seconds)
+        self.silent.discard(topic)
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
@@ -64,14 +78,29 @@
         try:
             while (request := await connection.read_request()) is not None:
                 await asyncio.sleep(CALL_SECONDS)
-                status, body = await self._answer(request)
-                await write_answer(writer, status, [], body)
+                if await self._answer_or_lose(request, writer):
+                    continue
+                self.lost += 1
+                await reader.read()
+                return
         except (OSError, EOFError, asyncio.CancelledError):
             # The other end has gone, or the case is over.
             pass
         finally:
             writer.close()
 
+    async def _answer_or_lose(
+        self, request: Message, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a call; return False if its answer is lost."""
+        _, _, text = request.path.partition("?")
+        topic = dict(urllib.parse.parse_qsl(text)).get("topic", "")
+        status, body = await self._answer(request)
+        if topic in self.silent:
+            return False
+        await write_answer(writer, status, [], body)
+        return True
+
     async def _answer(self, request: Message) -> tuple[int, bytes]:
         path, _, text = request.path.partition("?")
         query = dict(urllib.parse.parse_qsl(text))
