--- a/review/1/case.py
+++ b/review/1/case.py
@@ -70,7 +70,7 @@
 async def play(case: Case) -> bool:
     """Return whether a request that was refused has run."""
     await case.store.start()
-    server = Server("i-1", "ledger", case.store, case.note, work_seconds=0.1)
+    server = Server("i-1", "ledger", case.store, case.note, work_seconds=0.05)
     await server.start()
     routes = [route("pay", "non_idempotent", "ledger", timeout="1500ms")]
     await case.publish(3, routes, ["ledger"])
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -105,6 +106,8 @@
 def main(record: str, play: Callable[[Case], Awaitable[bool]]) -> None:
     """Play a case and exit: 1 if its rule was broken, 0 if not, else 2."""
     status = 2
+    # The machines end also if the case is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(status))
     with tempfile.TemporaryDirectory() as folder:
         case = Case(pathlib.Path(folder), pathlib.Path(record))
         try:
