Send no request again on a connection on which it was rejected

With three attempts the request ran twice.

Cause: a rejected request went to the same target again, on the same pooled connection and under the same id. The parser tells responses apart by that id alone, so the late copy of the rejection was taken for the response to the second send. The look at the connection before the second send can't find a copy that comes later.

Every place that says "not run" was listed: a send that failed before its first byte (connect, unwilling target), the refusals made before any send, a peer's reply (matched by the number of its call on its link), and the target's mark. Only the last one rests on bytes that may belong to another send. They belong to this one if the connection has carried this request once only, so:

- A connection remembers the ids that were rejected on it and is left for other requests.
Other failures close their connection already.
At the limit of connections an idle one makes room.
After 1,000 rejections it is closed.
- A response without an id on a connection that carried a request before is skipped, like one with another's id: a target echoes ids, and a copy may lack it.
On a new connection nothing can be left over, so it counts as before.

Closing each connection with a rejection instead would cost one connection a rejection.

--- a/agatetack/targets/connection.py
+++ b/agatetack/targets/connection.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from agatetack.ids import Deadline
+from agatetack.ids import Deadline, RequestId
 from agatetack.streams import PlainStream, open_plain_stream
 from agatetack.targets.parser import AnswerParser
 from agatetack.targets.state import TargetState
@@ -32,6 +32,9 @@
         opened_at: When it was opened.
         last_byte_at: When the last byte was received; at first `opened_at`.
         requests: Requests sent on it so far.
+        rejected: Ids of the requests that the target rejected on it. They are
+            not sent on it again: a late copy of the rejection would be taken
+            for the response to the second send, which may run.
         idle_seconds: The keep-alive timeout that the target announced, or None.
         closed: Whether this host has closed it.
     """
@@ -43,6 +46,7 @@
         self.opened_at = Deadline(trio.current_time())
         self.last_byte_at = self.opened_at
         self.requests = 0
+        self.rejected: set[RequestId] = set()
         self.idle_seconds: int | None = None
         self.closed = False
 
--- a/agatetack/targets/http_client.py
+++ b/agatetack/targets/http_client.py
@@ -82,6 +82,7 @@
             attempt.request.method,
             self.settings.targets.max_header_bytes,
             self.check.echo(attempt.request),
+            first=not connection.requests,
         )
         sent_at = Deadline(trio.current_time())
         if not attempt.target.is_willing(sent_at):
@@ -116,6 +117,13 @@
             raise _failed(
                 RefusalReason.ANSWER_TIMEOUT, suspect=not upload.reading
             )
+        if parser.skipped:
+            log.request(
+                attempt.request.request_id,
+                "Skipped %d responses of %s to other requests.",
+                parser.skipped,
+                attempt.target.id,
+            )
         if parser.state is AnswerState.BROKEN:
             pool.discard(connection)
             raise _failed(_broken_reason(parser), suspect=True)
@@ -149,7 +157,7 @@
     async def _connect(
         self, attempt: Attempt, pool: TargetPool
     ) -> TargetConnection:
-        connection = pool.take(attempt.freshness)
+        connection = pool.take(attempt.freshness, attempt.request.request_id)
         if connection is not None:
             return connection
         try:
@@ -277,6 +285,9 @@
             )
         else:
             self._note_load(attempt.target, parser)
+        not_run = self.check.is_not_run(parser)
+        if not_run:
+            connection.rejected.add(attempt.request.request_id)
         body = TargetBody(
             connection,
             pool,
@@ -291,7 +302,7 @@
                 reusable=sent_whole,
             ),
         )
-        if self.check.is_not_run(parser):
+        if not_run:
             # The rest of a short body is read so that the connection can be
             # reused, as a new one costs more than a few bytes.
             await body.drop()
--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -48,6 +48,7 @@
         skipped: Number of earlier responses to other requests.
         skipped_bytes: Bytes of their bodies.
         lacks_echo: Whether the response lacks the expected request id header.
+        first: Whether the connection carried no request before this one.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         method: bytes,
         max_header_bytes: int,
         echo: Header | None = None,
+        first: bool = True,
     ):
         """Expect the response to a request with `method`.
 
@@ -63,9 +65,13 @@
             max_header_bytes: Maximum size of the header.
             echo: The header that the response to this request carries;
                 responses with another value are skipped. None accepts any.
+            first: Whether the connection carried no request before. On any
+                other, a response without the header may belong to an earlier
+                request, so it is skipped as well.
         """
         self.method = method
         self.echo = echo
+        self.first = first
         self.body_bytes = 0
         self.skipped = 0
         self.skipped_bytes = 0
@@ -182,7 +188,9 @@
             return False
         found = find_header(self.headers, self.echo.name)
         self.lacks_echo = found is None
-        return found not in (None, self.echo.value)
+        if self.lacks_echo:
+            return not self.first
+        return found != self.echo.value
 
     def _read_framing(self) -> None:
         for name, value in self.headers:
--- a/agatetack/targets/pool.py
+++ b/agatetack/targets/pool.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from agatetack.ids import Deadline, ProcessId
+from agatetack.ids import Deadline, ProcessId, RequestId
 from agatetack.settings.model import Settings
 from agatetack.targets.client import Freshness
 from agatetack.targets.connection import (
@@ -18,6 +18,10 @@
 """An idle connection is not reused within this time before its target's
 keep-alive timeout: a request sent as the target closes it would be lost."""
 
+MAX_REJECTED_PER_CONNECTION = 1000
+"""A connection is closed after this many rejections, as the ids of all of them
+are remembered."""
+
 
 class ConnectionLimit(abc.ABC):
     """Limits how many connections this host may open to a target."""
@@ -59,25 +63,46 @@
         self.open_count = 0
         self.min_last_byte_at = Deadline(0.0)
 
-    def take(self, freshness: Freshness) -> TargetConnection | None:
-        """Remove and return a reusable idle connection, or return None."""
+    def take(
+        self, freshness: Freshness, request: RequestId | None = None
+    ) -> TargetConnection | None:
+        """Remove and return a reusable idle connection, or return None.
+
+        Args:
+            freshness: Which connections may be used.
+            request: The id of the request to send; connections on which it
+                was rejected are left for others. None if it has no id.
+        """
         if freshness is Freshness.NEW:
             return None
-        now = trio.current_time()
-        while self.idle:
+        passed_over = []
+        found = None
+        while self.idle and found is None:
             connection = self.idle.pop()
+            if not self._is_reusable(connection, freshness):
+                self.discard(connection)
+            elif request in connection.rejected:
+                passed_over.append(connection)
+            else:
+                found = connection
             connection.target.idle_connections = len(self.idle)
-            max_idle_seconds = self._max_idle_seconds(freshness)
-            if connection.idle_seconds is not None:
-                max_idle_seconds = min(
-                    max_idle_seconds,
-                    connection.idle_seconds - CLOSE_RACE_SECONDS,
-                )
-            oldest = max(now - max_idle_seconds, self.min_last_byte_at)
-            if connection.last_byte_at >= oldest and connection.is_quiet():
-                return connection
-            self.discard(connection)
-        return None
+        for connection in reversed(passed_over):
+            self._keep_idle(connection)
+        return found
+
+    def _is_reusable(
+        self, connection: TargetConnection, freshness: Freshness
+    ) -> bool:
+        max_idle_seconds = self._max_idle_seconds(freshness)
+        if connection.idle_seconds is not None:
+            max_idle_seconds = min(
+                max_idle_seconds,
+                connection.idle_seconds - CLOSE_RACE_SECONDS,
+            )
+        oldest = max(
+            trio.current_time() - max_idle_seconds, self.min_last_byte_at
+        )
+        return connection.last_byte_at >= oldest and connection.is_quiet()
 
     def _max_idle_seconds(self, freshness: Freshness) -> float:
         if freshness is Freshness.PROVEN:
@@ -86,9 +111,15 @@
 
     def put_back(self, connection: TargetConnection) -> None:
         """Keep a connection for reuse once its response was read to the end."""
-        if connection.last_byte_at < self.min_last_byte_at:
+        if (
+            connection.last_byte_at < self.min_last_byte_at
+            or len(connection.rejected) >= MAX_REJECTED_PER_CONNECTION
+        ):
             self.discard(connection)
             return
+        self._keep_idle(connection)
+
+    def _keep_idle(self, connection: TargetConnection) -> None:
         self.idle.append(connection)
         connection.target.idle_connections = len(self.idle)
 
@@ -125,11 +156,17 @@
     ) -> TargetConnection:
         """Open a new connection.
 
+        Idle connections that the caller could not use make room for it.
+
         Raises:
             ConnectFailed: It could not be opened, or too many are open.
         """
         limits = self.settings.targets
-        if self.open_count >= self.connection_limit.limit_for(target):
+        limit = self.connection_limit.limit_for(target)
+        while self.open_count >= limit and self.idle:
+            self.discard(self.idle.pop(0))
+            target.idle_connections = len(self.idle)
+        if self.open_count >= limit:
             raise ConnectFailed("too many connections are open")
         self.open_count += 1
         latest = trio.current_time() + limits.connect_timeout_seconds
--- a/agatetack/targets/test_answer_check.py
+++ b/agatetack/targets/test_answer_check.py
@@ -121,6 +121,27 @@
     assert check.is_not_run(parser) is not_run
 
 
+# Guards against a rejection without an id that was that of an earlier request.
+@pytest.mark.parametrize(
+    "first",
+    [
+        answer(None),
+        answer(None, status=SHED, extra=MARK, signed=False),
+        answer(None, status=b"421 Misdirected Request"),
+        answer(None, status=b"500 Error"),
+    ],
+)
+def test_a_response_without_an_id_counts_only_on_a_new_connection(first):
+    check = AnswerCheck(template_settings(1))
+    parser = AnswerParser(b"GET", 65536, ECHO, first=False)
+    parser.feed(first)
+    assert parser.state is AnswerState.HEAD
+    assert not check.is_not_run(parser)
+    parser.feed(OWN)
+    assert parser.state is AnswerState.COMPLETE
+    assert b"".join(parser.parts) == b"own"
+
+
 def test_by_the_defaults_only_the_mark_counts():
     check = AnswerCheck(default_settings())
     parser = AnswerParser(b"GET", 65536)
