Give up reads of the store that wait for lost answers

Cause: the change was written while each reader waited for the next record. The answers were lost, and a connection on which an answer is lost returns nothing more, but the readers waited on for the rest of their 30 s. Meanwhile they reported their position as current, so that no other host read anew. Two beliefs rested on no evidence: that a read which waits will be answered, and that a reader which waits is current.

Now an answer of the store is the evidence, and its age decides both:

- The first reader of a topic waits 0.8 s at most, so that its answers show the whole fleet, about once a second, that the store answers.
Reports carry the age of the last answer.
Hosts whose read for proofs of keys asks once a second anyway keep their long waits.
- A reader that knows of no answer for 1.15 to 1.55 s, by its rank, gives up its wait and asks without waiting.
- Without an answer of the last 1.7 s a host neither reports a position nor believes one, and a host that starts is not told that it is in touch.
- The proof of the configuration's age notes at once that it is no longer lost.

The sum: an answer at most 1.7 s old, so a change is known in 2 s even if the store stops answering all readers as it is made. After a silence: 1 s until a read that was sent in it fails, 0.63 s of pause, 0.55 s for the records to reach all hosts, 2.2 s of the 3 s that are allowed.

Weighed: shorter waits at every reader (six to eight calls a second for each topic instead of one); a separate read beside each wait (as many calls, and dead waits stay).

Operators see "read-given-up" in the log and the gauge agatetack_store_answer_age_seconds.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -51,6 +51,25 @@
 """Maximum mean pause of hosts that read all keys for the others. They have to
 retry before the others stop waiting for their records."""
 
+FIRST_READER_WAIT_SECONDS = 0.8
+"""Longest wait of the first reader's read for a record. Its answers show all
+hosts that the store answers; the reads of the others may wait for longer."""
+
+NEWS_SECONDS = 0.4
+"""An answer that comes longer than this after the last one of any reader is
+reported at once."""
+
+SILENT_SECONDS = 1.15
+"""The first reader gives up a read that waits for a record when the store is
+not known to have answered any reader for this long."""
+
+SILENT_STEP_SECONDS = 0.08
+"""How much longer each further reader waits. The one before it has its answer
+by then, unless that answer was lost as well."""
+
+LAST_SILENT_RANK = 5
+"""Rank from which on all hosts wait equally long."""
+
 TOLD_PAUSE_SECONDS = 4.0
 """Mean pause of a host that the store refuses while a peer reports that it
 reads the topic. In a fleet of 107 hosts, 37 of which were refused for 5.5 s,
@@ -65,8 +84,12 @@
     """Do nothing; the default until the follower reports to peers."""
 
 
-def _is_never_urgent() -> bool:
-    """Return False; the default if nobody needs reads of this host."""
+def _tell_nobody(follower: "TopicFollower") -> None:
+    """Do nothing; the default until the follower reports to peers."""
+
+
+def _never() -> bool:
+    """Return False; the default if nobody needs more reads of this host."""
     return False
 
 
@@ -80,6 +103,8 @@
     Attributes:
         reads: Reads by topic and result.
         age: Time since each topic was last read.
+        answer_age: Time since the store is known to have answered any reader of
+            each topic.
     """
 
     def __init__(self, metrics: Metrics):
@@ -88,6 +113,11 @@
             "agatetack_store_reads_total",
             "Reads of the metadata store, by topic and result.",
         )
+        self.answer_age = metrics.gauge(
+            "agatetack_store_answer_age_seconds",
+            "Time since the store is known to have answered any reader of a"
+            " topic, by topic.",
+        )
         self.age = metrics.gauge(
             "agatetack_store_read_age_seconds",
             "Time since a topic was last read, by topic.",
@@ -119,9 +149,13 @@
         readers: Decides whether this host reads or relies on other hosts.
         on_advance: Called after the read position has advanced, with this
             follower and its previous position.
+        on_answer: Called with this follower after the store has answered, if it
+            was not known to have answered any reader for a while.
         on_current: Called when a read has shown that there was no record
             beyond the read position when the read was sent, with that time
             and position.
+        asks_regularly: Returns whether this host reads the topic about once a
+            second for another purpose, so that its reads here may wait.
         is_urgent: Returns whether an answer of the store is needed soon, even
             if peers report that they read.
         clock: The clocks that tell when reads were sent.
@@ -130,6 +164,8 @@
         peer_wait_factor: This host's factor on the time that it waits for
             records of others.
         read_at: When the last call was answered, or None.
+        waiting: Ends a read that waits for a record though the store no longer
+            answers.
     """
 
     def __init__(
@@ -164,15 +200,18 @@
         self.on_advance: Callable[
             [TopicFollower, TopicPosition | None], None
         ] = _report_to_nobody
+        self.on_answer: Callable[[TopicFollower], None] = _tell_nobody
         self.on_current: Callable[[Instant, TopicPosition], None] = (
             _keep_no_proof
         )
-        self.is_urgent: Callable[[], bool] = _is_never_urgent
+        self.is_urgent: Callable[[], bool] = _never
+        self.asks_regularly: Callable[[], bool] = _never
         self.clock: Clock = SystemClock()
         self.reading = trio.CancelScope()
         self.reachable = False
         self.reachable_since = Deadline(0.0)
         self.read_at: Deadline | None = None
+        self.waiting = trio.CancelScope()
         self.failures = 0
         self.random = rng
         self.peer_wait_factor = self.random.uniform(1.0, MAX_PEER_WAIT_FACTOR)
@@ -283,11 +322,65 @@
         self.reader.note_reachable()
 
     async def _read_on(self, first: LogOffset) -> TopicPage:
-        # After a failure, do not wait for a record: the first answer shows that
-        # the store is reachable again.
-        wait = self.limits.poll_seconds if self.reachable else 0.0
-        wait_until = Deadline(trio.current_time() + wait)
-        return await self.topic.read(first, wait_until, self._deadline(wait))
+        wait = self._wait_seconds()
+        if wait > 0:
+            wait_until = Deadline(trio.current_time() + wait)
+            with trio.CancelScope() as self.waiting:
+                self.waiting.deadline = self._silent_at()
+                return await self.topic.read(
+                    first, wait_until, self._deadline(wait)
+                )
+            # Its connection may be dead, and others may be too.
+            self._note_given_up()
+        now = Deadline(trio.current_time())
+        return await self.topic.read(first, now, self._deadline(0.0))
+
+    def _wait_seconds(self) -> float:
+        """Return how long the next read may wait for a record.
+
+        After a failure it does not wait: the first answer shows that the store
+        is reachable again.
+        """
+        now = trio.current_time()
+        if not self.reachable or now >= self._silent_at():
+            return 0.0
+        if self.readers.place(self.name) != 0 or self.asks_regularly():
+            return self.limits.poll_seconds
+        left = self.answered_at + FIRST_READER_WAIT_SECONDS - now
+        return max(0.0, min(left, self.limits.poll_seconds))
+
+    @property
+    def answered_at(self) -> Deadline:
+        """Return when the store is known to have answered any reader."""
+        return self.readers.answered_at(self.name)
+
+    def _silent_at(self) -> Deadline:
+        """Return when a read that waits has to be given up."""
+        place = self.readers.place(self.name)
+        if place is None:
+            place = LAST_SILENT_RANK
+        rank = min(place, LAST_SILENT_RANK)
+        seconds = SILENT_SECONDS + rank * SILENT_STEP_SECONDS
+        return Deadline(self.answered_at + seconds)
+
+    def note_answer(self, at: Deadline) -> None:
+        """Note that the store answered a reader of this topic at a time."""
+        self.readers.note_answer(self.name, at)
+        self.update_wait()
+
+    def update_wait(self) -> None:
+        """Let a read wait for longer if another reader had an answer."""
+        self.waiting.deadline = max(self.waiting.deadline, self._silent_at())
+
+    def _note_given_up(self) -> None:
+        self._count("given-up")
+        log.note(
+            "read-given-up",
+            topic=self.name,
+            offset=self.content.next_offset,
+            read_age=age(self.read_at),
+            answer_age=age(self.answered_at),
+        )
 
     def apply_from_peer(
         self,
@@ -395,6 +488,7 @@
         )
         self._take(page, whole=True, carried=carried)
         if in_touch:
+            self.note_answer(Deadline(trio.current_time()))
             self._note_reachable()
         else:
             self.reader.note_unreachable()
@@ -406,14 +500,23 @@
         Earlier removals may be a result of the store's own outage.
         """
         quiet = trio.current_time() - self.reachable_since
-        return self.reachable and quiet > self.limits.doubt_seconds
+        return self.is_current and quiet > self.limits.doubt_seconds
+
+    @property
+    def is_current(self) -> bool:
+        """Return whether the store has shown lately that nothing is missing.
+
+        A read that waits without an answer shows nothing: its answer may be
+        lost.
+        """
+        return self.reachable and self.readers.is_current(self.name)
 
     @property
     def may_report(self) -> bool:
         """Return whether this host reads itself and can reach the store."""
         if self.is_outdated:
             return False
-        return self.reachable and not self.relies_on_readers
+        return self.is_current and not self.relies_on_readers
 
     def _take(
         self,
@@ -475,7 +578,16 @@
     def _answered(self, result: str) -> None:
         self._count(result)
         self.failures = 0
-        self.read_at = Deadline(trio.current_time())
+        self.note_read()
+
+    def note_read(self) -> None:
+        """Note that the store has answered a read of this host just now."""
+        now = Deadline(trio.current_time())
+        is_news = now > self.answered_at + NEWS_SECONDS
+        self.read_at = now
+        self.note_answer(now)
+        if is_news:
+            self.on_answer(self)
 
     def _failed(self, cause: str) -> None:
         self.failures += 1
@@ -501,6 +613,9 @@
         """Update the gauge."""
         if self.read_at is not None:
             self.counters.age.set({"topic": self.name}, self.age_seconds())
+        seconds = trio.current_time() - self.answered_at
+        if seconds < math.inf:
+            self.counters.answer_age.set({"topic": self.name}, seconds)
 
     def _deadline(self, wait: float) -> Deadline:
         now = trio.current_time()
--- a/agatetack/keyed/proofs.py
+++ b/agatetack/keyed/proofs.py
@@ -238,6 +238,7 @@
         )
         follower.clock = clock
         follower.on_current = self._note_read
+        follower.asks_regularly = lambda: self.active
         follower.is_urgent = lambda: self.active and self.lost
         exchange.serve(Topic.CONFIGURATION_PROOF, self._answer)
 
@@ -292,6 +293,8 @@
     def _note_read(self, sent: Instant, position: TopicPosition) -> None:
         """Note that a read found no record beyond `position`."""
         self._note(Proof(sent, position))
+        if self.lost:
+            self._check_lost()
 
     def _note(self, proof: Proof) -> CallResult:
         """Use a proof, now or once its position was read."""
@@ -439,6 +442,7 @@
         except TopicUnavailable as error:
             self.last_read = f"{ReadResult.UNAVAILABLE.value} ({error})"
             return ReadResult.UNAVAILABLE
+        self.follower.note_read()
         if page.generation != position.generation:
             return ReadResult.RESTORED
         if page.records:
--- a/agatetack/keyed/readers.py
+++ b/agatetack/keyed/readers.py
@@ -56,6 +56,18 @@
 readers. They refuse the links until the seed has registered this host and they
 have read that registration."""
 
+MAX_ANSWER_AGE_SECONDS = 1.7
+"""How long an answer of the store to any reader shows that what readers report
+is current; then each host reads itself.
+
+Answers of the first reader are about 0.8 s apart and reach all hosts within
+0.45 s. If it hears nothing, the readers ask 1.15 to 1.55 s after the last
+answer, before all others do. So a change is known within 2 s even if the store
+silently stops answering all readers as it is made. After a silence of the
+store, a read that was sent in it fails within 1 s, the next one follows within
+0.63 s, and its records reach all hosts within 0.55 s: 2.2 s of the 3 s in which
+hosts have to be up to date."""
+
 FIRST_REPORT_SECONDS = 1.0
 """How much longer hosts that are no readers wait. In a fleet that starts as a
 whole, readers begin to read after `TRUST_SECONDS`, and report within 0.4 s."""
@@ -66,7 +78,31 @@
 
 
 class ReaderChoice(abc.ABC):
-    """Decides whether this host has to read a topic from the store."""
+    """Decides whether this host has to read a topic from the store.
+
+    Attributes:
+        answers: When the store is known to have answered any reader, by topic.
+    """
+
+    def __init__(self) -> None:
+        """Know of no answer."""
+        self.answers: dict[str, Deadline] = {}
+
+    def note_answer(self, topic: str, at: Deadline) -> None:
+        """Note that the store answered a reader of `topic`."""
+        self.answers[topic] = max(at, self.answered_at(topic))
+
+    def answered_at(self, topic: str) -> Deadline:
+        """Return when the store last answered a reader, as far as known.
+
+        It is minus infinity if no answer is known.
+        """
+        return self.answers.get(topic, Deadline(-math.inf))
+
+    def is_current(self, topic: str) -> bool:
+        """Return whether a reader had an answer of the store lately."""
+        answered_at = self.answered_at(topic)
+        return trio.current_time() < answered_at + MAX_ANSWER_AGE_SECONDS
 
     @abc.abstractmethod
     def must_read(self, topic: str) -> bool:
@@ -127,6 +163,7 @@
 
     def __init__(self, settings: Settings, exchange: Exchange):
         """Choose among the hosts that `exchange` knows."""
+        super().__init__()
         self.own = HostId(settings.host.id)
         self.domain = FailureDomain(settings.host.failure_domain)
         self.exchange = exchange
@@ -140,16 +177,28 @@
         until = trio.current_time() + TRUST_SECONDS
         self.trusted_until[topic] = Deadline(until)
 
-    def note_report(self, topic: str, age_seconds: float = 0.0) -> None:
+    def note_report(
+        self,
+        topic: str,
+        age_seconds: float = 0.0,
+        answer_age_seconds: float | None = None,
+    ) -> None:
         """Note that a host that reads `topic` can reach the store.
 
         Args:
             topic: The topic.
             age_seconds: How long ago that host reported this.
+            answer_age_seconds: How long ago the store answered that host; None
+                if a host of an older version doesn't tell. Its report counts
+                as an answer.
         """
-        reported_at = trio.current_time() - max(0.0, age_seconds)
+        now = trio.current_time()
+        reported_at = now - max(0.0, age_seconds)
         known_at = self.reported_at.get(topic, -math.inf)
         self.reported_at[topic] = Deadline(max(known_at, reported_at))
+        if answer_age_seconds is None:
+            answer_age_seconds = age_seconds
+        self.note_answer(topic, Deadline(now - max(0.0, answer_age_seconds)))
 
     def forwardable_age_seconds(self, topic: str) -> float | None:
         """Return the age in seconds of the report that this host may forward.
@@ -181,10 +230,21 @@
             return False
         if now >= reported_at + REPORT_TIMEOUT_SECONDS:
             return True
+        if not self.is_current(topic):
+            return True
         if now < self.doubted_until.get(topic, -math.inf):
             return True
         return self.is_reader(topic)
 
+    def is_current(self, topic: str) -> bool:
+        """Return whether a reader had an answer of the store lately.
+
+        A host that has just received all records counts as if it had one.
+        """
+        if trio.current_time() < self._trusted_until(topic):
+            return True
+        return super().is_current(topic)
+
     def _trusted_until(self, topic: str) -> float:
         """Return until when this host relies on the records of its start."""
         until = self.trusted_until.get(topic, -math.inf)
--- a/agatetack/keyed/seeds.py
+++ b/agatetack/keyed/seeds.py
@@ -69,7 +69,7 @@
 
     Attributes:
         changes: The number of changes to the topic's valid records.
-        in_touch: Whether the topic's follower can reach the store.
+        in_touch: Whether the topic's follower is current.
     """
 
     changes: int
@@ -146,7 +146,7 @@
         if not self._knows_all():
             return zlib.compress(encode(wire.StartReply([])))
         known = [
-            TopicState(each.content.changes, each.reachable)
+            TopicState(each.content.changes, each.is_current)
             for each in self.followers
         ]
         if known != self.content_of:
@@ -294,7 +294,7 @@
 
 def _topic(follower: TopicFollower) -> wire.StartTopic:
     records = records_since(follower, None)
-    records.sound = follower.reachable
+    records.sound = follower.is_current
     return wire.StartTopic(follower.name, records)
 
 
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -5,6 +5,7 @@
 reports its read position, and a host that is behind fetches the records.
 """
 
+import math
 from collections.abc import Sequence
 
 import trio
@@ -62,6 +63,9 @@
 replies, the change is then known within half of the 2 s in which it has to be
 in force."""
 
+MAX_REPORTED_AGE_SECONDS = 3600
+"""Age that is reported of answers that are older, and for none at all."""
+
 log = DecisionLog("keyed")
 
 
@@ -96,6 +100,7 @@
         self.nursery: trio.Nursery | None = None
         for follower in followers:
             follower.on_advance = self._advanced
+            follower.on_answer = self._answered
             follower.readers = self.readers
         exchange.subscribe(Topic.TOPIC_RECORDS, self._take_reports)
         exchange.serve(Topic.TOPIC_RECORDS, self._serve_fetch)
@@ -121,6 +126,9 @@
             end.first, end.news = before.offset, records
         self._publish([end], Scope.DOMAIN)
 
+    def _answered(self, follower: TopicFollower) -> None:
+        self._report([follower])
+
     def _report(self, followers: Sequence[TopicFollower]) -> None:
         self._publish(
             [end for each in followers if (end := self._end_of(each))]
@@ -144,11 +152,17 @@
             generation=position.generation,
             carried=len(follower.content.carried.records) or None,
         )
-        if not follower.may_report:
+        answered_at = follower.answered_at
+        if follower.may_report:
+            # Hosts that report to one another what they heard of each other
+            # would make an answer look younger each time.
+            answered_at = follower.read_at
+        else:
             age = self.readers.forwardable_age_seconds(follower.name)
             if age is None:
                 return None
             end.age_ms = round(age * 1000)
+        end.answer_age_ms = _age_ms(answered_at)
         return end
 
     def _take_reports(self, sender: HostId, payload: bytes) -> None:
@@ -171,7 +185,13 @@
                     {"part": "keyed", "reason": "ends-outdated"}
                 )
                 continue
-            self.readers.note_report(report.topic, (report.age_ms or 0) / 1000)
+            answer_age = report.answer_age_ms
+            self.readers.note_report(
+                report.topic,
+                (report.age_ms or 0) / 1000,
+                None if answer_age is None else answer_age / 1000,
+            )
+            follower.update_wait()
             self._take_inline(follower, report, position)
             if report.topic in self.fetching or self.nursery is None:
                 continue
@@ -337,6 +357,12 @@
         log.note("message-malformed", sender=sender, cause=str(error))
 
 
+def _age_ms(at: Deadline | None) -> int:
+    """Return the age of an answer in ms, up to a bound."""
+    age_seconds = math.inf if at is None else trio.current_time() - at
+    return round(min(age_seconds, MAX_REPORTED_AGE_SECONDS) * 1000)
+
+
 def _count_bytes(records: wire.Records) -> int:
     return sum(len(r.key) + len(r.value or b"") for r in records.records)
 
--- a/thrift/keyed.thrift
+++ b/thrift/keyed.thrift
@@ -32,6 +32,8 @@
   5: optional Records news      // what the sender has just read, if it is little
   6: optional i64 generation    // of the store, when `end` was read
   7: optional i32 carried       // records of earlier generations that hold
+  8: optional i32 answer_age_ms // since the store last answered the host that
+                                // reads it; absent: not known
 }
 
 struct TopicEnds {
