Refuse requests that wait when their host can't serve them before it stops

Nothing told their callers that they had not run.

Cause: a drain waited for what was in flight until its end and then only listed it. A request that has been passed on and one that waits counted alike, and no wait knew of the end: not the queue of a service, whose only bound is the caller's deadline, nor a look, a claim, a pause before another send or the reply of another host.

One object now knows the end, ServingEnd, which the drain sets at the stop:

- The queue of each service is measured at once against the time left and the rate at which it is served; what can't be served is refused then.
The rest, and what comes later, may be sent as long as 1.5 times the usual latency is left, so that nothing is sent only to be cut.
- The dispatcher runs each request within a scope that ends when the flushes begin, a tenth of the drain before its end, if neither a target nor another host has the request.
So every place in which a request can wait has that deadline, without knowing of it.
- What another host has not answered 0.2 s before the end is refused with an unknown outcome.
- A refusal says "not run" only if each attempt is known not to have run, and Retry-After is 0: another host takes the request at once.
A request that is refused in the moment in which it gets its target is not sent.

An idle host drains no longer than before. Deferred requests are left out, as they may be accepted already.

The test of a host with a long queue, which is stopped twice, failed before for both kinds of routes, as did eight of the ten cases of waits; all pass.

The tests of agatetack/admission, lifecycle, serving, forwarding, attempts, callers and quotas pass but for the known failures of test_dispatcher and quotas/test_failures.

--- a/agatetack/admission/queue.py
+++ b/agatetack/admission/queue.py
@@ -33,6 +33,7 @@
         refusal: Why it was removed from the queue without a target.
         look_at: When a slot that it leaves to other hosts may be free for it.
         timer: Scope of its sleep, which ends at `look_at`.
+        waiting: Scope of its whole wait, which ends when it is given up.
     """
 
     wanted: PermitRequest
@@ -42,6 +43,9 @@
     refusal: Refusal | None = None
     look_at: Deadline = Deadline(math.inf)
     timer: trio.CancelScope | None = None
+    waiting: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
 
     @property
     def turn_key(self) -> CallerId:
--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -27,6 +27,7 @@
 from agatetack.messages import CallerRequest
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.serving_end import ServingEnd
 from agatetack.settings.model import Settings
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
@@ -116,6 +117,7 @@
         fleet_size: Callable[[], int] = lambda: 1,
         share: TargetShare | None = None,
         make_control: "Callable[[], OverloadControl] | None" = None,
+        serving_end: ServingEnd | None = None,
     ):
         """Watch the registry, to serve waiting requests when it changes.
 
@@ -131,7 +133,11 @@
             make_control: Returns what decides which requests of client
                 accounts are refused while a service is overloaded; shares of
                 the slots if None.
+            serving_end: Until when the host serves requests; without an end if
+                None.
         """
+        self.serving_end = serving_end or ServingEnd()
+        self.serving_end.watchers.append(self._stop_queues)
         self.make_control = make_control
         self.share = share or UnlimitedShare()
         self.settings = settings
@@ -222,18 +228,13 @@
         queue.note_wait(wanted, waiter.since, now, served=False)
         if waiter.refusal is not None:
             return Failure(waiter.refusal)
-        return Failure(
-            refuse(
-                RefusalReason.DEADLINE_EXCEEDED_IN_QUEUE,
-                "No target was free in time.",
-                queue.retry_at(now),
-            )
-        )
+        return Failure(queue.refuse_unserved(now))
 
     async def _wait_until_served(
         self, queue: ServiceQueue, waiter: Waiter, now: Deadline
     ) -> None:
-        with trio.move_on_at(queue.give_up_at(waiter.wanted, now)):
+        with waiter.waiting:
+            waiter.waiting.deadline = queue.give_up_at(waiter.wanted, now)
             poll = LOW_PRIORITY_POLL_SECONDS
             if waiter.wanted.priority is not Priority.LOW:
                 await self._wait_until(
@@ -314,6 +315,7 @@
                 self.policy,
                 self.share,
                 self._make_overload_gate,
+                self.serving_end,
             )
             self.service_queues[service] = queue
         return queue
@@ -363,6 +365,13 @@
         else:
             queue.refuse_all(now)
 
+    def _stop_queues(self) -> None:
+        """Refuse the waiting requests that can't be served any more."""
+        now = Deadline(trio.current_time())
+        for queue in self.service_queues.values():
+            if queue.size:
+                queue.stop(now)
+
     def _serve(self, queue: ServiceQueue, now: Deadline) -> None:
         if queue.size:
             queue.serve(now)
--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -16,6 +16,7 @@
 from agatetack.config.route import RequestClass, Route
 from agatetack.ids import Deadline, ServiceId
 from agatetack.outcomes import Refusal, RefusalReason, refuse
+from agatetack.serving_end import ServingEnd
 from agatetack.settings.model import Settings
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState, TargetStatus
@@ -30,6 +31,11 @@
 """Ratio of the usual latency below which no answer is expected. A request
 with less time left before its deadline is refused."""
 
+SAFE_LATENCY_RATIO = 1.5
+"""Ratio of the usual latency that has to be left of the time in which the host
+still serves requests. One that is sent and then cut is worse for its caller
+than one that another host takes."""
+
 INTERVAL_WEIGHT = 0.1
 """Weight of one interval in the moving average of the time between two waiters
 that get a target."""
@@ -75,6 +81,7 @@
         policy: Policy,
         share: TargetShare,
         make_overload_gate: "Callable[[ServiceId], OverloadGate]",
+        serving_end: ServingEnd | None = None,
     ):
         """Start with empty queues.
 
@@ -87,7 +94,10 @@
             make_overload_gate: Returns what refuses requests of accounts while
                 the service is overloaded. It is called for the first such
                 request.
+            serving_end: Until when the host serves requests; without an end if
+                None.
         """
+        self.serving_end = serving_end or ServingEnd()
         self.service = service
         self.settings = settings
         self.registry = registry
@@ -120,6 +130,9 @@
                 self.overload.note_arrival(wanted, now)
         if now >= wanted.deadline:
             return self._refuse_late(now, "The deadline has passed.")
+        refusal = self.check_stop(now)
+        if refusal is not None:
+            return refusal
         if not self._usable_targets(wanted.route):
             return self._refuse_without_target(now)
         if now + self.min_expected_latency > wanted.deadline:
@@ -158,6 +171,8 @@
             return self._refuse_late(
                 now, "The queue is longer than the time left."
             )
+        if now + wait > self._last_send_at():
+            return self._refuse_as_stopping(now)
         queue_limit = route.max_queue or self.settings.admission.max_queue
         if queue.route_sizes.get(route.id, 0) < queue_limit:
             return None
@@ -273,7 +288,65 @@
     def give_up_at(self, wanted: PermitRequest, now: Deadline) -> Deadline:
         """Return when a target would be free too late to answer in time."""
         latest = wanted.deadline - self.min_expected_latency
-        return Deadline(max(now, latest))
+        return Deadline(max(now, min(latest, self._last_send_at())))
+
+    def check_stop(self, now: Deadline) -> Refusal | None:
+        """Return a refusal if the host stops before an answer would come."""
+        if now < self._last_send_at():
+            return None
+        return self._refuse_as_stopping(now)
+
+    def stop(self, now: Deadline) -> None:
+        """Refuse what can't be served before the host stops.
+
+        The rest is refused once it gets too late for it.
+        """
+        interval = self.mean_interval or 0.0
+        at = max(now, self.last_served_at)
+        for waiter in self._in_turn(now):
+            at += interval
+            if at > self._last_send_at():
+                self._evict(waiter, self._refuse_as_stopping(now))
+                continue
+            waiter.waiting.deadline = min(
+                waiter.waiting.deadline, self._last_send_at()
+            )
+
+    def _in_turn(self, now: Deadline) -> Sequence[Waiter]:
+        """Return all waiters, roughly in the order in which they are served."""
+        newest_first = self._order(now) is Order.NEWEST_FIRST
+        return [
+            waiter
+            for priority in (Priority.NORMAL, Priority.LOW)
+            for waiter in sorted(
+                self.queues[priority].waiters(),
+                key=lambda each: each.since,
+                reverse=newest_first,
+            )
+        ]
+
+    def _last_send_at(self) -> Deadline:
+        """Return until when requests may be sent before the host stops."""
+        usual = self.mean_latency or 0.0
+        return Deadline(self.serving_end.until - SAFE_LATENCY_RATIO * usual)
+
+    def refuse_unserved(self, now: Deadline) -> Refusal:
+        """Return the refusal of a request that got no target in time."""
+        if self.serving_end.until < math.inf:
+            return self._refuse_as_stopping(now)
+        return refuse(
+            RefusalReason.DEADLINE_EXCEEDED_IN_QUEUE,
+            "No target was free in time.",
+            self.retry_at(now),
+        )
+
+    def _refuse_as_stopping(self, now: Deadline) -> Refusal:
+        """Refuse a request that another host takes at once."""
+        return refuse(
+            RefusalReason.SHUTTING_DOWN,
+            "This host is leaving and can't serve the request in time.",
+            now,
+        )
 
     def retry_at(self, now: Deadline) -> Deadline:
         """Return when a refused caller should retry."""
--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -177,6 +177,12 @@
 
         The permit is released here, or by the answer's body at its end.
         """
+        try:
+            # A request that was refused while it got its permit is not sent.
+            await trio.lowlevel.checkpoint_if_cancelled()
+        except trio.Cancelled:
+            permit.release(AttemptResult.CANCELLED)
+            raise
         self.metrics.attempts.inc({"route": plan.route.id})
         if isinstance(plan.request.body, BytesBody):
             plan.request.body.rewind()
--- a/agatetack/forwarding/forwarder.py
+++ b/agatetack/forwarding/forwarder.py
@@ -170,6 +170,7 @@
         self.in_progress[host] += 1
         self.last_used_at[host] = Deadline(trio.current_time())
         replied = False
+        request.at_peer = True
         try:
             reply = await self.exchange.call(
                 host, Topic.FORWARD, payload, until
@@ -181,7 +182,9 @@
             result = Failure(_unanswered(host, error, until))
         finally:
             self.in_progress[host] -= 1
+            request.at_peer = False
             if not replied:
+                request.lost_at_peer = True
                 self._cancel(host, number)
         self._note(host, route, request, result)
         return result
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -176,6 +176,7 @@
                     self.rate_share,
                 ]
             ),
+            serving_end=self.lifecycle.serving_end,
         )
         self.client = HttpTargetClient(settings, self.registry, load_reader)
         self.prober = Prober(
@@ -309,6 +310,7 @@
             lambda: self.lifecycle.accepting,
             self.accounts,
             self.quotas,
+            self.lifecycle.serving_end,
         )
         LateReceiver(self.peers, self._build_forward_receiver)
         self.callers_tls = None
--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -24,6 +24,7 @@
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.process import STOP_SIGNALS
+from agatetack.serving_end import ServingEnd
 from agatetack.settings.model import Settings
 
 READY_POLL_SECONDS = 0.02
@@ -35,6 +36,10 @@
 FLUSH_TIME_RATIO = 0.1
 """Share of the drain time reserved for flushes if requests don't end."""
 
+LAST_REFUSAL_SECONDS = 0.2
+"""How long before the end of a drain requests are refused that other hosts have
+not answered. A slow caller gets a refusal in this time."""
+
 LOG = PartLog("lifecycle")
 
 decisions = DecisionLog("lifecycle")
@@ -72,6 +77,7 @@
         in_flight: The requests being served.
         closing: Set when listeners close and keep-alive ends.
         drain_until: When requests in flight are cut; None before the drain.
+        serving_end: Refuses the requests that can't be served before that.
     """
 
     def __init__(
@@ -95,6 +101,7 @@
         self.phase = Phase.STARTING
         self.in_flight = InFlightRequests()
         self.closing = trio.Event()
+        self.serving_end = ServingEnd()
         self.drain_until: Deadline | None = None
         self.warm_up_until: Deadline | None = None
         self.view: ReadinessView | None = None
@@ -212,18 +219,27 @@
         )
         for hook in self.leaving_hooks:
             hook()
+        self.serving_end.begin(self._flush_start())
         await trio.sleep_until(min(notice_until, self.drain_until))
         self.closing.set()
         for hook in self.closing_hooks:
             hook()
         with trio.move_on_at(self._flush_start()):
             await self.in_flight.wait_empty()
-        await self._flush()
-        # A request that runs longer than the flushes may still end in time.
-        with trio.move_on_at(self.drain_until):
-            await self.in_flight.wait_empty()
+        self.serving_end.refuse_waiting()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._refuse_forwarded)
+            await self._flush()
+            # A request that runs longer than the flushes may still end in time.
+            with trio.move_on_at(self.drain_until):
+                await self.in_flight.wait_empty()
+            nursery.cancel_scope.cancel()
         return self._stop()
 
+    async def _refuse_forwarded(self) -> None:
+        await trio.sleep_until(self.drain_until - LAST_REFUSAL_SECONDS)
+        self.serving_end.refuse_forwarded()
+
     def _flush_start(self) -> Deadline:
         """Return when flushes begin, even with requests in flight."""
         reserved_seconds = FLUSH_TIME_RATIO * self.settings.drain_seconds
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -219,6 +219,10 @@
         attempts: Its attempts, in order.
         decision_trace: The decisions about it, for the log.
         forwarded: Whether another host passed it to this one.
+        at_peer: Whether this host has passed it to another one that has not
+            replied yet.
+        lost_at_peer: Whether another host had it and did not reply, so that it
+            may have run.
         account: The client account that it was identified as, or None.
         returning: Whether its caller has surely sent it before.
     """
@@ -239,6 +243,8 @@
         default_factory=DecisionTrace
     )
     forwarded: bool = False
+    at_peer: bool = False
+    lost_at_peer: bool = False
     account: "ClientAccount | None" = None
     returning: bool = False
 
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -37,6 +37,7 @@
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.serving.explain import Explanations
 from agatetack.serving.split import Splitter
+from agatetack.serving_end import ServingEnd, stopping_refusal
 from agatetack.settings.model import Settings
 
 if TYPE_CHECKING:
@@ -82,6 +83,7 @@
         accepting: Callable[[], bool] = lambda: True,
         accounts: "AccountCheck | None" = None,
         quotas: "QuotaLimiter | None" = None,
+        serving_end: ServingEnd | None = None,
     ):
         """Run the requests of each class with its runner.
 
@@ -97,7 +99,10 @@
                 are refused, so that they can't delay its end.
             accounts: Identifies client accounts; none if None.
             quotas: Limits the requests of accounts; not limited if None.
+            serving_end: Refuses requests that wait as the host stops; none are
+                refused if None.
         """
+        self.serving_end = serving_end or ServingEnd()
         self.accounts = accounts
         self.quotas = quotas
         self.accepting = accepting
@@ -125,7 +130,7 @@
                     None, request, _with_unknown_outcome(request, found)
                 )
             route = self.splitter.choose(found)
-            result = await self._run(route, request)
+            result = await self._run_until_stopped(route, request)
             # The caller may take its answer slowly.
             request.body.forget()
         except (CallerGone, trio.Cancelled):
@@ -158,7 +163,7 @@
             return result
         route = self.splitter.choose(found)
         try:
-            result = await self._run(route, request)
+            result = await self._run_until_stopped(route, request)
         except trio.Cancelled:
             self._finish(route, request, Importance.FAILED, "caller-gone")
             raise
@@ -215,6 +220,26 @@
         seconds = self.settings.admission.retry_after_seconds
         return Deadline(trio.current_time() + seconds)
 
+    async def _run_until_stopped(
+        self, route: Route, request: CallerRequest
+    ) -> Result[Answer, Refusal]:
+        """Run a request, but refuse it if it waits as the host stops."""
+        if route.request_class is RequestClass.DEFERRED:
+            # It may be accepted already, and its caller waits briefly.
+            return await self._run(route, request)
+        with self.serving_end.track(request):
+            return await self._run(route, request)
+        refusal = stopping_refusal(request)
+        if route.request_class is RequestClass.ONCE:
+            refusal = _with_unknown_outcome(request, refusal)
+        if (
+            refusal.outcome is Outcome.NOT_RUN
+            and request.account is not None
+            and self.quotas is not None
+        ):
+            self.quotas.refund(request.account)
+        return Failure(refusal)
+
     async def _run(
         self, route: Route, request: CallerRequest
     ) -> Result[Answer, Refusal]:
