Resume only downloads of GET requests without a body

Cause: the request for the rest was made from the caller's with a byte range, and its body was always replaced by an empty one. Ranges are defined for GET alone (RFC 9110, 14.2), and a GET with a body would have lost it too.

Now only a GET without a body is resumed, and its copy keeps the caller's body. Any other answer that is cut ends as cut, with the reason not-repeatable, as one without a validator does.

--- a/agatetack/download/resume.py
+++ b/agatetack/download/resume.py
@@ -23,7 +23,6 @@
     AnswerCut,
     AnswerOverdue,
     Body,
-    BytesBody,
     CallerRequest,
     Header,
 )
@@ -41,6 +40,7 @@
 class CutReason(enum.Enum):
     """Why a cut answer could not be resumed."""
 
+    NOT_REPEATABLE = "not-repeatable"
     NO_VALIDATOR = "no-validator"
     NO_LENGTH = "no-length"
     FRUITLESS = "fruitless"
@@ -133,6 +133,10 @@
         await self._continue_with(result.unwrap())
 
     def _check_resumable(self) -> None:
+        if self.request.method != b"GET" or self.request.body.length != 0:
+            # Ranges are defined for GET alone (RFC 9110, 14.2), and a target
+            # must not get another body than the caller's.
+            raise self._cut_error(CutReason.NOT_REPEATABLE)
         if self.byte_range is None:
             raise self._cut_error(CutReason.NO_LENGTH)
         if self.validator is None:
@@ -164,10 +168,7 @@
         headers.append(Header(b"range", span))
         headers.append(Header(b"if-range", self.validator))
         return dataclasses.replace(
-            self.request,
-            headers=headers,
-            body=BytesBody(b""),
-            deadline=self._deadline(),
+            self.request, headers=headers, deadline=self._deadline()
         )
 
     async def _continue_with(self, answer: Answer) -> None:
--- a/agatetack/download/test_resume.py
+++ b/agatetack/download/test_resume.py
@@ -108,18 +108,18 @@
         return Success(answer(step, find_header(request.headers, b"range")))
 
 
-async def fetch(steps, seconds=5.0, wanted=None):
+async def fetch(steps, seconds=5.0, wanted=None, method=b"GET", sent=b""):
     """Return what the caller gets, why it was cut off, and the attempts."""
     headers = [] if wanted is None else [Header(b"range", wanted)]
     now = trio.current_time()
     request = CallerRequest(
         request_id=RequestId("r"),
         caller=CallerId("c"),
-        method=b"GET",
+        method=method,
         path=b"/x",
         host=b"a",
         headers=headers,
-        body=BytesBody(b""),
+        body=BytesBody(sent),
         deadline=Deadline(now + seconds),
         key=None,
         arrived=Deadline(now),
@@ -184,6 +184,23 @@
     assert len(content) < len(CONTENT)
 
 
+# Guards against targets that run a request which nobody sent: the caller's, but
+# with an empty body.
+@pytest.mark.parametrize(
+    ("method", "sent"),
+    [(b"POST", b"query"), (b"POST", b""), (b"GET", b"query"), (b"PUT", b"")],
+)
+async def test_only_a_get_without_a_body_is_sent_again(
+    method, sent, autojump_clock
+):
+    content, cut, attempts = await fetch(
+        [Step(cut_after=100), Step()], method=method, sent=sent
+    )
+    assert cut == "not-repeatable"
+    assert content == CONTENT[:100]
+    assert not attempts.requests
+
+
 async def test_a_callers_own_range_is_resumed_within_it(autojump_clock):
     content, cut, attempts = await fetch(
         [Step(cut_after=100), Step()], wanted=b"bytes=200-999"
