Bind a resumed download to its route's timeout

Cause: the latest end of a body was the larger of the timeout's and the request's deadline, which a resumption renews. A caller's own deadline is within the timeout already, so that only renewed ones were larger.

Now the timeout alone decides where a route has one, and the deadline of a resumption ends with it as well.

--- a/agatetack/attempts/rules.py
+++ b/agatetack/attempts/rules.py
@@ -40,13 +40,16 @@
     deadline binds it to its end. Downloads of announced length are the
     exception: a caller that still reads one has no reason to lose it. Only the
     route's timeout and the longest deadline of all bind these, and those
-    downloads for which the caller named no deadline.
+    downloads for which the caller named no deadline. The route's timeout counts
+    from the arrival of the request, also if its answer is resumed.
     """
     if route.request_class is not RequestClass.WHOLE:
         return BodyDeadlines(request.deadline, request.deadline)
-    seconds = route.timeout_seconds or settings.max_deadline_seconds
-    latest = Deadline(request.arrived + seconds)
-    latest = max(latest, request.deadline)
+    if route.timeout_seconds:
+        latest = Deadline(request.arrived + route.timeout_seconds)
+    else:
+        longest = Deadline(request.arrived + settings.max_deadline_seconds)
+        latest = max(longest, request.deadline)
     unannounced = request.deadline if request.deadline_given else latest
     return BodyDeadlines(latest, unannounced)
 
--- a/agatetack/download/resume.py
+++ b/agatetack/download/resume.py
@@ -151,11 +151,15 @@
 
         A deadline set by the caller holds for the whole download. A route's
         deadline starts again at each resumption, as it limits the time until
-        an answer begins, not until it ends.
+        an answer begins, not until it ends; its timeout does not.
         """
         if self.request.deadline_given:
             return self.request.deadline
-        return Deadline(trio.current_time() + self.route.deadline_seconds)
+        begun_by = Deadline(trio.current_time() + self.route.deadline_seconds)
+        if not self.route.timeout_seconds:
+            return begun_by
+        latest = Deadline(self.request.arrived + self.route.timeout_seconds)
+        return min(begun_by, latest)
 
     def _range_request(self) -> CallerRequest:
         first = self.byte_range.first + self.position
