Resume reading a connection once there is room for its requests

Cause: reading pauses at 64 waiting requests or at 64 KB of a waiting body, and both pauses ended only when a body's reader asked for bytes. A connection of requests without bodies has no such reader.

Now taking a request from those that wait resumes the reading, unless a waiting body fills its bound. Other pauses were looked at: those of a body end with its reader or the connection, the wait for a turn with the answer before, and kept bodies with their request.

--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -35,7 +35,8 @@
     Attributes:
         unanswered: Requests started and not yet fully answered.
         input_arrived: Set and replaced when bytes or the stream's end arrive.
-        bytes_wanted: Set when a request or body needs more bytes.
+        bytes_wanted: Set when a body needs more bytes, or there is room for
+            more requests.
         answered_one: Set and replaced when a request was answered.
         lost: Whether the connection is lost.
     """
@@ -124,6 +125,13 @@
         body = self.parser.body
         return body is not None and body.unread_bytes >= MAX_READ_AHEAD_BYTES
 
+    async def _next_request(self) -> ParsedRequest | None:
+        parsed = await super()._next_request()
+        if not self._is_full():
+            # Reading may have paused as too many requests were waiting.
+            self.bytes_wanted.set()
+        return parsed
+
     async def _read_more(self) -> None:
         """Wait until the reading task has received something.
 
