--- a/agatetack/testing/fake_target.py
+++ b/agatetack/testing/fake_target.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 import random
+import zlib
 from collections import deque
 from collections.abc import Callable
 
@@ -102,6 +103,7 @@
         said_to_leave: When each port first got an answer that says that it
             leaves.
         rate_named: When each port first got an answer that named a rate.
+        rejected: Ids of requests that it shed as they came first.
         in_flight: Requests running or waiting.
         connections: Open connections.
         accepted: Connections accepted so far.
@@ -129,6 +131,7 @@
         self.turned_away: list[Arrival] = []
         self.said_to_leave: dict[int, Deadline] = {}
         self.rate_named: dict[int, Deadline] = {}
+        self.rejected: set[bytes] = set()
         self.in_flight = 0
         self.connections: set[TargetConnection] = set()
         self.accepted = 0
@@ -169,6 +172,16 @@
             await self._wait_for_restart()
             listeners = await self._listen()
 
+    def rejects(self, request_id: bytes) -> bool:
+        """Return whether a request is shed now, as it comes first."""
+        share = self.faults.rejected_share
+        if not share or request_id in self.rejected:
+            return False
+        if zlib.crc32(request_id) >= share * 2**32:
+            return False
+        self.rejected.add(request_id)
+        return True
+
     def drain(self) -> None:
         """Say from now on that the target is leaving; go on answering."""
         self.faults.draining = True
--- a/agatetack/testing/memory_store.py
+++ b/agatetack/testing/memory_store.py
@@ -59,6 +59,7 @@
         latency_seconds: How long each call takes.
         generation: What its answers name as its generation, whatever it is;
             None if they name none.
+        silent: Topics in which all answers are lost.
         losses: How often it came back from a copy.
     """
 
@@ -66,6 +67,7 @@
         """Start empty and sound."""
         self.topics: dict[str, StoredTopic] = defaultdict(StoredTopic)
         self.fault: StoreFault | None = None
+        self.silent: set[str] = set()
         self.changed = trio.Event()
         self.calls: defaultdict[str, int] = defaultdict(int)
         self.latency_seconds = 0.0
@@ -114,6 +116,15 @@
         self.fault = fault
         self._tell()
 
+    def silence(self, topic: str) -> None:
+        """Lose the answers to all calls of a topic from now on."""
+        self.silent.add(topic)
+
+    def end_silence(self, topic: str) -> None:
+        """Answer later calls of a topic again."""
+        self.silent.discard(topic)
+        self._tell()
+
     def _tell(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
--- a/agatetack/testing/store_server.py
+++ b/agatetack/testing/store_server.py
@@ -46,19 +46,22 @@
         query = dict(urllib.parse.parse_qsl(text))
         self.store.calls[path] += 1
         await trio.sleep(self.store.latency_seconds)
-        await self._fail()
+        await self._fail(query.get("topic", ""))
         call = self.calls.get(path)
         if call is None:
             return _json(404, {"error": "no such call"})
         body = (await read_whole(request.body)).content
         answer = await call(query, body)
-        await self._fail()
+        await self._fail(query.get("topic", ""))
         if self.store.generation is not None:
             generation = str(self.store.generation).encode()
             answer.headers.append((b"store-era", generation))
         return answer
 
-    async def _fail(self) -> None:
+    async def _fail(self, topic: str) -> None:
+        if topic in self.store.silent:
+            # Its connection returns nothing further.
+            await trio.sleep_forever()
         fault = self.store.fault
         while self.store.fault in (StoreFault.SILENT, StoreFault.ANSWER_LOST):
             await self.store.changed.wait()
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -67,6 +67,7 @@
     Attributes:
         silence: What it loses, or None while it works.
         scope: Cancels it.
+        answering: Held while an answer is sent, in which nothing else may come.
     """
 
     def __init__(self, target: "FakeTarget", stream: trio.abc.Stream):
@@ -75,6 +76,7 @@
         self.stream = stream
         self.silence: Silence | None = None
         self.scope = trio.CancelScope()
+        self.answering = trio.Lock()
         self.reader = RequestReader()
         self.arrived = trio.Event()
         self.busy = False
@@ -99,6 +101,7 @@
         try:
             with self.scope:
                 async with trio.open_nursery() as nursery:
+                    self.nursery = nursery
                     nursery.start_soon(self._answer_all, nursery.cancel_scope)
                     await self._read_all()
                     self._count_cancelled()
@@ -181,7 +184,7 @@
         elif self._cannot_queue():
             self.silence = Silence.REQUEST_LOST
             target.unanswered += 1
-        elif faults.refusing or faults.turning_away or self._too_many():
+        elif self._is_shed(request):
             await self._shed()
         elif faults.fail_status is not None:
             target.record(request).finished = trio.current_time()
@@ -226,6 +229,13 @@
         bound = self.target.faults.silent_above
         return bound is not None and self.target.in_flight >= bound
 
+    def _is_shed(self, request: TargetRequest) -> bool:
+        faults = self.target.faults
+        if faults.refusing or faults.turning_away or self._too_many():
+            return True
+        request_id = request.headers.get(self.request_id_name, b"")
+        return self.target.rejects(request_id)
+
     async def _shed(self) -> None:
         self.target.shed += 1
         mark = self.not_run_mark if self.target.faults.shed_marked else b""
@@ -233,9 +243,22 @@
             mark += b"retry-after: %b\r\n" % value
         self.target.note_turned_away(self.stream)
         await self._send(503, b"shed\n", mark)
+        if self.target.faults.copy_after_seconds is not None:
+            body = b"shed\n"
+            head = self._head(503, mark) + b"content-length: %d\r\n\r\n"
+            self.nursery.start_soon(self._send_copy, head % len(body) + body)
         if self.target.faults.refusing:
             raise _Close
 
+    async def _send_copy(self, data: bytes) -> None:
+        await trio.sleep(self.target.faults.copy_after_seconds or 0.0)
+        try:
+            async with self.answering:
+                await self._put(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The host has closed the connection.
+            return
+
     async def _work(self, request: TargetRequest) -> None:
         target = self.target
         target.count(1)
@@ -316,10 +339,17 @@
             await self._send_chunks(status, len(body), iter((body,)), extra)
             return
         length = b"content-length: %d\r\n\r\n" % len(body)
-        await self._put(self._head(status, extra) + length + body)
+        async with self.answering:
+            await self._put(self._head(status, extra) + length + body)
 
     async def _send_chunks(
         self, status: int, length: int, chunks: Iterator[bytes], extra: bytes
+    ) -> None:
+        async with self.answering:
+            await self._put_chunks(status, length, chunks, extra)
+
+    async def _put_chunks(
+        self, status: int, length: int, chunks: Iterator[bytes], extra: bytes
     ) -> None:
         faults = self.target.faults
         chunked = faults.chunked
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -69,6 +69,10 @@
         bytes_per_second: Speed of exports, or 0 for no limit.
         turning_away: Whether each request is shed with the not-run mark, and
             its connection kept; load reports go on as if nothing were wrong.
+        rejected_share: Share of the request ids that it sheds when they come
+            first, with the not-run mark.
+        copy_after_seconds: How much later it sends what it sheds once more;
+            None for never.
         load_path_turned_away: Whether that holds for the load path, too.
         retry_after: Values of the header that says when to come back, one
             field for each, on answers to requests that it sheds.
@@ -106,6 +110,8 @@
     chunked: bool = False
     bytes_per_second: float = 0.0
     turning_away: bool = False
+    rejected_share: float = 0.0
+    copy_after_seconds: float | None = None
     load_path_turned_away: bool = False
     retry_after: tuple[bytes, ...] = ()
     leaving: bool = False
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -19,7 +19,7 @@
 from bench.soak.fault_plan import as_lines
 from bench.soak.hunt import run_hunt
 from bench.soak.run import Plan, Report, run_soak
-from bench.soak.site import read_site, small_site
+from bench.soak.site import patient_site, read_site, small_site
 
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -42,6 +42,7 @@
     stops: int = -1,
     stop_all: bool = False,
     endless: int = -1,
+    troubles: int = -1,
     built: bool = False,
 ) -> int:
     """Build, run one soak and print its report as JSON.
@@ -70,6 +71,9 @@
         stop_all: Whether all hosts are stopped at once after that series.
         endless: Seed of times in which targets send bytes without end; none if
             negative.
+        troubles: Seed of rejections that come twice, a store of which a part is
+            silent, and targets that leave; none if negative. Some callers of
+            the small site then wait long for a target.
         built: Take the checkout as it is built.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
@@ -77,8 +81,9 @@
         build(checkout)
     place = pathlib.Path(folder).resolve()
     place.mkdir(parents=True, exist_ok=True)
+    make_site = small_site if troubles < 0 else patient_site
     found = (
-        read_site(pathlib.Path(site)) if site else small_site(hosts, per_second)
+        read_site(pathlib.Path(site)) if site else make_site(hosts, per_second)
     )
     shared = range(first_core, first_core + cores)
     others = os.sched_getaffinity(0).difference(shared)
@@ -97,6 +102,7 @@
         stops if stops >= 0 else None,
         stop_all,
         endless if endless >= 0 else None,
+        troubles if troubles >= 0 else None,
     )
     report = trio.run(run_soak, plan)
     if report.faults:
@@ -124,6 +130,7 @@
     path_cuts: bool = False,
     stops: bool = False,
     endless: bool = False,
+    troubles: bool = False,
     signals: bool = True,
 ) -> int:
     """Run soaks with faults of many seeds, and print one line for each.
@@ -142,11 +149,14 @@
         path_cuts: Whether hosts lose their paths to all targets at times.
         stops: Whether hosts are stopped one after the other.
         endless: Whether targets send bytes without end at times.
+        troubles: Whether rejections come twice, a part of the store is silent
+            or targets leave at times.
         signals: Whether all other faults come as well.
     """
     build(ROOT)
     seeded = ["--faults"] * signals + ["--path-cuts"] * path_cuts
     seeded += ["--stops"] * stops + ["--endless"] * endless
+    seeded += ["--troubles"] * troubles
     options = [
         *("--hosts", str(hosts), "--per-second", str(per_second)),
         *("--seconds", str(seconds), "--lead-seconds", str(lead_seconds)),
--- a/bench/soak/fault_plan.py
+++ b/bench/soak/fault_plan.py
@@ -1,5 +1,6 @@
 """Draw the faults of a run from a seed."""
 
+import itertools
 import math
 import random
 import signal
@@ -19,8 +20,11 @@
     Leave,
     Noise,
     Publish,
+    Reject,
     Reload,
     RepeatedStop,
+    ScaleIn,
+    SilentPart,
     Stop,
     StoreOutage,
 )
@@ -48,6 +52,21 @@
 ENDLESS_SECONDS = (1.0, 6.0)
 """Shortest and longest time in which targets send bytes without end."""
 
+REJECTED_SHARE = (0.2, 0.6)
+"""Smallest and largest share of requests that are rejected at first."""
+
+COPY_SECONDS = (0.0, 0.1)
+"""Shortest and longest time until a rejection comes once more."""
+
+SILENT_SECONDS = (0.3, 6.0)
+"""Shortest and longest time in which a part of the store is silent."""
+
+SILENT_TOPICS = ("keyed.op", "keyed.servers")
+"""The parts that may be silent: the configuration and the targets."""
+
+LEAVE_GAP_SECONDS = (0.5, 2.0)
+"""Shortest and longest time between two targets that leave."""
+
 STOP_SECONDS = (0.5, 4.0)
 """Shortest and longest time between two stops of a series; a drain may last
 longer."""
@@ -171,6 +190,66 @@
     return found
 
 
+def draw_troubles(
+    seed: int, site: Site, first: float, last: float
+) -> list[Fault]:
+    """Return two kinds of troubles of targets and store, which may overlap.
+
+    Targets of one service reject requests twice, a part of the store is silent
+    while the configuration changes, or all targets of that service but one
+    leave, so that requests wait for it.
+
+    Args:
+        seed: The seed.
+        site: The deployment.
+        first: When they may begin, in seconds of the run.
+        last: The end of the run.
+    """
+    source = random.Random(f"troubles {seed}")
+    span = FAULTY_SHARE * (last - first)
+    numbers = source.choice(_targets_of(site))
+
+    def reject(at: float) -> Fault:
+        return Reject(
+            at,
+            list(numbers),
+            round(source.uniform(*REJECTED_SHARE), 3),
+            round(source.uniform(*COPY_SECONDS), 3),
+            round(source.uniform(0.3, 0.8) * span, 3),
+        )
+
+    def silent_part(at: float) -> Fault:
+        seconds = round(source.uniform(*SILENT_SECONDS), 3)
+        change_after = round(source.uniform(0.0, seconds + 0.2), 3)
+        topic = source.choice(SILENT_TOPICS)
+        return SilentPart(at, topic, change_after, seconds)
+
+    def scale_in(at: float) -> Fault:
+        return ScaleIn(
+            at,
+            source.sample(numbers, len(numbers) - 1),
+            round(source.uniform(*LEAVE_GAP_SECONDS), 3),
+            round(span, 3),
+        )
+
+    kinds = source.sample([reject, silent_part, scale_in], 2)
+    found = [
+        kind(round(first + source.uniform(0.0, span), 3))
+        for kind in kinds
+        for _ in range(source.randint(1, 2))
+    ]
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def _targets_of(site: Site) -> Sequence[Sequence[int]]:
+    """Return the numbers of the targets of each service."""
+    counts = [sum(each.targets.values()) for each in site.services]
+    ends = list(itertools.accumulate(counts))
+    return [
+        range(end - count, end) for count, end in zip(counts, ends, strict=True)
+    ]
+
+
 def as_lines(faults: Sequence[Fault]) -> str:
     """Return the plan with one JSON object a line."""
     return "\n".join(orjson.dumps(each.fields()).decode() for each in faults)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -35,6 +35,12 @@
 """Time that a draining target goes on serving: `drain` and a little more."""
 
 
+POLL_SECONDS = 0.02
+"""How often the store is looked at."""
+
+OUTDATED_STATUS = 404
+"""What a host answers for a route that it does not know."""
+
 PORTS = (CALLERS_PORT, READY_PORT, CONTROL_PORT, *INTERNAL_PORTS)
 """All ports on which a host listens."""
 
@@ -75,6 +81,21 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outdated:
+    """A host that did not know a version of the configuration in time.
+
+    Attributes:
+        host: Its id.
+        at: When it was asked, in seconds of the run.
+        version: The version.
+    """
+
+    host: str
+    at: float
+    version: int
+
+
 class Stage:
     """What faults act on.
 
@@ -84,6 +105,8 @@
         epoch: The start of the run on trio's clock.
         spans: When faults were in force.
         cuts: When hosts reached no target.
+        outdated: Hosts that did not know a version in time.
+        silence_ended: When a part of the store was silent last.
     """
 
     def __init__(self, world: World, hosts: Sequence[Host], epoch: float):
@@ -93,11 +116,21 @@
         self.epoch = epoch
         self.spans: list[Span] = []
         self.cuts: list[Cut] = []
+        self.outdated: list[Outdated] = []
+        self.silence_ended = 0.0
 
     def now(self) -> float:
         """Return the time since the start of the run, in seconds."""
         return trio.current_time() - self.epoch
 
+    async def until_store_is_stable(self) -> None:
+        """Wait until no part of the store has been silent for a while."""
+        while (
+            self.world.store.silent
+            or self.now() < self.silence_ended + STABLE_SECONDS
+        ):
+            await trio.sleep(POLL_SECONDS)
+
     async def carry_out(self, faults: Sequence["Fault"]) -> None:
         """Carry out all faults, each at its time."""
         async with trio.open_nursery() as nursery:
@@ -477,6 +510,90 @@
         faults.endless = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reject(TargetFault):
+    """Some targets reject a part of new requests, and do so twice.
+
+    Attributes:
+        share: Share of the requests that are rejected when they come first.
+        copy_after: When the rejection is sent once more, in seconds.
+        seconds: How long.
+    """
+
+    share: float
+    copy_after: float
+    seconds: float
+
+    async def disturb(self, world: World, number: int) -> None:
+        """Let one target do so."""
+        faults = world.placed(number).target.faults
+        faults.rejected_share = self.share
+        faults.copy_after_seconds = self.copy_after
+        await trio.sleep(self.seconds)
+        faults.rejected_share, faults.copy_after_seconds = 0.0, None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScaleIn(TargetFault):
+    """Targets drain and leave, and others come later.
+
+    Attributes:
+        gap: Time between two of them, in seconds.
+        seconds: How long they are missing.
+    """
+
+    gap: float
+    seconds: float
+
+    async def disturb(self, world: World, number: int) -> None:
+        """Take one target away, and add another one later."""
+        await trio.sleep(self.gap * self.numbers.index(number))
+        await world.leave(number, LEAVE_SECONDS)
+        await trio.sleep(self.seconds)
+        await world.add_beside(number)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentPart(Fault):
+    """A part of the store loses its answers while a change is made.
+
+    Attributes:
+        topic: The topic whose answers are lost.
+        change_after: When the configuration changes, in seconds of it; it may
+            be after its end.
+        seconds: How long.
+    """
+
+    topic: str
+    change_after: float
+    seconds: float
+
+    async def run(self, stage: Stage) -> None:
+        """Silence the part, change the configuration, and ask for it."""
+        until = trio.current_time() + self.seconds
+        stage.world.store.silence(self.topic)
+        if self.change_after < self.seconds:
+            await trio.sleep(self.change_after)
+            stage.world.publish()
+        await trio.sleep_until(until)
+        stage.world.store.end_silence(self.topic)
+        if self.change_after >= self.seconds:
+            await trio.sleep(self.change_after - self.seconds)
+            stage.world.publish()
+        version = stage.world.version
+        stage.silence_ended = max(stage.silence_ended, stage.now())
+        await stage.until_store_is_stable()
+        async with trio.open_nursery() as nursery:
+            for host in stage.hosts.values():
+                nursery.start_soon(self._ask, stage, host, version)
+
+    async def _ask(self, stage: Stage, host: Host, version: int) -> None:
+        """Note whether a host knows the route that the change has added."""
+        status = await stage.world.ask_for_version(host.ip, version)
+        if status == OUTDATED_STATUS:
+            stage.outdated.append(Outdated(host.id, stage.now(), version))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leave(TargetFault):
     """A target drains and leaves, and another one comes in its place."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -15,6 +15,7 @@
     draw_faults,
     draw_path_cuts,
     draw_stops,
+    draw_troubles,
 )
 from bench.soak.faults import Fault, Stage, Stop
 from bench.soak.host import End, Host, ends_by_themselves
@@ -61,6 +62,8 @@
         stop_all: Whether all hosts are stopped at once after the series.
         endless: Seed of times in which targets send bytes without end; None
             for a run without.
+        troubles: Seed of rejections that come twice, a store of which a part
+            is silent, and targets that leave; None for a run without.
     """
 
     site: Site
@@ -75,6 +78,7 @@
     stops: int | None = None
     stop_all: bool = False
     endless: int | None = None
+    troubles: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -188,6 +192,7 @@
         stage.all_spans(),
         until - epoch,
         stage.cuts,
+        stage.outdated,
     )
     report.calm_requests = sum(
         evidence.calm(each.started, each.attempts[-1].ended)
@@ -218,6 +223,10 @@
     if plan.endless is not None:
         targets = sum(sum(each.targets.values()) for each in plan.site.services)
         faults += draw_endless(plan.endless, targets, seconds)
+    if plan.troubles is not None:
+        faults += draw_troubles(
+            plan.troubles, plan.site, plan.lead_seconds, seconds
+        )
     if plan.stops is not None:
         last = plan.lead_seconds + STOPS_SHARE * plan.seconds
         faults += draw_stops(plan.stops, names, plan.lead_seconds, last)
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -74,6 +74,8 @@
         answer_bytes: Mean size of a download.
         answer_sigma: Spread of that size, of a log-normal distribution.
         max_answer_bytes: Largest size of a download.
+        max_attempts: Most sends of one request; None for one of what may run
+            once only, and two of all else.
     """
 
     name: str
@@ -90,6 +92,7 @@
     answer_bytes: int = 0
     answer_sigma: float = 0.0
     max_answer_bytes: int = 0
+    max_attempts: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +188,35 @@
 """Bounds of a deployment."""
 
 
+def patient_site(hosts: int = 3, per_second: float = 40.0) -> Site:
+    """Return a small site at which some callers wait long for a target.
+
+    Requests that may run once only are sent again after a rejection.
+    """
+    site = small_site(hosts, per_second)
+    payout = dataclasses.replace(site.kinds["payout"], max_attempts=3)
+    service = Service(ServiceId("archive"), {FailureDomain("hall-a"): 4})
+    kind = RequestKind(
+        "search",
+        service.id,
+        work_seconds=0.48,
+        latency_seconds=1.2,
+        deadline_seconds=8.0,
+        timeout_seconds=8.0,
+    )
+    (traffic,) = site.traffic
+    return dataclasses.replace(
+        site,
+        services=[*site.services, service],
+        kinds={**site.kinds, payout.name: payout, kind.name: kind},
+        traffic=[
+            dataclasses.replace(
+                traffic, rates={**traffic.rates, kind.name: 6.85}
+            )
+        ],
+    )
+
+
 def small_site(hosts: int = 3, per_second: float = 40.0) -> Site:
     """Return a site with one failure domain and a service of each kind."""
     domain = FailureDomain("hall-a")
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -19,6 +19,7 @@
     draw_faults,
     draw_path_cuts,
     draw_stops,
+    draw_troubles,
 )
 from bench.soak.faults import (
     ENDLESS,
@@ -26,7 +27,11 @@
     Cut,
     Freeze,
     Kill,
+    Outdated,
+    Reject,
     Reload,
+    ScaleIn,
+    SilentPart,
     Span,
     Stage,
     Stop,
@@ -34,7 +39,7 @@
 from bench.soak.host import Host
 from bench.soak.paths import PathCuts, PathFault
 from bench.soak.run import Plan, run_soak
-from bench.soak.site import Kind, small_site
+from bench.soak.site import Kind, patient_site, small_site
 from bench.soak.verdict import Evidence, judge
 from bench.soak.world import World
 
@@ -423,6 +428,62 @@
     assert max(len(fault.numbers) for fault in drawn) == 3
 
 
+# Guards against callers that are told "not run" of what runs, outdated
+# configurations, and waiting requests that a stop cuts.
+@pytest.mark.parametrize("seed", [6, 195])
+async def test_troubles_break_no_rule(tmp_path, seed):
+    build(ROOT)
+    plan = Plan(
+        patient_site(per_second=30.0),
+        20.0,
+        seed,
+        ROOT,
+        tmp_path,
+        stops=seed,
+        troubles=seed,
+    )
+    report = await run_soak(plan)
+    broken = [each for each in report.violations if each.rule != "SHORT"]
+    assert broken == []
+    assert report.served_share > 0
+
+
+def test_troubles_come_in_pairs_of_all_kinds_and_leave_a_target():
+    site = patient_site()
+    drawn = {seed: draw_troubles(seed, site, 3.0, 23.0) for seed in SEEDS}
+    assert drawn[1] == draw_troubles(1, site, 3.0, 23.0)
+    assert all(len({type(f) for f in faults}) == 2 for faults in drawn.values())
+    found = [fault for faults in drawn.values() for fault in faults]
+    assert {type(fault) for fault in found} == {Reject, ScaleIn, SilentPart}
+    silences = [fault for fault in found if isinstance(fault, SilentPart)]
+    assert any(fault.change_after < fault.seconds for fault in silences)
+    assert any(fault.change_after > fault.seconds for fault in silences)
+    services = [sum(each.targets.values()) for each in site.services]
+    leaves = [fault for fault in found if isinstance(fault, ScaleIn)]
+    assert {len(fault.numbers) + 1 for fault in leaves} == set(services)
+
+
+# Guards against a check that passes hosts with an outdated configuration, or
+# that blames one that has just been disturbed.
+@pytest.mark.parametrize(
+    ("outdated", "disturbed", "rules"),
+    [
+        (False, (), set()),
+        (True, (), {"CONFIG"}),
+        (True, [(1.0, 3.0)], {"CONFIG"}),
+        (True, [(5.0, 6.0)], set()),
+    ],
+)
+def test_a_host_has_to_know_each_version_in_time(
+    tmp_path, outdated, disturbed, rules
+):
+    seen = evidence(tmp_path, Result.SERVED, 200, disturbed, FAULTY)
+    seen.world.targets["i-1"] = Runs(1)
+    found = [Outdated("a-1", 10.0, 2)] if outdated else []
+    seen = dataclasses.replace(seen, outdated=found)
+    assert {each.rule for each in judge(seen)} == rules
+
+
 def test_stops_overlap_and_repeat_signals():
     stops = draw_stops(1, HOSTS, 3.0, 60.0)
     repeats = [number for stop in stops for _, number in stop.again]
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -12,7 +12,14 @@
     CallerRequest,
     Result,
 )
-from bench.soak.faults import GRACE_SECONDS, STABLE_SECONDS, Cut, CutPaths, Span
+from bench.soak.faults import (
+    GRACE_SECONDS,
+    STABLE_SECONDS,
+    Cut,
+    CutPaths,
+    Outdated,
+    Span,
+)
 from bench.soak.host import Host
 from bench.soak.site import Kind
 from bench.soak.world import World
@@ -58,6 +65,7 @@
         spans: When faults were in force.
         until: When the last request was sent, in seconds of the run.
         cuts: When hosts reached no target.
+        outdated: Hosts that did not know a version in time.
     """
 
     world: World
@@ -66,6 +74,7 @@
     spans: Sequence[Span]
     until: float
     cuts: Sequence[Cut] = ()
+    outdated: Sequence[Outdated] = ()
 
     def disturbed(self, attempt: Attempt) -> bool:
         """Return whether its host was killed or frozen around an attempt."""
@@ -123,6 +132,7 @@
         *_calm(evidence),
         *_recovery(evidence),
         *_cut_off(evidence),
+        *_configurations(evidence),
     ]
     return sorted(found, key=lambda each: each.at)
 
@@ -295,6 +305,20 @@
             yield Violation("RECOVER", cut.end, "", "", seen)
 
 
+def _configurations(evidence: Evidence) -> Iterator[Violation]:
+    """Yield the hosts that did not know a version in time.
+
+    Not counted is a host that starts, is frozen or is stopped, as it may not
+    have been in touch with the store for long enough.
+    """
+    for each in evidence.outdated:
+        (host,) = (h for h in evidence.hosts if h.id == each.host)
+        spans = [*host.disturbed, *((end.at, end.at) for end in host.ends)]
+        if not _meets(spans, each.at - 2 * STABLE_SECONDS, each.at):
+            seen = f"version {each.version} is not known"
+            yield Violation("CONFIG", each.at, each.host, "", seen)
+
+
 def _of(attempt: Attempt, rule: str, detail: str) -> Violation:
     return Violation(
         rule, attempt.ended, attempt.host, attempt.request_id, detail
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -21,7 +21,7 @@
 from agatetack.testing.target_faults import Silence
 from agatetack.unique import unique_name
 from bench.soak.host import Host
-from bench.soak.machines import READY_PORT
+from bench.soak.machines import CALLERS_PORT, READY_PORT
 from bench.soak.paths import PathCuts, PathFault
 from bench.soak.site import Kind, RequestKind, Service, Site
 
@@ -31,6 +31,9 @@
 ONCE_ATTEMPTS, OTHER_ATTEMPTS = 1, 2
 """Most targets that one request may be sent to."""
 
+VERSION_SECONDS = 2.0
+"""Longest time to wait for the answer that shows a host's version."""
+
 READY_PATH = "/agatetack/readyz"
 
 
@@ -203,10 +206,40 @@
     def publish(self) -> None:
         """Publish a configuration with one route for each kind of request."""
         self.version += 1
-        routes = [route_fields(kind) for kind in self.site.kinds.values()]
+        kinds = list(self.site.kinds.values())
+        routes = [route_fields(kind) for kind in kinds]
+        # Whether a host answers for it shows whether it knows the version.
+        for version in range(1, self.version + 1):
+            name = _version_name(version)
+            host = f"{name}.example"
+            routes.append(
+                {**route_fields(kinds[0]), "name": name, "host": host}
+            )
         content = configuration(self.version, *routes)
         self.store.append(CONFIGURATION, "config", content)
 
+    async def ask_for_version(self, ip: str, version: int) -> int:
+        """Ask a host for the route of a version; return the status.
+
+        It is 0 if there is no answer.
+        """
+        request = (
+            f"GET /x?service_ms=1 HTTP/1.1\r\nConnection: close\r\n"
+            f"Host: {_version_name(version)}.example\r\n"
+            f"Request-Id: {unique_name()}\r\nRequest-Timeout-Ms: 1000\r\n\r\n"
+        )
+        answer = b""
+        with trio.move_on_after(VERSION_SECONDS):
+            try:
+                stream = await trio.open_tcp_stream(ip, CALLERS_PORT)
+                async with stream:
+                    await stream.send_all(request.encode())
+                    answer = bytes(await stream.receive_some(4096))
+            except (OSError, trio.BrokenResourceError):
+                # It may be stopped or restarted just now.
+                return 0
+        return int(answer.split()[1]) if answer else 0
+
     def add_hosts(self, hosts: Sequence[Host]) -> None:
         """Let the entry choose among `hosts` from now on."""
         self.hosts = {host.id: host for host in hosts}
@@ -235,6 +268,10 @@
         return bytes(answer).startswith(b"HTTP/1.1 200")
 
 
+def _version_name(version: int) -> str:
+    return f"version-{version}"
+
+
 def route_fields(kind: RequestKind) -> dict[str, object]:
     """Return the route of one kind of request as operators write it."""
     once = kind.kind is Kind.ONCE
@@ -247,5 +284,6 @@
         "target_latency": f"{kind.latency_seconds * 1000:.0f}ms",
         "priority": kind.priority,
         "service": kind.service,
-        "max_attempts": ONCE_ATTEMPTS if once else OTHER_ATTEMPTS,
+        "max_attempts": kind.max_attempts
+        or (ONCE_ATTEMPTS if once else OTHER_ATTEMPTS),
     }
