--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -24,10 +24,10 @@
 from agatetack.config.route import Route
 from agatetack.ids import Deadline, ServiceId
 from agatetack.late import LateModule
+from agatetack.lifecycle.in_flight import ServingEnd
 from agatetack.messages import CallerRequest
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
-from agatetack.serving_end import ServingEnd
 from agatetack.settings.model import Settings
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -15,8 +15,8 @@
 from agatetack.balance.target_share import TargetShare
 from agatetack.config.route import RequestClass, Route
 from agatetack.ids import Deadline, ServiceId
+from agatetack.lifecycle.in_flight import ServingEnd
 from agatetack.outcomes import Refusal, RefusalReason, refuse
-from agatetack.serving_end import ServingEnd
 from agatetack.settings.model import Settings
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState, TargetStatus
--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -13,7 +13,11 @@
 from agatetack.clock import Clock, Lateness
 from agatetack.decisions import DecisionLog
 from agatetack.ids import Deadline
-from agatetack.lifecycle.in_flight import InFlight, InFlightRequests
+from agatetack.lifecycle.in_flight import (
+    InFlight,
+    InFlightRequests,
+    ServingEnd,
+)
 from agatetack.lifecycle.phase import Phase
 from agatetack.lifecycle.readiness import (
     NotReady,
@@ -24,7 +28,6 @@
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.process import STOP_SIGNALS
-from agatetack.serving_end import ServingEnd
 from agatetack.settings.model import Settings
 
 READY_POLL_SECONDS = 0.02
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -18,6 +18,7 @@
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.decisions import DecisionLog, Importance
 from agatetack.ids import Deadline
+from agatetack.lifecycle.in_flight import ServingEnd, stopping_refusal
 from agatetack.logs import PartLog
 from agatetack.messages import (
     Answer,
@@ -37,7 +38,6 @@
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.serving.explain import Explanations
 from agatetack.serving.split import Splitter
-from agatetack.serving_end import ServingEnd, stopping_refusal
 from agatetack.settings.model import Settings
 
 if TYPE_CHECKING:
