Build entries of loopback targets for tests in one place

Three stand-ins built the same entry; loopback_target makes it for all of them. Tests that use them pass unchanged; no product code or assertion changes.

--- a/agatetack/attempts/test_targets_silent_when_full.py
+++ b/agatetack/attempts/test_targets_silent_when_full.py
@@ -17,9 +17,6 @@
 from agatetack.balance.policies import make_policy
 from agatetack.callers.problem import refusal_answer
 from agatetack.config.route import RequestClass
-from agatetack.hosts.host_list import HostRole, HostState
-from agatetack.hosts.listed_target import ListedTarget
-from agatetack.ids import FailureDomain, HostId
 from agatetack.messages import BytesBody, Header, read_whole
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason
@@ -32,8 +29,13 @@
 from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import ReportSource
 from agatetack.testing.fake_target import FakeTarget, FakeTargetOptions
-from agatetack.testing.store_fleet import LOOPBACK, template_settings
-from agatetack.testing.targets import SERVICE, make_request, make_route
+from agatetack.testing.store_fleet import template_settings
+from agatetack.testing.targets import (
+    SERVICE,
+    loopback_target,
+    make_request,
+    make_route,
+)
 
 SLOTS, QUEUE = 2, 3
 BUSY_SECONDS = 3.0
@@ -95,16 +97,7 @@
 
 
 def _listed(target):
-    return ListedTarget(
-        id=HostId(target.instance),
-        role=HostRole.TARGET,
-        state=HostState.LIVE,
-        ip=LOOPBACK,
-        port=target.port,
-        failure_domain=FailureDomain("zone-a"),
-        service=SERVICE,
-        slots=SLOTS,
-    )
+    return loopback_target(target.instance, target.port, SLOTS)
 
 
 @contextlib.asynccontextmanager
--- a/agatetack/testing/limited_fleet.py
+++ b/agatetack/testing/limited_fleet.py
@@ -16,17 +16,21 @@
 from agatetack.attempts.race import AttemptRunner
 from agatetack.config.route import Route
 from agatetack.gateway_core import GatewayCore
-from agatetack.hosts.host_list import HostRole, HostState
 from agatetack.hosts.listed_target import ListedTarget
-from agatetack.ids import Deadline, FailureDomain, HostId
+from agatetack.ids import Deadline, HostId
 from agatetack.messages import Header, read_whole
 from agatetack.peers.mesh import PeerExchange
 from agatetack.platform.load_header import CommaSeparatedLoadReader
 from agatetack.streams import PlainStream, open_plain_stream
 from agatetack.testing.fake_target import Arrival, FakeTarget, FakeTargetOptions
 from agatetack.testing.peer_fleet import StaticDirectory, listed
-from agatetack.testing.store_fleet import LOOPBACK, template_settings
-from agatetack.testing.targets import SERVICE, make_request, make_route
+from agatetack.testing.store_fleet import template_settings
+from agatetack.testing.targets import (
+    SERVICE,
+    loopback_target,
+    make_request,
+    make_route,
+)
 
 SERVICE_SECONDS = 0.1
 SLOTS = 2
@@ -293,13 +297,4 @@
 
 
 def _registration(target: FakeTarget) -> ListedTarget:
-    return ListedTarget(
-        id=HostId(target.instance),
-        role=HostRole.TARGET,
-        state=HostState.LIVE,
-        ip=LOOPBACK,
-        port=target.port,
-        failure_domain=FailureDomain("zone-a"),
-        service=SERVICE,
-        slots=SLOTS,
-    )
+    return loopback_target(target.instance, target.port, SLOTS)
--- a/agatetack/testing/repeating_target.py
+++ b/agatetack/testing/repeating_target.py
@@ -5,11 +5,9 @@
 
 import trio
 
-from agatetack.hosts.host_list import HostRole, HostState
 from agatetack.hosts.listed_target import ListedTarget
-from agatetack.ids import FailureDomain, HostId
-from agatetack.testing.raw_target import LOOPBACK, RawTarget
-from agatetack.testing.targets import SERVICE
+from agatetack.testing.raw_target import RawTarget
+from agatetack.testing.targets import loopback_target
 
 SLOTS = 2
 
@@ -60,16 +58,7 @@
     async def start(self) -> ListedTarget:
         """Listen, and return the entry of the target."""
         state = await self.nursery.start(self.raw.serve)
-        return ListedTarget(
-            id=HostId(self.name),
-            role=HostRole.TARGET,
-            state=HostState.LIVE,
-            ip=LOOPBACK,
-            port=state.port,
-            failure_domain=FailureDomain("zone-a"),
-            service=SERVICE,
-            slots=SLOTS,
-        )
+        return loopback_target(self.name, state.port, SLOTS)
 
     async def _serve(self, stream: trio.SocketStream, number: int) -> None:
         data = b""
--- a/agatetack/testing/targets.py
+++ b/agatetack/testing/targets.py
@@ -53,6 +53,20 @@
     return ListedTarget(**fields, incarnation=incarnation)
 
 
+def loopback_target(name: str, port: int, slots: int) -> ListedTarget:
+    """Return an entry for a target of `SERVICE` that listens on loopback."""
+    return ListedTarget(
+        id=HostId(name),
+        role=HostRole.TARGET,
+        state=HostState.LIVE,
+        ip="127.0.0.1",
+        port=port,
+        failure_domain=FailureDomain("zone-a"),
+        service=SERVICE,
+        slots=slots,
+    )
+
+
 def make_route(name: str = "profiles", **fields: object) -> Route:
     """Return a fast route to `SERVICE`; `fields` override."""
     values = {
