Give no later answer a turn once an answer ends its connection

A caller that pipelines got the next answer's bytes in the body of an answer that was cut: of 9 announced bytes 2 came, then "HTTP/1.1", and the body looked whole. The same happened behind an answer without a length, which ends with its connection.

Cause: an answer that ended its connection first gave the turn to the next one and then cancelled it. An answer that waits only for its turn was awake by then, and a plain socket sends without a step in which a cancellation could reach it. Tests of pipelining use streams in memory, which have such a step.

Now the turn isn't given; the later requests are only cancelled. They count as not read, so that their callers send them again.

--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -201,11 +201,14 @@
             if self.closing and self._is_between_requests():
                 # The drain may have begun after the header was written.
                 keep = False
+        if not keep:
+            # Without a turn, a later answer can't follow in the body of one
+            # that was cut, nor after the last one.
+            requests_scope.cancel()
+            return
         done.set()
         self.answered_one.set()
         self.answered_one = trio.Event()
-        if not keep:
-            requests_scope.cancel()
 
     def _may_close_after_answer(self) -> bool:
         """Return whether no request follows the one being answered."""
--- a/agatetack/callers/test_read_ahead.py
+++ b/agatetack/callers/test_read_ahead.py
@@ -1,5 +1,7 @@
 """Test connections on which many requests are read ahead."""
 
+import contextlib
+
 import pytest
 import trio
 import trio.testing
@@ -8,7 +10,9 @@
     MAX_READ_AHEAD_REQUESTS,
     ReadAheadConnection,
 )
-from agatetack.callers.test_connection import Echo, statuses
+from agatetack.callers.test_connection import Chunks, Echo, statuses
+from agatetack.callers.test_server import serving
+from agatetack.messages import Answer, AnswerCut, BytesBody, Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
 
@@ -78,3 +82,70 @@
             per_piece = PIECE_BYTES // len(GET)
             assert most_waiting <= MAX_READ_AHEAD_REQUESTS + per_piece
         nursery.cancel_scope.cancel()
+
+
+class EndsEarly(Handler):
+    """Ends the first answer once the others are ready; see the paths."""
+
+    def __init__(self, others):
+        self.others = others
+        self.all_ready = trio.Event()
+
+    async def handle(self, request):
+        if request.path == b"/next":
+            self.others -= 1
+            if not self.others:
+                self.all_ready.set()
+            return Answer(200, [], BytesBody(b"foreign"))
+        ends = [AnswerCut("x")] if request.path != b"/no-length" else []
+        length = 9 if request.path == b"/cut-known" else None
+        return Answer(200, [], Waiting(self.all_ready, ends, length))
+
+
+class Waiting(Chunks):
+    """A body of two bytes, whose rest comes after an event."""
+
+    def __init__(self, event, ends, length):
+        super().__init__(b"ab", *ends, length=length)
+        self.event = event
+
+    async def receive(self):
+        if b"ab" not in self.parts:
+            await self.event.wait()
+            # All that the other answers wait for is their turn.
+            await trio.testing.wait_all_tasks_blocked()
+        return await super().receive()
+
+
+# Guards against the start of another answer in the body of one that was cut,
+# which makes it look whole, or behind one that ends with the connection.
+@pytest.mark.parametrize("others", [1, 3])
+@pytest.mark.parametrize(
+    "first",
+    [
+        b"GET /cut-known HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET /cut-chunked HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET /no-length HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n",
+    ],
+    ids=["known-length", "chunked", "no-length"],
+)
+async def test_nothing_follows_the_answer_that_ends_a_connection(first, others):
+    settings = default_settings(
+        callers={
+            "listen": {"ip": "127.0.0.1", "port": 0},
+            "pipeline_depth": 4,
+        }
+    )
+    data = b""
+    async with serving(handler=EndsEarly(others), settings=settings) as (
+        _,
+        port,
+    ):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        next_one = b"GET /next HTTP/1.1\r\nHost: a\r\n\r\n"
+        await stream.send_all(first + next_one * others)
+        with contextlib.suppress(trio.BrokenResourceError), trio.fail_after(9):
+            while part := await stream.receive_some():
+                data += part
+    assert statuses(data) == [200]
+    assert b"foreign" not in data
