Count requests as no older than they are, and judge cuts by the deadline that was told

- A host cut answers 0.4 to 0.9 ms before the caller's deadline.
It asks the kernel how long ago a request's bytes came, and the kernel counts in ticks: of 300 measurements some were 3.7 ms too long.
Now a tick of the longest kind is taken off, so that a request never counts as older than it is.
- The check allowed a cut 2.5 s after the attempt began, while its host knows what it was told, in whole milliseconds, less what an earlier attempt took.
The rule allows it once "the deadline or the route's timeout was reached".
Each attempt now records when that is, from the moment it was written, and a cut before it is LOST, however late.

--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -36,6 +36,9 @@
 """Where `tcpi_last_data_recv` stands in it: the milliseconds since the last
 bytes came."""
 
+MAX_TICK_SECONDS = 0.01
+"""Longest tick of Linux's timer (100 Hz), in which it counts that time."""
+
 
 TCP_STATE_CLOSED = 7
 """`tcpi_state`, the record's first byte, of a connection that has ended
@@ -208,10 +211,10 @@
         return 0 if left and is_over(self.sock) else left
 
     def seconds_since_data(self) -> float:
-        """Return how long ago the last bytes came; 0 if that is not known.
+        """Return how long ago at least the last bytes came.
 
         The kernel takes bytes in while this process is stopped, busy or about
-        to start.
+        to start. It is 0 if that is not known.
         """
         if TCP_INFO is None:
             return 0.0
@@ -224,7 +227,7 @@
         if len(info) < TCP_INFO_BYTES:
             return 0.0
         (milliseconds,) = struct.unpack_from("=I", info, LAST_DATA_RECV_OFFSET)
-        return milliseconds / 1000
+        return max(0.0, milliseconds / 1000 - MAX_TICK_SECONDS)
 
     def abort_on_close(self) -> None:
         """Make the next close send a reset."""
--- a/agatetack/test_streams.py
+++ b/agatetack/test_streams.py
@@ -1,6 +1,7 @@
 """Run trio's generic stream tests on plain streams."""
 
 import socket
+import time
 
 import pytest
 import trio
@@ -106,3 +107,18 @@
             await trio.sleep(0.01)
     near.close()
     far.close()
+
+
+# Guards against requests that count as older than they are and so end before
+# their deadline: the kernel counts the time since the last bytes in ticks.
+async def test_bytes_never_count_as_older_than_they_are():
+    near, far = await make_pair()
+    for number in range(40):
+        sent_at = time.monotonic()
+        await near.send_all(b"x")
+        time.sleep(number / 4000)
+        waited = far.seconds_since_data()
+        assert waited <= time.monotonic() - sent_at
+        await far.receive_some()
+    near.close()
+    far.close()
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -11,7 +11,12 @@
 
 from agatetack.ids import FailureDomain
 from agatetack.testing.export_content import ByteRange, export_chunks
-from bench.soak.connection import CallerAnswer, Connection, ConnectionCut
+from bench.soak.connection import (
+    AnswerMalformed,
+    CallerAnswer,
+    Connection,
+    ConnectionCut,
+)
 from bench.soak.links import Link
 from bench.soak.machines import CALLERS_PORT
 from bench.soak.site import Habit, Kind, RequestKind, Site, Traffic
@@ -69,6 +74,8 @@
         kept: Whether it went over a connection that was used before.
         behind: Whether it was sent behind another one that was not answered.
         delivered: Whether it reached a host that then cut the connection.
+        deadline: When its host may give it up at the earliest, as its own
+            deadline or its route's timeout is reached, in seconds of the run.
     """
 
     request_id: str
@@ -82,6 +89,7 @@
     kept: bool = False
     behind: bool = False
     delivered: bool = False
+    deadline: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -283,6 +291,8 @@
         except ConnectionCut as cut:
             for attempt, _ in waiting:
                 self._note_cut(attempt, cut, connection.delivered)
+            if isinstance(cut, AnswerMalformed):
+                waiting[0][0].result = Result.WRONG
         except trio.Cancelled:
             with trio.CancelScope(shield=True):
                 await connection.close()
@@ -356,6 +366,8 @@
 
     def _request(self, attempt: Attempt, path: str, deadline: float) -> bytes:
         left_ms = max(1, round((deadline - trio.current_time()) * 1000))
+        seconds = min(left_ms / 1000, self.kind.timeout_seconds)
+        attempt.deadline = self.callers.now() + seconds
         method = self._method()
         lines = [
             f"{method} {path} HTTP/1.1",
--- a/bench/soak/connection.py
+++ b/bench/soak/connection.py
@@ -24,6 +24,10 @@
     """The connection ended before the whole answer."""
 
 
+class AnswerMalformed(ConnectionCut):
+    """What came is no answer."""
+
+
 @dataclasses.dataclass(slots=True)
 class CallerAnswer:
     """One answer as a caller reads it.
@@ -135,7 +139,8 @@
         """Return the next answer.
 
         Raises:
-            ConnectionCut: The connection ended, or what came is no answer.
+            ConnectionCut: The connection ended.
+            AnswerMalformed: What came is no answer.
         """
         while not self.reader.complete:
             try:
@@ -143,10 +148,12 @@
                 if not data:
                     raise ConnectionCut("closed")
                 self.reader.parser.feed_data(data)
+            except httptools.HttpParserError as error:
+                self.usable = False
+                raise AnswerMalformed(type(error).__name__) from error
             except (
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
-                httptools.HttpParserError,
             ) as error:
                 self.usable = False
                 raise ConnectionCut(type(error).__name__) from error
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -1,6 +1,7 @@
 """Test faults by seed, and what a run with faults is judged by."""
 
 import dataclasses
+import math
 import os
 import pathlib
 import signal
@@ -9,9 +10,11 @@
 
 import pytest
 import trio
+import trio.testing
 
 from bench.soak import machines
 from bench.soak.callers import Attempt, CallerRequest, Result
+from bench.soak.connection import AnswerMalformed, Connection
 from bench.soak.deploy_file import build
 from bench.soak.fault_plan import (
     as_lines,
@@ -355,6 +358,30 @@
     assert {each.rule for each in judge(seen)} == rules
 
 
+# Guards against the blame for a cut at the deadline that a host was told, which
+# is earlier than the attempt's start and the timeout say for one sent again.
+@pytest.mark.parametrize(
+    ("deadline", "rules"),
+    [(10.999, set()), (11.0, set()), (11.001, {"LOST"}), (math.inf, {"LOST"})],
+)
+def test_a_host_may_cut_at_the_deadline_that_it_was_told(
+    tmp_path, deadline, rules
+):
+    seen = evidence(tmp_path, Result.CUT, 0, (), FAULTY)
+    seen.world.targets["i-1"] = Runs(1)
+    seen.requests[0].attempts[0].deadline = deadline
+    assert {each.rule for each in judge(seen)} == rules
+
+
+# Guards against bytes that are no answer and count as a cut one.
+async def test_bytes_in_the_middle_of_an_answer_are_no_cut():
+    theirs, ours = trio.testing.memory_stream_pair()
+    chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    await theirs.send_all(chunked + b"2\r\nab\r\nHTTP/1.1 200 OK\r\n\r\n")
+    with pytest.raises(AnswerMalformed):
+        await Connection(ours).receive()
+
+
 # Guards against two runs that take the same addresses.
 def test_a_network_stays_taken_while_no_host_of_it_runs():
     first, second = machines.choose_network(), machines.choose_network()
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -207,7 +207,7 @@
     ran = evidence.world.has_run(attempt.request_id)
     if evidence.disturbed(attempt):
         return
-    if attempt.ended - attempt.started >= request.kind.timeout_seconds:
+    if attempt.ended >= attempt.deadline:
         return
     late = taken > LOSS_SLACK_SECONDS and not attempt.behind
     if ran or (late and _was_read(evidence, attempt)):
