Let one waiting request of a queue poll for all of them

Cause: each request that can no longer be in time looks for a target every 20 ms, as no event says that a slot it left to others is free for it. Each look went over all that wait, to find one that can still be in time, and removing one from its caller's queue went over that queue.

- One of the waiting requests of a priority polls for all, and hands that over when it ends.
- A waiter that is found late is kept apart, so that no later look meets it.

A waiter stays late although the usual latency falls later; before, it could be in time again. Requests of client accounts are still compared with all others at each look, now once in 20 ms.

--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -241,10 +241,20 @@
                     queue, waiter, queue.poll_from(waiter.wanted, now)
                 )
                 poll = LATE_POLL_SECONDS
-            # Load estimates decay with time, and other hosts' turns to take a
-            # slot pass, neither of which triggers an event.
+            with waiter.polling:
+                await self._poll(queue, waiter, poll)
+
+    async def _poll(
+        self, queue: ServiceQueue, waiter: Waiter, seconds: float
+    ) -> None:
+        """Look for a target every `seconds`, for all waiters of a priority.
+
+        Load estimates decay with time, and other hosts' turns to take a slot
+        pass, neither of which triggers an event.
+        """
+        async with queue.queues[waiter.wanted.priority].poll_turn:
             while not waiter.event.is_set():
-                with trio.move_on_after(poll):
+                with trio.move_on_after(seconds):
                     await waiter.event.wait()
                 self._serve(queue, Deadline(trio.current_time()))
 
--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -267,7 +267,7 @@
             for waiter in queue.waiters():
                 waiter.refusal = self._refuse_without_target(now)
                 queue.remove(waiter)
-                waiter.event.set()
+                waiter.end()
 
     def _refuse_for_share(
         self, wanted: PermitRequest, now: Deadline
@@ -463,7 +463,7 @@
     def _evict(self, waiter: Waiter, refusal: Refusal) -> None:
         waiter.refusal = refusal
         self.queues[waiter.wanted.priority].remove(waiter)
-        waiter.event.set()
+        waiter.end()
 
     def _serve_one(self, queue: FairQueue, now: Deadline) -> bool:
         for waiter in self._next_waiters(queue, now):
@@ -515,7 +515,7 @@
         # target before that one runs.
         target.in_flight += 1
         waiter.target = target
-        waiter.event.set()
+        waiter.end()
         self._note_served(now)
 
     def _note_served(self, now: Deadline) -> None:
--- a/agatetack/admission/test_order.py
+++ b/agatetack/admission/test_order.py
@@ -1,17 +1,22 @@
 """Test in which order waiting requests get a target."""
 
+import dataclasses
+import functools
+import random
+
 import pytest
 import trio
 import trio.testing
 
-from agatetack.admission.controller import Priority
+from agatetack.admission.controller import PermitRequest, Priority
+from agatetack.admission.queue import FairQueue, Order, Waiter
 from agatetack.admission.service import LATE_POLL_SECONDS
-from agatetack.admission.service_queue import LATE_YIELD_SECONDS
+from agatetack.admission.service_queue import LATE_YIELD_SECONDS, ServiceQueue
 from agatetack.admission.test_support import fill, make_harness
 from agatetack.ids import Deadline
 from agatetack.outcomes import RefusalReason
 from agatetack.targets.state import LoadReport, ReportSource
-from agatetack.testing.targets import make_route
+from agatetack.testing.targets import make_request, make_route
 
 
 async def test_full_queue_refuses_and_tells_when_to_come_back(autojump_clock):
@@ -138,3 +143,93 @@
         took = trio.current_time() - freed_at
         assert served_after <= took <= served_after + LATE_POLL_SECONDS
         harness.answer(0.2)
+
+
+# Guards against waiting requests that take the processor from each other: each
+# one that was late looked at all others, fifty times a second.
+@pytest.mark.parametrize("priority", Priority)
+@pytest.mark.parametrize("waiting", [2, 20, 200])
+async def test_the_cost_of_waiting_does_not_grow_with_the_number_that_wait(
+    autojump_clock, monkeypatch, waiting, priority
+):
+    looks = 0
+    late_at = ServiceQueue.late_at
+
+    def count(queue, wanted):
+        nonlocal looks
+        looks += 1
+        return late_at(queue, wanted)
+
+    monkeypatch.setattr(ServiceQueue, "late_at", count)
+    harness = make_harness(max_queue=waiting)
+    route = dataclasses.replace(make_route(), target_latency_seconds=0.001)
+    async with trio.open_nursery() as nursery:
+        await fill(harness, nursery, ["first"])
+        names = [str(number) for number in range(waiting)]
+        fields = {"route": route, "priority": priority}
+        await fill(harness, nursery, names, **fields)
+        await trio.sleep(0.1)
+        looks = 0
+        await trio.sleep(1)
+        nursery.cancel_scope.cancel()
+    assert looks <= 4 / LATE_POLL_SECONDS
+
+
+# Guards against a role that ends with its holder: the others poll on.
+async def test_a_waiter_that_polls_for_all_hands_this_over(autojump_clock):
+    harness = make_harness(targets=2)
+    [busy, free] = harness.targets
+    route = dataclasses.replace(make_route(), target_latency_seconds=0.001)
+    async with trio.open_nursery() as nursery:
+        await fill(harness, nursery, ["first", "second"])
+        await fill(harness, nursery, ["short"], route=route, seconds=0.5)
+        await fill(harness, nursery, ["long", "longer"], route=route)
+        await trio.sleep(1)
+        assert set(harness.refused) == {"short"}
+        # Not announced by an event.
+        for target in (busy, free):
+            target.in_flight = 0
+        await trio.sleep(2 * LATE_POLL_SECONDS)
+        assert harness.served == ["first", "second", "long", "longer"]
+        nursery.cancel_scope.cancel()
+
+
+def make_waiter(name, caller, since):
+    request = make_request(caller, 10.0, name)
+    wanted = PermitRequest(make_route(), request, request.deadline)
+    return Waiter(wanted, Deadline(since))
+
+
+def came_from(since, waiter):
+    return waiter.since >= since
+
+
+# Guards against an order that depends on when waiters are found late.
+@pytest.mark.parametrize("order", Order)
+@pytest.mark.parametrize("seed", range(20))
+async def test_late_waiters_go_last_and_in_order(order, seed):
+    source = random.Random(seed)
+    queue = FairQueue()
+    left = []
+    for number in range(60):
+        waiter = make_waiter(str(number), source.choice("abc"), number)
+        queue.add(waiter)
+        left.append(waiter)
+        late_before = source.randint(0, number + 1)
+        if source.random() < 0.5:
+            continue
+        found = queue.peek(order, functools.partial(came_from, late_before))
+        in_time = [w for w in queue.in_time if came_from(late_before, w)]
+        assert (found in in_time) == bool(in_time)
+        same = [w for w in left if w.turn_key == found.turn_key]
+        if in_time:
+            same = [w for w in same if w in queue.in_time]
+        ends = (same[0], same[-1])
+        assert found is ends[order is Order.NEWEST_FIRST]
+        oldest = queue.oldest_of_longest(found.wanted.route.id)
+        assert oldest.since == min(
+            w.since for w in left if w.turn_key == oldest.turn_key
+        )
+        queue.pop(found)
+        left.remove(found)
+        assert queue.size == len(left) == len(queue.waiters())
--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -6,6 +6,8 @@
 request waits for one of the targets, which are all full.
 """
 
+import dataclasses
+import math
 import time
 
 import defopt
@@ -41,6 +43,12 @@
 
 SERVICE_SECONDS = 0.01
 
+WAITED_TARGETS = 8
+"""Targets of the service for which requests wait."""
+
+WAIT_SECONDS = 2.0
+"""How long they wait."""
+
 SLOTS = 4
 """Slots of each target of the policy `fleet-view`."""
 
@@ -143,12 +151,60 @@
     return spent / reports
 
 
-def main(*, requests: int = 5000) -> None:
+async def measure_waiting(waiting: int) -> float:
+    """Return processor seconds of one of the requests that wait for 2 s.
+
+    All targets are full, and the requests are late from the start. All time in
+    which nothing runs is skipped.
+    """
+    settings = default_settings(admission={"max_queue": waiting})
+    metrics = Metrics()
+    registry = TargetRegistry(settings, metrics)
+    registry.update([listed_target(n + 1) for n in range(WAITED_TARGETS)])
+    admission = ServiceAdmission(
+        settings, registry, make_policy(settings, 1), metrics
+    )
+    for target in registry.targets(SERVICE):
+        target.in_flight = math.floor(target.limit) + 1
+    route = dataclasses.replace(make_route(), target_latency_seconds=0.001)
+
+    async def wait() -> None:
+        request = make_request(seconds=WAIT_SECONDS)
+        await admission.acquire(PermitRequest(route, request, request.deadline))
+
+    started = time.process_time()
+    async with trio.open_nursery() as nursery:
+        for _ in range(waiting):
+            nursery.start_soon(wait)
+    return (time.process_time() - started) / waiting
+
+
+def print_waiting() -> None:
+    """Print what a waiting request costs, as a ratio to 100 that wait."""
+
+    def cost(waiting: int) -> float:
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(measure_waiting, waiting, clock=clock)
+
+    base = cost(100)
+    for waiting in (10, 100, 1000, 10_000):
+        found = cost(waiting)
+        print(
+            f"{waiting:6d} requests wait: each {found * 1e6:8.1f} us,"
+            f" ratio {found / base:.2f}"
+        )
+
+
+def main(*, requests: int = 5000, waiting: bool = False) -> None:
     """Print microseconds and ratios for 3 to 100 targets.
 
     Args:
         requests: Requests in each run.
+        waiting: Print what requests that wait cost instead.
     """
+    if waiting:
+        print_waiting()
+        return
     for targets in (3, 12, 30, 100):
         base = trio.run(measure, PolicyName.RANDOM, targets, requests)
         found = trio.run(measure, PolicyName.EXPECTED_WAIT, targets, requests)
