Count a probe's new connection that ends without a byte as silence

Callers found the lost paths.

Cause: a probe that opened a connection and got nothing counted like one whose kept connection had ended while it was idle: as no evidence. Looks before a request count it as a silence already.

Now a probe tells the two apart. As with any silence, the path is lost only if another host hears the target meanwhile, so that targets which reset connections when they are full keep theirs.

The new tests cover each way in which a connection ends, new and used; the row without a byte expected LOST before and now says which of the two it is.

--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -43,6 +43,7 @@
         headers: The answer's header fields, names in lower case.
         fields: The same in their order, with repeated fields.
         body: The answer's body.
+        begun: Whether any byte has arrived.
         head_complete: Whether all header fields have arrived.
         complete: Whether the answer has ended.
     """
@@ -50,6 +51,7 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     fields: list[Header] = dataclasses.field(default_factory=list)
     body: bytes = b""
+    begun: bool = False
     head_complete: bool = False
     complete: bool = False
 
@@ -117,21 +119,24 @@
         self, target: TargetState, deadline: Deadline, max_bytes: int
     ) -> Result[ProbeAnswer, ProbeFailure]:
         """Return the target's report, or why there is none."""
-        stream = None
+        stream = self.idle.pop(target.process, None)
+        is_new = stream is None
+        report = ReportParser()
         try:
             with trio.fail_at(deadline):
-                stream = self.idle.pop(target.process, None)
                 if stream is None:
                     stream = await open_plain_stream(target.ip, target.port)
-                answer = await self._ask(stream, target, max_bytes)
+                answer = await self._ask(stream, target, max_bytes, report)
         except trio.TooSlowError:
             return Failure(ProbeFailure.TIMEOUT)
         except ConnectionRefusedError:
             return Failure(ProbeFailure.REFUSED)
         except (OSError, trio.BrokenResourceError, EOFError) as error:
-            refused = _is_refused(error)
+            if _is_refused(error):
+                return Failure(ProbeFailure.REFUSED)
+            unanswered = is_new and not report.begun
             return Failure(
-                ProbeFailure.REFUSED if refused else ProbeFailure.LOST
+                ProbeFailure.UNANSWERED if unanswered else ProbeFailure.LOST
             )
         except (
             Malformed,
@@ -148,7 +153,11 @@
                 stream.close()
 
     async def _ask(
-        self, stream: PlainStream, target: TargetState, max_bytes: int
+        self,
+        stream: PlainStream,
+        target: TargetState,
+        max_bytes: int,
+        report: ReportParser,
     ) -> ProbeAnswer:
         own_path = self.settings.targets.load_path
         path = (self.load_paths or {}).get(target.service, own_path)
@@ -157,7 +166,6 @@
         ).encode()
         await stream.send_all(request)
         used = len(request)
-        report = ReportParser()
         noted = False
         parser = httptools.HttpResponseParser(report)
         while not report.complete:
@@ -166,6 +174,7 @@
             data = await stream.receive_some(max_bytes - used)
             if not data:
                 raise EOFError
+            report.begun = True
             used += len(data)
             parser.feed_data(data)
             if report.head_complete and not noted:
--- a/agatetack/measure/probe.py
+++ b/agatetack/measure/probe.py
@@ -13,10 +13,16 @@
 
 
 class ProbeFailure(enum.Enum):
-    """Why a probe returned no report."""
+    """Why a probe returned no report.
+
+    `UNANSWERED` is a new connection that ended without a byte, and `LOST` one
+    that was used before, which may have ended while it was idle, or that ended
+    in the middle of an answer.
+    """
 
     REFUSED = "refused"
     TIMEOUT = "timeout"
+    UNANSWERED = "unanswered"
     LOST = "lost"
     MALFORMED = "malformed"
 
--- a/agatetack/measure/prober.py
+++ b/agatetack/measure/prober.py
@@ -288,7 +288,7 @@
         self.metrics.budget_spent.add({"unit": "bytes"}, PROBE_BYTES)
         if failure is ProbeFailure.REFUSED:
             self.registry.note_leaving(target, LeavingSign.CONNECT_REFUSED)
-        elif failure is ProbeFailure.TIMEOUT:
+        elif failure in (ProbeFailure.TIMEOUT, ProbeFailure.UNANSWERED):
             self.registry.paths.note_silence(target)
         elif failure is ProbeFailure.MALFORMED:
             self.registry.paths.note_heard(target)
--- a/agatetack/measure/test_http_probe.py
+++ b/agatetack/measure/test_http_probe.py
@@ -1,6 +1,7 @@
 """Test how the answers of a load endpoint are interpreted."""
 
 import functools
+import socket
 
 import pytest
 import trio
@@ -9,6 +10,7 @@
 from agatetack.measure.http_probe import HttpProbe
 from agatetack.measure.probe import ProbeFailure
 from agatetack.settings.defaults import default_settings
+from agatetack.streams import LINGER_NONE
 from agatetack.targets.registry import ReportedState
 from agatetack.targets.state import TargetState
 
@@ -109,7 +111,7 @@
             answer(body=b'{"in_flight": 1, "slots": 2147483648}'),
             ProbeFailure.MALFORMED,
         ),
-        (b"", ProbeFailure.LOST),
+        (b"", ProbeFailure.UNANSWERED),
         (None, ProbeFailure.TIMEOUT),
     ],
 )
@@ -119,6 +121,46 @@
     assert idle == 0
 
 
+# Guards against evidence of a lost path where a target answered, or where only
+# a connection that was idle has ended.
+@pytest.mark.parametrize(
+    ("answered", "sent", "failure"),
+    [
+        (0, b"", ProbeFailure.UNANSWERED),
+        (0, b"HTTP/1.1 200", ProbeFailure.LOST),
+        (1, b"", ProbeFailure.LOST),
+        (1, b"HTTP/1.1 200", ProbeFailure.LOST),
+    ],
+)
+@pytest.mark.parametrize("reset", [False, True])
+async def test_only_a_new_connection_without_a_byte_is_unanswered(
+    answered, sent, failure, reset
+):
+    async def serve(stream):
+        for _ in range(answered):
+            await stream.receive_some()
+            await stream.send_all(answer(HEADERS))
+        await stream.receive_some()
+        await stream.send_all(sent)
+        if reset:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        serve_all = functools.partial(
+            trio.serve_tcp, serve, 0, host="127.0.0.1"
+        )
+        listeners = await nursery.start(serve_all)
+        port = listeners[0].socket.getsockname()[1]
+        target = TargetState("t", "s", "127.0.0.1", port, "d")
+        probe = HttpProbe(default_settings())
+        for _ in range(answered + 1):
+            deadline = Deadline(trio.current_time() + 5)
+            result = await probe.probe(target, deadline, 600)
+        nursery.cancel_scope.cancel()
+    assert result.failure() is failure
+
+
 async def test_refused():
     listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
     port = listener.socket.getsockname()[1]
--- a/agatetack/measure/test_prober.py
+++ b/agatetack/measure/test_prober.py
@@ -357,6 +357,30 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against hosts whose new connections are accepted and reset on the way,
+# and that learn only from failed requests that they reach no target.
+@pytest.mark.parametrize(
+    ("failure", "is_silence"),
+    [
+        (ProbeFailure.TIMEOUT, True),
+        (ProbeFailure.UNANSWERED, True),
+        (ProbeFailure.LOST, False),
+        (ProbeFailure.MALFORMED, False),
+    ],
+)
+async def test_probes_find_lost_paths(autojump_clock, failure, is_silence):
+    host = Host(NoExchange())
+    host.prober.client.result = Failure(failure)
+    paths, target = host.registry.paths, host.targets[0]
+    asked = []
+    paths.doubt_watchers.append(asked.extend)
+    for _ in range(MIN_SILENCES):
+        await host.prober.probe(target)
+    assert (target in asked) == is_silence
+    paths.note_heard_elsewhere(target, Deadline(trio.current_time() + 0.1))
+    assert paths.is_lost(target) == is_silence
+
+
 @pytest.mark.parametrize("sign", TOLD_SIGNS)
 async def test_peer_keeps_what_kind_of_sign_it_was(autojump_clock, sign):
     sender, taker = joined()
