Refuse requests in a standing queue whose turn comes after their deadline

Requests waited for their whole deadline in a queue that was known to be too long: of 400 requests with 8 s on four routes of two targets, 128 were served and half of the rest was refused after 8.13 s.

Cause: a queue is measured against the time left as a request comes and as its host stops. Requests that come at once come before any rate is known, and as a standing queue is served newest first, the oldest waited on for nothing.

Now the waiter that polls for all measures a standing queue every 0.25 s. Who would come too late even if it were served twice as fast is refused, as not run, with the time of the queue as Retry-After. Requests of client accounts are left to the overload control.

The case with 100 waiting of the new test failed before.

--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -256,7 +256,9 @@
             while not waiter.event.is_set():
                 with trio.move_on_after(seconds):
                     await waiter.event.wait()
-                self._serve(queue, Deadline(trio.current_time()))
+                now = Deadline(trio.current_time())
+                self._serve(queue, now)
+                queue.refuse_hopeless(now)
 
     async def _wait_until(
         self, queue: ServiceQueue, waiter: Waiter, until: Deadline
--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -52,6 +52,13 @@
 meet their target latency. In this time about 14 hosts get their turn to take
 the slot (see `measure.occupancy`)."""
 
+MEASURE_INTERVAL_SECONDS = 0.25
+"""How often a standing queue is measured against the time left."""
+
+MAX_SPEED_UP = 2.0
+"""How many times as fast as now a queue may be served soon. A waiter whose turn
+comes too late even then is refused."""
+
 LOW_PRIORITY_QUIET_SECONDS = 1.0
 """Time without normal-priority requests after which low-priority ones may use
 every slot."""
@@ -70,6 +77,7 @@
             last became non-empty, if that is later.
         standing_since: Since when the queue has not been empty, or None.
         last_normal_at: When the last normal-priority request arrived.
+        measured_at: When the queue was measured against the time left.
         ranks: The order of the requests of client accounts.
     """
 
@@ -111,6 +119,7 @@
         self.last_served_at = Deadline(0.0)
         self.standing_since: Deadline | None = None
         self.last_normal_at = Deadline(float("-inf"))
+        self.measured_at = Deadline(float("-inf"))
         self.ranks = RankOrder()
 
     @property
@@ -312,6 +321,30 @@
                 waiter.waiting.deadline, self._last_send_at()
             )
 
+    def refuse_hopeless(self, now: Deadline) -> None:
+        """Refuse the waiters whose turn comes after their deadline.
+
+        While a queue stands, the newest go first, so that the oldest would only
+        wait for their deadline. Requests of client accounts are refused by the
+        overload control.
+        """
+        if (
+            now < self.measured_at + MEASURE_INTERVAL_SECONDS
+            or not self.mean_interval
+            or self._order(now) is not Order.NEWEST_FIRST
+            or any(queue.of_accounts for queue in self.queues.values())
+        ):
+            return
+        self.measured_at = now
+        at = now
+        for waiter in self._in_turn(now):
+            at += self.mean_interval / MAX_SPEED_UP
+            if at + self.min_expected_latency > waiter.wanted.deadline:
+                refusal = self._refuse_late(
+                    now, "The queue is longer than the time left."
+                )
+                self._evict(waiter, refusal)
+
     def _in_turn(self, now: Deadline) -> Sequence[Waiter]:
         """Return all waiters, roughly in the order in which they are served."""
         newest_first = self._order(now) is Order.NEWEST_FIRST
--- a/agatetack/admission/test_order.py
+++ b/agatetack/admission/test_order.py
@@ -194,6 +194,40 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against requests that wait for their deadline in a queue of which it is
+# known that their turn doesn't come before it.
+@pytest.mark.parametrize(
+    ("waiting", "work_seconds", "hopeless"),
+    [(100, 0.1, 40), (30, 0.1, 0), (100, 0.02, 0), (15, 0.1, 0)],
+)
+async def test_a_request_whose_turn_comes_too_late_is_refused_before(
+    autojump_clock, waiting, work_seconds, hopeless
+):
+    harness = make_harness()
+    route = dataclasses.replace(make_route(), target_latency_seconds=0.01)
+    early = 0
+
+    async def work():
+        while True:
+            await trio.sleep(work_seconds)
+            if harness.permits:
+                harness.answer(work_seconds)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(work)
+        names = [str(number) for number in range(waiting)]
+        await fill(harness, nursery, names, route=route, seconds=2.0)
+        await trio.sleep(0.8)
+        early = len(harness.refused)
+        await trio.sleep(2)
+        nursery.cancel_scope.cancel()
+    served = len(harness.served)
+    assert early >= hopeless
+    assert hopeless or not early
+    # As many as there is time for, though the rest was refused before.
+    assert served >= min(waiting, 1.9 / work_seconds - 1)
+
+
 def make_waiter(name, caller, since):
     request = make_request(caller, 10.0, name)
     wanted = PermitRequest(make_route(), request, request.deadline)
