Count no connection that this host can't open as silence of a target

The new test failed before for both errors.

Also renames refuse_hopeless to refuse_unservable. The tests of agatetack/measure and agatetack/admission pass.

--- a/agatetack/admission/service.py
+++ b/agatetack/admission/service.py
@@ -258,7 +258,7 @@
                     await waiter.event.wait()
                 now = Deadline(trio.current_time())
                 self._serve(queue, now)
-                queue.refuse_hopeless(now)
+                queue.refuse_unservable(now)
 
     async def _wait_until(
         self, queue: ServiceQueue, waiter: Waiter, until: Deadline
--- a/agatetack/admission/service_queue.py
+++ b/agatetack/admission/service_queue.py
@@ -321,7 +321,7 @@
                 waiter.waiting.deadline, self._last_send_at()
             )
 
-    def refuse_hopeless(self, now: Deadline) -> None:
+    def refuse_unservable(self, now: Deadline) -> None:
         """Refuse the waiters whose turn comes after their deadline.
 
         While a queue stands, the newest go first, so that the oldest would only
--- a/agatetack/admission/test_order.py
+++ b/agatetack/admission/test_order.py
@@ -197,11 +197,11 @@
 # Guards against requests that wait for their deadline in a queue of which it is
 # known that their turn doesn't come before it.
 @pytest.mark.parametrize(
-    ("waiting", "work_seconds", "hopeless"),
+    ("waiting", "work_seconds", "unservable"),
     [(100, 0.1, 40), (30, 0.1, 0), (100, 0.02, 0), (15, 0.1, 0)],
 )
 async def test_a_request_whose_turn_comes_too_late_is_refused_before(
-    autojump_clock, waiting, work_seconds, hopeless
+    autojump_clock, waiting, work_seconds, unservable
 ):
     harness = make_harness()
     route = dataclasses.replace(make_route(), target_latency_seconds=0.01)
@@ -222,8 +222,8 @@
         await trio.sleep(2)
         nursery.cancel_scope.cancel()
     served = len(harness.served)
-    assert early >= hopeless
-    assert hopeless or not early
+    assert early >= unservable
+    assert unservable or not early
     # As many as there is time for, though the rest was refused before.
     assert served >= min(waiting, 1.9 / work_seconds - 1)
 
--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -134,7 +134,9 @@
         except (OSError, trio.BrokenResourceError, EOFError) as error:
             if _is_refused(error):
                 return Failure(ProbeFailure.REFUSED)
-            unanswered = is_new and not report.begun
+            # One that could not be opened may be this host's own shortage.
+            opened = is_new and stream is not None
+            unanswered = opened and not report.begun
             return Failure(
                 ProbeFailure.UNANSWERED if unanswered else ProbeFailure.LOST
             )
--- a/agatetack/measure/test_http_probe.py
+++ b/agatetack/measure/test_http_probe.py
@@ -1,6 +1,8 @@
 """Test how the answers of a load endpoint are interpreted."""
 
+import errno
 import functools
+import os
 import socket
 
 import pytest
@@ -161,6 +163,21 @@
     assert result.failure() is failure
 
 
+# Guards against a shortage of this host that counts as silence of targets.
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.EADDRNOTAVAIL])
+async def test_a_connection_that_cannot_be_opened_is_no_silence(
+    monkeypatch, number
+):
+    async def fail(ip, port):
+        raise OSError(number, os.strerror(number))
+
+    monkeypatch.setattr("agatetack.measure.http_probe.open_plain_stream", fail)
+    target = TargetState("t", "s", "127.0.0.1", 1, "d")
+    deadline = Deadline(trio.current_time() + 5)
+    result = await HttpProbe(default_settings()).probe(target, deadline, 600)
+    assert result.failure() is ProbeFailure.LOST
+
+
 async def test_refused():
     listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
     port = listener.socket.getsockname()[1]
