--- a/agatetack/test_streams.py
+++ b/agatetack/test_streams.py
@@ -1,6 +1,7 @@
 """Run trio's generic stream tests on plain streams."""
 
 import socket
+import struct
 import time
 
 import pytest
@@ -8,7 +9,9 @@
 import trio.testing
 
 from agatetack.streams import (
+    LAST_DATA_RECV_OFFSET,
     PlainListener,
+    PlainStream,
     open_plain_stream,
     unacknowledged_bytes,
 )
@@ -111,6 +114,25 @@
 
 # Guards against requests that count as older than they are and so end before
 # their deadline: the kernel counts the time since the last bytes in ticks.
+@pytest.mark.parametrize(
+    ("milliseconds", "seconds"),
+    [(0, 0.0), (4, 0.0), (10, 0.0), (12, 0.002), (500, 0.49)],
+)
+def test_a_tick_is_taken_off_the_age_of_bytes(milliseconds, seconds):
+    record = bytes(LAST_DATA_RECV_OFFSET) + struct.pack("=I", milliseconds)
+
+    class Socket:
+        def setsockopt(self, *args):
+            pass
+
+        def getsockopt(self, level, option, size):
+            return record[:size]
+
+    stream = PlainStream(Socket())
+    assert stream.seconds_since_data() == pytest.approx(seconds)
+
+
+# Guards against the same, with the ticks of this machine.
 async def test_bytes_never_count_as_older_than_they_are():
     near, far = await make_pair()
     for number in range(40):
