Build a host's attempts over connections for tests in one place

Two tests built the same registry, client, admission and attempts around stand-ins of targets. Crew in attempts/test_support does it for both; each keeps what it adds. No assertion, table or product code changes.

--- a/agatetack/attempts/test_repeated_answers.py
+++ b/agatetack/attempts/test_repeated_answers.py
@@ -7,52 +7,30 @@
 import trio
 from returns.result import Success
 
-from agatetack.admission.service import ServiceAdmission
 from agatetack.attempts.fleet_budget import FleetBudget
 from agatetack.attempts.once import OnceRunner
 from agatetack.attempts.race import AttemptRunner
-from agatetack.attempts.single import SingleAttempt
-from agatetack.attempts.test_support import Claims, Crashes
-from agatetack.balance.policies import make_policy
+from agatetack.attempts.test_support import Claims, Crew
 from agatetack.config.route import RequestClass
 from agatetack.ids import RequestId
 from agatetack.messages import BytesBody, Header, read_whole
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome
-from agatetack.platform.load_header import CommaSeparatedLoadReader
 from agatetack.targets import pool as pools
-from agatetack.targets.http_client import HttpTargetClient
 from agatetack.targets.pool import ConnectionLimit
-from agatetack.targets.registry import TargetRegistry
 from agatetack.testing.repeating_target import RepeatingTarget, Repeats
-from agatetack.testing.store_fleet import template_settings
 from agatetack.testing.targets import make_request, make_route
 
 WARM_UP = b"warm-up"
 """What the ids of the requests begin with that open the connections."""
 
 
-class Crew:
-    """A host's attempts at some targets, without its other parts."""
+class RepeatingCrew(Crew):
+    """Attempts at targets that repeat what they send."""
 
     def __init__(self, targets, listed):
-        self.settings = template_settings(1)
-        metrics = Metrics()
-        self.targets = targets
-        self.registry = TargetRegistry(self.settings, metrics)
-        self.registry.update(listed)
-        reader = CommaSeparatedLoadReader(self.settings)
-        self.client = HttpTargetClient(self.settings, self.registry, reader)
-        self.admission = ServiceAdmission(
-            self.settings,
-            self.registry,
-            make_policy(self.settings, 1),
-            metrics,
-        )
-        self.single = SingleAttempt(
-            self.settings, self.client, Crashes(), metrics
-        )
-        self.budget = FleetBudget(self.settings, lambda: 1, metrics)
+        super().__init__(targets, listed)
+        self.budget = FleetBudget(self.settings, lambda: 1, self.metrics)
 
     async def run(self, once, name, attempts=2, seconds=1.0):
         """Run one request; return its result, and the body of an answer."""
@@ -122,7 +100,7 @@
             RepeatingTarget(f"t{number}", repeats, nursery)
             for number in range(targets)
         ]
-        yield Crew(made, [await target.start() for target in made])
+        yield RepeatingCrew(made, [await target.start() for target in made])
         nursery.cancel_scope.cancel()
 
 
--- a/agatetack/attempts/test_support.py
+++ b/agatetack/attempts/test_support.py
@@ -10,9 +10,11 @@
     AttemptResult,
     Permit,
 )
+from agatetack.admission.service import ServiceAdmission
 from agatetack.attempts.once import OnceRunner
 from agatetack.attempts.race import AttemptRunner
 from agatetack.attempts.single import SingleAttempt
+from agatetack.balance.policies import make_policy
 from agatetack.claims.store import Claim, ClaimStore
 from agatetack.config.route import RequestClass, Route
 from agatetack.ids import (
@@ -29,6 +31,7 @@
 from agatetack.messages import Answer, AnswerCut, Body, BytesBody, CallerRequest
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason, refuse
+from agatetack.platform.load_header import CommaSeparatedLoadReader
 from agatetack.quarantine.tracker import CrashTracker
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.client import (
@@ -36,7 +39,10 @@
     AttemptFailure,
     TargetClient,
 )
+from agatetack.targets.http_client import HttpTargetClient
+from agatetack.targets.registry import TargetRegistry
 from agatetack.targets.state import TargetState
+from agatetack.testing.store_fleet import template_settings
 
 SETTINGS = default_settings(
     attempts={"retry_burst": 5, "hedge_burst": 2, "max_attempts": 3}
@@ -245,3 +251,31 @@
         key=IdempotencyKey("k"),
         arrived=Deadline(now),
     )
+
+
+class Crew:
+    """A host's attempts at some targets over connections, without its rest.
+
+    Attributes:
+        targets: Stand-ins of the targets.
+    """
+
+    def __init__(self, targets, listed):
+        """Send to `targets`, whose entries are `listed`."""
+        self.settings = template_settings(1)
+        self.metrics = Metrics()
+        self.targets = targets
+        self.registry = TargetRegistry(self.settings, self.metrics)
+        self.registry.update(listed)
+        reader = CommaSeparatedLoadReader(self.settings)
+        self.client = HttpTargetClient(self.settings, self.registry, reader)
+        self.admission = ServiceAdmission(
+            self.settings,
+            self.registry,
+            make_policy(self.settings, 1),
+            self.metrics,
+        )
+        self.crashes = Crashes()
+        self.single = SingleAttempt(
+            self.settings, self.client, self.crashes, self.metrics
+        )
--- a/agatetack/attempts/test_targets_silent_when_full.py
+++ b/agatetack/attempts/test_targets_silent_when_full.py
@@ -12,8 +12,7 @@
 from agatetack.attempts.once import OnceRunner
 from agatetack.attempts.probing_admission import ProbingAdmission
 from agatetack.attempts.race import AttemptRunner
-from agatetack.attempts.single import SingleAttempt
-from agatetack.attempts.test_support import Claims, Crashes
+from agatetack.attempts.test_support import Claims, Crew
 from agatetack.balance.policies import make_policy
 from agatetack.callers.problem import refusal_answer
 from agatetack.config.route import RequestClass
@@ -23,7 +22,6 @@
 from agatetack.peers.exchange import NoExchange
 from agatetack.platform.load_header import CommaSeparatedLoadReader
 from agatetack.settings.model import PolicyName
-from agatetack.targets.http_client import HttpTargetClient
 from agatetack.targets.load import ParsedLoad
 from agatetack.targets.presend_probe import PreSendProber
 from agatetack.targets.registry import TargetRegistry
@@ -42,28 +40,12 @@
 """How long a full target stays full; longer than any request here lives."""
 
 
-class Crew:
-    """A host's attempts at fake targets, without its other parts."""
+class SilentCrew(Crew):
+    """Attempts at targets that are silent while they are full."""
 
     def __init__(self, targets):
-        self.settings = template_settings(1)
-        self.metrics = Metrics()
-        self.targets = targets
-        self.registry = TargetRegistry(self.settings, self.metrics)
-        self.registry.update([_listed(each) for each in targets])
-        reader = CommaSeparatedLoadReader(self.settings)
-        self.client = HttpTargetClient(self.settings, self.registry, reader)
-        self.admission = ServiceAdmission(
-            self.settings,
-            self.registry,
-            make_policy(self.settings, 1),
-            self.metrics,
-        )
-        self.crashes = Crashes()
+        super().__init__(targets, [_listed(each) for each in targets])
         self.claims = Claims()
-        self.single = SingleAttempt(
-            self.settings, self.client, self.crashes, self.metrics
-        )
 
     async def run(self, once, seconds, admission=None):
         """Run one request, and read its answer."""
@@ -112,7 +94,7 @@
             target.faults.silent_above = SLOTS + QUEUE
             await nursery.start(target.serve)
             targets.append(target)
-        made = Crew(targets)
+        made = SilentCrew(targets)
         made.nursery = nursery
         yield made
         nursery.cancel_scope.cancel()
