Log the evidence that a caller has its answer as its host stops

An answer that a caller has and one that a relay still holds gave the same connection-end line: all bytes written and acknowledged. The line has the evidence now (the caller's end, an acknowledgement by the next machine, or none) and the time since the last byte was written; the line of the stop has the time since it was asked for. A counter shows connections by that evidence. No logic changes.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -191,12 +191,17 @@
         self.end = self.end or end
 
     def _log_end(self) -> None:
-        """Log the connection's end if it ends with the host."""
+        """Count and log the connection's end if it ends with the host."""
         if not self.closing:
             return
+        evidence = self.delivery.evidence()
+        if self.writer.sent_at is not None and not self.aborted:
+            self.metrics.last_answers.inc({"evidence": evidence.value})
         log.note(
             "connection-end",
             cause=self.end.value,
+            evidence=evidence.value,
+            written_ms_ago=self._written_ms_ago(),
             request=self.last_request,
             unanswered=self.busy,
             status=self.writer.status,
@@ -205,6 +210,12 @@
             unacknowledged_bytes=self.delivery.look(),
         )
 
+    def _written_ms_ago(self) -> int | None:
+        """Return when the last byte was written; None if none was."""
+        if self.writer.sent_at is None:
+            return None
+        return round((trio.current_time() - self.writer.sent_at) * 1000)
+
     def close_gracefully(self) -> None:
         """Close the connection now if idle, else after the current request.
 
--- a/agatetack/callers/delivery.py
+++ b/agatetack/callers/delivery.py
@@ -1,4 +1,6 @@
-"""Follow which bytes of a connection its caller's machine has taken."""
+"""Follow which bytes of a connection its caller has taken."""
+
+import enum
 
 import trio
 
@@ -10,6 +12,19 @@
 report acknowledgements."""
 
 
+class Evidence(enum.Enum):
+    """What shows that a caller has all that was sent to it, weakest first."""
+
+    NONE = "none"
+    """Some bytes are not acknowledged."""
+
+    ACKNOWLEDGED = "acknowledged"
+    """The next machine has all bytes. It may be a relay on the way."""
+
+    CALLER_END = "caller-end"
+    """The caller ended its side, or the whole connection, after that."""
+
+
 class Delivery:
     """What was sent on one connection and is not acknowledged.
 
@@ -38,6 +53,12 @@
             self.changed_at = Deadline(trio.current_time())
         return left
 
+    def evidence(self) -> Evidence:
+        """Return what shows now that the caller has all bytes."""
+        if self.transport is None or self.transport.has_ended():
+            return Evidence.CALLER_END
+        return Evidence.NONE if self.look() else Evidence.ACKNOWLEDGED
+
     async def wait(self) -> None:
         """Wait until all is delivered or the connection is lost."""
         while self.look():
--- a/agatetack/callers/writer.py
+++ b/agatetack/callers/writer.py
@@ -65,6 +65,7 @@
             header.
         status: The last answer's status; 0 before the first one.
         body_length: The last answer's announced length; None without one.
+        sent_at: When the last send ended; None before the first one.
     """
 
     def __init__(self, stream: trio.abc.Stream):
@@ -75,6 +76,7 @@
         self.status = 0
         self.body_length: int | None = None
         self.sending_since: Deadline | None = None
+        self.sent_at: Deadline | None = None
 
     async def send(self, data: bytes) -> None:
         """Send bytes.
@@ -85,6 +87,7 @@
         self.sending_since = Deadline(trio.current_time())
         await self.stream.send_all(data)
         self.sending_since = None
+        self.sent_at = Deadline(trio.current_time())
         self.written_bytes += len(data)
 
     async def write(
--- a/agatetack/lifecycle/drain.py
+++ b/agatetack/lifecycle/drain.py
@@ -79,6 +79,8 @@
         phase: The host's current phase.
         in_flight: The requests being served.
         closing: Set when listeners close and keep-alive ends.
+        asked_at: The earliest time at which the stop may have been asked for;
+            None before the drain.
         drain_until: When requests in flight are cut; None before the drain.
         serving_end: Refuses the requests that can't be served before that.
     """
@@ -105,6 +107,7 @@
         self.in_flight = InFlightRequests()
         self.closing = trio.Event()
         self.serving_end = ServingEnd()
+        self.asked_at: Deadline | None = None
         self.drain_until: Deadline | None = None
         self.warm_up_until: Deadline | None = None
         self.view: ReadinessView | None = None
@@ -203,6 +206,7 @@
         """
         now = self.clock.now()
         asked_at = now if asked_at is None else asked_at
+        self.asked_at = asked_at
         self.drain_until = Deadline(
             max(asked_at + self.settings.drain_seconds, now + MIN_DRAIN_SECONDS)
         )
@@ -216,7 +220,7 @@
         decisions.note(
             "drain",
             in_flight=len(self.in_flight),
-            asked_ms_ago=round((now - asked_at) * 1000),
+            asked_ms_ago=self.asked_ms_ago(),
             notice_seconds=round(notice_until - now, 3),
             drain_seconds=round(self.drain_until - now, 3),
         )
@@ -239,6 +243,12 @@
             nursery.cancel_scope.cancel()
         return self._stop()
 
+    def asked_ms_ago(self) -> int | None:
+        """Return how long ago the stop may have been asked for, at most."""
+        if self.asked_at is None:
+            return None
+        return round((self.clock.now() - self.asked_at) * 1000)
+
     async def _refuse_forwarded(self) -> None:
         await trio.sleep_until(self.drain_until - LAST_REFUSAL_SECONDS)
         self.serving_end.refuse_forwarded()
--- a/agatetack/metrics.py
+++ b/agatetack/metrics.py
@@ -115,6 +115,11 @@
             "agatetack_dropped_total",
             "Records, frames or messages left out, by part and reason.",
         )
+        self.last_answers = self.counter(
+            "agatetack_last_answers_total",
+            "Connections of callers that ended as this host stopped, by the"
+            " evidence that their last answer was delivered.",
+        )
         self.in_flight = self.gauge(
             "agatetack_in_flight", "Requests being served, by route."
         )
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -84,6 +84,7 @@
         host=settings.host.id,
         cut=[request.request_id for request in report.cut],
         unfinished=list(report.unfinished),
+        asked_ms_ago=gateway.lifecycle.asked_ms_ago(),
         after_seconds=round(seconds_since_start(), 3),
     )
     return report.exit_code
