Show answers that a relay holds as their host's process ends

A caller asks for 500 KB through a relay that takes bytes at once, carries 150 KB a second and holds 64 or 256 KB.

--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -17,6 +17,7 @@
 
 from agatetack.build_id import running
 from agatetack.testing.fake_target import FakeTarget
+from agatetack.testing.holding_relay import HoldingRelay
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.narrow_stream import open_narrow_stream
 from agatetack.testing.store_fleet import (
@@ -304,6 +305,36 @@
         assert arrived == len(narrow.received)
 
 
+# Guards against a process that ends while a relay on the way, which has
+# acknowledged the whole answer, still holds a part of it.
+@pytest.mark.parametrize("capacity", [65_536, 262_144])
+async def test_a_host_ends_after_relays_have_carried_its_answers(
+    tmp_path, nursery, capacity
+):
+    async with running_daemon(tmp_path / "node.yaml") as (daemon, _):
+        start = await daemon.line(event="start")
+        await wait_ready(start["ready"])
+        relay = HoldingRelay(LOOPBACK, start["callers"], capacity, 150_000)
+        port = await nursery.start(relay.run)
+        caller = await trio.open_tcp_stream(LOOPBACK, port)
+        daemon.process.send_signal(signal.SIGTERM)
+        await caller.send_all((EXPORT % 500_000).encode())
+        received = []
+
+        async def read():
+            async with caller:
+                received.extend([data async for data in caller])
+
+        nursery.start_soon(read)
+        assert await daemon.end() == 0
+        # What a relay holds is lost when its host's process ends.
+        assert len(relay.held) == 0
+        assert relay.carried_bytes > 500_000
+        end = await daemon.line(event="connection-end", request="e1")
+        assert end["evidence"] == "caller-end"
+        nursery.cancel_scope.cancel()
+
+
 # Guards against a drain that waits for a caller until the host is killed.
 @pytest.mark.parametrize("size", [300_000, 16_000_000])
 async def test_a_caller_that_never_reads_cannot_hold_a_host(tmp_path, size):
