Keep a connection until its caller ends it, or a slow link has carried all

Callers saw downloads end without their last byte around SIGTERMs, closed in order with a status and a part of the body. The cause: a host took bytes that the next machine had acknowledged for delivered, closed the connection and ended its process. A relay on the way, such as the machine's own network, takes bytes at once, and loses what it holds as the process ends. Only large answers over thin links leave bytes there.

TCP shows that a caller has all bytes only by its own end of the stream, after ours. A connection that ends now waits for that, also before a drain, as a drain may follow. What the evidence is stands in one place, callers/delivery.py. At the end of a drain, a connection of which only the caller's end is missing is no failure; bytes that are not acknowledged are, as before.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -80,8 +80,8 @@
         closing: Whether the connection ends after the current request.
         answered: Whether the last request's answer was written completely.
         end: What ended the connection, or None.
-        delivery: What the caller's machine has not acknowledged.
-        delivering: Whether the connection ends once that is delivered.
+        delivery: What shows that the caller has its answers.
+        delivering: Whether the connection ends once that is shown.
         aborted: Whether the connection ends with a reset.
         last_request: The id of the last request whose header was read.
     """
@@ -113,13 +113,13 @@
         self.handler = handler
         self.metrics = metrics
         self.parser = RequestParser(settings.max_header_bytes, self._read_more)
-        self.writer = AnswerWriter(stream)
+        self.delivery = Delivery(self._transport(), settings)
+        self.writer = AnswerWriter(stream, self.delivery)
         self.busy = False
         self.closing = False
         self.ended = False
         self.answered = False
         self.end: ConnectionEnd | None = None
-        self.delivery = Delivery(self._transport())
         self.delivering = False
         self.aborted = False
         self.last_request = UNPARSED_ID
@@ -133,7 +133,7 @@
     async def serve(self) -> None:
         """Answer requests until the connection ends, then close it.
 
-        It is closed once all answers are delivered.
+        It is closed once the caller has all answers.
 
         If the caller is lost, everything that runs for it is cancelled.
         """
@@ -162,7 +162,7 @@
         await self._answer_all()
 
     async def _deliver(self) -> None:
-        """End the stream and wait until the caller has taken all of it.
+        """End the stream and wait until the caller has all of it.
 
         Nothing is read meanwhile: a request that crosses the end of the
         stream must stay unread.
@@ -195,7 +195,7 @@
         if not self.closing:
             return
         evidence = self.delivery.evidence()
-        if self.writer.sent_at is not None and not self.aborted:
+        if self.delivery.sent_at is not None and not self.aborted:
             self.metrics.last_answers.inc({"evidence": evidence.value})
         log.note(
             "connection-end",
@@ -212,9 +212,9 @@
 
     def _written_ms_ago(self) -> int | None:
         """Return when the last byte was written; None if none was."""
-        if self.writer.sent_at is None:
+        if self.delivery.sent_at is None:
             return None
-        return round((trio.current_time() - self.writer.sent_at) * 1000)
+        return round((trio.current_time() - self.delivery.sent_at) * 1000)
 
     def close_gracefully(self) -> None:
         """Close the connection now if idle, else after the current request.
@@ -239,10 +239,26 @@
         transport = getattr(self.stream, "transport_stream", self.stream)
         return transport if isinstance(transport, PlainStream) else None
 
+    @property
+    def is_undelivered(self) -> bool:
+        """Return whether a request is unanswered, or its answer on the way.
+
+        An answer that the next machine has, without a sign of the caller,
+        doesn't count.
+        """
+        return self.busy or not self.delivering or self.delivery.look() > 0
+
+    def limit(self, settings: CallersSettings) -> None:
+        """Apply `settings` from now on."""
+        self.settings = self.delivery.settings = settings
+        self.parser.max_header_bytes = settings.max_header_bytes
+
     def has_timed_out(self, now: Deadline) -> bool:
         """Return whether a timeout of this connection has expired."""
         limits = self.settings
         if self.delivering:
+            if not self.delivery.look():
+                return False
             unchanged = now - self.delivery.changed_at
             return unchanged > limits.write_timeout_seconds
         sending_since = self.writer.sending_since
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -8,6 +8,7 @@
 from agatetack.callers.connection import CallerConnection, reap_connections
 from agatetack.callers.read_ahead import ReadAheadConnection
 from agatetack.callers.streamed_body import KeptBodies
+from agatetack.ids import Deadline
 from agatetack.listeners import BACKLOG
 from agatetack.logs import PartLog
 from agatetack.messages import Handler
@@ -159,8 +160,18 @@
         self.limits = callers
         self.kept_bodies.limit = callers.kept_bodies_bytes
         for connection in self.connections:
-            connection.settings = callers
-            connection.parser.max_header_bytes = callers.max_header_bytes
+            connection.limit(callers)
+
+    async def wait_delivered(self, deadline: Deadline) -> None:
+        """Wait until all connections have ended.
+
+        At the deadline it ends all the same if the next machine has all bytes
+        of each connection, and only the caller's end is missing.
+        """
+        with trio.move_on_at(deadline):
+            await self.ended.wait()
+        if any(each.is_undelivered for each in self.connections):
+            await self.ended.wait()
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections are still served."""
--- a/agatetack/callers/writer.py
+++ b/agatetack/callers/writer.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from agatetack.callers.delivery import Delivery
 from agatetack.ids import Deadline
 from agatetack.messages import Answer, Header
 from agatetack.streams import PlainStream
@@ -65,18 +66,18 @@
             header.
         status: The last answer's status; 0 before the first one.
         body_length: The last answer's announced length; None without one.
-        sent_at: When the last send ended; None before the first one.
+        delivery: Takes note of what was sent.
     """
 
-    def __init__(self, stream: trio.abc.Stream):
-        """Write to `stream`."""
+    def __init__(self, stream: trio.abc.Stream, delivery: Delivery):
+        """Write to `stream`, which `delivery` follows."""
         self.stream = stream
+        self.delivery = delivery
         self.unfinished = False
         self.written_bytes = 0
         self.status = 0
         self.body_length: int | None = None
         self.sending_since: Deadline | None = None
-        self.sent_at: Deadline | None = None
 
     async def send(self, data: bytes) -> None:
         """Send bytes.
@@ -87,7 +88,7 @@
         self.sending_since = Deadline(trio.current_time())
         await self.stream.send_all(data)
         self.sending_since = None
-        self.sent_at = Deadline(trio.current_time())
+        self.delivery.note_sent(len(data))
         self.written_bytes += len(data)
 
     async def write(
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -57,6 +57,10 @@
 receiver = LateModule("agatetack.forwarding.receiver")
 tls = LateModule("agatetack.tls")
 
+DELIVERY_MARGIN_SECONDS = 0.05
+"""How long before the end of a drain connections are no longer waited for of
+which only the caller's end is missing."""
+
 MAX_STOP_REQUESTS = 2
 """Stop requests that are buffered."""
 
@@ -350,7 +354,9 @@
         # A request that is still being received doesn't count as in flight
         # yet. Without this wait, its connection would be closed instead of
         # the request being refused.
-        await self.callers.ended.wait()
+        await self.callers.wait_delivered(
+            Deadline(deadline - DELIVERY_MARGIN_SECONDS)
+        )
 
     def readiness(self) -> ReadinessView:
         """Return the checks this host must pass before it takes requests."""
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -67,6 +67,7 @@
     header_timeout_seconds: Seconds
     keep_alive_seconds: Seconds
     write_timeout_seconds: Seconds
+    slowest_link_bytes_per_second: Positive
     default_deadline_seconds: Seconds
     max_deadline_seconds: Seconds
     end_means_gone: bool
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -197,6 +197,19 @@
         poller.register(self.sock.fileno(), ended)
         return any(events & ended for _, events in poller.poll(0))
 
+    async def wait_ended(self, poll_seconds: float) -> None:
+        """Wait until the other end sends no more; nothing is read.
+
+        Args:
+            poll_seconds: Interval of looks while bytes are unread, as they
+                hide the end.
+        """
+        while self.sock.fileno() >= 0 and not self.has_ended():
+            if self.has_unread():
+                await trio.sleep(poll_seconds)
+            else:
+                await self._wait(trio.lowlevel.wait_readable)
+
     def has_unread(self) -> bool:
         """Return whether received bytes, or the end, have not been read."""
         if self.sock.fileno() < 0:
