Reset an answer that ends with its connection if its end is not acknowledged

Callers of HTTP/1.0 get answers of unknown length up to the end of the connection. If a host stopped while bytes of one were on the way, it closed in order, and a relay whose network ends with the host may pass that on: the caller takes a part for the whole. At its end the host now resets such a connection. Answers with a length or in chunks show by themselves that they are cut, and still end in order, so that what can arrive does.

Evidence: test_an_answer_that_ends_with_its_connection_is_not_cut_in_order ended in order before for HTTP/1.0, and is reset now; for HTTP/1.1 it ends in order in both.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -149,8 +149,7 @@
             with self.delivery_scope:
                 await self._deliver()
         finally:
-            if self.writer.unfinished and self.end is None:
-                # A close in order would let a cut answer look complete.
+            if self._may_look_whole():
                 self._reset_on_close(ConnectionEnd.CANCELLED)
             self._note_end(ConnectionEnd.CANCELLED)
             self._log_end()
@@ -161,6 +160,14 @@
     async def _serve_requests(self) -> None:
         await self._answer_all()
 
+    def _may_look_whole(self) -> bool:
+        """Return whether a close in order could let a cut answer look whole."""
+        if self.writer.unfinished and self.end is None:
+            return True
+        # What is not acknowledged may be lost with this host's network, whose
+        # end a relay may pass on as if it had come from here.
+        return self.writer.ends_with_connection and self.delivery.look() > 0
+
     async def _deliver(self) -> None:
         """End the stream and wait until the caller has all of it.
 
--- a/agatetack/callers/test_server.py
+++ b/agatetack/callers/test_server.py
@@ -10,7 +10,12 @@
 import trustme
 
 from agatetack.callers.server import CallerServer
-from agatetack.callers.test_connection import Echo, read_all, statuses
+from agatetack.callers.test_connection import (
+    Chunks,
+    Echo,
+    read_all,
+    statuses,
+)
 from agatetack.messages import Answer, Body, BytesBody, Handler
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
@@ -272,6 +277,46 @@
             pass
 
 
+class UnknownLength(Handler):
+    """Answers with a body whose length is not known before."""
+
+    async def handle(self, request):
+        return Answer(200, [], Chunks(b"x" * ANSWER_BYTES))
+
+
+# Guards against a part of an answer that looks whole, as only the connection's
+# end shows its end and the host ends while bytes are on the way.
+@pytest.mark.parametrize(
+    ("version", "resets"),
+    [("1.0", True), ("1.1", False)],
+)
+async def test_an_answer_that_ends_with_its_connection_is_not_cut_in_order(
+    version, resets
+):
+    async with serving(handler=UnknownLength()) as (server, port):
+        narrow = await open_narrow_stream("127.0.0.1", port)
+        request = REQUEST.replace(b"1.1", version.encode())
+        await narrow.sock.send(request)
+        (connection,) = await written_connections(server)
+        server.stop_accepting()
+        server.close_idle()
+        await trio.sleep(0.1)
+        assert connection.delivery.look() > 0
+    with trio.fail_after(10):
+        await narrow.read(1_000_000)
+    assert narrow.reset is resets
+
+
+async def written_connections(server):
+    """Return the connections, once their answers are written."""
+    with trio.fail_after(5):
+        while not server.connections or any(
+            each.busy or not each.writer.status for each in server.connections
+        ):
+            await trio.sleep(0.01)
+    return server.connections
+
+
 # Guards against a host that ends while the kernel still holds answers.
 @pytest.mark.parametrize("kept", [False, True])
 async def test_a_server_ends_after_the_caller_has_all_bytes(kept):
--- a/agatetack/callers/writer.py
+++ b/agatetack/callers/writer.py
@@ -66,6 +66,8 @@
             header.
         status: The last answer's status; 0 before the first one.
         body_length: The last answer's announced length; None without one.
+        ends_with_connection: Whether nothing but the connection's end shows
+            the end of the last answer.
         delivery: Takes note of what was sent.
     """
 
@@ -77,6 +79,7 @@
         self.written_bytes = 0
         self.status = 0
         self.body_length: int | None = None
+        self.ends_with_connection = False
         self.sending_since: Deadline | None = None
 
     async def send(self, data: bytes) -> None:
@@ -108,6 +111,7 @@
         """
         self.written_bytes = 0
         self.unfinished = True
+        self.ends_with_connection = False
         self.status, self.body_length = answer.status, answer.body.length
         if method == b"HEAD" or answer.status in BODYLESS_STATUSES:
             await self._write_without_body(answer, method, close)
@@ -115,7 +119,8 @@
             return not close
         length = answer.body.length
         chunked = length is None and version == "1.1"
-        close = close or (length is None and not chunked)
+        self.ends_with_connection = length is None and not chunked
+        close = close or self.ends_with_connection
         if chunked:
             framing = b"Transfer-Encoding: chunked\r\n"
         elif length is not None:
