Wait for requests of other hosts that end after a flush has begun

Callers of another host got a 502 for a request that their host had passed on: the host that ran it stopped, its target answered in the last tenth of the drain, and the process ended with the reply queued. The flush of replies looked once, at its start, found nothing to send and was done; the drain then waited for the request but not for its reply. The flush now goes on while calls that are part of callers' requests are being answered, up to the end of the drain.

--- a/agatetack/peers/call_service.py
+++ b/agatetack/peers/call_service.py
@@ -8,6 +8,7 @@
 from agatetack.peers.calls import (
     MAX_CHUNK_BYTES,
     MAX_INCOMING_CALLS,
+    UNBUDGETED_TOPICS,
     call_frames,
     reply_frames,
 )
@@ -81,6 +82,7 @@
             self._reply(link, call, None)
             return
         link.answering += 1
+        link.answering_requests += call.topic in UNBUDGETED_TOPICS
         self.nursery.start_soon(self._answer, link, call, payload)
 
     async def _answer(
@@ -98,6 +100,7 @@
             )
         finally:
             link.answering -= 1
+            link.answering_requests -= call.topic in UNBUDGETED_TOPICS
         if reply is None:
             self.counters.dropped("call-unanswered")
         self._reply(link, call, reply)
--- a/agatetack/peers/link.py
+++ b/agatetack/peers/link.py
@@ -76,6 +76,7 @@
         unbudgeted: Calls and replies that are exempt from the byte budget.
         budgeted: Calls and replies that are subject to the byte budget.
         answering: Number of calls of the peer that are being answered.
+        answering_requests: How many of them are part of callers' requests.
         sending: Whether the writing task is sending.
         unsent: The rest of a frame that the socket accepted in part.
         sent_bytes: Bytes sent over the link.
@@ -125,6 +126,7 @@
         self.unbudgeted: deque[OutgoingMessage] = deque()
         self.budgeted: deque[OutgoingMessage] = deque()
         self.answering = 0
+        self.answering_requests = 0
         self.ended = trio.Event()
         self.wake = trio.Event()
         self.scope = trio.CancelScope()
--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -246,19 +246,21 @@
     async def flush_replies(self, deadline: Deadline) -> None:
         """Wait until peers have the replies to their calls.
 
-        A peer that takes none keeps a host that stops for
-        `REPLY_FLUSH_SECONDS` at most.
+        Requests of peers may end after the flush has begun. A peer that takes
+        no reply keeps a host that stops for `REPLY_FLUSH_SECONDS` at most.
         """
+        links = self.connector.links
         now = self.clock.now()
-        with trio.move_on_at(min(deadline, now + REPLY_FLUSH_SECONDS)) as scope:
-            while any(
-                link.has_undelivered for link in self.connector.links.values()
-            ):
-                await trio.sleep(FLUSH_POLL_SECONDS)
-        if scope.cancelled_caught:
-            LOG.warning(
-                "Some peers did not take replies before this host ends."
-            )
+        stalled_at = now + REPLY_FLUSH_SECONDS
+        while now < min(deadline, stalled_at):
+            if any(link.answering_requests for link in links.values()):
+                stalled_at = now + REPLY_FLUSH_SECONDS
+            elif not any(link.has_undelivered for link in links.values()):
+                return
+            poll_at = now + FLUSH_POLL_SECONDS
+            await trio.sleep_until(min(poll_at, deadline, stalled_at))
+            now = self.clock.now()
+        LOG.warning("Some peers did not take replies before this host ends.")
 
     def hello(self) -> ttypes.Hello:
         """Return this host's hello, with a fresh nonce."""
