--- a/agatetack/build_id.py
+++ b/agatetack/build_id.py
@@ -1,7 +1,8 @@
 """Name the code that runs, as it was built.
 
-The id is git's own of the folder `agatetack`: `git rev-parse COMMIT:agatetack`
-prints the same one for each commit with these sources.
+The id is the one that git gives the folder `agatetack` without its tests, so
+that a copy packed without them has the same. docs/OPERATIONS.md shows how to
+find the commits for an id.
 """
 
 import dataclasses
@@ -26,6 +27,10 @@
 
 EXECUTABLE = 0o100
 
+NOT_COVERED = ("__pycache__", "test_*.py")
+"""Names of files and folders that the id does not depend on: what Python has
+compiled, and tests, which a packed copy may lack."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Build:
@@ -64,25 +69,28 @@
 
 
 def tree_id(folder: pathlib.Path) -> str:
-    """Return git's id of a folder; what Python has compiled is left out."""
-    return _hash_tree(folder).hex()
+    """Return git's id of a folder without what `NOT_COVERED` names."""
+    return _hash_object(b"tree", _list_tree(folder)).hex()
 
 
-def _hash_tree(folder: pathlib.Path) -> bytes:
-    entries = b"".join(
+def _list_tree(folder: pathlib.Path) -> bytes:
+    """Return the content of git's tree object of a folder."""
+    return b"".join(
         b"%b %b\0%b" % (mode, name, digest)
         for name, mode, digest in sorted(_entries(folder), key=_order)
     )
-    return _hash_object(b"tree", entries)
 
 
 def _entries(folder: pathlib.Path) -> Iterator[tuple[bytes, bytes, bytes]]:
     """Yield name, mode and hash of what git would store of a folder."""
     for path in folder.iterdir():
+        if any(path.match(pattern) for pattern in NOT_COVERED):
+            continue
         name = path.name.encode()
         if path.is_dir():
-            if path.name != "__pycache__" and any(path.iterdir()):
-                yield name, b"40000", _hash_tree(path)
+            # Git stores no folder without files.
+            if content := _list_tree(path):
+                yield name, b"40000", _hash_object(b"tree", content)
             continue
         is_executable = path.stat().st_mode & EXECUTABLE
         mode = b"100755" if is_executable else b"100644"
