Cut an answer whose reset only the upload of its request met

Callers of a POST with a streamed body got a 200 with the proof and the first 5 of its bytes, framed as whole, where their target answered before it had read the body, named no length and reset the connection on the way.

Cause: Linux reports a reset to one call on a socket. The upload's send got it and the upload ended, as a target may have answered before it closes. The next reads then returned the bytes that had come and an end without an error, which completes an answer without a length.

Evidence: with a raw socket, `send` fails with ECONNRESET after the reset and the next two `recv` return `part` and `b""`.

A connection now remembers that sending met a reset, and an end after it aborts the answer as a reset does. A broken pipe is not counted: the kernel reports it for a reset that comes after the regular end, so that whole answers of targets that close without reading the request stay whole (tested).

--- a/agatetack/targets/connection.py
+++ b/agatetack/targets/connection.py
@@ -37,6 +37,7 @@
             for the response to the second send, which may run.
         idle_seconds: The keep-alive timeout that the target announced, or None.
         closed: Whether this host has closed it.
+        was_reset: Whether sending has met a reset.
     """
 
     def __init__(self, target: TargetState, stream: PlainStream):
@@ -49,6 +50,7 @@
         self.rejected: set[RequestId] = set()
         self.idle_seconds: int | None = None
         self.closed = False
+        self.was_reset = False
 
     def is_quiet(self) -> bool:
         """Return whether there is nothing to read, neither bytes nor the end.
@@ -66,7 +68,15 @@
         Raises:
             trio.BrokenResourceError: The connection was lost.
         """
-        await self.stream.send_all(data)
+        try:
+            await self.stream.send_all(data)
+        except trio.BrokenResourceError as error:
+            # Linux reports a reset to one call only: the next read gets the
+            # bytes before it and then what looks like a regular end. A broken
+            # pipe comes from a reset after the regular end.
+            if not isinstance(error.__cause__, BrokenPipeError):
+                self.was_reset = True
+            raise
 
     async def receive_into(self, parser: AnswerParser) -> None:
         """Receive once and pass the bytes, or the end, to `parser`."""
@@ -79,6 +89,8 @@
         if data:
             self.last_byte_at = Deadline(trio.current_time())
             parser.feed(data)
+        elif self.was_reset:
+            parser.abort()
         else:
             parser.end()
 
--- a/agatetack/targets/test_http_client.py
+++ b/agatetack/targets/test_http_client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import socket
 
 import pytest
 import trio
@@ -18,6 +19,7 @@
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Outcome, RefusalReason
 from agatetack.settings.defaults import default_settings
+from agatetack.streams import LINGER_NONE
 from agatetack.targets.body import MAX_DROP_BYTES
 from agatetack.targets.client import (
     Attempt,
@@ -342,6 +344,48 @@
         assert caller.pool.open_count == 0
 
 
+NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\npart"
+
+
+# Guards against a part of a response without a length that counts as whole, as
+# the reset behind it was reported to the upload and not to the next read.
+@pytest.mark.parametrize("body", ["in parts", "at once"])
+async def test_a_reset_that_the_upload_met_cuts_a_body_without_length(body):
+    async def script(stream, number):
+        await stream.receive_some()
+        await stream.send_all(NO_LENGTH)
+        await trio.sleep(0.05)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+
+    content = {
+        "in parts": lambda: Parts(*[b"x"] * 50),
+        "at once": lambda: BytesBody(b"x" * 16_000_000),
+    }
+    async with raw_target(script) as caller:
+        request = make_request(content[body](), b"POST")
+        answer = await caller.call(request=request)
+        assert await answer.body.receive() == b"part"
+        with pytest.raises(AnswerCut):
+            await answer.body.receive()
+        assert caller.pool.open_count == 0
+
+
+# Guards against whole responses that count as cut because their target closed
+# the connection before it had read the request's body.
+async def test_a_response_that_ends_before_its_upload_is_whole():
+    async def script(stream, number):
+        await stream.receive_some()
+        await stream.send_all(NO_LENGTH)
+        await stream.send_eof()
+        with contextlib.suppress(trio.TooSlowError), trio.fail_after(0.1):
+            while await stream.receive_some():
+                pass
+
+    async with raw_target(script) as caller:
+        request = make_request(Parts(*[b"x"] * 50), b"POST")
+        assert await caller.fetch(request=request) == b"part"
+
+
 async def test_upload_that_fails_is_raised_and_closes():
     async with raw_target(answers_nothing()) as caller:
         request = make_request(Parts(b"x", ValueError("lost")), b"POST")
