Refuse a head that contains the status line of another

Callers got a 200 with the proof of their target where it had answered 500, if bytes of an answer that was cut in its head came before on the connection.

Cause: a head that ends within its reason phrase or a field's value runs into the next status line, which becomes a part of that phrase or value. The first head's status then goes with the fields and the body of the second answer, also with its echo of the request's id.

Evidence: of all cuts of an answer to another request (HTTP/1.1 200) before a 500, those in its reason phrase and in the first field's value (before its Request-Id) gave status 200 with the 500's body, on new and on used connections. The test cuts at each byte, in pieces of 1, 7 and 1000 bytes, and fails in 12 of 12 cases before the change.

A head whose reason phrase or field value contains a status line now counts as broken: callers get 502, or another attempt where that is allowed.

--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -1,6 +1,7 @@
 """Parse the responses on a connection to a target."""
 
 import enum
+import re
 from collections import deque
 
 import httptools
@@ -21,6 +22,12 @@
 """Most bytes of their bodies."""
 
 
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+"""Begins the head of a response. Within a reason phrase or a field's value it
+shows that an earlier head ended early: its status and first fields are not
+those of the response that follows."""
+
+
 class AnswerState(enum.Enum):
     """How much of a response has been parsed."""
 
@@ -82,6 +89,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.state = AnswerState.HEAD
         self.status = 0
+        self.reason = b""
         self.headers: list[Header] = []
         self.length: int | None = None
         self.chunked = False
@@ -154,6 +162,11 @@
         """Handle the start of a response; called by httptools."""
         if self.state is AnswerState.COMPLETE:
             self.stray = True
+        self.reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Handle a part of the reason phrase; called by httptools."""
+        self.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header field; called by httptools."""
@@ -164,6 +177,9 @@
         """Handle the end of the header; called by httptools."""
         if self.state is not AnswerState.HEAD:
             return
+        if self._holds_two_heads():
+            self.state = AnswerState.BROKEN
+            return
         status = self.parser.get_status_code()
         if status < MIN_FINAL_STATUS:
             self.headers = []
@@ -183,6 +199,12 @@
         else:
             self.state = AnswerState.BODY
 
+    def _holds_two_heads(self) -> bool:
+        return STATUS_LINE.search(self.reason) is not None or any(
+            b"HTTP/" in value and STATUS_LINE.search(value)
+            for _, value in self.headers
+        )
+
     def _is_for_another(self) -> bool:
         if self.echo is None:
             return False
--- a/agatetack/targets/test_parser.py
+++ b/agatetack/targets/test_parser.py
@@ -4,6 +4,7 @@
 import pytest
 from hypothesis import strategies
 
+from agatetack.messages import Header
 from agatetack.settings.defaults import default_settings
 from agatetack.targets.parser import AnswerParser, AnswerState
 
@@ -99,6 +100,38 @@
     assert parser.state is AnswerState.BROKEN
 
 
+HINTS = b"HTTP/1.1 103 Early\r\nlink: x\r\n\r\n"
+OTHER = (
+    b"HTTP/1.1 200 OK\r\nx-a: b\r\nrequest-id: r0\r\nserver-signature: s0\r\n"
+    b"content-length: 3\r\n\r\nabc"
+)
+DUE = b"HTTP/1.1 500 No\r\nrequest-id: r1\r\ncontent-length: 2\r\n\r\nno"
+
+
+# Guards against a failure that becomes a success: a head that was cut in its
+# reason phrase or in a field gives its status to the response behind it.
+@pytest.mark.parametrize("first", [True, False])
+@pytest.mark.parametrize("size", [1, 7, 1000])
+@pytest.mark.parametrize("begin", [OTHER, HINTS + OTHER])
+def test_a_cut_response_gives_nothing_to_the_next(begin, size, first):
+    for cut in range(1, len(begin)):
+        parser = AnswerParser(b"GET", 1000, Header(b"request-id", b"r1"), first)
+        raw = begin[:cut] + DUE
+        for start in range(0, len(raw), size):
+            parser.feed(raw[start : start + size])
+        parser.end()
+        whole = begin[:cut] == HINTS
+        assert parser.status == (500 if whole else 0), begin[:cut]
+        wanted = AnswerState.COMPLETE if whole else AnswerState.BROKEN
+        assert parser.state is wanted, begin[:cut]
+
+
+def test_a_response_after_another_is_found():
+    parser = AnswerParser(b"GET", 1000, Header(b"request-id", b"r1"))
+    parser.feed(HINTS + OTHER + DUE)
+    assert (parser.state, parser.status) == (AnswerState.COMPLETE, 500)
+
+
 def test_a_field_of_64_kb_is_no_broken_answer_however_it_arrives():
     most = default_settings().targets.max_header_bytes
     parser = AnswerParser(b"GET", most)
