--- a/agatetack/testing/raw_target.py
+++ b/agatetack/testing/raw_target.py
@@ -22,11 +22,13 @@
         script: What each connection does.
         connections: Connections accepted so far.
         received: Bytes received, by connection.
+        port: The port listened on.
     """
 
     script: Script
     connections: int = 0
     received: list[bytes] = dataclasses.field(default_factory=list)
+    port: int = 0
 
     async def serve(
         self,
@@ -34,12 +36,12 @@
     ) -> None:
         """Listen on a port the kernel chooses; reports the target's state."""
         listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
-        port = listeners[0].socket.getsockname()[1]
+        self.port = listeners[0].socket.getsockname()[1]
         state = TargetState(
-            id=TargetId(f"{LOOPBACK}:{port}"),
+            id=TargetId(f"{LOOPBACK}:{self.port}"),
             service=ServiceId("service"),
             ip=LOOPBACK,
-            port=port,
+            port=self.port,
             failure_domain=FailureDomain("domain-a"),
             status=TargetStatus.READY,
         )
--- a/agatetack/testing/target_connection.py
+++ b/agatetack/testing/target_connection.py
@@ -17,7 +17,12 @@
     export_chunks,
     parse_range,
 )
-from agatetack.testing.target_faults import EndlessBytes, Silence
+from agatetack.testing.target_faults import (
+    ConnectionEnd,
+    EndlessBytes,
+    RawAnswer,
+    Silence,
+)
 from agatetack.testing.target_wire import (
     CONTINUE,
     RequestReader,
@@ -36,6 +41,8 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER on with no time: closing sends a reset."""
 
+RAW_PAUSE_SECONDS = 0.01
+"""Pause after each part of a raw answer, so that parts arrive one by one."""
 
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -172,6 +179,12 @@
         asks_load = request.path == self.load_path
         if endless is not None and endless.at_load_path is asks_load:
             await self._send_endlessly(endless)
+        raw = faults.raw_answer
+        if raw is not None and raw.at_load_path is asks_load:
+            if not asks_load:
+                target.record(request)
+            await self._send_raw(raw, b"range" in request.headers)
+            return
         if self._is_for_another(request):
             target.misdirected += 1
             await self._send(421, b"another instance\n")
@@ -204,6 +217,21 @@
             await self._put(endless.part)
             await trio.sleep(endless.pause_seconds)
 
+    async def _send_raw(self, raw: RawAnswer, asks_range: bool) -> None:
+        parts = raw.parts
+        if asks_range and raw.to_ranges is not None:
+            parts = raw.to_ranges
+        for part in parts:
+            await self._put(part)
+            await trio.sleep(RAW_PAUSE_SECONDS)
+        if raw.end is ConnectionEnd.NONE:
+            return
+        if raw.end is ConnectionEnd.RESET:
+            self.stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        raise _Close
+
     def _is_for_another(self, request: TargetRequest) -> bool:
         """Return whether the request names another instance than this one."""
         name = self.names.instance
--- a/agatetack/testing/target_faults.py
+++ b/agatetack/testing/target_faults.py
@@ -34,6 +34,32 @@
     answers: bool = False
 
 
+class ConnectionEnd(enum.Enum):
+    """How a connection ends after the bytes of a raw answer."""
+
+    ORDERLY = "orderly"
+    RESET = "reset"
+    NONE = "none"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """Bytes that are sent in place of an answer.
+
+    Attributes:
+        parts: Sent one after another, with a short pause after each.
+        end: How the connection ends after them.
+        to_ranges: Sent instead for requests for a range; None sends `parts`.
+        at_load_path: Whether they are sent at the load path only; else at all
+            others.
+    """
+
+    parts: tuple[bytes, ...]
+    end: ConnectionEnd = ConnectionEnd.ORDERLY
+    to_ranges: tuple[bytes, ...] | None = None
+    at_load_path: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class TargetFaults:
     """Faults in force at one fake target; tests change them at any time.
@@ -81,6 +107,7 @@
             takes, one field for each.
         rate_limit_on_load_path: Whether answers of the load path bear it too.
         endless: Sent in place of answers, or None.
+        raw_answer: Sent in place of answers, or None.
     """
 
     draining: bool = False
@@ -118,3 +145,4 @@
     rate_limits: tuple[bytes, ...] = ()
     rate_limit_on_load_path: bool = False
     endless: EndlessBytes | None = None
+    raw_answer: RawAnswer | None = None
