Carry callers' connections over relays that may end with their host

The soak could not show downloads that end before their last byte because a relay on the way loses them: its end of a network kept all that the caller's kernel had acknowledged.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -41,6 +41,8 @@
     path_cuts: int = -1,
     stops: int = -1,
     stop_all: bool = False,
+    downloads: float = 1.0,
+    link_mbps: float = 0.0,
     endless: int = -1,
     troubles: int = -1,
     built: bool = False,
@@ -66,9 +68,11 @@
         faults: Seed of the faults; none if negative.
         path_cuts: Seed of the times in which hosts lose their paths to all
             targets; none if negative.
-        stops: Seed of a series of stops, with links that end with their
-            hosts; none if negative.
+        stops: Seed of a series of stops, with relays and links that end with
+            their hosts; none if negative.
         stop_all: Whether all hosts are stopped at once after that series.
+        downloads: Factor of the rate of downloads.
+        link_mbps: What the links of hosts carry; as the site says if 0.
         endless: Seed of times in which targets send bytes without end; none if
             negative.
         troubles: Seed of rejections that come twice, a store of which a part is
@@ -90,7 +94,7 @@
     if cores and others:
         os.sched_setaffinity(0, others)
     plan = Plan(
-        found.scaled(load),
+        found.scaled(load).with_downloads(downloads, link_mbps),
         seconds,
         seed,
         checkout,
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -17,7 +17,7 @@
     Connection,
     ConnectionCut,
 )
-from bench.soak.links import Link
+from bench.soak.links import Link, draw_path
 from bench.soak.machines import CALLERS_PORT
 from bench.soak.site import Habit, Kind, RequestKind, Site, Traffic
 from bench.soak.world import World
@@ -201,6 +201,9 @@
         self.name = f"{domain}-{name}"
         self.source = source
         self.sizes = random.Random(f"{callers.seed} {self.name} sizes")
+        self.network_path = draw_path(
+            random.Random(f"{callers.seed} {self.name} path")
+        )
         self.idle: dict[str, list[Connection]] = {}
         self.asked = 0
 
@@ -297,7 +300,11 @@
             with trio.CancelScope(shield=True):
                 await connection.close()
             raise
-        if connection.usable and self.kind.habit is not Habit.FRESH:
+        # One that is not usable is ended when the next one is taken.
+        kept = connection.usable or (
+            self.callers.links and not self.network_path.prompt
+        )
+        if kept and self.kind.habit is not Habit.FRESH:
             self.idle.setdefault(attempts[0].host, []).append(connection)
         else:
             with trio.CancelScope(shield=True):
@@ -323,7 +330,7 @@
         for host, connections in list(self.idle.items()):
             while connections:
                 connection = connections.pop()
-                if not connection.open:
+                if not (connection.usable and connection.open):
                     await connection.close()
                     continue
                 for attempt in attempts:
@@ -335,16 +342,20 @@
         host = attempts[0].host
         ip = self.callers.world.ready_addresses[host]
         link = self.callers.links.get(host)
-        connect = trio.open_tcp_stream if link is None else link.open
         try:
             with trio.fail_after(CONNECT_SECONDS):
-                stream = await connect(ip, CALLERS_PORT)
+                if link is None:
+                    stream = await trio.open_tcp_stream(ip, CALLERS_PORT)
+                else:
+                    stream = await link.open(
+                        ip, CALLERS_PORT, self.network_path
+                    )
         except (OSError, trio.TooSlowError) as error:
             for attempt in attempts:
                 attempt.result = Result.NOT_CONNECTED
                 attempt.detail = type(error).__name__
             return None
-        return Connection(stream, link)
+        return Connection(stream)
 
     def _path(self) -> str:
         kind = self.kind
--- a/bench/soak/connection.py
+++ b/bench/soak/connection.py
@@ -1,6 +1,5 @@
 """Speak HTTP/1.1 as a caller, on connections that stay open."""
 
-import contextlib
 import dataclasses
 import math
 import re
@@ -12,9 +11,7 @@
 
 from agatetack.ids import Deadline
 from agatetack.streams import unacknowledged_bytes
-from bench.soak.links import STEP_BYTES, Link
-
-RECEIVE_BYTES = 1 << 16
+from bench.soak.relays import LinkEnded, Relay
 
 TIMEOUT = re.compile(rb"timeout=([0-9.]+)")
 """What a `Keep-Alive` header says."""
@@ -77,21 +74,14 @@
     """One connection of a caller.
 
     Attributes:
-        stream: The TCP stream.
+        stream: The TCP stream, or the relay in its place.
         usable: Whether further requests may be sent on it.
         lapses: When the host may close it while it is idle.
-        link: The link that its answers come over, or None.
-        arrived: What had come and was not read when the host's network ended;
-            None while it stands.
     """
 
-    def __init__(self, stream: trio.SocketStream, link: Link | None = None):
-        """Use `stream`, whose bytes come over `link`."""
+    def __init__(self, stream: trio.SocketStream | Relay):
+        """Use `stream`."""
         self.stream = stream
-        self.link = link
-        self.arrived: bytes | None = None
-        if link is not None:
-            link.connections.add(self)
         self.reader = AnswerReader()
         self.usable = True
         self.lapses = Deadline(math.inf)
@@ -101,6 +91,8 @@
         """Return whether an idle connection still stands."""
         if trio.current_time() >= self.lapses:
             return False
+        if isinstance(self.stream, Relay):
+            return self.stream.open
         try:
             self.stream.socket._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -116,6 +108,8 @@
 
         It takes nothing more once the process has closed the connection.
         """
+        if isinstance(self.stream, Relay):
+            return self.stream.delivered
         return unacknowledged_bytes(self.stream.socket._sock) == 0
 
     @property
@@ -144,7 +138,7 @@
         """
         while not self.reader.complete:
             try:
-                data = await self._receive_some()
+                data = await self.stream.receive_some()
                 if not data:
                     raise ConnectionCut("closed")
                 self.reader.parser.feed_data(data)
@@ -157,6 +151,12 @@
             ) as error:
                 self.usable = False
                 raise ConnectionCut(type(error).__name__) from error
+            except LinkEnded as error:
+                self.usable = False
+                body = len(self.reader.current.body)
+                raise ConnectionCut(
+                    f"closed after {body} bytes of a body, {error}"
+                ) from error
             except ConnectionCut:
                 self.usable = False
                 raise
@@ -168,30 +168,10 @@
             self.lapses = Deadline(trio.current_time() + seconds)
         return answer
 
-    async def _receive_some(self) -> bytes:
-        if self.arrived is None:
-            if self.link is None:
-                return await self.stream.receive_some(RECEIVE_BYTES)
-            with contextlib.suppress(trio.ClosedResourceError):
-                data = await self.stream.receive_some(STEP_BYTES)
-                await self.link.carry(len(data))
-                return data
-        if not self.arrived:
-            raise ConnectionCut("the host's machine is gone")
-        data, self.arrived = self.arrived, b""
-        return data
-
-    def end_network(self) -> None:
-        """Lose all that has not come yet."""
-        self.arrived = b""
-        with contextlib.suppress(OSError):
-            while data := self.stream.socket._sock.recv(RECEIVE_BYTES):
-                self.arrived += data
-        self.stream.socket.close()
-
     async def close(self) -> None:
         """Close the connection."""
         self.usable = False
-        if self.link is not None:
-            self.link.connections.discard(self)
-        await trio.aclose_forcefully(self.stream)
+        if isinstance(self.stream, Relay):
+            self.stream.end_caller()
+        else:
+            await trio.aclose_forcefully(self.stream)
--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -1,45 +1,73 @@
-"""Carry answers at the speed of a host's link, in segments of usual size."""
+"""Links of hosts, and the paths of callers over them."""
 
+import dataclasses
 import math
-from typing import TYPE_CHECKING
+import random
 
 import trio
 
 from agatetack.testing.narrow_stream import open_narrow_socket
-
-if TYPE_CHECKING:
-    from bench.soak.connection import Connection
+from bench.soak.relays import Relay
 
 SEGMENT_BYTES = 1400
 
-STEP_BYTES = 4096
-"""Most bytes that one connection reads at a time."""
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Path:
+    """How one caller reaches hosts, and when it ends its connections.
+
+    Attributes:
+        capacity: Bytes that a relay on it holds.
+        delay_seconds: How long they stay there at least.
+        loses: Whether a relay ends with its host's network.
+        prompt: Whether the caller ends a connection as soon as the host has,
+            rather than when it wants to use it next.
+    """
+
+    capacity: int
+    delay_seconds: float
+    loses: bool
+    prompt: bool
+
+
+def draw_path(source: random.Random) -> Path:
+    """Draw a path."""
+    return Path(
+        capacity=1 << source.randint(14, 18),
+        delay_seconds=source.uniform(0.001, 0.03),
+        loses=source.random() < 0.5,
+        prompt=source.random() < 0.7,
+    )
 
 
 class Link:
-    """The link of one host, which all its callers share.
+    """The link of one host, which all its callers' relays share.
 
     Attributes:
         bytes_per_second: What it carries.
+        nursery: Runs the relays.
         free_at: When it has carried all that was read so far.
-        connections: The callers' connections over it.
+        relays: Those whose connection to the host stands.
     """
 
-    def __init__(self, bytes_per_second: float):
+    def __init__(self, bytes_per_second: float, nursery: trio.Nursery):
         """Carry `bytes_per_second` from the host to its callers."""
         self.bytes_per_second = bytes_per_second
+        self.nursery = nursery
         self.free_at = -math.inf
-        self.connections: set[Connection] = set()
+        self.relays: set[Relay] = set()
 
-    async def open(self, ip: str, port: int) -> trio.SocketStream:
-        """Connect over the link.
+    async def open(self, ip: str, port: int, path: Path) -> Relay:
+        """Return a relay with a connection to the host.
 
         Raises:
             OSError: The connection could not be opened.
         """
-        return trio.SocketStream(
-            await open_narrow_socket(ip, port, SEGMENT_BYTES)
-        )
+        sock = await open_narrow_socket(ip, port, SEGMENT_BYTES)
+        relay = Relay(trio.SocketStream(sock), self, path)
+        self.relays.add(relay)
+        self.nursery.start_soon(relay.run)
+        return relay
 
     async def carry(self, count: int) -> None:
         """Wait while the link carries `count` bytes."""
@@ -48,6 +76,6 @@
         await trio.sleep_until(self.free_at)
 
     def end(self) -> None:
-        """End all connections, with what the host's kernel has not sent."""
-        for connection in list(self.connections):
-            connection.end_network()
+        """End the network, with what the host's kernel has not sent."""
+        for relay in list(self.relays):
+            relay.end_network()
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -56,9 +56,9 @@
         faults: Seed of the faults; None for a run without.
         path_cuts: Seed of the times in which hosts lose their paths to all
             targets; None for a run without.
-        stops: Seed of a series of stops, with answers that come over links
-            which end with the processes of their hosts; None for a run
-            without.
+        stops: Seed of a series of stops, with relays between callers and
+            hosts, and links which end with the processes of their hosts; None
+            for a run without.
         stop_all: Whether all hosts are stopped at once after the series.
         endless: Seed of times in which targets send bytes without end; None
             for a run without.
@@ -159,7 +159,7 @@
         hosts = make_hosts(plan.site, role, address, plan.folder, plan.cores)
         world.add_hosts(hosts)
         if plan.stops is not None:
-            callers.links = _link(plan.site, hosts)
+            callers.links = _link(plan.site, hosts, nursery)
         epoch = trio.current_time()
         nursery.start_soon(occupancy.run, world)
         stage = Stage(world, hosts, epoch)
@@ -203,11 +203,13 @@
     return report
 
 
-def _link(site: Site, hosts: Sequence[Host]) -> dict[str, Link]:
+def _link(
+    site: Site, hosts: Sequence[Host], nursery: trio.Nursery
+) -> dict[str, Link]:
     """Return a link for each host, which ends with its last process."""
     links = {}
     for host in hosts:
-        links[host.id] = Link(site.link_bytes_per_second)
+        links[host.id] = Link(site.link_bytes_per_second, nursery)
         host.when_ended = links[host.id].end
     return links
 
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -10,7 +10,9 @@
 
 from agatetack.ids import FailureDomain, ServiceId
 
-LINK_BYTES_PER_SECOND = 1.25e6
+BYTES_PER_MEGABIT = 125_000
+
+LINK_BYTES_PER_SECOND = 10 * BYTES_PER_MEGABIT
 """What a link of 10 Mbit/s carries."""
 
 
@@ -151,6 +153,32 @@
         )
         return smaller._with_rates(factor)
 
+    def with_downloads(self, factor: float, link_mbps: float) -> "Site":
+        """Return the site with its rate of downloads multiplied by `factor`.
+
+        Args:
+            factor: The factor.
+            link_mbps: What the links of its hosts carry; as it is if 0.
+        """
+        traffic = [
+            dataclasses.replace(each, rates=self._more(each.rates, factor))
+            for each in self.traffic
+        ]
+        rate = link_mbps * BYTES_PER_MEGABIT or self.link_bytes_per_second
+        return dataclasses.replace(
+            self, traffic=traffic, link_bytes_per_second=rate
+        )
+
+    def _more(
+        self, rates: Mapping[str, float], factor: float
+    ) -> Mapping[str, float]:
+        return {
+            name: rate * factor
+            if self.kinds[name].kind is Kind.DOWNLOAD
+            else rate
+            for name, rate in rates.items()
+        }
+
     def _with_rates(self, factor: float) -> "Site":
         traffic = [
             dataclasses.replace(
@@ -286,7 +314,7 @@
         descriptors=fronts[0]["fds"],
         lead_seconds=found["lead_s"],
         link_bytes_per_second=min(each["link_mbps"] for each in fronts)
-        * 125_000,
+        * BYTES_PER_MEGABIT,
     )
 
 
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -401,35 +401,13 @@
     assert report.served_share > 0
 
 
-THIN_LINK_BYTES_PER_SECOND = 625_000
-"""What a link of 5 Mbit/s carries."""
-
-
-def downloads_over_thin_links():
-    """Return a site with as many downloads as its hosts' links carry."""
-    site = small_site(hosts=3, per_second=15.0)
-    (traffic,) = site.traffic
-    rates = {**traffic.rates, "export": 10.0}
-    return dataclasses.replace(
-        site,
-        traffic=[dataclasses.replace(traffic, rates=rates)],
-        link_bytes_per_second=THIN_LINK_BYTES_PER_SECOND,
-    )
-
-
-# Guards against downloads that end before their last byte, as their host's
-# process, and its network with it, ends once it has written them.
-async def test_downloads_outlast_the_stop_of_their_host(tmp_path):
+# Guards against downloads that a relay holds as their host's process, and its
+# network with it, ends, and that so end before their last byte.
+@pytest.mark.parametrize("seed", [2, 4])
+async def test_downloads_outlast_the_stop_of_their_host(tmp_path, seed):
     build(ROOT)
-    plan = Plan(
-        downloads_over_thin_links(),
-        14.0,
-        2,
-        ROOT,
-        tmp_path,
-        stops=2,
-        stop_all=True,
-    )
+    site = small_site(hosts=3, per_second=15.0).with_downloads(7.0, 5.0)
+    plan = Plan(site, 12.0, seed, ROOT, tmp_path, stops=seed, stop_all=True)
     report = await run_soak(plan)
     lost = [each for each in report.violations if each.rule == "LOST"]
     assert lost == []
