Tell a request that crosses its host's end from one that was read

A host ends its side of a connection without a reset and leaves later requests unread. The soak took each request that its kernel had for read, also one that a relay passed on after the host's end had come. A request that reached the host's machine before that end, and has no answer, is LOST as before.

--- a/bench/soak/test_relays.py
+++ b/bench/soak/test_relays.py
@@ -105,3 +105,17 @@
     stand.relay.end_caller()
     with pytest.raises(trio.BrokenResourceError):
         await stand.host.receive_some()
+
+
+# Guards against the blame for a request that crosses the end of its connection.
+@pytest.mark.parametrize("crosses", [False, True])
+async def test_a_request_that_crosses_the_hosts_end_counts_as_not_delivered(
+    stand, crosses
+):
+    await stand.open()
+    if crosses:
+        await stand.host.send_eof()
+    stand.relay._send_up(b"request")
+    assert await stand.host.receive_some() == b"request"
+    await trio.sleep(0.01)
+    assert stand.relay.delivered is not crosses
