Tell answers that the slowest link has carried from those that may be lost

Idle connections counted as acknowledged only, as do answers that a relay may still hold as their host ends, so that the counter could not tell a loss. Their evidence is 'assumed' once the slowest link has had the time to carry them. A connection whose TLS has ended is reset through its TCP stream, which the TLS stream no longer names.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -21,7 +21,7 @@
 )
 from agatetack.callers.problem import refusal_answer
 from agatetack.callers.streamed_body import KeptBodies, StreamedBody
-from agatetack.callers.writer import CONTINUE, AnswerWriter, abort
+from agatetack.callers.writer import CONTINUE, AnswerWriter
 from agatetack.decisions import DecisionLog
 from agatetack.headers import strip_hop_by_hop
 from agatetack.ids import Deadline, RequestId
@@ -219,7 +219,8 @@
         """Let the connection, which ended by `end`, close with a reset."""
         self._note_end(end)
         self.aborted = True
-        abort(self.stream)
+        if self.transport is not None:
+            self.transport.abort_on_close()
 
     def _note_end(self, end: ConnectionEnd) -> None:
         """Record what ended the connection; the first cause is kept."""
--- a/agatetack/callers/delivery.py
+++ b/agatetack/callers/delivery.py
@@ -35,6 +35,9 @@
     ACKNOWLEDGED = "acknowledged"
     """The next machine has all bytes. It may be a relay on the way."""
 
+    ASSUMED = "assumed"
+    """It has, and the slowest link has had the time to carry them."""
+
     CALLER_END = "caller-end"
     """The caller ended its side, or the whole connection, after that."""
 
@@ -99,6 +102,8 @@
             return Evidence.NONE
         if self.transport.has_ended() and self.may_end_show_delivery():
             return Evidence.CALLER_END
+        if trio.current_time() >= self.assumed_at:
+            return Evidence.ASSUMED
         return Evidence.ACKNOWLEDGED
 
     def may_end_show_delivery(self) -> bool:
--- a/agatetack/callers/test_delivery.py
+++ b/agatetack/callers/test_delivery.py
@@ -76,7 +76,8 @@
 # though a slow link has carried all that was sent to them.
 async def test_a_caller_that_never_ends_is_assumed_to_have_its_answer():
     async with serving() as (server, port):
-        stream, _ = await ask(server, port, LONG_AGO)
+        stream, connection = await ask(server, port, LONG_AGO)
+        assert connection.delivery.evidence() is Evidence.ASSUMED
         stop(server)
         await wait_until_over(server)
         await stream.aclose()
--- a/agatetack/callers/writer.py
+++ b/agatetack/callers/writer.py
@@ -7,7 +7,6 @@
 from agatetack.callers.delivery import Delivery
 from agatetack.ids import Deadline
 from agatetack.messages import Answer, Header
-from agatetack.streams import PlainStream
 
 BODYLESS_STATUSES = frozenset({204, 304})
 """Statuses whose answers have no body (RFC 9112, 6.3)."""
@@ -47,13 +46,6 @@
     return b"".join(parts)
 
 
-def abort(stream: trio.abc.Stream) -> None:
-    """Make closing `stream` later send a TCP reset, also under TLS."""
-    transport = getattr(stream, "transport_stream", stream)
-    if isinstance(transport, PlainStream):
-        transport.abort_on_close()
-
-
 class AnswerWriter:
     """Writes answers one after the other to one stream.
 
