Count a late stop from before its signal even if the loop is slow to notice

A host that got no processor time while SIGTERM came could start its full drain seconds late and be killed at the grace with answers on the way.

The drain counts from the last time at which the loop ran without the signal. That was looked up when the lifecycle noticed the stop, several turns of the loop after the signal's handler. The task that measures lateness wakes in between; if the turns then took more than 10 ms, the signal seemed to have come after that wake.

The signal's handler now records when the loop was last seen to run. The handler runs before any task does once the process gets processor time, so this is before the signal came.

--- a/agatetack/clock.py
+++ b/agatetack/clock.py
@@ -139,6 +139,8 @@
         late: Whether the host counts as late.
         woken_at: When the measuring task last woke; None before.
         slept_at: When it had begun to sleep before that.
+        unsignalled_at: When the loop was last seen to run before the first
+            signal reached the process; None if none did.
     """
 
     def __init__(self) -> None:
@@ -147,6 +149,16 @@
         self.late = False
         self.woken_at: Deadline | None = None
         self.slept_at: Deadline | None = None
+        self.unsignalled_at: Deadline | None = None
+
+    def note_signal(self) -> None:
+        """Record that a signal reached the process just now.
+
+        To be called by the signal's handler. The process then ran for the first
+        time since the signal came, so the signal came after the last wake.
+        """
+        if self.unsignalled_at is None:
+            self.unsignalled_at = self.woken_at
 
     def begin(self, started_at: Deadline) -> None:
         """Count the loop as not seen to run since `started_at`."""
@@ -156,8 +168,12 @@
         """Return when a signal that is noticed at `now` may have come.
 
         A process that is stopped or gets no processor time notices it late;
-        it came after the loop last ran without it.
+        it came after the loop last ran without it. On a late host the
+        measuring task may wake between the signal's handler and the task that
+        notices the signal, so what the handler recorded goes first.
         """
+        if self.unsignalled_at is not None:
+            return self.unsignalled_at
         if self.woken_at is None:
             return now
         if now - self.woken_at > SAME_TURN_SECONDS:
--- a/agatetack/daemon_parts.py
+++ b/agatetack/daemon_parts.py
@@ -3,6 +3,7 @@
 import contextlib
 import signal
 from collections.abc import Iterator
+from types import FrameType
 
 import trio
 
@@ -26,15 +27,35 @@
     """Deliver signals within the context, in which all of them are handled.
 
     Args:
-        lateness: Learns since when a stop may have waited.
+        lateness: Learns since when a stop may have waited, and when one
+            reaches the process.
     """
     held_stop.look()
     lateness.begin(Deadline(trio.current_time() - held_stop.age_seconds()))
-    release_signals()
+    with _noted_stops(lateness):
+        release_signals()
+        try:
+            yield
+        finally:
+            hold_signals()
+
+
+@contextlib.contextmanager
+def _noted_stops(lateness: Lateness) -> Iterator[None]:
+    """Note each stop signal before its handler passes it on."""
+    handlers = {number: signal.getsignal(number) for number in STOP_SIGNALS}
+
+    def note(number: int, frame: FrameType | None) -> None:
+        lateness.note_signal()
+        handlers[number](number, frame)
+
+    for number in handlers:
+        signal.signal(number, note)
     try:
         yield
     finally:
-        hold_signals()
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
 
 
 async def forward_signals(
