End within the grace though nobody reads the log

A host whose log's reader had stopped waited a second for it after its drain, and was killed instead of ending.

Once the drain has ended, the host notes when it may be killed: the time at which the stop may have been asked for, plus the drain's time and the margin that it leaves. The wait for the log ends 0.1 s before. A drain that ends early leaves a full second as before.

The tests compare the waits with the time left and the noted time with the grace in the settings; they fail before, as there is no such time.

--- a/agatetack/daemon_parts.py
+++ b/agatetack/daemon_parts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import signal
+import time
 from collections.abc import Iterator
 from types import FrameType
 
@@ -10,14 +11,17 @@
 from agatetack.build_id import running
 from agatetack.clock import Lateness
 from agatetack.ids import Deadline
+from agatetack.lifecycle.drain import Lifecycle
 from agatetack.logs import PartLog, count_drops
 from agatetack.metrics import Metrics
 from agatetack.process import (
     STOP_SIGNALS,
     held_stop,
     hold_signals,
+    kill_time,
     release_signals,
 )
+from agatetack.settings.bounds import KILL_MARGIN_SECONDS
 
 log = PartLog("daemon")
 
@@ -80,6 +84,15 @@
             log.warning("Got SIGHUP; settings are read at a start only.")
 
 
+def note_kill_time(lifecycle: Lifecycle) -> None:
+    """Note when a host whose drain has ended may be killed."""
+    if lifecycle.asked_at is None:
+        return
+    allowed_seconds = lifecycle.settings.drain_seconds + KILL_MARGIN_SECONDS
+    left = lifecycle.asked_at + allowed_seconds - trio.current_time()
+    kill_time.at = time.monotonic() + left
+
+
 def show_build(metrics: Metrics, settings_digest: str) -> None:
     """Show which code runs, and on which settings file it was started."""
     metrics.gauge(
--- a/agatetack/log_writer.py
+++ b/agatetack/log_writer.py
@@ -5,6 +5,7 @@
 import os
 import queue
 import threading
+import time
 from collections.abc import Callable
 
 MAX_WAITING = 2000
@@ -13,6 +14,12 @@
 STOP_SECONDS = 1.0
 """Longest time that a stop waits for the queued lines to be written."""
 
+MIN_STOP_SECONDS = 0.05
+"""Time for which a stop waits if the process may be killed any moment."""
+
+END_SECONDS = 0.1
+"""Reserve for the end of the process after its last line."""
+
 STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
 
@@ -72,10 +79,15 @@
             self.dropped += 1  # `handle`, which calls this, holds the lock.
             self.count_drop(LineDrop.NOT_READ)
 
-    def stop(self) -> None:
-        """Write the queued lines and end the thread, within a time limit."""
+    def stop(self, kill_at: float = float("inf")) -> None:
+        """Write the queued lines and end the thread, within a time limit.
+
+        Args:
+            kill_at: When the process may be killed, on the steady clock.
+        """
         self.waiting.put(None)
-        self.thread.join(STOP_SECONDS)
+        left = kill_at - END_SECONDS - time.monotonic()
+        self.thread.join(max(MIN_STOP_SECONDS, min(STOP_SECONDS, left)))
 
     def _run(self) -> None:
         while (record := self.waiting.get()) is not None:
--- a/agatetack/process.py
+++ b/agatetack/process.py
@@ -81,6 +81,22 @@
 """Looked at between the steps of a start."""
 
 
+class KillTime:
+    """When whoever asked the process to stop may kill it.
+
+    Attributes:
+        at: The time on the steady clock; infinite if none is known.
+    """
+
+    def __init__(self) -> None:
+        """Know of none."""
+        self.at = float("inf")
+
+
+kill_time = KillTime()
+"""Set once the drain has ended."""
+
+
 def open_standard_files() -> None:
     """Open those of the standard files that are closed.
 
--- a/agatetack/start.py
+++ b/agatetack/start.py
@@ -9,7 +9,7 @@
 from agatetack.decisions import set_up_decisions
 from agatetack.errors import SettingsError, UserError
 from agatetack.logs import PartLog, set_up_logs
-from agatetack.process import held_stop, report_early
+from agatetack.process import held_stop, kill_time, report_early
 from agatetack.settings.findings import render_findings
 from agatetack.settings.loader import CheckedSettings, check_settings
 from agatetack.settings.model import Settings
@@ -67,7 +67,7 @@
         report_failure(error)
         return EXIT_FAILURE
     finally:
-        writer.stop()
+        writer.stop(kill_time.at)
 
 
 def take_addresses(settings: Settings) -> None:
--- a/agatetack/store_daemon.py
+++ b/agatetack/store_daemon.py
@@ -9,6 +9,7 @@
     count_dropped_lines,
     delivered_signals,
     forward_signals,
+    note_kill_time,
     show_build,
 )
 from agatetack.decisions import DecisionLog
@@ -74,6 +75,7 @@
                     bounds=list(settings.platform.store.bounds),
                 )
                 report = await gateway.lifecycle.drain_on(gateway.stops_out)
+                note_kill_time(gateway.lifecycle)
             nursery.cancel_scope.cancel()
     finally:
         with trio.move_on_after(CLOSE_SECONDS) as scope:
--- a/agatetack/test_daemon_parts.py
+++ b/agatetack/test_daemon_parts.py
@@ -1,14 +1,23 @@
 """Test how a daemon handles signals."""
 
 import signal
+import time
 
 import pytest
 import trio
 
-from agatetack.clock import Lateness, LatenessMeter
-from agatetack.daemon_parts import delivered_signals, forward_signals
+from agatetack.clock import FixedClock, Lateness, LatenessMeter
+from agatetack.daemon_parts import (
+    delivered_signals,
+    forward_signals,
+    note_kill_time,
+)
+from agatetack.lifecycle.drain import Lifecycle
 from agatetack.metrics import Metrics
-from agatetack.process import release_signals
+from agatetack.platform.bounds import apply_bounds
+from agatetack.process import kill_time, release_signals
+from agatetack.store_daemon import CLOSE_SECONDS
+from agatetack.testing.store_fleet import template_settings
 
 LATE_TURN_SECONDS = 0.04
 """Time that a turn of the loop takes on a host short of processor time."""
@@ -63,3 +72,23 @@
         stops.receive_nowait()
     release_signals()
     assert await stops.receive() == signal.SIGTERM
+
+
+# Guards against a host that waits for the reader of its log until it is killed.
+async def test_a_host_knows_when_it_may_be_killed(autojump_clock, monkeypatch):
+    monkeypatch.setattr(kill_time, "at", kill_time.at)
+    settings = apply_bounds(template_settings(1))
+    lifecycle = Lifecycle(settings, Metrics(), FixedClock())
+    await lifecycle.drain()
+    assert lifecycle.asked_at is not None
+    before = time.monotonic()
+    note_kill_time(lifecycle)
+    (grace,) = [
+        float(text.removeprefix("grace=").removesuffix("s"))
+        for text in settings.platform.store.bounds
+        if text.startswith("grace=")
+    ]
+    left = lifecycle.asked_at + grace - trio.current_time()
+    assert before + left <= kill_time.at <= time.monotonic() + left
+    # The connections to the store close, and log lines are written, before.
+    assert grace - lifecycle.settings.drain_seconds > CLOSE_SECONDS
--- a/agatetack/test_logs.py
+++ b/agatetack/test_logs.py
@@ -4,6 +4,7 @@
 import logging as std_logging
 import os
 import sys
+import types
 
 import pytest
 from absl import logging
@@ -206,6 +207,25 @@
     return std_logging.LogRecord("n", 20, "f", 1, text, None, None)
 
 
+# Guards against a host that is killed as nobody reads its log, although it has
+# drained in time.
+@pytest.mark.parametrize(
+    ("left", "waited"), [(0.4, 0.3), (5.0, 1.0), (0.0, 0.05), (-9.0, 0.05)]
+)
+def test_a_stop_waits_for_no_reader_until_the_kill(left, waited, monkeypatch):
+    waits = []
+    writer = LogWriter(std_logging.Formatter())
+    thread = writer.thread
+    monkeypatch.setattr(
+        writer, "thread", types.SimpleNamespace(join=waits.append)
+    )
+    clock = types.SimpleNamespace(monotonic=lambda: 100.0)
+    monkeypatch.setattr(log_writer, "time", clock)
+    writer.stop(100.0 + left)
+    thread.join()
+    assert waits == [pytest.approx(waited)]
+
+
 def test_a_stalled_reader_stalls_no_writer(pipe, monkeypatch):
     monkeypatch.setattr(log_writer, "MAX_WAITING", 2)
     reader, end = pipe
