Take only the final response of a load endpoint for its report

A probe counted an interim response as the target's report: a 103 with the load's fields behind which the connection was cut became a load, a 100 without them counted as heard from the target. The fields of a response that nobody asked for, received with the report, replaced the report's, and the connection with its rest was kept for the next probe.

Cause: the parser of probes collected the fields of all messages and took the first end of any of them for the end of the report.

It now passes over interim responses, keeps what the final one says, and closes a connection on which more came with it.

--- a/agatetack/measure/http_probe.py
+++ b/agatetack/measure/http_probe.py
@@ -21,6 +21,7 @@
     ParsedLoad,
     ReportedState,
 )
+from agatetack.targets.parser import MIN_FINAL_STATUS
 from agatetack.targets.pushbacks import Pushbacks
 from agatetack.targets.state import ReportSource, TargetState
 
@@ -40,37 +41,62 @@
     """Collects a load report; the methods are called by httptools.
 
     Attributes:
+        status: The answer's status, once all header fields have arrived.
         headers: The answer's header fields, names in lower case.
         fields: The same in their order, with repeated fields.
         body: The answer's body.
         begun: Whether any byte has arrived.
         head_complete: Whether all header fields have arrived.
         complete: Whether the answer has ended.
+        stray: Whether bytes have arrived after it.
+        parser: Parses the answer.
     """
 
+    status: int = 0
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     fields: list[Header] = dataclasses.field(default_factory=list)
     body: bytes = b""
     begun: bool = False
     head_complete: bool = False
     complete: bool = False
+    stray: bool = False
+    parser: httptools.HttpResponseParser = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the parser."""
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_message_begin(self) -> None:
+        """Note an answer that nobody asked for."""
+        self.stray = self.complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header field."""
+        if self.complete:
+            return
         self.fields.append(Header(name.lower(), value))
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Record the end of the header."""
-        self.head_complete = True
+        """Record the end of the header, unless it is an interim one."""
+        if self.complete:
+            return
+        status = self.parser.get_status_code()
+        if status < MIN_FINAL_STATUS:
+            self.headers.clear()
+            self.fields.clear()
+        else:
+            self.status = status
+            self.head_complete = True
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body."""
-        self.body += data
+        if not self.complete:
+            self.body += data
 
     def on_message_complete(self) -> None:
         """Record the answer's end."""
-        self.complete = True
+        self.complete = self.head_complete
 
 
 class HttpProbe(ProbeClient):
@@ -147,8 +173,9 @@
         ):
             return Failure(ProbeFailure.MALFORMED)
         else:
-            self._keep_idle(target.process, stream)
-            stream = None
+            if not report.stray:
+                self._keep_idle(target.process, stream)
+                stream = None
             return Success(answer)
         finally:
             if stream is not None:
@@ -169,7 +196,6 @@
         await stream.send_all(request)
         used = len(request)
         noted = False
-        parser = httptools.HttpResponseParser(report)
         while not report.complete:
             if used >= max_bytes:
                 raise Malformed
@@ -178,11 +204,11 @@
                 raise EOFError
             report.begun = True
             used += len(data)
-            parser.feed_data(data)
+            report.parser.feed_data(data)
             if report.head_complete and not noted:
                 noted = True
-                self._note_pushback(target, parser.get_status_code(), report)
-        if parser.get_status_code() >= 500 and not report.headers:
+                self._note_pushback(target, report)
+        if report.status >= 500 and not report.headers:
             raise Malformed
         answer = read_report(report, self.load_reader, used)
         if self.instance_name in report.headers:
@@ -190,13 +216,11 @@
             answer = dataclasses.replace(answer, instance=instance)
         return answer
 
-    def _note_pushback(
-        self, target: TargetState, status: int, report: ReportParser
-    ) -> None:
+    def _note_pushback(self, target: TargetState, report: ReportParser) -> None:
         instance = report.headers.get(self.instance_name, target.id)
         if self.pushbacks is not None and instance == target.id:
             self.pushbacks.note_answer(
-                target, status, report.fields, ReportSource.PROBE
+                target, report.status, report.fields, ReportSource.PROBE
             )
 
     def _keep_idle(self, process: ProcessId, stream: PlainStream) -> None:
--- a/agatetack/measure/test_http_probe.py
+++ b/agatetack/measure/test_http_probe.py
@@ -201,3 +201,70 @@
     probe = HttpProbe(default_settings(), load_paths=load_paths)
     target = TargetState("t", "s", "127.0.0.1", 80, "d")
     assert probe.can_probe(target) is asks
+
+
+REPORT = answer(HEADERS, b'{"in_flight": 5}')
+CUT_REPORTS = [
+    pytest.param(REPORT[:end], id=str(end)) for end in range(1, len(REPORT), 4)
+] + [
+    pytest.param(cut, id=name)
+    for name, cut in {
+        "no length": REPORT.replace(b"content-length", b"x-length"),
+        "in a chunk": answer(HEADERS).replace(
+            b"content-length: 0", b"transfer-encoding: chunked"
+        )
+        + b"a\r\n{",
+        "before the last chunk": answer(HEADERS).replace(
+            b"content-length: 0", b"transfer-encoding: chunked"
+        ),
+        "interim": b"HTTP/1.1 100 Continue\r\n\r\n",
+        "interim with a report": b"HTTP/1.1 103 Hints\r\n" + HEADERS + b"\r\n",
+        "after an interim": b"HTTP/1.1 103 Hints\r\n" + HEADERS + b"\r\nHTTP/1",
+    }.items()
+]
+
+
+# Guards against a part of a response that counts as a report of load, or as a
+# sign that the target is well.
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("content", CUT_REPORTS)
+async def test_a_cut_report_is_none(content, reset):
+    async def serve(stream):
+        await stream.receive_some()
+        await stream.send_all(content)
+        await trio.sleep(0.01)
+        if reset:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        serve_all = functools.partial(
+            trio.serve_tcp, serve, 0, host="127.0.0.1"
+        )
+        listeners = await nursery.start(serve_all)
+        port = listeners[0].socket.getsockname()[1]
+        target = TargetState("t", "s", "127.0.0.1", port, "d")
+        probe = HttpProbe(default_settings())
+        deadline = Deadline(trio.current_time() + 5)
+        result = await probe.probe(target, deadline, 600)
+        nursery.cancel_scope.cancel()
+    assert result.failure() is ProbeFailure.LOST
+    assert not probe.idle
+
+
+# Guards against an interim response that takes the place of the report, and
+# against what comes after a report: it must change neither it nor the next.
+@pytest.mark.parametrize(
+    ("before", "after", "kept"),
+    [
+        (b"HTTP/1.1 100 Continue\r\n\r\n", b"", 1),
+        (b"HTTP/1.1 103 H\r\nx-target-in-flight: 9\r\n\r\n", b"", 1),
+        (b"", answer(b"x-target-in-flight: 9\r\n"), 0),
+        (b"", b"HTTP/1.1 200 OK\r\nx-target-in-flight: 9\r\n", 0),
+        (b"", b"H", 0),
+    ],
+)
+async def test_only_the_final_response_is_the_report(before, after, kept):
+    results, _, idle = await ask(before + answer(HEADERS) + after)
+    assert results[0].unwrap().in_flight == 3
+    assert idle == kept
