Test that a cut answer to a look before a request counts as none

Cuts at every fourth byte, without a length, in interim responses and of two heads run together, by a reset and a regular end: no load is noted, and the connection does not carry the request.

--- a/agatetack/targets/test_presend_probe.py
+++ b/agatetack/targets/test_presend_probe.py
@@ -1,6 +1,7 @@
 """Test the rate of pre-send probes and which responses to them count."""
 
 import contextlib
+import socket
 
 import pytest
 import trio
@@ -9,6 +10,7 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import NoExchange
 from agatetack.platform.load_header import CommaSeparatedLoadReader
+from agatetack.streams import LINGER_NONE
 from agatetack.targets.load import LoadReader
 from agatetack.targets.pool import TargetPools
 from agatetack.targets.presend_probe import PRE_SEND_PROBE_BURST, PreSendProber
@@ -192,3 +194,45 @@
         await trio.sleep(0.01)
     assert 0.09 * RATE * seconds <= taken
     assert taken <= 0.11 * RATE * seconds + PRE_SEND_PROBE_BURST
+
+
+WHOLE = answer(
+    OWN, LOAD, b"server-leaving: 1\r\n", after=b"0123456789"
+).replace(b"content-length: 0", b"content-length: 10")
+CUT_REPORTS = [
+    pytest.param(WHOLE[:end], id=str(end)) for end in range(1, len(WHOLE), 4)
+] + [
+    pytest.param(cut, id=name)
+    for name, cut in {
+        "no length": WHOLE.replace(b"content-length", b"x-length"),
+        "interim": b"HTTP/1.1 100 Continue\r\n\r\n",
+        "interim with a report": b"HTTP/1.1 103 H\r\n" + OWN + LOAD + b"\r\n",
+        "heads run together": b"HTTP/1.1 200 OK\r\nx-a: b"
+        + answer(OWN, LOAD, status=b"503 Full"),
+    }.items()
+]
+
+
+# Guards against a part of a response that counts as a report of load, and
+# against a connection that carries a request behind it.
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("content", CUT_REPORTS)
+async def test_a_cut_report_is_none(content, reset):
+    async def serve(stream):
+        await stream.receive_some(1000)
+        await stream.send_all(content)
+        await trio.sleep(0.01)
+        if reset:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        prober, target = make_prober()
+        target.ip = "127.0.0.1"
+        target.port = listeners[0].socket.getsockname()[1]
+        deadline = Deadline(trio.current_time() + 1.0)
+        assert await prober.probe(target, deadline) is None
+        assert target.report is None
+        assert not prober.pools.pool(target.process).open_count
+        nursery.cancel_scope.cancel()
