Cut a platform's reply whose reset only sending its request met

A call to a platform's service returned the first bytes of a reply without a length as the whole reply, where the service reset the connection while the request's body was sent. It is the cause of the answers of targets that an upload completed: the reset is reported to the send only, httpcore then reads the reply, and its end looks regular.

The call now fails if sending met a reset and the reply has neither a length nor chunks. A broken pipe, which comes of a reset after the regular end, is not counted. Replies with a length were never affected.

--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -15,6 +15,17 @@
 IDLE_CLOSE_SECONDS = 5.0
 """Connections that were idle for longer are not reused."""
 
+SEND_FAILURES = frozenset(
+    {
+        "http11.send_request_headers.failed",
+        "http11.send_request_body.failed",
+    }
+)
+"""Events of httpcore; it then reads the reply nevertheless."""
+
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+"""A reply with neither ends with its connection."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformRequest:
@@ -80,17 +91,26 @@
 
 @dataclasses.dataclass(slots=True)
 class _CallProgress:
-    """The steps that one call has completed."""
+    """The steps that one call has completed.
+
+    Attributes:
+        connected: Whether a connection was opened for it.
+        sent: Whether any byte may have been sent.
+        reset: Whether sending has met a reset.
+    """
 
     connected: bool = False
     sent: bool = False
+    reset: bool = False
 
-    async def trace(self, event: str, _info: Mapping) -> None:
+    async def trace(self, event: str, info: Mapping) -> None:
         """Record the steps that matter if the call fails."""
         if event == "connection.connect_tcp.complete":
             self.connected = True
         elif event == "http11.send_request_headers.started":
             self.sent = True
+        elif event in SEND_FAILURES:
+            self.reset = self.reset or not _is_broken_pipe(info["exception"])
 
 
 class PlatformClient:
@@ -182,6 +202,10 @@
                 if len(body) > request.max_reply_bytes:
                     raise CallFailed("the reply is too long", sent=True)
         headers = _join_repeated(response.headers)
+        # The reset was reported to the send, so that the read that came
+        # after it got what looks like a regular end.
+        if progress.reset and not FRAMING_HEADERS & headers.keys():
+            raise CallFailed("the reply is cut by a reset", sent=True)
         return PlatformReply(response.status, headers, bytes(body))
 
     def _retire_pool(
@@ -233,5 +257,15 @@
     return joined
 
 
+def _is_broken_pipe(error: BaseException) -> bool:
+    """Return whether a send met a reset that came after the regular end."""
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, BrokenPipeError):
+            return True
+        cause = cause.__cause__
+    return False
+
+
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/agatetack/test_http_call.py
+++ b/agatetack/test_http_call.py
@@ -1,7 +1,10 @@
 """Test what failed calls report, using a server with injected faults."""
 
+import contextlib
 import errno
+import functools
 import importlib.abc
+import socket
 import sys
 
 import pytest
@@ -14,6 +17,7 @@
 )
 from agatetack.settings.defaults import default_settings
 from agatetack.settings.model import Endpoint
+from agatetack.streams import LINGER_NONE
 from agatetack.testing.fake_target import FakeTarget
 
 TRY_SECONDS = 0.1
@@ -130,3 +134,69 @@
         assert not failed.value.sent
     await call(client)
     await client.aclose()
+
+
+OK = b"HTTP/1.1 200 OK\r\n"
+REPLY = OK + b"content-length: 10\r\n\r\n0123456789"
+CHUNKS = (
+    OK + b"transfer-encoding: chunked\r\n\r\n5\r\n01234\r\n0\r\nx: y\r\n\r\n"
+)
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+NO_LENGTH = OK + b"\r\n01234"
+
+
+@contextlib.asynccontextmanager
+async def raw_server(content, reset, read_all=True):
+    """Run a server that sends bytes for each request and then closes."""
+
+    async def serve(stream):
+        data = await stream.receive_some()
+        while read_all and b"\r\n\r\n" not in data:
+            data += await stream.receive_some()
+        await stream.send_all(content)
+        await trio.sleep(0.01)
+        if reset:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+
+    async with trio.open_nursery() as nursery:
+        serve_all = functools.partial(
+            trio.serve_tcp, serve, 0, host="127.0.0.1"
+        )
+        listeners = await nursery.start(serve_all)
+        port = listeners[0].socket.getsockname()[1]
+        client = PlatformClient(
+            Endpoint(ip="127.0.0.1", port=port), PATIENCE_SECONDS
+        )
+        yield client
+        await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a part of a reply that counts as the reply.
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    "content",
+    [REPLY, CHUNKS, INTERIM + REPLY],
+    ids=["length", "chunks", "interim"],
+)
+async def test_a_cut_reply_is_none(content, reset):
+    for end in range(0, len(content), 3):
+        async with raw_server(content[:end], reset) as client:
+            with pytest.raises(CallFailed) as caught:
+                await call(client)
+            assert caught.value.sent
+
+
+# Guards against a part of a reply without a length that counts as the reply, as
+# the reset behind it was met by the next read or by sending the request.
+@pytest.mark.parametrize("body", [b"", HUGE_BODY], ids=["read", "send"])
+async def test_a_reset_ends_no_reply_without_length(body):
+    async with raw_server(NO_LENGTH, True, read_all=False) as client:
+        with pytest.raises(CallFailed) as caught:
+            await call(client, body=body)
+        assert caught.value.sent
+
+
+async def test_a_reply_without_length_ends_with_its_connection():
+    async with raw_server(NO_LENGTH, False) as client:
+        assert await call(client) == b"01234"
