Test that a cut reply of the store is no reply and holds nothing

Replies to reads, listings and appends are cut at each byte, with a length and without one. Only a read without a length that is cut between two records is taken: it ends where its records do, so that the next read asks for the rest. An append whose reply is cut may have run. No fault found.

--- a/agatetack/platform/test_store_client.py
+++ b/agatetack/platform/test_store_client.py
@@ -14,7 +14,12 @@
     TopicUnavailable,
 )
 from agatetack.metrics import Metrics
-from agatetack.platform.store_client import StoreClient, StoreTopic
+from agatetack.platform.store_client import (
+    READ_HEADER,
+    RECORD_LENGTH,
+    StoreClient,
+    StoreTopic,
+)
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_store import MemoryStore, StoreFault
 from agatetack.testing.store_server import PAGE_KEYS, store_server
@@ -217,3 +222,76 @@
             await StoreTopic(client, NAME).newest(soon())
         await client.aclose()
         nursery.cancel_scope.cancel()
+
+
+READ = READ_HEADER.pack(2, 0) + 2 * (
+    RECORD_LENGTH.pack(7) + b"\x01" + b"a" + b"value"
+)
+NEWEST = (
+    b'{"items": [{"key": "a", "value": "MQ==", "offset": 1}], "end": 2,'
+    b' "more": false}'
+)
+APPEND = b'{"offset": 12345, "end": 12346}'
+REPLIES = {
+    "read": (READ, lambda topic: topic.read(LogOffset(0), soon(0), soon())),
+    "newest": (NEWEST, lambda topic: topic.newest(soon())),
+    "append": (APPEND, lambda topic: topic.append("a", b"1", soon())),
+}
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n",
+    "no length": b"HTTP/1.1 200 OK\r\nx-size: %d\r\n\r\n",
+}
+
+
+@contextlib.asynccontextmanager
+async def raw_topic(contents):
+    """Open a topic whose store sends one of `contents` on each connection."""
+
+    async def answer(stream):
+        await stream.receive_some()
+        await stream.send_all(contents.pop(0))
+        await stream.send_eof()
+        while await stream.receive_some():
+            pass
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            functools.partial(trio.serve_tcp, answer, 0, host="127.0.0.1")
+        )
+        port = listeners[0].socket.getsockname()[1]
+        client = StoreClient(
+            default_settings(
+                platform={"store": {"endpoint": f"127.0.0.1:{port}"}}
+            ),
+            StoreGenerations(Metrics()),
+        )
+        yield StoreTopic(client, NAME)
+        await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a part of a reply that counts as whole, or as a topic in which
+# nothing is: records must only be missing where the next read asks for them.
+@pytest.mark.parametrize("head", HEADS)
+@pytest.mark.parametrize("call", REPLIES)
+async def test_a_cut_reply_is_no_reply(call, head):
+    body, ask = REPLIES[call]
+    raw = HEADS[head] % len(body) + body
+    async with raw_topic([raw[:end] for end in range(len(raw))]) as topic:
+        for end in range(len(raw)):
+            have = end - raw.index(body)
+            if call == "read" and head == "no length" and have in (16, 27):
+                page = await ask(topic)
+                assert page.end == len(page.records) == (have - 16) // 11
+                continue
+            with pytest.raises(TopicUnavailable) as caught:
+                await ask(topic)
+            assert caught.value.may_have_run or call != "append"
+
+
+@pytest.mark.parametrize("head", HEADS)
+@pytest.mark.parametrize("call", REPLIES)
+async def test_a_whole_reply_is_taken(call, head):
+    body, ask = REPLIES[call]
+    async with raw_topic([HEADS[head] % len(body) + body]) as topic:
+        assert await ask(topic)
