--- a/agatetack/targets/parser.py
+++ b/agatetack/targets/parser.py
@@ -200,10 +200,12 @@
             self.state = AnswerState.BODY
 
     def _holds_two_heads(self) -> bool:
-        return STATUS_LINE.search(self.reason) is not None or any(
-            b"HTTP/" in value and STATUS_LINE.search(value)
-            for _, value in self.headers
-        )
+        if b"HTTP/" in self.reason and STATUS_LINE.search(self.reason):
+            return True
+        for _, value in self.headers:
+            if b"HTTP/" in value and STATUS_LINE.search(value):
+                return True
+        return False
 
     def _is_for_another(self) -> bool:
         if self.echo is None:
