--- a/agatetack/peers/mesh.py
+++ b/agatetack/peers/mesh.py
@@ -16,6 +16,7 @@
 from agatetack.clock import Clock
 from agatetack.generated.peers import ttypes
 from agatetack.ids import Deadline, FailureDomain, HostId, TargetId
+from agatetack.late import LateModule
 from agatetack.logs import PartLog
 from agatetack.metrics import Metrics
 from agatetack.peers.budget import peers_budget
@@ -44,13 +45,15 @@
 from agatetack.peers.members import MemberTable
 from agatetack.peers.reach import LinkSelector
 from agatetack.peers.relay import MEMBER_TOPIC, Relay, Verdict, without_origin
-from agatetack.peers.reply_flush import ReplyFlush
 from agatetack.peers.transport import make_transport
 from agatetack.settings.model import Settings
 from agatetack.streams import serve_streams, trio_listener
 
 LOG = PartLog("peers")
 
+# Loaded when the host stops.
+reply_flush = LateModule("agatetack.peers.reply_flush")
+
 TakeBytes = Callable[[int, Deadline], bool]
 """Takes bytes from the budget; returns whether they were available."""
 
@@ -234,13 +237,14 @@
     def announce_leaving(self) -> None:
         """Announce to all hosts that this one is leaving."""
         self.identity.leaving = True
+        reply_flush.load()
         for link in self.connector.links.values():
             link.send_heartbeat()
         self._publish_self()
 
     async def flush_replies(self, deadline: Deadline) -> None:
         """Wait until peers have the replies to their calls."""
-        flush = ReplyFlush(self.connector.links, self.clock)
+        flush = reply_flush.ReplyFlush(self.connector.links, self.clock)
         lacking = await flush.run(deadline)
         if lacking:
             LOG.warning(
