--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -403,7 +403,7 @@
 
 # Guards against downloads that a relay holds as their host's process, and its
 # network with it, ends, and that so end before their last byte.
-@pytest.mark.parametrize("seed", [2, 4])
+@pytest.mark.parametrize("seed", [2, 4, 8])
 async def test_downloads_outlast_the_stop_of_their_host(tmp_path, seed):
     build(ROOT)
     site = small_site(hosts=3, per_second=15.0).with_downloads(7.0, 5.0)
