Tell in one place whether a failed send met a reset

Connections to targets and calls to the platform each told a reset from a broken pipe by a check of their own, with the reason beside one of them. Both ask streams.met_reset now, which has the reason.

--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -8,6 +8,7 @@
 import trio
 
 from agatetack.settings.section import Endpoint
+from agatetack.streams import met_reset
 
 if typing.TYPE_CHECKING:
     import httpcore
@@ -110,7 +111,7 @@
         elif event == "http11.send_request_headers.started":
             self.sent = True
         elif event in SEND_FAILURES:
-            self.reset = self.reset or not _is_broken_pipe(info["exception"])
+            self.reset = self.reset or met_reset(info["exception"])
 
 
 class PlatformClient:
@@ -257,15 +258,5 @@
     return joined
 
 
-def _is_broken_pipe(error: BaseException) -> bool:
-    """Return whether a send met a reset that came after the regular end."""
-    cause: BaseException | None = error
-    while cause is not None:
-        if isinstance(cause, BrokenPipeError):
-            return True
-        cause = cause.__cause__
-    return False
-
-
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -75,6 +75,24 @@
     return state == TCP_STATE_CLOSED
 
 
+def met_reset(error: BaseException) -> bool:
+    """Return whether a failed send met a reset before a regular end.
+
+    Linux reports a reset to one call only: the next read gets the bytes before
+    it and then what looks like a regular end. A broken pipe comes from a reset
+    after the regular end.
+
+    Args:
+        error: What the send raised; its causes are looked at as well.
+    """
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, BrokenPipeError):
+            return False
+        cause = cause.__cause__
+    return True
+
+
 class PlainStream(trio.abc.Stream):
     """One connected TCP socket.
 
--- a/agatetack/targets/connection.py
+++ b/agatetack/targets/connection.py
@@ -5,7 +5,7 @@
 import trio
 
 from agatetack.ids import Deadline, RequestId
-from agatetack.streams import PlainStream, open_plain_stream
+from agatetack.streams import PlainStream, met_reset, open_plain_stream
 from agatetack.targets.parser import AnswerParser
 from agatetack.targets.state import TargetState
 
@@ -71,11 +71,7 @@
         try:
             await self.stream.send_all(data)
         except trio.BrokenResourceError as error:
-            # Linux reports a reset to one call only: the next read gets the
-            # bytes before it and then what looks like a regular end. A broken
-            # pipe comes from a reset after the regular end.
-            if not isinstance(error.__cause__, BrokenPipeError):
-                self.was_reset = True
+            self.was_reset = self.was_reset or met_reset(error)
             raise
 
     async def receive_into(self, parser: AnswerParser) -> None:
