Serve cut answers to probes by the stand-in that sends raw bytes

Tests of probes and of looks before a send each had a listener that sends bytes and ends by a reset or in order, which RawTarget does already; the tests of delivery had copies of a handler and of a stop. The assertions, contents and bounds are the same.

Measured: the files' tests pass.

--- a/agatetack/callers/test_delivery_paths.py
+++ b/agatetack/callers/test_delivery_paths.py
@@ -8,10 +8,11 @@
 import trio.testing
 
 from agatetack.callers.delivery import Evidence
-from agatetack.callers.test_connection import Chunks, read_all, statuses
+from agatetack.callers.test_connection import read_all, statuses
+from agatetack.callers.test_delivery import stop
 from agatetack.callers.test_server import (
-    ANSWER_BYTES,
     REQUEST,
+    UnknownLength,
     authority,
     serving,
     tls,
@@ -19,7 +20,6 @@
     written_connections,
 )
 from agatetack.ids import Deadline
-from agatetack.messages import Answer, Handler
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.holding_relay import HoldingRelay
 from agatetack.testing.narrow_stream import open_narrow_stream
@@ -37,13 +37,6 @@
 """Well above the slowest link that the settings name."""
 
 
-class UnknownLength(Handler):
-    """Answers with a body whose length is not known before."""
-
-    async def handle(self, request):
-        return Answer(200, [], Chunks(b"x" * ANSWER_BYTES))
-
-
 async def open_tls(authority, port):
     context = ssl.create_default_context()
     authority.configure_trust(context)
@@ -65,11 +58,6 @@
     return relay, await trio.open_tcp_stream("127.0.0.1", relay_port)
 
 
-def stop(server):
-    server.stop_accepting()
-    server.close_idle()
-
-
 # Guards against a connection over TLS that closes in a drain without a sign to
 # its caller, whose next request is then lost with a reset.
 async def test_an_idle_connection_over_tls_ends_before_a_next_request(
--- a/agatetack/measure/test_http_probe.py
+++ b/agatetack/measure/test_http_probe.py
@@ -3,7 +3,6 @@
 import errno
 import functools
 import os
-import socket
 
 import pytest
 import trio
@@ -12,9 +11,13 @@
 from agatetack.measure.http_probe import HttpProbe
 from agatetack.measure.probe import ProbeFailure
 from agatetack.settings.defaults import default_settings
-from agatetack.streams import LINGER_NONE
 from agatetack.targets.registry import ReportedState
 from agatetack.targets.state import TargetState
+from agatetack.testing.raw_target import (
+    RawTarget,
+    answer_and_end,
+    end_connection,
+)
 
 HEADERS = b"x-target-in-flight: 3\r\nX-Target-Slots: 4\r\n"
 SWITCHING = (
@@ -144,9 +147,7 @@
             await stream.send_all(answer(HEADERS))
         await stream.receive_some()
         await stream.send_all(sent)
-        if reset:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-        await stream.aclose()
+        await end_connection(stream, reset)
 
     async with trio.open_nursery() as nursery:
         serve_all = functools.partial(
@@ -229,21 +230,10 @@
 @pytest.mark.parametrize("reset", [False, True])
 @pytest.mark.parametrize("content", CUT_REPORTS)
 async def test_a_cut_report_is_none(content, reset):
-    async def serve(stream):
-        await stream.receive_some()
-        await stream.send_all(content)
-        await trio.sleep(0.01)
-        if reset:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-        await stream.aclose()
-
     async with trio.open_nursery() as nursery:
-        serve_all = functools.partial(
-            trio.serve_tcp, serve, 0, host="127.0.0.1"
+        target = await nursery.start(
+            RawTarget(answer_and_end(content, reset)).serve
         )
-        listeners = await nursery.start(serve_all)
-        port = listeners[0].socket.getsockname()[1]
-        target = TargetState("t", "s", "127.0.0.1", port, "d")
         probe = HttpProbe(default_settings())
         deadline = Deadline(trio.current_time() + 5)
         result = await probe.probe(target, deadline, 600)
--- a/agatetack/targets/test_presend_probe.py
+++ b/agatetack/targets/test_presend_probe.py
@@ -1,7 +1,6 @@
 """Test the rate of pre-send probes and which responses to them count."""
 
 import contextlib
-import socket
 
 import pytest
 import trio
@@ -10,11 +9,11 @@
 from agatetack.metrics import Metrics
 from agatetack.peers.exchange import NoExchange
 from agatetack.platform.load_header import CommaSeparatedLoadReader
-from agatetack.streams import LINGER_NONE
 from agatetack.targets.load import LoadReader
 from agatetack.targets.pool import TargetPools
 from agatetack.targets.presend_probe import PRE_SEND_PROBE_BURST, PreSendProber
 from agatetack.targets.registry import TargetRegistry
+from agatetack.testing.raw_target import RawTarget, answer_and_end
 from agatetack.testing.store_fleet import template_settings
 from agatetack.testing.targets import SERVICE, started_target
 
@@ -218,19 +217,12 @@
 @pytest.mark.parametrize("reset", [False, True])
 @pytest.mark.parametrize("content", CUT_REPORTS)
 async def test_a_cut_report_is_none(content, reset):
-    async def serve(stream):
-        await stream.receive_some(1000)
-        await stream.send_all(content)
-        await trio.sleep(0.01)
-        if reset:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-        await stream.aclose()
-
     async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        raw = RawTarget(answer_and_end(content, reset))
+        await nursery.start(raw.serve)
         prober, target = make_prober()
         target.ip = "127.0.0.1"
-        target.port = listeners[0].socket.getsockname()[1]
+        target.port = raw.port
         deadline = Deadline(trio.current_time() + 1.0)
         assert await prober.probe(target, deadline) is None
         assert target.report is None
--- a/agatetack/testing/raw_target.py
+++ b/agatetack/testing/raw_target.py
@@ -1,15 +1,20 @@
 """Stand in for a target that sends exactly the bytes a test gives."""
 
 import dataclasses
+import socket
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from agatetack.ids import FailureDomain, ServiceId, TargetId
+from agatetack.streams import LINGER_NONE
 from agatetack.targets.state import TargetState, TargetStatus
 
 LOOPBACK = "127.0.0.1"
 
+END_PAUSE_SECONDS = 0.01
+"""Pause before the end, so that the bytes before it arrive first."""
+
 Script = Callable[[trio.SocketStream, int], Awaitable[None]]
 """Serves one connection; takes its stream and its number, from 0."""
 
@@ -61,6 +66,25 @@
             return
 
 
+async def end_connection(stream: trio.SocketStream, reset: bool) -> None:
+    """Close a connection by a regular end, or by a reset."""
+    if reset:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    await stream.aclose()
+
+
+def answer_and_end(content: bytes, reset: bool) -> Script:
+    """Return a script that answers one request with `content` and ends."""
+
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        await stream.receive_some()
+        await stream.send_all(content)
+        await trio.sleep(END_PAUSE_SECONDS)
+        await end_connection(stream, reset)
+
+    return script
+
+
 class _Reports:
     """Reports the target's state where trio would report the listeners."""
 
