--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -301,9 +301,9 @@
     def has_timed_out(self, now: Deadline) -> bool:
         """Return whether a timeout of this connection has expired."""
         limits = self.settings
+        if self.only_waits:
+            return False
         if self.delivering:
-            if not self.delivery.look():
-                return False
             unchanged = now - self.delivery.changed_at
             return unchanged > limits.write_timeout_seconds
         sending_since = self.writer.sending_since
