Start a host's process for tests in one place

Tests of crowds of clients need the process, store and target that the tests of the daemon start. They move to agatetack/testing; what the platform fills into the settings can be changed, and now includes the machine's memory and descriptors, which no setting reads yet.

--- a/agatetack/test_store_daemon.py
+++ b/agatetack/test_store_daemon.py
@@ -1,53 +1,21 @@
 """Test the daemon in a separate process with a fake store."""
 
-import array
-import contextlib
-import fcntl
 import hashlib
-import os
 import signal
-import subprocess
-import sys
-import termios
 
-import httpcore
-import orjson
 import pytest
 import trio
 
 from agatetack.build_id import running
-from agatetack.testing.fake_target import FakeTarget
+from agatetack.testing.daemon_process import (
+    PATIENCE_SECONDS,
+    ask,
+    running_daemon,
+    wait_ready,
+)
 from agatetack.testing.holding_relay import HoldingRelay
-from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.narrow_stream import open_narrow_stream
-from agatetack.testing.store_fleet import (
-    CONFIGURATION,
-    LOOPBACK,
-    REGISTRATIONS,
-    configuration,
-    registration,
-    route_fields,
-    template_settings,
-    template_text,
-)
-from agatetack.testing.store_server import store_server
-
-PATIENCE_SECONDS = 20
-
-PIPE_BYTES = 4096
-"""Smallest capacity of a pipe."""
-
-LINE_BYTES = 500
-"""More than the length of any log line in these tests."""
-
-
-EXPORT_ROUTE = route_fields(
-    name="route-export",
-    host="export.example",
-    path_prefix="/",
-    route_type="download",
-    timeout="20s",
-)
+from agatetack.testing.store_fleet import LOOPBACK
 
 EXPORT = (
     "GET /export?bytes=%d HTTP/1.1\r\nHost: export.example\r\n"
@@ -55,95 +23,6 @@
 )
 
 
-class Daemon:
-    """A daemon's process and its log lines."""
-
-    def __init__(self, process):
-        self.process = process
-        self.lines = []
-        self.changed = trio.Event()
-        self.may_read = trio.Event()
-        self.may_read.set()
-
-    def pause(self):
-        """Stop reading the output; the kernel buffers at most 4 KB of it."""
-        self.may_read = trio.Event()
-        fcntl.fcntl(self.process.stdout, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
-
-    def is_stalled(self):
-        """Return whether no further line fits into the pipe."""
-        size = array.array("i", [0])
-        fcntl.ioctl(self.process.stdout, termios.FIONREAD, size)
-        return size[0] > PIPE_BYTES - LINE_BYTES
-
-    async def read(self):
-        rest = b""
-        stream = trio.lowlevel.FdStream(os.dup(self.process.stdout.fileno()))
-        async with stream:
-            async for data in stream:
-                await self.may_read.wait()
-                *lines, rest = (rest + data).split(b"\n")
-                self.lines += [orjson.loads(line) for line in lines]
-                self.changed.set()
-                self.changed = trio.Event()
-
-    async def line(self, **fields):
-        """Wait for a line with these fields, and return it."""
-        with trio.fail_after(PATIENCE_SECONDS):
-            while True:
-                for line in self.lines:
-                    if fields.items() <= line.items():
-                        return line
-                await self.changed.wait()
-
-    async def end(self):
-        with trio.fail_after(PATIENCE_SECONDS):
-            while self.process.poll() is None:
-                await trio.sleep(0.02)
-        return self.process.returncode
-
-
-@contextlib.asynccontextmanager
-async def running_daemon(path, change=lambda text: text):
-    store = MemoryStore()
-    async with trio.open_nursery() as nursery:
-        port = await nursery.start(store_server(store).run)
-        target = FakeTarget(template_settings(port))
-        await nursery.start(target.serve)
-        store.append(REGISTRATIONS, target.instance, registration(target))
-        content = configuration(1, route_fields(), EXPORT_ROUTE)
-        store.append(CONFIGURATION, "config", content)
-        path.write_text(change(template_text(port)))
-        process = subprocess.Popen(
-            [sys.executable, "-m", "agatetack", "gateway"],
-            stdout=subprocess.PIPE,
-            env={**os.environ, "AGATETACK_CONFIG": str(path)},
-        )
-        daemon = Daemon(process)
-        try:
-            nursery.start_soon(daemon.read)
-            yield daemon, target
-        finally:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
-            process.stdout.close()
-            nursery.cancel_scope.cancel()
-
-
-async def ask(port, path="/a/x", request_id="r1"):
-    headers = {"host": "a.example", "request-id": request_id}
-    url = f"http://{LOOPBACK}:{port}{path}"
-    async with httpcore.AsyncConnectionPool() as http:
-        return (await http.request("GET", url, headers=headers)).status
-
-
-async def wait_ready(port):
-    with trio.fail_after(PATIENCE_SECONDS):
-        while await ask(port, "/agatetack/readyz") != 200:
-            await trio.sleep(0.02)
-
-
 async def test_it_starts_serves_reloads_and_stops(tmp_path):
     path = tmp_path / "node.yaml"
     async with running_daemon(path) as (daemon, target):
--- a/agatetack/testing/store_fleet.py
+++ b/agatetack/testing/store_fleet.py
@@ -35,6 +35,8 @@
     "listen.control": f"{LOOPBACK}:0",
     "internal_port_range.0": "0",
     "internal_port_range.1": "0",
+    "limits.memory_mb": "300",
+    "limits.max_fds": "4100",
 }
 """What the platform would fill into the template of the settings."""
 
@@ -73,12 +75,23 @@
     return section.sub(lambda _: rows, text)
 
 
-def template_text(store_port: int, name: str = "edge-1") -> str:
-    """Return the settings file that the template gives a host."""
+def template_text(
+    store_port: int,
+    name: str = "edge-1",
+    platform: Mapping[str, str] | None = None,
+) -> str:
+    """Return the settings file that the template gives a host.
+
+    Args:
+        store_port: Where the store listens.
+        name: The host's id.
+        platform: Values that differ from `FILLED`.
+    """
     values = {
         **FILLED,
         "node_name": name,
         "platform.address": f"{LOOPBACK}:{store_port}",
+        **(platform or {}),
     }
     return fill_template(TEMPLATE.read_text(), values)
 
