Count a header's bytes once, and no bytes of the request before

Callers saw 431 and the end of their connection for headers inside the limit: one of 15 KB that came in several reads, or one behind others in the same read.

Cause: one counter took both the fields as they were parsed and the bytes of each read that ended inside a header, so that a header of half the limit in two reads counted twice, and with it the bytes of the requests before it.

The bytes received have a counter of their own with the bound that they had, twice the limit, and the bytes of a read in which another request ended don't count. The fields keep theirs.

--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -105,6 +105,7 @@
         head_since: When the current header began.
         framing_bytes: Bytes received since the last byte of a body.
         came_at: When the bytes that are being parsed came.
+        completed: Whether a request ended in the bytes parsed last.
     """
 
     def __init__(self, max_header_bytes: int, read_more: ReadMore):
@@ -122,7 +123,9 @@
         self.in_head = False
         self.head_since = Deadline(0.0)
         self.head_bytes = 0
+        self.head_received_bytes = 0
         self.head_too_large = False
+        self.completed = False
         self.target = b""
         self.headers: list[Header] = []
         self.in_trailer = False
@@ -146,6 +149,7 @@
         if self.broken:
             return
         self.framing_bytes += len(data)
+        self.completed = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -154,9 +158,11 @@
             self.broken = True
         except httptools.HttpParserError as error:
             self._break(RefusalReason.MALFORMED_REQUEST, str(error))
-        if self.in_head and not self.broken:
-            self.head_bytes += len(data)
-            self.head_too_large |= self.head_bytes > 2 * self.max_header_bytes
+        # Its start may belong to the request before.
+        if self.in_head and not (self.broken or self.completed):
+            self.head_received_bytes += len(data)
+            limit = 2 * self.max_header_bytes
+            self.head_too_large |= self.head_received_bytes > limit
         if self.body is not None and not self.broken:
             # httptools buffers a trailer of any length until its end.
             limit = 2 * self.max_header_bytes
@@ -190,6 +196,7 @@
         self.in_head = True
         self.head_since = Deadline(trio.current_time())
         self.head_bytes = 0
+        self.head_received_bytes = 0
         self.target = b""
         self.headers = []
         self.in_trailer = False
@@ -261,6 +268,7 @@
 
     def on_message_complete(self) -> None:
         """End the request; called by the parser."""
+        self.completed = True
         if self.body is not None:
             self.body.complete = True
             self.body = None
