Join the chunks of a body as they arrive

Callers that sent bodies in chunks of three bytes made a host take 1.1 MB for 63 KB each: the process would have been ended for its memory, and with it the requests of all others.

Cause: a body that is received was a queue of one object for each chunk, and each read added up the sizes of all of them, so that small chunks cost time by their square as well.

What arrives is joined into one buffer. A small body that is read before its request is handled stays in that buffer until it is whole.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -33,7 +33,6 @@
     CallerGone,
     CallerRequest,
     Handler,
-    read_whole,
 )
 from agatetack.metrics import Metrics
 from agatetack.outcomes import Refusal, RefusalReason, refuse
@@ -557,7 +556,7 @@
                 longest = self.settings.max_deadline_seconds
                 deadline = Deadline(parsed.head.arrived + longest)
             with trio.move_on_at(deadline):
-                return await read_whole(body)
+                return BytesBody(await body.receive_whole())
             return refuse(
                 RefusalReason.CANNOT_MEET_DEADLINE,
                 "The body did not come before the deadline.",
--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -31,7 +31,7 @@
         """Expect `length` bytes, or chunks if None."""
         self.length = length
         self.read_more = read_more
-        self.parts: deque[bytes] = deque()
+        self.content = bytearray()
         self.received = 0
         self.complete = False
         self.lost = False
@@ -40,19 +40,21 @@
     @property
     def unread_bytes(self) -> int:
         """Return how many bytes were received but not consumed."""
-        return sum(map(len, self.parts))
+        return len(self.content)
 
     def feed(self, data: bytes) -> None:
         """Add bytes that were received."""
-        self.parts.append(data)
+        # Joined at once, as an object for each small chunk takes many times
+        # the memory of its bytes.
+        self.content += data
         self.received += len(data)
 
     def receive_nowait(self) -> bytes | None:
         """Return the bytes already received, or None."""
-        if not self.parts:
+        if not self.content:
             return None
-        data = b"".join(self.parts)
-        self.parts.clear()
+        data = bytes(self.content)
+        self.content = bytearray()
         return data
 
     async def receive(self) -> bytes:
@@ -63,12 +65,25 @@
                 return data
             if self.complete:
                 return b""
-            if self.lost:
-                raise CallerGone
-            if self.before_first_read is not None:
-                before, self.before_first_read = self.before_first_read, None
-                await before()
-            await self.read_more()
+            await self._read_more()
+
+    async def receive_whole(self) -> bytes:
+        """Return all bytes that are left once the last one has come.
+
+        Raises:
+            CallerGone: The body was cut off.
+        """
+        while not self.complete:
+            await self._read_more()
+        return self.receive_nowait() or b""
+
+    async def _read_more(self) -> None:
+        if self.lost:
+            raise CallerGone
+        if self.before_first_read is not None:
+            before, self.before_first_read = self.before_first_read, None
+            await before()
+        await self.read_more()
 
 
 class ParsedRequest:
--- a/agatetack/callers/streamed_body.py
+++ b/agatetack/callers/streamed_body.py
@@ -162,7 +162,7 @@
             self.content.clear()
         self.content += data
         self.received += len(data)
-        if self.source.complete and not self.source.parts:
+        if self.source.complete and not self.source.unread_bytes:
             self.ended = True
             self.arrived_at = Deadline(trio.current_time())
 
