Keep headers as bytes, and parse what is sent ahead as there is room

Callers that sent requests ahead without reading the answers, or headers of thousands of short fields, made a host take 0.4 MB for a header of 15 KB and 1.2 MB for 3,000 GET on one connection, also where no route matched and at the address that tells readiness.

Cause: all of one read was parsed, up to 2,600 requests, as the bound of 64 that wait was looked at between reads only. Each field became objects of 130 bytes and more as it came, also in a header that was never ended.

A read is parsed in slices of 2 KB, and parsing pauses while 64 requests or 8 KB of headers wait; the rest is kept as bytes, and read on once there is room. A header is one string until its request is handled.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -396,7 +396,7 @@
                 await self._read_for_next_request()
             except CallerGone:
                 return None
-        return self.parser.ready.popleft()
+        return self.parser.next_request()
 
     async def _read_for_next_request(self) -> None:
         """Read once while no request's body is waited for.
@@ -479,7 +479,8 @@
 
     async def _build(self, parsed: ParsedRequest) -> CallerRequest | Refusal:
         head = parsed.head
-        metadata = read_metadata(head, self.settings, self.peer_ip)
+        headers = head.headers()
+        metadata = read_metadata(head, headers, self.settings, self.peer_ip)
         if isinstance(metadata, Failure):
             return metadata.failure()
         found = metadata.unwrap()
@@ -503,7 +504,7 @@
             method=head.method,
             path=found.path,
             host=found.host,
-            headers=strip_hop_by_hop(head.headers),
+            headers=strip_hop_by_hop(headers),
             body=body,
             deadline=deadline,
             key=found.key,
--- a/agatetack/callers/head.py
+++ b/agatetack/callers/head.py
@@ -29,7 +29,9 @@
         method: The HTTP method.
         target: The request target as sent.
         version: The HTTP version, such as `1.1`.
-        headers: All header fields, names in lower case.
+        fields: All header fields, as lines of `name:value` with the name in
+            lower case. Headers of many fields take several times as much
+            memory once they are separated.
         keep_alive: Whether the caller wants the connection kept.
         arrived: When the last header byte came.
     """
@@ -37,10 +39,23 @@
     method: bytes
     target: bytes
     version: str
-    headers: list[Header]
+    fields: bytes
     keep_alive: bool
     arrived: Deadline
 
+    @property
+    def field_count(self) -> int:
+        """Return how many fields there are."""
+        return self.fields.count(b"\n")
+
+    def headers(self) -> list[Header]:
+        """Return the separate fields."""
+        found = []
+        for line in self.fields.split(b"\n")[:-1]:
+            name, _, value = line.partition(b":")
+            found.append(Header(name, value))
+        return found
+
 
 @dataclasses.dataclass(slots=True)
 class RequestMetadata:
@@ -75,21 +90,25 @@
 
 
 def read_metadata(
-    head: RequestHead, settings: CallersSettings, peer_ip: str
+    head: RequestHead,
+    headers: Headers,
+    settings: CallersSettings,
+    peer_ip: str,
 ) -> Result[RequestMetadata, Refusal]:
     """Return a request's destination, or why its header is refused.
 
     Args:
         head: The parsed header.
+        headers: Its fields.
         settings: Names of headers, and bounds of deadlines.
         peer_ip: The caller's IP address, its name if it sends none.
     """
-    destination = _read_destination(head)
+    destination = _read_destination(head, headers)
     if isinstance(destination, Failure):
         return destination
     path, host = destination.unwrap()
     names = settings.headers
-    key = find_header(head.headers, names.idempotency_key.encode())
+    key = find_header(headers, names.idempotency_key.encode())
     if key is not None and not _is_token(key):
         return Failure(
             refuse(
@@ -98,28 +117,30 @@
                 "visible ASCII characters, without spaces.",
             )
         )
-    deadline = _read_deadline(head, settings)
+    deadline = _read_deadline(head, headers, settings)
     if isinstance(deadline, Failure):
         return deadline
     return Success(
         RequestMetadata(
             path=path,
             host=host,
-            request_id=_read_request_id(head, names.request_id.encode()),
-            caller=_read_caller(head, names.caller.encode(), peer_ip),
+            request_id=_read_request_id(headers, names.request_id.encode()),
+            caller=_read_caller(headers, names.caller.encode(), peer_ip),
             key=None if key is None else IdempotencyKey(key.decode()),
             deadline=deadline.unwrap(),
         )
     )
 
 
-def _read_destination(head: RequestHead) -> Result[_Destination, Refusal]:
+def _read_destination(
+    head: RequestHead, headers: Headers
+) -> Result[_Destination, Refusal]:
     """Return the path and host of a request.
 
     Targets and proxies have to see the path that the route was chosen by, so
     requests that can be read in two ways are refused.
     """
-    hosts = [h.value for h in head.headers if h.name == b"host"]
+    hosts = [h.value for h in headers if h.name == b"host"]
     if len(hosts) > 1 or (not hosts and head.version == "1.1"):
         return _malformed("A request needs exactly one Host header.")
     path, host = head.target, hosts[0] if hosts else b""
@@ -143,25 +164,25 @@
     return host.partition(b":")[0]
 
 
-def _read_request_id(head: RequestHead, name: bytes) -> RequestId:
-    value = find_header(head.headers, name)
+def _read_request_id(headers: Headers, name: bytes) -> RequestId:
+    value = find_header(headers, name)
     if value is not None and _is_token(value):
         return RequestId(value.decode())
     return RequestId(unique_name())
 
 
-def _read_caller(head: RequestHead, name: bytes, peer_ip: str) -> CallerId:
-    value = find_header(head.headers, name)
+def _read_caller(headers: Headers, name: bytes, peer_ip: str) -> CallerId:
+    value = find_header(headers, name)
     if value is not None and _is_token(value):
         return CallerId(value.decode())
     return CallerId(peer_ip)
 
 
 def _read_deadline(
-    head: RequestHead, settings: CallersSettings
+    head: RequestHead, headers: Headers, settings: CallersSettings
 ) -> Result[Deadline | None, Refusal]:
     name = settings.headers.deadline_ms
-    value = find_header(head.headers, name.encode())
+    value = find_header(headers, name.encode())
     if value is None:
         return Success(None)
     try:
@@ -177,9 +198,3 @@
         )
     left = min(left_ms / 1000, settings.max_deadline_seconds)
     return Success(Deadline(head.arrived + left))
-
-
-def content_length(headers: Headers) -> int | None:
-    """Return Content-Length, or None; the parser has validated it."""
-    value = find_header(headers, b"content-length")
-    return None if value is None else int(value)
--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -6,12 +6,28 @@
 import httptools
 import trio
 
-from agatetack.callers.head import RequestHead, content_length
+from agatetack.callers.head import RequestHead
 from agatetack.callers.streamed_body import StreamedBody
 from agatetack.ids import Deadline
-from agatetack.messages import Body, CallerGone, Header
+from agatetack.messages import Body, CallerGone
 from agatetack.outcomes import Refusal, RefusalReason, refuse
 
+MAX_READ_AHEAD_REQUESTS = 64
+"""Maximum of requests parsed but not started; then parsing pauses."""
+
+MAX_READ_AHEAD_HEADER_BYTES = 8 * 1024
+"""Maximum size of their headers; then parsing pauses. A header of this size may
+have thousands of fields, which take milliseconds."""
+
+SLICE_BYTES = 2048
+"""Most bytes that are parsed between two checks of these maximums.
+
+The body of a request whose length is known is parsed at once.
+"""
+
+WAITING_REQUEST_BYTES = 2048
+"""Memory of a request that waits, without its header and body."""
+
 ReadMore = Callable[[], Awaitable[None]]
 """Reads once from the caller and feeds the bytes to the parser."""
 
@@ -95,6 +111,7 @@
         refusal: Why it is refused before it is handled, or None.
         expects_continue: Whether the caller waits for `100 Continue`.
         streamed: The body that the handler reads while it arrives, or None.
+        handed_bytes: Memory of what the handler was given and has returned.
     """
 
     def __init__(
@@ -109,6 +126,17 @@
         self.refusal = refusal
         self.expects_continue = False
         self.streamed: StreamedBody | None = None
+        self.handed_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much memory the request takes."""
+        held = WAITING_REQUEST_BYTES + self.handed_bytes
+        if self.head is not None:
+            held += len(self.head.fields) + self.body.unread_bytes
+        if self.streamed is not None:
+            held += self.streamed.reserved
+        return held
 
 
 class RequestParser:
@@ -116,11 +144,15 @@
 
     Attributes:
         ready: Requests whose header is complete, oldest first.
+        ready_header_bytes: Size of their headers.
+        ready_body_bytes: What was received of their bodies.
+        pending: Bytes that are parsed once there is room in `ready`.
         broken: Whether no more requests can be read.
+        dropped: Whether that is so as what was received was discarded.
         head_since: When the current header began.
         framing_bytes: Bytes received since the last byte of a body.
         came_at: When the bytes that are being parsed came.
-        completed: Whether a request ended in the bytes parsed last.
+        completed: Whether a request ended in the last slice.
     """
 
     def __init__(self, max_header_bytes: int, read_more: ReadMore):
@@ -133,7 +165,11 @@
         self.read_more = read_more
         self.max_header_bytes = max_header_bytes
         self.ready: deque[ParsedRequest] = deque()
+        self.ready_header_bytes = 0
+        self.ready_body_bytes = 0
+        self.pending = b""
         self.broken = False
+        self.dropped = False
         self.parser = httptools.HttpRequestParser(self)
         self.in_head = False
         self.head_since = Deadline(0.0)
@@ -142,7 +178,10 @@
         self.head_too_large = False
         self.completed = False
         self.target = b""
-        self.headers: list[Header] = []
+        self.fields = bytearray()
+        self.content_length: int | None = None
+        self.transfer_coding: bytes | None = None
+        self.expects_continue = False
         self.in_trailer = False
         self.framing_bytes = 0
         self.came_at = Deadline(0.0)
@@ -151,7 +190,52 @@
     @property
     def idle(self) -> bool:
         """Return whether no request is being received."""
-        return not self.in_head and self.body is None
+        return not (self.in_head or self.pending) and self.body is None
+
+    @property
+    def full(self) -> bool:
+        """Return whether as many requests wait as may."""
+        return (
+            len(self.ready) >= MAX_READ_AHEAD_REQUESTS
+            or self.ready_header_bytes >= MAX_READ_AHEAD_HEADER_BYTES
+        )
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much memory is taken by what was not taken from here."""
+        held = len(self.pending) + len(self.fields) + self.ready_body_bytes
+        held += len(self.ready) * WAITING_REQUEST_BYTES
+        return held + self.ready_header_bytes
+
+    def next_request(self) -> ParsedRequest:
+        """Take the oldest request from `ready`, and parse what has waited."""
+        request = self.ready.popleft()
+        if request.head is not None:
+            self.ready_header_bytes -= len(request.head.fields)
+            self.ready_body_bytes -= request.body.received
+        if self.pending:
+            self._parse()
+        return request
+
+    def drop(self) -> None:
+        """Discard what was received; no more requests can be read."""
+        self.broken = self.dropped = True
+        self.drop_ready()
+        self.fields = bytearray()
+        if self.body is not None:
+            self.body.content = bytearray()
+
+    def close(self) -> None:
+        """Discard what was received, and release the connection."""
+        self.end()
+        self.drop()
+        self.parser = self.read_more = None
+
+    def drop_ready(self) -> None:
+        """Discard the requests that wait."""
+        self.ready.clear()
+        self.ready_header_bytes = self.ready_body_bytes = 0
+        self.pending = b""
 
     def feed(self, data: bytes, came_at: Deadline | None = None) -> None:
         """Parse received bytes; requests appear in `ready`.
@@ -163,6 +247,25 @@
         self.came_at = came_at or Deadline(trio.current_time())
         if self.broken:
             return
+        self.pending = self.pending + data if self.pending else data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse what is pending while there is room for requests."""
+        data, position = memoryview(self.pending), 0
+        while position < len(data) and not (self.full or self.broken):
+            end = position + self._slice_bytes()
+            self._parse_slice(data[position:end])
+            position = end
+        self.pending = b"" if self.broken else bytes(data[position:])
+
+    def _slice_bytes(self) -> int:
+        """Return how many bytes may be parsed without another check."""
+        if self.body is None or self.body.length is None:
+            return SLICE_BYTES
+        return max(SLICE_BYTES, self.body.length - self.body.received)
+
+    def _parse_slice(self, data: memoryview) -> None:
         self.framing_bytes += len(data)
         self.completed = False
         try:
@@ -173,14 +276,13 @@
             self.broken = True
         except httptools.HttpParserError as error:
             self._break(RefusalReason.MALFORMED_REQUEST, str(error))
-        # Its start may belong to the request before.
+        limit = 2 * self.max_header_bytes
+        # The start of a slice may belong to the request before.
         if self.in_head and not (self.broken or self.completed):
             self.head_received_bytes += len(data)
-            limit = 2 * self.max_header_bytes
             self.head_too_large |= self.head_received_bytes > limit
         if self.body is not None and not self.broken:
             # httptools buffers a trailer of any length until its end.
-            limit = 2 * self.max_header_bytes
             self.head_too_large |= self.framing_bytes > limit
         if self.head_too_large:
             self._break_too_large()
@@ -213,7 +315,10 @@
         self.head_bytes = 0
         self.head_received_bytes = 0
         self.target = b""
-        self.headers = []
+        self.fields = bytearray()
+        self.content_length = None
+        self.transfer_coding = None
+        self.expects_continue = False
         self.in_trailer = False
 
     def on_url(self, url: bytes) -> None:
@@ -224,8 +329,18 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; called by the parser."""
         self._count_head_bytes(len(name) + len(value) + 4)
-        if not self.in_trailer:
-            self.headers.append(Header(name.lower(), value))
+        if self.in_trailer or self.head_too_large:
+            return
+        name = name.lower()
+        self.fields += b"%b:%b\n" % (name, value)
+        if name == b"content-length":
+            # The parser has validated it.
+            self.content_length = int(value)
+        elif name == b"transfer-encoding":
+            if self.transfer_coding is None:
+                self.transfer_coding = value.strip().lower()
+        elif name == b"expect":
+            self.expects_continue |= value.lower() == b"100-continue"
 
     def _count_head_bytes(self, size: int) -> None:
         self.head_bytes += size
@@ -252,16 +367,16 @@
             method=self.parser.get_method(),
             target=self.target,
             version=self.parser.get_http_version(),
-            headers=self.headers,
+            fields=bytes(self.fields),
             keep_alive=self.parser.should_keep_alive(),
             arrived=self.came_at,
         )
-        self.body = RequestBody(content_length(self.headers), self.read_more)
+        self.fields = bytearray()
+        self.body = RequestBody(self.content_length, self.read_more)
         request = ParsedRequest(head, self.body)
-        for name, value in self.headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                request.expects_continue = True
+        request.expects_continue = self.expects_continue
         self.ready.append(request)
+        self.ready_header_bytes += len(head.fields)
 
     def _has_unambiguous_framing(self) -> bool:
         """Return whether all parsers agree on where the body ends.
@@ -269,16 +384,18 @@
         httptools assumes no body for an unknown transfer coding, and other
         parsers may not (RFC 9112, 6.1).
         """
-        for name, value in self.headers:
-            if name == b"transfer-encoding":
-                version = self.parser.get_http_version()
-                return value.strip().lower() == b"chunked" and version == "1.1"
-        return True
+        if self.transfer_coding is None:
+            return True
+        version = self.parser.get_http_version()
+        return self.transfer_coding == b"chunked" and version == "1.1"
 
     def on_body(self, data: bytes) -> None:
         """Add body bytes; called by the parser."""
         if self.body is not None:
             self.body.feed(data)
+            if self.ready:
+                # Otherwise, its request was taken already.
+                self.ready_body_bytes += len(data)
             self.framing_bytes = 0
 
     def on_message_complete(self) -> None:
--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -17,9 +17,6 @@
 """Methods whose requests may start before earlier ones are answered
 (RFC 9112, 9.3.2)."""
 
-MAX_READ_AHEAD_REQUESTS = 64
-"""Maximum of requests read but not started; then reading pauses."""
-
 MAX_READ_AHEAD_BYTES = 64 * 1024
 """Maximum of body bytes read but not consumed; then reading pauses.
 
@@ -116,11 +113,11 @@
     def _drop_if_gone(self) -> None:
         """Drop the waiting requests of a caller that has gone."""
         if self._is_gone() and self.parser.ready:
-            self.parser.ready.clear()
+            self.parser.drop_ready()
             self.metrics.refused(None, RefusalReason.CALLER_GONE)
 
     def _is_full(self) -> bool:
-        if len(self.parser.ready) >= MAX_READ_AHEAD_REQUESTS:
+        if self.parser.full or self.parser.pending:
             return True
         body = self.parser.body
         return body is not None and body.unread_bytes >= MAX_READ_AHEAD_BYTES
--- a/agatetack/callers/test_read_ahead.py
+++ b/agatetack/callers/test_read_ahead.py
@@ -6,10 +6,8 @@
 import trio
 import trio.testing
 
-from agatetack.callers.read_ahead import (
-    MAX_READ_AHEAD_REQUESTS,
-    ReadAheadConnection,
-)
+from agatetack.callers.parser import MAX_READ_AHEAD_REQUESTS
+from agatetack.callers.read_ahead import ReadAheadConnection
 from agatetack.callers.test_connection import Chunks, Echo, statuses
 from agatetack.callers.test_server import serving
 from agatetack.messages import Answer, AnswerCut, BytesBody, Handler
