--- a/agatetack/streams.py
+++ b/agatetack/streams.py
@@ -19,6 +19,16 @@
 from agatetack.listeners import take_listener
 from agatetack.logs import PartLog
 
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Size of the kernel's buffer for what an accepted connection has received.
+
+Linux takes twice as much, and would let it grow to megabytes for a caller that
+sends while nothing is read from its connection.
+"""
+
+PENDING_BUFFER_BYTES = 16 * 1024
+"""The same for a connection that is not accepted yet; a thousand may wait."""
+
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after accept failed, for example for lack of file descriptors."""
 
@@ -93,6 +103,15 @@
     return True
 
 
+def _set_receive_buffer(sock: socket.socket, size: int) -> None:
+    """Set the size of the kernel's buffer for received bytes.
+
+    A caller that has gone meanwhile is noticed at the first read.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 class PlainStream(trio.abc.Stream):
     """One connected TCP socket.
 
@@ -283,6 +302,8 @@
             OSError: The address can't be listened on.
         """
         self.sock = take_listener(ip, port, backlog)
+        # Connections inherit it.
+        _set_receive_buffer(self.sock, PENDING_BUFFER_BYTES)
         self.port = self.sock.getsockname()[1]
 
     async def accept(self) -> PlainStream:
@@ -308,6 +329,7 @@
         except (BlockingIOError, ConnectionAbortedError):
             return None
         sock.setblocking(False)
+        _set_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
         return PlainStream(sock)
 
     def close(self) -> None:
