Bound the memory that all callers of a host take together

Crowds of callers inside all limits took the memory of a host: bodies and headers that lack their end, large headers ahead of unread answers, answers that are not read, at any path. The process would have been ended, and with it the requests of ordinary callers.

Cause: nothing owned that memory. Bodies that are read before their request is handled, separated headers, requests ahead and answers that wait for their caller were bounded for each connection only. An ended connection kept its content until a collection, as its parser and it refer to each other.

One owner charges connections what they hold, at all listeners for callers. Beyond a share of the host's memory (`callers.memory_ratio` of `host.memory_mb` less `host.reserved_memory_mb`) those go first that wait for their caller and have held most for longest. A request whose body is still read is refused with 503 `memory-short`, not run; a new request for which there is no room likewise. Connections that read on what was sent ahead take turns, so that headers of thousands of fields don't keep the loop. A setting that leaves less than one whole request is an error. BodyTooLarge and BoundedBody move to streamed_body.py, as a start may load no more modules.

--- a/agatetack/attempts/single.py
+++ b/agatetack/attempts/single.py
@@ -90,6 +90,11 @@
         self.complete_result = complete_result
         self.released = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of it are in memory."""
+        return self.body.held_bytes
+
     def receive_nowait(self) -> bytes | None:
         """Return bytes that have arrived already, or None."""
         return self.body.receive_nowait()
--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -7,20 +7,28 @@
 import trio
 from returns.result import Failure
 
-from agatetack.callers.bounded import (
-    BodyTooLarge,
-    BoundedBody,
-    body_too_large_refusal,
-)
 from agatetack.callers.delivery import Delivery
 from agatetack.callers.head import read_metadata
+from agatetack.callers.memory import (
+    CONNECTION_BYTES,
+    CallerMemory,
+    MemoryHolder,
+    Stage,
+    request_bytes,
+)
 from agatetack.callers.parser import (
     ParsedRequest,
     RequestBody,
     RequestParser,
 )
 from agatetack.callers.problem import refusal_answer
-from agatetack.callers.streamed_body import KeptBodies, StreamedBody
+from agatetack.callers.streamed_body import (
+    BodyTooLarge,
+    BoundedBody,
+    KeptBodies,
+    StreamedBody,
+    body_too_large_refusal,
+)
 from agatetack.callers.writer import CONTINUE, AnswerWriter
 from agatetack.decisions import DecisionLog
 from agatetack.headers import strip_hop_by_hop
@@ -54,6 +62,9 @@
 """Maximum time to send `100 Continue`; a caller that takes no byte for longer
 has gone."""
 
+STALL_SECONDS = 1.0
+"""A caller that has taken no byte of an answer for longer doesn't read it."""
+
 UNPARSED_ID = RequestId("-")
 """The id of a request whose header could not be read."""
 
@@ -71,7 +82,7 @@
     CANCELLED = "cancelled"
 
 
-class CallerConnection:
+class CallerConnection(MemoryHolder):
     """One caller's connection, served by one task.
 
     Bytes are read only on demand, so TCP flow control slows down a caller
@@ -88,6 +99,10 @@
         transport: The TCP stream below, also under TLS; None in tests.
         aborted: Whether the connection ends with a reset.
         last_request: The id of the last request whose header was read.
+        started: Requests taken from the parser and not answered yet.
+        progress_at: When the connection was opened, or the last request
+            on it was complete.
+        served: Whether an answer was written.
     """
 
     def __init__(
@@ -98,6 +113,7 @@
         handler: Handler,
         metrics: Metrics,
         kept_bodies: KeptBodies | None = None,
+        memory: CallerMemory | None = None,
     ):
         """Serve `stream` with `handler`.
 
@@ -109,7 +125,9 @@
             metrics: Where refusals are counted.
             kept_bodies: The host's memory for bodies that are streamed; as
                 much as the settings allow for this connection alone if None.
+            memory: The host's memory for callers; no bound if None.
         """
+        self.memory = memory
         self.kept_bodies = kept_bodies or KeptBodies(settings, metrics)
         self.stream = stream
         self.peer_ip = peer_ip
@@ -135,7 +153,11 @@
         self.idle_since = Deadline(trio.current_time())
         self.last_byte_at = self.idle_since
         self.reading = False
+        self.started: list[ParsedRequest] = []
+        self.progress_at = self.idle_since
+        self.served = False
         self.body_read_scope = trio.CancelScope()
+        self.buffering_scope: trio.CancelScope | None = None
         self.scope = trio.CancelScope()
         self.delivery_scope = trio.CancelScope()
 
@@ -146,6 +168,8 @@
 
         If the caller is lost, everything that runs for it is cancelled.
         """
+        if self.memory is not None:
+            self.memory.add(self)
         try:
             with self.scope:
                 await self._serve_requests()
@@ -167,6 +191,11 @@
             if self.transport is not None:
                 # A stream whose TLS has ended no longer closes it.
                 self.transport.close()
+            # The parser refers to the connection, so that only the collector
+            # would release what it holds.
+            self.parser.close()
+            if self.memory is not None:
+                self.memory.remove(self)
 
     async def _serve_requests(self) -> None:
         await self._answer_all()
@@ -307,6 +336,7 @@
             return unchanged > limits.write_timeout_seconds
         sending_since = self.writer.sending_since
         if sending_since is not None:
+            self.delivery.look()
             return now - sending_since > limits.write_timeout_seconds
         if self.parser.in_head:
             since = self.parser.head_since
@@ -352,6 +382,55 @@
         self.scope.cancel()
         self.delivery_scope.cancel()
 
+    def _charge(self) -> None:
+        """Count the memory that the connection takes now."""
+        if self.memory is not None:
+            self.memory.charge(self, self._held_bytes())
+
+    def _held_bytes(self) -> int:
+        held = CONNECTION_BYTES + self.parser.held_bytes
+        for parsed in self.started:
+            held += parsed.held_bytes
+        return held
+
+    def memory_stage(self) -> Stage:
+        """Return what the connection waits for."""
+        if not self.busy or any(
+            parsed.body is not None and not parsed.body.complete
+            for parsed in self.started
+        ):
+            return Stage.CALLER
+        stalled_at = trio.current_time() - STALL_SECONDS
+        sending_since = self.writer.sending_since
+        if sending_since is None or sending_since > stalled_at:
+            return Stage.HOST
+        stalled = self.delivery.changed_at <= stalled_at
+        return Stage.CALLER if stalled else Stage.HOST
+
+    def unchanged_since(self) -> Deadline:
+        """Return when it last came further with a request."""
+        if self.writer.sending_since is not None:
+            return max(self.writer.sending_since, self.delivery.changed_at)
+        return self.progress_at
+
+    def release_memory(self) -> None:
+        """Discard what was received, and refuse the request or close.
+
+        A request whose body is read before it is handled is refused. Anything
+        else may have run, or its header is not complete.
+        """
+        self.parser.drop()
+        if self.buffering_scope is not None:
+            self.buffering_scope.cancel()
+            return
+        self.evict()
+
+    def evict(self) -> None:
+        """Reset the connection for the sake of others."""
+        if self.memory is not None:
+            self.memory.remove(self)
+        self.abort()
+
     async def _read_more(self) -> None:
         """Read once and parse the bytes received.
 
@@ -385,6 +464,7 @@
         transport = self.transport
         waited = 0.0 if transport is None else transport.seconds_since_data()
         self.parser.feed(data, Deadline(now - waited))
+        self._charge()
 
     async def _next_request(self) -> ParsedRequest | None:
         while not self.parser.ready:
@@ -396,7 +476,24 @@
                 await self._read_for_next_request()
             except CallerGone:
                 return None
-        return self.parser.next_request()
+        if self.parser.pending:
+            await self._wait_for_turn()
+        if not self.parser.ready:
+            # It was discarded meanwhile.
+            return await self._next_request()
+        parsed = self.parser.next_request()
+        self.started.append(parsed)
+        return parsed
+
+    async def _wait_for_turn(self) -> None:
+        """Let one connection a time parse on what was sent ahead.
+
+        Each gives way to all others once. Otherwise, many that are full would
+        keep the event loop from connections with a single request.
+        """
+        if self.memory is not None:
+            async with self.memory.parsing:
+                await trio.lowlevel.checkpoint()
 
     async def _read_for_next_request(self) -> None:
         """Read once while no request's body is waited for.
@@ -445,6 +542,8 @@
         """
         try:
             answer = await self._make_answer(parsed)
+            parsed.handed_bytes += answer.body.held_bytes
+            self._charge()
             if turn is not None:
                 await _wait_turn(turn, answer)
             self.answered = False
@@ -460,6 +559,9 @@
         finally:
             if parsed.streamed is not None:
                 parsed.streamed.forget()
+            self.started.remove(parsed)
+            self.progress_at = Deadline(trio.current_time())
+            self._charge()
 
     async def _make_answer(self, parsed: ParsedRequest) -> Answer:
         """Return the handler's answer, or the refusal of a request."""
@@ -479,6 +581,10 @@
 
     async def _build(self, parsed: ParsedRequest) -> CallerRequest | Refusal:
         head = parsed.head
+        taken = request_bytes(len(head.fields), head.field_count)
+        if not self._admits(taken):
+            return _memory_short_refusal()
+        parsed.handed_bytes = taken
         headers = head.headers()
         metadata = read_metadata(head, headers, self.settings, self.peer_ip)
         if isinstance(metadata, Failure):
@@ -493,6 +599,10 @@
         body = await self._buffer_body(parsed, found.deadline)
         if isinstance(body, Refusal):
             return body
+        if isinstance(body, BytesBody):
+            parsed.handed_bytes += body.length
+        self.progress_at = Deadline(trio.current_time())
+        self._charge()
         deadline = found.deadline
         if deadline is None:
             deadline = Deadline(
@@ -512,6 +622,11 @@
             deadline_given=found.deadline is not None,
         )
 
+    def _admits(self, taken_bytes: int) -> bool:
+        """Return whether the host has memory to handle another request."""
+        memory = self.memory
+        return memory is None or memory.admit(self, taken_bytes)
+
     async def _send_continue(self) -> None:
         """Tell a caller that waits for it to send the body.
 
@@ -538,7 +653,8 @@
             deadline: When the caller gives up; None for the longest deadline.
 
         Returns:
-            A refusal if the body did not arrive by the deadline.
+            A refusal if the body did not arrive by the deadline, or the host
+            has no memory for it.
         """
         body = parsed.body
         if self._is_streamed(body):
@@ -556,8 +672,13 @@
             if deadline is None:
                 longest = self.settings.max_deadline_seconds
                 deadline = Deadline(parsed.head.arrived + longest)
-            with trio.move_on_at(deadline):
-                return BytesBody(await body.receive_whole())
+            with trio.move_on_at(deadline) as self.buffering_scope:
+                try:
+                    return BytesBody(await body.receive_whole())
+                finally:
+                    self.buffering_scope = None
+            if self.parser.dropped:
+                return _memory_short_refusal()
             return refuse(
                 RefusalReason.CANNOT_MEET_DEADLINE,
                 "The body did not come before the deadline.",
@@ -588,7 +709,7 @@
             keep = await self.writer.write(
                 answer, method, version, self._closes_connection(parsed)
             )
-            self.answered = True
+            self.answered = self.served = True
             return keep
         except AnswerCut:
             self.metrics.refused(answer.route, RefusalReason.ANSWER_CUT)
@@ -614,6 +735,15 @@
         return True
 
 
+def _memory_short_refusal() -> Refusal:
+    return refuse(
+        RefusalReason.MEMORY_SHORT,
+        "This host has no memory left for the request.",
+        # Another host may have some at once.
+        retry_at=Deadline(trio.current_time()),
+    )
+
+
 async def _wait_turn(turn: trio.Event, answer: Answer) -> None:
     """Wait for `turn`; close the answer if the wait is cancelled."""
     try:
--- a/agatetack/callers/read_ahead.py
+++ b/agatetack/callers/read_ahead.py
@@ -12,6 +12,7 @@
 from agatetack.ids import Deadline
 from agatetack.messages import CallerGone
 from agatetack.outcomes import RefusalReason
+from agatetack.streams import RECEIVE_BUFFER_BYTES
 
 SAFE_METHODS = frozenset({b"GET", b"HEAD"})
 """Methods whose requests may start before earlier ones are answered
@@ -122,6 +123,13 @@
         body = self.parser.body
         return body is not None and body.unread_bytes >= MAX_READ_AHEAD_BYTES
 
+    def _held_bytes(self) -> int:
+        held = super()._held_bytes()
+        if self._is_full():
+            # The kernel may hold as much while nothing is read.
+            held += 2 * RECEIVE_BUFFER_BYTES
+        return held
+
     async def _next_request(self) -> ParsedRequest | None:
         parsed = await super()._next_request()
         if not self._is_full():
--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -6,6 +6,7 @@
 import trio
 
 from agatetack.callers.connection import CallerConnection, reap_connections
+from agatetack.callers.memory import CallerMemory
 from agatetack.callers.read_ahead import ReadAheadConnection
 from agatetack.callers.streamed_body import KeptBodies
 from agatetack.ids import Deadline
@@ -47,8 +48,18 @@
         handler: Handler,
         metrics: Metrics,
         tls: "ServerTls | None" = None,
+        memory: CallerMemory | None = None,
     ):
-        """Serve callers with `handler`, over TLS if `tls` is given."""
+        """Serve callers with `handler`.
+
+        Args:
+            settings: The host's settings.
+            handler: Handles the requests.
+            metrics: Where refusals are counted.
+            tls: For connections over TLS; None for plain ones.
+            memory: The host's memory for callers; no bound if None.
+        """
+        self.memory = memory
         self.settings = settings
         self.handler = handler
         self.metrics = metrics
@@ -134,6 +145,7 @@
             self.handler,
             self.metrics,
             self.kept_bodies,
+            self.memory,
         )
         connection.closing = self.closing
         self.connections.add(connection)
--- a/agatetack/callers/test_streamed_body.py
+++ b/agatetack/callers/test_streamed_body.py
@@ -6,7 +6,6 @@
 import trio.testing
 from hypothesis import strategies as st
 
-from agatetack.callers.bounded import BodyTooLarge
 from agatetack.callers.parser import RequestBody
 from agatetack.callers.read_ahead import (
     MAX_READ_AHEAD_BYTES,
@@ -15,6 +14,7 @@
 from agatetack.callers.server import CallerServer
 from agatetack.callers.streamed_body import (
     BodyNotKept,
+    BodyTooLarge,
     KeptBodies,
     StreamedBody,
 )
--- a/agatetack/download/resume.py
+++ b/agatetack/download/resume.py
@@ -80,6 +80,11 @@
         self.position = 0
         self.resumes_without_progress = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of it are in memory."""
+        return self.body.held_bytes
+
     def receive_nowait(self) -> bytes | None:
         """Return the bytes already received, or None."""
         data = self.body.receive_nowait()
@@ -241,6 +246,11 @@
         self.prefix = prefix
         self.body = body
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of it are in memory."""
+        return len(self.prefix) + self.body.held_bytes
+
     async def receive(self) -> bytes:
         """Return the prefix, then the bytes of the body."""
         if self.prefix:
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -18,6 +18,7 @@
 from agatetack.balance.rate_share import RateShare
 from agatetack.balance.start_share import StartShare
 from agatetack.balance.target_share import CombinedShares
+from agatetack.callers.memory import CallerMemory
 from agatetack.callers.server import CallerServer
 from agatetack.clock import Clock, Lateness, LatenessMeter, SystemClock
 from agatetack.config.route import RequestClass, RouteSource
@@ -104,6 +105,7 @@
         registry: The known targets and their state.
         lifecycle: The host's phase, from start to drain and exit.
         callers: The server for callers.
+        caller_memory: The memory of all connections of callers.
         stops: Receives a value for each stop request, by signal or operator.
         accounts: Identifies client accounts, or None.
         quotas: Limits the requests of client accounts, or None.
@@ -322,11 +324,13 @@
             self.callers_tls = tls.ServerTls(
                 settings.callers.tls, "callers", metrics
             )
+        self.caller_memory = CallerMemory(settings, metrics)
         self.callers = CallerServer(
             settings,
             TrackingHandler(self.dispatcher, self.lifecycle.in_flight),
             metrics,
             self.callers_tls,
+            self.caller_memory,
         )
         self.lifecycle.on_leaving(self.peers.announce_leaving)
         self.lifecycle.on_closing(self.callers.stop_accepting)
--- a/agatetack/lifecycle/in_flight.py
+++ b/agatetack/lifecycle/in_flight.py
@@ -142,6 +142,11 @@
         """Return the announced length in bytes, or None."""
         return self.body.length
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of it are in memory."""
+        return self.body.held_bytes
+
     def receive_nowait(self) -> bytes | None:
         """Return the bytes already received, or None."""
         return self.body.receive_nowait()
--- a/agatetack/lifecycle/status.py
+++ b/agatetack/lifecycle/status.py
@@ -5,6 +5,7 @@
 import trio
 from aioprometheus.formats.text import TEXT_CONTENT_TYPE, TextFormatter
 
+from agatetack.callers.memory import CallerMemory
 from agatetack.callers.server import CallerServer
 from agatetack.lifecycle.drain import Lifecycle
 from agatetack.messages import (
@@ -86,11 +87,27 @@
 
 
 def status_server(
-    settings: Settings, listen: Endpoint, handler: Handler, metrics: Metrics
+    settings: Settings,
+    listen: Endpoint,
+    handler: Handler,
+    metrics: Metrics,
+    memory: CallerMemory,
 ) -> CallerServer:
-    """Return a plain HTTP server at `listen`."""
+    """Return a plain HTTP server at `listen`.
+
+    Args:
+        settings: The host's settings.
+        listen: Where it listens.
+        handler: Handles the requests.
+        metrics: Where refusals are counted.
+        memory: The host's memory for callers.
+    """
     callers = settings.callers.copy_with(
-        {"listen": listen, "pipeline_depth": 1, "end_means_gone": False}
+        {
+            "listen": listen,
+            "pipeline_depth": 1,
+            "end_means_gone": False,
+        }
     )
     own = settings.copy_with({"callers": callers})
-    return CallerServer(own, handler, metrics)
+    return CallerServer(own, handler, metrics, memory=memory)
--- a/agatetack/messages.py
+++ b/agatetack/messages.py
@@ -73,6 +73,11 @@
         """Return whether all of it can be read at once, any number of times."""
         return False
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of it are in memory until it is closed."""
+        return 0
+
     def reader(self) -> "Body":
         """Return a body that reads this one from its first byte."""
         return self
@@ -149,6 +154,11 @@
         """Return True."""
         return True
 
+    @property
+    def held_bytes(self) -> int:
+        """Return its length."""
+        return self.length
+
     async def hold(self) -> bytes:
         """Return all bytes."""
         return self.content
--- a/agatetack/outcomes.py
+++ b/agatetack/outcomes.py
@@ -28,6 +28,7 @@
     CONFIGURATION_UNPROVEN = "configuration-unproven"
     QUOTA_EXCEEDED = "quota-exceeded"
     OVERLOADED = "overloaded"
+    MEMORY_SHORT = "memory-short"
     BODY_TOO_LARGE = "body-too-large"
     HEADERS_TOO_LARGE = "headers-too-large"
     DEADLINE_INVALID = "deadline-invalid"
@@ -94,6 +95,7 @@
     RefusalReason.CONFIGURATION_UNPROVEN: ReasonRule(503, Outcome.NOT_RUN),
     RefusalReason.QUOTA_EXCEEDED: ReasonRule(429, Outcome.NOT_RUN),
     RefusalReason.OVERLOADED: ReasonRule(503, Outcome.NOT_RUN),
+    RefusalReason.MEMORY_SHORT: ReasonRule(503, Outcome.NOT_RUN),
     RefusalReason.BODY_TOO_LARGE: ReasonRule(413, Outcome.NOT_RUN),
     RefusalReason.HEADERS_TOO_LARGE: ReasonRule(431, Outcome.NOT_RUN),
     RefusalReason.DEADLINE_INVALID: ReasonRule(400, Outcome.NOT_RUN),
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -8,13 +8,13 @@
 import trio
 from returns.result import Failure, Result
 
-from agatetack.callers.bounded import (
+from agatetack.callers.problem import refusal_answer, refusal_status
+from agatetack.callers.streamed_body import (
     BodyTooLarge,
     BoundedBody,
+    StreamedBody,
     body_too_large_refusal,
 )
-from agatetack.callers.problem import refusal_answer, refusal_status
-from agatetack.callers.streamed_body import StreamedBody
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.decisions import DecisionLog, Importance
 from agatetack.ids import Deadline
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -5,9 +5,12 @@
 import trio
 from returns.result import Failure, Success
 
-from agatetack.callers.bounded import BodyTooLarge
 from agatetack.callers.parser import RequestBody
-from agatetack.callers.streamed_body import KeptBodies, StreamedBody
+from agatetack.callers.streamed_body import (
+    BodyTooLarge,
+    KeptBodies,
+    StreamedBody,
+)
 from agatetack.clock import Lateness
 from agatetack.config.route import (
     RequestClass,
--- a/agatetack/settings/cross_checks.py
+++ b/agatetack/settings/cross_checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
+from agatetack.callers.memory import caller_memory_bytes, largest_request_bytes
 from agatetack.settings.findings import KeyPath, Severity
 from agatetack.settings.misfit import Misfit, path, value_at
 from agatetack.settings.model import Endpoint, Settings
@@ -50,6 +51,7 @@
     """Yield all settings that do not fit together."""
     yield from check_orders(settings)
     yield from check_strict_orders(settings)
+    yield from _check_host_limits(settings)
     yield from _check_snapshots(settings)
     yield from _check_measuring(settings)
     yield from _check_hedges(settings)
@@ -61,6 +63,17 @@
     yield from _check_tokens(settings)
 
 
+def _check_host_limits(settings: Settings) -> Iterator[Misfit]:
+    host = settings.host
+    largest = largest_request_bytes(settings)
+    if host.memory_mb is not None and caller_memory_bytes(settings) < largest:
+        yield Misfit(
+            (path("host.memory_mb"), path("callers.memory_ratio")),
+            f"leaves callers less than the {largest} bytes that one request"
+            " may take",
+        )
+
+
 def _check_snapshots(settings: Settings) -> Iterator[Misfit]:
     config = settings.config
     retention = settings.platform.log.retention_seconds
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -32,6 +32,8 @@
     failure_domain: Name
     region: Name
     regions: dict[str, Name]
+    memory_mb: Count | None
+    reserved_memory_mb: Count
 
 
 class CallerHeaders(Section):
@@ -59,6 +61,7 @@
     headers: CallerHeaders
     ticket_path: str
     max_connections: Count
+    memory_ratio: Annotated[float, Meta(gt=0, le=1)]
     max_header_bytes: Bytes
     max_body_bytes: Bytes
     replay_body_bytes: Bytes
--- a/agatetack/settings/test_loader.py
+++ b/agatetack/settings/test_loader.py
@@ -144,6 +144,13 @@
         "callers.max_deadline",
     ),
     ("callers: {replay_body_bytes: 200000000}", "callers.max_body_bytes"),
+    ("host: {memory_mb: 64}", ""),
+    ("host: {memory_mb: 57}", "host.memory_mb: leaves callers less than"),
+    ("host: {memory_mb: 40}", "host.memory_mb: leaves callers less than"),
+    (
+        "host: {memory_mb: 64}\ncallers: {memory_ratio: 0.1}",
+        "host.memory_mb: leaves callers less than",
+    ),
     ("admission: {min_target_limit: 9}", "admission.max_target_limit"),
     ("admission: {max_target_limit: 201}", "targets.max_connections"),
     (
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -382,6 +382,7 @@
         status = self.settings.status
         updaters = [follower.show for follower in self.followers]
         updaters.append(self._show_proof_age)
+        updaters.append(self.caller_memory.show)
         servers = (
             (status.ready_listen, ReadyHandler(self.settings, self.lifecycle)),
             (
@@ -394,7 +395,11 @@
             port = 0
             if listen is not None:
                 server = status_server(
-                    self.settings, listen, handler, self.metrics
+                    self.settings,
+                    listen,
+                    handler,
+                    self.metrics,
+                    self.caller_memory,
                 )
                 port = await nursery.start(server.run)
             ports.append(port)
