Let new callers take the places of those that send and read nothing

Ordinary callers were closed at once as long as silent ones, or ones whose bodies lacked a byte or which read nothing, held all connections of a listener; at the address that tells readiness too, so that the host would have got no callers at all. A crowd could also take all descriptors of the process, which targets, peers and the store need.

Cause: a full listener closed whoever came next, `max_connections` held for each listener by itself, and nothing knew how many descriptors there are.

A further connection takes the place of one that waits for its caller: of those that never had an answer, the one that has come no further for longest.

--- a/agatetack/callers/server.py
+++ b/agatetack/callers/server.py
@@ -1,12 +1,13 @@
 """Listen for callers and serve their connections."""
 
 import contextlib
+import resource
 from typing import TYPE_CHECKING
 
 import trio
 
 from agatetack.callers.connection import CallerConnection, reap_connections
-from agatetack.callers.memory import CallerMemory
+from agatetack.callers.memory import CallerMemory, Stage
 from agatetack.callers.read_ahead import ReadAheadConnection
 from agatetack.callers.streamed_body import KeptBodies
 from agatetack.ids import Deadline
@@ -27,9 +28,26 @@
 END_POLL_SECONDS = 0.02
 """Interval at which a closed listener checks for open connections."""
 
+FILE_DESCRIPTORS = 200
+"""Descriptors that are left for files."""
+
+CALLERS_SHARE = 0.5
+"""Share of the other descriptors for callers; the rest is for targets, peers
+and the store."""
+
 log = PartLog("callers")
 
 
+def caller_connections(settings: Settings) -> int:
+    """Return for how many connections of callers there are descriptors."""
+    descriptors = settings.host.max_descriptors
+    if descriptors is None:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return settings.callers.max_connections
+    return max(1, int((descriptors - FILE_DESCRIPTORS) * CALLERS_SHARE))
+
+
 class CallerServer:
     """The listener for callers.
 
@@ -37,6 +55,7 @@
         connections: Open connections.
         limits: The settings in force for callers.
         kept_bodies: The memory for bodies that are streamed.
+        descriptors: How many connections there are descriptors for.
         closing: Whether each connection ends after its current request.
         ended: Set once the listener and all connections are closed.
         port: The port listened on, once `run` has started.
@@ -65,6 +84,7 @@
         self.metrics = metrics
         self.tls = tls
         self.limits = settings.callers
+        self.descriptors = caller_connections(settings)
         self.kept_bodies = KeptBodies(self.limits, metrics)
         ahead = self.limits.pipeline_depth > 1 or self.limits.end_means_gone
         self.connection_class = (
@@ -128,9 +148,7 @@
     ) -> None:
         """Start to serve a connection, which counts as open from now on."""
         if not self._has_room():
-            self.metrics.dropped.inc(
-                {"part": "callers", "reason": "too-many-connections"}
-            )
+            self._count_too_many()
             stream.close()
             return
         try:
@@ -154,19 +172,44 @@
     def _has_room(self) -> bool:
         """Return whether a connection may be added; make room if possible.
 
-        A connection that only waits for its caller's end gives way.
+        A connection that only waits for its caller's end gives way first,
+        then one whose caller has to send the rest of a request or to read:
+        of those that never had an answer the one that has come no further
+        for longest.
         """
-        excess = len(self.connections) - self.limits.max_connections
+        excess = len(self.connections) - self._max_connections()
         if excess < 0:
             return True
         waiting = [each for each in self.connections if each.only_waits]
-        if len(waiting) <= excess:
+        if len(waiting) > excess:
+            oldest = min(waiting, key=lambda each: each.delivery.assumed_at)
+            self.connections.remove(oldest)
+            oldest.stop_waiting()
+            return True
+        unfinished = [
+            each
+            for each in self.connections
+            if not each.delivering and each.memory_stage() is Stage.CALLER
+        ]
+        if len(unfinished) <= excess:
             return False
-        oldest = min(waiting, key=lambda each: each.delivery.assumed_at)
+        oldest = min(
+            unfinished, key=lambda each: (each.served, each.progress_at)
+        )
+        self._count_too_many()
         self.connections.remove(oldest)
-        oldest.stop_waiting()
+        oldest.evict()
         return True
 
+    def _max_connections(self) -> int:
+        """Return how many connections fit into settings and descriptors."""
+        return min(self.limits.max_connections, self.descriptors)
+
+    def _count_too_many(self) -> None:
+        self.metrics.dropped.inc(
+            {"part": "callers", "reason": "too-many-connections"}
+        )
+
     async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
--- a/agatetack/lifecycle/status.py
+++ b/agatetack/lifecycle/status.py
@@ -107,6 +107,7 @@
             "listen": listen,
             "pipeline_depth": 1,
             "end_means_gone": False,
+            "max_connections": settings.status.max_connections,
         }
     )
     own = settings.copy_with({"callers": callers})
--- a/agatetack/settings/model.py
+++ b/agatetack/settings/model.py
@@ -34,6 +34,7 @@
     regions: dict[str, Name]
     memory_mb: Count | None
     reserved_memory_mb: Count
+    max_descriptors: Annotated[int, Meta(ge=400, le=10**9)] | None
 
 
 class CallerHeaders(Section):
@@ -377,6 +378,7 @@
     ready_path: str
     metrics_listen: Endpoint | None
     metrics_path: str
+    max_connections: Count
 
 
 class LogLevel(enum.Enum):
