Name refusals for lack of memory in the operators' schema

Operators who ask why a request was refused would have got an error instead of its reason.

Cause: the schema lists each reason, and memory-short was added to the product alone.

--- a/thrift/operators.thrift
+++ b/thrift/operators.thrift
@@ -72,6 +72,7 @@
   CONFIGURATION_UNPROVEN = 38
   QUOTA_EXCEEDED = 39
   OVERLOADED = 40
+  MEMORY_SHORT = 41
 }
 
 // Why a request was sent to a target once more.
