--- a/agatetack/callers/test_memory.py
+++ b/agatetack/callers/test_memory.py
@@ -24,7 +24,7 @@
 
 
 def host(memory_mb=60, **callers):
-    settings = default_settings(callers=callers)
+    settings = default_settings(callers={"memory_ratio": 0.5, **callers})
     own = settings.host.copy_with({"memory_mb": memory_mb})
     return settings.copy_with({"host": own})
 
--- a/agatetack/test_client_crowds.py
+++ b/agatetack/test_client_crowds.py
@@ -225,6 +225,29 @@
         await press_host(daemon, crowd, port, callers, ready)
 
 
+SERIES = (
+    "body-short",
+    "fields",
+    "fields-without-end",
+    "chunks-of-256-kb",
+    "get-ahead",
+    "post-of-fields-ahead",
+    "answers-unread",
+    "ready-body-short",
+    "no-route-fields-ahead",
+)
+
+
+# Guards against memory that stays with the process after a crowd has gone, so
+# that crowds of several kinds add up.
+async def test_crowds_in_series_leave_the_host_within_its_machine(tmp_path):
+    async with small_host(tmp_path, SLOW_TARGET) as (daemon, callers, ready):
+        for name in SERIES * 2:
+            path, crowd = CROWDS[name]
+            port = ready if path == READY else callers
+            await press_host(daemon, crowd, port, callers, ready)
+
+
 def with_few_connections(text: str) -> str:
     limit = f"callers:\n  max_connections: {FEW_CONNECTIONS}\n"
     return text.replace("callers:\n", limit)
