--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -336,6 +336,7 @@
             return unchanged > limits.write_timeout_seconds
         sending_since = self.writer.sending_since
         if sending_since is not None:
+            # Notes whether the caller takes what was sent.
             self.delivery.look()
             return now - sending_since > limits.write_timeout_seconds
         if self.parser.in_head:
--- a/agatetack/testing/client_crowd.py
+++ b/agatetack/testing/client_crowd.py
@@ -1,4 +1,4 @@
-"""Press a host with clients that stay inside no limit but the protocol's."""
+"""Press a host with clients that take its memory or its connections."""
 
 import contextlib
 import dataclasses
