--- a/agatetack/test_client_crowds.py
+++ b/agatetack/test_client_crowds.py
@@ -97,8 +97,7 @@
 
 
 def fields_and_short_body(path: str) -> bytes:
-    announced = "Content-Length: 10"
-    return head("POST", path, announced, *MANY_FIELDS) + b"\r\n012345678"
+    return post_fields(path)[:-1]
 
 
 EXPORT = (
