--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -102,7 +102,10 @@
     if head.get("transfer-encoding") == "chunked":
         parts = []
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line:
+                raise asyncio.IncompleteReadError(b"", None)
+            size = int(line.split(b";")[0], 16)
             if not size:
                 while (await reader.readline()).strip():
                     pass
