Say in the log for how long a host has lacked records that others have

Hosts warn now when they have lacked for 1 s what another host reported, and when they have caught up; a gauge shows it. A call that is given up says how much of its reply had arrived, which tells a silent store from a reply that is under way, and document-in-force says how large the configuration is.

--- a/agatetack/config/document_routes.py
+++ b/agatetack/config/document_routes.py
@@ -144,9 +144,11 @@
         if document.version <= self.version:
             self.results_counter.inc({"result": "old"})
             return
-        self._put_in_force(document, offset)
+        self._put_in_force(document, offset, len(content))
 
-    def _put_in_force(self, document: RouteDocument, offset: LogOffset) -> None:
+    def _put_in_force(
+        self, document: RouteDocument, offset: LogOffset, size: int
+    ) -> None:
         before = self.version
         self.version = document.version
         self.offset = offset
@@ -166,6 +168,7 @@
             before=before,
             offset=offset,
             routes=len(document.routes),
+            bytes=size,
             accounts=_count(document.accounts),
         )
         for watcher in self.watchers:
--- a/agatetack/decisions.py
+++ b/agatetack/decisions.py
@@ -122,6 +122,18 @@
             event: Name of the change.
             **fields: The inputs of the decision, and its outcome.
         """
+        self._note(event, fields, std_logging.INFO)
+
+    def warn(self, event: str, **fields: object) -> None:
+        """Write, as a warning, a state that the host should not be in.
+
+        Args:
+            event: Name of the state.
+            **fields: What shows it.
+        """
+        self._note(event, fields, std_logging.WARNING)
+
+    def _note(self, event: str, fields: dict[str, object], level: int) -> None:
         if not switch.enabled:
             return
         left_out = limiter.take(f"{self.part}.{event}")
@@ -129,7 +141,7 @@
             return
         if left_out:
             fields["left_out"] = left_out
-        _write(self.part, event, fields)
+        _write(self.part, event, fields, level=level)
 
     def held(
         self, decision_trace: DecisionTrace, event: str, **fields: object
@@ -183,11 +195,12 @@
     event: str,
     fields: dict[str, object],
     wall: float | None = None,
+    level: int = std_logging.INFO,
 ) -> None:
     logger = logging.get_absl_logger()
-    if not logger.isEnabledFor(std_logging.INFO):
+    if not logger.isEnabledFor(level):
         return
     line = {"part": part, "event": event, **fields}
     text = " ".join(f"{name}={value}" for name, value in fields.items())
     extra = {"line": line, "wall": wall}
-    logger.log(std_logging.INFO, "%s: %s %s", part, event, text, extra=extra)
+    logger.log(level, "%s: %s %s", part, event, text, extra=extra)
--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -98,11 +98,13 @@
         connected: Whether a connection was opened for it.
         sent: Whether any byte may have been sent.
         reset: Whether sending has met a reset.
+        received_bytes: Bytes of the reply's body so far.
     """
 
     connected: bool = False
     sent: bool = False
     reset: bool = False
+    received_bytes: int = 0
 
     async def trace(self, event: str, info: Mapping) -> None:
         """Record the steps that matter if the call fails."""
@@ -171,7 +173,10 @@
             with trio.move_on_at(request.deadline):
                 return await self._exchange(pool_state, request, progress)
             self._retire_pool(pool_state, progress)
-            raise CallFailed("no reply in time", progress.sent)
+            cause = "no reply in time"
+            if progress.received_bytes:
+                cause = f"only {progress.received_bytes} bytes in time"
+            raise CallFailed(cause, progress.sent)
         except (OSError, httpcore.TimeoutException) as error:
             raise CallFailed(_describe(error), progress.sent) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
@@ -200,6 +205,7 @@
         ) as response:
             async for chunk in response.aiter_stream():
                 body += chunk
+                progress.received_bytes = len(body)
                 if len(body) > request.max_reply_bytes:
                     raise CallFailed("the reply is too long", sent=True)
         headers = _join_repeated(response.headers)
--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -68,6 +68,10 @@
 reads the topic. In a fleet of 107 hosts, 37 of which were refused for 5.5 s,
 276 of 1,125 calls were refused ones."""
 
+BEHIND_SECONDS = 1.0
+"""How long a host may lack records that others have before it says so in its
+log. Changes usually arrive within 0.2 s and have to within 2 s."""
+
 log = DecisionLog("keyed")
 
 
@@ -98,6 +102,8 @@
         age: Time since each topic was last read.
         answer_age: Time since the store is known to have held nothing that this
             host lacks, by topic.
+        behind: Time for which this host has lacked records that others have,
+            by topic.
     """
 
     def __init__(self, metrics: Metrics):
@@ -111,6 +117,11 @@
             "Time since the store is known to have held no record that this"
             " host lacks, by topic.",
         )
+        self.behind = metrics.gauge(
+            "agatetack_store_behind_seconds",
+            "Time for which this host has lacked records of a topic that other"
+            " hosts have; 0 if it lacks none.",
+        )
         self.age = metrics.gauge(
             "agatetack_store_read_age_seconds",
             "Time since a topic was last read, by topic.",
@@ -125,6 +136,37 @@
         )
 
 
+class Backlog:
+    """The records that other hosts have and this host lacks.
+
+    Attributes:
+        position: The highest read position that another host reported.
+        since: Since when this host has lacked records before it, or None.
+        warned: Whether the log says so.
+    """
+
+    def __init__(self) -> None:
+        """Lack nothing."""
+        self.position: TopicPosition | None = None
+        self.since: Deadline | None = None
+        self.warned = False
+
+    def note_reported(self, position: TopicPosition) -> None:
+        """Note that another host has read up to `position`."""
+        if self.position is None or self.position < position:
+            self.position = position
+        if self.since is None:
+            self.since = Deadline(trio.current_time())
+
+    def clear(self) -> None:
+        """Note that nothing is lacking any more."""
+        self.since, self.warned = None, False
+
+    def seconds(self) -> float:
+        """Return for how long records have been lacking."""
+        return 0.0 if self.since is None else trio.current_time() - self.since
+
+
 class TopicFollower:
     """Reads one topic continuously and passes its records to a reader.
 
@@ -159,6 +201,7 @@
         read_at: When the last call was answered, or None.
         waiting: Ends a read that waits for a record though the store no longer
             answers.
+        backlog: The records that others have and this host lacks.
     """
 
     def __init__(
@@ -205,6 +248,7 @@
         self.reachable_since = Deadline(0.0)
         self.read_at: Deadline | None = None
         self.waiting = trio.CancelScope()
+        self.backlog = Backlog()
         self.failures = 0
         self.random = rng
         self.peer_wait_factor = self.random.uniform(1.0, MAX_PEER_WAIT_FACTOR)
@@ -363,6 +407,35 @@
             self.readers.note_complete(self.name, at)
             self.update_wait()
 
+    def note_reported(self, position: TopicPosition) -> None:
+        """Note that another host has read up to `position`."""
+        if not self.content.is_behind(position):
+            return
+        self.backlog.note_reported(position)
+        seconds = self.backlog.seconds()
+        if seconds >= BEHIND_SECONDS and not self.backlog.warned:
+            self.backlog.warned = True
+            log.warn("topic-behind", **self._behind_fields())
+
+    def _behind_fields(self) -> dict[str, object]:
+        return {
+            "topic": self.name,
+            "behind_seconds": round(self.backlog.seconds(), 3),
+            "reported": self.backlog.position.offset,
+            "offset": self.content.next_offset,
+            "answer_age": age(self.complete_at),
+            "failures": self.failures,
+        }
+
+    def _update_backlog(self) -> None:
+        """Note whether this host has caught up with what others reported."""
+        backlog = self.backlog
+        if backlog.since is None or self.content.is_behind(backlog.position):
+            return
+        if backlog.warned:
+            log.warn("topic-caught-up", **self._behind_fields())
+        backlog.clear()
+
     def update_wait(self) -> None:
         """Let a read wait for longer if another reader had an answer."""
         silent_at = self.readers.silent_at(self.name)
@@ -548,6 +621,7 @@
         if whole:
             self._pass_lost_to_reader()
         self._show_carried()
+        self._update_backlog()
         if self.content.position != before:
             self.on_advance(self, before)
 
@@ -624,6 +698,7 @@
         seconds = trio.current_time() - self.complete_at
         if seconds < math.inf:
             self.counters.answer_age.set({"topic": self.name}, seconds)
+        self.counters.behind.set({"topic": self.name}, self.backlog.seconds())
 
     def _deadline(self, wait: float) -> Deadline:
         now = trio.current_time()
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -196,6 +196,7 @@
             report_age = report.age_ms or 0
             self.readers.note_report(report.topic, report_age / 1000)
             self._take_inline(follower, report, position)
+            follower.note_reported(position)
             if answer_age is None:
                 # A host of an older version doesn't tell.
                 answer_age = report_age
