Show that a large configuration is not in force in time on thin links

Callers were refused with 404 for routes that had been added.

The stand-ins for peers and the store's topic now have links that carry a bounded number of bytes, failure domains and the store's bound on one answer.

--- a/agatetack/testing/memory_exchange.py
+++ b/agatetack/testing/memory_exchange.py
@@ -1,5 +1,6 @@
 """Stand in for the exchange between hosts, in memory and with faults."""
 
+import math
 from collections.abc import Sequence
 
 import trio
@@ -14,6 +15,9 @@
     Scope,
     Topic,
 )
+from agatetack.testing.thin_link import ThinLink, carry_all
+
+DOMAIN = FailureDomain("domain")
 
 
 class MemoryMesh:
@@ -27,6 +31,8 @@
         reply_bytes_per_second: How fast one host sends replies, or 0 for at
             once; as with the byte budget of peers they wait in turn.
         delay_seconds: How long each message and call takes one way.
+        link_bytes_per_second: What the link of a host that joins carries, each
+            way.
     """
 
     def __init__(self, nursery: trio.Nursery):
@@ -38,10 +44,13 @@
         self.size = 0
         self.reply_bytes_per_second = 0
         self.delay_seconds = 0.0
+        self.link_bytes_per_second = math.inf
 
-    def join(self, host: HostId) -> "MemoryExchange":
+    def join(
+        self, host: HostId, domain: FailureDomain = DOMAIN
+    ) -> "MemoryExchange":
         """Return a new host's exchange; an older one of that name is gone."""
-        self.hosts[host] = MemoryExchange(self, host)
+        self.hosts[host] = MemoryExchange(self, host, domain)
         return self.hosts[host]
 
     def leave(self, host: HostId) -> None:
@@ -62,34 +71,51 @@
     ) -> None:
         """Bring one published message to its receiver, if they are linked."""
         await trio.sleep(self.delay_seconds)
+        if receiver in self.hosts:
+            await self.hosts[sender].link_out.carry(len(payload))
+            await self.hosts[receiver].link_in.carry(len(payload))
         if self.linked(sender, receiver):
             for handler in self.hosts[receiver].handlers.get(topic, ()):
                 handler(sender, payload)
 
 
 class MemoryExchange(Exchange):
-    """One host's end of a `MemoryMesh`."""
+    """One host's end of a `MemoryMesh`.
+
+    Attributes:
+        domain: The host's failure domain.
+        link_in: What brings bytes to the host, from the store too.
+        link_out: What takes bytes away from it.
+        replies: Lets replies wait in turn, as the byte budget of peers does.
+    """
 
-    def __init__(self, mesh: MemoryMesh, host: HostId):
+    def __init__(self, mesh: MemoryMesh, host: HostId, domain: FailureDomain):
         """Join `mesh` as `host`."""
         self.mesh = mesh
         self.host = host
+        self.domain = domain
+        self.link_in = ThinLink(mesh.link_bytes_per_second)
+        self.link_out = ThinLink(mesh.link_bytes_per_second)
+        self.replies = ThinLink()
         self.handlers: dict[Topic, list[MessageHandler]] = {}
         self.servers: dict[Topic, CallHandler] = {}
         self.sent_bytes = 0
-        self.busy_until = 0.0
 
     def publish(
         self, topic: Topic, payload: bytes, scope: Scope = Scope.ALL
     ) -> None:
-        """Send to every linked host, unless the topic is scripted lost.
+        """Send to the linked hosts, unless the topic is scripted lost.
 
-        All are of one failure domain and none is left out of what goes near.
+        None is left out of what goes near.
         """
-        nobody = scope in (Scope.FAR, Scope.ELSEWHERE)
-        if topic in self.mesh.lost_topics or nobody:
+        if topic in self.mesh.lost_topics or scope is Scope.FAR:
             return
         for peer in self.live_peers():
+            is_near = peer.failure_domain == self.domain
+            if is_near and scope is Scope.ELSEWHERE:
+                continue
+            if not is_near and scope is Scope.DOMAIN:
+                continue
             self.sent_bytes += len(payload)
             self.mesh.nursery.start_soon(
                 self.mesh.deliver, self.host, peer.id, topic, payload
@@ -125,28 +151,33 @@
             reply = await other.servers[topic](self.host, payload)
             if reply is None:
                 raise PeerUnreachable(f"{peer} has no reply")
-            await other.send_reply(len(reply))
+            arrived = trio.Event()
+            # A reply that nobody waits for any more is sent nevertheless.
+            self.mesh.nursery.start_soon(other.send_reply, reply, self, arrived)
+            await arrived.wait()
             if not self.mesh.linked(peer, self.host):
                 await trio.sleep_forever()
             await trio.sleep(self.mesh.delay_seconds)
             return reply
         raise PeerUnreachable(f"{peer} did not answer in time")
 
-    async def send_reply(self, count: int) -> None:
-        """Wait until `count` bytes of a reply have left this host."""
-        self.sent_bytes += count
-        if self.mesh.reply_bytes_per_second:
-            seconds = count / self.mesh.reply_bytes_per_second
-            self.busy_until = (
-                max(self.busy_until, trio.current_time()) + seconds
-            )
-            await trio.sleep_until(self.busy_until)
+    async def send_reply(
+        self, reply: bytes, caller: "MemoryExchange", arrived: trio.Event
+    ) -> None:
+        """Send a reply to a caller, and set `arrived` at the end."""
+        self.sent_bytes += len(reply)
+        rate = self.mesh.reply_bytes_per_second
+        self.replies.bytes_per_second = rate or math.inf
+        links = (self.replies, self.link_out, caller.link_in)
+        async for _ in carry_all(len(reply), *links):
+            pass
+        arrived.set()
 
     def live_peers(self) -> Sequence[Peer]:
         """Return every other host whose messages arrive here."""
         return [
-            Peer(host, 1, FailureDomain("domain"), leaving=False)
-            for host in self.mesh.hosts
+            Peer(host, 1, other.domain, leaving=False)
+            for host, other in self.mesh.hosts.items()
             if host != self.host and self.mesh.linked(host, self.host)
         ]
 
--- a/agatetack/testing/memory_store.py
+++ b/agatetack/testing/memory_store.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from agatetack.testing.thin_link import ThinLink
+
 
 class StoreFault(enum.Enum):
     """What happens to calls of the store."""
@@ -61,6 +63,7 @@
             None if they name none.
         silent: Topics in which all answers are lost.
         losses: How often it came back from a copy.
+        reading: What all reads together can take from it.
     """
 
     def __init__(self) -> None:
@@ -73,6 +76,7 @@
         self.latency_seconds = 0.0
         self.generation: object = 1
         self.losses = 0
+        self.reading = ThinLink()
 
     def append(self, topic: str, key: str, value: bytes) -> int:
         """Append a record and return its offset; no value removes the key."""
--- a/agatetack/testing/memory_topic.py
+++ b/agatetack/testing/memory_topic.py
@@ -1,6 +1,7 @@
 """Stand in for one keyed topic, without a network."""
 
-from collections.abc import Mapping
+import itertools
+from collections.abc import Mapping, Sequence
 
 import trio
 
@@ -14,9 +15,13 @@
     TopicUnavailable,
 )
 from agatetack.testing.memory_store import MemoryStore
+from agatetack.testing.thin_link import ThinLink, carry_all
 
 NAME = "topic"
 
+MAX_ANSWER_BYTES = 1 << 20
+"""What the store sends in one answer, unless the first record is larger."""
+
 
 class MemoryTopic(KeyedTopic):
     """One topic of a store in memory, as one host reaches it.
@@ -27,10 +32,17 @@
         hanging: Whether calls bring no answer.
         reads: Calls made so far; a read counts at its start and its end.
         whole_reads: Calls for all keys made so far.
+        link: What brings answers from the store.
     """
 
-    def __init__(self, store: MemoryStore, generations: StoreGenerations):
+    def __init__(
+        self,
+        store: MemoryStore,
+        generations: StoreGenerations,
+        link: ThinLink | None = None,
+    ):
         """Reach `store`; note its generation in `generations`."""
+        self.link = link or ThinLink()
         self.store = store
         self.generations = generations
         self.refused = False
@@ -44,6 +56,7 @@
         generation = await self._call(deadline)
         found = self.store.topics[NAME]
         records = [_record(each) for each in found.newest.values()]
+        await self._receive(records, deadline)
         return TopicPage(records, LogOffset(found.end), generation)
 
     async def read(
@@ -57,7 +70,10 @@
         found = self.store.topics[NAME]
         if not found.first <= first <= found.end:
             raise TopicTruncated
-        records = [_record(r) for r in found.records if r.offset >= first]
+        records = _first_bytes(
+            [_record(r) for r in found.records if r.offset >= first]
+        )
+        await self._receive(records, deadline)
         return TopicPage(records, LogOffset(first + len(records)), generation)
 
     async def append_all(
@@ -70,6 +86,23 @@
         ]
         return LogOffset(offsets[0])
 
+    async def _receive(
+        self, records: Sequence[KeyedRecord], deadline: Deadline
+    ) -> None:
+        """Wait until an answer with `records` has arrived.
+
+        Raises:
+            TopicUnavailable: It hasn't by `deadline`.
+        """
+        count = sum(len(record.value or b"") for record in records)
+        with trio.move_on_at(deadline):
+            # An answer that is given up takes the store's time nevertheless.
+            await self.store.reading.carry(count)
+            async for _ in carry_all(count, self.link):
+                pass
+            return
+        raise TopicUnavailable("no reply in time")
+
     async def _call(self, deadline: Deadline) -> StoreGeneration:
         """Return the generation that the answer names."""
         self.reads += 1
@@ -86,5 +119,12 @@
         return generation
 
 
+def _first_bytes(records: Sequence[KeyedRecord]) -> Sequence[KeyedRecord]:
+    """Return the first record, and others as far as an answer holds them."""
+    ends = itertools.accumulate(len(r.value or b"") for r in records)
+    count = sum(end <= MAX_ANSWER_BYTES for end in ends)
+    return records[: max(1, count)]
+
+
 def _record(stored) -> KeyedRecord:
     return KeyedRecord(stored.key, stored.value or None, stored.offset)
--- a/agatetack/testing/topic_fleet.py
+++ b/agatetack/testing/topic_fleet.py
@@ -65,17 +65,20 @@
         sharing: What tells other hosts, or None.
     """
 
-    def __init__(self, store, exchange=None, reader=None, seed=0):
+    def __init__(
+        self, store, exchange=None, reader=None, seed=0, settings=SETTINGS
+    ):
         """Follow the topic in `store`; tell others through `exchange`."""
         name = "" if exchange is None else exchange.host
         metrics = Metrics()
         self.generations = StoreGenerations(metrics)
-        self.topic = MemoryTopic(store, self.generations)
+        link = None if exchange is None else exchange.link_in
+        self.topic = MemoryTopic(store, self.generations, link)
         self.kept = Kept()
         if reader is not None:
             reader = FanOutReader(self.kept, reader(self.topic))
         self.follower = TopicFollower(
-            SETTINGS,
+            settings,
             NAME,
             self.topic,
             reader or self.kept,
@@ -85,8 +88,9 @@
         )
         self.sharing = None
         if exchange is not None:
-            settings = SETTINGS.copy_with(
-                {"host": SETTINGS.host.copy_with({"id": exchange.host})}
+            host = {"id": exchange.host, "failure_domain": exchange.domain}
+            settings = settings.copy_with(
+                {"host": settings.host.copy_with(host)}
             )
             self.sharing = TopicSharing(
                 settings,
