Take a reply of the store that is under way at the deadline of its call

Callers were refused with 404 for routes that had been added, by hosts on thin links that never caught up: a read that returns several versions of a large configuration takes more than its second on a link of 5 or 10 Mbit/s, was given up whatever had arrived, and was sent again from the same offset. The long poll that had brought a part was given up as well when other hosts had heard nothing for 1.15 s.

A call is given up now when its reply has not begun at its deadline, or arrives at less than 25,000 bytes a second; a read whose answer has begun goes on.

The stand-in for peers has no task of its own for replies over links without a bound, and all exchanges have a domain: both had broken tests of proofs since.

--- a/agatetack/http_call.py
+++ b/agatetack/http_call.py
@@ -1,9 +1,10 @@
 """HTTP client for platform services that reports whether a request was sent."""
 
 import dataclasses
+import math
 import socket
 import typing
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import trio
 
@@ -39,6 +40,9 @@
         body: The request's body.
         headers: Header fields in addition to the default ones.
         max_reply_bytes: Longest reply body that is accepted.
+        slowest_bytes_per_second: Rate at which a reply that has begun may
+            arrive after the deadline; infinite if it may not.
+        on_reply: Called when the reply begins.
     """
 
     method: str
@@ -47,6 +51,8 @@
     body: bytes = b""
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     max_reply_bytes: int = 1 << 20
+    slowest_bytes_per_second: float = math.inf
+    on_reply: Callable[[], None] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,7 +139,8 @@
 
         Args:
             endpoint: The service's IP address and port.
-            timeout_seconds: Longest time that opening a connection may take.
+            timeout_seconds: Longest time that opening a connection may take,
+                and that a reply that has begun may bring nothing.
             silent_seconds: Time without an acknowledgement from the other
                 end after which a connection counts as lost; None for the
                 system's defaults.
@@ -170,8 +177,10 @@
         progress = _CallProgress()
         pool_state.open_calls += 1
         try:
-            with trio.move_on_at(request.deadline):
-                return await self._exchange(pool_state, request, progress)
+            with trio.move_on_at(request.deadline) as scope:
+                return await self._exchange(
+                    pool_state, request, progress, scope
+                )
             self._retire_pool(pool_state, progress)
             cause = "no reply in time"
             if progress.received_bytes:
@@ -191,6 +200,7 @@
         pool_state: _PoolState,
         request: PlatformRequest,
         progress: _CallProgress,
+        scope: trio.CancelScope,
     ) -> PlatformReply:
         body = bytearray()
         async with pool_state.pool.stream(
@@ -203,9 +213,14 @@
                 "timeout": {"connect": self.timeout_seconds},
             },
         ) as response:
+            if request.on_reply is not None:
+                request.on_reply()
+            begun_at = trio.current_time()
+            self._give_time(scope, request, begun_at, 0)
             async for chunk in response.aiter_stream():
                 body += chunk
                 progress.received_bytes = len(body)
+                self._give_time(scope, request, begun_at, len(body))
                 if len(body) > request.max_reply_bytes:
                     raise CallFailed("the reply is too long", sent=True)
         headers = _join_repeated(response.headers)
@@ -215,6 +230,23 @@
             raise CallFailed("the reply is cut by a reset", sent=True)
         return PlatformReply(response.status, headers, bytes(body))
 
+    def _give_time(
+        self,
+        scope: trio.CancelScope,
+        request: PlatformRequest,
+        begun_at: float,
+        received_bytes: int,
+    ) -> None:
+        """Let a reply that is under way arrive, unless it arrives too slowly.
+
+        A large reply over a thin link would be given up each time that it is
+        asked for.
+        """
+        if math.isinf(request.slowest_bytes_per_second):
+            return
+        seconds = received_bytes / request.slowest_bytes_per_second
+        scope.deadline = begun_at + self.timeout_seconds + seconds
+
     def _retire_pool(
         self, pool_state: _PoolState, progress: _CallProgress
     ) -> None:
--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -366,13 +366,17 @@
             with trio.CancelScope() as self.waiting:
                 self.waiting.deadline = self.readers.silent_at(self.name)
                 return await self.topic.read(
-                    first, wait_until, self._deadline(wait)
+                    first, wait_until, self._deadline(wait), self._keep_read
                 )
             # Its connection may be dead, and others may be too.
             self._note_given_up()
         now = Deadline(trio.current_time())
         return await self.topic.read(first, now, self._deadline(0.0))
 
+    def _keep_read(self) -> None:
+        """Let the read that waited go on, as its answer has begun."""
+        self.waiting.deadline = math.inf
+
     def _wait_seconds(self) -> float:
         """Return how long the next read may wait for a record.
 
--- a/agatetack/keyed/topic.py
+++ b/agatetack/keyed/topic.py
@@ -12,9 +12,18 @@
 Content = TypeVar("Content")
 """What a store gives of one record."""
 
+SLOWEST_BYTES_PER_SECOND = 25_000
+"""Rate at which an answer of the store may arrive after the deadline of its
+call. The thinnest links carry 25 times that, and answers to callers share
+them."""
+
 log = DecisionLog("keyed")
 
 
+def _ignore() -> None:
+    """Do nothing; the default if nobody waits for the begin of an answer."""
+
+
 class TopicUnavailable(Exception):
     """The store refused a call or did not answer it.
 
@@ -122,25 +131,35 @@
         The page may include records that were appended during the call. They
         are read again when reading continues at the page's end.
 
+        Args:
+            deadline: When to abort the call unless its answer is under way.
+
         Raises:
             TopicRestored: The store lost records during the call.
-            TopicUnavailable: The call did not finish before `deadline`.
+            TopicUnavailable: No answer began before `deadline`, or it came
+                more slowly than `SLOWEST_BYTES_PER_SECOND`.
         """
 
     @abc.abstractmethod
     async def read(
-        self, first: LogOffset, wait_until: Deadline, deadline: Deadline
+        self,
+        first: LogOffset,
+        wait_until: Deadline,
+        deadline: Deadline,
+        on_answer: Callable[[], None] = _ignore,
     ) -> TopicPage:
         """Wait for at least one record at or after `first`; return them.
 
         Args:
             first: The offset of the first record to return.
             wait_until: When to return even without a record.
-            deadline: When to abort the call.
+            deadline: When to abort the call unless its answer is under way.
+            on_answer: Called when the answer begins.
 
         Raises:
             TopicTruncated: The store no longer keeps `first`.
-            TopicUnavailable: The call did not finish before `deadline`.
+            TopicUnavailable: No answer began before `deadline`, or it came
+                more slowly than `SLOWEST_BYTES_PER_SECOND`.
         """
 
     @abc.abstractmethod
--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -4,7 +4,7 @@
 import dataclasses
 import struct
 import urllib.parse
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import orjson
 import trio
@@ -13,6 +13,7 @@
 from agatetack.ids import Deadline, LogOffset, StoreGeneration
 from agatetack.keyed.generations import StoreGenerations, read_generation
 from agatetack.keyed.topic import (
+    SLOWEST_BYTES_PER_SECOND,
     KeyedRecord,
     KeyedTopic,
     TopicPage,
@@ -94,9 +95,12 @@
         query: Mapping[str, object],
         deadline: Deadline,
         body: bytes = b"",
+        on_reply: Callable[[], None] | None = None,
     ) -> StoreReply:
         """Send one request to the store, without a retry.
 
+        A reply that is under way at the deadline may still arrive.
+
         Raises:
             TopicUnavailable: No complete reply arrived.
         """
@@ -107,6 +111,8 @@
             deadline,
             body,
             max_reply_bytes=MAX_REPLY_BYTES,
+            slowest_bytes_per_second=SLOWEST_BYTES_PER_SECOND,
+            on_reply=on_reply,
         )
         generation_before = self.generations.newest
         try:
@@ -162,7 +168,11 @@
         raise TopicUnavailable("the store reports too many pages")
 
     async def read(
-        self, first: LogOffset, wait_until: Deadline, deadline: Deadline
+        self,
+        first: LogOffset,
+        wait_until: Deadline,
+        deadline: Deadline,
+        on_answer: Callable[[], None] | None = None,
     ) -> TopicPage:
         """Return the records from offset `first` on.
 
@@ -180,7 +190,11 @@
             "wait_ms": int(wait * 1000),
         }
         reply = await self.client.call(
-            "GET", "/agatetack/log-read", query, deadline
+            "GET",
+            "/agatetack/log-read",
+            query,
+            deadline,
+            on_reply=on_answer,
         )
         if reply.status == HTTP_GONE:
             raise TopicTruncated
--- a/agatetack/platform/test_store_client.py
+++ b/agatetack/platform/test_store_client.py
@@ -388,3 +388,40 @@
             await REPLIES[call][1](topic)
     # What the kernel of both ends holds is beside the 8 MB of a reply.
     assert sent < 32 << 20
+
+
+@contextlib.asynccontextmanager
+async def slow_topic(piece, pause_seconds):
+    """Open a topic whose answer comes in pieces, to calls of 0.3 s."""
+    body = READ_HEADER.pack(1, 0) + record_of(b"\x01a" + b"x" * 400_000)
+
+    async def answer(stream):
+        await stream.receive_some()
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(HEADS["length"] % len(body))
+            for start in range(0, len(body), piece):
+                await trio.sleep(pause_seconds)
+                await stream.send_all(body[start : start + piece])
+
+    async with answered_topic(answer) as topic:
+        topic.client.http_client.timeout_seconds = 0.3
+        yield topic
+
+
+# Guards against a large reply over a thin link that is given up at the same
+# place each time, so that its host never has it.
+async def test_a_reply_that_is_under_way_is_not_given_up():
+    async with slow_topic(piece=20_000, pause_seconds=0.05) as topic:
+        begun = trio.Event()
+        page = await topic.read(LogOffset(0), soon(0), soon(0.3), begun.set)
+        assert begun.is_set()
+        assert len(values(page)["a"]) == 400_000
+
+
+@pytest.mark.parametrize(
+    ("piece", "pause_seconds"), [(1, 0.05), (200, 0.05), (200_000, 60.0)]
+)
+async def test_a_reply_that_hardly_arrives_is_given_up(piece, pause_seconds):
+    async with slow_topic(piece, pause_seconds) as topic:
+        with pytest.raises(TopicUnavailable):
+            await topic.read(LogOffset(0), soon(0), soon(0.3))
--- a/agatetack/testing/memory_exchange.py
+++ b/agatetack/testing/memory_exchange.py
@@ -62,6 +62,13 @@
         for other in self.hosts:
             self.cut |= {(host, other), (other, host)}
 
+    @property
+    def is_thin(self) -> bool:
+        """Return whether replies take time because of their size."""
+        if self.reply_bytes_per_second:
+            return True
+        return not math.isinf(self.link_bytes_per_second)
+
     def linked(self, sender: HostId, receiver: HostId) -> bool:
         """Return whether messages arrive from one host at another."""
         return receiver in self.hosts and (sender, receiver) not in self.cut
@@ -89,7 +96,12 @@
         replies: Lets replies wait in turn, as the byte budget of peers does.
     """
 
-    def __init__(self, mesh: MemoryMesh, host: HostId, domain: FailureDomain):
+    def __init__(
+        self,
+        mesh: MemoryMesh,
+        host: HostId,
+        domain: FailureDomain = DOMAIN,
+    ):
         """Join `mesh` as `host`."""
         self.mesh = mesh
         self.host = host
@@ -152,9 +164,12 @@
             if reply is None:
                 raise PeerUnreachable(f"{peer} has no reply")
             arrived = trio.Event()
-            # A reply that nobody waits for any more is sent nevertheless.
-            self.mesh.nursery.start_soon(other.send_reply, reply, self, arrived)
-            await arrived.wait()
+            if self.mesh.is_thin:
+                # A reply that nobody waits for any more is sent nevertheless.
+                self.mesh.nursery.start_soon(
+                    other.send_reply, reply, self, arrived
+                )
+                await arrived.wait()
             if not self.mesh.linked(peer, self.host):
                 await trio.sleep_forever()
             await trio.sleep(self.mesh.delay_seconds)
--- a/agatetack/testing/memory_topic.py
+++ b/agatetack/testing/memory_topic.py
@@ -1,13 +1,14 @@
 """Stand in for one keyed topic, without a network."""
 
 import itertools
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import trio
 
 from agatetack.ids import Deadline, LogOffset, StoreGeneration
 from agatetack.keyed.generations import StoreGenerations, read_generation
 from agatetack.keyed.topic import (
+    SLOWEST_BYTES_PER_SECOND,
     KeyedRecord,
     KeyedTopic,
     TopicPage,
@@ -19,6 +20,9 @@
 
 NAME = "topic"
 
+TIMEOUT_SECONDS = 1.0
+"""Longest time in which an answer that has begun may bring nothing."""
+
 MAX_ANSWER_BYTES = 1 << 20
 """What the store sends in one answer, unless the first record is larger."""
 
@@ -60,7 +64,11 @@
         return TopicPage(records, LogOffset(found.end), generation)
 
     async def read(
-        self, first: LogOffset, wait_until: Deadline, deadline: Deadline
+        self,
+        first: LogOffset,
+        wait_until: Deadline,
+        deadline: Deadline,
+        on_answer: Callable[[], None] | None = None,
     ) -> TopicPage:
         """Return the records from `first` on, as soon as there is one."""
         await self._call(deadline)
@@ -70,6 +78,8 @@
         found = self.store.topics[NAME]
         if not found.first <= first <= found.end:
             raise TopicTruncated
+        if on_answer is not None and found.end > first:
+            on_answer()
         records = _first_bytes(
             [_record(r) for r in found.records if r.offset >= first]
         )
@@ -92,14 +102,15 @@
         """Wait until an answer with `records` has arrived.
 
         Raises:
-            TopicUnavailable: It hasn't by `deadline`.
+            TopicUnavailable: It hasn't begun by `deadline`, or is too slow.
         """
         count = sum(len(record.value or b"") for record in records)
-        with trio.move_on_at(deadline):
+        with trio.move_on_at(deadline) as scope:
             # An answer that is given up takes the store's time nevertheless.
             await self.store.reading.carry(count)
-            async for _ in carry_all(count, self.link):
-                pass
+            scope.deadline = trio.current_time() + TIMEOUT_SECONDS
+            async for piece in carry_all(count, self.link):
+                scope.deadline += piece / SLOWEST_BYTES_PER_SECOND
             return
         raise TopicUnavailable("no reply in time")
 
--- a/agatetack/testing/proof_fleet.py
+++ b/agatetack/testing/proof_fleet.py
@@ -82,11 +82,11 @@
         self.delay_seconds = 0.0
         self.reply_delay_seconds = 0.0
 
-    async def read(self, first, wait_until, deadline):
+    async def read(self, first, wait_until, deadline, on_answer=None):
         """Return the records from `first` on."""
         with trio.move_on_at(deadline):
             await trio.sleep(self.delay_seconds)
-            page = await super().read(first, wait_until, deadline)
+            page = await super().read(first, wait_until, deadline, on_answer)
             await trio.sleep(self.reply_delay_seconds)
             return page
         raise TopicUnavailable("no answer in time")
