Send changes to large records between hosts instead of whole records

Callers were refused with 404, or served by an old service, as a configuration of 1,400 routes, 270 kB, went whole from host to host: all hosts of a domain asked the one that had reported it, whose 400,000 bytes a second are one and a half such replies, gave up after 0.25 s while their replies were still sent, and then read the store at the same time.

Hosts send a large value as a frame of Zstandard, with the value that it replaced as dictionary: a changed route is some 80 bytes, so that it comes with the report, at hosts that read for themselves too. Hosts of an older version see a position without news and fetch the plain records.

The library zstandard is loaded for the first large value only.

--- a/agatetack/keyed/content.py
+++ b/agatetack/keyed/content.py
@@ -15,6 +15,12 @@
 MAX_LOGGED_KEYS = 20
 """Maximum keys listed in one log entry; the others are only counted."""
 
+MIN_FORMER_BYTES = 4096
+"""Size from which on a value that has been replaced is kept for a while."""
+
+FORMER_VALUES = 3
+"""How many of them are kept for each key."""
+
 log = DecisionLog("keyed")
 
 
@@ -139,6 +145,8 @@
         known_from: The offset from which on removals are known too.
         carried: Records of earlier generations that are still valid.
         changes: Number of changes to the valid records.
+        former: Large values that were replaced, by key, the last one last. What
+            replaced them can be sent as a change to hosts that still hold them.
     """
 
     def __init__(self, name: str, reader: TopicReader):
@@ -149,6 +157,7 @@
         self.known_from = LogOffset(0)
         self.carried = CarriedRecords(reader)
         self.changes = 0
+        self.former: dict[str, Sequence[bytes]] = {}
 
     @property
     def next_offset(self) -> LogOffset | None:
@@ -207,6 +216,7 @@
     ) -> Sequence[KeyedRecord]:
         """Replace all keys by those in the store; return all valid records."""
         before, known = self.position, self.known
+        self._keep_former(page.records)
         self.known = {record.key: record for record in page.records}
         self.known_from = page.end
         candidates = {key: c.record for key, c in self.carried.records.items()}
@@ -227,9 +237,19 @@
         """Add records that follow; return those that are valid."""
         # Some of them may have come from a peer already.
         records = [r for r in page.records if r.offset >= self.position.offset]
+        self._keep_former(records)
         self.known.update((record.key, record) for record in records)
         return [r for r in records if not self.carried.prevails_over(r)]
 
+    def _keep_former(self, records: Sequence[KeyedRecord]) -> None:
+        """Keep the large values that `records` replace."""
+        for key in {record.key for record in records}:
+            known = self.known.get(key)
+            value = None if known is None else known.value
+            if value is not None and len(value) >= MIN_FORMER_BYTES:
+                kept = [*self.former.get(key, ()), value]
+                self.former[key] = kept[-FORMER_VALUES:]
+
     def _note_lost(
         self,
         page: TopicPage,
--- a/agatetack/keyed/messages.py
+++ b/agatetack/keyed/messages.py
@@ -7,16 +7,25 @@
 """
 
 import math
-from collections.abc import Sequence
+import types
+from collections.abc import Mapping, Sequence
 
 import trio
 import xxhash
 
 from agatetack.generated.keyed import ttypes as wire
 from agatetack.ids import Deadline, LogOffset, StoreGeneration
+from agatetack.keyed.content import MIN_FORMER_BYTES, TopicContent
 from agatetack.keyed.follower import TopicFollower
 from agatetack.keyed.generations import UNKNOWN_GENERATION
 from agatetack.keyed.topic import KeyedRecord, TopicPage, TopicPosition
+from agatetack.late import LateModule
+
+# Loaded for the first large value.
+packing = LateModule("agatetack.keyed.packing")
+
+MAX_PACKED_VALUE_BYTES = 8 << 20
+"""Largest value that is packed."""
 
 HASH_BYTES = 8
 
@@ -24,7 +33,11 @@
 """Age that is told of times that are longer ago, or not known."""
 
 
-class MalformedHashes(ValueError):
+class MalformedRecords(ValueError):
+    """The records in a message of another host can't be read."""
+
+
+class MalformedHashes(MalformedRecords):
     """A list of record hashes, or the reply to one, is malformed."""
 
 
@@ -49,6 +62,7 @@
     follower: TopicFollower,
     first: TopicPosition | None,
     held: bytes | None = None,
+    bases: Mapping[str, bytes] | None = None,
 ) -> wire.Records:
     """Return a follower's records from `first` on, or those of all keys.
 
@@ -56,6 +70,8 @@
         follower: The follower of the topic.
         first: The receiver's read position, or None to get all keys.
         held: Hashes of the records that the receiver has, or None.
+        bases: Hashes of the large values that the receiver has, by key; None
+            if it can't unpack records.
 
     Raises:
         MalformedHashes: `held` is not a list of hashes.
@@ -64,15 +80,62 @@
     records, bits = page.records, None
     if whole and held is not None:
         bits, records = match_hashes(records, held)
+    large = [] if bases is None else [r for r in records if _is_large(r)]
     found = [
         wire.Record(record.key, record.value, record.offset)
         for record in records
+        if bases is None or not _is_large(record)
     ]
     if whole:
         found += _carried(follower)
-    return wire.Records(
+    message = wire.Records(
         page.end, whole, found, follower.sound, page.generation, bits
     )
+    if large:
+        former = follower.content.former
+        message.packed = [
+            _pack(each, former.get(each.key, ()), bases.get(each.key))
+            for each in large
+        ]
+    return message
+
+
+def _is_large(record: KeyedRecord) -> bool:
+    size = len(record.value or b"")
+    return MIN_FORMER_BYTES <= size <= MAX_PACKED_VALUE_BYTES
+
+
+def _pack(
+    record: KeyedRecord, former: Sequence[bytes], held: bytes | None
+) -> wire.PackedRecord:
+    """Return a record packed with the former value that a receiver holds."""
+    bases = [value for value in former if packing.hash_value(value) == held]
+    base = bases[-1] if bases else None
+    content = packing.pack(record.value, base)
+    return wire.PackedRecord(
+        record.key, content, record.offset, None if base is None else held
+    )
+
+
+def hashes_of_large(
+    content: TopicContent, former: bool = False
+) -> Mapping[str, bytes]:
+    """Return the hashes of a topic's large values, by key.
+
+    Args:
+        content: The topic.
+        former: Whether to take the values that were replaced last instead of
+            those that are known now.
+    """
+    if former:
+        values = {key: kept[-1] for key, kept in content.former.items()}
+    else:
+        values = {
+            record.key: record.value
+            for record in content.known.values()
+            if _is_large(record)
+        }
+    return {key: packing.hash_value(value) for key, value in values.items()}
 
 
 def _carried(follower: TopicFollower) -> Sequence[wire.Record]:
@@ -83,20 +146,26 @@
 
 
 def page_of(
-    records: wire.Records, held: Sequence[KeyedRecord] = ()
+    records: wire.Records,
+    held: Sequence[KeyedRecord] = (),
+    known: Mapping[str, KeyedRecord] = types.MappingProxyType({}),
 ) -> TopicPage:
     """Return the page that a message from another host contains.
 
     Args:
         records: The message.
         held: The records whose hashes were in the request, if any.
+        known: The records that this host has, by key; packed ones may be
+            changes to them.
 
     Raises:
         MalformedHashes: The message does not match `held`.
+        MalformedRecords: A packed record can't be unpacked.
     """
     end = LogOffset(records.end)
     generation = records.generation
     found = [_record(each) for each in records.records if not each.carried]
+    found += [_unpack(each, known) for each in records.packed or ()]
     if held and records.held is not None:
         found += select_held(held, records.held, end)
     return TopicPage(
@@ -113,6 +182,22 @@
     return [_record(each) for each in records.records if each.carried]
 
 
+def _unpack(
+    record: wire.PackedRecord, known: Mapping[str, KeyedRecord]
+) -> KeyedRecord:
+    base = None
+    if record.base is not None:
+        held = known.get(record.key)
+        base = None if held is None else held.value
+        if base is None or packing.hash_value(base) != record.base:
+            raise MalformedRecords("packed with a value that is not known")
+    try:
+        value = packing.unpack(record.content, base)
+    except packing.MalformedPacking as error:
+        raise MalformedRecords(str(error)) from error
+    return KeyedRecord(record.key, value, LogOffset(record.offset))
+
+
 def _record(record: wire.Record) -> KeyedRecord:
     return KeyedRecord(record.key, record.value, LogOffset(record.offset))
 
--- a/agatetack/keyed/sharing.py
+++ b/agatetack/keyed/sharing.py
@@ -20,9 +20,11 @@
 )
 from agatetack.keyed.messages import (
     MalformedHashes,
+    MalformedRecords,
     age_ms,
     carried_of,
     hash_records,
+    hashes_of_large,
     page_of,
     records_since,
     time_before,
@@ -119,11 +121,27 @@
         # Other failure domains get only the position: they have readers of
         # their own, and traffic between domains costs money.
         self._publish([end], Scope.ELSEWHERE)
-        records = records_since(follower, before)
-        if not records.whole and _count_bytes(records) <= MAX_INLINE_BYTES:
-            end.first, end.news = before.offset, records
+        self._add_news(end, follower, before)
         self._publish([end], Scope.DOMAIN)
 
+    def _add_news(
+        self,
+        end: wire.TopicEnd,
+        follower: TopicFollower,
+        before: TopicPosition | None,
+    ) -> None:
+        """Add the records since a position to a report if they are few."""
+        # The hosts that hear of them mostly hold what was known before.
+        bases = hashes_of_large(follower.content, former=True)
+        records = records_since(follower, before, bases=bases)
+        if records.whole or _count_bytes(records) > MAX_INLINE_BYTES:
+            return
+        end.first = before.offset
+        if records.packed:
+            end.packed_news = records
+        else:
+            end.news = records
+
     def _answered(self, follower: TopicFollower) -> None:
         self._report([follower])
 
@@ -228,16 +246,27 @@
         report: wire.TopicEnd,
         position: TopicPosition,
     ) -> None:
-        """Process records in a peer's report if this host relies on others."""
-        if report.news is None or not follower.relies_on_readers:
+        """Process records in a peer's report if this host relies on others.
+
+        Changes to a large value are processed by all hosts, as a read returns
+        the whole value.
+        """
+        news = report.packed_news or report.news
+        known = follower.content.position
+        if news is None or known is None:
+            return
+        if not news.packed and not follower.relies_on_readers:
             return
         # Missing records are fetched, as are those that a reader lacks.
         first = TopicPosition(position.generation, LogOffset(report.first or 0))
-        known = follower.content.position
-        if known.generation == first.generation and known >= first:
-            follower.apply_from_peer(
-                page_of(report.news), report.news.whole, bool(report.news.sound)
-            )
+        if known.generation != first.generation or known < first:
+            return
+        try:
+            page = page_of(news, known=follower.content.known)
+        except MalformedRecords as error:
+            log.note("news-not-usable", topic=follower.name, cause=str(error))
+            return
+        follower.apply_from_peer(page, news.whole, bool(news.sound))
 
     async def _fetch(
         self, follower: TopicFollower, peer: HostId, report: wire.TopicEnd
@@ -291,8 +320,8 @@
             return
         try:
             records = decode(wire.Records, reply)
-            page = page_of(records, held)
-        except (MalformedMessage, MalformedHashes) as error:
+            page = page_of(records, held, follower.content.known)
+        except (MalformedMessage, MalformedRecords) as error:
             self._drop("records-malformed", peer, error)
             self.readers.doubt(follower.name)
             return
@@ -305,10 +334,13 @@
         self, follower: TopicFollower, again: bool
     ) -> wire.FetchRecords:
         position = follower.content.position
+        bases = hashes_of_large(follower.content)
         if position is None or again:
-            return wire.FetchRecords(follower.name, 0, UNKNOWN_GENERATION)
+            return wire.FetchRecords(
+                follower.name, 0, UNKNOWN_GENERATION, bases=bases
+            )
         return wire.FetchRecords(
-            follower.name, position.offset, position.generation
+            follower.name, position.offset, position.generation, bases=bases
         )
 
     def _held(self, follower: TopicFollower) -> Sequence[KeyedRecord]:
@@ -359,7 +391,9 @@
             generation = follower.content.position.generation
         first = _position(generation, request.first)
         try:
-            records = records_since(follower, first, request.held)
+            records = records_since(
+                follower, first, request.held, request.bases
+            )
         except MalformedHashes as error:
             self._drop("fetch-malformed", sender, error)
             return None
@@ -372,7 +406,9 @@
 
 
 def _count_bytes(records: wire.Records) -> int:
-    return sum(len(r.key) + len(r.value or b"") for r in records.records)
+    plain = sum(len(r.key) + len(r.value or b"") for r in records.records)
+    packed = records.packed or ()
+    return plain + sum(len(r.key) + len(r.content) for r in packed)
 
 
 def _position(generation: int | None, offset: int) -> TopicPosition:
--- a/thrift/keyed.thrift
+++ b/thrift/keyed.thrift
@@ -11,6 +11,15 @@
   4: optional bool carried      // of an earlier generation, and still holds
 }
 
+// A record whose value is large, compressed.
+struct PackedRecord {
+  1: required string key
+  2: required binary content    // the value, as a frame of Zstandard
+  3: required i64 offset
+  4: optional binary base       // hash of 8 bytes of the value of this key that
+                                // the frame takes as its dictionary; absent: none
+}
+
 struct Records {
   1: required i64 end           // the next offset after them
   2: required bool whole        // every key there is, and not only what follows
@@ -22,6 +31,8 @@
                                 // named: whether the store holds it, too
   7: optional i32 answer_age_ms // since the store was known to hold nothing at
                                 // or after `end`; absent: not known
+  8: optional list<PackedRecord> packed  // records beside `records`, only for
+                                // receivers that can unpack them
 }
 
 // How far the sender has read one topic.
@@ -36,6 +47,8 @@
   7: optional i32 carried       // records of earlier generations that hold
   8: optional i32 answer_age_ms // since the store was known to hold nothing at
                                 // or after `end`; absent: not known
+  9: optional Records packed_news  // in place of `news`: with packed records,
+                                // which older hosts can't read
 }
 
 struct TopicEnds {
@@ -50,6 +63,9 @@
                                 // sender is older and knows of none
   4: optional binary held       // hashes of 8 bytes of the records that the
                                 // sender holds, by which it is told of others
+  5: optional map<string, binary> bases  // hashes of 8 bytes of the large values
+                                // that the sender holds, by key; absent: the
+                                // sender can't unpack records
 }
 
 // What one host that starts asks of another, in place of reading the store.
