--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -99,8 +99,6 @@
     ) -> StoreReply:
         """Send one request to the store, without a retry.
 
-        A reply that is under way at the deadline may still arrive.
-
         Raises:
             TopicUnavailable: No complete reply arrived.
         """
@@ -190,11 +188,7 @@
             "wait_ms": int(wait * 1000),
         }
         reply = await self.client.call(
-            "GET",
-            "/agatetack/log-read",
-            query,
-            deadline,
-            on_reply=on_answer,
+            "GET", "/agatetack/log-read", query, deadline, b"", on_answer
         )
         if reply.status == HTTP_GONE:
             raise TopicTruncated
