Let requests wait for the newest configuration at hosts that lack it

One place tells now whether the configuration in force may be decided by, from the age of what is known (TopicCurrency). If the store is known not to answer, hosts serve by what they have, as before.

--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -21,6 +21,7 @@
 from agatetack.callers.memory import CallerMemory
 from agatetack.callers.server import CallerServer
 from agatetack.clock import Clock, Lateness, LatenessMeter, SystemClock
+from agatetack.config.currency import AlwaysCurrent, Currency
 from agatetack.config.route import RequestClass, RouteSource
 from agatetack.forwarding.late import LateForwarder, LateReceiver
 from agatetack.forwarding.runner import ForwardingRunner
@@ -284,6 +285,10 @@
         """Return the check that tells a crash from one lost connection."""
         return PoolLivenessCheck(self.client.pools)
 
+    def currency(self) -> Currency:
+        """Return what tells whether the routes in force are the newest."""
+        return AlwaysCurrent()
+
     def fleet_size(self) -> int | None:
         """Return an upper bound of the number of hosts; None if unknown."""
         return self.peers.fleet_size()
@@ -317,6 +322,7 @@
             self.accounts,
             self.quotas,
             self.lifecycle.serving_end,
+            self.currency(),
         )
         LateReceiver(self.peers, self._build_forward_receiver)
         self.callers_tls = None
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -15,6 +15,7 @@
     StreamedBody,
     body_too_large_refusal,
 )
+from agatetack.config.currency import AlwaysCurrent, Currency
 from agatetack.config.route import RequestClass, Route, RouteSource
 from agatetack.decisions import DecisionLog, Importance
 from agatetack.ids import Deadline
@@ -51,6 +52,14 @@
 CHALLENGE = Header(b"www-authenticate", b"Bearer")
 """The header that each answer with status 401 has to have (RFC 9110)."""
 
+MAX_CURRENCY_WAIT_SECONDS = 0.3
+"""Longest time that a request waits for the newest configuration. A host that
+stood still has it within a few turns of its event loop, and one that was told
+of a newer one fetches or reads it."""
+
+CURRENCY_POLL_SECONDS = 0.01
+"""Interval at which a request that waits for it looks."""
+
 MIN_FAILURE_STATUS = 500
 """The lowest status that counts as a failure of the target."""
 
@@ -84,6 +93,7 @@
         accounts: "AccountCheck | None" = None,
         quotas: "QuotaLimiter | None" = None,
         serving_end: ServingEnd | None = None,
+        currency: Currency | None = None,
     ):
         """Run the requests of each class with its runner.
 
@@ -101,7 +111,10 @@
             quotas: Limits the requests of accounts; not limited if None.
             serving_end: Refuses requests that wait as the host stops; none are
                 refused if None.
+            currency: Tells whether the routes in force are the newest ones;
+                they always are if None.
         """
+        self.currency = currency or AlwaysCurrent()
         self.serving_end = serving_end or ServingEnd()
         self.accounts = accounts
         self.quotas = quotas
@@ -124,7 +137,7 @@
         try:
             if self._is_for_tickets(request):
                 return await self.tickets.handle(request)
-            found = self._find_route(request)
+            found = await self._find_current_route(request)
             if isinstance(found, Refusal):
                 return self._refuse(
                     None, request, _with_unknown_outcome(request, found)
@@ -156,7 +169,7 @@
 
         That host answers the caller, also with a refusal.
         """
-        found = self._find_route(request)
+        found = await self._find_current_route(request)
         if isinstance(found, Refusal):
             result = Failure(_with_unknown_outcome(request, found))
             self._finish_forwarded(None, request, result)
@@ -193,6 +206,30 @@
             return False
         return request.path.startswith(self.ticket_prefix)
 
+    async def _find_current_route(
+        self, request: CallerRequest
+    ) -> Route | Refusal:
+        """Return the route by the newest configuration, or a refusal.
+
+        A host that lacks it waits for it briefly. It doesn't tell callers then
+        that there is no route, which they would take for final.
+        """
+        now = trio.current_time()
+        until = min(request.deadline, now + MAX_CURRENCY_WAIT_SECONDS)
+        while self.currency.is_old and trio.current_time() < until:
+            await trio.sleep(CURRENCY_POLL_SECONDS)
+        found = self._find_route(request)
+        while _is_unknown(found) and self.currency.may_lack_routes:
+            if trio.current_time() >= until:
+                return refuse(
+                    RefusalReason.NO_CONFIGURATION,
+                    "This host may lack the newest configuration.",
+                    self._default_retry_at(),
+                )
+            await trio.sleep(CURRENCY_POLL_SECONDS)
+            found = self._find_route(request)
+        return found
+
     def _find_route(self, request: CallerRequest) -> Route | Refusal:
         if not self.accepting():
             return refuse(
@@ -371,6 +408,10 @@
         )
 
 
+def _is_unknown(found: Route | Refusal) -> bool:
+    return isinstance(found, Refusal) and found.reason is RefusalReason.NO_ROUTE
+
+
 def _importance(
     route: Route, request: CallerRequest, answer: Answer, seconds: float
 ) -> Importance:
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -12,6 +12,7 @@
     StreamedBody,
 )
 from agatetack.clock import Lateness
+from agatetack.config.currency import Currency
 from agatetack.config.route import (
     RequestClass,
     Route,
@@ -129,12 +130,14 @@
         pass
 
 
-def make_dispatcher(table, accounts=None, quotas=None):
+def make_dispatcher(
+    table, accounts=None, quotas=None, currency=None, source=None
+):
     runner = Runner()
     runners = {request_class: runner for request_class in RequestClass}
     return Dispatcher(
         SETTINGS,
-        RouteSource(table),
+        source or RouteSource(table),
         runners,
         Tickets(),
         NoCrashes(),
@@ -142,6 +145,7 @@
         Metrics(),
         accounts=accounts,
         quotas=quotas,
+        currency=currency,
     )
 
 
@@ -463,3 +467,83 @@
     assert answer.status == 200
     assert body.received == 2
     assert body.kept_bodies.used == 0
+
+
+class TimedCurrency(Currency):
+    """Is old, and may lack routes, for some time."""
+
+    def __init__(self, old_seconds, lacks_seconds):
+        now = trio.current_time()
+        self.old_until = now + old_seconds
+        self.lacks_until = now + lacks_seconds
+
+    @property
+    def is_old(self):
+        return trio.current_time() < self.old_until
+
+    @property
+    def may_lack_routes(self):
+        return trio.current_time() < self.lacks_until
+
+
+# Guards against a host that has not looked at the newest configuration yet and
+# serves by an old one, or says for good that a route isn't there.
+@pytest.mark.parametrize(
+    ("old", "lacks", "added_after", "path", "left", "status", "seconds"),
+    [
+        (0, 0, 9, b"/fast", 10, 200, 0.0),
+        (0, 9, 9, b"/fast", 10, 200, 0.0),
+        (0.1, 0, 9, b"/fast", 10, 200, 0.1),
+        (9, 9, 9, b"/fast", 10, 200, 0.3),
+        (0, 0, 9, b"/added", 10, 404, 0.0),
+        (0, 9, 0.1, b"/added", 10, 200, 0.1),
+        (0.1, 0, 0.05, b"/added", 10, 200, 0.1),
+        (0, 9, 9, b"/added", 10, 503, 0.3),
+        (9, 9, 9, b"/added", 10, 503, 0.3),
+        (0, 0.1, 9, b"/added", 10, 404, 0.1),
+        (0, 9, 9, b"/added", 0.2, 503, 0.2),
+    ],
+)
+@pytest.mark.parametrize("forwarded", [False, True])
+async def test_a_host_that_lacks_the_newest_routes_does_not_deny_them(
+    autojump_clock,
+    old,
+    lacks,
+    added_after,
+    path,
+    left,
+    status,
+    seconds,
+    forwarded,
+):
+    source = RouteSource(RouteTable(ROUTES))
+    dispatcher = make_dispatcher(
+        None, currency=TimedCurrency(old, lacks), source=source
+    )
+
+    async def add():
+        await trio.sleep(added_after)
+        source.table = RouteTable([*ROUTES, route("added")])
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(add)
+        asked_at = trio.current_time()
+        request = make_request(path, left=left)
+        if forwarded:
+            result = await dispatcher.run_forwarded(request)
+            got = result.value_or(None)
+            failed = {404: RefusalReason.NO_ROUTE}.get(
+                status, RefusalReason.NO_CONFIGURATION
+            )
+            if status == 200:
+                assert got.status == 200
+            else:
+                assert result.failure().reason is failed
+        else:
+            answer = await dispatcher.handle(request)
+            assert answer.status == status
+            headers = {each.name for each in answer.headers}
+            assert (b"retry-after" in headers) is (status == 503)
+        took = trio.current_time() - asked_at
+        nursery.cancel_scope.cancel()
+    assert seconds <= took < seconds + 0.03
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -7,12 +7,14 @@
 import trio
 
 from agatetack.clock import Clock
+from agatetack.config.currency import Currency
 from agatetack.config.document_routes import DocumentRoutes
 from agatetack.config.route import RequestClass
 from agatetack.gateway_core import GatewayCore, GatewayReadiness
 from agatetack.hosts.evacuations import Evacuations
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
+from agatetack.keyed.currency import TopicCurrency
 from agatetack.keyed.follower import ReadCounters, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.reader import FanOutReader, TopicReader
@@ -323,6 +325,10 @@
         """Return the check that tells a crash from one lost connection."""
         return ReportLivenessCheck(self.registry)
 
+    def currency(self) -> Currency:
+        """Return what tells whether the document in force is the newest."""
+        return TopicCurrency(self.followers[0], self.lateness)
+
     def fleet_size(self) -> int | None:
         """Return an upper bound of the number of hosts; None if unknown."""
         return self.peers.fleet_size() if self.members.known else None
