--- a/agatetack/testing/memory_store.py
+++ b/agatetack/testing/memory_store.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from collections import defaultdict
 from collections.abc import Mapping
 
@@ -64,6 +65,8 @@
         silent: Topics in which all answers are lost.
         losses: How often it came back from a copy.
         reading: What all reads together can take from it.
+        answer_bytes_per_second: What the way of each answer to its host
+            carries.
     """
 
     def __init__(self) -> None:
@@ -77,6 +80,7 @@
         self.generation: object = 1
         self.losses = 0
         self.reading = ThinLink()
+        self.answer_bytes_per_second = math.inf
 
     def append(self, topic: str, key: str, value: bytes) -> int:
         """Append a record and return its offset; no value removes the key."""
--- a/agatetack/testing/store_server.py
+++ b/agatetack/testing/store_server.py
@@ -11,6 +11,7 @@
 from agatetack.callers.server import CallerServer
 from agatetack.messages import (
     Answer,
+    Body,
     BytesBody,
     CallerGone,
     CallerRequest,
@@ -20,14 +21,39 @@
 from agatetack.metrics import Metrics
 from agatetack.settings.defaults import default_settings
 from agatetack.testing.memory_store import MemoryStore, StoreFault
+from agatetack.testing.thin_link import PIECE_BYTES, ThinLink
 
 PAGE_KEYS = 500
 """Keys in one page of the newest records."""
 
+MAX_READ_BYTES = 1 << 20
+"""Bytes after which an answer to a read holds no further record."""
+
 LENGTH = struct.Struct(">I")
 READ_HEAD = struct.Struct(">QQ")
 
 
+class PacedBody(Body):
+    """A body that a thin link to its receiver carries."""
+
+    def __init__(self, content: bytes, link: ThinLink):
+        """Send `content` over `link`."""
+        self.content = content
+        self.length = len(content)
+        self.link = link
+        self.sent = 0
+
+    async def receive(self) -> bytes:
+        """Return the next piece once the link has carried it."""
+        piece = self.content[self.sent : self.sent + PIECE_BYTES]
+        await self.link.carry(len(piece))
+        self.sent += len(piece)
+        return piece
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+
 class StoreHandler(Handler):
     """Answers calls of the store as the platform's pages describe them."""
 
@@ -82,9 +108,13 @@
             return _json(410, {"first": found.first})
         content = READ_HEAD.pack(found.end, found.first)
         for record in found.records:
-            if record.offset >= first:
+            if record.offset >= first and len(content) < MAX_READ_BYTES:
                 content += _frame(record.key, record.value)
-        return Answer(200, [], BytesBody(content))
+        return Answer(200, [], self._body(content))
+
+    def _body(self, content: bytes) -> Body:
+        rate = self.store.answer_bytes_per_second
+        return PacedBody(content, ThinLink(rate))
 
     async def _newest(self, query: Mapping[str, str], body: bytes) -> Answer:
         if self.store.fault is StoreFault.REFUSED:
@@ -101,7 +131,8 @@
             for key in keys[:PAGE_KEYS]
         ]
         more = len(keys) > PAGE_KEYS
-        return _json(200, {"items": items, "more": more, "end": found.end})
+        fields = {"items": items, "more": more, "end": found.end}
+        return Answer(200, [], self._body(orjson.dumps(fields)))
 
     async def _append(self, query: Mapping[str, str], body: bytes) -> Answer:
         if self.store.fault is StoreFault.REFUSED:
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -46,6 +46,9 @@
     endless: int = -1,
     troubles: int = -1,
     waves: int = -1,
+    storms: int = -1,
+    idle_routes: int = 0,
+    store_mbps: float = 0.0,
     built: bool = False,
 ) -> int:
     """Build, run one soak and print its report as JSON.
@@ -81,6 +84,11 @@
             the small site then wait long for a target.
         waves: Seed of waves in which hosts are killed as the configuration
             changes; none if negative.
+        storms: Seed of versions of the configuration in quick succession; none
+            if negative.
+        idle_routes: Routes of the configuration that nobody asks for.
+        store_mbps: What the way of each answer of the store to its host
+            carries; no bound if 0.
         built: Take the checkout as it is built.
     """
     checkout = pathlib.Path(root).resolve() if root else ROOT
@@ -111,6 +119,9 @@
         endless if endless >= 0 else None,
         troubles if troubles >= 0 else None,
         waves if waves >= 0 else None,
+        storms if storms >= 0 else None,
+        idle_routes,
+        store_mbps,
     )
     report = trio.run(run_soak, plan)
     if report.faults:
@@ -140,6 +151,9 @@
     endless: bool = False,
     troubles: bool = False,
     waves: bool = False,
+    storms: bool = False,
+    idle_routes: int = 0,
+    store_mbps: float = 0.0,
     signals: bool = True,
 ) -> int:
     """Run soaks with faults of many seeds, and print one line for each.
@@ -161,16 +175,22 @@
         troubles: Whether rejections come twice, a part of the store is silent
             or targets leave at times.
         waves: Whether hosts are killed in waves as the configuration changes.
+        storms: Whether the configuration changes in quick succession.
+        idle_routes: Routes of the configuration that nobody asks for.
+        store_mbps: What the way of each answer of the store to its host
+            carries; no bound if 0.
         signals: Whether all other faults come as well.
     """
     build(ROOT)
     seeded = ["--faults"] * signals + ["--path-cuts"] * path_cuts
     seeded += ["--stops"] * stops + ["--endless"] * endless
     seeded += ["--troubles"] * troubles + ["--waves"] * waves
+    seeded += ["--storms"] * storms
     options = [
         *("--hosts", str(hosts), "--per-second", str(per_second)),
         *("--seconds", str(seconds), "--lead-seconds", str(lead_seconds)),
-        *("--load", str(load)),
+        *("--load", str(load), "--idle-routes", str(idle_routes)),
+        *("--store-mbps", str(store_mbps)),
         "--built",
     ]
     if site:
--- a/bench/soak/fault_plan.py
+++ b/bench/soak/fault_plan.py
@@ -93,6 +93,15 @@
 CHANGE_SECONDS = (1.0, 2.0)
 """Shortest and longest time between two versions beside waves."""
 
+STORM_VERSIONS = (3, 10)
+"""Fewest and most versions in quick succession."""
+
+STORM_GAP_SECONDS = (0.2, 0.6)
+"""Shortest and longest time between two of them."""
+
+STORM_REST_SECONDS = (0.5, 4.0)
+"""Shortest and longest time without any."""
+
 START_SHARE = 0.4
 """Share of first moments that are at the start of the hosts."""
 
@@ -232,6 +241,25 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def draw_storms(seed: int, first: float, last: float) -> list[Publish]:
+    """Return versions of the configuration in quick succession.
+
+    Args:
+        seed: The seed.
+        first: When the first ones come, in seconds of the run.
+        last: When the last ones come.
+    """
+    source = random.Random(f"storms {seed}")
+    found = []
+    at = first
+    while at < last:
+        count = source.randint(*STORM_VERSIONS)
+        gap = round(source.uniform(*STORM_GAP_SECONDS), 3)
+        found.append(Publish(round(at, 3), count, gap))
+        at += count * gap + source.uniform(*STORM_REST_SECONDS)
+    return found
+
+
 def _further_signals(source: random.Random) -> list[signal.Signals]:
     repeated = (signal.SIGTERM, signal.SIGHUP)
     count = source.randint(0, MAX_REPEATS)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -15,6 +15,7 @@
     draw_faults,
     draw_path_cuts,
     draw_stops,
+    draw_storms,
     draw_troubles,
     draw_waves,
 )
@@ -31,7 +32,7 @@
     refusal_times,
     timeline,
 )
-from bench.soak.site import Kind, Site
+from bench.soak.site import BYTES_PER_MEGABIT, Kind, Site
 from bench.soak.verdict import Evidence, Violation, judge
 from bench.soak.versions import Observer
 from bench.soak.world import World
@@ -69,6 +70,11 @@
             is silent, and targets that leave; None for a run without.
         waves: Seed of waves in which hosts are killed as the configuration
             changes; None for a run without.
+        storms: Seed of versions of the configuration in quick succession; None
+            for a run without.
+        idle_routes: Routes of the configuration that nobody asks for.
+        store_mbps: What the way of each answer of the store to its host
+            carries; 0 for no bound.
     """
 
     site: Site
@@ -85,6 +91,9 @@
     endless: int | None = None
     troubles: int | None = None
     waves: int | None = None
+    storms: int | None = None
+    idle_routes: int = 0
+    store_mbps: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,7 +166,10 @@
 
 async def run_soak(plan: Plan) -> Report:
     """Run the hosts of a plan under its load, and return what was seen."""
-    world = World(plan.site)
+    world = World(plan.site, plan.idle_routes)
+    if plan.store_mbps:
+        rate = plan.store_mbps * BYTES_PER_MEGABIT
+        world.store.answer_bytes_per_second = rate
     callers = Callers(plan.site, world, plan.seed)
     occupancy = Occupancy()
     before = read_kernel_counters()
@@ -176,7 +188,7 @@
         nursery.start_soon(stage.carry_out, faults)
         observer = Observer(world, epoch)
         store = StoreWatch(world.store_port)
-        if plan.waves is not None:
+        if plan.waves is not None or plan.storms is not None:
             nursery.start_soon(observer.run, hosts)
             nursery.start_soon(store.run)
         for host in hosts:
@@ -252,6 +264,8 @@
         faults += draw_waves(
             plan.waves, [h.id for h in seeds_first], plan.lead_seconds, last
         )
+    if plan.storms is not None:
+        faults += draw_storms(plan.storms, plan.lead_seconds, last)
     if plan.stops is not None:
         faults += draw_stops(plan.stops, names, plan.lead_seconds, last)
         if plan.stop_all:
--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -24,6 +24,7 @@
     draw_faults,
     draw_path_cuts,
     draw_stops,
+    draw_storms,
     draw_troubles,
     draw_waves,
 )
@@ -542,6 +543,16 @@
     assert len(changes) > 15 * len(SEEDS)
 
 
+def test_versions_in_quick_succession_are_drawn_alike():
+    drawn = draw_storms(3, 4.0, 60.0)
+    assert drawn == draw_storms(3, 4.0, 60.0)
+    assert drawn != draw_storms(4, 4.0, 60.0)
+    ends = [each.at + each.count * each.pause for each in drawn]
+    begins = [each.at for each in drawn]
+    assert begins[0] == 4.0
+    assert all(end < begin for end, begin in zip(ends, begins[1:], strict=False))
+
+
 # Guards against the blame for what no host can know, as the stand-in of the
 # store answered nobody for longer than calls of it wait.
 @pytest.mark.parametrize(
--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -72,12 +72,18 @@
 
     Attributes:
         services: The services to which one route is moved in turn.
+        idle_routes: Routes of each version that nobody asks for, which make a
+            large configuration.
         confirmed_at: When each version was confirmed, the first one first.
     """
 
-    def __init__(self, services: Sequence[ServiceId]):
+    def __init__(self, services: Sequence[ServiceId], idle_routes: int = 0):
         """Start without any version."""
         self.services = services
+        self.idle_routes = [
+            _route(f"idle-{number}.example", services[0])
+            for number in range(idle_routes)
+        ]
         self.confirmed_at: list[Deadline] = []
 
     @property
@@ -102,6 +108,7 @@
             _route(added_host(each), first) for each in range(1, version + 1)
         ]
         return [
+            *self.idle_routes,
             *added,
             _route(dropped_host(version), first),
             _route(MOVED_HOST, self.service(version)),
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -94,14 +94,20 @@
         path_cuts: The hosts that are cut off from all targets.
     """
 
-    def __init__(self, site: Site):
-        """Make an empty store; `start` starts everything."""
+    def __init__(self, site: Site, idle_routes: int = 0):
+        """Make an empty store; `start` starts everything.
+
+        Args:
+            site: The site.
+            idle_routes: Routes that nobody asks for.
+        """
         self.site = site
         self.store = MemoryStore()
         self.store.latency_seconds = STORE_SECONDS
         self.store_port = 0
         self.targets: dict[TargetId, SiteTarget] = {}
-        self.versions = Versions([each.id for each in site.services])
+        services = [each.id for each in site.services]
+        self.versions = Versions(services, idle_routes)
         self.entry = FakeEntry([], {}, self._is_ready)
         self.hosts: dict[str, Host] = {}
         self.path_cuts = PathCuts(lambda: self.hosts)
