--- a/bench/soak/test_soak.py
+++ b/bench/soak/test_soak.py
@@ -550,7 +550,9 @@
     ends = [each.at + each.count * each.pause for each in drawn]
     begins = [each.at for each in drawn]
     assert begins[0] == 4.0
-    assert all(end < begin for end, begin in zip(ends, begins[1:], strict=False))
+    assert all(
+        end < begin for end, begin in zip(ends, begins[1:], strict=False)
+    )
 
 
 # Guards against the blame for what no host can know, as the stand-in of the
