Don't take a reply that ends before the last record for all of them

Callers may get 404 for routes that were added, from hosts that took themselves for up to date: a read of the store ends after 1 MB, which three versions of a large configuration fill.

Cause: the header of a reply names the topic's end, which was read and ignored. A host that got a part of the records noted that the store held no others at that moment, told its peers and hosts that start so, and waited 0.5 s for a batch before it read on.

TopicPage.more says whether the store had further records. If so the reply shows nothing about the age of what is known, and the next read follows at once.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -352,7 +352,7 @@
             if page.generation != position.generation:
                 raise TopicRestored
             self._take(page, whole=False)
-        self.note_read(page.position)
+        self.note_read(page)
         if whole or not page.records:
             self.on_current(sent, page.position)
         if not self.reachable:
@@ -363,7 +363,7 @@
                 generation=page.generation,
             )
             self._note_reachable()
-        if page.records:
+        if page.records and not page.more:
             # Batch records that follow shortly into the next read, so that a
             # burst of changes does not cost one call per change.
             await trio.sleep(self.limits.batch_seconds)
@@ -696,10 +696,11 @@
         """Note that the store has answered a read of this host just now."""
         self.read_at = Deadline(trio.current_time())
 
-    def note_read(self, position: TopicPosition) -> None:
-        """Note that the last answer had all records before a position."""
+    def note_read(self, page: TopicPage) -> None:
+        """Note that the last answer had the records of a page."""
         is_news = self.read_at > self.complete_at + NEWS_SECONDS
-        self.note_complete(position, self.read_at)
+        if not page.more:
+            self.note_complete(page.position, self.read_at)
         if is_news:
             self.on_answer(self)
 
--- a/agatetack/keyed/proofs.py
+++ b/agatetack/keyed/proofs.py
@@ -448,9 +448,9 @@
         if page.records:
             # One reply need not have all records, so it proves nothing.
             self.follower.apply_read(page)
-            self.follower.note_read(page.position)
+            self.follower.note_read(page)
             return ReadResult.RECORDS
-        self.follower.note_read(page.position)
+        self.follower.note_read(page)
         self._note(Proof(sent, page.position))
         return ReadResult.PROVEN
 
--- a/agatetack/keyed/test_large_documents.py
+++ b/agatetack/keyed/test_large_documents.py
@@ -206,3 +206,22 @@
         await trio.sleep(CALM_SECONDS)
         nursery.cancel_scope.cancel()
     assert fleet.worst_seconds <= APPLY_SECONDS
+
+
+# Guards against answers without the newest records, which did not fit in them,
+# that pass for all that the store holds.
+async def test_an_answer_without_the_newest_records_shows_nothing(
+    autojump_clock,
+):
+    async with trio.open_nursery() as nursery:
+        fleet = DocumentFleet(nursery, 1, 1, LINKS_BYTES_PER_SECOND[0])
+        (host,) = fleet.hosts
+        await trio.sleep(CALM_SECONDS)
+        appended_at = trio.current_time()
+        for key in ("a", "b", "c"):
+            fleet.store.append(NAME, key, random.Random(key).randbytes(600_000))
+        while "a" not in host.kept.values:
+            await trio.sleep(STEP_SECONDS)
+        assert "c" not in host.kept.values
+        assert host.follower.complete_at <= appended_at
+        nursery.cancel_scope.cancel()
--- a/agatetack/keyed/topic.py
+++ b/agatetack/keyed/topic.py
@@ -81,11 +81,13 @@
         records: The records in offset order; the last one per key is current.
         end: The offset that the topic's next record will get.
         generation: The store generation in which they were read.
+        more: Whether the store had further records, from `end` on.
     """
 
     records: Sequence[KeyedRecord]
     end: LogOffset
     generation: StoreGeneration = UNKNOWN_GENERATION
+    more: bool = False
 
     @property
     def position(self) -> TopicPosition:
--- a/agatetack/platform/store_client.py
+++ b/agatetack/platform/store_client.py
@@ -269,15 +269,14 @@
 
 def _read_records(reply: StoreReply, first: LogOffset, topic: str) -> TopicPage:
     try:
-        READ_HEADER.unpack_from(reply.body)
+        store_end, _ = READ_HEADER.unpack_from(reply.body)
         contents = list(enumerate(_split_records(reply.body), first))
     except (struct.error, IndexError) as error:
         raise TopicUnavailable(f"malformed reply: {error}") from error
-    # The end offset in the header may be larger than that of the records
-    # here, because one reply need not contain all records up to the end.
+    # One reply need not contain all records up to the end.
     end = LogOffset(first + len(contents))
     records = readable_records(topic, contents, _read_record)
-    return TopicPage(records, end, reply.generation)
+    return TopicPage(records, end, reply.generation, more=end < store_end)
 
 
 def _split_records(body: bytes) -> Iterator[bytes]:
--- a/agatetack/platform/test_store_client.py
+++ b/agatetack/platform/test_store_client.py
@@ -319,6 +319,18 @@
     assert {record.offset for record in page.records} == offsets
 
 
+# Guards against replies that pass for all that the store holds though they end
+# before its last record.
+@pytest.mark.parametrize(("store_end", "more"), [(7, False), (9, True)])
+async def test_a_reply_says_whether_the_store_has_more(store_end, more):
+    records = [record_of(b"\x01a1"), record_of(b"\x01b2")]
+    body = READ_HEADER.pack(store_end, 0) + b"".join(records)
+    async with raw_topic([HEADS["length"] % len(body) + body]) as topic:
+        page = await topic.read(LogOffset(5), soon(0), soon())
+    assert page.more is more
+    assert page.end == 7
+
+
 @pytest.mark.parametrize(
     "odd",
     [
--- a/agatetack/testing/memory_topic.py
+++ b/agatetack/testing/memory_topic.py
@@ -85,7 +85,8 @@
             on_answer(sum(len(r.value or b"") for r in records))
             await trio.lowlevel.checkpoint_if_cancelled()
         await self._receive(records, deadline)
-        return TopicPage(records, LogOffset(first + len(records)), generation)
+        end = LogOffset(first + len(records))
+        return TopicPage(records, end, generation, more=end < found.end)
 
     async def append_all(
         self, values: Mapping[str, bytes], deadline: Deadline
