Date what the store tells by when its answer began

Cause: a host noted that the store held no other records when an answer had arrived. An answer of 300 kB takes 0.5 s on a link of 5 Mbit/s, and as a listing of all keys 0.7 s. What came into the store meanwhile is not in it. The age goes on to peers and to hosts that start, as an age that looks sound.

Now the age counts from when an answer began, which on_answer tells, and for listings and proofs from when the call was sent.

--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -208,7 +208,10 @@
         reachable_since: When the store last became reachable again.
         peer_wait_factor: This host's factor on the time that it waits for
             records of others.
-        read_at: When the last call was answered, or None.
+        read_at: Up to when the store has told this host of all records; None
+            if it has not answered yet.
+        answered_at: When the store gave the answer to the call that is under
+            way, or gave it at the earliest.
         waiting: Ends a read that waits for a record though the store no longer
             answers.
         backlog: The records that others have and this host lacks.
@@ -259,6 +262,7 @@
         self.reachable = False
         self.reachable_since = Deadline(0.0)
         self.read_at: Deadline | None = None
+        self.answered_at = Deadline(-math.inf)
         self.waiting = trio.CancelScope()
         self.backlog = Backlog()
         self.prefers_newest = False
@@ -341,6 +345,7 @@
         whole = position is None or self.truncated or self.is_outdated
         if whole or self.prefers_newest:
             whole, self.prefers_newest = True, False
+            self.answered_at = Deadline(trio.current_time())
             page = await self.topic.newest(self._deadline(0.0))
             self._answered("all")
             if page.generation < self.generations.newest:
@@ -394,6 +399,7 @@
 
         Of several versions of a large value only the last one matters.
         """
+        self.answered_at = Deadline(trio.current_time())
         self.waiting.deadline = math.inf
         values = self.content.known.values()
         newest_bytes = sum(len(each.value or b"") for each in values)
@@ -690,11 +696,16 @@
     def _answered(self, result: str) -> None:
         self._count(result)
         self.failures = 0
-        self.note_answered()
+        self.note_answered(self.answered_at)
 
-    def note_answered(self) -> None:
-        """Note that the store has answered a read of this host just now."""
-        self.read_at = Deadline(trio.current_time())
+    def note_answered(self, at: Deadline) -> None:
+        """Note that the store has answered a read of this host.
+
+        Args:
+            at: When it did, or did at the earliest. A large answer arrives much
+                later.
+        """
+        self.read_at = at
 
     def note_read(self, page: TopicPage) -> None:
         """Note that the last answer had the records of a page."""
--- a/agatetack/keyed/proofs.py
+++ b/agatetack/keyed/proofs.py
@@ -442,7 +442,7 @@
         except TopicUnavailable as error:
             self.last_read = f"{ReadResult.UNAVAILABLE.value} ({error})"
             return ReadResult.UNAVAILABLE
-        self.follower.note_answered()
+        self.follower.note_answered(sent.monotonic)
         if page.generation != position.generation:
             return ReadResult.RESTORED
         if page.records:
--- a/agatetack/keyed/test_large_documents.py
+++ b/agatetack/keyed/test_large_documents.py
@@ -208,6 +208,27 @@
     assert fleet.worst_seconds <= APPLY_SECONDS
 
 
+# Guards against records that pass as younger than they are, as their answer
+# took long to arrive: hosts that get them serve an old configuration longer.
+@pytest.mark.parametrize("whole", [False, True])
+async def test_a_slow_answer_is_as_old_as_its_beginning(autojump_clock, whole):
+    async with trio.open_nursery() as nursery:
+        fleet = DocumentFleet(nursery, 1, 1400, LINKS_BYTES_PER_SECOND[1])
+        (host,) = fleet.hosts
+        if not whole:
+            await trio.sleep(CALM_SECONDS)
+            fleet.change()
+        version = fleet.document.version
+        await trio.sleep(0.2)
+        changed_at = trio.current_time()
+        fleet.change()
+        while not knows(host, version):
+            await trio.sleep(STEP_SECONDS)
+        assert not knows(host, fleet.document.version)
+        assert host.follower.complete_at < changed_at
+        nursery.cancel_scope.cancel()
+
+
 # Guards against answers without the newest records, which did not fit in them,
 # that pass for all that the store holds.
 async def test_an_answer_without_the_newest_records_shows_nothing(
@@ -225,3 +246,9 @@
         assert "c" not in host.kept.values
         assert host.follower.complete_at <= appended_at
         nursery.cancel_scope.cancel()
+
+
+def knows(host: TopicHost, version: int) -> bool:
+    """Return whether a host knows a version of the document, or a later one."""
+    document = host.kept.values.get(KEY)
+    return document is not None and read_version(document) >= version
--- a/agatetack/testing/memory_topic.py
+++ b/agatetack/testing/memory_topic.py
@@ -81,7 +81,7 @@
         records = _first_bytes(
             [_record(r) for r in found.records if r.offset >= first]
         )
-        if on_answer is not None and records:
+        if on_answer is not None:
             on_answer(sum(len(r.value or b"") for r in records))
             await trio.lowlevel.checkpoint_if_cancelled()
         await self._receive(records, deadline)
