Read the body of a request that offers an upgrade

Some clients offer HTTP/2 with their first request on a connection.

Cause: httptools reports such a request, and CONNECT, as complete at the end of its header, and hands the rest back. The parser believed it and dropped the rest. A host that doesn't switch protocols has to read the message as any other (RFC 9110, 7.8).

Now a second parser reads what follows, after a header that announces the same length or chunks, into the body of the same request. So a body in chunks, over the limits, cut off or sent byte by byte takes the ways that it takes otherwise. As before, nothing is read behind that request and the connection ends with it.

--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -153,6 +153,9 @@
         framing_bytes: Bytes received since the last byte of a body.
         came_at: When the bytes that are being parsed came.
         completed: Whether a request ended in the last slice.
+        is_last: Whether no request is read after the current one.
+        announcing_body: Whether the parser is given the header that stands for
+            one whose body it skipped.
     """
 
     def __init__(self, max_header_bytes: int, read_more: ReadMore):
@@ -186,6 +189,8 @@
         self.framing_bytes = 0
         self.came_at = Deadline(0.0)
         self.body: RequestBody | None = None
+        self.is_last = False
+        self.announcing_body = False
 
     @property
     def idle(self) -> bool:
@@ -269,11 +274,7 @@
         self.framing_bytes += len(data)
         self.completed = False
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Upgrades are not supported, and the next bytes may belong to
-            # the other protocol, so the connection ends with this request.
-            self.broken = True
+            self._feed_parser(data)
         except httptools.HttpParserError as error:
             self._break(RefusalReason.MALFORMED_REQUEST, str(error))
         limit = 2 * self.max_header_bytes
@@ -287,6 +288,31 @@
         if self.head_too_large:
             self._break_too_large()
 
+    def _feed_parser(self, data: memoryview) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            if self.broken:
+                return
+            # httptools reads no body of a request that offers an upgrade.
+            # agatetack doesn't switch, so its body follows as in any other.
+            self._announce_body()
+            if not self.broken:
+                (position,) = upgrade.args
+                self.parser.feed_data(data[position:])
+
+    def _announce_body(self) -> None:
+        """Have a new parser read the body of the current request."""
+        framing = b"content-length: %d" % (self.content_length or 0)
+        if self.transfer_coding is not None:
+            framing = b"transfer-encoding: chunked"
+        # Bytes of the other protocol may follow, which are no request.
+        self.is_last = True
+        self.parser = httptools.HttpRequestParser(self)
+        self.announcing_body = True
+        self.parser.feed_data(b"POST / HTTP/1.1\r\n%b\r\n\r\n" % framing)
+        self.announcing_body = False
+
     def end(self) -> None:
         """Handle the end of the stream."""
         if self.body is not None:
@@ -310,6 +336,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request; called by the parser."""
+        if self.announcing_body or self.broken:
+            return
         self.in_head = True
         self.head_since = Deadline(trio.current_time())
         self.head_bytes = 0
@@ -323,11 +351,15 @@
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target; called by the parser."""
+        if self.announcing_body or self.broken:
+            return
         self.target += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; called by the parser."""
+        if self.announcing_body or self.broken:
+            return
         self._count_head_bytes(len(name) + len(value) + 4)
         if self.in_trailer or self.head_too_large:
             return
@@ -349,7 +381,7 @@
 
     def on_headers_complete(self) -> None:
         """Add the request to `ready`; called by the parser."""
-        if self.broken:
+        if self.announcing_body or self.broken:
             return
         self.in_head = False
         if self.head_too_large:
@@ -368,7 +400,10 @@
             target=self.target,
             version=self.parser.get_http_version(),
             fields=bytes(self.fields),
-            keep_alive=self.parser.should_keep_alive(),
+            keep_alive=(
+                self.parser.should_keep_alive()
+                and not self.parser.should_upgrade()
+            ),
             arrived=self.came_at,
         )
         self.fields = bytearray()
@@ -400,7 +435,12 @@
 
     def on_message_complete(self) -> None:
         """End the request; called by the parser."""
+        if self.parser.should_upgrade() and not self.broken:
+            # The body is still to come.
+            return
         self.completed = True
         if self.body is not None:
             self.body.complete = True
             self.body = None
+        if self.is_last:
+            self.broken = True
--- a/agatetack/callers/test_connection.py
+++ b/agatetack/callers/test_connection.py
@@ -279,6 +279,67 @@
             assert statuses(await read_all(caller)) == [200]
 
 
+OFFERS = {
+    "none": b"",
+    "h2c": b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n",
+    "lower": b"connection: upgrade\r\nupgrade: websocket\r\n",
+    "twice": b"Upgrade: a\r\nUpgrade: b\r\nConnection: upgrade\r\n",
+    "unnamed": b"Upgrade: h2c\r\n",
+    "closing": b"Connection: close, upgrade\r\nUpgrade: h2c\r\n",
+}
+
+
+# Guards against requests that run without their body, as the parser takes them
+# for complete at the end of a header that offers another protocol.
+@pytest.mark.parametrize("offer", OFFERS)
+@pytest.mark.parametrize("method", [b"POST", b"GET", b"PUT"])
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("piece", [1, 50, 10_000])
+async def test_a_request_that_offers_an_upgrade_keeps_its_body(
+    autojump_clock, offer, method, chunked, piece
+):
+    content = bytes(range(97, 107)) * 30
+    framing, body = b"Content-Length: 300\r\n", content
+    if chunked:
+        framing = b"Transfer-Encoding: chunked\r\n"
+        body = b"c8\r\n%b\r\n64\r\n%b\r\n0\r\n\r\n"
+        body %= content[:200], content[200:]
+    raw = b"%b /x HTTP/1.1\r\nHost: a\r\n" % method
+    raw += OFFERS[offer] + framing + b"\r\n" + body
+    async with connected() as (caller, echo, _):
+        for start in range(0, len(raw), piece):
+            await caller.send_all(raw[start : start + piece])
+            await trio.testing.wait_all_tasks_blocked()
+        data = await read_all(caller)
+    assert statuses(data) == [200]
+    assert [request.method for request in echo.requests] == [method]
+    assert content in data
+
+
+# Guards against a tunnel that is answered as a request without a body.
+async def test_a_tunnel_is_refused_and_its_body_not_read(autojump_clock):
+    raw = b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"
+    async with connected() as (caller, echo, _):
+        await caller.send_all(raw + HEAD + b"\r\n")
+        data = await read_all(caller)
+    assert statuses(data) == [400]
+    assert echo.requests == []
+
+
+@pytest.mark.parametrize("after", [HEAD + b"\r\n", b"\x00\x81other", POST])
+async def test_nothing_is_read_after_a_request_that_offers_an_upgrade(
+    autojump_clock, after
+):
+    raw = POST + OFFERS["h2c"] + b"Content-Length: 2\r\n\r\nhi"
+    async with connected() as (caller, echo, connection):
+        await caller.send_all(raw + after)
+        data = await read_all(caller)
+    assert statuses(data) == [200]
+    assert b"Connection: close" in data
+    assert connection.parser.broken
+    assert [request.method for request in echo.requests] == [b"POST"]
+
+
 async def test_continues_only_when_the_caller_waits(autojump_clock):
     raw = POST + b"Content-Length: 2\r\nExpect: 100-continue\r\n\r\n"
     async with connected() as (caller, _, _):
