Count only the time in which a host reads for its callers' timeouts

Cause: once 8 KB of headers wait, parsing pauses within one that has arrived or lies in the kernel. The header timeout ran on from its first byte, though it was the host that didn't read. The timeout of a body had the same fault: a pause counted as soon as reading went on.

Now the beginning of a header moves on by each time in which nothing was read, and a body's time counts from when the present read began; neither expires while the host doesn't read. A header or body that trickles ends its connection as before, also behind other requests.

--- a/agatetack/callers/connection.py
+++ b/agatetack/callers/connection.py
@@ -99,6 +99,9 @@
         transport: The TCP stream below, also under TLS; None in tests.
         aborted: Whether the connection ends with a reset.
         last_request: The id of the last request whose header was read.
+        reading: Whether it waits for bytes of the caller.
+        reading_since: When it last began to.
+        read_until: When it last ended to.
         started: Requests taken from the parser and not answered yet.
         progress_at: When the connection was opened, or the last request
             on it was complete.
@@ -151,8 +154,8 @@
         self.aborted = False
         self.last_request = UNPARSED_ID
         self.idle_since = Deadline(trio.current_time())
-        self.last_byte_at = self.idle_since
         self.reading = False
+        self.reading_since = self.read_until = self.idle_since
         self.started: list[ParsedRequest] = []
         self.progress_at = self.idle_since
         self.served = False
@@ -339,12 +342,8 @@
             # Notes whether the caller takes what was sent.
             self.delivery.look()
             return now - sending_since > limits.write_timeout_seconds
-        if self.parser.in_head:
-            since = self.parser.head_since
-            return now - since > limits.header_timeout_seconds
-        if self.parser.body is not None:
-            quiet = now - self.last_byte_at
-            return self.reading and quiet > limits.keep_alive_seconds
+        if self.parser.in_head or self.parser.body is not None:
+            return self.reading and self._has_stalled(now)
         if self.busy or self.parser.ready:
             return False
         if now - self.idle_since <= limits.keep_alive_seconds:
@@ -355,6 +354,17 @@
             allowed_seconds = limits.keep_alive_seconds
         return now - self.delivery.changed_at > allowed_seconds
 
+    def _has_stalled(self, now: Deadline) -> bool:
+        """Return whether the rest of a request has not come in time.
+
+        Only the time in which this host reads counts.
+        """
+        limits = self.settings
+        if self.parser.in_head:
+            since = self.parser.head_since
+            return now - since > limits.header_timeout_seconds
+        return now - self.reading_since > limits.keep_alive_seconds
+
     def is_lost(self) -> bool:
         """Return whether the caller has gone while it waits.
 
@@ -438,6 +448,8 @@
         Raises:
             CallerGone: The connection is lost.
         """
+        self.reading_since = Deadline(trio.current_time())
+        self.parser.skip_pause(self.read_until, self.reading_since)
         self.reading = True
         try:
             data = await self._receive()
@@ -445,6 +457,7 @@
             raise CallerGone from error
         finally:
             self.reading = False
+            self.read_until = Deadline(trio.current_time())
         self._feed(data)
 
     async def _receive(self) -> bytes:
@@ -461,7 +474,6 @@
             self.parser.end()
             return
         now = Deadline(trio.current_time())
-        self.last_byte_at = now
         transport = self.transport
         waited = 0.0 if transport is None else transport.seconds_since_data()
         self.parser.feed(data, Deadline(now - waited))
--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -149,7 +149,8 @@
         pending: Bytes that are parsed once there is room in `ready`.
         broken: Whether no more requests can be read.
         dropped: Whether that is so as what was received was discarded.
-        head_since: When the current header began.
+        head_since: When the current header began, moved on by the time in which
+            the host did not read.
         framing_bytes: Bytes received since the last byte of a body.
         came_at: When the bytes that are being parsed came.
         completed: Whether a request ended in the last slice.
@@ -212,6 +213,12 @@
         held += len(self.ready) * WAITING_REQUEST_BYTES
         return held + self.ready_header_bytes
 
+    def skip_pause(self, start: Deadline, end: Deadline) -> None:
+        """Don't count a time in which nothing was read for the header."""
+        if self.in_head:
+            pause = end - max(start, self.head_since)
+            self.head_since = Deadline(self.head_since + max(0.0, pause))
+
     def next_request(self) -> ParsedRequest:
         """Take the oldest request from `ready`, and parse what has waited."""
         request = self.ready.popleft()
