Keep what tells whether a host is current with what it judges

Currency stands beside RouteSource now, whose table it judges, and TopicCurrency beside the follower that it reads.

--- a/agatetack/config/route.py
+++ b/agatetack/config/route.py
@@ -1,5 +1,6 @@
 """Define a route: which requests it matches and how they may be handled."""
 
+import abc
 import dataclasses
 import enum
 from collections.abc import Sequence
@@ -151,3 +152,35 @@
     def __init__(self, table: RouteTable | None = None):
         """Start with `table`."""
         self.table = table
+
+
+class Currency(abc.ABC):
+    """Whether the configuration in force at this host is the newest one."""
+
+    @property
+    @abc.abstractmethod
+    def is_old(self) -> bool:
+        """Return whether it may be too old to be served by.
+
+        What would tell is on its way. It is not if the store is known not to
+        answer: hosts then go on with what they have.
+        """
+
+    @property
+    @abc.abstractmethod
+    def may_lack_routes(self) -> bool:
+        """Return whether a route that is not in force here may exist."""
+
+
+class AlwaysCurrent(Currency):
+    """The currency of hosts that have no other way to tell."""
+
+    @property
+    def is_old(self) -> bool:
+        """Return False."""
+        return False
+
+    @property
+    def may_lack_routes(self) -> bool:
+        """Return False."""
+        return False
--- a/agatetack/gateway_core.py
+++ b/agatetack/gateway_core.py
@@ -21,8 +21,12 @@
 from agatetack.callers.memory import CallerMemory
 from agatetack.callers.server import CallerServer
 from agatetack.clock import Clock, Lateness, LatenessMeter, SystemClock
-from agatetack.config.currency import AlwaysCurrent, Currency
-from agatetack.config.route import RequestClass, RouteSource
+from agatetack.config.route import (
+    AlwaysCurrent,
+    Currency,
+    RequestClass,
+    RouteSource,
+)
 from agatetack.forwarding.late import LateForwarder, LateReceiver
 from agatetack.forwarding.runner import ForwardingRunner
 from agatetack.ids import Deadline, RouteId, ServiceId
--- a/agatetack/keyed/test_currency.py
+++ b/agatetack/keyed/test_currency.py
@@ -6,7 +6,7 @@
 import trio
 
 from agatetack.clock import Lateness
-from agatetack.keyed.currency import TopicCurrency
+from agatetack.keyed.follower import TopicCurrency
 from agatetack.testing.memory_exchange import MemoryMesh
 from agatetack.testing.memory_store import MemoryStore
 from agatetack.testing.memory_topic import NAME
--- a/agatetack/serving/dispatcher.py
+++ b/agatetack/serving/dispatcher.py
@@ -15,8 +15,13 @@
     StreamedBody,
     body_too_large_refusal,
 )
-from agatetack.config.currency import AlwaysCurrent, Currency
-from agatetack.config.route import RequestClass, Route, RouteSource
+from agatetack.config.route import (
+    AlwaysCurrent,
+    Currency,
+    RequestClass,
+    Route,
+    RouteSource,
+)
 from agatetack.decisions import DecisionLog, Importance
 from agatetack.ids import Deadline
 from agatetack.lifecycle.in_flight import ServingEnd, stopping_refusal
--- a/agatetack/serving/test_dispatcher.py
+++ b/agatetack/serving/test_dispatcher.py
@@ -12,8 +12,8 @@
     StreamedBody,
 )
 from agatetack.clock import Lateness
-from agatetack.config.currency import Currency
 from agatetack.config.route import (
+    Currency,
     RequestClass,
     Route,
     RouteSource,
--- a/agatetack/store_gateway.py
+++ b/agatetack/store_gateway.py
@@ -7,15 +7,13 @@
 import trio
 
 from agatetack.clock import Clock
-from agatetack.config.currency import Currency
 from agatetack.config.document_routes import DocumentRoutes
-from agatetack.config.route import RequestClass
+from agatetack.config.route import Currency, RequestClass
 from agatetack.gateway_core import GatewayCore, GatewayReadiness
 from agatetack.hosts.evacuations import Evacuations
 from agatetack.hosts.member_directory import MemberDirectory
 from agatetack.hosts.registered_targets import RegisteredTargets
-from agatetack.keyed.currency import TopicCurrency
-from agatetack.keyed.follower import ReadCounters, TopicFollower
+from agatetack.keyed.follower import ReadCounters, TopicCurrency, TopicFollower
 from agatetack.keyed.generations import StoreGenerations
 from agatetack.keyed.reader import FanOutReader, TopicReader
 from agatetack.keyed.seeds import SeedClient, SeedServer
