Sum up what is known only when an answer is large

The time of a listing's call is the one taken for its proof, the four checks of the parser's callbacks have a name, and a pause that can't be negative is no longer bounded.

--- a/agatetack/callers/parser.py
+++ b/agatetack/callers/parser.py
@@ -198,6 +198,11 @@
         """Return whether no request is being received."""
         return not (self.in_head or self.pending) and self.body is None
 
+    @property
+    def _ignores_head(self) -> bool:
+        """Return whether what the parser reports is no caller's header."""
+        return self.announcing_body or self.broken
+
     @property
     def full(self) -> bool:
         """Return whether as many requests wait as may."""
@@ -217,7 +222,7 @@
         """Don't count a time in which nothing was read for the header."""
         if self.in_head:
             pause = end - max(start, self.head_since)
-            self.head_since = Deadline(self.head_since + max(0.0, pause))
+            self.head_since = Deadline(self.head_since + pause)
 
     def next_request(self) -> ParsedRequest:
         """Take the oldest request from `ready`, and parse what has waited."""
@@ -343,7 +348,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request; called by the parser."""
-        if self.announcing_body or self.broken:
+        if self._ignores_head:
             return
         self.in_head = True
         self.head_since = Deadline(trio.current_time())
@@ -358,14 +363,14 @@
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target; called by the parser."""
-        if self.announcing_body or self.broken:
+        if self._ignores_head:
             return
         self.target += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; called by the parser."""
-        if self.announcing_body or self.broken:
+        if self._ignores_head:
             return
         self._count_head_bytes(len(name) + len(value) + 4)
         if self.in_trailer or self.head_too_large:
@@ -388,7 +393,7 @@
 
     def on_headers_complete(self) -> None:
         """Add the request to `ready`; called by the parser."""
-        if self.announcing_body or self.broken:
+        if self._ignores_head:
             return
         self.in_head = False
         if self.head_too_large:
--- a/agatetack/keyed/follower.py
+++ b/agatetack/keyed/follower.py
@@ -351,7 +351,7 @@
         whole = position is None or self.truncated or self.is_outdated
         if whole or self.prefers_newest:
             whole, self.prefers_newest = True, False
-            self.answered_at = Deadline(trio.current_time())
+            self.answered_at = sent.monotonic
             page = await self.topic.newest(self._deadline(0.0))
             self._answered("all")
             if page.generation < self.generations.newest:
@@ -407,10 +407,12 @@
         """
         self.answered_at = Deadline(trio.current_time())
         self.waiting.deadline = math.inf
+        if length is None or length <= MIN_NEWEST_BYTES * WORTH_RATIO:
+            return
         values = self.content.known.values()
         newest_bytes = sum(len(each.value or b"") for each in values)
         newest_bytes *= NEWEST_SIZE_RATIO
-        if length is None or newest_bytes < MIN_NEWEST_BYTES:
+        if newest_bytes < MIN_NEWEST_BYTES:
             return
         if length > newest_bytes * WORTH_RATIO:
             self._count("superseded")
